--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# What can be done with this project; `make help` lists it.
+SHELL := /bin/bash
+BIN := $(CURDIR)/bin
+export SF_BIN := $(BIN)
+
+.PHONY: help build demo test lint prove bench generate
+
+help: ## Print this list.
+	@grep -hE '^[a-z]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 12
+
+build: ## Build the programs into bin/.
+	go build -o $(BIN)/ ./cmd/...
+
+demo: build ## Run the main job with real processes and stand-ins, and print what held.
+	$(BIN)/sf-demo --root .
+
+test: lint build ## Run the linters and all tests.
+	scripts/test.sh
+
+lint: ## Check the format and run vet and staticcheck.
+	@unformatted=$$(gofmt -l cmd internal); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
+	go vet ./...
+	go tool staticcheck ./...
+
+prove: build ## Run the proofs of docs/PROOFS.md and print a line each.
+	scripts/prove.sh
+
+bench: build ## Measure, and write the tables and plots of docs/MEASUREMENTS.md into out/.
+	scripts/bench.sh
+
+generate: ## Generate the code of the protocol between our processes again.
+	cd proto && go tool -modfile=../tools/go.mod buf lint && go tool -modfile=../tools/go.mod buf generate
--- /dev/null
+++ b/cmd/sfctl/main.go
@@ -0,0 +1,13 @@
+// Command sfctl is the operators' tool.
+package main
+
+import (
+	"os"
+
+	"sassafrasfield/internal/operatorcli"
+)
+
+func main() {
+	cli := &operatorcli.CLI{Out: os.Stdout, Err: os.Stderr}
+	os.Exit(cli.Run(os.Args[1:]))
+}
--- /dev/null
+++ b/internal/control/daemon.go
@@ -0,0 +1,161 @@
+// Package control is the daemon sf-control: it feeds the decision packages
+// (lease, rollout, spread) with what it reads and carries out what they say.
+// Each sf-control process is alike; any of them may hold any lease.
+package control
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"connectrpc.com/otelconnect"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"sassafrasfield/internal/engine"
+	"sassafrasfield/internal/gen/sf/v1/sfv1connect"
+	"sassafrasfield/internal/logging"
+	"sassafrasfield/internal/platform"
+	"sassafrasfield/internal/spread"
+	"sassafrasfield/internal/versions"
+)
+
+// Daemon is one sf-control process.
+type Daemon struct {
+	settings *Settings
+	// run names this run of the process, as the holder of leases.
+	run      string
+	start    time.Time
+	log      *slog.Logger
+	platform platform.Platform
+	versions versions.Log
+	holder   *spread.Holder
+	members  *members
+	entry    *entryLink
+	leases   *leases
+	http     *http.Client
+	options  []connect.ClientOption
+
+	mu      sync.Mutex // protects engines
+	engines map[string]engine.Engine
+
+	rng *rand.Rand // used by the spread loop alone
+}
+
+// New returns a daemon that has not started.
+func New(s *Settings, log *slog.Logger) (*Daemon, error) {
+	interceptor, err := otelconnect.NewInterceptor(otelconnect.WithTrustRemote(), otelconnect.WithoutMetrics())
+	if err != nil {
+		return nil, errors.Wrap(err, "control: tracing")
+	}
+	client := platform.NewClient(s.Platform, s.PlatformTimeout)
+	d := &Daemon{
+		settings: s,
+		run:      s.Instance + "/" + uuid.NewString(),
+		start:    time.Now(),
+		log:      log,
+		platform: client,
+		versions: versions.Log{Table: client},
+		holder:   spread.NewHolder(),
+		http:     &http.Client{Timeout: s.PlatformTimeout},
+		options:  []connect.ClientOption{connect.WithInterceptors(interceptor)},
+		engines:  map[string]engine.Engine{},
+		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	d.members = newMembers(client, logging.Part(log, "members"))
+	d.entry = newEntryLink(d.holder, s.EntryLocal, d.http, d.options, logging.Part(log, "entry"))
+	d.leases = newLeases(d, logging.Part(log, "lease"))
+	return d, nil
+}
+
+// now is the daemon's monotonic clock.
+func (d *Daemon) now() time.Duration {
+	return time.Since(d.start)
+}
+
+// Run works until the context ends, then hands its leases over.
+func (d *Daemon) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	loops := []func(context.Context){
+		d.pollLoop, d.spreadLoop, d.entryLoop, d.memberLoop, d.leases.loop, d.rolloutLoop,
+	}
+	for _, loop := range loops {
+		group.Go(func() error {
+			loop(ctx)
+			return nil
+		})
+	}
+	group.Go(func() error { return d.serve(ctx) })
+	d.log.Info("control: started", "listen", d.settings.Listen)
+	return group.Wait()
+}
+
+// serve answers peers, operators and probes until the context ends.
+func (d *Daemon) serve(ctx context.Context) error {
+	server := &http.Server{Addr: d.settings.Listen, Handler: d.handler(), ReadHeaderTimeout: 10 * time.Second}
+	done := make(chan error, 1)
+	go func() { done <- server.ListenAndServe() }()
+	select {
+	case err := <-done:
+		return errors.Wrap(err, "control: listen")
+	case <-ctx.Done():
+	}
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), 2*time.Second)
+	defer cancel()
+	return errors.Wrap(server.Shutdown(stop), "control: shutdown")
+}
+
+func (d *Daemon) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(sfv1connect.NewPeerServiceHandler(&peerService{daemon: d}))
+	mux.Handle(sfv1connect.NewOperatorServiceHandler(&operatorService{daemon: d}))
+	mux.HandleFunc("/livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("/readyz", d.readyz)
+	mux.HandleFunc("/metrics", serveMetrics)
+	return mux
+}
+
+// readyz tells whether the process holds a configuration.
+func (d *Daemon) readyz(w http.ResponseWriter, _ *http.Request) {
+	if d.holder.Current().Version == 0 {
+		http.Error(w, "no configuration known yet", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// engineAt returns the client for an engine's address.
+func (d *Daemon) engineAt(address string) engine.Engine {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	client, ok := d.engines[address]
+	if !ok {
+		client = engine.NewClient(address, d.settings.Rollout.EngineTimeout)
+		d.engines[address] = client
+	}
+	return client
+}
+
+// peer returns a client for another instance's sf-control.
+func (d *Daemon) peer(address string) sfv1connect.PeerServiceClient {
+	return sfv1connect.NewPeerServiceClient(d.http, "http://"+address, d.options...)
+}
+
+// every calls work now and then at the period until the context ends.
+func every(ctx context.Context, period time.Duration, work func(context.Context)) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		work(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/engine/client.go
@@ -0,0 +1,202 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+)
+
+// Paths of an engine's HTTP interface; see docs/INTERFACES.md.
+const (
+	PathGenerate    = "/generate"
+	PathCancel      = "/cancel"
+	PathReport      = "/report"
+	PathCacheEvents = "/cache-events"
+	PathOrder       = "/order"
+	PathStatus      = "/status"
+	PathExport      = "/kv/export"
+	PathImport      = "/kv/import"
+)
+
+// maxReplyBytes bounds what is read of one reply that is no stream.
+const maxReplyBytes = 8 << 20
+
+// StreamID names a stream in a call.
+type StreamID struct {
+	ID string `json:"id"`
+}
+
+// Client speaks an engine's HTTP interface. It is safe for use by several
+// goroutines.
+type Client struct {
+	base    string
+	http    *http.Client
+	timeout time.Duration
+}
+
+var _ Engine = (*Client)(nil)
+
+// NewClient returns a client for the engine at address (host:port). Timeout
+// bounds each call but Generate, and the wait for a Generate call's headers.
+func NewClient(address string, timeout time.Duration) *Client {
+	return &Client{
+		base: "http://" + address,
+		http: &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost:   64,
+			IdleConnTimeout:       time.Minute,
+			ResponseHeaderTimeout: timeout,
+		}},
+		timeout: timeout,
+	}
+}
+
+// Generate implements Engine.
+func (c *Client) Generate(ctx context.Context, req Request) (Stream, error) {
+	res, err := c.post(ctx, PathGenerate, req)
+	if err != nil {
+		return nil, err
+	}
+	return &stream{body: res.Body, decoder: json.NewDecoder(res.Body)}, nil
+}
+
+// Cancel implements Engine.
+func (c *Client) Cancel(ctx context.Context, id string) error {
+	return c.call(ctx, PathCancel, StreamID{ID: id}, nil)
+}
+
+// Report implements Engine.
+func (c *Client) Report(ctx context.Context) (Report, error) {
+	var report Report
+	err := c.call(ctx, PathReport, nil, &report)
+	return report, err
+}
+
+// CacheEvents implements Engine.
+func (c *Client) CacheEvents(ctx context.Context, after int64) (CacheEvents, error) {
+	var events CacheEvents
+	err := c.call(ctx, PathCacheEvents+"?after="+strconv.FormatInt(after, 10), nil, &events)
+	return events, err
+}
+
+// Order implements Engine.
+func (c *Client) Order(ctx context.Context, order Order) (Status, error) {
+	var status Status
+	err := c.call(ctx, PathOrder, order, &status)
+	return status, err
+}
+
+// Status implements Engine.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var status Status
+	err := c.call(ctx, PathStatus, nil, &status)
+	return status, err
+}
+
+// Export implements Engine.
+func (c *Client) Export(ctx context.Context, id string) (KVExport, error) {
+	var kv KVExport
+	err := c.call(ctx, PathExport, StreamID{ID: id}, &kv)
+	return kv, err
+}
+
+// Import implements Engine.
+func (c *Client) Import(ctx context.Context, kv KVExport) error {
+	return c.call(ctx, PathImport, kv, nil)
+}
+
+func (c *Client) call(ctx context.Context, path string, body, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	res, err := c.post(ctx, path, body)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if reply == nil {
+		return nil
+	}
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxReplyBytes)).Decode(reply); err != nil {
+		return errors.WithMessage(ErrBroken, err.Error())
+	}
+	return nil
+}
+
+// post sends one call and returns the response when its status is 200.
+func (c *Client) post(ctx context.Context, path string, body any) (*http.Response, error) {
+	method, payload := http.MethodGet, io.Reader(nil)
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return nil, errors.Wrap(err, "engine: encode")
+		}
+		method, payload = http.MethodPost, bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, payload)
+	if err != nil {
+		return nil, errors.Wrap(err, "engine: request")
+	}
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(req.Header))
+	res, err := c.http.Do(req)
+	if err != nil {
+		return nil, classify(err)
+	}
+	if err := statusError(res); err != nil {
+		res.Body.Close()
+		return nil, err
+	}
+	return res, nil
+}
+
+func classify(err error) error {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return errors.WithMessage(ErrUnreachable, err.Error())
+	}
+	return errors.WithMessage(ErrBroken, err.Error())
+}
+
+func statusError(res *http.Response) error {
+	switch res.StatusCode {
+	case http.StatusOK:
+		return nil
+	case http.StatusNotFound:
+		return ErrNoStream
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return ErrNotRun
+	case http.StatusPreconditionFailed:
+		return ErrFenced
+	default:
+		return errors.WithMessagef(ErrBroken, "status %d", res.StatusCode)
+	}
+}
+
+// stream reads one JSON object a line.
+type stream struct {
+	body    io.ReadCloser
+	decoder *json.Decoder
+	done    bool
+}
+
+func (s *stream) Next() (Piece, error) {
+	if s.done {
+		return Piece{}, io.EOF
+	}
+	var piece Piece
+	if err := s.decoder.Decode(&piece); err != nil {
+		return Piece{}, errors.WithMessage(ErrBroken, err.Error())
+	}
+	s.done = piece.Finish != ""
+	return piece, nil
+}
+
+func (s *stream) Close() error {
+	return s.body.Close()
+}
--- /dev/null
+++ b/internal/entry/local.go
@@ -0,0 +1,45 @@
+package entry
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+
+	"sassafrasfield/internal/config"
+	sfv1 "sassafrasfield/internal/gen/sf/v1"
+)
+
+// localService answers sf-control of the same instance.
+type localService struct {
+	server *Server
+}
+
+// Apply implements the EntryService.
+func (l *localService) Apply(_ context.Context, req *connect.Request[sfv1.ApplyRequest]) (*connect.Response[sfv1.ApplyResponse], error) {
+	var doc *config.Config
+	if len(req.Msg.Document) > 0 {
+		decoded, err := config.Decode(req.Msg.Document)
+		if err != nil {
+			return nil, connect.NewError(connect.CodeInvalidArgument, err)
+		}
+		doc = decoded
+	}
+	before := l.server.state.config().Version
+	version := l.server.state.apply(doc, req.Msg.Leaving, l.server.now())
+	if version != before {
+		l.server.log.Info("config: version in force", "version", version)
+	}
+	return connect.NewResponse(&sfv1.ApplyResponse{Version: version}), nil
+}
+
+// Status implements the EntryService.
+func (l *localService) Status(context.Context, *connect.Request[sfv1.StatusRequest]) (*connect.Response[sfv1.StatusResponse], error) {
+	response := &sfv1.StatusResponse{
+		Version: l.server.state.config().Version,
+		Ready:   !l.server.stopping.Load() && l.server.ready() == nil,
+	}
+	for id, n := range l.server.state.streams() {
+		response.Streams = append(response.Streams, &sfv1.EngineStreams{Engine: id, Streams: int32(n)})
+	}
+	return connect.NewResponse(response), nil
+}
--- /dev/null
+++ b/internal/entry/plain.go
@@ -0,0 +1,185 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/labstack/echo/v5"
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"sassafrasfield/internal/callerapi"
+	"sassafrasfield/internal/config"
+	"sassafrasfield/internal/once"
+	"sassafrasfield/internal/service"
+)
+
+// hopHeaders are not passed on. Source: RFC 9110, section 7.6.1.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Authorization",
+}
+
+// plainService passes a call on to a plain service.
+func (s *Server) plainService(c *echo.Context) error {
+	s.metrics.requests.Inc(1)
+	svc := s.serviceFor(c.Request().URL.Path)
+	if svc == nil {
+		return notFound("no_such_path", "no service has this path")
+	}
+	if err := s.ready(); err != nil {
+		return notRun("not_ready", err.Error(), defaultRetryIn)
+	}
+	organisation, err := s.authenticate(c.Request())
+	if err != nil {
+		return err
+	}
+	body, err := s.readBody(c)
+	if err != nil {
+		return err
+	}
+	call := service.Call{Method: c.Request().Method, Path: c.Request().URL.RequestURI(), Header: passOn(c.Request().Header), Body: body}
+	answer, err := s.runCall(c, svc, organisation, call)
+	if err != nil {
+		return err
+	}
+	s.metrics.answered.Inc(1)
+	return writeAnswer(c, answer)
+}
+
+func (s *Server) serviceFor(path string) *config.Service {
+	doc := s.state.config()
+	for i := range doc.Services {
+		prefix := strings.TrimSuffix(doc.Services[i].Prefix, "/")
+		if path == prefix || strings.HasPrefix(path, prefix+"/") {
+			return &doc.Services[i]
+		}
+	}
+	return nil
+}
+
+func passOn(header http.Header) http.Header {
+	kept := header.Clone()
+	for _, name := range hopHeaders {
+		kept.Del(name)
+	}
+	return kept
+}
+
+func (s *Server) runCall(c *echo.Context, svc *config.Service, organisation *config.Organisation, call service.Call) (service.Answer, error) {
+	ctx := c.Request().Context()
+	key := c.Request().Header.Get(callerapi.HeaderIdempotencyKey)
+	if idempotent(svc, call) {
+		return s.repeatable(ctx, svc, call)
+	}
+	if key == "" {
+		answer, err := s.callOnce(ctx, svc, call, map[string]bool{})
+		return answer, callRefusal(err)
+	}
+	answer, err := s.once.Do(ctx, once.Key(svc.Name, organisation.Name, key), call, func(ctx context.Context) (service.Answer, error) {
+		return s.callOnce(ctx, svc, call, map[string]bool{})
+	})
+	return answer, callRefusal(err)
+}
+
+// idempotent tells whether a call may be repeated.
+func idempotent(svc *config.Service, call service.Call) bool {
+	if slices.Contains([]string{http.MethodGet, http.MethodHead, http.MethodOptions}, call.Method) {
+		return true
+	}
+	for _, pair := range svc.NonIdempotent {
+		method, prefix, _ := strings.Cut(pair, " ")
+		if method == call.Method && strings.HasPrefix(call.Path, prefix) {
+			return false
+		}
+	}
+	return slices.Contains([]string{http.MethodPut, http.MethodDelete}, call.Method)
+}
+
+// repeatable tries an idempotent call on several upstreams.
+func (s *Server) repeatable(ctx context.Context, svc *config.Service, call service.Call) (service.Answer, error) {
+	excluded := map[string]bool{}
+	var last error
+	for range s.settings.Engine.Attempts {
+		answer, err := s.callOnce(ctx, svc, call, excluded)
+		if err == nil {
+			return answer, nil
+		}
+		last = err
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return service.Answer{}, callRefusal(last)
+}
+
+// callOnce sends a call to one upstream, which it adds to excluded.
+func (s *Server) callOnce(ctx context.Context, svc *config.Service, call service.Call, excluded map[string]bool) (service.Answer, error) {
+	upstream := s.state.pickUpstream(svc, excluded)
+	if upstream == nil {
+		return service.Answer{}, errors.WithMessage(service.ErrNotRun, "no upstream is left")
+	}
+	excluded[upstream.ID] = true
+	ctx, span := tracer().Start(ctx, "service call", trace.WithAttributes(attribute.String("upstream", upstream.ID)))
+	defer span.End()
+	return s.serviceAt(upstream.Address).Do(ctx, call)
+}
+
+// pickUpstream chooses an upstream of a service at random, those of the same
+// zone first.
+func (s *state) pickUpstream(svc *config.Service, excluded map[string]bool) *config.ServiceUpstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var near, far []*config.ServiceUpstream
+	for i := range svc.Upstreams {
+		u := &svc.Upstreams[i]
+		switch {
+		case u.Leave || s.leaving[u.ID] || excluded[u.ID]:
+		case u.Zone == s.zone:
+			near = append(near, u)
+		default:
+			far = append(far, u)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return nil
+	}
+	return near[s.rng.IntN(len(near))]
+}
+
+// callRefusal turns an error of a call into the answer to the caller.
+func callRefusal(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, once.ErrMismatch):
+		return &refusal{status: http.StatusUnprocessableEntity, body: callerapi.Error{
+			Message: "the idempotency key was used with another call", Type: "invalid_request_error",
+			Code: "idempotency_key_reused", Outcome: callerapi.OutcomeNotRun,
+		}}
+	case errors.Is(err, once.ErrRunning):
+		r := unknown("in_progress", "the call was claimed and has no kept answer yet; ask again with the same key")
+		r.status, r.retryIn = http.StatusConflict, defaultRetryIn
+		return r
+	case errors.Is(err, once.ErrNotRun), errors.Is(err, service.ErrNotRun):
+		return notRun("not_run", "the call did not run", defaultRetryIn)
+	default:
+		return unknown("outcome_unknown", "the upstream did not answer; the call may have run")
+	}
+}
+
+func writeAnswer(c *echo.Context, answer service.Answer) error {
+	header := c.Response().Header()
+	for name, values := range passOn(answer.Header) {
+		header[name] = values
+	}
+	c.Response().WriteHeader(answer.Status)
+	_, err := c.Response().Write(answer.Body)
+	return err
+}
--- /dev/null
+++ b/internal/entry/request.go
@@ -0,0 +1,149 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v5"
+
+	"sassafrasfield/internal/callerapi"
+	"sassafrasfield/internal/config"
+	"sassafrasfield/internal/stream"
+)
+
+// charsPerToken estimates the tokens of a prompt without a tokenizer.
+const charsPerToken = 4
+
+// completion is a caller's request, checked.
+type completion struct {
+	id           string
+	organisation *config.Organisation
+	model        string // as the caller wrote it
+	name         string
+	adapter      string
+	version      string
+	prompt       string
+	promptTokens int
+	maxTokens    int
+	seed         int64
+	priority     int
+	streamed     bool
+	// resume is the token of a broken answer, or nil.
+	resume *stream.Token
+}
+
+// readCompletion reads and checks a request.
+func (s *Server) readCompletion(c *echo.Context) (*completion, error) {
+	organisation, err := s.authenticate(c.Request())
+	if err != nil {
+		return nil, err
+	}
+	body, err := s.readBody(c)
+	if err != nil {
+		return nil, err
+	}
+	var req callerapi.Request
+	if err := json.Unmarshal(body, &req); err != nil {
+		return nil, badRequest("", "the body is no valid request: "+err.Error())
+	}
+	comp := &completion{id: uuid.NewString(), organisation: organisation, streamed: req.Stream}
+	if err := s.fill(comp, &req); err != nil {
+		return nil, err
+	}
+	if err := s.readHeaders(comp, c.Request().Header); err != nil {
+		return nil, err
+	}
+	return comp, nil
+}
+
+func (s *Server) authenticate(r *http.Request) (*config.Organisation, error) {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return nil, unauthorized()
+	}
+	sum := sha256.Sum256([]byte(key))
+	organisation := s.state.organisation(hex.EncodeToString(sum[:]))
+	if organisation == nil {
+		return nil, unauthorized()
+	}
+	return organisation, nil
+}
+
+func (s *Server) readBody(c *echo.Context) ([]byte, error) {
+	limit := int64(s.settings.Limits.MaxBodyBytes)
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
+	if err != nil {
+		return nil, &refusal{status: http.StatusRequestEntityTooLarge, body: callerapi.Error{
+			Message: fmt.Sprintf("the body could not be read, or has over %d bytes", limit),
+			Type:    "invalid_request_error", Outcome: callerapi.OutcomeNotRun,
+		}}
+	}
+	return body, nil
+}
+
+func (s *Server) fill(comp *completion, req *callerapi.Request) error {
+	comp.model = req.Model
+	comp.name, comp.adapter, comp.version = callerapi.SplitModel(req.Model)
+	model := s.state.config().Model(comp.name)
+	if model == nil || !mayUse(model, comp.organisation) {
+		return notFound("model_not_found", fmt.Sprintf("the model %q does not exist or is not yours to use", req.Model))
+	}
+	if req.N != nil && *req.N != 1 {
+		return badRequest("n", "only n = 1 is supported")
+	}
+	comp.prompt = req.Text()
+	if comp.prompt == "" {
+		return badRequest("prompt", "the prompt is empty")
+	}
+	comp.promptTokens = (len(comp.prompt) + charsPerToken - 1) / charsPerToken
+	limit := s.settings.Limits.MaxPromptTokens
+	if model.MaxPromptTokens > 0 {
+		limit = min(limit, model.MaxPromptTokens)
+	}
+	if comp.promptTokens > limit {
+		return badRequest("prompt", fmt.Sprintf("the prompt has about %d tokens, over the limit of %d", comp.promptTokens, limit))
+	}
+	comp.maxTokens = req.Limit(s.settings.Limits.MaxAnswerTokens)
+	if comp.maxTokens < 1 || comp.maxTokens > s.settings.Limits.MaxAnswerTokens {
+		return badRequest("max_tokens", fmt.Sprintf("want 1 to %d", s.settings.Limits.MaxAnswerTokens))
+	}
+	comp.seed = int64(rand.Uint32())
+	if req.Seed != nil {
+		comp.seed = *req.Seed
+	}
+	return nil
+}
+
+func mayUse(model *config.Model, organisation *config.Organisation) bool {
+	return len(model.Callers) == 0 || slices.Contains(model.Callers, organisation.Name)
+}
+
+func (s *Server) readHeaders(comp *completion, header http.Header) error {
+	if text := header.Get(callerapi.HeaderPriority); text != "" {
+		priority, err := strconv.Atoi(text)
+		if err != nil {
+			return badRequest(callerapi.HeaderPriority, "want a whole number")
+		}
+		comp.priority = priority
+	}
+	text := header.Get("Last-Event-ID")
+	if text == "" {
+		return nil
+	}
+	token, err := stream.ParseToken(text)
+	if err != nil {
+		return badRequest("Last-Event-ID", err.Error())
+	}
+	comp.resume = &token
+	comp.id, comp.seed = token.Request, token.Seed
+	return nil
+}
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,196 @@
+// Package entry is the daemon sf-entry, the data path: it admits callers'
+// requests, routes them to upstreams, streams the answers, and goes on where
+// an upstream or another entry broke off.
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/labstack/echo/v5"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"sassafrasfield/internal/engine"
+	"sassafrasfield/internal/gen/sf/v1/sfv1connect"
+	"sassafrasfield/internal/once"
+	"sassafrasfield/internal/platform"
+	"sassafrasfield/internal/service"
+)
+
+// Server is one sf-entry process.
+type Server struct {
+	settings *Settings
+	start    time.Time
+	log      *slog.Logger
+	state    *state
+	once     once.Runner
+	stopping atomic.Bool
+	metrics  *meters
+
+	mu       sync.Mutex // protects engines and services
+	engines  map[string]engine.Engine
+	services map[string]service.Service
+}
+
+// New returns a server that has not started.
+func New(s *Settings, log *slog.Logger) *Server {
+	return &Server{
+		settings: s,
+		start:    time.Now(),
+		log:      log,
+		state:    newState(s.Zone),
+		once:     once.Runner{Table: platform.NewClient(s.Platform, s.PlatformTimeout)},
+		metrics:  newMeters(metrics.DefaultRegistry),
+		engines:  map[string]engine.Engine{},
+		services: map[string]service.Service{},
+	}
+}
+
+// now is the server's monotonic clock.
+func (s *Server) now() time.Duration {
+	return time.Since(s.start)
+}
+
+// Run serves until the context ends, then finishes what it has: unready first,
+// then it goes on taking what the balancer still sends, then it waits for each
+// stream.
+func (s *Server) Run(ctx context.Context) error {
+	public := &http.Server{
+		Addr: s.settings.Listen, Handler: s.handler(),
+		ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: s.settings.Limits.MaxHeaderBytes,
+	}
+	local := &http.Server{Addr: s.settings.Local, Handler: s.localHandler(), ReadHeaderTimeout: 10 * time.Second}
+	failed := make(chan error, 2)
+	go func() { failed <- errors.Wrap(public.ListenAndServe(), "entry: listen") }()
+	go func() { failed <- errors.Wrap(local.ListenAndServe(), "entry: local") }()
+	reporting, stopReports := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopReports()
+	go s.reportLoop(reporting)
+	s.log.Info("entry: started", "listen", s.settings.Listen)
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	return s.stop(context.WithoutCancel(ctx), public, local)
+}
+
+func (s *Server) stop(ctx context.Context, public, local *http.Server) error {
+	s.stopping.Store(true)
+	s.log.Info("entry: not ready any more, stopping")
+	time.Sleep(s.settings.BalancerLag)
+	ctx, cancel := context.WithTimeout(ctx, s.settings.ShutdownTimeout)
+	defer cancel()
+	if err := public.Shutdown(ctx); err != nil {
+		return errors.Wrap(err, "entry: streams left at shutdown")
+	}
+	s.log.Info("entry: all streams finished")
+	return errors.Wrap(local.Close(), "entry: local")
+}
+
+func (s *Server) handler() http.Handler {
+	e := echo.New()
+	e.Logger = s.log
+	e.HTTPErrorHandler = s.errorHandler
+	e.POST("/v1/chat/completions", s.completions(chatShape{}))
+	e.POST("/v1/completions", s.completions(textShape{}))
+	e.GET("/v1/models", s.models)
+	e.GET("/livez", func(c *echo.Context) error { return c.NoContent(http.StatusOK) })
+	e.GET("/readyz", s.readyz)
+	e.GET("/metrics", s.serveMetrics)
+	e.Any("/*", s.plainService)
+	return s.traced(e)
+}
+
+func (s *Server) localHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(sfv1connect.NewEntryServiceHandler(&localService{server: s}, connect.WithReadMaxBytes(64<<20)))
+	return mux
+}
+
+// ready returns why the entry takes no new work, or nil.
+func (s *Server) ready() error {
+	since, known := s.state.sinceHeartbeat(s.now())
+	if !known {
+		return errors.New("no configuration known yet")
+	}
+	if since > s.settings.StaleAfter {
+		return errors.Errorf("no heartbeat from sf-control for %s", since.Round(time.Millisecond))
+	}
+	return nil
+}
+
+func (s *Server) readyz(c *echo.Context) error {
+	if s.stopping.Load() {
+		return c.String(http.StatusServiceUnavailable, "stopping\n")
+	}
+	if err := s.ready(); err != nil {
+		return c.String(http.StatusServiceUnavailable, err.Error()+"\n")
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
+
+func (s *Server) serveMetrics(c *echo.Context) error {
+	c.Response().Header().Set("Content-Type", "application/json")
+	metrics.WriteJSONOnce(metrics.DefaultRegistry, c.Response())
+	return nil
+}
+
+// engineAt returns the client for an engine's address.
+func (s *Server) engineAt(address string) engine.Engine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	client, ok := s.engines[address]
+	if !ok {
+		client = engine.NewClient(address, s.settings.Engine.Timeout)
+		s.engines[address] = client
+	}
+	return client
+}
+
+// serviceAt returns the client for a plain service's address.
+func (s *Server) serviceAt(address string) service.Service {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	client, ok := s.services[address]
+	if !ok {
+		client = service.NewClient(address, s.settings.Engine.Timeout)
+		s.services[address] = client
+	}
+	return client
+}
+
+// reportLoop reads each engine's load report now and then.
+func (s *Server) reportLoop(ctx context.Context) {
+	ticker := time.NewTicker(s.settings.Engine.ReportEvery)
+	defer ticker.Stop()
+	for {
+		s.readReports(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Server) readReports(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, 5*s.settings.Engine.ReportEvery)
+	defer cancel()
+	var work sync.WaitGroup
+	for _, e := range s.state.config().Engines {
+		work.Go(func() {
+			report, err := s.engineAt(e.Address).Report(ctx)
+			if err == nil {
+				s.state.reported(e.ID, report, s.now())
+			}
+		})
+	}
+	work.Wait()
+}
--- /dev/null
+++ b/internal/entry/settings.go
@@ -0,0 +1,102 @@
+package entry
+
+import (
+	"time"
+
+	"sassafrasfield/internal/logging"
+	"sassafrasfield/internal/settings"
+	"sassafrasfield/internal/tomlfile"
+	"sassafrasfield/internal/tracing"
+)
+
+// Settings of sf-entry.
+type Settings struct {
+	// Instance is the id that the platform's instance list has.
+	Instance string `toml:"instance"`
+	// Zone is the availability zone of the instance.
+	Zone string `toml:"zone"`
+	// Listen is the address for callers and the balancer's probes.
+	Listen string `toml:"listen"`
+	// Local is the address for sf-control of the same instance.
+	Local string `toml:"local"`
+	// Platform is the address of the platform's service.
+	Platform string `toml:"platform"`
+	// PlatformTimeout bounds each call to the platform. Default 2s.
+	PlatformTimeout time.Duration `toml:"platform_timeout"`
+	// StaleAfter is how long the entry takes new work without a heartbeat from
+	// sf-control. Default 5s.
+	StaleAfter time.Duration `toml:"stale_after"`
+	// ShutdownTimeout bounds the wait for streams at the end. Default 10m.
+	ShutdownTimeout time.Duration `toml:"shutdown_timeout"`
+	// BalancerLag is how long the entry goes on taking what the balancer sends
+	// after it said that it is not ready. Default 3s.
+	BalancerLag time.Duration    `toml:"balancer_lag"`
+	Limits      LimitSettings    `toml:"limits"`
+	Engine      EngineSettings   `toml:"engine"`
+	Log         logging.Settings `toml:"log"`
+	Trace       tracing.Settings `toml:"trace"`
+}
+
+// LimitSettings bound what a caller may send.
+type LimitSettings struct {
+	// MaxBodyBytes of a request. Default 4 MiB.
+	MaxBodyBytes int `toml:"max_body_bytes"`
+	// MaxHeaderBytes of a request. Default 64 KiB.
+	MaxHeaderBytes int `toml:"max_header_bytes"`
+	// MaxPromptTokens of a request, estimated. Default 131072.
+	MaxPromptTokens int `toml:"max_prompt_tokens"`
+	// MaxAnswerTokens of an answer. Default 4096.
+	MaxAnswerTokens int `toml:"max_answer_tokens"`
+}
+
+// EngineSettings set the calls to engines and services.
+type EngineSettings struct {
+	// Timeout of a call, and of the wait for a stream's first bytes. Default
+	// 30s.
+	Timeout time.Duration `toml:"timeout"`
+	// ReportEvery is the time between reads of an engine's report. Default
+	// 200ms.
+	ReportEvery time.Duration `toml:"report_every"`
+	// Attempts of a request, the first one included. Default 3.
+	Attempts int `toml:"attempts"`
+}
+
+// DefaultSettings returns the defaults; addresses and names have none.
+func DefaultSettings() *Settings {
+	return &Settings{
+		PlatformTimeout: 2 * time.Second,
+		StaleAfter:      5 * time.Second,
+		ShutdownTimeout: 10 * time.Minute,
+		BalancerLag:     3 * time.Second,
+		Limits: LimitSettings{
+			MaxBodyBytes: 4 << 20, MaxHeaderBytes: 64 << 10,
+			MaxPromptTokens: 131072, MaxAnswerTokens: 4096,
+		},
+		Engine: EngineSettings{Timeout: 30 * time.Second, ReportEvery: 200 * time.Millisecond, Attempts: 3},
+		Log:    logging.Default(),
+		Trace:  tracing.Default(),
+	}
+}
+
+// Check implements settings.Checker.
+func (s *Settings) Check(file *tomlfile.File) {
+	settings.Required(file, "instance", s.Instance)
+	settings.Required(file, "zone", s.Zone)
+	addresses := settings.Addresses{File: file}
+	addresses.Listen("listen", s.Listen)
+	addresses.Listen("local", s.Local)
+	addresses.Peer("platform", s.Platform)
+	settings.Between(file, "platform_timeout", s.PlatformTimeout, time.Millisecond, time.Minute)
+	settings.Between(file, "stale_after", s.StaleAfter, 100*time.Millisecond, 10*time.Minute)
+	settings.Between(file, "shutdown_timeout", s.ShutdownTimeout, 0, 24*time.Hour)
+	settings.Between(file, "balancer_lag", s.BalancerLag, 0, time.Minute)
+	settings.IntBetween(file, "limits.max_body_bytes", s.Limits.MaxBodyBytes, 1<<10, 256<<20)
+	settings.IntBetween(file, "limits.max_header_bytes", s.Limits.MaxHeaderBytes, 1<<10, 1<<20)
+	settings.IntBetween(file, "limits.max_prompt_tokens", s.Limits.MaxPromptTokens, 1, 16<<20)
+	settings.IntBetween(file, "limits.max_answer_tokens", s.Limits.MaxAnswerTokens, 1, 1<<20)
+	settings.Between(file, "engine.timeout", s.Engine.Timeout, 10*time.Millisecond, 10*time.Minute)
+	settings.Between(file, "engine.report_every", s.Engine.ReportEvery, time.Millisecond, time.Minute)
+	settings.IntBetween(file, "engine.attempts", s.Engine.Attempts, 1, 20)
+	s.Log.Check(file, "log")
+	s.Trace.Check(file, "trace")
+}
--- /dev/null
+++ b/internal/entry/sink.go
@@ -0,0 +1,194 @@
+package entry
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v5"
+	"github.com/pkg/errors"
+
+	"sassafrasfield/internal/callerapi"
+	"sassafrasfield/internal/config"
+	"sassafrasfield/internal/engine"
+	"sassafrasfield/internal/stream"
+)
+
+// shape is the form of an answer in the callers' protocol.
+type shape interface {
+	// chunk returns a part of a streamed answer.
+	chunk(text string, finish *string) callerapi.Choice
+	// whole returns a whole answer.
+	whole(text string, finish *string) callerapi.Choice
+	// objects are the names of a chunk and of a whole answer.
+	objects() (chunk, whole string)
+	idPrefix() string
+}
+
+// chatShape is the form of chat completions.
+type chatShape struct{}
+
+func (chatShape) chunk(text string, finish *string) callerapi.Choice {
+	return callerapi.Choice{Delta: &callerapi.ChatMessage{Content: text}, FinishReason: finish}
+}
+
+func (chatShape) whole(text string, finish *string) callerapi.Choice {
+	return callerapi.Choice{Message: &callerapi.ChatMessage{Role: "assistant", Content: text}, FinishReason: finish}
+}
+
+func (chatShape) objects() (chunk, whole string) { return "chat.completion.chunk", "chat.completion" }
+
+func (chatShape) idPrefix() string { return "chatcmpl-" }
+
+// textShape is the form of plain completions.
+type textShape struct{}
+
+func (textShape) chunk(text string, finish *string) callerapi.Choice {
+	return callerapi.Choice{Text: &text, FinishReason: finish}
+}
+
+func (s textShape) whole(text string, finish *string) callerapi.Choice { return s.chunk(text, finish) }
+
+func (textShape) objects() (chunk, whole string) { return "text_completion", "text_completion" }
+
+func (textShape) idPrefix() string { return "cmpl-" }
+
+// responder is a sink that answers a caller.
+type responder interface {
+	sink
+	finish() error
+	// fail tells the caller that the answer is not whole.
+	fail(err error) error
+}
+
+func newSink(c *echo.Context, shape shape, comp *completion) responder {
+	base := response{c: c, shape: shape, comp: comp, created: time.Now().Unix()}
+	if comp.streamed {
+		return &streamedResponse{response: base}
+	}
+	return &wholeResponse{response: base}
+}
+
+// response is what both forms share.
+type response struct {
+	c       *echo.Context
+	shape   shape
+	comp    *completion
+	created int64
+}
+
+func (r *response) message(object string, choice callerapi.Choice) callerapi.Response {
+	return callerapi.Response{
+		ID: r.shape.idPrefix() + r.comp.id, Object: object, Created: r.created,
+		Model: r.comp.model, Choices: []callerapi.Choice{choice},
+	}
+}
+
+// wholeResponse answers with one JSON object.
+type wholeResponse struct {
+	response
+	text   strings.Builder
+	tokens int
+	reason string
+}
+
+func (w *wholeResponse) piece(piece engine.Piece, _ stream.Token) error {
+	w.text.WriteString(piece.Text)
+	if piece.Finish != "" {
+		w.reason = string(piece.Finish)
+		return nil
+	}
+	w.tokens++
+	return nil
+}
+
+func (w *wholeResponse) finish() error {
+	_, object := w.shape.objects()
+	message := w.message(object, w.shape.whole(w.text.String(), &w.reason))
+	message.Usage = &callerapi.Usage{
+		PromptTokens: w.comp.promptTokens, CompletionTokens: w.tokens,
+		TotalTokens: w.comp.promptTokens + w.tokens,
+	}
+	return w.c.JSON(http.StatusOK, message)
+}
+
+func (w *wholeResponse) fail(err error) error {
+	return err
+}
+
+// streamedResponse answers with server-sent events. The id of each event lets
+// the caller resume on any instance.
+type streamedResponse struct {
+	response
+	started bool
+}
+
+func (s *streamedResponse) start() {
+	if s.started {
+		return
+	}
+	s.started = true
+	header := s.c.Response().Header()
+	header.Set("Content-Type", "text/event-stream")
+	header.Set("Cache-Control", "no-cache")
+	s.c.Response().WriteHeader(http.StatusOK)
+}
+
+func (s *streamedResponse) piece(piece engine.Piece, token stream.Token) error {
+	s.start()
+	var finish *string
+	if piece.Finish != "" {
+		reason := string(piece.Finish)
+		finish = &reason
+	}
+	object, _ := s.shape.objects()
+	data, err := json.Marshal(s.message(object, s.shape.chunk(piece.Text, finish)))
+	if err != nil {
+		return errors.Wrap(err, "entry: chunk")
+	}
+	return s.write(fmt.Sprintf("id: %s\ndata: %s\n\n", token, data))
+}
+
+func (s *streamedResponse) finish() error {
+	s.start()
+	return s.write("data: [DONE]\n\n")
+}
+
+func (s *streamedResponse) fail(err error) error {
+	if !s.started {
+		return err
+	}
+	var refused *refusal
+	if !errors.As(err, &refused) {
+		refused = unknown("engine_failed", "the answer broke off; resume with Last-Event-ID")
+	}
+	data, marshalErr := json.Marshal(callerapi.ErrorBody{Error: refused.body})
+	if marshalErr != nil {
+		return errors.Wrap(marshalErr, "entry: error event")
+	}
+	return s.write(fmt.Sprintf("event: error\ndata: %s\n\n", data))
+}
+
+func (s *streamedResponse) write(text string) error {
+	if _, err := s.c.Response().Write([]byte(text)); err != nil {
+		return err
+	}
+	return http.NewResponseController(s.c.Response()).Flush()
+}
+
+func modelList(doc *config.Config, organisation *config.Organisation) callerapi.ModelList {
+	list := callerapi.ModelList{Object: "list", Data: []callerapi.ModelItem{}}
+	for i := range doc.Models {
+		m := &doc.Models[i]
+		if !mayUse(m, organisation) {
+			continue
+		}
+		list.Data = append(list.Data, callerapi.ModelItem{ID: m.Name, Object: "model", OwnedBy: "sassafrasfield"})
+		for _, adapter := range m.Adapters {
+			list.Data = append(list.Data, callerapi.ModelItem{ID: m.Name + ":" + adapter, Object: "model", OwnedBy: "sassafrasfield"})
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/intent/apply.go
@@ -0,0 +1,188 @@
+package intent
+
+import (
+	"fmt"
+	"slices"
+
+	"sassafrasfield/internal/config"
+	"sassafrasfield/internal/tomlfile"
+)
+
+// applier changes target by the parts of an intent, and records findings in
+// file.
+type applier struct {
+	file   *tomlfile.File
+	target *config.Config
+}
+
+// set copies a given value.
+func set[T any](into *T, given *T) {
+	if given != nil {
+		*into = *given
+	}
+}
+
+// upsert finds the element that match picks, or adds an empty one.
+func upsert[T any](items *[]T, match func(*T) bool) (item *T, added bool) {
+	for i := range *items {
+		if match(&(*items)[i]) {
+			return &(*items)[i], false
+		}
+	}
+	*items = append(*items, *new(T))
+	return &(*items)[len(*items)-1], true
+}
+
+func (a *applier) models(models []Model) {
+	for i, m := range models {
+		match := func(c *config.Model) bool { return c.Name == m.Name }
+		if m.Remove {
+			a.remove(fmt.Sprintf("model.%d", i), m.Name, a.target.Model(m.Name) != nil)
+			a.target.Models = slices.DeleteFunc(a.target.Models, func(c config.Model) bool { return match(&c) })
+			continue
+		}
+		c, _ := upsert(&a.target.Models, match)
+		c.Name = m.Name
+		set(&c.Version, m.Version)
+		set(&c.Adapters, m.Adapters)
+		set(&c.Callers, m.Callers)
+		set(&c.MaxPromptTokens, m.MaxPromptTokens)
+	}
+}
+
+func (a *applier) pools(pools []Pool) {
+	for i, p := range pools {
+		match := func(c *config.Pool) bool { return c.Name == p.Name }
+		if p.Remove {
+			a.remove(fmt.Sprintf("pool.%d", i), p.Name, a.target.Pool(p.Name) != nil)
+			a.target.Pools = slices.DeleteFunc(a.target.Pools, func(c config.Pool) bool { return match(&c) })
+			continue
+		}
+		c, added := upsert(&a.target.Pools, match)
+		if added {
+			c.RoleChangeWeight = 1
+		}
+		c.Name = p.Name
+		set(&c.Model, p.Model)
+		set(&c.Region, p.Region)
+		set(&c.MinServing, p.MinServing)
+		set(&c.MinPrefill, p.MinPrefill)
+		set(&c.MaxPrefill, p.MaxPrefill)
+		set(&c.MinDecode, p.MinDecode)
+		set(&c.RoleChangeWeight, p.RoleChangeWeight)
+	}
+}
+
+func (a *applier) engines(engines []Engine) {
+	for i, e := range engines {
+		if e.Remove {
+			a.removeEngine(fmt.Sprintf("engine.%d", i), e.ID)
+			continue
+		}
+		a.engine(e)
+	}
+	a.wantModels()
+}
+
+func (a *applier) engine(e Engine) {
+	c, added := upsert(&a.target.Engines, func(c *config.Engine) bool { return c.ID == e.ID })
+	c.ID = e.ID
+	if added {
+		c.Routing = config.RoutingOut
+		c.Fencing = config.FencingIgnore
+		c.Want.Role = config.RoleMixed
+	}
+	set(&c.Address, e.Address)
+	set(&c.Zone, e.Zone)
+	set(&c.Pool, e.Pool)
+	set(&c.Leave, e.Leave)
+	set(&c.Fencing, (*config.Fencing)(e.Fencing))
+	set(&c.Want.Role, (*config.Role)(e.Role))
+}
+
+// wantModels gives each engine the wanted state that its pool's model asks
+// for.
+func (a *applier) wantModels() {
+	for i := range a.target.Engines {
+		e := &a.target.Engines[i]
+		pool := a.target.Pool(e.Pool)
+		if pool == nil {
+			continue
+		}
+		model := a.target.Model(pool.Model)
+		if model == nil {
+			continue
+		}
+		e.Want.Model = model.Name
+		e.Want.Version = model.Version
+		e.Want.Adapters = slices.Clone(model.Adapters)
+	}
+}
+
+func (a *applier) removeEngine(key, id string) {
+	e := a.target.Engine(id)
+	a.remove(key, id, e != nil)
+	if e == nil {
+		return
+	}
+	if e.Routing != config.RoutingOut {
+		a.file.Add(key, "engine %q is %s; let it leave first", id, e.Routing)
+		return
+	}
+	a.target.Engines = slices.DeleteFunc(a.target.Engines, func(c config.Engine) bool { return c.ID == id })
+}
+
+func (a *applier) services(services []Service) {
+	for i, s := range services {
+		match := func(c *config.Service) bool { return c.Name == s.Name }
+		if s.Remove {
+			a.remove(fmt.Sprintf("service.%d", i), s.Name, slices.ContainsFunc(a.target.Services, func(c config.Service) bool { return match(&c) }))
+			a.target.Services = slices.DeleteFunc(a.target.Services, func(c config.Service) bool { return match(&c) })
+			continue
+		}
+		c, _ := upsert(&a.target.Services, match)
+		c.Name = s.Name
+		set(&c.Prefix, s.Prefix)
+		set(&c.NonIdempotent, s.NonIdempotent)
+		a.upstreams(c, s.Upstreams)
+	}
+}
+
+func (a *applier) upstreams(service *config.Service, upstreams []ServiceUpstream) {
+	for _, u := range upstreams {
+		match := func(c *config.ServiceUpstream) bool { return c.ID == u.ID }
+		if u.Remove {
+			service.Upstreams = slices.DeleteFunc(service.Upstreams, func(c config.ServiceUpstream) bool { return match(&c) })
+			continue
+		}
+		c, _ := upsert(&service.Upstreams, match)
+		c.ID = u.ID
+		set(&c.Address, u.Address)
+		set(&c.Zone, u.Zone)
+		set(&c.Leave, u.Leave)
+	}
+}
+
+func (a *applier) organisations(organisations []Organisation) {
+	for i, o := range organisations {
+		match := func(c *config.Organisation) bool { return c.Name == o.Name }
+		if o.Remove {
+			a.remove(fmt.Sprintf("organisation.%d", i), o.Name, slices.ContainsFunc(a.target.Organisations, func(c config.Organisation) bool { return match(&c) }))
+			a.target.Organisations = slices.DeleteFunc(a.target.Organisations, func(c config.Organisation) bool { return match(&c) })
+			continue
+		}
+		c, _ := upsert(&a.target.Organisations, match)
+		c.Name = o.Name
+		set(&c.KeyHashes, o.KeyHashes)
+		set(&c.RequestsPerSecond, o.RequestsPerSecond)
+		set(&c.Burst, o.Burst)
+		set(&c.Share, o.Share)
+	}
+}
+
+// remove records a finding when there is nothing to remove.
+func (a *applier) remove(key, name string, found bool) {
+	if !found {
+		a.file.Add(key, "nothing named %q to remove", name)
+	}
+}
--- /dev/null
+++ b/internal/intent/intent.go
@@ -0,0 +1,121 @@
+// Package intent reads the operators' intent files and works out the
+// configuration that an intent asks for. An intent is partial: it names the
+// objects it changes, and leaves the rest as they are.
+package intent
+
+import (
+	"sassafrasfield/internal/config"
+	"sassafrasfield/internal/finding"
+	"sassafrasfield/internal/tomlfile"
+)
+
+// Intent is the content of an intent file. A nil field was not given, and
+// leaves what stands.
+type Intent struct {
+	Name          string         `toml:"name"`
+	Models        []Model        `toml:"model"`
+	Pools         []Pool         `toml:"pool"`
+	Engines       []Engine       `toml:"engine"`
+	Services      []Service      `toml:"service"`
+	Organisations []Organisation `toml:"organisation"`
+}
+
+// Model declares a model that callers may ask for.
+type Model struct {
+	Name            string    `toml:"name"`
+	Version         *string   `toml:"version"`
+	Adapters        *[]string `toml:"adapters"`
+	Callers         *[]string `toml:"callers"`
+	MaxPromptTokens *int      `toml:"max_prompt_tokens"`
+	Remove          bool      `toml:"remove"`
+}
+
+// Pool declares a pool of engines.
+type Pool struct {
+	Name             string   `toml:"name"`
+	Model            *string  `toml:"model"`
+	Region           *string  `toml:"region"`
+	MinServing       *int     `toml:"min_serving"`
+	MinPrefill       *int     `toml:"min_prefill"`
+	MaxPrefill       *int     `toml:"max_prefill"`
+	MinDecode        *int     `toml:"min_decode"`
+	RoleChangeWeight *float64 `toml:"role_change_weight"`
+	Remove           bool     `toml:"remove"`
+}
+
+// Engine declares an engine, or that it should leave or come back.
+type Engine struct {
+	ID      string  `toml:"id"`
+	Address *string `toml:"address"`
+	Zone    *string `toml:"zone"`
+	Pool    *string `toml:"pool"`
+	// Role is mixed, prefill or decode.
+	Role *string `toml:"role"`
+	// Fencing is refuse or ignore.
+	Fencing *string `toml:"fencing"`
+	Leave   *bool   `toml:"leave"`
+	Remove  bool    `toml:"remove"`
+}
+
+// Service declares a plain service.
+type Service struct {
+	Name          string            `toml:"name"`
+	Prefix        *string           `toml:"prefix"`
+	NonIdempotent *[]string         `toml:"non_idempotent"`
+	Upstreams     []ServiceUpstream `toml:"upstream"`
+	Remove        bool              `toml:"remove"`
+}
+
+// ServiceUpstream declares one instance of a plain service.
+type ServiceUpstream struct {
+	ID      string  `toml:"id"`
+	Address *string `toml:"address"`
+	Zone    *string `toml:"zone"`
+	Leave   *bool   `toml:"leave"`
+	Remove  bool    `toml:"remove"`
+}
+
+// Organisation declares a caller's organisation and its limits.
+type Organisation struct {
+	Name              string    `toml:"name"`
+	KeyHashes         *[]string `toml:"key_hashes"`
+	RequestsPerSecond *float64  `toml:"requests_per_second"`
+	Burst             *int      `toml:"burst"`
+	Share             *float64  `toml:"share"`
+	Remove            bool      `toml:"remove"`
+}
+
+// Parse reads an intent file. The findings of a file that stands by itself
+// are in the list; whether it fits a configuration is for Apply.
+func Parse(name string, data []byte) (*Intent, finding.List) {
+	in := &Intent{}
+	file := tomlfile.Decode(name, data, in)
+	if !file.Findings().Failed() {
+		checkShape(file, in)
+	}
+	return in, file.Findings()
+}
+
+// Apply works out the configuration that the intent asks for on top of base.
+// The result has the base's numbers; base is left as it is. With findings that
+// forbid the intent the configuration is nil.
+func Apply(name string, data []byte, base *config.Config) (*config.Config, *Intent, finding.List) {
+	in := &Intent{}
+	file := tomlfile.Decode(name, data, in)
+	if file.Findings().Failed() {
+		return nil, in, file.Findings()
+	}
+	checkShape(file, in)
+	target := base.Clone()
+	a := applier{file: file, target: target}
+	a.models(in.Models)
+	a.pools(in.Pools)
+	a.engines(in.Engines)
+	a.services(in.Services)
+	a.organisations(in.Organisations)
+	checkWhole(file, in, target)
+	if file.Findings().Failed() {
+		return nil, in, file.Findings()
+	}
+	return target, in, file.Findings()
+}
--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,53 @@
+// Package logging sets up the structured logs of a program.
+package logging
+
+import (
+	"io"
+	"log/slog"
+	"slices"
+
+	"sassafrasfield/internal/tomlfile"
+)
+
+// Settings of the logs.
+type Settings struct {
+	// Level is debug, info, warn or error. Default info.
+	Level string `toml:"level"`
+	// Format is text or json. Default text.
+	Format string `toml:"format"`
+}
+
+// Default returns the default settings.
+func Default() Settings {
+	return Settings{Level: "info", Format: "text"}
+}
+
+// Check records faults under the key.
+func (s Settings) Check(file *tomlfile.File, key string) {
+	if !slices.Contains([]string{"debug", "info", "warn", "error"}, s.Level) {
+		file.Add(key+".level", "want debug, info, warn or error, not %q", s.Level)
+	}
+	if !slices.Contains([]string{"text", "json"}, s.Format) {
+		file.Add(key+".format", "want text or json, not %q", s.Format)
+	}
+}
+
+// New returns a logger that writes to w and marks each line with the program
+// and the instance.
+func New(s Settings, w io.Writer, program, instance string) *slog.Logger {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(s.Level)); err != nil {
+		level = slog.LevelInfo
+	}
+	options := &slog.HandlerOptions{Level: level}
+	var handler slog.Handler = slog.NewTextHandler(w, options)
+	if s.Format == "json" {
+		handler = slog.NewJSONHandler(w, options)
+	}
+	return slog.New(handler).With("program", program, "instance", instance)
+}
+
+// Part returns a logger for one part of a program, marked by a fixed prefix.
+func Part(log *slog.Logger, part string) *slog.Logger {
+	return log.With("part", part)
+}
--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,189 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/codes"
+)
+
+// Paths of the platform's HTTP interface; see docs/INTERFACES.md.
+const (
+	PathGet       = "/table/get"
+	PathList      = "/table/list"
+	PathCommit    = "/table/commit"
+	PathObjects   = "/objects/"
+	PathInstances = "/instances"
+	PathWeights   = "/weights"
+)
+
+// maxReplyBytes bounds what is read of one reply.
+const maxReplyBytes = 64 << 20
+
+// KeyRequest asks for one row.
+type KeyRequest struct {
+	Key string `json:"key"`
+}
+
+// ListRequest asks for the rows under a prefix.
+type ListRequest struct {
+	Prefix string `json:"prefix"`
+}
+
+// ListReply answers a ListRequest.
+type ListReply struct {
+	Rows []Row `json:"rows"`
+}
+
+// CommitReply answers a Txn.
+type CommitReply struct {
+	Revision int64 `json:"revision"`
+}
+
+// InstancesReply answers a call for the instance list.
+type InstancesReply struct {
+	Instances []Instance `json:"instances"`
+}
+
+// WeightsReply answers a call for the weight store's limit.
+type WeightsReply struct {
+	BytesPerSecond float64 `json:"bytes_per_second"`
+}
+
+// Client speaks the platform's HTTP interface. It is safe for use by several
+// goroutines.
+type Client struct {
+	base    string
+	http    *http.Client
+	timeout time.Duration
+}
+
+var _ Platform = (*Client)(nil)
+
+// NewClient returns a client for the platform at address (host:port). Each
+// call ends after timeout at the latest.
+func NewClient(address string, timeout time.Duration) *Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}
+	return &Client{
+		base:    "http://" + address,
+		http:    &http.Client{Transport: transport},
+		timeout: timeout,
+	}
+}
+
+// Get implements Table.
+func (c *Client) Get(ctx context.Context, key string) (Row, error) {
+	var row Row
+	err := c.call(ctx, http.MethodPost, PathGet, KeyRequest{Key: key}, &row)
+	return row, err
+}
+
+// List implements Table.
+func (c *Client) List(ctx context.Context, prefix string) ([]Row, error) {
+	var reply ListReply
+	err := c.call(ctx, http.MethodPost, PathList, ListRequest{Prefix: prefix}, &reply)
+	return reply.Rows, err
+}
+
+// Commit implements Table.
+func (c *Client) Commit(ctx context.Context, txn Txn) (int64, error) {
+	var reply CommitReply
+	err := c.call(ctx, http.MethodPost, PathCommit, txn, &reply)
+	return reply.Revision, err
+}
+
+// PutObject implements Objects.
+func (c *Client) PutObject(ctx context.Context, name string, data []byte) error {
+	return c.call(ctx, http.MethodPut, PathObjects+url.PathEscape(name), json.RawMessage(data), nil)
+}
+
+// GetObject implements Objects. Objects are JSON documents.
+func (c *Client) GetObject(ctx context.Context, name string) ([]byte, error) {
+	var data json.RawMessage
+	err := c.call(ctx, http.MethodGet, PathObjects+url.PathEscape(name), nil, &data)
+	return data, err
+}
+
+// Instances implements InstanceList.
+func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
+	var reply InstancesReply
+	err := c.call(ctx, http.MethodGet, PathInstances, nil, &reply)
+	return reply.Instances, err
+}
+
+// WeightRate implements WeightStore.
+func (c *Client) WeightRate(ctx context.Context) (float64, error) {
+	var reply WeightsReply
+	err := c.call(ctx, http.MethodGet, PathWeights, nil, &reply)
+	return reply.BytesPerSecond, err
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body, reply any) error {
+	ctx, span := otel.Tracer("platform").Start(ctx, "platform "+path)
+	defer span.End()
+	err := c.send(ctx, method, path, body, reply)
+	if err != nil && !errors.Is(err, ErrNotFound) {
+		span.SetStatus(codes.Error, err.Error())
+	}
+	return err
+}
+
+func (c *Client) send(ctx context.Context, method, path string, body, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	var payload io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return errors.Wrap(err, "platform: encode")
+		}
+		payload = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, payload)
+	if err != nil {
+		return errors.Wrap(err, "platform: request")
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return classify(err)
+	}
+	defer res.Body.Close()
+	return readReply(res, reply)
+}
+
+// classify tells a call that surely had no effect from one that may have had.
+func classify(err error) error {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return errors.WithMessage(ErrUnavailable, err.Error())
+	}
+	return errors.WithMessage(ErrUnknown, err.Error())
+}
+
+func readReply(res *http.Response, reply any) error {
+	switch res.StatusCode {
+	case http.StatusOK:
+	case http.StatusConflict:
+		return ErrConflict
+	case http.StatusNotFound:
+		return ErrNotFound
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return ErrUnavailable
+	default:
+		return errors.WithMessagef(ErrUnknown, "status %d", res.StatusCode)
+	}
+	if reply == nil {
+		return nil
+	}
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxReplyBytes)).Decode(reply); err != nil {
+		return errors.WithMessage(ErrUnknown, err.Error())
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/route/filter_model.go
@@ -0,0 +1,18 @@
+package route
+
+import "slices"
+
+// ModelFilter keeps engines that have loaded what the request asks for.
+type ModelFilter struct{}
+
+// Keep implements Filter.
+func (ModelFilter) Keep(req *Request, c Candidate) bool {
+	loaded := c.Engine.Loaded
+	if loaded.Model != req.Model {
+		return false
+	}
+	if req.Version != "" && loaded.Version != req.Version {
+		return false
+	}
+	return req.Adapter == "" || slices.Contains(loaded.Adapters, req.Adapter)
+}
--- /dev/null
+++ b/internal/spread/holder.go
@@ -0,0 +1,52 @@
+// Package spread brings configuration versions to every instance: each
+// sf-control process reads the head of the table now and then, and tells a few
+// peers of what it learns; each passes a version on once.
+package spread
+
+import (
+	"sync"
+
+	"sassafrasfield/internal/config"
+)
+
+// Holder holds the newest configuration that this process knows. A version
+// never falls. It is safe for use by several goroutines.
+type Holder struct {
+	mu sync.Mutex // protects all below
+	// doc is never changed once it is held.
+	doc     *config.Config
+	changed chan struct{}
+}
+
+// NewHolder returns a holder that holds version 0.
+func NewHolder() *Holder {
+	return &Holder{doc: &config.Config{}, changed: make(chan struct{})}
+}
+
+// Current returns the newest configuration. Treat it as read-only.
+func (h *Holder) Current() *config.Config {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.doc
+}
+
+// Learn takes a configuration, from whichever source, and tells whether it was
+// newer than the one held.
+func (h *Holder) Learn(doc *config.Config) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if doc.Version <= h.doc.Version {
+		return false
+	}
+	h.doc = doc
+	close(h.changed)
+	h.changed = make(chan struct{})
+	return true
+}
+
+// Changed returns a channel that is closed when a newer version is learned.
+func (h *Holder) Changed() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.changed
+}
--- /dev/null
+++ b/internal/testfleet/build.go
@@ -0,0 +1,56 @@
+package testfleet
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+// binVariable names a folder with the built programs.
+const binVariable = "SF_BIN"
+
+// buildOnce builds the programs once for a test process.
+var buildOnce = sync.OnceValues(func() (string, error) {
+	if bin := os.Getenv(binVariable); bin != "" {
+		return bin, nil
+	}
+	root, err := Root()
+	if err != nil {
+		return "", err
+	}
+	bin, err := os.MkdirTemp("", "sf-bin-")
+	if err != nil {
+		return "", errors.WithStack(err)
+	}
+	build := exec.Command("go", "build", "-o", bin+"/", "./cmd/...")
+	build.Dir = root
+	output, err := build.CombinedOutput()
+	return bin, errors.Wrapf(err, "build: %s", output)
+})
+
+// Bin returns a folder with the built programs: the one that SF_BIN names, or
+// else a fresh build.
+func Bin() (string, error) {
+	return buildOnce()
+}
+
+// Root returns the folder of the repository.
+func Root() (string, error) {
+	dir, err := os.Getwd()
+	if err != nil {
+		return "", errors.WithStack(err)
+	}
+	for {
+		if _, err := os.Stat(filepath.Join(dir, "go.mod")); err == nil {
+			return dir, nil
+		}
+		parent := filepath.Dir(dir)
+		if parent == dir {
+			return "", errors.New("no go.mod above the working directory")
+		}
+		dir = parent
+	}
+}
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Runs all tests. Tests that KNOWN-RED.txt lists fail for a known fault: they
+# are passed over, and printed.
+set -euo pipefail
+skip=()
+if [ -s KNOWN-RED.txt ]; then
+  echo "passed over, for known faults (KNOWN-RED.txt):"
+  cat KNOWN-RED.txt
+  names=$(cut -d: -f1 KNOWN-RED.txt | sed 's/.*/^&$/' | paste -sd'|')
+  skip=(-skip "$names")
+fi
+exec go test -race -timeout 10m "${skip[@]}" ./...
