--- a/internal/testfleet/fleet.go
+++ b/internal/testfleet/fleet.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/Shopify/toxiproxy"
 	"github.com/pkg/errors"
 
 	"sassafrasfield/internal/platform"
@@ -37,6 +38,9 @@
 	// PlatformAddress is where instances reach the platform; set it to a
 	// proxy's before AddInstance to inject faults.
 	PlatformAddress string
+	// Environment is added to the environment of the processes started next,
+	// such as failpoint.Variable.
+	Environment []string
 	// ControlExtra and EntryExtra are lines added to each settings file, at
 	// its top level; ControlTables and EntryTables go to its end.
 	ControlExtra, EntryExtra   string
@@ -50,6 +54,7 @@
 	platformDirect string
 	nextPort       int
 	all            []*Process
+	proxies        []*toxiproxy.Proxy
 }
 
 // Instance is one instance with both daemons.
@@ -86,7 +91,7 @@
 
 // Start starts a program; its output goes to a log file in Dir.
 func (f *Fleet) Start(name, program string, args ...string) (*Process, error) {
-	p, err := start(name, filepath.Join(f.Bin, program), filepath.Join(f.Dir, name+".log"), args)
+	p, err := start(name, filepath.Join(f.Bin, program), filepath.Join(f.Dir, name+".log"), f.Environment, args)
 	if err != nil {
 		return nil, err
 	}
@@ -197,11 +202,15 @@
 	return errors.WithStack(os.WriteFile(f.settingsPath(i, "control"), []byte(control), 0o644))
 }
 
-// Stop kills each process that still runs and waits for its end.
+// Stop kills each process that still runs, waits for its end, and stops the
+// proxies.
 func (f *Fleet) Stop() {
 	for _, p := range f.all {
 		p.Kill()
 	}
+	for _, p := range f.proxies {
+		p.Stop()
+	}
 }
 
 // Until waits for a condition. The context bounds the wait.
--- a/internal/testfleet/process.go
+++ b/internal/testfleet/process.go
@@ -22,7 +22,7 @@
 	err error
 }
 
-func start(name, path, logPath string, args []string) (*Process, error) {
+func start(name, path, logPath string, environment, args []string) (*Process, error) {
 	log, err := os.OpenFile(logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return nil, errors.WithStack(err)
@@ -30,6 +30,7 @@
 	defer log.Close()
 	cmd := exec.Command(path, args...)
 	cmd.Stdout, cmd.Stderr = log, log
+	cmd.Env = append(os.Environ(), environment...)
 	// The processes end with the one that started them, however it ends.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
