Decide on freshness, and spread versions by exchange with peers

Cause: an instance cut off from the table and its peers, or woken from a freeze, served the old configuration for as long as sf-control sent heartbeats, and a version that no peer passed on was learned by polling alone.

Now package spread is a state machine, package freshness decides whether the held version may be the newest (table, majority or all), and a version is accepted only after a majority of the listed instances has heard of it. sf-entry takes new work until a moment on its own boot clock that sf-control derives from that evidence. Upstreams that are leaving are told on between instances.

Ruled out: bare heartbeats (a request that lay in the socket of a frozen entry looked new), and a majority rule without a Prepare (an acceptance at the moment of a cut stays unknown to the majority side).

--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -25,6 +24,10 @@
 	"sassafrasfield/internal/versions"
 )
 
+// compressFrom is the size in bytes from where on a message between peers is
+// compressed.
+const compressFrom = 1024
+
 // Daemon is one sf-control process.
 type Daemon struct {
 	settings *Settings
@@ -36,6 +39,7 @@
 	versions versions.Log
 	holder   *spread.Holder
 	members  *members
+	spread   *spreader
 	entry    *entryLink
 	leases   *leases
 	http     *http.Client
@@ -43,8 +47,6 @@
 
 	mu      sync.Mutex // protects engines
 	engines map[string]engine.Engine
-
-	rng *rand.Rand // used by the spread loop alone
 }
 
 // New returns a daemon that has not started.
@@ -65,9 +67,10 @@
 		http:     &http.Client{Timeout: s.PlatformTimeout},
 		options:  []connect.ClientOption{connect.WithInterceptors(interceptor)},
 		engines:  map[string]engine.Engine{},
-		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	d.members = newMembers(client, logging.Part(log, "members"))
+	d.members.changed = d.listRead
+	d.spread = newSpreader(d, logging.Part(log, "spread"))
 	d.entry = newEntryLink(d.holder, s.EntryLocal, d.http, d.options, logging.Part(log, "entry"))
 	d.leases = newLeases(d, logging.Part(log, "lease"))
 	return d, nil
@@ -82,7 +85,7 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	loops := []func(context.Context){
-		d.pollLoop, d.spreadLoop, d.entryLoop, d.memberLoop, d.leases.loop, d.rolloutLoop,
+		d.spread.loop, d.entryLoop, d.memberLoop, d.leases.loop, d.rolloutLoop,
 	}
 	for _, loop := range loops {
 		group.Go(func() error {
@@ -112,7 +115,7 @@
 
 func (d *Daemon) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(sfv1connect.NewPeerServiceHandler(&peerService{daemon: d}))
+	mux.Handle(sfv1connect.NewPeerServiceHandler(&peerService{daemon: d}, connect.WithCompressMinBytes(compressFrom)))
 	mux.Handle(sfv1connect.NewOperatorServiceHandler(&operatorService{daemon: d}))
 	mux.HandleFunc("/livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("/readyz", d.readyz)
@@ -120,10 +123,11 @@
 	return mux
 }
 
-// readyz tells whether the process holds a configuration.
+// readyz tells whether the process holds a configuration that it may take for
+// the newest, and else why not.
 func (d *Daemon) readyz(w http.ResponseWriter, _ *http.Request) {
-	if d.holder.Current().Version == 0 {
-		http.Error(w, "no configuration known yet", http.StatusServiceUnavailable)
+	if status := d.spread.status(); !status.Fresh {
+		http.Error(w, status.Reason, http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
@@ -143,7 +147,10 @@
 
 // peer returns a client for another instance's sf-control.
 func (d *Daemon) peer(address string) sfv1connect.PeerServiceClient {
-	return sfv1connect.NewPeerServiceClient(d.http, "http://"+address, d.options...)
+	options := append([]connect.ClientOption{
+		connect.WithSendGzip(), connect.WithCompressMinBytes(compressFrom),
+	}, d.options...)
+	return sfv1connect.NewPeerServiceClient(d.http, "http://"+address, options...)
 }
 
 // every calls work now and then at the period until the context ends.
--- a/internal/control/entrylink.go
+++ b/internal/control/entrylink.go
@@ -4,24 +4,33 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"time"
 
 	"connectrpc.com/connect"
 
+	"sassafrasfield/internal/bootclock"
+	"sassafrasfield/internal/freshness"
 	sfv1 "sassafrasfield/internal/gen/sf/v1"
 	"sassafrasfield/internal/gen/sf/v1/sfv1connect"
 	"sassafrasfield/internal/spread"
 )
 
 // entryLink keeps sf-entry of the same instance at the version that this
-// process holds. Each call is a heartbeat too: an entry that hears none for
-// long takes no new work.
+// process holds. Each call is a heartbeat too, and tells how long the entry may
+// take new work.
 type entryLink struct {
 	holder *spread.Holder
 	client sfv1connect.EntryServiceClient
 	log    *slog.Logger
-	// inForce is the version that the entry answered last; used by the entry
-	// loop alone.
+
+	// All below is used by the entry loop alone.
+
+	// inForce is the version that the entry answered last.
 	inForce int64
+	// clock is the entry's clock of its last answer, which came before clockAt
+	// by the clock of this process. 0 for none.
+	clock   int64
+	clockAt time.Duration
 }
 
 func newEntryLink(holder *spread.Holder, address string, client *http.Client, options []connect.ClientOption, log *slog.Logger) *entryLink {
@@ -33,31 +42,39 @@
 }
 
 // apply sends the newest version, and its document when the entry lacks it.
-func (l *entryLink) apply(ctx context.Context, leaving []string) {
+// It tells whether the entry has heard how long the version is good for.
+func (l *entryLink) apply(ctx context.Context, leaving []string, status freshness.Status) bool {
 	doc := l.holder.Current()
 	if doc.Version == 0 {
-		return
+		return true
 	}
-	request := &sfv1.ApplyRequest{Version: doc.Version, Leaving: leaving}
+	request := &sfv1.ApplyRequest{Version: doc.Version, Leaving: leaving, Clock: l.clock, StaleReason: status.Reason}
 	if l.inForce != doc.Version {
 		request.Document = doc.Encode()
 	}
+	if l.clock != 0 && status.Fresh {
+		request.FreshForNs = int64(status.Until - l.clockAt)
+	}
 	response, err := l.client.Apply(ctx, connect.NewRequest(request))
 	if err != nil {
 		l.inForce = 0
 		l.log.Debug("entry: no answer", "error", err)
-		return
+		return true
 	}
 	if response.Msg.Version != l.inForce {
 		l.log.Info("entry: version in force", "version", response.Msg.Version)
 	}
 	l.inForce = response.Msg.Version
+	l.clock, l.clockAt = response.Msg.Clock, bootclock.Now()
+	return request.Clock != 0
 }
 
 func (d *Daemon) entryLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		changed := d.holder.Changed()
-		d.entry.apply(ctx, d.members.leavingUpstreams())
+		if !d.entry.apply(ctx, d.spread.leavingUpstreams(), d.spread.status()) {
+			continue // the entry's clock is known now
+		}
 		wait(ctx, d.settings.Spread.ApplyEvery, changed)
 	}
 }
--- /dev/null
+++ b/internal/control/exchange.go
@@ -0,0 +1,190 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+
+	"sassafrasfield/internal/bootclock"
+	"sassafrasfield/internal/freshness"
+	sfv1 "sassafrasfield/internal/gen/sf/v1"
+	"sassafrasfield/internal/platform"
+)
+
+// Code of a contact in ExchangeResponse.contacts.
+const (
+	contactStep    = 100 * time.Millisecond
+	contactUnknown = 127
+	contactVoter   = 128
+)
+
+// exchange asks a peer what it knows.
+func (s *spreader) exchange(ctx context.Context, peer string) {
+	ctx, cancel := s.callContext(ctx)
+	defer cancel()
+	s.meters.exchanges.Inc(1)
+	request := s.question()
+	sent := bootclock.Now()
+	response, err := s.daemon.peer(peer).Exchange(ctx, connect.NewRequest(request))
+	if err != nil {
+		s.peerFailed(peer, err)
+		return
+	}
+	s.daemon.adoptList(response.Msg.Instances)
+	s.answered(sent, peer, response.Msg)
+}
+
+func (s *spreader) question() *sfv1.ExchangeRequest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := bootclock.Now()
+	return &sfv1.ExchangeRequest{
+		From: s.daemon.settings.Instance, Zone: s.daemon.settings.Zone, Control: s.daemon.settings.Listen,
+		Version: s.machine.Version(), ListHash: listHash(s.fresh.Members()),
+		WantContacts: s.hurried(now), Leaving: leavingMessage(s.leaving.Ages(now)),
+	}
+}
+
+// answer tells a peer what is known here.
+func (s *spreader) answer(question *sfv1.ExchangeRequest) *sfv1.ExchangeResponse {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := bootclock.Now()
+	s.fresh.Heard(question.Version)
+	s.takeLeaving(now, question.Leaving)
+	digest := s.fresh.Digest(now, question.WantContacts)
+	response := &sfv1.ExchangeResponse{
+		Version: digest.Version, Voter: digest.Voter,
+		TableSeen: digest.Seen, TableAgeMs: ceilMs(digest.SeenAge),
+		Promised: digest.Promised, PromisedAgeMs: digest.PromisedAge.Milliseconds(),
+		Leaving: leavingMessage(s.leaving.Ages(now)),
+	}
+	members := s.fresh.Members()
+	if question.ListHash == 0 {
+		response.Instances = instanceMessages(s.daemon.members.own())
+	}
+	if digest.Contacts == nil {
+		return response
+	}
+	if question.ListHash != listHash(members) {
+		response.Members = members
+	}
+	response.Contacts = encodeContacts(members, digest.Contacts)
+	return response
+}
+
+// answered takes a peer's answer to a question that was sent at a time.
+func (s *spreader) answered(sent time.Duration, peer string, msg *sfv1.ExchangeResponse) {
+	id := s.daemon.members.idAt(peer)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := bootclock.Now()
+	s.takeLeaving(now, msg.Leaving)
+	members := msg.Members
+	if len(members) == 0 {
+		members = s.fresh.Members()
+	}
+	s.fresh.Answered(sent, now, id, freshness.Digest{
+		Version: msg.Version, Seen: msg.TableSeen, SeenAge: millis(msg.TableAgeMs),
+		Promised: msg.Promised, PromisedAge: millis(msg.PromisedAgeMs), Voter: msg.Voter,
+		Contacts: decodeContacts(members, msg.Contacts),
+	})
+	s.enqueue(s.machine.PeerAnswered(now, peer, msg.Version))
+}
+
+func (s *spreader) takeLeaving(now time.Duration, leaving []*sfv1.LeavingUpstream) {
+	for _, upstream := range leaving {
+		s.leaving.Heard(upstream.Id, now-millis(upstream.AgeMs))
+	}
+}
+
+// prepare takes that a version is about to be accepted.
+func (s *spreader) prepare(version int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fresh.Prepare(bootclock.Now(), version)
+}
+
+func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// ceilMs rounds up, so that nothing looks newer than it is.
+func ceilMs(d time.Duration) int64 {
+	return int64((d + time.Millisecond - 1) / time.Millisecond)
+}
+
+func leavingMessage(ages map[string]time.Duration) []*sfv1.LeavingUpstream {
+	var out []*sfv1.LeavingUpstream
+	for id, age := range ages {
+		out = append(out, &sfv1.LeavingUpstream{Id: id, AgeMs: ceilMs(age)})
+	}
+	return out
+}
+
+// listHash is 0 for no list.
+func listHash(members []string) uint64 {
+	if len(members) == 0 {
+		return 0
+	}
+	hash := xxhash.New()
+	for _, id := range members {
+		_, _ = hash.WriteString(id + "\n") // never fails
+	}
+	return max(1, hash.Sum64())
+}
+
+func instanceMessages(instances []platform.Instance) []*sfv1.OwnInstance {
+	var out []*sfv1.OwnInstance
+	for _, i := range instances {
+		out = append(out, &sfv1.OwnInstance{Id: i.ID, Zone: i.Zone, State: string(i.State), Control: i.Control, Entry: i.Entry})
+	}
+	return out
+}
+
+// encodeContacts writes a byte for each member; ages are rounded up.
+func encodeContacts(members []string, contacts map[string]freshness.Contact) []byte {
+	out := make([]byte, len(members))
+	for i, id := range members {
+		out[i] = contactUnknown
+		c, ok := contacts[id]
+		steps := (c.Age + contactStep - 1) / contactStep
+		if !ok || steps >= contactUnknown {
+			continue
+		}
+		out[i] = byte(steps)
+		if c.Voter {
+			out[i] += contactVoter
+		}
+	}
+	return out
+}
+
+func decodeContacts(members []string, codes []byte) map[string]freshness.Contact {
+	contacts := map[string]freshness.Contact{}
+	for i := range min(len(members), len(codes)) {
+		voter := codes[i] >= contactVoter
+		steps := codes[i] &^ contactVoter
+		if steps == contactUnknown {
+			continue
+		}
+		contacts[members[i]] = freshness.Contact{Age: time.Duration(steps) * contactStep, Voter: voter}
+	}
+	return contacts
+}
+
+// sortedByID orders instances by id, as freshness orders members.
+func sortedByID(instances []platform.Instance) []platform.Instance {
+	sorted := slices.Clone(instances)
+	slices.SortFunc(sorted, func(a, b platform.Instance) int {
+		switch {
+		case a.ID < b.ID:
+			return -1
+		case a.ID > b.ID:
+			return 1
+		}
+		return 0
+	})
+	return sorted
+}
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -4,33 +4,80 @@
 	"context"
 	"log/slog"
 	"sync"
+	"time"
 
+	"sassafrasfield/internal/bootclock"
+	sfv1 "sassafrasfield/internal/gen/sf/v1"
 	"sassafrasfield/internal/platform"
 )
 
-// members keeps the newest instance list. While the platform does not answer,
-// the last list stands.
+// forgetAfter is how long an instance that is in no list stays known after it
+// was last heard of.
+const forgetAfter = time.Minute
+
+// heardInstance is an instance that asked this one something.
+type heardInstance struct {
+	instance platform.Instance
+	at       time.Duration
+}
+
+// members keeps the newest instance list, and the instances that were heard of
+// but are not listed. While the platform does not answer, the last list
+// stands; without one, that of a peer.
 type members struct {
 	list platform.InstanceList
 	log  *slog.Logger
+	// changed is called after each new list, with when it was asked for.
+	changed func(asked time.Duration)
 
-	mu        sync.Mutex // protects instances
+	mu        sync.Mutex // protects all below
 	instances []platform.Instance
+	heard     map[string]heardInstance
 }
 
 func newMembers(list platform.InstanceList, log *slog.Logger) *members {
-	return &members{list: list, log: log}
+	return &members{list: list, log: log, heard: map[string]heardInstance{}}
 }
 
 func (m *members) refresh(ctx context.Context) {
+	asked := bootclock.Now()
 	instances, err := m.list.Instances(ctx)
 	if err != nil {
 		m.log.Debug("members: the instance list did not answer", "error", err)
 		return
 	}
+	m.mu.Lock()
+	m.instances = sortedByID(instances)
+	m.mu.Unlock()
+	m.changed(asked)
+}
+
+// adopt takes a peer's list, unless there is one already, and tells whether it
+// did.
+func (m *members) adopt(instances []platform.Instance) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.instances) > 0 || len(instances) == 0 {
+		return false
+	}
+	m.instances = sortedByID(instances)
+	m.log.Info("members: list taken from a peer", "instances", len(instances))
+	return true
+}
+
+// hear takes that an instance asked something, and tells whether it was not
+// known.
+func (m *members) hear(instance platform.Instance) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.instances = instances
+	for _, listed := range m.instances {
+		if listed.ID == instance.ID {
+			return false
+		}
+	}
+	_, known := m.heard[instance.ID]
+	m.heard[instance.ID] = heardInstance{instance: instance, at: bootclock.Now()}
+	return !known
 }
 
 // all returns the list. Treat it as read-only.
@@ -40,19 +87,47 @@
 	return m.instances
 }
 
-// own returns the instances that run this system.
+// own returns the listed instances that run this system.
 func (m *members) own() []platform.Instance {
 	var own []platform.Instance
 	for _, instance := range m.all() {
-		if instance.Kind == platform.KindOwn {
+		if instance.Kind == platform.KindOwn && instance.Control != "" {
 			own = append(own, instance)
 		}
 	}
 	return own
 }
 
-// leavingUpstreams returns the ids of upstreams that are leaving by the
-// platform's word.
+// unlisted returns the instances that were heard of and are not listed. It
+// forgets those that are listed now or were not heard of for long.
+func (m *members) unlisted() []platform.Instance {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, listed := range m.instances {
+		delete(m.heard, listed.ID)
+	}
+	var out []platform.Instance
+	for id, h := range m.heard {
+		if bootclock.Now()-h.at > forgetAfter {
+			delete(m.heard, id)
+			continue
+		}
+		out = append(out, h.instance)
+	}
+	return out
+}
+
+// idAt returns the id of the listed instance with a control address, or "".
+func (m *members) idAt(control string) string {
+	for _, instance := range m.all() {
+		if instance.Control == control {
+			return instance.ID
+		}
+	}
+	return ""
+}
+
+// leavingUpstreams returns the ids of upstreams that the list calls leaving.
 func (m *members) leavingUpstreams() []string {
 	var ids []string
 	for _, instance := range m.all() {
@@ -66,3 +141,56 @@
 func (d *Daemon) memberLoop(ctx context.Context) {
 	every(ctx, d.settings.Spread.ListEvery, d.members.refresh)
 }
+
+// listRead takes a list that the platform answered with.
+func (d *Daemon) listRead(asked time.Duration) {
+	d.spread.listRead(asked, d.members.leavingUpstreams())
+	d.membersChanged()
+}
+
+// adoptList takes a peer's list of own instances when there is none here.
+func (d *Daemon) adoptList(messages []*sfv1.OwnInstance) {
+	var instances []platform.Instance
+	for _, msg := range messages {
+		instances = append(instances, platform.Instance{
+			ID: msg.Id, Kind: platform.KindOwn, Zone: msg.Zone, State: platform.InstanceState(msg.State),
+			Control: msg.Control, Entry: msg.Entry,
+		})
+	}
+	if d.members.adopt(instances) {
+		d.membersChanged()
+	}
+}
+
+// heardOf takes that a peer asked something.
+func (d *Daemon) heardOf(msg *sfv1.ExchangeRequest) {
+	instance := platform.Instance{ID: msg.From, Kind: platform.KindOwn, Zone: msg.Zone, Control: msg.Control}
+	if instance.ID == d.settings.Instance || instance.Control == "" {
+		return
+	}
+	if d.members.hear(instance) {
+		d.membersChanged()
+	}
+}
+
+// membersChanged tells the decisions whom there is to ask.
+func (d *Daemon) membersChanged() {
+	own := d.members.own()
+	var peers []string
+	for _, instance := range append(own, d.members.unlisted()...) {
+		if instance.ID != d.settings.Instance {
+			peers = append(peers, instance.Control)
+		}
+	}
+	if len(peers) == 0 {
+		peers = d.settings.Spread.Seeds
+	}
+	d.spread.listed(own, peers)
+}
+
+// listRead takes which upstreams a list called leaving.
+func (s *spreader) listRead(asked time.Duration, leaving []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving.Listed(asked, leaving)
+}
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -132,6 +132,11 @@
 		return &sfv1.ConfirmResponse{Outcome: outcomeRefused, Reason: findings.Error()}, false, nil
 	}
 	target.Version, target.Intent = head.Version+1, base.Intent+1
+	ctx, cancel, err := o.daemon.mayAccept(ctx, target.Version)
+	defer cancel()
+	if err != nil {
+		return &sfv1.ConfirmResponse{Outcome: outcomeRefused, Reason: err.Error()}, false, nil
+	}
 	err = o.accept(ctx, head, target, p, revision, req.Operator)
 	switch {
 	case err == nil:
--- /dev/null
+++ b/internal/control/peers.go
@@ -0,0 +1,75 @@
+package control
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"sassafrasfield/internal/config"
+	sfv1 "sassafrasfield/internal/gen/sf/v1"
+)
+
+// peerService answers other sf-control processes.
+type peerService struct {
+	daemon *Daemon
+}
+
+// Offer implements the PeerService.
+func (p *peerService) Offer(_ context.Context, req *connect.Request[sfv1.OfferRequest]) (*connect.Response[sfv1.OfferResponse], error) {
+	if len(req.Msg.Document) > 0 {
+		doc, err := config.Decode(req.Msg.Document)
+		if err != nil {
+			return nil, connect.NewError(connect.CodeInvalidArgument, err)
+		}
+		p.daemon.learn(doc, "peer "+req.Msg.From)
+	}
+	version := p.daemon.spread.offered(req.Msg.Version)
+	return connect.NewResponse(&sfv1.OfferResponse{Version: version}), nil
+}
+
+// Fetch implements the PeerService.
+func (p *peerService) Fetch(_ context.Context, req *connect.Request[sfv1.FetchRequest]) (*connect.Response[sfv1.FetchResponse], error) {
+	doc := p.daemon.holder.Current()
+	response := &sfv1.FetchResponse{Version: doc.Version}
+	if doc.Version > req.Msg.Have {
+		response.Document = doc.Encode()
+	}
+	return connect.NewResponse(response), nil
+}
+
+// Exchange implements the PeerService.
+func (p *peerService) Exchange(_ context.Context, req *connect.Request[sfv1.ExchangeRequest]) (*connect.Response[sfv1.ExchangeResponse], error) {
+	p.daemon.heardOf(req.Msg)
+	return connect.NewResponse(p.daemon.spread.answer(req.Msg)), nil
+}
+
+// Prepare implements the PeerService.
+func (p *peerService) Prepare(_ context.Context, req *connect.Request[sfv1.PrepareRequest]) (*connect.Response[sfv1.PrepareResponse], error) {
+	p.daemon.spread.prepare(req.Msg.Version)
+	return connect.NewResponse(&sfv1.PrepareResponse{}), nil
+}
+
+// InForce implements the PeerService.
+func (p *peerService) InForce(ctx context.Context, _ *connect.Request[sfv1.InForceRequest]) (*connect.Response[sfv1.InForceResponse], error) {
+	d := p.daemon
+	response := &sfv1.InForceResponse{
+		Instance:       d.settings.Instance,
+		Zone:           d.settings.Zone,
+		ControlVersion: d.holder.Current().Version,
+		Leases:         d.leases.heldPools(),
+	}
+	status, err := d.entry.client.Status(ctx, connect.NewRequest(&sfv1.StatusRequest{}))
+	if err != nil {
+		if ctx.Err() != nil {
+			return nil, errors.WithStack(ctx.Err())
+		}
+		return connect.NewResponse(response), nil
+	}
+	response.EntryKnown = true
+	response.EntryVersion = status.Msg.Version
+	response.EntryReady = status.Msg.Ready
+	response.Streams = status.Msg.Streams
+	response.Demand = status.Msg.Demand
+	return connect.NewResponse(response), nil
+}
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -162,6 +162,11 @@
 		Author:  d.settings.Instance,
 		Summary: fmt.Sprintf("engine %s is %s", mark.Engine, mark.Routing),
 	}
+	ctx, cancel, err := d.mayAccept(ctx, next.Version)
+	defer cancel()
+	if err != nil {
+		return err
+	}
 	extra := platform.Txn{Checks: []platform.Check{auth.check(pool)}}
 	if err := d.versions.Append(ctx, head, next, entry, extra); err != nil {
 		return err
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -42,8 +42,29 @@
 
 // SpreadSettings set how configuration spreads.
 type SpreadSettings struct {
-	// PollEvery is the mean time between reads of the head. Default 1s.
+	// Seeds are addresses (ip:port) of other sf-control processes, asked while
+	// no instance list is known. Default none.
+	Seeds []string `toml:"seeds"`
+	// PollEvery is the least mean time between reads of the head. Default 1s.
 	PollEvery time.Duration `toml:"poll_every"`
+	// TableReads is how many reads of the head a second all instances together
+	// may cost the table. Default 100.
+	TableReads int `toml:"table_reads"`
+	// ExchangeEvery is the mean time between exchanges with a random peer.
+	// Default 500ms.
+	ExchangeEvery time.Duration `toml:"exchange_every"`
+	// PeerTimeout bounds each call to a peer. Default 1s.
+	PeerTimeout time.Duration `toml:"peer_timeout"`
+	// FreshFor is how long the instance takes new work after the last evidence
+	// that its configuration is the newest. Default 5s.
+	FreshFor time.Duration `toml:"fresh_for"`
+	// AcceptWithin bounds the time that the acceptance of a version takes.
+	// Default 10s.
+	AcceptWithin time.Duration `toml:"accept_within"`
+	// ReadLag is how old the table's answer to a read may be. Default 500ms.
+	ReadLag time.Duration `toml:"read_lag"`
+	// ListLag is how old the instance list may be. Default 10s.
+	ListLag time.Duration `toml:"list_lag"`
 	// Fanout is the number of peers told of a new version. Default 3.
 	Fanout int `toml:"fanout"`
 	// ApplyEvery is the time between heartbeats to sf-entry. Default 250ms.
@@ -68,13 +89,34 @@
 	maxPeers = 64
 )
 
+// check records what is wrong with the settings of the spread.
+func (s *SpreadSettings) check(file *tomlfile.File, addresses settings.Addresses) {
+	for _, seed := range s.Seeds {
+		addresses.Peer("spread.seeds", seed)
+	}
+	settings.Between(file, "spread.poll_every", s.PollEvery, shortest, longest)
+	settings.IntBetween(file, "spread.table_reads", s.TableReads, 1, 10000)
+	settings.Between(file, "spread.exchange_every", s.ExchangeEvery, shortest, s.FreshFor/2)
+	settings.Between(file, "spread.peer_timeout", s.PeerTimeout, shortest, longest)
+	settings.IntBetween(file, "spread.fanout", s.Fanout, 1, maxPeers)
+	settings.Between(file, "spread.fresh_for", s.FreshFor, 10*shortest, 10*time.Minute)
+	settings.Between(file, "spread.accept_within", s.AcceptWithin, shortest, longest)
+	settings.Between(file, "spread.read_lag", s.ReadLag, 0, s.FreshFor/2)
+	settings.Between(file, "spread.list_lag", s.ListLag, 0, longest)
+	settings.Between(file, "spread.apply_every", s.ApplyEvery, shortest, s.FreshFor/2)
+	settings.Between(file, "spread.list_every", s.ListEvery, shortest, longest)
+}
+
 // DefaultSettings returns the defaults; addresses and names have none.
 func DefaultSettings() *Settings {
 	return &Settings{
 		PlatformTimeout: 2 * time.Second,
 		Lease:           LeaseSettings{Term: 3 * time.Second, RenewEvery: time.Second, Margin: 300 * time.Millisecond},
 		Spread: SpreadSettings{
-			PollEvery: time.Second, Fanout: 3,
+			PollEvery: time.Second, TableReads: 100, ExchangeEvery: 500 * time.Millisecond,
+			PeerTimeout: time.Second, Fanout: 3,
+			FreshFor: 5 * time.Second, AcceptWithin: 10 * time.Second,
+			ReadLag: 500 * time.Millisecond, ListLag: 10 * time.Second,
 			ApplyEvery: 250 * time.Millisecond, ListEvery: time.Second,
 		},
 		Rollout: RolloutSettings{StepEvery: 200 * time.Millisecond, EngineTimeout: 2 * time.Second},
@@ -95,10 +137,7 @@
 	settings.Between(file, "lease.term", s.Lease.Term, 100*time.Millisecond, longest)
 	settings.Between(file, "lease.renew_every", s.Lease.RenewEvery, shortest, s.Lease.Term/2)
 	settings.Between(file, "lease.margin", s.Lease.Margin, shortest, longest)
-	settings.Between(file, "spread.poll_every", s.Spread.PollEvery, shortest, longest)
-	settings.IntBetween(file, "spread.fanout", s.Spread.Fanout, 1, maxPeers)
-	settings.Between(file, "spread.apply_every", s.Spread.ApplyEvery, shortest, longest)
-	settings.Between(file, "spread.list_every", s.Spread.ListEvery, shortest, longest)
+	s.Spread.check(file, addresses)
 	settings.Between(file, "rollout.step_every", s.Rollout.StepEvery, shortest, longest)
 	settings.Between(file, "rollout.engine_timeout", s.Rollout.EngineTimeout, shortest, longest)
 	s.Log.Check(file, "log")
--- a/internal/control/spread.go
+++ b/internal/control/spread.go
@@ -2,18 +2,76 @@
 
 import (
 	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/pkg/errors"
-	"golang.org/x/sync/errgroup"
+	"github.com/rcrowley/go-metrics"
 
+	"sassafrasfield/internal/bootclock"
 	"sassafrasfield/internal/config"
+	"sassafrasfield/internal/freshness"
 	sfv1 "sassafrasfield/internal/gen/sf/v1"
 	"sassafrasfield/internal/platform"
 	"sassafrasfield/internal/spread"
 )
 
+// spreader feeds the decisions of the packages spread and freshness, and
+// carries out what they say. It counts its time on the boot clock, so that
+// evidence ages while the process is frozen or the machine suspended.
+type spreader struct {
+	daemon *Daemon
+	log    *slog.Logger
+	meters spreadMeters
+	// wake is sent to when queue has got actions.
+	wake chan struct{}
+
+	mu      sync.Mutex // protects all below
+	machine *spread.Machine
+	fresh   *freshness.State
+	leaving *spread.Leaving
+	queue   []spread.Action
+	// tableError is why the last read of the table failed; "" when it did not.
+	tableError string
+	wasFresh   bool
+}
+
+// spreadMeters count what the spread costs.
+type spreadMeters struct {
+	exchanges, offers, documents, polls, failed metrics.Counter
+	version, fresh                              metrics.Gauge
+}
+
+func newSpreadMeters(registry metrics.Registry) spreadMeters {
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("spread."+name, registry) }
+	return spreadMeters{
+		exchanges: counter("exchanges"), offers: counter("offers"), documents: counter("documents_sent"),
+		polls: counter("head_reads"), failed: counter("peer_failures"),
+		version: metrics.GetOrRegisterGauge("spread.version", registry),
+		fresh:   metrics.GetOrRegisterGauge("spread.fresh", registry),
+	}
+}
+
+func newSpreader(d *Daemon, log *slog.Logger) *spreader {
+	s := d.settings.Spread
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	machine := spread.NewMachine(spread.Settings{
+		PollEvery: s.PollEvery, TableReads: float64(s.TableReads),
+		ExchangeEvery: s.ExchangeEvery, Fanout: s.Fanout,
+	}, rng)
+	machine.ListChanged(s.Seeds)
+	fresh := freshness.New(d.settings.Instance, freshness.Settings{
+		FreshFor: s.FreshFor, AcceptWithin: s.AcceptWithin, ReadLag: s.ReadLag,
+	}, bootclock.Now())
+	return &spreader{
+		daemon: d, log: log, meters: newSpreadMeters(metrics.DefaultRegistry),
+		wake: make(chan struct{}, 1), machine: machine, fresh: fresh,
+		leaving: spread.NewLeaving(s.ListLag),
+	}
+}
+
 // wait ends after the period, when the channel is closed, or with the context.
 func wait(ctx context.Context, period time.Duration, wake <-chan struct{}) {
 	timer := time.NewTimer(period)
@@ -25,22 +83,125 @@
 	}
 }
 
-// pollLoop reads the head of the table, with jitter.
-func (d *Daemon) pollLoop(ctx context.Context) {
+// loop carries out what the machine asks for until the context ends.
+func (s *spreader) loop(ctx context.Context) {
+	var work sync.WaitGroup
+	defer work.Wait()
 	for ctx.Err() == nil {
-		if err := d.poll(ctx); err != nil {
-			d.log.Debug("spread: the table did not answer", "error", err)
+		actions, next := s.due()
+		for _, action := range actions {
+			work.Go(func() { s.carryOut(ctx, action) })
 		}
-		wait(ctx, d.jitter(d.settings.Spread.PollEvery), nil)
+		wait(ctx, next, s.wake)
+	}
+}
+
+// due takes the actions that are due, and the time until the next ones are.
+func (s *spreader) due() ([]spread.Action, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := bootclock.Now()
+	ticked, next := s.machine.Tick(now, s.hurried(now))
+	actions := append(s.queue, ticked...)
+	s.queue = nil
+	s.noteFreshness(s.fresh.Status(now))
+	return actions, next - now
+}
+
+// hurried tells whether the answers of a majority may soon be needed, because
+// the table has not been read for a while.
+func (s *spreader) hurried(now time.Duration) bool {
+	age, seen := s.fresh.TableAge(now)
+	return !seen || age > s.daemon.settings.Spread.FreshFor/3
+}
+
+// noteFreshness logs a change of the decision.
+func (s *spreader) noteFreshness(status freshness.Status) {
+	if status.Fresh == s.wasFresh {
+		return
+	}
+	s.wasFresh = status.Fresh
+	if status.Fresh {
+		s.meters.fresh.Update(1)
+		s.log.Info("spread: the configuration is the newest", "by", status.By)
+		return
+	}
+	s.meters.fresh.Update(0)
+	s.log.Warn("spread: the configuration may be out of date", "reason", status.Reason)
+}
+
+// enqueue has the loop carry out actions. The mutex is held.
+func (s *spreader) enqueue(actions []spread.Action) {
+	if len(actions) == 0 {
+		return
+	}
+	s.queue = append(s.queue, actions...)
+	select {
+	case s.wake <- struct{}{}:
+	default: // the loop was woken already
+	}
+}
+
+func (s *spreader) carryOut(ctx context.Context, action spread.Action) {
+	switch a := action.(type) {
+	case spread.PollHead:
+		s.pollHead(ctx)
+	case spread.Load:
+		s.load(ctx, a.Version)
+	case spread.Exchange:
+		s.exchange(ctx, a.Peer)
+	case spread.Offer:
+		s.offer(ctx, a.Peer, false)
+	case spread.Send:
+		s.offer(ctx, a.Peer, true)
+	case spread.Fetch:
+		s.fetch(ctx, a.Peer)
+	}
+}
+
+func (s *spreader) pollHead(ctx context.Context) {
+	head, err := s.readHead(ctx)
+	if err != nil {
+		s.log.Debug("spread: the table did not answer", "error", err)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.enqueue(s.machine.TableAnswered(bootclock.Now(), head))
+}
+
+// readHead reads the head's version, and takes it as evidence.
+func (s *spreader) readHead(ctx context.Context) (int64, error) {
+	s.meters.polls.Inc(1)
+	sent := bootclock.Now()
+	head, err := s.daemon.versions.Head(ctx)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		s.tableError = err.Error()
+		return 0, err
 	}
+	s.tableError = ""
+	s.fresh.HeadRead(sent, head.Version)
+	return head.Version, nil
 }
 
+func (s *spreader) load(ctx context.Context, version int64) {
+	doc, err := s.daemon.versions.Load(ctx, version)
+	if err != nil {
+		s.log.Debug("spread: the table did not answer", "error", err)
+		return
+	}
+	s.daemon.learn(doc, "table")
+}
+
+// poll reads the newest version from the table at once.
 func (d *Daemon) poll(ctx context.Context) error {
-	head, err := d.versions.Head(ctx)
-	if err != nil || head.Version <= d.holder.Current().Version {
+	head, err := d.spread.readHead(ctx)
+	if err != nil || head <= d.holder.Current().Version {
 		return err
 	}
-	doc, err := d.versions.Load(ctx, head.Version)
+	doc, err := d.versions.Load(ctx, head)
 	if err != nil {
 		return err
 	}
@@ -53,99 +214,113 @@
 	if d.holder.Learn(doc) {
 		d.log.Info("spread: version learned", "version", doc.Version, "source", source)
 	}
+	d.spread.holds(d.holder.Current().Version)
 }
 
-// jitter spreads a period over half to one and a half of it.
-func (d *Daemon) jitter(period time.Duration) time.Duration {
-	return period/2 + time.Duration(d.rng.Int64N(int64(period)))
+// holds takes that the holder has a version now.
+func (s *spreader) holds(version int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.meters.version.Update(version)
+	s.fresh.Holds(version)
+	s.enqueue(s.machine.Learned(version))
 }
 
-// spreadLoop tells a few peers of each version learned.
-func (d *Daemon) spreadLoop(ctx context.Context) {
-	told := int64(0)
-	for ctx.Err() == nil {
-		changed := d.holder.Changed()
-		if doc := d.holder.Current(); doc.Version > told {
-			d.tell(ctx, doc)
-			told = doc.Version
-		}
-		wait(ctx, d.settings.Spread.PollEvery, changed)
+// offered takes that a peer holds a version, and returns what to answer.
+func (s *spreader) offered(version int64) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fresh.Heard(version)
+	return s.machine.PeerOffered(bootclock.Now(), version)
+}
+
+// listed takes the instance list, as it was asked for at a time.
+func (s *spreader) listed(members []platform.Instance, peers []string) {
+	ids := make([]string, len(members))
+	for i, instance := range members {
+		ids[i] = instance.ID
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fresh.Listed(ids)
+	s.machine.ListChanged(peers)
+}
+
+// status decides whether the configuration may be taken for the newest.
+func (s *spreader) status() freshness.Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	status := s.fresh.Status(bootclock.Now())
+	if !status.Fresh && s.tableError != "" {
+		status.Reason += " (" + s.tableError + ")"
 	}
+	return status
 }
 
-func (d *Daemon) tell(ctx context.Context, doc *config.Config) {
-	group, ctx := errgroup.WithContext(ctx)
-	for _, peer := range spread.Choose(d.members.own(), d.settings.Instance, d.settings.Spread.Fanout, d.rng) {
-		group.Go(func() error {
-			d.offer(ctx, peer, doc)
-			return nil
-		})
+// leavingUpstreams returns the ids of upstreams that are leaving by the
+// platform's word.
+func (s *spreader) leavingUpstreams() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var ids []string
+	for id := range s.leaving.Ages(bootclock.Now()) {
+		ids = append(ids, id)
 	}
-	_ = group.Wait() // offer reports its own errors
+	return ids
 }
 
-// offer tells one peer the version's number, and sends the document if the
-// peer lacks it.
-func (d *Daemon) offer(ctx context.Context, peer platform.Instance, doc *config.Config) {
-	client := d.peer(peer.Control)
-	request := &sfv1.OfferRequest{From: d.settings.Instance, Version: doc.Version}
-	response, err := client.Offer(ctx, connect.NewRequest(request))
-	if err == nil && response.Msg.Version < doc.Version {
+// offer tells a peer the number of the version held, or brings it whole.
+func (s *spreader) offer(ctx context.Context, peer string, whole bool) {
+	doc := s.daemon.holder.Current()
+	request := &sfv1.OfferRequest{From: s.daemon.settings.Instance, Version: doc.Version}
+	s.meters.offers.Inc(1)
+	if whole {
 		request.Document = doc.Encode()
-		_, err = client.Offer(ctx, connect.NewRequest(request))
+		s.meters.documents.Inc(1)
 	}
+	ctx, cancel := s.callContext(ctx)
+	defer cancel()
+	response, err := s.daemon.peer(peer).Offer(ctx, connect.NewRequest(request))
 	if err != nil {
-		d.log.Debug("spread: a peer did not answer", "peer", peer.ID, "error", err)
+		s.peerFailed(peer, err)
+		return
+	}
+	if !whole {
+		s.peerAnswered(peer, response.Msg.Version)
 	}
 }
 
-// peerService answers other sf-control processes.
-type peerService struct {
-	daemon *Daemon
+func (s *spreader) fetch(ctx context.Context, peer string) {
+	ctx, cancel := s.callContext(ctx)
+	defer cancel()
+	request := &sfv1.FetchRequest{Have: s.daemon.holder.Current().Version}
+	response, err := s.daemon.peer(peer).Fetch(ctx, connect.NewRequest(request))
+	if err != nil {
+		s.peerFailed(peer, err)
+		return
+	}
+	if len(response.Msg.Document) == 0 {
+		return
+	}
+	doc, err := config.Decode(response.Msg.Document)
+	if err != nil {
+		s.peerFailed(peer, err)
+		return
+	}
+	s.daemon.learn(doc, "peer at "+peer)
 }
 
-// Offer implements the PeerService.
-func (p *peerService) Offer(_ context.Context, req *connect.Request[sfv1.OfferRequest]) (*connect.Response[sfv1.OfferResponse], error) {
-	if len(req.Msg.Document) > 0 {
-		doc, err := config.Decode(req.Msg.Document)
-		if err != nil {
-			return nil, connect.NewError(connect.CodeInvalidArgument, err)
-		}
-		p.daemon.learn(doc, "peer "+req.Msg.From)
-	}
-	return connect.NewResponse(&sfv1.OfferResponse{Version: p.daemon.holder.Current().Version}), nil
+func (s *spreader) callContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, s.daemon.settings.Spread.PeerTimeout)
 }
 
-// Fetch implements the PeerService.
-func (p *peerService) Fetch(_ context.Context, req *connect.Request[sfv1.FetchRequest]) (*connect.Response[sfv1.FetchResponse], error) {
-	doc := p.daemon.holder.Current()
-	response := &sfv1.FetchResponse{Version: doc.Version}
-	if doc.Version > req.Msg.Have {
-		response.Document = doc.Encode()
-	}
-	return connect.NewResponse(response), nil
+func (s *spreader) peerAnswered(peer string, version int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.enqueue(s.machine.PeerAnswered(bootclock.Now(), peer, version))
 }
 
-// InForce implements the PeerService.
-func (p *peerService) InForce(ctx context.Context, _ *connect.Request[sfv1.InForceRequest]) (*connect.Response[sfv1.InForceResponse], error) {
-	d := p.daemon
-	response := &sfv1.InForceResponse{
-		Instance:       d.settings.Instance,
-		Zone:           d.settings.Zone,
-		ControlVersion: d.holder.Current().Version,
-		Leases:         d.leases.heldPools(),
-	}
-	status, err := d.entry.client.Status(ctx, connect.NewRequest(&sfv1.StatusRequest{}))
-	if err != nil {
-		if ctx.Err() != nil {
-			return nil, errors.WithStack(ctx.Err())
-		}
-		return connect.NewResponse(response), nil
-	}
-	response.EntryKnown = true
-	response.EntryVersion = status.Msg.Version
-	response.EntryReady = status.Msg.Ready
-	response.Streams = status.Msg.Streams
-	response.Demand = status.Msg.Demand
-	return connect.NewResponse(response), nil
+func (s *spreader) peerFailed(peer string, err error) {
+	s.meters.failed.Inc(1)
+	s.log.Debug("spread: a peer did not answer", "peer", peer, "error", err)
 }
--- a/internal/entry/local.go
+++ b/internal/entry/local.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"time"
 
 	"connectrpc.com/connect"
 
+	"sassafrasfield/internal/bootclock"
 	"sassafrasfield/internal/config"
 	sfv1 "sassafrasfield/internal/gen/sf/v1"
 )
@@ -25,11 +27,15 @@
 		doc = decoded
 	}
 	before := l.server.state.config().Version
-	version := l.server.state.apply(doc, req.Msg.Leaving, l.server.now())
+	beat := heartbeat{
+		at: bootclock.Now(), version: req.Msg.Version, reason: req.Msg.StaleReason,
+		freshUntil: time.Duration(req.Msg.Clock + req.Msg.FreshForNs),
+	}
+	version := l.server.state.apply(doc, req.Msg.Leaving, beat)
 	if version != before {
 		l.server.log.Info("config: version in force", "version", version)
 	}
-	return connect.NewResponse(&sfv1.ApplyResponse{Version: version}), nil
+	return connect.NewResponse(&sfv1.ApplyResponse{Version: version, Clock: int64(bootclock.Now())}), nil
 }
 
 // Status implements the EntryService.
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -114,18 +114,6 @@
 	return mux
 }
 
-// ready returns why the entry takes no new work, or nil.
-func (s *Server) ready() error {
-	since, known := s.state.sinceHeartbeat(s.now())
-	if !known {
-		return errors.New("no configuration known yet")
-	}
-	if since > s.settings.StaleAfter {
-		return errors.Errorf("no heartbeat from sf-control for %s", since.Round(time.Millisecond))
-	}
-	return nil
-}
-
 func (s *Server) readyz(c *echo.Context) error {
 	if s.stopping.Load() {
 		return c.String(http.StatusServiceUnavailable, "stopping\n")
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -22,7 +22,7 @@
 	doc       *config.Config
 	byKey     map[string]*config.Organisation
 	leaving   map[string]bool
-	heartbeat time.Duration
+	heartbeat heartbeat
 	table     *load.Table
 	rng       *rand.Rand
 }
@@ -48,10 +48,9 @@
 
 // apply puts a configuration in force unless it is older; doc is nil for a
 // heartbeat alone. It returns the version in force.
-func (s *state) apply(doc *config.Config, leaving []string, now time.Duration) int64 {
+func (s *state) apply(doc *config.Config, leaving []string, beat heartbeat) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.heartbeat = now
 	s.leaving = map[string]bool{}
 	for _, id := range leaving {
 		s.leaving[id] = true
@@ -60,6 +59,7 @@
 		s.doc = doc
 		s.byKey = indexKeys(doc)
 	}
+	s.heartbeat.take(beat, s.doc.Version)
 	return s.doc.Version
 }
 
@@ -142,11 +142,3 @@
 	}
 	return counts
 }
-
-// sinceHeartbeat is the time since sf-control was last heard; known is false
-// before the first heartbeat.
-func (s *state) sinceHeartbeat(now time.Duration) (since time.Duration, known bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return now - s.heartbeat, s.doc.Version > 0
-}
--- a/internal/gen/sf/v1/sfv1connect/spread.connect.go
+++ b/internal/gen/sf/v1/sfv1connect/spread.connect.go
@@ -41,6 +41,10 @@
 	PeerServiceOfferProcedure = "/sf.v1.PeerService/Offer"
 	// PeerServiceFetchProcedure is the fully-qualified name of the PeerService's Fetch RPC.
 	PeerServiceFetchProcedure = "/sf.v1.PeerService/Fetch"
+	// PeerServiceExchangeProcedure is the fully-qualified name of the PeerService's Exchange RPC.
+	PeerServiceExchangeProcedure = "/sf.v1.PeerService/Exchange"
+	// PeerServicePrepareProcedure is the fully-qualified name of the PeerService's Prepare RPC.
+	PeerServicePrepareProcedure = "/sf.v1.PeerService/Prepare"
 	// PeerServiceInForceProcedure is the fully-qualified name of the PeerService's InForce RPC.
 	PeerServiceInForceProcedure = "/sf.v1.PeerService/InForce"
 	// EntryServiceApplyProcedure is the fully-qualified name of the EntryService's Apply RPC.
@@ -56,6 +60,13 @@
 	Offer(context.Context, *connect.Request[v1.OfferRequest]) (*connect.Response[v1.OfferResponse], error)
 	// Fetch returns the newest configuration that the callee holds.
 	Fetch(context.Context, *connect.Request[v1.FetchRequest]) (*connect.Response[v1.FetchResponse], error)
+	// Exchange compares what the caller and the callee know: versions, how
+	// fresh the knowledge is, and which upstreams are leaving.
+	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
+	// Prepare tells that the caller is about to have a version accepted. A peer
+	// that has answered does not take an older version for the newest any more
+	// unless the table shows that it still is.
+	Prepare(context.Context, *connect.Request[v1.PrepareRequest]) (*connect.Response[v1.PrepareResponse], error)
 	// InForce reports the version in force on the instance and its streams
 	// for each engine.
 	InForce(context.Context, *connect.Request[v1.InForceRequest]) (*connect.Response[v1.InForceResponse], error)
@@ -84,6 +95,18 @@
 			connect.WithSchema(peerServiceMethods.ByName("Fetch")),
 			connect.WithClientOptions(opts...),
 		),
+		exchange: connect.NewClient[v1.ExchangeRequest, v1.ExchangeResponse](
+			httpClient,
+			baseURL+PeerServiceExchangeProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Exchange")),
+			connect.WithClientOptions(opts...),
+		),
+		prepare: connect.NewClient[v1.PrepareRequest, v1.PrepareResponse](
+			httpClient,
+			baseURL+PeerServicePrepareProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Prepare")),
+			connect.WithClientOptions(opts...),
+		),
 		inForce: connect.NewClient[v1.InForceRequest, v1.InForceResponse](
 			httpClient,
 			baseURL+PeerServiceInForceProcedure,
@@ -95,9 +118,11 @@
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
-	offer   *connect.Client[v1.OfferRequest, v1.OfferResponse]
-	fetch   *connect.Client[v1.FetchRequest, v1.FetchResponse]
-	inForce *connect.Client[v1.InForceRequest, v1.InForceResponse]
+	offer    *connect.Client[v1.OfferRequest, v1.OfferResponse]
+	fetch    *connect.Client[v1.FetchRequest, v1.FetchResponse]
+	exchange *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
+	prepare  *connect.Client[v1.PrepareRequest, v1.PrepareResponse]
+	inForce  *connect.Client[v1.InForceRequest, v1.InForceResponse]
 }
 
 // Offer calls sf.v1.PeerService.Offer.
@@ -110,6 +135,16 @@
 	return c.fetch.CallUnary(ctx, req)
 }
 
+// Exchange calls sf.v1.PeerService.Exchange.
+func (c *peerServiceClient) Exchange(ctx context.Context, req *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error) {
+	return c.exchange.CallUnary(ctx, req)
+}
+
+// Prepare calls sf.v1.PeerService.Prepare.
+func (c *peerServiceClient) Prepare(ctx context.Context, req *connect.Request[v1.PrepareRequest]) (*connect.Response[v1.PrepareResponse], error) {
+	return c.prepare.CallUnary(ctx, req)
+}
+
 // InForce calls sf.v1.PeerService.InForce.
 func (c *peerServiceClient) InForce(ctx context.Context, req *connect.Request[v1.InForceRequest]) (*connect.Response[v1.InForceResponse], error) {
 	return c.inForce.CallUnary(ctx, req)
@@ -122,6 +157,13 @@
 	Offer(context.Context, *connect.Request[v1.OfferRequest]) (*connect.Response[v1.OfferResponse], error)
 	// Fetch returns the newest configuration that the callee holds.
 	Fetch(context.Context, *connect.Request[v1.FetchRequest]) (*connect.Response[v1.FetchResponse], error)
+	// Exchange compares what the caller and the callee know: versions, how
+	// fresh the knowledge is, and which upstreams are leaving.
+	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
+	// Prepare tells that the caller is about to have a version accepted. A peer
+	// that has answered does not take an older version for the newest any more
+	// unless the table shows that it still is.
+	Prepare(context.Context, *connect.Request[v1.PrepareRequest]) (*connect.Response[v1.PrepareResponse], error)
 	// InForce reports the version in force on the instance and its streams
 	// for each engine.
 	InForce(context.Context, *connect.Request[v1.InForceRequest]) (*connect.Response[v1.InForceResponse], error)
@@ -146,6 +188,18 @@
 		connect.WithSchema(peerServiceMethods.ByName("Fetch")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceExchangeHandler := connect.NewUnaryHandler(
+		PeerServiceExchangeProcedure,
+		svc.Exchange,
+		connect.WithSchema(peerServiceMethods.ByName("Exchange")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerServicePrepareHandler := connect.NewUnaryHandler(
+		PeerServicePrepareProcedure,
+		svc.Prepare,
+		connect.WithSchema(peerServiceMethods.ByName("Prepare")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceInForceHandler := connect.NewUnaryHandler(
 		PeerServiceInForceProcedure,
 		svc.InForce,
@@ -158,6 +212,10 @@
 			peerServiceOfferHandler.ServeHTTP(w, r)
 		case PeerServiceFetchProcedure:
 			peerServiceFetchHandler.ServeHTTP(w, r)
+		case PeerServiceExchangeProcedure:
+			peerServiceExchangeHandler.ServeHTTP(w, r)
+		case PeerServicePrepareProcedure:
+			peerServicePrepareHandler.ServeHTTP(w, r)
 		case PeerServiceInForceProcedure:
 			peerServiceInForceHandler.ServeHTTP(w, r)
 		default:
@@ -177,6 +235,14 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("sf.v1.PeerService.Fetch is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("sf.v1.PeerService.Exchange is not implemented"))
+}
+
+func (UnimplementedPeerServiceHandler) Prepare(context.Context, *connect.Request[v1.PrepareRequest]) (*connect.Response[v1.PrepareResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("sf.v1.PeerService.Prepare is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) InForce(context.Context, *connect.Request[v1.InForceRequest]) (*connect.Response[v1.InForceResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("sf.v1.PeerService.InForce is not implemented"))
 }
--- a/internal/spread/holder.go
+++ b/internal/spread/holder.go
@@ -1,6 +1,8 @@
-// Package spread brings configuration versions to every instance: each
-// sf-control process reads the head of the table now and then, and tells a few
-// peers of what it learns; each passes a version on once.
+// Package spread decides how configuration versions reach every instance: each
+// sf-control process reads the head of the table now and then, tells a few
+// peers of what it learns, and compares versions with a random peer. The
+// decisions are pure (Machine, Leaving); Holder keeps the newest version. A
+// version never falls.
 package spread
 
 import (
