Add a timer that kills the own process, frozen or not

Cause: an engine that ignores fencing numbers takes an order from a process that was frozen between its last check and its send, and woken after another had taken over. A check in the program can't close that gap. Ruled out: a timer of the Go runtime and SIGALRM with a handler, since neither runs in a stopped process. Before: nothing. After: a process stopped at the instant is killed while stopped and writes nothing; a disarmed timer does nothing (both by test, with the test binary as the process). Conclusion: the order path can arm it around a send.

--- /dev/null
+++ b/internal/selfkill/selfkill.go
@@ -0,0 +1,93 @@
+// Package selfkill ends this process at a given instant through a kernel
+// timer. The kernel delivers SIGKILL, so a process that is frozen (SIGSTOP, a
+// cgroup freezer) at that instant does not run one more instruction of its own
+// when it is woken. A check of the time in the program can't do that: the
+// process can be frozen between the check and what the check allows.
+//
+// The clock is CLOCK_BOOTTIME, which goes on while the process is stopped and
+// while the machine is suspended. It does not go on while a virtual machine is
+// paused from outside.
+package selfkill
+
+import (
+	"runtime"
+	"time"
+	"unsafe"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+)
+
+// notifySignal is SIGEV_SIGNAL of the kernel's interface: the timer sends its
+// signal to the process.
+const notifySignal = 0
+
+// timerAbsolute is TIMER_ABSTIME: the instant is a reading of the clock.
+const timerAbsolute = 1
+
+// sigevent is the kernel's struct sigevent on 64-bit machines.
+type sigevent struct {
+	value  uint64
+	signo  int32
+	notify int32
+	_      [48]byte
+}
+
+// itimerspec is the kernel's struct itimerspec.
+type itimerspec struct {
+	interval unix.Timespec
+	value    unix.Timespec
+}
+
+// Timer is one kernel timer. It is not safe for concurrent use.
+type Timer struct {
+	id int32
+}
+
+// Now reads CLOCK_BOOTTIME. Compare it with readings of the same process
+// alone.
+func Now() time.Duration {
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
+		panic(errors.Wrap(err, "selfkill: clock")) // each Linux since 2.6.39 has it
+	}
+	return time.Duration(now.Nano())
+}
+
+// Arm makes the kernel kill this process when Now reaches the instant, unless
+// Disarm is called before. An instant in the past kills at once.
+func Arm(at time.Duration) (*Timer, error) {
+	event := sigevent{signo: int32(unix.SIGKILL), notify: notifySignal}
+	t := &Timer{}
+	_, _, errno := unix.Syscall(unix.SYS_TIMER_CREATE, unix.CLOCK_BOOTTIME,
+		uintptr(unsafe.Pointer(&event)), uintptr(unsafe.Pointer(&t.id)))
+	runtime.KeepAlive(&event)
+	if errno != 0 {
+		return nil, errors.Wrap(errno, "selfkill: create")
+	}
+	// A zero value would disarm the timer in place of firing at once.
+	spec := itimerspec{value: unix.NsecToTimespec(max(int64(at), 1))}
+	_, _, errno = unix.Syscall6(unix.SYS_TIMER_SETTIME, uintptr(t.id), timerAbsolute,
+		uintptr(unsafe.Pointer(&spec)), 0, 0, 0)
+	if errno != 0 {
+		return nil, errors.Wrap(errors.WithMessage(errno, t.disarmed()), "selfkill: arm")
+	}
+	return t, nil
+}
+
+// Disarm removes the timer. The process goes on.
+func (t *Timer) Disarm() error {
+	_, _, errno := unix.Syscall(unix.SYS_TIMER_DELETE, uintptr(t.id), 0, 0)
+	if errno != 0 {
+		return errors.Wrap(errno, "selfkill: disarm")
+	}
+	return nil
+}
+
+// disarmed removes a timer that could not be set, and tells how that went.
+func (t *Timer) disarmed() string {
+	if err := t.Disarm(); err != nil {
+		return err.Error()
+	}
+	return "removed again"
+}
--- /dev/null
+++ b/internal/selfkill/selfkill_test.go
@@ -0,0 +1,88 @@
+package selfkill
+
+import (
+	"os"
+	"os/exec"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// roleVariable makes the test binary play a process with an armed timer.
+const roleVariable = "SF_SELFKILL_ROLE"
+
+// killAfter is how long after its start a child has itself killed.
+const killAfter = 300 * time.Millisecond
+
+func TestMain(m *testing.M) {
+	switch os.Getenv(roleVariable) {
+	case "frozen":
+		child(true)
+	case "running":
+		child(false)
+	case "disarmed":
+		disarmed()
+	default:
+		os.Exit(m.Run())
+	}
+}
+
+// child arms a timer, stops itself if told to, and writes a line if it gets to
+// run past the instant.
+func child(freeze bool) {
+	at := Now() + killAfter
+	if _, err := Arm(at); err != nil {
+		_, _ = os.Stdout.WriteString(err.Error())
+		os.Exit(1)
+	}
+	if freeze {
+		_ = syscall.Kill(os.Getpid(), syscall.SIGSTOP)
+	}
+	for Now() < at+time.Minute {
+		time.Sleep(time.Millisecond)
+	}
+	_, _ = os.Stdout.WriteString("ran on")
+}
+
+// disarmed arms and disarms a timer and outlives its instant.
+func disarmed() {
+	at := Now() + killAfter
+	timer, err := Arm(at)
+	if err == nil {
+		err = timer.Disarm()
+	}
+	for Now() < at+killAfter {
+		time.Sleep(time.Millisecond)
+	}
+	if err != nil {
+		os.Exit(1)
+	}
+	os.Exit(0)
+}
+
+// run starts this test binary in a role and returns what it wrote and how it
+// ended.
+func run(t *testing.T, role string) (string, syscall.WaitStatus) {
+	t.Helper()
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), roleVariable+"="+role)
+	output, _ := cmd.Output() // the exit status is looked at below
+	return string(output), cmd.ProcessState.Sys().(syscall.WaitStatus)
+}
+
+// TestTimerEndsTheProcess: a frozen process and a running one are killed; the
+// frozen one is never woken by anybody.
+func TestTimerEndsTheProcess(t *testing.T) {
+	for _, role := range []string{"frozen", "running"} {
+		output, status := run(t, role)
+		if !status.Signaled() || status.Signal() != syscall.SIGKILL || output != "" {
+			t.Errorf("%s: ended with %v, wrote %q; want SIGKILL and nothing written", role, status, output)
+		}
+	}
+}
+
+func TestDisarmedTimerDoesNothing(t *testing.T) {
+	if output, status := run(t, "disarmed"); status.ExitStatus() != 0 {
+		t.Errorf("ended with %v, wrote %q; want a clean end", status, output)
+	}
+}
