Settle lease writes in doubt, bound sends by the term, rank the watchers

Ruled out: asking the table once more in place of the conditional write, since a read may be stale for as long as it likes; a challenger that trusts its own clock against the holder's.

--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -30,7 +30,6 @@
 	settings *Settings
 	// run names this run of the process, as the holder of leases.
 	run      string
-	start    time.Time
 	log      *slog.Logger
 	platform platform.Platform
 	versions versions.Log
@@ -38,6 +37,7 @@
 	members  *members
 	entry    *entryLink
 	leases   *leases
+	orders   *orderMetrics
 	http     *http.Client
 	options  []connect.ClientOption
 
@@ -57,7 +57,6 @@
 	d := &Daemon{
 		settings: s,
 		run:      s.Instance + "/" + uuid.NewString(),
-		start:    time.Now(),
 		log:      log,
 		platform: client,
 		versions: versions.Log{Table: client},
@@ -70,14 +69,10 @@
 	d.members = newMembers(client, logging.Part(log, "members"))
 	d.entry = newEntryLink(d.holder, s.EntryLocal, d.http, d.options, logging.Part(log, "entry"))
 	d.leases = newLeases(d, logging.Part(log, "lease"))
+	d.orders = newOrderMetrics()
 	return d, nil
 }
 
-// now is the daemon's monotonic clock.
-func (d *Daemon) now() time.Duration {
-	return time.Since(d.start)
-}
-
 // Run works until the context ends, then hands its leases over.
 func (d *Daemon) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
@@ -113,6 +108,7 @@
 func (d *Daemon) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(sfv1connect.NewPeerServiceHandler(&peerService{daemon: d}))
+	mux.Handle(sfv1connect.NewLeaseServiceHandler(&leaseService{leases: d.leases}))
 	mux.Handle(sfv1connect.NewOperatorServiceHandler(&operatorService{daemon: d}))
 	mux.HandleFunc("/livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("/readyz", d.readyz)
--- /dev/null
+++ b/internal/control/deliver.go
@@ -0,0 +1,78 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sassafrasfield/internal/config"
+	"sassafrasfield/internal/engine"
+	"sassafrasfield/internal/failpoint"
+	"sassafrasfield/internal/order"
+	"sassafrasfield/internal/selfkill"
+)
+
+// deliver sends a journalled order within the lease's term. Around the send a
+// kernel timer stands armed to the end of the term: a process that is frozen
+// in it is dead before another can hold the lease, and its socket is reset
+// with it. A process that runs breaks the send off before the term ends, and
+// disarms the timer.
+func (d *Daemon) deliver(ctx context.Context, pool string, auth authority, to *config.Engine, row order.Row) error {
+	until, done, err := d.leases.startSending(pool, auth)
+	if err != nil {
+		d.orders.lapsed.Inc(1)
+		return err
+	}
+	defer done()
+	if d.killTimerFor(to) {
+		timer, err := selfkill.Arm(until)
+		if err != nil {
+			return errors.WithMessage(err, "order: not sent")
+		}
+		defer d.disarm(timer)
+	}
+	// The last check comes after the timer is armed: from here on either the
+	// send ends in time or the process does.
+	left := until - d.settings.Lease.SendGuard - selfkill.Now()
+	if left <= 0 {
+		d.orders.lapsed.Inc(1)
+		return errors.Errorf("order: the term for %s is about to end", pool)
+	}
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	return d.send(ctx, to, row)
+}
+
+// killTimerFor tells whether sends to an engine are guarded by the timer.
+func (d *Daemon) killTimerFor(to *config.Engine) bool {
+	return d.settings.Lease.KillTimer == killTimerAll || to.Fencing == config.FencingIgnore
+}
+
+func (d *Daemon) disarm(timer *selfkill.Timer) {
+	if err := timer.Disarm(); err != nil {
+		d.log.Error("order: the kill timer could not be disarmed", "error", err)
+	}
+}
+
+// send sends one order and counts how it went.
+func (d *Daemon) send(ctx context.Context, to *config.Engine, row order.Row) error {
+	log := d.log.With("engine", to.ID, "order", row.ID, "epoch", row.Epoch)
+	failpoint.Hit("control.order.before_send")
+	d.orders.sent.Inc(1)
+	started := time.Now()
+	_, err := d.engineAt(to.Address).Order(ctx, row.Message())
+	failpoint.Hit("control.order.after_send")
+	switch {
+	case err == nil:
+		d.orders.answered.Inc(1)
+		log.Info("order: sent", "took", time.Since(started))
+	case errors.Is(err, engine.ErrFenced):
+		d.orders.fenced.Inc(1)
+		log.Warn("order: refused by its fencing number")
+	default:
+		d.orders.failed.Inc(1)
+		log.Info("order: no answer", "error", err)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/control/leasehandover.go
@@ -0,0 +1,255 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	sfv1 "sassafrasfield/internal/gen/sf/v1"
+	"sassafrasfield/internal/gen/sf/v1/sfv1connect"
+	"sassafrasfield/internal/lease"
+	"sassafrasfield/internal/platform"
+	"sassafrasfield/internal/selfkill"
+)
+
+// hintTimeout bounds a hint to another instance.
+const hintTimeout = 500 * time.Millisecond
+
+// hinted is how many instances are told that a lease is free.
+const hinted = 3
+
+// close goes on with giving a lease up. The lock is held.
+func (l *leases) close(p *poolLease) {
+	if p.closing == closingNot {
+		return
+	}
+	if p.sending == 0 {
+		p.machine.Release()
+	}
+	if p.closing == closingBack && p.sending == 0 && p.machine.Released() {
+		p.closing = closingNot
+		p.machine.Resume()
+	}
+}
+
+// handOver gives all leases up, so that others need not wait for the term. It
+// ends when the table has it, or when the terms are over anyway.
+func (l *leases) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, l.daemon.settings.Lease.Term)
+	defer cancel()
+	l.mu.Lock()
+	for _, p := range l.machines {
+		p.closing = closingEnd
+	}
+	l.mu.Unlock()
+	for ctx.Err() == nil && !l.allReleased() {
+		l.drive(ctx)
+		wait(ctx, leaseTick/5, nil)
+	}
+	l.calls.Wait()
+}
+
+func (l *leases) allReleased() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range l.machines {
+		if !p.machine.Released() {
+			return false
+		}
+	}
+	return true
+}
+
+// live returns the ids of the instances that may hold leases.
+func (l *leases) live() []string {
+	var ids []string
+	for _, i := range l.daemon.members.own() {
+		if i.State == platform.InstanceLive {
+			ids = append(ids, i.ID)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// rank gives each machine its place when the list of live instances changed.
+// Nothing is watched before the list is known.
+func (l *leases) rank() {
+	live := l.live()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(live) == 0 || slices.Equal(live, l.ranked) {
+		return
+	}
+	l.ranked = live
+	now := selfkill.Now()
+	for _, p := range l.machines {
+		rank := l.ownRank(p.pool, live)
+		p.machine.SetPlace(l.daemon.settings.Lease.ranks().Place(rank))
+		if rank == 0 && !p.first {
+			p.firstSince = now
+		}
+		p.first = rank == 0
+	}
+}
+
+// ownRank is this instance's rank. One that the platform has leaving comes
+// after all others.
+func (l *leases) ownRank(pool string, live []string) int {
+	self := l.daemon.settings.Instance
+	if l.leaving(self) {
+		return len(live)
+	}
+	return lease.Rank(pool, self, live)
+}
+
+func (l *leases) leaving(id string) bool {
+	return slices.ContainsFunc(l.daemon.members.own(), func(i platform.Instance) bool {
+		return i.ID == id && i.State == platform.InstanceLeaving
+	})
+}
+
+// noteHolder keeps since when the row has its holder. The lock is held.
+func (l *leases) noteHolder(p *poolLease) {
+	row, _ := p.machine.Row()
+	if row.Holder != p.holder {
+		p.holder, p.holderSince = row.Holder, selfkill.Now()
+	}
+}
+
+// askBack asks the holders of leases that this instance is the first choice
+// for. Each is asked seldom, and only once both have been there for long.
+func (l *leases) askBack(ctx context.Context) {
+	now := selfkill.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range l.machines {
+		if !l.mayAsk(p, now) {
+			continue
+		}
+		p.lastAsk = now
+		pool, holder := p.pool, instanceOf(p.holder)
+		l.calls.Go(func() { l.ask(ctx, pool, holder) })
+	}
+}
+
+// mayAsk tells whether to ask for a lease now. The lock is held.
+func (l *leases) mayAsk(p *poolLease, now time.Duration) bool {
+	after := l.daemon.settings.Lease.HandBackAfter
+	elsewhere := p.holder != "" && instanceOf(p.holder) != l.daemon.settings.Instance
+	return p.first && elsewhere && p.closing == closingNot &&
+		now-p.firstSince >= after && now-p.holderSince >= after && now-p.lastAsk >= after
+}
+
+// instanceOf returns the instance id in the name of a run.
+func instanceOf(run string) string {
+	id, _, _ := strings.Cut(run, "/")
+	return id
+}
+
+func (l *leases) ask(ctx context.Context, pool, holder string) {
+	at, ok := l.controlOf(holder)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, hintTimeout)
+	defer cancel()
+	request := &sfv1.HandBackRequest{Pool: pool, From: l.daemon.settings.Instance}
+	response, err := l.client(at).HandBack(ctx, connect.NewRequest(request))
+	if err != nil {
+		l.log.Debug("lease: the holder did not answer", "pool", pool, "holder", holder, "error", err)
+		return
+	}
+	l.log.Info("lease: asked for", "pool", pool, "holder", holder, "agreed", response.Msg.Agreed)
+}
+
+// controlOf returns the address of an instance's sf-control.
+func (l *leases) controlOf(id string) (string, bool) {
+	for _, i := range l.daemon.members.own() {
+		if i.ID == id {
+			return i.Control, true
+		}
+	}
+	return "", false
+}
+
+func (l *leases) client(address string) sfv1connect.LeaseServiceClient {
+	return sfv1connect.NewLeaseServiceClient(l.daemon.http, "http://"+address, l.daemon.options...)
+}
+
+// tellFreed has the first few other instances read the row at once.
+func (l *leases) tellFreed(pool string) {
+	ctx, cancel := context.WithTimeout(context.Background(), hintTimeout)
+	defer cancel()
+	var work sync.WaitGroup
+	for _, id := range l.next(pool) {
+		work.Go(func() { l.hint(ctx, pool, id) })
+	}
+	work.Wait()
+}
+
+func (l *leases) hint(ctx context.Context, pool, id string) {
+	at, ok := l.controlOf(id)
+	if !ok {
+		return
+	}
+	request := connect.NewRequest(&sfv1.FreedRequest{Pool: pool})
+	if _, err := l.client(at).Freed(ctx, request); err != nil {
+		l.log.Debug("lease: a hint was not taken", "pool", pool, "instance", id, "error", err)
+	}
+}
+
+// next returns the instances that rank first for a pool besides this one.
+func (l *leases) next(pool string) []string {
+	others := slices.DeleteFunc(l.live(), func(id string) bool { return id == l.daemon.settings.Instance })
+	slices.SortFunc(others, func(a, b string) int {
+		return lease.Rank(pool, a, others) - lease.Rank(pool, b, others)
+	})
+	return others[:min(hinted, len(others))]
+}
+
+// leaseService answers other sf-control processes.
+type leaseService struct {
+	leases *leases
+}
+
+// Freed implements the LeaseService.
+func (s *leaseService) Freed(_ context.Context, req *connect.Request[sfv1.FreedRequest]) (*connect.Response[sfv1.FreedResponse], error) {
+	l := s.leases
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if p, ok := l.machines[req.Msg.Pool]; ok {
+		p.machine.Hint()
+	}
+	return connect.NewResponse(&sfv1.FreedResponse{}), nil
+}
+
+// HandBack implements the LeaseService. The lease goes back only to one that
+// ranks higher, and only when it has been here for long.
+func (s *leaseService) HandBack(_ context.Context, req *connect.Request[sfv1.HandBackRequest]) (*connect.Response[sfv1.HandBackResponse], error) {
+	l := s.leases
+	live := l.live()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p, ok := l.machines[req.Msg.Pool]
+	agreed := ok && l.mayHandBack(p, req.Msg.From, live)
+	if agreed {
+		p.closing = closingBack
+		l.log.Info("lease: handed back", "pool", p.pool, "to", req.Msg.From)
+	}
+	return connect.NewResponse(&sfv1.HandBackResponse{Agreed: agreed}), nil
+}
+
+// mayHandBack tells whether to give a lease up for another instance. The lock
+// is held.
+func (l *leases) mayHandBack(p *poolLease, to string, live []string) bool {
+	now := selfkill.Now()
+	_, held := p.machine.Held(now)
+	long := now-p.holderSince >= l.daemon.settings.Lease.HandBackAfter
+	higher := slices.Contains(live, to) && lease.Rank(p.pool, to, live) < l.ownRank(p.pool, live)
+	return held && p.closing == closingNot && long && higher
+}
--- /dev/null
+++ b/internal/control/leasemetrics.go
@@ -0,0 +1,55 @@
+package control
+
+import (
+	"github.com/rcrowley/go-metrics"
+
+	"sassafrasfield/internal/selfkill"
+)
+
+// leaseMetrics count what happens to leases. docs/operate/leases-and-orders.md
+// says what to do about them.
+type leaseMetrics struct {
+	taken, lost, released  metrics.Counter
+	reads, writes, unknown metrics.Counter
+	held                   metrics.Gauge
+}
+
+func newLeaseMetrics() *leaseMetrics {
+	registry := metrics.DefaultRegistry
+	return &leaseMetrics{
+		taken:    metrics.GetOrRegisterCounter("lease.taken", registry),
+		lost:     metrics.GetOrRegisterCounter("lease.lost", registry),
+		released: metrics.GetOrRegisterCounter("lease.released", registry),
+		reads:    metrics.GetOrRegisterCounter("lease.reads", registry),
+		writes:   metrics.GetOrRegisterCounter("lease.writes", registry),
+		unknown:  metrics.GetOrRegisterCounter("lease.unknown_writes", registry),
+		held:     metrics.GetOrRegisterGauge("lease.held", registry),
+	}
+}
+
+// count sets the gauge of leases held.
+func (m *leaseMetrics) count(machines map[string]*poolLease) {
+	held := int64(0)
+	for _, p := range machines {
+		if _, ok := p.machine.Held(selfkill.Now()); ok {
+			held++
+		}
+	}
+	m.held.Update(held)
+}
+
+// orderMetrics count what happens to orders.
+type orderMetrics struct {
+	sent, answered, failed, fenced, lapsed metrics.Counter
+}
+
+func newOrderMetrics() *orderMetrics {
+	registry := metrics.DefaultRegistry
+	return &orderMetrics{
+		sent:     metrics.GetOrRegisterCounter("order.sent", registry),
+		answered: metrics.GetOrRegisterCounter("order.answered", registry),
+		failed:   metrics.GetOrRegisterCounter("order.failed", registry),
+		fenced:   metrics.GetOrRegisterCounter("order.fenced_off", registry),
+		lapsed:   metrics.GetOrRegisterCounter("order.lapsed", registry),
+	}
+}
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"slices"
 	"sync"
@@ -13,6 +12,7 @@
 
 	"sassafrasfield/internal/lease"
 	"sassafrasfield/internal/platform"
+	"sassafrasfield/internal/selfkill"
 )
 
 // leaseTick is how often the lease machines are asked what to do.
@@ -20,21 +20,49 @@
 
 // leases drives one lease machine for each pool.
 type leases struct {
-	daemon *Daemon
-	log    *slog.Logger
+	daemon  *Daemon
+	log     *slog.Logger
+	metrics *leaseMetrics
 
-	mu       sync.Mutex // protects machines
+	// calls are the reads and writes under way.
+	calls sync.WaitGroup
+
+	mu       sync.Mutex // protects all below and the machines
 	machines map[string]*poolLease
+	// ranked is the list of live instances that the places follow.
+	ranked []string
 }
 
-// poolLease is a machine with the pool's epoch row.
+// poolLease is a machine with what goes on around it.
 type poolLease struct {
 	pool    string
 	machine *lease.Lease
-	// epochRevision is the revision of the epoch row that this process wrote
-	// when it took the lease over.
-	epochRevision int64
-}
+	// sending counts the orders under way to the pool's engines.
+	sending int
+	// closing leases take no new order and are released when none is under
+	// way.
+	closing closing
+	// holder is that of the row last seen, holderSince when it was first seen.
+	holder      string
+	holderSince time.Duration
+	// firstSince is since when this instance is the first choice, for those
+	// that are; lastAsk when it last asked for the lease.
+	first      bool
+	firstSince time.Duration
+	lastAsk    time.Duration
+	wasHeld    bool
+}
+
+// closing tells why a lease is being given up.
+type closing int
+
+const (
+	closingNot closing = iota
+	// closingBack: for the first choice; the lease is watched again after.
+	closingBack
+	// closingEnd: for good.
+	closingEnd
+)
 
 // authority proves that this process held a lease when it was read.
 type authority struct {
@@ -43,7 +71,7 @@
 }
 
 func newLeases(d *Daemon, log *slog.Logger) *leases {
-	return &leases{daemon: d, log: log, machines: map[string]*poolLease{}}
+	return &leases{daemon: d, log: log, metrics: newLeaseMetrics(), machines: map[string]*poolLease{}}
 }
 
 func leaseKey(pool string) string { return "lease/" + pool }
@@ -60,11 +88,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p, ok := l.machines[pool]
-	if !ok || p.epochRevision == 0 {
+	if !ok || p.closing != closingNot {
 		return authority{}, false
 	}
-	epoch, held := p.machine.Held(l.daemon.now())
-	return authority{epoch: epoch, epochRevision: p.epochRevision}, held
+	grant, held := p.machine.Held(selfkill.Now())
+	return authority{epoch: grant.Epoch, epochRevision: grant.EpochRevision}, held
 }
 
 // heldPools names the pools whose lease this process holds.
@@ -73,7 +101,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for pool, p := range l.machines {
-		if _, held := p.machine.Held(l.daemon.now()); held {
+		if _, held := p.machine.Held(selfkill.Now()); held {
 			pools = append(pools, pool)
 		}
 	}
@@ -81,113 +109,101 @@
 	return pools
 }
 
+// loop works until the context ends, then gives all leases up.
 func (l *leases) loop(ctx context.Context) {
 	every(ctx, leaseTick, l.tick)
 	l.handOver(context.WithoutCancel(ctx))
 }
 
+// tick asks each machine what to do and starts doing it. A call that takes
+// long holds up no other pool.
 func (l *leases) tick(ctx context.Context) {
-	var work sync.WaitGroup
-	for _, p := range l.current() {
-		l.mu.Lock()
-		action := p.machine.Tick(l.daemon.now())
-		l.mu.Unlock()
+	l.configure()
+	l.rank()
+	l.drive(ctx)
+	l.askBack(ctx)
+}
+
+func (l *leases) drive(ctx context.Context) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range l.machines {
+		l.close(p)
+		action := p.machine.Tick(selfkill.Now())
+		l.noteHeld(p)
 		if action.Kind != lease.None {
-			work.Go(func() { l.carryOut(ctx, p, action) })
+			l.calls.Go(func() { l.carryOut(ctx, p, action) })
 		}
 	}
-	work.Wait()
 }
 
-// current returns the machines, one for each configured pool.
-func (l *leases) current() []*poolLease {
+// configure keeps one machine for each configured pool. A pool that is no
+// longer configured has its lease given up.
+func (l *leases) configure() {
+	doc := l.daemon.holder.Current()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var all []*poolLease
-	for _, pool := range l.daemon.holder.Current().Pools {
-		p, ok := l.machines[pool.Name]
-		if !ok {
-			p = &poolLease{pool: pool.Name, machine: lease.New(l.daemon.run, l.machineSettings(), uuid.NewString)}
-			l.machines[pool.Name] = p
+	for _, pool := range doc.Pools {
+		if _, ok := l.machines[pool.Name]; !ok {
+			l.machines[pool.Name] = l.newMachine(pool.Name)
+		}
+	}
+	for name, p := range l.machines {
+		if doc.Pool(name) == nil {
+			p.closing = closingEnd
+		}
+		if p.closing == closingEnd && p.machine.Released() {
+			delete(l.machines, name)
 		}
-		all = append(all, p)
 	}
-	return all
-}
-
-func (l *leases) machineSettings() lease.Settings {
-	s := l.daemon.settings.Lease
-	return lease.Settings{Term: s.Term, RenewEvery: s.RenewEvery, ReadEvery: s.RenewEvery, Margin: s.Margin}
 }
 
-func (l *leases) carryOut(ctx context.Context, p *poolLease, action lease.Action) {
-	if action.Kind == lease.Read {
-		l.read(ctx, p)
-		return
+// newMachine returns the machine of a pool. The lock is held.
+func (l *leases) newMachine(pool string) *poolLease {
+	l.ranked = nil // have its place set
+	return &poolLease{
+		pool:    pool,
+		machine: lease.New(l.daemon.run, l.daemon.settings.Lease.machine(), uuid.NewString),
 	}
-	l.write(ctx, p, action)
 }
 
-func (l *leases) read(ctx context.Context, p *poolLease) {
-	row, err := l.daemon.platform.Get(ctx, leaseKey(p.pool))
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		p.machine.OnReadFailed()
+// noteHeld tells of authority won and lost. The lock is held.
+func (l *leases) noteHeld(p *poolLease) {
+	grant, held := p.machine.Held(selfkill.Now())
+	if held == p.wasHeld {
 		return
 	}
-	var content lease.Row
-	if err == nil {
-		if err := json.Unmarshal(row.Value, &content); err != nil {
-			l.log.Error("lease: the row cannot be read", "pool", p.pool, "error", err)
-			p.machine.OnReadFailed()
-			return
-		}
+	p.wasHeld = held
+	switch {
+	case held:
+		l.metrics.taken.Inc(1)
+		l.log.Info("lease: taken", "pool", p.pool, "epoch", grant.Epoch)
+	case p.closing == closingNot:
+		l.metrics.lost.Inc(1)
+		l.log.Warn("lease: lost", "pool", p.pool)
 	}
-	p.machine.OnRead(l.daemon.now(), content, row.Revision)
+	l.metrics.count(l.machines)
 }
 
-func (l *leases) write(ctx context.Context, p *poolLease, action lease.Action) {
-	value, err := json.Marshal(action.Row)
-	if err != nil {
-		panic(errors.Wrap(err, "lease: encode")) // plain data always marshals
-	}
-	txn := platform.Txn{
-		Checks: []platform.Check{{Key: leaseKey(p.pool), Revision: action.Revision}},
-		Writes: []platform.Write{{Key: leaseKey(p.pool), Value: value}},
-	}
-	if action.NewEpoch {
-		txn.Writes = append(txn.Writes, platform.Write{Key: epochKey(p.pool), Value: value})
-	}
-	revision, err := l.daemon.platform.Commit(ctx, txn)
+// startSending registers an order about to go out under an authority and
+// returns the end of the term. Call done once it is over.
+func (l *leases) startSending(pool string, auth authority) (until time.Duration, done func(), err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if err == nil && action.NewEpoch {
-		p.epochRevision = revision
-		l.log.Info("lease: taken", "pool", p.pool, "epoch", action.Row.Epoch)
+	p, ok := l.machines[pool]
+	if !ok || p.closing != closingNot {
+		return 0, nil, errors.Errorf("order: the lease of %s is being given up", pool)
 	}
-	p.machine.OnWrite(l.daemon.now(), outcomeOf(err), revision)
-}
-
-func outcomeOf(err error) lease.Outcome {
-	switch {
-	case err == nil:
-		return lease.Committed
-	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrUnavailable):
-		return lease.Refused
-	default:
-		return lease.Unknown
+	grant, held := p.machine.Held(selfkill.Now())
+	if !held || grant.Epoch != auth.epoch {
+		return 0, nil, errors.Errorf("order: the lease of %s has lapsed", pool)
 	}
+	p.sending++
+	return grant.Until, func() { l.endSending(p) }, nil
 }
 
-// handOver gives all leases up, so that others need not wait for the term.
-func (l *leases) handOver(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, l.daemon.settings.PlatformTimeout)
-	defer cancel()
-	for _, p := range l.current() {
-		l.mu.Lock()
-		p.machine.Release()
-		l.mu.Unlock()
-	}
-	l.tick(ctx)
+func (l *leases) endSending(p *poolLease) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p.sending--
 }
--- /dev/null
+++ b/internal/control/leasesettings.go
@@ -0,0 +1,82 @@
+package control
+
+import (
+	"time"
+
+	"sassafrasfield/internal/lease"
+	"sassafrasfield/internal/settings"
+	"sassafrasfield/internal/tomlfile"
+)
+
+// LeaseSettings set the authority over pools and the orders under it.
+type LeaseSettings struct {
+	// Term that a renewal is good for. Default 3s.
+	Term time.Duration `toml:"term"`
+	// RenewEvery is the time between renewals, and between the reads of those
+	// who watch a lease closely. Default 1s.
+	RenewEvery time.Duration `toml:"renew_every"`
+	// RetryEvery is the time between attempts after one that gave nothing.
+	// Default 200ms.
+	RetryEvery time.Duration `toml:"retry_every"`
+	// CallTimeout bounds each read and write of a lease. Default 1.5s.
+	CallTimeout time.Duration `toml:"call_timeout"`
+	// Margin that a challenger waits beyond the term. Default 300ms.
+	Margin time.Duration `toml:"margin"`
+	// Watchers is how many instances watch a pool's lease. Default 8.
+	Watchers int `toml:"watchers"`
+	// RankDelay is how much longer each watcher waits than the one before it.
+	// Default 300ms.
+	RankDelay time.Duration `toml:"rank_delay"`
+	// HandBackAfter is how long a lease stays with its holder, and how long the
+	// first choice for it must have been there, before it is handed back.
+	// Default 10s.
+	HandBackAfter time.Duration `toml:"hand_back_after"`
+	// SendGuard is how long before the end of the term an order that has no
+	// answer yet is broken off, and the last moment to send one. Default 200ms.
+	SendGuard time.Duration `toml:"send_guard"`
+	// KillTimer tells for which engines this process has itself killed if it
+	// is frozen around a send until its term ends: "all", or "ignore" for only
+	// those that ignore fencing numbers. Default "all".
+	KillTimer string `toml:"kill_timer"`
+}
+
+// Values of KillTimer.
+const (
+	killTimerAll    = "all"
+	killTimerIgnore = "ignore"
+)
+
+func defaultLeaseSettings() LeaseSettings {
+	return LeaseSettings{
+		Term: 3 * time.Second, RenewEvery: time.Second, RetryEvery: 200 * time.Millisecond,
+		CallTimeout: 1500 * time.Millisecond, Margin: 300 * time.Millisecond,
+		Watchers: 8, RankDelay: 300 * time.Millisecond, HandBackAfter: 10 * time.Second,
+		SendGuard: 200 * time.Millisecond, KillTimer: killTimerAll,
+	}
+}
+
+func (s LeaseSettings) check(file *tomlfile.File) {
+	settings.Between(file, "lease.term", s.Term, 100*time.Millisecond, longest)
+	settings.Between(file, "lease.renew_every", s.RenewEvery, shortest, s.Term/2)
+	settings.Between(file, "lease.retry_every", s.RetryEvery, shortest, s.Term/2)
+	settings.Between(file, "lease.call_timeout", s.CallTimeout, shortest, s.Term)
+	settings.Between(file, "lease.margin", s.Margin, shortest, longest)
+	settings.IntBetween(file, "lease.watchers", s.Watchers, 1, maxWatchers)
+	settings.Between(file, "lease.rank_delay", s.RankDelay, shortest, longest)
+	settings.Between(file, "lease.hand_back_after", s.HandBackAfter, shortest, time.Hour)
+	settings.Between(file, "lease.send_guard", s.SendGuard, shortest, s.Term/2)
+	if s.KillTimer != killTimerAll && s.KillTimer != killTimerIgnore {
+		file.Add("lease.kill_timer", "want %q or %q, not %q", killTimerAll, killTimerIgnore, s.KillTimer)
+	}
+}
+
+// maxWatchers keeps the doublings of the reads' period in bounds.
+const maxWatchers = 16
+
+func (s LeaseSettings) machine() lease.Settings {
+	return lease.Settings{Term: s.Term, RenewEvery: s.RenewEvery, RetryEvery: s.RetryEvery, Margin: s.Margin}
+}
+
+func (s LeaseSettings) ranks() lease.Ranks {
+	return lease.Ranks{Watchers: s.Watchers, ReadEvery: s.RenewEvery, Delay: s.RankDelay}
+}
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -6,51 +6,69 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"sassafrasfield/internal/failpoint"
 	"sassafrasfield/internal/order"
 	"sassafrasfield/internal/platform"
 	"sassafrasfield/internal/rollout"
 )
 
+// readOrders returns the journal of a pool by engine, with open orders of
+// earlier epochs as this holder has to settle them.
 func (d *Daemon) readOrders(ctx context.Context, pool string) (map[string]order.Row, error) {
+	auth, held := d.leases.held(pool)
+	if !held {
+		return nil, errors.Errorf("order: the lease of %s has lapsed", pool)
+	}
 	rows, err := d.platform.List(ctx, order.KeyPrefix(pool))
 	if err != nil {
 		return nil, err
 	}
 	orders := map[string]order.Row{}
 	for _, row := range rows {
-		decoded, err := order.Decode(row.Value)
+		decoded, err := order.Decode(row.Value, row.Revision)
 		if err != nil {
 			return nil, err
 		}
-		orders[decoded.Engine] = decoded
+		orders[decoded.Engine] = decoded.Under(auth.epoch)
 	}
 	return orders, nil
 }
 
-// sendOrder journals the order before it is sent, in a transaction that checks
-// the epoch.
+// sendOrder journals an order and sends it. An order that is open already is
+// sent again, whatever is wanted now.
 func (d *Daemon) sendOrder(ctx context.Context, pool string, auth authority, view rollout.View, send rollout.SendOrder) error {
-	row, open := view.Orders[send.Engine]
-	if !open || row.State != order.StateOpen {
-		row = order.Row{ID: uuid.NewString(), Engine: send.Engine, Want: send.Want, State: order.StateOpen}
-	}
+	row := view.Orders[send.Engine].Next(send.Engine, send.Want, uuid.NewString())
 	row.Epoch = auth.epoch
 	if err := d.writeOrder(ctx, pool, auth, row); err != nil {
 		return err
 	}
-	if _, held := d.leases.held(pool); !held {
-		return errors.Errorf("rollout: the lease of %s has lapsed", pool)
-	}
-	d.log.Info("rollout: order sent", "engine", send.Engine, "order", row.ID, "epoch", row.Epoch)
-	_, err := d.engineAt(view.Config.Engine(send.Engine).Address).Order(ctx, row.Message())
-	return err
+	failpoint.Hit("control.order.after_journal")
+	return d.deliver(ctx, pool, auth, view.Config.Engine(send.Engine), row)
 }
 
+// writeOrder writes a journal row. The transaction checks the epoch and that
+// the row has not changed since it was read, so neither an older holder nor a
+// stale read can hide an open order. A write whose outcome stays unknown is an
+// error; the next step finds the row or writes it with the same checks.
 func (d *Daemon) writeOrder(ctx context.Context, pool string, auth authority, row order.Row) error {
 	row.WriteID = uuid.NewString()
+	key := order.Key(pool, row.Engine)
 	_, err := d.platform.Commit(ctx, platform.Txn{
-		Checks: []platform.Check{auth.check(pool)},
-		Writes: []platform.Write{{Key: order.Key(pool, row.Engine), Value: row.Encode()}},
+		Checks: []platform.Check{auth.check(pool), {Key: key, Revision: row.Revision}},
+		Writes: []platform.Write{{Key: key, Value: row.Encode()}},
 	})
+	if errors.Is(err, platform.ErrUnknown) && d.written(ctx, key, row.WriteID) {
+		return nil
+	}
 	return err
 }
+
+// written reads back whether a journal row has a write's id.
+func (d *Daemon) written(ctx context.Context, key, writeID string) bool {
+	row, err := d.platform.Get(ctx, key)
+	if err != nil {
+		return false
+	}
+	read, err := order.Decode(row.Value, row.Revision)
+	return err == nil && read.WriteID == writeID
+}
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -30,16 +30,6 @@
 	Trace           tracing.Settings `toml:"trace"`
 }
 
-// LeaseSettings set the authority over pools.
-type LeaseSettings struct {
-	// Term that a renewal is good for. Default 3s.
-	Term time.Duration `toml:"term"`
-	// RenewEvery is the time between renewals. Default 1s.
-	RenewEvery time.Duration `toml:"renew_every"`
-	// Margin that a challenger waits beyond the term. Default 300ms.
-	Margin time.Duration `toml:"margin"`
-}
-
 // SpreadSettings set how configuration spreads.
 type SpreadSettings struct {
 	// PollEvery is the mean time between reads of the head. Default 1s.
@@ -72,7 +62,7 @@
 func DefaultSettings() *Settings {
 	return &Settings{
 		PlatformTimeout: 2 * time.Second,
-		Lease:           LeaseSettings{Term: 3 * time.Second, RenewEvery: time.Second, Margin: 300 * time.Millisecond},
+		Lease:           defaultLeaseSettings(),
 		Spread: SpreadSettings{
 			PollEvery: time.Second, Fanout: 3,
 			ApplyEvery: 250 * time.Millisecond, ListEvery: time.Second,
@@ -92,9 +82,7 @@
 	addresses.Listen("entry_local", s.EntryLocal)
 	addresses.Peer("platform", s.Platform)
 	settings.Between(file, "platform_timeout", s.PlatformTimeout, shortest, longest)
-	settings.Between(file, "lease.term", s.Lease.Term, 100*time.Millisecond, longest)
-	settings.Between(file, "lease.renew_every", s.Lease.RenewEvery, shortest, s.Lease.Term/2)
-	settings.Between(file, "lease.margin", s.Lease.Margin, shortest, longest)
+	s.Lease.check(file)
 	settings.Between(file, "spread.poll_every", s.Spread.PollEvery, shortest, longest)
 	settings.IntBetween(file, "spread.fanout", s.Spread.Fanout, 1, maxPeers)
 	settings.Between(file, "spread.apply_every", s.Spread.ApplyEvery, shortest, longest)
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -87,13 +87,6 @@
 	return events, err
 }
 
-// Order implements Engine.
-func (c *Client) Order(ctx context.Context, order Order) (Status, error) {
-	var status Status
-	err := c.call(ctx, PathOrder, order, &status)
-	return status, err
-}
-
 // Status implements Engine.
 func (c *Client) Status(ctx context.Context) (Status, error) {
 	var status Status
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -8,6 +8,11 @@
 // revision. So a holder's term has ended on each clock before a challenger
 // writes, as long as the clocks run at rates that differ by less than the
 // margin.
+//
+// Reads may be stale; the checks of a write are not. A read proves what the
+// row once was, never what it is not. A write whose outcome is unknown stays
+// in doubt until a read returns a newer revision than the one it checked, or
+// another write with the same check is committed.
 package lease
 
 import "time"
@@ -28,27 +33,32 @@
 	Term time.Duration
 	// RenewEvery is the time between renewals; well below Term.
 	RenewEvery time.Duration
-	// ReadEvery is the time between reads by those who do not hold it.
-	ReadEvery time.Duration
+	// RetryEvery is the time between attempts after one that gave nothing.
+	RetryEvery time.Duration
 	// Margin that a challenger waits beyond Term.
 	Margin time.Duration
+}
+
+// Place is how closely a process watches the lease of a pool.
+type Place struct {
+	// Watch is false for a process that leaves the lease alone.
+	Watch bool
+	// ReadEvery is the time between reads while another holds the lease.
+	ReadEvery time.Duration
 	// TakeDelay is a further wait of a challenger that is not the first choice
-	// for the pool, on a lease that is free.
+	// for the pool.
 	TakeDelay time.Duration
 }
 
-// Outcome of a write.
-type Outcome int
-
-// Outcomes of a write.
-const (
-	// Committed writes took effect.
-	Committed Outcome = iota
-	// Refused writes did not: a check failed or the table did not take them.
-	Refused
-	// Unknown writes may have taken effect.
-	Unknown
-)
+// Grant is the authority over a pool.
+type Grant struct {
+	Epoch int64
+	// EpochRevision is the revision of the takeover's write. The pool's epoch
+	// row has it until the next takeover.
+	EpochRevision int64
+	// Until is the end of the term, on the clock of Tick.
+	Until time.Duration
+}
 
 // ActionKind tells what to do.
 type ActionKind int
@@ -57,10 +67,10 @@
 const (
 	// None: nothing to do.
 	None ActionKind = iota
-	// Read the row, then call OnRead.
+	// Read the row, then call OnRead or OnReadFailed.
 	Read
-	// Write the row if it has Revision, then call OnWrite. A write that raises
-	// the epoch must write the pool's epoch row in the same transaction.
+	// Write the row if it has Revision, then call OnWrite. A write with
+	// NewEpoch must write the pool's epoch row in the same transaction.
 	Write
 )
 
@@ -73,65 +83,103 @@
 	NewEpoch bool
 }
 
+// attempt is a write that was sent.
+type attempt struct {
+	row      Row
+	newEpoch bool
+	at       time.Duration
+}
+
 // Lease is the state for one pool. It is not safe for concurrent use.
 type Lease struct {
 	self     string
 	settings Settings
 	newID    func() string
+	place    Place
+
+	busy bool
+	sent attempt // the write under way
 
-	busy     bool
+	// row, revision are the newest state known; known is false before the
+	// first read.
 	row      Row
 	revision int64
-	seen     bool          // a read has returned
-	since    time.Duration // when a read first returned revision
+	known    bool
+	// floor is the lowest revision that the row can have now; a read below it
+	// is stale.
+	floor int64
+	// since is when a read or write first returned revision, repeated whether
+	// a later read returned it again.
+	since    time.Duration
+	repeated bool
 	lastRead time.Duration
+	// readSoon asks for a read before anything else.
+	readSoon bool
+	nextTry  time.Duration
 
-	held       bool
-	epoch      int64
-	validUntil time.Duration
-	lastWrite  time.Duration
-
-	pending   *Row // a write whose outcome is not known
-	pendingAt time.Duration
-	releasing bool
+	grant *Grant
+	// epochRevision is the revision of the own newest takeover.
+	epochRevision int64
+	doubts        []attempt // with an unknown outcome; all checked revision
+	// lastRenewal is when the newest write of the grant was sent.
+	lastRenewal time.Duration
+	releasing   bool
 }
 
 // New returns the state of a process that knows nothing of the lease. Self
 // names this run of this process. NewID returns a fresh write id.
 func New(self string, settings Settings, newID func() string) *Lease {
-	return &Lease{self: self, settings: settings, newID: newID, lastRead: -settings.ReadEvery}
+	return &Lease{self: self, settings: settings, newID: newID, readSoon: true}
 }
 
-// Held returns the epoch when the lease is held at now.
-func (l *Lease) Held(now time.Duration) (epoch int64, held bool) {
-	if !l.held || now >= l.validUntil {
-		return 0, false
-	}
-	return l.epoch, true
+// SetPlace sets how closely the lease is watched.
+func (l *Lease) SetPlace(place Place) {
+	l.place = place
 }
 
-// ValidUntil returns the end of the term while the lease is held.
-func (l *Lease) ValidUntil() time.Duration {
-	return l.validUntil
+// Held returns the grant if the lease is held at now and not being released.
+func (l *Lease) Held(now time.Duration) (Grant, bool) {
+	if l.grant == nil || l.releasing || now >= l.grant.Until {
+		return Grant{}, false
+	}
+	return *l.grant, true
 }
 
-// Row returns the row as last read or written, for display.
-func (l *Lease) Row() Row {
-	return l.row
+// Row returns the row as last read or written, and whether there was one.
+func (l *Lease) Row() (Row, bool) {
+	return l.row, l.known
 }
 
-// Release makes the next ticks give the lease up.
+// Release gives the lease up with the next ticks. No order may be under way:
+// another process may take the lease as soon as the row is written.
 func (l *Lease) Release() {
 	l.releasing = true
 }
 
+// Released tells that nothing is left to give up.
+func (l *Lease) Released() bool {
+	return !l.busy && len(l.doubts) == 0 && l.row.Holder != l.self
+}
+
+// Resume makes a released lease one to watch again.
+func (l *Lease) Resume() {
+	l.releasing = false
+}
+
+// Hint asks for a read with the next tick, when word came that the row has
+// changed. It proves nothing.
+func (l *Lease) Hint() {
+	l.readSoon = true
+	l.nextTry = 0
+}
+
 // Tick returns the next action. There is at most one outstanding.
 func (l *Lease) Tick(now time.Duration) Action {
-	if l.busy {
-		return Action{}
+	if l.grant != nil && now >= l.grant.Until {
+		l.grant = nil
 	}
-	if l.held && now >= l.validUntil {
-		l.held = false
+	if l.busy || now < l.nextTry {
+		return Action{}
 	}
 	action := l.next(now)
 	l.busy = action.Kind != None
@@ -139,118 +187,81 @@
 }
 
 func (l *Lease) next(now time.Duration) Action {
-	if l.pending != nil {
-		return l.read(now)
-	}
-	if l.held {
+	switch {
+	case l.readSoon && l.concerned():
+		return Action{Kind: Read}
+	case l.releasing:
+		return l.release(now)
+	case l.grant != nil:
 		return l.renew(now)
-	}
-	if l.releasing {
-		return Action{}
-	}
-	if l.seen && l.free(now) {
+	case l.ready(now):
 		return l.write(now, Row{Holder: l.self, Epoch: l.row.Epoch + 1}, true)
-	}
-	if now-l.lastRead >= l.settings.ReadEvery {
-		return l.read(now)
+	case l.readDue(now):
+		return Action{Kind: Read}
 	}
 	return Action{}
 }
 
-// free tells whether the row may be taken over.
-func (l *Lease) free(now time.Duration) bool {
-	if l.row.Holder == "" {
-		return now-l.since >= l.settings.TakeDelay
-	}
-	return now-l.since >= l.settings.Term+l.settings.Margin+l.settings.TakeDelay
+// concerned tells whether the row matters to this process at all.
+func (l *Lease) concerned() bool {
+	return l.place.Watch || l.grant != nil || len(l.doubts) > 0 || l.row.Holder == l.self
 }
 
-func (l *Lease) renew(now time.Duration) Action {
-	if l.releasing {
-		l.held = false
-		return l.write(now, Row{Epoch: l.epoch}, false)
-	}
-	if now-l.lastWrite < l.settings.RenewEvery {
+// release writes the row without a holder, also to settle writes in doubt.
+func (l *Lease) release(now time.Duration) Action {
+	if l.row.Holder != l.self && len(l.doubts) == 0 {
 		return Action{}
 	}
-	return l.write(now, Row{Holder: l.self, Epoch: l.epoch}, false)
-}
-
-func (l *Lease) write(now time.Duration, row Row, newEpoch bool) Action {
-	row.WriteID = l.newID()
-	l.pending = &row
-	l.pendingAt = now
-	l.lastWrite = now
-	return Action{Kind: Write, Row: row, Revision: l.revision, NewEpoch: newEpoch}
-}
-
-func (l *Lease) read(now time.Duration) Action {
-	l.lastRead = now
-	return Action{Kind: Read}
+	l.grant = nil
+	return l.write(now, Row{Epoch: l.row.Epoch}, false)
 }
 
-// OnRead takes the outcome of a read that ended at now. Revision is 0 when
-// there is no row. Call OnReadFailed when the read gave nothing.
-func (l *Lease) OnRead(now time.Duration, row Row, revision int64) {
-	l.busy = false
-	if !l.seen || revision != l.revision {
-		l.since = now
+// renew writes the row again when that is due. A renewal in doubt is tried
+// again at once: the check decides which of the two takes effect.
+func (l *Lease) renew(now time.Duration) Action {
+	if len(l.doubts) == 0 && now-l.lastRenewal < l.settings.RenewEvery {
+		return Action{}
 	}
-	l.seen = true
-	l.row, l.revision = row, revision
-	l.settle(row)
+	return l.write(now, Row{Holder: l.self, Epoch: l.grant.Epoch}, false)
 }
 
-// settle decides a pending write by the row that was read.
-func (l *Lease) settle(row Row) {
-	if l.pending == nil {
-		if row.Holder != l.self {
-			l.held = false
-		}
-		return
-	}
-	if row.WriteID == l.pending.WriteID {
-		l.accept()
-		return
+// ready tells whether the row may be taken over now.
+func (l *Lease) ready(now time.Duration) bool {
+	if !l.known || !l.place.Watch {
+		return len(l.doubts) > 0
 	}
-	// The write did not take effect, or was overwritten. A late arrival fails
-	// its check, unless the row is unchanged: then the next write, which has
-	// the same check, decides which of the two takes effect.
-	l.pending = nil
-	if row.Holder != l.self {
-		l.held = false
+	// The own row whose term lapsed, and the own takeover in doubt, need no
+	// wait: nobody else has had the lease if the check holds.
+	if l.row.Holder == l.self || len(l.doubts) > 0 {
+		return true
 	}
+	ripe := l.ripeAt()
+	return now >= ripe && l.lastRead >= ripe
 }
 
-// accept makes the pending write the state of the lease.
-func (l *Lease) accept() {
-	l.held = l.pending.Holder == l.self
-	l.epoch = l.pending.Epoch
-	l.validUntil = l.pendingAt + l.settings.Term
-	l.pending = nil
-}
-
-// OnReadFailed takes a read that gave nothing.
-func (l *Lease) OnReadFailed() {
-	l.busy = false
+// ripeAt is when the row may be taken over if it still stands.
+func (l *Lease) ripeAt() time.Duration {
+	if l.row.Holder == "" {
+		return l.since + l.place.TakeDelay
+	}
+	return l.since + l.settings.Term + l.settings.Margin + l.place.TakeDelay
 }
 
-// OnWrite takes the outcome of a write that ended at now; revision is the
-// row's new one when it was committed.
-func (l *Lease) OnWrite(now time.Duration, outcome Outcome, revision int64) {
-	l.busy = false
-	if l.pending == nil {
-		return
+// readDue tells whether a read is due: now and then, and once more right when
+// a row that looked unchanged may be taken over.
+func (l *Lease) readDue(now time.Duration) bool {
+	if !l.place.Watch {
+		return false
 	}
-	switch outcome {
-	case Committed:
-		l.row, l.revision, l.since = *l.pending, revision, now
-		l.accept()
-	case Refused:
-		l.pending = nil
-		l.lastRead = now - l.settings.ReadEvery
-		l.seen = false
-	case Unknown:
-		// Tick reads the row back.
+	if now-l.lastRead >= l.place.ReadEvery {
+		return true
 	}
+	last := l.repeated || l.row.Holder == ""
+	return last && now >= l.ripeAt() && l.lastRead < l.ripeAt()
+}
+
+func (l *Lease) write(now time.Duration, row Row, newEpoch bool) Action {
+	row.WriteID = l.newID()
+	l.sent = attempt{row: row, newEpoch: newEpoch, at: now}
+	return Action{Kind: Write, Row: row, Revision: l.revision, NewEpoch: newEpoch}
 }
--- /dev/null
+++ b/internal/lease/place.go
@@ -0,0 +1,63 @@
+package lease
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Ranks settle how closely the instances watch the leases.
+type Ranks struct {
+	// Watchers is how many of the instances that rank highest for a pool watch
+	// its lease at all.
+	Watchers int
+	// ReadEvery is the time between reads of the first choice and the two
+	// after it; each next one takes twice as long as the one before.
+	ReadEvery time.Duration
+	// Delay is how much longer each rank waits than the one before it, before
+	// it takes a lease over.
+	Delay time.Duration
+}
+
+// frequent is how many ranks after the first read at the full rate.
+const frequent = 2
+
+// Rank returns the place of an instance among the live ones for a pool: 0 is
+// the first choice. It is rendezvous hashing: pools spread evenly, and an
+// instance that comes or goes moves only the pools it ranks first for. An
+// instance that the list lacks is counted as one more; it may be new.
+func Rank(pool, self string, live []string) int {
+	own := weight(pool, self)
+	rank := 0
+	for _, id := range live {
+		if id == self {
+			continue
+		}
+		if w := weight(pool, id); w > own || w == own && id < self {
+			rank++
+		}
+	}
+	return rank
+}
+
+// weight of an instance for a pool.
+func weight(pool, id string) uint64 {
+	hash := xxhash.New()
+	_, _ = hash.WriteString(pool) // a hash never fails
+	_, _ = hash.Write([]byte{0})
+	_, _ = hash.WriteString(id)
+	return hash.Sum64()
+}
+
+// Place returns how closely the instance of a rank watches.
+func (r Ranks) Place(rank int) Place {
+	if rank >= r.Watchers {
+		return Place{}
+	}
+	doublings := max(0, rank-frequent)
+	return Place{
+		Watch:     true,
+		ReadEvery: r.ReadEvery << doublings,
+		TakeDelay: time.Duration(rank) * r.Delay,
+	}
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -245,7 +245,10 @@
 		http.Error(w, "fenced off", http.StatusPreconditionFailed)
 		return
 	}
-	if !e.changing || e.last.ID != order.ID {
+	if e.changing && e.last.ID == order.ID {
+		e.book.Orders = append(e.book.Orders, order)
+		e.last.Fence = order.Fence
+	} else {
 		e.take(order)
 	}
 	reply(w, e.statusNow())
