Settle unknown writes of versions by checks, and keep deltas

Cause: settle() took a stale NotFound as proof that nothing was written, so an accepted confirmation could be told as refused; a listing cost one read for each version, and each version row held the whole document.

The resent transaction settles all but one case: its conflict with the row missing from an old copy. A transaction with checks and no writes now proves the absence. Reading again until the row shows was ruled out: nothing bounds how old a copy is. Rows hold deltas, in buckets of 64 with one whole document each, so that a listing of 512 costs nine reads.

Before (guard removed): TestOutcomesAreTrue fails after 0 tests, 'own-0 was told refused and is there'. After: versions tests pass under the race detector.

--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -122,7 +122,7 @@
 		return nil, false, platformError(err)
 	}
 	if base.Intent != p.BuiltFrom {
-		return o.refuseMoved(ctx, p, base)
+		return o.refuseMoved(ctx, p)
 	}
 	if len(p.Refusals) > 0 {
 		return &sfv1.ConfirmResponse{Outcome: outcomeRefused, Reason: p.Refusals[0]}, false, nil
@@ -162,8 +162,8 @@
 }
 
 // refuseMoved tells which accepted changes a plan does not know of.
-func (o *operatorService) refuseMoved(ctx context.Context, p *plan.Plan, base *config.Config) (*sfv1.ConfirmResponse, bool, error) {
-	entries, err := o.daemon.versions.List(ctx, int(base.Version))
+func (o *operatorService) refuseMoved(ctx context.Context, p *plan.Plan) (*sfv1.ConfirmResponse, bool, error) {
+	entries, err := o.daemon.versions.List(ctx, versions.MaxListed)
 	if err != nil {
 		return nil, false, platformError(err)
 	}
--- a/internal/versions/versions.go
+++ b/internal/versions/versions.go
@@ -1,14 +1,20 @@
 // Package versions keeps the append-only log of configuration versions in the
 // platform's table. The head is one row; each version is a row that is created
-// once and never changed.
+// once and never changed. A version's row holds what changed since the one
+// before it; the first version of each bucket has a row with the whole
+// document beside it.
+//
+// Reads of the table may be stale, the checks of a transaction never are. So
+// what must be known for sure is found out by a transaction that has checks
+// and no writes.
 package versions
 
 import (
 	"context"
 	"encoding/json"
 	"fmt"
+	"time"
 
-	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"sassafrasfield/internal/config"
@@ -18,14 +24,26 @@
 // HeadKey is the row that names the newest version.
 const HeadKey = "head"
 
-// VersionPrefix is the prefix of the version rows.
-const VersionPrefix = "version/"
+// Prefixes of the rows.
+const (
+	VersionPrefix  = "version/"
+	SnapshotPrefix = "snapshot/"
+)
+
+// bucketSize is the number of versions that one listing of the table returns,
+// and that lie between two whole documents.
+const bucketSize = 64
 
-// settleAttempts bounds the read-backs of a write whose outcome is unknown.
-const settleAttempts = 3
+// MaxListed bounds the versions that List returns, and so its reads.
+const MaxListed = 512
 
-// ErrMoved: the head is no longer the one that the change was made from.
-var ErrMoved = errors.New("versions: the head has moved")
+// Errors of the log. Compare with errors.Is.
+var (
+	// ErrMoved: the head is no longer the one that the change was made from.
+	ErrMoved = errors.New("versions: the head has moved")
+	// ErrBehind: the table's answer came from a copy that lacks the version.
+	ErrBehind = errors.New("versions: the table answered from an old copy")
+)
 
 // Head is the content of the head row.
 type Head struct {
@@ -33,6 +51,8 @@
 	Intent  int64 `json:"intent"`
 	// Revision of the row itself, as it was read.
 	Revision int64 `json:"-"`
+	// base is the document of the head, when it was loaded with it.
+	base *config.Config
 }
 
 // Entry is the content of a version row.
@@ -44,18 +64,34 @@
 	PlanID   string `json:"plan_id,omitempty"`
 	Accepted int64  `json:"accepted_unix_ms"`
 	// WriteID names the write that created the row.
-	WriteID  string          `json:"write_id"`
-	Document json.RawMessage `json:"document"`
+	WriteID string `json:"write_id"`
+	// Delta is a packed Delta from the version before. A version that has none
+	// has its whole document in Document or in the bucket's snapshot.
+	Delta    []byte `json:"delta,omitempty"`
+	Document []byte `json:"document,omitempty"`
 }
 
 // Log reads and appends versions. It keeps no state and is safe for use by
 // several goroutines.
 type Log struct {
 	Table platform.Table
+	// SettlePause is the time before an unknown write is asked about again; it
+	// doubles each time. 0 means 50 ms.
+	SettlePause time.Duration
+}
+
+func bucketOf(version int64) int64 { return version / bucketSize }
+
+func bucketPrefix(bucket int64) string {
+	return fmt.Sprintf("%s%09d/", VersionPrefix, bucket)
 }
 
 func key(version int64) string {
-	return fmt.Sprintf("%s%012d", VersionPrefix, version)
+	return fmt.Sprintf("%s%012d", bucketPrefix(bucketOf(version)), version)
+}
+
+func snapshotKey(bucket int64) string {
+	return fmt.Sprintf("%s%09d", SnapshotPrefix, bucket)
 }
 
 // Head reads the head row. A table with none gives the zero Head.
@@ -75,133 +111,160 @@
 	return head, nil
 }
 
-// Get reads one version.
+// Get reads one version's row.
 func (l Log) Get(ctx context.Context, version int64) (Entry, error) {
 	row, err := l.Table.Get(ctx, key(version))
 	if err != nil {
 		return Entry{}, err
 	}
+	return decodeEntry(row)
+}
+
+func decodeEntry(row platform.Row) (Entry, error) {
 	var entry Entry
-	if err := json.Unmarshal(row.Value, &entry); err != nil {
-		return Entry{}, errors.Wrap(err, "versions: entry")
-	}
-	return entry, nil
+	err := json.Unmarshal(row.Value, &entry)
+	return entry, errors.Wrap(err, "versions: entry")
 }
 
-// Load reads the document of one version. Version 0 is the empty one.
+// Load reads the document of one version. Version 0 is the empty one. It costs
+// two reads. ErrBehind asks to try again.
 func (l Log) Load(ctx context.Context, version int64) (*config.Config, error) {
+	return l.LoadFrom(ctx, nil, version)
+}
+
+// LoadFrom reads the document of a version on top of one that is known, which
+// costs one read when both are in the same bucket. Known may be nil.
+func (l Log) LoadFrom(ctx context.Context, known *config.Config, version int64) (*config.Config, error) {
 	if version == 0 {
 		return &config.Config{}, nil
 	}
-	entry, err := l.Get(ctx, version)
+	if known != nil && known.Version == version {
+		return known, nil
+	}
+	bucket := bucketOf(version)
+	entries, err := l.bucket(ctx, bucket)
 	if err != nil {
 		return nil, err
 	}
-	return config.Decode(entry.Document)
+	base := known
+	if base == nil || base.Version > version || bucketOf(base.Version) != bucket {
+		if base, err = l.snapshot(ctx, bucket); err != nil {
+			return nil, err
+		}
+	}
+	return replay(base, entries, version)
 }
 
-// Newest reads the head and its document.
-func (l Log) Newest(ctx context.Context) (Head, *config.Config, error) {
-	head, err := l.Head(ctx)
+// bucket reads the rows of one bucket, ordered by version.
+func (l Log) bucket(ctx context.Context, bucket int64) ([]Entry, error) {
+	rows, err := l.Table.List(ctx, bucketPrefix(bucket))
 	if err != nil {
-		return Head{}, nil, err
+		return nil, err
 	}
-	doc, err := l.Load(ctx, head.Version)
-	return head, doc, err
+	entries := make([]Entry, 0, len(rows))
+	for _, row := range rows {
+		entry, err := decodeEntry(row)
+		if err != nil {
+			return nil, err
+		}
+		entries = append(entries, entry)
+	}
+	return entries, nil
 }
 
-// List returns the newest versions, newest first, without their documents.
-func (l Log) List(ctx context.Context, limit int) ([]Entry, error) {
-	head, err := l.Head(ctx)
+// snapshot reads the whole document of a bucket's first version.
+func (l Log) snapshot(ctx context.Context, bucket int64) (*config.Config, error) {
+	doc := &config.Config{}
+	if bucket == 0 {
+		return doc, nil
+	}
+	row, err := l.Table.Get(ctx, snapshotKey(bucket))
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, ErrBehind
+	}
 	if err != nil {
 		return nil, err
 	}
-	var entries []Entry
-	for v := head.Version; v > 0 && len(entries) < limit; v-- {
-		entry, err := l.Get(ctx, v)
+	return doc, unpack(row.Value, doc)
+}
+
+// replay brings base to the version by the entries that follow it.
+func replay(base *config.Config, entries []Entry, version int64) (*config.Config, error) {
+	doc := base
+	for _, entry := range entries {
+		if entry.Version <= doc.Version || entry.Version > version {
+			continue
+		}
+		next, err := entry.follow(doc)
 		if err != nil {
 			return nil, err
 		}
-		entry.Document = nil
-		entries = append(entries, entry)
+		doc = next
 	}
-	return entries, nil
+	if doc.Version != version {
+		return nil, ErrBehind
+	}
+	return doc, nil
 }
 
-// Append makes doc the next version, if the head still has the revision that
-// head was read with. Extra checks and writes go into the same transaction.
-// Doc's version must be head's plus one. Errors: ErrMoved and
-// platform.ErrConflict when nothing was written, platform.ErrUnavailable
-// likewise, platform.ErrUnknown when the outcome could not be settled.
-func (l Log) Append(ctx context.Context, head Head, doc *config.Config, entry Entry, extra platform.Txn) error {
-	if doc.Version != head.Version+1 {
-		return errors.Errorf("versions: document %d does not follow head %d", doc.Version, head.Version)
+// follow returns the entry's document; before is the newest one known below.
+func (e Entry) follow(before *config.Config) (*config.Config, error) {
+	if len(e.Document) > 0 {
+		doc := &config.Config{}
+		return doc, unpack(e.Document, doc)
 	}
-	entry.Version, entry.Intent = doc.Version, doc.Intent
-	entry.WriteID = uuid.NewString()
-	entry.Document = doc.Encode()
-	txn := l.transaction(head, entry, extra)
-	_, err := l.Table.Commit(ctx, txn)
-	if errors.Is(err, platform.ErrUnknown) {
-		return l.settle(ctx, txn, entry)
+	if len(e.Delta) == 0 || e.Version != before.Version+1 {
+		return nil, ErrBehind
 	}
-	if errors.Is(err, platform.ErrConflict) {
-		return l.explain(ctx, head)
+	var delta Delta
+	if err := unpack(e.Delta, &delta); err != nil {
+		return nil, err
 	}
-	return err
+	return delta.Apply(before), nil
+}
+
+// Newest reads the head and its document.
+func (l Log) Newest(ctx context.Context) (Head, *config.Config, error) {
+	return l.NewestFrom(ctx, nil)
 }
 
-func (l Log) transaction(head Head, entry Entry, extra platform.Txn) platform.Txn {
-	value, err := json.Marshal(entry)
+// NewestFrom reads the head and its document, on top of a document that is
+// known. Known may be nil, and newer than what the table's copy has: that is
+// ErrBehind.
+func (l Log) NewestFrom(ctx context.Context, known *config.Config) (Head, *config.Config, error) {
+	head, err := l.Head(ctx)
 	if err != nil {
-		panic(errors.Wrap(err, "versions: encode")) // plain data always marshals
+		return Head{}, nil, err
 	}
-	headValue, err := json.Marshal(Head{Version: entry.Version, Intent: entry.Intent})
+	if known != nil && known.Version > head.Version {
+		return Head{}, nil, ErrBehind
+	}
+	doc, err := l.LoadFrom(ctx, known, head.Version)
 	if err != nil {
-		panic(errors.Wrap(err, "versions: encode"))
-	}
-	return platform.Txn{
-		Checks: append([]platform.Check{
-			{Key: HeadKey, Revision: head.Revision},
-			{Key: key(entry.Version), Revision: 0},
-		}, extra.Checks...),
-		Writes: append([]platform.Write{
-			{Key: key(entry.Version), Value: value},
-			{Key: HeadKey, Value: headValue},
-		}, extra.Writes...),
-	}
-}
-
-// settle finds out whether a write whose reply was lost took effect. It sends
-// the same transaction again: it commits, or its conflict proves that the
-// version row exists or the head moved, and the row's write id tells by whom.
-func (l Log) settle(ctx context.Context, txn platform.Txn, entry Entry) error {
-	for range settleAttempts {
-		_, err := l.Table.Commit(ctx, txn)
-		if err == nil {
-			return nil
-		}
-		if !errors.Is(err, platform.ErrConflict) {
-			continue
-		}
-		found, err := l.Get(ctx, entry.Version)
-		switch {
-		case err == nil && found.WriteID == entry.WriteID:
-			return nil
-		case err == nil:
-			return ErrMoved
-		case errors.Is(err, platform.ErrNotFound):
-			return platform.ErrConflict
-		}
+		return Head{}, nil, err
 	}
-	return platform.ErrUnknown
+	head.base = doc
+	return head, doc.Clone(), nil
 }
 
-// explain tells a moved head from another failed check.
-func (l Log) explain(ctx context.Context, head Head) error {
-	now, err := l.Head(ctx)
-	if err == nil && now.Revision == head.Revision {
-		return platform.ErrConflict
+// List returns the newest versions, newest first, without their documents. It
+// returns MaxListed at most, and costs one read for each bucket.
+func (l Log) List(ctx context.Context, limit int) ([]Entry, error) {
+	head, err := l.Head(ctx)
+	if err != nil {
+		return nil, err
+	}
+	limit = min(limit, MaxListed)
+	var newest []Entry
+	for b := bucketOf(head.Version); b >= 0 && len(newest) < limit; b-- {
+		entries, err := l.bucket(ctx, b)
+		if err != nil {
+			return nil, err
+		}
+		for i := len(entries) - 1; i >= 0 && len(newest) < limit; i-- {
+			entries[i].Delta, entries[i].Document = nil, nil
+			newest = append(newest, entries[i])
+		}
 	}
-	return ErrMoved
+	return newest, nil
 }
