Test cut-off, frozen, restarted and seeded instances as processes

testfleet.Links gives each instance its own way to the platform and to each peer, through toxiproxy. An instance shows by /readyz by which rule it is fresh, and in spread.voter whether it counts in a majority.

--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -122,11 +123,12 @@
 // readyz tells whether the process holds a configuration that it may take for
 // the newest, and else why not.
 func (d *Daemon) readyz(w http.ResponseWriter, _ *http.Request) {
-	if status := d.spread.status(); !status.Fresh {
+	status := d.spread.status()
+	if !status.Fresh {
 		http.Error(w, status.Reason, http.StatusServiceUnavailable)
 		return
 	}
-	w.WriteHeader(http.StatusOK)
+	fmt.Fprintf(w, "ready, fresh by %s\n", status.By)
 }
 
 // engineAt returns the client for an engine's address.
--- a/internal/control/spread.go
+++ b/internal/control/spread.go
@@ -41,7 +41,7 @@
 // spreadMeters count what the spread costs.
 type spreadMeters struct {
 	exchanges, offers, documents, polls, failed metrics.Counter
-	version, fresh                              metrics.Gauge
+	version, fresh, voter                       metrics.Gauge
 }
 
 func newSpreadMeters(registry metrics.Registry) spreadMeters {
@@ -51,6 +51,7 @@
 		polls: counter("head_reads"), failed: counter("peer_failures"),
 		version: metrics.GetOrRegisterGauge("spread.version", registry),
 		fresh:   metrics.GetOrRegisterGauge("spread.fresh", registry),
+		voter:   metrics.GetOrRegisterGauge("spread.voter", registry),
 	}
 }
 
@@ -105,6 +106,9 @@
 	actions := append(s.queue, ticked...)
 	s.queue = nil
 	s.noteFreshness(s.fresh.Status(now))
+	if s.fresh.Voter() {
+		s.meters.voter.Update(1)
+	}
 	return actions, next - now
 }
 
--- a/internal/freshness/digest.go
+++ b/internal/freshness/digest.go
@@ -29,7 +29,7 @@
 func (s *State) Digest(now time.Duration, withContacts bool) Digest {
 	d := Digest{
 		Version: s.held, Seen: s.seen, SeenAge: now - s.seenAt,
-		Promised: s.promised, PromisedAge: now - s.promisedAt, Voter: s.voter(),
+		Promised: s.promised, PromisedAge: now - s.promisedAt, Voter: s.Voter(),
 	}
 	if !withContacts || s.heard > s.held {
 		return d
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -144,9 +144,9 @@
 	s.promisedAt = max(s.promisedAt, at)
 }
 
-// voter tells whether this daemon remembers each Prepare whose write can still
+// Voter tells whether this daemon remembers each Prepare whose write can still
 // take effect, those that a former run of it answered included.
-func (s *State) voter() bool {
+func (s *State) Voter() bool {
 	return s.seen && s.seenAt >= s.started+s.settings.AcceptWithin
 }
 
@@ -230,7 +230,7 @@
 
 func (s *State) contactOf(id string, now time.Duration) (contact, bool) {
 	if id == s.self {
-		return contact{at: now, voter: s.voter()}, true
+		return contact{at: now, voter: s.Voter()}, true
 	}
 	c, ok := s.contacts[id]
 	return c, ok
--- /dev/null
+++ b/internal/spread/process_test.go
@@ -0,0 +1,388 @@
+package spread_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"sassafrasfield/internal/config"
+	sfv1 "sassafrasfield/internal/gen/sf/v1"
+	"sassafrasfield/internal/gen/sf/v1/sfv1connect"
+	"sassafrasfield/internal/platform"
+	"sassafrasfield/internal/standin"
+	"sassafrasfield/internal/testcaller"
+	"sassafrasfield/internal/testfleet"
+	"sassafrasfield/internal/versions"
+)
+
+// callerKey is the API key of the one organisation.
+const callerKey = "key-of-agedim"
+
+// rig is three instances with links, and a service whose one upstream the
+// configuration names: v1 of the configuration names upstream "old", each
+// later one "new".
+type rig struct {
+	t      *testing.T
+	ctx    context.Context
+	fleet  *testfleet.Fleet
+	links  *testfleet.Links
+	caller *testcaller.Caller
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	t.Parallel()
+	bin, err := testfleet.Bin()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 25*time.Second)
+	t.Cleanup(cancel)
+	r := &rig{t: t, ctx: ctx, fleet: testfleet.New(bin, t.TempDir()), caller: testcaller.New(callerKey)}
+	t.Cleanup(r.fleet.Stop)
+	r.must(r.fleet.StartPlatform(ctx))
+	for _, id := range []string{"old", "new"} {
+		_, err := r.fleet.AddService(ctx, id, "zona-4")
+		r.must(err)
+	}
+	r.links = testfleet.NewLinks(r.fleet)
+	t.Cleanup(r.links.Close)
+	r.fleet.ControlExtra = "platform_timeout = \"300ms\"\n"
+	r.fleet.ControlTables = `[spread]
+poll_every = "200ms"
+exchange_every = "100ms"
+peer_timeout = "300ms"
+fresh_for = "2s"
+accept_within = "500ms"
+read_lag = "50ms"
+list_lag = "1s"
+list_every = "200ms"
+apply_every = "100ms"
+`
+	for i := range 3 {
+		_, err := r.links.AddInstance(ctx, fmt.Sprintf("inst-%d", i+1), "zona-4")
+		r.must(err)
+	}
+	r.until("each instance knows its peers", func() bool { return r.links.Peers() == 6 })
+	r.put(1, "old")
+	for i, instance := range r.fleet.Instances {
+		r.untilServes(i, "old")
+		r.until("the instance counts in a majority", func() bool {
+			return strings.Contains(probe(instance.ControlAt, "/metrics"), `"spread.voter":{"value":1}`)
+		})
+	}
+	return r
+}
+
+func (r *rig) must(err error) {
+	r.t.Helper()
+	if err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// until waits for a condition; it fails with the daemons' logs.
+func (r *rig) until(what string, condition func() bool) {
+	r.t.Helper()
+	if err := testfleet.Until(r.ctx, what, condition); err != nil {
+		for _, i := range r.fleet.Instances {
+			r.t.Logf("%s control:\n%s", i.ID, i.Control.Log())
+		}
+		r.t.Fatal(err)
+	}
+}
+
+func (r *rig) document(version int64, upstream string) *config.Config {
+	sum := sha256.Sum256([]byte(callerKey))
+	doc := &config.Config{Version: version, Intent: version}
+	doc.Organisations = []config.Organisation{{Name: "agedim", KeyHashes: []string{hex.EncodeToString(sum[:])}}}
+	svc := config.Service{Name: "studio", Prefix: "/studio"}
+	for _, s := range r.fleet.Services {
+		if s.ID == upstream {
+			svc.Upstreams = append(svc.Upstreams, config.ServiceUpstream{ID: s.ID, Address: s.Address, Zone: s.Zone})
+		}
+	}
+	doc.Services = []config.Service{svc}
+	return doc
+}
+
+// put writes a version into the table, as an accepted one.
+func (r *rig) put(version int64, upstream string) {
+	r.t.Helper()
+	log := versions.Log{Table: r.fleet.PlatformClient()}
+	head, err := log.Head(r.ctx)
+	r.must(err)
+	r.must(log.Append(r.ctx, head, r.document(version, upstream), versions.Entry{Author: "test"}, platform.Txn{}))
+}
+
+// ask sends a request to an instance; who is the upstream that ran it, and
+// refused the reason when the instance refused.
+func (r *rig) ask(instance int) (who, refused string) {
+	client := http.Client{Timeout: 5 * time.Second}
+	req, err := http.NewRequestWithContext(r.ctx, http.MethodGet, "http://"+r.fleet.Instances[instance].EntryAddress+"/studio/x", nil)
+	r.must(err)
+	req.Header.Set("Authorization", "Bearer "+callerKey)
+	res, err := client.Do(req)
+	if err != nil {
+		return "", err.Error()
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	r.must(err)
+	if res.StatusCode != http.StatusOK {
+		return "", string(body)
+	}
+	for _, id := range []string{"old", "new"} {
+		if strings.Contains(string(body), `"`+id+`"`) {
+			return id, ""
+		}
+	}
+	return string(body), ""
+}
+
+func (r *rig) untilServes(instance int, upstream string) {
+	r.t.Helper()
+	r.until(fmt.Sprintf("instance %d serves by %s", instance+1, upstream), func() bool {
+		who, _ := r.ask(instance)
+		return who == upstream
+	})
+}
+
+func (r *rig) untilRefuses(instance int, reason string) {
+	r.t.Helper()
+	last := ""
+	r.until(fmt.Sprintf("instance %d refuses: %s", instance+1, reason), func() bool {
+		_, last = r.ask(instance)
+		return strings.Contains(last, reason)
+	})
+	if !strings.Contains(last, `"outcome":"not_run"`) {
+		r.t.Errorf("the refusal does not say not run: %s", last)
+	}
+}
+
+// TestVersionReachesInstanceWithoutTable: peers bring the version.
+func TestVersionReachesInstanceWithoutTable(t *testing.T) {
+	r := newRig(t)
+	r.must(r.links.CutPlatform("inst-3"))
+	r.put(2, "new")
+	for i := range 3 {
+		r.untilServes(i, "new")
+	}
+}
+
+// TestVersionReachesInstanceWithoutPeers: the table brings the version, and it
+// is enough to serve.
+func TestVersionReachesInstanceWithoutPeers(t *testing.T) {
+	for _, direction := range []testfleet.Direction{testfleet.ToUpstream, testfleet.FromUpstream} {
+		t.Run(string(direction), func(t *testing.T) {
+			r := newRig(t)
+			r.must(r.links.CutPeers("inst-3", direction))
+			r.put(2, "new")
+			r.untilServes(2, "new")
+		})
+	}
+}
+
+// TestInstanceWithoutTableAndPeersRefuses: it can't know of version 2.
+func TestInstanceWithoutTableAndPeersRefuses(t *testing.T) {
+	r := newRig(t)
+	r.must(r.links.CutPlatform("inst-3"))
+	r.must(r.links.CutPeers("inst-3", testfleet.ToUpstream))
+	r.put(2, "new")
+	r.untilServes(0, "new")
+	r.untilRefuses(2, "may be out of date")
+	r.links.Heal()
+	r.untilServes(2, "new")
+}
+
+// TestInstanceThatHearsWithoutAskingRefuses: requests of peers may be old;
+// only answers prove something, and those are cut. A version still arrives.
+func TestInstanceThatHearsWithoutAskingRefuses(t *testing.T) {
+	r := newRig(t)
+	r.must(r.links.CutPlatform("inst-3"))
+	r.must(r.links.CutFrom("inst-3"))
+	r.untilRefuses(2, "may be out of date")
+	r.put(2, "new")
+	r.links.Heal()
+	r.untilServes(2, "new")
+}
+
+// TestTableDownForAllServesOn: a majority answers, and nobody can accept.
+func TestTableDownForAllServesOn(t *testing.T) {
+	r := newRig(t)
+	r.must(r.fleet.PlatformFault(r.ctx, standin.PlatformFaults{Down: true}))
+	ended := time.Now().Add(3 * time.Second) // fresh_for, and some more
+	r.until("the evidence from the table has ended", func() bool { return time.Now().After(ended) })
+	for i := range 3 {
+		control := r.fleet.Instances[i].Control
+		r.until("freshness comes from the majority", func() bool { return strings.Contains(probe(r.fleet.Instances[i].ControlAt, "/readyz"), "by majority") })
+		if strings.Contains(control.Log(), "may be out of date") {
+			t.Errorf("inst-%d was not fresh in between:\n%s", i+1, control.Log())
+		}
+		if who, refused := r.ask(i); who != "old" {
+			t.Errorf("instance %d: %q %s", i+1, who, refused)
+		}
+	}
+}
+
+// TestMinorityWithTableAcceptsNothing: a majority may be serving without the
+// table, and would not hear of the new version.
+func TestMinorityWithTableAcceptsNothing(t *testing.T) {
+	r := newRig(t)
+	r.must(r.links.CutPlatform("inst-2"))
+	r.must(r.links.CutPlatform("inst-3"))
+	r.must(r.links.CutPeers("inst-1", testfleet.ToUpstream))
+	for _, i := range []int{1, 2} {
+		r.until("the majority serves on", func() bool { return strings.Contains(probe(r.fleet.Instances[i].ControlAt, "/readyz"), "by majority") })
+	}
+	outcome := r.confirm(0)
+	if outcome.Outcome != "refused" || !strings.Contains(outcome.Reason, "1 of 3 listed answer, 2 are needed") {
+		t.Errorf("the minority's confirmation: %v", outcome)
+	}
+	r.untilServes(0, "old")
+	r.links.Heal()
+	r.until("a healed fleet accepts", func() bool { return r.confirm(0).Outcome == "accepted" })
+}
+
+// confirm declares an intent at an instance and confirms it.
+func (r *rig) confirm(instance int) *sfv1.ConfirmResponse {
+	r.t.Helper()
+	client := sfv1connect.NewOperatorServiceClient(http.DefaultClient, "http://"+r.fleet.Instances[instance].ControlAt)
+	intent := "name = \"share\"\n[[organisation]]\nname = \"agedim\"\nshare = 2.0\n"
+	declared, err := client.Declare(r.ctx, connect.NewRequest(&sfv1.DeclareRequest{File: "share.toml", Intent: []byte(intent), Operator: "test"}))
+	r.must(err)
+	if declared.Msg.PlanId == "" {
+		r.t.Fatalf("not declared: %v", declared.Msg.Findings)
+	}
+	confirmed, err := client.Confirm(r.ctx, connect.NewRequest(&sfv1.ConfirmRequest{PlanId: declared.Msg.PlanId, Operator: "test"}))
+	r.must(err)
+	return confirmed.Msg
+}
+
+// TestFrozenInstanceNeverServesOldVersion: both daemons are stopped while a
+// version is accepted. Woken, they refuse or serve the new one.
+func TestFrozenInstanceNeverServesOldVersion(t *testing.T) {
+	r := newRig(t)
+	frozen := r.fleet.Instances[2]
+	frozen.Entry.Signal(syscall.SIGSTOP)
+	frozen.Control.Signal(syscall.SIGSTOP)
+	r.put(2, "new")
+	r.untilServes(0, "new")
+	untilOld := time.Now().Add(2 * time.Second) // fresh_for
+	r.until("the frozen instance's evidence has ended", func() bool { return time.Now().After(untilOld) })
+	answers := make(chan string, 20)
+	for range cap(answers) {
+		go func() {
+			who, _ := r.ask(2)
+			answers <- who
+		}()
+	}
+	frozen.Entry.Signal(syscall.SIGCONT)
+	frozen.Control.Signal(syscall.SIGCONT)
+	for range cap(answers) {
+		if who := <-answers; who == "old" {
+			t.Error("a request was served by the old version after the freeze")
+		}
+	}
+	r.untilServes(2, "new")
+}
+
+// TestStartWithTableDown: a restarted instance takes the version of its peers,
+// found by seeds; alone, it says why it isn't ready.
+func TestStartWithTableDown(t *testing.T) {
+	r := newRig(t)
+	seeds := fmt.Sprintf("seeds = [%q, %q]\n", r.fleet.Instances[0].ControlAt, r.fleet.Instances[1].ControlAt)
+	r.must(r.fleet.PlatformFault(r.ctx, standin.PlatformFaults{Down: true}))
+	lonely, err := r.links.AddInstance(r.ctx, "inst-4", "zona-4")
+	r.must(err)
+	reason := ""
+	r.until("an instance without peers says why it is not ready", func() bool {
+		reason = probe(lonely.ControlAt, "/readyz")
+		return strings.Contains(reason, "no configuration known yet") && strings.Contains(reason, "unavailable")
+	})
+	r.fleet.ControlTables += seeds
+	seeded, err := r.links.AddInstance(r.ctx, "inst-5", "zona-4")
+	r.must(err)
+	r.untilServes(4, "old")
+	if !strings.Contains(seeded.Control.Log(), "list taken from a peer") {
+		t.Errorf("log of the seeded instance:\n%s", seeded.Control.Log())
+	}
+}
+
+// probe returns what a daemon answers, or "".
+func probe(address, path string) string {
+	res, err := http.Get("http://" + address + path)
+	if err != nil {
+		return ""
+	}
+	defer res.Body.Close()
+	body, _ := io.ReadAll(res.Body) // a broken answer is no reason
+	return string(body)
+}
+
+// TestStaleReadsNeverLowerVersion: the table answers as of before version 2.
+func TestStaleReadsNeverLowerVersion(t *testing.T) {
+	r := newRig(t)
+	r.put(2, "new")
+	for i := range 3 {
+		r.untilServes(i, "new")
+	}
+	r.must(r.fleet.PlatformFault(r.ctx, standin.PlatformFaults{StaleReadMs: 600_000}))
+	restarted := r.fleet.Instances[2]
+	restarted.Control.Kill()
+	restarted.Entry.Kill()
+	r.must(r.fleet.StartEntry(restarted))
+	r.must(r.fleet.StartControl(restarted))
+	r.untilServes(2, "new")
+	for i, instance := range r.fleet.Instances {
+		if log := instance.Control.Log(); strings.LastIndex(log, "version=1") > strings.LastIndex(log, "version=2") {
+			t.Errorf("instance %d went back:\n%s", i+1, log)
+		}
+	}
+}
+
+// TestLeavingUpstreamGetsNoWorkWithListDown: one instance heard the platform's
+// word before the list went down for all.
+func TestLeavingUpstreamGetsNoWorkWithListDown(t *testing.T) {
+	r := newRig(t)
+	r.must(r.links.CutPlatform("inst-2"))
+	r.must(r.links.CutPlatform("inst-3"))
+	r.must(r.fleet.List(r.ctx, platform.Instance{ID: "old", Kind: platform.KindUpstream, Zone: "zona-4", State: platform.InstanceLeaving}))
+	r.untilRefuses(0, "not_run")
+	r.must(r.links.CutPlatform("inst-1"))
+	for i := range 3 {
+		r.untilRefuses(i, "not_run")
+	}
+	r.must(r.fleet.List(r.ctx, platform.Instance{ID: "old", Kind: platform.KindUpstream, Zone: "zona-4", State: platform.InstanceLive}))
+	r.links.Heal()
+	for i := range 3 {
+		r.untilServes(i, "old")
+	}
+}
+
+// TestSilentInstanceIsShown: sfctl instances shows a listed instance that does
+// not answer.
+func TestSilentInstanceIsShown(t *testing.T) {
+	r := newRig(t)
+	r.fleet.Instances[2].Control.Signal(syscall.SIGSTOP)
+	defer r.fleet.Instances[2].Control.Signal(syscall.SIGCONT)
+	client := sfv1connect.NewOperatorServiceClient(http.DefaultClient, "http://"+r.fleet.Instances[0].ControlAt)
+	response, err := client.Instances(r.ctx, connect.NewRequest(&sfv1.InstancesRequest{}))
+	r.must(err)
+	shown := map[string]bool{}
+	for _, row := range response.Msg.Instances {
+		shown[row.Id] = row.Reachable
+	}
+	if want := map[string]bool{"inst-1": true, "inst-2": true, "inst-3": false}; fmt.Sprint(shown) != fmt.Sprint(want) {
+		t.Errorf("reachable: %v, want %v", shown, want)
+	}
+}
--- a/internal/testfleet/fleet.go
+++ b/internal/testfleet/fleet.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -52,9 +53,11 @@
 	Services  []*Service
 
 	platformDirect string
-	nextPort       int
-	all            []*Process
-	proxies        []*toxiproxy.Proxy
+
+	mu       sync.Mutex // protects all below
+	nextPort int
+	all      []*Process
+	proxies  []*toxiproxy.Proxy
 }
 
 // Instance is one instance with both daemons.
@@ -85,6 +88,8 @@
 
 // Address reserves an address.
 func (f *Fleet) Address() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.nextPort++
 	return fmt.Sprintf("%s:%d", f.IP, f.nextPort)
 }
@@ -95,6 +100,8 @@
 	if err != nil {
 		return nil, err
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.all = append(f.all, p)
 	return p, nil
 }
@@ -205,6 +212,8 @@
 // Stop kills each process that still runs, waits for its end, and stops the
 // proxies.
 func (f *Fleet) Stop() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, p := range f.all {
 		p.Kill()
 	}
--- a/internal/testfleet/proxy.go
+++ b/internal/testfleet/proxy.go
@@ -35,6 +35,8 @@
 	if err := p.Start(); err != nil {
 		return nil, errors.Wrap(err, name)
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.proxies = append(f.proxies, p)
 	return &Proxy{Address: p.Listen, proxy: p}, nil
 }
