Make keyed calls truthful through lost replies, stale reads and dead runners

Cause: a repeat whose row could not be read was told "not run" although the commit's check had just said that the row is there; a claim with a lost reply was settled by a read, which may be stale; a call tried on several upstreams was told the last attempt's word, also when an earlier one may have run.

Now a pure outcome machine has the word on each request, a lost claim is committed again and settled by the check, a dead runner's claim is settled as unknown after a bound on the reader's own clock, and answers are kept and keys released with repeats in the background when the table is slow. Large answers go to the object store; old claims are removed by any instance, one share of the keys at a time. A call goes to another upstream only while nothing ran.

Ruled out: a second row write "sent" (docs/design/answers.md), and a read-back by revision, which a stale read defeats.

Before: no test. After: internal/once and internal/outcome tests pass under the race detector, TestDemoHolds still passes.

--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -14,6 +14,7 @@
 	"sassafrasfield/internal/callerapi"
 	"sassafrasfield/internal/config"
 	"sassafrasfield/internal/once"
+	"sassafrasfield/internal/outcome"
 	"sassafrasfield/internal/service"
 )
 
@@ -72,15 +73,13 @@
 func (s *Server) runCall(c *echo.Context, svc *config.Service, organisation *config.Organisation, call service.Call) (service.Answer, error) {
 	ctx := c.Request().Context()
 	key := c.Request().Header.Get(callerapi.HeaderIdempotencyKey)
-	if idempotent(svc, call) {
-		return s.repeatable(ctx, svc, call)
-	}
-	if key == "" {
-		answer, err := s.callOnce(ctx, svc, call, map[string]bool{})
+	repeatable := idempotent(svc, call)
+	if repeatable || key == "" {
+		answer, err := s.tryCall(ctx, svc, call, repeatable)
 		return answer, callRefusal(err)
 	}
 	answer, err := s.once.Do(ctx, once.Key(svc.Name, organisation.Name, key), call, func(ctx context.Context) (service.Answer, error) {
-		return s.callOnce(ctx, svc, call, map[string]bool{})
+		return s.tryCall(ctx, svc, call, false)
 	})
 	return answer, callRefusal(err)
 }
@@ -99,30 +98,36 @@
 	return slices.Contains([]string{http.MethodPut, http.MethodDelete}, call.Method)
 }
 
-// repeatable tries an idempotent call on several upstreams.
-func (s *Server) repeatable(ctx context.Context, svc *config.Service, call service.Call) (service.Answer, error) {
+// tryCall sends a call to one upstream after another, as far as its progress
+// allows: one that may not be repeated goes on only from an upstream that ran
+// nothing. Errors: service.ErrNotRun and service.ErrUnknown.
+func (s *Server) tryCall(ctx context.Context, svc *config.Service, call service.Call, repeatable bool) (service.Answer, error) {
 	excluded := map[string]bool{}
-	var last error
+	progress := admitted(repeatable)
 	for range s.settings.Engine.Attempts {
-		answer, err := s.callOnce(ctx, svc, call, excluded)
-		if err == nil {
-			return answer, nil
+		upstream := s.state.pickUpstream(svc, excluded)
+		if upstream == nil || ctx.Err() != nil {
+			break
 		}
-		last = err
-		if ctx.Err() != nil {
+		next, err := progress.Apply(outcome.Send)
+		if err != nil {
 			break
 		}
+		excluded[upstream.ID] = true
+		answer, err := s.callOnce(ctx, upstream, call)
+		if err == nil {
+			return answer, nil
+		}
+		progress = after(next, errors.Is(err, service.ErrNotRun))
 	}
-	return service.Answer{}, callRefusal(last)
+	if progress.Word() == outcome.NotRun {
+		return service.Answer{}, errors.WithMessage(service.ErrNotRun, "no upstream took the call")
+	}
+	return service.Answer{}, errors.WithMessage(service.ErrUnknown, "no upstream answered")
 }
 
-// callOnce sends a call to one upstream, which it adds to excluded.
-func (s *Server) callOnce(ctx context.Context, svc *config.Service, call service.Call, excluded map[string]bool) (service.Answer, error) {
-	upstream := s.state.pickUpstream(svc, excluded)
-	if upstream == nil {
-		return service.Answer{}, errors.WithMessage(service.ErrNotRun, "no upstream is left")
-	}
-	excluded[upstream.ID] = true
+// callOnce sends a call to one upstream.
+func (s *Server) callOnce(ctx context.Context, upstream *config.ServiceUpstream, call service.Call) (service.Answer, error) {
 	ctx, span := tracer().Start(ctx, "service call", trace.WithAttributes(attribute.String("upstream", upstream.ID)))
 	defer span.End()
 	return s.serviceAt(upstream.Address).Do(ctx, call)
@@ -164,13 +169,13 @@
 			Code: "idempotency_key_reused", Outcome: callerapi.OutcomeNotRun,
 		}}
 	case errors.Is(err, once.ErrRunning):
-		r := unknown("in_progress", "the call was claimed and has no kept answer yet; ask again with the same key")
+		r := unknown("in_progress", "the key is claimed, and no answer can be read yet; ask again with the same key")
 		r.status, r.retryIn = http.StatusConflict, defaultRetryIn
 		return r
 	case errors.Is(err, once.ErrNotRun), errors.Is(err, service.ErrNotRun):
-		return notRun("not_run", "the call did not run", defaultRetryIn)
+		return notRun("not_run", "this call was not sent; try again with the same key", defaultRetryIn)
 	default:
-		return unknown("outcome_unknown", "the upstream did not answer; the call may have run")
+		return unknown("outcome_unknown", "no answer came or was kept; the call may have run, and is not run again with this key")
 	}
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -18,6 +18,7 @@
 
 	"sassafrasfield/internal/engine"
 	"sassafrasfield/internal/gen/sf/v1/sfv1connect"
+	"sassafrasfield/internal/logging"
 	"sassafrasfield/internal/once"
 	"sassafrasfield/internal/platform"
 	"sassafrasfield/internal/service"
@@ -29,7 +30,7 @@
 	start    time.Time
 	log      *slog.Logger
 	state    *state
-	once     once.Runner
+	once     *once.Runner
 	stopping atomic.Bool
 	metrics  *meters
 
@@ -45,7 +46,7 @@
 		start:    time.Now(),
 		log:      log,
 		state:    newState(s.Zone),
-		once:     once.Runner{Table: platform.NewClient(s.Platform, s.PlatformTimeout)},
+		once:     once.New(platform.NewClient(s.Platform, s.PlatformTimeout), s.Claims, s.Instance, logging.Part(log, "once")),
 		metrics:  newMeters(metrics.DefaultRegistry),
 		engines:  map[string]engine.Engine{},
 		services: map[string]service.Service{},
@@ -69,9 +70,10 @@
 	failed := make(chan error, 2)
 	go func() { failed <- errors.Wrap(public.ListenAndServe(), "entry: listen") }()
 	go func() { failed <- errors.Wrap(local.ListenAndServe(), "entry: local") }()
-	reporting, stopReports := context.WithCancel(context.WithoutCancel(ctx))
-	defer stopReports()
-	go s.reportLoop(reporting)
+	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopBackground()
+	go s.reportLoop(background)
+	go s.once.SweepLoop(background)
 	s.log.Info("entry: started", "listen", s.settings.Listen)
 	select {
 	case err := <-failed:
@@ -90,6 +92,7 @@
 	if err := public.Shutdown(ctx); err != nil {
 		return errors.Wrap(err, "entry: streams left at shutdown")
 	}
+	s.once.Wait()
 	s.log.Info("entry: all streams finished")
 	return errors.Wrap(local.Close(), "entry: local")
 }
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"sassafrasfield/internal/logging"
+	"sassafrasfield/internal/once"
 	"sassafrasfield/internal/settings"
 	"sassafrasfield/internal/tomlfile"
 	"sassafrasfield/internal/tracing"
@@ -33,6 +34,7 @@
 	BalancerLag time.Duration    `toml:"balancer_lag"`
 	Limits      LimitSettings    `toml:"limits"`
 	Engine      EngineSettings   `toml:"engine"`
+	Claims      once.Settings    `toml:"claims"`
 	Log         logging.Settings `toml:"log"`
 	Trace       tracing.Settings `toml:"trace"`
 }
@@ -73,6 +75,7 @@
 			MaxPromptTokens: 131072, MaxAnswerTokens: 4096,
 		},
 		Engine: EngineSettings{Timeout: 30 * time.Second, ReportEvery: 200 * time.Millisecond, Attempts: 3},
+		Claims: once.Default(),
 		Log:    logging.Default(),
 		Trace:  tracing.Default(),
 	}
@@ -97,6 +100,7 @@
 	settings.Between(file, "engine.timeout", s.Engine.Timeout, 10*time.Millisecond, 10*time.Minute)
 	settings.Between(file, "engine.report_every", s.Engine.ReportEvery, time.Millisecond, time.Minute)
 	settings.IntBetween(file, "engine.attempts", s.Engine.Attempts, 1, 20)
+	s.Claims.Check(file, "claims", s.Engine.Timeout)
 	s.Log.Check(file, "log")
 	s.Trace.Check(file, "trace")
 }
--- /dev/null
+++ b/internal/once/keep.go
@@ -0,0 +1,144 @@
+package once
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sassafrasfield/internal/failpoint"
+	"sassafrasfield/internal/platform"
+	"sassafrasfield/internal/service"
+)
+
+// firstWait and longestWait bound the time between two tries of a write.
+const (
+	firstWait   = 10 * time.Millisecond
+	longestWait = time.Second
+)
+
+// objectPrefix begins the names of answers in the object store.
+const objectPrefix = "answers/"
+
+// finish keeps what came of the call, and returns it.
+func (r *Runner) finish(ctx context.Context, key string, claim Row, revision int64, answer service.Answer, runErr error) (service.Answer, error) {
+	switch {
+	case errors.Is(runErr, service.ErrNotRun):
+		r.soon(ctx, key, func(ctx context.Context) error { return r.release(ctx, key, claim, revision) })
+		return service.Answer{}, errors.WithMessage(ErrNotRun, runErr.Error())
+	case runErr != nil:
+		claim.State = StateUnknown
+	default:
+		claim.State, claim.Answer = StateAnswered, &answer
+	}
+	r.soon(ctx, key, func(ctx context.Context) error { return r.keep(ctx, key, claim, revision) })
+	failpoint.Hit(PointKept)
+	if runErr != nil {
+		return service.Answer{}, errors.WithMessage(ErrUnknown, runErr.Error())
+	}
+	return answer, nil
+}
+
+// soon starts work that outlasts the caller's wait when the table is slow.
+func (r *Runner) soon(ctx context.Context, key string, work func(context.Context) error) {
+	done := make(chan struct{})
+	r.keeping.Add(1)
+	go func() {
+		defer r.keeping.Done()
+		defer close(done)
+		ctx, cancel := context.WithTimeout(ctx, r.settings.KeepTimeout)
+		defer cancel()
+		if err := work(ctx); err != nil {
+			r.log.Warn("once: the outcome is not kept", "key", key, "error", err)
+		}
+	}()
+	timer := time.NewTimer(r.settings.KeepWait)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
+}
+
+// keep writes the outcome over this run's claim, until it stands or another's
+// row is there. An instance that settled the claim as unknown is overruled.
+func (r *Runner) keep(ctx context.Context, key string, row Row, revision int64) error {
+	row, err := r.moveOut(ctx, row)
+	if err != nil {
+		return err
+	}
+	return r.persist(ctx, key, row.WriteID, revision, func(revision int64) error {
+		_, err := r.write(ctx, key, revision, row)
+		return err
+	}, func(found Row, err error) bool {
+		return err == nil && found.WriteID == row.WriteID && found.State == row.State
+	})
+}
+
+// release removes this run's claim: the call did not run.
+func (r *Runner) release(ctx context.Context, key string, claim Row, revision int64) error {
+	return r.persist(ctx, key, claim.WriteID, revision, func(revision int64) error {
+		_, err := r.store.Commit(ctx, platform.Txn{
+			Checks: []platform.Check{{Key: key, Revision: revision}},
+			Writes: []platform.Write{{Key: key, Delete: true}},
+		})
+		return err
+	}, func(found Row, err error) bool {
+		return errors.Is(err, platform.ErrNotFound) || err == nil && found.WriteID != claim.WriteID
+	})
+}
+
+// persist repeats a conditional write of this run's row until it took effect,
+// or done says so of what a read finds. The check makes a repeat harmless, and
+// a stale read costs one more try.
+func (r *Runner) persist(ctx context.Context, key, writeID string, revision int64, write func(revision int64) error, done func(Row, error) bool) error {
+	for wait := firstWait; ; wait = min(2*wait, longestWait) {
+		err := write(revision)
+		if err == nil {
+			return nil
+		}
+		if errors.Is(err, platform.ErrConflict) {
+			row, found, readErr := r.read(ctx, key)
+			if done(row, readErr) {
+				return nil
+			}
+			if readErr == nil && row.WriteID == writeID {
+				revision = found
+			}
+		}
+		if !pause(ctx, wait) {
+			return err
+		}
+	}
+}
+
+// moveOut puts a large answer into the object store.
+func (r *Runner) moveOut(ctx context.Context, row Row) (Row, error) {
+	if row.Answer == nil || len(row.Answer.Body) <= r.settings.InlineBytes {
+		return row, nil
+	}
+	data, err := json.Marshal(row.Answer)
+	if err != nil {
+		return row, errors.Wrap(err, "once: encode")
+	}
+	row.Object, row.Answer = objectPrefix+row.WriteID, nil
+	for wait := firstWait; ; wait = min(2*wait, longestWait) {
+		err := r.store.PutObject(ctx, row.Object, data)
+		if err == nil || !pause(ctx, wait) {
+			return row, err
+		}
+	}
+}
+
+// pause waits, and reports false when the context ends first.
+func pause(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -1,93 +1,84 @@
 // Package once runs a keyed call to a plain service at most once over all
 // instances: a claim row in the table before the call is sent, and the answer
-// kept with it. A repeat on any instance gets the kept answer, or "unknown".
+// kept with it. A repeat on any instance gets the kept answer, or the truth:
+// in progress, or unknown. Only the process whose own write created the row
+// ever runs the call.
 package once
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
+	"log/slog"
+	"net/http/httptrace"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"sassafrasfield/internal/failpoint"
 	"sassafrasfield/internal/platform"
 	"sassafrasfield/internal/service"
 )
 
 // Errors of a keyed call. Compare with errors.Is.
 var (
-	// ErrNotRun: the call did not run; the caller may try again.
+	// ErrNotRun: this call did not run; the caller may try again.
 	ErrNotRun = errors.New("once: not run")
-	// ErrUnknown: the call may have run.
+	// ErrUnknown: the call may have run, and nobody will ever know more.
 	ErrUnknown = errors.New("once: outcome unknown")
-	// ErrRunning: an instance claimed the call, and its answer is not kept yet.
+	// ErrRunning: the key is claimed, and no answer can be read yet.
 	ErrRunning = errors.New("once: claimed and not answered")
 	// ErrMismatch: the key was used with another call before.
 	ErrMismatch = errors.New("once: the key belongs to another call")
 )
 
-// State of a claim.
-type State string
-
-// States of a claim.
+// Points at which a process test can end the process, in their order.
 const (
-	// StateClaimed calls may be running, or their runner died.
-	StateClaimed State = "claimed"
-	// StateAnswered calls have their answer kept.
-	StateAnswered State = "answered"
-	// StateUnknown calls were sent, and their upstream did not tell.
-	StateUnknown State = "unknown"
+	PointBeforeClaim = "once.before_claim"
+	PointClaimed     = "once.claimed"
+	PointSent        = "once.sent"
+	PointAnswered    = "once.answered"
+	PointKept        = "once.kept"
 )
 
-// keepTimeout bounds the keeping of an answer, which goes on after the caller
-// has left.
-const keepTimeout = 5 * time.Second
-
-// Row is a claim as it stands in the table.
-type Row struct {
-	State State `json:"state"`
-	// WriteID names the claiming write.
-	WriteID string `json:"write_id"`
-	// Call is a checksum of the call that the key was used with.
-	Call string `json:"call"`
-	// Answer is set in StateAnswered.
-	Answer *service.Answer `json:"answer,omitempty"`
-	// ClaimedUnixMilli is for the operators and for removal of old rows.
-	ClaimedUnixMilli int64 `json:"claimed_unix_ms"`
+// Store is the part of the platform that keyed calls need.
+type Store interface {
+	platform.Table
+	platform.Objects
 }
 
-// Runner runs keyed calls. It keeps no state and is safe for use by several
-// goroutines.
+// Runner runs keyed calls. It is safe for use by several goroutines.
 type Runner struct {
-	Table platform.Table
-}
-
-// Key is the table key of a claim.
-func Key(serviceName, organisation, key string) string {
-	sum := sha256.Sum256([]byte(organisation + "\x00" + key))
-	return "claim/" + serviceName + "/" + hex.EncodeToString(sum[:16])
+	store    Store
+	settings Settings
+	holder   string
+	log      *slog.Logger
+	start    time.Time
+	keeping  sync.WaitGroup
+
+	mu    sync.Mutex // protects watch
+	watch *watch
 }
 
-// Checksum identifies a call's content.
-func Checksum(call service.Call) string {
-	h := sha256.New()
-	for _, part := range [][]byte{[]byte(call.Method), []byte(call.Path), call.Body} {
-		h.Write(part)
-		h.Write([]byte{0})
+// New returns a runner; holder names the instance in its claims.
+func New(store Store, settings Settings, holder string, log *slog.Logger) *Runner {
+	return &Runner{
+		store: store, settings: settings, holder: holder, log: log,
+		start: time.Now(), watch: newWatch(settings.SettleAfter),
 	}
-	return hex.EncodeToString(h.Sum(nil)[:16])
 }
 
 // Do runs the call with run, unless the key was claimed before. Run's errors
-// are service.ErrNotRun and service.ErrUnknown.
-func (r Runner) Do(ctx context.Context, key string, call service.Call, run func(context.Context) (service.Answer, error)) (service.Answer, error) {
+// are service.ErrNotRun and service.ErrUnknown. The call goes on when the
+// caller leaves, so that a repeat finds its answer.
+func (r *Runner) Do(ctx context.Context, key string, call service.Call, run func(context.Context) (service.Answer, error)) (service.Answer, error) {
+	ctx = context.WithoutCancel(ctx)
 	claim := Row{
-		State: StateClaimed, WriteID: uuid.NewString(), Call: Checksum(call),
+		State: StateClaimed, WriteID: uuid.NewString(), Holder: r.holder, Call: Checksum(call),
 		ClaimedUnixMilli: time.Now().UnixMilli(),
 	}
+	failpoint.Hit(PointBeforeClaim)
 	revision, err := r.claim(ctx, key, claim)
 	if errors.Is(err, platform.ErrConflict) {
 		return r.repeat(ctx, key, claim)
@@ -95,81 +86,124 @@
 	if err != nil {
 		return service.Answer{}, errors.WithMessage(ErrNotRun, err.Error())
 	}
-	answer, err := run(ctx)
+	failpoint.Hit(PointClaimed)
+	answer, err := run(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteRequest: func(httptrace.WroteRequestInfo) { failpoint.Hit(PointSent) },
+	}))
+	failpoint.Hit(PointAnswered)
 	return r.finish(ctx, key, claim, revision, answer, err)
 }
 
-// claim creates the row and returns its revision. ErrConflict means that
-// somebody else's row is there; any other error that the call must not run.
-func (r Runner) claim(ctx context.Context, key string, claim Row) (int64, error) {
+// Wait returns when no answer is on its way to the table any more.
+func (r *Runner) Wait() {
+	r.keeping.Wait()
+}
+
+// claim creates the row and returns its revision. ErrConflict means that a
+// row is there which is not surely this claim; any other error that the call
+// must not run.
+func (r *Runner) claim(ctx context.Context, key string, claim Row) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.settings.ClaimTimeout)
+	defer cancel()
 	revision, err := r.write(ctx, key, 0, claim)
 	if !errors.Is(err, platform.ErrUnknown) {
 		return revision, err
 	}
-	row, found, err := r.read(ctx, key)
-	if err != nil {
-		return 0, err
+	// A read could be stale; the check of the same claim again is not.
+	revision, err = r.write(ctx, key, 0, claim)
+	if !errors.Is(err, platform.ErrConflict) {
+		return revision, err
 	}
-	if row.WriteID == claim.WriteID {
-		return found, nil
+	return r.own(ctx, key, claim)
+}
+
+// own returns the revision of this claim's row, which exists or is another's.
+// A row that is not to be seen yet is read again until the context ends.
+func (r *Runner) own(ctx context.Context, key string, claim Row) (int64, error) {
+	for wait := firstWait; pause(ctx, wait); wait *= 2 {
+		row, revision, err := r.read(ctx, key)
+		if err != nil {
+			continue
+		}
+		if row.WriteID == claim.WriteID && row.State == StateClaimed {
+			return revision, nil
+		}
+		return 0, platform.ErrConflict
 	}
 	return 0, platform.ErrConflict
 }
 
-// repeat answers a call whose key has a row already.
-func (r Runner) repeat(ctx context.Context, key string, claim Row) (service.Answer, error) {
-	row, _, err := r.read(ctx, key)
+// repeat answers a call whose key has a row already. It never runs the call.
+func (r *Runner) repeat(ctx context.Context, key string, claim Row) (service.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.settings.ClaimTimeout)
+	defer cancel()
+	row, revision, err := r.read(ctx, key)
 	if err != nil {
-		return service.Answer{}, errors.WithMessage(ErrNotRun, err.Error())
+		// The row is there: the commit's check said so. The read is stale, or
+		// did not come through.
+		return service.Answer{}, errors.WithMessage(ErrRunning, err.Error())
 	}
 	if row.Call != claim.Call {
 		return service.Answer{}, ErrMismatch
 	}
 	switch row.State {
 	case StateAnswered:
-		return *row.Answer, nil
+		return r.kept(ctx, row)
 	case StateUnknown:
 		return service.Answer{}, ErrUnknown
 	default:
-		return service.Answer{}, ErrRunning
+		return service.Answer{}, r.unanswered(ctx, key, row, revision)
 	}
 }
 
-// finish keeps what came of the call.
-func (r Runner) finish(ctx context.Context, key string, claim Row, revision int64, answer service.Answer, runErr error) (service.Answer, error) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), keepTimeout)
-	defer cancel()
-	if errors.Is(runErr, service.ErrNotRun) {
-		_, _ = r.Table.Commit(ctx, platform.Txn{ // a claim left behind only refuses repeats
-			Checks: []platform.Check{{Key: key, Revision: revision}},
-			Writes: []platform.Write{{Key: key, Delete: true}},
-		})
-		return service.Answer{}, errors.WithMessage(ErrNotRun, runErr.Error())
+// kept returns the answer that a row holds or names.
+func (r *Runner) kept(ctx context.Context, row Row) (service.Answer, error) {
+	if row.Object == "" {
+		return *row.Answer, nil
 	}
-	claim.State, claim.Answer = StateAnswered, &answer
-	if runErr != nil {
-		claim.State, claim.Answer = StateUnknown, nil
+	data, err := r.store.GetObject(ctx, row.Object)
+	if err != nil {
+		return service.Answer{}, errors.WithMessage(ErrRunning, err.Error())
 	}
-	_, _ = r.write(ctx, key, revision, claim) // not kept: repeats are told "claimed"
-	if runErr != nil {
-		return service.Answer{}, errors.WithMessage(ErrUnknown, runErr.Error())
+	var answer service.Answer
+	if err := json.Unmarshal(data, &answer); err != nil {
+		return service.Answer{}, errors.WithMessage(ErrUnknown, err.Error())
 	}
 	return answer, nil
 }
 
-func (r Runner) write(ctx context.Context, key string, revision int64, row Row) (int64, error) {
+// unanswered settles a claim that this instance has seen for long.
+func (r *Runner) unanswered(ctx context.Context, key string, row Row, revision int64) error {
+	r.mu.Lock()
+	overdue := r.watch.overdue(key, revision, time.Since(r.start))
+	r.mu.Unlock()
+	if !overdue {
+		return ErrRunning
+	}
+	row.State = StateUnknown
+	if _, err := r.write(ctx, key, revision, row); err != nil {
+		return errors.WithMessage(ErrRunning, err.Error())
+	}
+	r.mu.Lock()
+	r.watch.forget(key)
+	r.mu.Unlock()
+	r.log.Warn("once: a claim without an answer is settled as unknown", "key", key, "holder", row.Holder)
+	return ErrUnknown
+}
+
+func (r *Runner) write(ctx context.Context, key string, revision int64, row Row) (int64, error) {
 	value, err := json.Marshal(row)
 	if err != nil {
 		return 0, errors.Wrap(err, "once: encode")
 	}
-	return r.Table.Commit(ctx, platform.Txn{
+	return r.store.Commit(ctx, platform.Txn{
 		Checks: []platform.Check{{Key: key, Revision: revision}},
 		Writes: []platform.Write{{Key: key, Value: value}},
 	})
 }
 
-func (r Runner) read(ctx context.Context, key string) (Row, int64, error) {
-	found, err := r.Table.Get(ctx, key)
+func (r *Runner) read(ctx context.Context, key string) (Row, int64, error) {
+	found, err := r.store.Get(ctx, key)
 	if err != nil {
 		return Row{}, 0, err
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -7,7 +7,7 @@
 	"context"
 	"io"
 	"net/http"
-	"syscall"
+	"net/http/httptrace"
 	"time"
 
 	"github.com/pkg/errors"
@@ -87,16 +87,21 @@
 		req.Header[name] = values
 	}
 	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(req.Header))
-	res, err := c.http.Do(req)
+	connected := false
+	res, err := c.http.Do(req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected = true },
+	})))
 	if err != nil {
-		return Answer{}, classify(err)
+		return Answer{}, classify(err, connected)
 	}
 	defer res.Body.Close()
 	return readAnswer(res)
 }
 
-func classify(err error) error {
-	if errors.Is(err, syscall.ECONNREFUSED) {
+// classify tells a call of which no byte left from one that may have run: a
+// byte can leave only on a connection that was had.
+func classify(err error, connected bool) error {
+	if !connected {
 		return errors.WithMessage(ErrNotRun, err.Error())
 	}
 	return errors.WithMessage(ErrUnknown, err.Error())
