Resume only the same answer, give up stalled engines, leave in order

Cause: a resumed or moved answer could go on with another version's text, or with another organisation's stream; a frozen engine held a caller for ever; a caller that took nothing held its stream for ever; a token in the middle of a batch carried the checksum of its end; a completion that an engine may have run could be told "not run"; an idle connection could be closed under a request while the process stopped.

Now the token carries the version, and the request's name ends with a checksum of the organisation and the question. An engine that goes on makes the last four pieces again, which are compared. Silence is judged by the stream's own pace, before the first piece by a probe. Writes have deadlines. At the shutdown timeout what is left is told to resume, and stays at its engine.

Ruled out: regenerating from the first piece (minutes for long answers), and trust in the seed alone.

--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -20,6 +20,8 @@
 	// HeaderIdempotencyKey names a call to a plain service that may come
 	// twice.
 	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderRequestID has the id of a completion in its answer.
+	HeaderRequestID = "X-Request-Id"
 	// HeaderOutcome repeats Error.Outcome.
 	HeaderOutcome = "X-Outcome"
 )
@@ -102,8 +104,37 @@
 	return nil
 }
 
-// Request is a completion or chat completion. Fields of the protocol that an
-// engine's stand-in has no use for are accepted and ignored.
+// Stop is where an answer ends: a string or a list of at most four.
+type Stop []string
+
+// maxStops is the protocol's bound.
+const maxStops = 4
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (s *Stop) UnmarshalJSON(data []byte) error {
+	var list []string
+	if err := json.Unmarshal(data, &list); err != nil {
+		var text string
+		if err := json.Unmarshal(data, &text); err != nil {
+			return errors.New("stop: want a string or a list of strings")
+		}
+		list = []string{text}
+	}
+	if len(list) > maxStops {
+		return errors.Errorf("stop: want at most %d strings", maxStops)
+	}
+	*s = list
+	return nil
+}
+
+// StreamOptions are options of a streamed answer.
+type StreamOptions struct {
+	// IncludeUsage asks for a last chunk with the count of tokens.
+	IncludeUsage bool `json:"include_usage"`
+}
+
+// Request is a completion or chat completion. Fields of the protocol that are
+// not here are accepted and ignored.
 type Request struct {
 	Model               string    `json:"model"`
 	Messages            []Message `json:"messages"`
@@ -114,6 +145,13 @@
 	Seed                *int64    `json:"seed"`
 	N                   *int      `json:"n"`
 	User                string    `json:"user"`
+
+	StreamOptions    *StreamOptions `json:"stream_options"`
+	Temperature      *float64       `json:"temperature"`
+	TopP             *float64       `json:"top_p"`
+	PresencePenalty  *float64       `json:"presence_penalty"`
+	FrequencyPenalty *float64       `json:"frequency_penalty"`
+	Stop             Stop           `json:"stop"`
 }
 
 // Text returns the prompt as one text.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -32,6 +32,7 @@
 	ID      string `json:"id"`
 	Model   string `json:"model"`
 	Adapter string `json:"adapter,omitempty"`
+	// Version that the engine must have loaded; any when empty.
 	Version string `json:"version,omitempty"`
 	Prompt  string `json:"prompt"`
 	// MaxTokens bounds the answer, the tokens of From included.
@@ -39,6 +40,8 @@
 	// Seed fixes the sampling: the same request with the same seed yields the
 	// same tokens on each engine that has the same model, version and adapter.
 	Seed int64 `json:"seed"`
+	// Sampling is passed on as the caller gave it.
+	Sampling Sampling `json:"sampling"`
 	// Priority of the request; a higher one goes first.
 	Priority int `json:"priority"`
 	// From is the number of the first token to send; earlier ones are
@@ -51,6 +54,16 @@
 	KVHandle string `json:"kv_handle,omitempty"`
 }
 
+// Sampling tells how tokens are chosen. What is nil is the engine's default.
+type Sampling struct {
+	Temperature      *float64 `json:"temperature,omitempty"`
+	TopP             *float64 `json:"top_p,omitempty"`
+	PresencePenalty  *float64 `json:"presence_penalty,omitempty"`
+	FrequencyPenalty *float64 `json:"frequency_penalty,omitempty"`
+	// Stop ends the answer before any of these texts.
+	Stop []string `json:"stop,omitempty"`
+}
+
 // FinishReason tells why an answer ended.
 type FinishReason string
 
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -10,9 +10,11 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"sassafrasfield/internal/callerapi"
 	"sassafrasfield/internal/config"
 	"sassafrasfield/internal/engine"
 	"sassafrasfield/internal/load"
+	"sassafrasfield/internal/outcome"
 	"sassafrasfield/internal/route"
 	"sassafrasfield/internal/stream"
 )
@@ -20,13 +22,22 @@
 // cancelTimeout bounds the cancelling of a stream whose caller has gone.
 const cancelTimeout = 2 * time.Second
 
-// errCallerGone ends an answer that nobody reads any more.
-var errCallerGone = errors.New("entry: the caller has gone")
+// Errors that end an answer. Compare with errors.Is.
+var (
+	// errCallerGone: nobody reads the answer any more.
+	errCallerGone = errors.New("entry: the caller has gone")
+	// errStopping: the process has no time left.
+	errStopping = errors.New("entry: stopping")
+	// errStalled: the engine sends nothing.
+	errStalled = errors.New("entry: the engine has stalled")
+)
 
 // sink takes the pieces of an answer in order.
 type sink interface {
 	// piece takes one piece; token lets the caller resume after it.
 	piece(piece engine.Piece, token stream.Token) error
+	// wait tells the caller that its answer is still to come.
+	wait() error
 }
 
 // completions returns the handler for one shape of answers.
@@ -40,7 +51,11 @@
 		if err != nil {
 			return err
 		}
-		out := newSink(c, shape, comp)
+		c.Response().Header().Set(callerapi.HeaderRequestID, comp.id)
+		out := newSink(c, shape, comp, s.settings.WriteTimeout)
+		if comp.resume != nil && comp.resume.Done {
+			return out.finish()
+		}
 		if err := s.answer(c.Request().Context(), comp, out); err != nil {
 			return s.ended(c, comp, out, err)
 		}
@@ -51,26 +66,34 @@
 
 // ended deals with an answer that was not finished.
 func (s *Server) ended(c *echo.Context, comp *completion, out responder, err error) error {
-	if errors.Is(err, errCallerGone) || c.Request().Context().Err() != nil {
+	if errors.Is(err, errCallerGone) {
 		return nil
 	}
+	if errors.Is(err, errStopping) {
+		stopping := unknown("instance_stopping", "the instance stops; resume on another with Last-Event-ID")
+		stopping.retryIn = defaultRetryIn
+		err = stopping
+	}
 	s.metrics.broken.Inc(1)
 	s.log.Warn("request: not answered whole", "request", comp.id, "error", err)
 	return out.fail(err)
 }
 
 // answer brings the whole answer to the sink, from as many engines as that
-// takes.
+// takes. Each of them has loaded the version that made the first part.
 func (s *Server) answer(ctx context.Context, comp *completion, out sink) error {
 	assembler := stream.NewAssembler(0, 0)
+	excluded := map[string]bool{}
+	progress := admitted(true)
 	if comp.resume != nil {
 		assembler = stream.NewAssembler(comp.resume.Next, comp.resume.Sum)
 		s.metrics.resumed.Inc(1)
-		if err := s.attach(ctx, comp, assembler, out); err == nil || errors.Is(err, errCallerGone) {
+		err := s.attach(ctx, comp, assembler, out)
+		if err == nil || errors.Is(err, errCallerGone) || errors.Is(err, errStopping) {
 			return err
 		}
+		excluded[comp.resume.Engine] = !ranNothing(err)
 	}
-	excluded := map[string]bool{}
 	var last error
 	for attempt := range s.settings.Engine.Attempts {
 		if attempt > 0 {
@@ -84,17 +107,19 @@
 		if !ok {
 			break
 		}
+		sent, err := progress.Apply(outcome.Send)
+		if err != nil {
+			return err
+		}
 		last = s.runOn(ctx, chosen, comp, assembler, out, false)
-		if last == nil || errors.Is(last, errCallerGone) || ctx.Err() != nil {
+		if last == nil || errors.Is(last, errCallerGone) || errors.Is(last, errStopping) {
 			return last
 		}
+		progress = after(sent, ranNothing(last))
 		excluded[chosen.ID] = true
 		s.log.Info("request: engine failed, trying another", "request", comp.id, "engine", chosen.ID, "error", last)
 	}
-	if assembler.Next() > 0 {
-		return unknown("engine_failed", "no engine could finish the answer; resume with Last-Event-ID")
-	}
-	return notRun("no_engine", "no engine can take the request now", defaultRetryIn)
+	return s.gaveUp(comp, progress, last)
 }
 
 func (s *Server) placement(comp *completion) load.Placement {
@@ -117,58 +142,52 @@
 		attribute.String("engine", chosen.ID), attribute.Bool("attach", attach),
 	))
 	defer span.End()
+	if !attach && comp.version == "" {
+		comp.version = chosen.Loaded.Version
+	}
 	client := s.engineAt(chosen.Address)
-	assembler.Reset()
-	source, err := client.Generate(ctx, comp.engineRequest(assembler.Next(), attach))
-	if err != nil {
-		if !errors.Is(err, engine.ErrNotRun) && !errors.Is(err, engine.ErrNoStream) {
-			s.state.failed(chosen.ID, s.now())
-		}
-		return err
+	source, err := s.generate(ctx, client, comp.engineRequest(assembler.Restart(), attach))
+	if err == nil {
+		err = s.forward(ctx, forwarding{chosen.ID, client, source, comp, assembler, out})
+		source.Close()
+	}
+	if err == nil {
+		return nil
 	}
-	defer source.Close()
-	err = s.forward(chosen.ID, source, comp, assembler, out)
-	if errors.Is(err, errCallerGone) || ctx.Err() != nil {
-		s.cancel(ctx, client, comp.id)
-		return errCallerGone
+	if errors.Is(context.Cause(ctx), errStopping) {
+		return errStopping // the stream stays at the engine, to be resumed
 	}
-	if err != nil {
-		s.state.failed(chosen.ID, s.now())
+	if ctx.Err() != nil {
+		err = errCallerGone
 	}
+	s.afterFailure(ctx, chosen.ID, client, comp, err, attach)
 	return err
 }
 
+// afterFailure frees the engine of a stream that nobody reads any more, and
+// notes who failed. A broken attachment says nothing about the engine: the
+// entry that the caller left may have cancelled the stream.
+func (s *Server) afterFailure(ctx context.Context, engineID string, client engine.Engine, comp *completion, err error, attach bool) {
+	if ranNothing(err) {
+		return
+	}
+	s.background.Go(func() { s.cancel(ctx, client, comp.id) })
+	if !errors.Is(err, errCallerGone) && !attach {
+		s.state.failed(engineID, s.now())
+	}
+}
+
+// ranNothing tells whether an engine's error says that it ran nothing.
+func ranNothing(err error) bool {
+	return errors.Is(err, engine.ErrNotRun) || errors.Is(err, engine.ErrNoStream) || errors.Is(err, engine.ErrUnreachable)
+}
+
 func (c *completion) engineRequest(from int, attach bool) engine.Request {
 	return engine.Request{
 		ID: c.id, Model: c.name, Adapter: c.adapter, Version: c.version,
 		Prompt: c.prompt, MaxTokens: c.maxTokens, Seed: c.seed, Priority: c.priority,
-		From: from, Attach: attach,
-	}
-}
-
-// forward brings pieces from an engine to the sink until the last one.
-func (s *Server) forward(engineID string, source engine.Stream, comp *completion, assembler *stream.Assembler, out sink) error {
-	for !assembler.Done() {
-		piece, err := source.Next()
-		if err != nil {
-			return err
-		}
-		ready, ok := assembler.Add(piece)
-		if !ok {
-			return errors.WithMessage(engine.ErrBroken, "pieces too far out of order")
-		}
-		for _, p := range ready {
-			s.metrics.tokens.Inc(1)
-			token := stream.Token{
-				Request: comp.id, Engine: engineID, Seed: comp.seed,
-				Next: p.N + 1, Sum: assembler.Sum(),
-			}
-			if err := out.piece(p, token); err != nil {
-				return errCallerGone
-			}
-		}
+		Sampling: c.sampling, From: from, Attach: attach,
 	}
-	return nil
 }
 
 // cancel ends a stream at the engine for a caller that has gone.
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -48,7 +48,7 @@
 		return err
 	}
 	s.metrics.answered.Inc(1)
-	return writeAnswer(c, answer)
+	return s.writeAnswer(c, answer)
 }
 
 func (s *Server) serviceFor(path string) *config.Service {
@@ -179,12 +179,11 @@
 	}
 }
 
-func writeAnswer(c *echo.Context, answer service.Answer) error {
+func (s *Server) writeAnswer(c *echo.Context, answer service.Answer) error {
 	header := c.Response().Header()
 	for name, values := range passOn(answer.Header) {
 		header[name] = values
 	}
 	c.Response().WriteHeader(answer.Status)
-	_, err := c.Response().Write(answer.Body)
-	return err
+	return deadlineWriter{c.Response(), s.settings.WriteTimeout}.writeAll(answer.Body)
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -12,11 +12,11 @@
 	"strconv"
 	"strings"
 
-	"github.com/google/uuid"
 	"github.com/labstack/echo/v5"
 
 	"sassafrasfield/internal/callerapi"
 	"sassafrasfield/internal/config"
+	"sassafrasfield/internal/engine"
 	"sassafrasfield/internal/stream"
 )
 
@@ -36,7 +36,9 @@
 	maxTokens    int
 	seed         int64
 	priority     int
+	sampling     engine.Sampling
 	streamed     bool
+	includeUsage bool
 	// resume is the token of a broken answer, or nil.
 	resume *stream.Token
 }
@@ -55,7 +57,7 @@
 	if err := json.Unmarshal(body, &req); err != nil {
 		return nil, badRequest("", "the body is no valid request: "+err.Error())
 	}
-	comp := &completion{id: uuid.NewString(), organisation: organisation, streamed: req.Stream}
+	comp := &completion{organisation: organisation, streamed: req.Stream}
 	if err := s.fill(comp, &req); err != nil {
 		return nil, err
 	}
@@ -116,6 +118,11 @@
 	if comp.maxTokens < 1 || comp.maxTokens > s.settings.Limits.MaxAnswerTokens {
 		return badRequest("max_tokens", fmt.Sprintf("want 1 to %d", s.settings.Limits.MaxAnswerTokens))
 	}
+	comp.sampling = engine.Sampling{
+		Temperature: req.Temperature, TopP: req.TopP, Stop: req.Stop,
+		PresencePenalty: req.PresencePenalty, FrequencyPenalty: req.FrequencyPenalty,
+	}
+	comp.includeUsage = req.StreamOptions != nil && req.StreamOptions.IncludeUsage
 	comp.seed = int64(rand.Uint32())
 	if req.Seed != nil {
 		comp.seed = *req.Seed
@@ -135,15 +142,5 @@
 		}
 		comp.priority = priority
 	}
-	text := header.Get("Last-Event-ID")
-	if text == "" {
-		return nil
-	}
-	token, err := stream.ParseToken(text)
-	if err != nil {
-		return badRequest("Last-Event-ID", err.Error())
-	}
-	comp.resume = &token
-	comp.id, comp.seed = token.Request, token.Seed
-	return nil
+	return comp.identify(header.Get(headerLastEventID))
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -32,7 +33,9 @@
 	state    *state
 	once     *once.Runner
 	stopping atomic.Bool
-	metrics  *meters
+	// background is work that outlasts its request.
+	background sync.WaitGroup
+	metrics    *meters
 
 	mu       sync.Mutex // protects engines and services
 	engines  map[string]engine.Engine
@@ -58,19 +61,20 @@
 	return time.Since(s.start)
 }
 
-// Run serves until the context ends, then finishes what it has: unready first,
-// then it goes on taking what the balancer still sends, then it waits for each
-// stream.
+// Run serves until the context ends, then finishes what it has; see stop.
 func (s *Server) Run(ctx context.Context) error {
+	base, cut := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer cut(nil)
 	public := &http.Server{
 		Addr: s.settings.Listen, Handler: s.handler(),
 		ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: s.settings.Limits.MaxHeaderBytes,
+		BaseContext: func(net.Listener) context.Context { return base },
 	}
 	local := &http.Server{Addr: s.settings.Local, Handler: s.localHandler(), ReadHeaderTimeout: 10 * time.Second}
 	failed := make(chan error, 2)
 	go func() { failed <- errors.Wrap(public.ListenAndServe(), "entry: listen") }()
 	go func() { failed <- errors.Wrap(local.ListenAndServe(), "entry: local") }()
-	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
+	background, stopBackground := context.WithCancel(base)
 	defer stopBackground()
 	go s.reportLoop(background)
 	go s.once.SweepLoop(background)
@@ -80,21 +84,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	return s.stop(context.WithoutCancel(ctx), public, local)
-}
-
-func (s *Server) stop(ctx context.Context, public, local *http.Server) error {
-	s.stopping.Store(true)
-	s.log.Info("entry: not ready any more, stopping")
-	time.Sleep(s.settings.BalancerLag)
-	ctx, cancel := context.WithTimeout(ctx, s.settings.ShutdownTimeout)
-	defer cancel()
-	if err := public.Shutdown(ctx); err != nil {
-		return errors.Wrap(err, "entry: streams left at shutdown")
-	}
-	s.once.Wait()
-	s.log.Info("entry: all streams finished")
-	return errors.Wrap(local.Close(), "entry: local")
+	return s.stop(base, cut, public, local)
 }
 
 func (s *Server) handler() http.Handler {
@@ -108,7 +98,7 @@
 	e.GET("/readyz", s.readyz)
 	e.GET("/metrics", s.serveMetrics)
 	e.Any("/*", s.plainService)
-	return s.traced(e)
+	return s.traced(s.perRequest(e))
 }
 
 func (s *Server) localHandler() http.Handler {
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -6,6 +6,7 @@
 	"sassafrasfield/internal/logging"
 	"sassafrasfield/internal/once"
 	"sassafrasfield/internal/settings"
+	"sassafrasfield/internal/stream"
 	"sassafrasfield/internal/tomlfile"
 	"sassafrasfield/internal/tracing"
 )
@@ -31,12 +32,20 @@
 	ShutdownTimeout time.Duration `toml:"shutdown_timeout"`
 	// BalancerLag is how long the entry goes on taking what the balancer sends
 	// after it said that it is not ready. Default 3s.
-	BalancerLag time.Duration    `toml:"balancer_lag"`
-	Limits      LimitSettings    `toml:"limits"`
-	Engine      EngineSettings   `toml:"engine"`
-	Claims      once.Settings    `toml:"claims"`
-	Log         logging.Settings `toml:"log"`
-	Trace       tracing.Settings `toml:"trace"`
+	BalancerLag time.Duration `toml:"balancer_lag"`
+	// KeepAlive is the time without a piece after which a streamed answer gets
+	// a comment, so that nothing on the way takes the connection for dead.
+	// Default 10s.
+	KeepAlive time.Duration `toml:"keep_alive"`
+	// WriteTimeout bounds the wait for a caller that takes nothing of its
+	// answer. Then its stream is cancelled. Default 30s.
+	WriteTimeout time.Duration        `toml:"write_timeout"`
+	Stall        stream.StallSettings `toml:"stall"`
+	Limits       LimitSettings        `toml:"limits"`
+	Engine       EngineSettings       `toml:"engine"`
+	Claims       once.Settings        `toml:"claims"`
+	Log          logging.Settings     `toml:"log"`
+	Trace        tracing.Settings     `toml:"trace"`
 }
 
 // LimitSettings bound what a caller may send.
@@ -70,6 +79,9 @@
 		StaleAfter:      5 * time.Second,
 		ShutdownTimeout: 10 * time.Minute,
 		BalancerLag:     3 * time.Second,
+		KeepAlive:       10 * time.Second,
+		WriteTimeout:    30 * time.Second,
+		Stall:           stream.DefaultStall(),
 		Limits: LimitSettings{
 			MaxBodyBytes: 4 << 20, MaxHeaderBytes: 64 << 10,
 			MaxPromptTokens: 131072, MaxAnswerTokens: 4096,
@@ -93,6 +105,9 @@
 	settings.Between(file, "stale_after", s.StaleAfter, 100*time.Millisecond, 10*time.Minute)
 	settings.Between(file, "shutdown_timeout", s.ShutdownTimeout, 0, 24*time.Hour)
 	settings.Between(file, "balancer_lag", s.BalancerLag, 0, time.Minute)
+	settings.Between(file, "keep_alive", s.KeepAlive, 10*time.Millisecond, time.Hour)
+	settings.Between(file, "write_timeout", s.WriteTimeout, 10*time.Millisecond, time.Hour)
+	s.Stall.Check(file, "stall")
 	settings.IntBetween(file, "limits.max_body_bytes", s.Limits.MaxBodyBytes, 1<<10, 256<<20)
 	settings.IntBetween(file, "limits.max_header_bytes", s.Limits.MaxHeaderBytes, 1<<10, 1<<20)
 	settings.IntBetween(file, "limits.max_prompt_tokens", s.Limits.MaxPromptTokens, 1, 16<<20)
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -18,8 +18,8 @@
 
 // shape is the form of an answer in the callers' protocol.
 type shape interface {
-	// chunk returns a part of a streamed answer.
-	chunk(text string, finish *string) callerapi.Choice
+	// chunk returns a part of a streamed answer; first marks its first part.
+	chunk(text string, finish *string, first bool) callerapi.Choice
 	// whole returns a whole answer.
 	whole(text string, finish *string) callerapi.Choice
 	// objects are the names of a chunk and of a whole answer.
@@ -27,15 +27,22 @@
 	idPrefix() string
 }
 
+// roleAssistant is the author of each answer of a chat.
+const roleAssistant = "assistant"
+
 // chatShape is the form of chat completions.
 type chatShape struct{}
 
-func (chatShape) chunk(text string, finish *string) callerapi.Choice {
-	return callerapi.Choice{Delta: &callerapi.ChatMessage{Content: text}, FinishReason: finish}
+func (chatShape) chunk(text string, finish *string, first bool) callerapi.Choice {
+	delta := &callerapi.ChatMessage{Content: text}
+	if first {
+		delta.Role = roleAssistant
+	}
+	return callerapi.Choice{Delta: delta, FinishReason: finish}
 }
 
 func (chatShape) whole(text string, finish *string) callerapi.Choice {
-	return callerapi.Choice{Message: &callerapi.ChatMessage{Role: "assistant", Content: text}, FinishReason: finish}
+	return callerapi.Choice{Message: &callerapi.ChatMessage{Role: roleAssistant, Content: text}, FinishReason: finish}
 }
 
 func (chatShape) objects() (chunk, whole string) { return "chat.completion.chunk", "chat.completion" }
@@ -45,11 +52,13 @@
 // textShape is the form of plain completions.
 type textShape struct{}
 
-func (textShape) chunk(text string, finish *string) callerapi.Choice {
+func (textShape) chunk(text string, finish *string, _ bool) callerapi.Choice {
 	return callerapi.Choice{Text: &text, FinishReason: finish}
 }
 
-func (s textShape) whole(text string, finish *string) callerapi.Choice { return s.chunk(text, finish) }
+func (s textShape) whole(text string, finish *string) callerapi.Choice {
+	return s.chunk(text, finish, false)
+}
 
 func (textShape) objects() (chunk, whole string) { return "text_completion", "text_completion" }
 
@@ -63,8 +72,17 @@
 	fail(err error) error
 }
 
-func newSink(c *echo.Context, shape shape, comp *completion) responder {
-	base := response{c: c, shape: shape, comp: comp, created: time.Now().Unix()}
+func newSink(c *echo.Context, shape shape, comp *completion, writeTimeout time.Duration) responder {
+	base := response{
+		c: c, shape: shape, comp: comp, created: time.Now().Unix(),
+		body: deadlineWriter{c.Response(), writeTimeout},
+	}
+	if comp.resume != nil {
+		base.tokens = comp.resume.Next
+		if comp.resume.Done {
+			base.tokens-- // the last piece has no text
+		}
+	}
 	if comp.streamed {
 		return &streamedResponse{response: base}
 	}
@@ -77,12 +95,22 @@
 	shape   shape
 	comp    *completion
 	created int64
+	body    deadlineWriter
+	// tokens of the answer so far, those before a resumption included.
+	tokens int
+}
+
+func (r *response) usage() *callerapi.Usage {
+	return &callerapi.Usage{
+		PromptTokens: r.comp.promptTokens, CompletionTokens: r.tokens,
+		TotalTokens: r.comp.promptTokens + r.tokens,
+	}
 }
 
-func (r *response) message(object string, choice callerapi.Choice) callerapi.Response {
+func (r *response) message(object string, choices ...callerapi.Choice) callerapi.Response {
 	return callerapi.Response{
 		ID: r.shape.idPrefix() + r.comp.id, Object: object, Created: r.created,
-		Model: r.comp.model, Choices: []callerapi.Choice{choice},
+		Model: r.comp.model, Choices: choices,
 	}
 }
 
@@ -90,7 +118,6 @@
 type wholeResponse struct {
 	response
 	text   strings.Builder
-	tokens int
 	reason string
 }
 
@@ -104,14 +131,19 @@
 	return nil
 }
 
+func (w *wholeResponse) wait() error { return nil }
+
 func (w *wholeResponse) finish() error {
 	_, object := w.shape.objects()
 	message := w.message(object, w.shape.whole(w.text.String(), &w.reason))
-	message.Usage = &callerapi.Usage{
-		PromptTokens: w.comp.promptTokens, CompletionTokens: w.tokens,
-		TotalTokens: w.comp.promptTokens + w.tokens,
+	message.Usage = w.usage()
+	data, err := json.Marshal(message)
+	if err != nil {
+		return errors.Wrap(err, "entry: answer")
 	}
-	return w.c.JSON(http.StatusOK, message)
+	w.c.Response().Header().Set("Content-Type", "application/json")
+	w.c.Response().WriteHeader(http.StatusOK)
+	return w.body.writeAll(data)
 }
 
 func (w *wholeResponse) fail(err error) error {
@@ -143,16 +175,36 @@
 		reason := string(piece.Finish)
 		finish = &reason
 	}
+	if piece.Finish == "" {
+		s.tokens++
+	}
 	object, _ := s.shape.objects()
-	data, err := json.Marshal(s.message(object, s.shape.chunk(piece.Text, finish)))
+	data, err := json.Marshal(s.message(object, s.shape.chunk(piece.Text, finish, piece.N == 0)))
 	if err != nil {
 		return errors.Wrap(err, "entry: chunk")
 	}
 	return s.write(fmt.Sprintf("id: %s\ndata: %s\n\n", token, data))
 }
 
+// wait sends a comment, which keeps the connection in use while no piece
+// comes. From then on a failure is an event, not a status.
+func (s *streamedResponse) wait() error {
+	s.start()
+	return s.write(": waiting\n\n")
+}
+
 func (s *streamedResponse) finish() error {
 	s.start()
+	if s.comp.includeUsage {
+		object, _ := s.shape.objects()
+		message := s.message(object)
+		message.Choices, message.Usage = []callerapi.Choice{}, s.usage()
+		data, err := json.Marshal(message)
+		if err != nil {
+			return errors.Wrap(err, "entry: usage")
+		}
+		return s.write(fmt.Sprintf("data: %s\n\ndata: [DONE]\n\n", data))
+	}
 	return s.write("data: [DONE]\n\n")
 }
 
@@ -172,10 +224,10 @@
 }
 
 func (s *streamedResponse) write(text string) error {
-	if _, err := s.c.Response().Write([]byte(text)); err != nil {
+	if err := s.body.writeAll([]byte(text)); err != nil {
 		return err
 	}
-	return http.NewResponseController(s.c.Response()).Flush()
+	return s.body.flush()
 }
 
 func modelList(doc *config.Config, organisation *config.Organisation) callerapi.ModelList {
--- a/internal/standin/batch.go
+++ b/internal/standin/batch.go
@@ -147,6 +147,9 @@
 	if e.faults.Refuse || changingModel || e.state.Model != req.Model {
 		return nil, http.StatusServiceUnavailable
 	}
+	if req.Version != "" && req.Version != e.state.Version {
+		return nil, http.StatusServiceUnavailable
+	}
 	if req.Adapter != "" && !slices.Contains(e.state.Adapters, req.Adapter) {
 		return nil, http.StatusServiceUnavailable
 	}
@@ -154,6 +157,7 @@
 }
 
 func (e *Engine) start(req engine.Request) *generation {
+	req.Version = e.state.Version
 	tokens := (len(req.Prompt)+charsPerToken-1)/charsPerToken + req.From
 	g := &generation{req: req, promptTokens: tokens, prefillLeft: tokens, made: req.From}
 	g.prefillLeft = max(0, tokens-e.exports[req.KVHandle])
--- a/internal/standin/text.go
+++ b/internal/standin/text.go
@@ -32,7 +32,7 @@
 
 // NewText returns the answer that each stand-in engine makes.
 func NewText(req engine.Request) Text {
-	t := Text{base: xxhash.Sum64String(fmt.Sprintf("%s|%s|%d|%s", req.Model, req.Adapter, req.Seed, req.Prompt))}
+	t := Text{base: xxhash.Sum64String(fmt.Sprintf("%s|%s|%s|%d|%s", req.Model, req.Version, req.Adapter, req.Seed, req.Prompt))}
 	t.length, t.reason = shortestAnswer+int(t.base%512), engine.FinishStop
 	if t.length >= req.MaxTokens {
 		t.length, t.reason = req.MaxTokens, engine.FinishLength
--- /dev/null
+++ b/internal/stream/pace.go
@@ -0,0 +1,42 @@
+package stream
+
+import "time"
+
+// gapWeight is the weight of the newest gap in the smoothed one.
+const gapWeight = 0.2
+
+// Pace learns the gaps between the pieces of one engine.
+type Pace struct {
+	settings StallSettings
+	pieces   int
+	gap      time.Duration
+}
+
+// NewPace returns the pace of a stream that has not begun.
+func NewPace(settings StallSettings) *Pace {
+	return &Pace{settings: settings}
+}
+
+// Began tells whether a piece came.
+func (p *Pace) Began() bool { return p.pieces > 0 }
+
+// Piece notes a piece that came after the gap.
+func (p *Pace) Piece(gap time.Duration) {
+	p.pieces++
+	switch p.pieces {
+	case 1: // the wait for the first piece says nothing about the pace
+	case 2:
+		p.gap = gap
+	default:
+		p.gap += time.Duration(gapWeight * float64(gap-p.gap))
+	}
+}
+
+// Patience is how long the next piece may take.
+func (p *Pace) Patience() time.Duration {
+	if p.pieces == 0 {
+		return p.settings.FirstPieceTimeout
+	}
+	wait := time.Duration(p.settings.Factor * float64(p.gap))
+	return min(max(wait, p.settings.Least), p.settings.Most)
+}
--- /dev/null
+++ b/internal/stream/stream_test.go
@@ -0,0 +1,144 @@
+package stream
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"sassafrasfield/internal/engine"
+)
+
+// answer returns the pieces of an answer of length texts.
+func answer(length int, seed string) []engine.Piece {
+	pieces := make([]engine.Piece, 0, length+1)
+	for n := range length {
+		pieces = append(pieces, engine.Piece{N: n, Text: fmt.Sprintf("%s%d ", seed, n%7)})
+	}
+	return append(pieces, engine.Piece{N: length, Finish: engine.FinishStop})
+}
+
+func textOf(pieces []engine.Piece) string {
+	var text strings.Builder
+	for _, p := range pieces {
+		text.WriteString(p.Text)
+	}
+	return text.String()
+}
+
+// TestAnyOrderYieldsTheText feeds pieces of several engines, each shuffled,
+// with repeats and losses, and now and then goes on with a fresh assembler as
+// another entry would. The text is exact whatever comes.
+func TestAnyOrderYieldsTheText(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		pieces := answer(rapid.IntRange(1, 60).Draw(t, "length"), "w")
+		var got []engine.Piece
+		assembler := NewAssembler(0, 0)
+		for range 200 {
+			if assembler.Done() {
+				break
+			}
+			if rapid.Bool().Draw(t, "another entry") {
+				assembler = NewAssembler(assembler.Next(), assembler.Sum())
+			}
+			rest := pieces[assembler.Restart():]
+			sent := rapid.Permutation(rest).Draw(t, "order")
+			sent = sent[:rapid.IntRange(0, len(sent)).Draw(t, "until the break")]
+			sent = append(sent, rapid.SliceOfN(rapid.SampledFrom(rest), 0, 9).Draw(t, "repeats")...)
+			for _, piece := range sent {
+				ready, err := assembler.Add(piece)
+				if err != nil {
+					t.Fatal(err)
+				}
+				for _, r := range ready {
+					got = append(got, r.Piece)
+				}
+			}
+		}
+		if text := textOf(got); !strings.HasPrefix(textOf(pieces), text) {
+			t.Fatalf("got %q", text)
+		}
+		if assembler.Done() && textOf(got) != textOf(pieces) {
+			t.Fatalf("done with %q, want %q", textOf(got), textOf(pieces))
+		}
+	})
+}
+
+// TestAnotherTextIsNeverMixedIn lets an engine with another text go on.
+func TestAnotherTextIsNeverMixedIn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		right, wrong := answer(30, "right"), answer(rapid.IntRange(1, 40).Draw(t, "length"), "wrong")
+		assembler := NewAssembler(0, 0)
+		for _, piece := range right[:rapid.IntRange(1, 30).Draw(t, "received")] {
+			if _, err := assembler.Add(piece); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if rapid.Bool().Draw(t, "another entry") {
+			assembler = NewAssembler(assembler.Next(), assembler.Sum())
+		}
+		from := assembler.Restart()
+		for _, piece := range wrong[min(from, len(wrong)):] {
+			ready, err := assembler.Add(piece)
+			if len(ready) > 0 {
+				t.Fatalf("piece %d of another text was handed on", piece.N)
+			}
+			if errors.Is(err, ErrDiverged) {
+				return
+			}
+		}
+		if from < len(wrong) {
+			t.Fatal("another text was not noticed")
+		}
+	})
+}
+
+func TestAheadIsBounded(t *testing.T) {
+	assembler := NewAssembler(0, 0)
+	for n := 1; n <= maxAhead; n++ {
+		if _, err := assembler.Add(engine.Piece{N: n}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := assembler.Add(engine.Piece{N: maxAhead + 1}); !errors.Is(err, ErrAhead) {
+		t.Fatalf("error %v, want ErrAhead", err)
+	}
+}
+
+func TestTokenComesBack(t *testing.T) {
+	for _, token := range []Token{
+		{Request: "a-1", Engine: "engine.1", Seed: -5, Next: 3, Sum: 0xfe},
+		{Request: "a-1", Engine: "e", Version: "2026/1 b", Seed: 1, Next: 9, Sum: 1, Done: true},
+	} {
+		back, err := ParseToken(token.String())
+		if err != nil || back != token {
+			t.Errorf("%s came back as %+v, %v", token, back, err)
+		}
+	}
+	for _, text := range []string{"", "a/b", "a/b/c/1/2/xyz", "a/b/c/1/2/3/4", "a/b/c/99999999999999999999/2/3", "a\n/b/c/1/2/3"} {
+		if _, err := ParseToken(text); err == nil {
+			t.Errorf("%q was taken", text)
+		}
+	}
+}
+
+func TestPatienceFollowsThePace(t *testing.T) {
+	pace := NewPace(StallSettings{FirstPieceTimeout: time.Minute, Factor: 20, Least: time.Second, Most: 10 * time.Second})
+	if pace.Patience() != time.Minute {
+		t.Fatalf("before the first piece: %s", pace.Patience())
+	}
+	pace.Piece(30 * time.Second)
+	for _, c := range []struct{ gap, want time.Duration }{
+		{20 * time.Millisecond, time.Second}, {100 * time.Millisecond, 2 * time.Second}, {time.Second, 10 * time.Second},
+	} {
+		for range 100 {
+			pace.Piece(c.gap)
+		}
+		if off := pace.Patience() - c.want; off.Abs() > c.want/10 {
+			t.Errorf("gap %s: patience %s, want about %s", c.gap, pace.Patience(), c.want)
+		}
+	}
+}
--- a/internal/stream/token.go
+++ b/internal/stream/token.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/url"
 	"regexp"
 	"strconv"
 	"strings"
@@ -16,20 +17,32 @@
 	Request string
 	// Engine that the stream ran on.
 	Engine string
+	// Version of the model that makes the answer.
+	Version string
 	// Seed of the sampling, so that another engine makes the same answer.
 	Seed int64
 	// Next is the number of the first piece not received.
 	Next int
-	// Sum is the checksum of the text received.
+	// Sum is Assembler.Sum of the answer received.
 	Sum uint64
+	// Done is true when the last piece was received.
+	Done bool
 }
 
 // tokenShape bounds each part: they come back from callers.
-var tokenShape = regexp.MustCompile(`^[A-Za-z0-9-]{1,64}/[A-Za-z0-9._-]{1,63}/-?[0-9]{1,19}/[0-9]{1,9}/[0-9a-f]{1,16}$`)
+var tokenShape = regexp.MustCompile(
+	`^[A-Za-z0-9-]{1,64}/[A-Za-z0-9._-]{1,63}/[A-Za-z0-9._~%:@&=+$-]{0,190}/-?[0-9]{1,19}/[0-9]{1,9}/[0-9a-f]{1,16}(/done)?$`)
+
+// doneMark ends the token of the last piece.
+const doneMark = "/done"
 
 // String encodes the token.
 func (t Token) String() string {
-	return fmt.Sprintf("%s/%s/%d/%d/%x", t.Request, t.Engine, t.Seed, t.Next, t.Sum)
+	text := fmt.Sprintf("%s/%s/%s/%d/%d/%x", t.Request, t.Engine, url.PathEscape(t.Version), t.Seed, t.Next, t.Sum)
+	if t.Done {
+		text += doneMark
+	}
+	return text
 }
 
 // ParseToken reads what Token.String wrote.
@@ -37,18 +50,26 @@
 	if !tokenShape.MatchString(text) {
 		return Token{}, errors.New("no resume token of this system")
 	}
+	text, done := strings.CutSuffix(text, doneMark)
 	parts := strings.Split(text, "/")
-	seed, err := strconv.ParseInt(parts[2], 10, 64)
+	version, err := url.PathUnescape(parts[2])
+	if err != nil {
+		return Token{}, errors.Wrap(err, "resume token: version")
+	}
+	seed, err := strconv.ParseInt(parts[3], 10, 64)
 	if err != nil {
 		return Token{}, errors.Wrap(err, "resume token: seed")
 	}
-	next, err := strconv.Atoi(parts[3])
+	next, err := strconv.Atoi(parts[4])
 	if err != nil {
 		return Token{}, errors.Wrap(err, "resume token: number")
 	}
-	sum, err := strconv.ParseUint(parts[4], 16, 64)
+	sum, err := strconv.ParseUint(parts[5], 16, 64)
 	if err != nil {
 		return Token{}, errors.Wrap(err, "resume token: checksum")
 	}
-	return Token{Request: parts[0], Engine: parts[1], Seed: seed, Next: next, Sum: sum}, nil
+	return Token{
+		Request: parts[0], Engine: parts[1], Version: version,
+		Seed: seed, Next: next, Sum: sum, Done: done,
+	}, nil
 }
