Prove whole answers, at most once and shutdown with real processes

Cause: the promises to callers had one thin run, the demo. Now internal/answers kills the entry at each step between claim and answer, loses replies, takes the table away, lets engines crash, freeze, break off and answer in disorder, resumes on other instances, leaves as a caller, takes nothing as a caller, and restarts all instances under load. Texts are compared with an undisturbed run.

Found on the way: the kernel's buffer for a caller that takes nothing grew to megabytes on loopback, so the stream of a stuck caller went on for ever; it is bounded now (write_buffer_bytes).

--- /dev/null
+++ b/internal/answers/fixture_test.go
@@ -0,0 +1,276 @@
+// Package answers has the process tests of the promises to callers: at most
+// once, whole answers, and a shutdown that cuts nothing off.
+package answers
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"sassafrasfield/internal/callerapi"
+	"sassafrasfield/internal/engine"
+	"sassafrasfield/internal/platform"
+	"sassafrasfield/internal/standin"
+	"sassafrasfield/internal/testcaller"
+	"sassafrasfield/internal/testfleet"
+)
+
+const (
+	apiKey      = "key-of-qoton-trace"
+	otherKey    = "key-of-agedim"
+	modelName   = "provenance"
+	certificate = "/bales/certificates"
+	prompt      = "does lot 4471 match its certificate? "
+)
+
+// fixture is a fleet with a configuration in force.
+type fixture struct {
+	*testfleet.Fleet
+	t      *testing.T
+	ctx    context.Context
+	caller *testcaller.Caller
+}
+
+// size of a fleet.
+type size struct {
+	instances, engines, services int
+	// entrySettings and entryTables go to the settings of each sf-entry, at
+	// their top level and at their end; engineFlags to each engine.
+	entrySettings, entryTables string
+	engineFlags                []string
+}
+
+func newFixture(t *testing.T, s size) *fixture {
+	t.Helper()
+	bin, err := testfleet.Bin()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	t.Cleanup(cancel)
+	f := &fixture{Fleet: testfleet.New(bin, t.TempDir()), t: t, ctx: ctx, caller: testcaller.New(apiKey)}
+	t.Cleanup(f.Stop)
+	f.must(f.StartPlatform(ctx))
+	f.EntryExtra, f.EntryTables = "balancer_lag = \"2s\"\n"+s.entrySettings, s.entryTables
+	flags := append([]string{"--model", modelName, "--model-version", "1"}, s.engineFlags...)
+	for n := range s.engines {
+		_, err := f.AddEngine(ctx, fmt.Sprintf("engine-%d", n+1), "hall-a", flags...)
+		f.must(err)
+	}
+	for n := range s.services {
+		_, err := f.AddService(ctx, fmt.Sprintf("bales-%d", n+1), "hall-a")
+		f.must(err)
+	}
+	for n := range s.instances {
+		_, err := f.AddInstance(ctx, fmt.Sprintf("inst-%d", n+1), "hall-a")
+		f.must(err)
+	}
+	f.declare()
+	return f
+}
+
+func (f *fixture) must(err error) {
+	f.t.Helper()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *fixture) until(what string, condition func() bool) {
+	f.t.Helper()
+	f.must(testfleet.Until(f.ctx, what, condition))
+}
+
+// declare puts the first configuration in force on each instance.
+func (f *fixture) declare() {
+	f.t.Helper()
+	var text strings.Builder
+	fmt.Fprintf(&text, "name = \"first\"\n[[model]]\nname = %q\nversion = \"1\"\n", modelName)
+	fmt.Fprintf(&text, "[[pool]]\nname = \"main\"\nmodel = %q\nmin_serving = 1\n", modelName)
+	for _, e := range f.Engines {
+		fmt.Fprintf(&text, "[[engine]]\nid = %q\naddress = %q\nzone = %q\npool = \"main\"\nfencing = \"refuse\"\n", e.ID, e.Address, e.Zone)
+	}
+	text.WriteString("[[service]]\nname = \"bales\"\nprefix = \"/bales\"\nnon_idempotent = [\"POST /bales/certificates\"]\n")
+	for _, s := range f.Services {
+		fmt.Fprintf(&text, "[[service.upstream]]\nid = %q\naddress = %q\nzone = %q\n", s.ID, s.Address, s.Zone)
+	}
+	for name, key := range map[string]string{"qoton-trace": apiKey, "agedim": otherKey} {
+		sum := sha256.Sum256([]byte(key))
+		fmt.Fprintf(&text, "[[organisation]]\nname = %q\nkey_hashes = [%q]\nrequests_per_second = 10000\nburst = 10000\n", name, hex.EncodeToString(sum[:]))
+	}
+	path := filepath.Join(f.Dir, "first.toml")
+	f.must(os.WriteFile(path, []byte(text.String()), 0o644))
+	f.until("sf-control answers", func() bool { _, err := f.sfctl("status"); return err == nil })
+	output, err := f.sfctl("--output", "json", "declare", path)
+	if err != nil {
+		f.t.Fatal(output, err)
+	}
+	var plan struct{ ID string }
+	f.must(json.Unmarshal([]byte(output), &plan))
+	if output, err := f.sfctl("confirm", "--follow", plan.ID); err != nil {
+		f.t.Fatal(output, err)
+	}
+	for _, i := range f.Instances {
+		f.untilReady(i.EntryAddress)
+	}
+}
+
+func (f *fixture) sfctl(args ...string) (string, error) {
+	args = append([]string{"--control", f.Instances[0].ControlAt, "--operator", "test", "--timeout", "60s"}, args...)
+	output, err := exec.CommandContext(f.ctx, filepath.Join(f.Bin, "sfctl"), args...).CombinedOutput()
+	return string(output), err
+}
+
+func (f *fixture) ready(address string) bool {
+	res, err := http.Get("http://" + address + "/readyz")
+	if err != nil {
+		return false
+	}
+	defer res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+func (f *fixture) untilReady(address string) {
+	f.t.Helper()
+	f.until(address+" is ready", func() bool { return f.ready(address) })
+}
+
+// restartEntry ends an instance's sf-entry, if it runs, and starts it with
+// failpoints.
+func (f *fixture) restartEntry(i *testfleet.Instance, points string) {
+	f.t.Helper()
+	i.Entry.Kill()
+	f.Environment = []string{"SF_FAILPOINTS=" + points}
+	f.must(f.StartEntry(i))
+	f.Environment = nil
+	f.untilReady(i.EntryAddress)
+}
+
+// told is what a caller was told of a call to the service. Status 0 is a
+// connection that broke.
+type told struct {
+	Status     int
+	Body       string
+	Outcome    callerapi.Outcome
+	RetryAfter string
+}
+
+// issue asks for a certificate for a lot, with a key unless it is empty.
+func (f *fixture) issue(address, key, lot string) told {
+	header := http.Header{}
+	if key != "" {
+		header.Set(callerapi.HeaderIdempotencyKey, key)
+	}
+	res, err := f.caller.Post(f.ctx, address, certificate, header, []byte(lot))
+	if err != nil {
+		return told{}
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return told{}
+	}
+	return told{
+		Status: res.StatusCode, Body: string(body), RetryAfter: res.Header.Get("Retry-After"),
+		Outcome: callerapi.Outcome(res.Header.Get(callerapi.HeaderOutcome)),
+	}
+}
+
+// runs counts a lot's runs over all services.
+func (f *fixture) runs(lot string) int {
+	f.t.Helper()
+	return f.allRuns()[lot]
+}
+
+// allRuns counts the runs over all services, by lot.
+func (f *fixture) allRuns() map[string]int {
+	f.t.Helper()
+	total := map[string]int{}
+	for _, s := range f.Services {
+		var book standin.ServiceBook
+		f.must(testfleet.Post(f.ctx, s.Address, standin.PathBook, nil, &book))
+		for lot, runs := range book.Bodies {
+			total[lot] += runs
+		}
+	}
+	return total
+}
+
+func (f *fixture) engineFault(n int, faults standin.EngineFaults) {
+	f.t.Helper()
+	f.must(testfleet.Post(f.ctx, f.Engines[n].Address, standin.PathFault, faults, nil))
+}
+
+func (f *fixture) engineBook(n int) standin.Book {
+	f.t.Helper()
+	var book standin.Book
+	f.must(testfleet.Post(f.ctx, f.Engines[n].Address, standin.PathBook, nil, &book))
+	return book
+}
+
+func (f *fixture) serviceFault(n int, faults standin.ServiceFaults) {
+	f.t.Helper()
+	f.must(testfleet.Post(f.ctx, f.Services[n].Address, standin.PathFault, faults, nil))
+}
+
+func (f *fixture) platformFault(faults standin.PlatformFaults) {
+	f.t.Helper()
+	f.must(f.PlatformFault(f.ctx, faults))
+}
+
+// claims returns the claim rows of the table.
+func (f *fixture) claims() []platform.Row {
+	f.t.Helper()
+	rows, err := f.PlatformClient().List(f.ctx, "claim/")
+	f.must(err)
+	return rows
+}
+
+// undisturbedText is the text that each stand-in engine makes of a chat.
+func undisturbedText(c testcaller.Chat) string {
+	return standin.NewText(engine.Request{
+		Model: c.Model, Version: "1", Prompt: "user: " + c.Prompt + "\n", MaxTokens: c.MaxTokens, Seed: c.Seed,
+	}).Whole()
+}
+
+func ended(done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	default:
+		return false
+	}
+}
+
+// smallBuffer keeps a connection's receive buffer small.
+func smallBuffer(_, _ string, raw syscall.RawConn) error {
+	var err error
+	if controlErr := raw.Control(func(fd uintptr) {
+		err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096)
+	}); controlErr != nil {
+		return controlErr
+	}
+	return err
+}
+
+// metric returns the count of a meter of an sf-entry.
+func (f *fixture) metric(address, name string) int64 {
+	f.t.Helper()
+	res, err := http.Get("http://" + address + "/metrics")
+	f.must(err)
+	defer res.Body.Close()
+	var all map[string]struct{ Count int64 }
+	f.must(json.NewDecoder(res.Body).Decode(&all))
+	return all[name].Count
+}
--- /dev/null
+++ b/internal/answers/once_test.go
@@ -0,0 +1,164 @@
+package answers
+
+import (
+	"fmt"
+	"net/http"
+	"syscall"
+	"testing"
+
+	"sassafrasfield/internal/callerapi"
+	"sassafrasfield/internal/once"
+	"sassafrasfield/internal/standin"
+)
+
+// TestKilledBetweenClaimAndAnswer kills the entry at each step between claim
+// and answer in turn. Repeats on the other instances never run the call twice,
+// and what they are told is true.
+func TestKilledBetweenClaimAndAnswer(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, size{instances: 3, engines: 1, services: 2})
+	steps := []struct {
+		point  string
+		status int // of each repeat
+		runs   int // -1: one at most
+	}{
+		{once.PointBeforeClaim, http.StatusOK, 1},
+		{once.PointClaimed, http.StatusConflict, 0},
+		{once.PointSent, http.StatusConflict, -1},
+		{once.PointAnswered, http.StatusConflict, 1},
+		{once.PointKept, http.StatusOK, 1},
+	}
+	victim := f.Instances[0]
+	for n, step := range steps {
+		f.restartEntry(victim, step.point+"=kill")
+		key, lot := fmt.Sprintf("certificate-%d", n), fmt.Sprintf("lot %d", n)
+		if first := f.issue(victim.EntryAddress, key, lot); first.Status != 0 {
+			t.Fatalf("%s: the entry outlived its point: %+v", step.point, first)
+		}
+		<-victim.Entry.Done()
+		var kept string
+		for _, i := range append(f.Instances[1:], f.Instances[1:]...) {
+			repeat := f.issue(i.EntryAddress, key, lot)
+			if repeat.Status != step.status {
+				t.Errorf("%s: a repeat on %s was told %+v", step.point, i.ID, repeat)
+			}
+			if repeat.Status != http.StatusOK && (repeat.Outcome != callerapi.OutcomeUnknown || repeat.RetryAfter == "") {
+				t.Errorf("%s: told %+v, want unknown and when to come back", step.point, repeat)
+			}
+			if repeat.Status == http.StatusOK && kept != "" && repeat.Body != kept {
+				t.Errorf("%s: answers %q and %q", step.point, kept, repeat.Body)
+			}
+			kept = repeat.Body
+		}
+		runs := f.runs(lot)
+		if runs > 1 || step.runs >= 0 && runs != step.runs {
+			t.Errorf("%s: %d runs, want %d", step.point, runs, step.runs)
+		}
+	}
+}
+
+// TestLostReplyOfEachWrite loses the table's reply to the claim and to the
+// keeping of the answer.
+func TestLostReplyOfEachWrite(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, size{instances: 2, engines: 1, services: 1})
+	for lost := 1; lost <= 3; lost++ {
+		key := fmt.Sprintf("lost-%d", lost)
+		f.platformFault(standin.PlatformFaults{LoseReplies: lost, LosePrefix: once.Prefix, StaleReadMs: 100})
+		first := f.issue(f.Instances[0].EntryAddress, key, key)
+		f.platformFault(standin.PlatformFaults{})
+		var repeat told
+		f.until("the answer is kept", func() bool {
+			repeat = f.issue(f.Instances[1].EntryAddress, key, key)
+			return repeat.Status != http.StatusConflict
+		})
+		if first.Status != http.StatusOK || repeat.Body != first.Body || f.runs(key) != 1 {
+			t.Errorf("%d lost: told %+v and %+v, %d runs", lost, first, repeat, f.runs(key))
+		}
+	}
+}
+
+// TestTableOutage refuses keyed calls at once, truly not run, and takes them
+// after the outage. Calls without a key go on.
+func TestTableOutage(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, size{instances: 2, engines: 1, services: 1})
+	entry := f.Instances[0].EntryAddress
+	for name, faults := range map[string]standin.PlatformFaults{"down": {Down: true}, "stalled": {Stall: true}} {
+		f.platformFault(faults)
+		refused := f.issue(entry, name, name)
+		if refused.Status != http.StatusServiceUnavailable || refused.Outcome != callerapi.OutcomeNotRun || refused.RetryAfter == "" {
+			t.Errorf("%s: told %+v", name, refused)
+		}
+		if runs := f.runs(name); runs != 0 {
+			t.Errorf("%s: told not run after %d runs", name, runs)
+		}
+		if keyless := f.issue(entry, "", name+" keyless"); keyless.Status != http.StatusOK {
+			t.Errorf("%s: without a key told %+v", name, keyless)
+		}
+		f.platformFault(standin.PlatformFaults{})
+		f.until("the key runs after the outage", func() bool {
+			return f.issue(f.Instances[1].EntryAddress, name, name).Status == http.StatusOK
+		})
+		if runs := f.runs(name); runs != 1 {
+			t.Errorf("%s: %d runs", name, runs)
+		}
+	}
+}
+
+// TestUpstreamDiesMidCall: the truth is "unknown", with a key and without one,
+// and no other upstream is tried.
+func TestUpstreamDiesMidCall(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, size{instances: 2, engines: 1, services: 2})
+	for _, key := range []string{"", "k1"} {
+		f.serviceFault(0, standin.ServiceFaults{LoseReplies: 1})
+		f.serviceFault(1, standin.ServiceFaults{LoseReplies: 1})
+		lot := "lot of key " + key
+		first := f.issue(f.Instances[0].EntryAddress, key, lot)
+		if first.Status != http.StatusBadGateway || first.Outcome != callerapi.OutcomeUnknown {
+			t.Errorf("key %q: told %+v", key, first)
+		}
+		if key != "" {
+			if repeat := f.issue(f.Instances[1].EntryAddress, key, lot); repeat.Outcome != callerapi.OutcomeUnknown {
+				t.Errorf("the repeat was told %+v", repeat)
+			}
+		}
+		if runs := f.runs(lot); runs != 1 {
+			t.Errorf("key %q: %d runs", key, runs)
+		}
+	}
+}
+
+// TestRefusingUpstream: a call goes on to another upstream while nothing of it
+// ran, with a key and without one, and is else told "not run" and leaves its
+// key free.
+func TestRefusingUpstream(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, size{instances: 1, engines: 1, services: 2})
+	entry := f.Instances[0].EntryAddress
+	f.serviceFault(0, standin.ServiceFaults{Refuse: true})
+	f.Services[1].Process.Signal(syscall.SIGKILL)
+	<-f.Services[1].Process.Done()
+	for _, key := range []string{"", "k1"} {
+		refused := f.issue(entry, key, "lot")
+		if refused.Status != http.StatusServiceUnavailable || refused.Outcome != callerapi.OutcomeNotRun {
+			t.Errorf("key %q: told %+v", key, refused)
+		}
+	}
+	if rows := f.claims(); len(rows) != 0 {
+		t.Errorf("%d claims left by a call that did not run", len(rows))
+	}
+	f.Services = f.Services[:1]
+	f.serviceFault(0, standin.ServiceFaults{})
+	for _, key := range []string{"", "k1"} {
+		for range 4 { // the dead upstream is met before or after
+			if answer := f.issue(entry, key, "lot"); answer.Status != http.StatusOK {
+				t.Fatalf("key %q: told %+v", key, answer)
+			}
+		}
+	}
+	if runs := f.runs("lot"); runs != 5 {
+		t.Errorf("%d runs, want 4 without a key and 1 with it", runs)
+	}
+}
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -67,6 +67,7 @@
 // ended deals with an answer that was not finished.
 func (s *Server) ended(c *echo.Context, comp *completion, out responder, err error) error {
 	if errors.Is(err, errCallerGone) {
+		s.metrics.callerGone.Inc(1)
 		return nil
 	}
 	if errors.Is(err, errStopping) {
--- a/internal/entry/deadline.go
+++ b/internal/entry/deadline.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"time"
 )
@@ -38,3 +40,12 @@
 func (d deadlineWriter) extend() {
 	_ = http.NewResponseController(d.w).SetWriteDeadline(time.Now().Add(d.timeout)) // a test's recorder has none
 }
+
+// boundBuffer fixes what the kernel holds for a caller that does not take it:
+// it would else grow the buffer, to megabytes on a fast network.
+func (s *Server) boundBuffer(ctx context.Context, conn net.Conn) context.Context {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetWriteBuffer(s.settings.Limits.WriteBufferBytes) // the kernel's own bound stays
+	}
+	return ctx
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -69,6 +69,7 @@
 		Addr: s.settings.Listen, Handler: s.handler(),
 		ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: s.settings.Limits.MaxHeaderBytes,
 		BaseContext: func(net.Listener) context.Context { return base },
+		ConnContext: s.boundBuffer,
 	}
 	local := &http.Server{Addr: s.settings.Local, Handler: s.localHandler(), ReadHeaderTimeout: 10 * time.Second}
 	failed := make(chan error, 2)
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -54,6 +54,9 @@
 	MaxBodyBytes int `toml:"max_body_bytes"`
 	// MaxHeaderBytes of a request. Default 64 KiB.
 	MaxHeaderBytes int `toml:"max_header_bytes"`
+	// WriteBufferBytes is what the kernel may hold of an answer that its caller
+	// does not take yet; it doubles it for its own accounts. Default 64 KiB.
+	WriteBufferBytes int `toml:"write_buffer_bytes"`
 	// MaxPromptTokens of a request, estimated. Default 131072.
 	MaxPromptTokens int `toml:"max_prompt_tokens"`
 	// MaxAnswerTokens of an answer. Default 4096.
@@ -83,7 +86,7 @@
 		WriteTimeout:    30 * time.Second,
 		Stall:           stream.DefaultStall(),
 		Limits: LimitSettings{
-			MaxBodyBytes: 4 << 20, MaxHeaderBytes: 64 << 10,
+			MaxBodyBytes: 4 << 20, MaxHeaderBytes: 64 << 10, WriteBufferBytes: 64 << 10,
 			MaxPromptTokens: 131072, MaxAnswerTokens: 4096,
 		},
 		Engine: EngineSettings{Timeout: 30 * time.Second, ReportEvery: 200 * time.Millisecond, Attempts: 3},
@@ -110,6 +113,7 @@
 	s.Stall.Check(file, "stall")
 	settings.IntBetween(file, "limits.max_body_bytes", s.Limits.MaxBodyBytes, 1<<10, 256<<20)
 	settings.IntBetween(file, "limits.max_header_bytes", s.Limits.MaxHeaderBytes, 1<<10, 1<<20)
+	settings.IntBetween(file, "limits.write_buffer_bytes", s.Limits.WriteBufferBytes, 4<<10, 16<<20)
 	settings.IntBetween(file, "limits.max_prompt_tokens", s.Limits.MaxPromptTokens, 1, 16<<20)
 	settings.IntBetween(file, "limits.max_answer_tokens", s.Limits.MaxAnswerTokens, 1, 1<<20)
 	settings.Between(file, "engine.timeout", s.Engine.Timeout, 10*time.Millisecond, 10*time.Minute)
--- a/internal/entry/trace.go
+++ b/internal/entry/trace.go
@@ -32,6 +32,7 @@
 	broken     metrics.Counter
 	retries    metrics.Counter
 	resumed    metrics.Counter
+	callerGone metrics.Counter
 	tokens     metrics.Counter
 	firstToken metrics.Timer
 }
@@ -44,6 +45,7 @@
 		broken:     metrics.GetOrRegisterCounter("entry.broken", registry),
 		retries:    metrics.GetOrRegisterCounter("entry.retries", registry),
 		resumed:    metrics.GetOrRegisterCounter("entry.resumed", registry),
+		callerGone: metrics.GetOrRegisterCounter("entry.caller_gone", registry),
 		tokens:     metrics.GetOrRegisterCounter("entry.tokens", registry),
 		firstToken: metrics.GetOrRegisterTimer("entry.first_token", registry),
 	}
--- a/internal/standin/batch.go
+++ b/internal/standin/batch.go
@@ -161,6 +161,9 @@
 	tokens := (len(req.Prompt)+charsPerToken-1)/charsPerToken + req.From
 	g := &generation{req: req, promptTokens: tokens, prefillLeft: tokens, made: req.From}
 	g.prefillLeft = max(0, tokens-e.exports[req.KVHandle])
+	if e.faults.OtherText {
+		req.Seed++
+	}
 	g.text = NewText(req)
 	g.blocks = (tokens + req.MaxTokens + e.options.BlockTokens - 1) / e.options.BlockTokens
 	e.streams[req.ID] = g
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -46,6 +46,8 @@
 	Refuse bool `json:"refuse"`
 	// DropEvents leaves gaps in the cache events.
 	DropEvents bool `json:"drop_events"`
+	// OtherText makes new streams another text than other engines make.
+	OtherText bool `json:"other_text"`
 	// SlowFactor stretches each step; 0 and 1 are normal speed.
 	SlowFactor float64 `json:"slow_factor"`
 }
