Free the key of a claim that was given up in doubt

A claim in doubt is now withdrawn in the background: made, read back, and overwritten by a row "free", which the next call claims over. A freed key keeps its row, so a claim that arrives late meets a newer revision and is refused; reads older than the base revision count as stale.

Ruled out: deleting the row, which lets the late claim in.

--- a/internal/answers/whole_test.go
+++ b/internal/answers/whole_test.go
@@ -283,3 +283,33 @@
 	f.must(err)
 	f.wantWhole("slow", slow, undisturbedText(c))
 }
+
+// TestVersionGone: an answer that was begun by a version which is not served
+// any more is not resumed, and told so.
+func TestVersionGone(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, size{instances: 1, engines: 2, engineFlags: []string{"--change-time", "100ms"}})
+	entry := f.Instances[0].EntryAddress
+	c := chat(17, 60)
+	ctx, leave := context.WithCancel(f.ctx)
+	events := 0
+	first, err := f.caller.Stream(ctx, entry, c, func(string, string) {
+		if events++; events == 20 {
+			leave()
+		}
+	})
+	if err == nil {
+		t.Fatal("the caller did not leave")
+	}
+	f.confirm("second", fmt.Sprintf("name = \"second\"\n[[model]]\nname = %q\nversion = \"2\"\n", modelName))
+	f.until("the new version answers", func() bool {
+		status, _ := f.send("/v1/completions", fmt.Sprintf(`{"model": "%s@2", "prompt": "x", "max_tokens": 1}`, modelName))
+		return status == 200
+	})
+	resumed := c
+	resumed.LastEventID = first.LastID
+	got := f.stream(entry, resumed, 0, nil)
+	if got.Text != "" || got.Error == nil || got.Error.Code != "cannot_resume" || got.Error.Outcome != callerapi.OutcomeUnknown {
+		t.Errorf("told %+v, %q", got.Error, got.Text)
+	}
+}
--- a/internal/once/keep.go
+++ b/internal/once/keep.go
@@ -42,23 +42,27 @@
 
 // soon starts work that outlasts the caller's wait when the table is slow.
 func (r *Runner) soon(ctx context.Context, key string, work func(context.Context) error) {
+	done := r.inBackground(ctx, key, work)
+	timer := time.NewTimer(r.settings.KeepWait)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
+}
+
+// inBackground starts work on a row, and closes the channel at its end.
+func (r *Runner) inBackground(ctx context.Context, key string, work func(context.Context) error) <-chan struct{} {
 	done := make(chan struct{})
-	r.keeping.Add(1)
-	go func() {
-		defer r.keeping.Done()
+	r.keeping.Go(func() {
 		defer close(done)
 		ctx, cancel := context.WithTimeout(ctx, r.settings.KeepTimeout)
 		defer cancel()
 		if err := work(ctx); err != nil {
 			r.log.Warn("once: the outcome is not kept", "key", key, "error", err)
 		}
-	}()
-	timer := time.NewTimer(r.settings.KeepWait)
-	defer timer.Stop()
-	select {
-	case <-done:
-	case <-timer.C:
-	}
+	})
+	return done
 }
 
 // keep writes the outcome over this run's claim, until it stands or another's
@@ -76,19 +80,37 @@
 	})
 }
 
-// release removes this run's claim: the call did not run.
+// release frees the key of this run's claim: the call did not run.
 func (r *Runner) release(ctx context.Context, key string, claim Row, revision int64) error {
+	claim.State = StateFree
 	return r.persist(ctx, key, claim.WriteID, revision, func(revision int64) error {
-		_, err := r.store.Commit(ctx, platform.Txn{
-			Checks: []platform.Check{{Key: key, Revision: revision}},
-			Writes: []platform.Write{{Key: key, Delete: true}},
-		})
+		_, err := r.write(ctx, key, revision, claim)
 		return err
 	}, func(found Row, err error) bool {
-		return errors.Is(err, platform.ErrNotFound) || err == nil && found.WriteID != claim.WriteID
+		return err == nil && (found.WriteID != claim.WriteID || found.State == StateFree)
 	})
 }
 
+// withdraw frees the key of a claim that was given up in doubt. It makes the
+// claim first, if it does not stand: a write that is still on its way could
+// else do so later.
+func (r *Runner) withdraw(ctx context.Context, key string, claim Row, base int64) error {
+	for wait := firstWait; ; wait = min(2*wait, longestWait) {
+		revision, err := r.write(ctx, key, base, claim)
+		if errors.Is(err, platform.ErrConflict) {
+			revision, err = r.own(ctx, key, claim, base)
+		}
+		switch {
+		case err == nil:
+			return r.release(ctx, key, claim, revision)
+		case errors.Is(err, platform.ErrConflict):
+			return nil // another's claim stands, so this one never will
+		case !pause(ctx, wait):
+			return err
+		}
+	}
+}
+
 // persist repeats a conditional write of this run's row until it took effect,
 // or done says so of what a read finds. The check makes a repeat harmless, and
 // a stale read costs one more try.
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -79,9 +79,16 @@
 		ClaimedUnixMilli: time.Now().UnixMilli(),
 	}
 	failpoint.Hit(PointBeforeClaim)
-	revision, err := r.claim(ctx, key, claim)
+	revision, err := r.claim(ctx, key, claim, 0)
 	if errors.Is(err, platform.ErrConflict) {
-		return r.repeat(ctx, key, claim)
+		row, base, readErr := r.found(ctx, key)
+		if readErr != nil || row.State != StateFree {
+			return r.repeat(ctx, key, claim, row, base, readErr)
+		}
+		revision, err = r.claim(ctx, key, claim, base)
+		if errors.Is(err, platform.ErrConflict) {
+			return service.Answer{}, ErrRunning
+		}
 	}
 	if err != nil {
 		return service.Answer{}, errors.WithMessage(ErrNotRun, err.Error())
@@ -99,30 +106,34 @@
 	r.keeping.Wait()
 }
 
-// claim creates the row and returns its revision. ErrConflict means that a
-// row is there which is not surely this claim; any other error that the call
-// must not run.
-func (r *Runner) claim(ctx context.Context, key string, claim Row) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, r.settings.ClaimTimeout)
+// claim writes the claim over the free row of the base revision, or over none
+// at 0, and returns its revision. ErrConflict means that a row is there which
+// is not surely this claim; any other error that the call must not run.
+func (r *Runner) claim(ctx context.Context, key string, claim Row, base int64) (int64, error) {
+	bounded, cancel := context.WithTimeout(ctx, r.settings.ClaimTimeout)
 	defer cancel()
-	revision, err := r.write(ctx, key, 0, claim)
+	revision, err := r.write(bounded, key, base, claim)
 	if !errors.Is(err, platform.ErrUnknown) {
 		return revision, err
 	}
 	// A read could be stale; the check of the same claim again is not.
-	revision, err = r.write(ctx, key, 0, claim)
-	if !errors.Is(err, platform.ErrConflict) {
-		return revision, err
+	revision, err = r.write(bounded, key, base, claim)
+	if errors.Is(err, platform.ErrConflict) {
+		revision, err = r.own(bounded, key, claim, base)
+	}
+	if errors.Is(err, platform.ErrUnknown) || errors.Is(err, platform.ErrUnavailable) {
+		r.inBackground(ctx, key, func(ctx context.Context) error { return r.withdraw(ctx, key, claim, base) })
 	}
-	return r.own(ctx, key, claim)
+	return revision, err
 }
 
-// own returns the revision of this claim's row, which exists or is another's.
-// A row that is not to be seen yet is read again until the context ends.
-func (r *Runner) own(ctx context.Context, key string, claim Row) (int64, error) {
+// own returns the revision of this claim's row, after a check said that a row
+// newer than base is there. A read that does not show it yet is stale, and is
+// done again until the context ends; that is ErrUnknown.
+func (r *Runner) own(ctx context.Context, key string, claim Row, base int64) (int64, error) {
 	for wait := firstWait; pause(ctx, wait); wait *= 2 {
 		row, revision, err := r.read(ctx, key)
-		if err != nil {
+		if err != nil || revision <= base {
 			continue
 		}
 		if row.WriteID == claim.WriteID && row.State == StateClaimed {
@@ -130,18 +141,25 @@
 		}
 		return 0, platform.ErrConflict
 	}
-	return 0, platform.ErrConflict
+	return 0, errors.WithMessage(platform.ErrUnknown, "the claim is not to be read yet")
 }
 
-// repeat answers a call whose key has a row already. It never runs the call.
-func (r *Runner) repeat(ctx context.Context, key string, claim Row) (service.Answer, error) {
+// found reads the row of a key that was claimed before.
+func (r *Runner) found(ctx context.Context, key string) (Row, int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.settings.ClaimTimeout)
 	defer cancel()
-	row, revision, err := r.read(ctx, key)
-	if err != nil {
+	return r.read(ctx, key)
+}
+
+// repeat answers a call whose key has a row already, as far as it could be
+// read. It never runs the call.
+func (r *Runner) repeat(ctx context.Context, key string, claim, row Row, revision int64, readErr error) (service.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.settings.ClaimTimeout)
+	defer cancel()
+	if readErr != nil {
 		// The row is there: the commit's check said so. The read is stale, or
 		// did not come through.
-		return service.Answer{}, errors.WithMessage(ErrRunning, err.Error())
+		return service.Answer{}, errors.WithMessage(ErrRunning, readErr.Error())
 	}
 	if row.Call != claim.Call {
 		return service.Answer{}, ErrMismatch
--- a/internal/once/once_test.go
+++ b/internal/once/once_test.go
@@ -118,8 +118,28 @@
 		b := newBench(t, quick())
 		b.platform.SetFaults(faults)
 		b.want(t, b.first, ErrNotRun, 0)
+		// What stalled takes effect now, and is withdrawn.
 		b.platform.SetFaults(standin.PlatformFaults{})
+		b.first.Wait()
+		b.want(t, b.second, nil, 1)
+	}
+}
+
+// TestLateClaimIsRefused: a claim that was held up on its way arrives after
+// its call was told "not run" and the key was freed.
+func TestLateClaimIsRefused(t *testing.T) {
+	b := newBench(t, quick())
+	b.err = service.ErrNotRun
+	b.want(t, b.first, ErrNotRun, 0)
+	_, err := b.client.Commit(context.Background(), platform.Txn{
+		Checks: []platform.Check{{Key: Key("bales", "qoton", "k")}},
+		Writes: []platform.Write{{Key: Key("bales", "qoton", "k"), Value: []byte(`{"state":"claimed"}`)}},
+	})
+	if !errors.Is(err, platform.ErrConflict) {
+		t.Fatalf("the late claim: %v", err)
 	}
+	b.err = nil
+	b.want(t, b.second, nil, 1)
 }
 
 // TestOutageBeforeTheAnswerIsKept: the caller gets its answer at once, and a
--- a/internal/once/row.go
+++ b/internal/once/row.go
@@ -14,7 +14,8 @@
 type State string
 
 // States of a claim. A row goes from claimed to one of the others, from
-// unknown to answered when its runner comes back late, and never back.
+// unknown to answered or free when its runner comes back late, and from free
+// to the next run's claim.
 const (
 	// StateClaimed calls may be running, or their runner died.
 	StateClaimed State = "claimed"
@@ -22,6 +23,9 @@
 	StateAnswered State = "answered"
 	// StateUnknown calls may have run; nobody knows.
 	StateUnknown State = "unknown"
+	// StateFree calls did not run, and the key may be claimed again. The row
+	// stays, so that a claim of the same run that arrives late is refused.
+	StateFree State = "free"
 )
 
 // Row is a claim as it stands in the table.
