--- /dev/null
+++ b/internal/limit/limit_test.go
@@ -0,0 +1,277 @@
+package limit
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// answerDelay is the time that totals are on their way back.
+const answerDelay = 50 * time.Millisecond
+
+// way is how the entries of a run learn their shares.
+type way struct {
+	name string
+	// every is the time between reports to the home; 0 is a fixed equal share.
+	every time.Duration
+	// floor, smallest and window are the limiter's options.
+	floor, smallest float64
+	window          time.Duration
+}
+
+// split gives the weights of the entries at a time.
+type split func(entries int, now time.Duration) []float64
+
+func even(n int, _ time.Duration) []float64 {
+	return slices.Repeat([]float64{1}, n)
+}
+
+// skewed sends half of the traffic to one entry, and a half again to each next.
+func skewed(n int, _ time.Duration) []float64 {
+	weights := make([]float64, n)
+	for i := range weights {
+		weights[i] = math.Pow(0.5, float64(i))
+	}
+	return weights
+}
+
+// moving sends four fifths to one entry, another one every 15 s.
+func moving(n int, now time.Duration) []float64 {
+	weights := slices.Repeat([]float64{0.2 / float64(n)}, n)
+	weights[int(now/(15*time.Second))%n] += 0.8
+	return weights
+}
+
+// fleet drives the limiters of one organisation directly.
+type fleet struct {
+	limiters []*Limiter
+	totals   *Totals
+	due      []time.Duration // next report of each entry
+	pending  []answer
+	way      way
+}
+
+type answer struct {
+	at     time.Duration
+	entry  int
+	totals map[string]float64
+}
+
+func newFleet(n int, w way, rng *rand.Rand) *fleet {
+	f := &fleet{totals: NewTotals(3 * time.Second), way: w}
+	for range n {
+		l := New(Options{Floor: w.floor, SmallestBurst: w.smallest, Window: max(w.window, time.Second), KeepTotals: 5 * time.Second})
+		l.SetEntries(n, 0)
+		f.limiters = append(f.limiters, l)
+		f.due = append(f.due, time.Duration(rng.Int64N(int64(max(w.every, 1)))))
+	}
+	return f
+}
+
+// exchange carries out the reports and answers that are due.
+func (f *fleet) exchange(now time.Duration) {
+	if f.way.every == 0 {
+		return
+	}
+	for i := range f.due {
+		if now >= f.due[i] {
+			f.due[i] += f.way.every
+			totals := f.totals.Report(fmt.Sprint(i), f.limiters[i].Demand(now), now)
+			f.pending = append(f.pending, answer{at: now + answerDelay, entry: i, totals: totals})
+		}
+	}
+	f.pending = slices.DeleteFunc(f.pending, func(a answer) bool {
+		if now < a.at {
+			return false
+		}
+		f.limiters[a.entry].SetTotals(a.totals, now)
+		return true
+	})
+}
+
+func pick(weights []float64, rng *rand.Rand) int {
+	sum := 0.0
+	for _, w := range weights {
+		sum += w
+	}
+	x := rng.Float64() * sum
+	for i, w := range weights {
+		x -= w
+		if x < 0 {
+			return i
+		}
+	}
+	return len(weights) - 1
+}
+
+// result of a run.
+type result struct {
+	offered, admitted int
+	seconds           []int // admitted in each second
+}
+
+// drive offers Poisson arrivals for the time; each goes to an entry by the
+// split.
+func drive(n int, w way, s split, rule Rule, offered float64, length time.Duration, seed uint64) result {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	f := newFleet(n, w, rng)
+	r := result{seconds: make([]int, int(length.Seconds())+1)}
+	for now := time.Duration(0); now < length; {
+		now += time.Duration(rng.ExpFloat64() / offered * float64(time.Second))
+		f.exchange(now)
+		r.offered++
+		if f.limiters[pick(s(n, now), rng)].Take("o", rule, now).Allowed {
+			r.admitted++
+			r.seconds[min(int(now.Seconds()), len(r.seconds)-1)]++
+		}
+	}
+	return r
+}
+
+var ways = []way{
+	{name: "rate/N", floor: 1},
+	{name: "rate/N, burst 4", floor: 1, smallest: 4},
+	{name: "0.5s", every: 500 * time.Millisecond, floor: 0.1, smallest: 4, window: time.Second},
+	{name: "1s", every: time.Second, floor: 0.1, smallest: 4, window: time.Second},
+	{name: "2s", every: 2 * time.Second, floor: 0.1, smallest: 4, window: time.Second},
+	{name: "1s, floor 0.25", every: time.Second, floor: 0.25, smallest: 4, window: time.Second},
+	{name: "1s, window 2s", every: time.Second, floor: 0.1, smallest: 4, window: 2 * time.Second},
+	{name: "1s, burst 1", every: time.Second, floor: 0.1, window: time.Second},
+	{name: "1s, burst 8", every: time.Second, floor: 0.1, smallest: 8, window: time.Second},
+}
+
+// chosen is the way of the default settings.
+const chosen = "1s"
+
+// TestLimitErrorTable prints the error of each way for docs/measurements/
+// admission.md, and bounds that of the way that is used. It is seeded.
+func TestLimitErrorTable(t *testing.T) {
+	const length = 90 * time.Second
+	rule := Rule{Rate: 100, Burst: 100}
+	for _, s := range []struct {
+		name  string
+		split split
+	}{{"even", even}, {"skewed", skewed}, {"moving", moving}} {
+		for _, n := range []int{3, 9, 50} {
+			for _, w := range ways {
+				over := drive(n, w, s.split, rule, 2*rule.Rate, length, 7)
+				under := drive(n, w, s.split, rule, 0.8*rule.Rate, length, 7)
+				configured := rule.Burst + rule.Rate*length.Seconds()
+				excess := float64(over.admitted)/configured - 1
+				refused := 1 - float64(under.admitted)/float64(under.offered)
+				t.Logf("%-7s n=%-2d %-16s error at 2x %+6.1f%%   refused at 0.8x %5.1f%%", s.name, n, w.name, 100*excess, 100*refused)
+				if w.name == chosen && (excess > 0.03 || excess < -0.15 || refused > 0.15) {
+					t.Errorf("%s n=%d: error %+.3f, refused below the limit %.3f", s.name, n, excess, refused)
+				}
+			}
+		}
+	}
+}
+
+// TestConvergence prints how fast the admitted rate returns to the limit after
+// all traffic has moved to another entry.
+func TestConvergence(t *testing.T) {
+	rule := Rule{Rate: 100, Burst: 100}
+	move := func(n int, now time.Duration) []float64 {
+		weights := make([]float64, n)
+		if now >= 30*time.Second {
+			weights[1] = 1
+		} else {
+			weights[0] = 1
+		}
+		return weights
+	}
+	for _, n := range []int{3, 9, 50} {
+		for _, w := range ways {
+			r := drive(n, w, move, rule, 2*rule.Rate, 60*time.Second, 7)
+			settled := -1
+			for s := 30; s < 60 && settled < 0; s++ {
+				if float64(r.seconds[s]) >= 0.85*rule.Rate {
+					settled = s - 29
+				}
+			}
+			t.Logf("n=%-2d %-16s admitted in the seconds after the move %v; within 15%% in second %d", n, w.name, r.seconds[30:36], settled)
+			// A tenth of the rate is kept for the entries without traffic.
+			if w.name == chosen && (settled < 0 || settled > 5) {
+				t.Errorf("n=%d: the rate has not returned to the limit in 5 s", n)
+			}
+		}
+	}
+}
+
+// Whatever the arrivals and the moments of reports, the entries together admit
+// no more than the burst, the smallest bucket for each entry, and the rate with the error
+// that changes of share can make: all of them together never hold more than
+// twice the rate, and a fixed share never more than once.
+func TestNeverAboveBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(t, "entries")
+		rule := Rule{Rate: rapid.Float64Range(0.5, 200).Draw(t, "rate")}
+		rule.Burst = rapid.Float64Range(1, 100).Draw(t, "burst")
+		w := rapid.SampledFrom(ways).Draw(t, "way")
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		f := newFleet(n, w, rng)
+		now, admitted := time.Duration(0), 0
+		for range rapid.IntRange(1, 400).Draw(t, "arrivals") {
+			now += time.Duration(rapid.Int64Range(0, int64(50*time.Millisecond)).Draw(t, "gap"))
+			f.exchange(now)
+			if f.limiters[rapid.IntRange(0, n-1).Draw(t, "entry")].Take("o", rule, now).Allowed {
+				admitted++
+			}
+		}
+		factor := 2.0
+		if w.every == 0 {
+			factor = 1
+		}
+		bound := factor*(rule.Burst+rule.Rate*now.Seconds()) + float64(n)*max(1, w.smallest)
+		if float64(admitted) > bound+1e-6 {
+			t.Fatalf("%s: %d admitted, bound %.2f", w.name, admitted, bound)
+		}
+	})
+}
+
+// Totals that are old count no more: the entry is back at an equal share.
+func TestOldTotalsFallBack(t *testing.T) {
+	rule := Rule{Rate: 90, Burst: 90}
+	l := New(Options{Floor: 0.25, Window: time.Second, KeepTotals: 5 * time.Second})
+	l.SetEntries(9, 0)
+	for i := range 200 {
+		l.Take("o", rule, time.Duration(i)*10*time.Millisecond)
+	}
+	l.Demand(2 * time.Second)
+	l.SetTotals(map[string]float64{"o": 100}, 2*time.Second)
+	if rate := l.organisations["o"].bucket.rate; rate < 45 {
+		t.Fatalf("with all the demand the entry has %.1f of %.1f", rate, rule.Rate)
+	}
+	l.Take("o", rule, 8*time.Second)
+	if rate := l.organisations["o"].bucket.rate; math.Abs(rate-10) > 1e-9 {
+		t.Fatalf("without totals the entry has %.1f, an equal share is 10", rate)
+	}
+}
+
+func TestTotalsAndHomes(t *testing.T) {
+	totals := NewTotals(3 * time.Second)
+	totals.Report("a", map[string]float64{"o": 4, "p": 1}, 0)
+	if got := totals.Report("b", map[string]float64{"o": 6}, time.Second); got["o"] != 10 || len(got) != 1 {
+		t.Fatalf("totals %v", got)
+	}
+	if got := totals.Report("b", map[string]float64{"o": 6}, 4*time.Second); got["o"] != 6 {
+		t.Fatalf("a report of 4 s ago still counts: %v", got)
+	}
+	instances := []string{"a", "b", "c"}
+	for i := range 100 {
+		name := fmt.Sprint("organisation-", i)
+		home := Home(name, instances)
+		if home != Home(name, []string{"c", "a", "b"}) {
+			t.Fatal("the home depends on the order of the list")
+		}
+		if without := slices.DeleteFunc(slices.Clone(instances), func(id string) bool { return id == "b" }); home != "b" && Home(name, without) != home {
+			t.Fatal("a home moved that was not on the instance removed")
+		}
+	}
+}
