Wire admission, rate limits and the retry budget into sf-entry

Cause: each request went straight to an engine, whatever its deadline, its organisation's rate and the state of the fleet; retries had neither wait nor bound. The entry also said not_run after an engine had taken a request and gone away; that is unknown now. Priorities have a range, X-Deadline-Ms is read, /metrics counts refusals by reason.

--- /dev/null
+++ b/internal/admit/admit_test.go
@@ -0,0 +1,197 @@
+package admit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const biggestWork = 1000.0
+
+// Organisations that always have tickets waiting get work by their shares:
+// none is ahead of another by more than one ticket each and the credit that
+// priorities have, whatever priorities and sizes they declare.
+func TestQueueShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		credit := rapid.Float64Range(0, 3000).Draw(t, "credit")
+		q := NewQueue(credit)
+		n := rapid.IntRange(2, 6).Draw(t, "organisations")
+		shares := make([]float64, n)
+		served := make([]float64, n)
+		push := func(i int) {
+			q.Push(Ticket{
+				ID: "t", Organisation: fmt.Sprint(i), Share: shares[i],
+				Priority: rapid.IntRange(0, MaxPriority).Draw(t, "priority"),
+				Work:     rapid.Float64Range(1, biggestWork).Draw(t, "work"),
+			})
+		}
+		for i := range n {
+			shares[i] = rapid.Float64Range(0.5, 4).Draw(t, "share")
+			push(i)
+			push(i)
+		}
+		for range rapid.IntRange(1, 150).Draw(t, "pops") {
+			ticket, ok := q.Pop()
+			if !ok {
+				t.Fatal("the queue is empty")
+			}
+			var i int
+			fmt.Sscan(ticket.Organisation, &i)
+			served[i] += ticket.Work
+			push(i)
+		}
+		for i := range n {
+			for j := range n {
+				ahead := served[i]/shares[i] - served[j]/shares[j]
+				if bound := (credit+biggestWork)/shares[i] + 1e-6; ahead > bound {
+					t.Fatalf("organisation %d is %.0f ahead of %d, bound %.0f", i, ahead, j, bound)
+				}
+			}
+		}
+	})
+}
+
+// An organisation that comes to a queue full of another's urgent tickets is
+// served before the other has used up its credit twice.
+func TestQueueNoStarvation(t *testing.T) {
+	q := NewQueue(2000)
+	for range 200 {
+		q.Push(Ticket{ID: "g", Organisation: "greedy", Priority: MaxPriority, Work: 500})
+	}
+	for range 20 {
+		q.Pop()
+	}
+	q.Push(Ticket{ID: "m", Organisation: "modest", Work: 500})
+	for i := range 200 {
+		if ticket, _ := q.Pop(); ticket.Organisation == "modest" {
+			if i > 6 {
+				t.Fatalf("the modest organisation waited for %d urgent tickets", i)
+			}
+			return
+		}
+	}
+	t.Fatal("the modest organisation was never served")
+}
+
+// Whatever comes, each ticket has one verdict; the queue and what is in flight
+// keep their bounds; and after a review no ticket waits that can't make its
+// deadline.
+func TestGate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rules := Rules{
+			MaxQueue: rapid.IntRange(0, 8).Draw(t, "queue"), MaxWait: time.Second,
+			PriorityCredit: 1000, Early: true,
+		}
+		g := NewGate(rules)
+		limit := rapid.IntRange(1, 4).Draw(t, "limit")
+		g.SetLimit(limit)
+		now, ahead := time.Duration(0), time.Duration(0)
+		waiting := map[string]Ticket{}
+		admitted := 0
+		predict := func(ticket Ticket) Prediction {
+			return Prediction{FirstToken: ahead + ticket.Own, Own: ticket.Own, Known: true}
+		}
+		refuse := func(refusals []Refusal) {
+			for _, r := range refusals {
+				if _, ok := waiting[r.ID]; !ok {
+					t.Fatalf("%s was refused and does not wait", r.ID)
+				}
+				delete(waiting, r.ID)
+			}
+		}
+		grant := func() {
+			for _, ticket := range g.Grant() {
+				if _, ok := waiting[ticket.ID]; !ok {
+					t.Fatalf("%s was granted and does not wait", ticket.ID)
+				}
+				delete(waiting, ticket.ID)
+				admitted++
+			}
+		}
+		for i := range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now += time.Duration(rapid.Int64Range(0, int64(200*time.Millisecond)).Draw(t, "passed"))
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0, 1:
+				ticket := drawTicket(t, i, now)
+				waiting[ticket.ID] = ticket
+				decision, refusals := g.Arrive(ticket, predict(ticket), now)
+				refuse(refusals)
+				if _, still := waiting[ticket.ID]; still == (decision == Refused) {
+					t.Fatalf("decision %d and refusals %v disagree", decision, refusals)
+				}
+				if decision == Admitted {
+					delete(waiting, ticket.ID)
+					admitted++
+				}
+			case 2:
+				if admitted > 0 {
+					admitted--
+					g.Done(time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, "took")))
+					grant()
+				}
+			case 3:
+				ahead = time.Duration(rapid.Int64Range(0, int64(2*time.Second)).Draw(t, "ahead"))
+				refuse(g.Review(now, predict))
+				grant()
+				for _, ticket := range waiting {
+					if now >= g.Latest(ticket) || now+predict(ticket).FirstToken > ticket.Deadline {
+						t.Fatalf("ticket %s waits at %s and can't make its deadline", ticket.ID, now)
+					}
+				}
+			}
+			if g.Waiting() != len(waiting) || g.Waiting() > rules.MaxQueue {
+				t.Fatalf("%d in the queue, %d wait, bound %d", g.Waiting(), len(waiting), rules.MaxQueue)
+			}
+			if g.InFlight() != admitted || admitted > limit {
+				t.Fatalf("%d in flight by the gate, %d by count, limit %d", g.InFlight(), admitted, limit)
+			}
+		}
+	})
+}
+
+func drawTicket(t *rapid.T, i int, now time.Duration) Ticket {
+	own := time.Duration(rapid.Int64Range(0, int64(300*time.Millisecond)).Draw(t, "own"))
+	return Ticket{
+		ID: fmt.Sprint(i), Organisation: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "organisation"),
+		Priority: rapid.IntRange(MinPriority, MaxPriority).Draw(t, "priority"), Work: 100, Arrived: now, Own: own,
+		Deadline: now + time.Duration(rapid.Int64Range(0, int64(2*time.Second)).Draw(t, "deadline")),
+	}
+}
+
+func TestPredict(t *testing.T) {
+	busy := EngineLoad{PrefillAhead: 5000, PrefillRate: 10000, Running: 4, BlocksFree: 60, BlocksTotal: 100}
+	full := EngineLoad{PrefillRate: 10000, Running: 8, Waiting: 3, BlocksFree: 50, BlocksTotal: 100}
+	check := func(what string, got, want time.Duration) {
+		t.Helper()
+		if got != want {
+			t.Errorf("%s: %s, want %s", what, got, want)
+		}
+	}
+	check("prefill ahead", Predict([]EngineLoad{busy}, 1000, time.Second).FirstToken, 600*time.Millisecond)
+	check("a full batch", Predict([]EngineLoad{full}, 1000, time.Second).FirstToken, 600*time.Millisecond)
+	check("the better of both", Predict([]EngineLoad{busy, {PrefillRate: 5000}}, 1000, 0).FirstToken, 200*time.Millisecond)
+	if Predict([]EngineLoad{{}}, 1000, 0).Known {
+		t.Error("a prediction without any report")
+	}
+}
+
+// Entries that work their bounds out alone never have more than what is free
+// beside what they have, and an entry without any gets its equal part.
+func TestConcurrency(t *testing.T) {
+	engines := []EngineLoad{{Running: 9, BlocksFree: 100, BlocksTotal: 1000}}
+	if got := Concurrency(engines, 9, 1); got != 10 {
+		t.Errorf("alone with one place free: %d", got)
+	}
+	if got := Concurrency(engines, 0, 5); got != 2 {
+		t.Errorf("one of five without any: %d", got)
+	}
+	engines[0].Waiting = 5
+	if got := Concurrency(engines, 9, 1); got != 9 {
+		t.Errorf("5 wait for 9 places: %d", got)
+	}
+	if got := Concurrency([]EngineLoad{{BlocksFree: 10, BlocksTotal: 10}}, 3, 1); got != 0 {
+		t.Errorf("an idle engine sets a bound of %d", got)
+	}
+}
--- /dev/null
+++ b/internal/admit/gate.go
@@ -0,0 +1,179 @@
+package admit
+
+import "time"
+
+// Rules of a Gate.
+type Rules struct {
+	// MaxQueue bounds the waiting requests.
+	MaxQueue int
+	// MaxWait bounds the time in the queue.
+	MaxWait time.Duration
+	// PriorityCredit is the credit of the Queue, in tokens.
+	PriorityCredit float64
+	// Early is false to let through what can't make its deadline, for
+	// comparison.
+	Early bool
+}
+
+// Decision on an arriving ticket.
+type Decision int
+
+// Decisions.
+const (
+	// Admitted: go on now.
+	Admitted Decision = iota
+	// Queued: wait for Grant, at most until Gate.Latest.
+	Queued
+	// Refused: answer now.
+	Refused
+)
+
+// Gate admits the requests of one model at one entry. It is not safe for
+// concurrent use.
+type Gate struct {
+	rules    Rules
+	queue    *Queue
+	inFlight int
+	limit    int // 0 is none
+	// service is the moving average of the time that an admitted request takes.
+	service time.Duration
+}
+
+// NewGate returns a gate without a bound on the requests in flight.
+func NewGate(rules Rules) *Gate {
+	return &Gate{rules: rules, queue: NewQueue(rules.PriorityCredit)}
+}
+
+// SetLimit bounds the requests in flight; 0 is no bound.
+func (g *Gate) SetLimit(n int) { g.limit = n }
+
+// InFlight returns the number of requests admitted and not done.
+func (g *Gate) InFlight() int { return g.inFlight }
+
+// Waiting returns the number of requests in the queue.
+func (g *Gate) Waiting() int { return g.queue.Len() }
+
+// Service returns the mean time that an admitted request takes; 0 before the
+// first is done.
+func (g *Gate) Service() time.Duration { return g.service }
+
+// Latest is when a queued ticket is given up.
+func (g *Gate) Latest(t Ticket) time.Duration { return t.latest(g.rules.MaxWait) }
+
+// Arrive decides on a ticket. The refusals are of other tickets, which lose
+// their place to this one; when the decision is Refused, the last one is its
+// own.
+func (g *Gate) Arrive(t Ticket, p Prediction, now time.Duration) (Decision, []Refusal) {
+	if refusal, late := g.late(t, p, now); late {
+		return Refused, []Refusal{refusal}
+	}
+	if g.room() && g.queue.Len() == 0 {
+		g.queue.Push(t)
+		g.queue.Pop()
+		g.inFlight++
+		return Admitted, nil
+	}
+	if wait := g.wait(); g.rules.Early && now+wait+t.Own > t.Deadline {
+		return Refused, []Refusal{{ID: t.ID, Reason: ReasonDeadline, RetryIn: now + wait + t.Own - t.Deadline}}
+	}
+	if g.queue.Len() < g.rules.MaxQueue {
+		g.queue.Push(t)
+		return Queued, nil
+	}
+	return g.displace(t)
+}
+
+// displace makes room in a full queue for a ticket of a higher priority.
+func (g *Gate) displace(t Ticket) (Decision, []Refusal) {
+	lowest, ok := g.queue.Lowest()
+	if !ok || lowest.Priority >= t.Priority {
+		return Refused, []Refusal{{ID: t.ID, Reason: ReasonQueueFull, RetryIn: g.wait()}}
+	}
+	g.queue.Remove(lowest.ID)
+	g.queue.Push(t)
+	return Queued, []Refusal{{ID: lowest.ID, Reason: ReasonQueueFull, RetryIn: g.wait()}}
+}
+
+// late tells whether a ticket can't make its deadline if it is sent now.
+func (g *Gate) late(t Ticket, p Prediction, now time.Duration) (Refusal, bool) {
+	if !g.rules.Early || !p.Known {
+		return Refusal{}, false
+	}
+	if t.Arrived+p.Own > t.Deadline {
+		return Refusal{ID: t.ID, Reason: ReasonTooShort}, true
+	}
+	if now+p.FirstToken > t.Deadline {
+		return Refusal{ID: t.ID, Reason: ReasonDeadline, RetryIn: now + p.FirstToken - t.Deadline}, true
+	}
+	return Refusal{}, false
+}
+
+// Enter counts a request that goes on whatever the load, such as the rest of
+// an answer that was accepted before.
+func (g *Gate) Enter() { g.inFlight++ }
+
+// Done ends an admitted request that took the time given.
+func (g *Gate) Done(took time.Duration) {
+	g.inFlight--
+	if g.service == 0 {
+		g.service = took
+		return
+	}
+	g.service += (took - g.service) / serviceWeight
+}
+
+// serviceWeight sets the moving average of the service time.
+const serviceWeight = 16
+
+// Leave takes a waiting ticket out; false when it was granted or refused.
+func (g *Gate) Leave(id string) bool { return g.queue.Remove(id) }
+
+// Grant admits the waiting tickets that there is room for.
+func (g *Gate) Grant() []Ticket {
+	var granted []Ticket
+	for g.room() {
+		t, ok := g.queue.Pop()
+		if !ok {
+			break
+		}
+		g.inFlight++
+		granted = append(granted, t)
+	}
+	return granted
+}
+
+// Review gives up the waiting tickets that can't make their deadline any more,
+// by a new picture or by the time that passed.
+func (g *Gate) Review(now time.Duration, predict func(Ticket) Prediction) []Refusal {
+	var refusals []Refusal
+	for _, t := range g.queue.all() {
+		refusal, late := g.late(t, predict(t), now)
+		if !late && now >= g.Latest(t) {
+			refusal, late = g.Expired(t, now), true
+		}
+		if late {
+			g.queue.Remove(t.ID)
+			refusals = append(refusals, refusal)
+		}
+	}
+	return refusals
+}
+
+// Expired is the refusal of a ticket that was not granted by Latest.
+func (g *Gate) Expired(t Ticket, now time.Duration) Refusal {
+	reason := ReasonWaited
+	if now >= t.Deadline-t.Own {
+		reason = ReasonDeadline
+	}
+	return Refusal{ID: t.ID, Reason: reason, RetryIn: g.wait()}
+}
+
+func (g *Gate) room() bool { return g.limit <= 0 || g.inFlight < g.limit }
+
+// wait predicts how long a ticket that comes now waits in the queue.
+func (g *Gate) wait() time.Duration {
+	if g.limit <= 0 {
+		return 0
+	}
+	return g.service * time.Duration(g.queue.Len()+1) / time.Duration(g.limit)
+}
--- /dev/null
+++ b/internal/entry/admission.go
@@ -0,0 +1,283 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v5"
+
+	"sassafrasfield/internal/admit"
+	"sassafrasfield/internal/callerapi"
+	"sassafrasfield/internal/route"
+)
+
+// longestDeadline bounds the deadline that a caller may name.
+const longestDeadline = 10 * time.Minute
+
+// admission holds the gate of each model. It is safe for use by several
+// goroutines.
+type admission struct {
+	settings AdmissionSettings
+	server   *Server
+
+	mu      sync.Mutex // protects all below
+	entries int
+	gates   map[string]*modelGate
+}
+
+// modelGate is the gate of one model with those who wait at it.
+type modelGate struct {
+	gate    *admit.Gate
+	waiting map[string]*waiter
+}
+
+// waiter is a request in the queue. Its channel has room for its one verdict:
+// nil admits it.
+type waiter struct {
+	comp    *completion
+	verdict chan *admit.Refusal
+}
+
+func newAdmission(s AdmissionSettings, server *Server) *admission {
+	return &admission{settings: s, server: server, entries: 1, gates: map[string]*modelGate{}}
+}
+
+// readUrgency reads the headers for priority and deadline.
+func readUrgency(comp *completion, header http.Header) error {
+	if text := header.Get(callerapi.HeaderPriority); text != "" {
+		priority, err := strconv.Atoi(text)
+		if err != nil || priority < admit.MinPriority || priority > admit.MaxPriority {
+			return badRequest(callerapi.HeaderPriority, fmt.Sprintf("want a whole number from %d to %d", admit.MinPriority, admit.MaxPriority))
+		}
+		comp.priority = priority
+	}
+	if text := header.Get(callerapi.HeaderDeadline); text != "" {
+		ms, err := strconv.Atoi(text)
+		if err != nil || ms < 1 || ms > int(longestDeadline.Milliseconds()) {
+			return badRequest(callerapi.HeaderDeadline, fmt.Sprintf("want milliseconds from 1 to %d", longestDeadline.Milliseconds()))
+		}
+		comp.deadline = time.Duration(ms) * time.Millisecond
+	}
+	return nil
+}
+
+// admit lets a request go on, if need be after a wait, or refuses it. A
+// request that it let go on must be given to admission.done.
+func (s *Server) admit(c *echo.Context, comp *completion) error {
+	resumed := comp.resume != nil
+	if err := s.withinRate(c, comp.organisation, resumed); err != nil {
+		return err
+	}
+	refused := s.admission.enter(c.Request().Context(), comp, resumed)
+	if refused == nil {
+		return nil
+	}
+	s.log.Debug("admit: refused", "request", comp.id, "reason", refused.Reason)
+	return s.refusal(refused)
+}
+
+func (s *Server) refusal(r *admit.Refusal) error {
+	messages := map[admit.Reason]string{
+		admit.ReasonDeadline:  "the first token can't come before the deadline",
+		admit.ReasonTooShort:  "not even an idle engine could make the deadline",
+		admit.ReasonQueueFull: "the queue is full",
+		admit.ReasonWaited:    "no engine had room in the longest wait",
+	}
+	refused := notRun(string(r.Reason), messages[r.Reason], 0)
+	if r.Reason != admit.ReasonTooShort {
+		refused.retryIn = s.retries.jittered(r.RetryIn)
+	}
+	return refused
+}
+
+// enter returns nil once the request may go on. A caller that leaves while it
+// waits is refused too; nobody reads that.
+func (a *admission) enter(ctx context.Context, comp *completion, resumed bool) *admit.Refusal {
+	now := a.server.now()
+	comp.admitted = now
+	if resumed {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.gateOf(comp.name).gate.Enter()
+		return nil
+	}
+	ticket, w, refused := a.arrive(comp, now)
+	if refused != nil || w == nil {
+		return refused
+	}
+	return a.await(ctx, ticket, w)
+}
+
+// arrive brings a request to its gate. The waiter is nil when it need not wait.
+func (a *admission) arrive(comp *completion, now time.Duration) (admit.Ticket, *waiter, *admit.Refusal) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	g := a.gateOf(comp.name)
+	prediction := a.predict(comp, g)
+	ticket := a.ticket(comp, prediction, now)
+	decision, refusals := g.gate.Arrive(ticket, prediction, now)
+	for _, r := range refusals {
+		if r.ID == ticket.ID {
+			return ticket, nil, &r
+		}
+		g.tell(r.ID, &r)
+	}
+	if decision == admit.Admitted {
+		return ticket, nil, nil
+	}
+	w := &waiter{comp: comp, verdict: make(chan *admit.Refusal, 1)}
+	g.waiting[ticket.ID] = w
+	return ticket, w, nil
+}
+
+// await waits for the verdict, for the last moment, or for the caller to leave.
+func (a *admission) await(ctx context.Context, ticket admit.Ticket, w *waiter) *admit.Refusal {
+	a.mu.Lock()
+	latest := a.gateOf(w.comp.name).gate.Latest(ticket)
+	a.mu.Unlock()
+	timer := time.NewTimer(latest - a.server.now())
+	defer timer.Stop()
+	select {
+	case refused := <-w.verdict:
+		w.comp.admitted = a.server.now()
+		return refused
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return a.leave(ticket, w)
+}
+
+// leave gives a waiting request up, unless it has its verdict already.
+func (a *admission) leave(ticket admit.Ticket, w *waiter) *admit.Refusal {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	g := a.gateOf(w.comp.name)
+	if !g.gate.Leave(ticket.ID) {
+		w.comp.admitted = a.server.now()
+		return <-w.verdict
+	}
+	delete(g.waiting, ticket.ID)
+	refusal := g.gate.Expired(ticket, a.server.now())
+	return &refusal
+}
+
+// done ends a request that was let go on.
+func (a *admission) done(comp *completion, now time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	g := a.gateOf(comp.name)
+	g.gate.Done(now - comp.admitted)
+	g.grant()
+}
+
+// review works the bounds out again from a new picture of the engines, answers
+// those who can't make their deadline any more, and admits whom there is room
+// for.
+func (a *admission) review() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.server.now()
+	for name, g := range a.gates {
+		if a.settings.LimitConcurrency {
+			loads := a.server.state.engineLoads(&route.Request{Model: name, Now: now})
+			g.gate.SetLimit(admit.Concurrency(loads, g.gate.InFlight(), a.entries))
+		}
+		refusals := g.gate.Review(now, func(t admit.Ticket) admit.Prediction {
+			return a.predict(g.waiting[t.ID].comp, g)
+		})
+		for _, r := range refusals {
+			g.tell(r.ID, &r)
+		}
+		g.grant()
+	}
+}
+
+// setEntries sets the number of entries that share the engines.
+func (a *admission) setEntries(n int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.entries = max(1, n)
+}
+
+// gateOf returns the gate of a configured model. The lock is held.
+func (a *admission) gateOf(model string) *modelGate {
+	g, ok := a.gates[model]
+	if !ok {
+		rules := admit.Rules{
+			MaxQueue: a.settings.MaxQueue, MaxWait: a.settings.MaxWait,
+			PriorityCredit: float64(a.settings.PriorityCredit), Early: a.settings.EarlyRefusal,
+		}
+		g = &modelGate{gate: admit.NewGate(rules), waiting: map[string]*waiter{}}
+		a.gates[model] = g
+	}
+	return g
+}
+
+func (a *admission) predict(comp *completion, g *modelGate) admit.Prediction {
+	loads := a.server.state.engineLoads(&route.Request{
+		Model: comp.name, Adapter: comp.adapter, Version: comp.version,
+		PromptTokens: comp.promptTokens, Now: a.server.now(),
+	})
+	return admit.Predict(loads, comp.promptTokens, g.gate.Service())
+}
+
+func (a *admission) ticket(comp *completion, p admit.Prediction, now time.Duration) admit.Ticket {
+	deadline := comp.deadline
+	if deadline == 0 {
+		deadline = p.Own + time.Duration(a.settings.Slack*float64(a.settings.FirstToken))
+	}
+	return admit.Ticket{
+		ID: comp.id, Organisation: comp.organisation.Name, Share: comp.organisation.Share,
+		Priority: comp.priority, Work: float64(comp.promptTokens + comp.maxTokens),
+		Arrived: now, Deadline: now + deadline, Own: p.Own,
+	}
+}
+
+// grant tells those whom the gate admits. The lock is held.
+func (g *modelGate) grant() {
+	for _, t := range g.gate.Grant() {
+		g.tell(t.ID, nil)
+	}
+}
+
+func (g *modelGate) tell(id string, refused *admit.Refusal) {
+	g.waiting[id].verdict <- refused
+	delete(g.waiting, id)
+}
+
+// engineLoads returns the picture of the engines that could take the request.
+func (s *state) engineLoads(req *route.Request) []admit.EngineLoad {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	req.Zone, req.Leaving = s.zone, s.leaving
+	var loads []admit.EngineLoad
+	for i := range s.doc.Engines {
+		candidate := route.Candidate{Engine: &s.doc.Engines[i], Load: s.table.Engine(s.doc.Engines[i].ID)}
+		if s.eligible(req, candidate) {
+			loads = append(loads, engineLoad(candidate))
+		}
+	}
+	return loads
+}
+
+func (s *state) eligible(req *route.Request, c route.Candidate) bool {
+	for _, f := range s.scheduler.Filters {
+		if !f.Keep(req, c) {
+			return false
+		}
+	}
+	return true
+}
+
+func engineLoad(c route.Candidate) admit.EngineLoad {
+	report := &c.Load.Report
+	return admit.EngineLoad{
+		PrefillAhead: c.Load.PrefillTokens(), PrefillRate: report.PrefillRate,
+		Running: report.Running, Waiting: report.Waiting, Charged: len(c.Load.Charged),
+		BlocksFree: report.KVBlocksFree, BlocksTotal: report.KVBlocksTotal,
+	}
+}
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -40,11 +40,16 @@
 		if err != nil {
 			return err
 		}
+		if err := s.admit(c, comp); err != nil {
+			return err
+		}
+		defer s.admission.done(comp, s.now())
 		out := newSink(c, shape, comp)
 		if err := s.answer(c.Request().Context(), comp, out); err != nil {
 			return s.ended(c, comp, out, err)
 		}
 		s.metrics.answered.Inc(1)
+		s.retries.succeeded(s.now())
 		return out.finish()
 	}
 }
@@ -71,10 +76,10 @@
 		}
 	}
 	excluded := map[string]bool{}
-	var last error
+	var last error // of the attempts, the one that says most; see worse
 	for attempt := range s.settings.Engine.Attempts {
-		if attempt > 0 {
-			s.metrics.retries.Inc(1)
+		if attempt > 0 && !s.mayRetry(ctx, attempt, last, assembler.Next() > 0) {
+			break
 		}
 		placement := s.placement(comp)
 		chosen, ok := s.state.place(&route.Request{
@@ -84,17 +89,18 @@
 		if !ok {
 			break
 		}
-		last = s.runOn(ctx, chosen, comp, assembler, out, false)
-		if last == nil || errors.Is(last, errCallerGone) || ctx.Err() != nil {
-			return last
+		err := s.runOn(ctx, chosen, comp, assembler, out, false)
+		if err == nil || errors.Is(err, errCallerGone) || ctx.Err() != nil {
+			return err
 		}
+		last = worse(last, err)
 		excluded[chosen.ID] = true
-		s.log.Info("request: engine failed, trying another", "request", comp.id, "engine", chosen.ID, "error", last)
+		s.log.Info("request: engine failed, trying another", "request", comp.id, "engine", chosen.ID, "error", err)
 	}
 	if assembler.Next() > 0 {
 		return unknown("engine_failed", "no engine could finish the answer; resume with Last-Event-ID")
 	}
-	return notRun("no_engine", "no engine can take the request now", defaultRetryIn)
+	return s.givenUp(last)
 }
 
 func (s *Server) placement(comp *completion) load.Placement {
--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -3,10 +3,12 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/labstack/echo/v5"
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"sassafrasfield/internal/callerapi"
 )
@@ -52,6 +54,13 @@
 	}}
 }
 
+// tooMany refuses a request over its organisation's rate. Nothing of it ran.
+func tooMany(message string, retryIn time.Duration) *refusal {
+	return &refusal{status: http.StatusTooManyRequests, retryIn: retryIn, body: callerapi.Error{
+		Message: message, Type: "rate_limit_error", Code: "rate_limit_exceeded", Outcome: callerapi.OutcomeNotRun,
+	}}
+}
+
 // unknown answers a request that may have run.
 func unknown(code, message string) *refusal {
 	return &refusal{status: http.StatusBadGateway, body: callerapi.Error{
@@ -69,6 +78,7 @@
 		refused = fromEcho(err)
 	}
 	s.metrics.refused.Inc(1)
+	countRefusal(refused)
 	header := c.Response().Header()
 	header.Set(callerapi.HeaderOutcome, string(refused.body.Outcome))
 	if refused.retryIn > 0 {
@@ -78,6 +88,15 @@
 	_ = c.JSON(refused.status, callerapi.ErrorBody{Error: refused.body}) // the caller has gone
 }
 
+// countRefusal counts a refusal by its code, or by its status when it has none.
+func countRefusal(r *refusal) {
+	reason := r.body.Code
+	if reason == "" {
+		reason = "status_" + strconv.Itoa(r.status)
+	}
+	metrics.GetOrRegisterCounter("entry.refused."+reason, metrics.DefaultRegistry).Inc(1)
+}
+
 // fromEcho turns an error of the HTTP library into a refusal.
 func fromEcho(err error) *refusal {
 	status := http.StatusInternalServerError
@@ -89,7 +108,9 @@
 	if status >= http.StatusInternalServerError {
 		outcome = callerapi.OutcomeUnknown
 	}
+	text := http.StatusText(status)
 	return &refusal{status: status, body: callerapi.Error{
-		Message: http.StatusText(status), Type: "invalid_request_error", Outcome: outcome,
+		Message: text, Type: "invalid_request_error",
+		Code: strings.ReplaceAll(strings.ToLower(text), " ", "_"), Outcome: outcome,
 	}}
 }
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -37,6 +37,9 @@
 	if err != nil {
 		return err
 	}
+	if err := s.withinRate(c, organisation, false); err != nil {
+		return err
+	}
 	body, err := s.readBody(c)
 	if err != nil {
 		return err
@@ -47,6 +50,7 @@
 		return err
 	}
 	s.metrics.answered.Inc(1)
+	s.retries.succeeded(s.now())
 	return writeAnswer(c, answer)
 }
 
@@ -73,14 +77,15 @@
 	ctx := c.Request().Context()
 	key := c.Request().Header.Get(callerapi.HeaderIdempotencyKey)
 	if idempotent(svc, call) {
-		return s.repeatable(ctx, svc, call)
+		answer, err := s.tries(ctx, svc, call, anyFailure)
+		return answer, callRefusal(err)
 	}
 	if key == "" {
-		answer, err := s.callOnce(ctx, svc, call, map[string]bool{})
+		answer, err := s.tries(ctx, svc, call, notRunFailure)
 		return answer, callRefusal(err)
 	}
 	answer, err := s.once.Do(ctx, once.Key(svc.Name, organisation.Name, key), call, func(ctx context.Context) (service.Answer, error) {
-		return s.callOnce(ctx, svc, call, map[string]bool{})
+		return s.tries(ctx, svc, call, notRunFailure)
 	})
 	return answer, callRefusal(err)
 }
@@ -99,28 +104,11 @@
 	return slices.Contains([]string{http.MethodPut, http.MethodDelete}, call.Method)
 }
 
-// repeatable tries an idempotent call on several upstreams.
-func (s *Server) repeatable(ctx context.Context, svc *config.Service, call service.Call) (service.Answer, error) {
-	excluded := map[string]bool{}
-	var last error
-	for range s.settings.Engine.Attempts {
-		answer, err := s.callOnce(ctx, svc, call, excluded)
-		if err == nil {
-			return answer, nil
-		}
-		last = err
-		if ctx.Err() != nil {
-			break
-		}
-	}
-	return service.Answer{}, callRefusal(last)
-}
-
 // callOnce sends a call to one upstream, which it adds to excluded.
 func (s *Server) callOnce(ctx context.Context, svc *config.Service, call service.Call, excluded map[string]bool) (service.Answer, error) {
 	upstream := s.state.pickUpstream(svc, excluded)
 	if upstream == nil {
-		return service.Answer{}, errors.WithMessage(service.ErrNotRun, "no upstream is left")
+		return service.Answer{}, errNoUpstream
 	}
 	excluded[upstream.ID] = true
 	ctx, span := tracer().Start(ctx, "service call", trace.WithAttributes(attribute.String("upstream", upstream.ID)))
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -9,11 +9,12 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/labstack/echo/v5"
+	"github.com/pkg/errors"
 
 	"sassafrasfield/internal/callerapi"
 	"sassafrasfield/internal/config"
@@ -36,7 +37,12 @@
 	maxTokens    int
 	seed         int64
 	priority     int
-	streamed     bool
+	// deadline is the time to the first token that the caller can bear; 0 when
+	// it did not say.
+	deadline time.Duration
+	// admitted is when the request was let go on.
+	admitted time.Duration
+	streamed bool
 	// resume is the token of a broken answer, or nil.
 	resume *stream.Token
 }
@@ -81,12 +87,16 @@
 func (s *Server) readBody(c *echo.Context) ([]byte, error) {
 	limit := int64(s.settings.Limits.MaxBodyBytes)
 	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
-	if err != nil {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
 		return nil, &refusal{status: http.StatusRequestEntityTooLarge, body: callerapi.Error{
-			Message: fmt.Sprintf("the body could not be read, or has over %d bytes", limit),
-			Type:    "invalid_request_error", Outcome: callerapi.OutcomeNotRun,
+			Message: fmt.Sprintf("the body has over %d bytes", limit),
+			Type:    "invalid_request_error", Code: "body_too_large", Outcome: callerapi.OutcomeNotRun,
 		}}
 	}
+	if err != nil {
+		return nil, badRequest("", "the body could not be read whole")
+	}
 	return body, nil
 }
 
@@ -128,12 +138,8 @@
 }
 
 func (s *Server) readHeaders(comp *completion, header http.Header) error {
-	if text := header.Get(callerapi.HeaderPriority); text != "" {
-		priority, err := strconv.Atoi(text)
-		if err != nil {
-			return badRequest(callerapi.HeaderPriority, "want a whole number")
-		}
-		comp.priority = priority
+	if err := readUrgency(comp, header); err != nil {
+		return err
 	}
 	text := header.Get("Last-Event-ID")
 	if text == "" {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -32,6 +32,10 @@
 	once     once.Runner
 	stopping atomic.Bool
 	metrics  *meters
+	// admission, rates and retries have locks of their own.
+	admission *admission
+	rates     *rates
+	retries   *retries
 
 	mu       sync.Mutex // protects engines and services
 	engines  map[string]engine.Engine
@@ -40,7 +44,7 @@
 
 // New returns a server that has not started.
 func New(s *Settings, log *slog.Logger) *Server {
-	return &Server{
+	server := &Server{
 		settings: s,
 		start:    time.Now(),
 		log:      log,
@@ -49,7 +53,11 @@
 		metrics:  newMeters(metrics.DefaultRegistry),
 		engines:  map[string]engine.Engine{},
 		services: map[string]service.Service{},
+		retries:  newRetries(s.Retry),
+		rates:    newRates(s.Rate),
 	}
+	server.admission = newAdmission(s.Admission, server)
+	return server
 }
 
 // now is the server's monotonic clock.
@@ -172,6 +180,7 @@
 	defer ticker.Stop()
 	for {
 		s.readReports(ctx)
+		s.admission.review()
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -30,11 +30,14 @@
 	ShutdownTimeout time.Duration `toml:"shutdown_timeout"`
 	// BalancerLag is how long the entry goes on taking what the balancer sends
 	// after it said that it is not ready. Default 3s.
-	BalancerLag time.Duration    `toml:"balancer_lag"`
-	Limits      LimitSettings    `toml:"limits"`
-	Engine      EngineSettings   `toml:"engine"`
-	Log         logging.Settings `toml:"log"`
-	Trace       tracing.Settings `toml:"trace"`
+	BalancerLag time.Duration     `toml:"balancer_lag"`
+	Limits      LimitSettings     `toml:"limits"`
+	Engine      EngineSettings    `toml:"engine"`
+	Admission   AdmissionSettings `toml:"admission"`
+	Rate        RateSettings      `toml:"rate"`
+	Retry       RetrySettings     `toml:"retry"`
+	Log         logging.Settings  `toml:"log"`
+	Trace       tracing.Settings  `toml:"trace"`
 }
 
 // LimitSettings bound what a caller may send.
@@ -72,9 +75,12 @@
 			MaxBodyBytes: 4 << 20, MaxHeaderBytes: 64 << 10,
 			MaxPromptTokens: 131072, MaxAnswerTokens: 4096,
 		},
-		Engine: EngineSettings{Timeout: 30 * time.Second, ReportEvery: 200 * time.Millisecond, Attempts: 3},
-		Log:    logging.Default(),
-		Trace:  tracing.Default(),
+		Engine:    EngineSettings{Timeout: 30 * time.Second, ReportEvery: 200 * time.Millisecond, Attempts: 3},
+		Admission: defaultAdmission(),
+		Rate:      defaultRate(),
+		Retry:     defaultRetry(),
+		Log:       logging.Default(),
+		Trace:     tracing.Default(),
 	}
 }
 
@@ -97,6 +103,9 @@
 	settings.Between(file, "engine.timeout", s.Engine.Timeout, 10*time.Millisecond, 10*time.Minute)
 	settings.Between(file, "engine.report_every", s.Engine.ReportEvery, time.Millisecond, time.Minute)
 	settings.IntBetween(file, "engine.attempts", s.Engine.Attempts, 1, 20)
+	s.Admission.check(file)
+	s.Rate.check(file)
+	s.Retry.check(file)
 	s.Log.Check(file, "log")
 	s.Trace.Check(file, "trace")
 }
--- a/internal/entry/trace.go
+++ b/internal/entry/trace.go
@@ -31,6 +31,7 @@
 	refused    metrics.Counter
 	broken     metrics.Counter
 	retries    metrics.Counter
+	unretried  metrics.Counter
 	resumed    metrics.Counter
 	tokens     metrics.Counter
 	firstToken metrics.Timer
@@ -43,6 +44,7 @@
 		refused:    metrics.GetOrRegisterCounter("entry.refused", registry),
 		broken:     metrics.GetOrRegisterCounter("entry.broken", registry),
 		retries:    metrics.GetOrRegisterCounter("entry.retries", registry),
+		unretried:  metrics.GetOrRegisterCounter("entry.retries_denied", registry),
 		resumed:    metrics.GetOrRegisterCounter("entry.resumed", registry),
 		tokens:     metrics.GetOrRegisterCounter("entry.tokens", registry),
 		firstToken: metrics.GetOrRegisterTimer("entry.first_token", registry),
--- a/internal/retry/backoff.go
+++ b/internal/retry/backoff.go
@@ -27,11 +27,10 @@
 	return time.Duration(rng.Int64N(int64(bound) + 1))
 }
 
-// Jittered spreads a time told to callers over one to one and a half of it, so
-// that those refused together do not come back together.
+// Jittered adds a random part to a time told to callers, up to half of it and
+// at least up to a second, so that those refused together do not come back
+// together though Retry-After has whole seconds.
 func Jittered(d time.Duration, rng *rand.Rand) time.Duration {
-	if d <= 0 {
-		return 0
-	}
-	return d + time.Duration(rng.Int64N(int64(d)/2+1))
+	spread := max(d/2, time.Second)
+	return max(d, 0) + time.Duration(rng.Int64N(int64(spread)+1))
 }
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -82,7 +82,7 @@
 			t.Fatalf("retry %d: only %d different waits of 100", i+1, len(seen))
 		}
 	}
-	if d := Jittered(time.Second, rng); d < time.Second || d > 1500*time.Millisecond {
+	if d := Jittered(4*time.Second, rng); d < 4*time.Second || d > 6*time.Second {
 		t.Fatalf("jittered to %s", d)
 	}
 }
