Divide an organisation's rate by the entries' demand, off the path

Each second sf-control takes its entry's demand to a home daemon for each organisation, chosen by rendezvous hash over the instance list, and brings the totals back. Weighed besides: leases of rate in the table (one write for each entry, organisation and period: 9 entries and 220 organisations at 1 s are 1,980 writes a second, the table has several hundred, and no limit in an outage), and a subset of entries for each organisation (the balancer is the platform's, so most requests would take another hop). Without fresh totals an entry falls back to an equal part.

--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -26,6 +26,7 @@
 	Lease           LeaseSettings    `toml:"lease"`
 	Spread          SpreadSettings   `toml:"spread"`
 	Rollout         RolloutSettings  `toml:"rollout"`
+	Demand          DemandSettings   `toml:"demand"`
 	Log             logging.Settings `toml:"log"`
 	Trace           tracing.Settings `toml:"trace"`
 }
@@ -78,6 +79,7 @@
 			ApplyEvery: 250 * time.Millisecond, ListEvery: time.Second,
 		},
 		Rollout: RolloutSettings{StepEvery: 200 * time.Millisecond, EngineTimeout: 2 * time.Second},
+		Demand:  DemandSettings{Every: time.Second, Keep: 3 * time.Second},
 		Log:     logging.Default(),
 		Trace:   tracing.Default(),
 	}
@@ -101,6 +103,8 @@
 	settings.Between(file, "spread.list_every", s.Spread.ListEvery, shortest, longest)
 	settings.Between(file, "rollout.step_every", s.Rollout.StepEvery, shortest, longest)
 	settings.Between(file, "rollout.engine_timeout", s.Rollout.EngineTimeout, shortest, longest)
+	settings.Between(file, "demand.every", s.Demand.Every, 10*time.Millisecond, longest)
+	settings.Between(file, "demand.keep", s.Demand.Keep, s.Demand.Every, 10*longest)
 	s.Log.Check(file, "log")
 	s.Trace.Check(file, "trace")
 }
--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -166,7 +166,8 @@
 }
 
 // done ends a request that was let go on.
-func (a *admission) done(comp *completion, now time.Duration) {
+func (a *admission) done(comp *completion) {
+	now := a.server.now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	g := a.gateOf(comp.name)
@@ -174,6 +175,20 @@
 	g.grant()
 }
 
+// reviewLoop calls review now and then until the context ends.
+func (a *admission) reviewLoop(ctx context.Context, every time.Duration) {
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			a.review()
+		}
+	}
+}
+
 // review works the bounds out again from a new picture of the engines, answers
 // those who can't make their deadline any more, and admits whom there is room
 // for.
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -43,7 +43,7 @@
 		if err := s.admit(c, comp); err != nil {
 			return err
 		}
-		defer s.admission.done(comp, s.now())
+		defer s.admission.done(comp)
 		out := newSink(c, shape, comp)
 		if err := s.answer(c.Request().Context(), comp, out); err != nil {
 			return s.ended(c, comp, out, err)
@@ -76,7 +76,7 @@
 		}
 	}
 	excluded := map[string]bool{}
-	var last error // of the attempts, the one that says most; see worse
+	var last error
 	for attempt := range s.settings.Engine.Attempts {
 		if attempt > 0 && !s.mayRetry(ctx, attempt, last, assembler.Next() > 0) {
 			break
@@ -89,18 +89,17 @@
 		if !ok {
 			break
 		}
-		err := s.runOn(ctx, chosen, comp, assembler, out, false)
-		if err == nil || errors.Is(err, errCallerGone) || ctx.Err() != nil {
-			return err
+		last = s.runOn(ctx, chosen, comp, assembler, out, false)
+		if last == nil || errors.Is(last, errCallerGone) || ctx.Err() != nil {
+			return last
 		}
-		last = worse(last, err)
 		excluded[chosen.ID] = true
-		s.log.Info("request: engine failed, trying another", "request", comp.id, "engine", chosen.ID, "error", err)
+		s.log.Info("request: engine failed, trying another", "request", comp.id, "engine", chosen.ID, "error", last)
 	}
 	if assembler.Next() > 0 {
 		return unknown("engine_failed", "no engine could finish the answer; resume with Last-Event-ID")
 	}
-	return s.givenUp(last)
+	return notRun("no_engine", "no engine can take the request now", defaultRetryIn)
 }
 
 func (s *Server) placement(comp *completion) load.Placement {
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -77,15 +77,14 @@
 	ctx := c.Request().Context()
 	key := c.Request().Header.Get(callerapi.HeaderIdempotencyKey)
 	if idempotent(svc, call) {
-		answer, err := s.tries(ctx, svc, call, anyFailure)
-		return answer, callRefusal(err)
+		return s.repeatable(ctx, svc, call)
 	}
 	if key == "" {
-		answer, err := s.tries(ctx, svc, call, notRunFailure)
+		answer, err := s.callOnce(ctx, svc, call, map[string]bool{})
 		return answer, callRefusal(err)
 	}
 	answer, err := s.once.Do(ctx, once.Key(svc.Name, organisation.Name, key), call, func(ctx context.Context) (service.Answer, error) {
-		return s.tries(ctx, svc, call, notRunFailure)
+		return s.callOnce(ctx, svc, call, map[string]bool{})
 	})
 	return answer, callRefusal(err)
 }
@@ -104,11 +103,31 @@
 	return slices.Contains([]string{http.MethodPut, http.MethodDelete}, call.Method)
 }
 
+// repeatable tries an idempotent call on several upstreams.
+func (s *Server) repeatable(ctx context.Context, svc *config.Service, call service.Call) (service.Answer, error) {
+	excluded := map[string]bool{}
+	var last error
+	for attempt := range s.settings.Engine.Attempts {
+		if attempt > 0 && !s.mayRetry(ctx, attempt, last, false) {
+			break
+		}
+		answer, err := s.callOnce(ctx, svc, call, excluded)
+		if err == nil {
+			return answer, nil
+		}
+		last = err
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return service.Answer{}, callRefusal(last)
+}
+
 // callOnce sends a call to one upstream, which it adds to excluded.
 func (s *Server) callOnce(ctx context.Context, svc *config.Service, call service.Call, excluded map[string]bool) (service.Answer, error) {
 	upstream := s.state.pickUpstream(svc, excluded)
 	if upstream == nil {
-		return service.Answer{}, errNoUpstream
+		return service.Answer{}, errors.WithMessage(service.ErrNotRun, "no upstream is left")
 	}
 	excluded[upstream.ID] = true
 	ctx, span := tracer().Start(ctx, "service call", trace.WithAttributes(attribute.String("upstream", upstream.ID)))
--- a/internal/entry/retry.go
+++ b/internal/entry/retry.go
@@ -6,12 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
-	"sassafrasfield/internal/config"
-	"sassafrasfield/internal/engine"
 	"sassafrasfield/internal/retry"
-	"sassafrasfield/internal/service"
 	"sassafrasfield/internal/settings"
 	"sassafrasfield/internal/tomlfile"
 )
@@ -116,60 +111,3 @@
 	s.metrics.retries.Inc(1)
 	return true
 }
-
-// worse returns of two failed attempts the one after which less is certain: an
-// attempt that may have run outweighs one that did not.
-func worse(a, b error) error {
-	if a == nil || didNotRun(a) {
-		return b
-	}
-	return a
-}
-
-func didNotRun(err error) bool {
-	return errors.Is(err, engine.ErrNotRun) || errors.Is(err, engine.ErrUnreachable) ||
-		errors.Is(err, engine.ErrNoStream) || errors.Is(err, service.ErrNotRun)
-}
-
-// givenUp is the answer when no attempt is left: last is the error that says
-// most, or nil when no engine could be asked.
-func (s *Server) givenUp(last error) error {
-	retryIn := s.retries.jittered(defaultRetryIn)
-	if last == nil || didNotRun(last) {
-		return notRun("no_engine", "no engine can take the request now", retryIn)
-	}
-	r := unknown("engine_failed", "the engines that were tried went away; some of the request may have run")
-	r.retryIn = retryIn
-	return r
-}
-
-// anyFailure allows a retry of an idempotent call after each failure.
-func anyFailure(error) bool { return true }
-
-// notRunFailure allows a retry only when nothing of the call ran: the
-// connection was refused, or the upstream said so.
-func notRunFailure(err error) bool { return errors.Is(err, service.ErrNotRun) }
-
-// tries sends a call to one upstream after the other, while again allows it
-// and there is budget.
-func (s *Server) tries(ctx context.Context, svc *config.Service, call service.Call, again func(error) bool) (service.Answer, error) {
-	excluded := map[string]bool{}
-	var last error
-	for attempt := range s.settings.Engine.Attempts {
-		if attempt > 0 && !s.mayRetry(ctx, attempt, last, false) {
-			break
-		}
-		answer, err := s.callOnce(ctx, svc, call, excluded)
-		if err == nil {
-			return answer, nil
-		}
-		last = worse(last, err)
-		if ctx.Err() != nil || !again(err) || errors.Is(err, errNoUpstream) {
-			break
-		}
-	}
-	return service.Answer{}, last
-}
-
-// errNoUpstream: each upstream of the service was tried, or none is there.
-var errNoUpstream = errors.WithMessage(service.ErrNotRun, "no upstream is left")
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -80,6 +80,7 @@
 	reporting, stopReports := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopReports()
 	go s.reportLoop(reporting)
+	go s.admission.reviewLoop(reporting, s.settings.Engine.ReportEvery)
 	s.log.Info("entry: started", "listen", s.settings.Listen)
 	select {
 	case err := <-failed:
@@ -180,7 +181,6 @@
 	defer ticker.Stop()
 	for {
 		s.readReports(ctx)
-		s.admission.review()
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/gen/sf/v1/sfv1connect/spread.connect.go
+++ b/internal/gen/sf/v1/sfv1connect/spread.connect.go
@@ -43,10 +43,16 @@
 	PeerServiceFetchProcedure = "/sf.v1.PeerService/Fetch"
 	// PeerServiceInForceProcedure is the fully-qualified name of the PeerService's InForce RPC.
 	PeerServiceInForceProcedure = "/sf.v1.PeerService/InForce"
+	// PeerServiceTotalProcedure is the fully-qualified name of the PeerService's Total RPC.
+	PeerServiceTotalProcedure = "/sf.v1.PeerService/Total"
 	// EntryServiceApplyProcedure is the fully-qualified name of the EntryService's Apply RPC.
 	EntryServiceApplyProcedure = "/sf.v1.EntryService/Apply"
 	// EntryServiceStatusProcedure is the fully-qualified name of the EntryService's Status RPC.
 	EntryServiceStatusProcedure = "/sf.v1.EntryService/Status"
+	// EntryServiceDemandProcedure is the fully-qualified name of the EntryService's Demand RPC.
+	EntryServiceDemandProcedure = "/sf.v1.EntryService/Demand"
+	// EntryServiceShareProcedure is the fully-qualified name of the EntryService's Share RPC.
+	EntryServiceShareProcedure = "/sf.v1.EntryService/Share"
 )
 
 // PeerServiceClient is a client for the sf.v1.PeerService service.
@@ -59,6 +65,9 @@
 	// InForce reports the version in force on the instance and its streams
 	// for each engine.
 	InForce(context.Context, *connect.Request[v1.InForceRequest]) (*connect.Response[v1.InForceResponse], error)
+	// Total takes the demand of the caller's entry for the organisations whose
+	// home the callee is, and returns their demand over all entries.
+	Total(context.Context, *connect.Request[v1.TotalRequest]) (*connect.Response[v1.TotalResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the sf.v1.PeerService service. By default, it uses
@@ -90,6 +99,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("InForce")),
 			connect.WithClientOptions(opts...),
 		),
+		total: connect.NewClient[v1.TotalRequest, v1.TotalResponse](
+			httpClient,
+			baseURL+PeerServiceTotalProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Total")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -98,6 +113,7 @@
 	offer   *connect.Client[v1.OfferRequest, v1.OfferResponse]
 	fetch   *connect.Client[v1.FetchRequest, v1.FetchResponse]
 	inForce *connect.Client[v1.InForceRequest, v1.InForceResponse]
+	total   *connect.Client[v1.TotalRequest, v1.TotalResponse]
 }
 
 // Offer calls sf.v1.PeerService.Offer.
@@ -115,6 +131,11 @@
 	return c.inForce.CallUnary(ctx, req)
 }
 
+// Total calls sf.v1.PeerService.Total.
+func (c *peerServiceClient) Total(ctx context.Context, req *connect.Request[v1.TotalRequest]) (*connect.Response[v1.TotalResponse], error) {
+	return c.total.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the sf.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Offer tells a peer of a version. The peer answers with the version it
@@ -125,6 +146,9 @@
 	// InForce reports the version in force on the instance and its streams
 	// for each engine.
 	InForce(context.Context, *connect.Request[v1.InForceRequest]) (*connect.Response[v1.InForceResponse], error)
+	// Total takes the demand of the caller's entry for the organisations whose
+	// home the callee is, and returns their demand over all entries.
+	Total(context.Context, *connect.Request[v1.TotalRequest]) (*connect.Response[v1.TotalResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -152,6 +176,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("InForce")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceTotalHandler := connect.NewUnaryHandler(
+		PeerServiceTotalProcedure,
+		svc.Total,
+		connect.WithSchema(peerServiceMethods.ByName("Total")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/sf.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceOfferProcedure:
@@ -160,6 +190,8 @@
 			peerServiceFetchHandler.ServeHTTP(w, r)
 		case PeerServiceInForceProcedure:
 			peerServiceInForceHandler.ServeHTTP(w, r)
+		case PeerServiceTotalProcedure:
+			peerServiceTotalHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -181,6 +213,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("sf.v1.PeerService.InForce is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) Total(context.Context, *connect.Request[v1.TotalRequest]) (*connect.Response[v1.TotalResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("sf.v1.PeerService.Total is not implemented"))
+}
+
 // EntryServiceClient is a client for the sf.v1.EntryService service.
 type EntryServiceClient interface {
 	// Apply puts a configuration in force, unless it is older than the one in
@@ -188,6 +224,10 @@
 	Apply(context.Context, *connect.Request[v1.ApplyRequest]) (*connect.Response[v1.ApplyResponse], error)
 	// Status reports the version in force and the streams for each engine.
 	Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error)
+	// Demand reports the organisations whose demand here is worth telling.
+	Demand(context.Context, *connect.Request[v1.DemandRequest]) (*connect.Response[v1.DemandResponse], error)
+	// Share tells what the entry sets its share of the limits by.
+	Share(context.Context, *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error)
 }
 
 // NewEntryServiceClient constructs a client for the sf.v1.EntryService service. By default, it uses
@@ -213,6 +253,18 @@
 			connect.WithSchema(entryServiceMethods.ByName("Status")),
 			connect.WithClientOptions(opts...),
 		),
+		demand: connect.NewClient[v1.DemandRequest, v1.DemandResponse](
+			httpClient,
+			baseURL+EntryServiceDemandProcedure,
+			connect.WithSchema(entryServiceMethods.ByName("Demand")),
+			connect.WithClientOptions(opts...),
+		),
+		share: connect.NewClient[v1.ShareRequest, v1.ShareResponse](
+			httpClient,
+			baseURL+EntryServiceShareProcedure,
+			connect.WithSchema(entryServiceMethods.ByName("Share")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -220,6 +272,8 @@
 type entryServiceClient struct {
 	apply  *connect.Client[v1.ApplyRequest, v1.ApplyResponse]
 	status *connect.Client[v1.StatusRequest, v1.StatusResponse]
+	demand *connect.Client[v1.DemandRequest, v1.DemandResponse]
+	share  *connect.Client[v1.ShareRequest, v1.ShareResponse]
 }
 
 // Apply calls sf.v1.EntryService.Apply.
@@ -232,6 +286,16 @@
 	return c.status.CallUnary(ctx, req)
 }
 
+// Demand calls sf.v1.EntryService.Demand.
+func (c *entryServiceClient) Demand(ctx context.Context, req *connect.Request[v1.DemandRequest]) (*connect.Response[v1.DemandResponse], error) {
+	return c.demand.CallUnary(ctx, req)
+}
+
+// Share calls sf.v1.EntryService.Share.
+func (c *entryServiceClient) Share(ctx context.Context, req *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error) {
+	return c.share.CallUnary(ctx, req)
+}
+
 // EntryServiceHandler is an implementation of the sf.v1.EntryService service.
 type EntryServiceHandler interface {
 	// Apply puts a configuration in force, unless it is older than the one in
@@ -239,6 +303,10 @@
 	Apply(context.Context, *connect.Request[v1.ApplyRequest]) (*connect.Response[v1.ApplyResponse], error)
 	// Status reports the version in force and the streams for each engine.
 	Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error)
+	// Demand reports the organisations whose demand here is worth telling.
+	Demand(context.Context, *connect.Request[v1.DemandRequest]) (*connect.Response[v1.DemandResponse], error)
+	// Share tells what the entry sets its share of the limits by.
+	Share(context.Context, *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error)
 }
 
 // NewEntryServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -260,12 +328,28 @@
 		connect.WithSchema(entryServiceMethods.ByName("Status")),
 		connect.WithHandlerOptions(opts...),
 	)
+	entryServiceDemandHandler := connect.NewUnaryHandler(
+		EntryServiceDemandProcedure,
+		svc.Demand,
+		connect.WithSchema(entryServiceMethods.ByName("Demand")),
+		connect.WithHandlerOptions(opts...),
+	)
+	entryServiceShareHandler := connect.NewUnaryHandler(
+		EntryServiceShareProcedure,
+		svc.Share,
+		connect.WithSchema(entryServiceMethods.ByName("Share")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/sf.v1.EntryService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case EntryServiceApplyProcedure:
 			entryServiceApplyHandler.ServeHTTP(w, r)
 		case EntryServiceStatusProcedure:
 			entryServiceStatusHandler.ServeHTTP(w, r)
+		case EntryServiceDemandProcedure:
+			entryServiceDemandHandler.ServeHTTP(w, r)
+		case EntryServiceShareProcedure:
+			entryServiceShareHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -282,3 +366,11 @@
 func (UnimplementedEntryServiceHandler) Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("sf.v1.EntryService.Status is not implemented"))
 }
+
+func (UnimplementedEntryServiceHandler) Demand(context.Context, *connect.Request[v1.DemandRequest]) (*connect.Response[v1.DemandResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("sf.v1.EntryService.Demand is not implemented"))
+}
+
+func (UnimplementedEntryServiceHandler) Share(context.Context, *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("sf.v1.EntryService.Share is not implemented"))
+}
