--- a/internal/admit/gate.go
+++ b/internal/admit/gate.go
@@ -47,6 +47,9 @@
 // SetLimit bounds the requests in flight; 0 is no bound.
 func (g *Gate) SetLimit(n int) { g.limit = n }
 
+// Limit returns the bound on the requests in flight; 0 is none.
+func (g *Gate) Limit() int { return g.limit }
+
 // InFlight returns the number of requests admitted and not done.
 func (g *Gate) InFlight() int { return g.inFlight }
 
--- a/internal/control/demand.go
+++ b/internal/control/demand.go
@@ -69,6 +69,9 @@
 			ids = append(ids, instance.ID)
 		}
 	}
+	if len(ids) == 0 {
+		return // no list yet; the entry keeps what it was told last
+	}
 	own, err := d.entry.client.Demand(ctx, connect.NewRequest(&sfv1.DemandRequest{}))
 	if err != nil {
 		d.log.Debug("demand: the entry did not answer", "error", err)
--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/labstack/echo/v5"
+	"github.com/rcrowley/go-metrics"
 
 	"sassafrasfield/internal/admit"
 	"sassafrasfield/internal/callerapi"
@@ -23,6 +24,7 @@
 type admission struct {
 	settings AdmissionSettings
 	server   *Server
+	meters   *admissionMeters
 
 	mu      sync.Mutex // protects all below
 	entries int
@@ -43,7 +45,24 @@
 }
 
 func newAdmission(s AdmissionSettings, server *Server) *admission {
-	return &admission{settings: s, server: server, entries: 1, gates: map[string]*modelGate{}}
+	return &admission{
+		settings: s, server: server, meters: newAdmissionMeters(metrics.DefaultRegistry),
+		entries: 1, gates: map[string]*modelGate{},
+	}
+}
+
+// admissionMeters are the gauges of admission, over all models.
+type admissionMeters struct {
+	inFlight, waiting, limit, entries metrics.Gauge
+}
+
+func newAdmissionMeters(registry metrics.Registry) *admissionMeters {
+	return &admissionMeters{
+		inFlight: metrics.GetOrRegisterGauge("admit.in_flight", registry),
+		waiting:  metrics.GetOrRegisterGauge("admit.waiting", registry),
+		limit:    metrics.GetOrRegisterGauge("admit.limit", registry),
+		entries:  metrics.GetOrRegisterGauge("admit.entries", registry),
+	}
 }
 
 // readUrgency reads the headers for priority and deadline.
@@ -196,6 +215,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.server.now()
+	inFlight, waiting, limit := 0, 0, 0
 	for name, g := range a.gates {
 		if a.settings.LimitConcurrency {
 			loads := a.server.state.engineLoads(&route.Request{Model: name, Now: now})
@@ -208,7 +228,13 @@
 			g.tell(r.ID, &r)
 		}
 		g.grant()
+		inFlight += g.gate.InFlight()
+		waiting += g.gate.Waiting()
+		limit += g.gate.Limit()
 	}
+	a.meters.inFlight.Update(int64(inFlight))
+	a.meters.waiting.Update(int64(waiting))
+	a.meters.limit.Update(int64(limit))
 }
 
 // setEntries sets the number of entries that share the engines.
@@ -216,6 +242,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.entries = max(1, n)
+	a.meters.entries.Update(int64(a.entries))
 }
 
 // gateOf returns the gate of a configured model. The lock is held.
