--- /dev/null
+++ b/internal/entry/overload_bench_test.go
@@ -0,0 +1,236 @@
+package entry_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"sassafrasfield/internal/callerapi"
+	"sassafrasfield/internal/standin"
+	"sassafrasfield/internal/testcaller"
+	"sassafrasfield/internal/testfleet"
+)
+
+// arrivals is an open-loop load of callers that may ask again.
+type arrivals struct {
+	rate     float64
+	length   time.Duration
+	attempts int
+	// patience is how long a caller waits for the first token of an attempt.
+	patience time.Duration
+	// obey waits as long as Retry-After says; else a caller asks again after
+	// 50 ms.
+	obey   bool
+	prompt int // tokens, different in each request
+	answer int
+}
+
+// record is what one caller saw.
+type record struct {
+	at         time.Duration // of its arrival
+	whole      bool
+	firstToken time.Duration // from its arrival
+	attempts   int
+	refusals   []time.Duration // how long each took
+}
+
+// run offers the load; at is called when each second begins.
+func (a arrivals) run(ctx context.Context, fleet *testfleet.Fleet, seed uint64, at func(second int)) []record {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	caller := testcaller.New(apiKey)
+	var records []record
+	var mu sync.Mutex // protects records
+	var work sync.WaitGroup
+	start, second := time.Now(), -1
+	for due := time.Duration(0); due < a.length; due += time.Duration(rng.ExpFloat64() / a.rate * float64(time.Second)) {
+		for second < int(due.Seconds()) {
+			second++
+			at(second)
+		}
+		time.Sleep(due - time.Since(start))
+		entry := fleet.Instances[rng.IntN(len(fleet.Instances))].EntryAddress
+		unique := strconv.FormatUint(rng.Uint64(), 36)
+		work.Go(func() {
+			r := a.call(ctx, caller, entry, unique)
+			r.at = due
+			mu.Lock()
+			defer mu.Unlock()
+			records = append(records, r)
+		})
+	}
+	work.Wait()
+	return records
+}
+
+func (a arrivals) call(ctx context.Context, caller *testcaller.Caller, entry, unique string) record {
+	chat := testcaller.Chat{
+		Model: modelName, MaxTokens: a.answer, Seed: 1,
+		Prompt: strings.Repeat(unique+" ", a.prompt*4/(len(unique)+1)),
+		Header: http.Header{callerapi.HeaderDeadline: {strconv.FormatInt(a.patience.Milliseconds(), 10)}},
+	}
+	r, started := record{}, time.Now()
+	for r.attempts < a.attempts && !r.whole {
+		r.attempts++
+		tried := time.Now()
+		answer, first := a.attempt(ctx, caller, entry, chat)
+		if answer.Done {
+			r.whole, r.firstToken = true, first.Sub(started)
+			break
+		}
+		wait := 50 * time.Millisecond
+		if answer.Error != nil {
+			r.refusals = append(r.refusals, time.Since(tried))
+			if seconds, err := strconv.Atoi(answer.RetryAfter); a.obey && err == nil {
+				wait = time.Duration(seconds) * time.Second
+			}
+		}
+		if r.attempts < a.attempts {
+			time.Sleep(wait)
+		}
+	}
+	return r
+}
+
+// attempt leaves when the first token does not come in time.
+func (a arrivals) attempt(ctx context.Context, caller *testcaller.Caller, entry string, chat testcaller.Chat) (testcaller.Answer, time.Time) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := time.AfterFunc(a.patience, cancel)
+	var first time.Time
+	answer, err := caller.Stream(ctx, entry, chat, func(string, string) {
+		if first.IsZero() {
+			first = time.Now()
+			timer.Stop()
+		}
+	})
+	if err != nil {
+		answer.Done = false
+	}
+	return answer, first
+}
+
+// good counts the whole answers to callers of a span of time, a second.
+func good(records []record, from, to time.Duration, within time.Duration) float64 {
+	n := 0
+	for _, r := range records {
+		if r.at >= from && r.at < to && r.whole && r.firstToken <= within {
+			n++
+		}
+	}
+	return float64(n) / (to - from).Seconds()
+}
+
+func quantile(times []time.Duration, q float64) float64 {
+	if len(times) == 0 {
+		return 0
+	}
+	slices.Sort(times)
+	return float64(times[int(q*float64(len(times)-1))].Microseconds()) / 1000
+}
+
+// unguarded takes everything, and retries without bound.
+const unguarded = `[admission]
+early_refusal = false
+limit_concurrency = false
+[retry]
+budget_floor = 1e9
+budget_max = 1e9
+`
+
+// BenchmarkOverload offers twice what two engines can prefill, to two entries,
+// with early refusal and without.
+func BenchmarkOverload(b *testing.B) {
+	for _, mode := range []struct{ name, tables string }{{"early=on", ""}, {"early=off", unguarded}} {
+		b.Run(mode.name, func(b *testing.B) {
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
+			defer cancel()
+			fleet := startFleet(ctx, b, fleetOptions{
+				instances: 2, engines: 2, entryTables: mode.tables,
+				engineFlags: []string{"--prefill-rate", "4000", "--decode-rate", "100"},
+			})
+			load := arrivals{rate: 32, length: 15 * time.Second, attempts: 1, patience: time.Second, prompt: 500, answer: 20}
+			for b.Loop() {
+				records := load.run(ctx, fleet, 5, func(int) {})
+				var firsts, refusals []time.Duration
+				for _, r := range records {
+					refusals = append(refusals, r.refusals...)
+					if r.whole {
+						firsts = append(firsts, r.firstToken)
+					}
+				}
+				b.ReportMetric(good(records, 0, load.length, load.patience), "good/s")
+				b.ReportMetric(quantile(firsts, 0.99), "p99-first-ms")
+				b.ReportMetric(quantile(refusals, 0.99), "p99-refusal-ms")
+				b.ReportMetric(float64(len(refusals))/float64(len(records)), "refused")
+			}
+		})
+	}
+}
+
+// BenchmarkRetryStorm slows half of four engines down from second 10 to 20,
+// under callers that ask again up to four times.
+func BenchmarkRetryStorm(b *testing.B) {
+	noBudget := "[retry]\nbudget_floor = 1e9\nbudget_max = 1e9\n"
+	noEarly := "[admission]\nearly_refusal = false\nlimit_concurrency = false\n"
+	for _, mode := range []struct {
+		name, tables string
+		obey         bool
+		faults       standin.EngineFaults
+	}{
+		{"slow/all-guards", "", false, standin.EngineFaults{SlowFactor: 8}},
+		{"slow/all-guards/callers-obey", "", true, standin.EngineFaults{SlowFactor: 8}},
+		{"slow/no-budget", noBudget, false, standin.EngineFaults{SlowFactor: 8}},
+		{"slow/no-early-refusal", noEarly, false, standin.EngineFaults{SlowFactor: 8}},
+		{"slow/none", unguarded, false, standin.EngineFaults{SlowFactor: 8}},
+		{"refuse/all-guards", "", false, standin.EngineFaults{Refuse: true}},
+		{"refuse/no-budget", noBudget, false, standin.EngineFaults{Refuse: true}},
+		{"refuse/none", unguarded, false, standin.EngineFaults{Refuse: true}},
+	} {
+		b.Run(mode.name, func(b *testing.B) {
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
+			defer cancel()
+			fleet := startFleet(ctx, b, fleetOptions{
+				instances: 2, engines: 4, entryTables: mode.tables,
+				engineFlags: []string{"--prefill-rate", "4000", "--decode-rate", "100"},
+			})
+			load := arrivals{rate: 24, length: 30 * time.Second, attempts: 5, patience: time.Second, obey: mode.obey, prompt: 500, answer: 20}
+			for b.Loop() {
+				records := load.run(ctx, fleet, 5, func(second int) {
+					faults := standin.EngineFaults{}
+					if second >= 10 && second < 20 {
+						faults = mode.faults
+					}
+					if second == 10 || second == 20 {
+						setFaults(ctx, b, fleet.Engines[0], faults)
+						setFaults(ctx, b, fleet.Engines[1], faults)
+					}
+				})
+				attempts := 0
+				for _, r := range records {
+					attempts += r.attempts
+				}
+				const s = time.Second
+				b.ReportMetric(good(records, 0, 10*s, s), "before/s")
+				b.ReportMetric(good(records, 10*s, 20*s, s), "during/s")
+				b.ReportMetric(good(records, 20*s, 23*s, s), "after-3s/s")
+				b.ReportMetric(good(records, 23*s, 30*s, s), "after/s")
+				b.ReportMetric(float64(attempts)/float64(len(records)), "attempts")
+				b.ReportMetric(float64(retriesOf(b, fleet)), "entry-retries")
+			}
+		})
+	}
+}
+
+func retriesOf(b *testing.B, fleet *testfleet.Fleet) int {
+	total := 0
+	for _, i := range fleet.Instances {
+		total += gauge(b, i.EntryAddress, "entry.retries")
+	}
+	return total
+}
