Keep the engines' prefill backlog short, so that the fair queue decides

Cause: the queue filled only when the KV memory was short. With prefill as the bottleneck each request was admitted or refused as it came, so who asked most often got most: in the pure harness an organisation with 0.4 of the capacity got 0% of its requests in time beside one that offered four times it. The virtual time is now the start of what was served last: with that of what is served next, a tie put the new organisation behind and it got 50%.

--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -102,7 +102,7 @@
 			}
 		}
 		grant := func() {
-			for _, ticket := range g.Grant() {
+			for _, ticket := range g.Grant(now, predict) {
 				if _, ok := waiting[ticket.ID]; !ok {
 					t.Fatalf("%s was granted and does not wait", ticket.ID)
 				}
--- a/internal/admit/capacity.go
+++ b/internal/admit/capacity.go
@@ -37,20 +37,20 @@
 // engines. Service is the mean time that a stream holds its place in an
 // engine's batch.
 func Predict(engines []EngineLoad, promptTokens int, service time.Duration) Prediction {
-	best := Prediction{}
+	best := Prediction{Engines: len(engines)}
 	for _, e := range engines {
 		if e.PrefillRate <= 0 {
 			continue
 		}
 		own := seconds(float64(promptTokens) / e.PrefillRate)
 		ahead := seconds(float64(e.PrefillAhead) / e.PrefillRate)
-		p := Prediction{Own: own, FirstToken: own + max(ahead, e.batchWait(service)), Known: true}
+		firstToken := own + max(ahead, e.batchWait(service))
 		if !best.Known {
-			best = p
+			best.Own, best.FirstToken, best.Known = own, firstToken, true
 			continue
 		}
-		best.Own = min(best.Own, p.Own)
-		best.FirstToken = min(best.FirstToken, p.FirstToken)
+		best.Own = min(best.Own, own)
+		best.FirstToken = min(best.FirstToken, firstToken)
 	}
 	return best
 }
--- a/internal/admit/gate.go
+++ b/internal/admit/gate.go
@@ -1,6 +1,9 @@
 package admit
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Rules of a Gate.
 type Rules struct {
@@ -8,6 +11,10 @@
 	MaxQueue int
 	// MaxWait bounds the time in the queue.
 	MaxWait time.Duration
+	// Backlog is how long a request may wait at an engine for its prefill to
+	// begin; while it would be longer, requests wait in the queue, where they
+	// get fair shares. 0 is no bound.
+	Backlog time.Duration
 	// PriorityCredit is the credit of the Queue, in tokens.
 	PriorityCredit float64
 	// Early is false to let through what can't make its deadline, for
@@ -37,6 +44,10 @@
 	limit    int // 0 is none
 	// service is the moving average of the time that an admitted request takes.
 	service time.Duration
+	// admitted is a moving average of the work admitted, in tokens a second,
+	// at admittedAt.
+	admitted   float64
+	admittedAt time.Duration
 }
 
 // NewGate returns a gate without a bound on the requests in flight.
@@ -70,31 +81,31 @@
 	if refusal, late := g.late(t, p, now); late {
 		return Refused, []Refusal{refusal}
 	}
-	if g.room() && g.queue.Len() == 0 {
+	if g.queue.Len() == 0 && g.room(p, 0) {
 		g.queue.Push(t)
 		g.queue.Pop()
-		g.inFlight++
+		g.enter(t, now)
 		return Admitted, nil
 	}
-	if wait := g.wait(); g.rules.Early && now+wait+t.Own > t.Deadline {
+	if wait := g.wait(t, now); g.rules.Early && now+wait+t.Own > t.Deadline {
 		return Refused, []Refusal{{ID: t.ID, Reason: ReasonDeadline, RetryIn: now + wait + t.Own - t.Deadline}}
 	}
 	if g.queue.Len() < g.rules.MaxQueue {
 		g.queue.Push(t)
 		return Queued, nil
 	}
-	return g.displace(t)
+	return g.displace(t, now)
 }
 
 // displace makes room in a full queue for a ticket of a higher priority.
-func (g *Gate) displace(t Ticket) (Decision, []Refusal) {
+func (g *Gate) displace(t Ticket, now time.Duration) (Decision, []Refusal) {
 	lowest, ok := g.queue.Lowest()
 	if !ok || lowest.Priority >= t.Priority {
-		return Refused, []Refusal{{ID: t.ID, Reason: ReasonQueueFull, RetryIn: g.wait()}}
+		return Refused, []Refusal{{ID: t.ID, Reason: ReasonQueueFull, RetryIn: g.wait(t, now)}}
 	}
 	g.queue.Remove(lowest.ID)
 	g.queue.Push(t)
-	return Queued, []Refusal{{ID: lowest.ID, Reason: ReasonQueueFull, RetryIn: g.wait()}}
+	return Queued, []Refusal{{ID: lowest.ID, Reason: ReasonQueueFull, RetryIn: g.wait(lowest, now)}}
 }
 
 // late tells whether a ticket can't make its deadline if it is sent now.
@@ -132,17 +143,36 @@
 func (g *Gate) Leave(id string) bool { return g.queue.Remove(id) }
 
 // Grant admits the waiting tickets that there is room for.
-func (g *Gate) Grant() []Ticket {
+func (g *Gate) Grant(now time.Duration, predict func(Ticket) Prediction) []Ticket {
 	var granted []Ticket
-	for g.room() {
-		t, ok := g.queue.Pop()
-		if !ok {
-			break
+	sent := time.Duration(0) // prefill of those granted, which no picture shows yet
+	for {
+		t, ok := g.queue.Next()
+		if !ok || !g.room(predict(t), sent) {
+			return granted
 		}
-		g.inFlight++
+		g.queue.Pop()
+		g.enter(t, now)
+		sent += t.Own
 		granted = append(granted, t)
 	}
-	return granted
+}
+
+// enter counts a ticket that is admitted.
+func (g *Gate) enter(t Ticket, now time.Duration) {
+	g.inFlight++
+	g.decay(now)
+	g.admitted += t.Work / admittedWindow.Seconds()
+}
+
+// admittedWindow is the time constant of the average of admitted work.
+const admittedWindow = 2 * time.Second
+
+func (g *Gate) decay(now time.Duration) {
+	if now > g.admittedAt {
+		g.admitted *= math.Exp(-(now - g.admittedAt).Seconds() / admittedWindow.Seconds())
+		g.admittedAt = now
+	}
 }
 
 // Review gives up the waiting tickets that can't make their deadline any more,
@@ -168,15 +198,33 @@
 	if now >= t.Deadline-t.Own {
 		reason = ReasonDeadline
 	}
-	return Refusal{ID: t.ID, Reason: reason, RetryIn: g.wait()}
+	return Refusal{ID: t.ID, Reason: reason, RetryIn: g.wait(t, now)}
 }
 
-func (g *Gate) room() bool { return g.limit <= 0 || g.inFlight < g.limit }
+// room tells whether a request may go to an engine now. Sent is prefill that
+// the prediction does not know of. An entry that has nothing in flight may
+// always send one, so that an old picture does not stop it for good.
+func (g *Gate) room(p Prediction, sent time.Duration) bool {
+	if g.inFlight == 0 {
+		return true
+	}
+	if g.limit > 0 && g.inFlight >= g.limit {
+		return false
+	}
+	if g.rules.Backlog == 0 || !p.Known {
+		return true
+	}
+	return p.FirstToken-p.Own+sent/time.Duration(max(1, p.Engines)) <= g.rules.Backlog
+}
 
 // wait predicts how long a ticket that comes now waits in the queue.
-func (g *Gate) wait() time.Duration {
-	if g.limit <= 0 {
+func (g *Gate) wait(t Ticket, now time.Duration) time.Duration {
+	g.decay(now)
+	if g.admitted <= 0 {
 		return 0
 	}
-	return g.service * time.Duration(g.queue.Len()+1) / time.Duration(g.limit)
+	return min(longestWait, seconds(g.queue.Ahead(t)/g.admitted))
 }
+
+// longestWait bounds the predicted waits.
+const longestWait = time.Minute
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -55,18 +56,23 @@
 	q.length++
 }
 
-// Pop takes the next ticket out and charges its work to its organisation.
+// Next returns the ticket that Pop would take out.
+func (q *Queue) Next() (t Ticket, ok bool) {
+	if f := q.next(); f != nil {
+		return f.tickets[0], true
+	}
+	return Ticket{}, false
+}
+
+// Pop takes the next ticket out and charges its work to its organisation. The
+// virtual time becomes the earliest start of those that waited, so that a flow
+// that comes next starts before one that has just been served.
 func (q *Queue) Pop() (t Ticket, ok bool) {
-	if q.length == 0 {
+	best := q.next()
+	if best == nil {
 		return Ticket{}, false
 	}
-	q.advance()
-	var best *flow
-	for _, f := range q.flows {
-		if len(f.tickets) > 0 && (best == nil || q.before(f, best)) {
-			best = f
-		}
-	}
+	q.virtual = max(q.virtual, q.earliest())
 	t = best.tickets[0]
 	best.tickets = slices.Delete(best.tickets, 0, 1)
 	best.start += t.Work / best.share
@@ -75,21 +81,58 @@
 	return t, true
 }
 
-// advance moves the virtual time to the earliest start of a waiting flow.
-func (q *Queue) advance() {
-	earliest, any := 0.0, false
+// next returns the flow whose turn it is, or nil.
+func (q *Queue) next() *flow {
+	earliest := q.earliest()
+	var best *flow
+	for _, f := range q.flows {
+		if len(f.tickets) > 0 && (best == nil || q.before(f, best, earliest)) {
+			best = f
+		}
+	}
+	return best
+}
+
+// earliest is the earliest start of the waiting flows.
+func (q *Queue) earliest() float64 {
+	earliest := math.Inf(1)
 	for _, f := range q.flows {
-		if len(f.tickets) > 0 && (!any || f.start < earliest) {
-			earliest, any = f.start, true
+		if len(f.tickets) > 0 {
+			earliest = min(earliest, f.start)
 		}
 	}
-	if any {
-		q.virtual = max(q.virtual, earliest)
+	return earliest
+}
+
+// Ahead returns the work that is served before a ticket that comes now is, by
+// the fair shares: its organisation's own waiting work, and what the others
+// get meanwhile.
+func (q *Queue) Ahead(t Ticket) float64 {
+	own, shares, others := 0.0, t.share(), 0.0
+	for name, f := range q.flows {
+		waiting := f.work()
+		switch {
+		case name == t.Organisation:
+			own = waiting + max(0, f.start-q.virtual)*f.share
+		case waiting > 0:
+			shares += f.share
+			others += waiting
+		}
+	}
+	return own + min(others, (own+t.Work)*(shares-t.share())/t.share())
+}
+
+// work is what waits in the flow, in tokens.
+func (f *flow) work() float64 {
+	total := 0.0
+	for _, t := range f.tickets {
+		total += t.Work
 	}
+	return total
 }
 
-func (q *Queue) before(a, b *flow) bool {
-	if pa, pb := q.priority(a), q.priority(b); pa != pb {
+func (q *Queue) before(a, b *flow, earliest float64) bool {
+	if pa, pb := q.priority(a, earliest), q.priority(b, earliest); pa != pb {
 		return pa > pb
 	}
 	if a.start != b.start {
@@ -99,9 +142,9 @@
 }
 
 // priority is that of the flow's next ticket, as far as its share allows.
-func (q *Queue) priority(f *flow) int {
+func (q *Queue) priority(f *flow, earliest float64) int {
 	priority := f.tickets[0].Priority
-	if priority > 0 && f.start-q.virtual > q.credit/f.share {
+	if priority > 0 && f.start-earliest > q.credit/f.share {
 		return 0
 	}
 	return priority
--- a/internal/admit/ticket.go
+++ b/internal/admit/ticket.go
@@ -46,6 +46,8 @@
 	FirstToken time.Duration
 	// Own is that time on an idle engine.
 	Own time.Duration
+	// Engines is the number of engines that the request could go to.
+	Engines int
 	// Known is false when no engine has reported yet.
 	Known bool
 }
--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -191,7 +191,7 @@
 	defer a.mu.Unlock()
 	g := a.gateOf(comp.name)
 	g.gate.Done(now - comp.admitted)
-	g.grant()
+	a.grant(g, now)
 }
 
 // reviewLoop calls review now and then until the context ends.
@@ -221,13 +221,11 @@
 			loads := a.server.state.engineLoads(&route.Request{Model: name, Now: now})
 			g.gate.SetLimit(admit.Concurrency(loads, g.gate.InFlight(), a.entries))
 		}
-		refusals := g.gate.Review(now, func(t admit.Ticket) admit.Prediction {
-			return a.predict(g.waiting[t.ID].comp, g)
-		})
+		refusals := g.gate.Review(now, a.predictor(g))
 		for _, r := range refusals {
 			g.tell(r.ID, &r)
 		}
-		g.grant()
+		a.grant(g, now)
 		inFlight += g.gate.InFlight()
 		waiting += g.gate.Waiting()
 		limit += g.gate.Limit()
@@ -251,7 +249,8 @@
 	if !ok {
 		rules := admit.Rules{
 			MaxQueue: a.settings.MaxQueue, MaxWait: a.settings.MaxWait,
-			PriorityCredit: float64(a.settings.PriorityCredit), Early: a.settings.EarlyRefusal,
+			Backlog: a.settings.Backlog, PriorityCredit: float64(a.settings.PriorityCredit),
+			Early: a.settings.EarlyRefusal,
 		}
 		g = &modelGate{gate: admit.NewGate(rules), waiting: map[string]*waiter{}}
 		a.gates[model] = g
@@ -270,7 +269,7 @@
 func (a *admission) ticket(comp *completion, p admit.Prediction, now time.Duration) admit.Ticket {
 	deadline := comp.deadline
 	if deadline == 0 {
-		deadline = p.Own + time.Duration(a.settings.Slack*float64(a.settings.FirstToken))
+		deadline = max(2*p.Own, time.Duration(a.settings.Slack*float64(a.settings.FirstToken)))
 	}
 	return admit.Ticket{
 		ID: comp.id, Organisation: comp.organisation.Name, Share: comp.organisation.Share,
@@ -279,9 +278,16 @@
 	}
 }
 
+// predictor predicts for those who wait at a gate. The lock is held.
+func (a *admission) predictor(g *modelGate) func(admit.Ticket) admit.Prediction {
+	return func(t admit.Ticket) admit.Prediction {
+		return a.predict(g.waiting[t.ID].comp, g)
+	}
+}
+
 // grant tells those whom the gate admits. The lock is held.
-func (g *modelGate) grant() {
-	for _, t := range g.gate.Grant() {
+func (a *admission) grant(g *modelGate, now time.Duration) {
+	for _, t := range g.gate.Grant(now, a.predictor(g)) {
 		g.tell(t.ID, nil)
 	}
 }
--- a/internal/entry/overload_bench_test.go
+++ b/internal/entry/overload_bench_test.go
@@ -138,6 +138,7 @@
 const unguarded = `[admission]
 early_refusal = false
 limit_concurrency = false
+backlog = "0s"
 [retry]
 budget_floor = 1e9
 budget_max = 1e9
@@ -177,7 +178,7 @@
 // under callers that ask again up to four times.
 func BenchmarkRetryStorm(b *testing.B) {
 	noBudget := "[retry]\nbudget_floor = 1e9\nbudget_max = 1e9\n"
-	noEarly := "[admission]\nearly_refusal = false\nlimit_concurrency = false\n"
+	noEarly := "[admission]\nearly_refusal = false\nlimit_concurrency = false\nbacklog = \"0s\"\n"
 	for _, mode := range []struct {
 		name, tables string
 		obey         bool
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -80,7 +80,7 @@
 	reporting, stopReports := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopReports()
 	go s.reportLoop(reporting)
-	go s.admission.reviewLoop(reporting, s.settings.Engine.ReportEvery)
+	go s.admission.reviewLoop(reporting, s.settings.Admission.ReviewEvery)
 	s.log.Info("entry: started", "listen", s.settings.Listen)
 	select {
 	case err := <-failed:
