Measure the limits of small organisations too

A limit of 5 requests a second over 50 entries with even traffic lets 56% too much through in 90 s, of which 24 points come from the smallest bucket of 4 alone; at 9 entries 6.4%. Tried and taken back: a demand window of at least two requests of an equal part, at most 10 s. It halves the excess at 50 even entries (+31.9%), but with traffic that moves it refuses 30% in place of 10% below the limit there, and 17.6% in place of 9.1% at 9 entries, the size of today.

--- a/internal/entry/overload_bench_test.go
+++ b/internal/entry/overload_bench_test.go
@@ -174,24 +174,33 @@
 	}
 }
 
-// BenchmarkRetryStorm slows half of four engines down from second 10 to 20,
-// under callers that ask again up to four times.
+// Times of the retry storm.
+const (
+	stormFrom = 6 * time.Second
+	stormTo   = 14 * time.Second
+	stormEnd  = 24 * time.Second
+)
+
+// BenchmarkRetryStorm takes half of four engines away for a while, under
+// callers that ask again up to four times: slowed to an eighth, refusing, or
+// crashing each second.
 func BenchmarkRetryStorm(b *testing.B) {
 	noBudget := "[retry]\nbudget_floor = 1e9\nbudget_max = 1e9\n"
-	noEarly := "[admission]\nearly_refusal = false\nlimit_concurrency = false\nbacklog = \"0s\"\n"
+	slow, refuse, crash := standin.EngineFaults{SlowFactor: 8}, standin.EngineFaults{Refuse: true}, standin.EngineFaults{Crash: true}
 	for _, mode := range []struct {
 		name, tables string
 		obey         bool
 		faults       standin.EngineFaults
 	}{
-		{"slow/all-guards", "", false, standin.EngineFaults{SlowFactor: 8}},
-		{"slow/all-guards/callers-obey", "", true, standin.EngineFaults{SlowFactor: 8}},
-		{"slow/no-budget", noBudget, false, standin.EngineFaults{SlowFactor: 8}},
-		{"slow/no-early-refusal", noEarly, false, standin.EngineFaults{SlowFactor: 8}},
-		{"slow/none", unguarded, false, standin.EngineFaults{SlowFactor: 8}},
-		{"refuse/all-guards", "", false, standin.EngineFaults{Refuse: true}},
-		{"refuse/no-budget", noBudget, false, standin.EngineFaults{Refuse: true}},
-		{"refuse/none", unguarded, false, standin.EngineFaults{Refuse: true}},
+		{"crash/all-guards", "", false, crash},
+		{"crash/no-budget", noBudget, false, crash},
+		{"crash/none", unguarded, false, crash},
+		{"refuse/all-guards", "", false, refuse},
+		{"refuse/no-budget", noBudget, false, refuse},
+		{"refuse/none", unguarded, false, refuse},
+		{"slow/all-guards", "", false, slow},
+		{"slow/all-guards/callers-obey", "", true, slow},
+		{"slow/none", unguarded, false, slow},
 	} {
 		b.Run(mode.name, func(b *testing.B) {
 			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
@@ -200,34 +209,44 @@
 				instances: 2, engines: 4, entryTables: mode.tables,
 				engineFlags: []string{"--prefill-rate", "4000", "--decode-rate", "100"},
 			})
-			load := arrivals{rate: 24, length: 30 * time.Second, attempts: 5, patience: time.Second, obey: mode.obey, prompt: 500, answer: 20}
+			load := arrivals{rate: 24, length: stormEnd, attempts: 5, patience: time.Second, obey: mode.obey, prompt: 500, answer: 20}
 			for b.Loop() {
 				records := load.run(ctx, fleet, 5, func(second int) {
-					faults := standin.EngineFaults{}
-					if second >= 10 && second < 20 {
-						faults = mode.faults
+					at := time.Duration(second) * time.Second
+					if at < stormFrom || at > stormTo {
+						return
 					}
-					if second == 10 || second == 20 {
-						setFaults(ctx, b, fleet.Engines[0], faults)
-						setFaults(ctx, b, fleet.Engines[1], faults)
+					faults := mode.faults
+					if at == stormTo {
+						faults = standin.EngineFaults{}
 					}
+					setFaults(ctx, b, fleet.Engines[0], faults)
+					setFaults(ctx, b, fleet.Engines[1], faults)
 				})
-				attempts := 0
-				for _, r := range records {
-					attempts += r.attempts
-				}
-				const s = time.Second
-				b.ReportMetric(good(records, 0, 10*s, s), "before/s")
-				b.ReportMetric(good(records, 10*s, 20*s, s), "during/s")
-				b.ReportMetric(good(records, 20*s, 23*s, s), "after-3s/s")
-				b.ReportMetric(good(records, 23*s, 30*s, s), "after/s")
-				b.ReportMetric(float64(attempts)/float64(len(records)), "attempts")
-				b.ReportMetric(float64(retriesOf(b, fleet)), "entry-retries")
+				reportStorm(b, fleet, records)
 			}
 		})
 	}
 }
 
+func reportStorm(b *testing.B, fleet *testfleet.Fleet, records []record) {
+	attempts, never := 0, 0
+	for _, r := range records {
+		attempts += r.attempts
+		if !r.whole {
+			never++
+		}
+	}
+	const within = time.Second
+	b.ReportMetric(good(records, 0, stormFrom, within), "before/s")
+	b.ReportMetric(good(records, stormFrom, stormTo, within), "during/s")
+	b.ReportMetric(good(records, stormTo, stormTo+3*time.Second, within), "after-3s/s")
+	b.ReportMetric(good(records, stormTo+3*time.Second, stormEnd, within), "after/s")
+	b.ReportMetric(float64(attempts)/float64(len(records)), "attempts")
+	b.ReportMetric(float64(never)/float64(len(records)), "never-whole")
+	b.ReportMetric(float64(retriesOf(b, fleet)), "entry-retries")
+}
+
 func retriesOf(b *testing.B, fleet *testfleet.Fleet) int {
 	total := 0
 	for _, i := range fleet.Instances {
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -152,21 +152,24 @@
 // admission.md, and bounds that of the way that is used. It is seeded.
 func TestLimitErrorTable(t *testing.T) {
 	const length = 90 * time.Second
-	rule := Rule{Rate: 100, Burst: 100}
-	for _, s := range []struct {
+	splits := []struct {
 		name  string
 		split split
-	}{{"even", even}, {"skewed", skewed}, {"moving", moving}} {
-		for _, n := range []int{3, 9, 50} {
-			for _, w := range ways {
-				over := drive(n, w, s.split, rule, 2*rule.Rate, length, 7)
-				under := drive(n, w, s.split, rule, 0.8*rule.Rate, length, 7)
-				configured := rule.Burst + rule.Rate*length.Seconds()
-				excess := float64(over.admitted)/configured - 1
-				refused := 1 - float64(under.admitted)/float64(under.offered)
-				t.Logf("%-7s n=%-2d %-16s error at 2x %+6.1f%%   refused at 0.8x %5.1f%%", s.name, n, w.name, 100*excess, 100*refused)
-				if w.name == chosen && (excess > 0.03 || excess < -0.15 || refused > 0.15) {
-					t.Errorf("%s n=%d: error %+.3f, refused below the limit %.3f", s.name, n, excess, refused)
+	}{{"even", even}, {"skewed", skewed}, {"moving", moving}}
+	for _, rule := range []Rule{{Rate: 100, Burst: 100}, {Rate: 5, Burst: 5}} {
+		for _, s := range splits {
+			for _, n := range []int{3, 9, 50} {
+				for _, w := range ways {
+					over := drive(n, w, s.split, rule, 2*rule.Rate, length, 7)
+					under := drive(n, w, s.split, rule, 0.8*rule.Rate, length, 7)
+					configured := rule.Burst + rule.Rate*length.Seconds()
+					excess := float64(over.admitted)/configured - 1
+					refused := 1 - float64(under.admitted)/float64(under.offered)
+					t.Logf("rate %3.0f %-7s n=%-2d %-16s error at 2x %+6.1f%%   refused at 0.8x %5.1f%%",
+						rule.Rate, s.name, n, w.name, 100*excess, 100*refused)
+					if w.name == chosen && rule.Rate == 100 && (excess > 0.03 || excess < -0.15 || refused > 0.15) {
+						t.Errorf("%s n=%d: error %+.3f, refused below the limit %.3f", s.name, n, excess, refused)
+					}
 				}
 			}
 		}
