--- a/cmd/sf-standin/main.go
+++ b/cmd/sf-standin/main.go
@@ -1,5 +1,5 @@
-// Command sf-standin stands in for the platform, an engine or a plain service
-// in tests, load runs and the demo.
+// Command sf-standin stands in for the platform, engines or a plain service in
+// tests, load runs and the demo.
 package main
 
 import (
@@ -15,56 +15,72 @@
 )
 
 func main() {
-	app := kingpin.New("sf-standin", "Stand in for the platform, an engine or a plain service.")
+	if err := run(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "sf-standin:", err)
+		os.Exit(1)
+	}
+}
+
+func run(args []string) error {
+	app := kingpin.New("sf-standin", "Stand in for the platform, engines or a plain service.")
 	listen := app.Flag("listen", "Address to listen on.").Required().String()
 
 	platformCmd := app.Command("platform", "The platform's service.")
 	weightRate := platformCmd.Flag("weight-rate", "Weight store's bytes a second.").Default("1e9").Float64()
 
 	engineCmd := app.Command("engine", "A model engine.")
+	engineID := engineCmd.Flag("id", "Name.").Required().String()
 	options := engineFlags(engineCmd)
 
+	enginesCmd := app.Command("engines", "Several model engines in one process, on ports that follow each other.")
+	ids := enginesCmd.Flag("id", "Name; repeat for more.").Required().Strings()
+	manyOptions := engineFlags(enginesCmd)
+
 	serviceCmd := app.Command("service", "A plain service.")
 	serviceID := serviceCmd.Flag("id", "Name.").Required().String()
 
-	var handler http.Handler
-	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
+	switch kingpin.MustParse(app.Parse(args)) {
 	case platformCmd.FullCommand():
-		handler = standin.NewPlatform(*weightRate).Handler()
+		return serve(*listen, standin.NewPlatform(*weightRate).Handler())
 	case engineCmd.FullCommand():
-		handler = standin.NewEngine(options()).Handler()
-	case serviceCmd.FullCommand():
-		handler = standin.NewService(*serviceID).Handler()
-	}
-	server := &http.Server{Addr: *listen, Handler: handler, ReadHeaderTimeout: 10 * time.Second}
-	if err := server.ListenAndServe(); err != nil {
-		fmt.Fprintln(os.Stderr, "sf-standin:", err)
-		os.Exit(1)
+		return serve(*listen, standin.NewEngine(options(*engineID)).Handler())
+	case enginesCmd.FullCommand():
+		return standin.ServeEngines(*listen, *ids, manyOptions)
+	default:
+		return serve(*listen, standin.NewService(*serviceID).Handler())
 	}
 }
 
+func serve(address string, handler http.Handler) error {
+	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	return server.ListenAndServe()
+}
+
 // engineFlags adds the flags of an engine; call the result after parsing.
-func engineFlags(cmd *kingpin.CmdClause) func() standin.EngineOptions {
-	id := cmd.Flag("id", "Name.").Required().String()
+func engineFlags(cmd *kingpin.CmdClause) func(id string) standin.EngineOptions {
 	model := cmd.Flag("model", "Model loaded at start.").String()
 	version := cmd.Flag("model-version", "Version loaded at start.").String()
 	adapters := cmd.Flag("adapter", "Adapter loaded at start.").Strings()
 	role := cmd.Flag("role", "Role at start.").Default("mixed").String()
 	fencing := cmd.Flag("fencing", "Refuse or ignore old fencing numbers.").Default("refuse").Enum("refuse", "ignore")
 	prefill := cmd.Flag("prefill-rate", "Prompt tokens a second.").Default("8000").Float64()
-	decode := cmd.Flag("decode-rate", "Tokens a second of one stream.").Default("50").Float64()
+	budget := cmd.Flag("prefill-budget", "Prompt tokens in one step of the batch.").Default("512").Int()
+	decode := cmd.Flag("decode-rate", "Tokens a second of one stream alone in the batch.").Default("50").Float64()
+	perStream := cmd.Flag("step-per-stream", "What each further stream adds to a step.").Default("200us").Duration()
 	running := cmd.Flag("max-running", "Streams in the batch.").Default("32").Int()
 	blocks := cmd.Flag("kv-blocks", "Pieces of KV memory.").Default("4000").Int()
 	blockTokens := cmd.Flag("block-tokens", "Tokens in a piece.").Default("16").Int()
+	lag := cmd.Flag("report-lag", "Age of load reports.").Default("0s").Duration()
 	change := cmd.Flag("change-time", "Time of a disruptive order.").Default("2s").Duration()
 	load := cmd.Flag("load-time", "Time to load adapters.").Default("500ms").Duration()
-	return func() standin.EngineOptions {
+	return func(id string) standin.EngineOptions {
 		return standin.EngineOptions{
-			ID:      *id,
+			ID:      id,
 			Initial: config.EngineState{Model: *model, Version: *version, Adapters: *adapters, Role: config.Role(*role)},
-			Fencing: config.Fencing(*fencing), PrefillRate: *prefill, DecodeRate: *decode,
+			Fencing: config.Fencing(*fencing), PrefillRate: *prefill, PrefillBudget: *budget,
+			DecodeRate: *decode, StepPerStream: *perStream,
 			MaxRunning: *running, KVBlocks: *blocks, BlockTokens: *blockTokens,
-			ChangeTime: *change, LoadTime: *load,
+			ReportLag: *lag, ChangeTime: *change, LoadTime: *load,
 		}
 	}
 }
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -27,6 +27,13 @@
 	PathImport      = "/kv/import"
 )
 
+// Headers of the answer to a Generate call: the engine's boot, and its count
+// Report.Accepted at this request.
+const (
+	HeaderBoot     = "X-Boot"
+	HeaderAccepted = "X-Accepted"
+)
+
 // maxReplyBytes bounds what is read of one reply that is no stream.
 const maxReplyBytes = 8 << 20
 
@@ -65,7 +72,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &stream{body: res.Body, decoder: json.NewDecoder(res.Body)}, nil
+	number, _ := strconv.ParseInt(res.Header.Get(HeaderAccepted), 10, 64) // an engine may give none
+	return &stream{
+		body: res.Body, decoder: json.NewDecoder(res.Body),
+		boot: res.Header.Get(HeaderBoot), number: number,
+	}, nil
 }
 
 // Cancel implements Engine.
@@ -183,6 +194,13 @@
 	body    io.ReadCloser
 	decoder *json.Decoder
 	done    bool
+	boot    string
+	number  int64
+}
+
+// Accepted implements Numbered.
+func (s *stream) Accepted() (boot string, number int64) {
+	return s.boot, s.number
 }
 
 func (s *stream) Next() (Piece, error) {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -175,3 +175,10 @@
 	// Close leaves the stream. It does not cancel it.
 	Close() error
 }
+
+// Numbered is a Stream of an engine that numbers the requests it takes.
+type Numbered interface {
+	// Accepted returns the engine's boot and the value of its count
+	// Report.Accepted at this request; an empty boot when it gave none.
+	Accepted() (boot string, number int64)
+}
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -98,7 +98,14 @@
 }
 
 func (s *Server) placement(comp *completion) load.Placement {
-	return load.Placement{ID: comp.id, PrefillTokens: comp.promptTokens, At: s.now()}
+	p := load.Placement{
+		ID: comp.id, PrefillTokens: comp.promptTokens, At: s.now(),
+		Blocks: (comp.promptTokens + comp.maxTokens + engine.BlockTokens - 1) / engine.BlockTokens,
+	}
+	if s.settings.Routing.Policy.Hints() {
+		p.Prefix = engine.BlockHashes(comp.prompt, engine.BlockTokens, prefixBlocksAtMost)
+	}
+	return p
 }
 
 // attach goes on with a stream that an engine still holds.
@@ -122,20 +129,23 @@
 	source, err := client.Generate(ctx, comp.engineRequest(assembler.Next(), attach))
 	if err != nil {
 		if !errors.Is(err, engine.ErrNotRun) && !errors.Is(err, engine.ErrNoStream) {
-			s.state.failed(chosen.ID, s.now())
+			s.upstreamFailed(chosen.ID)
 		}
 		return err
 	}
 	defer source.Close()
+	s.engineAccepted(chosen.ID, comp.id, source)
 	err = s.forward(chosen.ID, source, comp, assembler, out)
 	if errors.Is(err, errCallerGone) || ctx.Err() != nil {
 		s.cancel(ctx, client, comp.id)
 		return errCallerGone
 	}
 	if err != nil {
-		s.state.failed(chosen.ID, s.now())
+		s.upstreamFailed(chosen.ID)
+		return err
 	}
-	return err
+	s.state.succeeded(chosen.ID)
+	return nil
 }
 
 func (c *completion) engineRequest(from int, attach bool) engine.Request {
@@ -148,11 +158,14 @@
 
 // forward brings pieces from an engine to the sink until the last one.
 func (s *Server) forward(engineID string, source engine.Stream, comp *completion, assembler *stream.Assembler, out sink) error {
-	for !assembler.Done() {
+	for first := true; !assembler.Done(); first = false {
 		piece, err := source.Next()
 		if err != nil {
 			return err
 		}
+		if first {
+			s.state.started(engineID, comp.id)
+		}
 		ready, ok := assembler.Add(piece)
 		if !ok {
 			return errors.WithMessage(engine.ErrBroken, "pieces too far out of order")
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 
+	"github.com/google/uuid"
 	"github.com/labstack/echo/v5"
 	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel/attribute"
@@ -118,39 +119,24 @@
 
 // callOnce sends a call to one upstream, which it adds to excluded.
 func (s *Server) callOnce(ctx context.Context, svc *config.Service, call service.Call, excluded map[string]bool) (service.Answer, error) {
-	upstream := s.state.pickUpstream(svc, excluded)
-	if upstream == nil {
+	request := uuid.NewString()
+	upstream, ok := s.state.placeCall(svc, request, excluded, s.now())
+	if !ok {
 		return service.Answer{}, errors.WithMessage(service.ErrNotRun, "no upstream is left")
 	}
+	id := servicePrefix + upstream.ID
+	defer s.state.end(id, request)
 	excluded[upstream.ID] = true
 	ctx, span := tracer().Start(ctx, "service call", trace.WithAttributes(attribute.String("upstream", upstream.ID)))
 	defer span.End()
-	return s.serviceAt(upstream.Address).Do(ctx, call)
-}
-
-// pickUpstream chooses an upstream of a service at random, those of the same
-// zone first.
-func (s *state) pickUpstream(svc *config.Service, excluded map[string]bool) *config.ServiceUpstream {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var near, far []*config.ServiceUpstream
-	for i := range svc.Upstreams {
-		u := &svc.Upstreams[i]
-		switch {
-		case u.Leave || s.leaving[u.ID] || excluded[u.ID]:
-		case u.Zone == s.zone:
-			near = append(near, u)
-		default:
-			far = append(far, u)
-		}
-	}
-	if len(near) == 0 {
-		near = far
-	}
-	if len(near) == 0 {
-		return nil
+	answer, err := s.serviceAt(upstream.Address).Do(ctx, call)
+	switch {
+	case err == nil:
+		s.state.succeeded(id)
+	case ctx.Err() == nil:
+		s.upstreamFailed(id)
 	}
-	return near[s.rng.IntN(len(near))]
+	return answer, err
 }
 
 // callRefusal turns an error of a call into the answer to the caller.
--- /dev/null
+++ b/internal/entry/routing.go
@@ -0,0 +1,215 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"sassafrasfield/internal/config"
+	"sassafrasfield/internal/engine"
+	"sassafrasfield/internal/load"
+	"sassafrasfield/internal/route"
+)
+
+// servicePrefix keeps the ids of plain services' upstreams apart from those of
+// engines in the table.
+const servicePrefix = "service/"
+
+// prefixBlocksAtMost bounds the blocks of a prompt that are hashed for prefix
+// hints.
+const prefixBlocksAtMost = 1024
+
+// routeMeters count what routing did.
+type routeMeters struct {
+	ejections     metrics.Counter
+	reports       metrics.Counter
+	reportsFailed metrics.Counter
+	hintedTokens  metrics.Counter
+	charges       metrics.Gauge
+}
+
+func newRouteMeters(registry metrics.Registry) *routeMeters {
+	return &routeMeters{
+		ejections:     metrics.GetOrRegisterCounter("route.ejections", registry),
+		reports:       metrics.GetOrRegisterCounter("route.reports", registry),
+		reportsFailed: metrics.GetOrRegisterCounter("route.reports_failed", registry),
+		hintedTokens:  metrics.GetOrRegisterCounter("route.hinted_tokens", registry),
+		charges:       metrics.GetOrRegisterGauge("route.charges", registry),
+	}
+}
+
+// subset returns the engines that this entry looks at.
+func (s *state) subset(doc *config.Config) []*config.Engine {
+	pools := map[string][]string{}
+	for i := range doc.Engines {
+		pool := doc.Engines[i].Pool
+		pools[pool] = append(pools[pool], doc.Engines[i].ID)
+	}
+	seen := map[string]bool{}
+	for _, ids := range pools {
+		for _, id := range load.Subset(s.instance, ids, s.routing.Subset) {
+			seen[id] = true
+		}
+	}
+	var engines []*config.Engine
+	for i := range doc.Engines {
+		if seen[doc.Engines[i].ID] {
+			engines = append(engines, &doc.Engines[i])
+		}
+	}
+	return engines
+}
+
+// retain forgets the upstreams that the configuration has no more.
+func (s *state) retain(doc *config.Config) {
+	keep := map[string]bool{}
+	for i := range doc.Engines {
+		keep[doc.Engines[i].ID] = true
+	}
+	for i := range doc.Services {
+		for _, u := range doc.Services[i].Upstreams {
+			keep[servicePrefix+u.ID] = true
+		}
+	}
+	s.table.Retain(keep)
+}
+
+// watched are the engines that this entry reads reports of.
+func (s *state) watched() []*config.Engine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.engines
+}
+
+// candidates are the engines that a request may be placed on, with their
+// pictures. The lock is held.
+func (s *state) candidates(now time.Duration) []route.Candidate {
+	candidates := make([]route.Candidate, 0, len(s.engines))
+	for _, e := range s.engines {
+		candidates = append(candidates, route.Candidate{
+			ID: e.ID, Zone: e.Zone, Leave: e.Leave, Engine: e,
+			Load: s.table.Engine(e.ID), Silent: s.table.Silent(e.ID, now),
+		})
+	}
+	return candidates
+}
+
+// place picks an engine for a request and charges it. The engine's entry of
+// the configuration is read-only.
+func (s *state) place(req *route.Request, p load.Placement) (*config.Engine, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Expire(p.At)
+	req.Zone, req.Leaving, req.Now = s.zone, s.leaving, p.At
+	req.Blocks, req.Prefix = p.Blocks, p.Prefix
+	chosen, ok := s.scheduler.Schedule(req, s.candidates(p.At), s.rng)
+	if !ok {
+		return nil, false
+	}
+	cached := route.CachedTokens(req, chosen)
+	p.PrefillTokens -= cached
+	s.meters.hintedTokens.Inc(int64(cached))
+	s.table.Place(chosen.ID, p)
+	return chosen.Engine, true
+}
+
+// placeOn charges a request to the engine that runs its stream already.
+func (s *state) placeOn(id string, p load.Placement) (*config.Engine, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.doc.Engine(id)
+	if e == nil || e.Routing == config.RoutingOut {
+		return nil, false
+	}
+	s.table.Place(id, p)
+	return e, true
+}
+
+// placeCall picks an upstream of a plain service and counts the call on it.
+func (s *state) placeCall(svc *config.Service, request string, excluded map[string]bool, now time.Duration) (*config.ServiceUpstream, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	candidates := make([]route.Candidate, 0, len(svc.Upstreams))
+	for _, u := range svc.Upstreams {
+		candidates = append(candidates, route.Candidate{
+			ID: u.ID, Zone: u.Zone, Leave: u.Leave, Load: s.table.Engine(servicePrefix + u.ID),
+		})
+	}
+	req := &route.Request{Zone: s.zone, Excluded: excluded, Leaving: s.leaving, Now: now}
+	chosen, ok := s.services.Schedule(req, candidates, s.rng)
+	if !ok {
+		return nil, false
+	}
+	s.table.Place(servicePrefix+chosen.ID, load.Placement{ID: request, At: now})
+	for i := range svc.Upstreams {
+		if svc.Upstreams[i].ID == chosen.ID {
+			return &svc.Upstreams[i], true
+		}
+	}
+	return nil, false
+}
+
+// end takes a request off an upstream.
+func (s *state) end(id, request string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.End(id, request)
+}
+
+// accepted records the engine's number for a request.
+func (s *state) accepted(id, request string, a load.Acceptance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Accepted(id, request, a)
+}
+
+// started records the first token of a request.
+func (s *state) started(id, request string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Started(id, request)
+}
+
+// failed records a failed call and reports whether the upstream is ejected.
+func (s *state) failed(id string, now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Failed(id, now)
+}
+
+// succeeded records a call that went well.
+func (s *state) succeeded(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Succeeded(id)
+}
+
+func (s *state) reported(id string, report engine.Report, now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Reported(id, report, now)
+}
+
+func (s *state) cacheEvents(id string, events engine.CacheEvents) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.CacheEvents(id, events)
+}
+
+// eventsAfter is the sequence number up to which cache events are known.
+func (s *state) eventsAfter(id string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Engine(id).Prefixes.After()
+}
+
+// charges counts the placements that no report accounts for.
+func (s *state) charges() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	total := 0
+	for _, e := range s.engines {
+		total += s.table.Engine(e.ID).Charges()
+	}
+	return total
+}
--- /dev/null
+++ b/internal/entry/routing_settings.go
@@ -0,0 +1,72 @@
+package entry
+
+import (
+	"slices"
+	"time"
+
+	"sassafrasfield/internal/load"
+	"sassafrasfield/internal/route"
+	"sassafrasfield/internal/settings"
+	"sassafrasfield/internal/tomlfile"
+)
+
+// RoutingSettings choose how an upstream is picked; docs/operate/routing.md
+// says what to look at. The defaults follow docs/measurements/routing.md.
+type RoutingSettings struct {
+	// Policy is the picture of the load that is routed by: "round-robin",
+	// "report", "local", "charge" or "charge-prefix". Default charge-prefix.
+	Policy route.Policy `toml:"policy"`
+	// Pick is the choice among scored engines: "best", "near-best" or
+	// "two-choices". Default near-best.
+	Pick route.Pick `toml:"pick"`
+	// Subset is how many engines of each pool this entry looks at and routes
+	// to; 0 means all. Default 0.
+	Subset int `toml:"subset"`
+	// ChargeFor bounds the time that a placement is charged when no report
+	// accounts for it. Longer than the lag of reports. Default 15s.
+	ChargeFor time.Duration `toml:"charge_for"`
+	// EventsEvery is the time between reads of an engine's cache events, for
+	// charge-prefix. Default 500ms.
+	EventsEvery time.Duration `toml:"events_every"`
+	// Failures in a row that eject an upstream. Default 2.
+	Failures int `toml:"failures"`
+	// EjectFor is the first ejection's time; it doubles up to EjectAtMost.
+	// Defaults 2s and 30s.
+	EjectFor    time.Duration `toml:"eject_for"`
+	EjectAtMost time.Duration `toml:"eject_at_most"`
+	// SilentFor is how long an engine may go without a new report before it
+	// gets no new work. Default 2s.
+	SilentFor time.Duration `toml:"silent_for"`
+}
+
+func defaultRouting() RoutingSettings {
+	rules := load.DefaultOutlierRules()
+	return RoutingSettings{
+		Policy: route.PolicyChargePrefix, Pick: route.PickNearBest, ChargeFor: load.DefaultChargeFor,
+		EventsEvery: 500 * time.Millisecond, Failures: rules.Failures,
+		EjectFor: rules.EjectFor, EjectAtMost: rules.EjectAtMost, SilentFor: rules.SilentFor,
+	}
+}
+
+func (r RoutingSettings) outliers() load.OutlierRules {
+	rules := load.DefaultOutlierRules()
+	rules.Failures, rules.SilentFor = r.Failures, r.SilentFor
+	rules.EjectFor, rules.EjectAtMost = r.EjectFor, r.EjectAtMost
+	return rules
+}
+
+func (r RoutingSettings) check(file *tomlfile.File) {
+	if !slices.Contains(route.Policies(), r.Policy) {
+		file.Add("routing.policy", "want one of %v, not %q", route.Policies(), r.Policy)
+	}
+	if !slices.Contains(route.Picks(), r.Pick) {
+		file.Add("routing.pick", "want one of %v, not %q", route.Picks(), r.Pick)
+	}
+	settings.IntBetween(file, "routing.subset", r.Subset, 0, 100000)
+	settings.Between(file, "routing.charge_for", r.ChargeFor, 100*time.Millisecond, 10*time.Minute)
+	settings.Between(file, "routing.events_every", r.EventsEvery, 10*time.Millisecond, time.Minute)
+	settings.IntBetween(file, "routing.failures", r.Failures, 1, 100)
+	settings.Between(file, "routing.eject_for", r.EjectFor, 10*time.Millisecond, 10*time.Minute)
+	settings.Between(file, "routing.eject_at_most", r.EjectAtMost, r.EjectFor, time.Hour)
+	settings.Between(file, "routing.silent_for", r.SilentFor, 10*time.Millisecond, 10*time.Minute)
+}
--- /dev/null
+++ b/internal/entry/routing_test.go
@@ -0,0 +1,123 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"sassafrasfield/internal/config"
+	"sassafrasfield/internal/engine"
+	"sassafrasfield/internal/load"
+	"sassafrasfield/internal/route"
+	"sassafrasfield/internal/testfleet"
+)
+
+// routingState is a state with two engines and a service with two upstreams.
+func routingState(change func(*Settings)) *state {
+	settings := DefaultSettings()
+	settings.Instance, settings.Zone = "inst-1", "hall-a"
+	if change != nil {
+		change(settings)
+	}
+	s := newState(settings)
+	loaded := config.EngineState{Model: "m", Version: "1", Role: config.RoleMixed}
+	s.apply(&config.Config{
+		Version: 1,
+		Engines: []config.Engine{
+			{ID: "e1", Pool: "p", Routing: config.RoutingServing, Loaded: loaded},
+			{ID: "e2", Pool: "p", Routing: config.RoutingServing, Loaded: loaded},
+		},
+		Services: []config.Service{{Name: "s", Prefix: "/s", Upstreams: []config.ServiceUpstream{
+			{ID: "near", Zone: "hall-a"}, {ID: "far", Zone: "hall-b"},
+		}}},
+	}, nil, time.Second)
+	return s
+}
+
+func TestLeavingEngineGetsNoWorkFromTheApplyOn(t *testing.T) {
+	s := routingState(nil)
+	s.apply(nil, []string{"e1"}, time.Second)
+	for range 50 {
+		e, ok := s.place(&route.Request{Model: "m"}, load.Placement{ID: "r", At: time.Second})
+		if !ok || e.ID != "e2" {
+			t.Fatalf("placed on %v", e)
+		}
+	}
+	s.apply(nil, []string{"e1", "e2"}, time.Second)
+	if _, ok := s.place(&route.Request{Model: "m"}, load.Placement{ID: "r", At: time.Second}); ok {
+		t.Fatal("placed on an engine that leaves")
+	}
+}
+
+func TestPlainCallsPreferTheZoneAndTheLessBusy(t *testing.T) {
+	s := routingState(nil)
+	svc := &s.config().Services[0]
+	place := func(request string) string {
+		u, ok := s.placeCall(svc, request, nil, time.Second)
+		if !ok {
+			t.Fatal("no upstream")
+		}
+		return u.ID
+	}
+	if got := place("a"); got != "near" {
+		t.Fatalf("the first call went to %s", got)
+	}
+	if got := place("b"); got != "far" {
+		t.Fatalf("the second call went to %s, beside a busy one", got)
+	}
+	s.end(servicePrefix+"near", "a")
+	s.end(servicePrefix+"far", "b")
+	for range s.routing.Failures {
+		s.failed(servicePrefix+"near", time.Second)
+	}
+	if got := place("c"); got != "far" {
+		t.Fatalf("a call went to the ejected %s", got)
+	}
+}
+
+func TestSubsetBoundsWhatAnEntryLooksAt(t *testing.T) {
+	s := routingState(func(settings *Settings) { settings.Routing.Subset = 1 })
+	if n := len(s.watched()); n != 1 {
+		t.Fatalf("%d engines watched, want 1", n)
+	}
+	for range 20 {
+		if e, ok := s.place(&route.Request{Model: "m"}, load.Placement{ID: "r", At: time.Second}); !ok || e.ID != s.watched()[0].ID {
+			t.Fatalf("placed outside the subset: %v", e)
+		}
+	}
+}
+
+func TestHangingEngineHoldsUpNoReadOfTheOthers(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	s := routingState(nil)
+	var reads atomic.Int64
+	often := make(chan struct{})
+	defer close(often)
+	p := poller{every: time.Millisecond, engines: s.watched, read: func(_ context.Context, e *config.Engine) {
+		if e.ID == "e1" {
+			<-often
+			return
+		}
+		reads.Add(1)
+	}}
+	go p.run(ctx)
+	if err := testfleet.Until(ctx, "the other engine is read many times", func() bool { return reads.Load() > 20 }); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestReportAccountsForTheEnginesOwnNumber(t *testing.T) {
+	s := routingState(nil)
+	e, _ := s.place(&route.Request{Model: "m"}, load.Placement{ID: "r", PrefillTokens: 5, At: time.Second})
+	s.accepted(e.ID, "r", load.Acceptance{Boot: "b", Number: 7})
+	s.reported(e.ID, engine.Report{Boot: "b", Seq: 1, Accepted: 6}, time.Second)
+	if s.charges() != 1 {
+		t.Fatal("a report from before the request ended its charge")
+	}
+	s.reported(e.ID, engine.Report{Boot: "b", Seq: 2, Accepted: 7}, time.Second)
+	if s.charges() != 0 {
+		t.Fatal("the charge outlived the report that counts it")
+	}
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -44,7 +44,7 @@
 		settings: s,
 		start:    time.Now(),
 		log:      log,
-		state:    newState(s.Zone),
+		state:    newState(s),
 		once:     once.Runner{Table: platform.NewClient(s.Platform, s.PlatformTimeout)},
 		metrics:  newMeters(metrics.DefaultRegistry),
 		engines:  map[string]engine.Engine{},
@@ -165,32 +165,3 @@
 	}
 	return client
 }
-
-// reportLoop reads each engine's load report now and then.
-func (s *Server) reportLoop(ctx context.Context) {
-	ticker := time.NewTicker(s.settings.Engine.ReportEvery)
-	defer ticker.Stop()
-	for {
-		s.readReports(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-func (s *Server) readReports(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, 5*s.settings.Engine.ReportEvery)
-	defer cancel()
-	var work sync.WaitGroup
-	for _, e := range s.state.config().Engines {
-		work.Go(func() {
-			report, err := s.engineAt(e.Address).Report(ctx)
-			if err == nil {
-				s.state.reported(e.ID, report, s.now())
-			}
-		})
-	}
-	work.Wait()
-}
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -33,6 +33,7 @@
 	BalancerLag time.Duration    `toml:"balancer_lag"`
 	Limits      LimitSettings    `toml:"limits"`
 	Engine      EngineSettings   `toml:"engine"`
+	Routing     RoutingSettings  `toml:"routing"`
 	Log         logging.Settings `toml:"log"`
 	Trace       tracing.Settings `toml:"trace"`
 }
@@ -72,9 +73,10 @@
 			MaxBodyBytes: 4 << 20, MaxHeaderBytes: 64 << 10,
 			MaxPromptTokens: 131072, MaxAnswerTokens: 4096,
 		},
-		Engine: EngineSettings{Timeout: 30 * time.Second, ReportEvery: 200 * time.Millisecond, Attempts: 3},
-		Log:    logging.Default(),
-		Trace:  tracing.Default(),
+		Engine:  EngineSettings{Timeout: 30 * time.Second, ReportEvery: 200 * time.Millisecond, Attempts: 3},
+		Routing: defaultRouting(),
+		Log:     logging.Default(),
+		Trace:   tracing.Default(),
 	}
 }
 
@@ -97,6 +99,7 @@
 	settings.Between(file, "engine.timeout", s.Engine.Timeout, 10*time.Millisecond, 10*time.Minute)
 	settings.Between(file, "engine.report_every", s.Engine.ReportEvery, time.Millisecond, time.Minute)
 	settings.IntBetween(file, "engine.attempts", s.Engine.Attempts, 1, 20)
+	s.Routing.check(file)
 	s.Log.Check(file, "log")
 	s.Trace.Check(file, "trace")
 }
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -5,8 +5,9 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"sassafrasfield/internal/config"
-	"sassafrasfield/internal/engine"
 	"sassafrasfield/internal/load"
 	"sassafrasfield/internal/route"
 )
@@ -15,11 +16,15 @@
 // placement and a change of configuration exclude each other: once apply has
 // returned, each new placement follows the new version.
 type state struct {
-	scheduler *route.Scheduler
-	zone      string
+	instance, zone string
+	routing        RoutingSettings
+	scheduler      *route.Scheduler // for engines
+	services       *route.Scheduler // for plain services
+	meters         *routeMeters
 
 	mu        sync.Mutex // protects all below
 	doc       *config.Config
+	engines   []*config.Engine // those of doc that this entry looks at
 	byKey     map[string]*config.Organisation
 	leaving   map[string]bool
 	heartbeat time.Duration
@@ -27,14 +32,21 @@
 	rng       *rand.Rand
 }
 
-func newState(zone string) *state {
+func newState(settings *Settings) *state {
+	routing := settings.Routing
+	table := load.NewTable()
+	table.ChargeFor, table.Outliers = routing.ChargeFor, routing.outliers()
 	return &state{
-		scheduler: route.Default(),
-		zone:      zone,
+		instance:  settings.Instance,
+		zone:      settings.Zone,
+		routing:   routing,
+		scheduler: route.NewScheduler(routing.Policy, routing.Pick),
+		services:  route.NewServiceScheduler(),
+		meters:    newRouteMeters(metrics.DefaultRegistry),
 		doc:       &config.Config{},
 		byKey:     map[string]*config.Organisation{},
 		leaving:   map[string]bool{},
-		table:     load.NewTable(),
+		table:     table,
 		rng:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
@@ -59,6 +71,8 @@
 	if doc != nil && doc.Version > s.doc.Version {
 		s.doc = doc
 		s.byKey = indexKeys(doc)
+		s.engines = s.subset(doc)
+		s.retain(doc)
 	}
 	return s.doc.Version
 }
@@ -81,55 +95,6 @@
 	return s.byKey[hash]
 }
 
-// place picks an engine for a request and charges it. The engine's entry of
-// the configuration is read-only.
-func (s *state) place(req *route.Request, p load.Placement) (*config.Engine, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	req.Zone, req.Leaving, req.Now = s.zone, s.leaving, p.At
-	candidates := make([]route.Candidate, 0, len(s.doc.Engines))
-	for i := range s.doc.Engines {
-		e := &s.doc.Engines[i]
-		candidates = append(candidates, route.Candidate{Engine: e, Load: s.table.Engine(e.ID)})
-	}
-	chosen, ok := s.scheduler.Schedule(req, candidates, s.rng)
-	if !ok {
-		return nil, false
-	}
-	s.table.Place(chosen.Engine.ID, p)
-	return chosen.Engine, true
-}
-
-// placeOn charges a request to the engine that runs its stream already.
-func (s *state) placeOn(id string, p load.Placement) (*config.Engine, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	e := s.doc.Engine(id)
-	if e == nil || e.Routing == config.RoutingOut {
-		return nil, false
-	}
-	s.table.Place(id, p)
-	return e, true
-}
-
-func (s *state) end(engineID, request string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.table.End(engineID, request)
-}
-
-func (s *state) failed(engineID string, now time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.table.Failed(engineID, now)
-}
-
-func (s *state) reported(engineID string, report engine.Report, now time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.table.Reported(engineID, report, now)
-}
-
 // streams counts this entry's streams on each configured engine.
 func (s *state) streams() map[string]int {
 	s.mu.Lock()
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -1,60 +1,43 @@
-// Package load keeps one entry's picture of the engines: the lagging reports,
-// and the entry's own placements that no report accounts for yet. It is pure.
+// Package load keeps one entry's picture of the upstreams: the lagging reports,
+// the entry's own placements that no report accounts for yet, what the engines
+// are believed to have cached, and how the entry's own calls went. It is pure:
+// times are on the entry's monotonic clock.
+//
+// A placement is charged to its engine until a report accounts for it. By the
+// engine's own sequence: a report does when it names the request (Recent), or
+// when its count Accepted has reached the number that the engine gave the
+// request. No clock of an engine is looked at. A charge also goes when the
+// stream ends, when the engine that took it has restarted, and, should none of
+// these be seen, after a bound of time.
 package load
 
 import (
+	"slices"
 	"time"
 
 	"sassafrasfield/internal/engine"
 )
 
-// Placement is a request that this entry put on an engine.
-type Placement struct {
-	ID            string
-	PrefillTokens int
-	Blocks        int
-	At            time.Duration
-}
-
-// Engine is the picture of one engine.
-type Engine struct {
-	Report engine.Report
-	// ReportAt is when the report came, on the entry's clock; 0 when none has.
-	ReportAt time.Duration
-	// Charged are placements that the report does not account for.
-	Charged []Placement
-	// Streams counts this entry's own streams on the engine.
-	Streams int
-	// FailedAt is when a call to the engine last failed; 0 when it did not
-	// since the last report.
-	FailedAt time.Duration
-}
+// DefaultChargeFor bounds a charge that no report accounts for. It is longer
+// than the longest lag of reports that was measured with (5 s).
+const DefaultChargeFor = 15 * time.Second
 
-// PrefillTokens returns the prompt tokens ahead of a new request.
-func (e *Engine) PrefillTokens() int {
-	total := e.Report.PrefillTokens
-	for _, p := range e.Charged {
-		total += p.PrefillTokens
-	}
-	return total
-}
-
-// Requests returns the requests on the engine, charged ones included.
-func (e *Engine) Requests() int {
-	return e.Report.Running + e.Report.Waiting + len(e.Charged)
-}
-
-// Table is the picture of all engines. It is not safe for concurrent use.
+// Table is the picture of all upstreams. It is not safe for concurrent use.
 type Table struct {
+	// ChargeFor bounds the time of a charge.
+	ChargeFor time.Duration
+	// Outliers are the rules for ejection.
+	Outliers OutlierRules
+
 	engines map[string]*Engine
 }
 
-// NewTable returns an empty table.
+// NewTable returns an empty table with the default bounds.
 func NewTable() *Table {
-	return &Table{engines: map[string]*Engine{}}
+	return &Table{ChargeFor: DefaultChargeFor, Outliers: DefaultOutlierRules(), engines: map[string]*Engine{}}
 }
 
-// Engine returns the picture of an engine, made when there is none.
+// Engine returns the picture of an upstream, made when there is none.
 func (t *Table) Engine(id string) *Engine {
 	e, ok := t.engines[id]
 	if !ok {
@@ -64,46 +47,99 @@
 	return e
 }
 
-// Place charges a request to an engine.
+// Retain forgets the upstreams that keep does not name and that have no stream
+// of this entry left.
+func (t *Table) Retain(keep map[string]bool) {
+	for id, e := range t.engines {
+		if !keep[id] && e.Streams == 0 {
+			delete(t.engines, id)
+		}
+	}
+}
+
+// Expire ends the charges that have grown older than the bound.
+func (t *Table) Expire(now time.Duration) {
+	for _, e := range t.engines {
+		e.expire(now, t.ChargeFor)
+	}
+}
+
+// Place charges a request to an upstream.
 func (t *Table) Place(id string, p Placement) {
 	e := t.Engine(id)
 	e.Streams++
-	e.Charged = append(e.Charged, p)
+	e.own = append(e.own, placed{Placement: p, charged: true})
+	e.Prefixes.Expect(p.Prefix)
+	e.Health.placed(p.ID, p.At)
+}
+
+// Accepted records the number that the engine gave a request.
+func (t *Table) Accepted(id, request string, a Acceptance) {
+	e := t.Engine(id)
+	p := e.find(request)
+	if p == nil {
+		return
+	}
+	p.accepted = a
+	if p.accountedBy(&e.Report, nil) {
+		p.charged = false
+	}
 }
 
-// End takes a stream off an engine.
+// Started records that the first token of a request came.
+func (t *Table) Started(id, request string) {
+	if p := t.Engine(id).find(request); p != nil {
+		p.started = true
+	}
+}
+
+// End takes a stream off an upstream, with its charge. A request that is not
+// on the upstream is no error.
 func (t *Table) End(id, request string) {
 	e := t.Engine(id)
-	e.Streams--
-	e.drop(func(p Placement) bool { return p.ID == request })
+	for i := range e.own {
+		if e.own[i].ID == request {
+			e.own = slices.Delete(e.own, i, i+1)
+			e.Streams--
+			break
+		}
+	}
+	e.Health.ended(request)
 }
 
-// Reported takes a report that came at now. Older reports than the one held
-// are dropped.
+// Reported takes a report that came at now. A report that is older than the
+// one held, or of an earlier boot, is dropped.
 func (t *Table) Reported(id string, report engine.Report, now time.Duration) {
 	e := t.Engine(id)
-	if report.Boot == e.Report.Boot && report.Seq <= e.Report.Seq {
+	if !e.newer(&report, now, t.Outliers.SilentFor) {
 		return
 	}
-	e.Report, e.ReportAt, e.FailedAt = report, now, 0
-	seen := map[string]bool{}
-	for _, request := range report.Recent {
-		seen[request] = true
+	if e.ReportAt != 0 && now-e.ReportAt > t.Outliers.SilentFor {
+		e.Health.returned(now)
 	}
-	e.drop(func(p Placement) bool { return seen[p.ID] })
+	e.Report, e.ReportAt = report, now
+	e.settle()
+	e.expire(now, t.ChargeFor)
 }
 
-// Failed records that a call to the engine failed.
-func (t *Table) Failed(id string, now time.Duration) {
-	t.Engine(id).FailedAt = now
+// CacheEvents takes a batch of cache events.
+func (t *Table) CacheEvents(id string, events engine.CacheEvents) {
+	t.Engine(id).Prefixes.Apply(events)
 }
 
-func (e *Engine) drop(match func(Placement) bool) {
-	kept := e.Charged[:0]
-	for _, p := range e.Charged {
-		if !match(p) {
-			kept = append(kept, p)
-		}
-	}
-	e.Charged = kept
+// Silent tells whether an engine that has reported went without a new report
+// for too long, as one that is frozen or cut off does.
+func (t *Table) Silent(id string, now time.Duration) bool {
+	e := t.Engine(id)
+	return e.ReportAt != 0 && now-e.ReportAt > t.Outliers.SilentFor
+}
+
+// Failed records that a call to the upstream failed.
+func (t *Table) Failed(id string, now time.Duration) (ejected bool) {
+	return t.Engine(id).Health.failed(now, t.Outliers)
+}
+
+// Succeeded records that a call to the upstream went well.
+func (t *Table) Succeeded(id string) {
+	t.Engine(id).Health.succeeded(t.Outliers)
 }
--- /dev/null
+++ b/internal/load/subset.go
@@ -0,0 +1,27 @@
+package load
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Subset returns the ids, at most size of them, that the entry looks at:
+// those with the highest hash of entry and id (rendezvous hashing). Entries
+// get different subsets, and a change of the list moves few of them. Size 0
+// means all.
+func Subset(entry string, ids []string, size int) []string {
+	if size <= 0 || len(ids) <= size {
+		return ids
+	}
+	ranked := slices.Clone(ids)
+	slices.SortFunc(ranked, func(a, b string) int {
+		return cmp.Or(cmp.Compare(weight(entry, b), weight(entry, a)), cmp.Compare(a, b))
+	})
+	return ranked[:size]
+}
+
+func weight(entry, id string) uint64 {
+	return xxhash.Sum64String(entry + "\x00" + id)
+}
--- a/internal/route/filter_health.go
+++ b/internal/route/filter_health.go
@@ -1,18 +1,12 @@
 package route
 
-import "time"
-
-// HealthFilter drops engines that failed this request, or any request a short
-// while ago.
-type HealthFilter struct {
-	// Backoff is how long a failed engine gets no new work.
-	Backoff time.Duration
-}
+// HealthFilter drops upstreams that are ejected or silent, and returning ones
+// that have as many requests as they may. It is a preference: an entry that
+// finds most upstreams failing rather doubts itself (it was paused, or its own
+// network is cut) than send all work to the few that are left.
+type HealthFilter struct{}
 
 // Keep implements Filter.
-func (f HealthFilter) Keep(req *Request, c Candidate) bool {
-	if req.Excluded[c.Engine.ID] {
-		return false
-	}
-	return c.Load.FailedAt == 0 || req.Now-c.Load.FailedAt >= f.Backoff
+func (HealthFilter) Keep(req *Request, c Candidate) bool {
+	return !c.Silent && c.Load.Health.Admits(req.Now)
 }
--- a/internal/route/filter_model.go
+++ b/internal/route/filter_model.go
@@ -2,7 +2,8 @@
 
 import "slices"
 
-// ModelFilter keeps engines that have loaded what the request asks for.
+// ModelFilter keeps engines that have loaded the model, version and adapter
+// that the request asks for.
 type ModelFilter struct{}
 
 // Keep implements Filter.
--- /dev/null
+++ b/internal/route/filter_role.go
@@ -0,0 +1,16 @@
+package route
+
+import "sassafrasfield/internal/config"
+
+// RoleFilter keeps engines whose role covers the work. An engine without a
+// role is mixed.
+type RoleFilter struct{}
+
+// Keep implements Filter.
+func (RoleFilter) Keep(req *Request, c Candidate) bool {
+	role := c.Engine.Loaded.Role
+	if role == "" || role == config.RoleMixed {
+		return true
+	}
+	return string(role) == string(req.Work)
+}
--- /dev/null
+++ b/internal/route/pick_nearbest.go
@@ -0,0 +1,31 @@
+package route
+
+import "math/rand/v2"
+
+// NearBestPicker chooses at random among the candidates whose score is within
+// Within of the best one. Entries that see the same lagging reports would all
+// choose the one best engine until the next report; those that are almost as
+// good share the work instead.
+type NearBestPicker struct {
+	Within float64
+}
+
+// Pick implements Picker.
+func (p NearBestPicker) Pick(scored []Scored, rng *rand.Rand) Candidate {
+	best := scored[0].Score
+	for _, s := range scored[1:] {
+		best = max(best, s.Score)
+	}
+	var chosen Candidate
+	near := 0
+	for _, s := range scored {
+		if s.Score < best-p.Within {
+			continue
+		}
+		near++
+		if rng.IntN(near) == 0 {
+			chosen = s.Candidate
+		}
+	}
+	return chosen
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -1,6 +1,8 @@
-// Package route picks the engine for a request: filters drop candidates that
+// Package route picks the upstream for a request: filters drop candidates that
 // cannot take it, scorers rate the rest, a picker chooses. It is pure: the
-// picture of the engines comes from package load. Each plugin has a file.
+// picture of the upstreams comes from package load, and randomness is passed
+// in. Each plugin has a file. The layout follows that of the Gateway API
+// Inference Extension's endpoint picker.
 package route
 
 import (
@@ -11,23 +13,47 @@
 	"sassafrasfield/internal/load"
 )
 
+// Work is the part of a request that an engine is to do.
+type Work string
+
+// Parts of a request.
+const (
+	// WorkWhole is prefill and decode on one engine.
+	WorkWhole Work = ""
+	// WorkPrefill is the prompt alone; its KV cache is exported.
+	WorkPrefill Work = "prefill"
+	// WorkDecode is the answer alone, from imported KV cache.
+	WorkDecode Work = "decode"
+)
+
 // Request is what the choice depends on.
 type Request struct {
 	Model, Adapter, Version string
+	Work                    Work
 	// Zone of the entry.
 	Zone         string
 	PromptTokens int
-	// Excluded engines failed this request already.
+	// Blocks of KV memory that the request takes.
+	Blocks int
+	// Prefix has the hashes of the prompt's blocks; nil when hints are off.
+	Prefix []uint64
+	// Excluded upstreams failed this request already.
 	Excluded map[string]bool
 	// Leaving upstreams get no new work, by the platform's word.
 	Leaving map[string]bool
 	Now     time.Duration
 }
 
-// Candidate is an engine with its picture.
+// Candidate is an upstream with its picture.
 type Candidate struct {
+	ID, Zone string
+	// Leave is the operators' word that the upstream should leave.
+	Leave bool
+	// Engine is nil for a plain service's upstream.
 	Engine *config.Engine
 	Load   *load.Engine
+	// Silent: the engine went without a report for too long.
+	Silent bool
 }
 
 // Filter drops candidates that cannot take the request.
@@ -60,31 +86,41 @@
 
 // Scheduler runs the plugins.
 type Scheduler struct {
+	// Filters are strict: a candidate that one drops is never chosen.
 	Filters []Filter
-	Scorers []WeightedScorer
-	Picker  Picker
+	// Preferences are filters that are passed over when they would leave
+	// fewer than KeepShare of the candidates that the strict ones kept.
+	Preferences []Preference
+	Scorers     []WeightedScorer
+	Picker      Picker
 }
 
-// Default returns the scheduler that an entry uses.
-func Default() *Scheduler {
-	return &Scheduler{
-		Filters: []Filter{ServingFilter{}, ModelFilter{}, HealthFilter{Backoff: time.Second}},
-		Scorers: []WeightedScorer{{Scorer: QueueScorer{}, Weight: 1}},
-		Picker:  BestPicker{},
-	}
+// Preference is a filter that yields when it would leave too few.
+type Preference struct {
+	Filter Filter
+	// KeepShare is the least share of the candidates that has to be left;
+	// 0 means at least one candidate.
+	KeepShare float64
 }
 
-// Schedule picks an engine; ok is false when none can take the request.
+// Schedule picks an upstream; ok is false when none can take the request.
 func (s *Scheduler) Schedule(req *Request, candidates []Candidate, rng *rand.Rand) (c Candidate, ok bool) {
-	var scored []Scored
+	kept := make([]Candidate, 0, len(candidates))
 	for _, candidate := range candidates {
 		if s.keep(req, candidate) {
-			scored = append(scored, Scored{Candidate: candidate, Score: s.score(req, candidate)})
+			kept = append(kept, candidate)
 		}
 	}
-	if len(scored) == 0 {
+	if len(kept) == 0 {
 		return Candidate{}, false
 	}
+	for _, p := range s.Preferences {
+		kept = p.apply(req, kept)
+	}
+	scored := make([]Scored, len(kept))
+	for i, candidate := range kept {
+		scored[i] = Scored{Candidate: candidate, Score: s.score(req, candidate)}
+	}
 	return s.Picker.Pick(scored, rng), true
 }
 
@@ -104,3 +140,17 @@
 	}
 	return total
 }
+
+// apply returns what the filter keeps, or all when that is too few.
+func (p Preference) apply(req *Request, candidates []Candidate) []Candidate {
+	left := make([]Candidate, 0, len(candidates))
+	for _, c := range candidates {
+		if p.Filter.Keep(req, c) {
+			left = append(left, c)
+		}
+	}
+	if len(left) == 0 || float64(len(left)) < p.KeepShare*float64(len(candidates)) {
+		return candidates
+	}
+	return left
+}
--- a/internal/standin/batch.go
+++ b/internal/standin/batch.go
@@ -1,9 +1,9 @@
 package standin
 
 import (
-	"encoding/json"
-	"net/http"
+	"cmp"
 	"slices"
+	"sync"
 	"time"
 
 	"sassafrasfield/internal/engine"
@@ -12,76 +12,126 @@
 // charsPerToken is the stand-in's tokenizer.
 const charsPerToken = 4
 
-// stepTime is how often the batch advances.
-const stepTime = 5 * time.Millisecond
-
-// streamKept is how long an ended stream can still be attached to.
-const streamKept = 30 * time.Second
+// streamKept is how long an ended stream can still be attached to, and
+// forgetEvery how often those past it are looked for.
+const (
+	streamKept  = 30 * time.Second
+	forgetEvery = time.Second
+)
 
 // generation is one stream at the engine.
 type generation struct {
 	req          engine.Request
+	number       int64 // of Report.Accepted
 	promptTokens int
 	prefillLeft  int
+	hashes       []uint64
 	blocks       int
 	text         Text
-	made         int     // tokens generated, counted from 0
-	owed         float64 // part of a token that is due
+	made         int // tokens generated, counted from 0
 	broken       bool
 	endedAt      time.Time
+	changed      *sync.Cond // on the engine's lock; signalled after each token
 }
 
 func (g *generation) ended() bool {
 	return g.broken || g.made >= g.text.length
 }
 
-// loop advances the batch.
+// loop runs the batch, a step at a time. It sleeps while there is no work.
 func (e *Engine) loop() {
-	last := time.Now()
+	due := time.Now()
 	for {
-		time.Sleep(stepTime)
-		now := time.Now()
 		e.mu.Lock()
-		e.step(now.Sub(last))
-		e.changed.Broadcast()
+		for len(e.running)+len(e.waiting) == 0 {
+			e.work.Wait()
+		}
+		work := e.plan()
+		e.mu.Unlock()
+		if now := time.Now(); due.Before(now) {
+			due = now
+		}
+		due = due.Add(work.duration)
+		time.Sleep(time.Until(due))
+		e.mu.Lock()
+		e.finish(work)
 		e.mu.Unlock()
-		last = now
 	}
 }
 
-// step advances all streams by the time that passed: one prompt at a time is
-// processed, and each stream past its prompt makes tokens.
-func (e *Engine) step(passed time.Duration) {
-	seconds := passed.Seconds()
-	if e.faults.SlowFactor > 1 {
-		seconds /= e.faults.SlowFactor
-	}
+// step is the work of one step of the batch.
+type step struct {
+	duration time.Duration
+	decode   []*generation
+	prefill  []chunk
+}
+
+// chunk is a part of a prompt.
+type chunk struct {
+	g      *generation
+	tokens int
+}
+
+// plan chooses a step's work: a token for each stream past its prompt, and
+// prompt tokens up to the budget, by priority. Both share the step, so that
+// long prompts slow the others' tokens down.
+func (e *Engine) plan() step {
 	e.admit()
-	prefill := int(e.options.PrefillRate * seconds)
+	var s step
+	budget := e.options.PrefillBudget
 	for _, g := range e.running {
-		if g.prefillLeft > 0 {
-			used := min(prefill, g.prefillLeft)
-			g.prefillLeft -= used
-			prefill -= used
+		if g.prefillLeft == 0 {
+			s.decode = append(s.decode, g)
+			continue
+		}
+		if tokens := min(budget, g.prefillLeft); tokens > 0 {
+			s.prefill = append(s.prefill, chunk{g: g, tokens: tokens})
+			budget -= tokens
+		}
+	}
+	seconds := float64(e.options.PrefillBudget-budget) / e.options.PrefillRate
+	if len(s.decode) > 0 {
+		seconds += 1/e.options.DecodeRate + float64(len(s.decode)-1)*e.options.StepPerStream.Seconds()
+	}
+	if e.faults.SlowFactor > 1 {
+		seconds *= e.faults.SlowFactor
+	}
+	s.duration = time.Duration(seconds * float64(time.Second))
+	return s
+}
+
+// finish books a step's work. Streams that were cut meanwhile stay as they are.
+func (e *Engine) finish(s step) {
+	for _, c := range s.prefill {
+		if c.g.broken {
 			continue
 		}
-		g.owed += e.options.DecodeRate * seconds
-		whole := int(g.owed)
-		g.owed -= float64(whole)
-		g.made = min(g.made+whole, g.text.length)
+		c.g.prefillLeft -= c.tokens
+		if c.g.prefillLeft == 0 {
+			e.cache.store(c.g.hashes)
+		}
 	}
-	for _, g := range slices.Clone(e.running) {
+	for _, g := range s.decode {
+		if g.broken {
+			continue
+		}
+		g.made = min(g.made+1, g.text.length)
+		g.changed.Broadcast()
 		if g.ended() {
 			e.drop(g)
 		}
 	}
-	e.forget()
+	if now := time.Now(); now.Sub(e.forgotten) > forgetEvery {
+		e.forgotten = now
+		e.forget(now)
+	}
 }
 
 // admit moves waiting streams into the batch, by priority, while there is
-// room.
+// room, and keeps the batch in the order of priority.
 func (e *Engine) admit() {
-	slices.SortStableFunc(e.waiting, func(a, b *generation) int { return b.req.Priority - a.req.Priority })
+	byPriority := func(a, b *generation) int { return cmp.Compare(b.req.Priority, a.req.Priority) }
+	slices.SortStableFunc(e.waiting, byPriority)
 	for len(e.waiting) > 0 && len(e.running) < e.options.MaxRunning {
 		g := e.waiting[0]
 		if g.blocks > e.blocksFree() && len(e.running) > 0 {
@@ -89,9 +139,12 @@
 		}
 		e.waiting = e.waiting[1:]
 		e.running = append(e.running, g)
-		hit := e.cache.use(g.req.Prompt, e.options.BlockTokens)
-		g.prefillLeft = max(0, g.prefillLeft-hit)
+		// The last token of a prompt is always processed: it makes the first
+		// token of the answer.
+		hit := e.cache.hit(g.hashes, e.options.BlockTokens)
+		g.prefillLeft = max(1, g.prefillLeft-hit)
 	}
+	slices.SortStableFunc(e.running, byPriority)
 }
 
 func (e *Engine) blocksFree() int {
@@ -107,141 +160,13 @@
 	e.running = slices.DeleteFunc(e.running, func(o *generation) bool { return o == g })
 	e.waiting = slices.DeleteFunc(e.waiting, func(o *generation) bool { return o == g })
 	g.endedAt = time.Now()
+	g.changed.Broadcast()
 }
 
-func (e *Engine) forget() {
+func (e *Engine) forget(now time.Time) {
 	for id, g := range e.streams {
-		if !g.endedAt.IsZero() && time.Since(g.endedAt) > streamKept {
+		if !g.endedAt.IsZero() && now.Sub(g.endedAt) > streamKept {
 			delete(e.streams, id)
 		}
 	}
 }
-
-// generate starts a stream, or attaches to one, and sends its pieces.
-func (e *Engine) generate(w http.ResponseWriter, r *http.Request) {
-	var req engine.Request
-	if !read(w, r, &req) {
-		return
-	}
-	g, status := e.begin(req)
-	if g == nil {
-		http.Error(w, "not run", status)
-		return
-	}
-	w.Header().Set("Content-Type", "application/x-ndjson")
-	w.WriteHeader(http.StatusOK)
-	_ = http.NewResponseController(w).Flush() // the client has gone
-	e.send(w, r, g, req.From)
-}
-
-func (e *Engine) begin(req engine.Request) (*generation, int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if g, ok := e.streams[req.ID]; ok && !g.broken {
-		return g, http.StatusOK
-	}
-	if req.Attach {
-		return nil, http.StatusNotFound
-	}
-	changingModel := e.changing && e.state.Disruptive(e.last.Want)
-	if e.faults.Refuse || changingModel || e.state.Model != req.Model {
-		return nil, http.StatusServiceUnavailable
-	}
-	if req.Adapter != "" && !slices.Contains(e.state.Adapters, req.Adapter) {
-		return nil, http.StatusServiceUnavailable
-	}
-	return e.start(req), http.StatusOK
-}
-
-func (e *Engine) start(req engine.Request) *generation {
-	tokens := (len(req.Prompt)+charsPerToken-1)/charsPerToken + req.From
-	g := &generation{req: req, promptTokens: tokens, prefillLeft: tokens, made: req.From}
-	g.prefillLeft = max(0, tokens-e.exports[req.KVHandle])
-	g.text = NewText(req)
-	g.blocks = (tokens + req.MaxTokens + e.options.BlockTokens - 1) / e.options.BlockTokens
-	e.streams[req.ID] = g
-	e.waiting = append(e.waiting, g)
-	e.accepted++
-	e.book.Started++
-	e.recent = append(e.recent, req.ID)
-	if len(e.recent) > recentKept {
-		e.recent = e.recent[1:]
-	}
-	return g
-}
-
-// send writes pieces as they are made, from the one numbered from.
-func (e *Engine) send(w http.ResponseWriter, r *http.Request, g *generation, from int) {
-	encoder := json.NewEncoder(w)
-	controller := http.NewResponseController(w)
-	sent := 0
-	for n := from; n <= g.text.length; {
-		pieces := e.await(r, g, n)
-		if len(pieces) == 0 {
-			panic(http.ErrAbortHandler) // breaks the connection
-		}
-		n += len(pieces)
-		for _, piece := range e.disorder(pieces) {
-			if encoder.Encode(piece) != nil {
-				return
-			}
-			sent++
-			if limit := e.breakAfter(); limit > 0 && sent >= limit {
-				_ = controller.Flush()
-				e.breakOff(g)
-				panic(http.ErrAbortHandler)
-			}
-		}
-		if controller.Flush() != nil {
-			return
-		}
-	}
-}
-
-func (e *Engine) breakAfter() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.faults.BreakAfter
-}
-
-func (e *Engine) breakOff(g *generation) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.cut(g)
-	e.drop(g)
-}
-
-// await returns the pieces that are made from number n on; none when the
-// stream broke or its reader left.
-func (e *Engine) await(r *http.Request, g *generation, n int) []engine.Piece {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for {
-		if g.broken || r.Context().Err() != nil {
-			return nil
-		}
-		var pieces []engine.Piece
-		for ; n < g.made || (n == g.text.length && g.made == g.text.length); n++ {
-			pieces = append(pieces, g.text.Piece(n))
-		}
-		if len(pieces) > 0 {
-			return pieces
-		}
-		e.changed.Wait()
-	}
-}
-
-// disorder swaps and repeats pieces when the fault is on.
-func (e *Engine) disorder(pieces []engine.Piece) []engine.Piece {
-	e.mu.Lock()
-	on := e.faults.Disorder
-	e.mu.Unlock()
-	if !on {
-		return pieces
-	}
-	mixed := slices.Clone(pieces)
-	slices.Reverse(mixed)
-	// The last piece ends the connection's reading, so it stays last.
-	slices.SortStableFunc(mixed, func(a, b engine.Piece) int { return len(a.Finish) - len(b.Finish) })
-	return append([]engine.Piece{mixed[0]}, mixed...)
-}
--- a/internal/standin/cache.go
+++ b/internal/standin/cache.go
@@ -1,73 +1,62 @@
 package standin
 
 import (
-	"github.com/cespare/xxhash/v2"
+	"container/list"
 
 	"sassafrasfield/internal/engine"
 )
 
 // eventsKept bounds the cache events that can still be read.
-const eventsKept = 4096
+const eventsKept = 8192
 
-// prefixCache remembers which blocks of prompts were processed, the oldest
-// dropped first.
+// prefixCache remembers which blocks of prompts were processed; the least
+// recently used one is dropped first.
 type prefixCache struct {
 	capacity int
-	blocks   map[uint64]bool
-	order    []uint64
+	blocks   map[uint64]*list.Element
+	used     *list.List // of uint64, the most recently used first
 	events   []engine.CacheEvent
 	seq      int64
 }
 
 func newPrefixCache(capacity int) *prefixCache {
-	return &prefixCache{capacity: capacity, blocks: map[uint64]bool{}}
+	return &prefixCache{capacity: capacity, blocks: map[uint64]*list.Element{}, used: list.New()}
 }
 
-// BlockHashes returns the chained hashes of a prompt's whole blocks.
-func BlockHashes(prompt string, blockTokens int) []uint64 {
-	size := blockTokens * charsPerToken
-	var hashes []uint64
-	for end := size; end <= len(prompt); end += size {
-		hashes = append(hashes, xxhash.Sum64String(prompt[:end]))
+// hit returns how many tokens of the prompt are cached.
+func (c *prefixCache) hit(hashes []uint64, blockTokens int) int {
+	for i, block := range hashes {
+		element, ok := c.blocks[block]
+		if !ok {
+			return i * blockTokens
+		}
+		c.used.MoveToFront(element)
 	}
-	return hashes
+	return len(hashes) * blockTokens
 }
 
-// use returns how many tokens of the prompt are cached, and caches the rest.
-func (c *prefixCache) use(prompt string, blockTokens int) int {
-	hit := 0
-	missed := false
-	for _, block := range BlockHashes(prompt, blockTokens) {
-		if c.blocks[block] && !missed {
-			hit += blockTokens
+// store caches the blocks of a prompt that was processed.
+func (c *prefixCache) store(hashes []uint64) {
+	for _, block := range hashes {
+		if element, ok := c.blocks[block]; ok {
+			c.used.MoveToFront(element)
 			continue
 		}
-		missed = true
-		c.store(block)
-	}
-	return hit
-}
-
-func (c *prefixCache) store(block uint64) {
-	if c.blocks[block] {
-		return
-	}
-	c.blocks[block] = true
-	c.order = append(c.order, block)
-	c.event(block, true)
-	if len(c.order) > c.capacity {
-		oldest := c.order[0]
-		c.order = c.order[1:]
-		delete(c.blocks, oldest)
-		c.event(oldest, false)
+		c.blocks[block] = c.used.PushFront(block)
+		c.event(block, true)
+		if c.used.Len() > c.capacity {
+			oldest := c.used.Remove(c.used.Back()).(uint64)
+			delete(c.blocks, oldest)
+			c.event(oldest, false)
+		}
 	}
 }
 
 func (c *prefixCache) event(block uint64, stored bool) {
 	c.seq++
 	c.events = append(c.events, engine.CacheEvent{Seq: c.seq, Block: block, Stored: stored})
-	if len(c.events) > eventsKept {
-		c.events = c.events[1:]
+	if len(c.events) > 2*eventsKept {
+		c.events = append([]engine.CacheEvent(nil), c.events[eventsKept:]...)
 	}
 }
 
@@ -75,8 +64,11 @@
 // out.
 func (c *prefixCache) since(after int64, gaps bool) []engine.CacheEvent {
 	events := []engine.CacheEvent{}
-	for _, event := range c.events {
-		if event.Seq <= after || (gaps && event.Seq%3 == 0) {
+	if len(c.events) == 0 {
+		return events
+	}
+	for _, event := range c.events[max(0, min(after-c.events[0].Seq+1, int64(len(c.events)))):] {
+		if gaps && event.Seq%3 == 0 {
 			continue
 		}
 		events = append(events, event)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -18,14 +18,20 @@
 	Initial config.EngineState
 	Fencing config.Fencing
 	// PrefillRate and DecodeRate are in tokens a second; DecodeRate is for one
-	// stream.
+	// stream alone in the batch.
 	PrefillRate float64
 	DecodeRate  float64
+	// PrefillBudget bounds the prompt tokens of one step.
+	PrefillBudget int
+	// StepPerStream is what each further stream adds to a step.
+	StepPerStream time.Duration
 	// MaxRunning bounds the batch.
 	MaxRunning int
 	// KVBlocks and BlockTokens are the memory for KV cache.
 	KVBlocks    int
 	BlockTokens int
+	// ReportLag is the age of load reports, until SetFaults says otherwise.
+	ReportLag time.Duration
 	// ChangeTime is how long a disruptive order takes, LoadTime one for
 	// adapters.
 	ChangeTime time.Duration
@@ -80,7 +86,7 @@
 	options EngineOptions
 
 	mu       sync.Mutex // protects all below
-	changed  *sync.Cond // signalled after each step
+	work     *sync.Cond // signalled when a stream arrives
 	faults   EngineFaults
 	boot     string
 	boots    int
@@ -98,12 +104,15 @@
 	cache    *prefixCache
 	exports  map[string]int
 	book     Book
+	// forgotten is when ended streams were last looked for.
+	forgotten time.Time
 }
 
 // NewEngine starts a stand-in engine.
 func NewEngine(options EngineOptions) *Engine {
 	e := &Engine{options: options, exports: map[string]int{}}
-	e.changed = sync.NewCond(&e.mu)
+	e.work = sync.NewCond(&e.mu)
+	e.faults.ReportLagMs = int(options.ReportLag.Milliseconds())
 	e.restart()
 	go e.loop()
 	go e.reportLoop()
@@ -123,7 +132,7 @@
 	e.streams = map[string]*generation{}
 	e.waiting, e.running, e.recent, e.reports = nil, nil, nil, nil
 	e.accepted, e.seq = 0, 0
-	e.cache = newPrefixCache(e.options.KVBlocks)
+	e.cache = newPrefixCache(e.options.KVBlocks / 2)
 }
 
 // cut breaks a stream off.
@@ -132,6 +141,7 @@
 		e.book.Cut++
 	}
 	g.broken = true
+	g.changed.Broadcast()
 }
 
 // Handler serves the engine's interface and the fault switches.
@@ -165,7 +175,6 @@
 	defer e.mu.Unlock()
 	if faults.Crash {
 		e.restart()
-		e.changed.Broadcast()
 		faults.Crash = false
 	}
 	e.faults = faults
@@ -182,7 +191,6 @@
 		e.book.Cancelled++
 		g.broken = true
 		e.drop(g)
-		e.changed.Broadcast()
 	}
 }
 
@@ -222,10 +230,16 @@
 		Accepted: e.accepted, Recent: slices.Clone(e.recent),
 		Running: len(e.running), Waiting: len(e.waiting), PrefillTokens: prefill,
 		KVBlocksFree: e.blocksFree(), KVBlocksTotal: e.options.KVBlocks,
-		PrefillRate: e.options.PrefillRate, DecodeRate: e.options.DecodeRate * float64(e.options.MaxRunning),
+		PrefillRate: e.options.PrefillRate, DecodeRate: e.fullDecodeRate(),
 	}
 }
 
+// fullDecodeRate is that of a full batch, in tokens a second.
+func (e *Engine) fullDecodeRate() float64 {
+	streams := float64(e.options.MaxRunning)
+	return streams / (1/e.options.DecodeRate + (streams-1)*e.options.StepPerStream.Seconds())
+}
+
 func (e *Engine) cacheEvents(w http.ResponseWriter, r *http.Request) {
 	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64) // 0 reads all
 	e.mu.Lock()
@@ -265,7 +279,6 @@
 			e.cut(g)
 		}
 		e.waiting, e.running = nil, nil
-		e.changed.Broadcast()
 	}
 	e.changing = true
 	boot := e.boot
