Compare routing policies on fleets of real entries, side by side

The engine client left a few bytes of a reply unread, so that each read of a report cost a connection; it reads them now.

--- a/cmd/sf-load/main.go
+++ b/cmd/sf-load/main.go
@@ -1,5 +1,5 @@
 // Command sf-load offers an open-loop load to entries and prints what callers
-// saw as JSON.
+// saw as JSON; it also runs the comparisons of docs/MEASUREMENTS.md.
 package main
 
 import (
@@ -8,40 +8,110 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"syscall"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"sassafrasfield/internal/bench"
 	"sassafrasfield/internal/loadgen"
 )
 
-func main() {
-	var options loadgen.Options
-	var phase loadgen.Profile
-	app := kingpin.New("sf-load", "Offer an open-loop load to entries.")
-	app.Flag("target", "Entry (host:port); repeat for more.").Required().StringsVar(&options.Targets)
-	app.Flag("model", "Model.").Required().StringVar(&options.Model)
-	app.Flag("key", "API key.").Required().StringVar(&options.Key)
-	app.Flag("seed", "Seed.").Default("1").Uint64Var(&options.Seed)
-	app.Flag("prefixes", "Shared prompt prefixes.").Default("8").IntVar(&options.Prefixes)
-	app.Flag("first-token", "Bound on the first token.").Default("450ms").DurationVar(&options.FirstTokenWithin)
-	app.Flag("token", "Bound on the mean time between tokens.").Default("40ms").DurationVar(&options.TokenWithin)
-	app.Flag("duration", "How long.").Default("10s").DurationVar(&phase.Duration)
-	app.Flag("rate", "Requests a second.").Default("10").Float64Var(&phase.Rate)
-	app.Flag("prompt", "Mean prompt tokens.").Default("500").IntVar(&phase.PromptTokens)
-	app.Flag("answer", "Mean answer tokens.").Default("50").IntVar(&phase.AnswerTokens)
-	kingpin.MustParse(app.Parse(os.Args[1:]))
-	options.Phases = []loadgen.Profile{phase}
+// answersWithin bounds the wait for the last answers of a run.
+const answersWithin = time.Minute
 
+func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	ctx, cancel := context.WithTimeout(ctx, phase.Duration+time.Minute)
-	defer cancel()
-	encoder := json.NewEncoder(os.Stdout)
-	encoder.SetIndent("", "  ")
-	if err := encoder.Encode(loadgen.Run(ctx, options)); err != nil {
+	app := kingpin.New("sf-load", "Offer an open-loop load to entries, and measure.")
+	run := runCommand(app)
+	compare := compareCommand(app)
+	overhead := overheadCommand(app)
+	commands := map[string]func(context.Context) error{run.name: run.do, compare.name: compare.do, overhead.name: overhead.do}
+	if err := commands[kingpin.MustParse(app.Parse(os.Args[1:]))](ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "sf-load:", err)
 		os.Exit(1)
 	}
 }
+
+type command struct {
+	name string
+	do   func(context.Context) error
+}
+
+// runCommand offers one load to running entries.
+func runCommand(app *kingpin.Application) command {
+	cmd := app.Command("run", "Offer a load to entries that run already.")
+	targets := cmd.Flag("target", "Entry (host:port); repeat for more.").Required().Strings()
+	model := cmd.Flag("model", "Model.").Required().String()
+	keys := cmd.Flag("key", "API key, one an organisation; repeat for more.").Required().Strings()
+	seed := cmd.Flag("seed", "Seed.").Default("1").Uint64()
+	prefixes := cmd.Flag("prefixes", "Shared prompt prefixes.").Default("8").Int()
+	shared := cmd.Flag("shared", "Part of a prompt that is a shared prefix, 0 to 1.").Default("0.5").Float64()
+	firstToken := cmd.Flag("first-token", "Bound on the first token.").Default("450ms").Duration()
+	token := cmd.Flag("token", "Bound on the mean time between tokens.").Default("40ms").Duration()
+	duration := cmd.Flag("duration", "How long.").Default("10s").Duration()
+	rate := cmd.Flag("rate", "Requests a second.").Default("10").Float64()
+	prompt := cmd.Flag("prompt", "Mean prompt tokens.").Default("500").Int()
+	answer := cmd.Flag("answer", "Mean answer tokens.").Default("50").Int()
+	retry := cmd.Flag("retry", "Come back after a refusal when Retry-After says so.").Bool()
+	return command{name: cmd.FullCommand(), do: func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, *duration+answersWithin)
+		defer cancel()
+		result, err := loadgen.Run(ctx, loadgen.Options{Targets: *targets, Seed: *seed, Scenario: loadgen.Scenario{
+			Name: "run", Model: *model, Keys: *keys, Prefixes: *prefixes, HonourRetryAfter: *retry,
+			Classes: []loadgen.Class{{Name: "all", PromptTokens: *prompt, AnswerTokens: *answer, Shared: *shared}},
+			Phases:  []loadgen.Phase{{Duration: *duration, Rate: *rate, Mix: []float64{1}}},
+			Bounds:  loadgen.Bounds{FirstToken: *firstToken, Token: *token},
+		}})
+		if err != nil {
+			return err
+		}
+		encoder := json.NewEncoder(os.Stdout)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(result)
+	}}
+}
+
+// compareCommand sets the routing policies beside each other.
+func compareCommand(app *kingpin.Application) command {
+	cmd := app.Command("compare", "Set the routing policies beside each other, on fleets that it starts.")
+	bin := cmd.Flag("bin", "Folder of the built programs.").Default("bin").String()
+	out := cmd.Flag("out", "Folder for the results.").Default("out").String()
+	seeds := cmd.Flag("seed", "Seed; repeat for more.").Default("1", "2", "3").Uint64List()
+	lags := cmd.Flag("lag", "Lag of load reports; repeat for more.").Default("200ms", "1s", "5s").DurationList()
+	phase := cmd.Flag("phase", "Length of each of the swing's three phases.").Default("6s").Duration()
+	rate := cmd.Flag("rate", "Completions a second.").Default("40").Float64()
+	sideBySide := cmd.Flag("side-by-side", "Groups of fleets at a time.").Default("1").Int()
+	variants := cmd.Flag("variant", "First letter of a variant; repeat for more. All when none is given.").Strings()
+	return command{name: cmd.FullCommand(), do: func(ctx context.Context) error {
+		dir, err := os.MkdirTemp("", "sf-bench-")
+		if err != nil {
+			return err
+		}
+		defer os.RemoveAll(dir)
+		return bench.Compare(ctx, bench.Options{
+			Bin: *bin, Dir: dir, Out: *out, Seeds: *seeds, Lags: *lags, Phase: *phase, Rate: *rate,
+			Variants: bench.VariantsNamed(*variants), Deployments: bench.Deployments(),
+			SideBySide: *sideBySide, Log: os.Stderr,
+		})
+	}}
+}
+
+// overheadCommand measures what sf-entry adds to a direct connection.
+func overheadCommand(app *kingpin.Application) command {
+	cmd := app.Command("overhead", "Measure what one sf-entry adds to a direct connection to an engine, and its memory per stream.")
+	bin := cmd.Flag("bin", "Folder of the built programs.").Default("bin").String()
+	out := cmd.Flag("out", "Folder for the results.").Default("out").String()
+	return command{name: cmd.FullCommand(), do: func(ctx context.Context) error {
+		dir, err := os.MkdirTemp("", "sf-bench-")
+		if err != nil {
+			return err
+		}
+		defer os.RemoveAll(dir)
+		return bench.MeasureOverhead(ctx, bench.OverheadOptions{
+			Bin: *bin, Dir: dir, Out: filepath.Clean(*out), Log: os.Stderr,
+		})
+	}}
+}
--- /dev/null
+++ b/internal/bench/fleet.go
@@ -0,0 +1,254 @@
+// Package bench measures the system at the sizes of today: real sf-entry
+// processes before stand-in upstreams. It takes the place of sf-control and
+// puts a configuration in force in each entry itself, so that what is measured
+// is the data path. It is scaffolding.
+package bench
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"sassafrasfield/internal/config"
+	sfv1 "sassafrasfield/internal/gen/sf/v1"
+	"sassafrasfield/internal/gen/sf/v1/sfv1connect"
+	"sassafrasfield/internal/testfleet"
+)
+
+// heartbeatEvery is the time between two calls of Apply.
+const heartbeatEvery = time.Second
+
+// EngineModel are the flags of the stand-in engines: 20 ms a step and 1 ms
+// for each further stream, 4,000 prompt tokens a second in chunks of 128, a
+// batch of 12, and 4,000 pieces of 16 tokens.
+var EngineModel = []string{
+	"--prefill-rate", "4000", "--prefill-budget", "128", "--decode-rate", "50",
+	"--step-per-stream", "1ms", "--max-running", "12", "--kv-blocks", "4000",
+}
+
+// fleet is a running system without sf-control.
+type fleet struct {
+	*testfleet.Fleet
+	doc     *config.Config
+	entries []*entryProcess
+	// apart are the engines that have a process each.
+	apart []*testfleet.Process
+	stop  context.CancelFunc
+}
+
+type entryProcess struct {
+	address string
+	process *testfleet.Process
+	local   sfv1connect.EntryServiceClient
+}
+
+// plan says what to start.
+type plan struct {
+	bin, dir    string
+	zones       []string
+	model       string
+	prefix      string
+	keys        []string
+	entries     int
+	hosted      int
+	apart       int
+	services    int
+	engineFlags []string
+	entryTables string
+}
+
+// start starts a fleet and waits until each entry is ready.
+func start(ctx context.Context, p plan) (*fleet, error) {
+	if err := os.MkdirAll(p.dir, 0o755); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	f := &fleet{Fleet: testfleet.New(p.bin, p.dir), doc: document(p)}
+	if err := f.startAll(ctx, p); err != nil {
+		f.Stop()
+		return nil, err
+	}
+	beating, stop := context.WithCancel(context.WithoutCancel(ctx))
+	f.stop = stop
+	go f.heartbeats(beating)
+	return f, f.ready(ctx)
+}
+
+func (f *fleet) startAll(ctx context.Context, p plan) error {
+	if err := f.startEngines(p); err != nil {
+		return err
+	}
+	if err := f.startServices(p); err != nil {
+		return err
+	}
+	for i := range p.entries {
+		if err := f.startEntry(fmt.Sprintf("inst-%d", i+1), p.zones[i%len(p.zones)], p.entryTables); err != nil {
+			return err
+		}
+	}
+	return testfleet.Until(ctx, "each upstream answers", func() bool { return f.upstreamsAnswer(ctx) })
+}
+
+// Stop ends all processes.
+func (f *fleet) Stop() {
+	if f.stop != nil {
+		f.stop()
+	}
+	f.Fleet.Stop()
+}
+
+// document is the configuration without the upstreams.
+func document(p plan) *config.Config {
+	doc := &config.Config{
+		Version: 1, Intent: 1,
+		Models: []config.Model{{Name: p.model, Version: "1"}},
+		Pools:  []config.Pool{{Name: "main", Model: p.model, MinServing: 1}},
+	}
+	for i, key := range p.keys {
+		sum := sha256.Sum256([]byte(key))
+		doc.Organisations = append(doc.Organisations, config.Organisation{
+			Name: fmt.Sprintf("organisation-%d", i+1), KeyHashes: []string{hex.EncodeToString(sum[:])},
+		})
+	}
+	return doc
+}
+
+func (f *fleet) startEngines(p plan) error {
+	first := ""
+	ids := []string{}
+	for i := range p.hosted + p.apart {
+		id, address := fmt.Sprintf("engine-%d", i+1), f.Address()
+		state := config.EngineState{Model: p.model, Version: "1", Role: config.RoleMixed}
+		f.doc.Engines = append(f.doc.Engines, config.Engine{
+			ID: id, Address: address, Zone: p.zones[i%len(p.zones)], Pool: "main",
+			Fencing: config.FencingRefuse, Want: state, Loaded: state, Routing: config.RoutingServing, RoutingSince: 1,
+		})
+		flags := append([]string{"--model", p.model, "--model-version", "1"}, p.engineFlags...)
+		if i >= p.hosted {
+			args := append([]string{"--listen", address, "engine", "--id", id}, flags...)
+			process, err := f.Start(id, "sf-standin", args...)
+			if err != nil {
+				return err
+			}
+			f.apart = append(f.apart, process)
+			continue
+		}
+		if i == 0 {
+			first = address
+		}
+		ids = append(ids, "--id", id)
+		if i == p.hosted-1 {
+			args := append(append([]string{"--listen", first, "engines"}, ids...), flags...)
+			if _, err := f.Start("engines", "sf-standin", args...); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (f *fleet) startServices(p plan) error {
+	if p.services == 0 {
+		return nil
+	}
+	svc := config.Service{Name: "plain", Prefix: p.prefix}
+	for i := range p.services {
+		id, address := fmt.Sprintf("service-%d", i+1), f.Address()
+		if _, err := f.Start(id, "sf-standin", "--listen", address, "service", "--id", id); err != nil {
+			return err
+		}
+		svc.Upstreams = append(svc.Upstreams, config.ServiceUpstream{ID: id, Address: address, Zone: p.zones[i%len(p.zones)]})
+	}
+	f.doc.Services = append(f.doc.Services, svc)
+	return nil
+}
+
+func (f *fleet) startEntry(id, zone, tables string) error {
+	address, local := f.Address(), f.Address()
+	// No call of the load is kept, so the platform is never asked.
+	settings := fmt.Sprintf("instance = %q\nzone = %q\nplatform = %q\nlisten = %q\nlocal = %q\n%s",
+		id, zone, f.Address(), address, local, tables)
+	path := filepath.Join(f.Dir, id+".toml")
+	if err := os.WriteFile(path, []byte(settings), 0o644); err != nil {
+		return errors.WithStack(err)
+	}
+	process, err := f.Start(id, "sf-entry", "--settings", path)
+	if err != nil {
+		return err
+	}
+	client := sfv1connect.NewEntryServiceClient(http.DefaultClient, "http://"+local)
+	f.entries = append(f.entries, &entryProcess{address: address, process: process, local: client})
+	return nil
+}
+
+func (f *fleet) upstreamsAnswer(ctx context.Context) bool {
+	for _, e := range f.doc.Engines {
+		if testfleet.Post(ctx, e.Address, "/status", nil, nil) != nil {
+			return false
+		}
+	}
+	for _, svc := range f.doc.Services {
+		for _, u := range svc.Upstreams {
+			if testfleet.Post(ctx, u.Address, svc.Prefix, nil, nil) != nil {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// heartbeats does what sf-control of each instance does.
+func (f *fleet) heartbeats(ctx context.Context) {
+	document := f.doc.Encode()
+	ticker := time.NewTicker(heartbeatEvery)
+	defer ticker.Stop()
+	for {
+		for _, e := range f.entries {
+			go f.apply(ctx, e, document)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (f *fleet) apply(ctx context.Context, e *entryProcess, document []byte) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatEvery)
+	defer cancel()
+	// An entry that does not answer yet gets the next one.
+	_, _ = e.local.Apply(ctx, connect.NewRequest(&sfv1.ApplyRequest{Version: f.doc.Version, Document: document}))
+}
+
+func (f *fleet) ready(ctx context.Context) error {
+	return testfleet.Until(ctx, "each entry is ready", func() bool {
+		for _, e := range f.entries {
+			res, err := http.Get("http://" + e.address + "/readyz")
+			if err != nil {
+				return false
+			}
+			res.Body.Close()
+			if res.StatusCode != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// targets are the entries' addresses.
+func (f *fleet) targets() []string {
+	var targets []string
+	for _, e := range f.entries {
+		targets = append(targets, e.address)
+	}
+	return targets
+}
--- /dev/null
+++ b/internal/bench/plot.go
@@ -0,0 +1,83 @@
+package bench
+
+import (
+	"fmt"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"sassafrasfield/internal/loadgen"
+)
+
+// Size of a plot.
+const (
+	plotWidth  = 22 * vg.Centimeter
+	plotHeight = 12 * vg.Centimeter
+)
+
+// plotSwings draws the good answers by second of arrival, the mean over the
+// seeds, one file for each condition.
+func plotSwings(out string, cells []Cell) error {
+	for start := 0; start < len(cells); {
+		end := start + 1
+		for end < len(cells) && sameConditions(cells[start], cells[end]) {
+			end++
+		}
+		if err := plotSwing(out, cells[start:end]); err != nil {
+			return err
+		}
+		start = end
+	}
+	return nil
+}
+
+func sameConditions(a, b Cell) bool {
+	return a.Deployment == b.Deployment && a.LagSeconds == b.LagSeconds && a.Faults == b.Faults
+}
+
+func plotSwing(out string, cells []Cell) error {
+	title := fmt.Sprintf("%s, report lag %g s", cells[0].Deployment, cells[0].LagSeconds)
+	if cells[0].Faults {
+		title += ", one engine killed and one stopped"
+	}
+	p := plot.New()
+	p.Title.Text = title
+	p.X.Label.Text = "second of arrival"
+	p.Y.Label.Text = "completions a second (prompt tokens: thousands a second)"
+	p.Y.Min = 0
+	p.Legend.Top = true
+	p.Legend.Left = true
+	lines := []any{
+		"offered", series(cells, func(s loadgen.Second) float64 { return float64(s.Offered) }),
+		"prompt tokens / 1000", series(cells, func(s loadgen.Second) float64 { return float64(s.PromptTokens) / 1000 }),
+	}
+	for start := 0; start < len(cells); {
+		end := start + 1
+		for end < len(cells) && cells[end].Variant == cells[start].Variant {
+			end++
+		}
+		good := series(cells[start:end], func(s loadgen.Second) float64 { return float64(s.Good) })
+		lines = append(lines, "good: "+cells[start].Variant, good)
+		start = end
+	}
+	if err := plotutil.AddLines(p, lines...); err != nil {
+		return errors.Wrap(err, "bench: plot")
+	}
+	return errors.Wrap(p.Save(plotWidth, plotHeight, filepath.Join(out, "swing-"+directory(title)+".svg")), "bench: plot")
+}
+
+// series is the mean over cells by second.
+func series(cells []Cell, of func(loadgen.Second) float64) plotter.XYs {
+	points := make(plotter.XYs, len(cells[0].Result.Seconds))
+	for i := range points {
+		points[i].X = float64(i)
+		for _, c := range cells {
+			points[i].Y += of(c.Result.Seconds[i]) / float64(len(cells))
+		}
+	}
+	return points
+}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -34,6 +34,9 @@
 	HeaderAccepted = "X-Accepted"
 )
 
+// maxTrailerBytes bounds what is read after the end of a reply.
+const maxTrailerBytes = 4 << 10
+
 // maxReplyBytes bounds what is read of one reply that is no stream.
 const maxReplyBytes = 8 << 20
 
@@ -131,7 +134,7 @@
 	if err != nil {
 		return err
 	}
-	defer res.Body.Close()
+	defer drain(res.Body)
 	if reply == nil {
 		return nil
 	}
@@ -141,6 +144,13 @@
 	return nil
 }
 
+// drain reads what is left of a body that is at its end and closes it, so that
+// the connection can be used again.
+func drain(body io.ReadCloser) {
+	_, _ = io.CopyN(io.Discard, body, maxTrailerBytes) // a fault here costs the connection alone
+	_ = body.Close()
+}
+
 // post sends one call and returns the response when its status is 200.
 func (c *Client) post(ctx context.Context, path string, body any) (*http.Response, error) {
 	method, payload := http.MethodGet, io.Reader(nil)
@@ -215,6 +225,12 @@
 	return piece, nil
 }
 
+// Close implements Stream. What is left of a whole answer is read aside, so
+// that an engine that freezes at its end does not hold the caller up.
 func (s *stream) Close() error {
+	if s.done {
+		go drain(s.body)
+		return nil
+	}
 	return s.body.Close()
 }
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -119,7 +119,7 @@
 
 // runOn has one engine bring the rest of the answer. The placement was made.
 func (s *Server) runOn(ctx context.Context, chosen *config.Engine, comp *completion, assembler *stream.Assembler, out sink, attach bool) error {
-	defer s.state.end(chosen.ID, comp.id)
+	defer func() { s.state.end(chosen.ID, comp.id, s.now()) }()
 	ctx, span := tracer().Start(ctx, "engine generate", trace.WithAttributes(
 		attribute.String("engine", chosen.ID), attribute.Bool("attach", attach),
 	))
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -125,7 +125,7 @@
 		return service.Answer{}, errors.WithMessage(service.ErrNotRun, "no upstream is left")
 	}
 	id := servicePrefix + upstream.ID
-	defer s.state.end(id, request)
+	defer func() { s.state.end(id, request, s.now()) }()
 	excluded[upstream.ID] = true
 	ctx, span := tracer().Start(ctx, "service call", trace.WithAttributes(attribute.String("upstream", upstream.ID)))
 	defer span.End()
--- a/internal/entry/routing.go
+++ b/internal/entry/routing.go
@@ -101,7 +101,7 @@
 	defer s.mu.Unlock()
 	s.table.Expire(p.At)
 	req.Zone, req.Leaving, req.Now = s.zone, s.leaving, p.At
-	req.Blocks, req.Prefix = p.Blocks, p.Prefix
+	req.Blocks, req.Prefix, req.Traffic = p.Blocks, p.Prefix, &s.table.Traffic
 	chosen, ok := s.scheduler.Schedule(req, s.candidates(p.At), s.rng)
 	if !ok {
 		return nil, false
@@ -135,7 +135,7 @@
 			ID: u.ID, Zone: u.Zone, Leave: u.Leave, Load: s.table.Engine(servicePrefix + u.ID),
 		})
 	}
-	req := &route.Request{Zone: s.zone, Excluded: excluded, Leaving: s.leaving, Now: now}
+	req := &route.Request{Zone: s.zone, Excluded: excluded, Leaving: s.leaving, Now: now, Traffic: &s.table.Traffic}
 	chosen, ok := s.services.Schedule(req, candidates, s.rng)
 	if !ok {
 		return nil, false
@@ -150,10 +150,10 @@
 }
 
 // end takes a request off an upstream.
-func (s *state) end(id, request string) {
+func (s *state) end(id, request string, now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.table.End(id, request)
+	s.table.End(id, request, now)
 }
 
 // accepted records the engine's number for a request.
--- a/internal/entry/routing_test.go
+++ b/internal/entry/routing_test.go
@@ -66,8 +66,8 @@
 	if got := place("b"); got != "far" {
 		t.Fatalf("the second call went to %s, beside a busy one", got)
 	}
-	s.end(servicePrefix+"near", "a")
-	s.end(servicePrefix+"far", "b")
+	s.end(servicePrefix+"near", "a", time.Second)
+	s.end(servicePrefix+"far", "b", time.Second)
 	for range s.routing.Failures {
 		s.failed(servicePrefix+"near", time.Second)
 	}
--- a/internal/load/engine.go
+++ b/internal/load/engine.go
@@ -56,10 +56,9 @@
 	return view
 }
 
-// Charged is the reported load and the own placements that the report does not
-// account for.
-func (e *Engine) Charged() View {
-	view := e.Reported()
+// chargedView is the load of the charges alone.
+func (e *Engine) chargedView() View {
+	var view View
 	for i := range e.own {
 		p := &e.own[i]
 		if !p.charged {
@@ -74,6 +73,16 @@
 	return view
 }
 
+// Charged is the reported load and the own placements that the report does not
+// account for.
+func (e *Engine) Charged() View {
+	view, charges := e.Reported(), e.chargedView()
+	view.Requests += charges.Requests
+	view.PrefillTokens += charges.PrefillTokens
+	view.Blocks = charges.Blocks
+	return view
+}
+
 // PrefillTokens returns the prompt tokens ahead of a new request, charges
 // included.
 func (e *Engine) PrefillTokens() int {
@@ -110,15 +119,21 @@
 	return report.UnixMilli > e.Report.UnixMilli || now-e.ReportAt > silentFor
 }
 
-// settle takes the charges off that the report accounts for.
-func (e *Engine) settle() {
+// settle takes the charges off that the report accounts for, and tells traffic
+// of those that it counts.
+func (e *Engine) settle(t *Traffic) {
 	recent := make(map[string]bool, len(e.Report.Recent))
 	for _, id := range e.Report.Recent {
 		recent[id] = true
 	}
 	for i := range e.own {
 		p := &e.own[i]
-		if p.accountedBy(&e.Report, recent) || p.lostBy(&e.Report) {
+		switch {
+		case !p.charged:
+		case p.accountedBy(&e.Report, recent):
+			p.charged = false
+			t.counted(e.ReportAt - p.At)
+		case p.lostBy(&e.Report):
 			p.charged = false
 		}
 	}
--- a/internal/load/health_test.go
+++ b/internal/load/health_test.go
@@ -31,7 +31,7 @@
 		t.Fatal("a second request beside the probe")
 	}
 	table.Failed("e", back)
-	table.End("e", "probe")
+	table.End("e", "probe", back)
 	if h.Admits(back+rules.EjectFor) || !h.Admits(back+2*rules.EjectFor) {
 		t.Fatal("a failed probe does not double the ejection")
 	}
@@ -46,7 +46,7 @@
 		}
 		table.Succeeded("e")
 		for i := range n {
-			table.End("e", string(rune('a'+i)))
+			table.End("e", string(rune('a'+i)), now)
 		}
 	}
 	if h.room != 0 || !h.Admits(now) {
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -28,6 +28,8 @@
 	ChargeFor time.Duration
 	// Outliers are the rules for ejection.
 	Outliers OutlierRules
+	// Traffic is what all engines' reports tell together.
+	Traffic Traffic
 
 	engines map[string]*Engine
 }
@@ -70,6 +72,7 @@
 	e.Streams++
 	e.own = append(e.own, placed{Placement: p, charged: true})
 	e.Prefixes.Expect(p.Prefix)
+	t.Traffic.placed()
 	e.Health.placed(p.ID, p.At)
 }
 
@@ -95,10 +98,11 @@
 
 // End takes a stream off an upstream, with its charge. A request that is not
 // on the upstream is no error.
-func (t *Table) End(id, request string) {
+func (t *Table) End(id, request string, now time.Duration) {
 	e := t.Engine(id)
 	for i := range e.own {
 		if e.own[i].ID == request {
+			t.Traffic.ended(now - e.own[i].At)
 			e.own = slices.Delete(e.own, i, i+1)
 			e.Streams--
 			break
@@ -117,8 +121,11 @@
 	if e.ReportAt != 0 && now-e.ReportAt > t.Outliers.SilentFor {
 		e.Health.returned(now)
 	}
+	if e.ReportAt != 0 && report.Boot == e.Report.Boot {
+		t.Traffic.acceptedByAll(report.Accepted - e.Report.Accepted)
+	}
 	e.Report, e.ReportAt = report, now
-	e.settle()
+	e.settle(&t.Traffic)
 	e.expire(now, t.ChargeFor)
 }
 
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -150,12 +150,12 @@
 			},
 			"end": func(t *rapid.T) {
 				for id := range w.live {
-					w.table.End("e", id)
+					w.table.End("e", id, w.now)
 					delete(w.live, id)
 					break
 				}
 			},
-			"end of an unknown request": func(*rapid.T) { w.table.End("e", "never placed") },
+			"end of an unknown request": func(*rapid.T) { w.table.End("e", "never placed", w.now) },
 			"time":                      func(*rapid.T) { w.now += second },
 			"": func(t *rapid.T) {
 				e := w.table.Engine("e")
@@ -174,7 +174,7 @@
 			},
 		})
 		for id := range w.live {
-			w.table.End("e", id)
+			w.table.End("e", id, w.now)
 		}
 		if e := w.table.Engine("e"); e.Charges() != 0 || e.Streams != 0 || e.Local() != (View{}) {
 			t.Fatalf("left after all ended: %d charges, %d streams, %+v", e.Charges(), e.Streams, e.Local())
--- a/internal/loadgen/caller.go
+++ b/internal/loadgen/caller.go
@@ -4,31 +4,29 @@
 	"bufio"
 	"bytes"
 	"context"
-	"encoding/json"
-	"math/rand/v2"
+	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"sassafrasfield/internal/callerapi"
 )
 
-// charsPerToken turns token counts into prompt text.
-const charsPerToken = 4
+// comeBacks is how often a caller comes back after refusals.
+const comeBacks = 3
 
-// callers makes requests and sends them.
-type callers struct {
-	options  Options
+// caller sends requests and reads answers.
+type caller struct {
+	scenario Scenario
+	targets  []string
 	http     *http.Client
-	prefixes []string
-	sent     int
 }
 
-// call is one request.
-type call struct {
-	target string
-	body   []byte
+func newCaller(scenario Scenario, targets []string) *caller {
+	return &caller{
+		scenario: scenario, targets: targets,
+		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}},
+	}
 }
 
 // outcome is what one caller saw.
@@ -37,6 +35,7 @@
 	whole      bool
 	firstToken time.Duration
 	gaps       []time.Duration
+	retryAfter time.Duration
 }
 
 // pace is the mean time between tokens.
@@ -51,66 +50,80 @@
 	return total / time.Duration(len(o.gaps))
 }
 
-func newCallers(options Options) *callers {
-	c := &callers{
-		options: options,
-		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
-	}
-	for i := range max(1, options.Prefixes) {
-		c.prefixes = append(c.prefixes, strings.Repeat("style guide "+strconv.Itoa(i)+" ", 1024))
-	}
-	return c
-}
-
-// next makes a request; half of its prompt is a shared prefix.
-func (c *callers) next(rng *rand.Rand, phase Profile) call {
-	prompt := int(float64(phase.PromptTokens) * (0.5 + rng.Float64()))
-	answer := max(1, int(float64(phase.AnswerTokens)*(0.5+rng.Float64())))
-	prefix := c.prefixes[rng.IntN(len(c.prefixes))]
-	half := min(len(prefix), prompt*charsPerToken/2)
-	text := prefix[:half] + strings.Repeat(strconv.FormatUint(rng.Uint64(), 36)+" ", prompt*charsPerToken/28+1)
-	seed := rng.Int64N(1 << 31)
-	body, err := json.Marshal(map[string]any{
-		"model": c.options.Model, "stream": true, "max_tokens": answer, "seed": seed,
-		"messages": []callerapi.Message{{Role: "user", Content: callerapi.Content(text)}},
-	})
-	if err != nil {
-		panic(err) // plain data always marshals
+// do sends a request, to the n-th target first, and reads its answer.
+func (c *caller) do(ctx context.Context, a arrival, n int) outcome {
+	started := time.Now()
+	for try := 0; ; try++ {
+		o := c.once(ctx, a, c.targets[(n+try)%len(c.targets)], started)
+		if !o.refused || !c.scenario.HonourRetryAfter || o.retryAfter == 0 || try == comeBacks {
+			return o
+		}
+		select {
+		case <-ctx.Done():
+			return o
+		case <-time.After(o.retryAfter):
+		}
 	}
-	c.sent++
-	return call{target: c.options.Targets[c.sent%len(c.options.Targets)], body: body}
 }
 
-// do sends a request and reads its answer.
-func (c *callers) do(ctx context.Context, call call) outcome {
-	started := time.Now()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+call.target+"/v1/chat/completions", bytes.NewReader(call.body))
+func (c *caller) once(ctx context.Context, a arrival, target string, started time.Time) outcome {
+	req, err := c.request(ctx, a, target)
 	if err != nil {
 		return outcome{}
 	}
-	req.Header.Set("Authorization", "Bearer "+c.options.Key)
-	req.Header.Set("Content-Type", "application/json")
 	res, err := c.http.Do(req)
 	if err != nil {
 		return outcome{}
 	}
 	defer res.Body.Close()
-	if res.StatusCode != http.StatusOK {
-		return outcome{refused: res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusTooManyRequests}
+	switch {
+	case res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusTooManyRequests:
+		seconds, _ := strconv.Atoi(res.Header.Get("Retry-After")) // none: 0
+		return outcome{refused: true, retryAfter: time.Duration(seconds) * time.Second}
+	case res.StatusCode != http.StatusOK:
+		return outcome{}
+	case a.body == nil:
+		_, err := io.Copy(io.Discard, res.Body)
+		return outcome{whole: err == nil, firstToken: time.Since(started)}
+	}
+	return readAnswer(res.Body, started)
+}
+
+func (c *caller) request(ctx context.Context, a arrival, target string) (*http.Request, error) {
+	method, path, body := http.MethodPost, "/v1/chat/completions", io.Reader(bytes.NewReader(a.body))
+	if a.body == nil {
+		method, path, body = http.MethodGet, c.scenario.CallPath, nil
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+target+path, body)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+a.key)
+	req.Header.Set("Content-Type", "application/json")
+	if a.priority != 0 {
+		req.Header.Set(callerapi.HeaderPriority, strconv.Itoa(a.priority))
 	}
-	return readAnswer(res, started)
+	if c.scenario.Deadline > 0 && a.body != nil {
+		req.Header.Set(callerapi.HeaderDeadline, strconv.FormatInt(c.scenario.Deadline.Milliseconds(), 10))
+	}
+	return req, nil
 }
 
-func readAnswer(res *http.Response, started time.Time) outcome {
+// readAnswer reads the events of a streamed answer.
+func readAnswer(body io.Reader, started time.Time) outcome {
 	var o outcome
-	lines := bufio.NewScanner(res.Body)
+	lines := bufio.NewScanner(body)
 	last := started
 	for lines.Scan() {
-		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		line := lines.Bytes()
+		if bytes.HasPrefix(line, []byte("event: error")) {
+			return o
+		}
+		data, ok := bytes.CutPrefix(line, []byte("data: "))
 		if !ok {
 			continue
 		}
-		if data == "[DONE]" {
+		if string(data) == "[DONE]" {
 			o.whole = true
 			return o
 		}
--- a/internal/route/filter_memory.go
+++ b/internal/route/filter_memory.go
@@ -13,5 +13,5 @@
 	if total == 0 {
 		return true
 	}
-	return c.Load.Report.KVBlocksFree-f.View(c.Load).Blocks >= req.Blocks
+	return c.Load.Report.KVBlocksFree-f.View(req, c).Blocks >= req.Blocks
 }
--- a/internal/route/policy.go
+++ b/internal/route/policy.go
@@ -18,16 +18,21 @@
 	PolicyCharge Policy = "charge"
 	// PolicyChargePrefix is PolicyCharge with hints of cached prefixes.
 	PolicyChargePrefix Policy = "charge-prefix"
+	// PolicyEstimate, with hints, takes off the report what was done since it
+	// was taken, and reckons with the other entries' placements.
+	PolicyEstimate Policy = "estimate"
+	// PolicyLocalPrefix is PolicyLocal with hints.
+	PolicyLocalPrefix Policy = "local-prefix"
 )
 
 // Policies lists all policies.
 func Policies() []Policy {
-	return []Policy{PolicyRoundRobin, PolicyReport, PolicyLocal, PolicyCharge, PolicyChargePrefix}
+	return []Policy{PolicyRoundRobin, PolicyReport, PolicyLocal, PolicyCharge, PolicyChargePrefix, PolicyEstimate, PolicyLocalPrefix}
 }
 
 // Hints tells whether the policy uses prefix hints.
 func (p Policy) Hints() bool {
-	return p == PolicyChargePrefix
+	return p == PolicyChargePrefix || p == PolicyEstimate || p == PolicyLocalPrefix
 }
 
 // Pick names a way to choose among scored engines.
@@ -85,7 +90,7 @@
 		Filters:     []Filter{LeavingFilter{}, ExcludedFilter{}},
 		Preferences: []Preference{{Filter: HealthFilter{}, KeepShare: keepShare}},
 		Scorers: []WeightedScorer{
-			{Scorer: BatchScorer{View: (*load.Engine).Local}, Weight: 1},
+			{Scorer: BatchScorer{View: localView}, Weight: 1},
 			{Scorer: ZoneScorer{}, Weight: zoneWeight},
 		},
 		Picker: BestPicker{},
@@ -95,14 +100,18 @@
 func viewOf(policy Policy) LoadView {
 	switch policy {
 	case PolicyReport:
-		return (*load.Engine).Reported
-	case PolicyLocal:
-		return (*load.Engine).Local
+		return func(_ *Request, c Candidate) load.View { return c.Load.Reported() }
+	case PolicyLocal, PolicyLocalPrefix:
+		return localView
+	case PolicyEstimate:
+		return func(req *Request, c Candidate) load.View { return c.Load.Estimated(req.Traffic, req.Now) }
 	default:
-		return (*load.Engine).Charged
+		return func(_ *Request, c Candidate) load.View { return c.Load.Charged() }
 	}
 }
 
+func localView(_ *Request, c Candidate) load.View { return c.Load.Local() }
+
 func picker(policy Policy, pick Pick) Picker {
 	if policy == PolicyRoundRobin {
 		return &RoundRobinPicker{}
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -119,7 +119,7 @@
 		}
 	}
 	table.Started("e0", "r")
-	table.End("e0", "r")
+	table.End("e0", "r", time.Second)
 	if got := schedule(t, PolicyCharge, Request{PromptTokens: 10}, candidates); got != "e0" {
 		t.Errorf("the charge outlived its stream: %s", got)
 	}
--- a/internal/route/score_batch.go
+++ b/internal/route/score_batch.go
@@ -11,6 +11,6 @@
 }
 
 // Score implements Scorer.
-func (s BatchScorer) Score(_ *Request, c Candidate) float64 {
-	return 1 / (1 + float64(s.View(c.Load).Requests)/batchScale)
+func (s BatchScorer) Score(req *Request, c Candidate) float64 {
+	return 1 / (1 + float64(s.View(req, c).Requests)/batchScale)
 }
--- a/internal/route/score_firsttoken.go
+++ b/internal/route/score_firsttoken.go
@@ -7,8 +7,8 @@
 	"sassafrasfield/internal/load"
 )
 
-// LoadView chooses what of an engine's picture is looked at.
-type LoadView func(*load.Engine) load.View
+// LoadView chooses what of a candidate's picture is looked at.
+type LoadView func(req *Request, c Candidate) load.View
 
 // defaultPrefillRate, in prompt tokens a second, is taken for an engine that
 // has reported none.
@@ -41,7 +41,7 @@
 	if rate <= 0 {
 		rate = defaultPrefillRate
 	}
-	seen := view(c.Load)
+	seen := view(req, c)
 	tokens := seen.PrefillTokens + req.PromptTokens
 	if hints {
 		tokens -= CachedTokens(req, c)
--- a/internal/testfleet/process.go
+++ b/internal/testfleet/process.go
@@ -60,6 +60,9 @@
 	<-p.done
 }
 
+// Pid is the process's id.
+func (p *Process) Pid() int { return p.cmd.Process.Pid }
+
 // Done is closed when the process has ended.
 func (p *Process) Done() <-chan struct{} { return p.done }
 
