--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -27,6 +27,16 @@
 	PathImport      = "/kv/import"
 )
 
+// Headers of the answer to a Generate call: the engine's boot, and its count
+// Report.Accepted at this request.
+const (
+	HeaderBoot     = "X-Boot"
+	HeaderAccepted = "X-Accepted"
+)
+
+// maxTrailerBytes bounds what is read after the end of a reply.
+const maxTrailerBytes = 4 << 10
+
 // maxReplyBytes bounds what is read of one reply that is no stream.
 const maxReplyBytes = 8 << 20
 
@@ -65,7 +75,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &stream{body: res.Body, decoder: json.NewDecoder(res.Body)}, nil
+	number, _ := strconv.ParseInt(res.Header.Get(HeaderAccepted), 10, 64) // an engine may give none
+	return &stream{
+		body: res.Body, decoder: json.NewDecoder(res.Body),
+		boot: res.Header.Get(HeaderBoot), number: number,
+	}, nil
 }
 
 // Cancel implements Engine.
@@ -113,7 +127,7 @@
 	if err != nil {
 		return err
 	}
-	defer res.Body.Close()
+	defer drain(res.Body)
 	if reply == nil {
 		return nil
 	}
@@ -123,6 +137,13 @@
 	return nil
 }
 
+// drain reads what is left of a body that is at its end and closes it, so that
+// the connection can be used again.
+func drain(body io.ReadCloser) {
+	_, _ = io.CopyN(io.Discard, body, maxTrailerBytes) // a fault here costs the connection alone
+	_ = body.Close()
+}
+
 // post sends one call and returns the response when its status is 200.
 func (c *Client) post(ctx context.Context, path string, body any) (*http.Response, error) {
 	method, payload := http.MethodGet, io.Reader(nil)
@@ -176,6 +197,13 @@
 	body    io.ReadCloser
 	decoder *json.Decoder
 	done    bool
+	boot    string
+	number  int64
+}
+
+// Accepted implements Numbered.
+func (s *stream) Accepted() (boot string, number int64) {
+	return s.boot, s.number
 }
 
 func (s *stream) Next() (Piece, error) {
@@ -190,6 +218,12 @@
 	return piece, nil
 }
 
+// Close implements Stream. What is left of a whole answer is read aside, so
+// that an engine that freezes at its end does not hold the caller up.
 func (s *stream) Close() error {
+	if s.done {
+		go drain(s.body)
+		return nil
+	}
 	return s.body.Close()
 }
