--- a/internal/admit/capacity.go
+++ b/internal/admit/capacity.go
@@ -12,6 +12,8 @@
 	PrefillAhead int
 	// PrefillRate is in prompt tokens a second; 0 when not known.
 	PrefillRate float64
+	// Cached are tokens of the prompt that the engine is believed to have cached.
+	Cached int
 	// Running and Waiting count streams, by the engine's report.
 	Running, Waiting int
 	// Charged counts this entry's placements that no report accounts for.
@@ -42,7 +44,7 @@
 		if e.PrefillRate <= 0 {
 			continue
 		}
-		own := seconds(float64(promptTokens) / e.PrefillRate)
+		own := seconds(float64(max(0, promptTokens-e.Cached)) / e.PrefillRate)
 		ahead := seconds(float64(e.PrefillAhead) / e.PrefillRate)
 		firstToken := own + max(ahead, e.batchWait(service))
 		if !best.Known {
--- a/internal/control/demand.go
+++ b/internal/control/demand.go
@@ -10,6 +10,7 @@
 
 	"connectrpc.com/connect"
 
+	"sassafrasfield/internal/bootclock"
 	sfv1 "sassafrasfield/internal/gen/sf/v1"
 	"sassafrasfield/internal/limit"
 	"sassafrasfield/internal/platform"
@@ -132,7 +133,7 @@
 	for _, rate := range request.Demand {
 		rates[rate.Organisation] = float64(rate.Rate)
 	}
-	totals := d.demand.report(request.From, rates, d.now())
+	totals := d.demand.report(request.From, rates, bootclock.Now())
 	var list []*sfv1.OrganisationRate
 	for name, total := range totals {
 		list = append(list, &sfv1.OrganisationRate{Organisation: name, Rate: float32(total)})
--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -261,7 +261,7 @@
 func (a *admission) predict(comp *completion, g *modelGate) admit.Prediction {
 	loads := a.server.state.engineLoads(&route.Request{
 		Model: comp.name, Adapter: comp.adapter, Version: comp.version,
-		PromptTokens: comp.promptTokens, Now: a.server.now(),
+		PromptTokens: comp.promptTokens, Prefix: a.server.prefix(comp), Now: a.server.now(),
 	})
 	return admit.Predict(loads, comp.promptTokens, g.gate.Service())
 }
@@ -303,29 +303,18 @@
 	defer s.mu.Unlock()
 	req.Zone, req.Leaving = s.zone, s.leaving
 	var loads []admit.EngineLoad
-	for i := range s.doc.Engines {
-		candidate := route.Candidate{Engine: &s.doc.Engines[i], Load: s.table.Engine(s.doc.Engines[i].ID)}
-		if s.eligible(req, candidate) {
-			loads = append(loads, engineLoad(candidate))
-		}
+	for _, c := range s.scheduler.Eligible(req, s.candidates(req.Now)) {
+		loads = append(loads, engineLoad(req, c))
 	}
 	return loads
 }
 
-func (s *state) eligible(req *route.Request, c route.Candidate) bool {
-	for _, f := range s.scheduler.Filters {
-		if !f.Keep(req, c) {
-			return false
-		}
-	}
-	return true
-}
-
-func engineLoad(c route.Candidate) admit.EngineLoad {
+func engineLoad(req *route.Request, c route.Candidate) admit.EngineLoad {
 	report := &c.Load.Report
 	return admit.EngineLoad{
 		PrefillAhead: c.Load.PrefillTokens(), PrefillRate: report.PrefillRate,
-		Running: report.Running, Waiting: report.Waiting, Charged: len(c.Load.Charged),
+		Cached:  route.CachedTokens(req, c),
+		Running: report.Running, Waiting: report.Waiting, Charged: c.Load.Charges(),
 		BlocksFree: report.KVBlocksFree, BlocksTotal: report.KVBlocksTotal,
 	}
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -37,6 +37,8 @@
 	maxTokens    int
 	seed         int64
 	priority     int
+	// prefix has the hashes of the prompt's blocks, once Server.prefix made them.
+	prefix []uint64
 	// deadline is the time to the first token that the caller can bear; 0 when
 	// it did not say.
 	deadline time.Duration
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -33,6 +33,7 @@
 	BalancerLag time.Duration     `toml:"balancer_lag"`
 	Limits      LimitSettings     `toml:"limits"`
 	Engine      EngineSettings    `toml:"engine"`
+	Routing     RoutingSettings   `toml:"routing"`
 	Admission   AdmissionSettings `toml:"admission"`
 	Rate        RateSettings      `toml:"rate"`
 	Retry       RetrySettings     `toml:"retry"`
@@ -76,6 +77,7 @@
 			MaxPromptTokens: 131072, MaxAnswerTokens: 4096,
 		},
 		Engine:    EngineSettings{Timeout: 30 * time.Second, ReportEvery: 200 * time.Millisecond, Attempts: 3},
+		Routing:   defaultRouting(),
 		Admission: defaultAdmission(),
 		Rate:      defaultRate(),
 		Retry:     defaultRetry(),
@@ -103,6 +105,7 @@
 	settings.Between(file, "engine.timeout", s.Engine.Timeout, 10*time.Millisecond, 10*time.Minute)
 	settings.Between(file, "engine.report_every", s.Engine.ReportEvery, time.Millisecond, time.Minute)
 	settings.IntBetween(file, "engine.attempts", s.Engine.Attempts, 1, 20)
+	s.Routing.check(file)
 	s.Admission.check(file)
 	s.Rate.check(file)
 	s.Retry.check(file)
