--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -40,11 +40,16 @@
 		if err != nil {
 			return err
 		}
+		if err := s.admit(c, comp); err != nil {
+			return err
+		}
+		defer s.admission.done(comp)
 		out := newSink(c, shape, comp)
 		if err := s.answer(c.Request().Context(), comp, out); err != nil {
 			return s.ended(c, comp, out, err)
 		}
 		s.metrics.answered.Inc(1)
+		s.retries.succeeded(s.now())
 		return out.finish()
 	}
 }
@@ -73,8 +78,8 @@
 	excluded := map[string]bool{}
 	var last error
 	for attempt := range s.settings.Engine.Attempts {
-		if attempt > 0 {
-			s.metrics.retries.Inc(1)
+		if attempt > 0 && !s.mayRetry(ctx, attempt, last, assembler.Next() > 0) {
+			break
 		}
 		placement := s.placement(comp)
 		chosen, ok := s.state.place(&route.Request{
@@ -102,12 +107,19 @@
 		ID: comp.id, PrefillTokens: comp.promptTokens, At: s.now(),
 		Blocks: (comp.promptTokens + comp.maxTokens + engine.BlockTokens - 1) / engine.BlockTokens,
 	}
-	if s.settings.Routing.Policy.Hints() {
-		p.Prefix = engine.BlockHashes(comp.prompt, engine.BlockTokens, prefixBlocksAtMost)
-	}
+	p.Prefix = s.prefix(comp)
 	return p
 }
 
+// prefix returns the hashes of the prompt's blocks, which are worked out once;
+// nil when hints are off.
+func (s *Server) prefix(comp *completion) []uint64 {
+	if comp.prefix == nil && s.settings.Routing.Policy.Hints() {
+		comp.prefix = engine.BlockHashes(comp.prompt, engine.BlockTokens, prefixBlocksAtMost)
+	}
+	return comp.prefix
+}
+
 // attach goes on with a stream that an engine still holds.
 func (s *Server) attach(ctx context.Context, comp *completion, assembler *stream.Assembler, out sink) error {
 	chosen, ok := s.state.placeOn(comp.resume.Engine, load.Placement{ID: comp.id, At: s.now()})
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -30,12 +30,15 @@
 	ShutdownTimeout time.Duration `toml:"shutdown_timeout"`
 	// BalancerLag is how long the entry goes on taking what the balancer sends
 	// after it said that it is not ready. Default 3s.
-	BalancerLag time.Duration    `toml:"balancer_lag"`
-	Limits      LimitSettings    `toml:"limits"`
-	Engine      EngineSettings   `toml:"engine"`
-	Routing     RoutingSettings  `toml:"routing"`
-	Log         logging.Settings `toml:"log"`
-	Trace       tracing.Settings `toml:"trace"`
+	BalancerLag time.Duration     `toml:"balancer_lag"`
+	Limits      LimitSettings     `toml:"limits"`
+	Engine      EngineSettings    `toml:"engine"`
+	Routing     RoutingSettings   `toml:"routing"`
+	Admission   AdmissionSettings `toml:"admission"`
+	Rate        RateSettings      `toml:"rate"`
+	Retry       RetrySettings     `toml:"retry"`
+	Log         logging.Settings  `toml:"log"`
+	Trace       tracing.Settings  `toml:"trace"`
 }
 
 // LimitSettings bound what a caller may send.
@@ -73,10 +76,13 @@
 			MaxBodyBytes: 4 << 20, MaxHeaderBytes: 64 << 10,
 			MaxPromptTokens: 131072, MaxAnswerTokens: 4096,
 		},
-		Engine:  EngineSettings{Timeout: 30 * time.Second, ReportEvery: 200 * time.Millisecond, Attempts: 3},
-		Routing: defaultRouting(),
-		Log:     logging.Default(),
-		Trace:   tracing.Default(),
+		Engine:    EngineSettings{Timeout: 30 * time.Second, ReportEvery: 200 * time.Millisecond, Attempts: 3},
+		Routing:   defaultRouting(),
+		Admission: defaultAdmission(),
+		Rate:      defaultRate(),
+		Retry:     defaultRetry(),
+		Log:       logging.Default(),
+		Trace:     tracing.Default(),
 	}
 }
 
@@ -100,6 +106,9 @@
 	settings.Between(file, "engine.report_every", s.Engine.ReportEvery, time.Millisecond, time.Minute)
 	settings.IntBetween(file, "engine.attempts", s.Engine.Attempts, 1, 20)
 	s.Routing.check(file)
+	s.Admission.check(file)
+	s.Rate.check(file)
+	s.Retry.check(file)
 	s.Log.Check(file, "log")
 	s.Trace.Check(file, "trace")
 }
