Decide the whole drain sequence, losses and silences in rollout

Cause: an instance that did not answer blocked a plan for good; an engine that lost its state or crashed while it served stayed in routing; no bound on how many engines load weights at once; each engine cost a version for each step.

An instance that does not answer counts as sending no new work by an old version once the holder has known the drain's version for silent_after: by then it has the version, or is stale and refuses. What it still runs shows in the engine's own count. A holder that reaches less than half of a pool marks none of it out, since it is more likely cut off itself. An order is sent only when a transaction has proved that the view it rests on is the newest.

Settled pools are watched every watch_every; waiting pools are looked at less and less often up to that.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -75,6 +75,9 @@
 	Callers []string `json:"callers,omitempty"`
 	// MaxPromptTokens bounds a prompt; 0 means the entry's own bound.
 	MaxPromptTokens int `json:"max_prompt_tokens,omitempty"`
+	// WeightBytes is the size of the weights, for the pace at which they are
+	// loaded; 0 means unknown.
+	WeightBytes int64 `json:"weight_bytes,omitempty"`
 }
 
 // Pool is a set of engines for one model in one region. One lease guards the
@@ -140,6 +143,9 @@
 	Routing Routing `json:"routing"`
 	// RoutingSince is the version that set Routing.
 	RoutingSince int64 `json:"routing_since"`
+	// Plan is the id of the confirmed plan that still has to change the engine;
+	// empty when none has.
+	Plan string `json:"plan,omitempty"`
 }
 
 // Service is a plain service under a path prefix.
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -38,6 +38,7 @@
 	members  *members
 	entry    *entryLink
 	leases   *leases
+	watcher  *watcher
 	http     *http.Client
 	options  []connect.ClientOption
 
@@ -70,6 +71,7 @@
 	d.members = newMembers(client, logging.Part(log, "members"))
 	d.entry = newEntryLink(d.holder, s.EntryLocal, d.http, d.options, logging.Part(log, "entry"))
 	d.leases = newLeases(d, logging.Part(log, "lease"))
+	d.watcher = newWatcher(s.Rollout)
 	return d, nil
 }
 
--- /dev/null
+++ b/internal/control/observe.go
@@ -0,0 +1,87 @@
+package control
+
+import (
+	"context"
+	"sync"
+
+	"connectrpc.com/connect"
+
+	"sassafrasfield/internal/config"
+	sfv1 "sassafrasfield/internal/gen/sf/v1"
+	"sassafrasfield/internal/platform"
+	"sassafrasfield/internal/rollout"
+)
+
+// observe asks the instances first and the engines after them, so that an
+// engine's answer is newer than the instances'. A pool in which nothing is to
+// be changed costs no question to the instances.
+func (d *Daemon) observe(ctx context.Context, pool string) (rollout.View, error) {
+	doc := d.holder.Current()
+	orders, err := d.readOrders(ctx, pool)
+	if err != nil {
+		return rollout.View{}, err
+	}
+	view := rollout.View{
+		Config: doc, Pool: pool, Orders: orders,
+		Limits: d.limits(ctx, doc, pool), Leaving: d.leavingEngines(),
+	}
+	if !settled(doc, pool) {
+		view.Instances = d.observeInstances(ctx)
+	}
+	view.Engines = d.observeEngines(ctx, doc.PoolEngines(pool))
+	return view, nil
+}
+
+func (d *Daemon) leavingEngines() map[string]bool {
+	leaving := map[string]bool{}
+	for _, id := range d.members.leavingUpstreams() {
+		leaving[id] = true
+	}
+	return leaving
+}
+
+func (d *Daemon) observeInstances(ctx context.Context) []rollout.InstanceView {
+	known := d.watcher.instancesToAsk(d.now())
+	views := make([]rollout.InstanceView, len(known))
+	var work sync.WaitGroup
+	for i, instance := range known {
+		work.Go(func() { views[i] = d.observeInstance(ctx, instance) })
+	}
+	work.Wait()
+	return views
+}
+
+func (d *Daemon) observeInstance(ctx context.Context, instance platform.Instance) rollout.InstanceView {
+	view := rollout.InstanceView{ID: instance.ID, Streams: map[string]int{}}
+	response, err := d.peer(instance.Control).InForce(ctx, connect.NewRequest(&sfv1.InForceRequest{}))
+	if err != nil || !response.Msg.EntryKnown {
+		return view
+	}
+	view.Known = true
+	view.Version = response.Msg.EntryVersion
+	for _, s := range response.Msg.Streams {
+		view.Streams[s.Engine] = int(s.Streams)
+	}
+	return view
+}
+
+func (d *Daemon) observeEngines(ctx context.Context, engines []*config.Engine) map[string]rollout.EngineView {
+	views := map[string]rollout.EngineView{}
+	var mu sync.Mutex // protects views
+	var work sync.WaitGroup
+	for _, e := range engines {
+		work.Go(func() {
+			view := d.observeEngine(ctx, e)
+			mu.Lock()
+			defer mu.Unlock()
+			views[e.ID] = view
+		})
+	}
+	work.Wait()
+	return views
+}
+
+func (d *Daemon) observeEngine(ctx context.Context, e *config.Engine) rollout.EngineView {
+	status, err := d.engineAt(e.Address).Status(ctx)
+	return d.watcher.engineSeen(e, status, err == nil, d.now())
+}
--- /dev/null
+++ b/internal/control/pace.go
@@ -0,0 +1,45 @@
+package control
+
+import (
+	"sync"
+	"time"
+)
+
+// pace sets how often a pool is looked at: at once after a step or a new
+// version, and else less and less often, up to the time between looks at a
+// pool that is watched for faults alone.
+type pace struct {
+	shortest, longest time.Duration
+
+	mu      sync.Mutex // protects all below
+	busy    bool
+	period  time.Duration
+	due     time.Duration
+	version int64
+}
+
+// begin tells whether it is time to look. The caller calls end after it.
+func (p *pace) begin(now time.Duration, version int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.busy || (now < p.due && version == p.version) {
+		return false
+	}
+	if version != p.version {
+		p.period = p.shortest
+	}
+	p.busy, p.version = true, version
+	return true
+}
+
+// end takes whether the look led to a step.
+func (p *pace) end(now time.Duration, acted bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.busy = false
+	p.period = min(2*max(p.period, p.shortest), p.longest)
+	if acted {
+		p.period = p.shortest
+	}
+	p.due = now + p.period
+}
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -3,78 +3,84 @@
 import (
 	"context"
 	"fmt"
+	"reflect"
+	"strings"
 	"sync"
+	"time"
 
-	"connectrpc.com/connect"
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"sassafrasfield/internal/config"
-	sfv1 "sassafrasfield/internal/gen/sf/v1"
+	"sassafrasfield/internal/failpoint"
 	"sassafrasfield/internal/order"
 	"sassafrasfield/internal/platform"
 	"sassafrasfield/internal/rollout"
 	"sassafrasfield/internal/versions"
 )
 
-// rolloutLoop brings the pools whose lease is held to the confirmed state.
+// rolloutLoop brings the pools whose lease is held to the confirmed state. Each
+// pool is stepped by itself, so that one with slow engines holds up no other.
 func (d *Daemon) rolloutLoop(ctx context.Context) {
+	paces := map[string]*pace{}
+	var work sync.WaitGroup
 	every(ctx, d.settings.Rollout.StepEvery, func(ctx context.Context) {
+		d.watcher.noteListed(d.members.own(), d.now())
 		for _, pool := range d.leases.heldPools() {
-			if err := d.stepPool(ctx, pool); err != nil {
-				d.log.Info("rollout: a step did not succeed", "pool", pool, "error", err)
+			p, ok := paces[pool]
+			if !ok {
+				p = &pace{shortest: d.settings.Rollout.StepEvery, longest: d.settings.Rollout.WatchEvery}
+				paces[pool] = p
+			}
+			if p.begin(d.now(), d.holder.Current().Version) {
+				work.Go(func() { p.end(d.now(), d.stepAndLog(ctx, pool)) })
 			}
 		}
 	})
+	work.Wait()
+}
+
+// stepAndLog tells whether anything was done for the pool.
+func (d *Daemon) stepAndLog(ctx context.Context, pool string) bool {
+	acted, err := d.stepPool(ctx, pool)
+	if err != nil {
+		d.log.Info("rollout: a step did not succeed", "pool", pool, "error", err)
+	}
+	return acted
 }
 
 // stepPool looks at one pool and carries out what may be done now.
-func (d *Daemon) stepPool(ctx context.Context, pool string) error {
+func (d *Daemon) stepPool(ctx context.Context, pool string) (acted bool, err error) {
 	auth, held := d.leases.held(pool)
-	if !held || settled(d.holder.Current(), pool) {
-		return nil
+	if !held {
+		return false, nil
 	}
 	if err := d.poll(ctx); err != nil {
-		return err
+		return false, err
 	}
 	view, err := d.observe(ctx, pool)
 	if err != nil {
-		return err
+		return false, err
 	}
-	for _, action := range rollout.Next(view) {
+	actions := rollout.Next(view)
+	for _, action := range actions {
 		if err := d.carryOut(ctx, pool, auth, view, action); err != nil {
-			return err
+			return true, err
 		}
 	}
-	return nil
+	return len(actions) > 0, nil
 }
 
 // settled tells whether the configuration has nothing left to do for a pool.
 func settled(doc *config.Config, pool string) bool {
 	for _, e := range doc.PoolEngines(pool) {
-		arrived := e.Routing == config.RoutingServing && e.Loaded.Equal(e.Want)
-		gone := e.Leave && e.Routing == config.RoutingOut
-		if !arrived && !gone {
+		if !rollout.Arrived(e) {
 			return false
 		}
 	}
 	return true
 }
 
-// observe asks the instances first and the engines after them, so that an
-// engine's answer is newer than the instances'.
-func (d *Daemon) observe(ctx context.Context, pool string) (rollout.View, error) {
-	doc := d.holder.Current()
-	orders, err := d.readOrders(ctx, pool)
-	if err != nil {
-		return rollout.View{}, err
-	}
-	view := rollout.View{Config: doc, Pool: pool, Orders: orders}
-	view.Instances = d.observeInstances(ctx)
-	view.Engines = d.observeEngines(ctx, doc.PoolEngines(pool))
-	return view, nil
-}
-
 func (d *Daemon) readOrders(ctx context.Context, pool string) (map[string]order.Row, error) {
 	rows, err := d.platform.List(ctx, order.KeyPrefix(pool))
 	if err != nil {
@@ -91,86 +97,90 @@
 	return orders, nil
 }
 
-func (d *Daemon) observeInstances(ctx context.Context) []rollout.InstanceView {
-	own := d.members.own()
-	views := make([]rollout.InstanceView, len(own))
-	var work sync.WaitGroup
-	for i, instance := range own {
-		work.Go(func() { views[i] = d.observeInstance(ctx, instance) })
-	}
-	work.Wait()
-	return views
-}
-
-func (d *Daemon) observeInstance(ctx context.Context, instance platform.Instance) rollout.InstanceView {
-	view := rollout.InstanceView{ID: instance.ID, Streams: map[string]int{}}
-	response, err := d.peer(instance.Control).InForce(ctx, connect.NewRequest(&sfv1.InForceRequest{}))
-	if err != nil || !response.Msg.EntryKnown {
-		return view
-	}
-	view.Known = true
-	view.Version = response.Msg.EntryVersion
-	for _, s := range response.Msg.Streams {
-		view.Streams[s.Engine] = int(s.Streams)
-	}
-	return view
-}
-
-func (d *Daemon) observeEngines(ctx context.Context, engines []*config.Engine) map[string]rollout.EngineView {
-	views := map[string]rollout.EngineView{}
-	var mu sync.Mutex // protects views
-	var work sync.WaitGroup
-	for _, e := range engines {
-		work.Go(func() {
-			status, err := d.engineAt(e.Address).Status(ctx)
-			mu.Lock()
-			defer mu.Unlock()
-			views[e.ID] = rollout.EngineView{Reachable: err == nil, Status: status}
-		})
-	}
-	work.Wait()
-	return views
-}
-
 func (d *Daemon) carryOut(ctx context.Context, pool string, auth authority, view rollout.View, action rollout.Action) error {
 	switch a := action.(type) {
 	case rollout.Mark:
-		return d.mark(ctx, pool, auth, a)
+		return d.mark(ctx, pool, auth, view, a)
 	case rollout.SendOrder:
-		return d.sendOrder(ctx, pool, auth, view, a)
+		return d.order(ctx, pool, auth, view, a)
 	case rollout.CloseOrder:
 		row := view.Orders[a.Engine]
 		row.State = order.StateDone
-		return d.writeOrder(ctx, pool, auth, row)
+		failpoint.Hit("control.rollout.before_close")
+		err := d.writeOrder(ctx, pool, auth, row)
+		failpoint.Hit("control.rollout.after_close")
+		return err
 	}
 	return errors.Errorf("rollout: unknown action %T", action)
 }
 
-// mark appends a version that changes one engine's routing.
-func (d *Daemon) mark(ctx context.Context, pool string, auth authority, mark rollout.Mark) error {
-	head, doc, err := d.versions.Newest(ctx)
+// order sends an order if the view is known for sure to be the newest. Reads
+// may have been stale, and a holder that has just taken over may not know of
+// versions that the last one wrote; an order that rests on such a view could
+// reach an engine that is back in routing.
+func (d *Daemon) order(ctx context.Context, pool string, auth authority, view rollout.View, send rollout.SendOrder) error {
+	head, doc, err := d.versions.NewestFrom(ctx, d.holder.Current())
+	if err != nil {
+		return err
+	}
+	stands, err := d.versions.Stands(ctx, head)
+	if err != nil {
+		return err
+	}
+	if !stands || !sameEngine(view.Config, doc, send.Engine) {
+		return errors.Errorf("rollout: the view of %s is old", send.Engine)
+	}
+	failpoint.Hit("control.rollout.before_order")
+	d.watcher.ordered(send.Engine, d.now())
+	err = d.sendOrder(ctx, pool, auth, view, send)
+	failpoint.Hit("control.rollout.after_order")
+	return err
+}
+
+// mark appends a version with the changes whose engine is still as the
+// decision saw it.
+func (d *Daemon) mark(ctx context.Context, pool string, auth authority, view rollout.View, mark rollout.Mark) error {
+	head, doc, err := d.versions.NewestFrom(ctx, d.holder.Current())
 	if err != nil {
 		return err
 	}
-	next := doc.Clone()
-	next.Version = head.Version + 1
-	next.SetRouting(mark.Engine, mark.Routing)
-	if mark.Loaded != nil {
-		next.Engine(mark.Engine).Loaded = *mark.Loaded
+	doc.Version = head.Version + 1
+	var made []rollout.Change
+	for _, change := range mark.Changes {
+		if sameEngine(view.Config, doc, change.Engine) {
+			change.Apply(doc)
+			made = append(made, change)
+		}
 	}
-	entry := versions.Entry{
-		Author:  d.settings.Instance,
-		Summary: fmt.Sprintf("engine %s is %s", mark.Engine, mark.Routing),
+	if len(made) == 0 {
+		return nil
 	}
+	entry := versions.Entry{Author: d.settings.Instance, Summary: summary(made), Accepted: time.Now().UnixMilli()}
 	extra := platform.Txn{Checks: []platform.Check{auth.check(pool)}}
-	if err := d.versions.Append(ctx, head, next, entry, extra); err != nil {
+	failpoint.Hit("control.rollout.before_" + string(made[0].Reason))
+	if err := d.versions.Append(ctx, head, doc, entry, extra); err != nil {
 		return err
 	}
-	d.log.Info("rollout: marked", "engine", mark.Engine, "routing", mark.Routing, "version", next.Version)
-	d.learn(next, "self")
+	failpoint.Hit("control.rollout.after_" + string(made[0].Reason))
+	d.log.Info("rollout: marked", "what", entry.Summary, "version", doc.Version)
+	d.learn(doc, "self")
 	return nil
 }
 
+// sameEngine tells whether two documents agree on an engine.
+func sameEngine(a, b *config.Config, id string) bool {
+	return reflect.DeepEqual(a.Engine(id), b.Engine(id))
+}
+
+// summary tells in the history what a mark changed.
+func summary(changes []rollout.Change) string {
+	parts := make([]string, 0, len(changes))
+	for _, c := range changes {
+		parts = append(parts, fmt.Sprintf("engine %s is %s (%s)", c.Engine, c.Routing, c.Reason))
+	}
+	return strings.Join(parts, ", ")
+}
+
 // sendOrder journals the order before it is sent, in a transaction that checks
 // the epoch.
 func (d *Daemon) sendOrder(ctx context.Context, pool string, auth authority, view rollout.View, send rollout.SendOrder) error {
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -59,6 +59,27 @@
 	StepEvery time.Duration `toml:"step_every"`
 	// EngineTimeout bounds each call to an engine. Default 2s.
 	EngineTimeout time.Duration `toml:"engine_timeout"`
+	// WatchEvery is the longest time between looks at a pool: at one that is
+	// watched for faults alone, or whose work has to wait. Default 2s.
+	WatchEvery time.Duration `toml:"watch_every"`
+	// SilentAfter is how long after an engine was marked as draining an instance
+	// that does not answer counts as sending it no new work. It must exceed
+	// stale_after of sf-entry by as long as a cut-off sf-control holds on to an
+	// old version. Default 15s.
+	SilentAfter time.Duration `toml:"silent_after"`
+	// UnreachableAfter is how long an engine must not have answered until it
+	// is marked out of routing. Default 10s.
+	UnreachableAfter time.Duration `toml:"unreachable_after"`
+	// ResendAfter is the time between sends of an order that an engine did not
+	// carry out. Default 2s.
+	ResendAfter time.Duration `toml:"resend_after"`
+	// LoadTime is within which an engine should get its weights, by the weight
+	// store's rate and the model's weight_bytes: it bounds the loads at once.
+	// Default 1m.
+	LoadTime time.Duration `toml:"load_time"`
+	// MaxLoads bounds the engines of a pool that load weights at once when
+	// the rate or the size is not known. Default 4.
+	MaxLoads int `toml:"max_loads"`
 }
 
 // Bounds of the settings.
@@ -77,9 +98,13 @@
 			PollEvery: time.Second, Fanout: 3,
 			ApplyEvery: 250 * time.Millisecond, ListEvery: time.Second,
 		},
-		Rollout: RolloutSettings{StepEvery: 200 * time.Millisecond, EngineTimeout: 2 * time.Second},
-		Log:     logging.Default(),
-		Trace:   tracing.Default(),
+		Rollout: RolloutSettings{
+			StepEvery: 200 * time.Millisecond, EngineTimeout: 2 * time.Second, WatchEvery: 2 * time.Second,
+			SilentAfter: 15 * time.Second, UnreachableAfter: 10 * time.Second,
+			ResendAfter: 2 * time.Second, LoadTime: time.Minute, MaxLoads: 4,
+		},
+		Log:   logging.Default(),
+		Trace: tracing.Default(),
 	}
 }
 
@@ -99,8 +124,18 @@
 	settings.IntBetween(file, "spread.fanout", s.Spread.Fanout, 1, maxPeers)
 	settings.Between(file, "spread.apply_every", s.Spread.ApplyEvery, shortest, longest)
 	settings.Between(file, "spread.list_every", s.Spread.ListEvery, shortest, longest)
-	settings.Between(file, "rollout.step_every", s.Rollout.StepEvery, shortest, longest)
-	settings.Between(file, "rollout.engine_timeout", s.Rollout.EngineTimeout, shortest, longest)
+	s.Rollout.check(file)
 	s.Log.Check(file, "log")
 	s.Trace.Check(file, "trace")
 }
+
+func (s RolloutSettings) check(file *tomlfile.File) {
+	settings.Between(file, "rollout.step_every", s.StepEvery, shortest, longest)
+	settings.Between(file, "rollout.engine_timeout", s.EngineTimeout, shortest, longest)
+	settings.Between(file, "rollout.watch_every", s.WatchEvery, s.StepEvery, longest)
+	settings.Between(file, "rollout.silent_after", s.SilentAfter, shortest, 10*longest)
+	settings.Between(file, "rollout.unreachable_after", s.UnreachableAfter, shortest, 10*longest)
+	settings.Between(file, "rollout.resend_after", s.ResendAfter, shortest, longest)
+	settings.Between(file, "rollout.load_time", s.LoadTime, shortest, 60*longest)
+	settings.IntBetween(file, "rollout.max_loads", s.MaxLoads, 1, 10000)
+}
--- /dev/null
+++ b/internal/control/watcher.go
@@ -0,0 +1,164 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"sassafrasfield/internal/config"
+	"sassafrasfield/internal/engine"
+	"sassafrasfield/internal/platform"
+	"sassafrasfield/internal/rollout"
+)
+
+// rateKept is how long the weight store's rate is trusted without asking.
+const rateKept = time.Minute
+
+// watcher remembers for the rollout what one round of questions can't tell:
+// for how long something has been silent, which instances were listed a while
+// ago, since when an engine's routing is known, and when an order was last sent.
+type watcher struct {
+	settings RolloutSettings
+
+	mu       sync.Mutex // protects all below
+	engines  rollout.Silence
+	listed   map[string]listedInstance
+	routings map[string]seenRouting
+	orders   map[string]time.Duration
+	rate     float64
+	rateAt   time.Duration
+}
+
+// listedInstance is an own instance with when the platform last listed it.
+type listedInstance struct {
+	instance platform.Instance
+	at       time.Duration
+}
+
+// seenRouting is when this process first saw the version of an engine's routing.
+type seenRouting struct {
+	since int64
+	at    time.Duration
+}
+
+func newWatcher(s RolloutSettings) *watcher {
+	gap := 4*s.WatchEvery + s.EngineTimeout
+	return &watcher{
+		settings: s,
+		routings: map[string]seenRouting{},
+		engines:  rollout.Silence{MaxGap: gap},
+		listed:   map[string]listedInstance{},
+		orders:   map[string]time.Duration{},
+	}
+}
+
+// noteListed takes the newest instance list. An instance that is gone from it
+// may still run: it is asked for a while longer.
+func (w *watcher) noteListed(own []platform.Instance, now time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, instance := range own {
+		w.listed[instance.ID] = listedInstance{instance: instance, at: now}
+	}
+	for id, l := range w.listed {
+		if now-l.at > 2*w.settings.SilentAfter {
+			delete(w.listed, id)
+		}
+	}
+}
+
+// instancesToAsk returns the instances that may route to engines.
+func (w *watcher) instancesToAsk(now time.Duration) []platform.Instance {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var all []platform.Instance
+	for _, l := range w.listed {
+		if now-l.at <= 2*w.settings.SilentAfter {
+			all = append(all, l.instance)
+		}
+	}
+	return all
+}
+
+// engineSeen adds to an engine's answer what was seen before.
+func (w *watcher) engineSeen(e *config.Engine, status engine.Status, reachable bool, now time.Duration) rollout.EngineView {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	id := e.ID
+	if w.routings[id].since != e.RoutingSince {
+		w.routings[id] = seenRouting{since: e.RoutingSince, at: now}
+	}
+	view := rollout.EngineView{Reachable: reachable, Status: status, RoutingAge: now - w.routings[id].at}
+	if reachable {
+		w.engines.Answered(id)
+	} else {
+		view.Silent = w.engines.Missed(id, now)
+	}
+	at, sent := w.orders[id]
+	view.RecentlyOrdered = sent && now-at < w.settings.ResendAfter
+	return view
+}
+
+// ordered takes note that an order is about to be sent.
+func (w *watcher) ordered(id string, now time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.orders[id] = now
+}
+
+// limits returns the bounds of a pool's rollout.
+func (d *Daemon) limits(ctx context.Context, doc *config.Config, pool string) rollout.Limits {
+	s := d.settings.Rollout
+	return rollout.Limits{
+		SilentAfter:      s.SilentAfter,
+		UnreachableAfter: s.UnreachableAfter,
+		MaxLoads:         d.maxLoads(ctx, doc, pool),
+	}
+}
+
+// maxLoads is a pool's share of the loads that the weight store can serve at
+// once. The holders of the pools divide the rate without a word to each other:
+// the configuration tells each which pools have weights to load.
+func (d *Daemon) maxLoads(ctx context.Context, doc *config.Config, pool string) int {
+	s := d.settings.Rollout
+	model := doc.Model(doc.Pool(pool).Model)
+	if settled(doc, pool) || model == nil || model.WeightBytes == 0 {
+		return s.MaxLoads
+	}
+	rate, known := d.weightRate(ctx)
+	if !known {
+		return s.MaxLoads
+	}
+	return rollout.ParallelLoads(rate, model.WeightBytes, s.LoadTime, loadingPools(doc))
+}
+
+// loadingPools counts the pools with engines that still need weights.
+func loadingPools(doc *config.Config) int {
+	pools := map[string]bool{}
+	for i := range doc.Engines {
+		if e := &doc.Engines[i]; rollout.NeedsWeights(e.Loaded, e.Want) {
+			pools[e.Pool] = true
+		}
+	}
+	return len(pools)
+}
+
+// weightRate returns the weight store's rate in bytes a second; known is false
+// as long as the platform never told it.
+func (d *Daemon) weightRate(ctx context.Context) (rate float64, known bool) {
+	w, now := d.watcher, d.now()
+	w.mu.Lock()
+	rate, at := w.rate, w.rateAt
+	w.mu.Unlock()
+	if rate > 0 && now-at < rateKept {
+		return rate, true
+	}
+	fresh, err := d.platform.WeightRate(ctx)
+	if err != nil {
+		return rate, rate > 0
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.rate, w.rateAt = fresh, now
+	return fresh, fresh > 0
+}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -11,6 +11,8 @@
 package rollout
 
 import (
+	"time"
+
 	"sassafrasfield/internal/config"
 	"sassafrasfield/internal/engine"
 	"sassafrasfield/internal/order"
@@ -19,8 +21,7 @@
 // InstanceView is what an instance reported of itself.
 type InstanceView struct {
 	ID string
-	// Known is true when the instance's entry answered in this round, or is
-	// known to take no new work any more.
+	// Known is true when the instance's entry answered in this round.
 	Known bool
 	// Version in force in its entry.
 	Version int64
@@ -32,28 +33,77 @@
 type EngineView struct {
 	Reachable bool
 	Status    engine.Status
+	// Silent is how long it was asked without an answer; see Silence.
+	Silent time.Duration
+	// RoutingAge is how long the holder has known the version that set the
+	// engine's routing, on its own clock.
+	RoutingAge time.Duration
+	// RecentlyOrdered is true when an order was sent so shortly ago that it is
+	// not worth sending again.
+	RecentlyOrdered bool
+}
+
+// Limits bound the pace of a rollout.
+type Limits struct {
+	// SilentAfter is how long after a version was accepted an instance that does
+	// not answer counts as taking no new work by an older one. It must exceed
+	// the time after which an entry without heartbeats refuses, plus the time
+	// for which a daemon that is cut off holds an old version.
+	SilentAfter time.Duration
+	// UnreachableAfter is how long an engine must have been silent to be marked
+	// out of routing.
+	UnreachableAfter time.Duration
+	// MaxLoads bounds the engines that load weights at once; 0 is no bound.
+	MaxLoads int
 }
 
 // View is all that a decision rests on.
 type View struct {
-	Config    *config.Config
-	Pool      string
+	Config *config.Config
+	Pool   string
+	Limits Limits
+	// Instances that may route to the pool's engines. None at all means that
+	// they were not asked, and no engine counts as empty.
 	Instances []InstanceView
 	Engines   map[string]EngineView
 	Orders    map[string]order.Row
+	// Leaving are engines that leave by the platform's word.
+	Leaving map[string]bool
 }
 
-// Action is one thing to do: Mark, SendOrder or CloseOrder.
+// Action is one thing to do: CloseOrder, SendOrder or Mark.
 type Action interface {
 	action()
 }
 
-// Mark writes a version that sets an engine's routing, and its loaded state
-// when Loaded is given.
-type Mark struct {
+// Reason of a change in an engine's routing.
+type Reason string
+
+// Reasons of a change.
+const (
+	// ReasonDrain: a planned change needs the engine empty.
+	ReasonDrain Reason = "drain"
+	// ReasonLost: the engine lost what it had loaded.
+	ReasonLost Reason = "lost"
+	// ReasonUnreachable: the engine does not answer.
+	ReasonUnreachable Reason = "unreachable"
+	// ReasonRestore: the engine has what it should have.
+	ReasonRestore Reason = "restore"
+	// ReasonWithdraw: the engine is empty and leaves.
+	ReasonWithdraw Reason = "withdraw"
+)
+
+// Change sets an engine's routing, and its loaded state when Loaded is given.
+type Change struct {
 	Engine  string
 	Routing config.Routing
 	Loaded  *config.EngineState
+	Reason  Reason
+}
+
+// Mark writes one version with all changes.
+type Mark struct {
+	Changes []Change
 }
 
 // SendOrder journals an order, if it is not journalled yet, and sends it.
@@ -71,111 +121,49 @@
 func (SendOrder) action()  {}
 func (CloseOrder) action() {}
 
+// Decision is what may be done now, and why the rest has to wait.
+type Decision struct {
+	// Actions in the order in which to do them.
+	Actions []Action
+	// Waits tells for an engine what it waits for, in a few words.
+	Waits map[string]string
+}
+
 // Next returns what may be done now. The list is empty when all is as
 // confirmed, or when there is only waiting left.
 func Next(v View) []Action {
-	var actions []Action
-	budget := v.drainBudget()
-	for _, e := range v.Config.PoolEngines(v.Pool) {
-		action := v.nextFor(e, &budget)
-		if action != nil {
-			actions = append(actions, action)
-		}
-	}
-	return actions
+	return Decide(v).Actions
 }
 
-// drainBudget is how many more engines may leave service now: the pool's floor
-// stays served.
-func (v View) drainBudget() int {
-	serving := 0
+// Decide returns what may be done now, and what is waited for.
+func Decide(v View) Decision {
+	d := newDecider(v)
 	for _, e := range v.Config.PoolEngines(v.Pool) {
-		if e.Routing == config.RoutingServing {
-			serving++
-		}
-	}
-	return serving - v.Config.Pool(v.Pool).MinServing
-}
-
-func (v View) nextFor(e *config.Engine, budget *int) Action {
-	if open, ok := v.openOrder(e.ID); ok {
-		return v.settle(e, open)
-	}
-	if e.Leave {
-		return v.leave(e, budget)
+		d.engine(e)
 	}
-	if e.Loaded.Equal(e.Want) {
-		return v.bringBack(e)
-	}
-	if e.Routing == config.RoutingServing && e.Loaded.Disruptive(e.Want) {
-		return drain(e, budget)
-	}
-	if e.Routing == config.RoutingDraining && !v.empty(e) {
-		return nil
-	}
-	return SendOrder{Engine: e.ID, Want: e.Want}
-}
-
-func (v View) openOrder(id string) (order.Row, bool) {
-	row, ok := v.Orders[id]
-	return row, ok && row.State == order.StateOpen
-}
-
-// settle brings an open order to its end: the same order again until the
-// engine's read-back agrees.
-func (v View) settle(e *config.Engine, open order.Row) Action {
-	seen := v.Engines[e.ID]
-	if !seen.Reachable || seen.Status.Changing {
-		return nil
-	}
-	if !open.Settled(seen.Status) {
-		return SendOrder{Engine: e.ID, Want: open.Want}
-	}
-	if !e.Loaded.Equal(open.Want) {
-		return Mark{Engine: e.ID, Routing: e.Routing, Loaded: &open.Want}
-	}
-	return CloseOrder{Engine: e.ID}
-}
-
-func (v View) leave(e *config.Engine, budget *int) Action {
-	switch e.Routing {
-	case config.RoutingServing:
-		return drain(e, budget)
-	case config.RoutingDraining:
-		if v.empty(e) {
-			return Mark{Engine: e.ID, Routing: config.RoutingOut}
-		}
-	}
-	return nil
+	return Decision{Actions: d.actions(), Waits: d.waits}
 }
 
-func drain(e *config.Engine, budget *int) Action {
-	if *budget <= 0 {
-		return nil
+// Apply makes the change in a document that is about to become doc.Version. An
+// engine that has arrived is no part of its plan any more.
+func (c Change) Apply(doc *config.Config) {
+	e := doc.Engine(c.Engine)
+	if e.Routing != c.Routing {
+		doc.SetRouting(c.Engine, c.Routing)
 	}
-	*budget--
-	return Mark{Engine: e.ID, Routing: config.RoutingDraining}
-}
-
-// bringBack returns an engine that has what it should to routing.
-func (v View) bringBack(e *config.Engine) Action {
-	if e.Routing == config.RoutingServing {
-		return nil
+	if c.Loaded != nil {
+		e.Loaded = *c.Loaded
 	}
-	seen := v.Engines[e.ID]
-	if !seen.Reachable || seen.Status.Changing || !seen.Status.State.Equal(e.Want) {
-		return nil
+	if Arrived(e) {
+		e.Plan = ""
 	}
-	return Mark{Engine: e.ID, Routing: config.RoutingServing}
 }
 
-// empty tells whether no request runs on the engine and none can come.
-func (v View) empty(e *config.Engine) bool {
-	for _, instance := range v.Instances {
-		if !instance.Known || instance.Version < e.RoutingSince || instance.Streams[e.ID] > 0 {
-			return false
-		}
+// Arrived tells whether the configuration has nothing left to do for an
+// engine.
+func Arrived(e *config.Engine) bool {
+	if e.Leave {
+		return e.Routing == config.RoutingOut
 	}
-	seen := v.Engines[e.ID]
-	return seen.Reachable && seen.Status.Running == 0
+	return e.Routing == config.RoutingServing && e.Loaded.Equal(e.Want)
 }
