--- a/internal/control/observe.go
+++ b/internal/control/observe.go
@@ -6,6 +6,7 @@
 
 	"connectrpc.com/connect"
 
+	"sassafrasfield/internal/bootclock"
 	"sassafrasfield/internal/config"
 	sfv1 "sassafrasfield/internal/gen/sf/v1"
 	"sassafrasfield/internal/platform"
@@ -41,7 +42,7 @@
 }
 
 func (d *Daemon) observeInstances(ctx context.Context) []rollout.InstanceView {
-	known := d.watcher.instancesToAsk(d.now())
+	known := d.watcher.instancesToAsk(bootclock.Now())
 	views := make([]rollout.InstanceView, len(known))
 	var work sync.WaitGroup
 	for i, instance := range known {
@@ -83,5 +84,5 @@
 
 func (d *Daemon) observeEngine(ctx context.Context, e *config.Engine) rollout.EngineView {
 	status, err := d.engineAt(e.Address).Status(ctx)
-	return d.watcher.engineSeen(e, status, err == nil, d.now())
+	return d.watcher.engineSeen(e, status, err == nil, bootclock.Now())
 }
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -8,9 +8,9 @@
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"sassafrasfield/internal/bootclock"
 	"sassafrasfield/internal/config"
 	"sassafrasfield/internal/failpoint"
 	"sassafrasfield/internal/order"
@@ -25,15 +25,15 @@
 	paces := map[string]*pace{}
 	var work sync.WaitGroup
 	every(ctx, d.settings.Rollout.StepEvery, func(ctx context.Context) {
-		d.watcher.noteListed(d.members.own(), d.now())
+		d.watcher.noteListed(d.members.own(), bootclock.Now())
 		for _, pool := range d.leases.heldPools() {
 			p, ok := paces[pool]
 			if !ok {
 				p = &pace{shortest: d.settings.Rollout.StepEvery, longest: d.settings.Rollout.WatchEvery}
 				paces[pool] = p
 			}
-			if p.begin(d.now(), d.holder.Current().Version) {
-				work.Go(func() { p.end(d.now(), d.stepAndLog(ctx, pool)) })
+			if p.begin(bootclock.Now(), d.holder.Current().Version) {
+				work.Go(func() { p.end(bootclock.Now(), d.stepAndLog(ctx, pool)) })
 			}
 		}
 	})
@@ -81,22 +81,6 @@
 	return true
 }
 
-func (d *Daemon) readOrders(ctx context.Context, pool string) (map[string]order.Row, error) {
-	rows, err := d.platform.List(ctx, order.KeyPrefix(pool))
-	if err != nil {
-		return nil, err
-	}
-	orders := map[string]order.Row{}
-	for _, row := range rows {
-		decoded, err := order.Decode(row.Value)
-		if err != nil {
-			return nil, err
-		}
-		orders[decoded.Engine] = decoded
-	}
-	return orders, nil
-}
-
 func (d *Daemon) carryOut(ctx context.Context, pool string, auth authority, view rollout.View, action rollout.Action) error {
 	switch a := action.(type) {
 	case rollout.Mark:
@@ -131,7 +115,7 @@
 		return errors.Errorf("rollout: the view of %s is old", send.Engine)
 	}
 	failpoint.Hit("control.rollout.before_order")
-	d.watcher.ordered(send.Engine, d.now())
+	d.watcher.ordered(send.Engine, bootclock.Now())
 	err = d.sendOrder(ctx, pool, auth, view, send)
 	failpoint.Hit("control.rollout.after_order")
 	return err
@@ -156,6 +140,11 @@
 		return nil
 	}
 	entry := versions.Entry{Author: d.settings.Instance, Summary: summary(made), Accepted: time.Now().UnixMilli()}
+	ctx, cancel, err := d.mayAccept(ctx, doc.Version)
+	defer cancel()
+	if err != nil {
+		return err
+	}
 	extra := platform.Txn{Checks: []platform.Check{auth.check(pool)}}
 	failpoint.Hit("control.rollout.before_" + string(made[0].Reason))
 	if err := d.versions.Append(ctx, head, doc, entry, extra); err != nil {
@@ -180,31 +169,3 @@
 	}
 	return strings.Join(parts, ", ")
 }
-
-// sendOrder journals the order before it is sent, in a transaction that checks
-// the epoch.
-func (d *Daemon) sendOrder(ctx context.Context, pool string, auth authority, view rollout.View, send rollout.SendOrder) error {
-	row, open := view.Orders[send.Engine]
-	if !open || row.State != order.StateOpen {
-		row = order.Row{ID: uuid.NewString(), Engine: send.Engine, Want: send.Want, State: order.StateOpen}
-	}
-	row.Epoch = auth.epoch
-	if err := d.writeOrder(ctx, pool, auth, row); err != nil {
-		return err
-	}
-	if _, held := d.leases.held(pool); !held {
-		return errors.Errorf("rollout: the lease of %s has lapsed", pool)
-	}
-	d.log.Info("rollout: order sent", "engine", send.Engine, "order", row.ID, "epoch", row.Epoch)
-	_, err := d.engineAt(view.Config.Engine(send.Engine).Address).Order(ctx, row.Message())
-	return err
-}
-
-func (d *Daemon) writeOrder(ctx context.Context, pool string, auth authority, row order.Row) error {
-	row.WriteID = uuid.NewString()
-	_, err := d.platform.Commit(ctx, platform.Txn{
-		Checks: []platform.Check{auth.check(pool)},
-		Writes: []platform.Write{{Key: order.Key(pool, row.Engine), Value: row.Encode()}},
-	})
-	return err
-}
--- a/internal/control/watcher.go
+++ b/internal/control/watcher.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"sassafrasfield/internal/bootclock"
 	"sassafrasfield/internal/config"
 	"sassafrasfield/internal/engine"
 	"sassafrasfield/internal/platform"
@@ -146,7 +147,7 @@
 // weightRate returns the weight store's rate in bytes a second; known is false
 // as long as the platform never told it.
 func (d *Daemon) weightRate(ctx context.Context) (rate float64, known bool) {
-	w, now := d.watcher, d.now()
+	w, now := d.watcher, bootclock.Now()
 	w.mu.Lock()
 	rate, at := w.rate, w.rateAt
 	w.mu.Unlock()
