--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -42,6 +42,7 @@
 	entry    *entryLink
 	leases   *leases
 	demand   *demand
+	watcher  *watcher
 	orders   *orderMetrics
 	http     *http.Client
 	options  []connect.ClientOption
@@ -74,6 +75,7 @@
 	d.entry = newEntryLink(d.holder, s.EntryLocal, d.http, d.options, logging.Part(log, "entry"))
 	d.demand = newDemand(s.Demand)
 	d.leases = newLeases(d, logging.Part(log, "lease"))
+	d.watcher = newWatcher(s.Rollout)
 	d.orders = newOrderMetrics()
 	return d, nil
 }
