--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -28,7 +28,7 @@
 	ChargeFor time.Duration
 	// Outliers are the rules for ejection.
 	Outliers OutlierRules
-	// Traffic is what all engines' reports tell together.
+	// Traffic is what the placements on all engines tell together.
 	Traffic Traffic
 
 	engines map[string]*Engine
@@ -72,7 +72,6 @@
 	e.Streams++
 	e.own = append(e.own, placed{Placement: p, charged: true})
 	e.Prefixes.Expect(p.Prefix)
-	t.Traffic.placed()
 	e.Health.placed(p.ID, p.At)
 }
 
@@ -121,9 +120,6 @@
 	if e.ReportAt != 0 && now-e.ReportAt > t.Outliers.SilentFor {
 		e.Health.returned(now)
 	}
-	if e.ReportAt != 0 && report.Boot == e.Report.Boot {
-		t.Traffic.acceptedByAll(report.Accepted - e.Report.Accepted)
-	}
 	e.Report, e.ReportAt = report, now
 	e.settle(&t.Traffic)
 	e.expire(now, t.ChargeFor)
--- a/internal/load/traffic.go
+++ b/internal/load/traffic.go
@@ -7,22 +7,17 @@
 
 // Bounds of what is learnt from the traffic.
 const (
-	lagsKept    = 32
-	shareMemory = 0.99 // of each own placement's weight at the next one
-	lifeWeight  = 0.05 // of the newest stream in the mean duration
+	lagsKept   = 32
+	lifeWeight = 0.05 // of the newest stream in the mean duration
 	// longestAge bounds the age that is reckoned with for a report.
 	longestAge = time.Minute
 )
 
-// Traffic is what an entry learns from its own placements and the reports of
-// all engines: how old reports are, how many placements of all entries there
-// are for each of its own, and how long streams last. The zero value knows
-// nothing.
+// Traffic is what an entry learns from its own placements on all engines: how
+// old reports are, and how long streams last. The zero value knows nothing.
 type Traffic struct {
 	lags     [lagsKept]time.Duration
 	observed int
-	accepted float64
-	own      float64
 	life     time.Duration
 }
 
@@ -47,24 +42,6 @@
 	return least
 }
 
-func (t *Traffic) placed() {
-	t.own = t.own*shareMemory + 1
-	t.accepted *= shareMemory
-}
-
-func (t *Traffic) acceptedByAll(n int64) {
-	t.accepted += float64(n)
-}
-
-// Each is how many placements of all entries there are for each own one, at
-// least 1.
-func (t *Traffic) Each() float64 {
-	if t.own < 1 {
-		return 1
-	}
-	return max(1, t.accepted/t.own)
-}
-
 func (t *Traffic) ended(duration time.Duration) {
 	if t.life == 0 {
 		t.life = duration
@@ -83,20 +60,19 @@
 }
 
 // Estimated is the load as it should be by now: the report, less what has been
-// done since it was taken, and for each own placement that it does not count
-// as many as all entries will have made. What the entry knows to be on the
-// engine from its own streams is the least.
+// done since it was taken, and the own placements that it does not count. What
+// the entry knows from its own streams to be on the engine is the least. With
+// reports that are fresh this is Charged, with very old ones Local.
 func (e *Engine) Estimated(t *Traffic, now time.Duration) View {
 	age := min(longestAge, now-e.ReportAt+t.Lag())
-	each := t.Each()
 	charged, own := e.chargedView(), e.Local()
 	reported := e.Reported()
 	left := t.left(age)
-	prefill := max(0, float64(reported.PrefillTokens)-e.Report.PrefillRate*age.Seconds())
+	prefill := max(0, reported.PrefillTokens-int(e.Report.PrefillRate*age.Seconds()))
 	return View{
-		Requests:      max(own.Requests, int(float64(reported.Requests)*left+each*float64(charged.Requests))),
+		Requests:      max(own.Requests, int(float64(reported.Requests)*left)+charged.Requests),
 		Waiting:       int(float64(reported.Waiting) * left),
-		PrefillTokens: max(own.PrefillTokens, int(prefill+each*float64(charged.PrefillTokens))),
-		Blocks:        int(each * float64(charged.Blocks)),
+		PrefillTokens: max(own.PrefillTokens, prefill+charged.PrefillTokens),
+		Blocks:        charged.Blocks,
 	}
 }
--- a/internal/route/policy.go
+++ b/internal/route/policy.go
@@ -18,8 +18,8 @@
 	PolicyCharge Policy = "charge"
 	// PolicyChargePrefix is PolicyCharge with hints of cached prefixes.
 	PolicyChargePrefix Policy = "charge-prefix"
-	// PolicyEstimate, with hints, takes off the report what was done since it
-	// was taken, and reckons with the other entries' placements.
+	// PolicyEstimate is PolicyChargePrefix with what was done since the report
+	// was taken taken off it, and the own streams as the least.
 	PolicyEstimate Policy = "estimate"
 	// PolicyLocalPrefix is PolicyLocal with hints.
 	PolicyLocalPrefix Policy = "local-prefix"
