--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -56,10 +56,15 @@
 		if comp.resume != nil && comp.resume.Done {
 			return out.finish()
 		}
+		if err := s.admit(c, comp); err != nil {
+			return err
+		}
+		defer s.admission.done(comp)
 		if err := s.answer(c.Request().Context(), comp, out); err != nil {
 			return s.ended(c, comp, out, err)
 		}
 		s.metrics.answered.Inc(1)
+		s.retries.succeeded(s.now())
 		return out.finish()
 	}
 }
@@ -97,8 +102,8 @@
 	}
 	var last error
 	for attempt := range s.settings.Engine.Attempts {
-		if attempt > 0 {
-			s.metrics.retries.Inc(1)
+		if attempt > 0 && !s.mayRetry(ctx, attempt, last, assembler.Next() > 0) {
+			break
 		}
 		placement := s.placement(comp)
 		chosen, ok := s.state.place(&route.Request{
@@ -120,11 +125,28 @@
 		excluded[chosen.ID] = true
 		s.log.Info("request: engine failed, trying another", "request", comp.id, "engine", chosen.ID, "error", last)
 	}
+	if ctx.Err() != nil {
+		return errCallerGone
+	}
 	return s.gaveUp(comp, progress, last)
 }
 
 func (s *Server) placement(comp *completion) load.Placement {
-	return load.Placement{ID: comp.id, PrefillTokens: comp.promptTokens, At: s.now()}
+	p := load.Placement{
+		ID: comp.id, PrefillTokens: comp.promptTokens, At: s.now(),
+		Blocks: (comp.promptTokens + comp.maxTokens + engine.BlockTokens - 1) / engine.BlockTokens,
+	}
+	p.Prefix = s.prefix(comp)
+	return p
+}
+
+// prefix returns the hashes of the prompt's blocks, which are worked out once;
+// nil when hints are off.
+func (s *Server) prefix(comp *completion) []uint64 {
+	if comp.prefix == nil && s.settings.Routing.Policy.Hints() {
+		comp.prefix = engine.BlockHashes(comp.prompt, engine.BlockTokens, prefixBlocksAtMost)
+	}
+	return comp.prefix
 }
 
 // attach goes on with a stream that an engine still holds.
@@ -138,7 +160,7 @@
 
 // runOn has one engine bring the rest of the answer. The placement was made.
 func (s *Server) runOn(ctx context.Context, chosen *config.Engine, comp *completion, assembler *stream.Assembler, out sink, attach bool) error {
-	defer s.state.end(chosen.ID, comp.id)
+	defer func() { s.state.end(chosen.ID, comp.id, s.now()) }()
 	ctx, span := tracer().Start(ctx, "engine generate", trace.WithAttributes(
 		attribute.String("engine", chosen.ID), attribute.Bool("attach", attach),
 	))
@@ -149,10 +171,12 @@
 	client := s.engineAt(chosen.Address)
 	source, err := s.generate(ctx, client, comp.engineRequest(assembler.Restart(), attach))
 	if err == nil {
+		s.engineAccepted(chosen.ID, comp.id, source.Stream)
 		err = s.forward(ctx, forwarding{chosen.ID, client, source, comp, assembler, out})
 		source.Close()
 	}
 	if err == nil {
+		s.state.succeeded(chosen.ID)
 		return nil
 	}
 	if errors.Is(context.Cause(ctx), errStopping) {
@@ -169,12 +193,15 @@
 // notes who failed. A broken attachment says nothing about the engine: the
 // entry that the caller left may have cancelled the stream.
 func (s *Server) afterFailure(ctx context.Context, engineID string, client engine.Engine, comp *completion, err error, attach bool) {
+	if errors.Is(err, engine.ErrUnreachable) {
+		s.upstreamFailed(engineID)
+	}
 	if ranNothing(err) {
 		return
 	}
 	s.background.Go(func() { s.cancel(ctx, client, comp.id) })
 	if !errors.Is(err, errCallerGone) && !attach {
-		s.state.failed(engineID, s.now())
+		s.upstreamFailed(engineID)
 	}
 }
 
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -33,7 +33,7 @@
 
 // generate starts or attaches to a stream. An engine that does not say in time
 // that it took the request has stalled.
-func (s *Server) generate(ctx context.Context, client engine.Engine, req engine.Request) (engine.Stream, error) {
+func (s *Server) generate(ctx context.Context, client engine.Engine, req engine.Request) (*endingStream, error) {
 	// The stream lives on this context, so it ends with the request's.
 	ctx, stall := context.WithCancelCause(ctx)
 	accept := time.AfterFunc(s.settings.Stall.AcceptTimeout, func() { stall(errStalled) })
@@ -86,6 +86,9 @@
 			if a.err != nil {
 				return a.err
 			}
+			if !pace.Began() {
+				s.state.started(f.engineID, f.comp.id)
+			}
 			pace.Piece(s.now() - since)
 			if err := s.handOn(f, a.piece); err != nil {
 				return err
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 
+	"github.com/google/uuid"
 	"github.com/labstack/echo/v5"
 	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel/attribute"
@@ -24,6 +25,9 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Authorization",
 }
 
+// errNoUpstream is a service.ErrNotRun.
+var errNoUpstream = errors.WithMessage(service.ErrNotRun, "no upstream is left")
+
 // plainService passes a call on to a plain service.
 func (s *Server) plainService(c *echo.Context) error {
 	s.metrics.requests.Inc(1)
@@ -38,6 +42,9 @@
 	if err != nil {
 		return err
 	}
+	if err := s.withinRate(c, organisation, false); err != nil {
+		return err
+	}
 	body, err := s.readBody(c)
 	if err != nil {
 		return err
@@ -48,6 +55,7 @@
 		return err
 	}
 	s.metrics.answered.Inc(1)
+	s.retries.succeeded(s.now())
 	return s.writeAnswer(c, answer)
 }
 
@@ -104,21 +112,21 @@
 func (s *Server) tryCall(ctx context.Context, svc *config.Service, call service.Call, repeatable bool) (service.Answer, error) {
 	excluded := map[string]bool{}
 	progress := admitted(repeatable)
-	for range s.settings.Engine.Attempts {
-		upstream := s.state.pickUpstream(svc, excluded)
-		if upstream == nil || ctx.Err() != nil {
-			break
-		}
-		next, err := progress.Apply(outcome.Send)
-		if err != nil {
+	var last error
+	for attempt := range s.settings.Engine.Attempts {
+		sent, err := progress.Apply(outcome.Send)
+		if err != nil || attempt > 0 && !s.mayRetry(ctx, attempt, last, false) {
 			break
 		}
-		excluded[upstream.ID] = true
-		answer, err := s.callOnce(ctx, upstream, call)
+		answer, err := s.callOnce(ctx, svc, call, excluded)
 		if err == nil {
 			return answer, nil
 		}
-		progress = after(next, errors.Is(err, service.ErrNotRun))
+		last = err
+		progress = after(sent, errors.Is(err, service.ErrNotRun))
+		if ctx.Err() != nil || errors.Is(err, errNoUpstream) {
+			break
+		}
 	}
 	if progress.Word() == outcome.NotRun {
 		return service.Answer{}, errors.WithMessage(service.ErrNotRun, "no upstream took the call")
@@ -126,36 +134,26 @@
 	return service.Answer{}, errors.WithMessage(service.ErrUnknown, "no upstream answered")
 }
 
-// callOnce sends a call to one upstream.
-func (s *Server) callOnce(ctx context.Context, upstream *config.ServiceUpstream, call service.Call) (service.Answer, error) {
+// callOnce sends a call to one upstream, which it adds to excluded.
+func (s *Server) callOnce(ctx context.Context, svc *config.Service, call service.Call, excluded map[string]bool) (service.Answer, error) {
+	request := uuid.NewString()
+	upstream, ok := s.state.placeCall(svc, request, excluded, s.now())
+	if !ok {
+		return service.Answer{}, errNoUpstream
+	}
+	id := servicePrefix + upstream.ID
+	defer func() { s.state.end(id, request, s.now()) }()
+	excluded[upstream.ID] = true
 	ctx, span := tracer().Start(ctx, "service call", trace.WithAttributes(attribute.String("upstream", upstream.ID)))
 	defer span.End()
-	return s.serviceAt(upstream.Address).Do(ctx, call)
-}
-
-// pickUpstream chooses an upstream of a service at random, those of the same
-// zone first.
-func (s *state) pickUpstream(svc *config.Service, excluded map[string]bool) *config.ServiceUpstream {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var near, far []*config.ServiceUpstream
-	for i := range svc.Upstreams {
-		u := &svc.Upstreams[i]
-		switch {
-		case u.Leave || s.leaving[u.ID] || excluded[u.ID]:
-		case u.Zone == s.zone:
-			near = append(near, u)
-		default:
-			far = append(far, u)
-		}
-	}
-	if len(near) == 0 {
-		near = far
-	}
-	if len(near) == 0 {
-		return nil
+	answer, err := s.serviceAt(upstream.Address).Do(ctx, call)
+	switch {
+	case err == nil:
+		s.state.succeeded(id)
+	case ctx.Err() == nil:
+		s.upstreamFailed(id)
 	}
-	return near[s.rng.IntN(len(near))]
+	return answer, err
 }
 
 // callRefusal turns an error of a call into the answer to the caller.
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -9,10 +9,11 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
+	"time"
 
 	"github.com/labstack/echo/v5"
+	"github.com/pkg/errors"
 
 	"sassafrasfield/internal/callerapi"
 	"sassafrasfield/internal/config"
@@ -37,6 +38,13 @@
 	seed         int64
 	priority     int
 	sampling     engine.Sampling
+	// prefix has the hashes of the prompt's blocks, once Server.prefix made them.
+	prefix []uint64
+	// deadline is the time to the first token that the caller can bear; 0 when
+	// it did not say.
+	deadline time.Duration
+	// admitted is when the request was let go on.
+	admitted     time.Duration
 	streamed     bool
 	includeUsage bool
 	// resume is the token of a broken answer, or nil.
@@ -83,12 +91,16 @@
 func (s *Server) readBody(c *echo.Context) ([]byte, error) {
 	limit := int64(s.settings.Limits.MaxBodyBytes)
 	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
-	if err != nil {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
 		return nil, &refusal{status: http.StatusRequestEntityTooLarge, body: callerapi.Error{
-			Message: fmt.Sprintf("the body could not be read, or has over %d bytes", limit),
-			Type:    "invalid_request_error", Outcome: callerapi.OutcomeNotRun,
+			Message: fmt.Sprintf("the body has over %d bytes", limit),
+			Type:    "invalid_request_error", Code: "body_too_large", Outcome: callerapi.OutcomeNotRun,
 		}}
 	}
+	if err != nil {
+		return nil, badRequest("", "the body could not be read whole")
+	}
 	return body, nil
 }
 
@@ -135,12 +147,8 @@
 }
 
 func (s *Server) readHeaders(comp *completion, header http.Header) error {
-	if text := header.Get(callerapi.HeaderPriority); text != "" {
-		priority, err := strconv.Atoi(text)
-		if err != nil {
-			return badRequest(callerapi.HeaderPriority, "want a whole number")
-		}
-		comp.priority = priority
+	if err := readUrgency(comp, header); err != nil {
+		return err
 	}
 	return comp.identify(header.Get(headerLastEventID))
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -36,6 +36,10 @@
 	// background is work that outlasts its request.
 	background sync.WaitGroup
 	metrics    *meters
+	// admission, rates and retries have locks of their own.
+	admission *admission
+	rates     *rates
+	retries   *retries
 
 	mu       sync.Mutex // protects engines and services
 	engines  map[string]engine.Engine
@@ -44,16 +48,20 @@
 
 // New returns a server that has not started.
 func New(s *Settings, log *slog.Logger) *Server {
-	return &Server{
+	server := &Server{
 		settings: s,
 		start:    time.Now(),
 		log:      log,
-		state:    newState(s.Zone),
+		state:    newState(s),
 		once:     once.New(platform.NewClient(s.Platform, s.PlatformTimeout), s.Claims, s.Instance, logging.Part(log, "once")),
 		metrics:  newMeters(metrics.DefaultRegistry),
 		engines:  map[string]engine.Engine{},
 		services: map[string]service.Service{},
+		retries:  newRetries(s.Retry),
+		rates:    newRates(s.Rate),
 	}
+	server.admission = newAdmission(s.Admission, server)
+	return server
 }
 
 // now is the server's monotonic clock.
@@ -78,6 +86,7 @@
 	background, stopBackground := context.WithCancel(base)
 	defer stopBackground()
 	go s.reportLoop(background)
+	go s.admission.reviewLoop(background, s.settings.Admission.ReviewEvery)
 	go s.once.SweepLoop(background)
 	s.log.Info("entry: started", "listen", s.settings.Listen)
 	select {
@@ -147,32 +156,3 @@
 	}
 	return client
 }
-
-// reportLoop reads each engine's load report now and then.
-func (s *Server) reportLoop(ctx context.Context) {
-	ticker := time.NewTicker(s.settings.Engine.ReportEvery)
-	defer ticker.Stop()
-	for {
-		s.readReports(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-func (s *Server) readReports(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, 5*s.settings.Engine.ReportEvery)
-	defer cancel()
-	var work sync.WaitGroup
-	for _, e := range s.state.config().Engines {
-		work.Go(func() {
-			report, err := s.engineAt(e.Address).Report(ctx)
-			if err == nil {
-				s.state.reported(e.ID, report, s.now())
-			}
-		})
-	}
-	work.Wait()
-}
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -43,6 +43,10 @@
 	Stall        stream.StallSettings `toml:"stall"`
 	Limits       LimitSettings        `toml:"limits"`
 	Engine       EngineSettings       `toml:"engine"`
+	Routing      RoutingSettings      `toml:"routing"`
+	Admission    AdmissionSettings    `toml:"admission"`
+	Rate         RateSettings         `toml:"rate"`
+	Retry        RetrySettings        `toml:"retry"`
 	Claims       once.Settings        `toml:"claims"`
 	Log          logging.Settings     `toml:"log"`
 	Trace        tracing.Settings     `toml:"trace"`
@@ -89,10 +93,14 @@
 			MaxBodyBytes: 4 << 20, MaxHeaderBytes: 64 << 10, WriteBufferBytes: 64 << 10,
 			MaxPromptTokens: 131072, MaxAnswerTokens: 4096,
 		},
-		Engine: EngineSettings{Timeout: 30 * time.Second, ReportEvery: 200 * time.Millisecond, Attempts: 3},
-		Claims: once.Default(),
-		Log:    logging.Default(),
-		Trace:  tracing.Default(),
+		Engine:    EngineSettings{Timeout: 30 * time.Second, ReportEvery: 200 * time.Millisecond, Attempts: 3},
+		Routing:   defaultRouting(),
+		Admission: defaultAdmission(),
+		Rate:      defaultRate(),
+		Retry:     defaultRetry(),
+		Claims:    once.Default(),
+		Log:       logging.Default(),
+		Trace:     tracing.Default(),
 	}
 }
 
@@ -119,6 +127,10 @@
 	settings.Between(file, "engine.timeout", s.Engine.Timeout, 10*time.Millisecond, 10*time.Minute)
 	settings.Between(file, "engine.report_every", s.Engine.ReportEvery, time.Millisecond, time.Minute)
 	settings.IntBetween(file, "engine.attempts", s.Engine.Attempts, 1, 20)
+	s.Routing.check(file)
+	s.Admission.check(file)
+	s.Rate.check(file)
+	s.Retry.check(file)
 	s.Claims.Check(file, "claims", s.Engine.Timeout)
 	s.Log.Check(file, "log")
 	s.Trace.Check(file, "trace")
