--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -96,19 +96,19 @@
 		return nil
 	}
 	s.log.Debug("admit: refused", "request", comp.id, "reason", refused.Reason)
-	return s.refusal(refused)
+	return refusalOf(refused)
 }
 
-func (s *Server) refusal(r *admit.Refusal) error {
+func refusalOf(r *admit.Refusal) error {
 	messages := map[admit.Reason]string{
 		admit.ReasonDeadline:  "the first token can't come before the deadline",
 		admit.ReasonTooShort:  "not even an idle engine could make the deadline",
 		admit.ReasonQueueFull: "the queue is full",
 		admit.ReasonWaited:    "no engine had room in the longest wait",
 	}
-	refused := notRun(string(r.Reason), messages[r.Reason], 0)
-	if r.Reason != admit.ReasonTooShort {
-		refused.retryIn = s.retries.jittered(r.RetryIn)
+	refused := notRun(string(r.Reason), messages[r.Reason], max(r.RetryIn, time.Millisecond))
+	if r.Reason == admit.ReasonTooShort {
+		refused.retryIn = 0
 	}
 	return refused
 }
--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -15,8 +15,9 @@
 
 // refusal is an error answer to a caller.
 type refusal struct {
-	status  int
-	body    callerapi.Error
+	status int
+	body   callerapi.Error
+	// retryIn is told in Retry-After, with jitter; 0 is not told.
 	retryIn time.Duration
 }
 
@@ -82,7 +83,8 @@
 	header := c.Response().Header()
 	header.Set(callerapi.HeaderOutcome, string(refused.body.Outcome))
 	if refused.retryIn > 0 {
-		seconds := int((refused.retryIn + time.Second - 1) / time.Second)
+		retryIn := s.retries.jittered(refused.retryIn)
+		seconds := int((retryIn + time.Second - 1) / time.Second)
 		header.Set("Retry-After", strconv.Itoa(seconds))
 	}
 	_ = c.JSON(refused.status, callerapi.ErrorBody{Error: refused.body}) // the caller has gone
--- a/internal/entry/rates.go
+++ b/internal/entry/rates.go
@@ -95,5 +95,5 @@
 		return nil
 	}
 	message := fmt.Sprintf("the organisation is over its %g requests a second", verdict.Limit)
-	return tooMany(message, s.retries.jittered(verdict.RetryIn))
+	return tooMany(message, verdict.RetryIn)
 }
