Plan contradictions, cancellation partway, and truthful confirmations

Cause: a plan listed whatever was unsettled, not what its intent changes; an intent that contradicted a running plan was merged into it; a running plan could not be cancelled; the same operator confirming again after a lost answer was refused; a plan row never said why it was refused.

An engine carries the id of the plan that still has to change it, in the document itself. A list of running plans beside it was ruled out: it may be read from an old copy, while the document is compared-and-set. A refusal is told only once a transaction has proved that what it rests on is the newest. An intent takes the model's state to the engines that it names by itself, by model or by pool, so that it does not take a cancelled change up again.

--- /dev/null
+++ b/internal/control/confirm.go
@@ -0,0 +1,283 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"sassafrasfield/internal/config"
+	"sassafrasfield/internal/failpoint"
+	sfv1 "sassafrasfield/internal/gen/sf/v1"
+	"sassafrasfield/internal/intent"
+	"sassafrasfield/internal/plan"
+	"sassafrasfield/internal/platform"
+	"sassafrasfield/internal/versions"
+)
+
+// Outcomes told to operators.
+const (
+	outcomeAccepted = "accepted"
+	outcomeRefused  = "refused"
+	outcomeUnknown  = "unknown"
+)
+
+// A confirmation that the system's own steps, or an old copy of the table, got
+// in the way of is tried again.
+const (
+	confirmAttempts = 10
+	confirmPause    = 50 * time.Millisecond
+	longestPause    = time.Second
+)
+
+// verdict is the answer to a confirmation or a cancellation. The zero value
+// asks for another try.
+type verdict struct {
+	outcome string
+	reason  string
+	version int64
+	changed []*sfv1.VersionEntry
+}
+
+func refused(format string, args ...any) verdict {
+	return verdict{outcome: outcomeRefused, reason: fmt.Sprintf(format, args...)}
+}
+
+// settle tries until there is an outcome.
+func settle(ctx context.Context, try func(context.Context) (verdict, error)) (verdict, error) {
+	pause := confirmPause
+	for range confirmAttempts {
+		v, err := try(ctx)
+		if err != nil || v.outcome != "" {
+			return v, err
+		}
+		wait(ctx, pause, nil)
+		pause = min(2*pause, longestPause)
+	}
+	return refused("the configuration kept changing; nothing was changed by this call, so try again"), nil
+}
+
+// Confirm implements the OperatorService.
+func (o *operatorService) Confirm(ctx context.Context, req *connect.Request[sfv1.ConfirmRequest]) (*connect.Response[sfv1.ConfirmResponse], error) {
+	v, err := settle(ctx, func(ctx context.Context) (verdict, error) { return o.tryConfirm(ctx, req.Msg) })
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&sfv1.ConfirmResponse{
+		Outcome: v.outcome, Reason: v.reason, Version: v.version, Changed: v.changed,
+	}), nil
+}
+
+// Cancel implements the OperatorService.
+func (o *operatorService) Cancel(ctx context.Context, req *connect.Request[sfv1.CancelRequest]) (*connect.Response[sfv1.CancelResponse], error) {
+	v, err := settle(ctx, func(ctx context.Context) (verdict, error) { return o.tryCancel(ctx, req.Msg) })
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&sfv1.CancelResponse{Outcome: v.outcome, Reason: v.reason}), nil
+}
+
+// tryConfirm asks for another try when only the system's own steps moved the
+// head, or when the table's copy was old.
+func (o *operatorService) tryConfirm(ctx context.Context, req *sfv1.ConfirmRequest) (verdict, error) {
+	p, revision, err := o.load(ctx, req.PlanId)
+	if err != nil {
+		return verdict{}, err
+	}
+	if v, ended := confirmedAlready(p, req.Operator); ended {
+		return v, nil
+	}
+	head, base, err := o.daemon.versions.NewestFrom(ctx, o.daemon.holder.Current())
+	if errors.Is(err, versions.ErrBehind) {
+		return verdict{}, nil
+	}
+	if err != nil {
+		return unreachable(err)
+	}
+	if base.Intent != p.BuiltFrom {
+		return o.refuseMoved(ctx, p, revision)
+	}
+	target, v := o.target(ctx, p, base)
+	if target == nil {
+		return o.ifNewest(ctx, v, head, p, revision)
+	}
+	target.Version, target.Intent = head.Version+1, base.Intent+1
+	p.Stamp(target)
+	accepted := *p
+	accepted.State, accepted.Version, accepted.ConfirmedBy = plan.StateConfirmed, target.Version, req.Operator
+	entry := versions.Entry{Author: req.Operator, Summary: p.Name, PlanID: p.ID}
+	return o.accept(ctx, head, target, &accepted, revision, entry)
+}
+
+// confirmedAlready answers for a plan that is not declared any more. The same
+// operator confirming again is told again, since the first answer may have
+// been lost.
+func confirmedAlready(p *plan.Plan, operator string) (v verdict, ended bool) {
+	switch {
+	case p.State == plan.StateDeclared:
+		return verdict{}, false
+	case p.State == plan.StateConfirmed && p.ConfirmedBy == operator:
+		return verdict{outcome: outcomeAccepted, version: p.Version, reason: "it was accepted before"}, true
+	case p.State == plan.StateConfirmed:
+		v = refused("%s confirmed the plan before, as version %d", p.ConfirmedBy, p.Version)
+		v.version = p.Version
+		return v, true
+	default:
+		return refused("the plan is %s: %s", p.State, p.Reason), true
+	}
+}
+
+// target applies the plan's intent to the newest configuration, and checks
+// that it still does what the operator read.
+func (o *operatorService) target(ctx context.Context, p *plan.Plan, base *config.Config) (*config.Config, verdict) {
+	target, _, findings := intent.Apply(p.File, p.Source, base)
+	if target == nil {
+		return nil, refused("%s", findings.Error())
+	}
+	now := plan.Build(base, target, o.costs(ctx))
+	if len(now.Refusals) > 0 {
+		return nil, refused("%s", strings.Join(now.Refusals, "; "))
+	}
+	if !now.Same(p) {
+		return nil, refused("the engines' state has changed since the plan was built, and its steps with it; declare the intent again")
+	}
+	return target, verdict{}
+}
+
+// ifNewest gives a verdict if what it rests on is known for sure to be the
+// newest, and else asks for another try.
+func (o *operatorService) ifNewest(ctx context.Context, v verdict, head versions.Head, p *plan.Plan, revision int64) (verdict, error) {
+	newest, err := versions.Holds(ctx, o.daemon.platform,
+		platform.Check{Key: versions.HeadKey, Revision: head.Revision},
+		platform.Check{Key: plan.Key(p.ID), Revision: revision})
+	if err != nil {
+		return unreachable(err)
+	}
+	if !newest {
+		return verdict{}, nil
+	}
+	return v, nil
+}
+
+// accept appends the version and writes the plan, in one transaction.
+func (o *operatorService) accept(ctx context.Context, head versions.Head, target *config.Config, p *plan.Plan, revision int64, entry versions.Entry) (verdict, error) {
+	ctx, cancel, err := o.daemon.mayAccept(ctx, target.Version)
+	defer cancel()
+	if err != nil {
+		return refused("%v", err), nil
+	}
+	entry.Accepted = time.Now().UnixMilli()
+	extra := platform.Txn{
+		Checks: []platform.Check{{Key: plan.Key(p.ID), Revision: revision}},
+		Writes: []platform.Write{{Key: plan.Key(p.ID), Value: p.Encode()}},
+	}
+	failpoint.Hit("control.operator.before_accept")
+	err = o.daemon.versions.Append(ctx, head, target, entry, extra)
+	failpoint.Hit("control.operator.after_accept")
+	switch {
+	case err == nil:
+		o.daemon.learn(target, "self")
+		return verdict{outcome: outcomeAccepted, version: target.Version}, nil
+	case errors.Is(err, versions.ErrMoved), errors.Is(err, platform.ErrConflict):
+		return verdict{}, nil
+	default:
+		return unreachable(err)
+	}
+}
+
+// unreachable answers when the table does not.
+func unreachable(err error) (verdict, error) {
+	switch {
+	case errors.Is(err, platform.ErrUnknown):
+		return verdict{outcome: outcomeUnknown, reason: "the table did not tell; sfctl plan shows what came of it, and to ask again is safe"}, nil
+	case errors.Is(err, platform.ErrUnavailable):
+		return refused("the platform's table does not answer; nothing was changed by this call"), nil
+	default:
+		return verdict{}, err
+	}
+}
+
+// refuseMoved tells which accepted changes a plan does not know of, and notes
+// in its row that it can't be confirmed any more.
+func (o *operatorService) refuseMoved(ctx context.Context, p *plan.Plan, revision int64) (verdict, error) {
+	v := refused("another change was accepted since the plan was built; declare the intent again")
+	entries, err := o.daemon.versions.List(ctx, versions.MaxListed)
+	if err != nil {
+		return unreachable(err)
+	}
+	for _, e := range entries {
+		if e.Intent > p.BuiltFrom && e.PlanID != "" {
+			v.changed = append(v.changed, versionMessage(e))
+		}
+	}
+	gone := *p
+	gone.State, gone.Reason = plan.StateRefused, v.reason
+	_, err = o.daemon.platform.Commit(ctx, platform.Txn{
+		Checks: []platform.Check{{Key: plan.Key(p.ID), Revision: revision}},
+		Writes: []platform.Write{{Key: plan.Key(p.ID), Value: gone.Encode()}},
+	})
+	if errors.Is(err, platform.ErrConflict) {
+		return verdict{}, nil // the row is not what was read: look again
+	}
+	if err != nil {
+		return unreachable(err)
+	}
+	return v, nil
+}
+
+// tryCancel cancels a declared plan, or what a running plan has not started.
+func (o *operatorService) tryCancel(ctx context.Context, req *sfv1.CancelRequest) (verdict, error) {
+	p, revision, err := o.load(ctx, req.PlanId)
+	if err != nil {
+		return verdict{}, err
+	}
+	switch p.State {
+	case plan.StateDeclared:
+		return o.cancelDeclared(ctx, p, revision, req.Operator)
+	case plan.StateConfirmed:
+		return o.cancelRunning(ctx, p, revision, req.Operator)
+	default:
+		return refused("the plan is %s already", p.State), nil
+	}
+}
+
+func (o *operatorService) cancelDeclared(ctx context.Context, p *plan.Plan, revision int64, operator string) (verdict, error) {
+	p.State, p.Reason = plan.StateCancelled, "cancelled by "+operator+" before it was confirmed"
+	_, err := o.daemon.platform.Commit(ctx, platform.Txn{
+		Checks: []platform.Check{{Key: plan.Key(p.ID), Revision: revision}},
+		Writes: []platform.Write{{Key: plan.Key(p.ID), Value: p.Encode()}},
+	})
+	switch {
+	case err == nil:
+		return verdict{outcome: outcomeAccepted, reason: "the plan was not confirmed yet; nothing changes"}, nil
+	case errors.Is(err, platform.ErrConflict):
+		return verdict{}, nil
+	default:
+		return unreachable(err)
+	}
+}
+
+// cancelRunning writes a version in which what has not started stays as it is.
+func (o *operatorService) cancelRunning(ctx context.Context, p *plan.Plan, revision int64, operator string) (verdict, error) {
+	head, doc, err := o.daemon.versions.NewestFrom(ctx, o.daemon.holder.Current())
+	if errors.Is(err, versions.ErrBehind) {
+		return verdict{}, nil
+	}
+	if err != nil {
+		return unreachable(err)
+	}
+	if !p.Cancel(doc) {
+		return refused("the plan is done already"), nil
+	}
+	doc.Version, doc.Intent = head.Version+1, doc.Intent+1
+	p.Reason = "cancelled by " + operator + "; steps that had started are finished"
+	entry := versions.Entry{Author: operator, Summary: "cancel " + p.Name, PlanID: p.ID}
+	v, err := o.accept(ctx, head, doc, p, revision, entry)
+	if v.outcome == outcomeAccepted {
+		v.reason = "steps that had started are finished, the others are cancelled"
+	}
+	return v, err
+}
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -42,6 +42,7 @@
 	entry    *entryLink
 	leases   *leases
 	watcher  *watcher
+	waited   waitCache
 	orders   *orderMetrics
 	http     *http.Client
 	options  []connect.ClientOption
--- a/internal/control/observe.go
+++ b/internal/control/observe.go
@@ -9,6 +9,7 @@
 	"sassafrasfield/internal/bootclock"
 	"sassafrasfield/internal/config"
 	sfv1 "sassafrasfield/internal/gen/sf/v1"
+	"sassafrasfield/internal/order"
 	"sassafrasfield/internal/platform"
 	"sassafrasfield/internal/rollout"
 )
@@ -22,6 +23,11 @@
 	if err != nil {
 		return rollout.View{}, err
 	}
+	return d.look(ctx, doc, pool, orders), nil
+}
+
+// look asks for what a decision on a pool rests on.
+func (d *Daemon) look(ctx context.Context, doc *config.Config, pool string, orders map[string]order.Row) rollout.View {
 	view := rollout.View{
 		Config: doc, Pool: pool, Orders: orders,
 		Limits: d.limits(ctx, doc, pool), Leaving: d.leavingEngines(),
@@ -30,7 +36,7 @@
 		view.Instances = d.observeInstances(ctx)
 	}
 	view.Engines = d.observeEngines(ctx, doc.PoolEngines(pool))
-	return view, nil
+	return view
 }
 
 func (d *Daemon) leavingEngines() map[string]bool {
--- /dev/null
+++ b/internal/control/planmessage.go
@@ -0,0 +1,120 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"sassafrasfield/internal/bootclock"
+	"sassafrasfield/internal/config"
+	sfv1 "sassafrasfield/internal/gen/sf/v1"
+	"sassafrasfield/internal/order"
+	"sassafrasfield/internal/plan"
+	"sassafrasfield/internal/rollout"
+)
+
+// planMessage tells how far a plan is in a configuration. Waits has what the
+// engines wait for, by id; nil when that was not asked.
+func planMessage(p *plan.Plan, now *config.Config, waits map[string]string) *sfv1.Plan {
+	progress := p.ProgressIn(now)
+	out := &sfv1.Plan{
+		Id: p.ID, IntentName: p.Name, BuiltFrom: p.BuiltFrom, Operator: p.Operator, ConfirmedBy: p.ConfirmedBy,
+		Warnings: p.Warnings, Refusals: p.Refusals, State: progress.State, Version: p.Version,
+		Reason: p.Reason, ExpectedSeconds: p.Seconds,
+	}
+	for i, s := range p.Steps {
+		step := &sfv1.Step{
+			Number: int32(s.Number), Kind: string(s.Kind), Pool: s.Pool, Engine: s.Engine,
+			Text: s.Text, OutSeconds: s.OutSeconds, State: string(progress.Steps[i]),
+		}
+		if unfinished(progress.Steps[i]) {
+			step.Detail = waits[s.Engine]
+		}
+		out.Steps = append(out.Steps, step)
+	}
+	for _, e := range p.Effects {
+		out.Effects = append(out.Effects, &sfv1.CapacityEffect{
+			Model: e.Model, EnginesBefore: int32(e.Before), EnginesLowest: int32(e.Lowest), EnginesAfter: int32(e.After),
+		})
+	}
+	return out
+}
+
+func unfinished(s plan.StepState) bool {
+	return s == plan.StepWaiting || s == plan.StepRunning
+}
+
+// waitsKept is how long an answer of waits serves further questions.
+const waitsKept = time.Second
+
+// waitCache keeps what the engines of a pool wait for, so that operators who
+// follow a plan don't cost a round of questions each time.
+type waitCache struct {
+	mu    sync.Mutex // protects pools
+	pools map[string]poolWaits
+}
+
+type poolWaits struct {
+	at    time.Duration
+	waits map[string]string
+}
+
+// waits tells what the unfinished engines of a confirmed plan wait for, as far
+// as this process sees it.
+func (d *Daemon) waits(ctx context.Context, p *plan.Plan, doc *config.Config) map[string]string {
+	all := map[string]string{}
+	if p.Version == 0 || doc.Version < p.Version {
+		return all
+	}
+	asked := map[string]bool{}
+	for i, state := range p.ProgressIn(doc).Steps {
+		pool := p.Steps[i].Pool
+		if !unfinished(state) || pool == "" || asked[pool] || doc.Pool(pool) == nil {
+			continue
+		}
+		asked[pool] = true
+		for id, text := range d.poolWaits(ctx, doc, pool) {
+			all[id] = text
+		}
+	}
+	return all
+}
+
+func (d *Daemon) poolWaits(ctx context.Context, doc *config.Config, pool string) map[string]string {
+	c := &d.waited
+	c.mu.Lock()
+	kept, ok := c.pools[pool]
+	c.mu.Unlock()
+	if ok && bootclock.Now()-kept.at < waitsKept {
+		return kept.waits
+	}
+	orders, err := d.journal(ctx, pool)
+	if err != nil {
+		return map[string]string{}
+	}
+	fresh := poolWaits{waits: rollout.Decide(d.look(ctx, doc, pool, orders)).Waits, at: bootclock.Now()}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pools == nil {
+		c.pools = map[string]poolWaits{}
+	}
+	c.pools[pool] = fresh
+	return fresh.waits
+}
+
+// journal reads the orders of a pool as they stand, without authority.
+func (d *Daemon) journal(ctx context.Context, pool string) (map[string]order.Row, error) {
+	rows, err := d.platform.List(ctx, order.KeyPrefix(pool))
+	if err != nil {
+		return nil, err
+	}
+	orders := map[string]order.Row{}
+	for _, row := range rows {
+		decoded, err := order.Decode(row.Value, row.Revision)
+		if err != nil {
+			return nil, err
+		}
+		orders[decoded.Engine] = decoded
+	}
+	return orders, nil
+}
--- a/internal/intent/apply.go
+++ b/internal/intent/apply.go
@@ -13,6 +13,9 @@
 type applier struct {
 	file   *tomlfile.File
 	target *config.Config
+	// asked are the engines whose wanted state the intent asks for, by itself
+	// or by its model or pool.
+	asked map[string]bool
 }
 
 // set copies a given value.
@@ -47,6 +50,10 @@
 		set(&c.Adapters, m.Adapters)
 		set(&c.Callers, m.Callers)
 		set(&c.MaxPromptTokens, m.MaxPromptTokens)
+		set(&c.WeightBytes, m.WeightBytes)
+		if m.Version != nil || m.Adapters != nil {
+			a.askPools(func(p *config.Pool) bool { return p.Model == m.Name })
+		}
 	}
 }
 
@@ -64,6 +71,9 @@
 		}
 		c.Name = p.Name
 		set(&c.Model, p.Model)
+		if p.Model != nil {
+			a.askPools(func(c *config.Pool) bool { return c.Name == p.Name })
+		}
 		set(&c.Region, p.Region)
 		set(&c.MinServing, p.MinServing)
 		set(&c.MinPrefill, p.MinPrefill)
@@ -94,19 +104,35 @@
 	}
 	set(&c.Address, e.Address)
 	set(&c.Zone, e.Zone)
+	if added || e.Pool != nil {
+		a.asked[e.ID] = true
+	}
 	set(&c.Pool, e.Pool)
 	set(&c.Leave, e.Leave)
 	set(&c.Fencing, (*config.Fencing)(e.Fencing))
 	set(&c.Want.Role, (*config.Role)(e.Role))
 }
 
-// wantModels gives each engine the wanted state that its pool's model asks
-// for.
+// askPools asks for the model's state on the engines of the pools that match
+// picks.
+func (a *applier) askPools(match func(*config.Pool) bool) {
+	for i := range a.target.Engines {
+		e := &a.target.Engines[i]
+		if pool := a.target.Pool(e.Pool); pool != nil && match(pool) {
+			a.asked[e.ID] = true
+		}
+	}
+}
+
+// wantModels gives each engine that the intent asks for the wanted state of
+// its pool's model. Other engines keep what they want: after a cancelled plan
+// that is not what their model says, and an intent for something else must not
+// take the cancelled change up again.
 func (a *applier) wantModels() {
 	for i := range a.target.Engines {
 		e := &a.target.Engines[i]
 		pool := a.target.Pool(e.Pool)
-		if pool == nil {
+		if pool == nil || !a.asked[e.ID] {
 			continue
 		}
 		model := a.target.Model(pool.Model)
--- a/internal/intent/check.go
+++ b/internal/intent/check.go
@@ -35,6 +35,9 @@
 	}
 	for i, m := range in.Models {
 		named("model", i, "name", m.Name)
+		if m.WeightBytes != nil && *m.WeightBytes < 0 {
+			file.Add(fmt.Sprintf("model.%d.weight_bytes", i), "want 0 or more, not %d", *m.WeightBytes)
+		}
 	}
 	for i, p := range in.Pools {
 		named("pool", i, "name", p.Name)
--- a/internal/intent/intent.go
+++ b/internal/intent/intent.go
@@ -27,6 +27,7 @@
 	Adapters        *[]string `toml:"adapters"`
 	Callers         *[]string `toml:"callers"`
 	MaxPromptTokens *int      `toml:"max_prompt_tokens"`
+	WeightBytes     *int64    `toml:"weight_bytes"`
 	Remove          bool      `toml:"remove"`
 }
 
@@ -90,24 +91,33 @@
 func Parse(name string, data []byte) (*Intent, finding.List) {
 	in := &Intent{}
 	file := tomlfile.Decode(name, data, in)
-	if !file.Findings().Failed() {
+	if !isSyntax(file.Findings()) {
 		checkShape(file, in)
 	}
 	return in, file.Findings()
 }
 
+// isSyntax tells whether the file could not be read at all: a fault of syntax
+// belongs to no key.
+func isSyntax(findings finding.List) bool {
+	return len(findings) == 1 && findings[0].Key == ""
+}
+
 // Apply works out the configuration that the intent asks for on top of base.
 // The result has the base's numbers; base is left as it is. With findings that
 // forbid the intent the configuration is nil.
 func Apply(name string, data []byte, base *config.Config) (*config.Config, *Intent, finding.List) {
 	in := &Intent{}
 	file := tomlfile.Decode(name, data, in)
-	if file.Findings().Failed() {
+	failed := file.Findings().Failed()
+	if !isSyntax(file.Findings()) {
+		checkShape(file, in)
+	}
+	if failed {
 		return nil, in, file.Findings()
 	}
-	checkShape(file, in)
 	target := base.Clone()
-	a := applier{file: file, target: target}
+	a := applier{file: file, target: target, asked: map[string]bool{}}
 	a.models(in.Models)
 	a.pools(in.Pools)
 	a.engines(in.Engines)
--- a/internal/operatorcli/follow.go
+++ b/internal/operatorcli/follow.go
@@ -21,11 +21,15 @@
 func (c *CLI) followPlan(ctx context.Context, client sfv1connect.OperatorServiceClient) error {
 	told := map[int32]string{}
 	for {
-		done, version, err := c.lookAtSteps(ctx, client, told)
+		state, version, err := c.lookAtSteps(ctx, client, told)
 		if err != nil && ctx.Err() == nil && connect.CodeOf(err) == connect.CodeNotFound {
 			return err
 		}
-		if err == nil && done && c.inForceEverywhere(ctx, client, version) {
+		if err == nil && (state == stateCancelled || state == stateRefused) {
+			fmt.Fprintf(c.Err, "sfctl: plan %s is %s\n", c.planID, state)
+			return errExit(program.ExitRefused)
+		}
+		if err == nil && state == stateDone && c.inForceEverywhere(ctx, client, version) {
 			fmt.Fprintf(c.Out, "plan %s is done; version %d is in force on all instances\n", c.planID, version)
 			return nil
 		}
@@ -39,10 +43,10 @@
 }
 
 // lookAtSteps prints the steps whose state changed.
-func (c *CLI) lookAtSteps(ctx context.Context, client sfv1connect.OperatorServiceClient, told map[int32]string) (done bool, version int64, err error) {
+func (c *CLI) lookAtSteps(ctx context.Context, client sfv1connect.OperatorServiceClient, told map[int32]string) (state string, version int64, err error) {
 	response, err := client.GetPlan(ctx, connect.NewRequest(&sfv1.GetPlanRequest{PlanId: c.planID}))
 	if err != nil {
-		return false, 0, errors.WithStack(err)
+		return "", 0, errors.WithStack(err)
 	}
 	for _, step := range response.Msg.Plan.Steps {
 		if told[step.Number] != step.State {
@@ -50,7 +54,7 @@
 			fmt.Fprintf(c.Out, "step %d %s: %s\n", step.Number, step.State, step.Text)
 		}
 	}
-	return response.Msg.Plan.State == "done", response.Msg.Plan.Version, nil
+	return response.Msg.Plan.State, response.Msg.Plan.Version, nil
 }
 
 func (c *CLI) inForceEverywhere(ctx context.Context, client sfv1connect.OperatorServiceClient, version int64) bool {
--- a/internal/operatorcli/operatorcli.go
+++ b/internal/operatorcli/operatorcli.go
@@ -20,6 +20,13 @@
 	"sassafrasfield/internal/program"
 )
 
+// help is what sfctl says of itself.
+const help = `Declare intents, read their plans, confirm them and follow them.
+
+Exit codes: 0 done or accepted; 1 the call failed; 2 wrong arguments; 3 refused, nothing was changed; 4 the outcome is not known, ask again.
+
+Completion for bash: eval "$(sfctl --completion-script-bash)"; for zsh with --completion-script-zsh.`
+
 // CLI is one call of sfctl.
 type CLI struct {
 	Out io.Writer
@@ -43,7 +50,7 @@
 
 // Run parses the arguments, carries the command out and returns the exit code.
 func (c *CLI) Run(args []string) int {
-	app := kingpin.New("sfctl", "Declare intents, read their plans, confirm them and follow them.")
+	app := kingpin.New("sfctl", help)
 	app.Version(program.Version())
 	app.HelpFlag.Short('h')
 	app.Flag("control", "Address of any sf-control (host:port).").Envar("SFCTL_CONTROL").StringVar(&c.control)
@@ -146,10 +153,14 @@
 	if err != nil {
 		return err
 	}
-	c.printFindings(response.Msg.Findings)
 	if response.Msg.Plan == nil {
+		if done, err := c.json(response.Msg); done && err != nil {
+			return err
+		}
+		c.printFindings(response.Msg.Findings)
 		return errExit(program.ExitRefused)
 	}
+	c.printFindings(response.Msg.Findings)
 	if err := c.printPlan(response.Msg.Plan); err != nil {
 		return err
 	}
@@ -179,16 +190,16 @@
 	if err != nil {
 		return err
 	}
-	response, err := client.Confirm(ctx, connect.NewRequest(&sfv1.ConfirmRequest{PlanId: c.planID, Operator: c.operator}))
+	response, err := c.confirmOrReadBack(ctx, client)
 	if err != nil {
 		return err
 	}
-	if err := c.printConfirm(response.Msg); err != nil {
+	if err := c.printConfirm(response); err != nil {
 		return err
 	}
-	switch response.Msg.Outcome {
-	case "accepted":
-	case "unknown":
+	switch response.Outcome {
+	case outcomeAccepted:
+	case outcomeUnknown:
 		return errExit(program.ExitUnknown)
 	default:
 		return errExit(program.ExitRefused)
@@ -208,9 +219,15 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(c.Out, "%s %s\n", response.Msg.Outcome, response.Msg.Reason)
-	if response.Msg.Outcome != "accepted" {
+	if err := c.printCancel(response.Msg); err != nil {
+		return err
+	}
+	switch response.Msg.Outcome {
+	case outcomeAccepted:
+		return nil
+	case outcomeUnknown:
+		return errExit(program.ExitUnknown)
+	default:
 		return errExit(program.ExitRefused)
 	}
-	return nil
 }
--- a/internal/operatorcli/print.go
+++ b/internal/operatorcli/print.go
@@ -1,13 +1,11 @@
 package operatorcli
 
 import (
-	"context"
 	"fmt"
 	"strings"
 	"text/tabwriter"
 	"time"
 
-	"connectrpc.com/connect"
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
@@ -51,12 +49,12 @@
 	if done, err := c.json(p); done {
 		return err
 	}
-	fmt.Fprintf(c.Out, "plan %s (%s): %s, built from change %d\n", p.Id, p.IntentName, p.State, p.BuiltFrom)
+	c.printPlanHead(p)
 	var steps [][]string
 	for _, s := range p.Steps {
-		steps = append(steps, []string{fmt.Sprint(s.Number), s.Kind, s.State, fmt.Sprintf("%.0fs", s.OutSeconds), s.Text})
+		steps = append(steps, []string{fmt.Sprint(s.Number), s.Kind, s.State, fmt.Sprintf("%.0fs", s.OutSeconds), s.Text, s.Detail})
 	}
-	if err := c.table("STEP\tKIND\tSTATE\tOUT\tWHAT", steps); err != nil {
+	if err := c.table("STEP\tKIND\tSTATE\tOUT\tWHAT\tWAITS FOR", steps); err != nil {
 		return err
 	}
 	var effects [][]string
@@ -75,12 +73,34 @@
 	return nil
 }
 
+// printPlanHead prints where a plan stands, and who is behind it.
+func (c *CLI) printPlanHead(p *sfv1.Plan) {
+	fmt.Fprintf(c.Out, "plan %s (%s) by %s: %s, built from change %d\n", p.Id, p.IntentName, p.Operator, p.State, p.BuiltFrom)
+	if p.Version > 0 {
+		fmt.Fprintf(c.Out, "confirmed by %s as version %d\n", p.ConfirmedBy, p.Version)
+	}
+	if p.Reason != "" {
+		fmt.Fprintln(c.Out, p.Reason)
+	}
+	if p.ExpectedSeconds > 0 {
+		fmt.Fprintf(c.Out, "about %.0f s, and the time in which engines finish their streams\n", p.ExpectedSeconds)
+	}
+}
+
+func (c *CLI) printCancel(response *sfv1.CancelResponse) error {
+	if done, err := c.json(response); done {
+		return err
+	}
+	fmt.Fprintf(c.Out, "%s: %s\n", response.Outcome, response.Reason)
+	return nil
+}
+
 func (c *CLI) printConfirm(response *sfv1.ConfirmResponse) error {
 	if done, err := c.json(response); done {
 		return err
 	}
-	if response.Outcome == "accepted" {
-		fmt.Fprintf(c.Out, "accepted as version %d\n", response.Version)
+	if response.Outcome == outcomeAccepted {
+		fmt.Fprintf(c.Out, "accepted as version %d %s\n", response.Version, response.Reason)
 		return nil
 	}
 	fmt.Fprintf(c.Out, "%s: %s\n", response.Outcome, response.Reason)
@@ -101,84 +121,3 @@
 	}
 	return c.table("VERSION\tCHANGE\tACCEPTED\tBY\tPLAN\tWHAT", rows)
 }
-
-func (c *CLI) status(ctx context.Context) error {
-	client, err := c.client()
-	if err != nil {
-		return err
-	}
-	response, err := client.SystemStatus(ctx, connect.NewRequest(&sfv1.SystemStatusRequest{}))
-	if err != nil {
-		return err
-	}
-	if done, err := c.json(response.Msg); done {
-		return err
-	}
-	table := "answers"
-	if !response.Msg.TableReachable {
-		table = "does not answer"
-	}
-	fmt.Fprintf(c.Out, "version %d, change %d; this instance has version %d; the table %s\n",
-		response.Msg.HeadVersion, response.Msg.IntentVersion, response.Msg.LocalVersion, table)
-	return nil
-}
-
-func (c *CLI) history(ctx context.Context) error {
-	client, err := c.client()
-	if err != nil {
-		return err
-	}
-	response, err := client.History(ctx, connect.NewRequest(&sfv1.HistoryRequest{Limit: c.limit}))
-	if err != nil {
-		return err
-	}
-	if done, err := c.json(response.Msg); done {
-		return err
-	}
-	return c.printVersions(response.Msg.Versions)
-}
-
-func (c *CLI) engines(ctx context.Context) error {
-	client, err := c.client()
-	if err != nil {
-		return err
-	}
-	response, err := client.Engines(ctx, connect.NewRequest(&sfv1.EnginesRequest{}))
-	if err != nil {
-		return err
-	}
-	if done, err := c.json(response.Msg); done {
-		return err
-	}
-	var rows [][]string
-	for _, e := range response.Msg.Engines {
-		reported := e.Reported
-		if !e.Reachable {
-			reported = "no answer"
-		}
-		rows = append(rows, []string{e.Id, e.Pool, e.Zone, e.Routing, fmt.Sprint(e.Running), e.Want, reported, e.Fencing})
-	}
-	return c.table("ENGINE\tPOOL\tZONE\tROUTING\tRUNNING\tWANT\tREPORTED\tFENCING", rows)
-}
-
-func (c *CLI) instances(ctx context.Context) error {
-	client, err := c.client()
-	if err != nil {
-		return err
-	}
-	response, err := client.Instances(ctx, connect.NewRequest(&sfv1.InstancesRequest{}))
-	if err != nil {
-		return err
-	}
-	if done, err := c.json(response.Msg); done {
-		return err
-	}
-	var rows [][]string
-	for _, i := range response.Msg.Instances {
-		rows = append(rows, []string{
-			i.Id, i.Zone, i.PlatformState, fmt.Sprint(i.Reachable), fmt.Sprint(i.Ready),
-			fmt.Sprint(i.EntryVersion), fmt.Sprint(i.ControlVersion), strings.Join(i.Leases, ","),
-		})
-	}
-	return c.table("INSTANCE\tZONE\tPLATFORM\tREACHABLE\tREADY\tENTRY\tCONTROL\tLEASES", rows)
-}
--- a/internal/versions/append.go
+++ b/internal/versions/append.go
@@ -149,10 +149,10 @@
 	return Holds(ctx, l.Table, platform.Check{Key: HeadKey, Revision: head.Revision})
 }
 
-// Holds tells for sure whether a row has a revision, by a transaction without
-// writes: unlike a read, a check is never answered from an old copy.
-func Holds(ctx context.Context, table platform.Table, check platform.Check) (bool, error) {
-	_, err := table.Commit(ctx, platform.Txn{Checks: []platform.Check{check}})
+// Holds tells for sure whether rows have the revisions, by a transaction
+// without writes: unlike a read, a check is never answered from an old copy.
+func Holds(ctx context.Context, table platform.Table, checks ...platform.Check) (bool, error) {
+	_, err := table.Commit(ctx, platform.Txn{Checks: checks})
 	if errors.Is(err, platform.ErrConflict) {
 		return false, nil
 	}
