--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -26,6 +26,7 @@
 	Lease           LeaseSettings    `toml:"lease"`
 	Spread          SpreadSettings   `toml:"spread"`
 	Rollout         RolloutSettings  `toml:"rollout"`
+	Demand          DemandSettings   `toml:"demand"`
 	Log             logging.Settings `toml:"log"`
 	Trace           tracing.Settings `toml:"trace"`
 }
@@ -135,8 +136,9 @@
 			SilentAfter: 15 * time.Second, UnreachableAfter: 10 * time.Second,
 			ResendAfter: 2 * time.Second, LoadTime: time.Minute, MaxLoads: 4,
 		},
-		Log:   logging.Default(),
-		Trace: tracing.Default(),
+		Demand: DemandSettings{Every: time.Second, Keep: 3 * time.Second},
+		Log:    logging.Default(),
+		Trace:  tracing.Default(),
 	}
 }
 
@@ -152,6 +154,8 @@
 	s.Lease.check(file)
 	s.Spread.check(file, addresses)
 	s.Rollout.check(file)
+	settings.Between(file, "demand.every", s.Demand.Every, 10*time.Millisecond, longest)
+	settings.Between(file, "demand.keep", s.Demand.Keep, s.Demand.Every, 10*longest)
 	s.Log.Check(file, "log")
 	s.Trace.Check(file, "trace")
 }
