--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -43,6 +43,7 @@
 	leases   *leases
 	demand   *demand
 	watcher  *watcher
+	waited   waitCache
 	orders   *orderMetrics
 	http     *http.Client
 	options  []connect.ClientOption
