Estimate the load by now from an old report; shun frozen and killed engines in tests

Cause: with 9 entries that read the same report, the entry that trusts it sends to the engine that all others send to.

The estimate takes off the report what the engine has done since it was taken. How old reports are is learnt from the entry's own placements, without clocks: a report that counts one was taken after it, one that does not before it.

Ruled out, in trials: multiplying the own charges by all entries' share of the placements; two random choices instead of near-best. Both were no better. The process tests bring a frozen and a killed engine about.

--- a/cmd/sf-load/main.go
+++ b/cmd/sf-load/main.go
@@ -81,8 +81,8 @@
 	out := cmd.Flag("out", "Folder for the results.").Default("out").String()
 	seeds := cmd.Flag("seed", "Seed; repeat for more.").Default("1", "2", "3").Uint64List()
 	lags := cmd.Flag("lag", "Lag of load reports; repeat for more.").Default("200ms", "1s", "5s").DurationList()
-	phase := cmd.Flag("phase", "Length of each of the swing's three phases.").Default("6s").Duration()
-	rate := cmd.Flag("rate", "Completions a second.").Default("40").Float64()
+	phase := cmd.Flag("phase", "Length of each of the swing's three phases.").Default("5s").Duration()
+	rate := cmd.Flag("rate", "Completions a second.").Default("22").Float64()
 	sideBySide := cmd.Flag("side-by-side", "Groups of fleets at a time.").Default("1").Int()
 	variants := cmd.Flag("variant", "First letter of a variant; repeat for more. All when none is given.").Strings()
 	return command{name: cmd.FullCommand(), do: func(ctx context.Context) error {
--- a/internal/bench/cell.go
+++ b/internal/bench/cell.go
@@ -40,6 +40,9 @@
 	Result     loadgen.Result `json:"result"`
 	// RoleChanges that took effect during the run.
 	RoleChanges int `json:"role_changes"`
+	// MachineBusy is the share of all processors, 0 to 1, that was in use
+	// during the run, whoever used it. Near 1 the figures tell little.
+	MachineBusy float64 `json:"machine_busy"`
 	// EntryCPU is the processor time of the 9 entries, in seconds.
 	EntryCPU float64 `json:"entry_cpu_s"`
 }
@@ -69,7 +72,7 @@
 	}
 	defer f.Stop()
 	time.Sleep(settle)
-	before := f.entryCPU()
+	before, machine := f.entryCPU(), readMachine()
 	if c.Faults {
 		go f.breakEngines(ctx, r.options.Phase)
 	}
@@ -77,7 +80,8 @@
 	defer cancel()
 	result, err := loadgen.Run(ctx, loadgen.Options{Scenario: scenario, Targets: f.targets(), Seed: c.Seed})
 	return Cell{
-		Deployment: c.Deployment.Name, Variant: v.Name, LagSeconds: c.Lag.Seconds(), Seed: c.Seed,
+		MachineBusy: readMachine().busySince(machine),
+		Deployment:  c.Deployment.Name, Variant: v.Name, LagSeconds: c.Lag.Seconds(), Seed: c.Seed,
 		Faults: c.Faults, Result: result, EntryCPU: f.entryCPU() - before,
 	}, err
 }
--- /dev/null
+++ b/internal/bench/frozen_test.go
@@ -0,0 +1,124 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"sassafrasfield/internal/standin"
+	"sassafrasfield/internal/testcaller"
+	"sassafrasfield/internal/testfleet"
+)
+
+const testKey = "frozen-test-key"
+
+// smallFleet has one entry, two engines in one process and one apart.
+func smallFleet(t *testing.T, ctx context.Context, tables string) *fleet {
+	t.Helper()
+	bin, err := testfleet.Bin()
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := start(ctx, plan{
+		bin: bin, dir: t.TempDir(), zones: []string{"hall-a"}, model: "m", keys: []string{testKey},
+		entries: 1, hosted: 2, apart: 1, entryTables: tables,
+		engineFlags: []string{"--decode-rate", "500"},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Stop)
+	return f
+}
+
+// gauge reads a gauge of the entry.
+func (f *fleet) gauge(t *testing.T, name string) int64 {
+	t.Helper()
+	res, err := http.Get("http://" + f.entries[0].address + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	var all map[string]struct {
+		Value int64 `json:"value"`
+	}
+	if err := json.NewDecoder(res.Body).Decode(&all); err != nil {
+		t.Fatal(err)
+	}
+	return all[name].Value
+}
+
+// started counts the streams that the engine apart began.
+func (f *fleet) started(t *testing.T, ctx context.Context) int {
+	t.Helper()
+	var book standin.Book
+	if err := testfleet.Post(ctx, f.doc.Engines[2].Address, standin.PathBook, nil, &book); err != nil {
+		t.Fatal(err)
+	}
+	return book.Started
+}
+
+// ask sends requests at a time and fails the test unless each is answered
+// whole.
+func (f *fleet) ask(t *testing.T, ctx context.Context, from, n int) {
+	t.Helper()
+	caller := testcaller.New(testKey)
+	var work sync.WaitGroup
+	for i := from; i < from+n; i++ {
+		work.Go(func() {
+			chat := testcaller.Chat{Model: "m", Prompt: fmt.Sprintf("question %d", i), MaxTokens: 4, Seed: int64(i)}
+			answer, err := caller.Stream(ctx, f.entries[0].address, chat, nil)
+			if err != nil || !answer.Done {
+				t.Errorf("request %d: %+v, error %v", i, answer, err)
+			}
+		})
+	}
+	work.Wait()
+}
+
+func TestFrozenEngineGetsNoNewWorkAndIsLetBack(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 90*time.Second)
+	defer cancel()
+	f := smallFleet(t, ctx, "[routing]\nsilent_for = \"2s\"\n[engine]\nreport_every = \"50ms\"\n")
+	f.ask(t, ctx, 0, 12)
+	before := f.started(t, ctx)
+	f.apart[0].Signal(syscall.SIGSTOP)
+	if err := testfleet.Until(ctx, "the frozen engine is shunned", func() bool { return f.gauge(t, "route.shunned") == 1 }); err != nil {
+		t.Fatal(err)
+	}
+	f.ask(t, ctx, 100, 30)
+	f.apart[0].Signal(syscall.SIGCONT)
+	// A request that was sent to the frozen engine would be in its book now.
+	if after := f.started(t, ctx); after != before {
+		t.Fatalf("the frozen engine was sent %d requests", after-before)
+	}
+	n := 1000
+	if err := testfleet.Until(ctx, "the engine is let back", func() bool {
+		f.ask(t, ctx, n, 4)
+		n += 4
+		return f.started(t, ctx) > before
+	}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestKilledEngineIsEjectedAndAnswersStayWhole(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 90*time.Second)
+	defer cancel()
+	f := smallFleet(t, ctx, "[routing]\neject_for = \"1m\"\neject_at_most = \"1m\"\nsilent_for = \"1m\"\n")
+	f.apart[0].Kill()
+	n := 0
+	if err := testfleet.Until(ctx, "the killed engine is ejected", func() bool {
+		f.ask(t, ctx, n, 4)
+		n += 4
+		return f.gauge(t, "route.shunned") == 1
+	}); err != nil {
+		t.Fatal(err)
+	}
+	f.ask(t, ctx, n, 20)
+}
--- a/internal/bench/proc.go
+++ b/internal/bench/proc.go
@@ -40,3 +40,38 @@
 		resident: number(pages) * int64(os.Getpagesize()),
 	}
 }
+
+// machine is the processor time of the whole machine, in ticks.
+type machine struct {
+	total, idle float64
+}
+
+// readMachine reads the machine's processor time so far.
+func readMachine() machine {
+	data, err := os.ReadFile("/proc/stat")
+	if err != nil {
+		return machine{}
+	}
+	line, _, _ := strings.Cut(string(data), "\n")
+	const idle, waiting = 4, 5
+	var m machine
+	for i, field := range strings.Fields(line) {
+		ticks, err := strconv.ParseFloat(field, 64)
+		if err != nil {
+			continue // the first field is a name
+		}
+		m.total += ticks
+		if i == idle || i == waiting {
+			m.idle += ticks
+		}
+	}
+	return m
+}
+
+// busySince is the share of the processors in use since an earlier reading.
+func (m machine) busySince(before machine) float64 {
+	if m.total <= before.total {
+		return 0
+	}
+	return 1 - (m.idle-before.idle)/(m.total-before.total)
+}
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -82,13 +82,13 @@
 
 func (s *Server) readReport(ctx context.Context, e *config.Engine) {
 	report, err := s.engineAt(e.Address).Report(ctx)
+	defer func() { s.state.measure(s.now()) }()
 	if err != nil {
 		s.state.meters.reportsFailed.Inc(1)
 		return
 	}
 	s.state.meters.reports.Inc(1)
 	s.state.reported(e.ID, report, s.now())
-	s.state.meters.charges.Update(int64(s.state.charges()))
 }
 
 func (s *Server) readEvents(ctx context.Context, e *config.Engine) {
--- a/internal/entry/routing.go
+++ b/internal/entry/routing.go
@@ -26,6 +26,8 @@
 	reportsFailed metrics.Counter
 	hintedTokens  metrics.Counter
 	charges       metrics.Gauge
+	shunned       metrics.Gauge
+	lag           metrics.Gauge
 }
 
 func newRouteMeters(registry metrics.Registry) *routeMeters {
@@ -35,6 +37,8 @@
 		reportsFailed: metrics.GetOrRegisterCounter("route.reports_failed", registry),
 		hintedTokens:  metrics.GetOrRegisterCounter("route.hinted_tokens", registry),
 		charges:       metrics.GetOrRegisterGauge("route.charges", registry),
+		shunned:       metrics.GetOrRegisterGauge("route.shunned", registry),
+		lag:           metrics.GetOrRegisterGauge("route.report_lag_ms", registry),
 	}
 }
 
@@ -203,13 +207,19 @@
 	return s.table.Engine(id).Prefixes.After()
 }
 
-// charges counts the placements that no report accounts for.
-func (s *state) charges() int {
+// measure brings the gauges up to date.
+func (s *state) measure(now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	total := 0
+	charges, shunned := 0, 0
 	for _, e := range s.engines {
-		total += s.table.Engine(e.ID).Charges()
+		picture := s.table.Engine(e.ID)
+		charges += picture.Charges()
+		if s.table.Silent(e.ID, now) || picture.Health.Ejected(now) {
+			shunned++
+		}
 	}
-	return total
+	s.meters.charges.Update(int64(charges))
+	s.meters.shunned.Update(int64(shunned))
+	s.meters.lag.Update(s.table.Traffic.Lag().Milliseconds())
 }
--- a/internal/entry/routing_settings.go
+++ b/internal/entry/routing_settings.go
@@ -14,7 +14,8 @@
 // says what to look at. The defaults follow docs/measurements/routing.md.
 type RoutingSettings struct {
 	// Policy is the picture of the load that is routed by: "round-robin",
-	// "report", "local", "charge" or "charge-prefix". Default charge-prefix.
+	// "report", "local", "local-prefix", "charge", "charge-prefix" or
+	// "estimate". Default estimate.
 	Policy route.Policy `toml:"policy"`
 	// Pick is the choice among scored engines: "best", "near-best" or
 	// "two-choices". Default near-best.
@@ -26,7 +27,7 @@
 	// accounts for it. Longer than the lag of reports. Default 15s.
 	ChargeFor time.Duration `toml:"charge_for"`
 	// EventsEvery is the time between reads of an engine's cache events, for
-	// charge-prefix. Default 500ms.
+	// the policies with prefix hints. Default 500ms.
 	EventsEvery time.Duration `toml:"events_every"`
 	// Failures in a row that eject an upstream. Default 2.
 	Failures int `toml:"failures"`
@@ -42,7 +43,7 @@
 func defaultRouting() RoutingSettings {
 	rules := load.DefaultOutlierRules()
 	return RoutingSettings{
-		Policy: route.PolicyChargePrefix, Pick: route.PickNearBest, ChargeFor: load.DefaultChargeFor,
+		Policy: route.PolicyEstimate, Pick: route.PickNearBest, ChargeFor: load.DefaultChargeFor,
 		EventsEvery: 500 * time.Millisecond, Failures: rules.Failures,
 		EjectFor: rules.EjectFor, EjectAtMost: rules.EjectAtMost, SilentFor: rules.SilentFor,
 	}
--- a/internal/load/engine.go
+++ b/internal/load/engine.go
@@ -135,6 +135,8 @@
 			t.counted(e.ReportAt - p.At)
 		case p.lostBy(&e.Report):
 			p.charged = false
+		case p.accepted.Boot != "":
+			t.uncounted(e.ReportAt - p.At)
 		}
 	}
 }
--- a/internal/load/traffic.go
+++ b/internal/load/traffic.go
@@ -18,6 +18,9 @@
 type Traffic struct {
 	lags     [lagsKept]time.Duration
 	observed int
+	// least is the age that reports had at least, while no upper bound is
+	// known.
+	least time.Duration
 	life     time.Duration
 }
 
@@ -28,12 +31,18 @@
 	t.observed++
 }
 
+// uncounted records that a report, which came age after an engine took a
+// placement, does not account for it: the report was taken before that.
+func (t *Traffic) uncounted(age time.Duration) {
+	t.least = max(t.least, age)
+}
+
 // Lag is the age of a report when it comes: the least of the newest upper
-// bounds; 0 when there is none.
+// bounds. While there is none it is the greatest lower bound.
 func (t *Traffic) Lag() time.Duration {
 	n := min(t.observed, lagsKept)
 	if n == 0 {
-		return 0
+		return t.least
 	}
 	least := t.lags[0]
 	for _, lag := range t.lags[1:n] {
