Check the frozen engine's book after its sockets are drained

The test passed with the silence filter removed: the book was read before the engine, woken, had taken what lay in its sockets. It now fails then: 'the frozen engine was sent 9 requests'.

--- a/internal/bench/frozen_test.go
+++ b/internal/bench/frozen_test.go
@@ -93,7 +93,10 @@
 	}
 	f.ask(t, ctx, 100, 30)
 	f.apart[0].Signal(syscall.SIGCONT)
-	// A request that was sent to the frozen engine would be in its book now.
+	// Its reports come again, so it has also taken what lay in its sockets.
+	if err := testfleet.Until(ctx, "the engine reports again", func() bool { return f.gauge(t, "route.shunned") == 0 }); err != nil {
+		t.Fatal(err)
+	}
 	if after := f.started(t, ctx); after != before {
 		t.Fatalf("the frozen engine was sent %d requests", after-before)
 	}
