--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -4,7 +4,9 @@
 	"time"
 
 	"sassafrasfield/internal/logging"
+	"sassafrasfield/internal/once"
 	"sassafrasfield/internal/settings"
+	"sassafrasfield/internal/stream"
 	"sassafrasfield/internal/tomlfile"
 	"sassafrasfield/internal/tracing"
 )
@@ -30,11 +32,24 @@
 	ShutdownTimeout time.Duration `toml:"shutdown_timeout"`
 	// BalancerLag is how long the entry goes on taking what the balancer sends
 	// after it said that it is not ready. Default 3s.
-	BalancerLag time.Duration    `toml:"balancer_lag"`
-	Limits      LimitSettings    `toml:"limits"`
-	Engine      EngineSettings   `toml:"engine"`
-	Log         logging.Settings `toml:"log"`
-	Trace       tracing.Settings `toml:"trace"`
+	BalancerLag time.Duration `toml:"balancer_lag"`
+	// KeepAlive is the time without a piece after which a streamed answer gets
+	// a comment, so that nothing on the way takes the connection for dead.
+	// Default 10s.
+	KeepAlive time.Duration `toml:"keep_alive"`
+	// WriteTimeout bounds the wait for a caller that takes nothing of its
+	// answer. Then its stream is cancelled. Default 30s.
+	WriteTimeout time.Duration        `toml:"write_timeout"`
+	Stall        stream.StallSettings `toml:"stall"`
+	Limits       LimitSettings        `toml:"limits"`
+	Engine       EngineSettings       `toml:"engine"`
+	Routing      RoutingSettings      `toml:"routing"`
+	Admission    AdmissionSettings    `toml:"admission"`
+	Rate         RateSettings         `toml:"rate"`
+	Retry        RetrySettings        `toml:"retry"`
+	Claims       once.Settings        `toml:"claims"`
+	Log          logging.Settings     `toml:"log"`
+	Trace        tracing.Settings     `toml:"trace"`
 }
 
 // LimitSettings bound what a caller may send.
@@ -43,6 +58,9 @@
 	MaxBodyBytes int `toml:"max_body_bytes"`
 	// MaxHeaderBytes of a request. Default 64 KiB.
 	MaxHeaderBytes int `toml:"max_header_bytes"`
+	// WriteBufferBytes is what the kernel may hold of an answer that its caller
+	// does not take yet; it doubles it for its own accounts. Default 64 KiB.
+	WriteBufferBytes int `toml:"write_buffer_bytes"`
 	// MaxPromptTokens of a request, estimated. Default 131072.
 	MaxPromptTokens int `toml:"max_prompt_tokens"`
 	// MaxAnswerTokens of an answer. Default 4096.
@@ -68,13 +86,21 @@
 		StaleAfter:      5 * time.Second,
 		ShutdownTimeout: 10 * time.Minute,
 		BalancerLag:     3 * time.Second,
+		KeepAlive:       10 * time.Second,
+		WriteTimeout:    30 * time.Second,
+		Stall:           stream.DefaultStall(),
 		Limits: LimitSettings{
-			MaxBodyBytes: 4 << 20, MaxHeaderBytes: 64 << 10,
+			MaxBodyBytes: 4 << 20, MaxHeaderBytes: 64 << 10, WriteBufferBytes: 64 << 10,
 			MaxPromptTokens: 131072, MaxAnswerTokens: 4096,
 		},
-		Engine: EngineSettings{Timeout: 30 * time.Second, ReportEvery: 200 * time.Millisecond, Attempts: 3},
-		Log:    logging.Default(),
-		Trace:  tracing.Default(),
+		Engine:    EngineSettings{Timeout: 30 * time.Second, ReportEvery: 200 * time.Millisecond, Attempts: 3},
+		Routing:   defaultRouting(),
+		Admission: defaultAdmission(),
+		Rate:      defaultRate(),
+		Retry:     defaultRetry(),
+		Claims:    once.Default(),
+		Log:       logging.Default(),
+		Trace:     tracing.Default(),
 	}
 }
 
@@ -90,13 +116,22 @@
 	settings.Between(file, "stale_after", s.StaleAfter, 100*time.Millisecond, 10*time.Minute)
 	settings.Between(file, "shutdown_timeout", s.ShutdownTimeout, 0, 24*time.Hour)
 	settings.Between(file, "balancer_lag", s.BalancerLag, 0, time.Minute)
+	settings.Between(file, "keep_alive", s.KeepAlive, 10*time.Millisecond, time.Hour)
+	settings.Between(file, "write_timeout", s.WriteTimeout, 10*time.Millisecond, time.Hour)
+	s.Stall.Check(file, "stall")
 	settings.IntBetween(file, "limits.max_body_bytes", s.Limits.MaxBodyBytes, 1<<10, 256<<20)
 	settings.IntBetween(file, "limits.max_header_bytes", s.Limits.MaxHeaderBytes, 1<<10, 1<<20)
+	settings.IntBetween(file, "limits.write_buffer_bytes", s.Limits.WriteBufferBytes, 4<<10, 16<<20)
 	settings.IntBetween(file, "limits.max_prompt_tokens", s.Limits.MaxPromptTokens, 1, 16<<20)
 	settings.IntBetween(file, "limits.max_answer_tokens", s.Limits.MaxAnswerTokens, 1, 1<<20)
 	settings.Between(file, "engine.timeout", s.Engine.Timeout, 10*time.Millisecond, 10*time.Minute)
 	settings.Between(file, "engine.report_every", s.Engine.ReportEvery, time.Millisecond, time.Minute)
 	settings.IntBetween(file, "engine.attempts", s.Engine.Attempts, 1, 20)
+	s.Routing.check(file)
+	s.Admission.check(file)
+	s.Rate.check(file)
+	s.Retry.check(file)
+	s.Claims.Check(file, "claims", s.Engine.Timeout)
 	s.Log.Check(file, "log")
 	s.Trace.Check(file, "trace")
 }
--- a/internal/entry/trace.go
+++ b/internal/entry/trace.go
@@ -31,7 +31,9 @@
 	refused    metrics.Counter
 	broken     metrics.Counter
 	retries    metrics.Counter
+	unretried  metrics.Counter
 	resumed    metrics.Counter
+	callerGone metrics.Counter
 	tokens     metrics.Counter
 	firstToken metrics.Timer
 }
@@ -43,7 +45,9 @@
 		refused:    metrics.GetOrRegisterCounter("entry.refused", registry),
 		broken:     metrics.GetOrRegisterCounter("entry.broken", registry),
 		retries:    metrics.GetOrRegisterCounter("entry.retries", registry),
+		unretried:  metrics.GetOrRegisterCounter("entry.retries_denied", registry),
 		resumed:    metrics.GetOrRegisterCounter("entry.resumed", registry),
+		callerGone: metrics.GetOrRegisterCounter("entry.caller_gone", registry),
 		tokens:     metrics.GetOrRegisterCounter("entry.tokens", registry),
 		firstToken: metrics.GetOrRegisterTimer("entry.first_token", registry),
 	}
