Measure the spread between daemons, and keep few idle connections to peers

Cause: the cost of the spread was not known. A trial with 200 daemons in one process ran out of file descriptors: each kept up to 100 idle connections.

Each daemon keeps 16 now. BenchmarkSpread and BenchmarkChange count bytes, calls and times between real daemons on loopback.

--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -29,6 +29,9 @@
 // compressed.
 const compressFrom = 1024
 
+// idlePeers bounds the idle connections to peers.
+const idlePeers = 16
+
 // Daemon is one sf-control process.
 type Daemon struct {
 	settings *Settings
@@ -67,7 +70,7 @@
 		platform: client,
 		versions: versions.Log{Table: client},
 		holder:   spread.NewHolder(),
-		http:     &http.Client{Timeout: s.PlatformTimeout},
+		http:     &http.Client{Timeout: s.PlatformTimeout, Transport: peerTransport()},
 		options:  []connect.ClientOption{connect.WithInterceptors(interceptor)},
 		engines:  map[string]engine.Engine{},
 	}
--- /dev/null
+++ b/internal/control/spread_bench_test.go
@@ -0,0 +1,222 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"sassafrasfield/internal/config"
+	"sassafrasfield/internal/platform"
+	"sassafrasfield/internal/standin"
+	"sassafrasfield/internal/versions"
+)
+
+// countedConn counts the bytes of a client's connections, both ways.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// countedTransport counts the bytes and the calls to peers.
+type countedTransport struct {
+	*http.Transport
+	calls *atomic.Int64
+}
+
+func (t *countedTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	t.calls.Add(1)
+	return t.Transport.RoundTrip(req)
+}
+
+func newCountedTransport(bytes, calls *atomic.Int64) *countedTransport {
+	t := &countedTransport{Transport: peerTransport(), calls: calls}
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return countedConn{conn, bytes}, err
+	}
+	return t
+}
+
+// benchFleet is a number of sf-control daemons in one process, on loopback.
+type benchFleet struct {
+	b            *testing.B
+	daemons      []*Daemon
+	table        *platform.Client
+	bytes, calls atomic.Int64
+	version      int64
+	engines      int
+}
+
+func newBenchFleet(b *testing.B, n, engines int) *benchFleet {
+	b.Helper()
+	stand := standin.NewPlatform(1e9)
+	server := httptest.NewServer(stand.Handler())
+	b.Cleanup(server.Close)
+	address := strings.TrimPrefix(server.URL, "http://")
+	f := &benchFleet{b: b, table: platform.NewClient(address, 10*time.Second), engines: engines}
+	ctx, cancel := context.WithCancel(context.Background())
+	b.Cleanup(cancel)
+	for i := range n {
+		s := DefaultSettings()
+		s.Instance, s.Zone, s.Platform = fmt.Sprintf("inst-%03d", i), fmt.Sprintf("zone-%02d", i%12), address
+		s.Listen, s.EntryLocal = fmt.Sprintf("127.77.%d.%d:7300", i/200, 1+i%200), "127.0.0.1:1"
+		d, err := New(s, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		if err != nil {
+			b.Fatal(err)
+		}
+		d.http = &http.Client{Timeout: time.Second, Transport: newCountedTransport(&f.bytes, &f.calls)}
+		f.daemons = append(f.daemons, d)
+		f.list(address, s)
+	}
+	for _, d := range f.daemons {
+		go func() { _ = d.Run(ctx) }() // its error is that of the end
+	}
+	f.change()
+	f.reached()
+	return f
+}
+
+func (f *benchFleet) list(address string, s *Settings) {
+	body := fmt.Sprintf(`{"id":%q,"kind":"own","zone":%q,"state":"live","control":%q}`, s.Instance, s.Zone, s.Listen)
+	res, err := http.Post("http://"+address+standin.PathSetInstance, "application/json", strings.NewReader(body))
+	if err != nil {
+		f.b.Fatal(err)
+	}
+	res.Body.Close()
+}
+
+// change accepts a version at the first daemon.
+func (f *benchFleet) change() {
+	f.version++
+	doc := targetDocument(f.engines, f.version)
+	doc.Pools = nil // no leases: the spread alone is measured
+	log := versions.Log{Table: f.table}
+	head, err := log.Head(context.Background())
+	if err != nil {
+		f.b.Fatal(err)
+	}
+	if err := log.Append(context.Background(), head, doc, versions.Entry{}, platform.Txn{}); err != nil {
+		f.b.Fatal(err)
+	}
+	f.daemons[0].learn(doc, "self")
+}
+
+// reached waits until all have the version, and returns the times.
+func (f *benchFleet) reached() []time.Duration {
+	start := time.Now()
+	times := make([]time.Duration, len(f.daemons))
+	for done := 0; done < len(times); time.Sleep(time.Millisecond) {
+		for i, d := range f.daemons {
+			if times[i] == 0 && d.holder.Current().Version >= f.version {
+				times[i] = time.Since(start)
+				done++
+			}
+		}
+	}
+	slices.Sort(times)
+	return times
+}
+
+// targetDocument has the shape of the target: 31 models, 220 organisations.
+func targetDocument(engines int, version int64) *config.Config {
+	doc := &config.Config{Version: version, Intent: version}
+	for m := range 31 {
+		name := fmt.Sprintf("model-%02d", m)
+		doc.Models = append(doc.Models, config.Model{Name: name, Version: "2026-11-30", Adapters: []string{"grades", "fields"}})
+		for region := range 3 {
+			doc.Pools = append(doc.Pools, config.Pool{Name: fmt.Sprintf("%s-r%d", name, region), Model: name, Region: fmt.Sprintf("region-%d", region), MinServing: 4})
+		}
+	}
+	for e := range engines {
+		state := config.EngineState{Model: fmt.Sprintf("model-%02d", e%31), Version: "2026-11-30", Adapters: []string{"grades", "fields"}, Role: config.RoleMixed}
+		doc.Engines = append(doc.Engines, config.Engine{
+			ID: fmt.Sprintf("engine-%04d", e), Address: fmt.Sprintf("10.%d.%d.%d:8000", e%3, e/250, e%250),
+			Zone: fmt.Sprintf("zone-%02d", e%12), Pool: fmt.Sprintf("model-%02d-r%d", e%31, e%3), Fencing: config.FencingRefuse,
+			Want: state, Loaded: state, Routing: config.RoutingServing, RoutingSince: version - int64(e%7),
+		})
+	}
+	for o := range 220 {
+		doc.Organisations = append(doc.Organisations, config.Organisation{
+			Name: fmt.Sprintf("organisation-%03d", o), KeyHashes: []string{fmt.Sprintf("%064x", uint64(o+1)*0x9e3779b97f4a7c15)},
+			RequestsPerSecond: 50, Burst: 100, Share: 1,
+		})
+	}
+	return doc
+}
+
+// BenchmarkSpread measures the spread between real daemons. Run it with
+// -benchtime 1x; each line is one window of the seconds named.
+func BenchmarkSpread(b *testing.B) {
+	const window = 12 * time.Second
+	for _, n := range []int{9, 50, 200} {
+		for _, perMinute := range []int{0, 10} {
+			b.Run(fmt.Sprintf("daemons=%d/changes=%d", n, perMinute), func(b *testing.B) {
+				f := newBenchFleet(b, n, 0)
+				time.Sleep(2 * time.Second) // the first connections are made
+				for range b.N {
+					f.measure(window, perMinute)
+				}
+			})
+		}
+	}
+}
+
+// measure reports bytes, calls and times of one window.
+func (f *benchFleet) measure(window time.Duration, perMinute int) {
+	polls := metrics.GetOrRegisterCounter("spread.head_reads", metrics.DefaultRegistry)
+	bytes, calls, reads := f.bytes.Load(), f.calls.Load(), polls.Count()
+	var times []time.Duration
+	end := time.Now().Add(window)
+	for perMinute > 0 && time.Now().Before(end) {
+		f.change()
+		times = append(times, f.reached()...)
+		time.Sleep(time.Minute / time.Duration(perMinute))
+	}
+	time.Sleep(time.Until(end))
+	per := window.Seconds() * float64(len(f.daemons))
+	f.b.ReportMetric(2*float64(f.bytes.Load()-bytes)/per, "bytes/s/daemon")
+	f.b.ReportMetric(2*float64(f.calls.Load()-calls)/per, "calls/s/daemon")
+	f.b.ReportMetric(float64(polls.Count()-reads)/window.Seconds(), "head-reads/s")
+	f.b.ReportMetric(0, "ns/op")
+	if len(times) > 0 {
+		slices.Sort(times)
+		f.b.ReportMetric(float64(times[len(times)/2].Microseconds())/1000, "median-ms")
+		f.b.ReportMetric(float64(times[len(times)-1].Microseconds())/1000, "worst-ms")
+	}
+}
+
+// BenchmarkChange measures what one change costs beyond the idle traffic, with
+// the target's document.
+func BenchmarkChange(b *testing.B) {
+	for _, engines := range []int{20, 400, 1900} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			f := newBenchFleet(b, 9, engines)
+			time.Sleep(time.Second)
+			b.ReportMetric(float64(len(targetDocument(engines, 1).Encode())), "document-bytes")
+			f.measure(12*time.Second, 20)
+		})
+	}
+}
--- a/internal/spread/process_test.go
+++ b/internal/spread/process_test.go
@@ -296,6 +296,29 @@
 	r.untilServes(2, "new")
 }
 
+// TestBufferedHeartbeatProvesNothing: sf-control's last heartbeat waits in the
+// socket of a stopped sf-entry while a version is accepted.
+func TestBufferedHeartbeatProvesNothing(t *testing.T) {
+	r := newRig(t)
+	frozen := r.fleet.Instances[2]
+	frozen.Entry.Signal(syscall.SIGSTOP)
+	sent := time.Now().Add(500 * time.Millisecond) // several of apply_every
+	r.until("a heartbeat was sent to the stopped entry", func() bool { return time.Now().After(sent) })
+	frozen.Control.Signal(syscall.SIGSTOP)
+	r.put(2, "new")
+	r.untilServes(0, "new")
+	ended := time.Now().Add(2 * time.Second) // fresh_for
+	r.until("the evidence has ended", func() bool { return time.Now().After(ended) })
+	frozen.Entry.Signal(syscall.SIGCONT)
+	for range 20 {
+		if who, _ := r.ask(2); who == "old" {
+			t.Fatal("a request was served by the old version on a buffered heartbeat")
+		}
+	}
+	frozen.Control.Signal(syscall.SIGCONT)
+	r.untilServes(2, "new")
+}
+
 // TestStartWithTableDown: a restarted instance takes the version of its peers,
 // found by seeds; alone, it says why it isn't ready.
 func TestStartWithTableDown(t *testing.T) {
