--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -172,3 +172,9 @@
 		}
 	}
 }
+
+// peerTransport keeps few idle connections: at hundreds of instances the next
+// exchange is seldom with a peer of the last ones.
+func peerTransport() *http.Transport {
+	return &http.Transport{MaxIdleConns: idlePeers, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}
+}
