--- a/internal/control/entrylink.go
+++ b/internal/control/entrylink.go
@@ -50,7 +50,7 @@
 	}
 	request := &sfv1.ApplyRequest{Version: doc.Version, Leaving: leaving, Clock: l.clock, StaleReason: status.Reason}
 	if l.inForce != doc.Version {
-		request.Document = doc.Encode()
+		request.Document = l.holder.Encoded()
 	}
 	if l.clock != 0 && status.Fresh {
 		request.FreshForNs = int64(status.Until - l.clockAt)
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -33,7 +33,7 @@
 	doc := p.daemon.holder.Current()
 	response := &sfv1.FetchResponse{Version: doc.Version}
 	if doc.Version > req.Msg.Have {
-		response.Document = doc.Encode()
+		response.Document = p.daemon.holder.Encoded()
 	}
 	return connect.NewResponse(response), nil
 }
--- a/internal/control/spread.go
+++ b/internal/control/spread.go
@@ -134,11 +134,9 @@
 	s.log.Warn("spread: the configuration may be out of date", "reason", status.Reason)
 }
 
-// enqueue has the loop carry out actions. The mutex is held.
+// enqueue has the loop carry out actions, and look at what is due. The mutex
+// is held.
 func (s *spreader) enqueue(actions []spread.Action) {
-	if len(actions) == 0 {
-		return
-	}
 	s.queue = append(s.queue, actions...)
 	select {
 	case s.wake <- struct{}{}:
@@ -171,7 +169,8 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.enqueue(s.machine.TableAnswered(bootclock.Now(), head))
+	s.machine.TableAnswered(bootclock.Now(), head)
+	s.enqueue(nil)
 }
 
 // readHead reads the head's version, and takes it as evidence.
@@ -279,7 +278,7 @@
 	request := &sfv1.OfferRequest{From: s.daemon.settings.Instance, Version: doc.Version}
 	s.meters.offers.Inc(1)
 	if whole {
-		request.Document = doc.Encode()
+		request.Document = s.daemon.holder.Encoded()
 		s.meters.documents.Inc(1)
 	}
 	ctx, cancel := s.callContext(ctx)
--- a/internal/spread/holder.go
+++ b/internal/spread/holder.go
@@ -16,7 +16,9 @@
 type Holder struct {
 	mu sync.Mutex // protects all below
 	// doc is never changed once it is held.
-	doc     *config.Config
+	doc *config.Config
+	// encoded is doc as JSON, made when it is first asked for; nil before.
+	encoded []byte
 	changed chan struct{}
 }
 
@@ -32,6 +34,16 @@
 	return h.doc
 }
 
+// Encoded returns the newest configuration as JSON. Treat it as read-only.
+func (h *Holder) Encoded() []byte {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.encoded == nil {
+		h.encoded = h.doc.Encode()
+	}
+	return h.encoded
+}
+
 // Learn takes a configuration, from whichever source, and tells whether it was
 // newer than the one held.
 func (h *Holder) Learn(doc *config.Config) bool {
@@ -40,7 +52,7 @@
 	if doc.Version <= h.doc.Version {
 		return false
 	}
-	h.doc = doc
+	h.doc, h.encoded = doc, nil
 	close(h.changed)
 	h.changed = make(chan struct{})
 	return true
--- a/internal/spread/machine.go
+++ b/internal/spread/machine.go
@@ -28,7 +28,7 @@
 type Action interface{ action() }
 
 type (
-	// PollHead reads the head of the table; TableAnswered takes the outcome.
+	// PollHead reads the head of the table; TableAnswered takes the version.
 	PollHead struct{}
 	// Load reads a version from the table.
 	Load struct{ Version int64 }
@@ -69,6 +69,10 @@
 	// no other source is asked for it.
 	fetching      int64
 	fetchingUntil time.Duration
+	// seenHead is the version that the head was read to have, and loadAt when
+	// to load it if no peer has brought it.
+	seenHead int64
+	loadAt   time.Duration
 }
 
 // NewMachine returns a machine that holds version 0 and knows no peer.
@@ -101,11 +105,7 @@
 // Tick returns what is due, and when to call again. Hurried asks for the news
 // of a majority, which takes more exchanges among many instances.
 func (m *Machine) Tick(now time.Duration, hurried bool) ([]Action, time.Duration) {
-	var actions []Action
-	if now >= m.pollAt {
-		actions = append(actions, PollHead{})
-		m.pollAt = now + m.jitter(m.pollPeriod())
-	}
+	actions := m.tickTable(now)
 	if now >= m.exchangeAt {
 		n := 1
 		if hurried && len(m.peers) >= manyInstances {
@@ -116,7 +116,24 @@
 		}
 		m.exchangeAt = now + m.jitter(m.settings.ExchangeEvery)
 	}
-	return actions, min(m.pollAt, m.exchangeAt)
+	next := min(m.pollAt, m.exchangeAt)
+	if m.seenHead > m.version {
+		next = min(next, m.loadAt)
+	}
+	return actions, next
+}
+
+func (m *Machine) tickTable(now time.Duration) []Action {
+	var actions []Action
+	if now >= m.pollAt {
+		actions = append(actions, PollHead{})
+		m.pollAt = now + m.jitter(m.pollPeriod())
+	}
+	if m.seenHead > m.version && now >= m.loadAt {
+		actions = append(actions, Load{Version: m.seenHead})
+		m.loadAt = now + fetchTimeout
+	}
+	return actions
 }
 
 // pollPeriod is the mean time between this daemon's reads of the head.
@@ -140,13 +157,17 @@
 	return chosen
 }
 
-// TableAnswered takes the version of the head. A head below the version held
-// is a stale read.
-func (m *Machine) TableAnswered(now time.Duration, head int64) []Action {
-	if !m.want(now, head) {
-		return nil
+// TableAnswered takes the version of the head; one below the version held is a
+// stale read. A document is large and peers bring it compressed, so the table
+// is asked for it only when they have not after a while.
+func (m *Machine) TableAnswered(now time.Duration, head int64) {
+	if head <= m.version || head <= m.seenHead {
+		return
+	}
+	m.seenHead, m.loadAt = head, now
+	if m.version > 0 && len(m.peers) > 0 {
+		m.loadAt = now + time.Duration(m.rng.Int64N(int64(fetchTimeout)))
 	}
-	return []Action{Load{Version: head}}
 }
 
 // PeerAnswered takes the version that a peer answered an Exchange or an Offer
