--- a/internal/entry/routing_test.go
+++ b/internal/entry/routing_test.go
@@ -121,3 +121,13 @@
 		t.Fatal("the charge outlived the report that counts it")
 	}
 }
+
+// The admission's picture is made by the same filters as the routing's, and
+// they need the whole of the request.
+func TestAdmissionSeesTheEnginesThatRoutingWouldTake(t *testing.T) {
+	s := routingState(nil)
+	loads := s.engineLoads(&route.Request{Model: "m", Blocks: 1, Now: time.Second})
+	if len(loads) != 2 {
+		t.Fatalf("%d engines, want 2", len(loads))
+	}
+}
--- a/internal/load/traffic.go
+++ b/internal/load/traffic.go
@@ -21,7 +21,7 @@
 	// least is the age that reports had at least, while no upper bound is
 	// known.
 	least time.Duration
-	life     time.Duration
+	life  time.Duration
 }
 
 // counted records that a report, which came age after the placement, is the
