--- a/internal/control/spread_bench_test.go
+++ b/internal/control/spread_bench_test.go
@@ -95,7 +95,11 @@
 		f.list(address, s)
 	}
 	for _, d := range f.daemons {
-		go func() { _ = d.Run(ctx) }() // its error is that of the end
+		go func() {
+			if err := d.Run(ctx); err != nil && ctx.Err() == nil {
+				b.Error(err)
+			}
+		}()
 	}
 	f.change()
 	f.reached()
--- /dev/null
+++ b/internal/freshness/freshness_test.go
@@ -0,0 +1,106 @@
+package freshness
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// second is a time after the start at which each daemon is a voter that read
+// the head once at the same second.
+const second = time.Second
+
+var settings = Settings{FreshFor: 5 * second, AcceptWithin: 4 * second, ReadLag: second / 2}
+
+// voter returns a daemon of three that holds version 1 and read the head.
+func voter(read time.Duration) *State {
+	s := New("a", settings, 0)
+	s.Listed([]string{"c", "a", "b"})
+	s.Holds(1)
+	s.HeadRead(read, 1)
+	return s
+}
+
+// answers are those of a peer that knows nothing of the table any more.
+func answers(promised int64) Digest {
+	return Digest{Version: 1, Voter: true, Promised: promised}
+}
+
+func TestFreshByTableEnds(t *testing.T) {
+	s := voter(10 * second)
+	if status := s.Status(14 * second); !status.Fresh || status.By != "table" || status.Until != 14*second+second/2 {
+		t.Errorf("within the time: %+v", status)
+	}
+	if status := s.Status(15 * second); status.Fresh || !strings.Contains(status.Reason, "0 of 3") && !strings.Contains(status.Reason, "1 of 3") {
+		t.Errorf("after it: %+v", status)
+	}
+}
+
+func TestStaleHeadIsNoEvidence(t *testing.T) {
+	s := voter(10 * second)
+	s.Holds(2)
+	s.HeadRead(20*second, 1)
+	if s.Status(21 * second).Fresh {
+		t.Error("a head below the version held counted")
+	}
+	s.HeadRead(20*second, 2)
+	if !s.Status(21 * second).Fresh {
+		t.Error("a head at the version held did not count")
+	}
+}
+
+func TestNewerHeadCountsOnceHeld(t *testing.T) {
+	s := voter(10 * second)
+	s.HeadRead(20*second, 2)
+	if s.Status(21 * second).Fresh {
+		t.Error("version 1 is fresh, and 2 was read")
+	}
+	s.Holds(2)
+	if !s.Status(21 * second).Fresh {
+		t.Error("version 2 is not fresh")
+	}
+}
+
+func TestMajorityServesUntilOneHeardOfAVersion(t *testing.T) {
+	s := voter(10 * second)
+	s.Answered(20*second, 20*second, "b", answers(0))
+	if status := s.Status(24 * second); !status.Fresh || status.By != "majority" {
+		t.Errorf("two of three: %+v", status)
+	}
+	s.Answered(21*second, 21*second, "b", answers(2))
+	if s.Status(22 * second).Fresh {
+		t.Error("version 2 may have been accepted")
+	}
+	s.Answered(21*second, 21*second, "c", answers(0))
+	if status := s.Status(22 * second); !status.Fresh || status.By != "all" {
+		t.Errorf("all three answer, and none holds version 2: %+v", status)
+	}
+}
+
+func TestPrepareIsSettledByALaterReadAlone(t *testing.T) {
+	s := voter(10 * second)
+	s.Prepare(20*second, 2)
+	s.HeadRead(21*second, 1) // the write may still come
+	s.Answered(30*second, 30*second, "b", answers(0))
+	if s.Status(31 * second).Fresh {
+		t.Error("a read right after the Prepare settled it")
+	}
+	s.HeadRead(25*second, 1)
+	s.Answered(35*second, 35*second, "b", answers(0))
+	if !s.Status(36 * second).Fresh {
+		t.Error("a read after accept_within did not settle it")
+	}
+}
+
+func TestRestartedPeerIsNoVoter(t *testing.T) {
+	restarted := New("b", settings, 8*second)
+	restarted.Holds(1)
+	restarted.HeadRead(10*second, 1)
+	if restarted.Digest(10*second, false).Voter {
+		t.Error("it may have forgotten a Prepare whose write can still come")
+	}
+	restarted.HeadRead(13*second, 1)
+	if !restarted.Digest(13*second, false).Voter {
+		t.Error("it is no voter after a read that is late enough")
+	}
+}
--- /dev/null
+++ b/internal/spread/machine_test.go
@@ -0,0 +1,80 @@
+package spread
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+func newTestMachine(peers ...string) *Machine {
+	m := NewMachine(Settings{
+		PollEvery: time.Second, TableReads: 100, ExchangeEvery: time.Second / 2, Fanout: 3,
+	}, rand.New(rand.NewPCG(1, 2)))
+	m.ListChanged(peers)
+	return m
+}
+
+func TestVersionNeverFalls(t *testing.T) {
+	m := newTestMachine("p", "q", "r", "s")
+	if actions := m.Learned(7); len(actions) != 3 {
+		t.Errorf("%d peers are told, want 3", len(actions))
+	}
+	if actions := m.Learned(6); actions != nil || m.Version() != 7 {
+		t.Errorf("version %d, %v", m.Version(), actions)
+	}
+	m.TableAnswered(0, 6)
+	actions, _ := m.Tick(time.Hour, false)
+	for _, action := range actions {
+		if load, ok := action.(Load); ok {
+			t.Errorf("a stale head is loaded: %+v", load)
+		}
+	}
+	if actions := m.PeerAnswered(0, "p", 6); len(actions) != 1 || actions[0] != (Send{Peer: "p"}) {
+		t.Errorf("a peer that is behind: %v", actions)
+	}
+}
+
+func TestOnePeerSendsAVersion(t *testing.T) {
+	m := newTestMachine("p", "q")
+	m.Learned(1)
+	if answer := m.PeerOffered(0, 2); answer != 1 {
+		t.Errorf("the first that offers is answered %d, want 1", answer)
+	}
+	if answer := m.PeerOffered(fetchTimeout/2, 2); answer != 2 {
+		t.Errorf("the second is answered %d, want 2", answer)
+	}
+	if answer := m.PeerOffered(2*fetchTimeout, 2); answer != 1 {
+		t.Errorf("one after the first did not send is answered %d, want 1", answer)
+	}
+}
+
+func TestPollsFitTheTable(t *testing.T) {
+	m := newTestMachine(make([]string, 399)...)
+	polls := 0
+	for now := time.Duration(0); now < 1000*time.Second; {
+		actions, next := m.Tick(now, false)
+		for _, action := range actions {
+			if action == (PollHead{}) {
+				polls++
+			}
+		}
+		now = next
+	}
+	if polls < 200 || polls > 300 {
+		t.Errorf("%d reads in 1000 s, want about 250: 100 a second among 400", polls)
+	}
+}
+
+func TestLeavingIsTakenBackByALaterListAlone(t *testing.T) {
+	l := NewLeaving(10 * time.Second)
+	l.Heard("e", 20*time.Second)
+	l.Listed(29*time.Second, nil) // may be older than the word
+	if len(l.Ages(30*time.Second)) != 1 {
+		t.Error("a list that may be older took the word back")
+	}
+	l.Listed(30*time.Second, nil)
+	l.Heard("e", 20*time.Second) // a peer's old word
+	if len(l.Ages(31*time.Second)) != 0 {
+		t.Error("an old word came back")
+	}
+}
