--- a/internal/control/spread_bench_test.go
+++ b/internal/control/spread_bench_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -85,7 +86,7 @@
 	for i := range n {
 		s := DefaultSettings()
 		s.Instance, s.Zone, s.Platform = fmt.Sprintf("inst-%03d", i), fmt.Sprintf("zone-%02d", i%12), address
-		s.Listen, s.EntryLocal = fmt.Sprintf("127.77.%d.%d:7300", i/200, 1+i%200), "127.0.0.1:1"
+		s.Listen, s.EntryLocal = fmt.Sprintf("127.%d.%d.%d:7300", 100+os.Getpid()%100, os.Getpid()/100%250, 1+i), "127.0.0.1:1"
 		d, err := New(s, slog.New(slog.NewTextHandler(io.Discard, nil)))
 		if err != nil {
 			b.Fatal(err)
@@ -135,7 +136,7 @@
 func (f *benchFleet) reached() []time.Duration {
 	start := time.Now()
 	times := make([]time.Duration, len(f.daemons))
-	for done := 0; done < len(times); time.Sleep(time.Millisecond) {
+	for done := 0; done < len(times) && !f.b.Failed(); time.Sleep(time.Millisecond) {
 		for i, d := range f.daemons {
 			if times[i] == 0 && d.holder.Current().Version >= f.version {
 				times[i] = time.Since(start)
--- a/internal/spread/machine_test.go
+++ b/internal/spread/machine_test.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"sassafrasfield/internal/config"
 )
 
 func newTestMachine(peers ...string) *Machine {
@@ -34,6 +36,16 @@
 	}
 }
 
+func TestHolderNeverFalls(t *testing.T) {
+	h := NewHolder()
+	if !h.Learn(&config.Config{Version: 2}) || h.Learn(&config.Config{Version: 1}) {
+		t.Error("want version 2 taken and version 1 not")
+	}
+	if v := h.Current().Version; v != 2 {
+		t.Errorf("version %d is held, want 2", v)
+	}
+}
+
 func TestOnePeerSendsAVersion(t *testing.T) {
 	m := newTestMachine("p", "q")
 	m.Learned(1)
