Send what changed in place of the whole document

A daemon keeps what changed between the versions that it held, and sends that to a peer that has one of them; the peer checks the sum of the result, and the whole document follows when it does not fit. An unknown list falls back to the whole document. Ruled out: a general JSON patch, which needs a library that knows no names and breaks on order.

--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -6,8 +6,8 @@
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 
-	"sassafrasfield/internal/config"
 	sfv1 "sassafrasfield/internal/gen/sf/v1"
+	"sassafrasfield/internal/spread"
 )
 
 // peerService answers other sf-control processes.
@@ -17,12 +17,12 @@
 
 // Offer implements the PeerService.
 func (p *peerService) Offer(_ context.Context, req *connect.Request[sfv1.OfferRequest]) (*connect.Response[sfv1.OfferResponse], error) {
-	if len(req.Msg.Document) > 0 {
-		doc, err := config.Decode(req.Msg.Document)
-		if err != nil {
-			return nil, connect.NewError(connect.CodeInvalidArgument, err)
-		}
-		p.daemon.learn(doc, "peer "+req.Msg.From)
+	err := p.daemon.take(req.Msg.Document, req.Msg.Deltas, req.Msg.Sum, "peer "+req.Msg.From)
+	if errors.Is(err, spread.ErrBase) {
+		return connect.NewResponse(&sfv1.OfferResponse{Version: p.daemon.holder.Current().Version}), nil
+	}
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
 	version := p.daemon.spread.offered(req.Msg.Version)
 	return connect.NewResponse(&sfv1.OfferResponse{Version: version}), nil
@@ -30,12 +30,13 @@
 
 // Fetch implements the PeerService.
 func (p *peerService) Fetch(_ context.Context, req *connect.Request[sfv1.FetchRequest]) (*connect.Response[sfv1.FetchResponse], error) {
-	doc := p.daemon.holder.Current()
-	response := &sfv1.FetchResponse{Version: doc.Version}
-	if doc.Version > req.Msg.Have {
-		response.Document = p.daemon.holder.Encoded()
+	if p.daemon.holder.Current().Version <= req.Msg.Have {
+		return connect.NewResponse(&sfv1.FetchResponse{Version: p.daemon.holder.Current().Version}), nil
 	}
-	return connect.NewResponse(response), nil
+	update := p.daemon.holder.Since(req.Msg.Have)
+	return connect.NewResponse(&sfv1.FetchResponse{
+		Version: update.Version, Document: update.Document, Deltas: update.Deltas, Sum: update.Sum,
+	}), nil
 }
 
 // Exchange implements the PeerService.
--- a/internal/control/spread.go
+++ b/internal/control/spread.go
@@ -7,13 +7,11 @@
 	"sync"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/rcrowley/go-metrics"
 
 	"sassafrasfield/internal/bootclock"
 	"sassafrasfield/internal/config"
 	"sassafrasfield/internal/freshness"
-	sfv1 "sassafrasfield/internal/gen/sf/v1"
 	"sassafrasfield/internal/platform"
 	"sassafrasfield/internal/spread"
 )
@@ -40,14 +38,14 @@
 
 // spreadMeters count what the spread costs.
 type spreadMeters struct {
-	exchanges, offers, documents, polls, failed metrics.Counter
-	version, fresh, voter                       metrics.Gauge
+	exchanges, offers, documents, deltas, polls, failed metrics.Counter
+	version, fresh, voter                               metrics.Gauge
 }
 
 func newSpreadMeters(registry metrics.Registry) spreadMeters {
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("spread."+name, registry) }
 	return spreadMeters{
-		exchanges: counter("exchanges"), offers: counter("offers"), documents: counter("documents_sent"),
+		exchanges: counter("exchanges"), offers: counter("offers"), documents: counter("documents_sent"), deltas: counter("deltas_sent"),
 		polls: counter("head_reads"), failed: counter("peer_failures"),
 		version: metrics.GetOrRegisterGauge("spread.version", registry),
 		fresh:   metrics.GetOrRegisterGauge("spread.fresh", registry),
@@ -153,9 +151,9 @@
 	case spread.Exchange:
 		s.exchange(ctx, a.Peer)
 	case spread.Offer:
-		s.offer(ctx, a.Peer, false)
+		s.offer(ctx, a.Peer)
 	case spread.Send:
-		s.offer(ctx, a.Peer, true)
+		s.send(ctx, a.Peer, a.Have)
 	case spread.Fetch:
 		s.fetch(ctx, a.Peer)
 	}
@@ -272,47 +270,6 @@
 	return ids
 }
 
-// offer tells a peer the number of the version held, or brings it whole.
-func (s *spreader) offer(ctx context.Context, peer string, whole bool) {
-	doc := s.daemon.holder.Current()
-	request := &sfv1.OfferRequest{From: s.daemon.settings.Instance, Version: doc.Version}
-	s.meters.offers.Inc(1)
-	if whole {
-		request.Document = s.daemon.holder.Encoded()
-		s.meters.documents.Inc(1)
-	}
-	ctx, cancel := s.callContext(ctx)
-	defer cancel()
-	response, err := s.daemon.peer(peer).Offer(ctx, connect.NewRequest(request))
-	if err != nil {
-		s.peerFailed(peer, err)
-		return
-	}
-	if !whole {
-		s.peerAnswered(peer, response.Msg.Version)
-	}
-}
-
-func (s *spreader) fetch(ctx context.Context, peer string) {
-	ctx, cancel := s.callContext(ctx)
-	defer cancel()
-	request := &sfv1.FetchRequest{Have: s.daemon.holder.Current().Version}
-	response, err := s.daemon.peer(peer).Fetch(ctx, connect.NewRequest(request))
-	if err != nil {
-		s.peerFailed(peer, err)
-		return
-	}
-	if len(response.Msg.Document) == 0 {
-		return
-	}
-	doc, err := config.Decode(response.Msg.Document)
-	if err != nil {
-		s.peerFailed(peer, err)
-		return
-	}
-	s.daemon.learn(doc, "peer at "+peer)
-}
-
 func (s *spreader) callContext(ctx context.Context) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(ctx, s.daemon.settings.Spread.PeerTimeout)
 }
--- a/internal/spread/machine.go
+++ b/internal/spread/machine.go
@@ -37,8 +37,11 @@
 	// Offer tells a peer the number of the version held; PeerAnswered takes the
 	// version that the peer answers with.
 	Offer struct{ Peer string }
-	// Send brings a peer the version held.
-	Send struct{ Peer string }
+	// Send brings a peer, which has an older version, the one held.
+	Send struct {
+		Peer string
+		Have int64
+	}
 	// Fetch asks a peer for the version that it holds.
 	Fetch struct{ Peer string }
 )
@@ -175,7 +178,7 @@
 func (m *Machine) PeerAnswered(now time.Duration, peer string, version int64) []Action {
 	switch {
 	case version < m.version:
-		return []Action{Send{Peer: peer}}
+		return []Action{Send{Peer: peer, Have: version}}
 	case m.want(now, version):
 		return []Action{Fetch{Peer: peer}}
 	}
