--- a/internal/operatorcli/fleet_test.go
+++ b/internal/operatorcli/fleet_test.go
@@ -46,12 +46,13 @@
 // planFleet is a fleet with one pool, and sfctl.
 type planFleet struct {
 	*testfleet.Fleet
-	t   *testing.T
+	t   testing.TB
 	ctx context.Context
 }
 
-// startFleet starts a fleet whose first configuration is in force.
-func startFleet(ctx context.Context, t *testing.T, instances, engines int, flags ...string) *planFleet {
+// startFleet starts a fleet whose first configuration is in force. Control has
+// further settings of each sf-control.
+func startFleet(ctx context.Context, t testing.TB, control string, instances, engines int, flags ...string) *planFleet {
 	t.Helper()
 	bin, err := testfleet.Bin()
 	f := &planFleet{t: t, ctx: ctx}
@@ -59,7 +60,7 @@
 	f.Fleet = testfleet.New(bin, t.TempDir())
 	t.Cleanup(f.Stop)
 	f.EntryExtra = "balancer_lag = \"100ms\"\n"
-	f.ControlTables = fastControl
+	f.ControlTables = control
 	f.must(f.StartPlatform(ctx))
 	flags = append([]string{"--model", modelName, "--model-version", "1", "--decode-rate", "100"}, flags...)
 	for i := range engines {
--- a/internal/operatorcli/holderkill_test.go
+++ b/internal/operatorcli/holderkill_test.go
@@ -89,7 +89,7 @@
 	t.Parallel()
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
 	defer cancel()
-	f := startFleet(ctx, t, 3, 3, "--change-time", "200ms")
+	f := startFleet(ctx, t, fastControl, 3, 3, "--change-time", "200ms")
 	k := &killer{f: f, left: slices.Clone(holderPoints), assigned: make([]string, len(f.Instances))}
 	for i, instance := range f.Instances {
 		instance.Control.Kill()
--- a/internal/operatorcli/races_test.go
+++ b/internal/operatorcli/races_test.go
@@ -26,7 +26,7 @@
 	t.Parallel()
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
 	defer cancel()
-	f := startFleet(ctx, t, 3, 3, "--change-time", "1s")
+	f := startFleet(ctx, t, fastControl, 3, 3, "--change-time", "1s")
 	for _, race := range []struct {
 		name string
 		run  func(*planFleet)
