--- a/internal/entry/trace.go
+++ b/internal/entry/trace.go
@@ -33,6 +33,7 @@
 	retries    metrics.Counter
 	unretried  metrics.Counter
 	resumed    metrics.Counter
+	callerGone metrics.Counter
 	tokens     metrics.Counter
 	firstToken metrics.Timer
 }
@@ -46,6 +47,7 @@
 		retries:    metrics.GetOrRegisterCounter("entry.retries", registry),
 		unretried:  metrics.GetOrRegisterCounter("entry.retries_denied", registry),
 		resumed:    metrics.GetOrRegisterCounter("entry.resumed", registry),
+		callerGone: metrics.GetOrRegisterCounter("entry.caller_gone", registry),
 		tokens:     metrics.GetOrRegisterCounter("entry.tokens", registry),
 		firstToken: metrics.GetOrRegisterTimer("entry.first_token", registry),
 	}
--- a/internal/standin/stream.go
+++ b/internal/standin/stream.go
@@ -44,6 +44,9 @@
 	if e.faults.Refuse || changingModel || e.state.Model != req.Model {
 		return nil, "", http.StatusServiceUnavailable
 	}
+	if req.Version != "" && req.Version != e.state.Version {
+		return nil, "", http.StatusServiceUnavailable
+	}
 	if req.Adapter != "" && !slices.Contains(e.state.Adapters, req.Adapter) {
 		return nil, "", http.StatusServiceUnavailable
 	}
@@ -51,9 +54,13 @@
 }
 
 func (e *Engine) start(req engine.Request, hashes []uint64) *generation {
+	req.Version = e.state.Version
 	tokens := (len(req.Prompt)+charsPerToken-1)/charsPerToken + req.From
 	g := &generation{req: req, hashes: hashes, promptTokens: tokens, made: req.From, changed: sync.NewCond(&e.mu)}
 	g.prefillLeft = max(0, tokens-e.exports[req.KVHandle])
+	if e.faults.OtherText {
+		req.Seed++
+	}
 	g.text = NewText(req)
 	g.blocks = (tokens + req.MaxTokens + e.options.BlockTokens - 1) / e.options.BlockTokens
 	e.accepted++
