--- a/internal/operatorcli/races_test.go
+++ b/internal/operatorcli/races_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"strings"
 	"sync"
@@ -179,10 +180,13 @@
 		return view.State == "cancelled" && !strings.Contains(fmt.Sprint(view.Steps), "running")
 	}))
 	cancelled := strings.Count(fmt.Sprint(f.plan(running.ID).Steps), "cancelled")
-	versions := f.loadedVersions()
+	versions, wanted := f.loadedVersions(), f.wantedVersions()
 	if cancelled == 0 || versions["1"] != cancelled || versions["2"] != len(f.Engines)-cancelled {
 		f.t.Errorf("%d steps cancelled, engines have %v", cancelled, versions)
 	}
+	if wanted["1"] != cancelled {
+		f.t.Errorf("%d steps cancelled, engines should have %v", cancelled, wanted)
+	}
 	streams.check()
 	f.nothingCut()
 	f.carryOut(fmt.Sprintf(versionTo, 3))
@@ -206,6 +210,24 @@
 	return counts
 }
 
+// wantedVersions counts the engines by the version that they should have.
+func (f *planFleet) wantedVersions() map[string]int {
+	f.t.Helper()
+	var view struct {
+		Engines []struct {
+			Want string `json:"want"`
+		} `json:"engines"`
+	}
+	_, output := f.sfctl(0, "ana", "-o", "json", "engines")
+	f.must(json.Unmarshal([]byte(output), &view))
+	counts := map[string]int{}
+	for _, e := range view.Engines {
+		_, version, _ := strings.Cut(e.Want, "@")
+		counts[strings.Fields(version)[0]]++
+	}
+	return counts
+}
+
 // crashPartway crashes each engine in the middle of its change.
 func (f *planFleet) crashPartway() {
 	view := f.declare(fmt.Sprintf(versionTo, 4))
