Model that a connected instance learns in time

Ruled out: waiting silent_after for instances that answer too, which would cost 15 s for each drain.

--- a/internal/rollout/model_test.go
+++ b/internal/rollout/model_test.go
@@ -14,8 +14,11 @@
 	"sassafrasfield/internal/order"
 )
 
-// Times of the model, in ticks of a second.
+// Times of the model, in ticks of a second. What spread and freshness promise
+// is taken as given: an instance that is not cut off learns within modelLearn,
+// and one that is takes no new work after modelStale.
 const (
+	modelLearn       = 2 * time.Second
 	modelStale       = 3 * time.Second
 	modelSilent      = 8 * time.Second
 	modelUnreachable = 3 * time.Second
@@ -30,6 +33,8 @@
 // fakeInstance is an instance with its entry.
 type fakeInstance struct {
 	doc *config.Config
+	// learnedAt is when it last learned the newest version.
+	learnedAt time.Duration
 	// cut is true while nobody hears it and it hears nobody; cutAt is since
 	// when.
 	cut   bool
@@ -127,6 +132,11 @@
 
 func (w *world) tick() {
 	w.now += time.Second
+	for _, i := range w.instances {
+		if !i.cut && w.now-i.learnedAt >= modelLearn {
+			i.doc, i.learnedAt = w.doc, w.now
+		}
+	}
 	for _, e := range w.engines {
 		e.arrive()
 		if e.changing && w.now >= e.doneAt {
