Ask instances only when an engine waits for them

At full size a settled pool's watch would have cost its holder about 5 KB a second (by the sizes of the messages, not measured).

The engines are asked first; the instances only when a decision waits for them, and then the engines again, so that their answer is the newer one. Settled pools are watched every 5 s without a read of the head.

After: rollout histories hold; internal/operatorcli passes in 28 s.

--- a/internal/control/observe.go
+++ b/internal/control/observe.go
@@ -15,8 +15,9 @@
 )
 
 // observe asks the instances first and the engines after them, so that an
-// engine's answer is newer than the instances'. A pool in which nothing is to
-// be changed costs no question to the instances.
+// engine's answer is newer than the instances'. The instances are asked only
+// when an engine waits for that: neither a pool that is watched for faults nor
+// one with an engine that is gone costs them questions.
 func (d *Daemon) observe(ctx context.Context, pool string) (rollout.View, error) {
 	doc := d.holder.Current()
 	orders, err := d.readOrders(ctx, pool)
@@ -32,10 +33,12 @@
 		Config: doc, Pool: pool, Orders: orders,
 		Limits: d.limits(ctx, doc, pool), Leaving: d.leavingEngines(),
 	}
-	if !settled(doc, pool) {
+	engines := doc.PoolEngines(pool)
+	view.Engines = d.observeEngines(ctx, engines)
+	if rollout.Decide(view).AskInstances {
 		view.Instances = d.observeInstances(ctx)
+		view.Engines = d.observeEngines(ctx, engines)
 	}
-	view.Engines = d.observeEngines(ctx, doc.PoolEngines(pool))
 	return view
 }
 
--- a/internal/control/pace.go
+++ b/internal/control/pace.go
@@ -6,12 +6,12 @@
 )
 
 // pace sets how often a pool is looked at: at once after a step or a new
-// version, and else less and less often, up to the time between looks at a
-// pool that is watched for faults alone.
+// version, and else less and less often, up to a longest pause.
 type pace struct {
-	shortest, longest time.Duration
+	shortest time.Duration
 
 	mu      sync.Mutex // protects all below
+	longest time.Duration
 	busy    bool
 	period  time.Duration
 	due     time.Duration
@@ -19,9 +19,10 @@
 }
 
 // begin tells whether it is time to look. The caller calls end after it.
-func (p *pace) begin(now time.Duration, version int64) bool {
+func (p *pace) begin(now time.Duration, version int64, longest time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.longest = longest
 	if p.busy || (now < p.due && version == p.version) {
 		return false
 	}
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -29,10 +29,11 @@
 		for _, pool := range d.leases.heldPools() {
 			p, ok := paces[pool]
 			if !ok {
-				p = &pace{shortest: d.settings.Rollout.StepEvery, longest: d.settings.Rollout.WatchEvery}
+				p = &pace{shortest: d.settings.Rollout.StepEvery}
 				paces[pool] = p
 			}
-			if p.begin(bootclock.Now(), d.holder.Current().Version) {
+			doc := d.holder.Current()
+			if p.begin(bootclock.Now(), doc.Version, d.longestPause(doc, pool)) {
 				work.Go(func() { p.end(bootclock.Now(), d.stepAndLog(ctx, pool)) })
 			}
 		}
@@ -40,6 +41,14 @@
 	work.Wait()
 }
 
+// longestPause is the most time between looks at a pool.
+func (d *Daemon) longestPause(doc *config.Config, pool string) time.Duration {
+	if settled(doc, pool) {
+		return d.settings.Rollout.WatchEvery
+	}
+	return d.settings.Rollout.WaitEvery
+}
+
 // stepAndLog tells whether anything was done for the pool.
 func (d *Daemon) stepAndLog(ctx context.Context, pool string) bool {
 	acted, err := d.stepPool(ctx, pool)
@@ -55,8 +64,10 @@
 	if !held {
 		return false, nil
 	}
-	if err := d.poll(ctx); err != nil {
-		return false, err
+	if !settled(d.holder.Current(), pool) {
+		if err := d.poll(ctx); err != nil {
+			return false, err
+		}
 	}
 	view, err := d.observe(ctx, pool)
 	if err != nil {
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -71,9 +71,12 @@
 	StepEvery time.Duration `toml:"step_every"`
 	// EngineTimeout bounds each call to an engine. Default 2s.
 	EngineTimeout time.Duration `toml:"engine_timeout"`
-	// WatchEvery is the longest time between looks at a pool: at one that is
-	// watched for faults alone, or whose work has to wait. Default 2s.
+	// WatchEvery is the time between looks at a pool that is watched for faults
+	// alone. Default 5s.
 	WatchEvery time.Duration `toml:"watch_every"`
+	// WaitEvery is the longest time between looks at a pool whose work has to
+	// wait. Default 1s.
+	WaitEvery time.Duration `toml:"wait_every"`
 	// SilentAfter is how long after an engine was marked as draining an instance
 	// that does not answer counts as sending it no new work. It must exceed
 	// stale_after of sf-entry by as long as a cut-off sf-control holds on to an
@@ -132,7 +135,8 @@
 			ApplyEvery: 250 * time.Millisecond, ListEvery: time.Second,
 		},
 		Rollout: RolloutSettings{
-			StepEvery: 200 * time.Millisecond, EngineTimeout: 2 * time.Second, WatchEvery: 2 * time.Second,
+			StepEvery: 200 * time.Millisecond, EngineTimeout: 2 * time.Second,
+			WatchEvery: 5 * time.Second, WaitEvery: time.Second,
 			SilentAfter: 15 * time.Second, UnreachableAfter: 10 * time.Second,
 			ResendAfter: 2 * time.Second, LoadTime: time.Minute, MaxLoads: 4,
 		},
@@ -164,6 +168,7 @@
 	settings.Between(file, "rollout.step_every", s.StepEvery, shortest, longest)
 	settings.Between(file, "rollout.engine_timeout", s.EngineTimeout, shortest, longest)
 	settings.Between(file, "rollout.watch_every", s.WatchEvery, s.StepEvery, longest)
+	settings.Between(file, "rollout.wait_every", s.WaitEvery, s.StepEvery, longest)
 	settings.Between(file, "rollout.silent_after", s.SilentAfter, shortest, 10*longest)
 	settings.Between(file, "rollout.unreachable_after", s.UnreachableAfter, shortest, 10*longest)
 	settings.Between(file, "rollout.resend_after", s.ResendAfter, shortest, longest)
--- a/internal/operatorcli/fleet_test.go
+++ b/internal/operatorcli/fleet_test.go
@@ -41,6 +41,7 @@
 [rollout]
 step_every = "50ms"
 watch_every = "200ms"
+wait_every = "200ms"
 resend_after = "300ms"
 unreachable_after = "1s"
 `
--- a/internal/rollout/bounds.go
+++ b/internal/rollout/bounds.go
@@ -107,10 +107,13 @@
 	return ""
 }
 
+// notAsked is the reason to wait when View.Instances is empty.
+const notAsked = "no instance was asked yet"
+
 // busyInstance names an instance that may still send work to an engine.
 func (v View) busyInstance(e *config.Engine, seen EngineView) string {
 	if len(v.Instances) == 0 {
-		return "no instance was asked yet"
+		return notAsked
 	}
 	for _, i := range v.Instances {
 		switch {
--- a/internal/rollout/decider.go
+++ b/internal/rollout/decider.go
@@ -197,7 +197,11 @@
 		d.wait(e, "does not answer; nor do most engines of the pool, so it stays in routing")
 	case e.Routing == config.RoutingServing:
 		d.change(e, config.RoutingDraining, ReasonUnreachable, nil)
-	case e.Leave && d.busyInstance(e, seen) == "":
+	case e.Leave:
+		if reason := d.busyInstance(e, seen); reason != "" {
+			d.wait(e, "%s", reason)
+			return
+		}
 		d.change(e, config.RoutingOut, ReasonWithdraw, nil)
 	default:
 		d.wait(e, "does not answer")
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -11,6 +11,8 @@
 package rollout
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"sassafrasfield/internal/config"
@@ -127,6 +129,9 @@
 	Actions []Action
 	// Waits tells for an engine what it waits for, in a few words.
 	Waits map[string]string
+	// AskInstances is true when an engine waits only because View.Instances is
+	// empty.
+	AskInstances bool
 }
 
 // Next returns what may be done now. The list is empty when all is as
@@ -141,7 +146,7 @@
 	for _, e := range v.Config.PoolEngines(v.Pool) {
 		d.engine(e)
 	}
-	return Decision{Actions: d.actions(), Waits: d.waits}
+	return Decision{Actions: d.actions(), Waits: d.waits, AskInstances: slices.Contains(slices.Collect(maps.Values(d.waits)), notAsked)}
 }
 
 // Apply makes the change in a document that is about to become doc.Version. An
