--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -301,7 +301,7 @@
 func (s *state) engineLoads(req *route.Request) []admit.EngineLoad {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	req.Zone, req.Leaving = s.zone, s.leaving
+	req.Zone, req.Leaving, req.Traffic = s.zone, s.leaving, &s.table.Traffic
 	var loads []admit.EngineLoad
 	for _, c := range s.scheduler.Eligible(req, s.candidates(req.Now)) {
 		loads = append(loads, engineLoad(req, c))
@@ -311,10 +311,11 @@
 
 func engineLoad(req *route.Request, c route.Candidate) admit.EngineLoad {
 	report := &c.Load.Report
+	byNow := c.Load.Estimated(req.Traffic, req.Now)
 	return admit.EngineLoad{
-		PrefillAhead: c.Load.PrefillTokens(), PrefillRate: report.PrefillRate,
+		PrefillAhead: byNow.PrefillTokens, PrefillRate: report.PrefillRate,
 		Cached:  route.CachedTokens(req, c),
-		Running: report.Running, Waiting: report.Waiting, Charged: c.Load.Charges(),
+		Running: report.Running, Waiting: byNow.Waiting, Charged: c.Load.Charges(),
 		BlocksFree: report.KVBlocksFree, BlocksTotal: report.KVBlocksTotal,
 	}
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -12,12 +12,12 @@
 	"strings"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/labstack/echo/v5"
 	"github.com/pkg/errors"
 
 	"sassafrasfield/internal/callerapi"
 	"sassafrasfield/internal/config"
+	"sassafrasfield/internal/engine"
 	"sassafrasfield/internal/stream"
 )
 
@@ -37,14 +37,16 @@
 	maxTokens    int
 	seed         int64
 	priority     int
+	sampling     engine.Sampling
 	// prefix has the hashes of the prompt's blocks, once Server.prefix made them.
 	prefix []uint64
 	// deadline is the time to the first token that the caller can bear; 0 when
 	// it did not say.
 	deadline time.Duration
 	// admitted is when the request was let go on.
-	admitted time.Duration
-	streamed bool
+	admitted     time.Duration
+	streamed     bool
+	includeUsage bool
 	// resume is the token of a broken answer, or nil.
 	resume *stream.Token
 }
@@ -63,7 +65,7 @@
 	if err := json.Unmarshal(body, &req); err != nil {
 		return nil, badRequest("", "the body is no valid request: "+err.Error())
 	}
-	comp := &completion{id: uuid.NewString(), organisation: organisation, streamed: req.Stream}
+	comp := &completion{organisation: organisation, streamed: req.Stream}
 	if err := s.fill(comp, &req); err != nil {
 		return nil, err
 	}
@@ -128,6 +130,11 @@
 	if comp.maxTokens < 1 || comp.maxTokens > s.settings.Limits.MaxAnswerTokens {
 		return badRequest("max_tokens", fmt.Sprintf("want 1 to %d", s.settings.Limits.MaxAnswerTokens))
 	}
+	comp.sampling = engine.Sampling{
+		Temperature: req.Temperature, TopP: req.TopP, Stop: req.Stop,
+		PresencePenalty: req.PresencePenalty, FrequencyPenalty: req.FrequencyPenalty,
+	}
+	comp.includeUsage = req.StreamOptions != nil && req.StreamOptions.IncludeUsage
 	comp.seed = int64(rand.Uint32())
 	if req.Seed != nil {
 		comp.seed = *req.Seed
@@ -143,15 +150,5 @@
 	if err := readUrgency(comp, header); err != nil {
 		return err
 	}
-	text := header.Get("Last-Event-ID")
-	if text == "" {
-		return nil
-	}
-	token, err := stream.ParseToken(text)
-	if err != nil {
-		return badRequest("Last-Event-ID", err.Error())
-	}
-	comp.resume = &token
-	comp.id, comp.seed = token.Request, token.Seed
-	return nil
+	return comp.identify(header.Get(headerLastEventID))
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -18,6 +19,7 @@
 
 	"sassafrasfield/internal/engine"
 	"sassafrasfield/internal/gen/sf/v1/sfv1connect"
+	"sassafrasfield/internal/logging"
 	"sassafrasfield/internal/once"
 	"sassafrasfield/internal/platform"
 	"sassafrasfield/internal/service"
@@ -29,9 +31,11 @@
 	start    time.Time
 	log      *slog.Logger
 	state    *state
-	once     once.Runner
+	once     *once.Runner
 	stopping atomic.Bool
-	metrics  *meters
+	// background is work that outlasts its request.
+	background sync.WaitGroup
+	metrics    *meters
 	// admission, rates and retries have locks of their own.
 	admission *admission
 	rates     *rates
@@ -49,7 +53,7 @@
 		start:    time.Now(),
 		log:      log,
 		state:    newState(s),
-		once:     once.Runner{Table: platform.NewClient(s.Platform, s.PlatformTimeout)},
+		once:     once.New(platform.NewClient(s.Platform, s.PlatformTimeout), s.Claims, s.Instance, logging.Part(log, "once")),
 		metrics:  newMeters(metrics.DefaultRegistry),
 		engines:  map[string]engine.Engine{},
 		services: map[string]service.Service{},
@@ -65,42 +69,32 @@
 	return time.Since(s.start)
 }
 
-// Run serves until the context ends, then finishes what it has: unready first,
-// then it goes on taking what the balancer still sends, then it waits for each
-// stream.
+// Run serves until the context ends, then finishes what it has; see stop.
 func (s *Server) Run(ctx context.Context) error {
+	base, cut := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer cut(nil)
 	public := &http.Server{
 		Addr: s.settings.Listen, Handler: s.handler(),
 		ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: s.settings.Limits.MaxHeaderBytes,
+		BaseContext: func(net.Listener) context.Context { return base },
+		ConnContext: s.boundBuffer,
 	}
 	local := &http.Server{Addr: s.settings.Local, Handler: s.localHandler(), ReadHeaderTimeout: 10 * time.Second}
 	failed := make(chan error, 2)
 	go func() { failed <- errors.Wrap(public.ListenAndServe(), "entry: listen") }()
 	go func() { failed <- errors.Wrap(local.ListenAndServe(), "entry: local") }()
-	reporting, stopReports := context.WithCancel(context.WithoutCancel(ctx))
-	defer stopReports()
-	go s.reportLoop(reporting)
-	go s.admission.reviewLoop(reporting, s.settings.Admission.ReviewEvery)
+	background, stopBackground := context.WithCancel(base)
+	defer stopBackground()
+	go s.reportLoop(background)
+	go s.admission.reviewLoop(background, s.settings.Admission.ReviewEvery)
+	go s.once.SweepLoop(background)
 	s.log.Info("entry: started", "listen", s.settings.Listen)
 	select {
 	case err := <-failed:
 		return err
 	case <-ctx.Done():
 	}
-	return s.stop(context.WithoutCancel(ctx), public, local)
-}
-
-func (s *Server) stop(ctx context.Context, public, local *http.Server) error {
-	s.stopping.Store(true)
-	s.log.Info("entry: not ready any more, stopping")
-	time.Sleep(s.settings.BalancerLag)
-	ctx, cancel := context.WithTimeout(ctx, s.settings.ShutdownTimeout)
-	defer cancel()
-	if err := public.Shutdown(ctx); err != nil {
-		return errors.Wrap(err, "entry: streams left at shutdown")
-	}
-	s.log.Info("entry: all streams finished")
-	return errors.Wrap(local.Close(), "entry: local")
+	return s.stop(base, cut, public, local)
 }
 
 func (s *Server) handler() http.Handler {
@@ -114,7 +108,7 @@
 	e.GET("/readyz", s.readyz)
 	e.GET("/metrics", s.serveMetrics)
 	e.Any("/*", s.plainService)
-	return s.traced(e)
+	return s.traced(s.perRequest(e))
 }
 
 func (s *Server) localHandler() http.Handler {
