--- a/internal/entry/routing.go
+++ b/internal/entry/routing.go
@@ -105,7 +105,7 @@
 	defer s.mu.Unlock()
 	s.table.Expire(p.At)
 	req.Zone, req.Leaving, req.Now = s.zone, s.leaving, p.At
-	req.Blocks, req.Prefix, req.Traffic = p.Blocks, p.Prefix, &s.table.Traffic
+	req.Blocks, req.Prefix = p.Blocks, p.Prefix
 	chosen, ok := s.scheduler.Schedule(req, s.candidates(p.At), s.rng)
 	if !ok {
 		return nil, false
@@ -139,7 +139,7 @@
 			ID: u.ID, Zone: u.Zone, Leave: u.Leave, Load: s.table.Engine(servicePrefix + u.ID),
 		})
 	}
-	req := &route.Request{Zone: s.zone, Excluded: excluded, Leaving: s.leaving, Now: now, Traffic: &s.table.Traffic}
+	req := &route.Request{Zone: s.zone, Excluded: excluded, Leaving: s.leaving, Now: now}
 	chosen, ok := s.services.Schedule(req, candidates, s.rng)
 	if !ok {
 		return nil, false
--- a/internal/load/engine.go
+++ b/internal/load/engine.go
@@ -32,7 +32,8 @@
 	// Prefixes are what the engine is believed to have cached.
 	Prefixes Prefixes
 
-	own []placed
+	traffic *Traffic // the table's
+	own     []placed
 }
 
 // Reported is the load by the lagging report alone.
@@ -121,7 +122,7 @@
 
 // settle takes the charges off that the report accounts for, and tells traffic
 // of those that it counts.
-func (e *Engine) settle(t *Traffic) {
+func (e *Engine) settle() {
 	recent := make(map[string]bool, len(e.Report.Recent))
 	for _, id := range e.Report.Recent {
 		recent[id] = true
@@ -132,11 +133,11 @@
 		case !p.charged:
 		case p.accountedBy(&e.Report, recent):
 			p.charged = false
-			t.counted(e.ReportAt - p.At)
+			e.traffic.counted(e.ReportAt - p.At)
 		case p.lostBy(&e.Report):
 			p.charged = false
 		case p.accepted.Boot != "":
-			t.uncounted(e.ReportAt - p.At)
+			e.traffic.uncounted(e.ReportAt - p.At)
 		}
 	}
 }
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -43,7 +43,7 @@
 func (t *Table) Engine(id string) *Engine {
 	e, ok := t.engines[id]
 	if !ok {
-		e = &Engine{}
+		e = &Engine{traffic: &t.Traffic}
 		t.engines[id] = e
 	}
 	return e
@@ -121,7 +121,7 @@
 		e.Health.returned(now)
 	}
 	e.Report, e.ReportAt = report, now
-	e.settle(&t.Traffic)
+	e.settle()
 	e.expire(now, t.ChargeFor)
 }
 
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -213,3 +213,40 @@
 		t.Fatal("size 0 is not all")
 	}
 }
+
+func TestEstimateFollowsTheAgeOfReports(t *testing.T) {
+	table := NewTable()
+	full := engine.Report{Boot: "b", Seq: 1, Running: 8, PrefillTokens: 4000, PrefillRate: 1000}
+	table.Reported("e", full, second)
+	e := table.Engine("e")
+	if v := e.Estimated(second); v.PrefillTokens != 4000 || v.Requests != 8 {
+		t.Fatalf("a fresh report: %+v", v)
+	}
+	if v := e.Estimated(3 * second); v.PrefillTokens != 2000 {
+		t.Fatalf("two seconds later: %+v", v)
+	}
+	// A placement that the next report, two seconds later, does not count shows
+	// that reports are two seconds old at least.
+	table.Place("e", Placement{ID: "a", PrefillTokens: 300, At: second})
+	table.Accepted("e", "a", Acceptance{Boot: "b", Number: 1})
+	full.Seq = 2
+	table.Reported("e", full, 3*second)
+	if lag := table.Traffic.Lag(); lag != 2*second {
+		t.Fatalf("lag %s, want 2s", lag)
+	}
+	if v := e.Estimated(3 * second); v.PrefillTokens != 2300 || v.Requests != 9 {
+		t.Fatalf("two seconds old, one charge: %+v", v)
+	}
+	full.Seq, full.Accepted = 3, 1
+	table.Reported("e", full, 6*second)
+	if lag := table.Traffic.Lag(); lag != 5*second {
+		t.Fatalf("lag %s, want the upper bound of 5s", lag)
+	}
+	if v := e.Estimated(6 * second); v.PrefillTokens != 300 {
+		t.Fatalf("an old report hides the own prompt: %+v", v)
+	}
+	table.End("e", "a", 8*second)
+	if v := e.Estimated(1000 * second); v != (View{}) {
+		t.Fatalf("an ancient report still counts: %+v", v)
+	}
+}
--- a/internal/route/policy.go
+++ b/internal/route/policy.go
@@ -104,7 +104,7 @@
 	case PolicyLocal, PolicyLocalPrefix:
 		return localView
 	case PolicyEstimate:
-		return func(req *Request, c Candidate) load.View { return c.Load.Estimated(req.Traffic, req.Now) }
+		return func(req *Request, c Candidate) load.View { return c.Load.Estimated(req.Now) }
 	default:
 		return func(_ *Request, c Candidate) load.View { return c.Load.Charged() }
 	}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -41,8 +41,6 @@
 	Excluded map[string]bool
 	// Leaving upstreams get no new work, by the platform's word.
 	Leaving map[string]bool
-	// Traffic is what the entry has learnt of the load as a whole.
-	Traffic *load.Traffic
 	Now     time.Duration
 }
 
