--- a/cmd/sf-load/main.go
+++ b/cmd/sf-load/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -84,6 +85,7 @@
 	phase := cmd.Flag("phase", "Length of each of the swing's three phases.").Default("5s").Duration()
 	rate := cmd.Flag("rate", "Completions a second.").Default("22").Float64()
 	sideBySide := cmd.Flag("side-by-side", "Groups of fleets at a time.").Default("1").Int()
+	entries := cmd.Flag("entries", "Entries of each fleet.").Default(strconv.Itoa(bench.Entries)).Int()
 	variants := cmd.Flag("variant", "First letter of a variant; repeat for more. All when none is given.").Strings()
 	return command{name: cmd.FullCommand(), do: func(ctx context.Context) error {
 		dir, err := os.MkdirTemp("", "sf-bench-")
@@ -94,7 +96,7 @@
 		return bench.Compare(ctx, bench.Options{
 			Bin: *bin, Dir: dir, Out: *out, Seeds: *seeds, Lags: *lags, Phase: *phase, Rate: *rate,
 			Variants: bench.VariantsNamed(*variants), Deployments: bench.Deployments(),
-			SideBySide: *sideBySide, Log: os.Stderr,
+			Entries: *entries, SideBySide: *sideBySide, Log: os.Stderr,
 		})
 	}}
 }
--- a/internal/bench/cell.go
+++ b/internal/bench/cell.go
@@ -43,13 +43,18 @@
 	// MachineBusy is the share of all processors, 0 to 1, that was in use
 	// during the run, whoever used it. Near 1 the figures tell little.
 	MachineBusy float64 `json:"machine_busy"`
-	// EntryCPU is the processor time of the 9 entries, in seconds.
+	// EntryCPU is the processor time of all entries, in seconds.
 	EntryCPU float64 `json:"entry_cpu_s"`
 }
 
 // settle is the time after the start in which reports and events come in.
 const settle = 500 * time.Millisecond
 
+// patience is the deadline that callers name. It is far above the bound of a
+// good answer, so that next to nothing is refused early, and what is compared
+// is routing.
+const patience = 10 * time.Second
+
 // answersWithin bounds the wait for the last answers.
 const answersWithin = 12 * time.Second
 
@@ -57,6 +62,7 @@
 func (r *run) runCell(ctx context.Context, c Conditions, v Variant) (Cell, error) {
 	scenario := c.Deployment.Scenario(r.options.Phase, r.options.Rate)
 	scenario.Keys = keys()
+	scenario.Deadline = patience
 	if v.Adjust != nil {
 		scenario = v.Adjust(scenario)
 	}
@@ -64,7 +70,7 @@
 	f, err := start(ctx, plan{
 		bin: r.options.Bin, dir: filepath.Join(r.options.Dir, directory(c.Name()+" "+v.Name)),
 		zones: c.Deployment.Zones, model: scenario.Model, prefix: c.Deployment.Prefix, keys: scenario.Keys,
-		entries: entries, hosted: hosted, apart: engines - hosted, services: services,
+		entries: r.options.Entries, hosted: hosted, apart: engines - hosted, services: services,
 		engineFlags: flags, entryTables: v.EntryTables,
 	})
 	if err != nil {
--- a/internal/bench/compare.go
+++ b/internal/bench/compare.go
@@ -28,6 +28,8 @@
 	// Variants to set beside each other, and Deployments.
 	Variants    []Variant
 	Deployments []Deployment
+	// Entries of each fleet.
+	Entries int
 	// SideBySide is how many groups run at a time.
 	SideBySide int
 	Log        io.Writer
--- a/internal/bench/deployment.go
+++ b/internal/bench/deployment.go
@@ -7,9 +7,9 @@
 	"sassafrasfield/internal/loadgen"
 )
 
-// Sizes of today, by the brief.
+// Sizes of today, by the brief. Entries are those of a fleet by default.
 const (
-	entries  = 9
+	Entries  = 9
 	engines  = 20
 	services = 4
 	// hosted engines share a process; the others have one each, to be killed
