Write each event into a buffer that is used again

Cause: a profile of BenchmarkTokens. The largest part of our own code was the event of each token: two calls of Sprintf, one for the resume token, and the copies between them. Ruled out: fewer flushes (a token would wait for the next).

--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -155,6 +155,7 @@
 type streamedResponse struct {
 	response
 	started bool
+	event   []byte // is used again for each piece
 }
 
 func (s *streamedResponse) start() {
@@ -183,7 +184,12 @@
 	if err != nil {
 		return errors.Wrap(err, "entry: chunk")
 	}
-	return s.write(fmt.Sprintf("id: %s\ndata: %s\n\n", token, data))
+	event := append(s.event[:0], "id: "...)
+	event = token.Append(event)
+	event = append(event, "\ndata: "...)
+	event = append(event, data...)
+	s.event = append(event, "\n\n"...)
+	return s.send(s.event)
 }
 
 // wait sends a comment, which keeps the connection in use while no piece
@@ -224,7 +230,11 @@
 }
 
 func (s *streamedResponse) write(text string) error {
-	if err := s.body.writeAll([]byte(text)); err != nil {
+	return s.send([]byte(text))
+}
+
+func (s *streamedResponse) send(event []byte) error {
+	if err := s.body.writeAll(event); err != nil {
 		return err
 	}
 	return s.body.flush()
--- a/internal/stream/token.go
+++ b/internal/stream/token.go
@@ -1,7 +1,6 @@
 package stream
 
 import (
-	"fmt"
 	"net/url"
 	"regexp"
 	"strconv"
@@ -38,11 +37,25 @@
 
 // String encodes the token.
 func (t Token) String() string {
-	text := fmt.Sprintf("%s/%s/%s/%d/%d/%x", t.Request, t.Engine, url.PathEscape(t.Version), t.Seed, t.Next, t.Sum)
+	return string(t.Append(nil))
+}
+
+// Append encodes the token at the end of b. It is called for each token of each
+// answer.
+func (t Token) Append(b []byte) []byte {
+	for _, part := range []string{t.Request, t.Engine, url.PathEscape(t.Version)} {
+		b = append(b, part...)
+		b = append(b, '/')
+	}
+	b = strconv.AppendInt(b, t.Seed, 10)
+	b = append(b, '/')
+	b = strconv.AppendInt(b, int64(t.Next), 10)
+	b = append(b, '/')
+	b = strconv.AppendUint(b, t.Sum, 16)
 	if t.Done {
-		text += doneMark
+		b = append(b, doneMark...)
 	}
-	return text
+	return b
 }
 
 // ParseToken reads what Token.String wrote.
