--- a/internal/bench/deployment.go
+++ b/internal/bench/deployment.go
@@ -55,7 +55,9 @@
 	Adjust func(loadgen.Scenario) loadgen.Scenario
 }
 
-// Variants returns the routing policies, a to e.
+// Variants returns the routing policies, a to e and h to i, and mixed engines
+// with priorities, g. All engines are mixed here; f, which changes roles, is in
+// the comparison of roles.
 func Variants() []Variant {
 	routing := func(policy string) string { return "[routing]\npolicy = \"" + policy + "\"\n" }
 	return []Variant{
@@ -64,11 +66,18 @@
 		{Name: "c local", EntryTables: routing("local")},
 		{Name: "d charge", EntryTables: routing("charge")},
 		{Name: "e charge-prefix", EntryTables: routing("charge-prefix")},
+		{Name: "g estimate, priorities", EntryTables: routing("estimate"), Adjust: shortPromptsFirst},
 		{Name: "h estimate", EntryTables: routing("estimate")},
 		{Name: "i local-prefix", EntryTables: routing("local-prefix")},
 	}
 }
 
+// shortPromptsFirst gives the class with the short prompts a higher priority.
+func shortPromptsFirst(s loadgen.Scenario) loadgen.Scenario {
+	s.Classes[1].Priority = 1
+	return s
+}
+
 // VariantsNamed returns the variants whose names start with one of the
 // letters, or all when there is none.
 func VariantsNamed(letters []string) []Variant {
--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -128,39 +128,40 @@
 }
 
 func (f *fleet) startEngines(p plan) error {
-	first := ""
-	ids := []string{}
+	flags := append([]string{"--model", p.model, "--model-version", "1"}, p.engineFlags...)
 	for i := range p.hosted + p.apart {
-		id, address := fmt.Sprintf("engine-%d", i+1), f.Address()
-		state := config.EngineState{Model: p.model, Version: "1", Role: config.RoleMixed}
-		f.doc.Engines = append(f.doc.Engines, config.Engine{
-			ID: id, Address: address, Zone: p.zones[i%len(p.zones)], Pool: "main",
-			Fencing: config.FencingRefuse, Want: state, Loaded: state, Routing: config.RoutingServing, RoutingSince: 1,
-		})
-		flags := append([]string{"--model", p.model, "--model-version", "1"}, p.engineFlags...)
-		if i >= p.hosted {
-			args := append([]string{"--listen", address, "engine", "--id", id}, flags...)
-			process, err := f.Start(id, "sf-standin", args...)
-			if err != nil {
-				return err
-			}
-			f.apart = append(f.apart, process)
-			continue
+		f.doc.Engines = append(f.doc.Engines, f.engineRow(fmt.Sprintf("engine-%d", i+1), p.zones[i%len(p.zones)], p.model))
+	}
+	if p.hosted > 0 {
+		args := []string{"--listen", f.doc.Engines[0].Address, "engines"}
+		for _, e := range f.doc.Engines[:p.hosted] {
+			args = append(args, "--id", e.ID)
 		}
-		if i == 0 {
-			first = address
+		if _, err := f.Start("engines", "sf-standin", append(args, flags...)...); err != nil {
+			return err
 		}
-		ids = append(ids, "--id", id)
-		if i == p.hosted-1 {
-			args := append(append([]string{"--listen", first, "engines"}, ids...), flags...)
-			if _, err := f.Start("engines", "sf-standin", args...); err != nil {
-				return err
-			}
+	}
+	for _, e := range f.doc.Engines[p.hosted:] {
+		args := append([]string{"--listen", e.Address, "engine", "--id", e.ID}, flags...)
+		process, err := f.Start(e.ID, "sf-standin", args...)
+		if err != nil {
+			return err
 		}
+		f.apart = append(f.apart, process)
 	}
 	return nil
 }
 
+// engineRow is an engine's row of the configuration. Rows get addresses that
+// follow each other.
+func (f *fleet) engineRow(id, zone, model string) config.Engine {
+	state := config.EngineState{Model: model, Version: "1", Role: config.RoleMixed}
+	return config.Engine{
+		ID: id, Address: f.Address(), Zone: zone, Pool: "main", Fencing: config.FencingRefuse,
+		Want: state, Loaded: state, Routing: config.RoutingServing, RoutingSince: 1,
+	}
+}
+
 func (f *fleet) startServices(p plan) error {
 	if p.services == 0 {
 		return nil
