--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -96,19 +96,19 @@
 		return nil
 	}
 	s.log.Debug("admit: refused", "request", comp.id, "reason", refused.Reason)
-	return s.refusal(refused)
+	return refusalOf(refused)
 }
 
-func (s *Server) refusal(r *admit.Refusal) error {
+func refusalOf(r *admit.Refusal) error {
 	messages := map[admit.Reason]string{
 		admit.ReasonDeadline:  "the first token can't come before the deadline",
 		admit.ReasonTooShort:  "not even an idle engine could make the deadline",
 		admit.ReasonQueueFull: "the queue is full",
 		admit.ReasonWaited:    "no engine had room in the longest wait",
 	}
-	refused := notRun(string(r.Reason), messages[r.Reason], 0)
-	if r.Reason != admit.ReasonTooShort {
-		refused.retryIn = s.retries.jittered(r.RetryIn)
+	refused := notRun(string(r.Reason), messages[r.Reason], max(r.RetryIn, time.Millisecond))
+	if r.Reason == admit.ReasonTooShort {
+		refused.retryIn = 0
 	}
 	return refused
 }
@@ -301,7 +301,7 @@
 func (s *state) engineLoads(req *route.Request) []admit.EngineLoad {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	req.Zone, req.Leaving = s.zone, s.leaving
+	req.Zone, req.Leaving, req.Traffic = s.zone, s.leaving, &s.table.Traffic
 	var loads []admit.EngineLoad
 	for _, c := range s.scheduler.Eligible(req, s.candidates(req.Now)) {
 		loads = append(loads, engineLoad(req, c))
