--- a/internal/answers/fixture_test.go
+++ b/internal/answers/fixture_test.go
@@ -36,7 +36,7 @@
 // fixture is a fleet with a configuration in force.
 type fixture struct {
 	*testfleet.Fleet
-	t      *testing.T
+	t      testing.TB
 	ctx    context.Context
 	caller *testcaller.Caller
 }
@@ -50,7 +50,7 @@
 	engineFlags                []string
 }
 
-func newFixture(t *testing.T, s size) *fixture {
+func newFixture(t testing.TB, s size) *fixture {
 	t.Helper()
 	bin, err := testfleet.Bin()
 	if err != nil {
--- a/internal/answers/whole_test.go
+++ b/internal/answers/whole_test.go
@@ -103,7 +103,7 @@
 	t.Parallel()
 	f := newFixture(t, size{
 		instances: 1, engines: 2, engineFlags: []string{"--prefill-rate", "400"},
-		entryTables: "[stall]\naccept_timeout = \"500ms\"\nprobe_every = \"200ms\"\n",
+		entryTables: "[stall]\naccept_timeout = \"500ms\"\nprobe_every = \"200ms\"\nfirst_piece_timeout = \"10m\"\n",
 	})
 	c := testcaller.Chat{Model: modelName, Prompt: strings.Repeat(prompt, 60), MaxTokens: 8, Seed: 3} // over 1 s
 	got := make(chan testcaller.Answer, 1)
@@ -310,6 +310,9 @@
 	resumed.LastEventID = first.LastID
 	got := f.stream(entry, resumed, 0, nil)
 	if got.Text != "" || got.Error == nil || got.Error.Code != "cannot_resume" || got.Error.Outcome != callerapi.OutcomeUnknown {
-		t.Errorf("told %+v, %q", got.Error, got.Text)
+		t.Fatalf("told %+v, %q", got.Error, got.Text)
+	}
+	if !strings.Contains(got.Error.Message, "version") {
+		t.Errorf("an engine of another version was asked: %+v", got.Error)
 	}
 }
--- a/internal/once/once_test.go
+++ b/internal/once/once_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -125,6 +126,46 @@
 	}
 }
 
+// heldTable holds commits up on their way while it is told to.
+type heldTable struct {
+	Store
+	mu   sync.Mutex // protects both below
+	hold bool
+	held []platform.Txn
+}
+
+func (h *heldTable) Commit(ctx context.Context, txn platform.Txn) (int64, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.hold {
+		h.held = append(h.held, txn)
+		return 0, platform.ErrUnknown
+	}
+	return h.Store.Commit(ctx, txn)
+}
+
+// deliver lets what was held up take effect, and holds nothing up any more.
+func (h *heldTable) deliver() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.hold = false
+	for _, txn := range h.held {
+		_, _ = h.Store.Commit(context.Background(), txn) // nobody waits for the reply
+	}
+}
+
+// TestClaimInDoubtIsWithdrawn: the claim of a call that was told "not run"
+// takes effect later. The key is free again soon after.
+func TestClaimInDoubtIsWithdrawn(t *testing.T) {
+	b := newBench(t, quick())
+	table := &heldTable{Store: b.client, hold: true}
+	b.first.store = table
+	b.want(t, b.first, ErrNotRun, 0)
+	table.deliver()
+	b.first.Wait()
+	b.want(t, b.second, nil, 1)
+}
+
 // TestLateClaimIsRefused: a claim that was held up on its way arrives after
 // its call was told "not run" and the key was freed.
 func TestLateClaimIsRefused(t *testing.T) {
