--- a/internal/answers/whole_test.go
+++ b/internal/answers/whole_test.go
@@ -128,7 +128,7 @@
 // answer is put together from several, in the entry and by the caller.
 func TestBreaksAgainAndAgain(t *testing.T) {
 	t.Parallel()
-	f := newFixture(t, size{instances: 2, engines: 3, engineFlags: []string{"--decode-rate", "500"}})
+	f := newFixture(t, size{instances: 2, engines: 3, engineFlags: []string{"--decode-rate", "3000"}})
 	for n := range f.Engines {
 		f.engineFault(n, standin.EngineFaults{BreakAfter: 15, Disorder: true})
 	}
@@ -316,3 +316,29 @@
 		t.Errorf("an engine of another version was asked: %+v", got.Error)
 	}
 }
+
+// TestCallerMovesAtOnce: a caller breaks its connection and resumes on another
+// instance at the same moment. The entry that it left cancels the stream to
+// which the other attaches, and the text is whole all the same.
+func TestCallerMovesAtOnce(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, size{instances: 2, engines: 3, engineFlags: []string{"--decode-rate", "200"}})
+	for seed := range int64(8) {
+		c := chat(41+100*seed, 60)
+		ctx, leave := context.WithCancel(f.ctx)
+		events := 0
+		first, err := f.caller.Stream(ctx, f.Instances[0].EntryAddress, c, func(string, string) {
+			if events++; events == 20 {
+				leave()
+			}
+		})
+		if err == nil {
+			t.Fatal("the caller did not leave")
+		}
+		resumed := c
+		resumed.LastEventID = first.LastID
+		rest := f.stream(f.Instances[1].EntryAddress, resumed, 0, nil)
+		rest.Text = first.Text + rest.Text
+		f.wantWhole("moved", rest, undisturbedText(c))
+	}
+}
--- a/internal/testfleet/process.go
+++ b/internal/testfleet/process.go
@@ -63,6 +63,9 @@
 // Pid is the process's id.
 func (p *Process) Pid() int { return p.cmd.Process.Pid }
 
+// PID returns the process's id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Done is closed when the process has ended.
 func (p *Process) Done() <-chan struct{} { return p.done }
 
