Number the sends in the fencing number, and try leases in random histories

Cause: within one epoch a late copy of an order could take effect after the order that followed it; nothing tried the machine against delayed writes, stale reads and freezes. Before: the fencing number was the epoch alone; with that the histories fail (trial: "engine that would refuse: order id3 took effect again after id11").

--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -12,8 +12,8 @@
 	"sassafrasfield/internal/rollout"
 )
 
-// readOrders returns the journal of a pool by engine, with open orders of
-// earlier epochs as this holder has to settle them.
+// readOrders returns the journal of a pool by engine, as this holder sees
+// it: open orders of earlier epochs count as not sent.
 func (d *Daemon) readOrders(ctx context.Context, pool string) (map[string]order.Row, error) {
 	auth, held := d.leases.held(pool)
 	if !held {
@@ -37,8 +37,7 @@
 // sendOrder journals an order and sends it. An order that is open already is
 // sent again, whatever is wanted now.
 func (d *Daemon) sendOrder(ctx context.Context, pool string, auth authority, view rollout.View, send rollout.SendOrder) error {
-	row := view.Orders[send.Engine].Next(send.Engine, send.Want, uuid.NewString())
-	row.Epoch = auth.epoch
+	row := view.Orders[send.Engine].Next(auth.epoch, send.Engine, send.Want, uuid.NewString())
 	if err := d.writeOrder(ctx, pool, auth, row); err != nil {
 		return err
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -102,7 +102,8 @@
 // state, never a step, so that the same order twice is the same as once.
 type Order struct {
 	ID string `json:"id"`
-	// Fence is the fencing number: the epoch of the lease it was issued under.
+	// Fence is the fencing number. It rises with each order to an engine; its
+	// upper half is the epoch of the lease that it was issued under.
 	Fence int64              `json:"fence"`
 	Want  config.EngineState `json:"want"`
 }
--- /dev/null
+++ b/internal/lease/model_test.go
@@ -0,0 +1,257 @@
+package lease_test
+
+import (
+	"fmt"
+	"time"
+
+	"sassafrasfield/internal/config"
+	"sassafrasfield/internal/engine"
+	"sassafrasfield/internal/lease"
+	"sassafrasfield/internal/order"
+)
+
+// settings of the model; the clocks' rates differ by less than the margin.
+var modelSettings = lease.Settings{
+	Term: 3 * time.Second, RenewEvery: time.Second, RetryEvery: 200 * time.Millisecond, Margin: 300 * time.Millisecond,
+}
+
+const (
+	sendGuard = 200 * time.Millisecond
+	leaseKey  = "lease"
+	epochKey  = "epoch"
+)
+
+// cell is one state of a row of the model's table.
+type cell struct {
+	lease    lease.Row
+	order    order.Row
+	revision int64
+}
+
+// table keeps each state, so that a read can be as stale as it likes.
+type table struct {
+	revision int64
+	rows     map[string][]cell
+}
+
+func (t *table) read(key string, back int) cell {
+	states := t.rows[key]
+	if len(states) <= back {
+		return cell{}
+	}
+	return states[len(states)-1-back]
+}
+
+func (t *table) commit(checks map[string]int64, writes map[string]cell) (int64, bool) {
+	for key, revision := range checks {
+		if t.read(key, 0).revision != revision {
+			return 0, false
+		}
+	}
+	t.revision++
+	for key, c := range writes {
+		c.revision = t.revision
+		t.rows[key] = append(t.rows[key], c)
+	}
+	return t.revision, true
+}
+
+// call is a read or a write on its way. One that was given up stays in the
+// network and may arrive late.
+type call struct {
+	read   string // the key; empty for a write
+	checks map[string]int64
+	writes map[string]cell
+
+	served   bool
+	cell     cell
+	revision int64
+	ok       bool
+}
+
+// model engine: refuses lower fencing numbers or ignores them.
+type modelEngine struct {
+	fencing config.Fencing
+	status  engine.Status
+	took    []engine.Order
+}
+
+func (e *modelEngine) take(o engine.Order) {
+	if e.fencing == config.FencingRefuse && o.Fence < e.status.LastFence {
+		return
+	}
+	e.took = append(e.took, o)
+	e.status.LastOrder, e.status.LastFence, e.status.State = o.ID, o.Fence, o.Want
+}
+
+// sentOrder is an order on its way to an engine.
+type sentOrder struct {
+	from  *process
+	to    int
+	order engine.Order
+}
+
+// steps of an order.
+const (
+	idle = iota
+	reading
+	journalling
+	journalled
+	checked
+	armed
+	sending
+	sent
+	closing
+)
+
+// process is one sf-control: a lease machine and the path of one order.
+type process struct {
+	name    string
+	machine *lease.Lease
+	offset  time.Duration
+	rate    float64
+	// frozenUntil is in the world's time.
+	frozenUntil time.Duration
+
+	leaseCall, orderCall *call
+
+	step   int
+	target int
+	grant  lease.Grant
+	row    order.Row
+	killAt time.Duration
+}
+
+// world is all of the model.
+type world struct {
+	now       time.Duration
+	table     *table
+	network   []*call
+	orders    []sentOrder
+	engines   []*modelEngine
+	processes []*process
+	runs, ids int
+	// vmPauses makes the clocks of frozen processes stand still.
+	vmPauses bool
+	kills    int // by the kernel timer
+}
+
+func newWorld(processes int) *world {
+	w := &world{table: &table{rows: map[string][]cell{}}}
+	w.engines = []*modelEngine{{fencing: config.FencingRefuse}, {fencing: config.FencingIgnore}}
+	for i := range processes {
+		w.processes = append(w.processes, w.start(i, 1))
+	}
+	return w
+}
+
+// start returns a fresh run of a process.
+func (w *world) start(i int, rate float64) *process {
+	w.runs++
+	name := fmt.Sprintf("p%d/run%d", i, w.runs)
+	p := &process{name: name, rate: rate, offset: time.Duration(w.runs) * time.Hour}
+	p.machine = lease.New(name, modelSettings, w.newID)
+	ranks := lease.Ranks{Watchers: 8, ReadEvery: time.Second, Delay: 300 * time.Millisecond}
+	p.machine.SetPlace(ranks.Place(i))
+	return p
+}
+
+func (w *world) newID() string {
+	w.ids++
+	return fmt.Sprintf("id%d", w.ids)
+}
+
+func (w *world) frozen(p *process) bool { return w.now < p.frozenUntil }
+
+// clock is a process's own.
+func (w *world) clock(p *process) time.Duration {
+	return p.offset + time.Duration(float64(w.now)*p.rate)
+}
+
+// advance lets time pass, and the kernel timers fire.
+func (w *world) advance(by time.Duration) {
+	w.now += by
+	for i, p := range w.processes {
+		if w.vmPauses && w.now-by < p.frozenUntil {
+			p.offset -= time.Duration(float64(by) * p.rate)
+		}
+		if p.killAt > 0 && w.clock(p) >= p.killAt {
+			w.kills++
+			w.kill(i)
+		}
+	}
+}
+
+// kill replaces a process by a fresh run. Its sockets are reset: what an
+// engine that ignores fencing numbers has not read is gone. An engine that
+// refuses old ones may yet get it.
+func (w *world) kill(i int) {
+	p := w.processes[i]
+	w.reset(p)
+	w.processes[i] = w.start(i, p.rate)
+}
+
+// reset drops what a process has under way to engines that ignore fencing.
+func (w *world) reset(p *process) {
+	var left []sentOrder
+	for _, s := range w.orders {
+		if s.from != p || w.engines[s.to].fencing == config.FencingRefuse {
+			left = append(left, s)
+		}
+	}
+	w.orders = left
+}
+
+// tickLease asks the machine what to do.
+func (w *world) tickLease(p *process) {
+	action := p.machine.Tick(w.clock(p))
+	switch action.Kind {
+	case lease.Read:
+		p.leaseCall = w.post(&call{read: leaseKey})
+	case lease.Write:
+		c := &call{checks: map[string]int64{leaseKey: action.Revision}, writes: map[string]cell{leaseKey: {lease: action.Row}}}
+		if action.NewEpoch {
+			c.writes[epochKey] = cell{lease: action.Row}
+		}
+		p.leaseCall = w.post(c)
+	}
+}
+
+func (w *world) post(c *call) *call {
+	w.network = append(w.network, c)
+	return c
+}
+
+// serve executes a call that is in the network.
+func (w *world) serve(i, stale int) {
+	c := w.network[i]
+	w.network = append(w.network[:i], w.network[i+1:]...)
+	c.served = true
+	if c.read != "" {
+		c.cell = w.table.read(c.read, stale)
+		return
+	}
+	c.revision, c.ok = w.table.commit(c.checks, c.writes)
+}
+
+// finishLease gives a machine the outcome of its call; lost when the reply is.
+func (w *world) finishLease(p *process, lost bool) {
+	c := p.leaseCall
+	if c == nil || !c.served && !lost {
+		return
+	}
+	p.leaseCall = nil
+	now := w.clock(p)
+	switch {
+	case lost && c.read != "":
+		p.machine.OnReadFailed(now)
+	case lost:
+		p.machine.OnWrite(now, lease.Unknown, 0)
+	case c.read != "":
+		p.machine.OnRead(now, c.cell.lease, c.cell.revision)
+	case c.ok:
+		p.machine.OnWrite(now, lease.Committed, c.revision)
+	default:
+		p.machine.OnWrite(now, lease.Conflicted, 0)
+	}
+}
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -28,7 +28,10 @@
 	ID     string `json:"id"`
 	Engine string `json:"engine"`
 	// Epoch is the lease's epoch that it was last sent under.
-	Epoch int64              `json:"epoch"`
+	Epoch int64 `json:"epoch"`
+	// Sends counts the orders sent to the engine under that epoch, repeated
+	// ones included.
+	Sends int64              `json:"sends"`
 	Want  config.EngineState `json:"want"`
 	State State              `json:"state"`
 	// WriteID names the write of this row.
@@ -65,35 +68,52 @@
 	return r, errors.Wrap(err, "order: decode")
 }
 
-// Next returns the order that may go to an engine whose newest row is r: the
-// open one again, whatever is wanted now, or else a new one with the id.
-func (r Row) Next(engineID string, want config.EngineState, id string) Row {
-	if r.State == StateOpen {
-		return r
+// Next returns what the holder of an epoch may send to an engine whose newest
+// row is r: the open order again, whatever is wanted now, or else a new one
+// with the id.
+func (r Row) Next(epoch int64, engineID string, want config.EngineState, id string) Row {
+	next := r.Under(epoch)
+	next.Sends++
+	if r.State != StateOpen {
+		next.ID, next.Engine, next.Want, next.State = id, engineID, want, StateOpen
 	}
-	return Row{ID: id, Engine: engineID, Want: want, State: StateOpen, Revision: r.Revision}
+	return next
 }
 
-// Under returns the row as the holder of an epoch has to settle it: an open
-// order of an earlier epoch counts only once the engine has taken it again
-// with the new one. A copy that the earlier holder sent can then do no more
-// than was asked last.
+// Under returns the row as the holder of an epoch sees it: an order that an
+// earlier holder sent counts as not sent. A copy of it that is still on its
+// way can do no more than the same order sent again, until that is settled.
 func (r Row) Under(epoch int64) Row {
-	if r.State == StateOpen {
-		r.Epoch = epoch
+	if r.Epoch != epoch {
+		r.Epoch, r.Sends = epoch, 0
 	}
 	return r
 }
 
+// sendBits is how many bits of a fencing number count the sends.
+const sendBits = 32
+
+// Fence is the order's fencing number: the epoch in the upper half, the number
+// of the send in the lower. It rises with each send to an engine, so that a
+// late copy is refused within an epoch as well.
+func (r Row) Fence() int64 {
+	return r.Epoch<<sendBits | r.Sends
+}
+
+// EpochOf returns the epoch of a fencing number.
+func EpochOf(fence int64) int64 {
+	return fence >> sendBits
+}
+
 // Settled tells whether the engine's read-back shows that the order was
-// carried out. A read-back counts only if it names this order with this
-// epoch: it is newer than the order's arrival then.
+// carried out. A read-back counts only if it names this order with the
+// fencing number of its newest send: it is newer than the send then.
 func (r Row) Settled(status engine.Status) bool {
-	taken := status.LastOrder == r.ID && status.LastFence == r.Epoch
+	taken := r.Sends > 0 && status.LastOrder == r.ID && status.LastFence == r.Fence()
 	return taken && !status.Changing && status.Fault == "" && status.State.Equal(r.Want)
 }
 
 // Message returns the order as it is sent to the engine.
 func (r Row) Message() engine.Order {
-	return engine.Order{ID: r.ID, Fence: r.Epoch, Want: r.Want}
+	return engine.Order{ID: r.ID, Fence: r.Fence(), Want: r.Want}
 }
