--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -5,8 +5,8 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -25,6 +25,13 @@
 	"sassafrasfield/internal/versions"
 )
 
+// compressFrom is the size in bytes from where on a message between peers is
+// compressed.
+const compressFrom = 1024
+
+// idlePeers bounds the idle connections to peers.
+const idlePeers = 16
+
 // Daemon is one sf-control process.
 type Daemon struct {
 	settings *Settings
@@ -35,16 +42,18 @@
 	versions versions.Log
 	holder   *spread.Holder
 	members  *members
+	spread   *spreader
 	entry    *entryLink
 	leases   *leases
+	demand   *demand
+	watcher  *watcher
+	waited   waitCache
 	orders   *orderMetrics
 	http     *http.Client
 	options  []connect.ClientOption
 
 	mu      sync.Mutex // protects engines
 	engines map[string]engine.Engine
-
-	rng *rand.Rand // used by the spread loop alone
 }
 
 // New returns a daemon that has not started.
@@ -61,14 +70,17 @@
 		platform: client,
 		versions: versions.Log{Table: client},
 		holder:   spread.NewHolder(),
-		http:     &http.Client{Timeout: s.PlatformTimeout},
+		http:     &http.Client{Timeout: s.PlatformTimeout, Transport: peerTransport()},
 		options:  []connect.ClientOption{connect.WithInterceptors(interceptor)},
 		engines:  map[string]engine.Engine{},
-		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	d.members = newMembers(client, logging.Part(log, "members"))
+	d.members.changed = d.listRead
+	d.spread = newSpreader(d, logging.Part(log, "spread"))
 	d.entry = newEntryLink(d.holder, s.EntryLocal, d.http, d.options, logging.Part(log, "entry"))
+	d.demand = newDemand(s.Demand)
 	d.leases = newLeases(d, logging.Part(log, "lease"))
+	d.watcher = newWatcher(s.Rollout)
 	d.orders = newOrderMetrics()
 	return d, nil
 }
@@ -77,7 +89,7 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	loops := []func(context.Context){
-		d.pollLoop, d.spreadLoop, d.entryLoop, d.memberLoop, d.leases.loop, d.rolloutLoop,
+		d.demandLoop, d.spread.loop, d.entryLoop, d.memberLoop, d.leases.loop, d.rolloutLoop,
 	}
 	for _, loop := range loops {
 		group.Go(func() error {
@@ -107,7 +119,7 @@
 
 func (d *Daemon) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(sfv1connect.NewPeerServiceHandler(&peerService{daemon: d}))
+	mux.Handle(sfv1connect.NewPeerServiceHandler(&peerService{daemon: d}, connect.WithCompressMinBytes(compressFrom)))
 	mux.Handle(sfv1connect.NewLeaseServiceHandler(&leaseService{leases: d.leases}))
 	mux.Handle(sfv1connect.NewOperatorServiceHandler(&operatorService{daemon: d}))
 	mux.HandleFunc("/livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
@@ -116,13 +128,15 @@
 	return mux
 }
 
-// readyz tells whether the process holds a configuration.
+// readyz tells whether the process holds a configuration that it may take for
+// the newest, and else why not.
 func (d *Daemon) readyz(w http.ResponseWriter, _ *http.Request) {
-	if d.holder.Current().Version == 0 {
-		http.Error(w, "no configuration known yet", http.StatusServiceUnavailable)
+	status := d.spread.status()
+	if !status.Fresh {
+		http.Error(w, status.Reason, http.StatusServiceUnavailable)
 		return
 	}
-	w.WriteHeader(http.StatusOK)
+	fmt.Fprintf(w, "ready, fresh by %s\n", status.By)
 }
 
 // engineAt returns the client for an engine's address.
@@ -139,7 +153,10 @@
 
 // peer returns a client for another instance's sf-control.
 func (d *Daemon) peer(address string) sfv1connect.PeerServiceClient {
-	return sfv1connect.NewPeerServiceClient(d.http, "http://"+address, d.options...)
+	options := append([]connect.ClientOption{
+		connect.WithSendGzip(), connect.WithCompressMinBytes(compressFrom),
+	}, d.options...)
+	return sfv1connect.NewPeerServiceClient(d.http, "http://"+address, options...)
 }
 
 // every calls work now and then at the period until the context ends.
@@ -155,3 +172,9 @@
 		}
 	}
 }
+
+// peerTransport keeps few idle connections: at hundreds of instances the next
+// exchange is seldom with a peer of the last ones.
+func peerTransport() *http.Transport {
+	return &http.Transport{MaxIdleConns: idlePeers, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}
+}
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -26,22 +26,11 @@
 	Lease           LeaseSettings    `toml:"lease"`
 	Spread          SpreadSettings   `toml:"spread"`
 	Rollout         RolloutSettings  `toml:"rollout"`
+	Demand          DemandSettings   `toml:"demand"`
 	Log             logging.Settings `toml:"log"`
 	Trace           tracing.Settings `toml:"trace"`
 }
 
-// SpreadSettings set how configuration spreads.
-type SpreadSettings struct {
-	// PollEvery is the mean time between reads of the head. Default 1s.
-	PollEvery time.Duration `toml:"poll_every"`
-	// Fanout is the number of peers told of a new version. Default 3.
-	Fanout int `toml:"fanout"`
-	// ApplyEvery is the time between heartbeats to sf-entry. Default 250ms.
-	ApplyEvery time.Duration `toml:"apply_every"`
-	// ListEvery is the time between reads of the instance list. Default 1s.
-	ListEvery time.Duration `toml:"list_every"`
-}
-
 // RolloutSettings set how plans are carried out.
 type RolloutSettings struct {
 	// StepEvery is the time between looks at a pool with work to do. Default
@@ -49,6 +38,30 @@
 	StepEvery time.Duration `toml:"step_every"`
 	// EngineTimeout bounds each call to an engine. Default 2s.
 	EngineTimeout time.Duration `toml:"engine_timeout"`
+	// WatchEvery is the time between looks at a pool that is watched for faults
+	// alone. Default 5s.
+	WatchEvery time.Duration `toml:"watch_every"`
+	// WaitEvery is the longest time between looks at a pool whose work has to
+	// wait. Default 1s.
+	WaitEvery time.Duration `toml:"wait_every"`
+	// SilentAfter is how long after an engine was marked as draining an instance
+	// that does not answer counts as sending it no new work. It must exceed
+	// stale_after of sf-entry by as long as a cut-off sf-control holds on to an
+	// old version. Default 15s.
+	SilentAfter time.Duration `toml:"silent_after"`
+	// UnreachableAfter is how long an engine must not have answered until it
+	// is marked out of routing. Default 10s.
+	UnreachableAfter time.Duration `toml:"unreachable_after"`
+	// ResendAfter is the time between sends of an order that an engine did not
+	// carry out. Default 2s.
+	ResendAfter time.Duration `toml:"resend_after"`
+	// LoadTime is within which an engine should get its weights, by the weight
+	// store's rate and the model's weight_bytes: it bounds the loads at once.
+	// Default 1m.
+	LoadTime time.Duration `toml:"load_time"`
+	// MaxLoads bounds the engines of a pool that load weights at once when
+	// the rate or the size is not known. Default 4.
+	MaxLoads int `toml:"max_loads"`
 }
 
 // Bounds of the settings.
@@ -63,13 +76,16 @@
 	return &Settings{
 		PlatformTimeout: 2 * time.Second,
 		Lease:           defaultLeaseSettings(),
-		Spread: SpreadSettings{
-			PollEvery: time.Second, Fanout: 3,
-			ApplyEvery: 250 * time.Millisecond, ListEvery: time.Second,
+		Spread:          defaultSpreadSettings(),
+		Rollout: RolloutSettings{
+			StepEvery: 200 * time.Millisecond, EngineTimeout: 2 * time.Second,
+			WatchEvery: 5 * time.Second, WaitEvery: time.Second,
+			SilentAfter: 15 * time.Second, UnreachableAfter: 10 * time.Second,
+			ResendAfter: 2 * time.Second, LoadTime: time.Minute, MaxLoads: 4,
 		},
-		Rollout: RolloutSettings{StepEvery: 200 * time.Millisecond, EngineTimeout: 2 * time.Second},
-		Log:     logging.Default(),
-		Trace:   tracing.Default(),
+		Demand: DemandSettings{Every: time.Second, Keep: 3 * time.Second},
+		Log:    logging.Default(),
+		Trace:  tracing.Default(),
 	}
 }
 
@@ -83,12 +99,22 @@
 	addresses.Peer("platform", s.Platform)
 	settings.Between(file, "platform_timeout", s.PlatformTimeout, shortest, longest)
 	s.Lease.check(file)
-	settings.Between(file, "spread.poll_every", s.Spread.PollEvery, shortest, longest)
-	settings.IntBetween(file, "spread.fanout", s.Spread.Fanout, 1, maxPeers)
-	settings.Between(file, "spread.apply_every", s.Spread.ApplyEvery, shortest, longest)
-	settings.Between(file, "spread.list_every", s.Spread.ListEvery, shortest, longest)
-	settings.Between(file, "rollout.step_every", s.Rollout.StepEvery, shortest, longest)
-	settings.Between(file, "rollout.engine_timeout", s.Rollout.EngineTimeout, shortest, longest)
+	s.Spread.check(file, addresses)
+	s.Rollout.check(file)
+	settings.Between(file, "demand.every", s.Demand.Every, 10*time.Millisecond, longest)
+	settings.Between(file, "demand.keep", s.Demand.Keep, s.Demand.Every, 10*longest)
 	s.Log.Check(file, "log")
 	s.Trace.Check(file, "trace")
 }
+
+func (s RolloutSettings) check(file *tomlfile.File) {
+	settings.Between(file, "rollout.step_every", s.StepEvery, shortest, longest)
+	settings.Between(file, "rollout.engine_timeout", s.EngineTimeout, shortest, longest)
+	settings.Between(file, "rollout.watch_every", s.WatchEvery, s.StepEvery, longest)
+	settings.Between(file, "rollout.wait_every", s.WaitEvery, s.StepEvery, longest)
+	settings.Between(file, "rollout.silent_after", s.SilentAfter, shortest, 10*longest)
+	settings.Between(file, "rollout.unreachable_after", s.UnreachableAfter, shortest, 10*longest)
+	settings.Between(file, "rollout.resend_after", s.ResendAfter, shortest, longest)
+	settings.Between(file, "rollout.load_time", s.LoadTime, shortest, 60*longest)
+	settings.IntBetween(file, "rollout.max_loads", s.MaxLoads, 1, 10000)
+}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -9,14 +9,15 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
+	"time"
 
-	"github.com/google/uuid"
 	"github.com/labstack/echo/v5"
+	"github.com/pkg/errors"
 
 	"sassafrasfield/internal/callerapi"
 	"sassafrasfield/internal/config"
+	"sassafrasfield/internal/engine"
 	"sassafrasfield/internal/stream"
 )
 
@@ -36,7 +37,19 @@
 	maxTokens    int
 	seed         int64
 	priority     int
+	sampling     engine.Sampling
+	// prefix has the hashes of the prompt's blocks, once Server.prefix made them.
+	prefix []uint64
+	// deadline is the time to the first token that the caller can bear; 0 when
+	// it did not say.
+	deadline time.Duration
+	// expected is when the first token was predicted to come; 0 when it was
+	// not, or has come.
+	expected time.Duration
+	// admitted is when the request was let go on.
+	admitted     time.Duration
 	streamed     bool
+	includeUsage bool
 	// resume is the token of a broken answer, or nil.
 	resume *stream.Token
 }
@@ -55,7 +68,7 @@
 	if err := json.Unmarshal(body, &req); err != nil {
 		return nil, badRequest("", "the body is no valid request: "+err.Error())
 	}
-	comp := &completion{id: uuid.NewString(), organisation: organisation, streamed: req.Stream}
+	comp := &completion{organisation: organisation, streamed: req.Stream}
 	if err := s.fill(comp, &req); err != nil {
 		return nil, err
 	}
@@ -81,12 +94,16 @@
 func (s *Server) readBody(c *echo.Context) ([]byte, error) {
 	limit := int64(s.settings.Limits.MaxBodyBytes)
 	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
-	if err != nil {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
 		return nil, &refusal{status: http.StatusRequestEntityTooLarge, body: callerapi.Error{
-			Message: fmt.Sprintf("the body could not be read, or has over %d bytes", limit),
-			Type:    "invalid_request_error", Outcome: callerapi.OutcomeNotRun,
+			Message: fmt.Sprintf("the body has over %d bytes", limit),
+			Type:    "invalid_request_error", Code: "body_too_large", Outcome: callerapi.OutcomeNotRun,
 		}}
 	}
+	if err != nil {
+		return nil, badRequest("", "the body could not be read whole")
+	}
 	return body, nil
 }
 
@@ -116,6 +133,11 @@
 	if comp.maxTokens < 1 || comp.maxTokens > s.settings.Limits.MaxAnswerTokens {
 		return badRequest("max_tokens", fmt.Sprintf("want 1 to %d", s.settings.Limits.MaxAnswerTokens))
 	}
+	comp.sampling = engine.Sampling{
+		Temperature: req.Temperature, TopP: req.TopP, Stop: req.Stop,
+		PresencePenalty: req.PresencePenalty, FrequencyPenalty: req.FrequencyPenalty,
+	}
+	comp.includeUsage = req.StreamOptions != nil && req.StreamOptions.IncludeUsage
 	comp.seed = int64(rand.Uint32())
 	if req.Seed != nil {
 		comp.seed = *req.Seed
@@ -128,22 +150,8 @@
 }
 
 func (s *Server) readHeaders(comp *completion, header http.Header) error {
-	if text := header.Get(callerapi.HeaderPriority); text != "" {
-		priority, err := strconv.Atoi(text)
-		if err != nil {
-			return badRequest(callerapi.HeaderPriority, "want a whole number")
-		}
-		comp.priority = priority
-	}
-	text := header.Get("Last-Event-ID")
-	if text == "" {
-		return nil
-	}
-	token, err := stream.ParseToken(text)
-	if err != nil {
-		return badRequest("Last-Event-ID", err.Error())
+	if err := readUrgency(comp, header); err != nil {
+		return err
 	}
-	comp.resume = &token
-	comp.id, comp.seed = token.Request, token.Seed
-	return nil
+	return comp.identify(header.Get(headerLastEventID))
 }
--- a/internal/gen/sf/v1/sfv1connect/spread.connect.go
+++ b/internal/gen/sf/v1/sfv1connect/spread.connect.go
@@ -41,12 +41,22 @@
 	PeerServiceOfferProcedure = "/sf.v1.PeerService/Offer"
 	// PeerServiceFetchProcedure is the fully-qualified name of the PeerService's Fetch RPC.
 	PeerServiceFetchProcedure = "/sf.v1.PeerService/Fetch"
+	// PeerServiceExchangeProcedure is the fully-qualified name of the PeerService's Exchange RPC.
+	PeerServiceExchangeProcedure = "/sf.v1.PeerService/Exchange"
+	// PeerServicePrepareProcedure is the fully-qualified name of the PeerService's Prepare RPC.
+	PeerServicePrepareProcedure = "/sf.v1.PeerService/Prepare"
 	// PeerServiceInForceProcedure is the fully-qualified name of the PeerService's InForce RPC.
 	PeerServiceInForceProcedure = "/sf.v1.PeerService/InForce"
+	// PeerServiceTotalProcedure is the fully-qualified name of the PeerService's Total RPC.
+	PeerServiceTotalProcedure = "/sf.v1.PeerService/Total"
 	// EntryServiceApplyProcedure is the fully-qualified name of the EntryService's Apply RPC.
 	EntryServiceApplyProcedure = "/sf.v1.EntryService/Apply"
 	// EntryServiceStatusProcedure is the fully-qualified name of the EntryService's Status RPC.
 	EntryServiceStatusProcedure = "/sf.v1.EntryService/Status"
+	// EntryServiceDemandProcedure is the fully-qualified name of the EntryService's Demand RPC.
+	EntryServiceDemandProcedure = "/sf.v1.EntryService/Demand"
+	// EntryServiceShareProcedure is the fully-qualified name of the EntryService's Share RPC.
+	EntryServiceShareProcedure = "/sf.v1.EntryService/Share"
 )
 
 // PeerServiceClient is a client for the sf.v1.PeerService service.
@@ -56,9 +66,19 @@
 	Offer(context.Context, *connect.Request[v1.OfferRequest]) (*connect.Response[v1.OfferResponse], error)
 	// Fetch returns the newest configuration that the callee holds.
 	Fetch(context.Context, *connect.Request[v1.FetchRequest]) (*connect.Response[v1.FetchResponse], error)
+	// Exchange compares what the caller and the callee know: versions, how
+	// fresh the knowledge is, and which upstreams are leaving.
+	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
+	// Prepare tells that the caller is about to have a version accepted. A peer
+	// that has answered does not take an older version for the newest any more
+	// unless the table shows that it still is.
+	Prepare(context.Context, *connect.Request[v1.PrepareRequest]) (*connect.Response[v1.PrepareResponse], error)
 	// InForce reports the version in force on the instance and its streams
 	// for each engine.
 	InForce(context.Context, *connect.Request[v1.InForceRequest]) (*connect.Response[v1.InForceResponse], error)
+	// Total takes the demand of the caller's entry for the organisations whose
+	// home the callee is, and returns their demand over all entries.
+	Total(context.Context, *connect.Request[v1.TotalRequest]) (*connect.Response[v1.TotalResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the sf.v1.PeerService service. By default, it uses
@@ -84,20 +104,41 @@
 			connect.WithSchema(peerServiceMethods.ByName("Fetch")),
 			connect.WithClientOptions(opts...),
 		),
+		exchange: connect.NewClient[v1.ExchangeRequest, v1.ExchangeResponse](
+			httpClient,
+			baseURL+PeerServiceExchangeProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Exchange")),
+			connect.WithClientOptions(opts...),
+		),
+		prepare: connect.NewClient[v1.PrepareRequest, v1.PrepareResponse](
+			httpClient,
+			baseURL+PeerServicePrepareProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Prepare")),
+			connect.WithClientOptions(opts...),
+		),
 		inForce: connect.NewClient[v1.InForceRequest, v1.InForceResponse](
 			httpClient,
 			baseURL+PeerServiceInForceProcedure,
 			connect.WithSchema(peerServiceMethods.ByName("InForce")),
 			connect.WithClientOptions(opts...),
 		),
+		total: connect.NewClient[v1.TotalRequest, v1.TotalResponse](
+			httpClient,
+			baseURL+PeerServiceTotalProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Total")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
-	offer   *connect.Client[v1.OfferRequest, v1.OfferResponse]
-	fetch   *connect.Client[v1.FetchRequest, v1.FetchResponse]
-	inForce *connect.Client[v1.InForceRequest, v1.InForceResponse]
+	offer    *connect.Client[v1.OfferRequest, v1.OfferResponse]
+	fetch    *connect.Client[v1.FetchRequest, v1.FetchResponse]
+	exchange *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
+	prepare  *connect.Client[v1.PrepareRequest, v1.PrepareResponse]
+	inForce  *connect.Client[v1.InForceRequest, v1.InForceResponse]
+	total    *connect.Client[v1.TotalRequest, v1.TotalResponse]
 }
 
 // Offer calls sf.v1.PeerService.Offer.
@@ -110,11 +151,26 @@
 	return c.fetch.CallUnary(ctx, req)
 }
 
+// Exchange calls sf.v1.PeerService.Exchange.
+func (c *peerServiceClient) Exchange(ctx context.Context, req *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error) {
+	return c.exchange.CallUnary(ctx, req)
+}
+
+// Prepare calls sf.v1.PeerService.Prepare.
+func (c *peerServiceClient) Prepare(ctx context.Context, req *connect.Request[v1.PrepareRequest]) (*connect.Response[v1.PrepareResponse], error) {
+	return c.prepare.CallUnary(ctx, req)
+}
+
 // InForce calls sf.v1.PeerService.InForce.
 func (c *peerServiceClient) InForce(ctx context.Context, req *connect.Request[v1.InForceRequest]) (*connect.Response[v1.InForceResponse], error) {
 	return c.inForce.CallUnary(ctx, req)
 }
 
+// Total calls sf.v1.PeerService.Total.
+func (c *peerServiceClient) Total(ctx context.Context, req *connect.Request[v1.TotalRequest]) (*connect.Response[v1.TotalResponse], error) {
+	return c.total.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the sf.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Offer tells a peer of a version. The peer answers with the version it
@@ -122,9 +178,19 @@
 	Offer(context.Context, *connect.Request[v1.OfferRequest]) (*connect.Response[v1.OfferResponse], error)
 	// Fetch returns the newest configuration that the callee holds.
 	Fetch(context.Context, *connect.Request[v1.FetchRequest]) (*connect.Response[v1.FetchResponse], error)
+	// Exchange compares what the caller and the callee know: versions, how
+	// fresh the knowledge is, and which upstreams are leaving.
+	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
+	// Prepare tells that the caller is about to have a version accepted. A peer
+	// that has answered does not take an older version for the newest any more
+	// unless the table shows that it still is.
+	Prepare(context.Context, *connect.Request[v1.PrepareRequest]) (*connect.Response[v1.PrepareResponse], error)
 	// InForce reports the version in force on the instance and its streams
 	// for each engine.
 	InForce(context.Context, *connect.Request[v1.InForceRequest]) (*connect.Response[v1.InForceResponse], error)
+	// Total takes the demand of the caller's entry for the organisations whose
+	// home the callee is, and returns their demand over all entries.
+	Total(context.Context, *connect.Request[v1.TotalRequest]) (*connect.Response[v1.TotalResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -146,20 +212,44 @@
 		connect.WithSchema(peerServiceMethods.ByName("Fetch")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceExchangeHandler := connect.NewUnaryHandler(
+		PeerServiceExchangeProcedure,
+		svc.Exchange,
+		connect.WithSchema(peerServiceMethods.ByName("Exchange")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerServicePrepareHandler := connect.NewUnaryHandler(
+		PeerServicePrepareProcedure,
+		svc.Prepare,
+		connect.WithSchema(peerServiceMethods.ByName("Prepare")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceInForceHandler := connect.NewUnaryHandler(
 		PeerServiceInForceProcedure,
 		svc.InForce,
 		connect.WithSchema(peerServiceMethods.ByName("InForce")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceTotalHandler := connect.NewUnaryHandler(
+		PeerServiceTotalProcedure,
+		svc.Total,
+		connect.WithSchema(peerServiceMethods.ByName("Total")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/sf.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceOfferProcedure:
 			peerServiceOfferHandler.ServeHTTP(w, r)
 		case PeerServiceFetchProcedure:
 			peerServiceFetchHandler.ServeHTTP(w, r)
+		case PeerServiceExchangeProcedure:
+			peerServiceExchangeHandler.ServeHTTP(w, r)
+		case PeerServicePrepareProcedure:
+			peerServicePrepareHandler.ServeHTTP(w, r)
 		case PeerServiceInForceProcedure:
 			peerServiceInForceHandler.ServeHTTP(w, r)
+		case PeerServiceTotalProcedure:
+			peerServiceTotalHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -177,10 +267,22 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("sf.v1.PeerService.Fetch is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("sf.v1.PeerService.Exchange is not implemented"))
+}
+
+func (UnimplementedPeerServiceHandler) Prepare(context.Context, *connect.Request[v1.PrepareRequest]) (*connect.Response[v1.PrepareResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("sf.v1.PeerService.Prepare is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) InForce(context.Context, *connect.Request[v1.InForceRequest]) (*connect.Response[v1.InForceResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("sf.v1.PeerService.InForce is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) Total(context.Context, *connect.Request[v1.TotalRequest]) (*connect.Response[v1.TotalResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("sf.v1.PeerService.Total is not implemented"))
+}
+
 // EntryServiceClient is a client for the sf.v1.EntryService service.
 type EntryServiceClient interface {
 	// Apply puts a configuration in force, unless it is older than the one in
@@ -188,6 +290,10 @@
 	Apply(context.Context, *connect.Request[v1.ApplyRequest]) (*connect.Response[v1.ApplyResponse], error)
 	// Status reports the version in force and the streams for each engine.
 	Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error)
+	// Demand reports the organisations whose demand here is worth telling.
+	Demand(context.Context, *connect.Request[v1.DemandRequest]) (*connect.Response[v1.DemandResponse], error)
+	// Share tells what the entry sets its share of the limits by.
+	Share(context.Context, *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error)
 }
 
 // NewEntryServiceClient constructs a client for the sf.v1.EntryService service. By default, it uses
@@ -213,6 +319,18 @@
 			connect.WithSchema(entryServiceMethods.ByName("Status")),
 			connect.WithClientOptions(opts...),
 		),
+		demand: connect.NewClient[v1.DemandRequest, v1.DemandResponse](
+			httpClient,
+			baseURL+EntryServiceDemandProcedure,
+			connect.WithSchema(entryServiceMethods.ByName("Demand")),
+			connect.WithClientOptions(opts...),
+		),
+		share: connect.NewClient[v1.ShareRequest, v1.ShareResponse](
+			httpClient,
+			baseURL+EntryServiceShareProcedure,
+			connect.WithSchema(entryServiceMethods.ByName("Share")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -220,6 +338,8 @@
 type entryServiceClient struct {
 	apply  *connect.Client[v1.ApplyRequest, v1.ApplyResponse]
 	status *connect.Client[v1.StatusRequest, v1.StatusResponse]
+	demand *connect.Client[v1.DemandRequest, v1.DemandResponse]
+	share  *connect.Client[v1.ShareRequest, v1.ShareResponse]
 }
 
 // Apply calls sf.v1.EntryService.Apply.
@@ -232,6 +352,16 @@
 	return c.status.CallUnary(ctx, req)
 }
 
+// Demand calls sf.v1.EntryService.Demand.
+func (c *entryServiceClient) Demand(ctx context.Context, req *connect.Request[v1.DemandRequest]) (*connect.Response[v1.DemandResponse], error) {
+	return c.demand.CallUnary(ctx, req)
+}
+
+// Share calls sf.v1.EntryService.Share.
+func (c *entryServiceClient) Share(ctx context.Context, req *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error) {
+	return c.share.CallUnary(ctx, req)
+}
+
 // EntryServiceHandler is an implementation of the sf.v1.EntryService service.
 type EntryServiceHandler interface {
 	// Apply puts a configuration in force, unless it is older than the one in
@@ -239,6 +369,10 @@
 	Apply(context.Context, *connect.Request[v1.ApplyRequest]) (*connect.Response[v1.ApplyResponse], error)
 	// Status reports the version in force and the streams for each engine.
 	Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error)
+	// Demand reports the organisations whose demand here is worth telling.
+	Demand(context.Context, *connect.Request[v1.DemandRequest]) (*connect.Response[v1.DemandResponse], error)
+	// Share tells what the entry sets its share of the limits by.
+	Share(context.Context, *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error)
 }
 
 // NewEntryServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -260,12 +394,28 @@
 		connect.WithSchema(entryServiceMethods.ByName("Status")),
 		connect.WithHandlerOptions(opts...),
 	)
+	entryServiceDemandHandler := connect.NewUnaryHandler(
+		EntryServiceDemandProcedure,
+		svc.Demand,
+		connect.WithSchema(entryServiceMethods.ByName("Demand")),
+		connect.WithHandlerOptions(opts...),
+	)
+	entryServiceShareHandler := connect.NewUnaryHandler(
+		EntryServiceShareProcedure,
+		svc.Share,
+		connect.WithSchema(entryServiceMethods.ByName("Share")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/sf.v1.EntryService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case EntryServiceApplyProcedure:
 			entryServiceApplyHandler.ServeHTTP(w, r)
 		case EntryServiceStatusProcedure:
 			entryServiceStatusHandler.ServeHTTP(w, r)
+		case EntryServiceDemandProcedure:
+			entryServiceDemandHandler.ServeHTTP(w, r)
+		case EntryServiceShareProcedure:
+			entryServiceShareHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -282,3 +432,11 @@
 func (UnimplementedEntryServiceHandler) Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("sf.v1.EntryService.Status is not implemented"))
 }
+
+func (UnimplementedEntryServiceHandler) Demand(context.Context, *connect.Request[v1.DemandRequest]) (*connect.Response[v1.DemandResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("sf.v1.EntryService.Demand is not implemented"))
+}
+
+func (UnimplementedEntryServiceHandler) Share(context.Context, *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("sf.v1.EntryService.Share is not implemented"))
+}
--- a/internal/spread/holder.go
+++ b/internal/spread/holder.go
@@ -1,6 +1,8 @@
-// Package spread brings configuration versions to every instance: each
-// sf-control process reads the head of the table now and then, and tells a few
-// peers of what it learns; each passes a version on once.
+// Package spread decides how configuration versions reach every instance: each
+// sf-control process reads the head of the table now and then, tells a few
+// peers of what it learns, and compares versions with a random peer. The
+// decisions are pure (Machine, Leaving); Holder keeps the newest version. A
+// version never falls.
 package spread
 
 import (
@@ -14,7 +16,9 @@
 type Holder struct {
 	mu sync.Mutex // protects all below
 	// doc is never changed once it is held.
-	doc     *config.Config
+	doc *config.Config
+	// encoded is doc as JSON, made when it is first asked for; nil before.
+	encoded []byte
 	changed chan struct{}
 }
 
@@ -30,6 +34,16 @@
 	return h.doc
 }
 
+// Encoded returns the newest configuration as JSON. Treat it as read-only.
+func (h *Holder) Encoded() []byte {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.encoded == nil {
+		h.encoded = h.doc.Encode()
+	}
+	return h.encoded
+}
+
 // Learn takes a configuration, from whichever source, and tells whether it was
 // newer than the one held.
 func (h *Holder) Learn(doc *config.Config) bool {
@@ -38,7 +52,7 @@
 	if doc.Version <= h.doc.Version {
 		return false
 	}
-	h.doc = doc
+	h.doc, h.encoded = doc, nil
 	close(h.changed)
 	h.changed = make(chan struct{})
 	return true
