Bring the rollout's model to orders that are numbered by their send

Before: internal/rollout TestHistories: e0 did not arrive. After: it passes; the model takes its rows from order.Next and its engines keep the number of a repeated order, as the stand-in does. Nothing that it checks has changed.

--- a/internal/control/deliver.go
+++ b/internal/control/deliver.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"sassafrasfield/internal/bootclock"
 	"sassafrasfield/internal/config"
 	"sassafrasfield/internal/engine"
 	"sassafrasfield/internal/failpoint"
@@ -34,7 +35,7 @@
 	}
 	// The last check comes after the timer is armed: from here on either the
 	// send ends in time or the process does.
-	left := until - d.settings.Lease.SendGuard - selfkill.Now()
+	left := until - d.settings.Lease.SendGuard - bootclock.Now()
 	if left <= 0 {
 		d.orders.lapsed.Inc(1)
 		return errors.Errorf("order: the term for %s is about to end", pool)
--- a/internal/control/leasehandover.go
+++ b/internal/control/leasehandover.go
@@ -9,11 +9,11 @@
 
 	"connectrpc.com/connect"
 
+	"sassafrasfield/internal/bootclock"
 	sfv1 "sassafrasfield/internal/gen/sf/v1"
 	"sassafrasfield/internal/gen/sf/v1/sfv1connect"
 	"sassafrasfield/internal/lease"
 	"sassafrasfield/internal/platform"
-	"sassafrasfield/internal/selfkill"
 )
 
 // hintTimeout bounds a hint to another instance.
@@ -86,7 +86,7 @@
 		return
 	}
 	l.ranked = live
-	now := selfkill.Now()
+	now := bootclock.Now()
 	for _, p := range l.machines {
 		rank := l.ownRank(p.pool, live)
 		p.machine.SetPlace(l.daemon.settings.Lease.ranks().Place(rank))
@@ -117,14 +117,14 @@
 func (l *leases) noteHolder(p *poolLease) {
 	row, _ := p.machine.Row()
 	if row.Holder != p.holder {
-		p.holder, p.holderSince = row.Holder, selfkill.Now()
+		p.holder, p.holderSince = row.Holder, bootclock.Now()
 	}
 }
 
 // askBack asks the holders of leases that this instance is the first choice
 // for. Each is asked seldom, and only once both have been there for long.
 func (l *leases) askBack(ctx context.Context) {
-	now := selfkill.Now()
+	now := bootclock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, p := range l.machines {
@@ -247,7 +247,7 @@
 // mayHandBack tells whether to give a lease up for another instance. The lock
 // is held.
 func (l *leases) mayHandBack(p *poolLease, to string, live []string) bool {
-	now := selfkill.Now()
+	now := bootclock.Now()
 	_, held := p.machine.Held(now)
 	long := now-p.holderSince >= l.daemon.settings.Lease.HandBackAfter
 	higher := slices.Contains(live, to) && lease.Rank(p.pool, to, live) < l.ownRank(p.pool, live)
--- a/internal/control/leasemetrics.go
+++ b/internal/control/leasemetrics.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/rcrowley/go-metrics"
 
-	"sassafrasfield/internal/selfkill"
+	"sassafrasfield/internal/bootclock"
 )
 
 // leaseMetrics count what happens to leases. docs/operate/leases-and-orders.md
@@ -31,7 +31,7 @@
 func (m *leaseMetrics) count(machines map[string]*poolLease) {
 	held := int64(0)
 	for _, p := range machines {
-		if _, ok := p.machine.Held(selfkill.Now()); ok {
+		if _, ok := p.machine.Held(bootclock.Now()); ok {
 			held++
 		}
 	}
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -10,9 +10,9 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"sassafrasfield/internal/bootclock"
 	"sassafrasfield/internal/lease"
 	"sassafrasfield/internal/platform"
-	"sassafrasfield/internal/selfkill"
 )
 
 // leaseTick is how often the lease machines are asked what to do.
@@ -91,7 +91,7 @@
 	if !ok || p.closing != closingNot {
 		return authority{}, false
 	}
-	grant, held := p.machine.Held(selfkill.Now())
+	grant, held := p.machine.Held(bootclock.Now())
 	return authority{epoch: grant.Epoch, epochRevision: grant.EpochRevision}, held
 }
 
@@ -101,7 +101,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for pool, p := range l.machines {
-		if _, held := p.machine.Held(selfkill.Now()); held {
+		if _, held := p.machine.Held(bootclock.Now()); held {
 			pools = append(pools, pool)
 		}
 	}
@@ -129,7 +129,7 @@
 	defer l.mu.Unlock()
 	for _, p := range l.machines {
 		l.close(p)
-		action := p.machine.Tick(selfkill.Now())
+		action := p.machine.Tick(bootclock.Now())
 		l.noteHeld(p)
 		if action.Kind != lease.None {
 			l.calls.Go(func() { l.carryOut(ctx, p, action) })
@@ -169,7 +169,7 @@
 
 // noteHeld tells of authority won and lost. The lock is held.
 func (l *leases) noteHeld(p *poolLease) {
-	grant, held := p.machine.Held(selfkill.Now())
+	grant, held := p.machine.Held(bootclock.Now())
 	if held == p.wasHeld {
 		return
 	}
@@ -194,7 +194,7 @@
 	if !ok || p.closing != closingNot {
 		return 0, nil, errors.Errorf("order: the lease of %s is being given up", pool)
 	}
-	grant, held := p.machine.Held(selfkill.Now())
+	grant, held := p.machine.Held(bootclock.Now())
 	if !held || grant.Epoch != auth.epoch {
 		return 0, nil, errors.Errorf("order: the lease of %s has lapsed", pool)
 	}
--- a/internal/control/leasetable.go
+++ b/internal/control/leasetable.go
@@ -6,9 +6,9 @@
 
 	"github.com/pkg/errors"
 
+	"sassafrasfield/internal/bootclock"
 	"sassafrasfield/internal/lease"
 	"sassafrasfield/internal/platform"
-	"sassafrasfield/internal/selfkill"
 )
 
 // carryOut does what a machine asked for.
@@ -29,10 +29,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
-		p.machine.OnReadFailed(selfkill.Now())
+		p.machine.OnReadFailed(bootclock.Now())
 		return
 	}
-	p.machine.OnRead(selfkill.Now(), content, row.Revision)
+	p.machine.OnRead(bootclock.Now(), content, row.Revision)
 	l.noteHolder(p)
 }
 
@@ -61,7 +61,7 @@
 		l.log.Info("lease: outcome of a write unknown", "pool", p.pool, "epoch", action.Row.Epoch, "error", err)
 	}
 	l.mu.Lock()
-	p.machine.OnWrite(selfkill.Now(), outcome, revision)
+	p.machine.OnWrite(bootclock.Now(), outcome, revision)
 	l.noteHolder(p)
 	l.noteHeld(p)
 	l.mu.Unlock()
--- a/internal/rollout/model_test.go
+++ b/internal/rollout/model_test.go
@@ -54,6 +54,7 @@
 	doneAt        time.Duration
 	unreachable   bool
 	lastOrder     string
+	lastFence     int64
 	// streams on it for each instance, and requests on their way to it, which
 	// the instance counts and the engine does not. They arrive within a tick.
 	streams, arriving map[string]int
@@ -148,14 +149,18 @@
 // crash drops what the engine runs and has loaded, as a restart does.
 func (e *fakeEngine) crash(version string) {
 	e.state = config.EngineState{Model: "m", Version: version, Role: config.RoleMixed}
-	e.changing, e.lastOrder, e.streams = false, "", map[string]int{}
+	e.changing, e.lastOrder, e.lastFence, e.streams = false, "", 0, map[string]int{}
 	e.arriving = map[string]int{}
 }
 
 // take carries an order out. It checks that nothing is cut off by it.
 func (w *world) take(id string, row order.Row) {
 	e := w.engines[id]
-	if e.unreachable || (e.changing && e.lastOrder == row.ID) {
+	if e.unreachable {
+		return
+	}
+	e.lastFence = row.Fence()
+	if e.changing && e.lastOrder == row.ID {
 		return
 	}
 	if e.state.Disruptive(row.Want) || e.changing {
@@ -216,7 +221,8 @@
 	}
 	w.silentEngines.Answered(id)
 	return EngineView{Reachable: true, RoutingAge: age, Status: engine.Status{
-		State: e.state, Changing: e.changing, LastOrder: e.lastOrder, Running: e.running(),
+		State: e.state, Changing: e.changing, Running: e.running(),
+		LastOrder: e.lastOrder, LastFence: e.lastFence,
 	}}
 }
 
@@ -232,12 +238,9 @@
 		if !sameEntry(w.doc.Engine(a.Engine), v.Config.Engine(a.Engine)) {
 			return
 		}
-		row, ok := w.orders[a.Engine]
-		if !ok || row.State != order.StateOpen {
-			w.orderIDs++
-			row = order.Row{ID: fmt.Sprint(w.orderIDs), Engine: a.Engine, Want: a.Want, State: order.StateOpen}
-			w.orders[a.Engine] = row
-		}
+		w.orderIDs++
+		row := w.orders[a.Engine].Next(1, a.Engine, a.Want, fmt.Sprint(w.orderIDs))
+		w.orders[a.Engine] = row
 		w.take(a.Engine, row)
 	case Mark:
 		w.mark(v, a)
--- a/internal/selfkill/selfkill.go
+++ b/internal/selfkill/selfkill.go
@@ -44,18 +44,9 @@
 	id int32
 }
 
-// Now reads CLOCK_BOOTTIME. Compare it with readings of the same process
-// alone.
-func Now() time.Duration {
-	var now unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
-		panic(errors.Wrap(err, "selfkill: clock")) // each Linux since 2.6.39 has it
-	}
-	return time.Duration(now.Nano())
-}
-
-// Arm makes the kernel kill this process when Now reaches the instant, unless
-// Disarm is called before. An instant in the past kills at once.
+// Arm makes the kernel kill this process when bootclock.Now reaches the
+// instant, unless Disarm is called before. An instant in the past kills at
+// once.
 func Arm(at time.Duration) (*Timer, error) {
 	event := sigevent{signo: int32(unix.SIGKILL), notify: notifySignal}
 	t := &Timer{}
--- a/internal/selfkill/selfkill_test.go
+++ b/internal/selfkill/selfkill_test.go
@@ -6,6 +6,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"sassafrasfield/internal/bootclock"
 )
 
 // roleVariable makes the test binary play a process with an armed timer.
@@ -30,7 +32,7 @@
 // child arms a timer, stops itself if told to, and writes a line if it gets to
 // run past the instant.
 func child(freeze bool) {
-	at := Now() + killAfter
+	at := bootclock.Now() + killAfter
 	if _, err := Arm(at); err != nil {
 		_, _ = os.Stdout.WriteString(err.Error())
 		os.Exit(1)
@@ -38,7 +40,7 @@
 	if freeze {
 		_ = syscall.Kill(os.Getpid(), syscall.SIGSTOP)
 	}
-	for Now() < at+time.Minute {
+	for bootclock.Now() < at+time.Minute {
 		time.Sleep(time.Millisecond)
 	}
 	_, _ = os.Stdout.WriteString("ran on")
@@ -46,12 +48,12 @@
 
 // disarmed arms and disarms a timer and outlives its instant.
 func disarmed() {
-	at := Now() + killAfter
+	at := bootclock.Now() + killAfter
 	timer, err := Arm(at)
 	if err == nil {
 		err = timer.Disarm()
 	}
-	for Now() < at+killAfter {
+	for bootclock.Now() < at+killAfter {
 		time.Sleep(time.Millisecond)
 	}
 	if err != nil {
