--- a/internal/failpoint/failpoint.go
+++ b/internal/failpoint/failpoint.go
@@ -7,10 +7,13 @@
 
 import (
 	"os"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // Variable is the environment variable that switches points on.
@@ -46,10 +49,19 @@
 	due := p.left == 0
 	mu.Unlock()
 	if due {
-		_ = syscall.Kill(os.Getpid(), p.signal) // a process may signal itself
+		deliver(p.signal)
 	}
 }
 
+// deliver sends a signal to the calling thread. A signal to the process could
+// be taken by another thread, and this one would run on past the point until
+// the stop reaches it.
+func deliver(signal syscall.Signal) {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	_ = unix.Tgkill(os.Getpid(), unix.Gettid(), signal) // a process may signal itself
+}
+
 func load() {
 	points = parse(os.Getenv(Variable))
 }
