--- a/internal/operatorcli/races_test.go
+++ b/internal/operatorcli/races_test.go
@@ -39,6 +39,7 @@
 		{"an intent contradicts a running plan, which is then cancelled", (*planFleet).contradictAndCancel},
 		{"an engine crashes partway through a change", (*planFleet).crashPartway},
 		{"an engine loses its state while it serves", (*planFleet).loseState},
+		{"an engine dies for good in a plan", (*planFleet).dieInPlan},
 	} {
 		ok := t.Run(race.name, func(t *testing.T) {
 			sub := *f
@@ -259,3 +260,23 @@
 		return lost && f.loadedVersions()["4"] == len(f.Engines) && strings.Count(engines, "serving") == len(f.Engines)
 	}))
 }
+
+// dieInPlan kills an engine in its change. The plan tells what it waits for;
+// cancelled, it makes way for the withdrawal of the dead engine.
+func (f *planFleet) dieInPlan() {
+	victim := f.Engines[2]
+	running := f.declare(fmt.Sprintf("[[engine]]\nid = %q\nrole = \"decode\"\n", victim.ID))
+	f.confirm(running.ID)
+	f.must(testfleet.Until(f.ctx, "the engine is changing", func() bool { return f.status(victim).Changing }))
+	victim.Process.Kill()
+	f.must(testfleet.Until(f.ctx, "the plan tells what it waits for", func() bool {
+		return strings.Contains(fmt.Sprint(f.plan(running.ID).Steps), "does not answer")
+	}))
+	if code, output := f.sfctl(0, "ana", "cancel", running.ID); code != program.ExitOK {
+		f.t.Fatalf("cancel: %s", output)
+	}
+	f.carryOut(fmt.Sprintf(leaveEngine, victim.ID))
+	if _, engines := f.sfctl(0, "ana", "engines"); strings.Count(engines, " out ") != 1 {
+		f.t.Errorf("engines: %s", engines)
+	}
+}
