--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -28,6 +29,9 @@
 // compressed.
 const compressFrom = 1024
 
+// idlePeers bounds the idle connections to peers.
+const idlePeers = 16
+
 // Daemon is one sf-control process.
 type Daemon struct {
 	settings *Settings
@@ -66,7 +70,7 @@
 		platform: client,
 		versions: versions.Log{Table: client},
 		holder:   spread.NewHolder(),
-		http:     &http.Client{Timeout: s.PlatformTimeout},
+		http:     &http.Client{Timeout: s.PlatformTimeout, Transport: peerTransport()},
 		options:  []connect.ClientOption{connect.WithInterceptors(interceptor)},
 		engines:  map[string]engine.Engine{},
 	}
@@ -127,11 +131,12 @@
 // readyz tells whether the process holds a configuration that it may take for
 // the newest, and else why not.
 func (d *Daemon) readyz(w http.ResponseWriter, _ *http.Request) {
-	if status := d.spread.status(); !status.Fresh {
+	status := d.spread.status()
+	if !status.Fresh {
 		http.Error(w, status.Reason, http.StatusServiceUnavailable)
 		return
 	}
-	w.WriteHeader(http.StatusOK)
+	fmt.Fprintf(w, "ready, fresh by %s\n", status.By)
 }
 
 // engineAt returns the client for an engine's address.
@@ -167,3 +172,9 @@
 		}
 	}
 }
+
+// peerTransport keeps few idle connections: at hundreds of instances the next
+// exchange is seldom with a peer of the last ones.
+func peerTransport() *http.Transport {
+	return &http.Transport{MaxIdleConns: idlePeers, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}
+}
