--- a/internal/control/observe.go
+++ b/internal/control/observe.go
@@ -18,8 +18,7 @@
 // engine's answer is newer than the instances'. The instances are asked only
 // when an engine waits for that: neither a pool that is watched for faults nor
 // one with an engine that is gone costs them questions.
-func (d *Daemon) observe(ctx context.Context, pool string) (rollout.View, error) {
-	doc := d.holder.Current()
+func (d *Daemon) observe(ctx context.Context, doc *config.Config, pool string) (rollout.View, error) {
 	orders, err := d.readOrders(ctx, pool)
 	if err != nil {
 		return rollout.View{}, err
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -69,7 +69,11 @@
 			return false, err
 		}
 	}
-	view, err := d.observe(ctx, pool)
+	doc := d.holder.Current()
+	if doc.Pool(pool) == nil {
+		return false, nil // removed; its lease is given up on the way
+	}
+	view, err := d.observe(ctx, doc, pool)
 	if err != nil {
 		return false, err
 	}
