--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -341,7 +341,7 @@
 
 func engineLoad(req *route.Request, c route.Candidate) admit.EngineLoad {
 	report := &c.Load.Report
-	byNow := c.Load.Estimated(req.Traffic, req.Now)
+	byNow := c.Load.Estimated(req.Now)
 	return admit.EngineLoad{
 		PrefillAhead: byNow.PrefillTokens, PrefillRate: report.PrefillRate,
 		Cached:  route.CachedTokens(req, c),
