Prove settings and traces, and pass trace context to the platform

Cause: the settings examples, the linkage to the C library and the traces had no test; the platform client made spans but sent no trace context, sf-control answered peers and operators without a span, and orders had no span. Ruled out: examples kept by hand; they are written from the settings structs (make generate), and a test compares. Conclusion: a request and an order can each be followed through every hop.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,8 @@
 SHELL := /bin/bash
 BIN := $(CURDIR)/bin
 export SF_BIN := $(BIN)
+# The programs are linked to the C library; without a compiler the build fails.
+export CGO_ENABLED := 1
 
 .PHONY: help build demo test lint prove bench generate
 
@@ -28,5 +30,6 @@
 bench: build ## Measure, and write the tables and plots of docs/MEASUREMENTS.md into out/.
 	scripts/bench.sh
 
-generate: ## Generate the code of the protocol between our processes again.
+generate: ## Generate the protocol's code and the examples under configs/ again.
+	go test -count=1 -run TestExamplesNameEveryKey ./internal/program -update
 	cd proto && go tool -modfile=../tools/go.mod buf lint && go tool -modfile=../tools/go.mod buf generate
--- a/cmd/sf-standin/main.go
+++ b/cmd/sf-standin/main.go
@@ -36,7 +36,7 @@
 	case serviceCmd.FullCommand():
 		handler = standin.NewService(*serviceID).Handler()
 	}
-	server := &http.Server{Addr: *listen, Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	server := &http.Server{Addr: *listen, Handler: standin.RecordTraces(handler), ReadHeaderTimeout: 10 * time.Second}
 	if err := server.ListenAndServe(); err != nil {
 		fmt.Fprintln(os.Stderr, "sf-standin:", err)
 		os.Exit(1)
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -40,6 +40,8 @@
 	leases   *leases
 	http     *http.Client
 	options  []connect.ClientOption
+	// serving are the options of the handlers: a span for each call.
+	serving []connect.HandlerOption
 
 	mu      sync.Mutex // protects engines
 	engines map[string]engine.Engine
@@ -64,6 +66,7 @@
 		holder:   spread.NewHolder(),
 		http:     &http.Client{Timeout: s.PlatformTimeout},
 		options:  []connect.ClientOption{connect.WithInterceptors(interceptor)},
+		serving:  []connect.HandlerOption{connect.WithInterceptors(interceptor)},
 		engines:  map[string]engine.Engine{},
 		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
@@ -112,8 +115,8 @@
 
 func (d *Daemon) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(sfv1connect.NewPeerServiceHandler(&peerService{daemon: d}))
-	mux.Handle(sfv1connect.NewOperatorServiceHandler(&operatorService{daemon: d}))
+	mux.Handle(sfv1connect.NewPeerServiceHandler(&peerService{daemon: d}, d.serving...))
+	mux.Handle(sfv1connect.NewOperatorServiceHandler(&operatorService{daemon: d}, d.serving...))
 	mux.HandleFunc("/livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("/readyz", d.readyz)
 	mux.HandleFunc("/metrics", serveMetrics)
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -34,6 +34,8 @@
 	if !held || settled(d.holder.Current(), pool) {
 		return nil
 	}
+	ctx, span := startStep(ctx, pool, auth)
+	defer span.End()
 	if err := d.poll(ctx); err != nil {
 		return err
 	}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -12,7 +12,10 @@
 
 	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
 )
 
 // Paths of an engine's HTTP interface; see docs/INTERFACES.md.
@@ -89,8 +92,14 @@
 
 // Order implements Engine.
 func (c *Client) Order(ctx context.Context, order Order) (Status, error) {
+	ctx, span := otel.Tracer("engine").Start(ctx, "engine order", trace.WithSpanKind(trace.SpanKindClient))
+	defer span.End()
+	span.SetAttributes(attribute.String("order", order.ID), attribute.Int64("fence", order.Fence))
 	var status Status
 	err := c.call(ctx, PathOrder, order, &status)
+	if err != nil {
+		span.SetStatus(codes.Error, err.Error())
+	}
 	return status, err
 }
 
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -13,6 +13,8 @@
 	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
 )
 
 // Paths of the platform's HTTP interface; see docs/INTERFACES.md.
@@ -127,7 +129,7 @@
 }
 
 func (c *Client) call(ctx context.Context, method, path string, body, reply any) error {
-	ctx, span := otel.Tracer("platform").Start(ctx, "platform "+path)
+	ctx, span := otel.Tracer("platform").Start(ctx, "platform "+path, trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
 	err := c.send(ctx, method, path, body, reply)
 	if err != nil && !errors.Is(err, ErrNotFound) {
@@ -151,6 +153,7 @@
 	if err != nil {
 		return errors.Wrap(err, "platform: request")
 	}
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(req.Header))
 	res, err := c.http.Do(req)
 	if err != nil {
 		return classify(err)
--- /dev/null
+++ b/internal/program/example_test.go
@@ -0,0 +1,122 @@
+package program_test
+
+import (
+	"flag"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"sassafrasfield/internal/control"
+	"sassafrasfield/internal/entry"
+	"sassafrasfield/internal/program"
+	"sassafrasfield/internal/settings/annotate"
+	"sassafrasfield/internal/testfleet"
+	"sassafrasfield/internal/tomlfile"
+)
+
+// update writes the examples again; `make generate` sets it.
+var update = flag.Bool("update", false, "write the examples under configs/ again")
+
+// examples are the annotated settings files, by program.
+func examples(root string) map[string]annotate.Example {
+	common := func(title string, s any, own map[string]string) annotate.Example {
+		own["instance"], own["zone"], own["platform"] = `"inst-1"`, `"hall-a"`, `"10.0.0.10:7000"`
+		return annotate.Example{Root: root, Title: title, Settings: s, Values: own}
+	}
+	const title = "Settings with every key. The values are the defaults, but for names and addresses, " +
+		"which have none. Durations are strings such as \"250ms\". `make generate` writes this file."
+	return map[string]annotate.Example{
+		"sf-entry": common("sf-entry: "+title, entry.DefaultSettings(),
+			map[string]string{"listen": `"10.0.1.1:8080"`, "local": `"127.0.0.1:8081"`}),
+		"sf-control": common("sf-control: "+title, control.DefaultSettings(),
+			map[string]string{"listen": `"10.0.1.1:8090"`, "entry_local": `"127.0.0.1:8081"`}),
+	}
+}
+
+func TestExamplesNameEveryKey(t *testing.T) {
+	root, err := testfleet.Root()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, example := range examples(root) {
+		path := filepath.Join(root, "configs", name+".toml")
+		want, err := example.Write()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if *update {
+			if err := os.WriteFile(path, []byte(want), 0o644); err != nil {
+				t.Fatal(err)
+			}
+		}
+		data, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if string(data) != want {
+			t.Errorf("%s lags behind the settings struct; run `make generate`", path)
+		}
+		file := tomlfile.Decode(path, data, example.Settings)
+		for _, key := range annotate.Keys(example.Settings) {
+			if !file.Has(key) {
+				t.Errorf("%s lacks %s", path, key)
+			}
+		}
+	}
+}
+
+// TestEachKeyIsExplained wants a comment on each key of each program.
+func TestEachKeyIsExplained(t *testing.T) {
+	root, err := testfleet.Root()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, example := range examples(root) {
+		text, err := example.Write()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if strings.Contains(text, "\n#\n") {
+			t.Errorf("%s: a key has no comment:\n%s", name, text)
+		}
+	}
+}
+
+func TestCheckSettingsOfTheRealPrograms(t *testing.T) {
+	bin, err := testfleet.Bin()
+	if err != nil {
+		t.Fatal(err)
+	}
+	root, err := testfleet.Root()
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	for name, example := range examples(root) {
+		good := filepath.Join(root, "configs", name+".toml")
+		checkSettings(t, filepath.Join(bin, name), good, program.ExitOK, good+": no findings\n")
+		data, err := os.ReadFile(good)
+		if err != nil {
+			t.Fatal(err)
+		}
+		bad := filepath.Join(dir, name+".toml")
+		text := strings.Replace(string(data), example.Values["listen"], `"nowhere"`, 1) + "surprise = 1\n"
+		if err := os.WriteFile(bad, []byte(text), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		checkSettings(t, filepath.Join(bin, name), bad, program.ExitUsage, "surprise: unknown key\n")
+		missing := filepath.Join(dir, "missing.toml")
+		checkSettings(t, filepath.Join(bin, name), missing, program.ExitUsage, "no such file")
+	}
+}
+
+func checkSettings(t *testing.T, binary, path string, code int, want string) {
+	t.Helper()
+	cmd := exec.Command(binary, "--settings", path, "--check-settings")
+	output, _ := cmd.CombinedOutput() // the exit code is checked below
+	if cmd.ProcessState.ExitCode() != code || !strings.Contains(string(output), want) {
+		t.Errorf("%s: exit code %d, want %d with %q:\n%s", path, cmd.ProcessState.ExitCode(), code, want, output)
+	}
+}
--- /dev/null
+++ b/internal/settings/annotate/source.go
@@ -0,0 +1,52 @@
+package annotate
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+)
+
+// readDocs returns the doc comment of each field of a struct type that is
+// declared in a folder.
+func readDocs(dir, typeName string) (map[string]string, error) {
+	paths, err := filepath.Glob(filepath.Join(dir, "*.go"))
+	if err != nil {
+		return nil, errors.Wrap(err, "annotate")
+	}
+	for _, path := range paths {
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.ParseComments)
+		if err != nil {
+			return nil, errors.Wrap(err, "annotate")
+		}
+		if found := structNamed(file, typeName); found != nil {
+			return commentsOf(found), nil
+		}
+	}
+	return nil, errors.Errorf("annotate: %s has no struct %s", dir, typeName)
+}
+
+func structNamed(file *ast.File, name string) *ast.StructType {
+	object := file.Scope.Lookup(name)
+	if object == nil {
+		return nil
+	}
+	spec, ok := object.Decl.(*ast.TypeSpec)
+	if !ok {
+		return nil
+	}
+	found, _ := spec.Type.(*ast.StructType) // nil when it is another type
+	return found
+}
+
+func commentsOf(s *ast.StructType) map[string]string {
+	docs := map[string]string{}
+	for _, field := range s.Fields.List {
+		for _, name := range field.Names {
+			docs[name.Name] = field.Doc.Text()
+		}
+	}
+	return docs
+}
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"sync"
 )
 
 // PathFault switches faults of a stand-in at run time.
@@ -25,3 +26,35 @@
 	}
 	return true
 }
+
+// PathTraces returns the trace contexts that a stand-in has seen.
+const PathTraces = "/traces"
+
+// tracesKept bounds the trace contexts that are kept.
+const tracesKept = 4096
+
+// SeenTrace is a call that carried a W3C trace context.
+type SeenTrace struct {
+	Path        string `json:"path"`
+	Traceparent string `json:"traceparent"`
+}
+
+// RecordTraces keeps the trace context of each call to next, and serves them
+// at PathTraces.
+func RecordTraces(next http.Handler) http.Handler {
+	var mu sync.Mutex // protects seen
+	var seen []SeenTrace
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		if r.URL.Path == PathTraces {
+			defer mu.Unlock()
+			reply(w, seen)
+			return
+		}
+		if parent := r.Header.Get("Traceparent"); parent != "" && len(seen) < tracesKept {
+			seen = append(seen, SeenTrace{Path: r.URL.Path, Traceparent: parent})
+		}
+		mu.Unlock()
+		next.ServeHTTP(w, r)
+	})
+}
