Run scripted scenarios that operators can read, and report findings together

Cause: no test ran a fleet by a script; unknown keys hid values out of range; an engine that should only leave was never drained. Ruled out: the floor of the pool and a missing lease (the log shows the lease held and no step): settled() took a leaving engine that serves for arrived. Before: the drain script ended with 'step 1 waiting: drain engine-1 and take it out' after 60 s; a file with an unknown key and a bad role told the key alone. Conclusion: the scripts found a fault that the demo's drain, which also loads an adapter, had hidden.

--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -54,7 +54,7 @@
 // settled tells whether the configuration has nothing left to do for a pool.
 func settled(doc *config.Config, pool string) bool {
 	for _, e := range doc.PoolEngines(pool) {
-		arrived := e.Routing == config.RoutingServing && e.Loaded.Equal(e.Want)
+		arrived := !e.Leave && e.Routing == config.RoutingServing && e.Loaded.Equal(e.Want)
 		gone := e.Leave && e.Routing == config.RoutingOut
 		if !arrived && !gone {
 			return false
--- a/internal/intent/intent.go
+++ b/internal/intent/intent.go
@@ -90,7 +90,7 @@
 func Parse(name string, data []byte) (*Intent, finding.List) {
 	in := &Intent{}
 	file := tomlfile.Decode(name, data, in)
-	if !file.Findings().Failed() {
+	if file.Parsed() {
 		checkShape(file, in)
 	}
 	return in, file.Findings()
@@ -102,10 +102,12 @@
 func Apply(name string, data []byte, base *config.Config) (*config.Config, *Intent, finding.List) {
 	in := &Intent{}
 	file := tomlfile.Decode(name, data, in)
+	if file.Parsed() {
+		checkShape(file, in)
+	}
 	if file.Findings().Failed() {
 		return nil, in, file.Findings()
 	}
-	checkShape(file, in)
 	target := base.Clone()
 	a := applier{file: file, target: target}
 	a.models(in.Models)
--- a/internal/program/settings_test.go
+++ b/internal/program/settings_test.go
@@ -37,6 +37,10 @@
 			"instance = 7\nzonne = \"z\"\n\n[limits]\n  max_body_bytes = \"4 MiB\"\n  sides = 3\n[engine]\ntimeout = 30\nreport_every = \"soon\"\n[log]\nlevel = true\n",
 			[]string{
 				"1:1: instance: want a string",
+				"1:1: zone: must be set",
+				`1:1: listen: want an IP number with a port, not ""`,
+				`1:1: local: want an IP number with a port, not ""`,
+				`1:1: platform: want an IP number with a port, not ""`,
 				"2:1: zonne: unknown key",
 				"5:3: limits.max_body_bytes: want a whole number",
 				"6:3: limits.sides: unknown key",
@@ -66,7 +70,7 @@
 				`5:1: local: want an IP number with a port, not "127.0.0.1"`,
 			},
 		},
-		"a table that is none": {entry.DefaultSettings(), "limits = 5\n", []string{"1:1: limits: want a table"}},
+		"a table that is none": {entry.DefaultSettings(), "limits = 5\n" + entryNames + "listen = \"127.0.0.1:2\"\nlocal = \"127.0.0.1:3\"\n", []string{"1:1: limits: want a table"}},
 		"a syntax fault comes alone": {
 			entry.DefaultSettings(), "instance = \"i\"\nzone = \n", []string{"2:"},
 		},
--- /dev/null
+++ b/internal/scenario/commands_call.go
@@ -0,0 +1,225 @@
+package scenario
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"sassafrasfield/internal/callerapi"
+	"sassafrasfield/internal/engine"
+	"sassafrasfield/internal/standin"
+	"sassafrasfield/internal/stream"
+	"sassafrasfield/internal/testcaller"
+	"sassafrasfield/internal/testfleet"
+)
+
+// prompt of the scripts' requests.
+const prompt = "Is this grade claim consistent with the history of lot 4471?"
+
+// followed is a streamed answer that a script follows.
+type followed struct {
+	chat   testcaller.Chat
+	answer testcaller.Answer
+	err    error
+	ended  chan struct{}
+}
+
+// Expected returns the whole answer that each engine makes to a chat.
+func Expected(chat testcaller.Chat) string {
+	name, adapter, version := callerapi.SplitModel(chat.Model)
+	body := callerapi.Request{Messages: []callerapi.Message{{Role: "user", Content: callerapi.Content(chat.Prompt)}}}
+	return standin.NewText(engine.Request{
+		Model: name, Adapter: adapter, Version: version, Prompt: body.Text(), MaxTokens: chat.MaxTokens, Seed: chat.Seed,
+	}).Whole()
+}
+
+// newChat reads the number of tokens and makes a request with a seed of its
+// own.
+func (s *script) newChat(tokens string) (testcaller.Chat, error) {
+	n, err := strconv.Atoi(tokens)
+	seed := int64(len(s.streams) + 1)
+	return testcaller.Chat{Model: ModelName, Prompt: prompt, MaxTokens: n, Seed: seed}, errors.WithStack(err)
+}
+
+// cmdAsk: ask inst-1 20. It asks for an answer of up to 20 tokens until it gets
+// one, and wants it whole.
+func cmdAsk(s *script, _ *testscript.TestScript, args []string) error {
+	if len(args) != 2 || s.harness.Instance(args[0]) == nil {
+		return errors.New("ask: want an instance and a number of tokens")
+	}
+	chat, err := s.newChat(args[1])
+	if err != nil {
+		return err
+	}
+	var answer testcaller.Answer
+	err = s.until("an answer from "+args[0], func() bool {
+		answer, err = s.harness.Caller.Stream(s.ctx, s.harness.Instance(args[0]).EntryAddress, chat, nil)
+		return err == nil && answer.Done
+	})
+	if err == nil && answer.Text != Expected(chat) {
+		return errors.Errorf("got %q, want %q", answer.Text, Expected(chat))
+	}
+	return err
+}
+
+// cmdStream: stream NAME inst-1 150. It starts an answer, waits for its first
+// event, and sets $NAME to the engine that it runs on. A refusal is tried
+// again.
+func cmdStream(s *script, ts *testscript.TestScript, args []string) error {
+	if len(args) != 3 || s.harness.Instance(args[1]) == nil {
+		return errors.New("stream: want a name, an instance and a number of tokens")
+	}
+	chat, err := s.newChat(args[2])
+	if err != nil {
+		return err
+	}
+	var f *followed
+	id := ""
+	err = s.until("a first event", func() bool {
+		f, id = s.follow(s.harness.Instance(args[1]).EntryAddress, chat)
+		return id != ""
+	})
+	if err != nil {
+		return errors.Wrapf(err, "%+v, %v", f.answer, f.err)
+	}
+	s.streams[args[0]] = f
+	token, err := stream.ParseToken(id)
+	ts.Setenv(args[0], token.Engine)
+	return errors.WithStack(err)
+}
+
+// follow starts an answer and returns with the id of its first event, or with
+// "" when it ended before.
+func (s *script) follow(entry string, chat testcaller.Chat) (*followed, string) {
+	f := &followed{chat: chat, ended: make(chan struct{})}
+	first := make(chan string, 1)
+	go func() {
+		defer close(f.ended)
+		f.answer, f.err = s.harness.Caller.Stream(s.ctx, entry, chat, func(id, _ string) {
+			select {
+			case first <- id:
+			default:
+			}
+		})
+	}()
+	select {
+	case id := <-first:
+		return f, id
+	case <-f.ended:
+		return f, ""
+	}
+}
+
+// cmdWhole: whole NAME. It waits for the end of an answer and wants all of it,
+// byte for byte.
+func cmdWhole(s *script, _ *testscript.TestScript, args []string) error {
+	f, err := s.ended(args)
+	if err != nil {
+		return err
+	}
+	if f.err != nil || !f.answer.Done || f.answer.Text != Expected(f.chat) {
+		return errors.Errorf("the answer is not whole (%v): %+v, want %q", f.err, f.answer, Expected(f.chat))
+	}
+	return nil
+}
+
+// cmdBroken: broken NAME. It waits for the end of an answer and wants it cut.
+func cmdBroken(s *script, _ *testscript.TestScript, args []string) error {
+	f, err := s.ended(args)
+	if err == nil && f.answer.Done {
+		return errors.New("the answer is whole")
+	}
+	return err
+}
+
+func (s *script) ended(args []string) (*followed, error) {
+	if len(args) != 1 || s.streams[args[0]] == nil {
+		return nil, errors.New("want the name of a stream")
+	}
+	select {
+	case <-s.streams[args[0]].ended:
+		return s.streams[args[0]], nil
+	case <-s.ctx.Done():
+		return nil, errors.New("the stream did not end")
+	}
+}
+
+// cmdResume: resume NAME inst-2. It goes on with a broken answer and wants the
+// rest of it, byte for byte.
+func cmdResume(s *script, _ *testscript.TestScript, args []string) error {
+	if len(args) != 2 || s.harness.Instance(args[1]) == nil {
+		return errors.New("resume: want the name of a stream and an instance")
+	}
+	f, err := s.ended(args[:1])
+	if err != nil {
+		return err
+	}
+	f.chat.LastEventID = f.answer.LastID
+	rest, err := s.harness.Caller.Stream(s.ctx, s.harness.Instance(args[1]).EntryAddress, f.chat, nil)
+	if err != nil || !rest.Done || f.answer.Text+rest.Text != Expected(f.chat) {
+		return errors.Errorf("the answer is not whole (%v): %q then %+v, want %q", err, f.answer.Text, rest, Expected(f.chat))
+	}
+	return nil
+}
+
+// cmdIssue: issue inst-1 KEY. It asks for a certificate under an idempotency
+// key, once, and prints status, outcome and answer.
+func cmdIssue(s *script, ts *testscript.TestScript, args []string) error {
+	if len(args) != 2 || s.harness.Instance(args[0]) == nil {
+		return errors.New("issue: want an instance and a key")
+	}
+	header := http.Header{"Idempotency-Key": []string{args[1]}}
+	ctx, cancel := context.WithTimeout(s.ctx, 20*time.Second)
+	defer cancel()
+	res, err := s.harness.Caller.Post(ctx, s.harness.Instance(args[0]).EntryAddress, "/bales/certificates", header, []byte(`{"lot": 4471}`))
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	line := strings.Join([]string{res.Status, res.Header.Get("X-Outcome"), res.Header.Get("Retry-After"), string(body)}, " ")
+	_, err = ts.Stdout().Write([]byte(line))
+	return errors.WithStack(err)
+}
+
+// cmdRuns: runs 1. It wants that many certificates in the services' own books.
+func cmdRuns(s *script, _ *testscript.TestScript, args []string) error {
+	total := 0
+	for _, service := range s.harness.Fleet.Services {
+		var book standin.ServiceBook
+		if err := testfleet.Post(s.ctx, service.Address, standin.PathBook, nil, &book); err != nil {
+			return err
+		}
+		total += book.Runs["POST /bales/certificates"]
+	}
+	if len(args) != 1 || strconv.Itoa(total) != args[0] {
+		return errors.Errorf("%d runs, want %v", total, args)
+	}
+	return nil
+}
+
+// cmdCutStreams: cut-streams 0. It wants that many streams cut off by orders or
+// crashes, by the engines' own books.
+func cmdCutStreams(s *script, _ *testscript.TestScript, args []string) error {
+	total := 0
+	for _, e := range s.harness.Fleet.Engines {
+		var book standin.Book
+		if err := testfleet.Post(s.ctx, e.Address, standin.PathBook, nil, &book); err != nil {
+			return err
+		}
+		total += book.Cut
+	}
+	if len(args) != 1 || strconv.Itoa(total) != args[0] {
+		return errors.Errorf("%d streams were cut, want %v", total, args)
+	}
+	return nil
+}
--- a/internal/scenario/harness.go
+++ b/internal/scenario/harness.go
@@ -18,6 +18,7 @@
 
 	"github.com/pkg/errors"
 
+	"sassafrasfield/internal/lease"
 	"sassafrasfield/internal/platform"
 	"sassafrasfield/internal/testcaller"
 	"sassafrasfield/internal/testfleet"
@@ -269,3 +270,21 @@
 	}
 	return h.Fleet.List(ctx, platform.Instance{ID: id, Kind: platform.KindUpstream, State: state})
 }
+
+// Holder returns the id of the instance that holds a pool's lease by the
+// table, or "".
+func (h *Harness) Holder(ctx context.Context, pool string) string {
+	row, err := h.Fleet.PlatformClient().Get(ctx, "lease/"+pool)
+	if err != nil {
+		return ""
+	}
+	var content lease.Row
+	if json.Unmarshal(row.Value, &content) != nil {
+		return ""
+	}
+	id, _, _ := strings.Cut(content.Holder, "/")
+	if h.Instance(id) == nil {
+		return ""
+	}
+	return id
+}
--- /dev/null
+++ b/internal/scenario/script.go
@@ -0,0 +1,127 @@
+package scenario
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"sassafrasfield/internal/testfleet"
+)
+
+// scriptTimeout bounds one script.
+const scriptTimeout = 3 * time.Minute
+
+// scriptsAtOnce bounds the fleets that run at the same time.
+const scriptsAtOnce = 3
+
+// stateKey is the key of a script's state in its environment.
+type stateKey struct{}
+
+// script is the state of one running script.
+type script struct {
+	ctx     context.Context
+	harness *Harness
+	// via is the instance that sfctl talks to.
+	via string
+	// streams are the answers that the script follows, by name.
+	streams map[string]*followed
+}
+
+// Params returns what testscript needs to run the scripts of a folder. The
+// commands are listed in testdata/README.md.
+func Params(dir, bin string) testscript.Params {
+	slots := make(chan struct{}, scriptsAtOnce)
+	return testscript.Params{
+		Dir: dir,
+		Setup: func(env *testscript.Env) error {
+			slots <- struct{}{}
+			return setUp(env, bin, func() { <-slots })
+		},
+		Cmds: commands(),
+	}
+}
+
+// Commands names the commands of the scripts.
+func Commands() []string {
+	var names []string
+	for name := range commands() {
+		names = append(names, name)
+	}
+	return names
+}
+
+func setUp(env *testscript.Env, bin string, release func()) error {
+	ctx, cancel := context.WithTimeout(context.Background(), scriptTimeout)
+	dir := filepath.Join(env.WorkDir, ".fleet")
+	if err := os.Mkdir(dir, 0o755); err != nil {
+		cancel()
+		return err
+	}
+	h := New(bin, dir)
+	h.EngineFlags = []string{"--change-time", "200ms", "--load-time", "100ms"}
+	h.Fleet.EntryExtra = "balancer_lag = \"100ms\"\n"
+	h.Fleet.EntryTables = "[engine]\ntimeout = \"2s\"\n"
+	env.Values[stateKey{}] = &script{ctx: ctx, harness: h, via: "inst-1", streams: map[string]*followed{}}
+	env.Defer(func() {
+		cancel()
+		h.Fleet.Stop()
+		release()
+	})
+	return nil
+}
+
+// command is a command of the scripts. A returned error fails the script.
+type command func(s *script, ts *testscript.TestScript, args []string) error
+
+func commands() map[string]func(*testscript.TestScript, bool, []string) {
+	all := map[string]command{
+		"fleet": cmdFleet, "via": cmdVia, "in-force": cmdInForce, "declare": cmdDeclare, "until": cmdUntil, "exits": cmdExits,
+		"ask": cmdAsk, "stream": cmdStream, "whole": cmdWhole, "broken": cmdBroken, "resume": cmdResume,
+		"issue": cmdIssue, "runs": cmdRuns, "cut-streams": cmdCutStreams,
+		"kill-process": cmdKill, "freeze": cmdFreeze, "thaw": cmdThaw, "terminate": cmdTerminate, "start": cmdStart,
+		"crash": cmdCrash, "freeze-holder": cmdFreezeHolder, "cut": cmdCut, "heal": cmdHeal, "platform": cmdPlatform, "leaving": cmdLeaving, "ready": cmdReady,
+	}
+	bound := map[string]func(*testscript.TestScript, bool, []string){"sfctl": sfctl}
+	for name, run := range all {
+		bound[name] = func(ts *testscript.TestScript, neg bool, args []string) {
+			if neg {
+				ts.Fatalf("%s: \"!\" is not supported", name)
+			}
+			s := ts.Value(stateKey{}).(*script)
+			ts.Check(run(s, ts, args))
+		}
+	}
+	return bound
+}
+
+// sfctl runs the operators' tool; "!" wants an exit code other than 0.
+func sfctl(ts *testscript.TestScript, neg bool, args []string) {
+	s := ts.Value(stateKey{}).(*script)
+	output, code, err := s.sfctl(ts, args)
+	ts.Check(err)
+	_, err = ts.Stdout().Write([]byte(output))
+	ts.Check(err)
+	if (code != 0) != neg {
+		ts.Fatalf("sfctl %s: exit code %d: %s", strings.Join(args, " "), code, output)
+	}
+}
+
+// sfctl resolves file names against the script's folder.
+func (s *script) sfctl(ts *testscript.TestScript, args []string) (output string, code int, err error) {
+	resolved := append([]string{}, args...)
+	for n, arg := range resolved {
+		if strings.HasSuffix(arg, ".toml") {
+			resolved[n] = ts.MkAbs(arg)
+		}
+	}
+	return s.harness.Sfctl(s.ctx, s.harness.Instance(s.via), resolved...)
+}
+
+// until waits for a condition, bounded by the script's time.
+func (s *script) until(what string, condition func() bool) error {
+	return testfleet.Until(s.ctx, what, condition)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -28,7 +28,7 @@
 		return errors.Wrap(err, "settings")
 	}
 	file := tomlfile.Decode(path, data, into)
-	if !file.Findings().Failed() {
+	if file.Parsed() {
 		into.Check(file)
 	}
 	return file.Findings().Err()
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -7,6 +7,7 @@
 import (
 	"fmt"
 	"reflect"
+	"slices"
 	"strings"
 	"time"
 
@@ -24,6 +25,7 @@
 	name      string
 	positions map[string]position
 	findings  finding.List
+	parsed    bool
 }
 
 // Decode parses data and fills into, which must be a pointer to a struct
@@ -37,13 +39,19 @@
 		f.addSyntax(err)
 		return f
 	}
+	f.parsed = true
 	f.positions = indexPositions(data)
 	f.decodeStruct("", tree, reflect.ValueOf(into).Elem())
 	return f
 }
 
+// Parsed tells whether the file is TOML at all. Checks of the values make
+// sense then, also beside other findings.
+func (f *File) Parsed() bool { return f.parsed }
+
 // Add records a finding at the place of the key. A key that the file does not
-// have falls back to the nearest enclosing table.
+// have falls back to the nearest enclosing table. Only the first finding of a
+// key counts: a value of the wrong type is not found to be out of range too.
 func (f *File) Add(key, format string, args ...any) {
 	f.add(key, false, format, args...)
 }
@@ -66,6 +74,9 @@
 }
 
 func (f *File) add(key string, warning bool, format string, args ...any) {
+	if !warning && f.faulty(key) {
+		return
+	}
 	at := f.place(key)
 	f.findings = append(f.findings, finding.Finding{
 		File: f.name, Line: at.line, Column: at.column,
@@ -73,6 +84,10 @@
 	})
 }
 
+func (f *File) faulty(key string) bool {
+	return slices.ContainsFunc(f.findings, func(g finding.Finding) bool { return g.Key == key && !g.Warning })
+}
+
 func (f *File) place(key string) position {
 	for key != "" {
 		if at, ok := f.positions[key]; ok {
