--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -25,28 +24,31 @@
 	"sassafrasfield/internal/versions"
 )
 
+// compressFrom is the size in bytes from where on a message between peers is
+// compressed.
+const compressFrom = 1024
+
 // Daemon is one sf-control process.
 type Daemon struct {
 	settings *Settings
 	// run names this run of the process, as the holder of leases.
 	run      string
-	start    time.Time
 	log      *slog.Logger
 	platform platform.Platform
 	versions versions.Log
 	holder   *spread.Holder
 	members  *members
+	spread   *spreader
 	entry    *entryLink
 	leases   *leases
+	orders   *orderMetrics
 	http     *http.Client
 	options  []connect.ClientOption
-	// serving are the options of the handlers: a span for each call.
-	serving []connect.HandlerOption
+	// traced gives each call of a handler a span.
+	traced connect.HandlerOption
 
 	mu      sync.Mutex // protects engines
 	engines map[string]engine.Engine
-
-	rng *rand.Rand // used by the spread loop alone
 }
 
 // New returns a daemon that has not started.
@@ -59,33 +61,29 @@
 	d := &Daemon{
 		settings: s,
 		run:      s.Instance + "/" + uuid.NewString(),
-		start:    time.Now(),
 		log:      log,
 		platform: client,
 		versions: versions.Log{Table: client},
 		holder:   spread.NewHolder(),
 		http:     &http.Client{Timeout: s.PlatformTimeout},
 		options:  []connect.ClientOption{connect.WithInterceptors(interceptor)},
-		serving:  []connect.HandlerOption{connect.WithInterceptors(interceptor)},
+		traced:   connect.WithInterceptors(interceptor),
 		engines:  map[string]engine.Engine{},
-		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	d.members = newMembers(client, logging.Part(log, "members"))
+	d.members.changed = d.listRead
+	d.spread = newSpreader(d, logging.Part(log, "spread"))
 	d.entry = newEntryLink(d.holder, s.EntryLocal, d.http, d.options, logging.Part(log, "entry"))
 	d.leases = newLeases(d, logging.Part(log, "lease"))
+	d.orders = newOrderMetrics()
 	return d, nil
 }
 
-// now is the daemon's monotonic clock.
-func (d *Daemon) now() time.Duration {
-	return time.Since(d.start)
-}
-
 // Run works until the context ends, then hands its leases over.
 func (d *Daemon) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	loops := []func(context.Context){
-		d.pollLoop, d.spreadLoop, d.entryLoop, d.memberLoop, d.leases.loop, d.rolloutLoop,
+		d.spread.loop, d.entryLoop, d.memberLoop, d.leases.loop, d.rolloutLoop,
 	}
 	for _, loop := range loops {
 		group.Go(func() error {
@@ -115,18 +113,20 @@
 
 func (d *Daemon) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(sfv1connect.NewPeerServiceHandler(&peerService{daemon: d}, d.serving...))
-	mux.Handle(sfv1connect.NewOperatorServiceHandler(&operatorService{daemon: d}, d.serving...))
+	mux.Handle(sfv1connect.NewPeerServiceHandler(&peerService{daemon: d}, connect.WithCompressMinBytes(compressFrom), d.traced))
+	mux.Handle(sfv1connect.NewLeaseServiceHandler(&leaseService{leases: d.leases}, d.traced))
+	mux.Handle(sfv1connect.NewOperatorServiceHandler(&operatorService{daemon: d}, d.traced))
 	mux.HandleFunc("/livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("/readyz", d.readyz)
 	mux.HandleFunc("/metrics", serveMetrics)
 	return mux
 }
 
-// readyz tells whether the process holds a configuration.
+// readyz tells whether the process holds a configuration that it may take for
+// the newest, and else why not.
 func (d *Daemon) readyz(w http.ResponseWriter, _ *http.Request) {
-	if d.holder.Current().Version == 0 {
-		http.Error(w, "no configuration known yet", http.StatusServiceUnavailable)
+	if status := d.spread.status(); !status.Fresh {
+		http.Error(w, status.Reason, http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
@@ -146,7 +146,10 @@
 
 // peer returns a client for another instance's sf-control.
 func (d *Daemon) peer(address string) sfv1connect.PeerServiceClient {
-	return sfv1connect.NewPeerServiceClient(d.http, "http://"+address, d.options...)
+	options := append([]connect.ClientOption{
+		connect.WithSendGzip(), connect.WithCompressMinBytes(compressFrom),
+	}, d.options...)
+	return sfv1connect.NewPeerServiceClient(d.http, "http://"+address, options...)
 }
 
 // every calls work now and then at the period until the context ends.
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -44,7 +44,7 @@
 		settings: s,
 		start:    time.Now(),
 		log:      log,
-		state:    newState(s.Zone),
+		state:    newState(s),
 		once:     once.Runner{Table: platform.NewClient(s.Platform, s.PlatformTimeout)},
 		metrics:  newMeters(metrics.DefaultRegistry),
 		engines:  map[string]engine.Engine{},
@@ -114,18 +114,6 @@
 	return mux
 }
 
-// ready returns why the entry takes no new work, or nil.
-func (s *Server) ready() error {
-	since, known := s.state.sinceHeartbeat(s.now())
-	if !known {
-		return errors.New("no configuration known yet")
-	}
-	if since > s.settings.StaleAfter {
-		return errors.Errorf("no heartbeat from sf-control for %s", since.Round(time.Millisecond))
-	}
-	return nil
-}
-
 func (s *Server) readyz(c *echo.Context) error {
 	if s.stopping.Load() {
 		return c.String(http.StatusServiceUnavailable, "stopping\n")
@@ -165,32 +153,3 @@
 	}
 	return client
 }
-
-// reportLoop reads each engine's load report now and then.
-func (s *Server) reportLoop(ctx context.Context) {
-	ticker := time.NewTicker(s.settings.Engine.ReportEvery)
-	defer ticker.Stop()
-	for {
-		s.readReports(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-func (s *Server) readReports(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, 5*s.settings.Engine.ReportEvery)
-	defer cancel()
-	var work sync.WaitGroup
-	for _, e := range s.state.config().Engines {
-		work.Go(func() {
-			report, err := s.engineAt(e.Address).Report(ctx)
-			if err == nil {
-				s.state.reported(e.ID, report, s.now())
-			}
-		})
-	}
-	work.Wait()
-}
--- a/internal/program/example_test.go
+++ b/internal/program/example_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -78,8 +79,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if strings.Contains(text, "\n#\n") {
-			t.Errorf("%s: a key has no comment:\n%s", name, text)
+		for _, bare := range regexp.MustCompile(`\n#\n.*`).FindAllString(text, -1) {
+			t.Errorf("%s: a key has no comment: %s", name, strings.TrimPrefix(bare, "\n#\n"))
 		}
 	}
 }
--- a/internal/program/settings_test.go
+++ b/internal/program/settings_test.go
@@ -76,7 +76,7 @@
 		},
 		"a renewal that is too rare for the term": {
 			control.DefaultSettings(),
-			entryNames + "listen = \"127.0.0.1:2\"\nentry_local = \"127.0.0.1:3\"\n[lease]\nterm = \"1s\"\nrenew_every = \"900ms\"\n",
+			entryNames + "listen = \"127.0.0.1:2\"\nentry_local = \"127.0.0.1:3\"\n[lease]\nterm = \"1s\"\nrenew_every = \"900ms\"\ncall_timeout = \"200ms\"\n",
 			[]string{"8:1: lease.renew_every: want 1ms to 500ms, not 900ms"},
 		},
 	}
--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -13,7 +13,7 @@
 )
 
 // scriptTimeout bounds one script.
-const scriptTimeout = 3 * time.Minute
+const scriptTimeout = 100 * time.Second
 
 // scriptsAtOnce bounds the fleets that run at the same time.
 const scriptsAtOnce = 3
