--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -193,8 +193,11 @@
 // notes who failed. A broken attachment says nothing about the engine: the
 // entry that the caller left may have cancelled the stream.
 func (s *Server) afterFailure(ctx context.Context, engineID string, client engine.Engine, comp *completion, err error, attach bool) {
-	if errors.Is(err, engine.ErrUnreachable) {
+	switch {
+	case errors.Is(err, engine.ErrUnreachable):
 		s.upstreamFailed(engineID)
+	case errors.Is(err, engine.ErrNotRun):
+		s.state.refused(engineID, s.now())
 	}
 	if ranNothing(err) {
 		return
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -43,7 +43,7 @@
 func (t *Table) Engine(id string) *Engine {
 	e, ok := t.engines[id]
 	if !ok {
-		e = &Engine{}
+		e = &Engine{traffic: &t.Traffic}
 		t.engines[id] = e
 	}
 	return e
@@ -83,7 +83,7 @@
 		return
 	}
 	p.accepted = a
-	if p.accountedBy(&e.Report, nil) {
+	if p.accountedBy(&e.Report, nil) || p.lostBy(e.replaced) {
 		p.charged = false
 	}
 }
@@ -120,8 +120,11 @@
 	if e.ReportAt != 0 && now-e.ReportAt > t.Outliers.SilentFor {
 		e.Health.returned(now)
 	}
+	if e.ReportAt != 0 && report.Boot != e.Report.Boot {
+		e.replaced = e.Report.Boot
+	}
 	e.Report, e.ReportAt = report, now
-	e.settle(&t.Traffic)
+	e.settle()
 	e.expire(now, t.ChargeFor)
 }
 
@@ -142,6 +145,16 @@
 	return t.Engine(id).Health.failed(now, t.Outliers)
 }
 
+// Refused records that the upstream refused a call without running any of it,
+// as one that has no room or loads something does. It looks idle meanwhile, so
+// it is ejected too, but never for longer than the first ejection: what made
+// it refuse passes by itself.
+func (t *Table) Refused(id string, now time.Duration) (ejected bool) {
+	rules := t.Outliers
+	rules.EjectAtMost = rules.EjectFor
+	return t.Engine(id).Health.failed(now, rules)
+}
+
 // Succeeded records that a call to the upstream went well.
 func (t *Table) Succeeded(id string) {
 	t.Engine(id).Health.succeeded(t.Outliers)
--- a/internal/scenario/pairs.go
+++ b/internal/scenario/pairs.go
@@ -36,8 +36,10 @@
 // Result of a run.
 type Result struct {
 	// Chats and Calls are what the callers asked; Whole and Answered what was
-	// answered of them; Accepted the operators' accepted changes.
-	Chats, Whole, Calls, Answered, Accepted int
+	// answered of them; Gone the answers that were broken off and whose version
+	// of the model was replaced meanwhile; Accepted the operators' accepted
+	// changes.
+	Chats, Whole, Gone, Calls, Answered, Accepted int
 	// Wrong is what did not hold.
 	Wrong []string
 }
@@ -121,6 +123,9 @@
 		if r.whole {
 			result.Whole++
 		}
+		if r.gone {
+			result.Gone++
+		}
 	}
 	for _, r := range records.calls {
 		result.Calls++
