--- a/cmd/sf-standin/main.go
+++ b/cmd/sf-standin/main.go
@@ -52,7 +52,7 @@
 }
 
 func serve(address string, handler http.Handler) error {
-	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	server := &http.Server{Addr: address, Handler: standin.RecordTraces(handler), ReadHeaderTimeout: 10 * time.Second}
 	return server.ListenAndServe()
 }
 
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -51,6 +51,8 @@
 	orders   *orderMetrics
 	http     *http.Client
 	options  []connect.ClientOption
+	// traced gives each call of a handler a span.
+	traced connect.HandlerOption
 
 	mu      sync.Mutex // protects engines
 	engines map[string]engine.Engine
@@ -72,6 +74,7 @@
 		holder:   spread.NewHolder(),
 		http:     &http.Client{Timeout: s.PlatformTimeout, Transport: peerTransport()},
 		options:  []connect.ClientOption{connect.WithInterceptors(interceptor)},
+		traced:   connect.WithInterceptors(interceptor),
 		engines:  map[string]engine.Engine{},
 	}
 	d.members = newMembers(client, logging.Part(log, "members"))
@@ -119,9 +122,9 @@
 
 func (d *Daemon) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(sfv1connect.NewPeerServiceHandler(&peerService{daemon: d}, connect.WithCompressMinBytes(compressFrom)))
-	mux.Handle(sfv1connect.NewLeaseServiceHandler(&leaseService{leases: d.leases}))
-	mux.Handle(sfv1connect.NewOperatorServiceHandler(&operatorService{daemon: d}))
+	mux.Handle(sfv1connect.NewPeerServiceHandler(&peerService{daemon: d}, connect.WithCompressMinBytes(compressFrom), d.traced))
+	mux.Handle(sfv1connect.NewLeaseServiceHandler(&leaseService{leases: d.leases}, d.traced))
+	mux.Handle(sfv1connect.NewOperatorServiceHandler(&operatorService{daemon: d}, d.traced))
 	mux.HandleFunc("/livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("/readyz", d.readyz)
 	mux.HandleFunc("/metrics", serveMetrics)
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -64,6 +64,8 @@
 	if !held {
 		return false, nil
 	}
+	ctx, span := startStep(ctx, pool, auth)
+	defer span.End()
 	if !settled(d.holder.Current(), pool) {
 		if err := d.poll(ctx); err != nil {
 			return false, err
--- a/internal/engine/order.go
+++ b/internal/engine/order.go
@@ -23,6 +23,8 @@
 // Order returns or when the process ends: bytes that were not acknowledged yet
 // are dropped with it, and none is sent again after ctx has ended.
 func (c *Client) Order(ctx context.Context, order Order) (Status, error) {
+	ctx, span := startOrder(ctx, order)
+	defer span.End()
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	req, err := c.orderRequest(ctx, order)
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -176,9 +176,12 @@
 
 // kept returns the answer that a row holds or names.
 func (r *Runner) kept(ctx context.Context, row Row) (service.Answer, error) {
-	if row.Object == "" {
+	if row.Answer != nil {
 		return *row.Answer, nil
 	}
+	if row.Object == "" {
+		return service.Answer{}, errors.WithMessage(ErrUnknown, "the row holds no answer")
+	}
 	data, err := r.store.GetObject(ctx, row.Object)
 	if err != nil {
 		return service.Answer{}, errors.WithMessage(ErrRunning, err.Error())
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -69,6 +69,9 @@
 	// Cancelled counts streams that were cancelled.
 	Cancelled int `json:"cancelled"`
 	Started   int `json:"started"`
+	// Ran counts the streams that were started for each marked prompt; see
+	// BookMark.
+	Ran map[string]int `json:"ran,omitempty"`
 }
 
 // PathBook returns the Book.
--- a/internal/standin/stream.go
+++ b/internal/standin/stream.go
@@ -68,6 +68,7 @@
 	e.streams[req.ID] = g
 	e.waiting = append(e.waiting, g)
 	e.book.Started++
+	e.bookRan(req)
 	e.recent = append(e.recent, req.ID)
 	if len(e.recent) > recentKept {
 		e.recent = e.recent[1:]
