--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -12,13 +9,9 @@
 	"github.com/rcrowley/go-metrics"
 
 	"sassafrasfield/internal/admit"
-	"sassafrasfield/internal/callerapi"
 	"sassafrasfield/internal/route"
 )
 
-// longestDeadline bounds the deadline that a caller may name.
-const longestDeadline = 10 * time.Minute
-
 // admission holds the gate of each model. It is safe for use by several
 // goroutines.
 type admission struct {
@@ -65,25 +58,6 @@
 	}
 }
 
-// readUrgency reads the headers for priority and deadline.
-func readUrgency(comp *completion, header http.Header) error {
-	if text := header.Get(callerapi.HeaderPriority); text != "" {
-		priority, err := strconv.Atoi(text)
-		if err != nil || priority < admit.MinPriority || priority > admit.MaxPriority {
-			return badRequest(callerapi.HeaderPriority, fmt.Sprintf("want a whole number from %d to %d", admit.MinPriority, admit.MaxPriority))
-		}
-		comp.priority = priority
-	}
-	if text := header.Get(callerapi.HeaderDeadline); text != "" {
-		ms, err := strconv.Atoi(text)
-		if err != nil || ms < 1 || ms > int(longestDeadline.Milliseconds()) {
-			return badRequest(callerapi.HeaderDeadline, fmt.Sprintf("want milliseconds from 1 to %d", longestDeadline.Milliseconds()))
-		}
-		comp.deadline = time.Duration(ms) * time.Millisecond
-	}
-	return nil
-}
-
 // admit lets a request go on, if need be after a wait, or refuses it. A
 // request that it let go on must be given to admission.done.
 func (s *Server) admit(c *echo.Context, comp *completion) error {
@@ -262,14 +236,6 @@
 	return g
 }
 
-func (a *admission) predict(comp *completion, g *modelGate) admit.Prediction {
-	loads := a.server.state.engineLoads(&route.Request{
-		Model: comp.name, Adapter: comp.adapter, Version: comp.version,
-		PromptTokens: comp.promptTokens, Prefix: a.server.prefix(comp), Now: a.server.now(),
-	})
-	return admit.Predict(loads, comp.promptTokens, g.gate.Service())
-}
-
 func (a *admission) ticket(comp *completion, p admit.Prediction, now time.Duration) admit.Ticket {
 	deadline := comp.deadline
 	if deadline == 0 {
@@ -282,39 +248,6 @@
 	}
 }
 
-// predictor predicts for those who wait at a gate. The lock is held.
-func (a *admission) predictor(g *modelGate) func(admit.Ticket) admit.Prediction {
-	return func(t admit.Ticket) admit.Prediction {
-		comp := g.waiting[t.ID].comp
-		prediction := a.predict(comp, g)
-		comp.expect(prediction, a.server.now())
-		return prediction
-	}
-}
-
-// expect keeps the newest prediction, until the request is admitted by it.
-func (c *completion) expect(p admit.Prediction, now time.Duration) {
-	c.expected = 0
-	if p.Known {
-		c.expected = now + p.FirstToken
-	}
-}
-
-// firstToken records that the first token of a request came.
-func (a *admission) firstToken(comp *completion) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.observe(comp, a.server.now())
-}
-
-// observe compares the prediction with what came. The lock is held.
-func (a *admission) observe(comp *completion, now time.Duration) {
-	if comp.expected > 0 {
-		a.gateOf(comp.name).gate.Observe(now-comp.expected, now)
-	}
-	comp.expected = 0
-}
-
 // grant tells those whom the gate admits. The lock is held.
 func (a *admission) grant(g *modelGate, now time.Duration) {
 	for _, t := range g.gate.Grant(now, a.predictor(g)) {
@@ -326,26 +259,3 @@
 	g.waiting[id].verdict <- refused
 	delete(g.waiting, id)
 }
-
-// engineLoads returns the picture of the engines that could take the request.
-func (s *state) engineLoads(req *route.Request) []admit.EngineLoad {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	req.Zone, req.Leaving, req.Traffic = s.zone, s.leaving, &s.table.Traffic
-	var loads []admit.EngineLoad
-	for _, c := range s.scheduler.Eligible(req, s.candidates(req.Now)) {
-		loads = append(loads, engineLoad(req, c))
-	}
-	return loads
-}
-
-func engineLoad(req *route.Request, c route.Candidate) admit.EngineLoad {
-	report := &c.Load.Report
-	byNow := c.Load.Estimated(req.Traffic, req.Now)
-	return admit.EngineLoad{
-		PrefillAhead: byNow.PrefillTokens, PrefillRate: report.PrefillRate,
-		Cached:  route.CachedTokens(req, c),
-		Running: report.Running, Waiting: byNow.Waiting, Charged: c.Load.Charges(),
-		BlocksFree: report.KVBlocksFree, BlocksTotal: report.KVBlocksTotal,
-	}
-}
