--- a/internal/entry/prediction.go
+++ b/internal/entry/prediction.go
@@ -54,7 +54,7 @@
 func (s *state) engineLoads(req *route.Request) []admit.EngineLoad {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	req.Zone, req.Leaving, req.Traffic = s.zone, s.leaving, &s.table.Traffic
+	req.Zone, req.Leaving = s.zone, s.leaving
 	var loads []admit.EngineLoad
 	for _, c := range s.scheduler.Eligible(req, s.candidates(req.Now)) {
 		loads = append(loads, engineLoad(req, c))
@@ -64,7 +64,7 @@
 
 func engineLoad(req *route.Request, c route.Candidate) admit.EngineLoad {
 	report := &c.Load.Report
-	byNow := c.Load.Estimated(req.Traffic, req.Now)
+	byNow := c.Load.Estimated(req.Now)
 	return admit.EngineLoad{
 		PrefillAhead: byNow.PrefillTokens, PrefillRate: report.PrefillRate,
 		Cached:  route.CachedTokens(req, c),
