Bound what a resumption gains over the rate limit

Cause: a resumed answer passed the limit whatever its debt, and a Last-Event-ID is not signed, so one made up went around the limit for good. It may now leave a debt of one burst.

--- a/internal/entry/rates.go
+++ b/internal/entry/rates.go
@@ -59,10 +59,10 @@
 	return r.limiter.Take(o.Name, ruleOf(o), now)
 }
 
-func (r *rates) charge(o *config.Organisation, now time.Duration) {
+func (r *rates) charge(o *config.Organisation, now time.Duration) limit.Verdict {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.limiter.Charge(o.Name, ruleOf(o), now)
+	return r.limiter.Charge(o.Name, ruleOf(o), now)
 }
 
 func ruleOf(o *config.Organisation) limit.Rule {
@@ -77,13 +77,13 @@
 )
 
 // withinRate takes one request of the organisation's rate, or refuses it. What
-// was accepted before is counted and let through.
+// was accepted before goes first, within one more burst.
 func (s *Server) withinRate(c *echo.Context, o *config.Organisation, accepted bool) error {
+	decide := s.rates.take
 	if accepted {
-		s.rates.charge(o, s.now())
-		return nil
+		decide = s.rates.charge
 	}
-	verdict := s.rates.take(o, s.now())
+	verdict := decide(o, s.now())
 	if !verdict.Limited {
 		return nil
 	}
--- a/internal/limit/bucket.go
+++ b/internal/limit/bucket.go
@@ -36,10 +36,15 @@
 	return true
 }
 
-// force spends one token and may leave a debt, down to the size of the bucket.
-func (b *bucket) force(now time.Duration) {
+// force spends one token and may leave a debt, as large as the bucket; false
+// means that the debt is that large already.
+func (b *bucket) force(now time.Duration) bool {
 	b.refill(now)
-	b.tokens = max(-b.burst, b.tokens-1)
+	if b.tokens-1 < -b.burst {
+		return false
+	}
+	b.tokens--
+	return true
 }
 
 // until returns the time until the bucket holds n tokens, at most longest.
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -278,3 +278,21 @@
 		}
 	}
 }
+
+// Requests that say they were accepted before gain one burst, and no rate.
+func TestChargeIsBounded(t *testing.T) {
+	l := New(Options{Floor: 0.1, Window: time.Second, KeepTotals: time.Second})
+	rule := Rule{Rate: 10, Burst: 20}
+	charged := 0
+	for i := range 10000 {
+		if l.Charge("o", rule, time.Duration(i)*time.Millisecond).Allowed {
+			charged++
+		}
+	}
+	if charged < 130 || charged > 140 {
+		t.Fatalf("%d charged in 10 s with 10 a second and a burst of 20", charged)
+	}
+	if l.Take("o", rule, 10*time.Second).Allowed {
+		t.Fatal("a new request was allowed in debt")
+	}
+}
--- a/internal/limit/limiter.go
+++ b/internal/limit/limiter.go
@@ -108,15 +108,19 @@
 	return o.verdict(allowed)
 }
 
-// Charge counts a request that is let through in any case, such as the rest of
-// an answer that was accepted before.
-func (l *Limiter) Charge(name string, rule Rule, now time.Duration) {
+// Charge decides on a request that goes before others, such as the rest of an
+// answer that was accepted before. It may leave a debt as large as the bucket,
+// so that one who only says so gains a burst and no rate.
+func (l *Limiter) Charge(name string, rule Rule, now time.Duration) Verdict {
 	if rule.Rate <= 0 {
-		return
+		return Verdict{Allowed: true}
 	}
 	o := l.organisation(name, rule, now)
 	o.demand.add(now)
-	o.bucket.force(now)
+	allowed := o.bucket.force(now)
+	verdict := o.verdict(allowed)
+	verdict.RetryIn = o.bucket.until(1 - o.bucket.burst)
+	return verdict
 }
 
 func (o *organisation) verdict(allowed bool) Verdict {
