--- a/internal/entry/prediction.go
+++ b/internal/entry/prediction.go
@@ -50,11 +50,12 @@
 	comp.expected = 0
 }
 
-// engineLoads returns the picture of the engines that could take the request.
+// engineLoads returns the picture of the engines that could make the request's
+// first token.
 func (s *state) engineLoads(req *route.Request) []admit.EngineLoad {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	req.Zone, req.Leaving = s.zone, s.leaving
+	req.Zone, req.Leaving, req.Work = s.zone, s.leaving, route.WorkPrefill
 	var loads []admit.EngineLoad
 	for _, c := range s.scheduler.Eligible(req, s.candidates(req.Now)) {
 		loads = append(loads, engineLoad(req, c))
