Compare routing without admission, and once with it; settle for the lag first

Admission came to the entry meanwhile: its queue and refusals changed what the policies were compared by, and its concurrency limit kept the memory measurement from opening its streams.

--- a/cmd/sf-load/main.go
+++ b/cmd/sf-load/main.go
@@ -82,7 +82,7 @@
 	out := cmd.Flag("out", "Folder for the results.").Default("out").String()
 	seeds := cmd.Flag("seed", "Seed; repeat for more.").Default("1", "2", "3").Uint64List()
 	lags := cmd.Flag("lag", "Lag of load reports; repeat for more.").Default("200ms", "1s", "5s").DurationList()
-	phase := cmd.Flag("phase", "Length of each of the swing's three phases.").Default("5s").Duration()
+	phase := cmd.Flag("phase", "Length of each of the swing's three phases.").Default("4s").Duration()
 	rate := cmd.Flag("rate", "Completions a second.").Default("22").Float64()
 	sideBySide := cmd.Flag("side-by-side", "Groups of fleets at a time.").Default("1").Int()
 	entries := cmd.Flag("entries", "Entries of each fleet.").Default(strconv.Itoa(bench.Entries)).Int()
--- a/internal/bench/cell.go
+++ b/internal/bench/cell.go
@@ -47,12 +47,12 @@
 	EntryCPU float64 `json:"entry_cpu_s"`
 }
 
-// settle is the time after the start in which reports and events come in.
+// settle is the time after the start, beyond the reports' lag, in which reports
+// and events come in.
 const settle = 500 * time.Millisecond
 
-// patience is the deadline that callers name. It is far above the bound of a
-// good answer, so that next to nothing is refused early, and what is compared
-// is routing.
+// patience is the deadline that callers name, unless the variant says
+// otherwise: far above the bound of a good answer.
 const patience = 10 * time.Second
 
 // answersWithin bounds the wait for the last answers.
@@ -77,7 +77,7 @@
 		return Cell{}, err
 	}
 	defer f.Stop()
-	time.Sleep(settle)
+	time.Sleep(settle + c.Lag)
 	before, machine := f.entryCPU(), readMachine()
 	if c.Faults {
 		go f.breakEngines(ctx, r.options.Phase)
@@ -123,5 +123,5 @@
 }
 
 func directory(name string) string {
-	return strings.NewReplacer(" ", "-", ".", "_").Replace(name)
+	return strings.NewReplacer(" ", "-", ".", "_", ",", "").Replace(name)
 }
--- a/internal/bench/deployment.go
+++ b/internal/bench/deployment.go
@@ -55,11 +55,16 @@
 	Adjust func(loadgen.Scenario) loadgen.Scenario
 }
 
+// admitAll turns admission's queue and refusals off, so that what is compared
+// is routing.
+const admitAll = "[admission]\nearly_refusal = false\nlimit_concurrency = false\nbacklog = \"0s\"\n"
+
 // Variants returns the routing policies, a to e and h to i, and mixed engines
 // with priorities, g. All engines are mixed here; f, which changes roles, is in
-// the comparison of roles.
+// the comparison of roles. The last one, j, has admission as well, and its
+// callers tell their deadline.
 func Variants() []Variant {
-	routing := func(policy string) string { return "[routing]\npolicy = \"" + policy + "\"\n" }
+	routing := func(policy string) string { return "[routing]\npolicy = \"" + policy + "\"\n" + admitAll }
 	return []Variant{
 		{Name: "a round-robin", EntryTables: routing("round-robin")},
 		{Name: "b report", EntryTables: routing("report")},
@@ -69,6 +74,7 @@
 		{Name: "g estimate, priorities", EntryTables: routing("estimate"), Adjust: shortPromptsFirst},
 		{Name: "h estimate", EntryTables: routing("estimate")},
 		{Name: "i local-prefix", EntryTables: routing("local-prefix")},
+		{Name: "j estimate, admission", EntryTables: "[routing]\npolicy = \"estimate\"\n", Adjust: tellDeadline},
 	}
 }
 
@@ -78,6 +84,12 @@
 	return s
 }
 
+// tellDeadline has callers name the bound of a good answer as their deadline.
+func tellDeadline(s loadgen.Scenario) loadgen.Scenario {
+	s.Deadline = s.Bounds.FirstToken
+	return s
+}
+
 // VariantsNamed returns the variants whose names start with one of the
 // letters, or all when there is none.
 func VariantsNamed(letters []string) []Variant {
--- a/internal/bench/overhead.go
+++ b/internal/bench/overhead.go
@@ -123,7 +123,7 @@
 func startOverhead(ctx context.Context, o OverheadOptions, name string, engineFlags []string) (*overhead, error) {
 	f, err := start(ctx, plan{
 		bin: o.Bin, dir: filepath.Join(o.Dir, name), zones: []string{"hall-a"}, model: overheadModel,
-		keys: []string{overheadKey}, entries: 1, apart: 1, engineFlags: engineFlags,
+		keys: []string{overheadKey}, entries: 1, apart: 1, engineFlags: engineFlags, entryTables: admitAll,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/bench/plot.go
+++ b/internal/bench/plot.go
@@ -16,7 +16,9 @@
 // Size of a plot.
 const (
 	plotWidth  = 22 * vg.Centimeter
-	plotHeight = 12 * vg.Centimeter
+	plotHeight = 14 * vg.Centimeter
+	// legendRoom leaves room above the lines.
+	legendRoom = 1.5
 )
 
 // plotSwings draws the good answers by second of arrival, the mean over the
@@ -51,6 +53,7 @@
 	p.Y.Min = 0
 	p.Legend.Top = true
 	p.Legend.Left = true
+	p.Legend.TextStyle.Font.Size = vg.Points(8)
 	lines := []any{
 		"offered", series(cells, func(s loadgen.Second) float64 { return float64(s.Offered) }),
 		"prompt tokens / 1000", series(cells, func(s loadgen.Second) float64 { return float64(s.PromptTokens) / 1000 }),
@@ -67,6 +70,7 @@
 	if err := plotutil.AddLines(p, lines...); err != nil {
 		return errors.Wrap(err, "bench: plot")
 	}
+	p.Y.Max *= legendRoom
 	return errors.Wrap(p.Save(plotWidth, plotHeight, filepath.Join(out, "swing-"+directory(title)+".svg")), "bench: plot")
 }
 
