Freeze the holder of a claim in a process test, and bound the reading of a body

Cause: a paused process that wakes up with its claim was tried in a unit test alone; a caller that stopped in the middle of its body held a handler, and with it a shutdown, for up to the shutdown timeout.

The freeze lands before, in or after the call by the scheduler's will (seen: not run, and run once with its word lost), so the test holds the told word to what ran in each case.

--- a/internal/answers/once_test.go
+++ b/internal/answers/once_test.go
@@ -58,6 +58,38 @@
 	}
 }
 
+// TestFrozenWithAClaim freezes the entry that holds a claim until the others
+// have settled it as unknown. It wakes up and still believes in its claim. By
+// where exactly it froze, the call has run, runs now, or is given up; there is
+// one run at most, and the word is true in each case.
+func TestFrozenWithAClaim(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, size{
+		instances: 2, engines: 1, services: 1,
+		entryTables: "[engine]\ntimeout = \"500ms\"\n[claims]\nkeep_timeout = \"500ms\"\nsettle_after = \"1s\"\n",
+	})
+	frozen, other := f.Instances[0], f.Instances[1].EntryAddress
+	f.restartEntry(frozen, once.PointClaimed+"=stop")
+	first := make(chan told, 1)
+	go func() { first <- f.issue(frozen.EntryAddress, "k", "lot") }()
+	f.until("the key is claimed", func() bool { return f.claimCount() == 1 })
+	f.until("the claim is settled", func() bool { return f.issue(other, "k", "lot").Status != http.StatusConflict })
+	frozen.Entry.Signal(syscall.SIGCONT)
+	answer := <-first
+	var repeat told
+	f.until("the outcome is kept", func() bool {
+		repeat = f.issue(other, "k", "lot")
+		return repeat.Status != http.StatusConflict
+	})
+	runs := f.runs("lot")
+	held := answer.Status == http.StatusOK && repeat.Body == answer.Body && runs == 1 ||
+		answer.Outcome == callerapi.OutcomeNotRun && repeat.Status == http.StatusOK && runs == 1 ||
+		answer.Outcome == callerapi.OutcomeUnknown && repeat.Outcome == callerapi.OutcomeUnknown && runs <= 1
+	if !held {
+		t.Errorf("told %+v and %+v, %d runs", answer, repeat, runs)
+	}
+}
+
 // TestLostReplyOfEachWrite loses the table's reply to the claim and to the
 // keeping of the answer.
 func TestLostReplyOfEachWrite(t *testing.T) {
--- a/internal/answers/protocol_test.go
+++ b/internal/answers/protocol_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -29,7 +30,7 @@
 // they would.
 func TestProtocol(t *testing.T) {
 	t.Parallel()
-	f := newFixture(t, size{instances: 1, engines: 1, entrySettings: "keep_alive = \"50ms\"\n"})
+	f := newFixture(t, size{instances: 1, engines: 1, entrySettings: "keep_alive = \"50ms\"\nbody_timeout = \"500ms\"\n"})
 	c := chat(31, 12)
 	want := undisturbedText(c)
 	chatBody := func(rest string) string {
@@ -84,6 +85,18 @@
 			t.Errorf("%d comments: %.200s", comments, got)
 		}
 	})
+	t.Run("a body that never ends", func(t *testing.T) {
+		conn, err := net.Dial("tcp", f.Instances[0].EntryAddress)
+		f.must(err)
+		defer conn.Close()
+		_, err = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 9\r\n\r\n{", apiKey)
+		f.must(err)
+		got, err := io.ReadAll(conn)
+		f.must(err)
+		if !strings.HasPrefix(string(got), "HTTP/1.1 400") || !strings.Contains(string(got), `"outcome":"not_run"`) {
+			t.Errorf("got %s", got)
+		}
+	})
 	t.Run("refusals", func(t *testing.T) {
 		for _, body := range []string{`{`, `{"model": "none", "prompt": "x"}`, chatBody(`, "n": 2`), fmt.Sprintf(`{"model": %q}`, modelName)} {
 			status, got := f.send("/v1/chat/completions", body)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -90,6 +90,8 @@
 
 func (s *Server) readBody(c *echo.Context) ([]byte, error) {
 	limit := int64(s.settings.Limits.MaxBodyBytes)
+	connection := http.NewResponseController(c.Response())
+	_ = connection.SetReadDeadline(time.Now().Add(s.settings.BodyTimeout)) // a test's recorder has none
 	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -101,6 +103,7 @@
 	if err != nil {
 		return nil, badRequest("", "the body could not be read whole")
 	}
+	_ = connection.SetReadDeadline(time.Time{}) // from here on a read only waits for the caller to leave
 	return body, nil
 }
 
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -37,6 +37,8 @@
 	// a comment, so that nothing on the way takes the connection for dead.
 	// Default 10s.
 	KeepAlive time.Duration `toml:"keep_alive"`
+	// BodyTimeout bounds the reading of a request's body. Default 30s.
+	BodyTimeout time.Duration `toml:"body_timeout"`
 	// WriteTimeout bounds the wait for a caller that takes nothing of its
 	// answer. Then its stream is cancelled. Default 30s.
 	WriteTimeout time.Duration        `toml:"write_timeout"`
@@ -87,6 +89,7 @@
 		ShutdownTimeout: 10 * time.Minute,
 		BalancerLag:     3 * time.Second,
 		KeepAlive:       10 * time.Second,
+		BodyTimeout:     30 * time.Second,
 		WriteTimeout:    30 * time.Second,
 		Stall:           stream.DefaultStall(),
 		Limits: LimitSettings{
@@ -117,6 +120,7 @@
 	settings.Between(file, "shutdown_timeout", s.ShutdownTimeout, 0, 24*time.Hour)
 	settings.Between(file, "balancer_lag", s.BalancerLag, 0, time.Minute)
 	settings.Between(file, "keep_alive", s.KeepAlive, 10*time.Millisecond, time.Hour)
+	settings.Between(file, "body_timeout", s.BodyTimeout, 10*time.Millisecond, time.Hour)
 	settings.Between(file, "write_timeout", s.WriteTimeout, 10*time.Millisecond, time.Hour)
 	s.Stall.Check(file, "stall")
 	settings.IntBetween(file, "limits.max_body_bytes", s.Limits.MaxBodyBytes, 1<<10, 256<<20)
