--- a/internal/operatorcli/fleet_test.go
+++ b/internal/operatorcli/fleet_test.go
@@ -41,6 +41,7 @@
 [rollout]
 step_every = "50ms"
 watch_every = "200ms"
+wait_every = "200ms"
 resend_after = "300ms"
 unreachable_after = "1s"
 `
@@ -48,12 +49,13 @@
 // planFleet is a fleet with one pool, and sfctl.
 type planFleet struct {
 	*testfleet.Fleet
-	t   *testing.T
+	t   testing.TB
 	ctx context.Context
 }
 
-// startFleet starts a fleet whose first configuration is in force.
-func startFleet(ctx context.Context, t *testing.T, instances, engines int, flags ...string) *planFleet {
+// startFleet starts a fleet whose first configuration is in force. Control has
+// further settings of each sf-control.
+func startFleet(ctx context.Context, t testing.TB, control string, instances, engines int, flags ...string) *planFleet {
 	t.Helper()
 	bin, err := testfleet.Bin()
 	f := &planFleet{t: t, ctx: ctx}
@@ -61,7 +63,7 @@
 	f.Fleet = testfleet.New(bin, t.TempDir())
 	t.Cleanup(f.Stop)
 	f.EntryExtra = "balancer_lag = \"100ms\"\n"
-	f.ControlTables = fastControl
+	f.ControlTables = control
 	f.must(f.StartPlatform(ctx))
 	flags = append([]string{"--model", modelName, "--model-version", "1", "--decode-rate", "100"}, flags...)
 	for i := range engines {
@@ -263,7 +265,7 @@
 }
 
 // lastVersion is the highest version that the tests declare.
-const lastVersion = 9
+const lastVersion = 20
 
 func wholeOfOneVersion(seed int64, text string) bool {
 	for version := 1; version <= lastVersion; version++ {
