Hold a fruitless resumption against no engine

Cause: a token with a number that was never reached, which a caller can make of its own, broke at one engine after another, and had healthy engines ejected.

A number behind the answer's bound is refused; a stream that does not match the token ends the resumption at once; a resumption that brought no piece blames nobody.

--- a/internal/answers/whole_test.go
+++ b/internal/answers/whole_test.go
@@ -217,6 +217,24 @@
 	if got := f.stream(entry, other, 0, nil); got.Status != 400 {
 		t.Errorf("another question: told %+v", got)
 	}
+	token, err := stream.ParseToken(first.LastID)
+	f.must(err)
+	token.Done, token.Next = false, 100
+	c.LastEventID = token.String()
+	if got := f.stream(entry, c, 0, nil); got.Status != 400 {
+		t.Errorf("a number behind the end: told %+v", got)
+	}
+	token.Next = 6
+	for n := range 6 { // and the engine is not ejected for it
+		c.LastEventID = token.String()
+		token.Request = fmt.Sprintf("%d%s", n, token.Request[1:]) // the engine has no such stream
+		if got := f.stream(entry, c, 0, nil); got.Error == nil || got.Error.Code != "cannot_resume" || got.Text != "" {
+			t.Errorf("another number: told %+v", got)
+		}
+	}
+	if got := f.metric(entry, "route.ejections"); got != 0 {
+		t.Errorf("%d ejections of a healthy engine", got)
+	}
 	f.caller.Key, c.LastEventID = otherKey, first.LastID
 	if got := f.stream(entry, c, 0, nil); got.Status != 400 {
 		t.Errorf("another organisation: told %+v", got)
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -98,6 +98,9 @@
 		if err == nil || errors.Is(err, errCallerGone) || errors.Is(err, errStopping) {
 			return err
 		}
+		if errors.Is(err, stream.ErrDiverged) {
+			return s.gaveUp(comp, progress, err)
+		}
 		excluded[comp.resume.Engine] = !ranNothing(err)
 	}
 	var last error
@@ -169,6 +172,7 @@
 		comp.version = chosen.Loaded.Version
 	}
 	client := s.engineAt(chosen.Address)
+	before := assembler.Next()
 	source, err := s.generate(ctx, client, comp.engineRequest(assembler.Restart(), attach))
 	if err == nil {
 		s.engineAccepted(chosen.ID, comp.id, source.Stream)
@@ -185,14 +189,16 @@
 	if ctx.Err() != nil {
 		err = errCallerGone
 	}
-	s.afterFailure(ctx, chosen.ID, client, comp, err, attach)
+	// A resumption that brought nothing says nothing about the engine: the token
+	// may be wrong, or the entry that the caller left cancelled the stream.
+	blame := !errors.Is(err, errCallerGone) && (comp.resume == nil || assembler.Next() > before)
+	s.afterFailure(ctx, chosen.ID, client, comp, err, blame)
 	return err
 }
 
 // afterFailure frees the engine of a stream that nobody reads any more, and
-// notes who failed. A broken attachment says nothing about the engine: the
-// entry that the caller left may have cancelled the stream.
-func (s *Server) afterFailure(ctx context.Context, engineID string, client engine.Engine, comp *completion, err error, attach bool) {
+// notes the failure if the engine is to blame.
+func (s *Server) afterFailure(ctx context.Context, engineID string, client engine.Engine, comp *completion, err error, blame bool) {
 	switch {
 	case errors.Is(err, engine.ErrUnreachable):
 		s.upstreamFailed(engineID)
@@ -203,7 +209,7 @@
 		return
 	}
 	s.background.Go(func() { s.cancel(ctx, client, comp.id) })
-	if !errors.Is(err, errCallerGone) && !attach {
+	if blame {
 		s.upstreamFailed(engineID)
 	}
 }
--- a/internal/entry/gaveup.go
+++ b/internal/entry/gaveup.go
@@ -13,7 +13,7 @@
 	case comp.resume == nil && progress.Word() == outcome.NotRun:
 		return notRun("no_engine", "no engine can take the request now", defaultRetryIn)
 	case errors.Is(last, stream.ErrDiverged):
-		return unknown("cannot_resume", "another engine made another text; ask again from the start")
+		return unknown("cannot_resume", "the engine made another text than the one received; ask again from the start")
 	case !s.servesVersion(comp):
 		return unknown("cannot_resume", "the model's version that made the first part is not served any more; ask again from the start")
 	}
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -35,6 +35,9 @@
 	if !strings.HasSuffix(parsed.Request, "-"+binding) {
 		return badRequest(headerLastEventID, "the id belongs to another request; send the same body again")
 	}
+	if parsed.Next > c.maxTokens+1 {
+		return badRequest(headerLastEventID, "the id is behind the end of the answer")
+	}
 	c.resume = &parsed
 	c.id, c.seed, c.version = parsed.Request, parsed.Seed, parsed.Version
 	return nil
