--- a/internal/answers/fixture_test.go
+++ b/internal/answers/fixture_test.go
@@ -137,18 +137,9 @@
 	return string(output), err
 }
 
-func (f *fixture) ready(address string) bool {
-	res, err := http.Get("http://" + address + "/readyz")
-	if err != nil {
-		return false
-	}
-	defer res.Body.Close()
-	return res.StatusCode == http.StatusOK
-}
-
 func (f *fixture) untilReady(address string) {
 	f.t.Helper()
-	f.until(address+" is ready", func() bool { return f.ready(address) })
+	f.until(address+" is ready", func() bool { return testfleet.Ready(f.ctx, address) })
 }
 
 // restartEntry ends an instance's sf-entry, if it runs, and starts it with
--- a/internal/answers/shutdown_test.go
+++ b/internal/answers/shutdown_test.go
@@ -13,59 +13,11 @@
 	"sassafrasfield/internal/testfleet"
 )
 
-// balancer picks ready instances, from probes that take effect after a lag.
-type balancer struct {
-	f   *fixture
-	lag time.Duration
-
-	mu   sync.Mutex // protects both below
-	up   map[string]bool
-	turn int
-}
-
-// run probes until stop is closed.
-func (b *balancer) run(stop <-chan struct{}) {
-	for {
-		for _, i := range b.f.Instances {
-			ready := b.f.ready(i.EntryAddress)
-			time.AfterFunc(b.lag, func() {
-				b.mu.Lock()
-				defer b.mu.Unlock()
-				b.up[i.EntryAddress] = ready
-			})
-		}
-		select {
-		case <-stop:
-			return
-		case <-time.After(20 * time.Millisecond):
-		}
-	}
-}
-
-func (b *balancer) sends(address string) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.up[address]
-}
-
-// pick returns the next instance in turn that the balancer holds for ready.
-func (b *balancer) pick() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for {
-		b.turn++
-		address := b.f.Instances[b.turn%len(b.f.Instances)].EntryAddress
-		if b.up[address] {
-			return address
-		}
-	}
-}
-
 // load sends requests of each kind until stop is closed, and reports each that
 // did not get its whole answer.
 type load struct {
 	f     *fixture
-	b     *balancer
+	b     *testfleet.Balancer
 	chat  testcaller.Chat
 	want  string
 	lots  sync.Map
@@ -73,7 +25,7 @@
 }
 
 func (l *load) stream() {
-	address := l.b.pick()
+	address := l.b.Pick()
 	answer, err := l.f.caller.Stream(l.f.ctx, address, l.chat, nil)
 	if err != nil || !answer.Done || answer.Text != l.want {
 		l.f.t.Errorf("a stream at %s: %v, %+v", address, err, answer)
@@ -82,7 +34,7 @@
 
 func (l *load) whole() {
 	body := fmt.Sprintf(`{"model": %q, "prompt": %q, "max_tokens": 20}`, modelName, prompt)
-	address := l.b.pick()
+	address := l.b.Pick()
 	res, err := l.f.caller.Post(l.f.ctx, address, "/v1/completions", nil, []byte(body))
 	if err != nil {
 		l.f.t.Errorf("a completion at %s: %v", address, err)
@@ -96,7 +48,7 @@
 
 func (l *load) certificate() {
 	lot := fmt.Sprintf("lot %d", l.count.Load())
-	address := l.b.pick()
+	address := l.b.Pick()
 	if got := l.f.issue(address, lot, lot); got.Status != http.StatusOK {
 		l.f.t.Errorf("a certificate at %s: %+v", address, got)
 	}
@@ -126,12 +78,11 @@
 		instances: 3, engines: 2, services: 1, engineFlags: []string{"--decode-rate", "100"},
 		entrySettings: "stale_after = \"20s\"\n",
 	})
-	stopProbes, stopLoad := make(chan struct{}), make(chan struct{})
-	b := &balancer{f: f, lag: 300 * time.Millisecond, up: map[string]bool{}}
-	var probes sync.WaitGroup
-	probes.Go(func() { b.run(stopProbes) })
+	b := testfleet.NewBalancer(300*time.Millisecond, f.Instances[0].EntryAddress, f.Instances[1].EntryAddress, f.Instances[2].EntryAddress)
+	go b.Run(f.ctx)
+	stopLoad := make(chan struct{})
 	f.until("the balancer knows all", func() bool {
-		return b.sends(f.Instances[0].EntryAddress) && b.sends(f.Instances[1].EntryAddress) && b.sends(f.Instances[2].EntryAddress)
+		return b.Sends(f.Instances[0].EntryAddress) && b.Sends(f.Instances[1].EntryAddress) && b.Sends(f.Instances[2].EntryAddress)
 	})
 	c := chat(21, 60)
 	l := &load{f: f, b: b, chat: c, want: undisturbedText(c)}
@@ -143,12 +94,10 @@
 		f.stopGently(i.Control)
 		f.must(f.StartControl(i))
 		f.must(f.StartEntry(i))
-		f.until("the balancer sends again", func() bool { return b.sends(i.EntryAddress) })
+		f.until("the balancer sends again", func() bool { return b.Sends(i.EntryAddress) })
 	}
 	close(stopLoad)
 	work.Wait()
-	close(stopProbes)
-	probes.Wait()
 	runs := f.allRuns()
 	l.lots.Range(func(lot, _ any) bool {
 		if runs[lot.(string)] != 1 {
