Let the lease holder change roles by the policy, from measured demand

Cause: sf-entry measured nothing that a role could be chosen by, and sf-control never asked the policy.

Now: sf-entry measures the prompt and answer tokens of each pool over a sliding window and reports them; the lease holder sums them up, reads the engines' reports, and writes a decision as a version that changes one engine's wanted role. The rollout drains, orders, reads back and returns it. The document keeps the newest role change, so that a next holder keeps the dwell: it counts from when its own process first saw that version, and compares no clocks.

Process tests: a swing makes one change with streams running and none cut; a holder killed after its decision leaves one change, which the next carries out.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -95,6 +95,20 @@
 	// RoleChangeWeight multiplies the cost of a role change in the role
 	// policy; 1 counts lost service time as it is.
 	RoleChangeWeight float64 `json:"role_change_weight,omitempty"`
+	// LastRoleChange is the role policy's newest change; nil before the first.
+	LastRoleChange *RoleChange `json:"last_role_change,omitempty"`
+}
+
+// RoleChange records a change of the role policy, for the next lease holder.
+type RoleChange struct {
+	// Version that made the change.
+	Version int64  `json:"version"`
+	Engine  string `json:"engine"`
+	From    Role   `json:"from"`
+	To      Role   `json:"to"`
+	// OutSeconds is the time out of service that the decision reckoned with:
+	// measured, where there was a change before.
+	OutSeconds float64 `json:"out_seconds"`
 }
 
 // EngineState is what an engine has loaded, or should have.
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -38,6 +38,7 @@
 	members  *members
 	entry    *entryLink
 	leases   *leases
+	roles    *rolePolicy
 	http     *http.Client
 	options  []connect.ClientOption
 
@@ -70,6 +71,7 @@
 	d.members = newMembers(client, logging.Part(log, "members"))
 	d.entry = newEntryLink(d.holder, s.EntryLocal, d.http, d.options, logging.Part(log, "entry"))
 	d.leases = newLeases(d, logging.Part(log, "lease"))
+	d.roles = newRolePolicy(d, logging.Part(log, "roles"))
 	return d, nil
 }
 
@@ -82,7 +84,7 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	loops := []func(context.Context){
-		d.pollLoop, d.spreadLoop, d.entryLoop, d.memberLoop, d.leases.loop, d.rolloutLoop,
+		d.pollLoop, d.spreadLoop, d.entryLoop, d.memberLoop, d.leases.loop, d.rolloutLoop, d.roles.loop,
 	}
 	for _, loop := range loops {
 		group.Go(func() error {
--- /dev/null
+++ b/internal/control/roles.go
@@ -0,0 +1,180 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"sassafrasfield/internal/config"
+	"sassafrasfield/internal/platform"
+	"sassafrasfield/internal/roles"
+	"sassafrasfield/internal/versions"
+)
+
+// errMovedOn: the pool changed between the look at it and the decision.
+var errMovedOn = errors.New("roles: the pool has moved on")
+
+// rolePolicy feeds the role policy of each pool whose lease is held. A decision
+// becomes a version that changes an engine's wanted role alone; the rollout
+// carries it out.
+type rolePolicy struct {
+	daemon  *Daemon
+	log     *slog.Logger
+	changes metrics.Counter
+	// pools is used by the loop alone.
+	pools map[string]*poolRoles
+}
+
+// poolRoles is what this process knows of one pool.
+type poolRoles struct {
+	// changedIn is the version of the newest role change, seenAt when this
+	// process first saw it: no clock is compared with another's.
+	changedIn int64
+	seenAt    time.Duration
+	// epoch that this process holds the lease with, 0 when it does not; the
+	// rest is of that time.
+	epoch   int64
+	state   roles.State
+	reason  roles.Reason
+	reports map[string]reportMark
+}
+
+func newRolePolicy(d *Daemon, log *slog.Logger) *rolePolicy {
+	return &rolePolicy{
+		daemon: d, log: log, pools: map[string]*poolRoles{},
+		changes: metrics.GetOrRegisterCounter("control.role_changes", metrics.DefaultRegistry),
+	}
+}
+
+func (r *rolePolicy) loop(ctx context.Context) {
+	every(ctx, r.daemon.settings.Roles.Every, r.tick)
+}
+
+// tick looks at each pool whose lease is held and whose bounds allow changes.
+func (r *rolePolicy) tick(ctx context.Context) {
+	doc := r.daemon.holder.Current()
+	var due []*config.Pool
+	for i := range doc.Pools {
+		pool := &doc.Pools[i]
+		state := r.pool(pool)
+		auth, held := r.daemon.leases.held(pool.Name)
+		if !held || roles.BoundsOf(pool).Forbidden() {
+			state.epoch = 0
+			continue
+		}
+		if state.epoch != auth.epoch {
+			state.takeOver(auth.epoch, pool)
+		}
+		due = append(due, pool)
+	}
+	if len(due) == 0 {
+		return
+	}
+	at := r.daemon.now()
+	demand := r.daemon.observeDemand(ctx)
+	for _, pool := range due {
+		if err := r.step(ctx, doc, pool, at, demand.of(pool.Name)); err != nil {
+			r.log.Info("roles: a change did not succeed", "pool", pool.Name, "error", err)
+		}
+	}
+}
+
+// pool returns what is known of a pool, and notes a role change that is new to
+// this process. Each process does so, whether it holds the lease or not.
+func (r *rolePolicy) pool(pool *config.Pool) *poolRoles {
+	known, ok := r.pools[pool.Name]
+	if !ok {
+		known = &poolRoles{}
+		r.pools[pool.Name] = known
+	}
+	if last := pool.LastRoleChange; last != nil && last.Version != known.changedIn {
+		known.changedIn, known.seenAt = last.Version, r.daemon.now()
+	}
+	return known
+}
+
+// takeOver starts anew with what the last holder measured.
+func (p *poolRoles) takeOver(epoch int64, pool *config.Pool) {
+	p.epoch, p.state, p.reason, p.reports = epoch, roles.State{}, "", map[string]reportMark{}
+	if last := pool.LastRoleChange; last != nil {
+		p.state = p.state.WithCost(time.Duration(last.OutSeconds * float64(time.Second)))
+	}
+}
+
+// step asks the policy for one pool and carries out what it says.
+func (r *rolePolicy) step(ctx context.Context, doc *config.Config, pool *config.Pool, at time.Duration, demand roles.Demand) error {
+	auth, held := r.daemon.leases.held(pool.Name)
+	if !held {
+		return nil
+	}
+	known := r.pools[pool.Name]
+	obs := roles.Observation{
+		At: at, Demand: demand, Bounds: roles.BoundsOf(pool), Busy: !settled(doc, pool.Name),
+		Engines:   r.observeEngines(ctx, known, doc.PoolEngines(pool.Name)),
+		ChangedAt: known.seenAt, Changed: known.changedIn > 0,
+	}
+	var decision roles.Decision
+	known.state, decision = roles.Decide(r.daemon.settings.Roles, known.state, obs, r.daemon.now())
+	if decision.Reason != known.reason {
+		r.log.Info("roles: decided", "pool", pool.Name, "reason", decision.Reason,
+			"gain", decision.Gain, "cost", decision.Cost, "prefill", decision.Prefill, "decode", decision.Decode)
+		known.reason = decision.Reason
+	}
+	if decision.Change == nil {
+		return nil
+	}
+	return r.change(ctx, pool, auth, doc, decision)
+}
+
+// change appends the version that makes a decision, if the pool still stands
+// as the policy saw it.
+func (r *rolePolicy) change(ctx context.Context, pool *config.Pool, auth authority, seen *config.Config, decision roles.Decision) error {
+	head, doc, err := r.daemon.versions.Newest(ctx)
+	if err != nil {
+		return err
+	}
+	next, err := withRole(seen, doc, pool.Name, decision)
+	if err != nil {
+		return err
+	}
+	entry := versions.Entry{
+		Author:   "role policy on " + r.daemon.settings.Instance,
+		Summary:  explain(decision, pool.RoleChangeWeight, r.daemon.settings.Roles.Horizon),
+		Accepted: time.Now().UnixMilli(),
+	}
+	extra := platform.Txn{Checks: []platform.Check{auth.check(pool.Name)}}
+	if err := r.daemon.versions.Append(ctx, head, next, entry, extra); err != nil {
+		return err
+	}
+	r.changes.Inc(1)
+	r.log.Info("roles: change decided", "pool", pool.Name, "version", next.Version, "why", entry.Summary)
+	r.daemon.learn(next, "self")
+	return nil
+}
+
+// withRole returns the newest document with the decision in it. It is an error
+// when an operator's change or another step came in between.
+func withRole(seen, newest *config.Config, pool string, decision roles.Decision) (*config.Config, error) {
+	c := decision.Change
+	e := newest.Engine(c.Engine)
+	if newest.Intent != seen.Intent || !settled(newest, pool) || e == nil || e.Loaded.Role != c.From {
+		return nil, errMovedOn
+	}
+	next := newest.Clone()
+	next.Version = newest.Version + 1
+	next.Engine(c.Engine).Want.Role = c.To
+	next.Pool(pool).LastRoleChange = &config.RoleChange{
+		Version: next.Version, Engine: c.Engine, From: c.From, To: c.To, OutSeconds: decision.Out.Seconds(),
+	}
+	return next, nil
+}
+
+// explain tells operators why a change was made.
+func explain(d roles.Decision, weight float64, horizon time.Duration) string {
+	return fmt.Sprintf("engine %s from %s to %s: forecast %.0f prefill and %.0f decode tokens/s, gain %.2f s of goodput over %s, cost %.2f s (%.1f s out of service, weight %g)",
+		d.Change.Engine, d.Change.From, d.Change.To, d.Prefill, d.Decode, d.Gain, horizon, d.Cost, d.Out.Seconds(), weight)
+}
--- /dev/null
+++ b/internal/control/rolesobserve.go
@@ -0,0 +1,135 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"sassafrasfield/internal/config"
+	"sassafrasfield/internal/engine"
+	sfv1 "sassafrasfield/internal/gen/sf/v1"
+	"sassafrasfield/internal/platform"
+	"sassafrasfield/internal/roles"
+)
+
+// reportMark is the newest report seen of an engine.
+type reportMark struct {
+	boot string
+	seq  int64
+	at   time.Duration
+}
+
+// observeEngines reads the load report of each engine. A report that has been
+// the newest for long is none.
+func (r *rolePolicy) observeEngines(ctx context.Context, known *poolRoles, engines []*config.Engine) []roles.Engine {
+	views := make([]roles.Engine, len(engines))
+	reports := make([]*engine.Report, len(engines))
+	var work sync.WaitGroup
+	for i, e := range engines {
+		work.Go(func() {
+			if report, err := r.daemon.engineAt(e.Address).Report(ctx); err == nil {
+				reports[i] = &report
+			}
+		})
+	}
+	work.Wait()
+	leaving := r.daemon.members.leavingUpstreams()
+	for i, e := range engines {
+		views[i] = roles.Engine{
+			ID: e.ID, Role: e.Loaded.Role, Changing: e.Loaded.Role != e.Want.Role,
+			Serving: e.Routing == config.RoutingServing && !e.Leave && !slices.Contains(leaving, e.ID),
+		}
+		if reports[i] != nil && known.fresh(e.ID, *reports[i], r.daemon.now(), r.daemon.settings.Roles.StaleAfter) {
+			fill(&views[i], *reports[i])
+		}
+	}
+	return views
+}
+
+// fresh tells whether a report is a newer one than the last, or the last was
+// newer a short while ago.
+func (p *poolRoles) fresh(id string, report engine.Report, now, staleAfter time.Duration) bool {
+	mark, ok := p.reports[id]
+	if !ok || mark.boot != report.Boot || mark.seq < report.Seq {
+		p.reports[id] = reportMark{boot: report.Boot, seq: report.Seq, at: now}
+		return true
+	}
+	return now-mark.at <= staleAfter
+}
+
+func fill(view *roles.Engine, report engine.Report) {
+	view.Reported = true
+	view.PrefillRate, view.DecodeRate = report.PrefillRate, report.DecodeRate
+	view.PrefillQueue = report.PrefillTokens
+	view.Running, view.Waiting = report.Running, report.Waiting
+}
+
+// demandRound is what the instances answered in one round.
+type demandRound struct {
+	instances, asked, answered int
+	pools                      map[string]*sfv1.PoolDemand
+}
+
+// of returns the demand of one pool.
+func (d demandRound) of(pool string) roles.Demand {
+	sum := d.pools[pool]
+	return roles.Demand{
+		Prefill: sum.GetPrefillTokens(), Decode: sum.GetDecodeTokens(),
+		Instances: d.instances, Asked: d.asked, Answered: d.answered,
+	}
+}
+
+// observeDemand asks the instances for their measured demand: each of them, or
+// a random part where there are many.
+func (d *Daemon) observeDemand(ctx context.Context) demandRound {
+	own := d.members.own()
+	round := demandRound{instances: len(own), pools: map[string]*sfv1.PoolDemand{}}
+	asked := sample(own, d.settings.Roles.AskAtMost)
+	round.asked = len(asked)
+	answers := make([]*sfv1.InForceResponse, len(asked))
+	var work sync.WaitGroup
+	for i, instance := range asked {
+		work.Go(func() {
+			response, err := d.peer(instance.Control).InForce(ctx, connect.NewRequest(&sfv1.InForceRequest{}))
+			if err == nil && response.Msg.EntryKnown {
+				answers[i] = response.Msg
+			}
+		})
+	}
+	work.Wait()
+	for _, answer := range answers {
+		if answer != nil {
+			round.add(answer)
+		}
+	}
+	return round
+}
+
+func (d *demandRound) add(answer *sfv1.InForceResponse) {
+	d.answered++
+	for _, demand := range answer.Demand {
+		sum, ok := d.pools[demand.Pool]
+		if !ok {
+			sum = &sfv1.PoolDemand{Pool: demand.Pool}
+			d.pools[demand.Pool] = sum
+		}
+		sum.PrefillTokens += demand.PrefillTokens
+		sum.DecodeTokens += demand.DecodeTokens
+	}
+}
+
+// sample returns all instances, or as many as limit at random.
+func sample(instances []platform.Instance, limit int) []platform.Instance {
+	if len(instances) <= limit {
+		return instances
+	}
+	chosen := make([]platform.Instance, 0, limit)
+	for _, i := range rand.Perm(len(instances))[:limit] {
+		chosen = append(chosen, instances[i])
+	}
+	return chosen
+}
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"sassafrasfield/internal/logging"
+	"sassafrasfield/internal/roles"
 	"sassafrasfield/internal/settings"
 	"sassafrasfield/internal/tomlfile"
 	"sassafrasfield/internal/tracing"
@@ -26,6 +27,7 @@
 	Lease           LeaseSettings    `toml:"lease"`
 	Spread          SpreadSettings   `toml:"spread"`
 	Rollout         RolloutSettings  `toml:"rollout"`
+	Roles           roles.Settings   `toml:"roles"`
 	Log             logging.Settings `toml:"log"`
 	Trace           tracing.Settings `toml:"trace"`
 }
@@ -78,6 +80,7 @@
 			ApplyEvery: 250 * time.Millisecond, ListEvery: time.Second,
 		},
 		Rollout: RolloutSettings{StepEvery: 200 * time.Millisecond, EngineTimeout: 2 * time.Second},
+		Roles:   roles.Default(),
 		Log:     logging.Default(),
 		Trace:   tracing.Default(),
 	}
@@ -101,6 +104,7 @@
 	settings.Between(file, "spread.list_every", s.Spread.ListEvery, shortest, longest)
 	settings.Between(file, "rollout.step_every", s.Rollout.StepEvery, shortest, longest)
 	settings.Between(file, "rollout.engine_timeout", s.Rollout.EngineTimeout, shortest, longest)
+	s.Roles.Check(file, "roles")
 	s.Log.Check(file, "log")
 	s.Trace.Check(file, "trace")
 }
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -84,6 +84,7 @@
 		if !ok {
 			break
 		}
+		s.admitted(comp, chosen, placement)
 		last = s.runOn(ctx, chosen, comp, assembler, out, false)
 		if last == nil || errors.Is(last, errCallerGone) || ctx.Err() != nil {
 			return last
@@ -159,6 +160,7 @@
 		}
 		for _, p := range ready {
 			s.metrics.tokens.Inc(1)
+			s.demand.generated(comp.pool, s.now())
 			token := stream.Token{
 				Request: comp.id, Engine: engineID, Seed: comp.seed,
 				Next: p.N + 1, Sum: assembler.Sum(),
--- /dev/null
+++ b/internal/entry/demand_test.go
@@ -0,0 +1,36 @@
+package entry
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+func TestDemandSlides(t *testing.T) {
+	m := newDemandMeter(10 * time.Second)
+	for at := time.Duration(0); at < 30*time.Second; at += 100 * time.Millisecond {
+		m.add("main", tokenCounts{prefill: 50}, at)
+		m.generated("main", at)
+	}
+	near := func(got, want float64) bool { return math.Abs(got-want) <= 0.06*want }
+	full := m.report(30 * time.Second)
+	if len(full) != 1 || !near(full[0].PrefillTokens, 500) || !near(full[0].DecodeTokens, 10) {
+		t.Errorf("steady work measured as %v, want 500 and 10 tokens a second", full)
+	}
+	if half := m.report(35 * time.Second); !near(half[0].PrefillTokens, 250) {
+		t.Errorf("5 s after the end: %v, want 250", half)
+	}
+	if gone := m.report(50 * time.Second); gone[0].PrefillTokens != 0 || gone[0].DecodeTokens != 0 {
+		t.Errorf("20 s after the end: %v, want 0", gone)
+	}
+}
+
+func TestDemandOfAFreshEntryIsNotDiluted(t *testing.T) {
+	m := newDemandMeter(10 * time.Second)
+	for at := 60 * time.Second; at < 62*time.Second; at += 100 * time.Millisecond {
+		m.add("main", tokenCounts{prefill: 50}, at)
+	}
+	if got := m.report(62 * time.Second)[0].PrefillTokens; math.Abs(got-500) > 30 {
+		t.Errorf("%v tokens a second 2 s after the first work, want 500", got)
+	}
+}
--- a/internal/entry/local.go
+++ b/internal/entry/local.go
@@ -37,6 +37,7 @@
 	response := &sfv1.StatusResponse{
 		Version: l.server.state.config().Version,
 		Ready:   !l.server.stopping.Load() && l.server.ready() == nil,
+		Demand:  l.server.demand.report(l.server.now()),
 	}
 	for id, n := range l.server.state.streams() {
 		response.Streams = append(response.Streams, &sfv1.EngineStreams{Engine: id, Streams: int32(n)})
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -37,6 +37,8 @@
 	seed         int64
 	priority     int
 	streamed     bool
+	// pool that the request was placed in last.
+	pool string
 	// resume is the token of a broken answer, or nil.
 	resume *stream.Token
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -32,6 +32,7 @@
 	once     once.Runner
 	stopping atomic.Bool
 	metrics  *meters
+	demand   *demandMeter
 
 	mu       sync.Mutex // protects engines and services
 	engines  map[string]engine.Engine
@@ -47,6 +48,7 @@
 		state:    newState(s.Zone),
 		once:     once.Runner{Table: platform.NewClient(s.Platform, s.PlatformTimeout)},
 		metrics:  newMeters(metrics.DefaultRegistry),
+		demand:   newDemandMeter(s.DemandWindow),
 		engines:  map[string]engine.Engine{},
 		services: map[string]service.Service{},
 	}
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -30,11 +30,14 @@
 	ShutdownTimeout time.Duration `toml:"shutdown_timeout"`
 	// BalancerLag is how long the entry goes on taking what the balancer sends
 	// after it said that it is not ready. Default 3s.
-	BalancerLag time.Duration    `toml:"balancer_lag"`
-	Limits      LimitSettings    `toml:"limits"`
-	Engine      EngineSettings   `toml:"engine"`
-	Log         logging.Settings `toml:"log"`
-	Trace       tracing.Settings `toml:"trace"`
+	BalancerLag time.Duration `toml:"balancer_lag"`
+	// DemandWindow is the time over which the admitted work is measured for
+	// the role policy. Default 10s.
+	DemandWindow time.Duration    `toml:"demand_window"`
+	Limits       LimitSettings    `toml:"limits"`
+	Engine       EngineSettings   `toml:"engine"`
+	Log          logging.Settings `toml:"log"`
+	Trace        tracing.Settings `toml:"trace"`
 }
 
 // LimitSettings bound what a caller may send.
@@ -68,6 +71,7 @@
 		StaleAfter:      5 * time.Second,
 		ShutdownTimeout: 10 * time.Minute,
 		BalancerLag:     3 * time.Second,
+		DemandWindow:    10 * time.Second,
 		Limits: LimitSettings{
 			MaxBodyBytes: 4 << 20, MaxHeaderBytes: 64 << 10,
 			MaxPromptTokens: 131072, MaxAnswerTokens: 4096,
@@ -90,6 +94,7 @@
 	settings.Between(file, "stale_after", s.StaleAfter, 100*time.Millisecond, 10*time.Minute)
 	settings.Between(file, "shutdown_timeout", s.ShutdownTimeout, 0, 24*time.Hour)
 	settings.Between(file, "balancer_lag", s.BalancerLag, 0, time.Minute)
+	settings.Between(file, "demand_window", s.DemandWindow, 100*time.Millisecond, 10*time.Minute)
 	settings.IntBetween(file, "limits.max_body_bytes", s.Limits.MaxBodyBytes, 1<<10, 256<<20)
 	settings.IntBetween(file, "limits.max_header_bytes", s.Limits.MaxHeaderBytes, 1<<10, 1<<20)
 	settings.IntBetween(file, "limits.max_prompt_tokens", s.Limits.MaxPromptTokens, 1, 16<<20)
--- /dev/null
+++ b/internal/roles/process_test.go
@@ -0,0 +1,257 @@
+package roles_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"sassafrasfield/internal/engine"
+	"sassafrasfield/internal/standin"
+	"sassafrasfield/internal/testcaller"
+	"sassafrasfield/internal/testfleet"
+)
+
+const (
+	apiKey = "key-of-agedim"
+	model  = "critique"
+)
+
+// fleet is a set of real processes with one pool of engines.
+type fleet struct {
+	*testfleet.Fleet
+	t      *testing.T
+	ctx    context.Context
+	caller *testcaller.Caller
+}
+
+// rolesTable makes the policy quick, and allows it one change in the test.
+const rolesTable = `
+[roles]
+every = "200ms"
+horizon = "20s"
+dwell = "1h"
+stale_after = "10s"
+samples = 2
+confirm = 2
+out_of_service = "500ms"
+`
+
+// startFleet starts two instances and an engine of each given role, and puts
+// an intent with the pool's lines in force.
+func startFleet(t *testing.T, poolLines string, engineRoles []string, flags ...string) *fleet {
+	t.Helper()
+	bin, err := testfleet.Bin()
+	must(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	f := &fleet{Fleet: testfleet.New(bin, t.TempDir()), t: t, ctx: ctx, caller: testcaller.New(apiKey)}
+	t.Cleanup(func() { f.Stop(); cancel() })
+	must(t, f.StartPlatform(ctx))
+	f.EntryExtra = "balancer_lag = \"100ms\"\ndemand_window = \"1s\"\n"
+	f.ControlTables = rolesTable
+	for i, role := range engineRoles {
+		args := append([]string{"--model", model, "--model-version", "1", "--role", role, "--change-time", "300ms"}, flags...)
+		_, err := f.AddEngine(ctx, fmt.Sprintf("engine-%d", i+1), "mixco", args...)
+		must(t, err)
+	}
+	for _, id := range []string{"inst-1", "inst-2"} {
+		_, err := f.AddInstance(ctx, id, "mixco")
+		must(t, err)
+	}
+	must(t, testfleet.Until(ctx, "sf-control answers", func() bool { _, err := f.sfctl("status"); return err == nil }))
+	f.confirm(intentText(f.Engines, poolLines, engineRoles))
+	for i := range f.Instances {
+		must(t, testfleet.Until(ctx, "each entry has it in force", func() bool {
+			return f.stream(i, testcaller.Chat{Prompt: "ready?", Model: model, MaxTokens: 1}) == nil
+		}))
+	}
+	return f
+}
+
+func intentText(engines []*testfleet.Engine, poolLines string, engineRoles []string) string {
+	sum := sha256.Sum256([]byte(apiKey))
+	var b strings.Builder
+	fmt.Fprintf(&b, "name = \"base\"\n[[model]]\nname = %q\nversion = \"1\"\n", model)
+	fmt.Fprintf(&b, "[[pool]]\nname = \"main\"\nmodel = %q\n%s\n", model, poolLines)
+	for i, e := range engines {
+		fmt.Fprintf(&b, "[[engine]]\nid = %q\naddress = %q\nzone = %q\npool = \"main\"\nfencing = \"refuse\"\nrole = %q\n",
+			e.ID, e.Address, e.Zone, engineRoles[i])
+	}
+	fmt.Fprintf(&b, "[[organisation]]\nname = \"agedim\"\nkey_hashes = [%q]\n", hex.EncodeToString(sum[:]))
+	return b.String()
+}
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (f *fleet) sfctl(args ...string) (string, error) {
+	args = append([]string{"--control", f.Instances[0].ControlAt, "--operator", "op", "--timeout", "30s"}, args...)
+	output, err := exec.CommandContext(f.ctx, filepath.Join(f.Bin, "sfctl"), args...).CombinedOutput()
+	return string(output), err
+}
+
+// confirm declares and confirms an intent and waits until it is in force.
+func (f *fleet) confirm(text string) {
+	f.t.Helper()
+	path := filepath.Join(f.Dir, "intent.toml")
+	must(f.t, os.WriteFile(path, []byte(text), 0o644))
+	output, err := f.sfctl("declare", path)
+	if err != nil {
+		f.t.Fatal(output)
+	}
+	id := strings.Fields(output)[1]
+	if output, err := f.sfctl("confirm", "--follow", id); err != nil {
+		f.t.Fatal(output)
+	}
+}
+
+func (f *fleet) book(e *testfleet.Engine) standin.Book {
+	f.t.Helper()
+	var book standin.Book
+	must(f.t, testfleet.Post(f.ctx, e.Address, standin.PathBook, nil, &book))
+	return book
+}
+
+// expected is the answer that an undisturbed engine gives.
+func expected(chat testcaller.Chat) string {
+	return standin.NewText(engine.Request{
+		Model: model, Prompt: "user: " + chat.Prompt + "\n", MaxTokens: chat.MaxTokens, Seed: chat.Seed,
+	}).Whole()
+}
+
+// stream asks for an answer and compares it byte for byte.
+func (f *fleet) stream(entry int, chat testcaller.Chat) error {
+	answer, err := f.caller.Stream(f.ctx, f.Instances[entry].EntryAddress, chat, nil)
+	if err != nil {
+		return err
+	}
+	if !answer.Done || answer.Text != expected(chat) {
+		return fmt.Errorf("seed %d: status %d, error %+v, got %q, want %q", chat.Seed, answer.Status, answer.Error, answer.Text, expected(chat))
+	}
+	return nil
+}
+
+// offer sends requests at a steady pace until stop is closed, and returns a
+// function that waits for the answers and tells which were not whole.
+func (f *fleet) offer(stop <-chan struct{}, gap time.Duration, chat testcaller.Chat) func() []error {
+	var mu sync.Mutex // protects failed
+	var failed []error
+	var work sync.WaitGroup
+	work.Go(func() {
+		for i := 0; ; i++ {
+			request := chat
+			request.Seed = int64(i)
+			work.Go(func() {
+				if err := f.stream(i%len(f.Instances), request); err != nil {
+					mu.Lock()
+					defer mu.Unlock()
+					failed = append(failed, err)
+				}
+			})
+			select {
+			case <-stop:
+				return
+			case <-time.After(gap):
+			}
+		}
+	})
+	return func() []error {
+		work.Wait()
+		return failed
+	}
+}
+
+const bounds = "min_serving = 2\nmin_prefill = 1\nmax_prefill = 4\nmin_decode = 1\nrole_change_weight = 0.5"
+
+var longPrompts = testcaller.Chat{Prompt: strings.Repeat("a bale of Gabes ", 250), Model: model, MaxTokens: 30}
+
+// TestSwingChangesOneRoleAndCutsNothing: a swing to long prompts makes the
+// policy turn one decode engine into a prefill engine, through the rollout,
+// while streams run on all engines.
+func TestSwingChangesOneRoleAndCutsNothing(t *testing.T) {
+	given := []string{"prefill", "prefill", "decode", "decode"}
+	f := startFleet(t, bounds, given, "--prefill-rate", "2000", "--decode-rate", "100")
+	stop := make(chan struct{})
+	finish := f.offer(stop, 125*time.Millisecond, longPrompts)
+	err := testfleet.Until(f.ctx, "three engines serve as prefill", func() bool {
+		engines, err := f.sfctl("engines")
+		return err == nil && strings.Count(engines, "serving") == 4 && strings.Count(engines, "prefill") == 6
+	})
+	close(stop)
+	failed := finish()
+	if err != nil {
+		t.Fatalf("%v\n%s", err, f.Instances[0].Control.Log()+f.Instances[1].Control.Log())
+	}
+	for _, failure := range failed {
+		t.Error(failure)
+	}
+	f.checkOneChange(given)
+}
+
+// TestNextHolderKeepsTheDwell: the holder dies once it has decided; the next
+// one carries the change out, and decides none of its own within the dwell.
+func TestNextHolderKeepsTheDwell(t *testing.T) {
+	given := []string{"prefill", "prefill", "decode", "decode", "decode"}
+	f := startFleet(t, bounds, given, "--prefill-rate", "1000", "--decode-rate", "100")
+	stop := make(chan struct{})
+	finish := f.offer(stop, 125*time.Millisecond, longPrompts)
+	dead := -1
+	must(t, testfleet.Until(f.ctx, "a holder decides", func() bool {
+		for i, instance := range f.Instances {
+			if strings.Contains(instance.Control.Log(), "roles: change decided") {
+				dead = i
+			}
+		}
+		return dead >= 0
+	}))
+	f.Instances[dead].Control.Kill()
+	must(t, f.StartControl(f.Instances[dead]))
+	logs := func() string { return f.Instances[0].Control.Log() + f.Instances[1].Control.Log() }
+	err := testfleet.Until(f.ctx, "the next holder waits for the dwell", func() bool {
+		return strings.Contains(logs(), "reason=dwell") || strings.Count(logs(), "roles: change decided") > 1
+	})
+	close(stop)
+	if err != nil {
+		t.Fatalf("%v\n%s", err, logs())
+	}
+	for _, failure := range finish() {
+		t.Error(failure)
+	}
+	f.checkOneChange(given)
+}
+
+// checkOneChange looks at the engines' books and at the history.
+func (f *fleet) checkOneChange(given []string) {
+	f.t.Helper()
+	orders := 0
+	for i, e := range f.Engines {
+		book := f.book(e)
+		for _, order := range book.Orders {
+			if string(order.Want.Role) != given[i] {
+				orders++
+			}
+		}
+		if book.Cut != 0 {
+			f.t.Errorf("%s cut %d streams", e.ID, book.Cut)
+		}
+	}
+	history, err := f.sfctl("history")
+	must(f.t, err)
+	if n := strings.Count(history, "role policy on"); n != 1 || orders != 1 {
+		f.t.Errorf("%d changes of the policy and %d orders, want one each\n%s", n, orders, history)
+	}
+	if !strings.Contains(history, "from decode to prefill") || !strings.Contains(history, "weight 0.5") {
+		f.t.Errorf("the history does not tell why:\n%s", history)
+	}
+}
