Serve a prompt and its answer on two engines, by their roles

Cause: an engine's role was stored and never used; the stand-in's KV transfer took no time and outlived a crash.

Now the scheduler assigns a request to a mixed engine or to the better pair of a prefill and a decode engine. The prefill engine makes the first token; the entry carries only the handle, and the decode engine reads the KV cache from the source. A failure of either falls back to one engine that processes the prompt again, of any role if need be.

--- a/cmd/sf-standin/main.go
+++ b/cmd/sf-standin/main.go
@@ -71,6 +71,7 @@
 	blocks := cmd.Flag("kv-blocks", "Pieces of KV memory.").Default("4000").Int()
 	blockTokens := cmd.Flag("block-tokens", "Tokens in a piece.").Default("16").Int()
 	lag := cmd.Flag("report-lag", "Age of load reports.").Default("0s").Duration()
+	kvRate := cmd.Flag("kv-rate", "Tokens of KV cache that another engine reads a second.").Default("200000").Float64()
 	change := cmd.Flag("change-time", "Time of a disruptive order.").Default("2s").Duration()
 	load := cmd.Flag("load-time", "Time to load adapters.").Default("500ms").Duration()
 	return func(id string) standin.EngineOptions {
@@ -80,7 +81,7 @@
 			Fencing: config.Fencing(*fencing), PrefillRate: *prefill, PrefillBudget: *budget,
 			DecodeRate: *decode, StepPerStream: *perStream,
 			MaxRunning: *running, KVBlocks: *blocks, BlockTokens: *blockTokens,
-			ReportLag: *lag, ChangeTime: *change, LoadTime: *load,
+			ReportLag: *lag, ChangeTime: *change, LoadTime: *load, KVRate: *kvRate,
 		}
 	}
 }
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -76,21 +76,22 @@
 		if attempt > 0 {
 			s.metrics.retries.Inc(1)
 		}
-		placement := s.placement(comp)
-		chosen, ok := s.state.place(&route.Request{
+		placed, ok := s.state.assign(&route.Request{
 			Model: comp.name, Adapter: comp.adapter, Version: comp.version,
 			PromptTokens: comp.promptTokens, Excluded: excluded,
-		}, placement)
+			Split: attempt == 0 && mayBeSplit(comp),
+		}, s.placement(comp))
 		if !ok {
 			break
 		}
-		s.admitted(comp, chosen, placement)
-		last = s.runOn(ctx, chosen, comp, assembler, out, false)
+		s.admitted(comp, placed)
+		failed, err := s.run(ctx, placed, comp, assembler, out)
+		last = err
 		if last == nil || errors.Is(last, errCallerGone) || ctx.Err() != nil {
 			return last
 		}
-		excluded[chosen.ID] = true
-		s.log.Info("request: engine failed, trying another", "request", comp.id, "engine", chosen.ID, "error", last)
+		excluded[failed] = true
+		s.log.Info("request: engine failed, trying another", "request", comp.id, "engine", failed, "error", last)
 	}
 	if assembler.Next() > 0 {
 		return unknown("engine_failed", "no engine could finish the answer; resume with Last-Event-ID")
@@ -153,7 +154,7 @@
 	return engine.Request{
 		ID: c.id, Model: c.name, Adapter: c.adapter, Version: c.version,
 		Prompt: c.prompt, MaxTokens: c.maxTokens, Seed: c.seed, Priority: c.priority,
-		From: from, Attach: attach,
+		From: from, Attach: attach, KVHandle: c.kvHandle,
 	}
 }
 
--- a/internal/entry/demand.go
+++ b/internal/entry/demand.go
@@ -6,9 +6,7 @@
 	"sync"
 	"time"
 
-	"sassafrasfield/internal/config"
 	sfv1 "sassafrasfield/internal/gen/sf/v1"
-	"sassafrasfield/internal/load"
 )
 
 // demandBuckets is in how many parts the window slides.
@@ -100,9 +98,10 @@
 	return demand
 }
 
-// admitted counts the prompt of a request that was placed on an engine. A
-// prompt that is processed again on another engine counts again.
-func (s *Server) admitted(comp *completion, chosen *config.Engine, p load.Placement) {
-	comp.pool = chosen.Pool
-	s.demand.add(chosen.Pool, tokenCounts{prefill: float64(p.PrefillTokens)}, p.At)
+// admitted counts the prompt of a request that was placed on an engine, less
+// what is believed cached there. A prompt that is processed again on another
+// engine counts again.
+func (s *Server) admitted(comp *completion, placed assignment) {
+	comp.pool = placed.engine.Pool
+	s.demand.add(comp.pool, tokenCounts{prefill: float64(placed.prefillTokens)}, s.now())
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -39,6 +39,8 @@
 	streamed     bool
 	// pool that the request was placed in last.
 	pool string
+	// kvHandle names the prompt's KV cache at the engine that is to decode.
+	kvHandle string
 	// resume is the token of a broken answer, or nil.
 	resume *stream.Token
 }
--- a/internal/entry/routing.go
+++ b/internal/entry/routing.go
@@ -94,23 +94,38 @@
 	return candidates
 }
 
+// assignment is the engine that a request, or a part of it, was charged to.
+type assignment struct {
+	// engine is an entry of the configuration; treat it as read-only.
+	engine *config.Engine
+	work   route.Work
+	// prefillTokens are the prompt tokens that the engine has to process.
+	prefillTokens int
+}
+
 // place picks an engine for a request and charges it. The engine's entry of
 // the configuration is read-only.
 func (s *state) place(req *route.Request, p load.Placement) (*config.Engine, bool) {
+	placed, ok := s.assign(req, p)
+	return placed.engine, ok
+}
+
+// assign picks the engine that begins a request, and charges the request to it.
+func (s *state) assign(req *route.Request, p load.Placement) (assignment, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.table.Expire(p.At)
 	req.Zone, req.Leaving, req.Now = s.zone, s.leaving, p.At
 	req.Blocks, req.Prefix = p.Blocks, p.Prefix
-	chosen, ok := s.scheduler.Schedule(req, s.candidates(p.At), s.rng)
+	chosen, work, ok := s.scheduler.Assign(req, s.candidates(p.At), s.rng)
 	if !ok {
-		return nil, false
+		return assignment{}, false
 	}
 	cached := route.CachedTokens(req, chosen)
 	p.PrefillTokens -= cached
 	s.meters.hintedTokens.Inc(int64(cached))
 	s.table.Place(chosen.ID, p)
-	return chosen.Engine, true
+	return assignment{engine: chosen.Engine, work: work, prefillTokens: p.PrefillTokens}, true
 }
 
 // placeOn charges a request to the engine that runs its stream already.
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -61,6 +61,9 @@
 	// ReportEvery is the time between reads of an engine's report. Default
 	// 200ms.
 	ReportEvery time.Duration `toml:"report_every"`
+	// TransferTimeout bounds the transfer of a prompt's KV cache from a prefill
+	// engine to a decode engine. Default 10s.
+	TransferTimeout time.Duration `toml:"transfer_timeout"`
 	// Attempts of a request, the first one included. Default 3.
 	Attempts int `toml:"attempts"`
 }
@@ -77,7 +80,7 @@
 			MaxBodyBytes: 4 << 20, MaxHeaderBytes: 64 << 10,
 			MaxPromptTokens: 131072, MaxAnswerTokens: 4096,
 		},
-		Engine:  EngineSettings{Timeout: 30 * time.Second, ReportEvery: 200 * time.Millisecond, Attempts: 3},
+		Engine:  EngineSettings{Timeout: 30 * time.Second, ReportEvery: 200 * time.Millisecond, TransferTimeout: 10 * time.Second, Attempts: 3},
 		Routing: defaultRouting(),
 		Log:     logging.Default(),
 		Trace:   tracing.Default(),
@@ -103,6 +106,7 @@
 	settings.IntBetween(file, "limits.max_answer_tokens", s.Limits.MaxAnswerTokens, 1, 1<<20)
 	settings.Between(file, "engine.timeout", s.Engine.Timeout, 10*time.Millisecond, 10*time.Minute)
 	settings.Between(file, "engine.report_every", s.Engine.ReportEvery, time.Millisecond, time.Minute)
+	settings.Between(file, "engine.transfer_timeout", s.Engine.TransferTimeout, time.Millisecond, 10*time.Minute)
 	settings.IntBetween(file, "engine.attempts", s.Engine.Attempts, 1, 20)
 	s.Routing.check(file)
 	s.Log.Check(file, "log")
--- a/internal/entry/trace.go
+++ b/internal/entry/trace.go
@@ -33,6 +33,7 @@
 	retries    metrics.Counter
 	resumed    metrics.Counter
 	tokens     metrics.Counter
+	split      metrics.Counter
 	firstToken metrics.Timer
 }
 
@@ -45,6 +46,7 @@
 		retries:    metrics.GetOrRegisterCounter("entry.retries", registry),
 		resumed:    metrics.GetOrRegisterCounter("entry.resumed", registry),
 		tokens:     metrics.GetOrRegisterCounter("entry.tokens", registry),
+		split:      metrics.GetOrRegisterCounter("entry.split", registry),
 		firstToken: metrics.GetOrRegisterTimer("entry.first_token", registry),
 	}
 }
--- a/internal/route/filter_role.go
+++ b/internal/route/filter_role.go
@@ -9,7 +9,7 @@
 // Keep implements Filter.
 func (RoleFilter) Keep(req *Request, c Candidate) bool {
 	role := c.Engine.Loaded.Role
-	if role == "" || role == config.RoleMixed {
+	if role == "" || role == config.RoleMixed || req.Work == WorkAny {
 		return true
 	}
 	return string(role) == string(req.Work)
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -24,12 +24,17 @@
 	WorkPrefill Work = "prefill"
 	// WorkDecode is the answer alone, from imported KV cache.
 	WorkDecode Work = "decode"
+	// WorkAny is prefill and decode on one engine of whatever role, where no
+	// engine of the right one can take the request.
+	WorkAny Work = "any"
 )
 
 // Request is what the choice depends on.
 type Request struct {
 	Model, Adapter, Version string
 	Work                    Work
+	// Split allows a pair of prefill and decode engines; see Assign.
+	Split bool
 	// Zone of the entry.
 	Zone         string
 	PromptTokens int
--- a/internal/standin/batch.go
+++ b/internal/standin/batch.go
@@ -164,6 +164,7 @@
 }
 
 func (e *Engine) forget(now time.Time) {
+	e.forgetKV(now)
 	for id, g := range e.streams {
 		if !g.endedAt.IsZero() && now.Sub(g.endedAt) > streamKept {
 			delete(e.streams, id)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -36,6 +36,9 @@
 	// adapters.
 	ChangeTime time.Duration
 	LoadTime   time.Duration
+	// KVRate is how many tokens of KV cache another engine can read a second; 0
+	// is no limit.
+	KVRate float64
 }
 
 // EngineFaults are the faults of a stand-in engine. The zero value has none.
@@ -67,6 +70,12 @@
 	// Cancelled counts streams that were cancelled.
 	Cancelled int `json:"cancelled"`
 	Started   int `json:"started"`
+	// Exported and Imported count transfers of KV cache that began at this
+	// engine, and those that it took whole. Reused counts streams that were
+	// started from an import.
+	Exported int `json:"exported"`
+	Imported int `json:"imported"`
+	Reused   int `json:"reused"`
 }
 
 // PathBook returns the Book.
@@ -102,7 +111,8 @@
 	reports  []engine.Report
 	seq      int64
 	cache    *prefixCache
-	exports  map[string]int
+	exports  map[string]kvEntry // offered to other engines, by handle
+	imports  map[string]kvEntry // brought from other engines, by handle
 	book     Book
 	// forgotten is when ended streams were last looked for.
 	forgotten time.Time
@@ -110,7 +120,7 @@
 
 // NewEngine starts a stand-in engine.
 func NewEngine(options EngineOptions) *Engine {
-	e := &Engine{options: options, exports: map[string]int{}}
+	e := &Engine{options: options}
 	e.work = sync.NewCond(&e.mu)
 	e.faults.ReportLagMs = int(options.ReportLag.Milliseconds())
 	e.restart()
@@ -132,6 +142,7 @@
 	e.streams = map[string]*generation{}
 	e.waiting, e.running, e.recent, e.reports = nil, nil, nil, nil
 	e.accepted, e.seq = 0, 0
+	e.exports, e.imports = map[string]kvEntry{}, map[string]kvEntry{}
 	e.cache = newPrefixCache(e.options.KVBlocks / 2)
 }
 
@@ -155,6 +166,7 @@
 	mux.HandleFunc(engine.PathStatus, e.status)
 	mux.HandleFunc(engine.PathExport, e.export)
 	mux.HandleFunc(engine.PathImport, e.importKV)
+	mux.HandleFunc(PathKVData, e.kvData)
 	mux.HandleFunc(PathBook, func(w http.ResponseWriter, _ *http.Request) {
 		e.mu.Lock()
 		defer e.mu.Unlock()
@@ -304,30 +316,3 @@
 		Running: len(e.running) + len(e.waiting), Fault: e.fault,
 	}
 }
-
-func (e *Engine) export(w http.ResponseWriter, r *http.Request) {
-	var id engine.StreamID
-	if !read(w, r, &id) {
-		return
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	g, ok := e.streams[id.ID]
-	if !ok {
-		http.Error(w, "no such stream", http.StatusNotFound)
-		return
-	}
-	handle := "kv-" + id.ID
-	e.exports[handle] = g.promptTokens - g.prefillLeft
-	reply(w, engine.KVExport{Handle: handle, Source: r.Host, Tokens: e.exports[handle]})
-}
-
-func (e *Engine) importKV(w http.ResponseWriter, r *http.Request) {
-	var kv engine.KVExport
-	if !read(w, r, &kv) {
-		return
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.exports[kv.Handle] = kv.Tokens
-}
--- a/internal/standin/stream.go
+++ b/internal/standin/stream.go
@@ -47,13 +47,16 @@
 	if req.Adapter != "" && !slices.Contains(e.state.Adapters, req.Adapter) {
 		return nil, "", http.StatusServiceUnavailable
 	}
+	if _, ok := e.imports[req.KVHandle]; !ok && req.KVHandle != "" {
+		return nil, "", http.StatusServiceUnavailable
+	}
 	return e.start(req, hashes), e.boot, http.StatusOK
 }
 
 func (e *Engine) start(req engine.Request, hashes []uint64) *generation {
 	tokens := (len(req.Prompt)+charsPerToken-1)/charsPerToken + req.From
 	g := &generation{req: req, hashes: hashes, promptTokens: tokens, made: req.From, changed: sync.NewCond(&e.mu)}
-	g.prefillLeft = max(0, tokens-e.exports[req.KVHandle])
+	g.prefillLeft = tokens - e.takeImport(req.KVHandle)
 	g.text = NewText(req)
 	g.blocks = (tokens + req.MaxTokens + e.options.BlockTokens - 1) / e.options.BlockTokens
 	e.accepted++
