Prove resumption and planned changes around a split answer

A caller that leaves after the prefill engine's token gets the rest elsewhere; a planned change of the prefill engine waits until its KV cache was read. The stand-in drops KV cache at a disruptive order, as an engine would.

One of the swing tests' failures: the same prompt each time was soon believed cached, so the measured demand fell to the uncached part and the policy rightly saw no gain. The load now has a prompt of its own for each request.

--- a/internal/roles/process_test.go
+++ b/internal/roles/process_test.go
@@ -45,9 +45,10 @@
 `
 
 // startFleet starts two instances and an engine of each given role, and puts
-// an intent with the pool's lines in force.
+// an intent with the pool's lines in force. The test runs beside the others.
 func startFleet(t *testing.T, poolLines string, engineRoles []string, flags ...string) *fleet {
 	t.Helper()
+	t.Parallel()
 	bin, err := testfleet.Bin()
 	must(t, err)
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
@@ -152,6 +153,7 @@
 		for i := 0; ; i++ {
 			request := chat
 			request.Seed = int64(i)
+			request.Prompt = fmt.Sprintf("%d %s", i, chat.Prompt) // no cached prefix
 			work.Go(func() {
 				if err := f.stream(i%len(f.Instances), request); err != nil {
 					mu.Lock()
--- a/internal/roles/split_test.go
+++ b/internal/roles/split_test.go
@@ -1,6 +1,7 @@
 package roles_test
 
 import (
+	"context"
 	"strings"
 	"testing"
 
@@ -69,3 +70,39 @@
 		}
 	}
 }
+
+// TestResumeAfterThePrefillEnginesToken: a caller that leaves after the first
+// token, which the prefill engine made, gets the rest on another instance.
+func TestResumeAfterThePrefillEnginesToken(t *testing.T) {
+	f, _, _ := prefillAndDecode(t, "--kv-rate", "1000")
+	ctx, leave := context.WithCancel(f.ctx)
+	defer leave()
+	chat, first := brief(7), ""
+	answer, err := f.caller.Stream(ctx, f.Instances[0].EntryAddress, chat, func(_, text string) {
+		first = text
+		leave()
+	})
+	if err == nil {
+		t.Fatalf("the stream did not break: %+v", answer)
+	}
+	chat.LastEventID = answer.LastID
+	rest, err := f.caller.Stream(f.ctx, f.Instances[1].EntryAddress, chat, nil)
+	must(t, err)
+	if !rest.Done || first+rest.Text != expected(chat) {
+		t.Errorf("%q and then %q (%+v), want %q", first, rest.Text, rest.Error, expected(chat))
+	}
+}
+
+// TestPlannedChangeWaitsForTheTransfer: an engine whose prompts are processed
+// still holds their KV cache, and is not changed until it was read.
+func TestPlannedChangeWaitsForTheTransfer(t *testing.T) {
+	f, prefill, decode := prefillAndDecode(t, "--kv-rate", "300")
+	whole := make(chan error, 1)
+	go func() { whole <- f.stream(0, brief(3)) }()
+	must(t, testfleet.Until(f.ctx, "the transfer began", func() bool { return f.book(prefill).Exported == 1 }))
+	f.confirm("name = \"mixed\"\n[[engine]]\nid = \"engine-1\"\nrole = \"mixed\"\n")
+	must(t, <-whole)
+	if book := f.book(decode); book.Reused != 1 {
+		t.Errorf("%d transfers used, want 1: the change cut it off", book.Reused)
+	}
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -291,6 +291,7 @@
 			e.cut(g)
 		}
 		e.waiting, e.running = nil, nil
+		e.exports, e.imports = map[string]kvEntry{}, map[string]kvEntry{}
 	}
 	e.changing = true
 	boot := e.boot
--- a/internal/standin/kv.go
+++ b/internal/standin/kv.go
@@ -24,7 +24,7 @@
 }
 
 // export offers the KV cache of a stream's prompt to another engine. The offer
-// is gone once it was read, after kvKept, or with the process.
+// is gone once it was read, after kvKept, at a crash, and with a disruptive order.
 func (e *Engine) export(w http.ResponseWriter, r *http.Request) {
 	var id engine.StreamID
 	if !read(w, r, &id) {
@@ -48,7 +48,6 @@
 	handle := r.URL.Query().Get("handle")
 	e.mu.Lock()
 	entry, ok := e.exports[handle]
-	boot := e.boot
 	if ok {
 		e.book.Exported++
 	}
@@ -64,7 +63,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.boot != boot {
+	if _, ok := e.exports[handle]; !ok {
 		panic(http.ErrAbortHandler) // breaks the connection
 	}
 	delete(e.exports, handle)
