--- a/internal/entry/disaggregated.go
+++ b/internal/entry/disaggregated.go
@@ -48,7 +48,7 @@
 // engine keeps the request's charge until the transfer is done, so that a
 // planned change waits for it.
 func (s *Server) handOver(ctx context.Context, prefill *config.Engine, comp *completion, assembler *stream.Assembler, out sink) (*config.Engine, error) {
-	defer s.state.end(prefill.ID, comp.id)
+	defer func() { s.state.end(prefill.ID, comp.id, s.now()) }()
 	if err := s.prefillOn(ctx, prefill, comp, assembler, out); err != nil || assembler.Done() {
 		return prefill, err
 	}
@@ -65,7 +65,7 @@
 		return prefill, errors.WithMessage(engine.ErrNotRun, "no engine to decode on")
 	}
 	if err := s.importTo(ctx, decode, kv); err != nil {
-		s.state.end(decode.ID, comp.id)
+		s.state.end(decode.ID, comp.id, s.now())
 		return atFault(err, prefill, decode), errors.WithMessage(err, "import of KV cache")
 	}
 	comp.kvHandle = kv.Handle
--- a/internal/roles/roles_test.go
+++ b/internal/roles/roles_test.go
@@ -147,6 +147,7 @@
 func TestPolicyKeepsItsPromises(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		settings := Default()
+		settings.Dwell = rapid.SampledFrom([]time.Duration{0, settings.Dwell}).Draw(t, "dwell")
 		bounds := Bounds{
 			MinPrefill: rapid.IntRange(0, 3).Draw(t, "min prefill"), MinDecode: rapid.IntRange(0, 3).Draw(t, "min decode"),
 			MinServing: rapid.IntRange(0, 9).Draw(t, "min serving"), Weight: rapid.SampledFrom([]float64{0, 0.5, 5}).Draw(t, "weight"),
