Compare fixed roles, the role policy and mixed engines on whole fleets

Cause: the comparison of routing policies takes the place of sf-control, so no role policy runs in it.

--- a/cmd/sf-load/main.go
+++ b/cmd/sf-load/main.go
@@ -28,7 +28,8 @@
 	run := runCommand(app)
 	compare := compareCommand(app)
 	overhead := overheadCommand(app)
-	commands := map[string]func(context.Context) error{run.name: run.do, compare.name: compare.do, overhead.name: overhead.do}
+	roles := rolesCommand(app)
+	commands := map[string]func(context.Context) error{run.name: run.do, compare.name: compare.do, overhead.name: overhead.do, roles.name: roles.do}
 	if err := commands[kingpin.MustParse(app.Parse(os.Args[1:]))](ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "sf-load:", err)
 		os.Exit(1)
--- /dev/null
+++ b/cmd/sf-load/roles.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"sassafrasfield/internal/bench"
+)
+
+// rolesCommand sets ways to give engines their roles beside each other.
+func rolesCommand(app *kingpin.Application) command {
+	cmd := app.Command("roles", "Set fixed roles, the role policy and mixed engines beside each other, on fleets that it starts.")
+	bin := cmd.Flag("bin", "Folder of the built programs.").Default("bin").String()
+	out := cmd.Flag("out", "Folder for the results.").Default("out").String()
+	seeds := cmd.Flag("seed", "Seed; repeat for more.").Default("1", "2", "3").Uint64List()
+	phase := cmd.Flag("phase", "Length of each phase of the swing.").Default("25s").Duration()
+	phases := cmd.Flag("phases", "Phases, of short and long prompts in turn.").Default("4").Int()
+	rate := cmd.Flag("rate", "Completions a second.").Default("28").Float64()
+	instances := cmd.Flag("instances", "Instances of the system.").Default("3").Int()
+	engines := cmd.Flag("engines", "Engines.").Default("10").Int()
+	deployments := bench.Deployments()
+	name := cmd.Flag("deployment", "Deployment whose load is offered.").Default(deployments[0].Name).Enum(deployments[0].Name, deployments[1].Name)
+	return command{name: cmd.FullCommand(), do: func(ctx context.Context) error {
+		dir, err := os.MkdirTemp("", "sf-bench-")
+		if err != nil {
+			return err
+		}
+		defer os.RemoveAll(dir)
+		options := bench.RoleOptions{
+			Bin: *bin, Dir: dir, Out: *out, Seeds: *seeds, Deployment: deployments[0], Instances: *instances,
+			Engines: *engines, Phase: *phase, Phases: *phases, Rate: *rate, Log: os.Stderr,
+		}
+		if *name == deployments[1].Name {
+			options.Deployment = deployments[1]
+		}
+		return bench.CompareRoles(ctx, options)
+	}}
+}
--- a/internal/roles/roles_test.go
+++ b/internal/roles/roles_test.go
@@ -134,6 +134,54 @@
 	}
 }
 
+// TestOnePeakIsNotEnough: what a single observation calls for is not done.
+func TestOnePeakIsNotEnough(t *testing.T) {
+	p := newPool(Default(), usual, 4, 6, 0)
+	p.hold(0, time.Minute, all(20_000, 6000))
+	if d := p.look(time.Minute, all(35_000, 6000), 0); d.Reason != ReasonConfirming {
+		t.Fatalf("%+v at the peak", d)
+	}
+	p.hold(time.Minute+p.settings.Every, 3*time.Minute, all(20_000, 6000))
+	if len(p.changes) != 0 {
+		t.Errorf("changes at %v", p.changes)
+	}
+}
+
+// TestForecastIsDamped: a rise is not carried on for the whole horizon.
+func TestForecastIsDamped(t *testing.T) {
+	var f trend
+	for i := range 10 {
+		f = f.add(float64(10_000+1000*i), i)
+	}
+	if ahead := f.at(30) - f.level; ahead < 500 || ahead > 4000 {
+		t.Errorf("the forecast rises by %.0f after a rise of 1000 each time, want 500 to 4000", ahead)
+	}
+}
+
+func TestAllBoundsZeroForbidsChanges(t *testing.T) {
+	p := newPool(Default(), Bounds{MinServing: 2}, 0, 4, 6)
+	p.hold(0, 2*time.Minute, all(5000, 16_000))
+	if len(p.changes) != 0 {
+		t.Errorf("%d changes", len(p.changes))
+	}
+	p.bounds.MinDecode = 1
+	if p.hold(2*time.Minute, 4*time.Minute, all(5000, 16_000)); len(p.changes) == 0 {
+		t.Error("no change with a bound: the load calls for none, so nothing was tested")
+	}
+}
+
+// TestLastEngineOfAKindStays: no change takes the only engine that can decode
+// out of service, even at no cost.
+func TestLastEngineOfAKindStays(t *testing.T) {
+	p := newPool(Default(), Bounds{MaxPrefill: 4}, 2, 1, 0)
+	p.hold(0, 4*time.Minute, all(30_000, 100))
+	for _, e := range p.engines {
+		if e.ID == "e02" && e.Role != config.RoleDecode {
+			t.Errorf("the only decode engine became %s", e.Role)
+		}
+	}
+}
+
 func TestScaledUpByWhoAnswered(t *testing.T) {
 	obs := Observation{Demand: Demand{Prefill: 800, Decode: 80, Instances: 10, Asked: 10, Answered: 8}}
 	prefill, decode := pressure(Default(), obs)
