--- a/internal/control/roles.go
+++ b/internal/control/roles.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"sassafrasfield/internal/bootclock"
 	"sassafrasfield/internal/config"
 	"sassafrasfield/internal/platform"
 	"sassafrasfield/internal/roles"
@@ -74,7 +75,7 @@
 	if len(due) == 0 {
 		return
 	}
-	at := r.daemon.now()
+	at := bootclock.Now()
 	demand := r.daemon.observeDemand(ctx)
 	for _, pool := range due {
 		if err := r.step(ctx, doc, pool, at, demand.of(pool.Name)); err != nil {
@@ -92,7 +93,7 @@
 		r.pools[pool.Name] = known
 	}
 	if last := pool.LastRoleChange; last != nil && last.Version != known.changedIn {
-		known.changedIn, known.seenAt = last.Version, r.daemon.now()
+		known.changedIn, known.seenAt = last.Version, bootclock.Now()
 	}
 	return known
 }
@@ -118,7 +119,7 @@
 		ChangedAt: known.seenAt, Changed: known.changedIn > 0,
 	}
 	var decision roles.Decision
-	known.state, decision = roles.Decide(r.daemon.settings.Roles, known.state, obs, r.daemon.now())
+	known.state, decision = roles.Decide(r.daemon.settings.Roles, known.state, obs, bootclock.Now())
 	if decision.Reason != known.reason {
 		r.log.Info("roles: decided", "pool", pool.Name, "reason", decision.Reason,
 			"gain", decision.Gain, "cost", decision.Cost, "prefill", decision.Prefill, "decode", decision.Decode)
@@ -146,6 +147,11 @@
 		Summary:  explain(decision, pool.RoleChangeWeight, r.daemon.settings.Roles.Horizon),
 		Accepted: time.Now().UnixMilli(),
 	}
+	ctx, cancel, err := r.daemon.mayAccept(ctx, next.Version)
+	defer cancel()
+	if err != nil {
+		return err
+	}
 	extra := platform.Txn{Checks: []platform.Check{auth.check(pool.Name)}}
 	if err := r.daemon.versions.Append(ctx, head, next, entry, extra); err != nil {
 		return err
--- a/internal/control/rolesobserve.go
+++ b/internal/control/rolesobserve.go
@@ -9,6 +9,7 @@
 
 	"connectrpc.com/connect"
 
+	"sassafrasfield/internal/bootclock"
 	"sassafrasfield/internal/config"
 	"sassafrasfield/internal/engine"
 	sfv1 "sassafrasfield/internal/gen/sf/v1"
@@ -43,7 +44,7 @@
 			ID: e.ID, Role: e.Loaded.Role, Changing: e.Loaded.Role != e.Want.Role,
 			Serving: e.Routing == config.RoutingServing && !e.Leave && !slices.Contains(leaving, e.ID),
 		}
-		if reports[i] != nil && known.fresh(e.ID, *reports[i], r.daemon.now(), r.daemon.settings.Roles.StaleAfter) {
+		if reports[i] != nil && known.fresh(e.ID, *reports[i], bootclock.Now(), r.daemon.settings.Roles.StaleAfter) {
 			fill(&views[i], *reports[i])
 		}
 	}
--- a/internal/entry/routing_test.go
+++ b/internal/entry/routing_test.go
@@ -31,20 +31,20 @@
 		Services: []config.Service{{Name: "s", Prefix: "/s", Upstreams: []config.ServiceUpstream{
 			{ID: "near", Zone: "hall-a"}, {ID: "far", Zone: "hall-b"},
 		}}},
-	}, nil, time.Second)
+	}, nil, heartbeat{at: time.Second})
 	return s
 }
 
 func TestLeavingEngineGetsNoWorkFromTheApplyOn(t *testing.T) {
 	s := routingState(nil)
-	s.apply(nil, []string{"e1"}, time.Second)
+	s.apply(nil, []string{"e1"}, heartbeat{at: time.Second})
 	for range 50 {
 		e, ok := s.place(&route.Request{Model: "m"}, load.Placement{ID: "r", At: time.Second})
 		if !ok || e.ID != "e2" {
 			t.Fatalf("placed on %v", e)
 		}
 	}
-	s.apply(nil, []string{"e1", "e2"}, time.Second)
+	s.apply(nil, []string{"e1", "e2"}, heartbeat{at: time.Second})
 	if _, ok := s.place(&route.Request{Model: "m"}, load.Placement{ID: "r", At: time.Second}); ok {
 		t.Fatal("placed on an engine that leaves")
 	}
