--- a/cmd/sf-load/roles.go
+++ b/cmd/sf-load/roles.go
@@ -15,9 +15,10 @@
 	bin := cmd.Flag("bin", "Folder of the built programs.").Default("bin").String()
 	out := cmd.Flag("out", "Folder for the results.").Default("out").String()
 	seeds := cmd.Flag("seed", "Seed; repeat for more.").Default("1", "2", "3").Uint64List()
-	phase := cmd.Flag("phase", "Length of each phase of the swing.").Default("25s").Duration()
+	phase := cmd.Flag("phase", "Length of each phase of the swing.").Default("20s").Duration()
 	phases := cmd.Flag("phases", "Phases, of short and long prompts in turn.").Default("4").Int()
-	rate := cmd.Flag("rate", "Completions a second.").Default("28").Float64()
+	rate := cmd.Flag("rate", "Completions a second.").Default("16").Float64()
+	token := cmd.Flag("token", "Bound on the mean time between tokens of a good answer.").Default("50ms").Duration()
 	instances := cmd.Flag("instances", "Instances of the system.").Default("3").Int()
 	engines := cmd.Flag("engines", "Engines.").Default("10").Int()
 	deployments := bench.Deployments()
@@ -30,7 +31,7 @@
 		defer os.RemoveAll(dir)
 		options := bench.RoleOptions{
 			Bin: *bin, Dir: dir, Out: *out, Seeds: *seeds, Deployment: deployments[0], Instances: *instances,
-			Engines: *engines, Phase: *phase, Phases: *phases, Rate: *rate, Log: os.Stderr,
+			Engines: *engines, Phase: *phase, Phases: *phases, Rate: *rate, Token: *token, Log: os.Stderr,
 		}
 		if *name == deployments[1].Name {
 			options.Deployment = deployments[1]
--- a/internal/bench/roles.go
+++ b/internal/bench/roles.go
@@ -57,7 +57,9 @@
 	Phase  time.Duration
 	Phases int
 	Rate   float64
-	Log    io.Writer
+	// Token bounds the mean time between tokens of a good answer.
+	Token time.Duration
+	Log   io.Writer
 }
 
 // RoleCell is one variant with one seed.
@@ -121,6 +123,7 @@
 	scenario := o.Deployment.Scenario(o.Phase, o.Rate)
 	scenario.Keys = keys()
 	scenario.CallRate = 0
+	scenario.Bounds.Token = o.Token
 	turns := scenario.Phases[:2]
 	scenario.Phases = nil
 	for i := range o.Phases {
