--- a/internal/roles/roles_test.go
+++ b/internal/roles/roles_test.go
@@ -209,8 +209,8 @@
 				demand.Prefill = rapid.Float64Range(0, 120_000).Draw(t, "prefill demand")
 				demand.Decode = rapid.Float64Range(0, 24_000).Draw(t, "decode demand")
 			}
-			demand.Answered = rapid.SampledFrom([]int{0, 6, 7, 9, 9, 9, 9}).Draw(t, "answered")
-			age := rapid.SampledFrom([]time.Duration{0, 0, 0, time.Second, 11 * time.Second}).Draw(t, "age")
+			demand.Answered = rapid.SampledFrom([]int{9, 9, 9, 9, 9, 9, 9, 9, 9, 7, 6, 0}).Draw(t, "answered")
+			age := rapid.SampledFrom([]time.Duration{0, 0, 0, 0, 0, 0, 0, 0, 0, 0, time.Second, 11 * time.Second}).Draw(t, "age")
 			p.checked(t, time.Duration(i)*settings.Every, demand, age)
 		}
 	})
