--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -42,6 +42,8 @@
 	entry    *entryLink
 	leases   *leases
 	roles    *rolePolicy
+	demand   *demand
+	watcher  *watcher
 	orders   *orderMetrics
 	http     *http.Client
 	options  []connect.ClientOption
@@ -72,8 +74,10 @@
 	d.members.changed = d.listRead
 	d.spread = newSpreader(d, logging.Part(log, "spread"))
 	d.entry = newEntryLink(d.holder, s.EntryLocal, d.http, d.options, logging.Part(log, "entry"))
+	d.demand = newDemand(s.Demand)
 	d.leases = newLeases(d, logging.Part(log, "lease"))
 	d.roles = newRolePolicy(d, logging.Part(log, "roles"))
+	d.watcher = newWatcher(s.Rollout)
 	d.orders = newOrderMetrics()
 	return d, nil
 }
@@ -82,7 +86,7 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	loops := []func(context.Context){
-		d.spread.loop, d.entryLoop, d.memberLoop, d.leases.loop, d.rolloutLoop, d.roles.loop,
+		d.demandLoop, d.spread.loop, d.entryLoop, d.memberLoop, d.leases.loop, d.rolloutLoop, d.roles.loop,
 	}
 	for _, loop := range loops {
 		group.Go(func() error {
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -38,6 +38,9 @@
 	if err != nil {
 		return err
 	}
+	if err := s.withinRate(c, organisation, false); err != nil {
+		return err
+	}
 	body, err := s.readBody(c)
 	if err != nil {
 		return err
@@ -48,6 +51,7 @@
 		return err
 	}
 	s.metrics.answered.Inc(1)
+	s.retries.succeeded(s.now())
 	return writeAnswer(c, answer)
 }
 
@@ -104,7 +108,10 @@
 func (s *Server) repeatable(ctx context.Context, svc *config.Service, call service.Call) (service.Answer, error) {
 	excluded := map[string]bool{}
 	var last error
-	for range s.settings.Engine.Attempts {
+	for attempt := range s.settings.Engine.Attempts {
+		if attempt > 0 && !s.mayRetry(ctx, attempt, last, false) {
+			break
+		}
 		answer, err := s.callOnce(ctx, svc, call, excluded)
 		if err == nil {
 			return answer, nil
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -33,12 +33,15 @@
 	BalancerLag time.Duration `toml:"balancer_lag"`
 	// DemandWindow is the time over which the admitted work is measured for
 	// the role policy. Default 10s.
-	DemandWindow time.Duration    `toml:"demand_window"`
-	Limits       LimitSettings    `toml:"limits"`
-	Engine       EngineSettings   `toml:"engine"`
-	Routing      RoutingSettings  `toml:"routing"`
-	Log          logging.Settings `toml:"log"`
-	Trace        tracing.Settings `toml:"trace"`
+	DemandWindow time.Duration     `toml:"demand_window"`
+	Limits       LimitSettings     `toml:"limits"`
+	Engine       EngineSettings    `toml:"engine"`
+	Routing      RoutingSettings   `toml:"routing"`
+	Admission    AdmissionSettings `toml:"admission"`
+	Rate         RateSettings      `toml:"rate"`
+	Retry        RetrySettings     `toml:"retry"`
+	Log          logging.Settings  `toml:"log"`
+	Trace        tracing.Settings  `toml:"trace"`
 }
 
 // LimitSettings bound what a caller may send.
@@ -80,10 +83,13 @@
 			MaxBodyBytes: 4 << 20, MaxHeaderBytes: 64 << 10,
 			MaxPromptTokens: 131072, MaxAnswerTokens: 4096,
 		},
-		Engine:  EngineSettings{Timeout: 30 * time.Second, ReportEvery: 200 * time.Millisecond, TransferTimeout: 10 * time.Second, Attempts: 3},
-		Routing: defaultRouting(),
-		Log:     logging.Default(),
-		Trace:   tracing.Default(),
+		Engine:    EngineSettings{Timeout: 30 * time.Second, ReportEvery: 200 * time.Millisecond, TransferTimeout: 10 * time.Second, Attempts: 3},
+		Routing:   defaultRouting(),
+		Admission: defaultAdmission(),
+		Rate:      defaultRate(),
+		Retry:     defaultRetry(),
+		Log:       logging.Default(),
+		Trace:     tracing.Default(),
 	}
 }
 
@@ -109,6 +115,9 @@
 	settings.Between(file, "engine.transfer_timeout", s.Engine.TransferTimeout, time.Millisecond, 10*time.Minute)
 	settings.IntBetween(file, "engine.attempts", s.Engine.Attempts, 1, 20)
 	s.Routing.check(file)
+	s.Admission.check(file)
+	s.Rate.check(file)
+	s.Retry.check(file)
 	s.Log.Check(file, "log")
 	s.Trace.Check(file, "trace")
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -112,23 +112,29 @@
 
 // Schedule picks an upstream; ok is false when none can take the request.
 func (s *Scheduler) Schedule(req *Request, candidates []Candidate, rng *rand.Rand) (c Candidate, ok bool) {
+	kept := s.Eligible(req, candidates)
+	if len(kept) == 0 {
+		return Candidate{}, false
+	}
+	scored := make([]Scored, len(kept))
+	for i, candidate := range kept {
+		scored[i] = Scored{Candidate: candidate, Score: s.score(req, candidate)}
+	}
+	return s.Picker.Pick(scored, rng), true
+}
+
+// Eligible returns the candidates that Schedule would choose from.
+func (s *Scheduler) Eligible(req *Request, candidates []Candidate) []Candidate {
 	kept := make([]Candidate, 0, len(candidates))
 	for _, candidate := range candidates {
 		if s.keep(req, candidate) {
 			kept = append(kept, candidate)
 		}
 	}
-	if len(kept) == 0 {
-		return Candidate{}, false
-	}
 	for _, p := range s.Preferences {
 		kept = p.apply(req, kept)
 	}
-	scored := make([]Scored, len(kept))
-	for i, candidate := range kept {
-		scored[i] = Scored{Candidate: candidate, Score: s.score(req, candidate)}
-	}
-	return s.Picker.Pick(scored, rng), true
+	return kept
 }
 
 func (s *Scheduler) keep(req *Request, c Candidate) bool {
