Count refused work as demand, and predict for pools in split roles

Cause: admission now refuses early what can't make its deadline, so the admitted demand never shows more than the engines serve, and the policy saw little gain just when a change would bring most. Refusals for an organisation's rate do not count. For a pool of prefill and decode engines alone, admission looked at no engine; it now looks at those that may make the first token (one line in entry/admission.go).

Ruled out: counting arrivals before admission, since what is over an organisation's rate is no demand on the engines.

--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -95,6 +95,7 @@
 	if refused == nil {
 		return nil
 	}
+	s.turnedAway(comp)
 	s.log.Debug("admit: refused", "request", comp.id, "reason", refused.Reason)
 	return s.refusal(refused)
 }
@@ -262,6 +263,7 @@
 	loads := a.server.state.engineLoads(&route.Request{
 		Model: comp.name, Adapter: comp.adapter, Version: comp.version,
 		PromptTokens: comp.promptTokens, Prefix: a.server.prefix(comp), Now: a.server.now(),
+		Work: route.WorkPrefill, // on engines that may make the first token
 	})
 	return admit.Predict(loads, comp.promptTokens, g.gate.Service())
 }
--- a/internal/entry/demand_test.go
+++ b/internal/entry/demand_test.go
@@ -34,3 +34,18 @@
 		t.Errorf("%v tokens a second 2 s after the first work, want 500", got)
 	}
 }
+
+func TestRefusedWorkIsDemandToo(t *testing.T) {
+	m := newDemandMeter(10 * time.Second)
+	for at := time.Duration(0); at < 20*time.Second; at += 100 * time.Millisecond {
+		m.add("main", tokenCounts{prefill: 50, prompts: 1}, at)
+		for range 3 {
+			m.generated("main", at)
+		}
+		m.refused("main", 50, at)
+	}
+	got := m.report(20 * time.Second)[0]
+	if math.Abs(got.PrefillTokens-1000) > 60 || math.Abs(got.DecodeTokens-60) > 6 {
+		t.Errorf("%v, want twice the admitted 500 and 30 tokens a second", got)
+	}
+}
