--- a/internal/entry/disaggregated.go
+++ b/internal/entry/disaggregated.go
@@ -93,30 +93,40 @@
 func (s *Server) prefillOn(ctx context.Context, prefill *config.Engine, comp *completion, assembler *stream.Assembler, out sink) error {
 	ctx, span := tracer().Start(ctx, "engine prefill", trace.WithAttributes(attribute.String("engine", prefill.ID)))
 	defer span.End()
+	if comp.version == "" {
+		comp.version = prefill.Loaded.Version
+	}
 	client := s.engineAt(prefill.Address)
 	request := comp.engineRequest(0, false)
 	request.ID, request.MaxTokens = comp.id+prefillSuffix, 1
-	source, err := client.Generate(ctx, request)
-	if err != nil {
-		if !errors.Is(err, engine.ErrNotRun) {
-			s.upstreamFailed(prefill.ID)
-		}
-		return err
+	source, err := s.generate(ctx, client, request)
+	if err == nil {
+		s.engineAccepted(prefill.ID, comp.id, source.Stream)
+		err = s.forward(ctx, forwarding{prefill.ID, client, firstToken{source}, comp, assembler, out})
+		source.Close()
 	}
-	defer source.Close()
-	s.engineAccepted(prefill.ID, comp.id, source)
-	err = s.forward(prefill.ID, firstToken{source}, comp, assembler, out)
-	switch {
-	case err == nil, errors.Is(err, errPrefilled):
+	if err == nil || errors.Is(err, errPrefilled) {
 		s.state.succeeded(prefill.ID)
 		return nil
-	case errors.Is(err, errCallerGone) || ctx.Err() != nil:
-		s.cancel(ctx, client, request.ID)
+	}
+	return s.prefillFailed(ctx, prefill.ID, client, request.ID, err)
+}
+
+// prefillFailed frees the engine of the stream, and notes who failed.
+func (s *Server) prefillFailed(ctx context.Context, engineID string, client engine.Engine, streamID string, err error) error {
+	if !ranNothing(err) {
+		s.background.Go(func() { s.cancel(ctx, client, streamID) })
+	}
+	if errors.Is(context.Cause(ctx), errStopping) {
+		return errStopping
+	}
+	if ctx.Err() != nil {
 		return errCallerGone
-	default:
-		s.upstreamFailed(prefill.ID)
-		return err
 	}
+	if !errors.Is(err, engine.ErrNotRun) && !errors.Is(err, errCallerGone) {
+		s.upstreamFailed(engineID)
+	}
+	return err
 }
 
 // firstToken is the stream of a prefill engine. Its bound of one token is the
--- a/internal/entry/trace.go
+++ b/internal/entry/trace.go
@@ -33,6 +33,7 @@
 	retries    metrics.Counter
 	unretried  metrics.Counter
 	resumed    metrics.Counter
+	callerGone metrics.Counter
 	tokens     metrics.Counter
 	split      metrics.Counter
 	firstToken metrics.Timer
@@ -47,6 +48,7 @@
 		retries:    metrics.GetOrRegisterCounter("entry.retries", registry),
 		unretried:  metrics.GetOrRegisterCounter("entry.retries_denied", registry),
 		resumed:    metrics.GetOrRegisterCounter("entry.resumed", registry),
+		callerGone: metrics.GetOrRegisterCounter("entry.caller_gone", registry),
 		tokens:     metrics.GetOrRegisterCounter("entry.tokens", registry),
 		split:      metrics.GetOrRegisterCounter("entry.split", registry),
 		firstToken: metrics.GetOrRegisterTimer("entry.first_token", registry),
