--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -44,6 +44,7 @@
 	roles    *rolePolicy
 	demand   *demand
 	watcher  *watcher
+	waited   waitCache
 	orders   *orderMetrics
 	http     *http.Client
 	options  []connect.ClientOption
