Give admission's picture the traffic that the routing policy asks for

Cause: since the estimate of the load became the default, admission's request has no Traffic, and sf-entry panicked on each completion (entry tests: connections ended with EOF). Before: TestBadInput, TestOverloadIsRefusedAtOnce and TestRetryStormKeepsToBudget fail; after: they pass.

--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -303,7 +303,7 @@
 func (s *state) engineLoads(req *route.Request) []admit.EngineLoad {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	req.Zone, req.Leaving = s.zone, s.leaving
+	req.Zone, req.Leaving, req.Traffic = s.zone, s.leaving, &s.table.Traffic
 	var loads []admit.EngineLoad
 	for _, c := range s.scheduler.Eligible(req, s.candidates(req.Now)) {
 		loads = append(loads, engineLoad(req, c))
