--- a/internal/roles/split_test.go
+++ b/internal/roles/split_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"sassafrasfield/internal/callerapi"
 	"sassafrasfield/internal/standin"
 	"sassafrasfield/internal/testcaller"
 	"sassafrasfield/internal/testfleet"
@@ -106,3 +107,25 @@
 		t.Errorf("%d transfers used, want 1: the change cut it off", book.Reused)
 	}
 }
+
+// TestRefusalAfterTheFirstTokenIsUnknown: when the decode engine refuses and no
+// other takes the rest, the prefill engine has run all the same.
+func TestRefusalAfterTheFirstTokenIsUnknown(t *testing.T) {
+	f, prefill, decode := prefillAndDecode(t, "--kv-rate", "300")
+	got := make(chan testcaller.Answer, 1)
+	go func() {
+		answer, err := f.caller.Stream(f.ctx, f.Instances[0].EntryAddress, brief(5), nil)
+		if err != nil {
+			t.Error(err)
+		}
+		got <- answer
+	}()
+	must(t, testfleet.Until(f.ctx, "the transfer began", func() bool { return f.book(prefill).Exported == 1 }))
+	for _, e := range []*testfleet.Engine{prefill, decode} {
+		must(t, testfleet.Post(f.ctx, e.Address, standin.PathFault, standin.EngineFaults{Refuse: true}, nil))
+	}
+	answer := <-got
+	if answer.Text == "" || answer.Error == nil || answer.Error.Outcome != callerapi.OutcomeUnknown {
+		t.Errorf("%+v, error %+v, want a first token and the outcome unknown", answer, answer.Error)
+	}
+}
