--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -33,39 +33,6 @@
 	Trace           tracing.Settings `toml:"trace"`
 }
 
-// SpreadSettings set how configuration spreads.
-type SpreadSettings struct {
-	// Seeds are addresses (ip:port) of other sf-control processes, asked while
-	// no instance list is known. Default none.
-	Seeds []string `toml:"seeds"`
-	// PollEvery is the least mean time between reads of the head. Default 1s.
-	PollEvery time.Duration `toml:"poll_every"`
-	// TableReads is how many reads of the head a second all instances together
-	// may cost the table. Default 100.
-	TableReads int `toml:"table_reads"`
-	// ExchangeEvery is the mean time between exchanges with a random peer.
-	// Default 500ms.
-	ExchangeEvery time.Duration `toml:"exchange_every"`
-	// PeerTimeout bounds each call to a peer. Default 1s.
-	PeerTimeout time.Duration `toml:"peer_timeout"`
-	// FreshFor is how long the instance takes new work after the last evidence
-	// that its configuration is the newest. Default 5s.
-	FreshFor time.Duration `toml:"fresh_for"`
-	// AcceptWithin bounds the time that the acceptance of a version takes.
-	// Default 10s.
-	AcceptWithin time.Duration `toml:"accept_within"`
-	// ReadLag is how old the table's answer to a read may be. Default 500ms.
-	ReadLag time.Duration `toml:"read_lag"`
-	// ListLag is how old the instance list may be. Default 10s.
-	ListLag time.Duration `toml:"list_lag"`
-	// Fanout is the number of peers told of a new version. Default 3.
-	Fanout int `toml:"fanout"`
-	// ApplyEvery is the time between heartbeats to sf-entry. Default 250ms.
-	ApplyEvery time.Duration `toml:"apply_every"`
-	// ListEvery is the time between reads of the instance list. Default 1s.
-	ListEvery time.Duration `toml:"list_every"`
-}
-
 // RolloutSettings set how plans are carried out.
 type RolloutSettings struct {
 	// StepEvery is the time between looks at a pool with work to do. Default
@@ -73,9 +40,12 @@
 	StepEvery time.Duration `toml:"step_every"`
 	// EngineTimeout bounds each call to an engine. Default 2s.
 	EngineTimeout time.Duration `toml:"engine_timeout"`
-	// WatchEvery is the longest time between looks at a pool: at one that is
-	// watched for faults alone, or whose work has to wait. Default 2s.
+	// WatchEvery is the time between looks at a pool that is watched for faults
+	// alone. Default 5s.
 	WatchEvery time.Duration `toml:"watch_every"`
+	// WaitEvery is the longest time between looks at a pool whose work has to
+	// wait. Default 1s.
+	WaitEvery time.Duration `toml:"wait_every"`
 	// SilentAfter is how long after an engine was marked as draining an instance
 	// that does not answer counts as sending it no new work. It must exceed
 	// stale_after of sf-entry by as long as a cut-off sf-control holds on to an
@@ -103,38 +73,15 @@
 	maxPeers = 64
 )
 
-// check records what is wrong with the settings of the spread.
-func (s *SpreadSettings) check(file *tomlfile.File, addresses settings.Addresses) {
-	for _, seed := range s.Seeds {
-		addresses.Peer("spread.seeds", seed)
-	}
-	settings.Between(file, "spread.poll_every", s.PollEvery, shortest, longest)
-	settings.IntBetween(file, "spread.table_reads", s.TableReads, 1, 10000)
-	settings.Between(file, "spread.exchange_every", s.ExchangeEvery, shortest, s.FreshFor/2)
-	settings.Between(file, "spread.peer_timeout", s.PeerTimeout, shortest, longest)
-	settings.IntBetween(file, "spread.fanout", s.Fanout, 1, maxPeers)
-	settings.Between(file, "spread.fresh_for", s.FreshFor, 10*shortest, 10*time.Minute)
-	settings.Between(file, "spread.accept_within", s.AcceptWithin, shortest, longest)
-	settings.Between(file, "spread.read_lag", s.ReadLag, 0, s.FreshFor/2)
-	settings.Between(file, "spread.list_lag", s.ListLag, 0, longest)
-	settings.Between(file, "spread.apply_every", s.ApplyEvery, shortest, s.FreshFor/2)
-	settings.Between(file, "spread.list_every", s.ListEvery, shortest, longest)
-}
-
 // DefaultSettings returns the defaults; addresses and names have none.
 func DefaultSettings() *Settings {
 	return &Settings{
 		PlatformTimeout: 2 * time.Second,
 		Lease:           defaultLeaseSettings(),
-		Spread: SpreadSettings{
-			PollEvery: time.Second, TableReads: 100, ExchangeEvery: 500 * time.Millisecond,
-			PeerTimeout: time.Second, Fanout: 3,
-			FreshFor: 5 * time.Second, AcceptWithin: 10 * time.Second,
-			ReadLag: 500 * time.Millisecond, ListLag: 10 * time.Second,
-			ApplyEvery: 250 * time.Millisecond, ListEvery: time.Second,
-		},
+		Spread:          defaultSpreadSettings(),
 		Rollout: RolloutSettings{
-			StepEvery: 200 * time.Millisecond, EngineTimeout: 2 * time.Second, WatchEvery: 2 * time.Second,
+			StepEvery: 200 * time.Millisecond, EngineTimeout: 2 * time.Second,
+			WatchEvery: 5 * time.Second, WaitEvery: time.Second,
 			SilentAfter: 15 * time.Second, UnreachableAfter: 10 * time.Second,
 			ResendAfter: 2 * time.Second, LoadTime: time.Minute, MaxLoads: 4,
 		},
@@ -168,6 +115,7 @@
 	settings.Between(file, "rollout.step_every", s.StepEvery, shortest, longest)
 	settings.Between(file, "rollout.engine_timeout", s.EngineTimeout, shortest, longest)
 	settings.Between(file, "rollout.watch_every", s.WatchEvery, s.StepEvery, longest)
+	settings.Between(file, "rollout.wait_every", s.WaitEvery, s.StepEvery, longest)
 	settings.Between(file, "rollout.silent_after", s.SilentAfter, shortest, 10*longest)
 	settings.Between(file, "rollout.unreachable_after", s.UnreachableAfter, shortest, 10*longest)
 	settings.Between(file, "rollout.resend_after", s.ResendAfter, shortest, longest)
