Measure an engine's worth by what the pool serves

Cause: TestNextHolderKeepsTheDwell failed 3 runs of 4 since the least gain came in. The load there is far above the pool's capacity, where a whole engine serves only a tenth of the demand; half of a fifth of the horizon was then more than any change could gain, so the policy stood still just when it was needed most.

Now the least gain is half of an engine's share of what the pool serves. Before: never a decision at 120,000 prompt tokens a second (TestOverloadIsAReasonToo); after: changes, and both process tests pass in 2 runs of 2.

--- a/internal/roles/gain.go
+++ b/internal/roles/gain.go
@@ -9,9 +9,9 @@
 // points is in how many parts the horizon is looked at.
 const points = 12
 
-// minUse is how much of an engine's share of the pool, over the horizon, a
-// change must gain, whatever its cost. An engine that is of less use in its new
-// role is missed in the old one when the swing turns.
+// minUse is how much of an engine's share of what the pool serves, over the
+// horizon, a change must gain, whatever its cost. An engine that is of less use
+// in its new role is missed in the old one when the swing turns.
 const minUse = 0.5
 
 // allRoles in the order they are tried.
@@ -28,7 +28,7 @@
 	model := model{state: s, settings: settings, prefillRate: prefillRate, decodeRate: decodeRate, now: count(obs.Engines)}
 	var best Change
 	found := false
-	least := minUse * settings.Horizon.Seconds() / float64(max(1, model.now.total()))
+	least := minUse * model.over(0, settings.Horizon, model.now) / float64(max(1, model.now.total()))
 	for _, c := range candidates(obs) {
 		gain, cost := model.weigh(c, obs.Bounds.Weight)
 		if gain <= cost || gain < least {
--- a/internal/roles/roles_test.go
+++ b/internal/roles/roles_test.go
@@ -163,6 +163,16 @@
 	}
 }
 
+// TestOverloadIsAReasonToo: far above what the pool serves, an engine's worth
+// is a small part of the demand, and the change is worth it all the same.
+func TestOverloadIsAReasonToo(t *testing.T) {
+	p := newPool(Default(), usual, 2, 8, 0)
+	p.hold(0, 2*time.Minute, all(120_000, 100))
+	if len(p.changes) == 0 {
+		t.Error("no change")
+	}
+}
+
 // TestForecastIsDamped: a rise is not carried on for the whole horizon.
 func TestForecastIsDamped(t *testing.T) {
 	var f trend
