--- a/internal/roles/roles_test.go
+++ b/internal/roles/roles_test.go
@@ -167,7 +167,7 @@
 // is a small part of the demand, and the change is worth it all the same.
 func TestOverloadIsAReasonToo(t *testing.T) {
 	p := newPool(Default(), usual, 2, 8, 0)
-	p.hold(0, 2*time.Minute, all(120_000, 100))
+	p.hold(0, 2*time.Minute, all(300_000, 100))
 	if len(p.changes) == 0 {
 		t.Error("no change")
 	}
