--- a/internal/roles/process_test.go
+++ b/internal/roles/process_test.go
@@ -69,7 +69,9 @@
 		_, err := f.AddInstance(ctx, id, "mixco")
 		must(t, err)
 	}
-	must(t, testfleet.Until(ctx, "sf-control answers", func() bool { _, err := f.sfctl("status"); return err == nil }))
+	for _, instance := range f.Instances {
+		must(t, testfleet.Until(ctx, "each sf-control answers", func() bool { _, err := f.sfctlAt(instance, "status"); return err == nil }))
+	}
 	f.confirm(intentText(f.Engines, poolLines, engineRoles))
 	for i := range f.Instances {
 		must(t, testfleet.Until(ctx, "each entry has it in force", func() bool {
@@ -100,7 +102,11 @@
 }
 
 func (f *fleet) sfctl(args ...string) (string, error) {
-	args = append([]string{"--control", f.Instances[0].ControlAt, "--operator", "op", "--timeout", "30s"}, args...)
+	return f.sfctlAt(f.Instances[0], args...)
+}
+
+func (f *fleet) sfctlAt(instance *testfleet.Instance, args ...string) (string, error) {
+	args = append([]string{"--control", instance.ControlAt, "--operator", "op", "--timeout", "30s"}, args...)
 	output, err := exec.CommandContext(f.ctx, filepath.Join(f.Bin, "sfctl"), args...).CombinedOutput()
 	return string(output), err
 }
