--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -45,6 +45,7 @@
 	spread   *spreader
 	entry    *entryLink
 	leases   *leases
+	roles    *rolePolicy
 	demand   *demand
 	watcher  *watcher
 	waited   waitCache
@@ -83,6 +84,7 @@
 	d.entry = newEntryLink(d.holder, s.EntryLocal, d.http, d.options, logging.Part(log, "entry"))
 	d.demand = newDemand(s.Demand)
 	d.leases = newLeases(d, logging.Part(log, "lease"))
+	d.roles = newRolePolicy(d, logging.Part(log, "roles"))
 	d.watcher = newWatcher(s.Rollout)
 	d.orders = newOrderMetrics()
 	return d, nil
@@ -92,7 +94,7 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	loops := []func(context.Context){
-		d.demandLoop, d.spread.loop, d.entryLoop, d.memberLoop, d.leases.loop, d.rolloutLoop,
+		d.demandLoop, d.spread.loop, d.entryLoop, d.memberLoop, d.leases.loop, d.rolloutLoop, d.roles.loop,
 	}
 	for _, loop := range loops {
 		group.Go(func() error {
--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -69,6 +69,7 @@
 	if refused == nil {
 		return nil
 	}
+	s.turnedAway(comp)
 	s.log.Debug("admit: refused", "request", comp.id, "reason", refused.Reason)
 	return refusalOf(refused)
 }
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -108,11 +108,11 @@
 		if attempt > 0 && !s.mayRetry(ctx, attempt, last, assembler.Next() > 0) {
 			break
 		}
-		placement := s.placement(comp)
-		chosen, ok := s.state.place(&route.Request{
+		placed, ok := s.state.assign(&route.Request{
 			Model: comp.name, Adapter: comp.adapter, Version: comp.version,
 			PromptTokens: comp.promptTokens, Excluded: excluded,
-		}, placement)
+			Split: attempt == 0 && mayBeSplit(comp),
+		}, s.placement(comp))
 		if !ok {
 			break
 		}
@@ -120,13 +120,15 @@
 		if err != nil {
 			return err
 		}
-		last = s.runOn(ctx, chosen, comp, assembler, out, false)
+		s.admitted(comp, placed)
+		var failed string
+		failed, last = s.run(ctx, placed, comp, assembler, out)
 		if last == nil || errors.Is(last, errCallerGone) || errors.Is(last, errStopping) {
 			return last
 		}
-		progress = after(sent, ranNothing(last))
-		excluded[chosen.ID] = true
-		s.log.Info("request: engine failed, trying another", "request", comp.id, "engine", chosen.ID, "error", last)
+		progress = after(sent, ranNothing(last) && assembler.Next() == 0)
+		excluded[failed] = true
+		s.log.Info("request: engine failed, trying another", "request", comp.id, "engine", failed, "error", last)
 	}
 	if ctx.Err() != nil {
 		return errCallerGone
@@ -223,7 +225,7 @@
 	return engine.Request{
 		ID: c.id, Model: c.name, Adapter: c.adapter, Version: c.version,
 		Prompt: c.prompt, MaxTokens: c.maxTokens, Seed: c.seed, Priority: c.priority,
-		Sampling: c.sampling, From: from, Attach: attach,
+		Sampling: c.sampling, From: from, Attach: attach, KVHandle: c.kvHandle,
 	}
 }
 
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -38,6 +38,10 @@
 	seed         int64
 	priority     int
 	sampling     engine.Sampling
+	// pool that the request was placed in last.
+	pool string
+	// kvHandle names the prompt's KV cache at the engine that is to decode.
+	kvHandle string
 	// prefix has the hashes of the prompt's blocks, once Server.prefix made them.
 	prefix []uint64
 	// deadline is the time to the first token that the caller can bear; 0 when
--- a/internal/entry/trace.go
+++ b/internal/entry/trace.go
@@ -35,6 +35,7 @@
 	resumed    metrics.Counter
 	callerGone metrics.Counter
 	tokens     metrics.Counter
+	split      metrics.Counter
 	firstToken metrics.Timer
 }
 
@@ -49,6 +50,7 @@
 		resumed:    metrics.GetOrRegisterCounter("entry.resumed", registry),
 		callerGone: metrics.GetOrRegisterCounter("entry.caller_gone", registry),
 		tokens:     metrics.GetOrRegisterCounter("entry.tokens", registry),
+		split:      metrics.GetOrRegisterCounter("entry.split", registry),
 		firstToken: metrics.GetOrRegisterTimer("entry.first_token", registry),
 	}
 }
