--- /dev/null
+++ b/internal/control/authority_bench_test.go
@@ -0,0 +1,120 @@
+package control_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"sassafrasfield/internal/config"
+	"sassafrasfield/internal/standin"
+	"sassafrasfield/internal/testfleet"
+)
+
+// takeovers is how many takeovers of a kind are measured.
+const takeovers = 10
+
+// BenchmarkTakeover measures the time from a fault of the holder until the
+// table has another holder, with the settings' defaults and four instances.
+func BenchmarkTakeover(b *testing.B) {
+	for _, fault := range []string{"kill", "terminate", "freeze"} {
+		b.Run(fault, func(b *testing.B) {
+			r := newRig(b, "", config.FencingRefuse)
+			for i := range 4 {
+				r.add(fmt.Sprintf("inst-%d", i), "")
+			}
+			var took []time.Duration
+			for range takeovers {
+				took = append(took, r.takeover(fault))
+			}
+			slices.Sort(took)
+			b.ReportMetric(took[len(took)/2].Seconds(), "median-s")
+			b.ReportMetric(took[len(took)-1].Seconds(), "worst-s")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// takeover has the holder fail, waits for another, and brings the first back.
+func (r *rig) takeover(fault string) time.Duration {
+	r.until("a holder", func() bool { return r.row(0).Holder != "" })
+	time.Sleep(time.Duration(700+len(r.row(0).Holder)) * time.Millisecond) // some renewals
+	old := r.row(0)
+	id, _, _ := strings.Cut(old.Holder, "/")
+	at := slices.IndexFunc(r.fleet.Instances, func(i *testfleet.Instance) bool { return i.ID == id })
+	i := r.fleet.Instances[at]
+	started := time.Now()
+	switch fault {
+	case "kill":
+		i.Control.Kill()
+	case "terminate":
+		i.Control.Signal(syscall.SIGTERM)
+	case "freeze":
+		i.Control.Signal(syscall.SIGSTOP)
+	}
+	r.until("another holder", func() bool { now := r.row(0); return now.Epoch > old.Epoch && now.Holder != "" })
+	took := time.Since(started)
+	i.Control.Kill()
+	r.must(r.fleet.StartControl(i))
+	return took
+}
+
+// BenchmarkLeaseTable counts the table's calls for leases at 9 instances, by
+// what the daemons count of them.
+func BenchmarkLeaseTable(b *testing.B) {
+	for _, pools := range []int{1, 4, 8} {
+		b.Run(fmt.Sprintf("pools=%d", pools), func(b *testing.B) {
+			r := newRig(b, "[lease]\nhand_back_after = \"2s\"\n", slices.Repeat([]config.Fencing{config.FencingRefuse}, pools)...)
+			for i := range 9 {
+				r.add(fmt.Sprintf("inst-%d", i), "")
+			}
+			time.Sleep(15 * time.Second) // until each lease is at its first choice
+			reads, writes := r.leaseCalls()
+			before := r.tableStats()
+			const span = 10 * time.Second
+			time.Sleep(span)
+			readsAfter, writesAfter := r.leaseCalls()
+			after := r.tableStats()
+			b.ReportMetric((readsAfter-reads)/span.Seconds(), "lease-reads/s")
+			b.ReportMetric((writesAfter-writes)/span.Seconds(), "lease-writes/s")
+			b.ReportMetric(float64(after.Reads-before.Reads)/span.Seconds(), "table-reads/s")
+			b.ReportMetric(float64(after.Commits-before.Commits)/span.Seconds(), "table-commits/s")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+func (r *rig) tableStats() standin.TableStats {
+	var stats standin.TableStats
+	platform := r.fleet.PlatformAddress
+	r.must(testfleet.Post(r.ctx, platform, standin.PathTableStats, nil, &stats))
+	return stats
+}
+
+// leaseCalls sums the daemons' own counts.
+func (r *rig) leaseCalls() (reads, writes float64) {
+	for _, i := range r.fleet.Instances {
+		res, err := http.Get("http://" + i.ControlAt + "/metrics")
+		r.must(err)
+		counts := decodeCounts(r, res)
+		reads += counts["lease.reads"].Count
+		writes += counts["lease.writes"].Count
+	}
+	return reads, writes
+}
+
+// counted is a counter as /metrics shows it.
+type counted struct {
+	Count float64 `json:"count"`
+}
+
+func decodeCounts(r *rig, res *http.Response) map[string]counted {
+	defer res.Body.Close()
+	counts := map[string]counted{}
+	r.must(json.NewDecoder(res.Body).Decode(&counts))
+	return counts
+}
