Close the links' fronts without their mutex

Cause: Close held the mutex while it waited for a front, and a front that was answering waited for the mutex: the test process hung until its timeout, in about one run of ten.

Seen in a goroutine dump: links.go Close in httptest Server.Close, rewrite in link.

--- a/internal/testfleet/links.go
+++ b/internal/testfleet/links.go
@@ -40,8 +40,9 @@
 // Close ends the fronts. The fleet's Stop ends the proxies.
 func (l *Links) Close() {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, front := range l.fronts {
+	fronts := l.fronts
+	l.mu.Unlock() // a front that answers still may take it
+	for _, front := range fronts {
 		front.CloseClientConnections()
 		front.Close()
 	}
