--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -64,12 +64,18 @@
 	if !held {
 		return false, nil
 	}
+	ctx, span := startStep(ctx, pool, auth)
+	defer span.End()
 	if !settled(d.holder.Current(), pool) {
 		if err := d.poll(ctx); err != nil {
 			return false, err
 		}
 	}
-	view, err := d.observe(ctx, pool)
+	doc := d.holder.Current()
+	if doc.Pool(pool) == nil {
+		return false, nil // removed; its lease is given up on the way
+	}
+	view, err := d.observe(ctx, doc, pool)
 	if err != nil {
 		return false, err
 	}
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"sassafrasfield/internal/logging"
+	"sassafrasfield/internal/roles"
 	"sassafrasfield/internal/settings"
 	"sassafrasfield/internal/tomlfile"
 	"sassafrasfield/internal/tracing"
@@ -26,6 +27,7 @@
 	Lease           LeaseSettings    `toml:"lease"`
 	Spread          SpreadSettings   `toml:"spread"`
 	Rollout         RolloutSettings  `toml:"rollout"`
+	Roles           roles.Settings   `toml:"roles"`
 	Demand          DemandSettings   `toml:"demand"`
 	Log             logging.Settings `toml:"log"`
 	Trace           tracing.Settings `toml:"trace"`
@@ -83,6 +85,7 @@
 			SilentAfter: 15 * time.Second, UnreachableAfter: 10 * time.Second,
 			ResendAfter: 2 * time.Second, LoadTime: time.Minute, MaxLoads: 4,
 		},
+		Roles:  roles.Default(),
 		Demand: DemandSettings{Every: time.Second, Keep: 3 * time.Second},
 		Log:    logging.Default(),
 		Trace:  tracing.Default(),
@@ -103,6 +106,7 @@
 	s.Rollout.check(file)
 	settings.Between(file, "demand.every", s.Demand.Every, 10*time.Millisecond, longest)
 	settings.Between(file, "demand.keep", s.Demand.Keep, s.Demand.Every, 10*longest)
+	s.Roles.Check(file, "roles")
 	s.Log.Check(file, "log")
 	s.Trace.Check(file, "trace")
 }
--- /dev/null
+++ b/internal/engine/trace.go
@@ -0,0 +1,15 @@
+package engine
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// startOrder starts the span of one order.
+func startOrder(ctx context.Context, order Order) (context.Context, trace.Span) {
+	return otel.Tracer("engine").Start(ctx, "engine order", trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("order", order.ID), attribute.Int64("fence", order.Fence)))
+}
--- a/internal/entry/routing_settings.go
+++ b/internal/entry/routing_settings.go
@@ -32,8 +32,9 @@
 	// Failures in a row that eject an upstream. Default 2.
 	Failures int `toml:"failures"`
 	// EjectFor is the first ejection's time; it doubles up to EjectAtMost.
-	// Defaults 2s and 30s.
-	EjectFor    time.Duration `toml:"eject_for"`
+	// Default 2s.
+	EjectFor time.Duration `toml:"eject_for"`
+	// EjectAtMost bounds an ejection. Default 30s.
 	EjectAtMost time.Duration `toml:"eject_at_most"`
 	// SilentFor is how long an engine may go without a new report before it
 	// gets no new work. Default 2s.
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -33,10 +33,15 @@
 	// BalancerLag is how long the entry goes on taking what the balancer sends
 	// after it said that it is not ready. Default 3s.
 	BalancerLag time.Duration `toml:"balancer_lag"`
+	// DemandWindow is the time over which the admitted work is measured for
+	// the role policy. Default 10s.
+	DemandWindow time.Duration `toml:"demand_window"`
 	// KeepAlive is the time without a piece after which a streamed answer gets
 	// a comment, so that nothing on the way takes the connection for dead.
 	// Default 10s.
 	KeepAlive time.Duration `toml:"keep_alive"`
+	// BodyTimeout bounds the reading of a request's body. Default 30s.
+	BodyTimeout time.Duration `toml:"body_timeout"`
 	// WriteTimeout bounds the wait for a caller that takes nothing of its
 	// answer. Then its stream is cancelled. Default 30s.
 	WriteTimeout time.Duration        `toml:"write_timeout"`
@@ -75,6 +80,9 @@
 	// ReportEvery is the time between reads of an engine's report. Default
 	// 200ms.
 	ReportEvery time.Duration `toml:"report_every"`
+	// TransferTimeout bounds the transfer of a prompt's KV cache from a prefill
+	// engine to a decode engine. Default 10s.
+	TransferTimeout time.Duration `toml:"transfer_timeout"`
 	// Attempts of a request, the first one included. Default 3.
 	Attempts int `toml:"attempts"`
 }
@@ -86,14 +94,16 @@
 		StaleAfter:      5 * time.Second,
 		ShutdownTimeout: 10 * time.Minute,
 		BalancerLag:     3 * time.Second,
+		DemandWindow:    10 * time.Second,
 		KeepAlive:       10 * time.Second,
+		BodyTimeout:     30 * time.Second,
 		WriteTimeout:    30 * time.Second,
 		Stall:           stream.DefaultStall(),
 		Limits: LimitSettings{
 			MaxBodyBytes: 4 << 20, MaxHeaderBytes: 64 << 10, WriteBufferBytes: 64 << 10,
 			MaxPromptTokens: 131072, MaxAnswerTokens: 4096,
 		},
-		Engine:    EngineSettings{Timeout: 30 * time.Second, ReportEvery: 200 * time.Millisecond, Attempts: 3},
+		Engine:    EngineSettings{Timeout: 30 * time.Second, ReportEvery: 200 * time.Millisecond, TransferTimeout: 10 * time.Second, Attempts: 3},
 		Routing:   defaultRouting(),
 		Admission: defaultAdmission(),
 		Rate:      defaultRate(),
@@ -116,7 +126,9 @@
 	settings.Between(file, "stale_after", s.StaleAfter, 100*time.Millisecond, 10*time.Minute)
 	settings.Between(file, "shutdown_timeout", s.ShutdownTimeout, 0, 24*time.Hour)
 	settings.Between(file, "balancer_lag", s.BalancerLag, 0, time.Minute)
+	settings.Between(file, "demand_window", s.DemandWindow, 100*time.Millisecond, 10*time.Minute)
 	settings.Between(file, "keep_alive", s.KeepAlive, 10*time.Millisecond, time.Hour)
+	settings.Between(file, "body_timeout", s.BodyTimeout, 10*time.Millisecond, time.Hour)
 	settings.Between(file, "write_timeout", s.WriteTimeout, 10*time.Millisecond, time.Hour)
 	s.Stall.Check(file, "stall")
 	settings.IntBetween(file, "limits.max_body_bytes", s.Limits.MaxBodyBytes, 1<<10, 256<<20)
@@ -126,6 +138,7 @@
 	settings.IntBetween(file, "limits.max_answer_tokens", s.Limits.MaxAnswerTokens, 1, 1<<20)
 	settings.Between(file, "engine.timeout", s.Engine.Timeout, 10*time.Millisecond, 10*time.Minute)
 	settings.Between(file, "engine.report_every", s.Engine.ReportEvery, time.Millisecond, time.Minute)
+	settings.Between(file, "engine.transfer_timeout", s.Engine.TransferTimeout, time.Millisecond, 10*time.Minute)
 	settings.IntBetween(file, "engine.attempts", s.Engine.Attempts, 1, 20)
 	s.Routing.check(file)
 	s.Admission.check(file)
