--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -139,7 +139,18 @@
 }
 
 func (d *Daemon) memberLoop(ctx context.Context) {
-	every(ctx, d.settings.Spread.ListEvery, d.members.refresh)
+	for ctx.Err() == nil {
+		d.members.refresh(ctx)
+		wait(ctx, d.listPeriod(), nil)
+	}
+}
+
+// listPeriod is the time between this daemon's reads of the list. The list is
+// long where there are many instances, and peers tell of what leaves, so that
+// each reads it less often then.
+func (d *Daemon) listPeriod() time.Duration {
+	share := time.Duration(len(d.members.own())) * time.Second / time.Duration(d.settings.Spread.ListReads)
+	return max(d.settings.Spread.ListEvery, share)
 }
 
 // listRead takes a list that the platform answered with.
--- a/internal/control/spread_settings.go
+++ b/internal/control/spread_settings.go
@@ -36,8 +36,12 @@
 	Fanout int `toml:"fanout"`
 	// ApplyEvery is the time between heartbeats to sf-entry. Default 250ms.
 	ApplyEvery time.Duration `toml:"apply_every"`
-	// ListEvery is the time between reads of the instance list. Default 1s.
+	// ListEvery is the least time between reads of the instance list. Default
+	// 1s.
 	ListEvery time.Duration `toml:"list_every"`
+	// ListReads is how many reads of the instance list a second all instances
+	// together make. Default 4.
+	ListReads int `toml:"list_reads"`
 }
 
 func defaultSpreadSettings() SpreadSettings {
@@ -46,7 +50,7 @@
 		PeerTimeout: time.Second, Fanout: 3,
 		FreshFor: 5 * time.Second, AcceptWithin: 10 * time.Second,
 		ReadLag: 500 * time.Millisecond, ListLag: 10 * time.Second,
-		ApplyEvery: 250 * time.Millisecond, ListEvery: time.Second,
+		ApplyEvery: 250 * time.Millisecond, ListEvery: time.Second, ListReads: 4,
 	}
 }
 
@@ -65,5 +69,6 @@
 	settings.Between(file, "spread.read_lag", s.ReadLag, 0, s.FreshFor/2)
 	settings.Between(file, "spread.list_lag", s.ListLag, 0, longest)
 	settings.Between(file, "spread.apply_every", s.ApplyEvery, shortest, s.FreshFor/2)
+	settings.IntBetween(file, "spread.list_reads", s.ListReads, 1, 10000)
 	settings.Between(file, "spread.list_every", s.ListEvery, shortest, longest)
 }
