--- a/internal/control/spread_bench_test.go
+++ b/internal/control/spread_bench_test.go
@@ -163,9 +163,13 @@
 		doc.Engines = append(doc.Engines, config.Engine{
 			ID: fmt.Sprintf("engine-%04d", e), Address: fmt.Sprintf("10.%d.%d.%d:8000", e%3, e/250, e%250),
 			Zone: fmt.Sprintf("zone-%02d", e%12), Pool: fmt.Sprintf("model-%02d-r%d", e%31, e%3), Fencing: config.FencingRefuse,
-			Want: state, Loaded: state, Routing: config.RoutingServing, RoutingSince: version - int64(e%7),
+			Want: state, Loaded: state, Routing: config.RoutingServing, RoutingSince: 1,
 		})
 	}
+	if engines > 0 { // the change of this version
+		changed := &doc.Engines[int(version)%engines]
+		changed.Routing, changed.RoutingSince = config.RoutingDraining, version
+	}
 	for o := range 220 {
 		doc.Organisations = append(doc.Organisations, config.Organisation{
 			Name: fmt.Sprintf("organisation-%03d", o), KeyHashes: []string{fmt.Sprintf("%x", sha256.Sum256([]byte{byte(o)}))},
