--- a/cmd/sf-load/main.go
+++ b/cmd/sf-load/main.go
@@ -87,6 +87,7 @@
 	rate := cmd.Flag("rate", "Completions a second.").Default("22").Float64()
 	sideBySide := cmd.Flag("side-by-side", "Groups of fleets at a time.").Default("1").Int()
 	entries := cmd.Flag("entries", "Entries of each fleet.").Default(strconv.Itoa(bench.Entries)).Int()
+	reportEvery := cmd.Flag("report-every", "Time between an entry's reads of an engine's report.").Default("200ms").Duration()
 	variants := cmd.Flag("variant", "First letter of a variant; repeat for more. All when none is given.").Strings()
 	return command{name: cmd.FullCommand(), do: func(ctx context.Context) error {
 		dir, err := os.MkdirTemp("", "sf-bench-")
@@ -97,7 +98,7 @@
 		return bench.Compare(ctx, bench.Options{
 			Bin: *bin, Dir: dir, Out: *out, Seeds: *seeds, Lags: *lags, Phase: *phase, Rate: *rate,
 			Variants: bench.VariantsNamed(*variants), Deployments: bench.Deployments(),
-			Entries: *entries, SideBySide: *sideBySide, Log: os.Stderr,
+			Entries: *entries, ReportEvery: *reportEvery, SideBySide: *sideBySide, Log: os.Stderr,
 		})
 	}}
 }
--- a/internal/bench/cell.go
+++ b/internal/bench/cell.go
@@ -66,12 +66,13 @@
 	if v.Adjust != nil {
 		scenario = v.Adjust(scenario)
 	}
+	tables := v.EntryTables + fmt.Sprintf("[engine]\nreport_every = %q\n", r.options.ReportEvery)
 	flags := append([]string{"--report-lag", c.Lag.String()}, EngineModel...)
 	f, err := start(ctx, plan{
 		bin: r.options.Bin, dir: filepath.Join(r.options.Dir, directory(c.Name()+" "+v.Name)),
 		zones: c.Deployment.Zones, model: scenario.Model, prefix: c.Deployment.Prefix, keys: scenario.Keys,
 		entries: r.options.Entries, hosted: hosted, apart: engines - hosted, services: services,
-		engineFlags: flags, entryTables: v.EntryTables,
+		engineFlags: flags, entryTables: tables,
 	})
 	if err != nil {
 		return Cell{}, err
--- a/internal/bench/compare.go
+++ b/internal/bench/compare.go
@@ -28,8 +28,9 @@
 	// Variants to set beside each other, and Deployments.
 	Variants    []Variant
 	Deployments []Deployment
-	// Entries of each fleet.
-	Entries int
+	// Entries of each fleet, and the time between their reads of a report.
+	Entries     int
+	ReportEvery time.Duration
 	// SideBySide is how many groups run at a time.
 	SideBySide int
 	Log        io.Writer
