--- a/internal/bench/cell.go
+++ b/internal/bench/cell.go
@@ -47,12 +47,12 @@
 	EntryCPU float64 `json:"entry_cpu_s"`
 }
 
-// settle is the time after the start in which reports and events come in.
+// settle is the time after the start, beyond the reports' lag, in which reports
+// and events come in.
 const settle = 500 * time.Millisecond
 
-// patience is the deadline that callers name. It is far above the bound of a
-// good answer, so that next to nothing is refused early, and what is compared
-// is routing.
+// patience is the deadline that callers name, unless the variant says
+// otherwise: far above the bound of a good answer.
 const patience = 10 * time.Second
 
 // answersWithin bounds the wait for the last answers.
@@ -66,18 +66,19 @@
 	if v.Adjust != nil {
 		scenario = v.Adjust(scenario)
 	}
+	tables := v.EntryTables + fmt.Sprintf("[engine]\nreport_every = %q\n", r.options.ReportEvery)
 	flags := append([]string{"--report-lag", c.Lag.String()}, EngineModel...)
 	f, err := start(ctx, plan{
 		bin: r.options.Bin, dir: filepath.Join(r.options.Dir, directory(c.Name()+" "+v.Name)),
 		zones: c.Deployment.Zones, model: scenario.Model, prefix: c.Deployment.Prefix, keys: scenario.Keys,
 		entries: r.options.Entries, hosted: hosted, apart: engines - hosted, services: services,
-		engineFlags: flags, entryTables: v.EntryTables,
+		engineFlags: flags, entryTables: tables,
 	})
 	if err != nil {
 		return Cell{}, err
 	}
 	defer f.Stop()
-	time.Sleep(settle)
+	time.Sleep(settle + c.Lag)
 	before, machine := f.entryCPU(), readMachine()
 	if c.Faults {
 		go f.breakEngines(ctx, r.options.Phase)
@@ -123,5 +124,5 @@
 }
 
 func directory(name string) string {
-	return strings.NewReplacer(" ", "-", ".", "_").Replace(name)
+	return strings.NewReplacer(" ", "-", ".", "_", ",", "").Replace(name)
 }
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -45,12 +45,15 @@
 	spread   *spreader
 	entry    *entryLink
 	leases   *leases
+	roles    *rolePolicy
 	demand   *demand
 	watcher  *watcher
 	waited   waitCache
 	orders   *orderMetrics
 	http     *http.Client
 	options  []connect.ClientOption
+	// traced gives each call of a handler a span.
+	traced connect.HandlerOption
 
 	mu      sync.Mutex // protects engines
 	engines map[string]engine.Engine
@@ -72,6 +75,7 @@
 		holder:   spread.NewHolder(),
 		http:     &http.Client{Timeout: s.PlatformTimeout, Transport: peerTransport()},
 		options:  []connect.ClientOption{connect.WithInterceptors(interceptor)},
+		traced:   connect.WithInterceptors(interceptor),
 		engines:  map[string]engine.Engine{},
 	}
 	d.members = newMembers(client, logging.Part(log, "members"))
@@ -80,6 +84,7 @@
 	d.entry = newEntryLink(d.holder, s.EntryLocal, d.http, d.options, logging.Part(log, "entry"))
 	d.demand = newDemand(s.Demand)
 	d.leases = newLeases(d, logging.Part(log, "lease"))
+	d.roles = newRolePolicy(d, logging.Part(log, "roles"))
 	d.watcher = newWatcher(s.Rollout)
 	d.orders = newOrderMetrics()
 	return d, nil
@@ -89,7 +94,7 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	loops := []func(context.Context){
-		d.demandLoop, d.spread.loop, d.entryLoop, d.memberLoop, d.leases.loop, d.rolloutLoop,
+		d.demandLoop, d.spread.loop, d.entryLoop, d.memberLoop, d.leases.loop, d.rolloutLoop, d.roles.loop,
 	}
 	for _, loop := range loops {
 		group.Go(func() error {
@@ -119,9 +124,9 @@
 
 func (d *Daemon) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(sfv1connect.NewPeerServiceHandler(&peerService{daemon: d}, connect.WithCompressMinBytes(compressFrom)))
-	mux.Handle(sfv1connect.NewLeaseServiceHandler(&leaseService{leases: d.leases}))
-	mux.Handle(sfv1connect.NewOperatorServiceHandler(&operatorService{daemon: d}))
+	mux.Handle(sfv1connect.NewPeerServiceHandler(&peerService{daemon: d}, connect.WithCompressMinBytes(compressFrom), d.traced))
+	mux.Handle(sfv1connect.NewLeaseServiceHandler(&leaseService{leases: d.leases}, d.traced))
+	mux.Handle(sfv1connect.NewOperatorServiceHandler(&operatorService{daemon: d}, d.traced))
 	mux.HandleFunc("/livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("/readyz", d.readyz)
 	mux.HandleFunc("/metrics", serveMetrics)
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -98,6 +98,9 @@
 		if err == nil || errors.Is(err, errCallerGone) || errors.Is(err, errStopping) {
 			return err
 		}
+		if errors.Is(err, stream.ErrDiverged) {
+			return s.gaveUp(comp, progress, err)
+		}
 		excluded[comp.resume.Engine] = !ranNothing(err)
 	}
 	var last error
@@ -105,11 +108,11 @@
 		if attempt > 0 && !s.mayRetry(ctx, attempt, last, assembler.Next() > 0) {
 			break
 		}
-		placement := s.placement(comp)
-		chosen, ok := s.state.place(&route.Request{
+		placed, ok := s.state.assign(&route.Request{
 			Model: comp.name, Adapter: comp.adapter, Version: comp.version,
 			PromptTokens: comp.promptTokens, Excluded: excluded,
-		}, placement)
+			Split: attempt == 0 && mayBeSplit(comp),
+		}, s.placement(comp))
 		if !ok {
 			break
 		}
@@ -117,13 +120,15 @@
 		if err != nil {
 			return err
 		}
-		last = s.runOn(ctx, chosen, comp, assembler, out, false)
+		s.admitted(comp, placed)
+		var failed string
+		failed, last = s.run(ctx, placed, comp, assembler, out)
 		if last == nil || errors.Is(last, errCallerGone) || errors.Is(last, errStopping) {
 			return last
 		}
-		progress = after(sent, ranNothing(last))
-		excluded[chosen.ID] = true
-		s.log.Info("request: engine failed, trying another", "request", comp.id, "engine", chosen.ID, "error", last)
+		progress = after(sent, ranNothing(last) && assembler.Next() == 0)
+		excluded[failed] = true
+		s.log.Info("request: engine failed, trying another", "request", comp.id, "engine", failed, "error", last)
 	}
 	if ctx.Err() != nil {
 		return errCallerGone
@@ -169,6 +174,7 @@
 		comp.version = chosen.Loaded.Version
 	}
 	client := s.engineAt(chosen.Address)
+	before := assembler.Next()
 	source, err := s.generate(ctx, client, comp.engineRequest(assembler.Restart(), attach))
 	if err == nil {
 		s.engineAccepted(chosen.ID, comp.id, source.Stream)
@@ -185,14 +191,16 @@
 	if ctx.Err() != nil {
 		err = errCallerGone
 	}
-	s.afterFailure(ctx, chosen.ID, client, comp, err, attach)
+	// A resumption that brought nothing says nothing about the engine: the token
+	// may be wrong, or the entry that the caller left cancelled the stream.
+	blame := !errors.Is(err, errCallerGone) && (comp.resume == nil || assembler.Next() > before)
+	s.afterFailure(ctx, chosen.ID, client, comp, err, blame)
 	return err
 }
 
 // afterFailure frees the engine of a stream that nobody reads any more, and
-// notes who failed. A broken attachment says nothing about the engine: the
-// entry that the caller left may have cancelled the stream.
-func (s *Server) afterFailure(ctx context.Context, engineID string, client engine.Engine, comp *completion, err error, attach bool) {
+// notes the failure if the engine is to blame.
+func (s *Server) afterFailure(ctx context.Context, engineID string, client engine.Engine, comp *completion, err error, blame bool) {
 	switch {
 	case errors.Is(err, engine.ErrUnreachable):
 		s.upstreamFailed(engineID)
@@ -203,7 +211,7 @@
 		return
 	}
 	s.background.Go(func() { s.cancel(ctx, client, comp.id) })
-	if !errors.Is(err, errCallerGone) && !attach {
+	if blame {
 		s.upstreamFailed(engineID)
 	}
 }
@@ -217,7 +225,7 @@
 	return engine.Request{
 		ID: c.id, Model: c.name, Adapter: c.adapter, Version: c.version,
 		Prompt: c.prompt, MaxTokens: c.maxTokens, Seed: c.seed, Priority: c.priority,
-		Sampling: c.sampling, From: from, Attach: attach,
+		Sampling: c.sampling, From: from, Attach: attach, KVHandle: c.kvHandle,
 	}
 }
 
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -153,6 +153,7 @@
 			return errCallerGone
 		}
 		s.metrics.tokens.Inc(1)
+		s.demand.generated(f.comp.pool, s.now())
 	}
 	return nil
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -38,6 +38,10 @@
 	seed         int64
 	priority     int
 	sampling     engine.Sampling
+	// pool that the request was placed in last.
+	pool string
+	// kvHandle names the prompt's KV cache at the engine that is to decode.
+	kvHandle string
 	// prefix has the hashes of the prompt's blocks, once Server.prefix made them.
 	prefix []uint64
 	// deadline is the time to the first token that the caller can bear; 0 when
@@ -93,6 +97,8 @@
 
 func (s *Server) readBody(c *echo.Context) ([]byte, error) {
 	limit := int64(s.settings.Limits.MaxBodyBytes)
+	connection := http.NewResponseController(c.Response())
+	_ = connection.SetReadDeadline(time.Now().Add(s.settings.BodyTimeout)) // a test's recorder has none
 	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -104,6 +110,7 @@
 	if err != nil {
 		return nil, badRequest("", "the body could not be read whole")
 	}
+	_ = connection.SetReadDeadline(time.Time{}) // from here on a read only waits for the caller to leave
 	return body, nil
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -36,6 +36,7 @@
 	// background is work that outlasts its request.
 	background sync.WaitGroup
 	metrics    *meters
+	demand     *demandMeter
 	// admission, rates and retries have locks of their own.
 	admission *admission
 	rates     *rates
@@ -55,6 +56,7 @@
 		state:    newState(s),
 		once:     once.New(platform.NewClient(s.Platform, s.PlatformTimeout), s.Claims, s.Instance, logging.Part(log, "once")),
 		metrics:  newMeters(metrics.DefaultRegistry),
+		demand:   newDemandMeter(s.DemandWindow),
 		engines:  map[string]engine.Engine{},
 		services: map[string]service.Service{},
 		retries:  newRetries(s.Retry),
--- a/internal/intent/intent.go
+++ b/internal/intent/intent.go
@@ -91,18 +91,12 @@
 func Parse(name string, data []byte) (*Intent, finding.List) {
 	in := &Intent{}
 	file := tomlfile.Decode(name, data, in)
-	if !isSyntax(file.Findings()) {
+	if file.Parsed() {
 		checkShape(file, in)
 	}
 	return in, file.Findings()
 }
 
-// isSyntax tells whether the file could not be read at all: a fault of syntax
-// belongs to no key.
-func isSyntax(findings finding.List) bool {
-	return len(findings) == 1 && findings[0].Key == ""
-}
-
 // Apply works out the configuration that the intent asks for on top of base.
 // The result has the base's numbers; base is left as it is. With findings that
 // forbid the intent the configuration is nil.
@@ -110,7 +104,7 @@
 	in := &Intent{}
 	file := tomlfile.Decode(name, data, in)
 	failed := file.Findings().Failed()
-	if !isSyntax(file.Findings()) {
+	if file.Parsed() {
 		checkShape(file, in)
 	}
 	if failed {
--- /dev/null
+++ b/internal/scenario/callers.go
@@ -0,0 +1,197 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"sassafrasfield/internal/callerapi"
+	"sassafrasfield/internal/standin"
+	"sassafrasfield/internal/testcaller"
+)
+
+// patience is how long a caller waits for the next event before it goes on at
+// another instance.
+const patience = 4 * time.Second
+
+// askAgainAfter is the caller's pause after a refusal.
+const askAgainAfter = 100 * time.Millisecond
+
+// chatRecord is a caller's own record of one streamed request.
+type chatRecord struct {
+	name string
+	chat testcaller.Chat
+	// text that came, over all attempts.
+	text string
+	// whole is true when the closing event came.
+	whole bool
+	// notRun is true when each attempt was answered "not run".
+	notRun bool
+	// gone is true when the entry told that no engine serves the version any
+	// more that began the answer: it was broken off, and replaced meanwhile.
+	gone bool
+}
+
+// callRecord is a caller's own record of one call that may run once at most.
+type callRecord struct {
+	body   string
+	keyed  bool
+	answer string
+	// notRun is true when each attempt was answered "not run".
+	notRun bool
+	// different is true when two answers under one key were not the same.
+	different bool
+}
+
+// book is what the callers asked and got.
+type book struct {
+	mu    sync.Mutex // protects all below
+	chats []*chatRecord
+	calls []*callRecord
+}
+
+// callers ask until they are told to stop, and finish what they began.
+type callers struct {
+	harness *Harness
+	book    *book
+	ctx     context.Context
+	stop    chan struct{}
+	work    sync.WaitGroup
+}
+
+// startCallers starts callers with names and choices that follow from the
+// seed.
+func startCallers(ctx context.Context, h *Harness, b *book, round string, seed uint64, count int) *callers {
+	c := &callers{harness: h, book: b, ctx: ctx, stop: make(chan struct{})}
+	for n := range count {
+		c.work.Go(func() {
+			rng := rand.New(rand.NewPCG(seed, uint64(n)))
+			for asked := 0; !c.stopped(); asked++ {
+				c.request(fmt.Sprintf("%s-%d-%d", round, n, asked), rng)
+			}
+		})
+	}
+	return c
+}
+
+func (c *callers) stopped() bool {
+	select {
+	case <-c.stop:
+		return true
+	default:
+		return c.ctx.Err() != nil
+	}
+}
+
+// finish lets each caller finish what it began.
+func (c *callers) finish() {
+	close(c.stop)
+	c.work.Wait()
+}
+
+func (c *callers) request(name string, rng *rand.Rand) {
+	switch rng.IntN(4) {
+	case 0:
+		c.call(name, true, rng)
+	case 1:
+		c.call(name, false, rng)
+	default:
+		c.stream(name, rng)
+	}
+}
+
+func (c *callers) entry(rng *rand.Rand) string {
+	instances := c.harness.Fleet.Instances
+	return instances[rng.IntN(len(instances))].EntryAddress
+}
+
+// stream asks until the answer is whole, resuming where it broke off. A
+// request of which nothing came is given up when the callers stop.
+func (c *callers) stream(name string, rng *rand.Rand) {
+	record := &chatRecord{name: name, notRun: true, chat: testcaller.Chat{
+		Model: ModelName, Prompt: standin.BookMark + name + " what does the ledger say?",
+		MaxTokens: 20 + rng.IntN(60), Seed: int64(rng.IntN(1 << 30)),
+	}}
+	for c.ctx.Err() == nil && !record.whole && !record.gone {
+		if record.text == "" && c.stopped() {
+			break
+		}
+		c.attempt(record, c.entry(rng))
+	}
+	c.book.mu.Lock()
+	defer c.book.mu.Unlock()
+	c.book.chats = append(c.book.chats, record)
+}
+
+func (c *callers) attempt(record *chatRecord, entry string) {
+	ctx, cancel := context.WithCancel(c.ctx)
+	defer cancel()
+	stalled := time.AfterFunc(patience, cancel)
+	defer stalled.Stop()
+	answer, err := c.harness.Caller.Stream(ctx, entry, record.chat, func(string, string) { stalled.Reset(patience) })
+	record.text += answer.Text
+	record.whole = answer.Done
+	if answer.LastID != "" {
+		record.chat.LastEventID = answer.LastID
+	}
+	refused := err == nil && answer.Error != nil && answer.Error.Outcome == callerapi.OutcomeNotRun
+	if !refused && !neverSent(err) {
+		record.notRun = false
+	}
+	record.gone = answer.Error != nil && answer.Error.Code == "cannot_resume"
+	if !record.whole {
+		time.Sleep(askAgainAfter)
+	}
+}
+
+// call issues a certificate: with a key until it is answered or "unknown" for
+// good, without one a single time.
+func (c *callers) call(name string, keyed bool, rng *rand.Rand) {
+	record := &callRecord{body: fmt.Sprintf(`{"certificate": %q}`, name), keyed: keyed, notRun: true}
+	header := http.Header{}
+	attempts := 1
+	if keyed {
+		header.Set("Idempotency-Key", name)
+		attempts = 8
+	}
+	for range attempts {
+		if c.tryCall(record, c.entry(rng), header) || c.ctx.Err() != nil {
+			break
+		}
+		time.Sleep(askAgainAfter)
+	}
+	if keyed && record.answer != "" {
+		c.tryCall(record, c.entry(rng), header) // asked again, the answer is the same
+	}
+	c.book.mu.Lock()
+	defer c.book.mu.Unlock()
+	c.book.calls = append(c.book.calls, record)
+}
+
+// tryCall sends one call and tells whether it was answered.
+func (c *callers) tryCall(record *callRecord, entry string, header http.Header) bool {
+	ctx, cancel := context.WithTimeout(c.ctx, 2*patience)
+	defer cancel()
+	res, err := c.harness.Caller.Post(ctx, entry, "/bales/certificates", header, []byte(record.body))
+	if err != nil {
+		record.notRun = record.notRun && neverSent(err)
+		return false
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	if res.Header.Get(callerapi.HeaderOutcome) != string(callerapi.OutcomeNotRun) {
+		record.notRun = false
+	}
+	if err != nil || res.StatusCode != http.StatusOK {
+		return false
+	}
+	if record.answer != "" && record.answer != string(body) {
+		record.different = true
+	}
+	record.answer = string(body)
+	return true
+}
--- a/internal/standin/stream.go
+++ b/internal/standin/stream.go
@@ -50,6 +50,9 @@
 	if req.Adapter != "" && !slices.Contains(e.state.Adapters, req.Adapter) {
 		return nil, "", http.StatusServiceUnavailable
 	}
+	if _, ok := e.imports[req.KVHandle]; !ok && req.KVHandle != "" {
+		return nil, "", http.StatusServiceUnavailable
+	}
 	return e.start(req, hashes), e.boot, http.StatusOK
 }
 
@@ -57,7 +60,7 @@
 	req.Version = e.state.Version
 	tokens := (len(req.Prompt)+charsPerToken-1)/charsPerToken + req.From
 	g := &generation{req: req, hashes: hashes, promptTokens: tokens, made: req.From, changed: sync.NewCond(&e.mu)}
-	g.prefillLeft = max(0, tokens-e.exports[req.KVHandle])
+	g.prefillLeft = tokens - e.takeImport(req.KVHandle)
 	if e.faults.OtherText {
 		req.Seed++
 	}
@@ -68,6 +71,7 @@
 	e.streams[req.ID] = g
 	e.waiting = append(e.waiting, g)
 	e.book.Started++
+	e.bookRan(req)
 	e.recent = append(e.recent, req.ID)
 	if len(e.recent) > recentKept {
 		e.recent = e.recent[1:]
