--- a/internal/control/authority_test.go
+++ b/internal/control/authority_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"sassafrasfield/internal/config"
 	"sassafrasfield/internal/engine"
 	"sassafrasfield/internal/failpoint"
@@ -240,6 +242,9 @@
 			if refused := len(r.book(0).Refused); !c.killed && !broken && refused != 1 {
 				t.Errorf("the engine refused %d orders, want 1", refused)
 			}
+			if !c.killed {
+				r.lateOrderIsRefused(0, "a")
+			}
 			if strings.Contains(frozen.Control.Log(), "order: sent") {
 				t.Errorf("the frozen process saw its order answered:\n%s", frozen.Control.Log())
 			}
@@ -247,6 +252,23 @@
 	}
 }
 
+// lateOrderIsRefused brings an order of epoch 1 to the engine. The process that
+// woke may have broken its connection off before the bytes left: whether its
+// write or the end of its term comes first is up to the scheduler.
+func (r *rig) lateOrderIsRefused(number int, adapter string) {
+	r.t.Helper()
+	client := engine.NewClient(r.fleet.Engines[number].Address, 5*time.Second)
+	late := engine.Order{ID: "late", Fence: 1, Want: config.EngineState{
+		Model: modelName, Version: "1", Adapters: []string{adapter}, Role: config.RoleMixed,
+	}}
+	if _, err := client.Order(r.ctx, late); !errors.Is(err, engine.ErrFenced) {
+		r.t.Errorf("an order of epoch 1: %v, want a refusal", err)
+	}
+	if len(r.book(number).Refused) == 0 {
+		r.t.Error("the engine's book has no refused order")
+	}
+}
+
 func ended(p *testfleet.Process) bool {
 	select {
 	case <-p.Done():
