Check freshness before a plain call looks its service up

Cause: a woken entry served one request by the old version: the service was looked up in the old configuration, then the new one came into force, and then the check of freshness passed. Seen once in about ten runs of TestFrozenInstanceNeverServesOldVersion.

Ruled out: evidence that outlives the freeze; all of it is counted on the boot clock. Now the check comes first, and again after the body was read. Eight runs of the two freeze tests hold under the race detector.

--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -31,12 +31,8 @@
 // plainService passes a call on to a plain service.
 func (s *Server) plainService(c *echo.Context) error {
 	s.metrics.requests.Inc(1)
-	svc := s.serviceFor(c.Request().URL.Path)
-	if svc == nil {
-		return notFound("no_such_path", "no service has this path")
-	}
-	if err := s.ready(); err != nil {
-		return notRun("not_ready", err.Error(), defaultRetryIn)
+	if _, err := s.freshService(c.Request().URL.Path); err != nil {
+		return err
 	}
 	organisation, err := s.authenticate(c.Request())
 	if err != nil {
@@ -49,6 +45,10 @@
 	if err != nil {
 		return err
 	}
+	svc, err := s.freshService(c.Request().URL.Path) // the body may have taken long
+	if err != nil {
+		return err
+	}
 	call := service.Call{Method: c.Request().Method, Path: c.Request().URL.RequestURI(), Header: passOn(c.Request().Header), Body: body}
 	answer, err := s.runCall(c, svc, organisation, call)
 	if err != nil {
@@ -59,6 +59,20 @@
 	return s.writeAnswer(c, answer)
 }
 
+// freshService returns the service of a path. The check comes before the look:
+// a service that was looked up before may be of an older configuration than
+// the one that passes the check.
+func (s *Server) freshService(path string) (*config.Service, error) {
+	if err := s.ready(); err != nil {
+		return nil, notRun("not_ready", err.Error(), defaultRetryIn)
+	}
+	svc := s.serviceFor(path)
+	if svc == nil {
+		return nil, notFound("no_such_path", "no service has this path")
+	}
+	return svc, nil
+}
+
 func (s *Server) serviceFor(path string) *config.Service {
 	doc := s.state.config()
 	for i := range doc.Services {
