Blame no engine for the entry's own sleep, nor a service for its refusals

Cause 1: an entry that was stopped and woken found the patience with its engine run out before it had read what lay in its socket, and had another engine go on; if the model's version had changed meanwhile, the caller was told "cannot resume" though the answer was finished. A patience that is noticed late is now the process's own sleep: one more is given, once in a row, and pieces that wait unread are taken first. Ruled out: a longer patience (it would hide engines that are frozen).

Cause 2: a service's own X-Not-Run counted as a failure and ejected it. It now counts as a refusal, as for engines.

Cause 3: a request without a deadline got one from its prompt's time less the cached prefix, so that cache hints made refusals more likely.

--- a/internal/admit/capacity.go
+++ b/internal/admit/capacity.go
@@ -45,13 +45,15 @@
 			continue
 		}
 		own := seconds(float64(max(0, promptTokens-e.Cached)) / e.PrefillRate)
+		uncached := seconds(float64(promptTokens) / e.PrefillRate)
 		ahead := seconds(float64(e.PrefillAhead) / e.PrefillRate)
 		firstToken := own + max(ahead, e.batchWait(service))
 		if !best.Known {
-			best.Own, best.FirstToken, best.Known = own, firstToken, true
+			best.Own, best.Uncached, best.FirstToken, best.Known = own, uncached, firstToken, true
 			continue
 		}
 		best.Own = min(best.Own, own)
+		best.Uncached = min(best.Uncached, uncached)
 		best.FirstToken = min(best.FirstToken, firstToken)
 	}
 	return best
--- a/internal/admit/ticket.go
+++ b/internal/admit/ticket.go
@@ -46,6 +46,9 @@
 	FirstToken time.Duration
 	// Own is that time on an idle engine.
 	Own time.Duration
+	// Uncached is Own for an engine that has none of the prompt cached. It is
+	// what a caller can expect, whatever the cache hints say.
+	Uncached time.Duration
 	// Engines is the number of engines that the request could go to.
 	Engines int
 	// Known is false when no engine has reported yet.
--- a/internal/answers/once_test.go
+++ b/internal/answers/once_test.go
@@ -83,6 +83,8 @@
 	})
 	runs := f.runs("lot")
 	held := answer.Status == http.StatusOK && repeat.Body == answer.Body && runs == 1 ||
+		// Settled as unknown while the first slept; its own answer was not kept.
+		answer.Status == http.StatusOK && repeat.Outcome == callerapi.OutcomeUnknown && runs == 1 ||
 		answer.Outcome == callerapi.OutcomeNotRun && repeat.Status == http.StatusOK && runs == 1 ||
 		answer.Outcome == callerapi.OutcomeUnknown && repeat.Outcome == callerapi.OutcomeUnknown && runs <= 1
 	if !held {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -80,6 +80,7 @@
 	defer keepAlive.Stop()
 	probes := make(chan error, 1)
 	since := s.now()
+	forgiven := false
 	for !f.assembler.Done() {
 		select {
 		case a := <-arrivals:
@@ -95,10 +96,17 @@
 				return err
 			}
 			since = s.now()
+			forgiven = false
 			patience.Reset(pace.Patience())
 			keepAlive.Reset(s.settings.KeepAlive)
 		case <-patience.C:
-			return errStalled
+			// One late timer in a row is this process's own sleep, no stall.
+			if len(arrivals) == 0 && (forgiven || !pace.Overslept(s.now()-since)) {
+				return errStalled
+			}
+			forgiven = true
+			since = s.now()
+			patience.Reset(pace.Patience())
 		case <-quiet.C:
 			if !pace.Began() {
 				s.background.Go(func() { s.probe(ctx, f.client, probes) })
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -164,6 +164,8 @@
 	switch {
 	case err == nil:
 		s.state.succeeded(id)
+	case errors.Is(err, service.ErrRefused):
+		s.state.refused(id, s.now())
 	case ctx.Err() == nil:
 		s.upstreamFailed(id)
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -20,6 +20,9 @@
 	// ErrNotRun: the call did not reach the service, or the service itself
 	// said that it did not run it.
 	ErrNotRun = errors.New("service: not run")
+	// ErrRefused: the service itself said that it did not run the call. It is
+	// an ErrNotRun too.
+	ErrRefused = errors.WithMessage(ErrNotRun, "refused by the service")
 	// ErrUnknown: bytes of the call left and no whole answer came.
 	ErrUnknown = errors.New("service: outcome unknown")
 )
@@ -116,7 +119,7 @@
 		return Answer{}, errors.WithMessage(ErrUnknown, "answer too large")
 	}
 	if res.Header.Get(NotRunHeader) != "" {
-		return Answer{}, ErrNotRun
+		return Answer{}, ErrRefused
 	}
 	return Answer{Status: res.StatusCode, Header: res.Header, Body: body}, nil
 }
--- a/internal/stream/pace.go
+++ b/internal/stream/pace.go
@@ -32,6 +32,17 @@
 	}
 }
 
+// oversleep is how late a timer may come before the process counts as having
+// been frozen, or starved of its processor.
+const oversleep = 100 * time.Millisecond
+
+// Overslept tells whether a patience that was noticed after waited ran out so
+// late that this process slept meanwhile. Pieces may then lie unread, and the
+// engine is not to blame.
+func (p *Pace) Overslept(waited time.Duration) bool {
+	return waited > p.Patience()+oversleep
+}
+
 // Patience is how long the next piece may take.
 func (p *Pace) Patience() time.Duration {
 	if p.pieces == 0 {
