--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -71,48 +71,30 @@
 	stop := make(chan struct{})
 	defer close(stop)
 	arrivals := read(f.source, stop)
-	pace := stream.NewPace(s.settings.Stall)
-	patience := time.NewTimer(pace.Patience())
-	defer patience.Stop()
+	silence := newSilence(s.settings.Stall, s.now())
+	defer silence.timer.Stop()
 	quiet := time.NewTicker(s.settings.Stall.ProbeEvery)
 	defer quiet.Stop()
 	keepAlive := time.NewTicker(s.settings.KeepAlive)
 	defer keepAlive.Stop()
 	probes := make(chan error, 1)
-	since := s.now()
-	forgiven := false
 	for !f.assembler.Done() {
 		select {
 		case a := <-arrivals:
-			if a.err != nil {
-				return a.err
-			}
-			if !pace.Began() {
-				s.state.started(f.engineID, f.comp.id)
-				s.admission.firstToken(f.comp)
-			}
-			pace.Piece(s.now() - since)
-			if err := s.handOn(f, a.piece); err != nil {
+			if err := s.take(f, silence, a); err != nil {
 				return err
 			}
-			since = s.now()
-			forgiven = false
-			patience.Reset(pace.Patience())
 			keepAlive.Reset(s.settings.KeepAlive)
-		case <-patience.C:
-			// One late timer in a row is this process's own sleep, no stall.
-			if len(arrivals) == 0 && (forgiven || !pace.Overslept(s.now()-since)) {
-				return errStalled
+		case <-silence.timer.C:
+			if err := silence.ranOut(s.now(), len(arrivals)); err != nil {
+				return err
 			}
-			forgiven = true
-			since = s.now()
-			patience.Reset(pace.Patience())
 		case <-quiet.C:
-			if !pace.Began() {
+			if !silence.pace.Began() {
 				s.background.Go(func() { s.probe(ctx, f.client, probes) })
 			}
 		case err := <-probes:
-			if err != nil && !pace.Began() {
+			if err != nil && !silence.pace.Began() {
 				return errors.WithMessage(errStalled, err.Error())
 			}
 		case <-keepAlive.C:
@@ -126,6 +108,23 @@
 	return nil
 }
 
+// take notes when an arrival came, and hands its piece on.
+func (s *Server) take(f forwarding, silence *silence, a arrival) error {
+	if a.err != nil {
+		return a.err
+	}
+	if !silence.pace.Began() {
+		s.state.started(f.engineID, f.comp.id)
+		s.admission.firstToken(f.comp)
+	}
+	silence.broken(s.now())
+	if err := s.handOn(f, a.piece); err != nil {
+		return err
+	}
+	silence.begins(s.now())
+	return nil
+}
+
 // read brings a stream's pieces to a channel until it ends or stop is closed.
 func read(source engine.Stream, stop <-chan struct{}) <-chan arrival {
 	arrivals := make(chan arrival, arrivalsKept)
