--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -19,6 +19,18 @@
 	if !held {
 		return nil, errors.Errorf("order: the lease of %s has lapsed", pool)
 	}
+	orders, err := d.journal(ctx, pool)
+	if err != nil {
+		return nil, err
+	}
+	for engineID, row := range orders {
+		orders[engineID] = row.Under(auth.epoch)
+	}
+	return orders, nil
+}
+
+// journal reads the orders of a pool as they stand, without authority.
+func (d *Daemon) journal(ctx context.Context, pool string) (map[string]order.Row, error) {
 	rows, err := d.platform.List(ctx, order.KeyPrefix(pool))
 	if err != nil {
 		return nil, err
@@ -29,7 +41,7 @@
 		if err != nil {
 			return nil, err
 		}
-		orders[decoded.Engine] = decoded.Under(auth.epoch)
+		orders[decoded.Engine] = decoded
 	}
 	return orders, nil
 }
--- a/internal/control/planmessage.go
+++ b/internal/control/planmessage.go
@@ -8,7 +8,6 @@
 	"sassafrasfield/internal/bootclock"
 	"sassafrasfield/internal/config"
 	sfv1 "sassafrasfield/internal/gen/sf/v1"
-	"sassafrasfield/internal/order"
 	"sassafrasfield/internal/plan"
 	"sassafrasfield/internal/rollout"
 )
@@ -101,20 +100,3 @@
 	c.pools[pool] = fresh
 	return fresh.waits
 }
-
-// journal reads the orders of a pool as they stand, without authority.
-func (d *Daemon) journal(ctx context.Context, pool string) (map[string]order.Row, error) {
-	rows, err := d.platform.List(ctx, order.KeyPrefix(pool))
-	if err != nil {
-		return nil, err
-	}
-	orders := map[string]order.Row{}
-	for _, row := range rows {
-		decoded, err := order.Decode(row.Value, row.Revision)
-		if err != nil {
-			return nil, err
-		}
-		orders[decoded.Engine] = decoded
-	}
-	return orders, nil
-}
