--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -12,6 +12,7 @@
 
 	"sassafrasfield/internal/bootclock"
 	"sassafrasfield/internal/lease"
+	"sassafrasfield/internal/leaserows"
 	"sassafrasfield/internal/platform"
 )
 
@@ -74,13 +75,9 @@
 	return &leases{daemon: d, log: log, metrics: newLeaseMetrics(), machines: map[string]*poolLease{}}
 }
 
-func leaseKey(pool string) string { return "lease/" + pool }
-
-func epochKey(pool string) string { return "epoch/" + pool }
-
 // check is the condition that the epoch has not changed since the takeover.
 func (a authority) check(pool string) platform.Check {
-	return platform.Check{Key: epochKey(pool), Revision: a.epochRevision}
+	return platform.Check{Key: leaserows.EpochKey(pool), Revision: a.epochRevision}
 }
 
 // held returns the authority over a pool, if this process has it now.
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -12,6 +12,7 @@
 	"sassafrasfield/internal/finding"
 	sfv1 "sassafrasfield/internal/gen/sf/v1"
 	"sassafrasfield/internal/intent"
+	"sassafrasfield/internal/leaserows"
 	"sassafrasfield/internal/plan"
 	"sassafrasfield/internal/platform"
 	"sassafrasfield/internal/versions"
@@ -167,7 +168,7 @@
 
 // holderOf names the holder of a pool's lease, as the table has it.
 func (o *operatorService) holderOf(ctx context.Context, pool string) string {
-	row, err := o.daemon.platform.Get(ctx, leaseKey(pool))
+	row, err := o.daemon.platform.Get(ctx, leaserows.Key(pool))
 	if err != nil {
 		return ""
 	}
--- /dev/null
+++ b/internal/follow/follow.go
@@ -0,0 +1,276 @@
+// Package follow keeps an instance's copy of the platform's rows up to date:
+// from the store's feed, by a full read where the feed has no history, and from
+// other instances while the store gives nothing.
+package follow
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sassafrasfield/internal/peers"
+	"sassafrasfield/internal/replica"
+)
+
+// Errors of a Feed. Compare with errors.Is.
+var (
+	// ErrNoHistory: the feed lacks changes after the revision that was asked
+	// for; a full read is needed.
+	ErrNoHistory = errors.New("follow: the history is gone")
+)
+
+// Feed is the platform's store as far as it is followed.
+type Feed interface {
+	// Read returns all rows of a table as of a revision.
+	Read(ctx context.Context, table string) (rows []replica.Row, revision int64, err error)
+	// Wait returns the changes of a table after a revision, and the revision
+	// up to which they go. It returns none when nothing changed in time.
+	Wait(ctx context.Context, table string, after int64, wait time.Duration) (rows []replica.Row, revision int64, err error)
+}
+
+// Settings of a Follower.
+type Settings struct {
+	// Tables to follow.
+	Tables []string
+	// Wait is how long one call to the feed may take without a change. A
+	// store that falls silent is noticed within this and a half second.
+	Wait time.Duration
+	// ReadTimeout bounds a full read.
+	ReadTimeout time.Duration
+	// HoldDeletions is for how long after an outage deletions are not believed:
+	// owners of rows that lapsed meanwhile write them again.
+	HoldDeletions time.Duration
+	// PullEvery is the time between questions to peers while the store gives
+	// nothing.
+	PullEvery time.Duration
+}
+
+// slack is what a call to the feed may take beyond its wait.
+const slack = 600 * time.Millisecond
+
+// Bounds of the pause after a failed call.
+const (
+	retryFirst  = 50 * time.Millisecond
+	retryAtMost = 400 * time.Millisecond
+)
+
+// Follower keeps the copy.
+type Follower struct {
+	settings Settings
+	feed     Feed
+	peers    *peers.Exchange
+	log      *slog.Logger
+	start    time.Time
+	changed  func([]replica.Row)
+
+	mu   sync.Mutex // protects all below
+	copy *replica.Replica
+	// lost is since when a table's feed has failed; absent while it goes well.
+	lost map[string]time.Duration
+	// synced tables were read whole at least once.
+	synced map[string]bool
+}
+
+// New returns a follower. Changed gets the news, one call at a time; it must
+// not call the follower.
+func New(s Settings, feed Feed, changed func([]replica.Row), log *slog.Logger) *Follower {
+	return &Follower{
+		settings: s, feed: feed, log: log, start: time.Now(), changed: changed,
+		copy: replica.New(), lost: map[string]time.Duration{}, synced: map[string]bool{},
+	}
+}
+
+// Join sets the exchange with the peers; call it before Run.
+func (f *Follower) Join(e *peers.Exchange) { f.peers = e }
+
+func (f *Follower) now() time.Duration { return time.Since(f.start) }
+
+// Run follows until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	var loops sync.WaitGroup
+	for _, table := range f.settings.Tables {
+		loops.Go(func() { f.followTable(ctx, table) })
+	}
+	loops.Go(func() { f.askPeers(ctx) })
+	loops.Wait()
+}
+
+func (f *Follower) followTable(ctx context.Context, table string) {
+	pause := retryFirst
+	for ctx.Err() == nil {
+		err := f.step(ctx, table)
+		if err == nil {
+			pause = retryFirst
+			continue
+		}
+		if errors.Is(err, ErrNoHistory) {
+			f.log.Info("follow: the feed's history is gone, reading all", "table", table)
+			f.forget(table)
+			continue
+		}
+		f.failed(ctx, table, err)
+		sleep(ctx, jittered(pause))
+		pause = min(2*pause, retryAtMost)
+	}
+}
+
+// step makes one call to the store.
+func (f *Follower) step(ctx context.Context, table string) error {
+	f.mu.Lock()
+	synced, after := f.synced[table], f.copy.ReadFrom(table)
+	f.mu.Unlock()
+	if !synced {
+		return f.readAll(ctx, table)
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.settings.Wait+slack)
+	defer cancel()
+	rows, revision, err := f.feed.Wait(ctx, table, after, f.settings.Wait)
+	if err != nil {
+		return err
+	}
+	f.recovered(table)
+	f.mu.Lock()
+	news := f.copy.Apply(rows, f.now())
+	f.copy.ReadTo(table, revision)
+	f.publish(news)
+	f.mu.Unlock()
+	f.pass(ctx, news, 0)
+	return nil
+}
+
+func (f *Follower) readAll(ctx context.Context, table string) error {
+	ctx, cancel := context.WithTimeout(ctx, f.settings.ReadTimeout)
+	defer cancel()
+	rows, revision, err := f.feed.Read(ctx, table)
+	if err != nil {
+		return err
+	}
+	f.recovered(table)
+	f.mu.Lock()
+	news := f.copy.Replace(table, rows, revision, f.now())
+	f.synced[table] = true
+	f.publish(news)
+	f.mu.Unlock()
+	f.log.Info("follow: read", "table", table, "rows", len(rows), "revision", revision, "news", len(news))
+	return nil
+}
+
+func (f *Follower) forget(table string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.synced[table] = false
+}
+
+// publish tells of news. The lock is held, so that news comes in order.
+func (f *Follower) publish(news []replica.Row) {
+	if len(news) > 0 {
+		f.changed(news)
+	}
+}
+
+// pass gives news on to the peers.
+func (f *Follower) pass(ctx context.Context, news []replica.Row, hops int) {
+	if f.peers != nil && len(news) > 0 {
+		f.peers.Push(context.WithoutCancel(ctx), news, hops)
+	}
+}
+
+// failed notes a call to the store that gave nothing.
+func (f *Follower) failed(ctx context.Context, table string, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, ok := f.lost[table]; !ok {
+		f.lost[table] = f.now()
+		f.log.Warn("follow: the store is lost", "table", table, "error", err)
+	}
+}
+
+// recovered notes that the store answers.
+func (f *Follower) recovered(table string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	since, ok := f.lost[table]
+	if !ok {
+		return
+	}
+	delete(f.lost, table)
+	f.copy.Hold(f.now() + f.settings.HoldDeletions)
+	f.log.Info("follow: the store is back", "table", table, "after", f.now()-since)
+}
+
+// Take gets rows from a peer.
+func (f *Follower) Take(rows []replica.Row, hops int) {
+	f.mu.Lock()
+	news := f.copy.Apply(rows, f.now())
+	f.publish(news)
+	f.mu.Unlock()
+	if len(news) > 0 {
+		f.log.Info("follow: heard from a peer", "rows", len(news), "hops", hops)
+	}
+	f.pass(context.Background(), news, hops)
+}
+
+// Since returns the rows above a revision, for a peer.
+func (f *Follower) Since(revision int64) []replica.Row {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.copy.Since(revision)
+}
+
+// Rows returns the rows of a table.
+func (f *Follower) Rows(table string) []replica.Row {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.copy.Table(table)
+}
+
+// askPeers pulls from a peer while the store gives nothing, and believes the
+// deletions whose time has come.
+func (f *Follower) askPeers(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, jittered(f.settings.PullEvery))
+		f.mu.Lock()
+		f.publish(f.copy.Release(f.now()))
+		without := len(f.lost) > 0 || len(f.synced) < len(f.settings.Tables)
+		since := f.newest()
+		f.mu.Unlock()
+		if !without || f.peers == nil {
+			continue
+		}
+		if err := f.peers.Pull(ctx, since); err != nil && !errors.Is(err, peers.ErrNobody) {
+			f.log.Debug("follow: a peer gave nothing", "error", err)
+		}
+	}
+}
+
+// newest is the lowest of the tables' newest revisions. The lock is held.
+func (f *Follower) newest() int64 {
+	all := f.copy.Newest()
+	lowest := int64(-1)
+	for _, table := range f.settings.Tables {
+		if lowest < 0 || all[table] < lowest {
+			lowest = all[table]
+		}
+	}
+	return max(0, lowest)
+}
+
+func jittered(d time.Duration) time.Duration {
+	return d/2 + time.Duration(rand.Int64N(int64(d)))
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/instance/instance.go
@@ -0,0 +1,188 @@
+// Package instance puts the parts of a program together that serves callers on
+// a platform whose store keeps configuration and membership: the copy of the
+// store's rows, the exchange with other instances, the data path and the duty
+// of the engines' roles. One process does it all: without a disk, and with
+// leases that engines do not check, a second process would guard nothing.
+package instance
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"sassafrasfield/internal/follow"
+	"sassafrasfield/internal/front"
+	"sassafrasfield/internal/logging"
+	"sassafrasfield/internal/peers"
+	"sassafrasfield/internal/platform"
+	"sassafrasfield/internal/relay"
+	"sassafrasfield/internal/replica"
+	"sassafrasfield/internal/rolekeeper"
+	"sassafrasfield/internal/routes"
+)
+
+// Documents decodes the rows that operators and upstreams write.
+type Documents interface {
+	// Routes returns the configuration among rows, or nil.
+	Routes(rows []replica.Row) (*routes.Table, error)
+	// Upstream decodes an upstream's row.
+	Upstream(row replica.Row) (relay.Upstream, error)
+}
+
+// Adapter is the platform.
+type Adapter struct {
+	Feed      follow.Feed
+	Table     platform.Table
+	Sender    relay.Sender
+	Orderer   rolekeeper.Orderer
+	Documents Documents
+	// Handler returns the handler of the callers' protocol.
+	Handler func(r *relay.Relay, maxBody func() int64) http.Handler
+	// UpstreamTable is the store's table of upstreams.
+	UpstreamTable string
+}
+
+// Settings of an instance.
+type Settings struct {
+	Self    peers.Peer
+	Seeds   []string
+	Metrics string
+	Front   front.Settings
+	Relay   relay.Settings
+	Follow  follow.Settings
+	Roles   rolekeeper.Settings
+}
+
+// Instance is the program.
+type Instance struct {
+	settings Settings
+	adapter  Adapter
+	log      *slog.Logger
+	relay    *relay.Relay
+	follower *follow.Follower
+	peers    *peers.Exchange
+	maxBody  atomic.Int64
+}
+
+// New puts an instance together.
+func New(s Settings, a Adapter, log *slog.Logger) *Instance {
+	in := &Instance{settings: s, adapter: a, log: log}
+	in.relay = relay.New(s.Relay, a.Sender, logging.Part(log, "relay"))
+	in.follower = follow.New(s.Follow, a.Feed, in.changed, logging.Part(log, "follow"))
+	in.peers = peers.New(s.Self, s.Seeds, in.follower.Take, in.follower.Since, logging.Part(log, "peers"))
+	in.follower.Join(in.peers)
+	return in
+}
+
+// Run works until the context ends and the requests under way are done.
+func (in *Instance) Run(ctx context.Context) error {
+	in.log.Info("instance: started", "instance", in.settings.Self.Name, "zone", in.settings.Self.Zone, "seeds", in.settings.Seeds)
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var loops sync.WaitGroup
+	defer loops.Wait()
+	defer stop()
+	control, err := in.serveControl()
+	if err != nil {
+		return err
+	}
+	defer control.Close()
+	metricsServer, err := in.serveMetrics()
+	if err != nil {
+		return err
+	}
+	defer metricsServer.Close()
+	loops.Go(func() { in.follower.Run(background) })
+	loops.Go(func() { in.register(background) })
+	keeper := rolekeeper.New(in.settings.Roles, in.adapter.Table, in.adapter.Orderer, in, logging.Part(in.log, "roles"))
+	loops.Go(func() { keeper.Run(ctx) })
+	handler := in.adapter.Handler(in.relay, in.maxBody.Load)
+	err = front.New(in.settings.Front, handler, in.relay.Ready, logging.Part(in.log, "front")).Run(ctx)
+	in.log.Info("instance: stopped", "error", err)
+	return err
+}
+
+// headerTimeout bounds the reading of a header by the inner servers.
+const headerTimeout = 2 * time.Second
+
+func (in *Instance) serveControl() (*http.Server, error) {
+	mux := http.NewServeMux()
+	mux.Handle(in.peers.Handler())
+	return serve(in.settings.Self.Address, mux)
+}
+
+func (in *Instance) serveMetrics() (*http.Server, error) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		metrics.WriteOnce(metrics.DefaultRegistry, w)
+	})
+	return serve(in.settings.Metrics, mux)
+}
+
+// changed puts news of the rows in force.
+func (in *Instance) changed(news []replica.Row) {
+	table, err := in.adapter.Documents.Routes(news)
+	if err != nil {
+		in.log.Error("instance: configuration not read, the last one stays", "error", err)
+	}
+	if table != nil && in.relay.SetRoutes(table) {
+		in.maxBody.Store(table.Limits.MaxBodyBytes)
+		in.log.Info("instance: configuration in force", "version", table.Version, "routes", len(table.Routes))
+	}
+	in.setUpstreams(news)
+}
+
+// setUpstreams takes changes of the upstreams' rows.
+func (in *Instance) setUpstreams(news []replica.Row) {
+	for _, row := range news {
+		if row.Table == in.adapter.UpstreamTable {
+			in.noteUpstream(row)
+		}
+	}
+}
+
+func (in *Instance) noteUpstream(row replica.Row) {
+	if row.Deleted {
+		in.relay.Forget(row.Key.Key)
+		in.log.Info("instance: upstream gone", "upstream", row.Key.Key, "revision", row.Revision)
+		return
+	}
+	u, err := in.adapter.Documents.Upstream(row)
+	if err != nil {
+		in.log.Error("instance: upstream not read", "upstream", row.Key.Key, "error", err)
+		return
+	}
+	in.relay.Learn(u)
+	in.log.Info("instance: upstream", "upstream", u.ID, "service", u.Service, "zone", u.Zone, "role", u.Role,
+		"draining", u.Draining, "revision", row.Revision)
+}
+
+// Engines implements rolekeeper.View.
+func (in *Instance) Engines() map[string][]relay.Upstream { return in.relay.Engines() }
+
+// Serving implements rolekeeper.View.
+func (in *Instance) Serving() bool { return in.relay.Serving() }
+
+// Instances implements rolekeeper.View.
+func (in *Instance) Instances() []string {
+	names := in.peers.Names()
+	slices.Sort(names)
+	return names
+}
+
+func serve(address string, handler http.Handler) (*http.Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "instance: listen")
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	go func() { _ = server.Serve(listener) }() // ends with Close
+	return server, nil
+}
--- /dev/null
+++ b/internal/instance/register.go
@@ -0,0 +1,76 @@
+package instance
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"sassafrasfield/internal/peers"
+	"sassafrasfield/internal/platform"
+)
+
+// memberPrefix begins the keys of the instances' own rows in the store.
+const memberPrefix = "member/"
+
+// Timings of registration.
+const (
+	// registerRetry is the pause after a failed registration.
+	registerRetry = time.Second
+	// listEvery is the time between reads of the other instances' rows. Peers
+	// tell of one another; the store is for those whom no seed led to them.
+	listEvery = 20 * time.Second
+)
+
+// register writes this instance's row once, and meets the others by theirs.
+func (in *Instance) register(ctx context.Context) {
+	value, err := json.Marshal(in.settings.Self)
+	if err != nil {
+		in.log.Error("instance: own row", "error", err)
+		return
+	}
+	key := memberPrefix + in.settings.Self.Name
+	write := platform.Txn{Writes: []platform.Write{{Key: key, Value: value}}}
+	for {
+		_, err := in.adapter.Table.Commit(ctx, write)
+		if err == nil {
+			break
+		}
+		in.log.Info("instance: not registered yet", "error", err)
+		if !pause(ctx, registerRetry) {
+			return
+		}
+	}
+	for {
+		in.listMembers(ctx)
+		if !pause(ctx, listEvery) {
+			return
+		}
+	}
+}
+
+func (in *Instance) listMembers(ctx context.Context) {
+	rows, err := in.adapter.Table.List(ctx, memberPrefix)
+	if err != nil {
+		in.log.Info("instance: members not listed", "error", err)
+		return
+	}
+	var list []peers.Peer
+	for _, row := range rows {
+		var p peers.Peer
+		if err := json.Unmarshal(row.Value, &p); err != nil {
+			in.log.Error("instance: a member's row cannot be read", "key", row.Key, "error", err)
+			continue
+		}
+		list = append(list, p)
+	}
+	in.peers.Meet(list)
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/internal/leaserows/leaserows.go
@@ -0,0 +1,77 @@
+// Package leaserows keeps leases in the platform's table: it reads a lease's
+// row and writes what a lease machine asks for.
+package leaserows
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"sassafrasfield/internal/lease"
+	"sassafrasfield/internal/platform"
+)
+
+// ErrUnreadable: a row holds no lease. Compare with errors.Is.
+var ErrUnreadable = errors.New("lease: decode")
+
+// Key is the key of a pool's lease row.
+func Key(pool string) string { return "lease/" + pool }
+
+// EpochKey is the key of the row that is written by takeovers alone.
+func EpochKey(pool string) string { return "epoch/" + pool }
+
+// Read returns a lease's row and its revision; a row that is not there is
+// empty and has revision 0.
+func Read(ctx context.Context, table platform.Table, pool string) (lease.Row, int64, error) {
+	var content lease.Row
+	row, err := table.Get(ctx, Key(pool))
+	if errors.Is(err, platform.ErrNotFound) {
+		return content, 0, nil
+	}
+	if err != nil {
+		return content, 0, err
+	}
+	if err := json.Unmarshal(row.Value, &content); err != nil {
+		return content, 0, errors.WithMessage(ErrUnreadable, err.Error())
+	}
+	return content, row.Revision, nil
+}
+
+// Write carries a machine's write out. The error tells why the outcome is not
+// Committed.
+func Write(ctx context.Context, table platform.Table, pool string, action lease.Action) (lease.Outcome, int64, error) {
+	revision, err := table.Commit(ctx, txn(pool, action))
+	return outcomeOf(err), revision, err
+}
+
+// txn is the transaction of a write. A takeover writes the epoch row too: its
+// revision stands until the next takeover, so that whatever depends on the
+// epoch can check it.
+func txn(pool string, action lease.Action) platform.Txn {
+	value, err := json.Marshal(action.Row)
+	if err != nil {
+		panic(errors.Wrap(err, "lease: encode")) // plain data always marshals
+	}
+	txn := platform.Txn{
+		Checks: []platform.Check{{Key: Key(pool), Revision: action.Revision}},
+		Writes: []platform.Write{{Key: Key(pool), Value: value}},
+	}
+	if action.NewEpoch {
+		txn.Writes = append(txn.Writes, platform.Write{Key: EpochKey(pool), Value: value})
+	}
+	return txn
+}
+
+func outcomeOf(err error) lease.Outcome {
+	switch {
+	case err == nil:
+		return lease.Committed
+	case errors.Is(err, platform.ErrConflict):
+		return lease.Conflicted
+	case errors.Is(err, platform.ErrUnavailable):
+		return lease.NotTaken
+	default:
+		return lease.Unknown
+	}
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -39,7 +39,7 @@
 	if err := level.UnmarshalText([]byte(s.Level)); err != nil {
 		level = slog.LevelInfo
 	}
-	options := &slog.HandlerOptions{Level: level}
+	options := &slog.HandlerOptions{Level: level, ReplaceAttr: plainError}
 	var handler slog.Handler = slog.NewTextHandler(w, options)
 	if s.Format == "json" {
 		handler = slog.NewJSONHandler(w, options)
@@ -47,6 +47,14 @@
 	return slog.New(handler).With("program", program, "instance", instance)
 }
 
+// plainError keeps the stack of an error, which some carry, out of a line.
+func plainError(_ []string, attr slog.Attr) slog.Attr {
+	if err, ok := attr.Value.Any().(error); ok {
+		attr.Value = slog.StringValue(err.Error())
+	}
+	return attr
+}
+
 // Part returns a logger for one part of a program, marked by a fixed prefix.
 func Part(log *slog.Logger, part string) *slog.Logger {
 	return log.With("part", part)
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"strings"
 	"testing"
+
+	"github.com/pkg/errors"
 )
 
 func TestLinesCarryProgramInstanceAndPart(t *testing.T) {
@@ -36,3 +38,11 @@
 		}
 	}
 }
+
+func TestAnErrorTakesOneLineWithoutItsStack(t *testing.T) {
+	var out bytes.Buffer
+	New(Settings{Level: "info", Format: "text"}, &out, "sf-entry", "inst-1").Info("x: failed", "error", errors.New("no answer"))
+	if got := out.String(); !strings.Contains(got, `error="no answer"`) || strings.Contains(got, "logging_test.go") {
+		t.Errorf("%s", got)
+	}
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -31,6 +31,10 @@
 // flushTimeout bounds the writing of the last spans.
 const flushTimeout = 2 * time.Second
 
+// linesPerSecond bounds the log of a daemon: some ten lines for each of the
+// requests that one instance takes at the most, as docs/OPERATIONS.md reckons.
+const linesPerSecond = 500
+
 // Common are the settings that each daemon has.
 type Common struct {
 	Instance string
@@ -42,6 +46,9 @@
 type Daemon struct {
 	Name string
 	Help string
+	// SettingsVariable is an environment variable that may name the settings
+	// file instead of the flag; empty for none.
+	SettingsVariable string
 	// Settings holds the defaults and takes the file.
 	Settings settings.Checker
 	// Common returns the common part of Settings, once they are read.
@@ -56,7 +63,11 @@
 	app := kingpin.New(d.Name, d.Help)
 	app.Version(Version())
 	app.HelpFlag.Short('h')
-	path := app.Flag("settings", "Settings file (TOML).").Short('s').Required().String()
+	flag := app.Flag("settings", "Settings file (TOML).").Short('s').Required()
+	if d.SettingsVariable != "" {
+		flag = flag.Envar(d.SettingsVariable)
+	}
+	path := flag.String()
 	checkOnly := app.Flag("check-settings", "Check the settings file, report all findings, and end.").Bool()
 	if _, err := app.Parse(args); err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v\n", d.Name, err)
@@ -75,7 +86,9 @@
 
 func (d Daemon) run() int {
 	common := d.Common()
-	log := logging.New(common.Log, os.Stderr, d.Name, common.Instance)
+	output := logging.NewBounded(os.Stdout, linesPerSecond)
+	defer output.Close()
+	log := logging.New(common.Log, output, d.Name, common.Instance)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	flush, err := tracing.Setup(ctx, common.Trace, d.Name, common.Instance)
--- /dev/null
+++ b/internal/relay/call.go
@@ -0,0 +1,132 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sassafrasfield/internal/outcome"
+	"sassafrasfield/internal/routes"
+)
+
+// wholeBytes is how much of an answer is held before the caller gets any, so
+// that a broken one can still be asked for elsewhere. Longer ones are passed on
+// as they come.
+const wholeBytes = 256 << 10
+
+// answer is a reply of which the first part has been read.
+type answer struct {
+	reply *Reply
+	first []byte
+	// whole tells that first is all of it.
+	whole bool
+}
+
+// call sends a request to one upstream after another, as far as its kind
+// allows.
+func (r *Relay) call(ctx context.Context, x *exchange, w http.ResponseWriter) error {
+	for x.mayRunAgain() && r.maySend(ctx, x, false) {
+		upstream, ok := r.picture.pickCall(x.service, r.settings.Zone, x.req.ID, x.excluded, r.now())
+		if !ok {
+			break
+		}
+		got, err := r.callOnce(ctx, x, upstream)
+		if err != nil {
+			x.failed(upstream.ID, err)
+			r.blame(ctx, x, upstream.ID, err)
+			r.picture.end(upstream.ID, x.req.ID, r.now())
+			continue
+		}
+		if r.shouldAskAnother(ctx, x, got) {
+			r.picture.end(upstream.ID, x.req.ID, r.now())
+			continue
+		}
+		err = deliver(w, x, got)
+		r.picture.end(upstream.ID, x.req.ID, r.now())
+		return err
+	}
+	return r.giveUp(ctx, x)
+}
+
+// shouldAskAnother tells whether a failure that the upstream answered with
+// should be tried elsewhere. The reply is closed then.
+func (r *Relay) shouldAskAnother(ctx context.Context, x *exchange, got answer) bool {
+	if got.reply.Status < http.StatusInternalServerError || x.route.Kind != routes.Idempotent {
+		return false
+	}
+	if x.runs+1 >= x.route.MaxAttempts || ctx.Err() != nil || r.picture.count(x.service) < 2 {
+		return false
+	}
+	if !r.budgets.take(x.service, false, r.now()) {
+		return false
+	}
+	x.paid = true
+	got.reply.Body.Close()
+	x.failed(x.upstream, errors.Errorf("relay: the upstream answered %d", got.reply.Status))
+	return true
+}
+
+// tryTime is how long an idempotent call may take on one upstream: the route's
+// objective, at most half of the time left, so that another one has a chance.
+func (r *Relay) tryTime(x *exchange) time.Duration {
+	left := x.left(r.now())
+	if x.route.Kind != routes.Idempotent || x.runs+1 >= x.route.MaxAttempts {
+		return left
+	}
+	return min(left/2, max(x.route.Objective, left/3))
+}
+
+func (r *Relay) callOnce(ctx context.Context, x *exchange, to Upstream) (answer, error) {
+	if err := x.sent(to.ID); err != nil {
+		return answer{}, err
+	}
+	sending, cancel := context.WithTimeout(ctx, r.tryTime(x))
+	reply, err := r.sender.Send(sending, x.req, Send{To: to, Within: x.left(r.now()), Priority: x.route.Priority})
+	if err != nil {
+		cancel()
+		return answer{}, err
+	}
+	reply.Body = endingBody{reply.Body, cancel}
+	r.picture.reported(to.ID, reply.Load, r.now())
+	first, err := io.ReadAll(io.LimitReader(reply.Body, wholeBytes))
+	if err != nil {
+		reply.Body.Close()
+		return answer{}, errors.WithMessage(ErrLost, err.Error())
+	}
+	if reply.Status < http.StatusInternalServerError {
+		r.picture.judge(to.ID, verdictGood, r.now())
+	}
+	return answer{reply: reply, first: first, whole: len(first) < wholeBytes}, nil
+}
+
+// endingBody ends its context when it is closed.
+type endingBody struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close implements io.Closer.
+func (b endingBody) Close() error {
+	defer b.cancel()
+	return b.ReadCloser.Close()
+}
+
+// deliver gives an answer to the caller.
+func deliver(w http.ResponseWriter, x *exchange, got answer) error {
+	defer got.reply.Body.Close()
+	x.progress, _ = x.progress.Apply(outcome.Answer) // the request was sent, so it holds
+	writeHeader(w, x, got.reply)
+	if _, err := w.Write(got.first); err != nil {
+		return ErrCallerGone
+	}
+	if !got.whole {
+		if _, err := io.Copy(w, got.reply.Body); err != nil {
+			return errors.WithMessage(ErrBroken, err.Error())
+		}
+	}
+	x.progress, _ = x.progress.Apply(outcome.Finish) // an answer that was begun can finish
+	return nil
+}
--- /dev/null
+++ b/internal/relay/generate.go
@@ -0,0 +1,267 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sassafrasfield/internal/config"
+	"sassafrasfield/internal/outcome"
+	"sassafrasfield/internal/stages"
+)
+
+// generation is the answer of a model on its way to the caller.
+type generation struct {
+	*exchange
+	w      http.ResponseWriter
+	prompt stages.Prompt
+	// direct: a decode engine processes the prompt itself.
+	direct bool
+	// kv is the processed prompt that no engine has fetched yet.
+	kv KV
+	// begun: the caller has the answer's header.
+	begun bool
+	// lastEvent is the id of the last event that the caller has.
+	lastEvent string
+}
+
+// generate brings a generation to the caller, from as many engines as that
+// takes and as the route allows.
+func (r *Relay) generate(ctx context.Context, x *exchange, w http.ResponseWriter) error {
+	g := &generation{exchange: x, w: w, lastEvent: x.req.LastEvent}
+	if x.req.Prompt != nil {
+		g.prompt = *x.req.Prompt
+	}
+	g.direct = r.settings.Stages.Direct(g.prompt)
+	defer r.free(g)
+	for x.mayRunAgain() && r.maySend(ctx, x, g.begun) {
+		done, err := r.generateOnce(ctx, g)
+		if done {
+			return err
+		}
+	}
+	if g.begun {
+		if errors.Is(ctx.Err(), context.Canceled) {
+			return ErrCallerGone
+		}
+		return errors.WithMessage(ErrBroken, causeOf(x))
+	}
+	return r.giveUp(ctx, x)
+}
+
+// generateOnce makes one attempt. Done tells that the answer is over, whole or
+// not.
+func (r *Relay) generateOnce(ctx context.Context, g *generation) (done bool, err error) {
+	if !g.direct && g.kv.Handle == "" && !r.prefill(ctx, g) {
+		return ctx.Err() != nil, r.giveUp(ctx, g.exchange)
+	}
+	engine, ok := r.pickDecode(g)
+	if !ok {
+		g.last = errors.WithMessage(ErrNotSent, "no engine to generate")
+		return true, r.giveUp(ctx, g.exchange)
+	}
+	return r.run(ctx, g, engine)
+}
+
+// prefill has an engine process the prompt. False means that this attempt has
+// brought no KV cache; the next one may have a decode engine do it all.
+func (r *Relay) prefill(ctx context.Context, g *generation) bool {
+	for {
+		engine, work, ok := r.pickPrefill(g)
+		if !ok {
+			g.direct = true
+			return true
+		}
+		kv, err := r.prefillOn(ctx, g, engine, work)
+		if err == nil {
+			g.kv = kv
+			return true
+		}
+		g.excluded[engine.ID] = true
+		g.last = err
+		r.blame(ctx, g.exchange, engine.ID, err)
+		if !r.maySend(ctx, g.exchange, g.begun) {
+			return false
+		}
+	}
+}
+
+func (r *Relay) prefillOn(ctx context.Context, g *generation, engine Upstream, work time.Duration) (KV, error) {
+	defer r.picture.done(engine.ID, work)
+	defer func() { r.picture.end(engine.ID, g.req.ID, r.now()) }()
+	g.exchange.prefill = engine.ID
+	g.sends++ // no run: the engine only processes the prompt
+	started := r.now()
+	ahead := r.aheadOf(engine.ID)
+	ctx, cancel := context.WithTimeout(ctx, ahead+work+r.settings.PrefillSilence)
+	defer cancel()
+	kv, load, err := r.sender.Prefill(ctx, g.req, Send{To: engine, Within: g.left(started), Priority: g.route.Priority})
+	if err != nil {
+		return KV{}, err
+	}
+	r.picture.reported(engine.ID, load, r.now())
+	r.picture.judge(engine.ID, verdictGood, r.now())
+	r.meters.prefills.Inc(1)
+	took := r.now() - started
+	observe("prefill", took)
+	r.log.Info("relay: prefilled", "request", g.req.ID, "engine", engine.ID, "tokens", g.prompt.Tokens,
+		"shared", g.prompt.SharedTokens(), "ahead", ahead, "predicted", work, "took", took,
+		"running", load.Running, "waiting", load.Waiting)
+	return kv, nil
+}
+
+func (r *Relay) aheadOf(id string) time.Duration {
+	r.picture.mu.Lock()
+	defer r.picture.mu.Unlock()
+	return r.picture.ahead(id, 0, r.now())
+}
+
+// pickPrefill chooses the engine for a prompt and charges the request to it.
+func (r *Relay) pickPrefill(g *generation) (Upstream, time.Duration, bool) {
+	work := r.settings.Stages.Work(g.prompt, g.prompt.SharedTokens())
+	p, now := r.picture, r.now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	engines := withRole(p.engines(g.service, g.excluded, work, now), config.RolePrefill)
+	chosen, ok := r.settings.Stages.Prefill(g.prompt, engines)
+	if !ok {
+		return Upstream{}, 0, false
+	}
+	p.place(chosen.ID, g.req.ID, work, now)
+	return p.upstreams[chosen.ID], work, true
+}
+
+// pickDecode chooses the engine that generates and charges the request to it.
+func (r *Relay) pickDecode(g *generation) (Upstream, bool) {
+	p, now := r.picture, r.now()
+	zone := r.settings.Zone
+	if g.kv.Handle != "" {
+		zone = g.kv.Engine.Zone
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	engines := withRole(p.engines(g.service, g.excluded, 0, now), config.RoleDecode)
+	chosen, ok := r.settings.Stages.Decode(g.prompt, zone, engines)
+	if !ok {
+		return Upstream{}, false
+	}
+	p.place(chosen.ID, g.req.ID, 0, now)
+	return p.upstreams[chosen.ID], true
+}
+
+// withRole keeps the engines of a role, and those that have both.
+func withRole(engines []stages.Engine, role config.Role) []stages.Engine {
+	var kept []stages.Engine
+	for _, e := range engines {
+		if e.Role == role || e.Role == config.RoleMixed {
+			kept = append(kept, e)
+		}
+	}
+	return kept
+}
+
+// run has an engine generate, and passes its events on.
+func (r *Relay) run(ctx context.Context, g *generation, engine Upstream) (done bool, err error) {
+	defer func() { r.picture.end(engine.ID, g.req.ID, r.now()) }()
+	if err := g.sent(engine.ID); err != nil {
+		return true, r.giveUp(ctx, g.exchange)
+	}
+	running, stop := context.WithCancel(ctx)
+	defer stop()
+	started := r.now()
+	reply, err := r.sender.Send(running, g.req, Send{
+		To: engine, Within: g.left(started), KV: g.kv, LastEvent: g.lastEvent, Priority: g.route.Priority,
+	})
+	if err != nil {
+		r.unanswered(ctx, g, engine, err)
+		return false, nil
+	}
+	g.kv = KV{} // the engine has fetched it
+	defer reply.Body.Close()
+	r.picture.reported(engine.ID, reply.Load, r.now())
+	if reply.Status != http.StatusOK {
+		return r.passFailure(ctx, g, engine, reply)
+	}
+	return r.passOn(ctx, stop, g, engine, reply, started)
+}
+
+// passFailure deals with an engine's own failure: another one is asked where
+// the route allows it, and else the caller gets the engine's word.
+func (r *Relay) passFailure(ctx context.Context, g *generation, engine Upstream, reply *Reply) (done bool, err error) {
+	again := g.progress.Repeatable && g.runs+1 < g.route.MaxAttempts && ctx.Err() == nil
+	if g.begun || again {
+		g.failed(engine.ID, errors.WithMessagef(ErrLost, "the engine answered %d", reply.Status))
+		r.blame(ctx, g.exchange, engine.ID, g.last)
+		return false, nil
+	}
+	first, err := io.ReadAll(io.LimitReader(reply.Body, wholeBytes))
+	if err != nil {
+		g.failed(engine.ID, errors.WithMessage(ErrLost, err.Error()))
+		return true, r.giveUp(ctx, g.exchange)
+	}
+	return true, deliver(g.w, g.exchange, answer{reply: reply, first: first, whole: true})
+}
+
+// unanswered notes an engine that did not begin an answer. When it could not
+// have the KV cache, the next engine processes the prompt itself.
+func (r *Relay) unanswered(ctx context.Context, g *generation, engine Upstream, err error) {
+	if g.kv.Handle != "" && errors.Is(err, ErrRefused) {
+		g.kv, g.direct = KV{}, true
+	}
+	g.failed(engine.ID, err)
+	r.blame(ctx, g.exchange, engine.ID, err)
+}
+
+// passOn gives an engine's events to the caller.
+func (r *Relay) passOn(ctx context.Context, stop context.CancelFunc, g *generation, engine Upstream, reply *Reply, started time.Duration) (done bool, err error) {
+	if !g.begun {
+		g.progress, _ = g.progress.Apply(outcome.Answer) // the request was sent, so it holds
+		writeHeader(g.w, g.exchange, reply)
+		g.begun = true
+		observe("first", r.now()-g.arrived)
+		r.log.Info("relay: generates", "request", g.req.ID, "engine", engine.ID, "direct", g.direct, "tokens", g.prompt.Tokens,
+			"running", reply.Load.Running, "waiting", reply.Load.Waiting, "after", r.now()-started)
+	}
+	p := passing{w: g.w, flush: http.NewResponseController(g.w).Flush, lastEvent: g.lastEvent}
+	if g.progress.Repeatable && g.runs+1 < g.route.MaxAttempts {
+		p.silence, p.stop = r.settings.StreamSilence, stop
+	}
+	err = p.pass(reply.Body)
+	g.lastEvent = p.lastEvent
+	switch {
+	case err == nil:
+		r.picture.judge(engine.ID, verdictGood, r.now())
+		observe("stream", r.now()-started)
+		return true, nil
+	case errors.Is(err, ErrCallerGone) || errors.Is(ctx.Err(), context.Canceled):
+		return true, ErrCallerGone
+	}
+	g.failed(engine.ID, errors.WithMessage(ErrLost, err.Error()))
+	r.blame(ctx, g.exchange, engine.ID, g.last)
+	if !g.progress.Repeatable || ctx.Err() != nil {
+		return true, errors.WithMessage(ErrBroken, err.Error())
+	}
+	r.meters.resumed.Inc(1)
+	return false, nil
+}
+
+// freeTimeout bounds the call that drops a KV cache.
+const freeTimeout = time.Second
+
+// free drops the KV cache of a request that ended before an engine fetched it.
+func (r *Relay) free(g *generation) {
+	if g.kv.Handle == "" {
+		return
+	}
+	kv := g.kv
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+		defer cancel()
+		if err := r.sender.Free(ctx, kv); err != nil {
+			r.log.Info("relay: a KV cache was not dropped; it lapses", "request", g.req.ID, "engine", kv.Engine.ID, "error", err)
+		}
+	}()
+}
--- /dev/null
+++ b/internal/relay/meters.go
@@ -0,0 +1,84 @@
+package relay
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+)
+
+// meters count what the relay did.
+type meters struct {
+	requests, answered, refused, broken, gone metrics.Counter
+	retries, unretried, resumed               metrics.Counter
+	prefills, direct                          metrics.Counter
+}
+
+func newMeters() *meters {
+	counter := func(name string) metrics.Counter {
+		return metrics.GetOrRegisterCounter("relay."+name, metrics.DefaultRegistry)
+	}
+	return &meters{
+		requests: counter("requests"), answered: counter("answered"), refused: counter("refused"),
+		broken: counter("broken"), gone: counter("caller_gone"),
+		retries: counter("retries"), unretried: counter("retries_denied"), resumed: counter("resumed"),
+		prefills: counter("prefills"), direct: counter("direct"),
+	}
+}
+
+// samples of each latency histogram; the library's own choice for a reservoir.
+const samples = 1028
+
+// latency returns the histogram of a stage of a route, in microseconds.
+func latency(stage string) metrics.Histogram {
+	return metrics.GetOrRegisterHistogram("relay."+stage+"_us", metrics.DefaultRegistry, metrics.NewExpDecaySample(samples, 0.015))
+}
+
+func observe(stage string, d time.Duration) { latency(stage).Update(d.Microseconds()) }
+
+// report writes the one line on a request's end, and counts it.
+func (r *Relay) report(x *exchange, req *Request, err error) {
+	r.meters.requests.Inc(1)
+	outcome := "answered"
+	var refusal *Refusal
+	switch {
+	case err == nil:
+		r.meters.answered.Inc(1)
+	case errors.As(err, &refusal):
+		r.meters.refused.Inc(1)
+		outcome = "refused: " + refusal.Reason
+	case errors.Is(err, ErrCallerGone):
+		r.meters.gone.Inc(1)
+		outcome = "the caller left"
+	default:
+		r.meters.broken.Inc(1)
+		outcome = err.Error()
+	}
+	if x == nil {
+		r.log.Info("relay: done", "request", req.ID, "outcome", outcome)
+		return
+	}
+	took := r.now() - x.arrived
+	observe(x.route.Kind.String(), took)
+	r.log.Info("relay: done", "request", req.ID, "outcome", outcome, "route", x.route.Name, "kind", x.route.Kind.String(),
+		"config", x.version, "config_age", x.age.Round(time.Millisecond), "upstream", x.upstream, "prefill", x.prefill,
+		"sends", x.sends, "runs", x.runs, "status", x.status, "took", took, "cause", causeOf(x))
+}
+
+func causeOf(x *exchange) string {
+	if x.last == nil {
+		return ""
+	}
+	return x.last.Error()
+}
+
+// writeHeader begins an answer to the caller.
+func writeHeader(w http.ResponseWriter, x *exchange, reply *Reply) {
+	header := w.Header()
+	for name, values := range reply.Header {
+		header[name] = values
+	}
+	x.status = reply.Status
+	w.WriteHeader(reply.Status)
+}
--- /dev/null
+++ b/internal/relay/picture.go
@@ -0,0 +1,289 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"sassafrasfield/internal/load"
+	"sassafrasfield/internal/routes"
+	"sassafrasfield/internal/stages"
+)
+
+// picture is the configuration in force and what is known of the upstreams.
+type picture struct {
+	mu        sync.Mutex // protects all below
+	table     *routes.Table
+	tableAt   time.Duration
+	upstreams map[string]Upstream
+	byService map[string][]Upstream
+	loads     *load.Table
+	work      map[string]*workload
+	rng       *rand.Rand
+}
+
+// workload is the prompt work on one engine, as far as this instance knows.
+type workload struct {
+	// own is the predicted time of this instance's prompts there.
+	own time.Duration
+	// reported is what the engine said with its newest answer.
+	reported   Load
+	reportedAt time.Duration
+}
+
+func newPicture(outliers load.OutlierRules) *picture {
+	loads := load.NewTable()
+	loads.Outliers = outliers
+	return &picture{
+		table:     routes.NewTable(0, nil, nil, routes.Limits{}),
+		upstreams: map[string]Upstream{}, byService: map[string][]Upstream{},
+		loads: loads, work: map[string]*workload{},
+		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+}
+
+// setTable puts a version in force unless it is older.
+func (p *picture) setTable(t *routes.Table, now time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t.Version <= p.table.Version {
+		return false
+	}
+	p.table, p.tableAt = t, now
+	return true
+}
+
+// routes returns the version in force and its age.
+func (p *picture) routes(now time.Duration) (*routes.Table, time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table, now - p.tableAt
+}
+
+// learn takes an upstream's newest entry.
+func (p *picture) learn(u Upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.upstreams[u.ID] = u
+	p.regroup()
+}
+
+// forget drops an upstream.
+func (p *picture) forget(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.upstreams, id)
+	delete(p.work, id)
+	p.regroup()
+}
+
+// regroup sorts the upstreams by service anew. The lock is held.
+func (p *picture) regroup() {
+	keep := map[string]bool{}
+	p.byService = map[string][]Upstream{}
+	for id, u := range p.upstreams {
+		keep[id] = true
+		p.byService[u.Service] = append(p.byService[u.Service], u)
+	}
+	p.loads.Retain(keep)
+}
+
+// engineList returns the engines that take requests, by service.
+func (p *picture) engineList() map[string][]Upstream {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	lists := map[string][]Upstream{}
+	for _, u := range p.upstreams {
+		if u.Role != "" && !u.Draining {
+			lists[u.Service] = append(lists[u.Service], u)
+		}
+	}
+	return lists
+}
+
+// count returns how many upstreams there are of a service.
+func (p *picture) count(service string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.byService[service])
+}
+
+// usable returns a service's upstreams that take new requests and are not
+// excluded. The lock is held.
+func (p *picture) usable(service string, excluded map[string]bool) []Upstream {
+	var list []Upstream
+	for _, u := range p.byService[service] {
+		if !u.Draining && !excluded[u.ID] {
+			list = append(list, u)
+		}
+	}
+	return list
+}
+
+// still tells whether an upstream that was chosen earlier takes requests now.
+func (p *picture) still(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u, ok := p.upstreams[id]
+	return ok && !u.Draining
+}
+
+// reportFades is how long an engine's word on its load counts, ever less. At
+// the rates of today's sites an instance hears of each engine once in about
+// this time.
+const reportFades = 500 * time.Millisecond
+
+// ahead predicts the prompt work that waits on an engine. The lock is held.
+func (p *picture) ahead(id string, each, now time.Duration) time.Duration {
+	w, ok := p.work[id]
+	if !ok {
+		return 0
+	}
+	age := now - w.reportedAt
+	if !w.reported.Known || age >= reportFades {
+		return w.own
+	}
+	left := 1 - float64(age)/float64(reportFades)
+	reported := time.Duration(float64(each) * float64(w.reported.Running+w.reported.Waiting) * left)
+	return max(w.own, reported)
+}
+
+// requests estimates the requests on an upstream: this instance's own, or what
+// the upstream said lately. The lock is held.
+func (p *picture) requests(id string, now time.Duration) int {
+	own := p.loads.Engine(id).Streams
+	if w, ok := p.work[id]; ok && w.reported.Known && now-w.reportedAt < reportFades {
+		return max(own, w.reported.Running+w.reported.Waiting)
+	}
+	return own
+}
+
+// engines returns the engines of a service as placement sees them. The lock is
+// held.
+func (p *picture) engines(service string, excluded map[string]bool, each, now time.Duration) []stages.Engine {
+	var list []stages.Engine
+	for _, u := range p.usable(service, excluded) {
+		known := p.loads.Engine(u.ID)
+		list = append(list, stages.Engine{
+			ID: u.ID, Zone: u.Zone, Role: u.Role,
+			Ahead: p.ahead(u.ID, each, now), Requests: p.requests(u.ID, now),
+			Doubtful: !known.Health.Admits(now),
+		})
+	}
+	return list
+}
+
+// place charges a request to an upstream. The lock is held.
+func (p *picture) place(id, request string, work, now time.Duration) {
+	p.loads.Place(id, load.Placement{ID: request, At: now})
+	p.workOn(id).own += work
+}
+
+func (p *picture) workOn(id string) *workload {
+	w, ok := p.work[id]
+	if !ok {
+		w = &workload{}
+		p.work[id] = w
+	}
+	return w
+}
+
+// done takes the prompt work of a request off an engine.
+func (p *picture) done(id string, work time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if w, ok := p.work[id]; ok {
+		w.own = max(0, w.own-work)
+	}
+}
+
+// end takes a request off an upstream.
+func (p *picture) end(id, request string, now time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.loads.End(id, request, now)
+}
+
+// reported takes an upstream's word on its load.
+func (p *picture) reported(id string, l Load, now time.Duration) {
+	if !l.Known {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w := p.workOn(id)
+	w.reported, w.reportedAt = l, now
+}
+
+// verdict is what one send told of an upstream.
+type verdict int
+
+const (
+	// verdictGood: it answered.
+	verdictGood verdict = iota
+	// verdictRefused: it ran nothing, by its own word.
+	verdictRefused
+	// verdictFailed: it gave no valid answer.
+	verdictFailed
+	// verdictGone: it could not be reached or fell silent.
+	verdictGone
+)
+
+// judge records what a send told, and reports whether the upstream is ejected
+// by it. One that cannot be reached is ejected at once.
+func (p *picture) judge(id string, v verdict, now time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch v {
+	case verdictGood:
+		p.loads.Succeeded(id)
+		return false
+	case verdictRefused:
+		return p.loads.Refused(id, now)
+	case verdictFailed:
+		return p.loads.Failed(id, now)
+	default:
+		first := p.loads.Failed(id, now)
+		return p.loads.Failed(id, now) || first
+	}
+}
+
+// pickCall chooses an upstream of a plain service: the least busy by its own
+// word and this instance's requests, the near ones first among equals.
+func (p *picture) pickCall(service, zone, request string, excluded map[string]bool, now time.Duration) (Upstream, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.usable(service, excluded)
+	if len(list) == 0 {
+		return Upstream{}, false
+	}
+	p.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	best := slices.MinFunc(list, func(a, b Upstream) int {
+		return p.busy(a, zone, now) - p.busy(b, zone, now)
+	})
+	p.place(best.ID, request, 0, now)
+	return best, true
+}
+
+// Weights of busy, in requests.
+const (
+	// farCosts is what a request in another zone costs against one that waits:
+	// the transfer is paid for, but a queue is worse.
+	farCosts = 3
+	// doubtCosts puts a doubtful upstream behind each sound one.
+	doubtCosts = 1000
+)
+
+// busy rates an upstream; less is better. The lock is held.
+func (p *picture) busy(u Upstream, zone string, now time.Duration) int {
+	known := p.loads.Engine(u.ID)
+	requests := p.requests(u.ID, now)
+	if u.Zone != zone {
+		requests += farCosts
+	}
+	if !known.Health.Admits(now) {
+		requests += doubtCosts
+	}
+	return requests
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,293 @@
+package relay
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"sassafrasfield/internal/load"
+	"sassafrasfield/internal/outcome"
+	"sassafrasfield/internal/routes"
+	"sassafrasfield/internal/stages"
+)
+
+// Settings of the relay.
+type Settings struct {
+	// Zone of this instance.
+	Zone   string
+	Budget BudgetSettings
+	Stages stages.Settings
+	// MaxSends bounds the sends of one request, refused ones included.
+	MaxSends int
+	// PrefillSilence is how long an engine may take for a prompt beyond what
+	// was predicted, before another one is asked.
+	PrefillSilence time.Duration
+	// StreamSilence is how long a resumable generation may pause before
+	// another engine goes on with it.
+	StreamSilence time.Duration
+	// RetryIn is told to callers whose request did not run.
+	RetryIn  time.Duration
+	Outliers load.OutlierRules
+}
+
+// DefaultSettings returns the defaults; each was set by the reason beside it.
+func DefaultSettings() Settings {
+	outliers := load.DefaultOutlierRules()
+	outliers.EjectAtMost = 5 * time.Second // a crashed upstream loses its entry within that
+	return Settings{
+		Budget:         BudgetSettings{Share: 0.15, Floor: 0.5, Max: 10},
+		Stages:         stages.DefaultSettings(),
+		MaxSends:       4,
+		PrefillSilence: 1200 * time.Millisecond, // above the queue of a busy engine, below most deadlines
+		StreamSilence:  1200 * time.Millisecond, // callers leave after two seconds of silence
+		RetryIn:        150 * time.Millisecond,  // about the time of one long prompt
+		Outliers:       outliers,
+	}
+}
+
+// Relay serves requests. It is safe for use by several goroutines.
+type Relay struct {
+	settings Settings
+	sender   Sender
+	log      *slog.Logger
+	start    time.Time
+	picture  *picture
+	budgets  *budgets
+	meters   *meters
+	// lastRequest is when the newest request came, on the relay's clock.
+	lastRequest atomic.Int64
+}
+
+// New returns a relay that knows no routes and no upstreams.
+func New(s Settings, sender Sender, log *slog.Logger) *Relay {
+	return &Relay{
+		settings: s, sender: sender, log: log, start: time.Now(),
+		picture: newPicture(s.Outliers), budgets: newBudgets(s.Budget), meters: newMeters(),
+	}
+}
+
+func (r *Relay) now() time.Duration { return time.Since(r.start) }
+
+// SetRoutes puts a version of the configuration in force unless it is older,
+// and tells whether it did.
+func (r *Relay) SetRoutes(t *routes.Table) bool { return r.picture.setTable(t, r.now()) }
+
+// Learn takes an upstream's newest entry.
+func (r *Relay) Learn(u Upstream) { r.picture.learn(u) }
+
+// Forget drops an upstream that is gone.
+func (r *Relay) Forget(id string) { r.picture.forget(id) }
+
+// Engines returns the model engines that take requests, by service.
+func (r *Relay) Engines() map[string][]Upstream { return r.picture.engineList() }
+
+// servingFor is for how long after a request the instance counts as serving.
+const servingFor = 2 * time.Second
+
+// Serving tells whether requests came lately.
+func (r *Relay) Serving() bool {
+	last := r.lastRequest.Load()
+	return last > 0 && r.now()-time.Duration(last) < servingFor
+}
+
+// Ready tells whether there are routes to serve.
+func (r *Relay) Ready() bool {
+	table, _ := r.picture.routes(r.now())
+	return table.Version > 0
+}
+
+// exchange is one request on its way.
+type exchange struct {
+	req     *Request
+	route   *routes.Route
+	service string
+	version int64
+	age     time.Duration // of the configuration, when the request came
+	arrived time.Duration
+	ends    time.Duration
+	// excluded upstreams failed this request.
+	excluded map[string]bool
+	progress outcome.Request
+	// sends counts all that went to upstreams; runs those that may have run.
+	sends, runs int
+	// paid: the next send was taken from the budget already.
+	paid     bool
+	last     error
+	status   int
+	upstream string
+	prefill  string
+}
+
+func (x *exchange) left(now time.Duration) time.Duration { return x.ends - now }
+
+// Serve answers a request. The error is a *Refusal when nothing of an answer
+// was written, ErrBroken or ErrCallerGone.
+func (r *Relay) Serve(ctx context.Context, req *Request, w http.ResponseWriter) error {
+	x, err := r.begin(req)
+	if err != nil {
+		r.report(x, req, err)
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, x.left(r.now()))
+	defer cancel()
+	r.budgets.requested(x.service, r.now())
+	if x.route.Kind == routes.Generation {
+		err = r.generate(ctx, x, w)
+	} else {
+		err = r.call(ctx, x, w)
+	}
+	r.report(x, req, err)
+	return err
+}
+
+// unbounded is the time of a request whose caller and route give none.
+const unbounded = time.Minute
+
+func (r *Relay) begin(req *Request) (*exchange, error) {
+	now := r.now()
+	r.lastRequest.Store(int64(now))
+	table, age := r.picture.routes(now)
+	if table.Version == 0 {
+		return nil, &Refusal{Word: NotRun, Reason: "no configuration yet", RetryIn: r.settings.RetryIn}
+	}
+	route := table.Match(req.Host, req.Path)
+	if route == nil {
+		return nil, &Refusal{Word: NoRoute, Reason: "no route"}
+	}
+	limit := unbounded
+	for _, bound := range []time.Duration{req.Patience, route.Timeout} {
+		if bound > 0 {
+			limit = min(limit, bound)
+		}
+	}
+	progress, err := outcome.Request{Repeatable: route.Kind == routes.Idempotent || route.Resumable}.Apply(outcome.Admit)
+	if err != nil {
+		return nil, errors.WithMessage(err, "relay: begin")
+	}
+	return &exchange{
+		req: req, route: route, service: route.Pick(draw(req.ID)),
+		version: table.Version, age: age, arrived: now, ends: now + limit,
+		excluded: map[string]bool{}, progress: progress,
+	}, nil
+}
+
+// draw is a number in [0, 1) that follows from an id.
+func draw(id string) float64 {
+	const mantissa = 53 // bits of a float64's fraction
+	return float64(xxhash.Sum64String(id)>>(64-mantissa)) / (1 << mantissa)
+}
+
+// maySend asks for leave for one more send: always for the first.
+func (r *Relay) maySend(ctx context.Context, x *exchange, begun bool) bool {
+	if ctx.Err() != nil || x.sends >= r.settings.MaxSends {
+		return false
+	}
+	if x.sends == 0 {
+		return true
+	}
+	paid := x.paid
+	x.paid = false
+	if !paid && !r.budgets.take(x.service, begun, r.now()) {
+		r.meters.unretried.Inc(1)
+		return false
+	}
+	r.meters.retries.Inc(1)
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(r.budgets.pause(x.sends)):
+		return true
+	}
+}
+
+// sent notes a send; an error means that a second run is not allowed.
+func (x *exchange) sent(id string) error {
+	next, err := x.progress.Apply(outcome.Send)
+	if err != nil {
+		return err
+	}
+	x.progress = next
+	x.sends++
+	x.upstream = id
+	return nil
+}
+
+// failed notes the end of a send that brought no whole answer.
+func (x *exchange) failed(id string, err error) {
+	event := outcome.Lose
+	if ranNothing(err) {
+		event = outcome.Refuse
+	} else {
+		x.runs++
+	}
+	if next, applyErr := x.progress.Apply(event); applyErr == nil {
+		x.progress = next
+	}
+	x.excluded[id] = true
+	x.last = err
+}
+
+// mayRunAgain tells whether the request may run on one more upstream.
+func (x *exchange) mayRunAgain() bool {
+	if x.runs == 0 {
+		return true
+	}
+	return x.progress.Repeatable && x.runs < max(1, x.route.MaxAttempts)
+}
+
+// verdictOf is what an error tells of the upstream.
+func verdictOf(ctx context.Context, err error) verdict {
+	switch {
+	case errors.Is(err, ErrNotSent):
+		return verdictGone
+	case errors.Is(err, ErrRefused):
+		return verdictRefused
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return verdictGone
+	default:
+		return verdictFailed
+	}
+}
+
+// blame records a failed send against the upstream, unless the caller left.
+func (r *Relay) blame(ctx context.Context, x *exchange, id string, err error) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
+	v := verdictOf(ctx, err)
+	ejected := r.picture.judge(id, v, r.now())
+	r.log.Info("relay: send failed", "request", x.req.ID, "upstream", id, "try", x.sends,
+		"ejected", ejected, "error", err, "after", r.now()-x.arrived)
+}
+
+// giveUp is the truthful end of a request without an answer.
+func (r *Relay) giveUp(ctx context.Context, x *exchange) error {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return ErrCallerGone
+	}
+	if x.progress.Word() == outcome.NotRun {
+		return &Refusal{Word: NotRun, Reason: reason(x, "no upstream took it"), RetryIn: r.retryIn(x)}
+	}
+	if ctx.Err() != nil {
+		return &Refusal{Word: TimedOut, Reason: "timed out"}
+	}
+	return &Refusal{Word: Unknown, Reason: reason(x, "no whole answer")}
+}
+
+func reason(x *exchange, text string) string {
+	if x.last == nil {
+		return text + ": none to ask"
+	}
+	return text
+}
+
+// retryIn is when a caller should come back, within what it has left.
+func (r *Relay) retryIn(x *exchange) time.Duration {
+	const part = 4 // a quarter of what is left, so that an answer still fits
+	return min(r.budgets.jittered(r.settings.RetryIn), max(time.Millisecond, x.left(r.now())/part))
+}
--- /dev/null
+++ b/internal/relay/request.go
@@ -0,0 +1,153 @@
+// Package relay is the data path for callers and upstreams that speak HTTP of
+// their own: it finds a request's route, chooses upstreams, sends the request
+// there with its body unread, checks the answer and gives it to the caller
+// whole. It sends a request again only where that is safe and the retry budget
+// allows it, and its refusals say truthfully whether anything ran.
+//
+// How a request looks on either side is the adapters' matter; see Sender for
+// the upstreams' side. The decisions are those of packages outcome, retry,
+// load, stages and routes.
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sassafrasfield/internal/config"
+	"sassafrasfield/internal/stages"
+)
+
+// Request is a caller's request, read whole.
+type Request struct {
+	// ID is the caller's id of this attempt.
+	ID     string
+	Method string
+	Host   string
+	// Path decides the route; Target is the path with the query as received.
+	Path, Target string
+	// Header is what is passed on to upstreams.
+	Header http.Header
+	Body   []byte
+	// Patience is how long the caller waits for the answer; 0 when it did not
+	// say.
+	Patience time.Duration
+	// Prompt is nil when the request carries none.
+	Prompt *stages.Prompt
+	// LastEvent is the id of the last event that the caller has of an earlier
+	// answer; empty for a new request.
+	LastEvent string
+}
+
+// Upstream is an engine or a plain service's process.
+type Upstream struct {
+	// ID is new with each start of the process.
+	ID, Service, Address, Zone string
+	// Draining upstreams take no new requests.
+	Draining bool
+	Slots    int
+	// Role is empty for a plain service.
+	Role config.Role
+}
+
+// KV names a prompt's KV cache that an engine keeps for another one.
+type KV struct {
+	Engine Upstream
+	Handle string
+	Tokens int
+}
+
+// Send is one way to send a request.
+type Send struct {
+	To Upstream
+	// Within is how long the upstream may work on it.
+	Within time.Duration
+	// KV is the processed prompt to fetch; the zero value when there is none.
+	KV KV
+	// LastEvent is the event after which a generation goes on; empty from the
+	// start.
+	LastEvent string
+	// Priority of the route; 0 is the most urgent.
+	Priority int
+}
+
+// Load is what an upstream says of itself with an answer.
+type Load struct {
+	Known                   bool
+	Running, Waiting, Slots int
+}
+
+// Reply is an upstream's answer to a request that it ran. Its body must be
+// closed.
+type Reply struct {
+	Status int
+	// Header is what the caller gets of the upstream's.
+	Header http.Header
+	Body   io.ReadCloser
+	Load   Load
+}
+
+// Errors of a Sender. Compare with errors.Is.
+var (
+	// ErrNotSent: no byte of the request left.
+	ErrNotSent = errors.New("relay: not sent")
+	// ErrRefused: the upstream says that it did not run the request.
+	ErrRefused = errors.New("relay: the upstream did not run it")
+	// ErrMoved: another upstream has the address now; it did not run the
+	// request.
+	ErrMoved = errors.New("relay: another upstream has the address")
+	// ErrLost: the request was sent, and nothing valid came back.
+	ErrLost = errors.New("relay: no valid answer")
+)
+
+// ranNothing tells whether an error says that the upstream ran nothing.
+func ranNothing(err error) bool {
+	return errors.Is(err, ErrNotSent) || errors.Is(err, ErrRefused) || errors.Is(err, ErrMoved)
+}
+
+// Sender is the adapter to the upstreams. The end of the context ends the
+// upstream's work on a request.
+type Sender interface {
+	// Send has an upstream run a request, and returns once its answer begins.
+	Send(ctx context.Context, req *Request, s Send) (*Reply, error)
+	// Prefill has an engine process a request's prompt and keep the KV cache.
+	Prefill(ctx context.Context, req *Request, s Send) (KV, Load, error)
+	// Free drops a KV cache that nobody will fetch.
+	Free(ctx context.Context, kv KV) error
+}
+
+// Word is what a refusal tells of the request.
+type Word int
+
+const (
+	// NotRun: nothing of it ran, and nothing will.
+	NotRun Word = iota
+	// Unknown: it may have run.
+	Unknown
+	// NoRoute: the configuration has no route for it.
+	NoRoute
+	// TimedOut: it may have run; the time that it had is over.
+	TimedOut
+)
+
+// Refusal is the answer to a request that was given up.
+type Refusal struct {
+	Word Word
+	// Reason in a word or two, for logs and metrics.
+	Reason string
+	// RetryIn is when the caller should come back; 0 when it should not.
+	RetryIn time.Duration
+}
+
+// Error implements error.
+func (r *Refusal) Error() string { return "relay: " + r.Reason }
+
+// ErrBroken ends an answer that had begun and cannot be finished. The caller's
+// connection must be closed without the answer's end.
+var ErrBroken = errors.New("relay: the answer broke off")
+
+// ErrCallerGone: nobody waits for the answer any more.
+var ErrCallerGone = errors.New("relay: the caller has gone")
--- /dev/null
+++ b/internal/replica/replica.go
@@ -0,0 +1,170 @@
+// Package replica keeps one instance's copy of the platform's rows that it
+// follows. Rows come from the store's feed, from full reads and from other
+// instances, in any order and more than once; the newest revision of each row
+// wins. It is pure.
+package replica
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Key names a row.
+type Key struct {
+	Table, Key string
+}
+
+// Row is one revision of a row.
+type Row struct {
+	Key
+	Value []byte
+	// Revision rises with each change of the row.
+	Revision int64
+	// Deleted rows keep their revision, so that an older one is not taken for
+	// news.
+	Deleted bool
+}
+
+// Replica is the copy. It is not safe for concurrent use.
+type Replica struct {
+	rows map[Key]Row
+	// read is the revision up to which a table was read from the store.
+	read map[string]int64
+	// held are deletions that are not believed yet, by row.
+	held map[Key]heldDeletion
+	// holdUntil is when deletions are believed again.
+	holdUntil time.Duration
+}
+
+// heldDeletion is a deletion that a row's owner may still take back.
+type heldDeletion struct {
+	row   Row
+	until time.Duration
+}
+
+// New returns an empty copy.
+func New() *Replica {
+	return &Replica{rows: map[Key]Row{}, read: map[string]int64{}, held: map[Key]heldDeletion{}}
+}
+
+// Hold delays deletions that come before a time: after an outage the store
+// drops entries whose owners live on and write them again.
+func (r *Replica) Hold(until time.Duration) {
+	r.holdUntil = max(r.holdUntil, until)
+}
+
+// Apply takes rows and returns those that were news.
+func (r *Replica) Apply(rows []Row, now time.Duration) []Row {
+	var news []Row
+	for _, row := range rows {
+		if row.Revision <= r.rows[row.Key].Revision {
+			continue
+		}
+		if row.Deleted && now < r.holdUntil && !r.rows[row.Key].Deleted {
+			if row.Revision > r.held[row.Key].row.Revision {
+				r.held[row.Key] = heldDeletion{row: row, until: r.holdUntil}
+			}
+			continue
+		}
+		if held, ok := r.held[row.Key]; ok && held.row.Revision <= row.Revision {
+			delete(r.held, row.Key)
+		}
+		r.rows[row.Key] = row
+		news = append(news, row)
+	}
+	return news
+}
+
+// Release believes the deletions that were held long enough, and returns them.
+func (r *Replica) Release(now time.Duration) []Row {
+	var news []Row
+	for key, held := range r.held {
+		if now < held.until {
+			continue
+		}
+		delete(r.held, key)
+		if held.row.Revision > r.rows[key].Revision {
+			r.rows[key] = held.row
+			news = append(news, held.row)
+		}
+	}
+	return news
+}
+
+// Replace takes a full read of a table as of a revision: rows that it lacks
+// were deleted, unless they are newer than the read.
+func (r *Replica) Replace(table string, rows []Row, revision int64, now time.Duration) []Row {
+	present := map[Key]bool{}
+	for _, row := range rows {
+		present[row.Key] = true
+	}
+	all := slices.Clone(rows)
+	for key, row := range r.rows {
+		if key.Table == table && !row.Deleted && !present[key] && row.Revision < revision {
+			all = append(all, Row{Key: key, Revision: revision, Deleted: true})
+		}
+	}
+	r.ReadTo(table, revision)
+	return r.Apply(all, now)
+}
+
+// ReadTo records that the store's feed of a table was read up to a revision.
+func (r *Replica) ReadTo(table string, revision int64) {
+	r.read[table] = max(r.read[table], revision)
+}
+
+// ReadFrom is the revision after which the feed of a table goes on.
+func (r *Replica) ReadFrom(table string) int64 {
+	return r.read[table]
+}
+
+// Get returns a row that is there.
+func (r *Replica) Get(key Key) (Row, bool) {
+	row, ok := r.rows[key]
+	return row, ok && !row.Deleted
+}
+
+// Table returns the rows of a table that are there, ordered by key.
+func (r *Replica) Table(table string) []Row {
+	var rows []Row
+	for key, row := range r.rows {
+		if key.Table == table && !row.Deleted {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b Row) int { return compare(a.Key.Key, b.Key.Key) })
+	return rows
+}
+
+// Since returns all rows, deleted ones too, with a revision above one.
+func (r *Replica) Since(revision int64) []Row {
+	var rows []Row
+	for _, row := range r.rows {
+		if row.Revision > revision {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b Row) int { return int(a.Revision - b.Revision) })
+	return rows
+}
+
+// Newest is the highest revision of any row of each table.
+func (r *Replica) Newest() map[string]int64 {
+	newest := maps.Clone(r.read)
+	for key, row := range r.rows {
+		newest[key.Table] = max(newest[key.Table], row.Revision)
+	}
+	return newest
+}
+
+func compare(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
--- /dev/null
+++ b/internal/rolekeeper/rolekeeper.go
@@ -0,0 +1,283 @@
+// Package rolekeeper brings the engines of a service to the wanted split of
+// prefill and decode. One instance at a time does so, under a lease in the
+// platform's table. The wanted split is a count, compared with what the engines
+// report, so an order is never repeated because an instance started anew.
+//
+// Engines here do not look at fencing numbers. So a holder that takes a lease
+// over waits for the length of a lease before its first order: the last order
+// of the one before it has arrived by then.
+package rolekeeper
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"sassafrasfield/internal/bootclock"
+	"sassafrasfield/internal/config"
+	"sassafrasfield/internal/lease"
+	"sassafrasfield/internal/leaserows"
+	"sassafrasfield/internal/platform"
+	"sassafrasfield/internal/relay"
+	"sassafrasfield/internal/stages"
+)
+
+// EngineState is what an engine says of itself.
+type EngineState struct {
+	Role config.Role
+	// Busy: it carries an order out.
+	Busy bool
+	// Orders is how many it has accepted since its start.
+	Orders int64
+}
+
+// Order asks an engine to take a role.
+type Order struct {
+	To     config.Role
+	Holder string
+	// Epoch is the fencing number.
+	Epoch int64
+	// Orders is the engine's count that the order counts on; with another one
+	// it has no effect, however late it arrives.
+	Orders int64
+}
+
+// Orderer is the adapter to the engines' control interface.
+type Orderer interface {
+	State(ctx context.Context, engine relay.Upstream) (EngineState, error)
+	Order(ctx context.Context, engine relay.Upstream, o Order) error
+}
+
+// Settings of a Keeper.
+type Settings struct {
+	// Instance gives the orders under its name.
+	Instance string
+	// Lease is the time in which two holders must not take turns.
+	Lease time.Duration
+	// Every is the time between looks.
+	Every time.Duration
+	// AtOnce bounds the engines that change while requests are served.
+	AtOnce int
+	Target stages.Target
+}
+
+// Timings of orders.
+const (
+	// callTimeout bounds each call to an engine.
+	callTimeout = 800 * time.Millisecond
+	// pendingFor is for how long an order without a visible effect is counted
+	// as done; late orders are carried out within twelve seconds.
+	pendingFor = 15 * time.Second
+)
+
+// pending is an order that the engine's entry does not show yet.
+type pending struct {
+	to config.Role
+	at time.Duration
+}
+
+// View is what the keeper needs to know of the data path.
+type View interface {
+	// Engines are the engines of all services that take requests, by service.
+	Engines() map[string][]relay.Upstream
+	// Serving tells whether requests came lately.
+	Serving() bool
+	// Instances are the names of the live instances.
+	Instances() []string
+}
+
+// Keeper does the duty.
+type Keeper struct {
+	settings Settings
+	table    platform.Table
+	orderer  Orderer
+	view     View
+	log      *slog.Logger
+
+	machine *lease.Lease
+	held    bool
+	// heldSince is when this process took the lease.
+	heldSince time.Duration
+	pending   map[string]pending
+}
+
+// pool names the lease; one is enough for the services of one deployment.
+const pool = "roles"
+
+// New returns a keeper.
+func New(s Settings, table platform.Table, orderer Orderer, view View, log *slog.Logger) *Keeper {
+	self := s.Instance + "/" + uuid.NewString()
+	return &Keeper{
+		settings: s, table: table, orderer: orderer, view: view, log: log,
+		machine: lease.New(self, leaseSettings(s.Lease), uuid.NewString),
+		pending: map[string]pending{},
+	}
+}
+
+func leaseSettings(term time.Duration) lease.Settings {
+	return lease.Settings{Term: term, RenewEvery: term / 2, RetryEvery: term / 10, Margin: term / 10}
+}
+
+// ranks settles who watches the lease: three instances, the others leave the
+// store alone.
+func (k *Keeper) ranks() lease.Ranks {
+	return lease.Ranks{Watchers: 3, ReadEvery: k.settings.Lease / 2, Delay: k.settings.Lease / 10}
+}
+
+// Run works until the context ends, then gives the lease up.
+func (k *Keeper) Run(ctx context.Context) {
+	const tick = 100 * time.Millisecond // well below each of the lease's times
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	next := time.Duration(0)
+	for {
+		select {
+		case <-ctx.Done():
+			k.release()
+			return
+		case <-ticker.C:
+		}
+		k.place()
+		k.drive(ctx)
+		if now := bootclock.Now(); k.held && now >= next {
+			next = now + k.settings.Every
+			k.look(ctx)
+		}
+	}
+}
+
+func (k *Keeper) place() {
+	rank := lease.Rank(pool, k.settings.Instance, k.view.Instances())
+	k.machine.SetPlace(k.ranks().Place(rank))
+}
+
+// drive asks the lease machine what to do, and does it.
+func (k *Keeper) drive(ctx context.Context) {
+	action := k.machine.Tick(bootclock.Now())
+	switch action.Kind {
+	case lease.Read:
+		row, revision, err := leaserows.Read(ctx, k.table, pool)
+		if err != nil {
+			k.log.Debug("roles: the lease could not be read", "error", err)
+			k.machine.OnReadFailed(bootclock.Now())
+		} else {
+			k.machine.OnRead(bootclock.Now(), row, revision)
+		}
+	case lease.Write:
+		outcome, revision, err := leaserows.Write(ctx, k.table, pool, action)
+		if err != nil {
+			k.log.Info("roles: the lease was not written", "epoch", action.Row.Epoch, "error", err)
+		}
+		k.machine.OnWrite(bootclock.Now(), outcome, revision)
+	}
+	k.note()
+}
+
+// note tells of the lease won and lost.
+func (k *Keeper) note() {
+	grant, held := k.machine.Held(bootclock.Now())
+	if held == k.held {
+		return
+	}
+	k.held = held
+	k.heldSince = bootclock.Now()
+	if held {
+		k.pending = map[string]pending{}
+		k.log.Info("roles: lease taken", "epoch", grant.Epoch)
+		return
+	}
+	k.log.Info("roles: lease lost or given up")
+}
+
+// release gives the lease up, if the store takes that soon.
+func (k *Keeper) release() {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	k.machine.Release()
+	for !k.machine.Released() && ctx.Err() == nil {
+		k.drive(ctx)
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// settled tells whether the orders of an earlier holder have all arrived.
+func (k *Keeper) settled(grant lease.Grant) bool {
+	return grant.Epoch == 1 || bootclock.Now()-k.heldSince >= k.settings.Lease
+}
+
+// look compares the split with the wanted one and gives the orders it takes.
+func (k *Keeper) look(ctx context.Context) {
+	grant, held := k.machine.Held(bootclock.Now())
+	if !held || !k.settled(grant) {
+		return
+	}
+	for service, engines := range k.view.Engines() {
+		k.lookAt(ctx, service, engines, grant)
+	}
+}
+
+func (k *Keeper) lookAt(ctx context.Context, service string, engines []relay.Upstream, grant lease.Grant) {
+	list := k.asPlanned(engines)
+	most := len(list)
+	if k.view.Serving() {
+		most = k.settings.AtOnce - len(k.pending)
+	}
+	changes := k.settings.Target.Changes(list, most)
+	if len(changes) == 0 {
+		return
+	}
+	k.log.Info("roles: the split differs", "service", service, "engines", len(list),
+		"wanted_prefill", k.settings.Target.Count(len(list)), "changes", len(changes), "at_once", most)
+	for _, change := range changes {
+		at := slices.IndexFunc(engines, func(u relay.Upstream) bool { return u.ID == change.Engine })
+		if err := k.order(ctx, engines[at], change.To, grant); err != nil {
+			k.log.Info("roles: order failed", "engine", change.Engine, "to", change.To, "epoch", grant.Epoch, "error", err)
+		}
+	}
+}
+
+// asPlanned are the engines with the roles that they have or were ordered to
+// take.
+func (k *Keeper) asPlanned(engines []relay.Upstream) []stages.Engine {
+	now := bootclock.Now()
+	var list []stages.Engine
+	for _, e := range engines {
+		role := e.Role
+		if p, ok := k.pending[e.ID]; ok && (p.to == e.Role || now-p.at > pendingFor) {
+			delete(k.pending, e.ID)
+		} else if ok {
+			role = p.to
+		}
+		list = append(list, stages.Engine{ID: e.ID, Zone: e.Zone, Role: role})
+	}
+	return list
+}
+
+// errNotHeld: the lease ended before the order went out.
+var errNotHeld = errors.New("roles: the lease has ended")
+
+func (k *Keeper) order(ctx context.Context, engine relay.Upstream, to config.Role, grant lease.Grant) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	state, err := k.orderer.State(ctx, engine)
+	if err != nil {
+		return err
+	}
+	if state.Busy {
+		k.pending[engine.ID] = pending{to: to, at: bootclock.Now()}
+		return errors.New("roles: the engine carries another order out")
+	}
+	now, held := k.machine.Held(bootclock.Now())
+	if !held || now.Epoch != grant.Epoch {
+		return errNotHeld
+	}
+	k.pending[engine.ID] = pending{to: to, at: bootclock.Now()}
+	err = k.orderer.Order(ctx, engine, Order{To: to, Holder: k.settings.Instance, Epoch: grant.Epoch, Orders: state.Orders})
+	k.log.Info("roles: order", "engine", engine.ID, "zone", engine.Zone, "to", to, "epoch", grant.Epoch,
+		"orders", state.Orders, "error", err)
+	return err
+}
--- /dev/null
+++ b/internal/stages/split.go
@@ -0,0 +1,98 @@
+package stages
+
+import (
+	"slices"
+
+	"sassafrasfield/internal/config"
+)
+
+// Target is how many engines should be in the prefill role.
+type Target struct {
+	// Share of the engines in the prefill role.
+	Share float64
+	// MinDecode is the fewest engines that must be left to generate.
+	MinDecode int
+}
+
+// DefaultTarget is 11 of 18 engines, the best of the splits tried.
+func DefaultTarget() Target {
+	return Target{Share: 11.0 / 18, MinDecode: 2}
+}
+
+// Count is the wanted number of prefill engines among n.
+func (t Target) Count(n int) int {
+	want := int(t.Share*float64(n) + 0.5)
+	return max(0, min(want, n-t.MinDecode))
+}
+
+// Change is a role that an engine should take.
+type Change struct {
+	Engine string
+	To     config.Role
+}
+
+// Changes returns the orders that bring the engines to the wanted split, at
+// most `most` of them. Engines of the zone that has most of the role that is to
+// shrink go first, so that each zone keeps both roles.
+func (t Target) Changes(engines []Engine, most int) []Change {
+	from, to := config.RoleDecode, config.RolePrefill
+	missing := t.Count(len(engines)) - count(engines, config.RolePrefill)
+	if missing < 0 {
+		from, to, missing = to, from, -missing
+	}
+	left := slices.Clone(engines)
+	var changes []Change
+	for range min(missing, most) {
+		i := pick(left, from)
+		if i < 0 {
+			break
+		}
+		changes = append(changes, Change{Engine: left[i].ID, To: to})
+		left[i].Role = to
+	}
+	return changes
+}
+
+func count(engines []Engine, role config.Role) int {
+	n := 0
+	for _, e := range engines {
+		if e.Role == role {
+			n++
+		}
+	}
+	return n
+}
+
+// pick returns the engine with the role that should leave it first: one of the
+// zone with the largest share of that role, the least busy there, then by id.
+func pick(engines []Engine, role config.Role) int {
+	with, all := map[string]int{}, map[string]int{}
+	for _, e := range engines {
+		all[e.Zone]++
+		if e.Role == role {
+			with[e.Zone]++
+		}
+	}
+	share := func(e Engine) float64 { return float64(with[e.Zone]) / float64(all[e.Zone]) }
+	best := -1
+	for i, e := range engines {
+		if e.Role != role {
+			continue
+		}
+		if best < 0 || before(e, engines[best], share(e), share(engines[best])) {
+			best = i
+		}
+	}
+	return best
+}
+
+func before(a, b Engine, shareA, shareB float64) bool {
+	switch {
+	case shareA != shareB:
+		return shareA > shareB
+	case a.Requests != b.Requests:
+		return a.Requests < b.Requests
+	default:
+		return a.ID < b.ID
+	}
+}
