--- a/cmd/sf-instance/main.go
+++ b/cmd/sf-instance/main.go
@@ -6,13 +6,16 @@
 	"context"
 	"log/slog"
 	"os"
+	"sync/atomic"
 
+	"sassafrasfield/internal/instance"
 	"sassafrasfield/internal/program"
 	"sassafrasfield/platform"
 )
 
 func main() {
 	s := platform.DefaultSettings()
+	var running atomic.Pointer[instance.Instance]
 	daemon := program.Daemon{
 		Name: "sf-instance", Help: "Serve callers on the users' platform.", Settings: s,
 		SettingsVariable: platform.SettingsVariable,
@@ -20,7 +23,14 @@
 			return program.Common{Instance: s.Instance, Log: s.Log}
 		},
 		Run: func(ctx context.Context, log *slog.Logger) error {
-			return platform.NewInstance(s, log).Run(ctx)
+			in := platform.NewInstance(s, log)
+			running.Store(in)
+			return in.Run(ctx)
+		},
+		Reload: func(path string, log *slog.Logger) {
+			if in := running.Load(); in != nil {
+				platform.Reload(in, path, log)
+			}
 		},
 	}
 	os.Exit(daemon.Main(os.Args[1:]))
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -101,6 +101,7 @@
 	defer metricsServer.Close()
 	loops.Go(func() { in.follower.Run(background) })
 	loops.Go(func() { in.register(background) })
+	loops.Go(func() { in.shareLoads(background) })
 	keeper := rolekeeper.New(in.settings.Roles, in.adapter.Table, in.adapter.Orderer, in, logging.Part(in.log, "roles"))
 	loops.Go(func() { keeper.Run(ctx) })
 	handler := in.adapter.Handler(in.relay, in.maxBody.Load)
@@ -109,9 +110,29 @@
 	return err
 }
 
+// Reload takes the settings that may change while the instance runs.
+func (in *Instance) Reload(seeds []string, budget relay.BudgetSettings) {
+	var list []peers.Peer
+	for _, address := range seeds {
+		list = append(list, peers.Peer{Address: address})
+	}
+	in.peers.Meet(list)
+	in.relay.SetBudget(budget)
+}
+
 // headerTimeout bounds the reading of a header by the inner servers.
 const headerTimeout = 2 * time.Second
 
+// loadEvery is the time between reports on this instance's loads to the others;
+// a prompt takes about that long.
+const loadEvery = 200 * time.Millisecond
+
+func (in *Instance) shareLoads(ctx context.Context) {
+	if err := peers.NewLoads(in.peers, in.relay, loadEvery).Run(ctx); err != nil {
+		in.log.Error("instance: loads are not shared", "error", err)
+	}
+}
+
 func (in *Instance) serveControl() (*http.Server, error) {
 	mux := http.NewServeMux()
 	mux.Handle(in.peers.Handler())
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -55,6 +55,9 @@
 	Common func() Common
 	// Run works until the context ends.
 	Run func(ctx context.Context, log *slog.Logger) error
+	// Reload takes the settings file anew, on SIGHUP and when it has changed;
+	// nil when the daemon cannot.
+	Reload func(path string, log *slog.Logger)
 }
 
 // Main parses the command line, reads the settings and runs the daemon until
@@ -81,16 +84,17 @@
 		fmt.Printf("%s: no findings\n", *path)
 		return ExitOK
 	}
-	return d.run()
+	return d.run(*path)
 }
 
-func (d Daemon) run() int {
+func (d Daemon) run(path string) int {
 	common := d.Common()
 	output := logging.NewBounded(os.Stdout, linesPerSecond)
 	defer output.Close()
 	log := logging.New(common.Log, output, d.Name, common.Instance)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	go d.reloads(ctx, path, log)
 	flush, err := tracing.Setup(ctx, common.Trace, d.Name, common.Instance)
 	if err != nil {
 		log.Error("program: tracing could not start", "error", err)
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -22,12 +22,21 @@
 
 // budgets has one retry budget a service.
 type budgets struct {
+	wait retry.Backoff
+
+	mu       sync.Mutex // protects all below
 	settings BudgetSettings
+	all      map[string]*retry.Budget
+	rng      *rand.Rand
+}
 
-	mu   sync.Mutex // protects all below
-	all  map[string]*retry.Budget
-	rng  *rand.Rand
-	wait retry.Backoff
+// set takes other settings; what was saved up under the old ones is lost.
+func (b *budgets) set(s BudgetSettings) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s != b.settings {
+		b.settings, b.all = s, map[string]*retry.Budget{}
+	}
 }
 
 func newBudgets(s BudgetSettings) *budgets {
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -96,8 +96,9 @@
 	g.sends++ // no run: the engine only processes the prompt
 	started := r.now()
 	ahead := r.aheadOf(engine.ID)
-	ctx, cancel := context.WithTimeout(ctx, ahead+work+r.settings.PrefillSilence)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	go r.whenSilent(ctx, engine.ID, ahead+work+r.settings.PrefillSilence, cancel)
 	kv, load, err := r.sender.Prefill(ctx, g.req, Send{To: engine, Within: g.left(started), Priority: g.route.Priority})
 	if err != nil {
 		return KV{}, err
@@ -113,24 +114,48 @@
 	return kv, nil
 }
 
+// whenSilent calls stop once an engine has answered nothing at all for a time,
+// and returns when the context ends. An engine that answers other requests is
+// busy, and to ask another one would only have the prompt's shared part
+// processed twice.
+func (r *Relay) whenSilent(ctx context.Context, id string, limit time.Duration, stop func()) {
+	since := r.now()
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		if !r.picture.heardSince(id, since) {
+			stop()
+			return
+		}
+		since = r.now()
+		timer.Reset(r.settings.PrefillSilence)
+	}
+}
+
 func (r *Relay) aheadOf(id string) time.Duration {
 	r.picture.mu.Lock()
 	defer r.picture.mu.Unlock()
-	return r.picture.ahead(id, 0, r.now())
+	return r.picture.ahead(id, r.now())
 }
 
 // pickPrefill chooses the engine for a prompt and charges the request to it.
 func (r *Relay) pickPrefill(g *generation) (Upstream, time.Duration, bool) {
-	work := r.settings.Stages.Work(g.prompt, g.prompt.SharedTokens())
 	p, now := r.picture, r.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	engines := withRole(p.engines(g.service, g.excluded, work, now), config.RolePrefill)
+	engines := withRole(p.engines(g.service, g.prompt, g.excluded, now), config.RolePrefill)
 	chosen, ok := r.settings.Stages.Prefill(g.prompt, engines)
 	if !ok {
 		return Upstream{}, 0, false
 	}
+	work := r.settings.Stages.Work(g.prompt, chosen.Cached)
 	p.place(chosen.ID, g.req.ID, work, now)
+	p.notePrompt(chosen.ID, g.prompt, now)
 	return p.upstreams[chosen.ID], work, true
 }
 
@@ -143,12 +168,13 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	engines := withRole(p.engines(g.service, g.excluded, 0, now), config.RoleDecode)
+	engines := withRole(p.engines(g.service, g.prompt, g.excluded, now), config.RoleDecode)
 	chosen, ok := r.settings.Stages.Decode(g.prompt, zone, engines)
 	if !ok {
 		return Upstream{}, false
 	}
 	p.place(chosen.ID, g.req.ID, 0, now)
+	p.notePrompt(chosen.ID, g.prompt, now)
 	return p.upstreams[chosen.ID], true
 }
 
--- /dev/null
+++ b/internal/relay/loads.go
@@ -0,0 +1,94 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// EngineLoad is one instance's part of an engine's load.
+type EngineLoad struct {
+	// Engine is a hash of the engine's id.
+	Engine uint32
+	// Ahead is the predicted time of the prompts that wait there.
+	Ahead time.Duration
+	// Requests that generate there.
+	Requests int
+}
+
+// Placed tells that a shared prompt part went to an engine, which has it cached
+// from then on. Both are hashes of ids.
+type Placed struct {
+	Engine, Part uint32
+}
+
+// Report is what one instance tells the others.
+type Report struct {
+	Loads []EngineLoad
+	// Placed since the last report.
+	Placed []Placed
+}
+
+func hashOf(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+
+// peerLoad is what one other instance has on the engines.
+type peerLoad struct {
+	at    time.Duration
+	loads map[uint32]EngineLoad
+}
+
+// peerLoadLasts is how long an instance's word counts: three reports may be
+// lost before it is taken to have nothing under way.
+const peerLoadLasts = 900 * time.Millisecond
+
+// OwnReport returns what this instance has under way on the engines, and what
+// it has placed there since the last report.
+func (r *Relay) OwnReport() Report {
+	p := r.picture
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	report := Report{Placed: p.placed}
+	p.placed = nil
+	for id, u := range p.upstreams {
+		if u.Role == "" {
+			continue
+		}
+		load := EngineLoad{Engine: hashOf(id), Requests: p.loads.Engine(id).Streams}
+		if w, ok := p.work[id]; ok {
+			load.Ahead = w.own
+		}
+		if load.Ahead > 0 || load.Requests > 0 {
+			report.Loads = append(report.Loads, load)
+		}
+	}
+	return report
+}
+
+// TakeReport takes another instance's report.
+func (r *Relay) TakeReport(peer string, report Report) {
+	table := make(map[uint32]EngineLoad, len(report.Loads))
+	for _, load := range report.Loads {
+		table[load.Engine] = load
+	}
+	p, now := r.picture, r.now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.peers[peer] = peerLoad{at: now, loads: table}
+	for _, placed := range report.Placed {
+		p.parts.note(placed, now)
+	}
+}
+
+// elsewhere sums what the other instances have on an engine. The lock is held.
+func (p *picture) elsewhere(id string, now time.Duration) EngineLoad {
+	total := EngineLoad{Engine: hashOf(id)}
+	for _, peer := range p.peers {
+		if now-peer.at > peerLoadLasts {
+			continue
+		}
+		load := peer.loads[total.Engine]
+		total.Ahead += load.Ahead
+		total.Requests += load.Requests
+	}
+	return total
+}
--- a/internal/relay/picture.go
+++ b/internal/relay/picture.go
@@ -20,13 +20,21 @@
 	byService map[string][]Upstream
 	loads     *load.Table
 	work      map[string]*workload
-	rng       *rand.Rand
+	// peers are the loads that the other instances told of.
+	peers map[string]peerLoad
+	// parts are the prompt parts that the engines are believed to have; placed
+	// are those since the last report to the other instances.
+	parts  partTable
+	placed []Placed
+	rng    *rand.Rand
 }
 
 // workload is the prompt work on one engine, as far as this instance knows.
 type workload struct {
 	// own is the predicted time of this instance's prompts there.
 	own time.Duration
+	// heardAt is when the engine last answered anything.
+	heardAt time.Duration
 	// reported is what the engine said with its newest answer.
 	reported   Load
 	reportedAt time.Duration
@@ -38,7 +46,7 @@
 	return &picture{
 		table:     routes.NewTable(0, nil, nil, routes.Limits{}),
 		upstreams: map[string]Upstream{}, byService: map[string][]Upstream{},
-		loads: loads, work: map[string]*workload{},
+		loads: loads, work: map[string]*workload{}, peers: map[string]peerLoad{}, parts: newPartTable(),
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
@@ -134,25 +142,20 @@
 // this time.
 const reportFades = 500 * time.Millisecond
 
-// ahead predicts the prompt work that waits on an engine. The lock is held.
-func (p *picture) ahead(id string, each, now time.Duration) time.Duration {
-	w, ok := p.work[id]
-	if !ok {
-		return 0
-	}
-	age := now - w.reportedAt
-	if !w.reported.Known || age >= reportFades {
-		return w.own
+// ahead predicts the prompt work that waits on an engine: this instance's and
+// what the others told of. The lock is held.
+func (p *picture) ahead(id string, now time.Duration) time.Duration {
+	total := p.elsewhere(id, now).Ahead
+	if w, ok := p.work[id]; ok {
+		total += w.own
 	}
-	left := 1 - float64(age)/float64(reportFades)
-	reported := time.Duration(float64(each) * float64(w.reported.Running+w.reported.Waiting) * left)
-	return max(w.own, reported)
+	return total
 }
 
-// requests estimates the requests on an upstream: this instance's own, or what
-// the upstream said lately. The lock is held.
+// requests estimates the requests on an upstream: those of all instances, or
+// what the upstream said lately. The lock is held.
 func (p *picture) requests(id string, now time.Duration) int {
-	own := p.loads.Engine(id).Streams
+	own := p.loads.Engine(id).Streams + p.elsewhere(id, now).Requests
 	if w, ok := p.work[id]; ok && w.reported.Known && now-w.reportedAt < reportFades {
 		return max(own, w.reported.Running+w.reported.Waiting)
 	}
@@ -161,14 +164,14 @@
 
 // engines returns the engines of a service as placement sees them. The lock is
 // held.
-func (p *picture) engines(service string, excluded map[string]bool, each, now time.Duration) []stages.Engine {
+func (p *picture) engines(service string, prompt stages.Prompt, excluded map[string]bool, now time.Duration) []stages.Engine {
 	var list []stages.Engine
 	for _, u := range p.usable(service, excluded) {
 		known := p.loads.Engine(u.ID)
 		list = append(list, stages.Engine{
 			ID: u.ID, Zone: u.Zone, Role: u.Role,
-			Ahead: p.ahead(u.ID, each, now), Requests: p.requests(u.ID, now),
-			Doubtful: !known.Health.Admits(now),
+			Ahead: p.ahead(u.ID, now), Requests: p.requests(u.ID, now),
+			Cached: p.parts.cached(u.ID, prompt, now), Doubtful: !known.Health.Admits(now),
 		})
 	}
 	return list
@@ -235,6 +238,9 @@
 func (p *picture) judge(id string, v verdict, now time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if v != verdictGone {
+		p.workOn(id).heardAt = now
+	}
 	switch v {
 	case verdictGood:
 		p.loads.Succeeded(id)
@@ -287,3 +293,11 @@
 	}
 	return requests
 }
+
+// heardSince tells whether an upstream has answered anything since a time.
+func (p *picture) heardSince(id string, since time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w, ok := p.work[id]
+	return ok && w.heardAt > since
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -77,6 +77,9 @@
 // and tells whether it did.
 func (r *Relay) SetRoutes(t *routes.Table) bool { return r.picture.setTable(t, r.now()) }
 
+// SetBudget takes other bounds of the sends beyond the first.
+func (r *Relay) SetBudget(s BudgetSettings) { r.budgets.set(s) }
+
 // Learn takes an upstream's newest entry.
 func (r *Relay) Learn(u Upstream) { r.picture.learn(u) }
 
--- a/internal/stages/place.go
+++ b/internal/stages/place.go
@@ -14,6 +14,8 @@
 	Ahead time.Duration
 	// Requests that run or wait there.
 	Requests int
+	// Cached is how many leading tokens of the prompt it is believed to have.
+	Cached int
 	// Doubtful engines failed lately; they are taken when no other is left.
 	Doubtful bool
 }
@@ -24,8 +26,9 @@
 	// DirectBelow is the number of prompt tokens below which a decode
 	// engine processes the prompt itself. Default 2500.
 	DirectBelow int
-	// Choices is how many engines of a part's ranking are weighed. Default 3.
-	Choices int
+	// CopyWeight is what a further copy of a shared part costs, in times of
+	// processing it. Default 1.
+	CopyWeight float64
 	// TokenTime is the time that a prefill engine takes for a prompt token, in
 	// nanoseconds.
 	TokenTime float64
@@ -37,7 +40,7 @@
 // DefaultSettings returns the defaults.
 func DefaultSettings() Settings {
 	return Settings{
-		DirectBelow: 2500, Choices: 3,
+		DirectBelow: 2500, CopyWeight: 1,
 		TokenTime: 16300, // 61.4 tokens a millisecond, by the engines' sheet
 		PairTime:  0.525, // measured; see docs/measurements/platform.md
 	}
@@ -57,19 +60,20 @@
 	return time.Duration(float64(fresh)*s.TokenTime + pairs*s.PairTime)
 }
 
-// Prefill picks the engine that processes a prompt: the first choice by the
-// shared part, or one of the next when the work that waits there costs more
-// than to process the shared part anew. False means that there is none.
+// Prefill picks the engine that processes a prompt: the one that will have done
+// so first. An engine that lacks the shared part counts as slower by what a
+// further copy of it costs, but for the engine that ranks first for the part.
+// False means that there is none.
 func (s Settings) Prefill(p Prompt, engines []Engine) (Engine, bool) {
-	choices := s.choices(p, engines)
-	if len(choices) == 0 {
+	ordered := Rank(p.SharedKey(), sounder(engines))
+	if len(ordered) == 0 {
 		return Engine{}, false
 	}
-	best, bestCost := choices[0], time.Duration(0)
-	for i, e := range choices {
-		cost := e.Ahead
+	best, bestCost := ordered[0], time.Duration(0)
+	for i, e := range ordered {
+		cost := e.Ahead + s.Work(p, e.Cached)
 		if i > 0 {
-			cost += s.Work(p, 0) - s.Work(p, p.SharedTokens())
+			cost += s.copyCost(p, e)
 		}
 		if i == 0 || cost < bestCost {
 			best, bestCost = e, cost
@@ -78,10 +82,11 @@
 	return best, true
 }
 
-func (s Settings) choices(p Prompt, engines []Engine) []Engine {
-	sound := sounder(engines)
-	ordered := Rank(p.SharedKey(), sound)
-	return ordered[:min(s.Choices, len(ordered))]
+// copyCost is what another copy of the shared part costs beyond the work: the
+// memory that it takes has other parts processed again.
+func (s Settings) copyCost(p Prompt, e Engine) time.Duration {
+	lacking := s.Work(p, e.Cached) - s.Work(p, p.SharedTokens())
+	return time.Duration(s.CopyWeight * float64(max(0, lacking)))
 }
 
 // sounder drops the doubtful engines, unless there are no others.
