--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,8 +19,10 @@
 	*exchange
 	w      http.ResponseWriter
 	prompt stages.Prompt
-	// direct: a decode engine processes the prompt itself.
+	// direct: the engine that generates processes the prompt too; start says
+	// which one, unless it is to be chosen anew.
 	direct bool
+	start  stages.Start
 	// kv is the processed prompt that no engine has fetched yet.
 	kv KV
 	// begun: the caller has the answer's header.
@@ -35,7 +38,6 @@
 	if x.req.Prompt != nil {
 		g.prompt = *x.req.Prompt
 	}
-	g.direct = r.settings.Stages.Direct(g.prompt)
 	defer r.free(g)
 	for x.mayRunAgain() && r.maySend(ctx, x, g.begun) {
 		done, err := r.generateOnce(ctx, g)
@@ -55,51 +57,61 @@
 // generateOnce makes one attempt. Done tells that the answer is over, whole or
 // not.
 func (r *Relay) generateOnce(ctx context.Context, g *generation) (done bool, err error) {
-	if !g.direct && g.kv.Handle == "" && !r.prefill(ctx, g) {
-		return ctx.Err() != nil, r.giveUp(ctx, g.exchange)
+	if g.kv.Handle == "" && !r.prepare(ctx, g) {
+		return true, r.giveUp(ctx, g.exchange)
+	}
+	if g.direct {
+		return r.run(ctx, g, g.start)
 	}
 	engine, ok := r.pickDecode(g)
 	if !ok {
 		g.last = errors.WithMessage(ErrNotSent, "no engine to generate")
 		return true, r.giveUp(ctx, g.exchange)
 	}
-	return r.run(ctx, g, engine)
+	return r.run(ctx, g, stages.Start{Engine: engine})
 }
 
-// prefill has an engine process the prompt. False means that this attempt has
-// brought no KV cache; the next one may have a decode engine do it all.
-func (r *Relay) prefill(ctx context.Context, g *generation) bool {
+// prepare chooses where the generation begins. Unless one engine is to do all
+// of it, it has the prompt processed. False means that this brought nothing.
+func (r *Relay) prepare(ctx context.Context, g *generation) bool {
 	for {
-		engine, work, ok := r.pickPrefill(g)
+		start, ok := r.pickStart(g)
 		if !ok {
-			g.direct = true
+			g.last = errors.WithMessage(ErrNotSent, "no engine for the prompt")
+			return false
+		}
+		if g.direct = start.Direct(); g.direct {
+			g.start = start
 			return true
 		}
-		kv, err := r.prefillOn(ctx, g, engine, work)
+		kv, err := r.prefillOn(ctx, g, start)
 		if err == nil {
 			g.kv = kv
 			return true
 		}
-		g.excluded[engine.ID] = true
+		g.excluded[start.Engine.ID] = true
 		g.last = err
-		r.blame(ctx, g.exchange, engine.ID, err)
+		r.blame(ctx, g.exchange, start.Engine.ID, err)
 		if !r.maySend(ctx, g.exchange, g.begun) {
 			return false
 		}
 	}
 }
 
-func (r *Relay) prefillOn(ctx context.Context, g *generation, engine Upstream, work time.Duration) (KV, error) {
+func (r *Relay) prefillOn(ctx context.Context, g *generation, start stages.Start) (KV, error) {
+	engine, work := r.picture.upstream(start.Engine.ID), start.Work
 	defer r.picture.done(engine.ID, work)
 	defer func() { r.picture.end(engine.ID, g.req.ID, r.now()) }()
 	g.exchange.prefill = engine.ID
 	g.sends++ // no run: the engine only processes the prompt
 	started := r.now()
-	ahead := r.aheadOf(engine.ID)
+	ahead := start.Engine.Ahead
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go r.whenSilent(ctx, engine.ID, ahead+work+r.settings.PrefillSilence, cancel)
-	kv, load, err := r.sender.Prefill(ctx, g.req, Send{To: engine, Within: g.left(started), Priority: g.route.Priority})
+	kv, load, err := r.sender.Prefill(ctx, g.req, Send{
+		To: engine, Within: g.left(started), Priority: g.route.Priority, FetchFrom: r.picture.upstream(start.Source.ID).Address,
+	})
 	if err != nil {
 		return KV{}, err
 	}
@@ -109,7 +121,7 @@
 	took := r.now() - started
 	observe("prefill", took)
 	r.log.Info("relay: prefilled", "request", g.req.ID, "engine", engine.ID, "tokens", g.prompt.Tokens,
-		"shared", g.prompt.SharedTokens(), "ahead", ahead, "predicted", work, "took", took,
+		"shared", g.prompt.SharedTokens(), "cached", start.Engine.Cached, "source", start.Source.ID, "ahead", ahead, "predicted", work, "took", took,
 		"running", load.Running, "waiting", load.Waiting)
 	return kv, nil
 }
@@ -137,30 +149,22 @@
 	}
 }
 
-func (r *Relay) aheadOf(id string) time.Duration {
-	r.picture.mu.Lock()
-	defer r.picture.mu.Unlock()
-	return r.picture.ahead(id, r.now())
-}
-
-// pickPrefill chooses the engine for a prompt and charges the request to it.
-func (r *Relay) pickPrefill(g *generation) (Upstream, time.Duration, bool) {
+// pickStart chooses the engine for a prompt and charges the request to it.
+func (r *Relay) pickStart(g *generation) (stages.Start, bool) {
 	p, now := r.picture, r.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	engines := withRole(p.engines(g.service, g.prompt, g.excluded, now), config.RolePrefill)
-	chosen, ok := r.settings.Stages.Prefill(g.prompt, engines)
+	start, ok := r.settings.Stages.Begin(g.prompt, p.engines(g.service, g.prompt, g.excluded, now))
 	if !ok {
-		return Upstream{}, 0, false
+		return start, false
 	}
-	work := r.settings.Stages.Work(g.prompt, chosen.Cached)
-	p.place(chosen.ID, g.req.ID, work, now)
-	p.notePrompt(chosen.ID, g.prompt, now)
-	return p.upstreams[chosen.ID], work, true
+	p.place(start.Engine.ID, g.req.ID, start.Work, now)
+	p.notePrompt(start.Engine.ID, g.prompt, now)
+	return start, true
 }
 
 // pickDecode chooses the engine that generates and charges the request to it.
-func (r *Relay) pickDecode(g *generation) (Upstream, bool) {
+func (r *Relay) pickDecode(g *generation) (stages.Engine, bool) {
 	p, now := r.picture, r.now()
 	zone := r.settings.Zone
 	if g.kv.Handle != "" {
@@ -171,11 +175,11 @@
 	engines := withRole(p.engines(g.service, g.prompt, g.excluded, now), config.RoleDecode)
 	chosen, ok := r.settings.Stages.Decode(g.prompt, zone, engines)
 	if !ok {
-		return Upstream{}, false
+		return chosen, false
 	}
 	p.place(chosen.ID, g.req.ID, 0, now)
 	p.notePrompt(chosen.ID, g.prompt, now)
-	return p.upstreams[chosen.ID], true
+	return chosen, true
 }
 
 // withRole keeps the engines of a role, and those that have both.
@@ -190,8 +194,11 @@
 }
 
 // run has an engine generate, and passes its events on.
-func (r *Relay) run(ctx context.Context, g *generation, engine Upstream) (done bool, err error) {
-	defer func() { r.picture.end(engine.ID, g.req.ID, r.now()) }()
+func (r *Relay) run(ctx context.Context, g *generation, start stages.Start) (done bool, err error) {
+	engine := r.picture.upstream(start.Engine.ID)
+	defer func() { r.picture.end(start.Engine.ID, g.req.ID, r.now()) }()
+	prompted := sync.OnceFunc(func() { r.picture.done(start.Engine.ID, start.Work) })
+	defer prompted()
 	if err := g.sent(engine.ID); err != nil {
 		return true, r.giveUp(ctx, g.exchange)
 	}
@@ -200,11 +207,13 @@
 	started := r.now()
 	reply, err := r.sender.Send(running, g.req, Send{
 		To: engine, Within: g.left(started), KV: g.kv, LastEvent: g.lastEvent, Priority: g.route.Priority,
+		FetchFrom: r.picture.upstream(start.Source.ID).Address,
 	})
 	if err != nil {
 		r.unanswered(ctx, g, engine, err)
 		return false, nil
 	}
+	prompted()
 	g.kv = KV{} // the engine has fetched it
 	defer reply.Body.Close()
 	r.picture.reported(engine.ID, reply.Load, r.now())
@@ -232,10 +241,10 @@
 }
 
 // unanswered notes an engine that did not begin an answer. When it could not
-// have the KV cache, the next engine processes the prompt itself.
+// have the KV cache, the prompt is processed anew.
 func (r *Relay) unanswered(ctx context.Context, g *generation, engine Upstream, err error) {
 	if g.kv.Handle != "" && errors.Is(err, ErrRefused) {
-		g.kv, g.direct = KV{}, true
+		g.kv = KV{}
 	}
 	g.failed(engine.ID, err)
 	r.blame(ctx, g.exchange, engine.ID, err)
--- a/internal/relay/picture.go
+++ b/internal/relay/picture.go
@@ -97,6 +97,13 @@
 	p.loads.Retain(keep)
 }
 
+// upstream returns an upstream's entry; the zero value when it is gone.
+func (p *picture) upstream(id string) Upstream {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.upstreams[id]
+}
+
 // engineList returns the engines that take requests, by service.
 func (p *picture) engineList() map[string][]Upstream {
 	p.mu.Lock()
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -70,6 +70,9 @@
 	// LastEvent is the event after which a generation goes on; empty from the
 	// start.
 	LastEvent string
+	// FetchFrom is the address of an engine that has more of the prompt cached;
+	// empty when nothing is to be fetched.
+	FetchFrom string
 	// Priority of the route; 0 is the most urgent.
 	Priority int
 }
