--- /dev/null
+++ b/internal/relay/call_test.go
@@ -0,0 +1,129 @@
+package relay
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestAnIdempotentCallIsSentAgain(t *testing.T) {
+	f := &fakeSender{run: func(n int, _ Send) (*Reply, error) {
+		if n == 1 {
+			return nil, ErrLost
+		}
+		return reply(http.StatusOK, strings.NewReader("whole")), nil
+	}}
+	r := newFake(t, f)
+	plentiful(r)
+	w, err := serve(r, call("/safe/1"))
+	if err != nil || w.Body.String() != "whole" || f.runs != 2 {
+		t.Errorf("%v %q after %d runs", err, w.Body.String(), f.runs)
+	}
+	if f.calls[0].to == f.calls[1].to {
+		t.Error("both were sent to the same upstream")
+	}
+}
+
+func TestACutAnswerIsNotPassedOn(t *testing.T) {
+	f := &fakeSender{run: func(n int, _ Send) (*Reply, error) {
+		if n == 1 {
+			return cutAfter("half"), nil
+		}
+		return reply(http.StatusOK, strings.NewReader("whole")), nil
+	}}
+	r := newFake(t, f)
+	plentiful(r)
+	w, err := serve(r, call("/safe/1"))
+	if err != nil || w.Body.String() != "whole" {
+		t.Errorf("%v %q", err, w.Body.String())
+	}
+}
+
+func TestALostNonIdempotentCallIsSentOnce(t *testing.T) {
+	f := &fakeSender{run: func(int, Send) (*Reply, error) { return nil, ErrLost }}
+	r := newFake(t, f)
+	plentiful(r)
+	_, err := serve(r, call("/unsafe/1"))
+	if word := wordOf(t, err); word != Unknown || f.runs != 1 {
+		t.Errorf("word %v after %d runs", word, f.runs)
+	}
+}
+
+func TestANonIdempotentCallThatDidNotRunIsSentAgain(t *testing.T) {
+	for _, notRun := range []error{ErrNotSent, ErrRefused, ErrMoved} {
+		f := &fakeSender{run: func(n int, _ Send) (*Reply, error) {
+			if n == 1 {
+				return nil, notRun
+			}
+			return reply(http.StatusOK, strings.NewReader("whole")), nil
+		}}
+		r := newFake(t, f)
+		plentiful(r)
+		if _, err := serve(r, call("/unsafe/1")); err != nil || f.runs != 2 {
+			t.Errorf("%v: %v after %d runs", notRun, err, f.runs)
+		}
+	}
+}
+
+func TestAFailureIsPassedOnWhenNoOtherTryIsLeft(t *testing.T) {
+	f := &fakeSender{run: func(int, Send) (*Reply, error) {
+		return reply(http.StatusInternalServerError, strings.NewReader("sorry")), nil
+	}}
+	r := newFake(t, f)
+	plentiful(r)
+	w, err := serve(r, call("/safe/1"))
+	if err != nil || w.Code != http.StatusInternalServerError || f.runs != 2 {
+		t.Errorf("%v, status %d after %d runs", err, w.Code, f.runs)
+	}
+}
+
+func TestWithoutBudgetNothingIsSentAgain(t *testing.T) {
+	f := &fakeSender{run: func(int, Send) (*Reply, error) { return nil, ErrRefused }}
+	r := newFake(t, f)
+	r.SetBudget(BudgetSettings{})
+	_, err := serve(r, call("/safe/1"))
+	if word := wordOf(t, err); word != NotRun || f.runs != 1 {
+		t.Errorf("word %v after %d sends", word, f.runs)
+	}
+}
+
+func TestADrainingUpstreamGetsNothing(t *testing.T) {
+	f := &fakeSender{}
+	r := newFake(t, f)
+	for _, id := range []string{"app-1", "app-2"} {
+		r.Learn(Upstream{ID: id, Service: "app", Address: id, Zone: "a", Draining: true})
+	}
+	r.Forget("app-3")
+	_, err := serve(r, call("/safe/1"))
+	if word := wordOf(t, err); word != NotRun || f.count() != 0 {
+		t.Errorf("word %v after %d sends", word, f.count())
+	}
+}
+
+func TestWithoutConfigurationNothingIsServed(t *testing.T) {
+	r := New(DefaultSettings(), &fakeSender{}, newFake(t, &fakeSender{}).log)
+	_, err := serve(r, call("/safe/1"))
+	if wordOf(t, err) != NotRun {
+		t.Error(err)
+	}
+}
+
+func TestAnUnknownPathHasNoRoute(t *testing.T) {
+	_, err := serve(newFake(t, &fakeSender{}), call("/elsewhere/1"))
+	if wordOf(t, err) != NoRoute {
+		t.Error(err)
+	}
+}
+
+func TestTheTimeOfARouteBoundsARequest(t *testing.T) {
+	f := &fakeSender{}
+	req := call("/safe/1")
+	req.Patience = time.Hour
+	if _, err := serve(newFake(t, f), req); err != nil {
+		t.Fatal(err)
+	}
+	if within := f.calls[0].send.Within; within > time.Second {
+		t.Errorf("an upstream got %s for a request of one second", within)
+	}
+}
--- /dev/null
+++ b/internal/relay/fake_test.go
@@ -0,0 +1,152 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sassafrasfield/internal/config"
+	"sassafrasfield/internal/routes"
+	"sassafrasfield/internal/stages"
+)
+
+// sent is one call that the fake upstreams got.
+type sent struct {
+	to      string
+	prefill bool
+	send    Send
+}
+
+// fakeSender answers by script and records what was sent.
+type fakeSender struct {
+	// run and prefill answer the calls; nil gives a good answer.
+	run     func(n int, s Send) (*Reply, error)
+	prefill func(n int, s Send) (KV, error)
+
+	mu       sync.Mutex // protects all below
+	calls    []sent
+	runs     int
+	prefills int
+	freed    []KV
+}
+
+func (f *fakeSender) Send(_ context.Context, _ *Request, s Send) (*Reply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls = append(f.calls, sent{to: s.To.ID, send: s})
+	f.runs++
+	if f.run != nil {
+		return f.run(f.runs, s)
+	}
+	return events("id: 1\ndata: a\n\n"), nil
+}
+
+func (f *fakeSender) Prefill(_ context.Context, _ *Request, s Send) (KV, Load, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls = append(f.calls, sent{to: s.To.ID, prefill: true, send: s})
+	f.prefills++
+	if f.prefill != nil {
+		kv, err := f.prefill(f.prefills, s)
+		return kv, Load{}, err
+	}
+	return KV{Engine: s.To, Handle: "h"}, Load{}, nil
+}
+
+func (f *fakeSender) Free(_ context.Context, kv KV) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.freed = append(f.freed, kv)
+	return nil
+}
+
+func (f *fakeSender) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.calls)
+}
+
+func reply(status int, body io.Reader) *Reply {
+	return &Reply{Status: status, Header: http.Header{}, Body: io.NopCloser(body)}
+}
+
+func events(text string) *Reply { return reply(http.StatusOK, strings.NewReader(text)) }
+
+// cut gives its text and then breaks off.
+type cut struct {
+	text io.Reader
+}
+
+func (c cut) Read(p []byte) (int, error) {
+	n, err := c.text.Read(p)
+	if err == io.EOF {
+		return n, io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+func cutAfter(text string) *Reply { return reply(http.StatusOK, cut{strings.NewReader(text)}) }
+
+// newFake returns a relay before one plain service and one service of engines.
+func newFake(t *testing.T, sender Sender) *Relay {
+	t.Helper()
+	s := DefaultSettings()
+	s.Zone = "a"
+	s.Budget = BudgetSettings{Share: 0.1, Floor: 1, Max: 10}
+	s.PrefillSilence = 50 * time.Millisecond
+	r := New(s, sender, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	r.SetRoutes(routes.NewTable(1, []routes.Route{
+		{Name: "safe", Host: "h", Prefix: "/safe/", Kind: routes.Idempotent, MaxAttempts: 2, Timeout: time.Second, Shares: []routes.Share{{Service: "app", Weight: 1}}},
+		{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: routes.NonIdempotent, MaxAttempts: 2, Timeout: time.Second, Shares: []routes.Share{{Service: "app", Weight: 1}}},
+		{Name: "once", Host: "h", Prefix: "/once/", Kind: routes.Generation, MaxAttempts: 1, Timeout: 2 * time.Second, Shares: []routes.Share{{Service: "llm", Weight: 1}}},
+		{Name: "resumable", Host: "h", Prefix: "/resumable/", Kind: routes.Generation, Resumable: true, MaxAttempts: 2, Timeout: 2 * time.Second, Shares: []routes.Share{{Service: "llm", Weight: 1}}},
+	}, nil, routes.Limits{}))
+	for _, id := range []string{"app-1", "app-2", "app-3"} {
+		r.Learn(Upstream{ID: id, Service: "app", Address: id, Zone: "a"})
+	}
+	for _, id := range []string{"pre-1", "pre-2"} {
+		r.Learn(Upstream{ID: id, Service: "llm", Address: id, Zone: "a", Role: config.RolePrefill})
+	}
+	for _, id := range []string{"dec-1", "dec-2", "dec-3"} {
+		r.Learn(Upstream{ID: id, Service: "llm", Address: id, Zone: "a", Role: config.RoleDecode})
+	}
+	return r
+}
+
+// plentiful makes the relay's budget large.
+func plentiful(r *Relay) {
+	r.SetBudget(BudgetSettings{Share: 10, Floor: 100, Max: 100})
+}
+
+func call(path string) *Request {
+	return &Request{ID: "r1", Method: "POST", Host: "h", Path: path, Target: path, Header: http.Header{}, Patience: time.Second}
+}
+
+func longPrompt(path string) *Request {
+	req := call(path)
+	req.Prompt = &stages.Prompt{Tokens: 8000, Output: 10, Parts: []stages.Part{{ID: "s", Tokens: 5000}, {ID: "o", Tokens: 3000}}}
+	return req
+}
+
+func serve(r *Relay, req *Request) (*httptest.ResponseRecorder, error) {
+	w := httptest.NewRecorder()
+	err := r.Serve(context.Background(), req, w)
+	return w, err
+}
+
+func wordOf(t *testing.T, err error) Word {
+	t.Helper()
+	var refusal *Refusal
+	if !errors.As(err, &refusal) {
+		t.Fatalf("no refusal: %v", err)
+	}
+	return refusal.Word
+}
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -42,16 +42,20 @@
 	for x.mayRunAgain() && r.maySend(ctx, x, g.begun) {
 		done, err := r.generateOnce(ctx, g)
 		if done {
-			return err
+			return g.ended(err)
 		}
 	}
-	if g.begun {
-		if errors.Is(ctx.Err(), context.Canceled) {
-			return ErrCallerGone
-		}
-		return errors.WithMessage(ErrBroken, causeOf(x))
+	return g.ended(r.giveUp(ctx, x))
+}
+
+// ended is how an answer ends: one that has begun can't be refused any more, it
+// can only break off.
+func (g *generation) ended(err error) error {
+	var refusal *Refusal
+	if g.begun && errors.As(err, &refusal) {
+		return errors.WithMessagef(ErrBroken, "%s: %s", refusal.Reason, causeOf(g.exchange))
 	}
-	return r.giveUp(ctx, x)
+	return err
 }
 
 // generateOnce makes one attempt. Done tells that the answer is over, whole or
--- /dev/null
+++ b/internal/relay/generate_test.go
@@ -0,0 +1,170 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+func TestALongPromptIsProcessedOnOneEngineAndGeneratedOnAnother(t *testing.T) {
+	f := &fakeSender{}
+	w, err := serve(newFake(t, f), longPrompt("/once/1"))
+	if err != nil || w.Body.String() != "id: 1\ndata: a\n\n" {
+		t.Fatalf("%v %q", err, w.Body.String())
+	}
+	if len(f.calls) != 2 || !f.calls[0].prefill || f.calls[0].to[:3] != "pre" || f.calls[1].to[:3] != "dec" {
+		t.Fatalf("calls %+v", f.calls)
+	}
+	if f.calls[1].send.KV.Handle != "h" {
+		t.Error("the decode engine was not told of the KV cache")
+	}
+}
+
+func TestAShortPromptGoesToOneEngine(t *testing.T) {
+	f := &fakeSender{}
+	if _, err := serve(newFake(t, f), call("/once/1")); err != nil {
+		t.Fatal(err)
+	}
+	if len(f.calls) != 1 || f.calls[0].to[:3] != "dec" {
+		t.Fatalf("calls %+v", f.calls)
+	}
+}
+
+// TestAStreamThatCannotGoOnBreaksOff was found on a standard day: an engine
+// crashed, the resumption found no engine, and the caller got what it had as if
+// it were the whole answer.
+func TestAStreamThatCannotGoOnBreaksOff(t *testing.T) {
+	f := &fakeSender{run: func(int, Send) (*Reply, error) { return cutAfter("id: 1\ndata: a\n\n"), nil }}
+	f.prefill = func(n int, s Send) (KV, error) {
+		if n > 1 {
+			return KV{}, ErrRefused
+		}
+		return KV{Engine: s.To, Handle: "h"}, nil
+	}
+	w, err := serve(newFake(t, f), longPrompt("/resumable/1"))
+	if !errors.Is(err, ErrBroken) {
+		t.Fatalf("%v after %q; want ErrBroken", err, w.Body.String())
+	}
+}
+
+func TestAResumableStreamGoesOnAtAnotherEngineWithoutASeam(t *testing.T) {
+	f := &fakeSender{}
+	f.run = func(n int, s Send) (*Reply, error) {
+		if n == 1 {
+			return cutAfter("id: 1\ndata: a\n\nid: 2\nda"), nil
+		}
+		if s.LastEvent != "1" {
+			t.Errorf("the second engine was asked to go on after %q", s.LastEvent)
+		}
+		return events("id: 2\ndata: b\n\n"), nil
+	}
+	w, err := serve(newFake(t, f), longPrompt("/resumable/1"))
+	if want := "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"; err != nil || w.Body.String() != want {
+		t.Fatalf("%v %q", err, w.Body.String())
+	}
+}
+
+func TestAStreamThatMayNotBeResumedBreaksOffAndRunsOnce(t *testing.T) {
+	f := &fakeSender{run: func(int, Send) (*Reply, error) { return cutAfter("id: 1\ndata: a\n\n"), nil }}
+	r := newFake(t, f)
+	plentiful(r)
+	if _, err := serve(r, longPrompt("/once/1")); !errors.Is(err, ErrBroken) {
+		t.Fatalf("%v; want ErrBroken", err)
+	}
+	if f.runs != 1 {
+		t.Errorf("%d runs", f.runs)
+	}
+}
+
+func TestALostGenerationIsNotRunAgain(t *testing.T) {
+	f := &fakeSender{run: func(int, Send) (*Reply, error) { return nil, ErrLost }}
+	r := newFake(t, f)
+	plentiful(r)
+	_, err := serve(r, longPrompt("/once/1"))
+	if word := wordOf(t, err); word != Unknown || f.runs != 1 {
+		t.Errorf("word %v after %d runs", word, f.runs)
+	}
+}
+
+func TestARefusedGenerationIsAskedForElsewhere(t *testing.T) {
+	f := &fakeSender{run: func(n int, _ Send) (*Reply, error) {
+		if n == 1 {
+			return nil, ErrRefused
+		}
+		return events("id: 1\ndata: a\n\n"), nil
+	}}
+	r := newFake(t, f)
+	plentiful(r)
+	if _, err := serve(r, longPrompt("/once/1")); err != nil {
+		t.Fatal(err)
+	}
+	if f.runs != 2 {
+		t.Errorf("%d runs", f.runs)
+	}
+}
+
+func TestAnUnusedKVCacheIsDropped(t *testing.T) {
+	f := &fakeSender{run: func(int, Send) (*Reply, error) { return nil, ErrNotSent }}
+	r := newFake(t, f)
+	_, err := serve(r, longPrompt("/once/1"))
+	if wordOf(t, err) != NotRun {
+		t.Fatal(err)
+	}
+	waitFor(t, func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.freed) == 1
+	})
+}
+
+// silentSender never answers a prefill on the first engine that it is sent to.
+type silentSender struct {
+	fakeSender
+	first string
+}
+
+func (s *silentSender) Prefill(ctx context.Context, req *Request, send Send) (KV, Load, error) {
+	if s.first == "" {
+		s.first = send.To.ID
+	}
+	if s.first == send.To.ID {
+		<-ctx.Done()
+		return KV{}, Load{}, ErrLost
+	}
+	return s.fakeSender.Prefill(ctx, req, send)
+}
+
+func TestAnEngineThatFallsSilentIsLeft(t *testing.T) {
+	f := &silentSender{}
+	r := newFake(t, f)
+	plentiful(r)
+	if _, err := serve(r, longPrompt("/once/1")); err != nil {
+		t.Fatal(err)
+	}
+	if f.prefills != 1 {
+		t.Errorf("%d prefills elsewhere", f.prefills)
+	}
+}
+
+func TestACallerThatLeavesIsNotAnswered(t *testing.T) {
+	ctx, leave := context.WithCancel(context.Background())
+	f := &fakeSender{run: func(int, Send) (*Reply, error) {
+		leave()
+		return nil, ErrLost
+	}}
+	r := newFake(t, f)
+	plentiful(r)
+	err := r.Serve(ctx, longPrompt("/resumable/1"), nil)
+	if !errors.Is(err, ErrCallerGone) {
+		t.Errorf("%v", err)
+	}
+}
+
+func waitFor(t *testing.T, holds func() bool) {
+	t.Helper()
+	for !holds() {
+		time.Sleep(time.Millisecond)
+	}
+}
