--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -70,6 +70,7 @@
 	follower *follow.Follower
 	peers    *peers.Exchange
 	maxBody  atomic.Int64
+	budget   atomic.Pointer[relay.BudgetSettings]
 }
 
 // New puts an instance together.
@@ -79,6 +80,7 @@
 	in.follower = follow.New(s.Follow, a.Feed, in.changed, logging.Part(log, "follow"))
 	in.peers = peers.New(s.Self, s.Seeds, in.follower.Take, in.follower.Since, logging.Part(log, "peers"))
 	in.follower.Join(in.peers)
+	in.budget.Store(&s.Relay.Budget)
 	return in
 }
 
@@ -102,6 +104,7 @@
 	loops.Go(func() { in.follower.Run(background) })
 	loops.Go(func() { in.register(background) })
 	loops.Go(func() { in.shareLoads(background) })
+	loops.Go(func() { in.shareBudget(background) })
 	keeper := rolekeeper.New(in.settings.Roles, in.adapter.Table, in.adapter.Orderer, in, logging.Part(in.log, "roles"))
 	loops.Go(func() { keeper.Run(ctx) })
 	handler := in.adapter.Handler(in.relay, in.maxBody.Load)
@@ -117,12 +120,23 @@
 		list = append(list, peers.Peer{Address: address})
 	}
 	in.peers.Meet(list)
-	in.relay.SetBudget(budget)
+	in.budget.Store(&budget)
+	in.relay.SetBudget(budget, in.peers.Count())
 }
 
 // headerTimeout bounds the reading of a header by the inner servers.
 const headerTimeout = 2 * time.Second
 
+// countEvery is the time between counts of the instances that share the budget.
+const countEvery = time.Second
+
+// shareBudget keeps this instance to its part of the sends beyond the first.
+func (in *Instance) shareBudget(ctx context.Context) {
+	for pause(ctx, countEvery) {
+		in.relay.SetBudget(*in.budget.Load(), in.peers.Count())
+	}
+}
+
 // loadEvery is the time between reports on this instance's loads to the others;
 // a prompt takes about that long.
 const loadEvery = 200 * time.Millisecond
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -100,7 +100,6 @@
 	t.Helper()
 	s := DefaultSettings()
 	s.Zone = "a"
-	s.Budget = BudgetSettings{Share: 0.1, Floor: 1, Max: 10}
 	s.PrefillSilence = 50 * time.Millisecond
 	r := New(s, sender, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	r.SetRoutes(routes.NewTable(1, []routes.Route{
@@ -123,7 +122,7 @@
 
 // plentiful makes the relay's budget large.
 func plentiful(r *Relay) {
-	r.SetBudget(BudgetSettings{Share: 10, Floor: 100, Max: 100})
+	r.SetBudget(BudgetSettings{Share: 10, Slack: 100, Window: time.Second}, 1)
 }
 
 func call(path string) *Request {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -40,7 +40,7 @@
 	outliers := load.DefaultOutlierRules()
 	outliers.EjectAtMost = 5 * time.Second // a crashed upstream loses its entry within that
 	return Settings{
-		Budget:         BudgetSettings{Share: 0.15, Floor: 0.5, Max: 10},
+		Budget:         BudgetSettings{Share: 0.2, Slack: 58, Window: 10 * time.Second},
 		Stages:         stages.DefaultSettings(),
 		MaxSends:       4,
 		PrefillSilence: 1200 * time.Millisecond, // above the queue of a busy engine, below most deadlines
@@ -77,8 +77,9 @@
 // and tells whether it did.
 func (r *Relay) SetRoutes(t *routes.Table) bool { return r.picture.setTable(t, r.now()) }
 
-// SetBudget takes other bounds of the sends beyond the first.
-func (r *Relay) SetBudget(s BudgetSettings) { r.budgets.set(s) }
+// SetBudget takes other bounds of the sends beyond the first, or another number
+// of instances that share them.
+func (r *Relay) SetBudget(s BudgetSettings, instances int) { r.budgets.set(s, instances) }
 
 // Learn takes an upstream's newest entry.
 func (r *Relay) Learn(u Upstream) { r.picture.learn(u) }
