--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	scripts/test.sh
 
 lint: ## Check the format and run vet and staticcheck.
-	@unformatted=$$(gofmt -l cmd internal); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
+	@unformatted=$$(gofmt -l cmd internal platform); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
 	go vet ./...
 	go tool staticcheck ./...
 
--- a/cmd/sf-demo/main.go
+++ b/cmd/sf-demo/main.go
@@ -12,6 +12,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"sassafrasfield/internal/demo"
+	usersplatform "sassafrasfield/platform/demo"
 )
 
 // timeout bounds the whole demo.
@@ -32,8 +33,13 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	d := &demo.Demo{Bin: filepath.Join(root, "bin"), Root: root, Dir: dir, Out: os.Stdout}
-	if err := d.Run(ctx); err != nil {
+	bin := filepath.Join(root, "bin")
+	d := &demo.Demo{Bin: bin, Root: root, Dir: dir, Out: os.Stdout}
+	err = d.Run(ctx)
+	if err == nil {
+		err = usersplatform.Run(ctx, bin, dir, os.Stdout)
+	}
+	if err != nil {
 		fmt.Fprintf(os.Stderr, "sf-demo: %v\nlogs are in %s\n", err, dir)
 		return 1
 	}
--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,215 @@
+package follow
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sassafrasfield/internal/replica"
+)
+
+// fakeFeed is a store that the test drives.
+type fakeFeed struct {
+	mu       sync.Mutex // protects all below
+	rows     map[string]replica.Row
+	log      []replica.Row
+	revision int64
+	down     bool
+	forgot   bool
+	changed  chan struct{}
+	reads    int
+}
+
+var errDown = errors.New("down")
+
+func newFakeFeed() *fakeFeed {
+	return &fakeFeed{rows: map[string]replica.Row{}, changed: make(chan struct{})}
+}
+
+func (f *fakeFeed) put(key string, deleted bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision++
+	row := replica.Row{Key: replica.Key{Table: "t", Key: key}, Revision: f.revision, Deleted: deleted}
+	f.log = append(f.log, row)
+	if delete(f.rows, key); !deleted {
+		f.rows[key] = row
+	}
+	f.wake()
+}
+
+func (f *fakeFeed) wake() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *fakeFeed) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+	f.wake()
+}
+
+func (f *fakeFeed) Read(context.Context, string) ([]replica.Row, int64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reads++
+	if f.down {
+		return nil, 0, errDown
+	}
+	f.forgot = false
+	var rows []replica.Row
+	for _, row := range f.rows {
+		rows = append(rows, row)
+	}
+	return rows, f.revision, nil
+}
+
+func (f *fakeFeed) Wait(ctx context.Context, _ string, after int64, wait time.Duration) ([]replica.Row, int64, error) {
+	deadline := time.After(wait)
+	for {
+		f.mu.Lock()
+		down, forgot, revision, changed := f.down, f.forgot, f.revision, f.changed
+		var rows []replica.Row
+		for _, row := range f.log {
+			if row.Revision > after {
+				rows = append(rows, row)
+			}
+		}
+		f.mu.Unlock()
+		switch {
+		case down:
+			return nil, 0, errDown
+		case forgot:
+			return nil, 0, ErrNoHistory
+		case len(rows) > 0:
+			return rows, revision, nil
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			return nil, revision, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+func start(t *testing.T, feed Feed, hold time.Duration) *Follower {
+	t.Helper()
+	f := New(Settings{
+		Tables: []string{"t"}, Wait: 50 * time.Millisecond, ReadTimeout: time.Second,
+		HoldDeletions: hold, PullEvery: 5 * time.Millisecond,
+	}, feed, func([]replica.Row) {}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-done
+	})
+	return f
+}
+
+func waitFor(holds func() bool) {
+	for !holds() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (f *Follower) knows(keys string) bool {
+	got := ""
+	for _, row := range f.Rows("t") {
+		got += row.Key.Key
+	}
+	return got == keys
+}
+
+func TestFollowsChanges(t *testing.T) {
+	feed := newFakeFeed()
+	feed.put("a", false)
+	f := start(t, feed, 0)
+	waitFor(func() bool { return f.knows("a") })
+	feed.put("b", false)
+	waitFor(func() bool { return f.knows("ab") })
+	feed.put("a", true)
+	waitFor(func() bool { return f.knows("b") })
+}
+
+func TestReadsAllWhereTheHistoryIsGone(t *testing.T) {
+	feed := newFakeFeed()
+	feed.put("a", false)
+	f := start(t, feed, 0)
+	waitFor(func() bool { return f.knows("a") })
+	feed.set(func() {
+		feed.forgot, feed.log = true, nil
+		delete(feed.rows, "a")
+		feed.revision++
+	})
+	waitFor(func() bool { return f.knows("") })
+}
+
+func TestKeepsWhatItHasWhileTheStoreIsDownAndGoesOn(t *testing.T) {
+	feed := newFakeFeed()
+	feed.put("a", false)
+	f := start(t, feed, 0)
+	waitFor(func() bool { return f.knows("a") })
+	feed.set(func() { feed.down = true })
+	waitFor(func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.lost) == 1
+	})
+	if !f.knows("a") {
+		t.Error("the rows are gone with the store")
+	}
+	feed.set(func() { feed.down = false })
+	feed.put("b", false)
+	waitFor(func() bool { return f.knows("ab") })
+}
+
+func TestRowsThatLapsedWithTheStoreMayComeBack(t *testing.T) {
+	const hold = 300 * time.Millisecond
+	feed := newFakeFeed()
+	feed.put("a", false)
+	feed.put("b", false)
+	f := start(t, feed, hold)
+	waitFor(func() bool { return f.knows("ab") })
+	feed.set(func() { feed.down = true })
+	waitFor(func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.lost) == 1
+	})
+	feed.put("a", true)
+	feed.put("b", true)
+	feed.set(func() { feed.down = false })
+	waitFor(func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.lost) == 0 && f.copy.ReadFrom("t") == 4
+	})
+	if !f.knows("ab") {
+		t.Error("the deletions were believed at once")
+	}
+	feed.put("a", false)
+	waitFor(func() bool { return f.knows("a") })
+}
+
+func TestRowsFromPeersAreTaken(t *testing.T) {
+	feed := newFakeFeed()
+	feed.down = true
+	f := start(t, feed, 0)
+	f.Take([]replica.Row{{Key: replica.Key{Table: "t", Key: "a"}, Revision: 9}}, 1)
+	if !f.knows("a") {
+		t.Error("not taken")
+	}
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -92,6 +92,7 @@
 	output := logging.NewBounded(os.Stdout, linesPerSecond)
 	defer output.Close()
 	log := logging.New(common.Log, output, d.Name, common.Instance)
+	slog.SetDefault(log) // libraries that log by themselves get the same bounds
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	go d.reloads(ctx, path, log)
--- a/internal/relay/picture.go
+++ b/internal/relay/picture.go
@@ -136,14 +136,6 @@
 	return list
 }
 
-// still tells whether an upstream that was chosen earlier takes requests now.
-func (p *picture) still(id string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	u, ok := p.upstreams[id]
-	return ok && !u.Draining
-}
-
 // reportFades is how long an engine's word on its load counts, ever less. At
 // the rates of today's sites an instance hears of each engine once in about
 // this time.
