--- a/internal/rolekeeper/rolekeeper.go
+++ b/internal/rolekeeper/rolekeeper.go
@@ -62,7 +62,10 @@
 	Every time.Duration
 	// AtOnce bounds the engines that change while requests are served.
 	AtOnce int
-	Target stages.Target
+	// Confirm is how many looks on end must find the split wrong before an
+	// order is given: engines that restart are missing for a few seconds.
+	Confirm int
+	Target  stages.Target
 }
 
 // Timings of orders.
@@ -103,6 +106,8 @@
 	// heldSince is when this process took the lease.
 	heldSince time.Duration
 	pending   map[string]pending
+	// wrong counts the looks on end that found a service's split wrong.
+	wrong map[string]int
 }
 
 // pool names the lease; one is enough for the services of one deployment.
@@ -114,7 +119,7 @@
 	return &Keeper{
 		settings: s, table: table, orderer: orderer, view: view, log: log,
 		machine: lease.New(self, leaseSettings(s.Lease), uuid.NewString),
-		pending: map[string]pending{},
+		pending: map[string]pending{}, wrong: map[string]int{},
 	}
 }
 
@@ -228,6 +233,10 @@
 	}
 	changes := k.settings.Target.Changes(list, most)
 	if len(changes) == 0 {
+		k.wrong[service] = 0
+		return
+	}
+	if k.wrong[service]++; k.view.Serving() && k.wrong[service] < k.settings.Confirm {
 		return
 	}
 	k.log.Info("roles: the split differs", "service", service, "engines", len(list),
--- /dev/null
+++ b/internal/rolekeeper/rolekeeper_test.go
@@ -0,0 +1,219 @@
+package rolekeeper
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"sassafrasfield/internal/config"
+	"sassafrasfield/internal/platform"
+	"sassafrasfield/internal/relay"
+	"sassafrasfield/internal/stages"
+)
+
+// fakeTable is a table in memory.
+type fakeTable struct {
+	mu       sync.Mutex // protects all below
+	rows     map[string]platform.Row
+	revision int64
+	down     bool
+}
+
+func (f *fakeTable) Get(_ context.Context, key string) (platform.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return platform.Row{}, platform.ErrUnavailable
+	}
+	row, ok := f.rows[key]
+	if !ok {
+		return row, platform.ErrNotFound
+	}
+	return row, nil
+}
+
+func (f *fakeTable) List(context.Context, string) ([]platform.Row, error) { return nil, nil }
+
+func (f *fakeTable) Commit(_ context.Context, txn platform.Txn) (int64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return 0, platform.ErrUnavailable
+	}
+	for _, check := range txn.Checks {
+		if f.rows[check.Key].Revision != check.Revision {
+			return 0, platform.ErrConflict
+		}
+	}
+	f.revision++
+	for _, w := range txn.Writes {
+		f.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Revision: f.revision}
+	}
+	return f.revision, nil
+}
+
+// given is one order that an engine got.
+type given struct {
+	engine, holder string
+	at             time.Time
+}
+
+// fakeFleet is the engines, their orders and the view of them.
+type fakeFleet struct {
+	mu      sync.Mutex // protects all below
+	engines []relay.Upstream
+	orders  []given
+	serving bool
+	// silent engines take an order and do not carry it out.
+	silent bool
+}
+
+func newFakeFleet(decode int) *fakeFleet {
+	f := &fakeFleet{}
+	for i := range decode {
+		f.engines = append(f.engines, relay.Upstream{ID: string(rune('a' + i)), Zone: "z", Role: config.RoleDecode})
+	}
+	return f
+}
+
+func (f *fakeFleet) State(context.Context, relay.Upstream) (EngineState, error) {
+	return EngineState{}, nil
+}
+
+func (f *fakeFleet) Order(_ context.Context, engine relay.Upstream, o Order) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.orders = append(f.orders, given{engine: engine.ID, holder: o.Holder, at: time.Now()})
+	for i := range f.engines {
+		if f.engines[i].ID == engine.ID && !f.silent {
+			f.engines[i].Role = o.To
+		}
+	}
+	return nil
+}
+
+func (f *fakeFleet) Engines() map[string][]relay.Upstream {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return map[string][]relay.Upstream{"llm": append([]relay.Upstream{}, f.engines...)}
+}
+
+func (f *fakeFleet) Serving() bool       { return f.serving }
+func (f *fakeFleet) Instances() []string { return []string{"one", "two"} }
+
+func (f *fakeFleet) prefill() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, e := range f.engines {
+		if e.Role == config.RolePrefill {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *fakeFleet) given() []given {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]given{}, f.orders...)
+}
+
+const term = 400 * time.Millisecond
+
+func run(t *testing.T, name string, table platform.Table, f *fakeFleet) (stop func()) {
+	t.Helper()
+	keeper := New(Settings{
+		Instance: name, Lease: term, Every: 20 * time.Millisecond, AtOnce: 2, Confirm: 2, Target: stages.DefaultTarget(),
+	}, table, f, f, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		keeper.Run(ctx)
+	}()
+	stop = func() {
+		cancel()
+		<-done
+	}
+	t.Cleanup(stop)
+	return stop
+}
+
+func waitFor(holds func() bool) {
+	for !holds() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func newTable() *fakeTable { return &fakeTable{rows: map[string]platform.Row{}} }
+
+func TestOneOfTwoInstancesBringsTheEnginesToTheSplit(t *testing.T) {
+	f, table := newFakeFleet(9), newTable()
+	run(t, "one", table, f)
+	run(t, "two", table, f)
+	waitFor(func() bool { return f.prefill() == 6 }) // 11 of 18, of nine
+	time.Sleep(2 * term)
+	orders := f.given()
+	if len(orders) != 6 {
+		t.Errorf("%d orders for six changes", len(orders))
+	}
+	for _, o := range orders {
+		if o.holder != orders[0].holder {
+			t.Errorf("orders of %s and %s", o.holder, orders[0].holder)
+		}
+	}
+}
+
+func TestTheNextHolderWaitsBeforeItsFirstOrder(t *testing.T) {
+	f, table := newFakeFleet(9), newTable()
+	stop := run(t, "one", table, f)
+	waitFor(func() bool { return f.prefill() == 6 })
+	stop()
+	f.mu.Lock()
+	for i := range f.engines {
+		f.engines[i].Role = config.RoleDecode
+	}
+	last := f.orders[len(f.orders)-1].at
+	f.mu.Unlock()
+	run(t, "two", table, f)
+	waitFor(func() bool { return len(f.given()) > 6 })
+	if gap := f.given()[6].at.Sub(last); gap < term {
+		t.Errorf("the next holder gave an order %s after the last one", gap)
+	}
+}
+
+func TestAnOrderWithoutEffectIsNotGivenAgain(t *testing.T) {
+	f := newFakeFleet(9)
+	f.silent = true
+	run(t, "one", newTable(), f)
+	waitFor(func() bool { return len(f.given()) == 6 })
+	time.Sleep(term)
+	if n := len(f.given()); n != 6 {
+		t.Errorf("%d orders", n)
+	}
+}
+
+func TestFewEnginesChangeAtOnceWhileServing(t *testing.T) {
+	f := newFakeFleet(9)
+	f.silent, f.serving = true, true
+	run(t, "one", newTable(), f)
+	waitFor(func() bool { return len(f.given()) == 2 })
+	time.Sleep(term)
+	if n := len(f.given()); n != 2 {
+		t.Errorf("%d orders under way at once", n)
+	}
+}
+
+func TestWithoutTheStoreNobodyGivesOrders(t *testing.T) {
+	f, table := newFakeFleet(9), newTable()
+	table.down = true
+	run(t, "one", table, f)
+	time.Sleep(term)
+	if n := len(f.given()); n != 0 {
+		t.Errorf("%d orders without a lease", n)
+	}
+}
