--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -37,14 +37,18 @@
 	settings Settings
 	handler  http.Handler
 	ready    func() bool
+	closing  func()
 	log      *slog.Logger
 	stopping atomic.Bool
 	inFlight atomic.Int64
 }
 
-// New returns a server. Ready tells whether requests can be served.
-func New(s Settings, handler http.Handler, ready func() bool, log *slog.Logger) *Server {
-	return &Server{settings: s, handler: handler, ready: ready, log: log}
+// New returns a server. Ready tells whether requests can be served. Closing is
+// called before idle connections are closed: a request that crosses that is
+// read, though its connection is gone, and the handler must refuse it from then
+// on, so that nothing runs whose answer cannot be delivered.
+func New(s Settings, handler http.Handler, ready func() bool, closing func(), log *slog.Logger) *Server {
+	return &Server{settings: s, handler: handler, ready: ready, closing: closing, log: log}
 }
 
 // margin is kept of the grace for the end of the process itself.
@@ -82,6 +86,7 @@
 	s.stopping.Store(true)
 	s.log.Info("front: stopping, not ready any more", "in_flight", s.inFlight.Load(), "grace", s.settings.Grace)
 	time.Sleep(min(s.settings.Notice, s.settings.Grace/2))
+	s.closing()
 	public.SetKeepAlivesEnabled(false)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"log/slog"
@@ -8,6 +9,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 func address(t *testing.T) string {
@@ -36,7 +39,7 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	server := New(s, handler, func() bool { return true }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	server := New(s, handler, func() bool { return true }, func() {}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	go func() { ended <- server.Run(ctx) }()
 	for status(s.ReadyAddress, "/ready") != http.StatusOK {
 		time.Sleep(time.Millisecond)
@@ -89,7 +92,7 @@
 
 func TestAnInstanceThatCannotServeIsNotReady(t *testing.T) {
 	s := Settings{Address: address(t), ReadyAddress: address(t), ReadyPath: "/ready", Grace: time.Second, HeaderTimeout: time.Second}
-	server := New(s, http.NotFoundHandler(), func() bool { return false }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	server := New(s, http.NotFoundHandler(), func() bool { return false }, func() {}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- server.Run(ctx) }()
@@ -104,3 +107,45 @@
 		t.Error(err)
 	}
 }
+
+// TestTheHandlerIsToldBeforeIdleConnectionsClose was found by a hunt: a request
+// on a kept connection was read while the connection was being closed, and was
+// run though its answer could not be delivered.
+func TestTheHandlerIsToldBeforeIdleConnectionsClose(t *testing.T) {
+	s := Settings{Address: address(t), ReadyAddress: address(t), ReadyPath: "/ready", Grace: time.Second, HeaderTimeout: time.Second, IdleTimeout: time.Minute}
+	conn := make(chan net.Conn, 1)
+	told := make(chan bool, 1)
+	closing := func() {
+		c := <-conn
+		_ = c.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+		_, err := c.Read(make([]byte, 1))
+		var timeout net.Error
+		told <- errors.As(err, &timeout) && timeout.Timeout() // the connection is still open
+	}
+	server := New(s, http.NotFoundHandler(), func() bool { return true }, closing, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- server.Run(ctx) }()
+	for status(s.ReadyAddress, "/ready") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	c, err := net.Dial("tcp", s.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, response.Body) // short
+	conn <- c
+	cancel()
+	if !<-told {
+		t.Error("the idle connection was closed first")
+	}
+	<-ended
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -108,7 +108,7 @@
 	keeper := rolekeeper.New(in.settings.Roles, in.adapter.Table, in.adapter.Orderer, in, logging.Part(in.log, "roles"))
 	loops.Go(func() { keeper.Run(ctx) })
 	handler := in.adapter.Handler(in.relay, in.maxBody.Load)
-	err = front.New(in.settings.Front, handler, in.relay.Ready, logging.Part(in.log, "front")).Run(ctx)
+	err = front.New(in.settings.Front, handler, in.relay.Ready, in.relay.Close, logging.Part(in.log, "front")).Run(ctx)
 	in.log.Info("instance: stopped", "error", err)
 	return err
 }
--- a/internal/relay/call_test.go
+++ b/internal/relay/call_test.go
@@ -128,3 +128,13 @@
 		t.Errorf("an upstream got %s for a request of one second", within)
 	}
 }
+
+func TestAClosedRelayRunsNothing(t *testing.T) {
+	f := &fakeSender{}
+	r := newFake(t, f)
+	r.Close()
+	_, err := serve(r, call("/unsafe/1"))
+	if word := wordOf(t, err); word != NotRun || f.count() != 0 {
+		t.Errorf("word %v after %d sends", word, f.count())
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -59,6 +59,8 @@
 	picture  *picture
 	budgets  *budgets
 	meters   *meters
+	// closed: new requests are refused.
+	closed atomic.Bool
 	// lastRequest is when the newest request came, on the relay's clock.
 	lastRequest atomic.Int64
 }
@@ -99,6 +101,9 @@
 	return last > 0 && r.now()-time.Duration(last) < servingFor
 }
 
+// Close has all new requests refused; those under way go on.
+func (r *Relay) Close() { r.closed.Store(true) }
+
 // Ready tells whether there are routes to serve.
 func (r *Relay) Ready() bool {
 	table, _ := r.picture.routes(r.now())
@@ -156,6 +161,9 @@
 	now := r.now()
 	r.lastRequest.Store(int64(now))
 	table, age := r.picture.routes(now)
+	if r.closed.Load() {
+		return nil, &Refusal{Word: NotRun, Reason: "stopping", RetryIn: r.settings.RetryIn}
+	}
 	if table.Version == 0 {
 		return nil, &Refusal{Word: NotRun, Reason: "no configuration yet", RetryIn: r.settings.RetryIn}
 	}
