--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -85,6 +85,7 @@
 			return false
 		}
 		if g.direct = start.Direct(); g.direct {
+			r.meters.direct.Inc(1)
 			g.start = start
 			return true
 		}
@@ -224,6 +225,9 @@
 	if reply.Status != http.StatusOK {
 		return r.passFailure(ctx, g, engine, reply)
 	}
+	r.log.Info("relay: generates", "request", g.req.ID, "engine", engine.ID, "direct", g.direct, "tokens", g.prompt.Tokens,
+		"running", reply.Load.Running, "waiting", reply.Load.Waiting, "after", r.now()-started,
+		"cached", start.Engine.Cached, "ahead", start.Engine.Ahead, "requests", start.Engine.Requests, "last_event", g.lastEvent)
 	return r.passOn(ctx, stop, g, engine, reply, started)
 }
 
@@ -261,8 +265,6 @@
 		writeHeader(g.w, g.exchange, reply)
 		g.begun = true
 		observe("first", r.now()-g.arrived)
-		r.log.Info("relay: generates", "request", g.req.ID, "engine", engine.ID, "direct", g.direct, "tokens", g.prompt.Tokens,
-			"running", reply.Load.Running, "waiting", reply.Load.Waiting, "after", r.now()-started)
 	}
 	p := passing{w: g.w, flush: http.NewResponseController(g.w).Flush, lastEvent: g.lastEvent}
 	if g.progress.Repeatable && g.runs+1 < g.route.MaxAttempts {
--- a/internal/scenario/pages_test.go
+++ b/internal/scenario/pages_test.go
@@ -85,7 +85,8 @@
 	metric := regexp.MustCompile(`GetOrRegister\w+\("([^"]+)"`)
 	line := regexp.MustCompile(`\.(?:Info|Warn|Error|Debug)\("([a-z]+: [^"]+)"`)
 	found := 0
-	for _, slice := range []string{"entry", "control", "once", "program"} {
+	slices := []string{"entry", "control", "once", "program", "relay", "follow", "peers", "front", "instance", "rolekeeper"}
+	for _, slice := range append(slices, "../platform") {
 		text := readAll(t, "internal/"+slice+"/*.go")
 		for _, pattern := range []*regexp.Regexp{metric, line} {
 			for _, match := range pattern.FindAllStringSubmatch(text, -1) {
