--- a/internal/program/reload.go
+++ b/internal/program/reload.go
@@ -18,8 +18,7 @@
 // it must not end the process.
 func (d Daemon) reloads(ctx context.Context, path string, log *slog.Logger) {
 	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+	signal.Notify(hangup, syscall.SIGHUP) // for good: one that comes while the process stops must not end it
 	ticker := time.NewTicker(watchEvery)
 	defer ticker.Stop()
 	seen := changedAt(path)
