--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -39,7 +39,10 @@
 	// Wait is how long one call to the feed may take without a change. A
 	// store that falls silent is noticed within this and a half second.
 	Wait time.Duration
-	// ReadTimeout bounds a full read.
+	// ReadTimeout bounds a full read at first; it doubles with each failure, up
+	// to eight times, for a store that is slow rather than gone. A call that was
+	// sent while the store was away is not answered when it returns, so a long
+	// first timeout would cost that long.
 	ReadTimeout time.Duration
 	// HoldDeletions is for how long after an outage deletions are not believed:
 	// owners of rows that lapsed meanwhile write them again.
@@ -73,6 +76,8 @@
 	lost map[string]time.Duration
 	// synced tables were read whole at least once.
 	synced map[string]bool
+	// failures counts a table's failed calls in a row.
+	failures map[string]int
 }
 
 // New returns a follower. Changed gets the news, one call at a time; it must
@@ -80,7 +85,7 @@
 func New(s Settings, feed Feed, changed func([]replica.Row), log *slog.Logger) *Follower {
 	return &Follower{
 		settings: s, feed: feed, log: log, start: time.Now(), changed: changed,
-		copy: replica.New(), lost: map[string]time.Duration{}, synced: map[string]bool{},
+		copy: replica.New(), lost: map[string]time.Duration{}, synced: map[string]bool{}, failures: map[string]int{},
 	}
 }
 
@@ -142,8 +147,17 @@
 	return nil
 }
 
+// longestDoubling bounds the doubling of the read timeout, to eight times.
+const longestDoubling = 3
+
+func (f *Follower) readTimeout(table string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.settings.ReadTimeout << min(f.failures[table], longestDoubling)
+}
+
 func (f *Follower) readAll(ctx context.Context, table string) error {
-	ctx, cancel := context.WithTimeout(ctx, f.settings.ReadTimeout)
+	ctx, cancel := context.WithTimeout(ctx, f.readTimeout(table))
 	defer cancel()
 	rows, revision, err := f.feed.Read(ctx, table)
 	if err != nil {
@@ -186,6 +200,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.failures[table]++
 	if _, ok := f.lost[table]; !ok {
 		f.lost[table] = f.now()
 		f.log.Warn("follow: the store is lost", "table", table, "error", err)
@@ -196,6 +211,7 @@
 func (f *Follower) recovered(table string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.failures[table] = 0
 	since, ok := f.lost[table]
 	if !ok {
 		return
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -31,7 +31,10 @@
 	// another engine goes on with it.
 	StreamSilence time.Duration
 	// RetryIn is told to callers whose request did not run.
-	RetryIn  time.Duration
+	RetryIn time.Duration
+	// StartIn is told to them instead while this instance does not know the
+	// configuration or any upstream yet.
+	StartIn  time.Duration
 	Outliers load.OutlierRules
 }
 
@@ -46,6 +49,7 @@
 		PrefillSilence: 1200 * time.Millisecond, // above the queue of a busy engine, below most deadlines
 		StreamSilence:  1200 * time.Millisecond, // callers leave after two seconds of silence
 		RetryIn:        150 * time.Millisecond,  // about the time of one long prompt
+		StartIn:        time.Second,             // a start takes about that long
 		Outliers:       outliers,
 	}
 }
@@ -165,7 +169,7 @@
 		return nil, &Refusal{Word: NotRun, Reason: "stopping", RetryIn: r.settings.RetryIn}
 	}
 	if table.Version == 0 {
-		return nil, &Refusal{Word: NotRun, Reason: "no configuration yet", RetryIn: r.settings.RetryIn}
+		return nil, &Refusal{Word: NotRun, Reason: "no configuration yet", RetryIn: r.startIn(req.Patience)}
 	}
 	route := table.Match(req.Host, req.Path)
 	if route == nil {
@@ -291,6 +295,15 @@
 	return &Refusal{Word: Unknown, Reason: reason(x, "no whole answer")}
 }
 
+// startIn is when to come back to an instance that has just started.
+func (r *Relay) startIn(left time.Duration) time.Duration {
+	in := r.budgets.jittered(r.settings.StartIn)
+	if left > 0 {
+		in = min(in, left/retryPart)
+	}
+	return in
+}
+
 func reason(x *exchange, text string) string {
 	if x.last == nil {
 		return text + ": none to ask"
@@ -300,6 +313,12 @@
 
 // retryIn is when a caller should come back, within what it has left.
 func (r *Relay) retryIn(x *exchange) time.Duration {
-	const part = 4 // a quarter of what is left, so that an answer still fits
-	return min(r.budgets.jittered(r.settings.RetryIn), max(time.Millisecond, x.left(r.now())/part))
+	if r.picture.count(x.service) == 0 {
+		return r.startIn(x.left(r.now()))
+	}
+	return min(r.budgets.jittered(r.settings.RetryIn), max(time.Millisecond, x.left(r.now())/retryPart))
 }
+
+// retryPart is the part of a caller's time after which it may be told to come
+// back: a quarter, so that an answer still fits.
+const retryPart = 4
