--- a/internal/program/example_test.go
+++ b/internal/program/example_test.go
@@ -15,6 +15,7 @@
 	"sassafrasfield/internal/settings/annotate"
 	"sassafrasfield/internal/testfleet"
 	"sassafrasfield/internal/tomlfile"
+	"sassafrasfield/platform"
 )
 
 // update writes the examples again; `make generate` sets it.
@@ -33,6 +34,10 @@
 			map[string]string{"listen": `"10.0.1.1:8080"`, "local": `"127.0.0.1:8081"`}),
 		"sf-control": common("sf-control: "+title, control.DefaultSettings(),
 			map[string]string{"listen": `"10.0.1.1:8090"`, "entry_local": `"127.0.0.1:8081"`}),
+		"sf-instance": {Root: root, Title: "sf-instance: " + title, Settings: platform.DefaultSettings(), Values: map[string]string{
+			"instance": `"inst-1"`, "zone": `"hall-a"`, "listen.front": `"10.0.1.1:8080"`, "listen.ready": `"10.0.1.1:8081"`,
+			"listen.control": `"10.0.1.1:8090"`, "store.address": `"10.0.0.10:7000"`,
+		}},
 	}
 }
 
@@ -103,7 +108,7 @@
 			t.Fatal(err)
 		}
 		bad := filepath.Join(dir, name+".toml")
-		text := strings.Replace(string(data), example.Values["listen"], `"nowhere"`, 1) + "surprise = 1\n"
+		text := strings.Replace(string(data), example.Values[listenKey(name)], `"nowhere"`, 1) + "surprise = 1\n"
 		if err := os.WriteFile(bad, []byte(text), 0o644); err != nil {
 			t.Fatal(err)
 		}
@@ -113,6 +118,14 @@
 	}
 }
 
+// listenKey is the key of a program's first address.
+func listenKey(name string) string {
+	if name == "sf-instance" {
+		return "listen.front"
+	}
+	return "listen"
+}
+
 func checkSettings(t *testing.T, binary, path string, code int, want string) {
 	t.Helper()
 	cmd := exec.Command(binary, "--settings", path, "--check-settings")
