--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -10,11 +10,11 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"sassafrasfield/internal/attempt"
 	"sassafrasfield/internal/callerapi"
 	"sassafrasfield/internal/config"
 	"sassafrasfield/internal/engine"
 	"sassafrasfield/internal/load"
-	"sassafrasfield/internal/outcome"
 	"sassafrasfield/internal/route"
 	"sassafrasfield/internal/stream"
 )
@@ -64,7 +64,7 @@
 			return s.ended(c, comp, out, err)
 		}
 		s.metrics.answered.Inc(1)
-		s.retries.succeeded(s.now())
+		s.retries.Succeeded(s.now())
 		return out.finish()
 	}
 }
@@ -89,8 +89,7 @@
 // takes. Each of them has loaded the version that made the first part.
 func (s *Server) answer(ctx context.Context, comp *completion, out sink) error {
 	assembler := stream.NewAssembler(0, 0)
-	excluded := map[string]bool{}
-	progress := admitted(true)
+	tries := attempt.New(attempt.Rules{Repeatable: true, MaxSends: s.settings.Engine.Attempts})
 	if comp.resume != nil {
 		assembler = stream.NewAssembler(comp.resume.Next, comp.resume.Sum)
 		s.metrics.resumed.Inc(1)
@@ -99,41 +98,36 @@
 			return err
 		}
 		if errors.Is(err, stream.ErrDiverged) {
-			return s.gaveUp(comp, progress, err)
+			return s.gaveUp(comp, tries.Word(), err)
 		}
-		excluded[comp.resume.Engine] = !ranNothing(err)
-	}
-	var last error
-	for attempt := range s.settings.Engine.Attempts {
-		if attempt > 0 && !s.mayRetry(ctx, attempt, last, assembler.Next() > 0) {
-			break
+		if !ranNothing(err) {
+			tries.Exclude(comp.resume.Engine, err)
 		}
+	}
+	for s.maySend(ctx, tries, assembler.Next() > 0) {
 		placed, ok := s.state.assign(&route.Request{
 			Model: comp.name, Adapter: comp.adapter, Version: comp.version,
-			PromptTokens: comp.promptTokens, Excluded: excluded,
-			Split: attempt == 0 && mayBeSplit(comp),
+			PromptTokens: comp.promptTokens, Excluded: tries.Excluded(),
+			Split: tries.Sends() == 0 && mayBeSplit(comp),
 		}, s.placement(comp))
 		if !ok {
 			break
 		}
-		sent, err := progress.Apply(outcome.Send)
-		if err != nil {
+		if err := tries.Sent(); err != nil {
 			return err
 		}
 		s.admitted(comp, placed)
-		var failed string
-		failed, last = s.run(ctx, placed, comp, assembler, out)
-		if last == nil || errors.Is(last, errCallerGone) || errors.Is(last, errStopping) {
-			return last
+		failed, err := s.run(ctx, placed, comp, assembler, out)
+		if err == nil || errors.Is(err, errCallerGone) || errors.Is(err, errStopping) {
+			return err
 		}
-		progress = after(sent, ranNothing(last) && assembler.Next() == 0)
-		excluded[failed] = true
-		s.log.Info("request: engine failed, trying another", "request", comp.id, "engine", failed, "error", last)
+		tries.Failed(failed, ranNothing(err) && assembler.Next() == 0, err)
+		s.log.Info("request: engine failed, trying another", "request", comp.id, "engine", failed, "error", err)
 	}
 	if ctx.Err() != nil {
 		return errCallerGone
 	}
-	return s.gaveUp(comp, progress, last)
+	return s.gaveUp(comp, tries.Word(), tries.Last())
 }
 
 func (s *Server) placement(comp *completion) load.Placement {
--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -83,7 +83,7 @@
 	header := c.Response().Header()
 	header.Set(callerapi.HeaderOutcome, string(refused.body.Outcome))
 	if refused.retryIn > 0 {
-		retryIn := s.retries.jittered(refused.retryIn)
+		retryIn := s.retries.Jittered(refused.retryIn)
 		seconds := int((retryIn + time.Second - 1) / time.Second)
 		header.Set("Retry-After", strconv.Itoa(seconds))
 	}
--- a/internal/entry/gaveup.go
+++ b/internal/entry/gaveup.go
@@ -8,9 +8,9 @@
 )
 
 // gaveUp returns the truthful refusal of an answer that no engine finished.
-func (s *Server) gaveUp(comp *completion, progress outcome.Request, last error) error {
+func (s *Server) gaveUp(comp *completion, word outcome.Word, last error) error {
 	switch {
-	case comp.resume == nil && progress.Word() == outcome.NotRun:
+	case comp.resume == nil && word == outcome.NotRun:
 		return notRun("no_engine", "no engine can take the request now", defaultRetryIn)
 	case errors.Is(last, stream.ErrDiverged):
 		return unknown("cannot_resume", "the engine made another text than the one received; ask again from the start")
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"sassafrasfield/internal/attempt"
 	"sassafrasfield/internal/callerapi"
 	"sassafrasfield/internal/config"
 	"sassafrasfield/internal/once"
@@ -55,7 +56,7 @@
 		return err
 	}
 	s.metrics.answered.Inc(1)
-	s.retries.succeeded(s.now())
+	s.retries.Succeeded(s.now())
 	return s.writeAnswer(c, answer)
 }
 
@@ -124,40 +125,35 @@
 // allows: one that may not be repeated goes on only from an upstream that ran
 // nothing. Errors: service.ErrNotRun and service.ErrUnknown.
 func (s *Server) tryCall(ctx context.Context, svc *config.Service, call service.Call, repeatable bool) (service.Answer, error) {
-	excluded := map[string]bool{}
-	progress := admitted(repeatable)
-	var last error
-	for attempt := range s.settings.Engine.Attempts {
-		sent, err := progress.Apply(outcome.Send)
-		if err != nil || attempt > 0 && !s.mayRetry(ctx, attempt, last, false) {
+	tries := attempt.New(attempt.Rules{Repeatable: repeatable, MaxSends: s.settings.Engine.Attempts})
+	for s.maySend(ctx, tries, false) {
+		if err := tries.Sent(); err != nil {
 			break
 		}
-		answer, err := s.callOnce(ctx, svc, call, excluded)
+		answer, upstream, err := s.callOnce(ctx, svc, call, tries.Excluded())
 		if err == nil {
 			return answer, nil
 		}
-		last = err
-		progress = after(sent, errors.Is(err, service.ErrNotRun))
+		tries.Failed(upstream, errors.Is(err, service.ErrNotRun), err)
 		if ctx.Err() != nil || errors.Is(err, errNoUpstream) {
 			break
 		}
 	}
-	if progress.Word() == outcome.NotRun {
+	if tries.Word() == outcome.NotRun {
 		return service.Answer{}, errors.WithMessage(service.ErrNotRun, "no upstream took the call")
 	}
 	return service.Answer{}, errors.WithMessage(service.ErrUnknown, "no upstream answered")
 }
 
-// callOnce sends a call to one upstream, which it adds to excluded.
-func (s *Server) callOnce(ctx context.Context, svc *config.Service, call service.Call, excluded map[string]bool) (service.Answer, error) {
+// callOnce sends a call to one upstream, which it names.
+func (s *Server) callOnce(ctx context.Context, svc *config.Service, call service.Call, excluded map[string]bool) (service.Answer, string, error) {
 	request := uuid.NewString()
 	upstream, ok := s.state.placeCall(svc, request, excluded, s.now())
 	if !ok {
-		return service.Answer{}, errNoUpstream
+		return service.Answer{}, "", errNoUpstream
 	}
 	id := servicePrefix + upstream.ID
 	defer func() { s.state.end(id, request, s.now()) }()
-	excluded[upstream.ID] = true
 	ctx, span := tracer().Start(ctx, "service call", trace.WithAttributes(attribute.String("upstream", upstream.ID)))
 	defer span.End()
 	answer, err := s.serviceAt(upstream.Address).Do(ctx, call)
@@ -169,7 +165,7 @@
 	case ctx.Err() == nil:
 		s.upstreamFailed(id)
 	}
-	return answer, err
+	return answer, upstream.ID, err
 }
 
 // callRefusal turns an error of a call into the answer to the caller.
--- a/internal/entry/retry.go
+++ b/internal/entry/retry.go
@@ -2,10 +2,9 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"sync"
 	"time"
 
+	"sassafrasfield/internal/attempt"
 	"sassafrasfield/internal/retry"
 	"sassafrasfield/internal/settings"
 	"sassafrasfield/internal/tomlfile"
@@ -51,63 +50,24 @@
 	}
 }
 
-// retries is the entry's budget. It is safe for use by several goroutines.
-type retries struct {
-	backoff retry.Backoff
-
-	mu     sync.Mutex // protects budget and rng
-	budget *retry.Budget
-	rng    *rand.Rand
-}
-
-func newRetries(s RetrySettings) *retries {
+func newRetries(s RetrySettings) *attempt.Budget {
 	rules := retry.Rules{Share: s.BudgetShare, Floor: s.BudgetFloor, Max: s.BudgetMax}
-	return &retries{
-		backoff: retry.Backoff{Base: s.BackoffBase, Max: s.BackoffMax},
-		budget:  retry.NewBudget(rules, 0),
-		rng:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-	}
+	return attempt.NewBudget(rules, retry.Backoff{Base: s.BackoffBase, Max: s.BackoffMax})
 }
 
-func (r *retries) succeeded(now time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.budget.Succeeded(now)
-}
-
-// take spends one retry and returns the wait before it. An answer that has
-// begun is always gone on with.
-func (r *retries) take(n int, begun bool, now time.Duration) (wait time.Duration, ok bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if begun {
-		r.budget.Force(now)
-	} else if !r.budget.Take(now) {
-		return 0, false
-	}
-	return r.backoff.Delay(n, r.rng), true
-}
-
-// jittered spreads a time that is told to callers.
-func (r *retries) jittered(d time.Duration) time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return retry.Jittered(d, r.rng)
-}
-
-// mayRetry waits before the nth retry; false means that it must not be made.
-func (s *Server) mayRetry(ctx context.Context, n int, last error, begun bool) bool {
-	wait, ok := s.retries.take(n, begun, s.now())
-	if !ok {
+// maySend asks for leave for one more send, which it may wait for.
+func (s *Server) maySend(ctx context.Context, tries *attempt.Attempts, begun bool) bool {
+	switch tries.Next(ctx, s.retries, begun, s.now()) {
+	case attempt.Go:
+	case attempt.Denied:
 		s.metrics.unretried.Inc(1)
-		s.log.Info("retry: no budget left", "error", last)
+		s.log.Info("retry: no budget left", "error", tries.Last())
 		return false
-	}
-	select {
-	case <-ctx.Done():
+	default:
 		return false
-	case <-time.After(wait):
 	}
-	s.metrics.retries.Inc(1)
+	if tries.Sends() > 0 {
+		s.metrics.retries.Inc(1)
+	}
 	return true
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"sassafrasfield/internal/attempt"
 	"sassafrasfield/internal/engine"
 	"sassafrasfield/internal/gen/sf/v1/sfv1connect"
 	"sassafrasfield/internal/logging"
@@ -40,7 +41,7 @@
 	// admission, rates and retries have locks of their own.
 	admission *admission
 	rates     *rates
-	retries   *retries
+	retries   *attempt.Budget
 
 	mu       sync.Mutex // protects engines and services
 	engines  map[string]engine.Engine
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"sassafrasfield/internal/attempt"
 	"sassafrasfield/internal/retry"
 )
 
@@ -37,23 +38,20 @@
 	}
 }
 
+// backoff bounds the wait before a further send. Another upstream is asked, so
+// it only has to keep requests that failed together apart.
+var backoff = retry.Backoff{Base: 2 * time.Millisecond, Max: 20 * time.Millisecond}
+
 // budgets has one retry budget a service.
 type budgets struct {
-	wait retry.Backoff
-
 	mu        sync.Mutex // protects all below
 	settings  BudgetSettings
 	instances int
-	all       map[string]*retry.Budget
-	rng       *rand.Rand
+	all       map[string]*attempt.Budget
 }
 
 func newBudgets(s BudgetSettings) *budgets {
-	return &budgets{
-		settings: s, instances: 1, all: map[string]*retry.Budget{},
-		rng:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		wait: retry.Backoff{Base: 2 * time.Millisecond, Max: 20 * time.Millisecond}, // other upstreams are asked, so short
-	}
+	return &budgets{settings: s, instances: 1, all: map[string]*attempt.Budget{}}
 }
 
 // set takes other settings, or another number of instances that share them.
@@ -69,45 +67,19 @@
 	}
 }
 
-// of returns a service's budget. The lock is held.
-func (b *budgets) of(service string, now time.Duration) *retry.Budget {
+// of returns a service's budget.
+func (b *budgets) of(service string, now time.Duration) *attempt.Budget {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	budget, ok := b.all[service]
 	if !ok {
-		budget = retry.NewFullBudget(b.settings.rules(b.instances), now)
+		budget = attempt.NewFullBudget(b.settings.rules(b.instances), backoff, now)
 		b.all[service] = budget
 	}
 	return budget
 }
 
-// requested pays a request's share in.
-func (b *budgets) requested(service string, now time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.of(service, now).Succeeded(now)
-}
-
-// take spends one further send. An answer that has begun is gone on with
-// whatever is left.
-func (b *budgets) take(service string, begun bool, now time.Duration) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if begun {
-		b.of(service, now).Force(now)
-		return true
-	}
-	return b.of(service, now).Take(now)
-}
-
-// pause is the wait before the nth further send.
-func (b *budgets) pause(n int) time.Duration {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.wait.Delay(n, b.rng)
-}
-
-// jittered spreads a time that is told to callers.
-func (b *budgets) jittered(d time.Duration) time.Duration {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return d + time.Duration(b.rng.Float64()*float64(d)/2)
+// jittered spreads a time that is told to callers, up to half of it again.
+func jittered(d time.Duration) time.Duration {
+	return d + time.Duration(rand.Float64()*float64(d)/2)
 }
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -8,7 +8,6 @@
 
 	"github.com/pkg/errors"
 
-	"sassafrasfield/internal/outcome"
 	"sassafrasfield/internal/routes"
 )
 
@@ -28,8 +27,8 @@
 // call sends a request to one upstream after another, as far as its kind
 // allows.
 func (r *Relay) call(ctx context.Context, x *exchange, w http.ResponseWriter) error {
-	for x.mayRunAgain() && r.maySend(ctx, x, false) {
-		upstream, ok := r.picture.pickCall(x.service, r.settings.Zone, x.req.ID, x.excluded, r.now())
+	for r.maySend(ctx, x, false) {
+		upstream, ok := r.picture.pickCall(x.service, r.settings.Zone, x.req.ID, x.tries.Excluded(), r.now())
 		if !ok {
 			break
 		}
@@ -57,13 +56,12 @@
 	if got.reply.Status < http.StatusInternalServerError || x.route.Kind != routes.Idempotent {
 		return false
 	}
-	if x.runs+1 >= x.route.MaxAttempts || ctx.Err() != nil || r.picture.count(x.service) < 2 {
+	if !x.tries.AnotherRun() || ctx.Err() != nil || r.picture.count(x.service) < 2 {
 		return false
 	}
-	if !r.budgets.take(x.service, false, r.now()) {
+	if !x.tries.Prepay(x.budget, r.now()) {
 		return false
 	}
-	x.paid = true
 	got.reply.Body.Close()
 	x.failed(x.upstream, errors.Errorf("relay: the upstream answered %d", got.reply.Status))
 	return true
@@ -73,7 +71,7 @@
 // objective, at most half of the time left, so that another one has a chance.
 func (r *Relay) tryTime(x *exchange) time.Duration {
 	left := x.left(r.now())
-	if x.route.Kind != routes.Idempotent || x.runs+1 >= x.route.MaxAttempts {
+	if x.route.Kind != routes.Idempotent || !x.tries.AnotherRun() {
 		return left
 	}
 	return min(left/2, max(x.route.Objective, left/3))
@@ -117,7 +115,7 @@
 // deliver gives an answer to the caller.
 func deliver(w http.ResponseWriter, x *exchange, got answer) error {
 	defer got.reply.Body.Close()
-	x.progress, _ = x.progress.Apply(outcome.Answer) // the request was sent, so it holds
+	x.tries.Answered()
 	writeHeader(w, x, got.reply)
 	if _, err := w.Write(got.first); err != nil {
 		return ErrCallerGone
@@ -127,6 +125,6 @@
 			return errors.WithMessage(ErrBroken, err.Error())
 		}
 	}
-	x.progress, _ = x.progress.Apply(outcome.Finish) // an answer that was begun can finish
+	x.tries.Finished()
 	return nil
 }
--- a/internal/relay/call_test.go
+++ b/internal/relay/call_test.go
@@ -82,7 +82,7 @@
 	f := &fakeSender{run: func(int, Send) (*Reply, error) { return nil, ErrRefused }}
 	r := newFake(t, f)
 	r.SetBudget(BudgetSettings{}, 1)
-	r.budgets.take("app", false, 0)
+	r.budgets.of("app", 0).Take(false, 0)
 	_, err := serve(r, call("/safe/1"))
 	if word := wordOf(t, err); word != NotRun || f.runs != 1 {
 		t.Errorf("word %v after %d sends", word, f.runs)
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -10,7 +10,6 @@
 	"github.com/pkg/errors"
 
 	"sassafrasfield/internal/config"
-	"sassafrasfield/internal/outcome"
 	"sassafrasfield/internal/stages"
 )
 
@@ -39,7 +38,7 @@
 		g.prompt = *x.req.Prompt
 	}
 	defer r.free(g)
-	for x.mayRunAgain() && r.maySend(ctx, x, g.begun) {
+	for r.maySend(ctx, x, g.begun) {
 		done, err := r.generateOnce(ctx, g)
 		if done {
 			return g.ended(err)
@@ -69,7 +68,7 @@
 	}
 	engine, ok := r.pickDecode(g)
 	if !ok {
-		g.last = errors.WithMessage(ErrNotSent, "no engine to generate")
+		g.tries.Exclude("", errors.WithMessage(ErrNotSent, "no engine to generate"))
 		return true, r.giveUp(ctx, g.exchange)
 	}
 	return r.run(ctx, g, stages.Start{Engine: engine})
@@ -81,7 +80,7 @@
 	for {
 		start, ok := r.pickStart(g)
 		if !ok {
-			g.last = errors.WithMessage(ErrNotSent, "no engine for the prompt")
+			g.tries.Exclude("", errors.WithMessage(ErrNotSent, "no engine for the prompt"))
 			return false
 		}
 		if g.direct = start.Direct(); g.direct {
@@ -94,8 +93,7 @@
 			g.kv = kv
 			return true
 		}
-		g.excluded[start.Engine.ID] = true
-		g.last = err
+		g.tries.Exclude(start.Engine.ID, err)
 		r.blame(ctx, g.exchange, start.Engine.ID, err)
 		if !r.maySend(ctx, g.exchange, g.begun) {
 			return false
@@ -108,7 +106,7 @@
 	defer r.picture.done(engine.ID, work)
 	defer func() { r.picture.end(engine.ID, g.req.ID, r.now()) }()
 	g.exchange.prefill = engine.ID
-	g.sends++ // no run: the engine only processes the prompt
+	g.tries.Prepared()
 	started := r.now()
 	ahead := start.Engine.Ahead
 	ctx, cancel := context.WithCancel(ctx)
@@ -159,7 +157,7 @@
 	p, now := r.picture, r.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	start, ok := r.settings.Stages.Begin(g.prompt, p.engines(g.service, g.prompt, g.excluded, now))
+	start, ok := r.settings.Stages.Begin(g.prompt, p.engines(g.service, g.prompt, g.tries.Excluded(), now))
 	if !ok {
 		return start, false
 	}
@@ -177,7 +175,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	engines := withRole(p.engines(g.service, g.prompt, g.excluded, now), config.RoleDecode)
+	engines := withRole(p.engines(g.service, g.prompt, g.tries.Excluded(), now), config.RoleDecode)
 	chosen, ok := r.settings.Stages.Decode(g.prompt, zone, engines)
 	if !ok {
 		return chosen, false
@@ -234,10 +232,10 @@
 // passFailure deals with an engine's own failure: another one is asked where
 // the route allows it, and else the caller gets the engine's word.
 func (r *Relay) passFailure(ctx context.Context, g *generation, engine Upstream, reply *Reply) (done bool, err error) {
-	again := g.progress.Repeatable && g.runs+1 < g.route.MaxAttempts && ctx.Err() == nil
+	again := g.tries.AnotherRun() && ctx.Err() == nil
 	if g.begun || again {
 		g.failed(engine.ID, errors.WithMessagef(ErrLost, "the engine answered %d", reply.Status))
-		r.blame(ctx, g.exchange, engine.ID, g.last)
+		r.blame(ctx, g.exchange, engine.ID, g.tries.Last())
 		return false, nil
 	}
 	first, err := io.ReadAll(io.LimitReader(reply.Body, wholeBytes))
@@ -261,13 +259,13 @@
 // passOn gives an engine's events to the caller.
 func (r *Relay) passOn(ctx context.Context, stop context.CancelFunc, g *generation, engine Upstream, reply *Reply, started time.Duration) (done bool, err error) {
 	if !g.begun {
-		g.progress, _ = g.progress.Apply(outcome.Answer) // the request was sent, so it holds
+		g.tries.Answered()
 		writeHeader(g.w, g.exchange, reply)
 		g.begun = true
 		observe("first", r.now()-g.arrived)
 	}
 	p := passing{w: g.w, flush: http.NewResponseController(g.w).Flush, lastEvent: g.lastEvent}
-	if g.progress.Repeatable && g.runs+1 < g.route.MaxAttempts {
+	if g.tries.AnotherRun() {
 		p.silence, p.stop = r.settings.StreamSilence, stop
 	}
 	err = p.pass(reply.Body)
@@ -281,8 +279,8 @@
 		return true, ErrCallerGone
 	}
 	g.failed(engine.ID, errors.WithMessage(ErrLost, err.Error()))
-	r.blame(ctx, g.exchange, engine.ID, g.last)
-	if !g.progress.Repeatable || ctx.Err() != nil {
+	r.blame(ctx, g.exchange, engine.ID, g.tries.Last())
+	if !g.tries.More() || ctx.Err() != nil {
 		return true, errors.WithMessage(ErrBroken, err.Error())
 	}
 	r.meters.resumed.Inc(1)
--- a/internal/relay/meters.go
+++ b/internal/relay/meters.go
@@ -63,14 +63,14 @@
 	observe(x.route.Kind.String(), took)
 	r.log.Info("relay: done", "request", req.ID, "outcome", outcome, "route", x.route.Name, "kind", x.route.Kind.String(),
 		"config", x.version, "config_age", x.age.Round(time.Millisecond), "upstream", x.upstream, "prefill", x.prefill,
-		"sends", x.sends, "runs", x.runs, "status", x.status, "took", took, "cause", causeOf(x))
+		"sends", x.tries.Sends(), "runs", x.tries.Runs(), "status", x.status, "took", took, "cause", causeOf(x))
 }
 
 func causeOf(x *exchange) string {
-	if x.last == nil {
+	if x.tries.Last() == nil {
 		return ""
 	}
-	return x.last.Error()
+	return x.tries.Last().Error()
 }
 
 // writeHeader begins an answer to the caller.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"sassafrasfield/internal/attempt"
 	"sassafrasfield/internal/load"
 	"sassafrasfield/internal/outcome"
 	"sassafrasfield/internal/routes"
@@ -123,17 +124,12 @@
 	age     time.Duration // of the configuration, when the request came
 	arrived time.Duration
 	ends    time.Duration
-	// excluded upstreams failed this request.
-	excluded map[string]bool
-	progress outcome.Request
-	// sends counts all that went to upstreams; runs those that may have run.
-	sends, runs int
-	// paid: the next send was taken from the budget already.
-	paid     bool
-	last     error
-	status   int
-	upstream string
-	prefill  string
+	tries   *attempt.Attempts
+	budget  *attempt.Budget
+	// status is what the caller got; upstream and prefill are the newest ones
+	// asked.
+	status            int
+	upstream, prefill string
 }
 
 func (x *exchange) left(now time.Duration) time.Duration { return x.ends - now }
@@ -148,7 +144,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, x.left(r.now()))
 	defer cancel()
-	r.budgets.requested(x.service, r.now())
+	x.budget.Succeeded(r.now()) // each request pays its share in
 	if x.route.Kind == routes.Generation {
 		err = r.generate(ctx, x, w)
 	} else {
@@ -181,14 +177,11 @@
 			limit = min(limit, bound)
 		}
 	}
-	progress, err := outcome.Request{Repeatable: route.Kind == routes.Idempotent || route.Resumable}.Apply(outcome.Admit)
-	if err != nil {
-		return nil, errors.WithMessage(err, "relay: begin")
-	}
+	service := route.Pick(draw(req.ID))
 	return &exchange{
-		req: req, route: route, service: route.Pick(draw(req.ID)),
+		req: req, route: route, service: service,
 		version: table.Version, age: age, arrived: now, ends: now + limit,
-		excluded: map[string]bool{}, progress: progress,
+		tries: attempt.New(r.rulesOf(route)), budget: r.budgets.of(service, now),
 	}, nil
 }
 
@@ -198,62 +191,36 @@
 	return float64(xxhash.Sum64String(id)>>(64-mantissa)) / (1 << mantissa)
 }
 
-// maySend asks for leave for one more send: always for the first.
-func (r *Relay) maySend(ctx context.Context, x *exchange, begun bool) bool {
-	if ctx.Err() != nil || x.sends >= r.settings.MaxSends {
-		return false
-	}
-	if x.sends == 0 {
-		return true
+// rulesOf are the bounds that a route sets on the attempts at its requests.
+func (r *Relay) rulesOf(route *routes.Route) attempt.Rules {
+	return attempt.Rules{
+		Repeatable: route.Kind == routes.Idempotent || route.Resumable,
+		MaxRuns:    max(1, route.MaxAttempts), MaxSends: r.settings.MaxSends,
 	}
-	paid := x.paid
-	x.paid = false
-	if !paid && !r.budgets.take(x.service, begun, r.now()) {
+}
+
+// maySend asks for leave for one more send, which it may wait for.
+func (r *Relay) maySend(ctx context.Context, x *exchange, begun bool) bool {
+	again := x.tries.Sends() > 0
+	verdict := x.tries.Next(ctx, x.budget, begun, r.now())
+	if verdict == attempt.Denied {
 		r.meters.unretried.Inc(1)
-		return false
 	}
-	r.meters.retries.Inc(1)
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(r.budgets.pause(x.sends)):
-		return true
+	if verdict == attempt.Go && again {
+		r.meters.retries.Inc(1)
 	}
+	return verdict == attempt.Go
 }
 
 // sent notes a send; an error means that a second run is not allowed.
 func (x *exchange) sent(id string) error {
-	next, err := x.progress.Apply(outcome.Send)
-	if err != nil {
-		return err
-	}
-	x.progress = next
-	x.sends++
 	x.upstream = id
-	return nil
+	return x.tries.Sent()
 }
 
 // failed notes the end of a send that brought no whole answer.
 func (x *exchange) failed(id string, err error) {
-	event := outcome.Lose
-	if ranNothing(err) {
-		event = outcome.Refuse
-	} else {
-		x.runs++
-	}
-	if next, applyErr := x.progress.Apply(event); applyErr == nil {
-		x.progress = next
-	}
-	x.excluded[id] = true
-	x.last = err
-}
-
-// mayRunAgain tells whether the request may run on one more upstream.
-func (x *exchange) mayRunAgain() bool {
-	if x.runs == 0 {
-		return true
-	}
-	return x.progress.Repeatable && x.runs < max(1, x.route.MaxAttempts)
+	x.tries.Failed(id, ranNothing(err), err)
 }
 
 // verdictOf is what an error tells of the upstream.
@@ -277,7 +244,7 @@
 	}
 	v := verdictOf(ctx, err)
 	ejected := r.picture.judge(id, v, r.now())
-	r.log.Info("relay: send failed", "request", x.req.ID, "upstream", id, "try", x.sends,
+	r.log.Info("relay: send failed", "request", x.req.ID, "upstream", id, "try", x.tries.Sends(),
 		"ejected", ejected, "error", err, "after", r.now()-x.arrived)
 }
 
@@ -286,7 +253,7 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return ErrCallerGone
 	}
-	if x.progress.Word() == outcome.NotRun {
+	if x.tries.Word() == outcome.NotRun {
 		return &Refusal{Word: NotRun, Reason: reason(x, "no upstream took it"), RetryIn: r.retryIn(x)}
 	}
 	if ctx.Err() != nil {
@@ -297,7 +264,7 @@
 
 // startIn is when to come back to an instance that has just started.
 func (r *Relay) startIn(left time.Duration) time.Duration {
-	in := r.budgets.jittered(r.settings.StartIn)
+	in := jittered(r.settings.StartIn)
 	if left > 0 {
 		in = min(in, left/retryPart)
 	}
@@ -305,7 +272,7 @@
 }
 
 func reason(x *exchange, text string) string {
-	if x.last == nil {
+	if x.tries.Last() == nil {
 		return text + ": none to ask"
 	}
 	return text
@@ -316,7 +283,7 @@
 	if r.picture.count(x.service) == 0 {
 		return r.startIn(x.left(r.now()))
 	}
-	return min(r.budgets.jittered(r.settings.RetryIn), max(time.Millisecond, x.left(r.now())/retryPart))
+	return min(jittered(r.settings.RetryIn), max(time.Millisecond, x.left(r.now())/retryPart))
 }
 
 // retryPart is the part of a caller's time after which it may be told to come
