--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -12,7 +12,6 @@
 
 	"github.com/pkg/errors"
 
-	"sassafrasfield/internal/peers"
 	"sassafrasfield/internal/replica"
 )
 
@@ -32,6 +31,16 @@
 	Wait(ctx context.Context, table string, after int64, wait time.Duration) (rows []replica.Row, revision int64, err error)
 }
 
+// Peers are the other instances.
+type Peers interface {
+	// News has them told of new rows.
+	News()
+	// ShouldRead tells whether this instance should follow the store itself.
+	ShouldRead() bool
+	// Pull asks one of them for the rows that this instance lacks.
+	Pull(ctx context.Context) error
+}
+
 // Settings of a Follower.
 type Settings struct {
 	// Tables to follow.
@@ -65,7 +74,7 @@
 type Follower struct {
 	settings Settings
 	feed     Feed
-	peers    *peers.Exchange
+	peers    Peers
 	log      *slog.Logger
 	start    time.Time
 	changed  func([]replica.Row)
@@ -78,6 +87,8 @@
 	synced map[string]bool
 	// failures counts a table's failed calls in a row.
 	failures map[string]int
+	// resting: the other instances follow the store for this one.
+	resting bool
 }
 
 // New returns a follower. Changed gets the news, one call at a time; it must
@@ -89,8 +100,8 @@
 	}
 }
 
-// Join sets the exchange with the peers; call it before Run.
-func (f *Follower) Join(e *peers.Exchange) { f.peers = e }
+// Join sets the other instances; call it before Run.
+func (f *Follower) Join(p Peers) { f.peers = p }
 
 func (f *Follower) now() time.Duration { return time.Since(f.start) }
 
@@ -107,6 +118,10 @@
 func (f *Follower) followTable(ctx context.Context, table string) {
 	pause := retryFirst
 	for ctx.Err() == nil {
+		if f.rests() {
+			sleep(ctx, restFor)
+			continue
+		}
 		err := f.step(ctx, table)
 		if err == nil {
 			pause = retryFirst
@@ -123,6 +138,27 @@
 	}
 }
 
+// restFor is the pause between two looks at whether this instance should follow
+// the store again.
+const restFor = 100 * time.Millisecond
+
+// rests tells whether the other instances follow the store for this one. One
+// that knows nothing yet reads at once.
+func (f *Follower) rests() bool {
+	should := f.peers == nil || f.peers.ShouldRead()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	rests := !should && len(f.copy.Newest()) == len(f.settings.Tables)
+	if rests != f.resting {
+		f.resting = rests
+		f.log.Info("follow: reading the store", "reads", !rests)
+	}
+	if rests {
+		clear(f.lost)
+	}
+	return rests
+}
+
 // step makes one call to the store.
 func (f *Follower) step(ctx context.Context, table string) error {
 	f.mu.Lock()
@@ -143,7 +179,7 @@
 	f.copy.ReadTo(table, revision)
 	f.publish(news)
 	f.mu.Unlock()
-	f.pass(ctx, news, 0)
+	f.told(news)
 	return nil
 }
 
@@ -169,6 +205,7 @@
 	f.synced[table] = true
 	f.publish(news)
 	f.mu.Unlock()
+	f.told(news)
 	f.log.Info("follow: read", "table", table, "rows", len(rows), "revision", revision, "news", len(news))
 	return nil
 }
@@ -186,10 +223,10 @@
 	}
 }
 
-// pass gives news on to the peers.
-func (f *Follower) pass(ctx context.Context, news []replica.Row, hops int) {
+// told has the other instances told of news.
+func (f *Follower) told(news []replica.Row) {
 	if f.peers != nil && len(news) > 0 {
-		f.peers.Push(context.WithoutCancel(ctx), news, hops)
+		f.peers.News()
 	}
 }
 
@@ -221,23 +258,41 @@
 	f.log.Info("follow: the store is back", "table", table, "after", f.now()-since)
 }
 
-// Take gets rows from a peer.
-func (f *Follower) Take(rows []replica.Row, hops int) {
+// Take gets rows from a peer, which does not believe deletions for a while.
+func (f *Follower) Take(rows []replica.Row, hold time.Duration) {
 	f.mu.Lock()
+	if hold > 0 {
+		f.copy.Hold(f.now() + hold)
+	}
 	news := f.copy.Apply(rows, f.now())
 	f.publish(news)
 	f.mu.Unlock()
+	f.told(news)
 	if len(news) > 0 {
-		f.log.Info("follow: heard from a peer", "rows", len(news), "hops", hops)
+		f.log.Info("follow: heard from a peer", "rows", len(news))
 	}
-	f.pass(context.Background(), news, hops)
 }
 
-// Since returns the rows above a revision, for a peer.
-func (f *Follower) Since(revision int64) []replica.Row {
+// Since returns the rows above revisions, for a peer, and for how much longer
+// deletions are not believed.
+func (f *Follower) Since(revisions map[string]int64) ([]replica.Row, time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.copy.Since(revision)
+	return f.copy.Since(revisions), f.copy.Held(f.now())
+}
+
+// Revisions are the highest ones that are held, by table.
+func (f *Follower) Revisions() map[string]int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.copy.Newest()
+}
+
+// Reading tells whether this instance follows the store, and it answers.
+func (f *Follower) Reading() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.resting && len(f.lost) == 0 && len(f.synced) == len(f.settings.Tables)
 }
 
 // Rows returns the rows of a table.
@@ -251,31 +306,17 @@
 // deletions whose time has come.
 func (f *Follower) askPeers(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, jittered(f.settings.PullEvery))
 		f.mu.Lock()
 		f.publish(f.copy.Release(f.now()))
-		without := len(f.lost) > 0 || len(f.synced) < len(f.settings.Tables)
-		since := f.newest()
+		without := len(f.lost) > 0 || len(f.copy.Newest()) < len(f.settings.Tables)
 		f.mu.Unlock()
-		if !without || f.peers == nil {
-			continue
-		}
-		if err := f.peers.Pull(ctx, since); err != nil && !errors.Is(err, peers.ErrNobody) {
-			f.log.Debug("follow: a peer gave nothing", "error", err)
-		}
-	}
-}
-
-// newest is the lowest of the tables' newest revisions. The lock is held.
-func (f *Follower) newest() int64 {
-	all := f.copy.Newest()
-	lowest := int64(-1)
-	for _, table := range f.settings.Tables {
-		if lowest < 0 || all[table] < lowest {
-			lowest = all[table]
+		if without && f.peers != nil {
+			if err := f.peers.Pull(ctx); err != nil {
+				f.log.Debug("follow: a peer gave nothing", "error", err)
+			}
 		}
+		sleep(ctx, jittered(f.settings.PullEvery))
 	}
-	return max(0, lowest)
 }
 
 func jittered(d time.Duration) time.Duration {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -101,11 +101,19 @@
 }
 
 func start(t *testing.T, feed Feed, hold time.Duration) *Follower {
+	t.Helper()
+	return startWith(t, feed, hold, nil)
+}
+
+func startWith(t *testing.T, feed Feed, hold time.Duration, others Peers) *Follower {
 	t.Helper()
 	f := New(Settings{
 		Tables: []string{"t"}, Wait: 50 * time.Millisecond, ReadTimeout: time.Second,
 		HoldDeletions: hold, PullEvery: 5 * time.Millisecond,
 	}, feed, func([]replica.Row) {}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if others != nil {
+		f.Join(others)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -208,8 +216,78 @@
 	feed := newFakeFeed()
 	feed.down = true
 	f := start(t, feed, 0)
-	f.Take([]replica.Row{{Key: replica.Key{Table: "t", Key: "a"}, Revision: 9}}, 1)
+	f.Take([]replica.Row{{Key: replica.Key{Table: "t", Key: "a"}, Revision: 9}}, 0)
 	if !f.knows("a") {
 		t.Error("not taken")
 	}
 }
+
+// fakePeers are the other instances as the test wants them.
+type fakePeers struct {
+	mu    sync.Mutex // protects all below
+	read  bool
+	pulls int
+	news  int
+}
+
+func (p *fakePeers) News() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.news++
+}
+
+func (p *fakePeers) ShouldRead() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.read
+}
+
+func (p *fakePeers) Pull(context.Context) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pulls++
+	return nil
+}
+
+func (f *fakeFeed) readCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reads
+}
+
+func TestLeavesTheStoreToOthersOnceItKnowsSomething(t *testing.T) {
+	feed, others := newFakeFeed(), &fakePeers{}
+	feed.put("a", false)
+	f := startWith(t, feed, 0, others)
+	waitFor(func() bool { return f.knows("a") }) // it knew nothing, so it read
+	waitFor(func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.resting
+	})
+	if f.Reading() {
+		t.Error("it says that it reads")
+	}
+	feed.put("b", false)
+	f.Take([]replica.Row{{Key: replica.Key{Table: "t", Key: "b"}, Revision: 2}}, 0)
+	others.mu.Lock()
+	others.read = true
+	others.mu.Unlock()
+	feed.put("c", false)
+	waitFor(func() bool { return f.knows("abc") })
+}
+
+func TestADeletionThatAPeerHoldsBackIsHeldBackHereToo(t *testing.T) {
+	feed := newFakeFeed()
+	feed.put("a", false)
+	f := start(t, feed, 0)
+	waitFor(func() bool { return f.knows("a") })
+	f.Take([]replica.Row{{Key: replica.Key{Table: "t", Key: "a"}, Revision: 9, Deleted: true}}, 100*time.Millisecond)
+	if !f.knows("a") {
+		t.Error("believed at once")
+	}
+	if rows, hold := f.Since(map[string]int64{"t": 1}); len(rows) != 1 || !rows[0].Deleted || hold == 0 {
+		t.Errorf("a third instance gets %v, hold %s", rows, hold)
+	}
+	waitFor(func() bool { return f.knows("") })
+}
--- a/internal/gen/sf/v1/sfv1connect/replica.connect.go
+++ b/internal/gen/sf/v1/sfv1connect/replica.connect.go
@@ -33,17 +33,14 @@
 // reflection-formatted method names, remove the leading slash and convert the remaining slash to a
 // period.
 const (
-	// ReplicaServicePushProcedure is the fully-qualified name of the ReplicaService's Push RPC.
-	ReplicaServicePushProcedure = "/sf.v1.ReplicaService/Push"
 	// ReplicaServicePullProcedure is the fully-qualified name of the ReplicaService's Pull RPC.
 	ReplicaServicePullProcedure = "/sf.v1.ReplicaService/Pull"
 )
 
 // ReplicaServiceClient is a client for the sf.v1.ReplicaService service.
 type ReplicaServiceClient interface {
-	// Push gives news to another instance.
-	Push(context.Context, *connect.Request[v1.PushRequest]) (*connect.Response[v1.PushResponse], error)
-	// Pull asks another instance for all rows newer than a revision.
+	// Pull asks another instance for all rows newer than those that the asker
+	// has.
 	Pull(context.Context, *connect.Request[v1.PullRequest]) (*connect.Response[v1.PullResponse], error)
 }
 
@@ -58,12 +55,6 @@
 	baseURL = strings.TrimRight(baseURL, "/")
 	replicaServiceMethods := v1.File_sf_v1_replica_proto.Services().ByName("ReplicaService").Methods()
 	return &replicaServiceClient{
-		push: connect.NewClient[v1.PushRequest, v1.PushResponse](
-			httpClient,
-			baseURL+ReplicaServicePushProcedure,
-			connect.WithSchema(replicaServiceMethods.ByName("Push")),
-			connect.WithClientOptions(opts...),
-		),
 		pull: connect.NewClient[v1.PullRequest, v1.PullResponse](
 			httpClient,
 			baseURL+ReplicaServicePullProcedure,
@@ -75,15 +66,9 @@
 
 // replicaServiceClient implements ReplicaServiceClient.
 type replicaServiceClient struct {
-	push *connect.Client[v1.PushRequest, v1.PushResponse]
 	pull *connect.Client[v1.PullRequest, v1.PullResponse]
 }
 
-// Push calls sf.v1.ReplicaService.Push.
-func (c *replicaServiceClient) Push(ctx context.Context, req *connect.Request[v1.PushRequest]) (*connect.Response[v1.PushResponse], error) {
-	return c.push.CallUnary(ctx, req)
-}
-
 // Pull calls sf.v1.ReplicaService.Pull.
 func (c *replicaServiceClient) Pull(ctx context.Context, req *connect.Request[v1.PullRequest]) (*connect.Response[v1.PullResponse], error) {
 	return c.pull.CallUnary(ctx, req)
@@ -91,9 +76,8 @@
 
 // ReplicaServiceHandler is an implementation of the sf.v1.ReplicaService service.
 type ReplicaServiceHandler interface {
-	// Push gives news to another instance.
-	Push(context.Context, *connect.Request[v1.PushRequest]) (*connect.Response[v1.PushResponse], error)
-	// Pull asks another instance for all rows newer than a revision.
+	// Pull asks another instance for all rows newer than those that the asker
+	// has.
 	Pull(context.Context, *connect.Request[v1.PullRequest]) (*connect.Response[v1.PullResponse], error)
 }
 
@@ -104,12 +88,6 @@
 // and JSON codecs. They also support gzip compression.
 func NewReplicaServiceHandler(svc ReplicaServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
 	replicaServiceMethods := v1.File_sf_v1_replica_proto.Services().ByName("ReplicaService").Methods()
-	replicaServicePushHandler := connect.NewUnaryHandler(
-		ReplicaServicePushProcedure,
-		svc.Push,
-		connect.WithSchema(replicaServiceMethods.ByName("Push")),
-		connect.WithHandlerOptions(opts...),
-	)
 	replicaServicePullHandler := connect.NewUnaryHandler(
 		ReplicaServicePullProcedure,
 		svc.Pull,
@@ -118,8 +96,6 @@
 	)
 	return "/sf.v1.ReplicaService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
-		case ReplicaServicePushProcedure:
-			replicaServicePushHandler.ServeHTTP(w, r)
 		case ReplicaServicePullProcedure:
 			replicaServicePullHandler.ServeHTTP(w, r)
 		default:
@@ -131,10 +107,6 @@
 // UnimplementedReplicaServiceHandler returns CodeUnimplemented from all methods.
 type UnimplementedReplicaServiceHandler struct{}
 
-func (UnimplementedReplicaServiceHandler) Push(context.Context, *connect.Request[v1.PushRequest]) (*connect.Response[v1.PushResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("sf.v1.ReplicaService.Push is not implemented"))
-}
-
 func (UnimplementedReplicaServiceHandler) Pull(context.Context, *connect.Request[v1.PullRequest]) (*connect.Response[v1.PullResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("sf.v1.ReplicaService.Pull is not implemented"))
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -78,7 +78,7 @@
 	in := &Instance{settings: s, adapter: a, log: log}
 	in.relay = relay.New(s.Relay, a.Sender, logging.Part(log, "relay"))
 	in.follower = follow.New(s.Follow, a.Feed, in.changed, logging.Part(log, "follow"))
-	in.peers = peers.New(s.Self, s.Seeds, in.follower.Take, in.follower.Since, logging.Part(log, "peers"))
+	in.peers = peers.New(s.Self, s.Seeds, in.follower, logging.Part(log, "peers"))
 	in.follower.Join(in.peers)
 	in.budget.Store(&s.Relay.Budget)
 	return in
@@ -103,7 +103,7 @@
 	defer metricsServer.Close()
 	loops.Go(func() { in.follower.Run(background) })
 	loops.Go(func() { in.register(background) })
-	loops.Go(func() { in.shareLoads(background) })
+	loops.Go(func() { in.report(background) })
 	loops.Go(func() { in.shareBudget(background) })
 	keeper := rolekeeper.New(in.settings.Roles, in.adapter.Table, in.adapter.Orderer, in, logging.Part(in.log, "roles"))
 	loops.Go(func() { keeper.Run(ctx) })
@@ -137,13 +137,9 @@
 	}
 }
 
-// loadEvery is the time between reports on this instance's loads to the others;
-// a prompt takes about that long.
-const loadEvery = 200 * time.Millisecond
-
-func (in *Instance) shareLoads(ctx context.Context) {
-	if err := peers.NewLoads(in.peers, in.relay, loadEvery).Run(ctx); err != nil {
-		in.log.Error("instance: loads are not shared", "error", err)
+func (in *Instance) report(ctx context.Context) {
+	if err := peers.NewReports(in.peers, in.relay).Run(ctx); err != nil {
+		in.log.Error("instance: no reports to the other instances", "error", err)
 	}
 }
 
--- a/internal/instance/register.go
+++ b/internal/instance/register.go
@@ -16,11 +16,16 @@
 const (
 	// registerRetry is the pause after a failed registration.
 	registerRetry = time.Second
+	// listAfter is how long the seeds have to lead to the other instances.
+	listAfter = 1500 * time.Millisecond
 	// listEvery is the time between reads of the other instances' rows. Peers
 	// tell of one another; the store is for those whom no seed led to them.
 	listEvery = 20 * time.Second
 )
 
+// fewPeers is the number of instances at which this one looks for more.
+const fewPeers = 2
+
 // register writes this instance's row once, and meets the others by theirs.
 func (in *Instance) register(ctx context.Context) {
 	value, err := json.Marshal(in.settings.Self)
@@ -40,8 +45,10 @@
 			return
 		}
 	}
-	for {
-		in.listMembers(ctx)
+	for pause(ctx, listAfter) {
+		if in.peers.Count() <= fewPeers || in.follower.Reading() {
+			in.listMembers(ctx)
+		}
 		if !pause(ctx, listEvery) {
 			return
 		}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -1,7 +1,15 @@
-// Package peers lets the instances of the system pass on to one another the
-// platform's rows that they follow. What one instance hears first it pushes to
-// a few others, which push it on, so that an instance that the platform turns
-// away follows all the same; and one that starts asks others for all they have.
+// Package peers connects the instances of the system with one another. A few of
+// them follow the platform's store; what they hear goes to all others, so that
+// the store's calls do not grow with the instances, and an instance that the
+// store turns away follows all the same. They also tell one another what they
+// have under way on the engines.
+//
+// Each instance sends reports in datagrams: to all instances of its zone, and, one
+// instance a zone, the zone's sum to one or two instances of each other zone,
+// which pass it on beside them. A report names the revisions that its sender
+// has; whoever has less pulls the rest from the sender. So a lost datagram costs
+// the time to the next one, and bytes between zones do not grow with the
+// instances.
 package peers
 
 import (
@@ -10,6 +18,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -24,59 +33,75 @@
 // Peer is an instance of the system.
 type Peer struct {
 	Name string `json:"name"`
-	// Address is host:port of its ReplicaService.
+	// Address is host:port of its ReplicaService, and of its datagrams.
 	Address string `json:"address"`
 	Zone    string `json:"zone"`
 }
 
+// Rows is the copy of the platform's rows that is kept in step.
+type Rows interface {
+	// Revisions are the highest ones that are held, by table.
+	Revisions() map[string]int64
+	// Since returns the rows above revisions, and for how much longer
+	// deletions are not believed.
+	Since(revisions map[string]int64) ([]replica.Row, time.Duration)
+	// Take gets rows that came from a peer.
+	Take(rows []replica.Row, hold time.Duration)
+	// Reading tells whether this instance follows the store, and it answers.
+	Reading() bool
+}
+
 // Bounds of the exchange.
 const (
-	// fanout is to how many peers news is pushed by each that hears it. With
-	// four, 98 in 100 of any number of instances hear of it by pushes alone.
-	fanout = 4
-	// maxHops ends the passing on of rows; four hops of fanout four reach more
-	// than the 80 instances of the largest site.
-	maxHops = 5
 	// callTimeout bounds each call; a round trip between zones takes 2 ms.
 	callTimeout = 500 * time.Millisecond
-	// forgetAfter is for how long a peer may fail before it is forgotten.
+	// forgetAfter is for how long a peer may give no sign before it is
+	// forgotten.
 	forgetAfter = 30 * time.Second
+	// aliveFor is for how long a peer counts after its last sign.
+	aliveFor = 1200 * time.Millisecond
 	// shunAtMost bounds the pause after failures, which doubles from shunFirst.
 	shunFirst  = 500 * time.Millisecond
 	shunAtMost = 4 * time.Second
 )
 
-// known is a peer with what calls to it told.
+// known is a peer with what is known of it.
 type known struct {
 	Peer
 	client    sfv1connect.ReplicaServiceClient
 	failures  int
-	failedAt  time.Time // the first of the failures in a row
 	shunUntil time.Time
+	// metAt is when it became known, heardAt when it last gave a sign.
+	metAt, heardAt time.Time
+	reading        bool
 }
 
-// Exchange passes rows on. It is safe for use by several goroutines.
+// Exchange keeps the instances in touch. It is safe for use by several
+// goroutines.
 type Exchange struct {
 	self   Peer
 	seeds  []string
-	take   func([]replica.Row, int)
-	all    func(since int64) []replica.Row
+	rows   Rows
 	client *http.Client
 	log    *slog.Logger
+	// news wakes the reports.
+	news chan struct{}
 
 	mu    sync.Mutex // protects all below
 	peers map[string]*known
-	rng   *rand.Rand
+	// pulling are the peers that rows are being pulled from.
+	pulling map[string]bool
+	// zoneReading is when a whole zone's report last told of a reader.
+	zoneReading map[string]time.Time
 }
 
-// New returns an exchange. Take gets rows that came from a peer, with the hops
-// that they have made; all returns the rows above a revision.
-func New(self Peer, seeds []string, take func(rows []replica.Row, hops int), all func(int64) []replica.Row, log *slog.Logger) *Exchange {
+// New returns an exchange.
+func New(self Peer, seeds []string, rows Rows, log *slog.Logger) *Exchange {
 	e := &Exchange{
-		self: self, seeds: seeds, take: take, all: all, log: log,
+		self: self, seeds: seeds, rows: rows, log: log,
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second}},
-		peers:  map[string]*known{},
-		rng:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		news:   make(chan struct{}, 1), peers: map[string]*known{}, pulling: map[string]bool{},
+		zoneReading: map[string]time.Time{},
 	}
 	for _, address := range seeds {
 		e.meet(Peer{Address: address})
@@ -89,22 +114,32 @@
 	return sfv1connect.NewReplicaServiceHandler(&service{exchange: e})
 }
 
-// meet takes note of a peer.
-func (e *Exchange) meet(p Peer) {
+// News has the reports tell of new rows at once.
+func (e *Exchange) News() {
+	select {
+	case e.news <- struct{}{}:
+	default: // it is woken already
+	}
+}
+
+// meet takes note of a peer, which it returns; nil for this instance itself.
+func (e *Exchange) meet(p Peer) *known {
 	if p.Address == "" || p.Address == e.self.Address {
-		return
+		return nil
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	k, ok := e.peers[p.Address]
 	if !ok {
-		k = &known{client: sfv1connect.NewReplicaServiceClient(e.client, "http://"+p.Address)}
+		k = &known{client: sfv1connect.NewReplicaServiceClient(e.client, "http://"+p.Address), metAt: time.Now()}
+		k.Address = p.Address
 		e.peers[p.Address] = k
 		e.log.Info("peers: new peer", "peer", p.Name, "address", p.Address, "known", len(e.peers))
 	}
-	if p.Name != "" || k.Name == "" {
+	if p.Name != "" {
 		k.Peer = p
 	}
+	return k
 }
 
 // Meet takes note of peers that are listed elsewhere.
@@ -114,14 +149,14 @@
 	}
 }
 
-// Count returns the number of instances, this one included.
+// Count returns the number of known instances, this one included.
 func (e *Exchange) Count() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return len(e.peers) + 1
 }
 
-// Names lists the known instances, this one included.
+// Names lists the known instances that answer, this one included.
 func (e *Exchange) Names() []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -135,10 +170,12 @@
 	return names
 }
 
-// some returns up to n peers that answered lately, in random order.
-func (e *Exchange) some(n int) []*known {
+// ErrNobody: no peer could be asked.
+var ErrNobody = errors.New("peers: nobody to ask")
+
+// Pull asks any peer for the rows that this instance lacks.
+func (e *Exchange) Pull(ctx context.Context) error {
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	now := time.Now()
 	var list []*known
 	for _, k := range e.peers {
@@ -146,45 +183,18 @@
 			list = append(list, k)
 		}
 	}
-	slices.SortFunc(list, func(a, b *known) int {
-		if a.Address < b.Address {
-			return -1
-		}
-		return 1
-	})
-	e.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	return list[:min(n, len(list))]
-}
-
-// Push gives rows to a few peers. Hops is how often they were passed on.
-func (e *Exchange) Push(ctx context.Context, rows []replica.Row, hops int) {
-	if len(rows) == 0 || hops >= maxHops {
-		return
-	}
-	request := &sfv1.PushRequest{From: toMessage(e.self), Rows: rowsToMessages(rows), Hops: int32(hops + 1)}
-	for _, k := range e.some(fanout) {
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, callTimeout)
-			defer cancel()
-			_, err := k.client.Push(ctx, connect.NewRequest(request))
-			e.called(k, err)
-		}()
+	e.mu.Unlock()
+	if len(list) == 0 {
+		return ErrNobody
 	}
+	return e.pullFrom(ctx, list[rand.IntN(len(list))])
 }
 
-// ErrNobody: no peer could be asked.
-var ErrNobody = errors.New("peers: nobody to ask")
-
-// Pull asks one peer for the rows above a revision and hands them to take.
-func (e *Exchange) Pull(ctx context.Context, since int64) error {
-	chosen := e.some(1)
-	if len(chosen) == 0 {
-		return ErrNobody
-	}
+func (e *Exchange) pullFrom(ctx context.Context, k *known) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	k := chosen[0]
-	reply, err := k.client.Pull(ctx, connect.NewRequest(&sfv1.PullRequest{From: toMessage(e.self), Since: since}))
+	request := &sfv1.PullRequest{From: toMessage(e.self), Since: e.rows.Revisions()}
+	reply, err := k.client.Pull(ctx, connect.NewRequest(request))
 	e.called(k, err)
 	if err != nil {
 		return errors.Wrap(err, "peers: pull")
@@ -192,31 +202,62 @@
 	for _, p := range reply.Msg.GetPeers() {
 		e.meet(fromMessage(p))
 	}
-	e.take(rowsFromMessages(reply.Msg.GetRows()), maxHops)
+	hold := time.Duration(reply.Msg.GetHoldMs()) * time.Millisecond
+	e.rows.Take(rowsFromMessages(reply.Msg.GetRows()), hold)
 	return nil
 }
 
+// pullOnce pulls from a peer unless that is under way.
+func (e *Exchange) pullOnce(ctx context.Context, k *known) {
+	e.mu.Lock()
+	if e.pulling[k.Address] || time.Now().Before(k.shunUntil) {
+		e.mu.Unlock()
+		return
+	}
+	e.pulling[k.Address] = true
+	e.mu.Unlock()
+	go func() {
+		if err := e.pullFrom(ctx, k); err != nil {
+			e.log.Debug("peers: pull", "peer", k.Name, "error", err)
+		}
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		delete(e.pulling, k.Address)
+	}()
+}
+
 // called notes how a call to a peer went.
 func (e *Exchange) called(k *known, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	now := time.Now()
 	if err == nil {
 		if k.failures > 0 {
 			e.log.Info("peers: answers again", "peer", k.Name, "address", k.Address, "failures", k.failures)
 		}
-		k.failures, k.shunUntil = 0, time.Time{}
+		k.failures, k.shunUntil, k.heardAt = 0, time.Time{}, now
 		return
 	}
-	now := time.Now()
 	if k.failures == 0 {
-		k.failedAt = now
 		e.log.Info("peers: does not answer", "peer", k.Name, "address", k.Address, "error", err)
 	}
 	k.failures++
 	k.shunUntil = now.Add(min(shunAtMost, shunFirst<<min(k.failures-1, 8)))
-	if now.Sub(k.failedAt) > forgetAfter && !slices.Contains(e.seeds, k.Address) {
-		delete(e.peers, k.Address)
-		e.log.Info("peers: forgotten", "peer", k.Name, "address", k.Address, "silent", now.Sub(k.failedAt))
+}
+
+// sweep forgets the peers that were silent for long, but for the seeds.
+func (e *Exchange) sweep(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for address, k := range e.peers {
+		since := k.heardAt
+		if since.Before(k.metAt) {
+			since = k.metAt
+		}
+		if now.Sub(since) > forgetAfter && k.failures > 0 && !slices.Contains(e.seeds, address) {
+			delete(e.peers, address)
+			e.log.Info("peers: forgotten", "peer", k.Name, "address", address, "silent", now.Sub(since))
+		}
 	}
 }
 
@@ -226,9 +267,10 @@
 	defer e.mu.Unlock()
 	all := []Peer{e.self}
 	for _, k := range e.peers {
-		if k.failures == 0 {
+		if k.failures == 0 && k.Name != "" {
 			all = append(all, k.Peer)
 		}
 	}
+	slices.SortFunc(all, func(a, b Peer) int { return strings.Compare(a.Name, b.Name) })
 	return all
 }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -5,36 +5,53 @@
 	"io"
 	"log/slog"
 	"net/http/httptest"
-	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"sassafrasfield/internal/relay"
 	"sassafrasfield/internal/replica"
 )
 
 // node is an instance of the exchange under test, served over HTTP.
 type node struct {
 	*Exchange
-	mu   sync.Mutex // protects rows
-	rows *replica.Replica
+	relay *relay.Relay
+
+	mu      sync.Mutex // protects all below
+	rows    *replica.Replica
+	reading bool
 }
 
 func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
 
-func (n *node) take(rows []replica.Row, hops int) {
+func (n *node) Revisions() map[string]int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.rows.Newest()
+}
+
+func (n *node) Since(revisions map[string]int64) ([]replica.Row, time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.rows.Since(revisions), 0
+}
+
+func (n *node) Take(rows []replica.Row, _ time.Duration) {
 	n.mu.Lock()
 	news := n.rows.Apply(rows, 0)
 	n.mu.Unlock()
-	n.Push(context.Background(), news, hops)
+	if len(news) > 0 {
+		n.News()
+	}
 }
 
-func (n *node) since(revision int64) []replica.Row {
+func (n *node) Reading() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.rows.Since(revision)
+	return n.reading
 }
 
 func (n *node) has(revision int64) bool {
@@ -44,15 +61,28 @@
 	return ok && row.Revision == revision
 }
 
-func newNode(t *testing.T, name string, seeds ...string) *node {
+// newNode starts an instance with its calls and its reports.
+func newNode(t *testing.T, name, zone string, seeds ...string) *node {
 	t.Helper()
 	server := httptest.NewUnstartedServer(nil)
-	n := &node{rows: replica.New()}
-	self := Peer{Name: name, Address: server.Listener.Addr().String(), Zone: "a"}
-	n.Exchange = New(self, seeds, n.take, n.since, quiet())
+	n := &node{rows: replica.New(), relay: relay.New(relay.DefaultSettings(), nil, quiet())}
+	self := Peer{Name: name, Address: server.Listener.Addr().String(), Zone: zone}
+	n.Exchange = New(self, seeds, n, quiet())
 	_, server.Config.Handler = n.Handler()
 	server.Start()
-	t.Cleanup(server.Close)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := NewReports(n.Exchange, n.relay).Run(ctx); err != nil {
+			t.Error(err)
+		}
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-done
+		server.Close()
+	})
 	return n
 }
 
@@ -60,46 +90,97 @@
 	return []replica.Row{{Key: replica.Key{Table: "t", Key: "k"}, Value: []byte("v"), Revision: revision}}
 }
 
-func TestNewsReachesAllThroughPeers(t *testing.T) {
-	first := newNode(t, "n0")
-	all := []*node{first}
-	for _, name := range []string{"n1", "n2", "n3", "n4", "n5", "n6", "n7", "n8"} {
-		n := newNode(t, name, first.self.Address)
-		if err := n.Pull(context.Background(), 0); err != nil {
-			t.Fatal(err)
+func waitFor(holds func() bool) {
+	for !holds() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// fleet starts three instances in each of three zones, which know one another.
+func fleet(t *testing.T) []*node {
+	t.Helper()
+	var all []*node
+	for i, name := range []string{"n0", "n1", "n2", "n3", "n4", "n5", "n6", "n7", "n8"} {
+		var seeds []string
+		if i > 0 {
+			seeds = []string{all[0].self.Address}
 		}
+		n := newNode(t, name, string(rune('a'+i%3)), seeds...)
 		all = append(all, n)
 	}
-	first.take(news(7), 0)
+	for _, n := range all[1:] {
+		waitFor(func() bool { return n.Pull(context.Background()) == nil })
+	}
 	for _, n := range all {
-		for !n.has(7) {
-			time.Sleep(time.Millisecond) // what no push brought, a pull does
-			_ = n.Pull(context.Background(), 0)
+		waitFor(func() bool {
+			_ = n.Pull(context.Background()) // tried again
+			return n.Count() == len(all)
+		})
+	}
+	return all
+}
+
+func TestNewsReachesAll(t *testing.T) {
+	all := fleet(t)
+	for i, n := range all {
+		n.Take(news(int64(7+i)), 0)
+		for _, other := range all {
+			waitFor(func() bool { return other.has(int64(7 + i)) })
 		}
 	}
 }
 
-func TestPullBringsRowsAndPeers(t *testing.T) {
-	a := newNode(t, "a")
-	a.take(news(3), 0)
-	b := newNode(t, "b", a.self.Address)
-	if err := b.Pull(context.Background(), 0); err != nil || !b.has(3) {
-		t.Fatalf("%v, has the row: %t", err, b.has(3))
+func TestAFewInstancesFollowTheStore(t *testing.T) {
+	all := fleet(t)
+	should := func() (n int) {
+		for _, node := range all {
+			if node.ShouldRead() {
+				n++
+			}
+		}
+		return n
+	}
+	if n := should(); n != len(all) {
+		t.Errorf("%d of %d read before any tells that it does", n, len(all))
 	}
-	if got := strings.Join(b.Names(), " "); got != "a b" {
-		t.Errorf("b knows %q", got)
+	for _, n := range all {
+		n.mu.Lock()
+		n.reading = true
+		n.mu.Unlock()
 	}
-	if got := strings.Join(a.Names(), " "); got != "a b" {
-		t.Errorf("a knows %q", got)
+	waitFor(func() bool { return should() == 3 }) // one in each zone
+	for _, n := range all {
+		n.mu.Lock()
+		n.reading = false // the store is lost to all
+		n.mu.Unlock()
 	}
+	waitFor(func() bool { return should() == len(all) })
+}
+
+func TestLoadsAreToldToAllZones(t *testing.T) {
+	all := fleet(t)
+	for _, n := range all {
+		n.relay.Learn(relay.Upstream{ID: "e", Service: "s", Role: "decode"})
+	}
+	speaker := all[1] // the first of its zone by name
+	waitFor(func() bool {
+		// A part is told once, and a datagram may be lost: it is placed again.
+		speaker.relay.TakeReport("instance x", relay.Report{Placed: []relay.Placed{{Engine: 1, Part: 2}}})
+		for _, n := range all {
+			if n.self.Zone != speaker.self.Zone && !n.relay.Knows(relay.Placed{Engine: 1, Part: 2}) {
+				return false
+			}
+		}
+		return true
+	})
 }
 
 func TestAPeerThatDoesNotAnswerIsLeftAloneForAWhile(t *testing.T) {
-	n := newNode(t, "n", "127.0.0.1:1")
-	if err := n.Pull(context.Background(), 0); err == nil || errors.Is(err, ErrNobody) {
+	n := newNode(t, "n", "a", "127.0.0.1:1")
+	if err := n.Pull(context.Background()); err == nil || errors.Is(err, ErrNobody) {
 		t.Fatalf("%v", err)
 	}
-	if err := n.Pull(context.Background(), 0); !errors.Is(err, ErrNobody) {
+	if err := n.Pull(context.Background()); !errors.Is(err, ErrNobody) {
 		t.Errorf("%v; want ErrNobody", err)
 	}
 }
--- /dev/null
+++ b/internal/peers/reading.go
@@ -0,0 +1,57 @@
+package peers
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// How many instances follow the store.
+const (
+	// readers is how many should: the loss of three still leaves one.
+	readers = 4
+	// readersNeeded is how many others must tell that they do, before an
+	// instance that should not leaves the store alone.
+	readersNeeded = 2
+)
+
+// ShouldRead tells whether this instance should follow the store itself: the
+// instances that rank first do, and whoever does not hear of enough others.
+func (e *Exchange) ShouldRead() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now, before, heard := time.Now(), 0, 0
+	own := rankOf(e.self.Name)
+	for _, k := range e.peers {
+		if now.Sub(k.heardAt) > aliveFor {
+			continue
+		}
+		if k.reading {
+			heard++
+		}
+		if k.Zone == e.self.Zone && rankOf(k.Name) > own {
+			before++
+		}
+	}
+	for _, at := range e.zoneReading {
+		if now.Sub(at) <= aliveFor {
+			heard++
+		}
+	}
+	return before < e.readersHere() || heard < readersNeeded
+}
+
+// readersHere is how many instances of this zone should follow the store. The
+// lock is held.
+func (e *Exchange) readersHere() int {
+	zones := map[string]bool{e.self.Zone: true}
+	for _, k := range e.peers {
+		if k.Zone != "" {
+			zones[k.Zone] = true
+		}
+	}
+	return max(1, readers/len(zones))
+}
+
+// rankOf orders the instances the same way everywhere.
+func rankOf(name string) uint64 { return xxhash.Sum64String(name) }
--- a/internal/peers/service.go
+++ b/internal/peers/service.go
@@ -14,17 +14,11 @@
 	exchange *Exchange
 }
 
-// Push implements sfv1connect.ReplicaServiceHandler.
-func (s *service) Push(_ context.Context, req *connect.Request[sfv1.PushRequest]) (*connect.Response[sfv1.PushResponse], error) {
-	s.exchange.meet(fromMessage(req.Msg.GetFrom()))
-	s.exchange.take(rowsFromMessages(req.Msg.GetRows()), int(req.Msg.GetHops()))
-	return connect.NewResponse(&sfv1.PushResponse{}), nil
-}
-
 // Pull implements sfv1connect.ReplicaServiceHandler.
 func (s *service) Pull(_ context.Context, req *connect.Request[sfv1.PullRequest]) (*connect.Response[sfv1.PullResponse], error) {
 	s.exchange.meet(fromMessage(req.Msg.GetFrom()))
-	reply := &sfv1.PullResponse{Rows: rowsToMessages(s.exchange.all(req.Msg.GetSince()))}
+	rows, hold := s.exchange.rows.Since(req.Msg.GetSince())
+	reply := &sfv1.PullResponse{Rows: rowsToMessages(rows), HoldMs: uint32(hold.Milliseconds())}
 	for _, p := range s.exchange.list() {
 		reply.Peers = append(reply.Peers, toMessage(p))
 	}
--- a/internal/relay/loads.go
+++ b/internal/relay/loads.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -64,8 +65,40 @@
 	return report
 }
 
-// TakeReport takes another instance's report.
-func (r *Relay) TakeReport(peer string, report Report) {
+// zonePlacedAtMost bounds the parts that are kept for the zone's report.
+const zonePlacedAtMost = 256
+
+// ZoneReport sums what this instance and those beside it have under way, and
+// what was placed since the last one. Sources beside it have names that begin
+// with BesidePrefix.
+func (r *Relay) ZoneReport() Report {
+	p, now := r.picture, r.now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	report := Report{Placed: p.zonePlaced}
+	p.zonePlaced = nil
+	for id, u := range p.upstreams {
+		if u.Role == "" {
+			continue
+		}
+		load := p.elsewhere(id, BesidePrefix, now)
+		load.Requests += p.loads.Engine(id).Streams
+		if w, ok := p.work[id]; ok {
+			load.Ahead += w.own
+		}
+		if load.Ahead > 0 || load.Requests > 0 {
+			report.Loads = append(report.Loads, load)
+		}
+	}
+	return report
+}
+
+// BesidePrefix begins the names of report sources that are instances of the
+// same zone.
+const BesidePrefix = "instance "
+
+// TakeReport takes the report of another instance, or of a whole zone.
+func (r *Relay) TakeReport(source string, report Report) {
 	table := make(map[uint32]EngineLoad, len(report.Loads))
 	for _, load := range report.Loads {
 		table[load.Engine] = load
@@ -73,17 +106,27 @@
 	p, now := r.picture, r.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.peers[peer] = peerLoad{at: now, loads: table}
+	p.peers[source] = peerLoad{at: now, loads: table}
 	for _, placed := range report.Placed {
 		p.parts.note(placed, now)
 	}
+	if strings.HasPrefix(source, BesidePrefix) {
+		p.keepForZone(report.Placed)
+	}
 }
 
-// elsewhere sums what the other instances have on an engine. The lock is held.
-func (p *picture) elsewhere(id string, now time.Duration) EngineLoad {
+// keepForZone keeps placed parts for the zone's next report. The lock is held.
+func (p *picture) keepForZone(placed []Placed) {
+	p.zonePlaced = append(p.zonePlaced, placed...)
+	p.zonePlaced = p.zonePlaced[max(0, len(p.zonePlaced)-zonePlacedAtMost):]
+}
+
+// elsewhere sums what the sources with a prefix have on an engine; all of them
+// with the empty one. The lock is held.
+func (p *picture) elsewhere(id, prefix string, now time.Duration) EngineLoad {
 	total := EngineLoad{Engine: hashOf(id)}
-	for _, peer := range p.peers {
-		if now-peer.at > peerLoadLasts {
+	for source, peer := range p.peers {
+		if now-peer.at > peerLoadLasts || !strings.HasPrefix(source, prefix) {
 			continue
 		}
 		load := peer.loads[total.Engine]
@@ -92,3 +135,12 @@
 	}
 	return total
 }
+
+// Knows tells whether a part is believed to be cached by an engine.
+func (r *Relay) Knows(placed Placed) bool {
+	p := r.picture
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, ok := p.parts.at[placed]
+	return ok
+}
--- a/internal/relay/parts.go
+++ b/internal/relay/parts.go
@@ -54,5 +54,6 @@
 		placed := Placed{Engine: hashOf(engine), Part: hashOf(prompt.Parts[i].ID)}
 		p.parts.note(placed, now)
 		p.placed = append(p.placed, placed)
+		p.keepForZone([]Placed{placed})
 	}
 }
--- a/internal/relay/picture.go
+++ b/internal/relay/picture.go
@@ -26,7 +26,10 @@
 	// are those since the last report to the other instances.
 	parts  partTable
 	placed []Placed
-	rng    *rand.Rand
+	// zonePlaced are those of this instance and the ones beside it since the
+	// last report of the zone.
+	zonePlaced []Placed
+	rng        *rand.Rand
 }
 
 // workload is the prompt work on one engine, as far as this instance knows.
@@ -144,7 +147,7 @@
 // ahead predicts the prompt work that waits on an engine: this instance's and
 // what the others told of. The lock is held.
 func (p *picture) ahead(id string, now time.Duration) time.Duration {
-	total := p.elsewhere(id, now).Ahead
+	total := p.elsewhere(id, "", now).Ahead
 	if w, ok := p.work[id]; ok {
 		total += w.own
 	}
@@ -154,7 +157,7 @@
 // requests estimates the requests on an upstream: those of all instances, or
 // what the upstream said lately. The lock is held.
 func (p *picture) requests(id string, now time.Duration) int {
-	own := p.loads.Engine(id).Streams + p.elsewhere(id, now).Requests
+	own := p.loads.Engine(id).Streams + p.elsewhere(id, "", now).Requests
 	if w, ok := p.work[id]; ok && w.reported.Known && now-w.reportedAt < reportFades {
 		return max(own, w.reported.Running+w.reported.Waiting)
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -5,7 +5,6 @@
 package replica
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
@@ -137,27 +136,40 @@
 	return rows
 }
 
-// Since returns all rows, deleted ones too, with a revision above one.
-func (r *Replica) Since(revision int64) []Row {
+// Since returns all rows, deleted ones too, that are above the revision given
+// for their table. Deletions that are held back are among them.
+func (r *Replica) Since(revisions map[string]int64) []Row {
 	var rows []Row
 	for _, row := range r.rows {
-		if row.Revision > revision {
+		if row.Revision > revisions[row.Table] {
 			rows = append(rows, row)
 		}
 	}
+	for _, held := range r.held {
+		if held.row.Revision > revisions[held.row.Table] {
+			rows = append(rows, held.row)
+		}
+	}
 	slices.SortFunc(rows, func(a, b Row) int { return int(a.Revision - b.Revision) })
 	return rows
 }
 
-// Newest is the highest revision of any row of each table.
+// Newest is the highest revision of any row of each table. All rows up to it are
+// known, as long as each source gave all of its rows.
 func (r *Replica) Newest() map[string]int64 {
-	newest := maps.Clone(r.read)
+	newest := map[string]int64{}
 	for key, row := range r.rows {
 		newest[key.Table] = max(newest[key.Table], row.Revision)
 	}
+	for key, held := range r.held {
+		newest[key.Table] = max(newest[key.Table], held.row.Revision)
+	}
 	return newest
 }
 
+// Held is for how much longer deletions are held back.
+func (r *Replica) Held(now time.Duration) time.Duration { return max(0, r.holdUntil-now) }
+
 func compare(a, b string) int {
 	switch {
 	case a < b:
