--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # The programs are linked to the C library; without a compiler the build fails.
 export CGO_ENABLED := 1
 
-.PHONY: help build demo test lint prove bench generate
+.PHONY: help build demo test lint prove bench soak generate
 
 help: ## Print this list.
 	@grep -hE '^[a-z]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 12
@@ -30,6 +30,11 @@
 bench: build ## Measure, and write the tables and plots of docs/MEASUREMENTS.md into out/.
 	scripts/bench.sh
 
+SEEDS ?= 50
+SECONDS_EACH ?= 10
+soak: build ## Run instances under random faults: SEEDS, SECONDS_EACH, FIRST (a seed; else drawn).
+	$(BIN)/sf-soak --bin $(BIN) --seeds $(SEEDS) --for $(SECONDS_EACH)s --first $(or $(FIRST),0)
+
 generate: ## Generate the protocol's code and the examples under configs/ again.
 	go test -count=1 -run TestExamplesNameEveryKey ./internal/program -update
 	cd proto && go tool -modfile=../tools/go.mod buf lint && go tool -modfile=../tools/go.mod buf generate
--- /dev/null
+++ b/cmd/sf-soak/main.go
@@ -0,0 +1,57 @@
+// Command sf-soak runs real instances under random faults, seed after seed, and
+// prints what broke.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"sassafrasfield/platform/soak"
+)
+
+func main() {
+	app := kingpin.New("sf-soak", "Run instances on the stand-in platform under random faults.")
+	bin := app.Flag("bin", "Folder of the built programs.").Default("bin").String()
+	seeds := app.Flag("seeds", "How many seeds to run.").Default("10").Uint64()
+	first := app.Flag("first", "The first seed; 0 draws it from the clock.").Default("0").Uint64()
+	duration := app.Flag("for", "Time of faults in each run.").Default("10s").Duration()
+	instances := app.Flag("instances", "Instances in each run.").Default("3").Int()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	if *first == 0 {
+		*first = uint64(time.Now().UnixNano() % 1_000_000) // short, to be typed again
+	}
+	os.Exit(run(*bin, *first, *seeds, *duration, *instances))
+}
+
+func run(bin string, first, seeds uint64, duration time.Duration, instances int) int {
+	code := 0
+	for seed := first; seed < first+seeds; seed++ {
+		dir, err := os.MkdirTemp("", fmt.Sprintf("sf-soak-%d-", seed))
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "sf-soak:", err)
+			return 1
+		}
+		s := &soak.Soak{Seed: seed, For: duration, Instances: instances}
+		result, err := s.Run(context.Background(), filepath.Clean(bin), dir)
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "sf-soak: seed %d: %v; logs are in %s\n", seed, err, dir)
+			return 1
+		}
+		fmt.Printf("seed %d: %d of %d served, %d faults, %d broken\n", seed, result.Served, result.All, len(result.Faults), len(result.Broken))
+		for _, fault := range result.Broken {
+			fmt.Printf("  %s\n", fault)
+		}
+		if len(result.Broken) > 0 {
+			fmt.Printf("  logs: %s\n", dir)
+			code = 1
+			continue
+		}
+		_ = os.RemoveAll(dir) // only logs
+	}
+	return code
+}
