--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -22,7 +22,6 @@
 	down     bool
 	forgot   bool
 	changed  chan struct{}
-	reads    int
 }
 
 var errDown = errors.New("down")
@@ -58,7 +57,6 @@
 func (f *fakeFeed) Read(context.Context, string) ([]replica.Row, int64, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.reads++
 	if f.down {
 		return nil, 0, errDown
 	}
@@ -249,12 +247,6 @@
 	return nil
 }
 
-func (f *fakeFeed) readCount() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.reads
-}
-
 func TestLeavesTheStoreToOthersOnceItKnowsSomething(t *testing.T) {
 	feed, others := newFakeFeed(), &fakePeers{}
 	feed.put("a", false)
--- a/internal/peers/reports.go
+++ b/internal/peers/reports.go
@@ -79,7 +79,7 @@
 // under way, it does so now and then only.
 func (r *Reports) tell(news bool) {
 	report := r.relay.OwnReport()
-	busy := len(report.Loads) > 0 || len(report.Placed) > 0
+	busy := len(report.Loads) > 0 || len(report.Placed) > 0 || len(report.Gone) > 0
 	if r.quiet++; !busy && !news && r.quiet < idleTicks {
 		return
 	}
@@ -101,7 +101,7 @@
 func (r *Reports) message(report relay.Report, zone string) *sfv1.Report {
 	message := &sfv1.Report{
 		From: toMessage(r.exchange.self), Zone: zone,
-		Revisions: r.exchange.rows.Revisions(), Reading: r.exchange.rows.Reading(),
+		Revisions: r.exchange.rows.Revisions(), Reading: r.exchange.rows.Reading(), Gone: report.Gone,
 	}
 	for _, load := range report.Loads {
 		message.Loads = append(message.Loads, &sfv1.EngineLoad{
@@ -210,7 +210,7 @@
 }
 
 func reportOf(message *sfv1.Report) relay.Report {
-	var report relay.Report
+	report := relay.Report{Gone: message.GetGone()}
 	for _, m := range message.GetLoads() {
 		report.Loads = append(report.Loads, relay.EngineLoad{
 			Engine: m.GetEngine(), Ahead: time.Duration(m.GetPrefillMs()) * time.Millisecond, Requests: int(m.GetRequests()),
--- a/internal/relay/generate_test.go
+++ b/internal/relay/generate_test.go
@@ -168,3 +168,30 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+func TestAnEngineThatOthersCannotReachIsAvoided(t *testing.T) {
+	f := &fakeSender{}
+	r := newFake(t, f)
+	if _, err := serve(r, call("/once/1")); err != nil {
+		t.Fatal(err)
+	}
+	first := f.calls[0].to
+	r.picture.work[first].heardAt = -time.Minute // it answered long ago
+	r.TakeReport("zone b", Report{Gone: []uint32{hashOf(first)}})
+	if _, err := serve(r, call("/once/1")); err != nil {
+		t.Fatal(err)
+	}
+	if got := f.calls[1].to; got == first {
+		t.Errorf("%s was asked again", got)
+	}
+}
+
+func TestAnInstanceThatReachesHardlyAnythingTellsOfNothing(t *testing.T) {
+	r := newFake(t, &fakeSender{})
+	for i, want := range []int{1, 2, 0} { // of eight upstreams
+		r.picture.judge([]string{"app-1", "app-2", "dec-1"}[i], verdictGone, r.now())
+		if n := len(r.OwnReport().Gone); n != want {
+			t.Errorf("%d told with %d out of reach, want %d", n, i+1, want)
+		}
+	}
+}
--- a/internal/relay/loads.go
+++ b/internal/relay/loads.go
@@ -28,6 +28,8 @@
 	Loads []EngineLoad
 	// Placed since the last report.
 	Placed []Placed
+	// Gone are hashes of the upstreams that could not be reached lately.
+	Gone []uint32
 }
 
 func hashOf(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
@@ -45,10 +47,10 @@
 // OwnReport returns what this instance has under way on the engines, and what
 // it has placed there since the last report.
 func (r *Relay) OwnReport() Report {
-	p := r.picture
+	p, now := r.picture, r.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	report := Report{Placed: p.placed}
+	report := Report{Placed: p.placed, Gone: p.goneNow(p.goneHere, now)}
 	p.placed = nil
 	for id, u := range p.upstreams {
 		if u.Role == "" {
@@ -75,7 +77,7 @@
 	p, now := r.picture, r.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	report := Report{Placed: p.zonePlaced}
+	report := Report{Placed: p.zonePlaced, Gone: p.goneNow(p.goneBeside, now)}
 	p.zonePlaced = nil
 	for id, u := range p.upstreams {
 		if u.Role == "" {
@@ -110,8 +112,14 @@
 	for _, placed := range report.Placed {
 		p.parts.note(placed, now)
 	}
+	for _, id := range report.Gone {
+		p.gone[id] = now + goneFor
+	}
 	if strings.HasPrefix(source, BesidePrefix) {
 		p.keepForZone(report.Placed)
+		for _, id := range report.Gone {
+			p.goneBeside[id] = now + goneFor
+		}
 	}
 }
 
--- a/internal/relay/picture.go
+++ b/internal/relay/picture.go
@@ -22,6 +22,10 @@
 	work      map[string]*workload
 	// peers are the loads that the other instances told of.
 	peers map[string]peerLoad
+	// gone are the upstreams that other instances could not reach, goneHere
+	// those that this one could not, goneBeside those of the whole zone, each
+	// with the end of the word's time.
+	gone, goneHere, goneBeside map[uint32]time.Duration
 	// parts are the prompt parts that the engines are believed to have; placed
 	// are those since the last report to the other instances.
 	parts  partTable
@@ -50,6 +54,7 @@
 		table:     routes.NewTable(0, nil, nil, routes.Limits{}),
 		upstreams: map[string]Upstream{}, byService: map[string][]Upstream{},
 		loads: loads, work: map[string]*workload{}, peers: map[string]peerLoad{}, parts: newPartTable(),
+		gone: map[uint32]time.Duration{}, goneHere: map[uint32]time.Duration{}, goneBeside: map[uint32]time.Duration{},
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
@@ -173,7 +178,7 @@
 		list = append(list, stages.Engine{
 			ID: u.ID, Zone: u.Zone, Role: u.Role,
 			Ahead: p.ahead(u.ID, now), Requests: p.requests(u.ID, now),
-			Cached: p.parts.cached(u.ID, prompt, now), Doubtful: !known.Health.Admits(now),
+			Cached: p.parts.cached(u.ID, prompt, now), Doubtful: !known.Health.Admits(now) || p.toldGone(u.ID, now),
 		})
 	}
 	return list
@@ -252,6 +257,7 @@
 	case verdictFailed:
 		return p.loads.Failed(id, now)
 	default:
+		p.noteGone(id, now)
 		first := p.loads.Failed(id, now)
 		return p.loads.Failed(id, now) || first
 	}
@@ -290,7 +296,7 @@
 	if u.Zone != zone {
 		requests += farCosts
 	}
-	if !known.Health.Admits(now) {
+	if !known.Health.Admits(now) || p.toldGone(u.ID, now) {
 		requests += doubtCosts
 	}
 	return requests
