--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -72,6 +72,7 @@
 
 // New returns a relay that knows no routes and no upstreams.
 func New(s Settings, sender Sender, log *slog.Logger) *Relay {
+	s.Stages.Zone = s.Zone
 	return &Relay{
 		settings: s, sender: sender, log: log, start: time.Now(),
 		picture: newPicture(s.Outliers), budgets: newBudgets(s.Budget), meters: newMeters(),
--- a/internal/stages/place.go
+++ b/internal/stages/place.go
@@ -53,6 +53,11 @@
 	CopyWeight float64
 	// RequestTime is what a running request costs one that joins it.
 	RequestTime time.Duration
+	// Zone is this instance's. FarSend is what it costs to send a request to an
+	// engine of another zone, and to have its answer back from there: bytes
+	// between zones are paid for.
+	Zone    string
+	FarSend time.Duration
 }
 
 // DefaultSettings returns the defaults.
@@ -61,7 +66,7 @@
 		TokenTime: 16300, PairTime: 0.525, MixedFactor: 2.4, DirectBelow: 2500,
 		FetchTime: 760, FarFactor: 2, FetchFrom: 500,
 		HandOver: 50 * time.Millisecond, CopyWeight: 8,
-		RequestTime: 3 * time.Millisecond,
+		RequestTime: 3 * time.Millisecond, FarSend: 25 * time.Millisecond,
 	}
 }
 
@@ -112,7 +117,7 @@
 		if !start.Direct() {
 			cost += s.HandOver
 		} else {
-			cost += time.Duration(e.Requests) * s.RequestTime
+			cost += time.Duration(e.Requests)*s.RequestTime + s.send(e)
 		}
 		if !found || cost < bestCost {
 			best, bestCost, found = start, cost, true
@@ -182,7 +187,7 @@
 	var bestCost time.Duration
 	found := false
 	for _, e := range Rank(p.SharedKey(), sounder(engines)) {
-		cost := s.fetch(p.Tokens-e.Cached, zone, e.Zone) + time.Duration(e.Requests)*s.RequestTime + e.Ahead/aheadShare
+		cost := s.fetch(p.Tokens-e.Cached, zone, e.Zone) + time.Duration(e.Requests)*s.RequestTime + e.Ahead/aheadShare + s.send(e)
 		if !found || cost < bestCost {
 			best, bestCost, found = e, cost, true
 		}
@@ -190,6 +195,14 @@
 	return best, found
 }
 
+// send is what it costs to send a request to an engine.
+func (s Settings) send(e Engine) time.Duration {
+	if e.Zone == s.Zone {
+		return 0
+	}
+	return s.FarSend
+}
+
 // aheadShare is the part of the prompts ahead that delays a generation whose
 // prompt is processed: both take turns.
 const aheadShare = 2
--- a/internal/stages/stages_test.go
+++ b/internal/stages/stages_test.go
@@ -200,3 +200,15 @@
 		t.Errorf("decode engines by zone: %v", with)
 	}
 }
+
+func TestAnEngineOfTheOwnZoneIsPreferredAmongEquals(t *testing.T) {
+	s := DefaultSettings()
+	for _, zone := range []string{"a", "b"} {
+		s.Zone = zone
+		chosen, _ := s.Decode(Prompt{Tokens: 3000}, zone, engines(0, 4))
+		start, _ := s.Begin(Prompt{Tokens: 1000}, engines(2, 4))
+		if chosen.Zone != zone || start.Engine.Zone != zone {
+			t.Errorf("zone %s: decode in %s, direct in %s", zone, chosen.Zone, start.Engine.Zone)
+		}
+	}
+}
