--- a/internal/relay/generate_test.go
+++ b/internal/relay/generate_test.go
@@ -195,3 +195,16 @@
 		}
 	}
 }
+
+func TestTheLoadOfASourceThatFallsSilentIsForgotten(t *testing.T) {
+	r := newFake(t, &fakeSender{})
+	r.TakeReport("zone b", Report{Loads: []EngineLoad{{Engine: hashOf("dec-1"), Requests: 9}}})
+	r.picture.peers["zone b"] = peerLoad{at: -time.Minute, loads: r.picture.peers["zone b"].loads}
+	if n := r.picture.requests("dec-1", r.now()); n != 0 {
+		t.Errorf("%d requests counted", n)
+	}
+	r.OwnReport()
+	if len(r.picture.peers) != 0 {
+		t.Error("the source is still held")
+	}
+}
--- a/internal/relay/loads.go
+++ b/internal/relay/loads.go
@@ -52,6 +52,7 @@
 	defer p.mu.Unlock()
 	report := Report{Placed: p.placed, Gone: p.goneNow(p.goneHere, now)}
 	p.placed = nil
+	p.dropSilent(now)
 	for id, u := range p.upstreams {
 		if u.Role == "" {
 			continue
@@ -129,6 +130,16 @@
 	p.zonePlaced = p.zonePlaced[max(0, len(p.zonePlaced)-zonePlacedAtMost):]
 }
 
+// dropSilent forgets the sources that have not reported for long. The lock is
+// held.
+func (p *picture) dropSilent(now time.Duration) {
+	for source, peer := range p.peers {
+		if now-peer.at > peerLoadLasts {
+			delete(p.peers, source)
+		}
+	}
+}
+
 // elsewhere sums what the sources with a prefix have on an engine; all of them
 // with the empty one. The lock is held.
 func (p *picture) elsewhere(id, prefix string, now time.Duration) EngineLoad {
--- a/internal/relay/picture.go
+++ b/internal/relay/picture.go
@@ -91,6 +91,7 @@
 	defer p.mu.Unlock()
 	delete(p.upstreams, id)
 	delete(p.work, id)
+	delete(p.gone, hashOf(id))
 	p.regroup()
 }
 
