--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -72,7 +72,12 @@
 		r.rows[row.Key] = row
 		news = append(news, row)
 	}
-	return news
+	return r.current(news)
+}
+
+// current drops the rows that a later one of the same key has overtaken.
+func (r *Replica) current(rows []Row) []Row {
+	return slices.DeleteFunc(rows, func(row Row) bool { return r.rows[row.Key].Revision > row.Revision })
 }
 
 // Release believes the deletions that were held long enough, and returns them.
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -77,3 +77,10 @@
 		}
 	})
 }
+
+func TestNewsHasOneRowAKey(t *testing.T) {
+	news := New().Apply([]Row{row("a", 1), row("b", 2), row("a", 3)}, 0)
+	if len(news) != 2 || keys(news) != "ba" || news[1].Revision != 3 {
+		t.Errorf("%+v", news)
+	}
+}
