--- a/internal/stages/prompt.go
+++ b/internal/stages/prompt.go
@@ -48,11 +48,6 @@
 	return min(total, p.Tokens)
 }
 
-// OwnTokens counts the tokens that no engine can have cached.
-func (p Prompt) OwnTokens() int {
-	return p.Tokens - p.SharedTokens()
-}
-
 // ranked is an engine with its weight for a key.
 type ranked struct {
 	engine Engine
