--- a/internal/relay/loads.go
+++ b/internal/relay/loads.go
@@ -53,19 +53,31 @@
 	report := Report{Placed: p.placed, Gone: p.goneNow(p.goneHere, now)}
 	p.placed = nil
 	p.dropSilent(now)
+	report.Loads = p.loadsHere(nil)
+	return report
+}
+
+// loadsHere lists what this instance has under way on each engine, on top of
+// what others have there; nil for nothing. The lock is held.
+func (p *picture) loadsHere(others func(id string) EngineLoad) []EngineLoad {
+	var loads []EngineLoad
 	for id, u := range p.upstreams {
 		if u.Role == "" {
 			continue
 		}
-		load := EngineLoad{Engine: hashOf(id), Requests: p.loads.Engine(id).Streams}
+		load := EngineLoad{Engine: hashOf(id)}
+		if others != nil {
+			load = others(id)
+		}
+		load.Requests += p.loads.Engine(id).Streams
 		if w, ok := p.work[id]; ok {
-			load.Ahead = w.own
+			load.Ahead += w.own
 		}
 		if load.Ahead > 0 || load.Requests > 0 {
-			report.Loads = append(report.Loads, load)
+			loads = append(loads, load)
 		}
 	}
-	return report
+	return loads
 }
 
 // zonePlacedAtMost bounds the parts that are kept for the zone's report.
@@ -80,19 +92,7 @@
 	defer p.mu.Unlock()
 	report := Report{Placed: p.zonePlaced, Gone: p.goneNow(p.goneBeside, now)}
 	p.zonePlaced = nil
-	for id, u := range p.upstreams {
-		if u.Role == "" {
-			continue
-		}
-		load := p.elsewhere(id, BesidePrefix, now)
-		load.Requests += p.loads.Engine(id).Streams
-		if w, ok := p.work[id]; ok {
-			load.Ahead += w.own
-		}
-		if load.Ahead > 0 || load.Requests > 0 {
-			report.Loads = append(report.Loads, load)
-		}
-	}
+	report.Loads = p.loadsHere(func(id string) EngineLoad { return p.elsewhere(id, BesidePrefix, now) })
 	return report
 }
 
--- a/internal/relay/picture.go
+++ b/internal/relay/picture.go
@@ -170,16 +170,21 @@
 	return own
 }
 
+// doubtful tells whether an upstream failed lately, here or for another
+// instance. The lock is held.
+func (p *picture) doubtful(id string, now time.Duration) bool {
+	return !p.loads.Engine(id).Health.Admits(now) || p.toldGone(id, now)
+}
+
 // engines returns the engines of a service as placement sees them. The lock is
 // held.
 func (p *picture) engines(service string, prompt stages.Prompt, excluded map[string]bool, now time.Duration) []stages.Engine {
 	var list []stages.Engine
 	for _, u := range p.usable(service, excluded) {
-		known := p.loads.Engine(u.ID)
 		list = append(list, stages.Engine{
 			ID: u.ID, Zone: u.Zone, Role: u.Role,
 			Ahead: p.ahead(u.ID, now), Requests: p.requests(u.ID, now),
-			Cached: p.parts.cached(u.ID, prompt, now), Doubtful: !known.Health.Admits(now) || p.toldGone(u.ID, now),
+			Cached: p.parts.cached(u.ID, prompt, now), Doubtful: p.doubtful(u.ID, now),
 		})
 	}
 	return list
@@ -292,12 +297,11 @@
 
 // busy rates an upstream; less is better. The lock is held.
 func (p *picture) busy(u Upstream, zone string, now time.Duration) int {
-	known := p.loads.Engine(u.ID)
 	requests := p.requests(u.ID, now)
 	if u.Zone != zone {
 		requests += farCosts
 	}
-	if !known.Health.Admits(now) || p.toldGone(u.ID, now) {
+	if p.doubtful(u.ID, now) {
 		requests += doubtCosts
 	}
 	return requests
