--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -86,8 +86,15 @@
 	})
 }
 
+// saved is a budget with so many sends saved up, and no more to come.
+func saved(sends float64) *Budget {
+	b := NewBudget(retry.Rules{Share: sends, Max: sends}, retry.Backoff{}, meters, 0)
+	b.Succeeded(0)
+	return b
+}
+
 func TestTheBudgetDeniesFurtherSendsAlone(t *testing.T) {
-	empty := NewBudget(retry.Rules{Max: 1}, retry.Backoff{}, meters)
+	empty := NewBudget(retry.Rules{Max: 1}, retry.Backoff{}, meters, 0)
 	a := New(Rules{Repeatable: true, MaxSends: 5})
 	if v := a.Next(context.Background(), empty, false, 0); v != Go {
 		t.Fatalf("the first send: %v", v)
@@ -100,7 +107,7 @@
 	if v := a.Next(context.Background(), empty, true, 0); v != Go {
 		t.Errorf("an answer that has begun: %v", v)
 	}
-	full := NewFullBudget(retry.Rules{Max: 1}, retry.Backoff{}, meters, 0)
+	full := saved(1)
 	if !a.Prepay(full, 0) || a.Prepay(full, 0) {
 		t.Error("one send was saved up")
 	}
--- a/internal/attempt/budget.go
+++ b/internal/attempt/budget.go
@@ -30,17 +30,8 @@
 }
 
 // NewBudget returns a budget that starts with one second of its floor.
-func NewBudget(rules retry.Rules, backoff retry.Backoff, meters Meters) *Budget {
-	return newBudget(retry.NewBudget(rules, 0), backoff, meters)
-}
-
-// NewFullBudget returns a budget that starts with all that can be saved up.
-func NewFullBudget(rules retry.Rules, backoff retry.Backoff, meters Meters, now time.Duration) *Budget {
-	return newBudget(retry.NewFullBudget(rules, now), backoff, meters)
-}
-
-func newBudget(budget *retry.Budget, backoff retry.Backoff, meters Meters) *Budget {
-	return &Budget{backoff: backoff, meters: meters, budget: budget, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+func NewBudget(rules retry.Rules, backoff retry.Backoff, meters Meters, now time.Duration) *Budget {
+	return &Budget{backoff: backoff, meters: meters, budget: retry.NewBudget(rules, now), rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 }
 
 // SetRules changes the rules.
--- a/internal/attempt/run_test.go
+++ b/internal/attempt/run_test.go
@@ -36,7 +36,7 @@
 func clock() time.Duration { return 0 }
 
 func run(rules Rules, endings ...Ending) (*scripted, Result, Verdict) {
-	budget := NewFullBudget(retry.Rules{Max: 100}, retry.Backoff{}, meters, 0)
+	budget := saved(100)
 	s := &scripted{tries: New(rules), endings: endings}
 	result, verdict := s.tries.Run(context.Background(), budget, clock, s)
 	return s, result, verdict
@@ -102,7 +102,7 @@
 	for _, unsent := range []bool{true, false} {
 		for _, ending := range []Ending{Refused, NotReady} {
 			s := &scripted{tries: New(Rules{MaxSends: 5}), endings: []Ending{ending, ending, Over}, unsent: unsent}
-			empty := NewBudget(retry.Rules{Max: 1}, retry.Backoff{}, meters)
+			empty := NewBudget(retry.Rules{Max: 1}, retry.Backoff{}, meters, 0)
 			result, verdict := s.tries.Run(context.Background(), empty, clock, s)
 			if unsent != (result.Ending == Over) || unsent == (verdict == Denied) {
 				t.Errorf("unsent %t, ending %v: %+v, verdict %v", unsent, ending, result, verdict)
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -127,17 +127,24 @@
 	}
 	in.peers.Meet(list)
 	in.budget.Store(&budget)
-	in.relay.SetBudget(budget, in.peers.Count())
 }
 
 // headerTimeout bounds the reading of a header by the inner servers.
 const headerTimeout = 2 * time.Second
 
-// countEvery is the time between counts of the instances that share the budget.
-const countEvery = time.Second
+// Counts of the instances that share the budget.
+const (
+	countEvery = time.Second
+	// countFrom is the time from the start to the first count: until then the
+	// instances of a whole deployment that starts anew may not have heard of one
+	// another, and each would take all of the budget for its own. Instances report
+	// every 0.1 to 0.5 s.
+	countFrom = 3 * time.Second
+)
 
 // shareBudget keeps this instance to its part of the sends beyond the first.
 func (in *Instance) shareBudget(ctx context.Context) {
+	pause.For(ctx, countFrom)
 	for pause.For(ctx, countEvery) {
 		in.relay.SetBudget(*in.budget.Load(), in.peers.Count())
 	}
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -28,13 +28,23 @@
 	floorUsed = 0.35
 )
 
-// rules are one instance's part of the bounds, when so many share them.
+// unknown is the number of instances while it is not known, as after a start.
+const unknown = 0
+
+// rules are one instance's part of the bounds, when so many share them. While
+// the number is not known, a send is paid for by requests alone: that part of the
+// bounds needs no division. Each instance may save up one send at least; what that
+// takes beyond savedUsed is taken off the floor.
 func (s BudgetSettings) rules(instances int) retry.Rules {
-	slack := s.Slack / float64(max(1, instances))
+	if instances == unknown {
+		return retry.Rules{Share: shareUsed * s.Share, Max: 1}
+	}
+	saved := max(float64(instances), savedUsed*s.Slack)
+	floor := max(0, min(floorUsed*s.Slack, (savedUsed+floorUsed)*s.Slack-saved))
 	return retry.Rules{
 		Share: shareUsed * s.Share,
-		Floor: floorUsed * slack / max(1, s.Window.Seconds()),
-		Max:   max(1, savedUsed*slack),
+		Floor: floor / float64(instances) / max(1, s.Window.Seconds()),
+		Max:   saved / float64(instances),
 	}
 }
 
@@ -53,7 +63,7 @@
 }
 
 func newBudgets(s BudgetSettings, meters attempt.Meters) *budgets {
-	return &budgets{settings: s, meters: meters, instances: 1, all: map[string]*attempt.Budget{}}
+	return &budgets{settings: s, meters: meters, instances: unknown, all: map[string]*attempt.Budget{}}
 }
 
 // set takes other settings, or another number of instances that share them.
@@ -69,13 +79,14 @@
 	}
 }
 
-// of returns a service's budget.
+// of returns a service's budget. A new one has nothing saved up: the process whose
+// place this one took may have spent the window's.
 func (b *budgets) of(service string, now time.Duration) *attempt.Budget {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	budget, ok := b.all[service]
 	if !ok {
-		budget = attempt.NewFullBudget(b.settings.rules(b.instances), backoff, b.meters, now)
+		budget = attempt.NewBudget(b.settings.rules(b.instances), backoff, b.meters, now)
 		b.all[service] = budget
 	}
 	return budget
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -86,7 +86,7 @@
 func (r *Relay) SetRoutes(t *routes.Table) bool { return r.picture.setTable(t, r.now()) }
 
 // SetBudget takes other bounds of the sends beyond the first, or another number
-// of instances that share them.
+// of instances that share them. Until the first call that number is not known.
 func (r *Relay) SetBudget(s BudgetSettings, instances int) { r.budgets.set(s, instances) }
 
 // Learn takes an upstream's newest entry.
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -30,11 +30,6 @@
 	return &Budget{rules: rules, balance: min(rules.Floor, rules.Max), at: now}
 }
 
-// NewFullBudget returns a budget that starts with all that can be saved up.
-func NewFullBudget(rules Rules, now time.Duration) *Budget {
-	return &Budget{rules: rules, balance: rules.Max, at: now}
-}
-
 // SetRules changes the rules; what is saved up beyond them is lost.
 func (b *Budget) SetRules(rules Rules) {
 	b.rules = rules
