--- /dev/null
+++ b/internal/estimate/share.go
@@ -0,0 +1,56 @@
+package estimate
+
+import "time"
+
+// Learned is what one instance has learned of a service's engines, for the others.
+type Learned struct {
+	// Speed is the time of a prompt's tokens, against the prior's, and Overhead the
+	// time besides; Prompts is how many prompts tell so.
+	Speed    float64
+	Overhead time.Duration
+	Prompts  int
+	// Step is the time of a step of generation and PerRequest what each request
+	// adds; Streams is how many answers tell so.
+	Step, PerRequest time.Duration
+	Streams          int
+}
+
+// knownFrom is the number of observations from which an estimate is one of the
+// engines and not of the prior (TestThePriorYields).
+const knownFrom = 16
+
+// Learned returns what this instance has learned by itself.
+func (m *Model) Learned() Learned {
+	prompt, step := m.prompts.estimate(), m.steps.estimate()
+	return Learned{
+		Speed: prompt.slope, Overhead: time.Duration(prompt.base), Prompts: len(m.prompts.samples),
+		Step: time.Duration(step.base), PerRequest: time.Duration(step.slope), Streams: len(m.steps.samples),
+	}
+}
+
+// Hear takes what another instance has learned: it takes the place of the prior,
+// for an instance that has just started or serves little.
+func (m *Model) Hear(l Learned) {
+	if l.Prompts >= knownFrom && l.Speed > 0 && l.Overhead >= 0 {
+		m.prompts.hear(coefficients{slope: l.Speed, base: float64(l.Overhead)})
+	}
+	if l.Streams >= knownFrom && l.Step >= 0 && l.PerRequest > 0 {
+		m.steps.hear(coefficients{slope: float64(l.PerRequest), base: float64(l.Step)})
+	}
+}
+
+// PromptsKnown tells whether the times of prompts are learned, here or by others.
+func (m *Model) PromptsKnown() bool { return m.prompts.known() }
+
+// StepsKnown tells whether the time of a step is learned, here or by others.
+func (m *Model) StepsKnown() bool { return m.steps.known() }
+
+// hear takes the line of another instance into the mean that is the prior.
+func (l *line) hear(c coefficients) {
+	l.fresh = false
+	l.heardSlope.add(c.slope)
+	l.heardBase.add(c.base)
+	l.prior = coefficients{slope: l.heardSlope.value, base: l.heardBase.value}
+}
+
+func (l *line) known() bool { return len(l.samples) >= knownFrom || l.heardSlope.n > 0 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -23,6 +23,7 @@
 	"sassafrasfield/internal/logging"
 	"sassafrasfield/internal/pause"
 	"sassafrasfield/internal/peers"
+	"sassafrasfield/internal/picture"
 	"sassafrasfield/internal/platform"
 	"sassafrasfield/internal/relay"
 	"sassafrasfield/internal/replica"
@@ -35,7 +36,7 @@
 	// Routes returns the configuration among rows, or nil.
 	Routes(rows []replica.Row) (*routes.Table, error)
 	// Upstream decodes an upstream's row.
-	Upstream(row replica.Row) (relay.Upstream, error)
+	Upstream(row replica.Row) (picture.Upstream, error)
 }
 
 // Adapter is the platform.
@@ -111,6 +112,7 @@
 	loops.Go(func() { in.register(background) })
 	loops.Go(func() { in.report(background) })
 	loops.Go(func() { in.shareBudget(background) })
+	loops.Go(func() { in.tellTimes(background) })
 	keeper := rolekeeper.New(in.settings.Roles, in.adapter.Table, in.adapter.Orderer, in, logging.Part(in.log, "roles"))
 	loops.Go(func() { keeper.Run(ctx) })
 	handler := in.adapter.Handler(in.relay, in.limitsInForce)
@@ -209,7 +211,10 @@
 }
 
 // Engines implements rolekeeper.View.
-func (in *Instance) Engines() map[string][]relay.Engine { return in.relay.Engines() }
+func (in *Instance) Engines() map[string][]picture.Engine { return in.relay.Engines() }
+
+// Times implements rolekeeper.View.
+func (in *Instance) Times(service string) picture.Times { return in.relay.Times(service) }
 
 // Away implements rolekeeper.View.
 func (in *Instance) Away(engine string, d time.Duration) { in.relay.Away(engine, d) }
--- a/internal/peers/reports.go
+++ b/internal/peers/reports.go
@@ -10,7 +10,9 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"sassafrasfield/internal/estimate"
 	sfv1 "sassafrasfield/internal/gen/sf/v1"
+	"sassafrasfield/internal/picture"
 	"sassafrasfield/internal/relay"
 )
 
@@ -28,7 +30,7 @@
 	// datagramBytes bounds a report. The loads of 90 engines and the parts of
 	// 100 requests fit.
 	datagramBytes = 4096
-	// thousandths is the unit of an engine's use in a report.
+	// thousandths is the unit of parts of an engine's time in a report.
 	thousandths = 1000
 	// placedAtMost bounds the parts that a report names.
 	placedAtMost = 120
@@ -100,7 +102,7 @@
 	r.send(message, others)
 }
 
-func (r *Reports) message(report relay.Report, zone string) *sfv1.Report {
+func (r *Reports) message(report picture.Report, zone string) *sfv1.Report {
 	message := &sfv1.Report{
 		From: toMessage(r.exchange.self), Zone: zone,
 		Revisions: r.exchange.rows.Revisions(), Reading: r.exchange.rows.Reading(), Gone: report.Gone,
@@ -108,7 +110,14 @@
 	for _, load := range report.Loads {
 		message.Loads = append(message.Loads, &sfv1.EngineLoad{
 			Engine: load.Engine, PrefillMs: uint32(load.Ahead.Milliseconds()), Requests: uint32(load.Requests),
-			Use: uint32(load.Use * thousandths),
+			Use: uint32(load.Use * thousandths), YieldingMs: uint32(load.Yielding.Milliseconds()),
+			Inflow: uint32(load.Inflow),
+		})
+	}
+	for service, l := range report.Times {
+		message.Times = append(message.Times, &sfv1.EngineTimes{
+			Service: service, Speed: float32(l.Speed), Overhead: float32(l.Overhead), Prompts: uint32(l.Prompts),
+			Step: float32(l.Step), PerRequest: float32(l.PerRequest), Streams: uint32(l.Streams),
 		})
 	}
 	placed := report.Placed
@@ -212,16 +221,23 @@
 	return false
 }
 
-func reportOf(message *sfv1.Report) relay.Report {
-	report := relay.Report{Gone: message.GetGone()}
+func reportOf(message *sfv1.Report) picture.Report {
+	report := picture.Report{Gone: message.GetGone(), Times: map[uint32]estimate.Learned{}}
+	for _, m := range message.GetTimes() {
+		report.Times[m.GetService()] = estimate.Learned{
+			Speed: float64(m.GetSpeed()), Overhead: time.Duration(m.GetOverhead()), Prompts: int(m.GetPrompts()),
+			Step: time.Duration(m.GetStep()), PerRequest: time.Duration(m.GetPerRequest()), Streams: int(m.GetStreams()),
+		}
+	}
 	for _, m := range message.GetLoads() {
-		report.Loads = append(report.Loads, relay.EngineLoad{
+		report.Loads = append(report.Loads, picture.EngineLoad{
 			Engine: m.GetEngine(), Ahead: time.Duration(m.GetPrefillMs()) * time.Millisecond, Requests: int(m.GetRequests()),
-			Use: float64(m.GetUse()) / thousandths,
+			Use: float64(m.GetUse()) / thousandths, Yielding: time.Duration(m.GetYieldingMs()) * time.Millisecond,
+			Inflow: float64(m.GetInflow()),
 		})
 	}
 	for _, m := range message.GetPlaced() {
-		report.Placed = append(report.Placed, relay.Placed{Engine: m.GetEngine(), Part: m.GetPart()})
+		report.Placed = append(report.Placed, picture.Placed{Engine: m.GetEngine(), Part: m.GetPart()})
 	}
 	return report
 }
--- a/internal/relay/gone.go
+++ b/internal/picture/gone.go
@@ -1,4 +1,4 @@
-package relay
+package picture
 
 import "time"
 
@@ -13,7 +13,7 @@
 
 // noteGone records that an upstream could not be reached from here. The lock is
 // held.
-func (p *picture) noteGone(id string, now time.Duration) {
+func (p *Picture) noteGone(id string, now time.Duration) {
 	hash := hashOf(id)
 	p.goneHere[hash] = now + goneFor
 	p.goneBeside[hash] = now + goneFor
@@ -21,7 +21,7 @@
 
 // away records that an upstream takes no requests for a time, whatever was heard
 // from it. The lock is held.
-func (p *picture) away(id string, until time.Duration) {
+func (p *Picture) away(id string, until time.Duration) {
 	hash := hashOf(id)
 	p.awayHere[hash] = until
 	p.goneHere[hash] = until
@@ -30,7 +30,7 @@
 
 // goneNow lists those of a table whose word still counts, and drops the others;
 // none when they are too many to be believed. The lock is held.
-func (p *picture) goneNow(table map[uint32]time.Duration, now time.Duration) []uint32 {
+func (p *Picture) goneNow(table map[uint32]time.Duration, now time.Duration) []uint32 {
 	var list []uint32
 	for hash, until := range table {
 		if now >= until {
@@ -47,7 +47,7 @@
 
 // toldGone tells whether another instance could not reach an upstream lately,
 // and this one has not heard from it since about then. The lock is held.
-func (p *picture) toldGone(id string, now time.Duration) bool {
+func (p *Picture) toldGone(id string, now time.Duration) bool {
 	if now < p.awayHere[hashOf(id)] {
 		return true
 	}
--- /dev/null
+++ b/internal/picture/learn.go
@@ -0,0 +1,113 @@
+package picture
+
+import (
+	"time"
+
+	"sassafrasfield/internal/estimate"
+	"sassafrasfield/internal/route"
+)
+
+// Times are what the engines of a service take, learned or configured.
+type Times struct {
+	route.EngineTimes
+	// Step is the time of a step of generation, StepPerRequest what each request
+	// that takes part adds.
+	Step, StepPerRequest time.Duration
+	// Known tells that the times are learned, and not assumed.
+	Known bool
+	// RoleChange is how long an engine is away when its role changes.
+	RoleChange time.Duration
+}
+
+// model returns what is known of a service's engines. The lock is held.
+func (p *Picture) model(service string) *estimate.Model {
+	m, ok := p.models[service]
+	if !ok {
+		m = estimate.New(p.settings.Prior)
+		p.models[service] = m
+	}
+	return m
+}
+
+// Times returns what the engines of a service take.
+func (p *Picture) Times(service string) Times {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.times(service)
+}
+
+// times is Times. The lock is held.
+func (p *Picture) times(service string) Times {
+	m := p.model(service)
+	t := Times{}
+	t.TokenTime, t.PairTime, t.Overhead = m.Prompt()
+	t.HandOver, t.Stream = m.HandOver(), m.Slot()
+	t.Step, t.StepPerRequest = m.Step()
+	t.Known = m.PromptsKnown() && m.StepsKnown()
+	limits := p.table.Services[service].Engine
+	if limits == nil {
+		return t
+	}
+	t.FetchTime, t.Slots, t.Memory = limits.TransferTime, limits.Slots, limits.KVTokens
+	t.RoleChange = limits.RoleSwitch
+	return t
+}
+
+// costs are what placement weighs for a service. The lock is held.
+func (p *Picture) costs(service string) route.Costs {
+	return route.Costs{EngineTimes: p.times(service).EngineTimes, Settings: p.settings.Placement}
+}
+
+// Prefilled takes note of a prompt that an engine has processed, without a fetch.
+func (p *Picture) Prefilled(service string, done estimate.Prefill) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.model(service).Prefilled(done)
+}
+
+// Began takes note of how long a decode engine took to begin with a processed
+// prompt of so many tokens.
+func (p *Picture) Began(service string, tokens int, took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	fetch := time.Duration(float64(tokens) * p.times(service).FetchTime)
+	p.model(service).Began(max(0, took-fetch))
+}
+
+// Streamed takes note of an answer that an engine has generated whole, in so many
+// events.
+func (p *Picture) Streamed(service, engine string, events int, done estimate.Stream, now time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	eventTokens := 1
+	if limits := p.table.Services[service].Engine; limits != nil {
+		eventTokens = max(1, limits.EventTokens)
+	}
+	done.Stepped = (events - 1) * eventTokens
+	done.Batch = float64(p.told(engine, nil, now).Requests)
+	p.model(service).Streamed(done)
+}
+
+// learned is what this instance has learned of the engines, by a hash of the
+// service. The lock is held.
+func (p *Picture) learned() map[uint32]estimate.Learned {
+	all := map[uint32]estimate.Learned{}
+	for service, m := range p.models {
+		if l := m.Learned(); l.Prompts > 0 || l.Streams > 0 {
+			all[hashOf(service)] = l
+		}
+	}
+	return all
+}
+
+// hear takes what another instance has learned. The lock is held.
+func (p *Picture) hear(times map[uint32]estimate.Learned) {
+	if len(times) == 0 {
+		return
+	}
+	for service := range p.byService {
+		if l, ok := times[hashOf(service)]; ok {
+			p.model(service).Hear(l)
+		}
+	}
+}
--- /dev/null
+++ b/internal/picture/picture_test.go
@@ -0,0 +1,129 @@
+package picture
+
+import (
+	"testing"
+	"time"
+
+	"sassafrasfield/internal/config"
+	"sassafrasfield/internal/estimate"
+	"sassafrasfield/internal/load"
+	"sassafrasfield/internal/route"
+	"sassafrasfield/internal/routes"
+)
+
+// newPicture knows two prefill and three decode engines and three upstreams of a
+// plain service.
+func newPicture() *Picture {
+	p := New(Settings{
+		Zone: "a", Placement: route.DefaultSettings(), Prior: estimate.DefaultPrior(), Outliers: load.DefaultOutlierRules(), Seed: 1,
+	})
+	p.SetRoutes(routes.NewTable(1, []routes.Route{{
+		Name: "generate", Kind: routes.Generation, MaxPause: 200 * time.Millisecond,
+		Shares: []routes.Share{{Service: "llm", Weight: 1}},
+	}}, []routes.Service{{Name: "llm", Engine: &routes.EngineLimits{
+		Slots: 64, KVTokens: 370000, TransferTime: 109, EventTokens: 52, RoleSwitch: 3 * time.Second,
+	}}}, routes.Limits{}), 0)
+	for id, role := range map[string]config.Role{
+		"pre-1": config.RolePrefill, "pre-2": config.RolePrefill,
+		"dec-1": config.RoleDecode, "dec-2": config.RoleDecode, "dec-3": config.RoleDecode,
+	} {
+		p.Learn(Upstream{ID: id, Service: "llm", Address: id, Zone: "a", Role: role})
+	}
+	for _, id := range []string{"app-1", "app-2", "app-3"} {
+		p.Learn(Upstream{ID: id, Service: "app", Address: id, Zone: "a"})
+	}
+	return p
+}
+
+func TestAnUpstreamThatOthersCannotReachIsAvoided(t *testing.T) {
+	p := newPicture()
+	call := Ask{ID: "r", Service: "app"}
+	first, ok := p.PickCall(call, 0)
+	if !ok {
+		t.Fatal("no upstream")
+	}
+	p.Judge(first.ID, load.VerdictGood, 0)
+	p.End(first.ID, "r", 0)
+	const later = time.Minute // it answered long ago
+	p.TakeReport("zone b", Report{Gone: []uint32{hashOf(first.ID)}}, later)
+	for range 10 {
+		next, _ := p.PickCall(call, later)
+		if next.ID == first.ID {
+			t.Fatalf("%s was chosen again", next.ID)
+		}
+		p.End(next.ID, "r", later)
+	}
+}
+
+func TestTheLoadOfASourceThatFallsSilentIsForgotten(t *testing.T) {
+	p := newPicture()
+	p.TakeReport("zone b", Report{Loads: []EngineLoad{{Engine: hashOf("dec-1"), Requests: 9}}}, 0)
+	if n := p.told("dec-1", nil, 0).Requests; n != 9 {
+		t.Errorf("%d requests counted, nine were told of", n)
+	}
+	if n := p.told("dec-1", nil, time.Minute).Requests; n != 0 {
+		t.Errorf("%d requests counted", n)
+	}
+	p.OwnReport(time.Minute)
+	if len(p.peers) != 0 {
+		t.Error("the source is still held")
+	}
+}
+
+var long = route.Prompt{Tokens: 9000, Output: 600, Parts: []route.Part{{ID: "shared", Tokens: 6000}, {ID: "own", Tokens: 3000}}}
+
+// TestAPartIsBelievedGoneOnceAsMuchCameIn: an engine with memory for 370,000 tokens
+// into which 100,000 a second come has lost a part that was used three seconds ago.
+func TestAPartIsBelievedGoneOnceAsMuchCameIn(t *testing.T) {
+	for _, c := range []struct {
+		inflow float64
+		after  time.Duration
+		cached int
+	}{{0, 30 * time.Second, 6000}, {100000, 2 * time.Second, 6000}, {100000, 3 * time.Second, 0}} {
+		p := newPicture()
+		p.TakeReport("zone b", Report{Placed: []Placed{{Engine: hashOf("pre-1"), Part: hashOf("shared")}}}, 0)
+		p.TakeReport("zone b", Report{Loads: []EngineLoad{{Engine: hashOf("pre-1"), Inflow: c.inflow}}}, c.after)
+		ask := Ask{Service: "llm", Prompt: long}
+		if got := p.told("pre-1", p.request(ask, c.after), c.after).Cached; got != c.cached {
+			t.Errorf("%g tokens a second, after %s: %d believed cached, want %d", c.inflow, c.after, got, c.cached)
+		}
+	}
+}
+
+// TestAPromptIsChargedUntilItIsDone has two instances; one hears of the other's.
+func TestAPromptIsChargedUntilItIsDone(t *testing.T) {
+	p, other := newPicture(), newPicture()
+	start, turn, ok := p.PickStart(Ask{ID: "r", Service: "llm", Prompt: long, Objective: time.Second, Left: 2 * time.Second}, 0)
+	if !ok || start.Direct() || start.Work <= 0 || turn != route.TurnNext {
+		t.Fatalf("%+v, %s, %t", start, turn, ok)
+	}
+	other.TakeReport(BesidePrefix+"one", p.OwnReport(0), 0)
+	if got := other.told(start.Engine.ID, nil, 0).Ahead; got != start.Work {
+		t.Errorf("%s ahead, want %s", got, start.Work)
+	}
+	p.PromptDone(start.Engine.ID, start.Work, turn)
+	p.End(start.Engine.ID, "r", 0)
+	other.TakeReport(BesidePrefix+"one", p.OwnReport(0), 0)
+	if got := other.told(start.Engine.ID, nil, 0).Ahead; got != 0 {
+		t.Errorf("%s ahead of nothing", got)
+	}
+}
+
+// TestTimeAheadIsProjectedToNow: an engine was told to have 300 ms of prompts ahead.
+func TestTimeAheadIsProjectedToNow(t *testing.T) {
+	for _, c := range []struct {
+		use         float64
+		after, want time.Duration
+	}{
+		{0.5, 0, 300 * time.Millisecond},
+		{0.5, 200 * time.Millisecond, 200 * time.Millisecond},
+		{0, 400 * time.Millisecond, 0},
+		{1.5, 200 * time.Millisecond, 400 * time.Millisecond}, // more comes than it can process
+	} {
+		p := newPicture()
+		p.TakeReport("zone b", Report{Loads: []EngineLoad{{Engine: hashOf("pre-1"), Ahead: 300 * time.Millisecond, Use: c.use}}}, 0)
+		if got := p.told("pre-1", nil, c.after).Ahead; got.Round(time.Millisecond) != c.want {
+			t.Errorf("use %g, after %s: %s ahead, want %s", c.use, c.after, got, c.want)
+		}
+	}
+}
--- a/internal/relay/loads.go
+++ b/internal/picture/reports.go
@@ -1,10 +1,12 @@
-package relay
+package picture
 
 import (
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"sassafrasfield/internal/estimate"
 )
 
 // EngineLoad is one instance's part of an engine's load.
@@ -13,18 +15,24 @@
 	Engine uint32
 	// Ahead is the predicted time of the prompts that wait there.
 	Ahead time.Duration
+	// Yielding is the part of Ahead that yields to other prompts.
+	Yielding time.Duration
 	// Requests that generate there.
 	Requests int
 	// Use is the part of the engine's time that the prompts take which were
 	// placed there lately.
 	Use float64
+	// Inflow are the tokens a second that lately came into the engine's cache.
+	Inflow float64
 }
 
 // add adds another instance's part.
 func (l *EngineLoad) add(other EngineLoad) {
 	l.Ahead += other.Ahead
+	l.Yielding += other.Yielding
 	l.Requests += other.Requests
 	l.Use += other.Use
+	l.Inflow += other.Inflow
 }
 
 // Placed tells that a shared prompt part went to an engine, which has it cached
@@ -40,6 +48,8 @@
 	Placed []Placed
 	// Gone are hashes of the upstreams that could not be reached lately.
 	Gone []uint32
+	// Times are what the sender learned of the engines, by a hash of the service.
+	Times map[uint32]estimate.Learned
 }
 
 func hashOf(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
@@ -56,20 +66,18 @@
 
 // OwnReport returns what this instance has under way on the engines, and what
 // it has placed there since the last report.
-func (r *Relay) OwnReport() Report {
-	p, now := r.picture, r.now()
+func (p *Picture) OwnReport(now time.Duration) Report {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	report := Report{Placed: p.placed, Gone: p.goneNow(p.goneHere, now)}
+	report := Report{Placed: p.placed, Gone: p.goneNow(p.goneHere, now), Times: p.learned()}
 	p.placed = nil
-	p.dropSilent(now)
 	report.Loads = p.loadsHere(now, nil)
 	return report
 }
 
 // loadsHere lists what this instance has under way on each engine, on top of
 // what others have there; nil for nothing. The lock is held.
-func (p *picture) loadsHere(now time.Duration, others func(id string) EngineLoad) []EngineLoad {
+func (p *Picture) loadsHere(now time.Duration, others func(id string) EngineLoad) []EngineLoad {
 	var loads []EngineLoad
 	for id, u := range p.upstreams {
 		if u.Role == "" {
@@ -92,10 +100,11 @@
 const leastUse = 0.01
 
 // own is what this instance has on an engine. The lock is held.
-func (p *picture) own(id string, now time.Duration) EngineLoad {
+func (p *Picture) own(id string, now time.Duration) EngineLoad {
 	load := EngineLoad{Requests: p.loads.Engine(id).Streams}
 	if w, ok := p.work[id]; ok {
-		load.Ahead, load.Use = w.own, w.use.now(now)
+		load.Ahead, load.Yielding = w.own, w.yielding
+		load.Use, load.Inflow = w.use.now(now), w.inflow.now(now)
 	}
 	return load
 }
@@ -106,13 +115,13 @@
 // ZoneReport sums what this instance and those beside it have under way, and
 // what was placed since the last one. Sources beside it have names that begin
 // with BesidePrefix.
-func (r *Relay) ZoneReport() Report {
-	p, now := r.picture, r.now()
+func (p *Picture) ZoneReport(now time.Duration) Report {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	report := Report{Placed: p.zonePlaced, Gone: p.goneNow(p.goneBeside, now)}
+	report := Report{Placed: p.zonePlaced, Gone: p.goneNow(p.goneBeside, now), Times: p.learned()}
 	p.zonePlaced = nil
-	report.Loads = p.loadsHere(now, func(id string) EngineLoad { return p.elsewhere(id, BesidePrefix, now) })
+	p.dropSilent(now)
+	report.Loads = p.loadsHere(now, p.beside)
 	return report
 }
 
@@ -121,18 +130,19 @@
 const BesidePrefix = "instance "
 
 // TakeReport takes the report of another instance, or of a whole zone.
-func (r *Relay) TakeReport(source string, report Report) {
+func (p *Picture) TakeReport(source string, report Report, now time.Duration) {
 	table := make(map[uint32]EngineLoad, len(report.Loads))
 	for _, load := range report.Loads {
 		table[load.Engine] = load
 	}
-	p, now := r.picture, r.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.peers[source] = peerLoad{at: now, loads: table}
+	p.stale = true
 	for _, placed := range report.Placed {
 		p.parts.note(placed, now)
 	}
+	p.hear(report.Times)
 	for _, id := range report.Gone {
 		p.gone[id] = now + goneFor
 	}
@@ -145,40 +155,80 @@
 }
 
 // keepForZone keeps placed parts for the zone's next report. The lock is held.
-func (p *picture) keepForZone(placed []Placed) {
+func (p *Picture) keepForZone(placed []Placed) {
 	p.zonePlaced = append(p.zonePlaced, placed...)
 	p.zonePlaced = p.zonePlaced[max(0, len(p.zonePlaced)-zonePlacedAtMost):]
 }
 
 // dropSilent forgets the sources that have not reported for long. The lock is
 // held.
-func (p *picture) dropSilent(now time.Duration) {
+func (p *Picture) dropSilent(now time.Duration) {
 	for source, peer := range p.peers {
 		if now-peer.at > peerLoadLasts {
 			delete(p.peers, source)
+			p.stale = true
+		}
+	}
+}
+
+// sum adds up what all sources told of each engine, if there is news. The lock is
+// held.
+func (p *Picture) sum(now time.Duration) {
+	p.dropSilent(now)
+	if !p.stale {
+		return
+	}
+	p.stale = false
+	clear(p.sums)
+	for _, peer := range p.peers {
+		for engine, load := range peer.loads {
+			total := p.sums[engine]
+			total.add(load)
+			total.aheadAt += load.Ahead.Seconds() * peer.at.Seconds()
+			p.sums[engine] = total
 		}
 	}
 }
 
-// elsewhere sums what the sources with a prefix have on an engine; all of them
-// with the empty one. The lock is held.
-func (p *picture) elsewhere(id, prefix string, now time.Duration) EngineLoad {
+// summed is what all other instances told of an engine.
+type summed struct {
+	EngineLoad
+	// aheadAt is the sum of the times ahead, each times when it was told.
+	aheadAt float64
+}
+
+// ahead projects the time ahead from when it was told to now: the engine has worked
+// on it since, and as much has come to it as the use says. Without that, what was
+// told counts for twice the wait that is found where a report is as old as the
+// wait is long.
+func (s summed) ahead(use float64, now time.Duration) time.Duration {
+	if s.Ahead <= 0 {
+		return 0
+	}
+	age := now.Seconds() - s.aheadAt/s.Ahead.Seconds()
+	less := age * max(1-use, -1)
+	return max(0, s.Ahead-time.Duration(less*float64(time.Second)))
+}
+
+// all is what all instances together have on an engine. The lock is held.
+func (p *Picture) all(id string, now time.Duration) EngineLoad {
+	p.sum(now)
+	told, own := p.sums[hashOf(id)], p.own(id, now)
+	load := told.EngineLoad
+	load.Engine = hashOf(id)
+	load.Ahead = told.ahead(load.Use+own.Use, now)
+	load.add(own)
+	load.Yielding = min(load.Yielding, load.Ahead)
+	return load
+}
+
+// beside sums what the instances of this zone told of an engine. The lock is held.
+func (p *Picture) beside(id string) EngineLoad {
 	total := EngineLoad{Engine: hashOf(id)}
 	for source, peer := range p.peers {
-		if now-peer.at > peerLoadLasts || !strings.HasPrefix(source, prefix) {
-			continue
+		if strings.HasPrefix(source, BesidePrefix) {
+			total.add(peer.loads[total.Engine])
 		}
-		load := peer.loads[total.Engine]
-		total.add(load)
 	}
 	return total
 }
-
-// Knows tells whether a part is believed to be cached by an engine.
-func (r *Relay) Knows(placed Placed) bool {
-	p := r.picture
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	_, ok := p.parts.at[placed]
-	return ok
-}
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -10,6 +10,7 @@
 
 	"sassafrasfield/internal/attempt"
 	"sassafrasfield/internal/load"
+	"sassafrasfield/internal/picture"
 	"sassafrasfield/internal/routes"
 )
 
@@ -51,11 +52,11 @@
 // Try implements attempt.Path.
 func (c *serviceCall) Try(ctx context.Context) attempt.Result {
 	r := c.relay
-	upstream, ok := r.picture.pickCall(c.exchange, r.now())
+	upstream, ok := r.picture.PickCall(c.ask(r.now()), r.now())
 	if !ok {
 		return attempt.Result{Ending: attempt.NoUpstream}
 	}
-	defer func() { r.picture.end(upstream.ID, c.req.ID, r.now()) }()
+	defer func() { r.picture.End(upstream.ID, c.req.ID, r.now()) }()
 	got, err := r.callOnce(ctx, c.exchange, upstream)
 	if err != nil {
 		r.blame(ctx, c.exchange, upstream.ID, err)
@@ -74,7 +75,7 @@
 	if got.reply.Status < http.StatusInternalServerError || x.route.Kind != routes.Idempotent {
 		return false
 	}
-	if !x.tries.AnotherRun() || ctx.Err() != nil || r.picture.count(x.service) < 2 {
+	if !x.tries.AnotherRun() || ctx.Err() != nil || r.picture.Count(x.service) < 2 {
 		return false
 	}
 	return x.tries.Prepay(x.budget, r.now())
@@ -90,7 +91,7 @@
 	return min(left/2, max(x.route.Objective, left/3))
 }
 
-func (r *Relay) callOnce(ctx context.Context, x *exchange, to Upstream) (answer, error) {
+func (r *Relay) callOnce(ctx context.Context, x *exchange, to picture.Upstream) (answer, error) {
 	if err := x.sent(to.ID); err != nil {
 		return answer{}, err
 	}
@@ -101,14 +102,14 @@
 		return answer{}, err
 	}
 	reply.Body = endingBody{reply.Body, cancel}
-	r.picture.reported(to.ID, reply.Load, r.now())
+	r.picture.Reported(to.ID, reply.Load, r.now())
 	first, err := io.ReadAll(io.LimitReader(reply.Body, wholeBytes))
 	if err != nil {
 		reply.Body.Close()
 		return answer{}, errors.WithMessage(ErrLost, err.Error())
 	}
 	if reply.Status < http.StatusInternalServerError {
-		r.picture.judge(to.ID, load.VerdictGood, r.now())
+		r.picture.Judge(to.ID, load.VerdictGood, r.now())
 	}
 	return answer{reply: reply, first: first, whole: len(first) < wholeBytes}, nil
 }
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -10,7 +10,9 @@
 	"github.com/pkg/errors"
 
 	"sassafrasfield/internal/attempt"
+	"sassafrasfield/internal/estimate"
 	"sassafrasfield/internal/load"
+	"sassafrasfield/internal/picture"
 	"sassafrasfield/internal/route"
 )
 
@@ -32,7 +34,7 @@
 	// lastEvent is the id of the last event that the caller has.
 	lastEvent string
 	// backup is the engine that the run is copied to as it goes.
-	backup Upstream
+	backup picture.Upstream
 }
 
 // generate brings a generation to the caller, from as many engines as that
@@ -80,7 +82,7 @@
 	if g.direct {
 		return g.relay.run(ctx, g, g.start)
 	}
-	engine, ok := g.relay.picture.pickDecode(g.exchange, g.kv, g.relay.now())
+	engine, ok := g.relay.picture.PickDecode(g.ask(g.relay.now()), g.kv.Engine.Zone, g.relay.now())
 	if !ok {
 		return attempt.Result{Ending: attempt.NoUpstream, Err: errors.WithMessage(ErrNotSent, "no engine to generate")}
 	}
@@ -90,12 +92,12 @@
 // goOn has the engine with the copy of the run that was lost go on with it.
 func (g *generation) goOn(ctx context.Context, id string) attempt.Result {
 	r := g.relay
-	engine := r.picture.placeOn(id, g.req.ID, r.now())
+	engine := r.picture.PlaceOn(id, g.req.ID, r.now())
 	if engine.ID == "" {
 		return attempt.Result{Ending: attempt.NoUpstream, Err: errors.WithMessage(ErrNotSent, "the engine with the copy is gone")}
 	}
 	r.meters.copied.Inc(1)
-	g.kv, g.backup = KV{Engine: engine, Handle: g.req.ID}, Upstream{}
+	g.kv, g.backup = KV{Engine: engine, Handle: g.req.ID}, picture.Upstream{}
 	defer func() { g.kv = KV{} }() // the engine drops a copy that was not used
 	return r.run(ctx, g, route.Start{Engine: route.Candidate{ID: id}})
 }
@@ -104,11 +106,11 @@
 // of it, it has the prompt processed. Over means that this is done.
 func (g *generation) prepare(ctx context.Context) attempt.Result {
 	r := g.relay
-	start, ok := r.picture.pickStart(g.exchange, r.now())
+	start, turn, ok := r.picture.PickStart(g.ask(r.now()), r.now())
 	if !ok {
 		return attempt.Result{Ending: attempt.NoUpstream, Err: errors.WithMessage(ErrNotSent, "no engine for the prompt")}
 	}
-	g.ahead, g.own = start.Engine.Told.Ahead, start.Work
+	g.ahead, g.own, g.turn = start.Engine.Told.Ahead, start.Work, turn
 	if g.direct = start.Direct(); g.direct {
 		r.meters.direct.Inc(1)
 		g.start = start
@@ -124,9 +126,9 @@
 }
 
 func (r *Relay) prefillOn(ctx context.Context, g *generation, start route.Start) (KV, error) {
-	engine, work := r.picture.upstream(start.Engine.ID), start.Work
-	defer r.picture.done(engine.ID, work)
-	defer func() { r.picture.end(engine.ID, g.req.ID, r.now()) }()
+	engine, work := r.picture.Upstream(start.Engine.ID), start.Work
+	defer r.picture.PromptDone(engine.ID, work, g.turn)
+	defer func() { r.picture.End(engine.ID, g.req.ID, r.now()) }()
 	g.exchange.prefill = engine.ID
 	g.tries.Prepared()
 	started := r.now()
@@ -135,18 +137,27 @@
 	defer cancel()
 	go r.whenSilent(ctx, engine.ID, ahead+work+r.settings.PrefillSilence, cancel)
 	kv, said, err := r.sender.Prefill(ctx, g.req, Send{
-		To: engine, Within: g.left(started), Priority: g.route.Priority, FetchFrom: r.picture.upstream(start.Source.ID).Address,
+		To: engine, Within: g.left(started), Priority: g.route.Priority, Yields: g.turn == route.TurnYield,
+		FetchFrom: r.picture.Upstream(start.Source.ID).Address,
 	})
 	if err != nil {
 		return KV{}, err
 	}
-	r.picture.reported(engine.ID, said, r.now())
-	r.picture.judge(engine.ID, load.VerdictGood, r.now())
+	r.picture.Reported(engine.ID, said, r.now())
+	r.picture.Judge(engine.ID, load.VerdictGood, r.now())
 	r.meters.prefills.Inc(1)
 	took := r.now() - started
 	observe("prefill", took)
+	observe("prefill_predicted", ahead+work)
+	if start.Source.ID == "" && start.Fresh <= g.prompt.Tokens-g.prompt.SharedTokens() {
+		// what is not believed cached may be there all the same
+		r.picture.Prefilled(g.service, estimate.Prefill{
+			Engine: engine.ID, Fresh: start.Fresh, Cached: g.prompt.Tokens - start.Fresh, Ahead: ahead, Took: took,
+		})
+	}
 	r.log.Info("relay: prefilled", "request", g.req.ID, "engine", engine.ID, "tokens", g.prompt.Tokens,
-		"shared", g.prompt.SharedTokens(), "cached", start.Engine.Told.Cached, "source", start.Source.ID, "ahead", ahead, "predicted", work, "took", took,
+		"shared", g.prompt.SharedTokens(), "cached", start.Engine.Told.Cached, "source", start.Source.ID, "ahead", ahead,
+		"turn", g.turn, "yielding", start.Engine.Told.Yielding, "use", start.Engine.Told.Use, "predicted", work, "took", took,
 		"running", said.Running, "waiting", said.Waiting)
 	return kv, nil
 }
@@ -165,7 +176,7 @@
 			return
 		case <-timer.C:
 		}
-		if !r.picture.heardSince(id, since) {
+		if !r.picture.HeardSince(id, since) {
 			stop()
 			return
 		}
@@ -176,9 +187,9 @@
 
 // run has an engine generate, and passes its events on.
 func (r *Relay) run(ctx context.Context, g *generation, start route.Start) attempt.Result {
-	engine := r.picture.upstream(start.Engine.ID)
-	defer func() { r.picture.end(start.Engine.ID, g.req.ID, r.now()) }()
-	prompted := sync.OnceFunc(func() { r.picture.done(start.Engine.ID, start.Work) })
+	engine := r.picture.Upstream(start.Engine.ID)
+	defer func() { r.picture.End(start.Engine.ID, g.req.ID, r.now()) }()
+	prompted := sync.OnceFunc(func() { r.picture.PromptDone(start.Engine.ID, start.Work, route.TurnNext) })
 	defer prompted()
 	if err := g.sent(engine.ID); err != nil {
 		return attempt.Result{Ending: attempt.NoUpstream, Err: err}
@@ -187,11 +198,11 @@
 	defer stop()
 	started := r.now()
 	if !g.begun && !g.route.Resumable {
-		g.backup = r.picture.pickBackup(g.exchange, start.Engine, started)
+		g.backup = r.picture.PickBackup(g.ask(started), start.Engine, started)
 	}
 	reply, err := r.sender.Send(running, g.req, Send{
 		To: engine, Within: g.left(started), KV: g.kv, LastEvent: g.lastEvent, Priority: g.route.Priority,
-		FetchFrom: r.picture.upstream(start.Source.ID).Address, Backup: g.backup,
+		FetchFrom: r.picture.Upstream(start.Source.ID).Address, Backup: g.backup,
 	})
 	if err != nil {
 		return r.unanswered(ctx, g, engine, err)
@@ -199,10 +210,13 @@
 	prompted()
 	g.kv = KV{} // the engine has fetched it
 	defer reply.Body.Close()
-	r.picture.reported(engine.ID, reply.Load, r.now())
+	r.picture.Reported(engine.ID, reply.Load, r.now())
 	if reply.Status != http.StatusOK {
 		return r.passFailure(ctx, g, engine, reply)
 	}
+	if !g.direct && !g.begun {
+		r.picture.Began(g.service, g.prompt.Tokens-start.Engine.Told.Cached, r.now()-started)
+	}
 	r.log.Info("relay: generates", "request", g.req.ID, "engine", engine.ID, "direct", g.direct, "tokens", g.prompt.Tokens,
 		"running", reply.Load.Running, "waiting", reply.Load.Waiting, "after", r.now()-started,
 		"cached", start.Engine.Told.Cached, "ahead", start.Engine.Told.Ahead, "requests", start.Engine.Told.Requests, "last_event", g.lastEvent)
@@ -211,7 +225,7 @@
 
 // passFailure deals with an engine's own failure: another one is asked where
 // the route allows it, and else the caller gets the engine's word.
-func (r *Relay) passFailure(ctx context.Context, g *generation, engine Upstream, reply *Reply) attempt.Result {
+func (r *Relay) passFailure(ctx context.Context, g *generation, engine picture.Upstream, reply *Reply) attempt.Result {
 	again := g.tries.AnotherRun() && ctx.Err() == nil
 	if g.begun || again {
 		err := errors.WithMessagef(ErrLost, "the engine answered %d", reply.Status)
@@ -227,7 +241,7 @@
 
 // unanswered notes an engine that did not begin an answer. When it could not
 // have the KV cache, the prompt is processed anew.
-func (r *Relay) unanswered(ctx context.Context, g *generation, engine Upstream, err error) attempt.Result {
+func (r *Relay) unanswered(ctx context.Context, g *generation, engine picture.Upstream, err error) attempt.Result {
 	if g.kv.Handle != "" && errors.Is(err, ErrRefused) {
 		g.kv = KV{}
 	}
@@ -236,7 +250,7 @@
 }
 
 // passOn gives an engine's events to the caller.
-func (r *Relay) passOn(ctx context.Context, stop context.CancelFunc, g *generation, engine Upstream, reply *Reply, started time.Duration) attempt.Result {
+func (r *Relay) passOn(ctx context.Context, stop context.CancelFunc, g *generation, engine picture.Upstream, reply *Reply, started time.Duration) attempt.Result {
 	if !g.begun {
 		g.tries.Answered()
 		writeHeader(g.w, g.exchange, reply)
@@ -247,12 +261,18 @@
 	if g.tries.AnotherRun() {
 		p.silence, p.stop = r.settings.StreamSilence, stop
 	}
+	began, whole := r.now(), g.lastEvent == ""
 	err := p.pass(reply.Body)
 	g.lastEvent = p.lastEvent
 	switch {
 	case err == nil:
-		r.picture.judge(engine.ID, load.VerdictGood, r.now())
+		r.picture.Judge(engine.ID, load.VerdictGood, r.now())
 		observe("stream", r.now()-started)
+		if whole {
+			r.picture.Streamed(g.service, engine.ID, p.events.Count(), estimate.Stream{
+				Took: r.now() - began, Slot: r.now() - started,
+			}, r.now())
+		}
 		return attempt.Result{Ending: attempt.Over}
 	case errors.Is(err, ErrCallerGone) || errors.Is(ctx.Err(), context.Canceled):
 		return attempt.Result{Ending: attempt.Over, Err: ErrCallerGone}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,8 +11,10 @@
 	"github.com/pkg/errors"
 
 	"sassafrasfield/internal/attempt"
+	"sassafrasfield/internal/estimate"
 	"sassafrasfield/internal/load"
 	"sassafrasfield/internal/outcome"
+	"sassafrasfield/internal/picture"
 	"sassafrasfield/internal/route"
 	"sassafrasfield/internal/routes"
 )
@@ -22,8 +24,10 @@
 	// Zone of this instance.
 	Zone   string
 	Budget BudgetSettings
-	// Costs are the times that engines take.
-	Costs route.Costs
+	// Placement is what is weighed against the times that engines take, Prior what
+	// is assumed of these times before anything was observed.
+	Placement route.Settings
+	Prior     estimate.Prior
 	// MaxSends bounds the sends of one request, refused ones included.
 	MaxSends int
 	// PrefillSilence is how long an engine may take for a prompt beyond what
@@ -46,7 +50,8 @@
 	outliers.EjectAtMost = 5 * time.Second // a crashed upstream loses its entry within that
 	return Settings{
 		Budget:         BudgetSettings{Share: 0.2, Slack: 58, Window: 10 * time.Second},
-		Costs:          route.DefaultCosts(),
+		Placement:      route.DefaultSettings(),
+		Prior:          estimate.DefaultPrior(),
 		MaxSends:       4,
 		PrefillSilence: 1200 * time.Millisecond, // above the queue of a busy engine, below most deadlines
 		StreamSilence:  1200 * time.Millisecond, // callers leave after two seconds of silence
@@ -62,7 +67,7 @@
 	sender   Sender
 	log      *slog.Logger
 	start    time.Time
-	picture  *picture
+	picture  *picture.Picture
 	budgets  *budgets
 	meters   *meters
 	// closed: new requests are refused.
@@ -75,7 +80,8 @@
 func New(s Settings, sender Sender, log *slog.Logger) *Relay {
 	return &Relay{
 		settings: s, sender: sender, log: log, start: time.Now(),
-		picture: newPicture(s), budgets: newBudgets(s.Budget, newRetryMeters()), meters: newMeters(),
+		picture: picture.New(picture.Settings{Zone: s.Zone, Placement: s.Placement, Prior: s.Prior, Outliers: s.Outliers}),
+		budgets: newBudgets(s.Budget, newRetryMeters()), meters: newMeters(),
 	}
 }
 
@@ -83,36 +89,42 @@
 
 // SetRoutes puts a version of the configuration in force unless it is older,
 // and tells whether it did.
-func (r *Relay) SetRoutes(t *routes.Table) bool { return r.picture.setTable(t, r.now()) }
+func (r *Relay) SetRoutes(t *routes.Table) bool { return r.picture.SetRoutes(t, r.now()) }
 
 // SetBudget takes other bounds of the sends beyond the first, or another number
 // of instances that share them. Until the first call that number is not known.
 func (r *Relay) SetBudget(s BudgetSettings, instances int) { r.budgets.set(s, instances) }
 
 // Learn takes an upstream's newest entry.
-func (r *Relay) Learn(u Upstream) { r.picture.learn(u) }
+func (r *Relay) Learn(u picture.Upstream) { r.picture.Learn(u) }
 
 // Forget drops an upstream that is gone.
-func (r *Relay) Forget(id string) { r.picture.forget(id) }
-
-// Engine is a model engine with what all instances together have on it.
-type Engine struct {
-	Upstream
-	Load EngineLoad
-}
+func (r *Relay) Forget(id string) { r.picture.Forget(id) }
 
 // Engines returns the model engines that take requests, by service.
-func (r *Relay) Engines() map[string][]Engine { return r.picture.engineList(r.now()) }
+func (r *Relay) Engines() map[string][]picture.Engine { return r.picture.Engines(r.now()) }
+
+// Times returns what the engines of a service take.
+func (r *Relay) Times(service string) picture.Times { return r.picture.Times(service) }
 
 // Away has all instances leave an upstream out for a time in which it takes no
 // requests.
-func (r *Relay) Away(id string, d time.Duration) {
-	p := r.picture
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.away(id, r.now()+d)
+func (r *Relay) Away(id string, d time.Duration) { r.picture.Away(id, r.now()+d) }
+
+// OwnReport returns what this instance tells the others.
+func (r *Relay) OwnReport() picture.Report { return r.picture.OwnReport(r.now()) }
+
+// ZoneReport returns what this instance tells other zones of its own.
+func (r *Relay) ZoneReport() picture.Report { return r.picture.ZoneReport(r.now()) }
+
+// TakeReport takes the report of another instance, or of a whole zone.
+func (r *Relay) TakeReport(source string, report picture.Report) {
+	r.picture.TakeReport(source, report, r.now())
 }
 
+// Knows tells whether a part was placed on an engine, as far as is known here.
+func (r *Relay) Knows(placed picture.Placed) bool { return r.picture.Knows(placed) }
+
 // servingFor is for how long after a request the instance counts as serving.
 const servingFor = 2 * time.Second
 
@@ -127,7 +139,7 @@
 
 // Ready tells whether there are routes to serve.
 func (r *Relay) Ready() bool {
-	table, _ := r.picture.routes(r.now())
+	table, _ := r.picture.Routes(r.now())
 	return table.Version > 0
 }
 
@@ -149,6 +161,23 @@
 	// ahead and own are the times that were predicted when the newest prompt was
 	// placed: of the prompts before it on its engine, and its own.
 	ahead, own time.Duration
+	// turn is when that prompt was to be processed there.
+	turn route.Turn
+}
+
+// ask is what the choice of an upstream depends on.
+func (x *exchange) ask(now time.Duration) picture.Ask {
+	ask := picture.Ask{
+		ID: x.req.ID, Service: x.service, Excluded: x.tries.Excluded(),
+		Objective: x.route.Objective - (now - x.arrived), Left: x.left(now),
+	}
+	if patience := x.route.Patience; patience > 0 {
+		ask.Left = min(ask.Left, patience-(now-x.arrived))
+	}
+	if x.req.Prompt != nil {
+		ask.Prompt = *x.req.Prompt
+	}
+	return ask
 }
 
 func (x *exchange) left(now time.Duration) time.Duration { return x.ends - now }
@@ -179,7 +208,7 @@
 func (r *Relay) begin(req *Request) (*exchange, error) {
 	now := r.now()
 	r.lastRequest.Store(int64(now))
-	table, age := r.picture.routes(now)
+	table, age := r.picture.Routes(now)
 	if r.closed.Load() {
 		return nil, &Refusal{Word: NotRun, Reason: "stopping", RetryIn: r.settings.RetryIn}
 	}
@@ -252,7 +281,7 @@
 		return
 	}
 	v := verdictOf(ctx, err)
-	ejected := r.picture.judge(id, v, r.now())
+	ejected := r.picture.Judge(id, v, r.now())
 	r.log.Info("relay: send failed", "request", x.req.ID, "upstream", id, "try", x.tries.Sends(),
 		"ejected", ejected, "error", err, "after", r.now()-x.arrived)
 }
@@ -289,7 +318,7 @@
 
 // retryIn is when a caller should come back, within what it has left.
 func (r *Relay) retryIn(x *exchange) time.Duration {
-	if r.picture.count(x.service) == 0 {
+	if r.picture.Count(x.service) == 0 {
 		return r.startIn(x.left(r.now()))
 	}
 	return min(jittered(r.settings.RetryIn), max(time.Millisecond, x.left(r.now())/retryPart))
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -17,7 +17,7 @@
 
 	"github.com/pkg/errors"
 
-	"sassafrasfield/internal/config"
+	"sassafrasfield/internal/picture"
 	"sassafrasfield/internal/route"
 )
 
@@ -42,27 +42,16 @@
 	LastEvent string
 }
 
-// Upstream is an engine or a plain service's process.
-type Upstream struct {
-	// ID is new with each start of the process.
-	ID, Service, Address, Zone string
-	// Draining upstreams take no new requests.
-	Draining bool
-	Slots    int
-	// Role is empty for a plain service.
-	Role config.Role
-}
-
 // KV names a prompt's KV cache that an engine keeps for another one.
 type KV struct {
-	Engine Upstream
+	Engine picture.Upstream
 	Handle string
 	Tokens int
 }
 
 // Send is one way to send a request.
 type Send struct {
-	To Upstream
+	To picture.Upstream
 	// Within is how long the upstream may work on it.
 	Within time.Duration
 	// KV is the processed prompt to fetch; the zero value when there is none.
@@ -75,15 +64,11 @@
 	FetchFrom string
 	// Backup is the engine that the run is copied to as it goes; the zero value
 	// when it is not.
-	Backup Upstream
+	Backup picture.Upstream
 	// Priority of the route; 0 is the most urgent.
 	Priority int
-}
-
-// Load is what an upstream says of itself with an answer.
-type Load struct {
-	Known                   bool
-	Running, Waiting, Slots int
+	// Yields: the engine is to process the prompt after all that do not yield.
+	Yields bool
 }
 
 // Reply is an upstream's answer to a request that it ran. Its body must be
@@ -93,7 +78,7 @@
 	// Header is what the caller gets of the upstream's.
 	Header http.Header
 	Body   io.ReadCloser
-	Load   Load
+	Load   picture.Load
 }
 
 // Errors of a Sender. Compare with errors.Is.
@@ -120,7 +105,7 @@
 	// Send has an upstream run a request, and returns once its answer begins.
 	Send(ctx context.Context, req *Request, s Send) (*Reply, error)
 	// Prefill has an engine process a request's prompt and keep the KV cache.
-	Prefill(ctx context.Context, req *Request, s Send) (KV, Load, error)
+	Prefill(ctx context.Context, req *Request, s Send) (KV, picture.Load, error)
 	// Free drops a KV cache that nobody will fetch.
 	Free(ctx context.Context, kv KV) error
 }
--- a/internal/rolekeeper/orders.go
+++ b/internal/rolekeeper/orders.go
@@ -10,7 +10,7 @@
 	"sassafrasfield/internal/bootclock"
 	"sassafrasfield/internal/config"
 	"sassafrasfield/internal/lease"
-	"sassafrasfield/internal/relay"
+	"sassafrasfield/internal/picture"
 	"sassafrasfield/internal/roles"
 )
 
@@ -21,9 +21,6 @@
 	// pendingFor is for how long an order without a visible effect is counted
 	// as done; late orders are carried out within twelve seconds.
 	pendingFor = 15 * time.Second
-	// changeTakes is how long an engine takes no requests when its role changes:
-	// three seconds on the users' sheet.
-	changeTakes = 3 * time.Second
 )
 
 // pending is an order that the engine's entry does not show yet.
@@ -49,7 +46,7 @@
 
 // forgetOrders drops the orders that count no more as under way: those that had
 // their effect, those that lapsed, and those to engines that are gone.
-func (k *Keeper) forgetOrders(services map[string][]relay.Engine) {
+func (k *Keeper) forgetOrders(services map[string][]picture.Engine) {
 	listed := map[string]config.Role{}
 	for _, engines := range services {
 		for _, e := range engines {
@@ -65,7 +62,7 @@
 	}
 }
 
-func (k *Keeper) lookAt(ctx context.Context, service string, engines []relay.Engine, grant lease.Grant) {
+func (k *Keeper) lookAt(ctx context.Context, service string, engines []picture.Engine, grant lease.Grant) {
 	list := k.asPlanned(engines)
 	d, ok := k.dutyOf(ctx, service)
 	if !ok {
@@ -88,7 +85,7 @@
 	k.log.Info("roles: the split differs", "service", service, "engines", len(list),
 		"wanted_prefill", d.target.Count(len(list)), "changes", len(changes), "at_once", most)
 	for _, change := range changes {
-		at := slices.IndexFunc(engines, func(e relay.Engine) bool { return e.ID == change.Engine })
+		at := slices.IndexFunc(engines, func(e picture.Engine) bool { return e.ID == change.Engine })
 		if err := k.order(ctx, engines[at].Upstream, change.To, grant); err != nil {
 			k.log.Info("roles: order failed", "engine", change.Engine, "to", change.To, "epoch", grant.Epoch, "error", err)
 		}
@@ -118,7 +115,7 @@
 
 // asPlanned are the engines with the roles that they have or were ordered to
 // take.
-func (k *Keeper) asPlanned(engines []relay.Engine) []roles.Engine {
+func (k *Keeper) asPlanned(engines []picture.Engine) []roles.Engine {
 	var list []roles.Engine
 	for _, e := range engines {
 		role := e.Role
@@ -133,7 +130,7 @@
 // errNotHeld: the lease ended before the order went out.
 var errNotHeld = errors.New("roles: the lease has ended")
 
-func (k *Keeper) order(ctx context.Context, engine relay.Upstream, to config.Role, grant lease.Grant) error {
+func (k *Keeper) order(ctx context.Context, engine picture.Upstream, to config.Role, grant lease.Grant) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	state, err := k.orderer.State(ctx, engine)
@@ -153,7 +150,7 @@
 	k.log.Info("roles: order", "engine", engine.ID, "zone", engine.Zone, "to", to, "epoch", grant.Epoch,
 		"orders", state.Orders, "error", err)
 	if err == nil {
-		k.view.Away(engine.ID, changeTakes)
+		k.view.Away(engine.ID, k.view.Times(engine.Service).RoleChange)
 	}
 	return err
 }
--- a/internal/rolekeeper/rolekeeper.go
+++ b/internal/rolekeeper/rolekeeper.go
@@ -18,8 +18,8 @@
 	"sassafrasfield/internal/bootclock"
 	"sassafrasfield/internal/config"
 	"sassafrasfield/internal/lease"
+	"sassafrasfield/internal/picture"
 	"sassafrasfield/internal/platform"
-	"sassafrasfield/internal/relay"
 	"sassafrasfield/internal/roles"
 )
 
@@ -45,8 +45,8 @@
 
 // Orderer is the adapter to the engines' control interface.
 type Orderer interface {
-	State(ctx context.Context, engine relay.Upstream) (EngineState, error)
-	Order(ctx context.Context, engine relay.Upstream, o Order) error
+	State(ctx context.Context, engine picture.Upstream) (EngineState, error)
+	Order(ctx context.Context, engine picture.Upstream, o Order) error
 }
 
 // Settings of a Keeper.
@@ -71,7 +71,9 @@
 // View is what the keeper needs to know of the data path.
 type View interface {
 	// Engines are the engines of all services that take requests, by service.
-	Engines() map[string][]relay.Engine
+	Engines() map[string][]picture.Engine
+	// Times are what the engines of a service take.
+	Times(service string) picture.Times
 	// Away has all instances leave an engine out for a time.
 	Away(engine string, d time.Duration)
 	// Serving tells whether requests came lately.
--- a/internal/rolekeeper/use.go
+++ b/internal/rolekeeper/use.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"sassafrasfield/internal/bootclock"
-	"sassafrasfield/internal/relay"
+	"sassafrasfield/internal/picture"
 	"sassafrasfield/internal/roles"
 )
 
@@ -29,12 +29,15 @@
 		return // what was then is not known, or not of use here
 	}
 	for service, engines := range k.view.Engines() {
+		if !k.view.Times(service).Known {
+			continue // its use would be measured in times of other engines
+		}
 		k.use[service] = k.use[service].Add(seen(engines), since, k.settings.Balance.Over)
 	}
 }
 
 // seen are the engines with what they have under way.
-func seen(engines []relay.Engine) []roles.Engine {
+func seen(engines []picture.Engine) []roles.Engine {
 	list := make([]roles.Engine, len(engines))
 	for i, e := range engines {
 		list[i] = roles.Engine{ID: e.ID, Zone: e.Zone, Role: e.Role, Running: e.Load.Requests, Use: e.Load.Use}
@@ -42,11 +45,21 @@
 	return list
 }
 
+// balance is the balance with what the engines of a service take.
+func (k *Keeper) balance(service string) roles.Balance {
+	b, times := k.settings.Balance, k.view.Times(service)
+	b.Step, b.StepPerRequest = milliseconds(times.Step), milliseconds(times.StepPerRequest)
+	b.Slots = times.Slots
+	return b
+}
+
+func milliseconds(d time.Duration) float64 { return d.Seconds() * 1e3 }
+
 // follow brings the target to what the engines are used for.
 func (k *Keeper) follow(service string, d *duty, engines []roles.Engine) {
 	prefill := roles.CountPrefill(engines)
 	use := k.use[service]
-	follower, target := d.follower.Look(k.settings.Balance, d.target, use, prefill, len(engines), k.sinceLook)
+	follower, target := d.follower.Look(k.balance(service), d.target, use, prefill, len(engines), k.sinceLook)
 	d.follower = follower
 	before, after := d.target.Count(len(engines)), target.Count(len(engines))
 	if before == after {
--- a/internal/roles/balance.go
+++ b/internal/roles/balance.go
@@ -11,9 +11,11 @@
 // with the fewest is the one with the shortest mean time.
 type Balance struct {
 	// Step is the time of one step of generation, StepPerRequest what each
-	// request that takes part adds, both in milliseconds: from the engines'
-	// sheet.
+	// request that takes part adds, both in milliseconds, as they were measured.
 	Step, StepPerRequest float64
+	// Slots is how many requests an engine generates for at a time; 0 where that is
+	// not known.
+	Slots int
 	// Wait is how much more a prompt that waits counts than an answer that is
 	// generated. It is above 1 as prompts differ in length, as shared parts bind
 	// them to engines, and as callers wait for the first token.
@@ -36,12 +38,13 @@
 	Less, More float64
 }
 
-// DefaultBalance returns the defaults. Wait was chosen by runs of four mixes of
-// prompts and answers, each with seven fixed splits (docs/measurements/platform.md);
-// Gain and Evidence so that the swings of the users' standard days are left alone.
+// DefaultBalance returns the defaults, without what is measured. Wait was chosen by
+// runs of four mixes of prompts and answers, each with seven fixed splits
+// (docs/measurements/platform.md); Gain, Evidence and Over so that swings of some
+// ten seconds are left alone, which cost more than they bring (docs/NEW-CUSTOMER.md).
 func DefaultBalance() Balance {
 	return Balance{
-		Step: 4.55, StepPerRequest: 0.181, Wait: 10, Gain: 0.06, Evidence: 2.2, Over: 6 * time.Second,
+		Wait: 10, Gain: 0.06, Evidence: 2.2, Over: 30 * time.Second,
 		Less: 0.16, More: 0.11,
 	}
 }
@@ -76,8 +79,7 @@
 	if f.evidence < b.Evidence {
 		return f, t
 	}
-	t.Share = float64(best) / float64(total)
-	return Follower{}, t
+	return Follower{}, t.with(best, total)
 }
 
 // best returns the number of engines in prefill, within a move's reach of the
@@ -89,7 +91,7 @@
 	now := b.requests(u, tokens, wanted, total)
 	best, fewest := wanted, now
 	least := max(1, wanted-b.steps(b.Less, total))
-	most := min(total-t.MinDecode, wanted+b.steps(b.More, total))
+	most := min(total-b.leastDecode(t, u), wanted+b.steps(b.More, total))
 	for n := least; n <= most; n++ {
 		if l := b.requests(u, tokens, n, total); l < fewest {
 			best, fewest = n, l
@@ -98,6 +100,15 @@
 	return best, 1 - fewest/max(now, 1) // fewer than one request is nothing to gain from
 }
 
+// leastDecode is the fewest engines left to generate that have slots for the
+// requests which generate now.
+func (b Balance) leastDecode(t Target, u Use) int {
+	if b.Slots == 0 {
+		return t.MinDecode
+	}
+	return max(t.MinDecode, int(math.Ceil(u.Generations/float64(b.Slots))))
+}
+
 // steps is a part of the engines, rounded up.
 func (b Balance) steps(part float64, total int) int { return int(math.Ceil(part * float64(total))) }
 
--- a/internal/roles/target.go
+++ b/internal/roles/target.go
@@ -15,11 +15,17 @@
 }
 
 // DefaultTarget is 11 of 18 engines, the best of the splits tried for the mix of
-// the users' sheets.
+// the first two customers.
 func DefaultTarget() Target {
 	return Target{Share: 11.0 / 18, MinDecode: 2}
 }
 
+// with returns the target with so many of the engines in prefill.
+func (t Target) with(prefill, total int) Target {
+	t.Share = float64(prefill) / float64(total)
+	return t
+}
+
 // Count is the wanted number of prefill engines among n.
 func (t Target) Count(n int) int {
 	want := int(t.Share*float64(n) + 0.5)
--- a/internal/route/costs.go
+++ b/internal/route/costs.go
@@ -2,58 +2,81 @@
 
 import "time"
 
-// Costs are the times that an engine takes, and what is weighed against them.
-// Those without a source in their comment were chosen by the runs that
-// docs/measurements/platform.md names.
-type Costs struct {
+// EngineTimes are what the engines of a service take. Package estimate learns
+// them; what the operators' configuration says of the engines comes from there.
+type EngineTimes struct {
 	// TokenTime is the time that a prefill engine takes for a prompt token, in
-	// nanoseconds. The engines' sheet says 61.4 tokens a millisecond.
+	// nanoseconds.
 	TokenTime float64
-	// PairTime is the time that it takes for attention over one pair of
-	// tokens, in nanoseconds.
+	// PairTime is the time that it takes for attention over one pair of tokens,
+	// in nanoseconds.
 	PairTime float64
-	// MixedFactor is how much slower a decode engine processes a prompt: at
-	// half the speed, between the tokens of its other requests.
-	MixedFactor float64
-	// DirectBelow is the number of prompt tokens below which the engine that
-	// generates processes the prompt too, and no other one does.
-	DirectBelow int
+	// Overhead is the time of a prompt besides its tokens, in which the engine can
+	// process others.
+	Overhead time.Duration
 	// FetchTime is the time to fetch a token's KV cache from another engine of
-	// the zone, in nanoseconds: 35,136 bytes over 370 Gbit/s.
+	// the zone, in nanoseconds.
 	FetchTime float64
-	// FarFactor is how much longer a transfer from another zone takes.
-	FarFactor float64
-	// FetchFrom is the fewest tokens that a fetch is asked for; below it, the
-	// engine has processed them as soon.
-	FetchFrom int
-	// HandOver is the time from the end of the prefill to the first token at
-	// the decode engine.
+	// HandOver is the time from the end of the prefill to the first token at the
+	// decode engine, besides the fetch.
 	HandOver time.Duration
-	// CopyWeight is what a further copy of a shared part costs besides its
-	// fetch, in times of processing it: the memory that it takes has other
-	// parts processed again.
-	CopyWeight float64
+	// Stream is the mean time that a generation keeps its slot.
+	Stream time.Duration
+	// Slots is how many requests an engine runs at a time.
+	Slots int
+	// Memory is the size of an engine's KV cache, in tokens.
+	Memory int
+}
+
+// Settings are what is weighed against the engines' times. None of them is a
+// property of one kind of engine.
+type Settings struct {
+	// MixedFactor is how much slower a decode engine processes a prompt: at half
+	// the speed, by the engines' interface, and between the tokens of its other
+	// requests.
+	MixedFactor float64
+	// DirectBelow is the number of prompt tokens below which the engine that
+	// generates may process the prompt too. Longer ones make
+	// the streams there pause: trials with them lost 0.1 to 0.6 of the worth.
+	DirectBelow int
 	// BackupBelow is the number of prompt tokens below which a run that may not
 	// be repeated is copied to a second engine as it goes. A copy of a long one
 	// costs more memory and transfer than the runs that it saves are worth.
 	BackupBelow int
-	// RequestTime is what a running request costs one that joins it.
-	RequestTime time.Duration
+	// FetchFrom is the fewest tokens that a fetch is asked for; below it, the
+	// engine has processed them as soon.
+	FetchFrom int
+	// FarFactor is how much longer a transfer from another zone takes, by the
+	// engines' interface.
+	FarFactor float64
+	// MemoryPrice is what all of an engine's memory is worth, as time that a
+	// request may wait instead: a further copy of a shared part costs the part of
+	// it that its tokens take, as others are pushed out and processed again. 60 to
+	// 180 s serve alike where copies matter (docs/NEW-CUSTOMER.md).
+	MemoryPrice time.Duration
+	// FullBatch is what an engine whose slots are all taken costs a request that
+	// joins it, against an idle one.
+	FullBatch time.Duration
 	// FarSend is what it costs to send a request to an engine of another zone,
 	// and to have its answer back from there: bytes between zones are paid for.
 	FarSend time.Duration
 }
 
-// DefaultCosts returns the defaults.
-func DefaultCosts() Costs {
-	return Costs{
-		TokenTime: 16300, PairTime: 0.525, MixedFactor: 2.4, DirectBelow: 2500,
-		FetchTime: 760, FarFactor: 2, FetchFrom: 500,
-		HandOver: 50 * time.Millisecond, CopyWeight: 8, BackupBelow: 2500,
-		RequestTime: 3 * time.Millisecond, FarSend: 25 * time.Millisecond,
+// DefaultSettings returns the defaults. Those without a source in their comment
+// were chosen by the runs that docs/measurements/platform.md names.
+func DefaultSettings() Settings {
+	return Settings{
+		MixedFactor: 2.4, DirectBelow: 2500, BackupBelow: 2500, FetchFrom: 500, FarFactor: 2,
+		MemoryPrice: 80 * time.Second, FullBatch: 200 * time.Millisecond, FarSend: 25 * time.Millisecond,
 	}
 }
 
+// Costs are the times of a service's engines with what is weighed against them.
+type Costs struct {
+	EngineTimes
+	Settings
+}
+
 // work is the time that a prefill engine takes for a prompt of which it has the
 // first cached tokens.
 func (c Costs) work(p Prompt, cached int) time.Duration {
@@ -79,10 +102,26 @@
 	return c.FarSend
 }
 
+// crowd is what the requests that an engine has cost one that joins them: they
+// share its steps and, once all slots are taken, it waits for one of them to end.
+func (c Costs) crowd(requests int) time.Duration {
+	if c.Slots == 0 {
+		return 0
+	}
+	cost := time.Duration(float64(c.FullBatch) * float64(requests) / float64(c.Slots))
+	if over := requests - c.Slots + 1; over > 0 {
+		cost += time.Duration(float64(c.Stream) * float64(over) / float64(c.Slots))
+	}
+	return cost
+}
+
 // copyCost is what another copy of the shared part on an engine costs.
 func (c Costs) copyCost(p Prompt, cached int) time.Duration {
-	lacking := c.work(p, cached) - c.work(p, p.SharedTokens())
-	return time.Duration(c.CopyWeight * float64(max(0, lacking)))
+	if c.Memory == 0 {
+		return 0
+	}
+	lacking := max(0, p.SharedTokens()-cached)
+	return time.Duration(float64(c.MemoryPrice) * float64(lacking) / float64(c.Memory))
 }
 
 // scoreScale is the predicted time that halves a score. It has no effect on the
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -42,6 +42,12 @@
 	// Zone of the instance.
 	Zone   string
 	Prompt Prompt
+	// Costs are what the service's engines take, where the instances tell one
+	// another what they have under way.
+	Costs Costs
+	// Objective is what is left of the time in which the answer is on time, Left
+	// of the time that the caller waits for it; 0 when the route has none.
+	Objective, Left time.Duration
 	// KVZone is where the processed prompt's KV cache lies, for WorkDecode.
 	KVZone string
 	// Blocks of KV memory that the request takes.
@@ -74,6 +80,14 @@
 type Told struct {
 	// Ahead is the predicted time of the prompts that wait there.
 	Ahead time.Duration
+	// Yielding is the part of Ahead that yields to other prompts.
+	Yielding time.Duration
+	// Use is the part of the engine's time that the prompts take which were
+	// placed there lately; above 1 when they are more than it can process.
+	Use float64
+	// Slowness is how much longer than its service's engines it takes; 0 where
+	// that is not known.
+	Slowness float64
 	// Requests that run or wait there.
 	Requests int
 	// Cached is how many leading tokens of the request's prompt it is believed
@@ -81,6 +95,14 @@
 	Cached int
 }
 
+// slowness is how much longer an engine takes; 1 where that is not known.
+func (t Told) slowness() float64 {
+	if t.Slowness == 0 {
+		return 1
+	}
+	return t.Slowness
+}
+
 // role of a model engine; "" for other upstreams.
 func (c Candidate) role() config.Role {
 	if c.Engine == nil {
--- a/internal/route/score_generate.go
+++ b/internal/route/score_generate.go
@@ -1,7 +1,5 @@
 package route
 
-import "time"
-
 // aheadShare is the part of the prompts ahead that delays a generation whose
 // prompt is processed: both take turns.
 const aheadShare = 2
@@ -10,14 +8,12 @@
 // processed prompt and begun the answer soonest. The score is 1 for no wait and
 // falls towards 0; it is a half at half a second. Reason: the fetch and the
 // requests that run there delay the first token, and a far engine is paid for.
-type GenerateScorer struct {
-	Costs Costs
-}
+type GenerateScorer struct{}
 
 // Score implements Scorer.
-func (s GenerateScorer) Score(req *Request, c Candidate) float64 {
-	cost := s.Costs.fetch(req.Prompt.Tokens-c.Told.Cached, req.KVZone, c.Zone)
-	cost += time.Duration(c.Told.Requests) * s.Costs.RequestTime
-	cost += c.Told.Ahead/aheadShare + s.Costs.send(req.Zone, c)
+func (GenerateScorer) Score(req *Request, c Candidate) float64 {
+	cost := req.Costs.fetch(req.Prompt.Tokens-c.Told.Cached, req.KVZone, c.Zone)
+	cost += req.Costs.crowd(c.Told.Requests)
+	cost += c.Told.Ahead/aheadShare + req.Costs.send(req.Zone, c)
 	return scoreOf(cost)
 }
--- a/internal/route/score_start.go
+++ b/internal/route/score_start.go
@@ -13,9 +13,7 @@
 // to a decode engine. The score is 1 for no wait and falls towards 0; it is a
 // half at half a second. Reason: where shared parts live decides most, so an
 // engine that does not rank first for the part also pays for another copy.
-type StartScorer struct {
-	Costs Costs
-}
+type StartScorer struct{}
 
 // Score implements Scorer, for a candidate alone.
 func (s StartScorer) Score(req *Request, c Candidate) float64 {
@@ -32,12 +30,11 @@
 			leading[c.role()] = c.ID
 		}
 	}
-	return startAmong{costs: s.Costs, leading: leading, all: all}
+	return startAmong{leading: leading, all: all}
 }
 
 // startAmong scores candidates against all others.
 type startAmong struct {
-	costs Costs
 	// leading is the candidate of each role that ranks first for the part.
 	leading map[config.Role]string
 	// all may be asked for parts that they have cached.
@@ -46,25 +43,43 @@
 
 // Score implements Scorer.
 func (s startAmong) Score(req *Request, c Candidate) float64 {
-	start := s.costs.startOn(req, c, s.all)
-	cost := c.Told.Ahead + start.Work
+	cost := req.Costs.startCost(req.Costs.startOn(req, c, s.all))
 	if s.leading[c.role()] != c.ID {
-		cost += s.costs.copyCost(req.Prompt, c.Told.Cached)
+		cost += req.Costs.copyCost(req.Prompt, c.Told.Cached)
 	}
-	if start.Direct() {
-		cost += time.Duration(c.Told.Requests)*s.costs.RequestTime + s.costs.send(req.Zone, c)
-	} else {
-		cost += s.costs.HandOver
+	if c.role() != config.RolePrefill {
+		cost += req.Costs.send(req.Zone, c) // the answer comes from there
 	}
 	return scoreOf(cost)
 }
 
+// startCost is the predicted time until a generation that starts there has begun.
+func (c Costs) startCost(s Start) time.Duration {
+	told := s.Engine.Told
+	if s.Direct() {
+		return told.Ahead + c.between(s.Work, told.Use) + c.crowd(told.Requests)
+	}
+	return told.Ahead + s.Work + c.HandOver
+}
+
+// mostBetween bounds the part of an engine's time that prompts are reckoned to take
+// between the tokens of others: beyond it, the time ahead tells.
+const mostBetween = 0.9
+
+// between is the time of a prompt that is processed between the tokens of other
+// requests, on an engine of whose time other prompts take a part.
+func (c Costs) between(work time.Duration, use float64) time.Duration {
+	return time.Duration(float64(work) / (1 - min(use, mostBetween)))
+}
+
 // Start is where a generation begins.
 type Start struct {
 	Engine Candidate
 	// Source is the engine to fetch the shared part from; its ID is empty when
 	// nothing is to be fetched.
 	Source Candidate
+	// Fresh is how many of the prompt's tokens the engine processes.
+	Fresh int
 	// Work is the predicted time that the prompt keeps the engine busy.
 	Work time.Duration
 }
@@ -81,11 +96,12 @@
 		start.Work = c.fetch(source.Told.Cached-cached, source.Zone, on.Zone)
 		cached = source.Told.Cached
 	}
+	start.Fresh = max(0, req.Prompt.Tokens-cached)
 	work := c.work(req.Prompt, cached)
 	if start.Direct() {
 		work = time.Duration(float64(work) * c.MixedFactor)
 	}
-	start.Work += work
+	start.Work += time.Duration(float64(work) * on.Told.slowness())
 	return start
 }
 
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -55,6 +55,9 @@
 	Objective time.Duration
 	// MaxPause is the longest pause between two events that is on time.
 	MaxPause time.Duration
+	// Patience is how long callers wait for the first event of a stream, or the next
+	// one; 0 when that is not known.
+	Patience time.Duration
 	// MaxAttempts is how many upstreams one request may run on.
 	MaxAttempts int
 	// Priority of the route; 0 is the most urgent.
@@ -79,6 +82,11 @@
 	Slots int
 	// KVTokens is the KV cache's size in tokens.
 	KVTokens int
+	// TransferTime is the time to send a token's KV cache to another engine of the
+	// zone, in nanoseconds.
+	TransferTime float64
+	// EventTokens is how many tokens an event of a stream has.
+	EventTokens int
 	// KVHold is how long a prefilled KV cache is kept for its taker.
 	KVHold time.Duration
 	// RoleSwitch is how long an engine is away when its role changes.
--- a/internal/stream/events.go
+++ b/internal/stream/events.go
@@ -14,6 +14,7 @@
 type Events struct {
 	pending []byte
 	lastID  string
+	count   int
 }
 
 // Add takes bytes as they came and returns the whole events among what is not
@@ -26,6 +27,7 @@
 	}
 	whole := bytes.Clone(e.pending[:end+len(eventEnd)])
 	e.pending = append(e.pending[:0], e.pending[len(whole):]...)
+	e.count += bytes.Count(whole, eventEnd)
 	if id := lastID(whole); id != "" {
 		e.lastID = id
 	}
@@ -35,6 +37,9 @@
 // LastID is the id of the last whole event that had one.
 func (e *Events) LastID() string { return e.lastID }
 
+// Count is the number of whole events so far.
+func (e *Events) Count() int { return e.count }
+
 // Cut tells whether a part of an event is left over.
 func (e *Events) Cut() bool { return len(bytes.TrimSpace(e.pending)) > 0 }
 
