Send short prompts to prefill engines when prompts crowd the decode engines

Cause: prompts below 2,500 tokens always went to decode engines.

Change: a short prompt goes where it is predicted to begin sooner; between the tokens of others, prompts take longer by the part of the time that is taken already.

--- a/internal/route/stages.go
+++ b/internal/route/stages.go
@@ -33,13 +33,19 @@
 }
 
 // Begin picks the engine that processes a prompt. False means that there is no
-// engine at all.
+// engine at all. A short prompt goes to an engine that generates too, unless prompts
+// take so much of these engines' time that a prefill engine is sooner: else a surge
+// of short prompts stops the answers, while prefill engines idle.
 func (s *Stages) Begin(req *Request, candidates []Candidate, rng *rand.Rand) (Start, bool) {
-	work := WorkPrefill
-	if req.Prompt.Tokens < req.Costs.DirectBelow {
-		work = WorkDirect
+	apart, ok := s.beginAs(WorkPrefill, req, candidates, rng)
+	if req.Prompt.Tokens >= req.Costs.DirectBelow {
+		return apart, ok
 	}
-	return s.beginAs(work, req, candidates, rng)
+	direct, ok := s.beginAs(WorkDirect, req, candidates, rng)
+	if !ok || apart.Direct() || req.Costs.startCost(direct) <= req.Costs.startCost(apart)+req.Costs.Overhead {
+		return direct, ok
+	}
+	return apart, ok
 }
 
 // beginAs picks the engine that does a part of a generation first.
--- a/internal/route/stages_test.go
+++ b/internal/route/stages_test.go
@@ -123,6 +123,26 @@
 	}
 }
 
+// TestShortPromptsLeaveCrowdedDecodeEngines: prompts take most of the decode
+// engines' time while prefill engines idle.
+func TestShortPromptsLeaveCrowdedDecodeEngines(t *testing.T) {
+	short := Prompt{Tokens: 1500, Output: 25}
+	for _, c := range []struct {
+		use    float64
+		direct bool
+	}{{0, true}, {0.4, true}, {0.8, false}, {2, false}} {
+		list := split(3, 2)
+		for i := range list {
+			if list[i].role() == config.RoleDecode {
+				list[i].Told.Use = c.use
+			}
+		}
+		if start := begin(t, short, list); start.Direct() != c.direct {
+			t.Errorf("decode engines with %g of their time taken: direct %t", c.use, start.Direct())
+		}
+	}
+}
+
 func TestWithoutPrefillEnginesADecodeEngineDoesAll(t *testing.T) {
 	if start := begin(t, long, split(0, 2)); !start.Direct() {
 		t.Errorf("%+v", start.Engine)
