--- a/internal/estimate/line.go
+++ b/internal/estimate/line.go
@@ -30,13 +30,16 @@
 	samples               []sample
 	next                  int
 	fitted                coefficients
-	fresh                 bool // fitted holds for the samples
+	// unfitted counts the observations, and words of others, since fitted.
+	unfitted int
 }
 
 const (
 	// keepSamples is how many observations are kept: with a few a second, those of
 	// some ten seconds.
 	keepSamples = 64
+	// refitAt is how many new observations have a line that has many fitted anew.
+	refitAt = 4
 	// priorWeight is the number of observations that the prior counts as.
 	priorWeight = 0.5
 	// rounds of weighting; the coefficients settle within five.
@@ -60,7 +63,7 @@
 )
 
 func (l *line) add(s sample) {
-	l.fresh = false
+	l.unfitted++
 	if len(l.samples) < keepSamples {
 		l.samples = append(l.samples, s)
 		return
@@ -74,8 +77,8 @@
 	if len(l.samples) == 0 {
 		return l.prior
 	}
-	if !l.fresh {
-		l.fitted, l.fresh = l.fit(), true
+	if l.unfitted >= refitAt || l.unfitted > 0 && len(l.samples) < keepSamples/2 {
+		l.fitted, l.unfitted = l.fit(), 0
 	}
 	return l.fitted
 }
--- a/internal/estimate/share.go
+++ b/internal/estimate/share.go
@@ -47,7 +47,7 @@
 
 // hear takes the line of another instance into the mean that is the prior.
 func (l *line) hear(c coefficients) {
-	l.fresh = false
+	l.unfitted += refitAt
 	l.heardSlope.add(c.slope)
 	l.heardBase.add(c.base)
 	l.prior = coefficients{slope: l.heardSlope.value, base: l.heardBase.value}
--- /dev/null
+++ b/internal/model/patterns_test.go
@@ -0,0 +1,92 @@
+package model
+
+import "time"
+
+// fast are the engines of a dense model on one accelerator: the new customer's sheet.
+func fast() EngineSpec {
+	return EngineSpec{
+		TokenTime: 4237, PairTime: 0.138, TransferTime: 109, Step: 637 * time.Microsecond,
+		StepPerRequest: 3190 * time.Nanosecond, StepPerContext: 2130 * time.Nanosecond, Chunk: 512, Slots: 64,
+		Memory: 370000, EventTokens: 52, RoleChange: 3 * time.Second,
+	}
+}
+
+// slow are those of a mixture-of-experts model on eight: the first customers' sheet.
+func slow() EngineSpec {
+	return EngineSpec{
+		TokenTime: 16300, PairTime: 0.525, TransferTime: 760, Overhead: 90 * time.Millisecond, Step: 4550 * time.Microsecond,
+		StepPerRequest: 181 * time.Microsecond, StepPerContext: 3660 * time.Nanosecond, Chunk: 1024, Slots: 64,
+		Memory: 467273, EventTokens: 7, RoleChange: 3 * time.Second,
+	}
+}
+
+// bursts alternates two multiples every 2.8 s over a wave of 14 s.
+func bursts(first, second float64, waves ...float64) []Burst {
+	const short, wave = 2800 * time.Millisecond, 14 * time.Second
+	var list []Burst
+	for i, times := range waves {
+		from := 3*time.Second + time.Duration(i)*(wave+time.Second)
+		list = append(list, Burst{From: from, For: wave, Times: times})
+	}
+	for i := range 11 {
+		times := first
+		if i%2 == 1 {
+			times = second
+		}
+		list = append(list, Burst{From: time.Second + time.Duration(i)*short, For: short, Times: times})
+	}
+	return list
+}
+
+// alternating is the new customer's load: long prompts with a word for an answer, and
+// short questions with long answers, whose bursts take turns. Grounds: the sheet of
+// tsd-fleet and its quiet day.
+func alternating() Pattern {
+	return Pattern{
+		Name: "alternating bursts of long prompts and long answers", Length: 34 * time.Second,
+		Fleet: Fleet{Zones: 3, Instances: 9, Engines: 18, Engine: fast()},
+		Class: []Class{
+			{
+				Name: "summary", Rate: 195, Shared: 6300, Own: 2890, Answer: 78, Spread: 0.7, Parts: 669, Skew: 0.3,
+				Objective: 200 * time.Millisecond, Pause: 200 * time.Millisecond, Patience: 2 * time.Second,
+				Bursts: append(bursts(0.56, 1.65, 0.35, 1.9), Burst{From: 16200 * time.Millisecond, For: 5 * time.Second, Times: 2}),
+			},
+			{
+				Name: "question", Rate: 29, Shared: 79, Own: 141, Answer: 4600, Spread: 0.6, Parts: 222, Skew: 0.3, Priority: 1,
+				Objective: 150 * time.Millisecond, Pause: 200 * time.Millisecond, Patience: 2 * time.Second,
+				Bursts: append(bursts(1.67, 0.56, 1.6, 0.49), Burst{From: 21200 * time.Millisecond, For: 5 * time.Second, Times: 2}),
+			},
+		},
+	}
+}
+
+// surge is three times the long prompts for four seconds. Grounds: the bursts of the
+// customers' days go to three times the mean.
+func surge() Pattern {
+	p := alternating()
+	p.Name, p.Length = "three times the long prompts for four seconds", 10*time.Second
+	p.Class[0].Bursts = []Burst{{From: 3 * time.Second, For: 4 * time.Second, Times: 3}}
+	p.Class[1].Bursts = nil
+	return p
+}
+
+// shortPrompts is a burst of short prompts while a third of the decode engines is
+// gone. Grounds: on a day of qoton-gabes four engines were scaled in, and 1.9 times
+// the short prompts came.
+func shortPrompts() Pattern {
+	return Pattern{
+		Name: "a burst of short prompts with engines scaled in", Length: 30 * time.Second,
+		Fleet: Fleet{Zones: 4, Instances: 9, Engines: 14, Engine: slow()},
+		Class: []Class{
+			{
+				Name: "audit", Rate: 24, Shared: 13300, Own: 3720, Answer: 120, Spread: 0.7, Parts: 80, Skew: 0.5,
+				Objective: 800 * time.Millisecond, Pause: 300 * time.Millisecond, Patience: 3200 * time.Millisecond,
+			},
+			{
+				Name: "check", Rate: 28, Shared: 350, Own: 1110, Answer: 175, Spread: 0.7, Parts: 100, Skew: 0.5, Priority: 1,
+				Objective: 500 * time.Millisecond, Pause: 300 * time.Millisecond, Patience: 2400 * time.Millisecond,
+				Bursts: []Burst{{From: 5 * time.Second, For: 14 * time.Second, Times: 1.9}},
+			},
+		},
+	}
+}
--- /dev/null
+++ b/internal/model/run.go
@@ -0,0 +1,416 @@
+package model
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"sassafrasfield/internal/config"
+	"sassafrasfield/internal/estimate"
+	"sassafrasfield/internal/load"
+	"sassafrasfield/internal/picture"
+	"sassafrasfield/internal/roles"
+	"sassafrasfield/internal/route"
+	"sassafrasfield/internal/routes"
+)
+
+// service is the name of the one service.
+const service = "llm"
+
+// request is one caller's request.
+type request struct {
+	id      string
+	class   *Class
+	prompt  route.Prompt
+	answer  float64 // tokens
+	arrived time.Duration
+	at      *instance
+	// start and turn are where and when its prompt is processed.
+	start route.Start
+	turn  route.Turn
+	// sent is when the prompt was sent, then when the answer was asked for.
+	sent       time.Duration
+	engine     *engine
+	cachedHere int // tokens that the decode engine was believed to have
+	paused     bool
+	first      time.Duration
+	over       bool
+}
+
+// instance is one instance with its picture.
+type instance struct {
+	name, zone string
+	picture    *picture.Picture
+}
+
+// run is a pattern under a policy on its way.
+type run struct {
+	pattern   Pattern
+	policy    Policy
+	rng       *rand.Rand
+	sizes     *sizes
+	now       time.Duration
+	engines   []*engine
+	byID      map[string]*engine
+	instances []*instance
+	open      []*request
+	made      int
+	keeper    keeper
+	result    *Result
+}
+
+// Run plays a pattern under a policy.
+func Run(p Pattern, policy Policy, seed uint64) *Result {
+	r := newRun(p, policy, seed)
+	for ; r.now < p.Length+drainFor; r.now += tick {
+		r.lose()
+		r.report()
+		r.keep()
+		if r.now < p.Length {
+			r.arrive()
+		}
+		r.leave()
+		for _, e := range r.engines {
+			r.settle(e)
+		}
+	}
+	r.result.ended(r.open)
+	return r.result
+}
+
+// drainFor is for how long answers may still come after the load.
+const drainFor = 4 * time.Second
+
+func newRun(p Pattern, policy Policy, seed uint64) *run {
+	rng := rand.New(rand.NewPCG(seed, seed))
+	r := &run{
+		pattern: p, policy: policy, rng: rng, sizes: newSizes(p.Class, rng), byID: map[string]*engine{},
+		result: newResult(p, policy),
+	}
+	target := policy.target()
+	prefill := target.Count(p.Fleet.Engines)
+	for i := range p.Fleet.Engines {
+		role := config.RoleDecode
+		if i*prefill/p.Fleet.Engines < (i+1)*prefill/p.Fleet.Engines { // spread over the zones
+			role = config.RolePrefill
+		}
+		e := newEngine(fmt.Sprintf("e%03d", i), zone(i, p.Fleet.Zones), role, p.Fleet.Engine)
+		r.engines, r.byID[e.id] = append(r.engines, e), e
+	}
+	for i := range p.Fleet.Instances {
+		r.instances = append(r.instances, r.newInstance(i))
+	}
+	r.keeper = keeper{target: target}
+	return r
+}
+
+func zone(i, zones int) string { return fmt.Sprintf("z%d", i%max(1, zones)) }
+
+func (r *run) newInstance(i int) *instance {
+	spec := r.pattern.Fleet.Engine
+	in := &instance{name: fmt.Sprintf("i%02d", i), zone: zone(i, r.pattern.Fleet.Zones)}
+	in.picture = picture.New(picture.Settings{
+		Zone: in.zone, Placement: r.policy.settings(), Prior: r.policy.prior(spec),
+		Outliers: load.DefaultOutlierRules(), Seed: uint64(i) + 1,
+	})
+	in.picture.SetRoutes(routes.NewTable(1, nil, []routes.Service{{Name: service, Engine: &routes.EngineLimits{
+		Slots: spec.Slots, KVTokens: spec.Memory, TransferTime: spec.TransferTime, EventTokens: spec.EventTokens,
+		RoleSwitch: spec.RoleChange,
+	}}}, routes.Limits{}), 0)
+	for _, e := range r.engines {
+		in.picture.Learn(e.upstream())
+	}
+	return in
+}
+
+func (e *engine) upstream() picture.Upstream {
+	return picture.Upstream{ID: e.id, Service: service, Zone: e.zone, Role: e.role, Slots: e.spec.Slots}
+}
+
+// arrive has this tick's requests come.
+func (r *run) arrive() {
+	for i := range r.pattern.Class {
+		c := &r.pattern.Class[i]
+		for range poisson(r.rng, c.rateAt(r.now)*tick.Seconds()) {
+			r.made++
+			id := fmt.Sprintf("r%d", r.made)
+			req := &request{
+				id: id, class: c, prompt: r.sizes.prompt(i, *c, id, r.now), answer: float64(r.sizes.tokens(c.Answer, c.Spread)),
+				arrived: r.now, at: r.instances[r.rng.IntN(len(r.instances))],
+			}
+			r.open = append(r.open, req)
+			r.place(req)
+		}
+	}
+}
+
+func (req *request) ask(now time.Duration) picture.Ask {
+	waited := now - req.arrived
+	return picture.Ask{
+		ID: req.id, Service: service, Prompt: req.prompt,
+		Objective: req.class.Objective - waited, Left: req.class.Patience - waited,
+	}
+}
+
+// place sends a request to the engine that is to process its prompt.
+func (r *run) place(req *request) {
+	start, turn, ok := req.at.picture.PickStart(req.ask(r.now), r.now)
+	if !ok {
+		return // it waits until its caller leaves
+	}
+	req.start, req.turn, req.sent, req.engine = start, turn, r.now, r.byID[start.Engine.ID]
+	w := &work{req: req, yields: turn == route.TurnYield, source: r.byID[start.Source.ID], tokens: req.answer}
+	if !req.engine.takes(r.now) {
+		r.refused(req)
+		return
+	}
+	req.engine.prompts = append(req.engine.prompts, w)
+}
+
+// refused tries another engine, as this one does not take the request.
+func (r *run) refused(req *request) {
+	r.free(req)
+	req.at.picture.Judge(req.engine.id, load.VerdictGone, r.now)
+	req.engine = nil
+	r.result.Refused++
+	r.place(req)
+}
+
+// free takes a request off its engine in its instance's picture.
+func (r *run) free(req *request) {
+	if req.engine == nil {
+		return
+	}
+	if req.start.Engine.ID == req.engine.id {
+		req.at.picture.PromptDone(req.engine.id, req.start.Work, req.turn)
+	}
+	req.at.picture.End(req.engine.id, req.id, r.now)
+}
+
+// settle lets an engine work for a tick and takes note of what came of it.
+func (r *run) settle(e *engine) {
+	prompted, started, ended := e.advance(r.now)
+	for _, w := range prompted {
+		r.result.Fresh += w.fresh
+		if e.role == config.RolePrefill {
+			r.handOver(e, w)
+			continue
+		}
+		w.req.at.picture.PromptDone(e.id, w.req.start.Work, w.req.turn)
+	}
+	for _, w := range started {
+		if w.req.first == 0 {
+			w.req.first = r.now
+			if w.req.start.Engine.ID != e.id {
+				w.req.at.picture.Began(service, w.req.prompt.Tokens-w.req.cachedHere, r.now-w.req.sent)
+			}
+		}
+	}
+	for _, w := range ended {
+		r.end(e, w)
+	}
+}
+
+// handOver has a decode engine go on after the prompt.
+func (r *run) handOver(e *engine, w *work) {
+	req := w.req
+	req.at.picture.Judge(e.id, load.VerdictGood, r.now)
+	if req.start.Source.ID == "" && req.start.Fresh <= req.prompt.Tokens-req.prompt.SharedTokens() {
+		req.at.picture.Prefilled(service, estimate.Prefill{
+			Engine: e.id, Fresh: req.start.Fresh, Cached: req.prompt.Tokens - req.start.Fresh,
+			Ahead: req.start.Engine.Told.Ahead, Took: r.now - req.sent + e.spec.Overhead,
+		})
+	}
+	r.free(req)
+	chosen, ok := req.at.picture.PickDecode(req.ask(r.now), e.zone, r.now)
+	if !ok {
+		return
+	}
+	to := r.byID[chosen.ID]
+	fetched := max(0, req.prompt.Tokens-to.cache.has(req.prompt))
+	r.result.Moved += fetched
+	req.engine, req.cachedHere, req.sent = to, chosen.Told.Cached, r.now+e.spec.Overhead
+	if to.role != config.RoleDecode || to.gone {
+		req.at.picture.End(to.id, req.id, r.now)
+		return
+	}
+	transfer := time.Duration(float64(fetched) * e.spec.TransferTime)
+	to.waiting = append(to.waiting, &work{req: req, tokens: req.answer, readyAt: req.sent + transfer})
+}
+
+// end takes note of a request that is answered.
+func (r *run) end(e *engine, w *work) {
+	req := w.req
+	req.at.picture.Judge(e.id, load.VerdictGood, r.now)
+	events := 1 + int(req.answer)/e.spec.EventTokens
+	req.at.picture.Streamed(service, e.id, events, estimate.Stream{Took: r.now - req.first, Slot: r.now - req.sent}, r.now)
+	req.at.picture.End(e.id, req.id, r.now)
+	req.over = true
+	r.result.answered(req)
+}
+
+// leave takes off the requests whose callers have left, or that are answered.
+func (r *run) leave() {
+	r.open = slices.DeleteFunc(r.open, func(req *request) bool {
+		if req.over {
+			return true
+		}
+		if req.first > 0 || r.now-req.arrived < req.class.Patience {
+			return false
+		}
+		r.free(req)
+		if req.engine != nil {
+			req.engine.drop(req)
+		}
+		r.result.left(req)
+		return true
+	})
+}
+
+// lose takes engines away and brings them back.
+func (r *run) lose() {
+	for _, l := range r.pattern.Lost {
+		for i := range l.Engines {
+			e := r.engines[i*len(r.engines)/l.Engines]
+			switch {
+			case r.now >= l.At && r.now < l.At+tick:
+				r.crash(e)
+			case r.now >= l.At+l.For && r.now < l.At+l.For+tick:
+				r.comeBack(e)
+			}
+		}
+	}
+}
+
+// crash ends an engine with all that is on it; its callers leave in time.
+func (r *run) crash(e *engine) {
+	for _, in := range r.instances {
+		in.picture.Forget(e.id)
+	}
+	fresh := newEngine(e.id, e.zone, config.RoleDecode, e.spec)
+	fresh.gone = true
+	*e = *fresh
+}
+
+func (r *run) comeBack(e *engine) {
+	e.gone = false
+	for _, in := range r.instances {
+		in.picture.Learn(e.upstream())
+	}
+}
+
+// Pace of the reports between instances, as package peers has it.
+const (
+	reportEvery = 100 * time.Millisecond
+	zoneEvery   = 200 * time.Millisecond
+)
+
+// report has the instances tell one another what they have.
+func (r *run) report() {
+	if r.now%reportEvery == 0 {
+		for _, from := range r.instances {
+			report := from.picture.OwnReport(r.now)
+			for _, to := range r.instances {
+				if to != from && to.zone == from.zone {
+					to.picture.TakeReport(picture.BesidePrefix+from.name, report, r.now)
+				}
+			}
+		}
+	}
+	if r.now%zoneEvery != 0 {
+		return
+	}
+	told := map[string]bool{}
+	for _, from := range r.instances {
+		if told[from.zone] {
+			continue
+		}
+		told[from.zone] = true
+		report := from.picture.ZoneReport(r.now)
+		for _, to := range r.instances {
+			if to.zone != from.zone {
+				to.picture.TakeReport("zone "+from.zone, report, r.now)
+			}
+		}
+	}
+}
+
+// keeper is what the instance that keeps the split knows.
+type keeper struct {
+	target   roles.Target
+	use      roles.Use
+	follower roles.Follower
+}
+
+// Pace of the keeper, as package rolekeeper has it.
+const (
+	measureEvery = 400 * time.Millisecond
+	lookEvery    = time.Second
+	atOnce       = 2
+)
+
+// keep has the split follow the use, where the policy says so, and gives orders.
+func (r *run) keep() {
+	view := r.instances[0].picture
+	balance := roles.DefaultBalance()
+	if r.now%measureEvery == 0 && r.now > 0 && view.Times(service).Known {
+		r.keeper.use = r.keeper.use.Add(r.seen(), measureEvery, balance.Over)
+	}
+	if r.now%lookEvery != 0 {
+		return
+	}
+	list := r.seen()
+	if r.policy.Follows {
+		times := view.Times(service)
+		balance.Step, balance.StepPerRequest = 1e3*times.Step.Seconds(), 1e3*times.StepPerRequest.Seconds()
+		balance.Slots = times.Slots
+		follower, target := r.keeper.follower.Look(balance, r.keeper.target, r.keeper.use, roles.CountPrefill(list), len(list), lookEvery)
+		r.keeper.follower, r.keeper.target = follower, target
+	}
+	for _, change := range r.keeper.target.Changes(list, atOnce-r.changing()) {
+		e := r.byID[change.Engine]
+		e.order(change.To)
+		r.result.Orders++
+		for _, in := range r.instances {
+			in.picture.Away(e.id, r.now+e.spec.RoleChange)
+		}
+	}
+	for _, e := range r.engines { // the engines' entries tell of their roles
+		for _, in := range r.instances {
+			if !e.gone && in.picture.Upstream(e.id).Role != e.role {
+				in.picture.Learn(e.upstream())
+			}
+		}
+	}
+}
+
+// changing counts the engines that carry an order out.
+func (r *run) changing() int {
+	n := 0
+	for _, e := range r.engines {
+		if e.wanted != e.role {
+			n++
+		}
+	}
+	return n
+}
+
+// seen are the engines as the keeper sees them.
+func (r *run) seen() []roles.Engine {
+	var list []roles.Engine
+	for _, e := range r.instances[0].picture.Engines(r.now)[service] {
+		role := e.Role
+		if at := r.byID[e.ID]; at.wanted != at.role {
+			role = at.wanted
+		}
+		list = append(list, roles.Engine{ID: e.ID, Zone: e.Zone, Role: role, Running: e.Load.Requests, Use: e.Load.Use})
+	}
+	slices.SortFunc(list, func(a, b roles.Engine) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
--- a/internal/route/costs.go
+++ b/internal/route/costs.go
@@ -61,7 +61,7 @@
 	// and to have its answer back from there: bytes between zones are paid for.
 	FarSend time.Duration
 	// YieldPart is the part of the time that callers wait in which prompts that
-	// yield are to be processed. With more of it, more prompts are on time, and more
+	// yield are to be processed; with 0, all are processed in the order they come. With more of it, more prompts are on time, and more
 	// of those that yield miss their deadline: of a surge, 0 in 100 at 0.5, 2 at 0.7
 	// and 5 at 1 where waits are known exactly (TestASurgeLeavesMostPromptsOnTime).
 	YieldPart float64
--- a/internal/route/turn.go
+++ b/internal/route/turn.go
@@ -31,13 +31,13 @@
 func (c Costs) Turn(req *Request, s Start, draw float64) Turn {
 	told := s.Engine.Told
 	slack := req.Objective - c.Overhead - c.HandOver - s.Work
-	if req.Objective <= 0 || told.Ahead <= slack/2 {
+	if req.Objective <= 0 || c.YieldPart <= 0 || told.Ahead <= slack/2 {
 		return TurnNext
 	}
 	if told.Ahead-told.Yielding > slack {
 		return TurnYield
 	}
-	if told.Yielding <= 0 || req.Left <= 0 || c.YieldPart <= 0 {
+	if told.Yielding <= 0 || req.Left <= 0 {
 		return TurnNext
 	}
 	share := 1 - told.Yielding.Seconds()/(c.YieldPart*req.Left.Seconds())
