--- a/cmd/sf-load/main.go
+++ b/cmd/sf-load/main.go
@@ -30,7 +30,10 @@
 	compare := compareCommand(app)
 	overhead := overheadCommand(app)
 	roles := rolesCommand(app)
-	commands := map[string]func(context.Context) error{run.name: run.do, compare.name: compare.do, overhead.name: overhead.do, roles.name: roles.do}
+	model := modelCommand(app)
+	commands := map[string]func(context.Context) error{
+		run.name: run.do, compare.name: compare.do, overhead.name: overhead.do, roles.name: roles.do, model.name: model.do,
+	}
 	if err := commands[kingpin.MustParse(app.Parse(os.Args[1:]))](ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "sf-load:", err)
 		os.Exit(1)
