--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -19,17 +19,17 @@
 	// TokenTime and PairTime are the times of a prompt's tokens and pairs of
 	// tokens, in nanoseconds. How fast engines are is learned; the ratio of the two
 	// is kept, as observations of one mix of prompts hardly tell them apart.
-	TokenTime float64 `toml:"token_time_ns"`
-	PairTime  float64 `toml:"pair_time_ns"`
+	TokenTime float64
+	PairTime  float64
 	// Overhead is the time of a prompt besides its tokens.
-	Overhead time.Duration `toml:"overhead"`
+	Overhead time.Duration
 	// Step is the time of a step of generation, StepPerRequest what each request
 	// that takes part adds; a step makes a token for each of them.
-	Step           time.Duration `toml:"step"`
-	StepPerRequest time.Duration `toml:"step_per_request"`
+	Step           time.Duration
+	StepPerRequest time.Duration
 	// HandOver is the time from the end of the prefill to the first token at the
 	// decode engine, besides the transfer.
-	HandOver time.Duration `toml:"hand_over"`
+	HandOver time.Duration
 }
 
 // DefaultPrior returns the defaults: the sheet of the first customers' engines, a
--- a/internal/picture/picture_test.go
+++ b/internal/picture/picture_test.go
@@ -72,6 +72,24 @@
 
 var long = route.Prompt{Tokens: 9000, Output: 600, Parts: []route.Part{{ID: "shared", Tokens: 6000}, {ID: "own", Tokens: 3000}}}
 
+// TestPlainCallsAreToldOf: behind many instances, each sees few of the calls that an
+// upstream of a plain service has.
+func TestPlainCallsAreToldOf(t *testing.T) {
+	p, other := newPicture(), newPicture()
+	chosen, _ := p.PickCall(Ask{ID: "r", Service: "app"}, 0)
+	other.TakeReport(BesidePrefix+"one", p.OwnReport(0), 0)
+	if n := other.told(chosen.ID, nil, 0).Requests; n != 1 {
+		t.Errorf("%d calls told of, want one", n)
+	}
+	for range 10 {
+		next, _ := other.PickCall(Ask{ID: "q", Service: "app"}, 0)
+		if next.ID == chosen.ID {
+			t.Fatal("the busy upstream was chosen while others idle")
+		}
+		other.End(next.ID, "q", 0)
+	}
+}
+
 // TestAPartIsBelievedGoneOnceAsMuchCameIn: an engine with memory for 370,000 tokens
 // into which 100,000 a second come has lost a part that was used three seconds ago.
 func TestAPartIsBelievedGoneOnceAsMuchCameIn(t *testing.T) {
--- a/internal/picture/reports.go
+++ b/internal/picture/reports.go
@@ -9,9 +9,10 @@
 	"sassafrasfield/internal/estimate"
 )
 
-// EngineLoad is one instance's part of an engine's load.
+// EngineLoad is one instance's part of an engine's load, or of the calls that an
+// upstream of a plain service has.
 type EngineLoad struct {
-	// Engine is a hash of the engine's id.
+	// Engine is a hash of the upstream's id.
 	Engine uint32
 	// Ahead is the predicted time of the prompts that wait there.
 	Ahead time.Duration
@@ -75,14 +76,11 @@
 	return report
 }
 
-// loadsHere lists what this instance has under way on each engine, on top of
-// what others have there; nil for nothing. The lock is held.
+// loadsHere lists what this instance has under way on each upstream, on top of what
+// others have there; nil for nothing. The lock is held.
 func (p *Picture) loadsHere(now time.Duration, others func(id string) EngineLoad) []EngineLoad {
 	var loads []EngineLoad
-	for id, u := range p.upstreams {
-		if u.Role == "" {
-			continue
-		}
+	for id := range p.upstreams {
 		load := EngineLoad{Engine: hashOf(id)}
 		if others != nil {
 			load = others(id)
