--- a/internal/peers/reading.go
+++ b/internal/peers/reading.go
@@ -24,25 +24,31 @@
 func (e *Exchange) ShouldRead() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now, before, heard := time.Now(), 0, 0
+	now, before := time.Now(), 0
 	own := rankOf(e.self.Name)
 	for _, k := range e.peers {
-		if now.Sub(k.heardAt) > aliveFor {
-			continue
+		if k.Zone == e.self.Zone && rankOf(k.Name) > own && now.Sub(k.heardAt) <= aliveFor {
+			before++
 		}
-		if k.reading {
+	}
+	return before < e.readersHere() || e.readersHeard(now) < readersNeeded
+}
+
+// readersHeard counts the instances that told lately that they follow the store, and
+// the zones that did. The lock is held.
+func (e *Exchange) readersHeard(now time.Time) int {
+	heard := 0
+	for _, k := range e.peers {
+		if k.reading && now.Sub(k.heardAt) <= aliveFor {
 			heard++
 		}
-		if k.Zone == e.self.Zone && rankOf(k.Name) > own {
-			before++
-		}
 	}
 	for _, at := range e.zoneReading {
 		if now.Sub(at) <= aliveFor {
 			heard++
 		}
 	}
-	return before < e.readersHere() || heard < readersNeeded
+	return heard
 }
 
 // OthersRead tells whether another instance follows the store now, and it
@@ -50,18 +56,7 @@
 func (e *Exchange) OthersRead() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now := time.Now()
-	for _, k := range e.peers {
-		if k.reading && now.Sub(k.heardAt) <= aliveFor {
-			return true
-		}
-	}
-	for _, at := range e.zoneReading {
-		if now.Sub(at) <= aliveFor {
-			return true
-		}
-	}
-	return false
+	return e.readersHeard(time.Now()) > 0
 }
 
 // readersHere is how many instances of this zone should follow the store. The
--- a/internal/picture/gone.go
+++ b/internal/picture/gone.go
@@ -14,18 +14,20 @@
 // noteGone records that an upstream could not be reached from here. The lock is
 // held.
 func (p *Picture) noteGone(id string, now time.Duration) {
-	hash := hashOf(id)
-	p.goneHere[hash] = now + goneFor
-	p.goneBeside[hash] = now + goneFor
+	p.tellGone(id, now+goneFor)
+}
+
+// tellGone has the reports name an upstream as gone for a time. The lock is held.
+func (p *Picture) tellGone(id string, until time.Duration) {
+	p.goneHere[hashOf(id)] = until
+	p.goneBeside[hashOf(id)] = until
 }
 
 // away records that an upstream takes no requests for a time, whatever was heard
 // from it. The lock is held.
 func (p *Picture) away(id string, until time.Duration) {
-	hash := hashOf(id)
-	p.awayHere[hash] = until
-	p.goneHere[hash] = until
-	p.goneBeside[hash] = until
+	p.awayHere[hashOf(id)] = until
+	p.tellGone(id, until)
 }
 
 // goneNow lists those of a table whose word still counts, and drops the others;
--- a/internal/testfleet/links.go
+++ b/internal/testfleet/links.go
@@ -6,10 +6,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"net/http/httputil"
 	"net/url"
 	"sync"
 
@@ -60,12 +60,9 @@
 // to the next instance.
 func (l *Links) open(id string) error {
 	target := &url.URL{Scheme: "http", Host: l.fleet.platformDirect}
-	forward := httputil.NewSingleHostReverseProxy(target)
-	forward.ModifyResponse = func(res *http.Response) error { return l.rewrite(id, res) }
-	forward.ErrorHandler = func(http.ResponseWriter, *http.Request, error) {
-		panic(http.ErrAbortHandler) // breaks the connection, as the platform did
-	}
-	front := httptest.NewUnstartedServer(forward)
+	front := httptest.NewUnstartedServer(forwarder{
+		target: target, rewrite: func(res *http.Response) error { return l.rewrite(id, res) },
+	})
 	listener, err := net.Listen("tcp", l.fleet.Address())
 	if err != nil {
 		return errors.WithStack(err)
@@ -85,6 +82,31 @@
 	return nil
 }
 
+// forwarder passes requests on to a target, and its answers back after a change.
+type forwarder struct {
+	target  *url.URL
+	rewrite func(*http.Response) error
+}
+
+// ServeHTTP implements http.Handler. Where the target breaks off, so does it.
+func (f forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	out := r.Clone(r.Context())
+	out.URL.Scheme, out.URL.Host, out.RequestURI = f.target.Scheme, f.target.Host, ""
+	res, err := http.DefaultTransport.RoundTrip(out)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer res.Body.Close()
+	if err := f.rewrite(res); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	maps.Copy(w.Header(), res.Header)
+	w.WriteHeader(res.StatusCode)
+	if _, err := io.Copy(w, res.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // rewrite puts the addresses of an instance's own links into the list.
 func (l *Links) rewrite(id string, res *http.Response) error {
 	if res.Request.URL.Path != platform.PathInstances || res.StatusCode != http.StatusOK {
