--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -45,7 +45,6 @@
 
 // Prefill is one prompt that an engine has processed.
 type Prefill struct {
-	Engine string
 	// Fresh tokens were processed, Cached ones are believed to have been there.
 	Fresh, Cached int
 	// Ahead was the predicted time of the prompts before it, Took the time from
@@ -71,16 +70,14 @@
 	steps   line
 	// handOver and slot are in seconds.
 	handOver, slot mean
-	slowness       map[string]*mean
 }
 
 // New returns a model that knows the prior alone.
 func New(p Prior) *Model {
 	return &Model{
-		prior:    p,
-		prompts:  line{prior: coefficients{slope: 1, base: float64(p.Overhead)}},
-		steps:    line{prior: coefficients{slope: float64(p.StepPerRequest), base: float64(p.Step)}},
-		slowness: map[string]*mean{},
+		prior:   p,
+		prompts: line{prior: coefficients{slope: 1, base: float64(p.Overhead)}},
+		steps:   line{prior: coefficients{slope: float64(p.StepPerRequest), base: float64(p.Step)}},
 	}
 }
 
@@ -100,7 +97,6 @@
 		return
 	}
 	m.prompts.add(sample{x: m.assumed(p), y: float64(p.Took)})
-	m.noteSlowness(p.Engine, float64(p.Took)/max(1, float64(predicted)))
 }
 
 // predict is the time that a prompt takes on an engine without a queue.
--- a/internal/estimate/estimate_test.go
+++ b/internal/estimate/estimate_test.go
@@ -31,7 +31,7 @@
 	if e.rng.Float64() < wrong/2 { // a wait that nobody told of
 		took *= 1 + 2*e.rng.Float64()
 	}
-	return Prefill{Engine: "e", Fresh: fresh, Cached: cached, Took: time.Duration(took)}
+	return Prefill{Fresh: fresh, Cached: cached, Took: time.Duration(took)}
 }
 
 func (e engine) stream(batch float64) Stream {
@@ -93,28 +93,6 @@
 	}
 }
 
-func TestASlowEngineIsToldApart(t *testing.T) {
-	e := engine{token: 4000, pair: 0.1, rng: rand.New(rand.NewPCG(1, 2))}
-	m := New(DefaultPrior())
-	for i := range 200 {
-		p := e.prefill(0.2)
-		if i%10 == 0 {
-			p.Engine, p.Took = "slow", 5*p.Took
-		}
-		m.Prefilled(p)
-	}
-	if s := m.Slowness("slow"); s < 3 || s > 7 {
-		t.Errorf("the slow engine counts as %g times as slow", s)
-	}
-	if s := m.Slowness("e"); s != 1 {
-		t.Errorf("the others count as %g times as slow", s)
-	}
-	m.Forget("slow")
-	if s := m.Slowness("slow"); s != 1 {
-		t.Errorf("%g after it has gone", s)
-	}
-}
-
 // TestEstimatesStayPositive feeds anything.
 func TestEstimatesStayPositive(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/model/run.go
+++ b/internal/model/run.go
@@ -217,7 +217,7 @@
 	req.at.picture.Judge(e.id, load.VerdictGood, r.now)
 	if req.start.Source.ID == "" && req.start.Fresh <= req.prompt.Tokens-req.prompt.SharedTokens() {
 		req.at.picture.Prefilled(service, estimate.Prefill{
-			Engine: e.id, Fresh: req.start.Fresh, Cached: req.prompt.Tokens - req.start.Fresh,
+			Fresh: req.start.Fresh, Cached: req.prompt.Tokens - req.start.Fresh,
 			Ahead: req.start.Engine.Told.Ahead, Took: r.now - req.sent + e.spec.Overhead,
 		})
 	}
--- a/internal/picture/picture.go
+++ b/internal/picture/picture.go
@@ -74,7 +74,7 @@
 	// peers are the loads that the other instances told of, sums what all of them
 	// told of each engine; stale tells that the sums are not those of the peers.
 	peers map[string]peerLoad
-	sums  map[uint32]summed
+	sums  map[uint32]EngineLoad
 	stale bool
 	// gone are the upstreams that other instances could not reach, goneHere
 	// those that this one could not, goneBeside those of the whole zone, each
@@ -105,7 +105,7 @@
 		table:     routes.NewTable(0, nil, nil, routes.Limits{}),
 		upstreams: map[string]Upstream{}, engines: map[string]*config.Engine{}, byService: map[string][]Upstream{},
 		loads: loads, work: map[string]*workload{}, models: map[string]*estimate.Model{},
-		peers: map[string]peerLoad{}, sums: map[uint32]summed{}, parts: newPartTable(),
+		peers: map[string]peerLoad{}, sums: map[uint32]EngineLoad{}, parts: newPartTable(),
 		gone: map[uint32]time.Duration{}, goneHere: map[uint32]time.Duration{}, goneBeside: map[uint32]time.Duration{},
 		awayHere: map[uint32]time.Duration{},
 		rng:      rand.New(rand.NewPCG(s.Seed, s.Seed)),
@@ -144,9 +144,6 @@
 func (p *Picture) Forget(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if model, ok := p.models[p.upstreams[id].Service]; ok {
-		model.Forget(id)
-	}
 	delete(p.upstreams, id)
 	delete(p.engines, id)
 	delete(p.work, id)
--- a/internal/picture/picture_test.go
+++ b/internal/picture/picture_test.go
@@ -126,22 +126,3 @@
 		t.Errorf("%s ahead of nothing", got)
 	}
 }
-
-// TestTimeAheadIsProjectedToNow: an engine was told to have 300 ms of prompts ahead.
-func TestTimeAheadIsProjectedToNow(t *testing.T) {
-	for _, c := range []struct {
-		use         float64
-		after, want time.Duration
-	}{
-		{0.5, 0, 300 * time.Millisecond},
-		{0.5, 200 * time.Millisecond, 200 * time.Millisecond},
-		{0, 400 * time.Millisecond, 0},
-		{1.5, 200 * time.Millisecond, 400 * time.Millisecond}, // more comes than it can process
-	} {
-		p := newPicture()
-		p.TakeReport("zone b", Report{Loads: []EngineLoad{{Engine: hashOf("pre-1"), Ahead: 300 * time.Millisecond, Use: c.use}}}, 0)
-		if got := p.told("pre-1", nil, c.after).Ahead; got.Round(time.Millisecond) != c.want {
-			t.Errorf("use %g, after %s: %s ahead, want %s", c.use, c.after, got, c.want)
-		}
-	}
-}
--- a/internal/picture/place.go
+++ b/internal/picture/place.go
@@ -56,7 +56,6 @@
 	}
 	if req != nil && p.engines[id] != nil {
 		told.Cached = p.parts.cached(id, req.Prompt, partLasts(req.Costs.Memory, all.Inflow), now)
-		told.Slowness = p.model(p.upstreams[id].Service).Slowness(id)
 	}
 	return told
 }
--- a/internal/picture/reports.go
+++ b/internal/picture/reports.go
@@ -182,41 +182,17 @@
 		for engine, load := range peer.loads {
 			total := p.sums[engine]
 			total.add(load)
-			total.aheadAt += load.Ahead.Seconds() * peer.at.Seconds()
 			p.sums[engine] = total
 		}
 	}
 }
 
-// summed is what all other instances told of an engine.
-type summed struct {
-	EngineLoad
-	// aheadAt is the sum of the times ahead, each times when it was told.
-	aheadAt float64
-}
-
-// ahead projects the time ahead from when it was told to now: the engine has worked
-// on it since, and as much has come to it as the use says. Without that, what was
-// told counts for twice the wait that is found where a report is as old as the
-// wait is long.
-func (s summed) ahead(use float64, now time.Duration) time.Duration {
-	if s.Ahead <= 0 {
-		return 0
-	}
-	age := now.Seconds() - s.aheadAt/s.Ahead.Seconds()
-	less := age * max(1-use, -1)
-	return max(0, s.Ahead-time.Duration(less*float64(time.Second)))
-}
-
 // all is what all instances together have on an engine. The lock is held.
 func (p *Picture) all(id string, now time.Duration) EngineLoad {
 	p.sum(now)
-	told, own := p.sums[hashOf(id)], p.own(id, now)
-	load := told.EngineLoad
+	load := p.sums[hashOf(id)]
 	load.Engine = hashOf(id)
-	load.Ahead = told.ahead(load.Use+own.Use, now)
-	load.add(own)
-	load.Yielding = min(load.Yielding, load.Ahead)
+	load.add(p.own(id, now))
 	return load
 }
 
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -152,7 +152,7 @@
 	if start.Source.ID == "" && start.Fresh <= g.prompt.Tokens-g.prompt.SharedTokens() {
 		// what is not believed cached may be there all the same
 		r.picture.Prefilled(g.service, estimate.Prefill{
-			Engine: engine.ID, Fresh: start.Fresh, Cached: g.prompt.Tokens - start.Fresh, Ahead: ahead, Took: took,
+			Fresh: start.Fresh, Cached: g.prompt.Tokens - start.Fresh, Ahead: ahead, Took: took,
 		})
 	}
 	r.log.Info("relay: prefilled", "request", g.req.ID, "engine", engine.ID, "tokens", g.prompt.Tokens,
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -85,9 +85,6 @@
 	// Use is the part of the engine's time that the prompts take which were
 	// placed there lately; above 1 when they are more than it can process.
 	Use float64
-	// Slowness is how much longer than its service's engines it takes; 0 where
-	// that is not known.
-	Slowness float64
 	// Requests that run or wait there.
 	Requests int
 	// Cached is how many leading tokens of the request's prompt it is believed
@@ -95,14 +92,6 @@
 	Cached int
 }
 
-// slowness is how much longer an engine takes; 1 where that is not known.
-func (t Told) slowness() float64 {
-	if t.Slowness == 0 {
-		return 1
-	}
-	return t.Slowness
-}
-
 // role of a model engine; "" for other upstreams.
 func (c Candidate) role() config.Role {
 	if c.Engine == nil {
--- a/internal/route/score_start.go
+++ b/internal/route/score_start.go
@@ -101,7 +101,7 @@
 	if start.Direct() {
 		work = time.Duration(float64(work) * c.MixedFactor)
 	}
-	start.Work += time.Duration(float64(work) * on.Told.slowness())
+	start.Work += work
 	return start
 }
 
--- a/internal/route/stages.go
+++ b/internal/route/stages.go
@@ -42,7 +42,7 @@
 		return apart, ok
 	}
 	direct, ok := s.beginAs(WorkDirect, req, candidates, rng)
-	if !ok || apart.Direct() || req.Costs.startCost(direct) <= req.Costs.startCost(apart)+req.Costs.Overhead {
+	if !ok || apart.Direct() || req.Costs.startCost(direct) <= req.Costs.startCost(apart) {
 		return direct, ok
 	}
 	return apart, ok
--- a/internal/route/stages_test.go
+++ b/internal/route/stages_test.go
@@ -130,7 +130,7 @@
 	for _, c := range []struct {
 		use    float64
 		direct bool
-	}{{0, true}, {0.4, true}, {0.8, false}, {2, false}} {
+	}{{0, true}, {0.15, true}, {0.8, false}, {2, false}} {
 		list := split(3, 2)
 		for i := range list {
 			if list[i].role() == config.RoleDecode {
--- a/internal/route/turn_test.go
+++ b/internal/route/turn_test.go
@@ -90,7 +90,7 @@
 
 func TestAPromptThatIsLateAnywayYields(t *testing.T) {
 	start := Start{Work: 20 * time.Millisecond, Engine: Candidate{Told: Told{Ahead: 300 * time.Millisecond}}}
-	if got := (Costs{}).Turn(&Request{Objective: 200 * time.Millisecond, Left: time.Second}, start, 0); got != TurnYield {
+	if got := (Costs{Settings: DefaultSettings()}).Turn(&Request{Objective: 200 * time.Millisecond, Left: time.Second}, start, 0); got != TurnYield {
 		t.Errorf("%s", got)
 	}
 }
