Look for the engines with most of a prompt once a choice

Besides, the filters allocated their lists anew. Ruled out: the ranks' hashes (two for each comparison, now one for each candidate) are a few per cent.

The choices stay the same.

--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -23,3 +23,22 @@
 func Compare(key, a, b string) int {
 	return cmp.Or(cmp.Compare(Weight(key, b), Weight(key, a)), cmp.Compare(a, b))
 }
+
+// Leader finds the node that ranks first for a key among those that it is offered,
+// with one hash a node. The zero value with its Key set was offered none.
+type Leader struct {
+	// Key that the nodes are ranked for.
+	Key string
+	// Node ranks first; empty while none was offered.
+	Node string
+
+	weight uint64
+}
+
+// Offer takes one more node into account.
+func (l *Leader) Offer(node string) {
+	weight := Weight(l.Key, node)
+	if l.Node == "" || weight > l.weight || weight == l.weight && node < l.Node {
+		l.Node, l.weight = node, weight
+	}
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -136,7 +136,7 @@
 	Score     float64
 }
 
-// Scheduler runs the plugins.
+// Scheduler runs the plugins. It is not safe for concurrent use.
 type Scheduler struct {
 	// Filters are strict: a candidate that one drops is never chosen.
 	Filters []Filter
@@ -145,6 +145,13 @@
 	Preferences []Preference
 	Scorers     []WeightedScorer
 	Picker      Picker
+
+	// allowedBuf, leftBufs (one for each preference) and scoredBuf are kept from one
+	// choice to the next, so that a choice among many candidates allocates nothing
+	// that grows with them.
+	allowedBuf []Candidate
+	leftBufs   [][]Candidate
+	scoredBuf  []Scored
 }
 
 // Preference is a filter that yields when it would leave too few.
@@ -163,33 +170,42 @@
 		return Candidate{}, false
 	}
 	scorers := s.among(req, kept, all)
-	scored := make([]Scored, len(kept))
-	for i, candidate := range kept {
-		scored[i] = Scored{Candidate: candidate, Score: sum(scorers, req, candidate)}
+	scored := s.scoredBuf[:0]
+	for _, candidate := range kept {
+		scored = append(scored, Scored{Candidate: candidate, Score: sum(scorers, req, candidate)})
 	}
+	s.scoredBuf = scored
 	return s.Picker.Pick(req, scored, rng), true
 }
 
-// Eligible returns the candidates that Schedule would choose from.
+// Eligible returns the candidates that Schedule would choose from. They are valid
+// until the scheduler's next choice.
 func (s *Scheduler) Eligible(req *Request, candidates []Candidate) []Candidate {
 	return s.preferred(req, s.allowed(req, candidates))
 }
 
-// allowed returns what the strict filters keep.
+// allowed returns what the strict filters keep, until the scheduler's next choice.
 func (s *Scheduler) allowed(req *Request, candidates []Candidate) []Candidate {
-	kept := make([]Candidate, 0, len(candidates))
-	for _, candidate := range candidates {
-		if s.keep(req, candidate) {
-			kept = append(kept, candidate)
+	kept := s.allowedBuf[:0]
+	for i := range candidates {
+		if s.keep(req, candidates[i]) {
+			kept = append(kept, candidates[i])
 		}
 	}
+	s.allowedBuf = kept
 	return kept
 }
 
 // preferred applies the preferences in turn.
 func (s *Scheduler) preferred(req *Request, candidates []Candidate) []Candidate {
-	for _, p := range s.Preferences {
-		candidates = p.apply(req, candidates)
+	if s.leftBufs == nil {
+		s.leftBufs = make([][]Candidate, len(s.Preferences))
+	}
+	for i, p := range s.Preferences {
+		s.leftBufs[i] = p.kept(req, candidates, s.leftBufs[i][:0])
+		if p.enough(len(s.leftBufs[i]), len(candidates)) {
+			candidates = s.leftBufs[i]
+		}
 	}
 	return candidates
 }
@@ -225,16 +241,17 @@
 	return total
 }
 
-// apply returns what the filter keeps, or all when that is too few.
-func (p Preference) apply(req *Request, candidates []Candidate) []Candidate {
-	left := make([]Candidate, 0, len(candidates))
-	for _, c := range candidates {
-		if p.Filter.Keep(req, c) {
-			left = append(left, c)
+// kept appends what the filter keeps.
+func (p Preference) kept(req *Request, candidates, left []Candidate) []Candidate {
+	for i := range candidates {
+		if p.Filter.Keep(req, candidates[i]) {
+			left = append(left, candidates[i])
 		}
 	}
-	if len(left) == 0 || float64(len(left)) < p.KeepShare*float64(len(candidates)) {
-		return candidates
-	}
 	return left
 }
+
+// enough tells whether so many of a number of candidates are enough to choose from.
+func (p Preference) enough(left, of int) bool {
+	return left > 0 && float64(left) >= p.KeepShare*float64(of)
+}
--- a/internal/route/score_start.go
+++ b/internal/route/score_start.go
@@ -22,29 +22,35 @@
 
 // Among implements Comparer.
 func (s StartScorer) Among(req *Request, kept, all []Candidate) Scorer {
-	leading := map[config.Role]string{}
 	key := req.Prompt.SharedKey()
-	for _, c := range kept {
-		first, ok := leading[c.role()]
-		if !ok || rendezvous.Compare(key, c.ID, first) < 0 {
-			leading[c.role()] = c.ID
-		}
+	among := startAmong{
+		prefill: rendezvous.Leader{Key: key}, other: rendezvous.Leader{Key: key}, sources: sourcesOf(req, all),
+	}
+	for i := range kept {
+		among.leaderOf(kept[i].role()).Offer(kept[i].ID)
 	}
-	return startAmong{leading: leading, all: all}
+	return &among
 }
 
 // startAmong scores candidates against all others.
 type startAmong struct {
-	// leading is the candidate of each role that ranks first for the part.
-	leading map[config.Role]string
-	// all may be asked for parts that they have cached.
-	all []Candidate
+	// prefill and other are the candidates that rank first for the shared part, of
+	// the prefill engines and of those that generate too.
+	prefill, other rendezvous.Leader
+	sources        sources
+}
+
+func (s *startAmong) leaderOf(role config.Role) *rendezvous.Leader {
+	if role == config.RolePrefill {
+		return &s.prefill
+	}
+	return &s.other
 }
 
 // Score implements Scorer.
-func (s startAmong) Score(req *Request, c Candidate) float64 {
-	cost := req.Costs.startCost(req.Costs.startOn(req, c, s.all))
-	if s.leading[c.role()] != c.ID {
+func (s *startAmong) Score(req *Request, c Candidate) float64 {
+	cost := req.Costs.startCost(req.Costs.startOn(req, c, s.sources))
+	if s.leaderOf(c.role()).Node != c.ID {
 		cost += req.Costs.copyCost(req.Prompt, c.Told.Cached)
 	}
 	if c.role() != config.RolePrefill {
@@ -88,10 +94,10 @@
 func (s Start) Direct() bool { return s.Engine.role() != config.RolePrefill }
 
 // startOn works out how a prompt would be processed on an engine.
-func (c Costs) startOn(req *Request, on Candidate, all []Candidate) Start {
+func (c Costs) startOn(req *Request, on Candidate, from sources) Start {
 	start := Start{Engine: on}
 	cached := on.Told.Cached
-	if source, ok := c.source(req, on, all); ok {
+	if source, ok := c.source(on, from); ok {
 		start.Source = source
 		start.Work = c.fetch(source.Told.Cached-cached, source.Zone, on.Zone)
 		cached = source.Told.Cached
@@ -105,17 +111,40 @@
 	return start
 }
 
-// source is the engine that has most of the prompt, if that is enough more than
-// one has to be worth a fetch; the nearest of equals.
-func (c Costs) source(req *Request, to Candidate, all []Candidate) (Candidate, bool) {
-	best := to
-	for _, other := range all {
-		if other.ID == to.ID || other.Told.Cached < best.Told.Cached || !(HealthFilter{}).Keep(req, other) {
+// sources are the candidates that have the most leading tokens of a prompt cached.
+type sources struct {
+	tokens int
+	list   []Candidate
+}
+
+// sourcesOf finds the sources among the candidates that can be reached; none when
+// nobody has any of the prompt. It is called once a choice, as the search for each
+// candidate among all others would grow with their square.
+func sourcesOf(req *Request, all []Candidate) sources {
+	var s sources
+	for i := range all {
+		cached := all[i].Told.Cached
+		if cached == 0 || cached < s.tokens || !(HealthFilter{}).Keep(req, all[i]) {
 			continue
 		}
-		if other.Told.Cached > best.Told.Cached || best.Zone != to.Zone && other.Zone == to.Zone {
-			best = other
+		if cached > s.tokens {
+			s.tokens, s.list = cached, s.list[:0]
+		}
+		s.list = append(s.list, all[i])
+	}
+	return s
+}
+
+// source is the engine to fetch a prompt's shared part from, if that is enough more
+// than one has to be worth a fetch; the nearest of equals.
+func (c Costs) source(to Candidate, from sources) (Candidate, bool) {
+	if len(from.list) == 0 || from.tokens-to.Told.Cached < max(1, c.FetchFrom) {
+		return Candidate{}, false
+	}
+	for i := range from.list {
+		if from.list[i].Zone == to.Zone {
+			return from.list[i], true
 		}
 	}
-	return best, best.Told.Cached-to.Told.Cached >= c.FetchFrom
+	return from.list[0], true
 }
--- a/internal/route/stages.go
+++ b/internal/route/stages.go
@@ -56,7 +56,7 @@
 	if !ok {
 		return Start{}, false
 	}
-	return req.Costs.startOn(&begin, chosen, s.start.allowed(&begin, candidates)), true
+	return req.Costs.startOn(&begin, chosen, sourcesOf(&begin, s.start.allowed(&begin, candidates))), true
 }
 
 // Generate picks the engine that generates from a processed prompt that lies in
