--- /dev/null
+++ b/internal/fanout/inbox.go
@@ -0,0 +1,83 @@
+package fanout
+
+import (
+	"time"
+
+	"sassafrasfield/internal/picture"
+)
+
+// Own is an instance's report on itself.
+type Own struct {
+	Source ID
+	// Boot is another number with each start of the instance's process; Sequence
+	// counts its reports since.
+	Boot, Sequence uint32
+	// Reading tells that it follows the platform's store, and that it answers.
+	Reading bool
+	Report  picture.Report
+}
+
+// placedAtMost bounds the parts that wait with one instance's report.
+const placedAtMost = 64
+
+// Inbox has the reports of a zone's instances: which one of each is the newest, and
+// those that came since the last batch. It is not safe for concurrent use.
+type Inbox struct {
+	newest  map[ID]stamp
+	waiting map[ID]waiting
+}
+
+// stamp tells one report of an instance from the others.
+type stamp struct {
+	boot, sequence uint32
+}
+
+// waiting is a report that the next batch passes on.
+type waiting struct {
+	own Own
+	at  time.Duration
+}
+
+// NewInbox returns an empty inbox.
+func NewInbox() *Inbox { return &Inbox{newest: map[ID]stamp{}, waiting: map[ID]waiting{}} }
+
+// Take takes a report, and tells whether it is newer than those before. The same one
+// may come from several instances that pass it on.
+func (b *Inbox) Take(o Own) bool {
+	last, known := b.newest[o.Source]
+	if known && last.boot == o.Boot && int32(o.Sequence-last.sequence) <= 0 {
+		return false
+	}
+	b.newest[o.Source] = stamp{boot: o.Boot, sequence: o.Sequence}
+	return true
+}
+
+// Keep has the next batch pass a report on. One that waits already gives way to it,
+// but for the parts that it told of.
+func (b *Inbox) Keep(o Own, now time.Duration) {
+	placed := append(b.waiting[o.Source].own.Report.Placed, o.Report.Placed...)
+	o.Report.Placed = placed[max(0, len(placed)-placedAtMost):]
+	if o.Report.Times == nil {
+		o.Report.Times = b.waiting[o.Source].own.Report.Times
+	}
+	b.waiting[o.Source] = waiting{own: o, at: now}
+}
+
+// Batch returns the reports that came since the last batch, but for those that are so
+// old that their source may be gone.
+func (b *Inbox) Batch(now time.Duration) []Own {
+	var list []Own
+	for _, w := range b.waiting {
+		if now-w.at <= aliveFor {
+			list = append(list, w.own)
+		}
+	}
+	clear(b.waiting)
+	return list
+}
+
+// Forget drops an instance.
+func (b *Inbox) Forget(id ID) {
+	delete(b.newest, id)
+	delete(b.waiting, id)
+}
--- /dev/null
+++ b/internal/fanout/inbox_test.go
@@ -0,0 +1,57 @@
+package fanout
+
+import (
+	"testing"
+	"time"
+
+	"sassafrasfield/internal/picture"
+)
+
+func own(source ID, boot, sequence uint32, part uint32) Own {
+	return Own{Source: source, Boot: boot, Sequence: sequence, Report: picture.Report{
+		Whole: true, Placed: []picture.Placed{{Engine: 1, Part: part}},
+	}}
+}
+
+func TestAReportCountsOnce(t *testing.T) {
+	b := NewInbox()
+	for _, c := range []struct {
+		boot, sequence uint32
+		news           bool
+	}{{1, 1, true}, {1, 1, false}, {1, 3, true}, {1, 2, false}, {2, 1, true}, {2, 2, true}} {
+		if got := b.Take(own(7, c.boot, c.sequence, 1)); got != c.news {
+			t.Errorf("boot %d, sequence %d: news %t", c.boot, c.sequence, got)
+		}
+	}
+}
+
+// TestTheNewestReportIsPassedOnWithAllParts: the load of the newest one counts, parts
+// are told once.
+func TestTheNewestReportIsPassedOnWithAllParts(t *testing.T) {
+	b := NewInbox()
+	b.Keep(own(7, 1, 1, 10), 0)
+	b.Keep(own(7, 1, 2, 11), 0)
+	b.Keep(own(8, 1, 1, 12), 0)
+	reports := b.Batch(0)
+	if len(reports) != 2 {
+		t.Fatalf("%d reports, want one of each instance", len(reports))
+	}
+	for _, r := range reports {
+		if r.Source == 7 && (r.Sequence != 2 || len(r.Report.Placed) != 2) {
+			t.Errorf("%+v", r)
+		}
+	}
+	if len(b.Batch(0)) != 0 {
+		t.Error("they are passed on twice")
+	}
+}
+
+// TestOldReportsAreNotPassedOn: whoever takes over keeps reports for long, and their
+// sources may be gone.
+func TestOldReportsAreNotPassedOn(t *testing.T) {
+	b := NewInbox()
+	b.Keep(own(7, 1, 1, 10), 0)
+	if len(b.Batch(aliveFor+time.Millisecond)) != 0 {
+		t.Error("an old report is passed on")
+	}
+}
--- /dev/null
+++ b/internal/fanout/pace.go
@@ -0,0 +1,129 @@
+package fanout
+
+import "time"
+
+// Pace of the reports. What an instance decides on is as old as they are slow: the
+// prompts of one engine end some 100 ms apart.
+const (
+	// ownGap is the least time between two reports of an instance, ownAtMost the
+	// time after which one with nothing new tells so.
+	ownGap    = 100 * time.Millisecond
+	ownAtMost = 400 * time.Millisecond
+	// greetEvery is the time between reports of an instance to which no batches
+	// come yet, for the first greetFor; greetLater the time between greetings of the
+	// seeds after that, should two parts of the instances not know of one another.
+	greetEvery = 150 * time.Millisecond
+	greetFor   = 2 * time.Second
+	greetLater = 5 * time.Second
+	// batchEvery is the time between batches, zoneEvery that between the reports of
+	// a zone to the other zones, whose bytes cost.
+	batchEvery = 100 * time.Millisecond
+	zoneEvery  = 200 * time.Millisecond
+	// urgentGap is the least time between two batches that news of rows brings about:
+	// many rows that change at once go out together.
+	urgentGap = 20 * time.Millisecond
+	// standby is how late an instance may notice that it is to pass reports on.
+	standby = 100 * time.Millisecond
+	// timesEvery is the time between words on what the engines take, which change
+	// over seconds.
+	timesEvery = time.Second
+)
+
+// Due is what an instance is to send.
+type Due struct {
+	// Own: its report to its receivers. Batch: a batch to its zone. Zone: its
+	// zone's report to the other zones. Greet: a report to the seeds. Times: with
+	// what the engines take.
+	Own, Batch, Zone, Greet, Times bool
+}
+
+// Pace decides when an instance reports. It is not safe for concurrent use.
+type Pace struct {
+	start time.Duration
+	// ownAt, batchAt, zoneAt, greetAt and timesAt are when each was last sent.
+	ownAt, batchAt, zoneAt, greetAt, timesAt time.Duration
+	// changed: there is something new to tell; urgent: of the platform's rows.
+	changed, urgent bool
+}
+
+// NewPace returns the pace of an instance that starts now.
+func NewPace(now time.Duration) *Pace {
+	return &Pace{start: now, ownAt: now - ownAtMost, batchAt: now - batchEvery, zoneAt: now - zoneEvery, greetAt: now - greetEvery, timesAt: now}
+}
+
+// Changed notes that the instance has something new under way.
+func (p *Pace) Changed() { p.changed = true }
+
+// Next returns what is to be sent now, for an instance that passes reports on or not
+// and to which batches come or not, and the time until the next call. Urgent news
+// hardly waits.
+func (p *Pace) Next(now time.Duration, passes, hears, urgent bool) (Due, time.Duration) {
+	p.urgent = p.urgent || urgent
+	var due Due
+	if passes {
+		due.Batch = now-p.batchAt >= p.every(batchEvery)
+		due.Zone = now-p.zoneAt >= p.every(zoneEvery)
+		due.Greet = now-p.greetAt >= p.greetEvery(now)
+	} else {
+		due.Own = now-p.ownAt >= p.every(p.ownEvery(now, hears))
+	}
+	if due.Own || due.Batch {
+		due.Times = now-p.timesAt >= timesEvery
+	}
+	p.sent(due, now)
+	return due, p.wait(now, passes, hears)
+}
+
+// every is the time between two sends, which urgent news shortens.
+func (p *Pace) every(usual time.Duration) time.Duration {
+	if p.urgent {
+		return min(usual, urgentGap)
+	}
+	return usual
+}
+
+// greetEvery is the time between greetings of the seeds.
+func (p *Pace) greetEvery(now time.Duration) time.Duration {
+	if now-p.start < greetFor {
+		return greetEvery
+	}
+	return greetLater
+}
+
+// ownEvery is the time between this instance's reports.
+func (p *Pace) ownEvery(now time.Duration, hears bool) time.Duration {
+	switch {
+	case p.changed:
+		return ownGap
+	case !hears && now-p.start < greetFor:
+		return greetEvery
+	default:
+		return ownAtMost
+	}
+}
+
+func (p *Pace) sent(due Due, now time.Duration) {
+	if due.Own || due.Batch {
+		p.changed, p.urgent, p.ownAt = false, false, now
+	}
+	if due.Batch {
+		p.batchAt = now
+	}
+	if due.Zone {
+		p.zoneAt = now
+	}
+	if due.Greet {
+		p.greetAt = now
+	}
+	if due.Times {
+		p.timesAt = now
+	}
+}
+
+// wait is the time until something may be due.
+func (p *Pace) wait(now time.Duration, passes, hears bool) time.Duration {
+	if passes {
+		return max(0, min(p.batchAt+p.every(batchEvery), p.zoneAt+p.every(zoneEvery))-now)
+	}
+	return max(0, min(p.ownAt+p.every(p.ownEvery(now, hears))-now, standby))
+}
--- /dev/null
+++ b/internal/fanout/roster_test.go
@@ -0,0 +1,93 @@
+package fanout
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// ranked returns so many ids, the one that ranks first first.
+func ranked(n int) []ID {
+	ids := make([]ID, n)
+	for i := range ids {
+		ids[i] = IDOf(fmt.Sprintf("instance-%d", i))
+	}
+	slices.SortFunc(ids, func(a, b ID) int { return compare(b, a) })
+	return ids
+}
+
+// rosterOf knows all of the ids, as heard at a time.
+func rosterOf(self ID, ids []ID, now time.Duration) *Roster {
+	r := NewRoster(self, now)
+	for _, id := range ids {
+		r.Heard(id, now)
+	}
+	return r
+}
+
+func TestTheFirstInRankPassesReportsOn(t *testing.T) {
+	ids := ranked(5)
+	for i, id := range ids {
+		r := rosterOf(id, ids, 0)
+		if r.Rank(0) != i || r.Passes(0) != (i == 0) {
+			t.Errorf("rank %d: %d, passes %t", i, r.Rank(0), r.Passes(0))
+		}
+	}
+}
+
+func TestTheNextInRankTakesOverAfterSilence(t *testing.T) {
+	ids := ranked(4)
+	for rank := 1; rank < len(ids); rank++ {
+		r := rosterOf(ids[rank], ids, 0)
+		r.Batched(ids[0], time.Second)
+		for _, id := range ids[1:] {
+			r.Heard(id, 2*time.Second)
+		}
+		early := time.Second + time.Duration(rank)*silentFor
+		if r.Passes(early) || !r.Passes(early+time.Millisecond) {
+			t.Errorf("rank %d passes reports on %t at %s, then %t", rank, r.Passes(early), early, r.Passes(early+time.Millisecond))
+		}
+		r.Batched(ids[0], early+2*time.Millisecond)
+		if r.Passes(early + 3*time.Millisecond) {
+			t.Errorf("rank %d still passes reports on though the first is back", rank)
+		}
+	}
+}
+
+func TestAnInstanceThatFallsSilentRanksNoMore(t *testing.T) {
+	ids := ranked(3)
+	r := rosterOf(ids[2], ids, 0)
+	r.Heard(ids[1], aliveFor)
+	if rank := r.Rank(aliveFor + time.Millisecond); rank != 1 {
+		t.Errorf("rank %d, one of those ahead is silent", rank)
+	}
+}
+
+func TestReportsGoToTheFirstTwoAndWhoeverPassesThemOn(t *testing.T) {
+	ids := ranked(6)
+	r := rosterOf(ids[5], ids, 0)
+	if got := r.Receivers(0); !slices.Equal(got, ids[:2]) {
+		t.Errorf("%v, want the first two of %v", got, ids)
+	}
+	r.Batched(ids[3], 0) // it does not hear of those ahead
+	if got := r.Receivers(0); !slices.Equal(got, []ID{ids[0], ids[1], ids[3]}) {
+		t.Errorf("%v", got)
+	}
+	if got := r.Receivers(listens + time.Millisecond); !slices.Equal(got, ids[:2]) {
+		t.Errorf("%v after its batches ended", got)
+	}
+}
+
+// TestAnIntroducedInstanceHasToGiveASign: one that is named again and again by others
+// that do not know better counts no more.
+func TestAnIntroducedInstanceHasToGiveASign(t *testing.T) {
+	ids := ranked(2)
+	r := NewRoster(ids[1], 0)
+	for now := time.Duration(0); now <= 2*aliveFor; now += 100 * time.Millisecond {
+		r.Introduce(ids[0], now)
+	}
+	if !r.Alive(ids[0], aliveFor) || r.Alive(ids[0], 2*aliveFor) {
+		t.Error("it counts for another time than one sign")
+	}
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -121,6 +121,7 @@
 
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) {
+	f.begin(ctx)
 	var loops sync.WaitGroup
 	for _, table := range f.settings.Tables {
 		loops.Go(func() { f.followTable(ctx, table) })
@@ -130,10 +131,27 @@
 	loops.Wait()
 }
 
+// firstPull bounds the question to a peer with which an instance begins: a peer that
+// lives answers within some milliseconds, and without one the store is asked.
+const firstPull = 150 * time.Millisecond
+
+// begin asks a peer for all rows, so that an instance which starts while others serve
+// costs the store no full reads.
+func (f *Follower) begin(ctx context.Context) {
+	if f.peers == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, firstPull)
+	defer cancel()
+	if err := f.peers.Pull(ctx); err != nil {
+		f.log.Debug("follow: no peer gave the first rows", "error", err)
+	}
+}
+
 func (f *Follower) followTable(ctx context.Context, table string) {
 	wait := retryFirst
 	for ctx.Err() == nil {
-		if f.rests() {
+		if f.rests(table) {
 			pause.For(ctx, restFor)
 			continue
 		}
@@ -154,26 +172,42 @@
 }
 
 // restFor is the pause between two looks at whether this instance should follow
-// the store again.
-const restFor = 100 * time.Millisecond
+// the store again; the next in rank waits twice as long for those ahead.
+const restFor = 200 * time.Millisecond
 
-// rests tells whether the other instances follow the store for this one. One
-// that knows nothing yet reads at once.
-func (f *Follower) rests() bool {
+// rests tells whether the other instances follow the store for this one. A table
+// of which nothing is known yet is read at once.
+func (f *Follower) rests(table string) bool {
 	should := f.peers == nil || f.peers.ShouldRead()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	rests := !should && len(f.copy.Newest()) == len(f.settings.Tables)
-	if rests != f.resting {
-		f.resting = rests
-		f.log.Info("follow: reading the store", "reads", !rests)
+	rests := !should && f.informed(table)
+	if resting := !should && f.allInformed(); resting != f.resting {
+		f.resting = resting
+		f.log.Info("follow: reading the store", "reads", !resting)
 	}
 	if rests {
-		clear(f.lost)
+		delete(f.lost, table)
 	}
 	return rests
 }
 
+// informed tells whether a table was read, here or by a peer that gave its rows. One
+// that was read may have none. The lock is held.
+func (f *Follower) informed(table string) bool {
+	return f.synced[table] || f.copy.Newest()[table] > 0
+}
+
+// allInformed tells whether all tables were read. The lock is held.
+func (f *Follower) allInformed() bool {
+	for _, table := range f.settings.Tables {
+		if !f.informed(table) {
+			return false
+		}
+	}
+	return true
+}
+
 // step makes one call to the store.
 func (f *Follower) step(ctx context.Context, table string) error {
 	f.mu.Lock()
@@ -326,7 +360,7 @@
 func (f *Follower) askPeers(ctx context.Context) {
 	for ctx.Err() == nil {
 		f.mu.Lock()
-		without := len(f.lost) > 0 || len(f.copy.Newest()) < len(f.settings.Tables)
+		without := len(f.lost) > 0 || !f.allInformed()
 		f.mu.Unlock()
 		if without && f.peers != nil {
 			if err := f.peers.Pull(ctx); err != nil {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -10,7 +10,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -222,12 +221,9 @@
 // Serving implements rolekeeper.View.
 func (in *Instance) Serving() bool { return in.relay.Serving() }
 
-// Instances implements rolekeeper.View.
-func (in *Instance) Instances() []string {
-	names := in.peers.Names()
-	slices.Sort(names)
-	return names
-}
+// Candidates implements rolekeeper.View: the instances that pass reports on know all
+// others of their kind.
+func (in *Instance) Candidates() []string { return in.peers.Hubs() }
 
 func serve(address string, handler http.Handler) (*http.Server, error) {
 	listener, err := net.Listen("tcp", address)
--- a/internal/instance/register.go
+++ b/internal/instance/register.go
@@ -17,41 +17,51 @@
 const (
 	// registerRetry is the pause after a failed registration.
 	registerRetry = time.Second
-	// listAfter is how long the seeds have to lead to the other instances.
-	listAfter = 1500 * time.Millisecond
-	// listEvery is the time between reads of the other instances' rows. Peers
+	// registerAfter is how long an instance has passed reports on when it registers:
+	// one that has just started does so until it hears of others.
+	registerAfter = 1500 * time.Millisecond
+	// lookEvery is the time between looks at whether that is so.
+	lookEvery = 500 * time.Millisecond
+	// listEvery is the time between reads of the registered instances' rows. Peers
 	// tell of one another; the store is for those whom no seed led to them.
 	listEvery = 20 * time.Second
 )
 
-// fewPeers is the number of instances at which this one looks for more.
-const fewPeers = 2
-
-// register writes this instance's row once, and meets the others by theirs.
+// register writes this instance's row once it passes reports on, and meets the others
+// that do by theirs. An instance that no seed leads to others believes that it is
+// alone, and finds them so.
 func (in *Instance) register(ctx context.Context) {
 	value, err := json.Marshal(in.settings.Self)
 	if err != nil {
 		in.log.Error("instance: own row", "error", err)
 		return
 	}
-	key := memberPrefix + in.settings.Self.Name
-	write := platform.Txn{Writes: []platform.Write{{Key: key, Value: value}}}
+	registered := false
+	for pause.For(ctx, lookEvery) {
+		if in.peers.PassesFor() < registerAfter {
+			continue
+		}
+		if !registered {
+			registered = in.writeMember(ctx, value)
+		}
+		in.listMembers(ctx)
+		if !pause.For(ctx, listEvery) {
+			return
+		}
+	}
+}
+
+// writeMember writes this instance's row, and tells whether it is there.
+func (in *Instance) writeMember(ctx context.Context, value []byte) bool {
+	write := platform.Txn{Writes: []platform.Write{{Key: memberPrefix + in.settings.Self.Name, Value: value}}}
 	for {
 		_, err := in.adapter.Table.Commit(ctx, write)
 		if err == nil {
-			break
+			return true
 		}
 		in.log.Info("instance: not registered yet", "error", err)
 		if !pause.For(ctx, registerRetry) {
-			return
-		}
-	}
-	for pause.For(ctx, listAfter) {
-		if in.peers.Count() <= fewPeers || in.follower.Reading() {
-			in.listMembers(ctx)
-		}
-		if !pause.For(ctx, listEvery) {
-			return
+			return false
 		}
 	}
 }
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -59,6 +59,13 @@
 	}
 }
 
+// Drop forgets an upstream, unless a stream of this entry is left there.
+func (t *Table) Drop(id string) {
+	if e, ok := t.engines[id]; ok && e.Streams == 0 {
+		delete(t.engines, id)
+	}
+}
+
 // Expire ends the charges that have grown older than the bound.
 func (t *Table) Expire(now time.Duration) {
 	for _, e := range t.engines {
--- a/internal/model/pattern.go
+++ b/internal/model/pattern.go
@@ -26,6 +26,10 @@
 	Zones     int `toml:"zones"`
 	Instances int `toml:"instances"`
 	Engines   int `toml:"engines"`
+	// ReportLag is how much later reports between instances arrive than they are
+	// sent, ReportLoss the part of them that is lost.
+	ReportLag  time.Duration `toml:"report_lag"`
+	ReportLoss float64       `toml:"report_loss"`
 	// Engine is what each engine takes.
 	Engine EngineSpec `toml:"engine"`
 }
--- a/internal/model/run.go
+++ b/internal/model/run.go
@@ -56,6 +56,7 @@
 	open      []*request
 	made      int
 	keeper    keeper
+	underway  []delivery
 	result    *Result
 }
 
--- /dev/null
+++ b/internal/peers/fleet_test.go
@@ -0,0 +1,305 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	sfv1 "sassafrasfield/internal/gen/sf/v1"
+	"sassafrasfield/internal/picture"
+	"sassafrasfield/internal/replica"
+)
+
+// virtualFleet plays many instances with their reports in virtual time, without a
+// network: datagrams are lost, late, and cut off.
+type virtualFleet struct {
+	rng     *rand.Rand
+	now     time.Duration
+	nodes   []*virtualNode
+	byAddr  map[netip.AddrPort]*virtualNode
+	loss    float64
+	flying  []flight
+	sent    int
+	bytes   int
+	crossed int // bytes between zones
+}
+
+type flight struct {
+	at   time.Duration
+	to   netip.AddrPort
+	data []byte
+}
+
+type virtualNode struct {
+	*Reports
+	loads *virtualLoads
+	up    bool
+	next  time.Duration
+	sent  int
+}
+
+// virtualLoads is an instance's picture in virtual time.
+type virtualLoads struct {
+	*picture.Picture
+	now     func() time.Duration
+	changed chan struct{}
+}
+
+func newVirtualLoads(now func() time.Duration) *virtualLoads {
+	l := &virtualLoads{now: now, changed: make(chan struct{}, 1)}
+	l.Picture = picture.New(picture.Settings{Seed: 1, Changed: func() {
+		select {
+		case l.changed <- struct{}{}:
+		default: // it is told already
+		}
+	}})
+	l.Learn(picture.Upstream{ID: "e", Service: "s", Role: "decode"})
+	return l
+}
+
+func (l *virtualLoads) Changed() <-chan struct{}     { return l.changed }
+func (l *virtualLoads) OwnReport() picture.Report    { return l.Picture.OwnReport(l.now()) }
+func (l *virtualLoads) ZoneReport() picture.Report   { return l.Picture.ZoneReport(l.now()) }
+func (l *virtualLoads) BeyondReport() picture.Report { return l.Picture.BeyondReport(l.now()) }
+func (l *virtualLoads) TakeReport(source string, report picture.Report) {
+	l.Picture.TakeReport(source, report, l.now())
+}
+
+// requests is what this instance believes all have on the engine.
+func (l *virtualLoads) requests() int { return l.Engines(l.now())["s"][0].Load.Requests }
+
+const (
+	virtualTick = 10 * time.Millisecond
+	virtualLag  = time.Millisecond
+)
+
+// noRows has none of the platform's rows.
+type noRows struct{}
+
+func (noRows) Revisions() map[string]int64                           { return nil }
+func (noRows) Since(map[string]int64) ([]replica.Row, time.Duration) { return nil, 0 }
+func (noRows) Take([]replica.Row, time.Duration)                     {}
+func (noRows) Reading() bool                                         { return true }
+
+func newVirtualFleet(instances, zones int, loss float64, seed uint64) *virtualFleet {
+	f := &virtualFleet{rng: rand.New(rand.NewPCG(seed, 1)), byAddr: map[netip.AddrPort]*virtualNode{}, loss: loss}
+	for i := range instances {
+		f.nodes = append(f.nodes, &virtualNode{})
+		f.start(i, zones)
+	}
+	return f
+}
+
+func virtualPeer(i, zones int) Peer {
+	return Peer{Name: fmt.Sprintf("instance-%d", i), Address: fmt.Sprintf("10.0.%d.%d:7", i/200, i%200), Zone: fmt.Sprintf("z%d", i%zones)}
+}
+
+// start has an instance begin anew, within a third of a second; the first three are
+// the seeds.
+func (f *virtualFleet) start(i, zones int) {
+	self := virtualPeer(i, zones)
+	var seeds []string
+	for seed := range min(3, len(f.nodes)) {
+		seeds = append(seeds, virtualPeer(seed, zones).Address)
+	}
+	began := f.now
+	clock := func() time.Duration { return f.now - began }
+	e, loads := newExchange(self, seeds, noRows{}, quiet(), clock), newVirtualLoads(clock)
+	r := NewReports(e, loads)
+	n := f.nodes[i]
+	*n = virtualNode{Reports: r, loads: loads, up: true, next: f.now + time.Duration(f.rng.Int64N(int64(300*time.Millisecond)))}
+	addr := netip.MustParseAddrPort(self.Address)
+	f.byAddr[addr] = n
+	r.write = func(data []byte, to netip.AddrPort) error {
+		f.send(n, data, to)
+		return nil
+	}
+}
+
+func (f *virtualFleet) send(from *virtualNode, data []byte, to netip.AddrPort) {
+	from.sent++
+	f.sent++
+	f.bytes += len(data)
+	if target, ok := f.byAddr[to]; ok && target.exchange.self.Zone != from.exchange.self.Zone {
+		f.crossed += len(data)
+	}
+	if f.rng.Float64() < f.loss {
+		return
+	}
+	f.flying = append(f.flying, flight{at: f.now + virtualLag, to: to, data: data})
+}
+
+// run lets time pass.
+func (f *virtualFleet) run(d time.Duration) {
+	for end := f.now + d; f.now < end; f.now += virtualTick {
+		f.arrive()
+		for _, n := range f.nodes {
+			if !n.up || f.now < n.next {
+				continue
+			}
+			select {
+			case <-n.loads.Changed():
+				n.pace.Changed()
+			default:
+			}
+			n.tell(false)
+			n.next = f.now + virtualTick
+		}
+		if f.now%sweepEvery < virtualTick {
+			for _, n := range f.nodes {
+				n.exchange.sweep()
+			}
+		}
+	}
+}
+
+func (f *virtualFleet) arrive() {
+	flying := f.flying
+	f.flying = nil
+	for _, d := range flying {
+		if d.at > f.now {
+			f.flying = append(f.flying, d)
+			continue
+		}
+		to, ok := f.byAddr[d.to]
+		if !ok || !to.up {
+			continue
+		}
+		message := &sfv1.Datagram{}
+		if err := proto.Unmarshal(d.data, message); err != nil {
+			panic(err)
+		}
+		to.take(context.Background(), message)
+	}
+}
+
+// hubs counts the live instances of each zone that pass reports on.
+func (f *virtualFleet) hubs() map[string]int {
+	hubs := map[string]int{}
+	for _, n := range f.nodes {
+		if n.up && n.exchange.Passes() {
+			hubs[n.exchange.self.Zone]++
+		}
+	}
+	return hubs
+}
+
+// place has an instance put a request on the engine.
+func (n *virtualNode) place(id string) { n.loads.PlaceOn("e", id, n.loads.now()) }
+
+// wrong counts the live instances that believe another number of requests under way.
+func (f *virtualFleet) wrong(requests int) int {
+	count := 0
+	for _, n := range f.nodes {
+		if n.up && n.loads.requests() != requests {
+			count++
+		}
+	}
+	return count
+}
+
+const (
+	// settleIn is how long a fleet takes to know of itself after all of it started.
+	settleIn = 2 * time.Second
+	// knownIn is how long it takes at most until all know of what changed, though
+	// datagrams are lost: what was told is told again each second.
+	knownIn = 4 * time.Second
+)
+
+// TestALargeFleetKnowsItsLoad: 195 instances in six zones that start within a third of
+// a second, with three seeds, each with a request under way, while one datagram in 40 is
+// lost. Once none is lost any more, all count all of them, one instance a zone passes
+// reports on, and what an instance sends does not grow with the fleet.
+func TestALargeFleetKnowsItsLoad(t *testing.T) {
+	for _, c := range []struct{ instances, zones int }{{1, 1}, {9, 4}, {62, 3}, {195, 6}, {400, 12}} {
+		f := newVirtualFleet(c.instances, c.zones, 0.025, 1)
+		f.run(settleIn)
+		for i, n := range f.nodes {
+			n.place(fmt.Sprintf("r%d", i))
+		}
+		f.run(time.Second)
+		f.loss = 0
+		f.run(knownIn)
+		if wrong := f.wrong(c.instances); wrong > 0 {
+			t.Errorf("%d instances: %d are wrong about what is under way", c.instances, wrong)
+		}
+		if hubs := f.hubs(); len(hubs) != c.zones {
+			t.Errorf("%d instances: %v pass reports on", c.instances, hubs)
+		}
+		for _, n := range f.nodes {
+			if n.exchange.Count() < c.instances {
+				t.Fatalf("%d instances: %d counted", c.instances, n.exchange.Count())
+			}
+		}
+		f.sent, f.bytes, f.crossed = 0, 0, 0
+		for _, n := range f.nodes {
+			n.sent = 0
+		}
+		f.run(5 * time.Second)
+		most := 0
+		for _, n := range f.nodes {
+			most = max(most, n.sent)
+		}
+		t.Logf("%d instances in %d zones: %.1f datagrams a second an instance, %d at most; %.1f kB/s, %.2f kB/s across zones",
+			c.instances, c.zones, float64(f.sent)/5/float64(c.instances), most/5,
+			float64(f.bytes)/5e3/float64(c.instances), float64(f.crossed)/5e3/float64(c.instances))
+	}
+}
+
+// TestHubsThatDieAreReplaced: the instances that pass reports on die in all zones at
+// once, then those that took over.
+func TestHubsThatDieAreReplaced(t *testing.T) {
+	f := newVirtualFleet(60, 6, 0.025, 2)
+	f.run(settleIn)
+	busy := 0
+	for range 2 {
+		f.loss = 0.025
+		for _, n := range f.nodes {
+			if n.up && n.exchange.Passes() {
+				n.up = false
+			}
+		}
+		f.run(2 * time.Second)
+		for i, n := range f.nodes {
+			if n.up {
+				n.place(fmt.Sprintf("r%d-%d", busy, i))
+			}
+		}
+		busy++
+		f.run(time.Second)
+		f.loss = 0
+		f.run(knownIn)
+		alive := 0
+		for _, n := range f.nodes {
+			if n.up {
+				alive++
+			}
+		}
+		if wrong := f.wrong(alive * busy); wrong > 0 {
+			t.Errorf("round %d: %d of %d are wrong", busy, wrong, alive)
+		}
+	}
+}
+
+// TestAllStartAnew: all instances are killed and start again within a third of a
+// second.
+func TestAllStartAnew(t *testing.T) {
+	f := newVirtualFleet(195, 6, 0, 3)
+	f.run(settleIn)
+	for i := range f.nodes {
+		f.start(i, 6)
+	}
+	f.run(settleIn)
+	for i, n := range f.nodes {
+		n.place(fmt.Sprintf("r%d", i))
+	}
+	f.run(time.Second)
+	if wrong := f.wrong(195); wrong > 0 {
+		t.Errorf("%d are wrong", wrong)
+	}
+}
--- /dev/null
+++ b/internal/peers/members.go
@@ -0,0 +1,279 @@
+package peers
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"sassafrasfield/internal/fanout"
+	"sassafrasfield/internal/gen/sf/v1/sfv1connect"
+)
+
+// hubFor is for how long a zone's hub counts after its last word: three of its
+// reports may be lost.
+const hubFor = 700 * time.Millisecond
+
+// meet takes note of a peer, which it returns; nil for this instance itself.
+func (e *Exchange) meet(p Peer) *known {
+	if p.Address == "" || p.Address == e.self.Address {
+		return nil
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	k, ok := e.peers[p.Address]
+	if !ok {
+		k = &known{client: sfv1connect.NewReplicaServiceClient(e.client, "http://"+p.Address), metAt: e.now()}
+		k.Address = p.Address
+		e.peers[p.Address] = k
+		e.log.Info("peers: new peer", "peer", p.Name, "address", p.Address, "known", len(e.peers))
+	}
+	if p.Name != "" && k.Peer != p {
+		k.Peer = p
+		k.source = sourceOf(fanout.IDOf(p.Name))
+		e.byID[fanout.IDOf(p.Name)] = k
+		if p.Zone == e.self.Zone {
+			e.roster.Introduce(fanout.IDOf(p.Name), e.now())
+		}
+	}
+	return k
+}
+
+// Meet takes note of peers that are listed elsewhere.
+func (e *Exchange) Meet(list []Peer) {
+	for _, p := range list {
+		e.meet(p)
+	}
+}
+
+// Count returns the number of instances there were lately, this one included, as far
+// as it is known here.
+func (e *Exchange) Count() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return max(e.count.value, len(e.peers)+1)
+}
+
+// counted is how many instances there are now. The lock is held.
+func (e *Exchange) counted(now time.Duration) int {
+	total := e.roster.Known()
+	for _, z := range e.zones {
+		total += z.instances
+	}
+	if now-e.batch.at <= hubFor {
+		total = max(total, e.batch.instances)
+	}
+	return total
+}
+
+// countFor is for how long a count holds that fell since: instances that are cut off
+// have their part of what all share still.
+const countFor = forgetAfter
+
+// peak is the highest of the values of a time.
+type peak struct {
+	value int
+	at    time.Duration
+}
+
+func (p *peak) note(value int, now time.Duration) {
+	if value >= p.value || now-p.at > countFor {
+		p.value, p.at = value, now
+	}
+}
+
+// Passes tells whether this instance passes the reports of its zone on.
+func (e *Exchange) Passes() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.passes(e.now())
+}
+
+// passes is Passes. The lock is held.
+func (e *Exchange) passes(now time.Duration) bool {
+	passes := e.roster.Passes(now)
+	if passes != e.passing {
+		e.passing, e.passingAt = passes, now
+		e.log.Info("peers: passing reports on", "passes", passes, "rank", e.roster.Rank(now), "known", e.roster.Known())
+	}
+	return passes
+}
+
+// PassesFor is for how long this instance has passed the reports of its zone on; 0
+// when it does not.
+func (e *Exchange) PassesFor() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.now()
+	if !e.passes(now) {
+		return 0
+	}
+	return now - e.passingAt
+}
+
+// Hubs lists the instances that pass reports on, by name, as far as it is known here.
+// An instance that has just started takes itself for one until it hears of others, and
+// does not name itself.
+func (e *Exchange) Hubs() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.now()
+	var names []string
+	if now >= settleFor && e.passes(now) {
+		names = append(names, e.self.Name)
+	}
+	for _, z := range e.zones {
+		if now-z.at <= aliveFor {
+			names = append(names, z.hub.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// sweep forgets the peers that were silent for long, but for the seeds.
+func (e *Exchange) sweep() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.now()
+	for address, k := range e.peers {
+		silent := now - max(k.heardAt, k.metAt)
+		if silent <= forgetAfter || slices.Contains(e.seeds, address) {
+			continue
+		}
+		e.forget(k)
+		e.log.Info("peers: forgotten", "peer", k.Name, "address", address, "silent", silent)
+	}
+	for zone, z := range e.zones {
+		if now-z.at > forgetAfter {
+			delete(e.zones, zone)
+		}
+	}
+	e.count.note(e.counted(now), now)
+}
+
+// forget drops a peer. The lock is held.
+func (e *Exchange) forget(k *known) {
+	delete(e.peers, k.Address)
+	id := fanout.IDOf(k.Name)
+	if e.byID[id] == k {
+		delete(e.byID, id)
+		e.roster.Forget(id)
+		e.inbox.Forget(id)
+	}
+}
+
+// contactsAtMost bounds the peers that are named at once.
+const contactsAtMost = 64
+
+// contacts lists the instances of a zone, and one or two of each other zone, for
+// whoever asks; this one included. The lock is held.
+func (e *Exchange) contacts(zone string) []Peer {
+	list, now := []Peer{e.self}, e.now()
+	for _, k := range e.peers {
+		if k.Zone == zone && k.Name != "" && e.lives(k, now) && len(list) < contactsAtMost {
+			list = append(list, k.Peer)
+		}
+	}
+	for other := range e.otherZones() {
+		if other == zone {
+			continue
+		}
+		for _, k := range e.contactsOf(other, now) {
+			list = append(list, k.Peer)
+		}
+	}
+	return list
+}
+
+// lives tells whether a peer gave a sign lately, or is new. The lock is held.
+func (e *Exchange) lives(k *known, now time.Duration) bool {
+	if k.Zone == e.self.Zone {
+		return e.roster.Alive(fanout.IDOf(k.Name), now)
+	}
+	return k.failures == 0 && now-max(k.heardAt, k.metAt) <= livesFor
+}
+
+// livesFor is for how long a peer of another zone counts as alive, of which only its
+// own zone hears often.
+const livesFor = 5 * time.Second
+
+// greeted are the addresses of the seeds. The lock is held.
+func (e *Exchange) greeted() []string {
+	var list []string
+	for _, address := range e.seeds {
+		if address != e.self.Address {
+			list = append(list, address)
+		}
+	}
+	return list
+}
+
+// otherZones are the zones of the known peers, but for this instance's. The lock is
+// held.
+func (e *Exchange) otherZones() map[string][]*known {
+	zones := map[string][]*known{}
+	for _, k := range e.peers {
+		if k.Zone != "" && k.Zone != e.self.Zone {
+			zones[k.Zone] = append(zones[k.Zone], k)
+		}
+	}
+	return zones
+}
+
+// contactsOf are whom to tell what concerns another zone: its hub, or any two
+// instances while no hub is heard. The lock is held.
+func (e *Exchange) contactsOf(zone string, now time.Duration) []*known {
+	word, heard := e.zones[zone]
+	if heard && now-word.at <= hubFor {
+		return []*known{word.hub}
+	}
+	var list []*known
+	if heard {
+		list = append(list, word.hub)
+	}
+	for _, k := range e.peers {
+		if k.Zone == zone && (!heard || k != word.hub) {
+			list = append(list, k)
+		}
+	}
+	const asked = 2
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(asked, len(list))]
+}
+
+// introducedAtOnce is how many peers a batch names.
+const introducedAtOnce = 2
+
+// introduce lists some peers by turns, so that each instance of the zone knows all
+// others of it, and the other zones' hubs, after a while. The lock is held.
+func (e *Exchange) introduce(now time.Duration) []Peer {
+	var list []Peer
+	for _, k := range e.peers {
+		if k.Zone == e.self.Zone && e.roster.Alive(fanout.IDOf(k.Name), now) {
+			list = append(list, k.Peer)
+		}
+	}
+	for _, z := range e.zones {
+		if now-z.at <= aliveFor {
+			list = append(list, z.hub.Peer)
+		}
+	}
+	slices.SortFunc(list, func(a, b Peer) int { return compareNames(a.Name, b.Name) })
+	var chosen []Peer
+	for range min(introducedAtOnce, len(list)) {
+		e.introduced = (e.introduced + 1) % len(list)
+		chosen = append(chosen, list[e.introduced])
+	}
+	return chosen
+}
+
+func compareNames(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
--- /dev/null
+++ b/internal/peers/messages.go
@@ -0,0 +1,114 @@
+package peers
+
+import (
+	"strconv"
+	"time"
+
+	"sassafrasfield/internal/estimate"
+	"sassafrasfield/internal/fanout"
+	sfv1 "sassafrasfield/internal/gen/sf/v1"
+	"sassafrasfield/internal/picture"
+	"sassafrasfield/internal/replica"
+)
+
+// thousandths is the unit of parts of an engine's time in a report.
+const thousandths = 1000
+
+// sourceOf names the source of an instance's reports.
+func sourceOf(id fanout.ID) string { return picture.BesidePrefix + strconv.FormatUint(uint64(id), 16) }
+
+func ownToMessage(o fanout.Own) *sfv1.InstanceReport {
+	return &sfv1.InstanceReport{
+		Source: uint64(o.Source), Boot: o.Boot, Sequence: o.Sequence, Reading: o.Reading, Report: reportToMessage(o.Report),
+	}
+}
+
+func ownFromMessage(m *sfv1.InstanceReport) fanout.Own {
+	return fanout.Own{
+		Source: fanout.ID(m.GetSource()), Boot: m.GetBoot(), Sequence: m.GetSequence(), Reading: m.GetReading(),
+		Report: reportFromMessage(m.GetReport()),
+	}
+}
+
+func reportToMessage(report picture.Report) *sfv1.EngineReport {
+	m := &sfv1.EngineReport{Whole: report.Whole, Gone: report.Gone}
+	for _, load := range report.Loads {
+		m.Loads = append(m.Loads, &sfv1.EngineLoad{
+			Engine: load.Engine, PrefillMs: uint32(load.Ahead.Milliseconds()), Requests: uint32(load.Requests),
+			Use: uint32(load.Use * thousandths), YieldingMs: uint32(load.Yielding.Milliseconds()),
+			Inflow: uint32(load.Inflow),
+		})
+	}
+	for _, p := range report.Placed {
+		m.Placed = append(m.Placed, p.Engine, p.Part)
+	}
+	for service, l := range report.Times {
+		m.Times = append(m.Times, &sfv1.EngineTimes{
+			Service: service, Speed: float32(l.Speed), Overhead: float32(l.Overhead), Prompts: uint32(l.Prompts),
+			Step: float32(l.Step), PerRequest: float32(l.PerRequest), Streams: uint32(l.Streams),
+		})
+	}
+	return m
+}
+
+func reportFromMessage(m *sfv1.EngineReport) picture.Report {
+	report := picture.Report{Whole: m.GetWhole(), Gone: m.GetGone()}
+	for _, l := range m.GetLoads() {
+		report.Loads = append(report.Loads, picture.EngineLoad{
+			Engine: l.GetEngine(), Ahead: time.Duration(l.GetPrefillMs()) * time.Millisecond, Requests: int(l.GetRequests()),
+			Use: float64(l.GetUse()) / thousandths, Yielding: time.Duration(l.GetYieldingMs()) * time.Millisecond,
+			Inflow: float64(l.GetInflow()),
+		})
+	}
+	placed := m.GetPlaced()
+	for i := 0; i+1 < len(placed); i += 2 {
+		report.Placed = append(report.Placed, picture.Placed{Engine: placed[i], Part: placed[i+1]})
+	}
+	for _, t := range m.GetTimes() {
+		if report.Times == nil {
+			report.Times = map[uint32]estimate.Learned{}
+		}
+		report.Times[t.GetService()] = estimate.Learned{
+			Speed: float64(t.GetSpeed()), Overhead: time.Duration(t.GetOverhead()), Prompts: int(t.GetPrompts()),
+			Step: time.Duration(t.GetStep()), PerRequest: time.Duration(t.GetPerRequest()), Streams: int(t.GetStreams()),
+		}
+	}
+	return report
+}
+
+func toMessage(p Peer) *sfv1.ReplicaPeer {
+	return &sfv1.ReplicaPeer{Name: p.Name, Address: p.Address, Zone: p.Zone}
+}
+
+func fromMessage(p *sfv1.ReplicaPeer) Peer {
+	return Peer{Name: p.GetName(), Address: p.GetAddress(), Zone: p.GetZone()}
+}
+
+func peersToMessages(list []Peer) []*sfv1.ReplicaPeer {
+	messages := make([]*sfv1.ReplicaPeer, len(list))
+	for i, p := range list {
+		messages[i] = toMessage(p)
+	}
+	return messages
+}
+
+func rowsToMessages(rows []replica.Row) []*sfv1.ReplicaRow {
+	messages := make([]*sfv1.ReplicaRow, len(rows))
+	for i, row := range rows {
+		messages[i] = &sfv1.ReplicaRow{
+			Table: row.Table, Key: row.Key.Key, Value: row.Value, Revision: row.Revision, Deleted: row.Deleted,
+		}
+	}
+	return messages
+}
+
+func rowsFromMessages(messages []*sfv1.ReplicaRow) []replica.Row {
+	rows := make([]replica.Row, len(messages))
+	for i, m := range messages {
+		rows[i] = replica.Row{
+			Key:   replica.Key{Table: m.GetTable(), Key: m.GetKey()},
+			Value: m.GetValue(), Revision: m.GetRevision(), Deleted: m.GetDeleted(),
+		}
+	}
+	return rows
+}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -14,12 +14,16 @@
 	"sassafrasfield/internal/picture"
 	"sassafrasfield/internal/relay"
 	"sassafrasfield/internal/replica"
+	"sassafrasfield/internal/route"
+	"sassafrasfield/internal/routes"
 )
 
 // node is an instance of the exchange under test, served over HTTP.
 type node struct {
 	*Exchange
-	relay *relay.Relay
+	relay  *relay.Relay
+	sender *heldSender
+	stop   func()
 
 	mu      sync.Mutex // protects all below
 	rows    *replica.Replica
@@ -66,7 +70,8 @@
 func newNode(t *testing.T, name, zone string, seeds ...string) *node {
 	t.Helper()
 	server := httptest.NewUnstartedServer(nil)
-	n := &node{rows: replica.New(), relay: relay.New(relay.DefaultSettings(), nil, quiet())}
+	n := &node{rows: replica.New(), sender: &heldSender{release: make(chan struct{})}}
+	n.relay = relay.New(relay.DefaultSettings(), n.sender, quiet())
 	self := Peer{Name: name, Address: server.Listener.Addr().String(), Zone: zone}
 	n.Exchange = New(self, seeds, n, quiet())
 	_, server.Config.Handler = n.Handler()
@@ -79,11 +84,12 @@
 			t.Error(err)
 		}
 	}()
-	t.Cleanup(func() {
+	n.stop = sync.OnceFunc(func() {
 		stop()
 		<-done
 		server.Close()
 	})
+	t.Cleanup(n.stop)
 	return n
 }
 
@@ -141,9 +147,7 @@
 		}
 		return n
 	}
-	if n := should(); n != len(all) {
-		t.Errorf("%d of %d read before any tells that it does", n, len(all))
-	}
+	waitFor(func() bool { return should() == len(all) }) // none tells that it does
 	for _, n := range all {
 		n.mu.Lock()
 		n.reading = true
@@ -158,12 +162,24 @@
 	waitFor(func() bool { return should() == len(all) })
 }
 
+// hubOf is the instance that passes the reports of a zone on.
+func hubOf(all []*node, zone string) *node {
+	for {
+		for _, n := range all {
+			if n.self.Zone == zone && n.PassesFor() > 2*hubFor {
+				return n
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 func TestLoadsAreToldToAllZones(t *testing.T) {
 	all := fleet(t)
 	for _, n := range all {
 		n.relay.Learn(picture.Upstream{ID: "e", Service: "s", Role: "decode"})
 	}
-	speaker := all[1] // the first of its zone by name
+	speaker := hubOf(all, "b")
 	waitFor(func() bool {
 		// A part is told once, and a datagram may be lost: it is placed again.
 		speaker.relay.TakeReport("instance x", picture.Report{Placed: []picture.Placed{{Engine: 1, Part: 2}}})
@@ -176,6 +192,95 @@
 	})
 }
 
+// heldSender holds requests until it is released, and then fails them.
+type heldSender struct {
+	release chan struct{}
+}
+
+func (s *heldSender) Send(ctx context.Context, _ *relay.Request, _ relay.Send) (*relay.Reply, error) {
+	select {
+	case <-s.release:
+	case <-ctx.Done():
+	}
+	return nil, relay.ErrLost
+}
+
+func (s *heldSender) Prefill(context.Context, *relay.Request, relay.Send) (relay.KV, picture.Load, error) {
+	return relay.KV{}, picture.Load{}, relay.ErrLost
+}
+
+func (s *heldSender) Free(context.Context, relay.KV) error { return nil }
+
+// serving has all instances know one engine and the route to it.
+func serving(all []*node) {
+	table := routes.NewTable(1, []routes.Route{{
+		Name: "generate", Kind: routes.Generation, Host: "h", Prefix: "/", MaxAttempts: 1,
+		Shares: []routes.Share{{Service: "s", Weight: 1}},
+	}}, []routes.Service{{Name: "s"}}, routes.Limits{})
+	for _, n := range all {
+		n.relay.SetRoutes(table)
+		n.relay.Learn(picture.Upstream{ID: "e", Service: "s", Role: "decode"})
+	}
+}
+
+func requestsOn(n *node) int { return n.relay.Engines()["s"][0].Load.Requests }
+
+// allSee waits until all instances count so many requests on the engine.
+func allSee(all []*node, requests int) {
+	for _, n := range all {
+		waitFor(func() bool { return requestsOn(n) == requests })
+	}
+}
+
+// TestWhatAnInstanceHasUnderWayIsToldToAll has an instance that does not pass reports
+// on serve a request: all others of all zones count it, until it ends.
+func TestWhatAnInstanceHasUnderWayIsToldToAll(t *testing.T) {
+	all := fleet(t)
+	serving(all)
+	hub := hubOf(all, "b")
+	var busy *node
+	for _, n := range all {
+		if n.self.Zone == hub.self.Zone && n != hub {
+			busy = n
+		}
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		request := &relay.Request{ID: "r", Host: "h", Path: "/x", Prompt: &route.Prompt{Tokens: 100}}
+		_ = busy.relay.Serve(context.Background(), request, httptest.NewRecorder()) // it is held, then fails
+	}()
+	allSee(all, 1)
+	close(busy.sender.release)
+	<-done
+	allSee(all, 0)
+}
+
+// TestAnotherInstancePassesReportsOnWhenTheHubIsGone: what is under way is counted all
+// the same, and again by one that has just started.
+func TestAnotherInstancePassesReportsOnWhenTheHubIsGone(t *testing.T) {
+	all := fleet(t)
+	serving(all)
+	hub := hubOf(all, "a")
+	hub.stop()
+	var left []*node
+	for _, n := range all {
+		if n != hub {
+			left = append(left, n)
+		}
+	}
+	busy := hubOf(left, "a")
+	go func() {
+		request := &relay.Request{ID: "r", Host: "h", Path: "/x", Prompt: &route.Prompt{Tokens: 100}}
+		_ = busy.relay.Serve(context.Background(), request, httptest.NewRecorder()) // it is held until the end
+	}()
+	defer close(busy.sender.release)
+	allSee(left, 1)
+	newcomer := newNode(t, "newcomer", "a", left[0].self.Address, left[1].self.Address)
+	serving([]*node{newcomer})
+	allSee([]*node{newcomer}, 1)
+}
+
 func TestAPeerThatDoesNotAnswerIsLeftAloneForAWhile(t *testing.T) {
 	n := newNode(t, "n", "a", "127.0.0.1:1")
 	if err := n.Pull(context.Background()); err == nil || errors.Is(err, ErrNobody) {
--- a/internal/peers/reading.go
+++ b/internal/peers/reading.go
@@ -3,52 +3,87 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"sassafrasfield/internal/fanout"
 )
 
 // How many instances follow the store.
 const (
-	// readers is how many should: the loss of three still leaves one.
-	readers = 4
+	// readers is how many of the zones' hubs should: the loss of two still leaves
+	// one, and each call to the store is paid for.
+	readers = 3
 	// readersNeeded is how many others must tell that they do, before an
 	// instance that should not leaves the store alone.
 	readersNeeded = 2
+	// settleFor is the time from an instance's start in which it leaves the store's
+	// feed to others, though it has not heard of any: reports need about half of it.
+	settleFor = time.Second
+	// readersStep is how much longer each next one in rank waits before it follows
+	// the store because too few others do: when the store fails for all, only those
+	// ahead ask it again and again.
+	readersStep = 400 * time.Millisecond
 )
 
 // NoticedIn is how long the others take to hear that an instance has no answers
 // from the store any more: until its last word that it has counts no longer.
-const NoticedIn = aliveFor + tick
+const NoticedIn = aliveFor + 100*time.Millisecond
 
 // ShouldRead tells whether this instance should follow the store itself: the
-// instances that rank first do, and whoever does not hear of enough others.
+// instances that rank first do, and, one after another, those that do not hear of
+// enough others.
 func (e *Exchange) ShouldRead() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now, before := time.Now(), 0
-	own := rankOf(e.self.Name)
-	for _, k := range e.peers {
-		if k.Zone == e.self.Zone && rankOf(k.Name) > own && now.Sub(k.heardAt) <= aliveFor {
-			before++
+	now := e.now()
+	if now < settleFor {
+		return false
+	}
+	rank := e.readerRank(now)
+	if rank < readers {
+		return true
+	}
+	if e.readersHeard(now) >= readersNeeded {
+		e.few = 0
+		return false
+	}
+	if e.few == 0 {
+		e.few = now
+	}
+	return now-e.few >= time.Duration(rank-readers+1)*readersStep
+}
+
+// readerRank ranks the instances as readers: the zones' hubs first, then the others by
+// their rank in each zone. The lock is held.
+func (e *Exchange) readerRank(now time.Duration) int {
+	if !e.passes(now) {
+		return readers + e.roster.Rank(now)
+	}
+	rank := 0
+	for _, z := range e.zones {
+		if now-z.at <= hubFor && fanout.IDOf(z.hub.Name) > e.id {
+			rank++
 		}
 	}
-	return before < e.readersHere() || e.readersHeard(now) < readersNeeded
+	return rank
 }
 
 // readersHeard counts the instances that told lately that they follow the store, and
 // the zones that did. The lock is held.
-func (e *Exchange) readersHeard(now time.Time) int {
-	heard := 0
-	for _, k := range e.peers {
-		if k.reading && now.Sub(k.heardAt) <= aliveFor {
+func (e *Exchange) readersHeard(now time.Duration) int {
+	heard, beyond := 0, 0
+	for _, k := range e.byID {
+		if k.Zone == e.self.Zone && k.reading && now-k.readAt <= aliveFor {
 			heard++
 		}
 	}
-	for _, at := range e.zoneReading {
-		if now.Sub(at) <= aliveFor {
-			heard++
+	for _, z := range e.zones {
+		if z.reading && now-z.at <= aliveFor {
+			beyond++
 		}
 	}
-	return heard
+	if now-e.batch.at <= aliveFor {
+		beyond = max(beyond, e.batch.readers)
+	}
+	return heard + beyond
 }
 
 // OthersRead tells whether another instance follows the store now, and it
@@ -56,20 +91,27 @@
 func (e *Exchange) OthersRead() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.readersHeard(time.Now()) > 0
+	return e.readersHeard(e.now()) > 0
 }
 
-// readersHere is how many instances of this zone should follow the store. The
-// lock is held.
-func (e *Exchange) readersHere() int {
-	zones := map[string]bool{e.self.Zone: true}
-	for _, k := range e.peers {
-		if k.Zone != "" {
-			zones[k.Zone] = true
+// zoneReads tells whether any instance of this zone follows the store. The lock is
+// held.
+func (e *Exchange) zoneReads(now time.Duration, self bool) bool {
+	if self {
+		return true
+	}
+	for _, k := range e.byID {
+		if k.Zone == e.self.Zone && k.reading && now-k.readAt <= aliveFor {
+			return true
 		}
 	}
-	return max(1, readers/len(zones))
+	return false
 }
 
-// rankOf orders the instances the same way everywhere.
-func rankOf(name string) uint64 { return xxhash.Sum64String(name) }
+// heardOwn notes an instance's word on itself. The lock is held.
+func (e *Exchange) heardOwn(o fanout.Own, now time.Duration) {
+	e.roster.Heard(o.Source, now)
+	if k, ok := e.byID[o.Source]; ok {
+		k.heardAt, k.reading, k.readAt = now, o.Reading, now
+	}
+}
--- a/internal/peers/reports.go
+++ b/internal/peers/reports.go
@@ -4,49 +4,59 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"slices"
+	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"sassafrasfield/internal/estimate"
+	"sassafrasfield/internal/fanout"
 	sfv1 "sassafrasfield/internal/gen/sf/v1"
 	"sassafrasfield/internal/picture"
-	"sassafrasfield/internal/relay"
 )
 
-// Pace of the reports.
 const (
-	// tick is the time between the reports of a busy instance to its zone; a
-	// short prompt takes about that long.
-	tick = 100 * time.Millisecond
-	// idleTicks is how many ticks an instance with nothing new waits.
-	idleTicks = 5
-	// zoneTicks is how many ticks lie between two reports of a whole zone.
-	zoneTicks = 2
-	// maxBeside bounds the instances of its zone that one instance tells.
-	maxBeside = 48
-	// datagramBytes bounds a report. The loads of 90 engines and the parts of
-	// 100 requests fit.
+	// datagramBytes bounds a datagram; what is more goes into further ones.
 	datagramBytes = 4096
-	// thousandths is the unit of parts of an engine's time in a report.
-	thousandths = 1000
-	// placedAtMost bounds the parts that a report names.
-	placedAtMost = 120
+	// sweepEvery is the time between looks for peers that are gone.
+	sweepEvery = time.Second
 )
 
+// Loads is what the instances have under way; relay.Relay implements it.
+type Loads interface {
+	// Changed has a value when the others should be told of news.
+	Changed() <-chan struct{}
+	// OwnReport is what this instance has, ZoneReport what its zone has, and
+	// BeyondReport what all other zones have.
+	OwnReport() picture.Report
+	ZoneReport() picture.Report
+	BeyondReport() picture.Report
+	// Learned is what this instance has learned of the engines.
+	Learned() map[uint32]estimate.Learned
+	// TakeReport takes the report of a source.
+	TakeReport(source string, report picture.Report)
+}
+
 // Reports sends and takes the reports.
 type Reports struct {
 	exchange *Exchange
-	relay    *relay.Relay
-	conn     *net.UDPConn
-	// quiet counts the ticks since the last report.
-	quiet int
+	loads    Loads
+	// write sends a datagram.
+	write func(data []byte, to netip.AddrPort) error
+	pace  *fanout.Pace
+	// told are the revisions that the last batch had.
+	told map[string]int64
+	// boot and sequence tell this process's reports from one another.
+	boot, sequence uint32
 }
 
 // NewReports returns the reports of an exchange.
-func NewReports(e *Exchange, r *relay.Relay) *Reports { return &Reports{exchange: e, relay: r} }
+func NewReports(e *Exchange, l Loads) *Reports {
+	return &Reports{
+		exchange: e, loads: l, pace: fanout.NewPace(e.now()), boot: rand.Uint32(),
+	}
+}
 
 // Run tells and listens until the context ends.
 func (r *Reports) Run(ctx context.Context) error {
@@ -54,273 +64,191 @@
 	if err != nil {
 		return errors.Wrap(err, "peers: reports")
 	}
-	if r.conn, err = net.ListenUDP("udp", address); err != nil {
+	conn, err := net.ListenUDP("udp", address)
+	if err != nil {
 		return errors.Wrap(err, "peers: reports")
 	}
-	defer r.conn.Close()
-	go r.listen(ctx)
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
-	for n := 0; ; n++ {
+	defer conn.Close()
+	r.write = func(data []byte, to netip.AddrPort) error {
+		_, err := conn.WriteToUDPAddrPort(data, to)
+		return err
+	}
+	go r.listen(ctx, conn)
+	sweep := time.NewTicker(sweepEvery)
+	defer sweep.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		urgent := false
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-sweep.C:
+			r.exchange.sweep()
 		case <-r.exchange.news:
-			r.tell(true)
-			r.tellZones()
-			continue
-		case now := <-ticker.C:
-			r.exchange.sweep(now)
-		}
-		r.tell(false)
-		if n%zoneTicks == 0 && r.exchange.speaks() {
-			r.tellZones()
+			urgent = true
+		case <-r.loads.Changed():
+			r.pace.Changed()
+		case <-timer.C:
 		}
+		timer.Reset(r.tell(urgent))
 	}
 }
 
-// tell sends this instance's report to its zone. Without news, and with nothing
-// under way, it does so now and then only.
-func (r *Reports) tell(news bool) {
-	report := r.relay.OwnReport()
-	busy := len(report.Loads) > 0 || len(report.Placed) > 0 || len(report.Gone) > 0
-	if r.quiet++; !busy && !news && r.quiet < idleTicks {
-		return
-	}
-	r.quiet = 0
-	r.send(r.message(report, ""), r.exchange.beside())
-}
-
-// tellZones sends the zone's report to the other zones.
-func (r *Reports) tellZones() {
-	others := r.exchange.otherZones()
-	if len(others) == 0 {
-		return
-	}
-	message := r.message(r.relay.ZoneReport(), r.exchange.self.Zone)
-	message.Reading = r.exchange.zoneReads()
-	r.send(message, others)
-}
-
-func (r *Reports) message(report picture.Report, zone string) *sfv1.Report {
-	message := &sfv1.Report{
-		From: toMessage(r.exchange.self), Zone: zone,
-		Revisions: r.exchange.rows.Revisions(), Reading: r.exchange.rows.Reading(), Gone: report.Gone,
+// tell sends what is due, and returns the time until something may be due again.
+func (r *Reports) tell(urgent bool) time.Duration {
+	passes, hears := r.exchange.state()
+	due, wait := r.pace.Next(r.exchange.now(), passes, hears, urgent)
+	if due.Own {
+		r.tellOwn(due.Times)
 	}
-	for _, load := range report.Loads {
-		message.Loads = append(message.Loads, &sfv1.EngineLoad{
-			Engine: load.Engine, PrefillMs: uint32(load.Ahead.Milliseconds()), Requests: uint32(load.Requests),
-			Use: uint32(load.Use * thousandths), YieldingMs: uint32(load.Yielding.Milliseconds()),
-			Inflow: uint32(load.Inflow),
-		})
+	if due.Batch {
+		r.tellZone(due.Times)
 	}
-	for service, l := range report.Times {
-		message.Times = append(message.Times, &sfv1.EngineTimes{
-			Service: service, Speed: float32(l.Speed), Overhead: float32(l.Overhead), Prompts: uint32(l.Prompts),
-			Step: float32(l.Step), PerRequest: float32(l.PerRequest), Streams: uint32(l.Streams),
-		})
+	if due.Zone {
+		r.tellZones(due.Times)
 	}
-	placed := report.Placed
-	for _, p := range placed[max(0, len(placed)-placedAtMost):] {
-		message.Placed = append(message.Placed, &sfv1.PartPlaced{Engine: p.Engine, Part: p.Part})
+	if due.Greet {
+		r.send(r.message(sfv1.Datagram_KIND_OWN), r.exchange.seedAddresses())
 	}
-	return message
+	return wait
 }
 
-func (r *Reports) send(message *sfv1.Report, to []string) {
-	if len(to) == 0 {
-		return
+// own returns this instance's next report, in parts where it is long.
+func (r *Reports) own(times bool) []*sfv1.InstanceReport {
+	report := r.loads.OwnReport()
+	if times {
+		report.Times = r.loads.Learned()
 	}
-	data, err := proto.Marshal(message)
-	if err != nil || len(data) > datagramBytes {
-		r.exchange.log.Error("peers: report not sent", "bytes", len(data), "error", err)
-		return
+	var messages []*sfv1.InstanceReport
+	for _, part := range report.Parts() {
+		r.sequence++
+		messages = append(messages, ownToMessage(fanout.Own{
+			Source: r.exchange.id, Boot: r.boot, Sequence: r.sequence, Reading: r.exchange.rows.Reading(), Report: part,
+		}))
 	}
-	r.sendRaw(data, to)
+	return messages
 }
 
-func (r *Reports) sendRaw(data []byte, to []string) {
-	for _, address := range to {
-		udp, err := net.ResolveUDPAddr("udp", address)
-		if err != nil {
-			r.exchange.log.Error("peers: address", "address", address, "error", err)
-			continue
-		}
-		if _, err := r.conn.WriteToUDP(data, udp); err != nil {
-			r.exchange.log.Debug("peers: report lost", "address", address, "error", err)
-		}
-	}
+// tellOwn sends this instance's report to those that pass it on.
+func (r *Reports) tellOwn(times bool) {
+	message := r.message(sfv1.Datagram_KIND_OWN)
+	message.Reports = r.own(times)
+	r.send(message, r.exchange.receivers())
 }
 
-func (r *Reports) listen(ctx context.Context) {
-	buffer := make([]byte, datagramBytes)
-	for {
-		n, _, err := r.conn.ReadFromUDP(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			r.exchange.log.Info("peers: reports cannot be read", "error", err)
-			time.Sleep(tick)
-			continue
-		}
-		message := &sfv1.Report{}
-		if err := proto.Unmarshal(buffer[:n], message); err != nil {
-			r.exchange.log.Info("peers: a report cannot be read", "error", err)
-			continue
-		}
-		r.take(ctx, message, buffer[:n])
+// tellZone sends a batch to the instances of the zone.
+func (r *Reports) tellZone(times bool) {
+	reports, word := r.exchange.nextBatch()
+	message := r.message(sfv1.Datagram_KIND_BATCH)
+	message.Peers, message.Instances, message.Readers = peersToMessages(word.peers), uint32(word.instances), uint32(word.readers)
+	message.Beyond = reportToMessage(r.loads.BeyondReport())
+	r.addRows(message)
+	message.Reports = r.own(times)
+	for _, o := range reports {
+		message.Reports = append(message.Reports, ownToMessage(o))
 	}
+	r.send(message, r.exchange.beside())
 }
 
-// take takes a report. One of another zone goes on to the instances beside this
-// one, unless it came from one of them.
-func (r *Reports) take(ctx context.Context, message *sfv1.Report, raw []byte) {
-	from := fromMessage(message.GetFrom())
-	k := r.exchange.meet(from)
-	if k == nil {
+// rowsBytes bounds the rows that a batch brings: an upstream's entry has some 300
+// bytes. More are pulled.
+const rowsBytes = 2048
+
+// addRows has a batch bring the rows that changed since the last one.
+func (r *Reports) addRows(message *sfv1.Datagram) {
+	since := r.told
+	r.told = message.GetRevisions()
+	if since == nil || !behind(since, message.GetRevisions()) {
 		return
 	}
-	if behind(r.exchange.rows.Revisions(), message.GetRevisions()) {
-		r.exchange.pullOnce(ctx, k)
-	}
-	report := reportOf(message)
-	switch zone := message.GetZone(); {
-	case zone == "":
-		r.exchange.heard(k, message.GetReading())
-		r.relay.TakeReport("instance "+from.Name, report)
-	case zone != r.exchange.self.Zone:
-		r.exchange.heardZone(k, zone, message.GetReading())
-		r.relay.TakeReport("zone "+zone, report)
-		r.passOn(message, raw)
+	rows, hold := r.exchange.rows.Since(since)
+	added := &sfv1.Datagram{Rows: rowsToMessages(rows), Since: since, HoldMs: uint32(hold.Milliseconds())}
+	if proto.Size(added) <= rowsBytes {
+		proto.Merge(message, added)
 	}
 }
 
-// passOn gives another zone's report to the instances beside this one. It names
-// this instance as its sender, so that they pull rows from here.
-func (r *Reports) passOn(message *sfv1.Report, raw []byte) {
-	if message.GetFrom().GetZone() == r.exchange.self.Zone {
-		return // it came from beside: it is not passed on twice
+// tellZones sends what the zone has to the other zones.
+func (r *Reports) tellZones(times bool) {
+	to := r.exchange.beyond()
+	if len(to) == 0 {
+		return
 	}
-	message.From = toMessage(r.exchange.self)
-	message.Revisions = r.exchange.rows.Revisions()
-	data, err := proto.Marshal(message)
-	if err != nil {
-		data = raw
+	report := r.loads.ZoneReport()
+	if times {
+		report.Times = r.loads.Learned()
 	}
-	r.sendRaw(data, r.exchange.beside())
+	message := r.message(sfv1.Datagram_KIND_ZONE)
+	message.Beyond = reportToMessage(report)
+	message.Instances, message.Readers = r.exchange.zoneWord()
+	r.send(message, to)
 }
 
-// behind tells whether any of the other's revisions is above the own.
-func behind(own, other map[string]int64) bool {
-	for table, revision := range other {
-		if revision > own[table] {
-			return true
-		}
-	}
-	return false
+func (r *Reports) message(kind sfv1.Datagram_Kind) *sfv1.Datagram {
+	return &sfv1.Datagram{Kind: kind, From: toMessage(r.exchange.self), Revisions: r.exchange.rows.Revisions()}
 }
 
-func reportOf(message *sfv1.Report) picture.Report {
-	report := picture.Report{Gone: message.GetGone(), Times: map[uint32]estimate.Learned{}}
-	for _, m := range message.GetTimes() {
-		report.Times[m.GetService()] = estimate.Learned{
-			Speed: float64(m.GetSpeed()), Overhead: time.Duration(m.GetOverhead()), Prompts: int(m.GetPrompts()),
-			Step: time.Duration(m.GetStep()), PerRequest: time.Duration(m.GetPerRequest()), Streams: int(m.GetStreams()),
-		}
-	}
-	for _, m := range message.GetLoads() {
-		report.Loads = append(report.Loads, picture.EngineLoad{
-			Engine: m.GetEngine(), Ahead: time.Duration(m.GetPrefillMs()) * time.Millisecond, Requests: int(m.GetRequests()),
-			Use: float64(m.GetUse()) / thousandths, Yielding: time.Duration(m.GetYieldingMs()) * time.Millisecond,
-			Inflow: float64(m.GetInflow()),
-		})
+// send sends a message in as many datagrams as it takes.
+func (r *Reports) send(message *sfv1.Datagram, to []string) {
+	if len(to) == 0 {
+		return
 	}
-	for _, m := range message.GetPlaced() {
-		report.Placed = append(report.Placed, picture.Placed{Engine: m.GetEngine(), Part: m.GetPart()})
+	for _, part := range split(message) {
+		data, err := proto.Marshal(part)
+		if err != nil {
+			r.exchange.log.Error("peers: report not sent", "error", err)
+			continue
+		}
+		r.sendRaw(data, to)
 	}
-	return report
-}
-
-// heard notes a sign of a peer.
-func (e *Exchange) heard(k *known, reading bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	k.heardAt, k.reading = time.Now(), reading
 }
 
-// heardZone notes the report of a whole zone, which a peer sent or passed on.
-func (e *Exchange) heardZone(k *known, zone string, reading bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	k.heardAt = time.Now()
-	if reading {
-		e.zoneReading[zone] = time.Now()
+// split returns messages that each fit into a datagram. The first one has what is
+// told besides reports and loads.
+func split(message *sfv1.Datagram) []*sfv1.Datagram {
+	if proto.Size(message) <= datagramBytes {
+		return []*sfv1.Datagram{message}
 	}
-}
-
-// beside lists the addresses of the instances of this zone.
-func (e *Exchange) beside() []string {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	var list []string
-	for _, k := range e.peers {
-		if k.Zone == e.self.Zone && len(list) < maxBeside {
-			list = append(list, k.Address)
-		}
+	if n := len(message.GetReports()); n > 1 {
+		head, tail := cloneHead(message), cloneHead(message)
+		head.Reports, tail.Reports = message.Reports[:n/2], message.Reports[n/2:]
+		head.Beyond, head.Peers = message.Beyond, message.Peers
+		head.Rows, head.Since, head.HoldMs = message.Rows, message.Since, message.HoldMs
+		return append(split(head), split(tail)...)
 	}
-	return list
-}
-
-// speaks tells whether this instance reports for its zone: the first by name of
-// those heard of lately.
-func (e *Exchange) speaks() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	now := time.Now()
-	for _, k := range e.peers {
-		if k.Zone == e.self.Zone && k.Name < e.self.Name && now.Sub(k.heardAt) <= aliveFor {
-			return false
-		}
+	if loads := message.GetBeyond().GetLoads(); len(loads) > 1 {
+		head, tail := cloneHead(message), cloneHead(message)
+		head.Reports, head.Peers = message.Reports, message.Peers
+		head.Rows, head.Since, head.HoldMs = message.Rows, message.Since, message.HoldMs
+		head.Beyond = &sfv1.EngineReport{Loads: loads[:len(loads)/2], Gone: message.Beyond.Gone, Times: message.Beyond.Times}
+		tail.Beyond = &sfv1.EngineReport{Loads: loads[len(loads)/2:], Placed: message.Beyond.Placed}
+		return append(split(head), split(tail)...)
 	}
-	return true
+	if placed := message.GetBeyond().GetPlaced(); len(placed) > 2 {
+		// What is cut off here is told when it is placed again.
+		message.Beyond.Placed = placed[len(placed)/4*2:]
+		return split(message)
+	}
+	return []*sfv1.Datagram{message}
 }
 
-// zoneReads tells whether any instance of this zone follows the store.
-func (e *Exchange) zoneReads() bool {
-	if e.rows.Reading() {
-		return true
+// cloneHead copies what each datagram of a message has.
+func cloneHead(m *sfv1.Datagram) *sfv1.Datagram {
+	return &sfv1.Datagram{
+		Kind: m.Kind, From: m.From, Revisions: m.Revisions, Instances: m.Instances, Readers: m.Readers, Forwarded: m.Forwarded,
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	now := time.Now()
-	for _, k := range e.peers {
-		if k.Zone == e.self.Zone && k.reading && now.Sub(k.heardAt) <= aliveFor {
-			return true
-		}
-	}
-	return false
 }
 
-// otherZones lists the addresses of two instances of each other zone: the one
-// heard of last, which speaks for its zone, and any other one, should the first
-// be gone.
-func (e *Exchange) otherZones() []string {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	zones := map[string][]*known{}
-	for _, k := range e.peers {
-		if k.Zone != "" && k.Zone != e.self.Zone {
-			zones[k.Zone] = append(zones[k.Zone], k)
+func (r *Reports) sendRaw(data []byte, to []string) {
+	for _, address := range to {
+		to, err := netip.ParseAddrPort(address)
+		if err != nil {
+			r.exchange.log.Error("peers: address", "address", address, "error", err)
+			continue
 		}
-	}
-	var list []string
-	for _, members := range zones {
-		slices.SortFunc(members, func(a, b *known) int { return b.heardAt.Compare(a.heardAt) })
-		list = append(list, members[0].Address)
-		if rest := members[1:]; len(rest) > 0 {
-			list = append(list, rest[rand.IntN(len(rest))].Address)
+		if err := r.write(data, to); err != nil {
+			r.exchange.log.Debug("peers: report lost", "address", address, "error", err)
 		}
 	}
-	return list
 }
--- a/internal/picture/learn.go
+++ b/internal/picture/learn.go
@@ -84,7 +84,9 @@
 		eventTokens = max(1, limits.EventTokens)
 	}
 	done.Stepped = (events - 1) * eventTokens
-	done.Batch = float64(p.told(engine, nil, now).Requests)
+	if n, ok := p.nodes[engine]; ok {
+		done.Batch = float64(n.toldTo(now).Requests)
+	}
 	p.model(service).Streamed(done)
 }
 
--- a/internal/picture/parts.go
+++ b/internal/picture/parts.go
@@ -1,6 +1,7 @@
 package picture
 
 import (
+	"slices"
 	"time"
 
 	"sassafrasfield/internal/route"
@@ -16,39 +17,61 @@
 )
 
 // partTable is when each shared part was last placed on each engine, by all
-// instances as far as they told.
+// instances as far as they told. It is kept by part, as a prompt has few of them
+// and few engines have one.
 type partTable struct {
-	at    map[Placed]time.Duration
-	sweep time.Duration // when to drop old entries next
+	holders map[uint32][]holder
+	sweep   time.Duration // when to drop old entries next
 }
 
-func newPartTable() partTable { return partTable{at: map[Placed]time.Duration{}} }
+// holder is an engine that a part was placed on.
+type holder struct {
+	engine uint32
+	at     time.Duration
+}
+
+func newPartTable() partTable { return partTable{holders: map[uint32][]holder{}} }
 
 func (t *partTable) note(p Placed, now time.Duration) {
-	t.at[p] = now
+	t.sweepOld(now)
+	list := t.holders[p.Part]
+	for i := range list {
+		if list[i].engine == p.Engine {
+			list[i].at = now
+			return
+		}
+	}
+	t.holders[p.Part] = append(list, holder{engine: p.Engine, at: now})
+}
+
+// sweepOld drops what no engine is believed to have any more.
+func (t *partTable) sweepOld(now time.Duration) {
 	if now < t.sweep {
 		return
 	}
 	t.sweep = now + partLastsAtMost
-	for key, at := range t.at {
-		if now-at > partLastsAtMost {
-			delete(t.at, key)
+	for part, list := range t.holders {
+		list = slices.DeleteFunc(list, func(h holder) bool { return now-h.at > partLastsAtMost })
+		if t.holders[part] = list; len(list) == 0 {
+			delete(t.holders, part)
 		}
 	}
 }
 
-// cached counts the leading tokens of a prompt that an engine is believed to have,
-// where parts that nobody used last for so long.
-func (t *partTable) cached(engine string, prompt route.Prompt, lasts, now time.Duration) int {
-	id, tokens := hashOf(engine), 0
+// cached counts the leading tokens of a prompt that each engine is believed to have;
+// lasts tells for how long an engine has a part that nobody used.
+func (t *partTable) cached(prompt route.Prompt, lasts func(engine uint32) time.Duration, now time.Duration) map[uint32]int {
+	tokens := map[uint32]int{}
+	before := 0 // tokens of the parts so far
 	for i := 0; i < len(prompt.Parts)-1; i++ {
-		at, ok := t.at[Placed{Engine: id, Part: hashOf(prompt.Parts[i].ID)}]
-		if !ok || now-at > lasts {
-			break
+		for _, h := range t.holders[hashOf(prompt.Parts[i].ID)] {
+			if tokens[h.engine] == before && now-h.at <= lasts(h.engine) {
+				tokens[h.engine] = min(before+prompt.Parts[i].Tokens, prompt.Tokens)
+			}
 		}
-		tokens += prompt.Parts[i].Tokens
+		before += prompt.Parts[i].Tokens
 	}
-	return min(tokens, prompt.Tokens)
+	return tokens
 }
 
 // partLasts is how long an engine with so much memory keeps a part that nobody
@@ -61,14 +84,29 @@
 	return min(partLastsAtMost, time.Duration(cachePart*float64(memory)/inflow*float64(time.Second)))
 }
 
+// cached counts the leading tokens of a request's prompt that each engine is
+// believed to have. The lock is held.
+func (p *Picture) cached(req *route.Request) map[uint32]int {
+	if len(req.Prompt.Parts) < 2 {
+		return nil
+	}
+	return p.parts.cached(req.Prompt, func(engine uint32) time.Duration {
+		n, ok := p.byHash[engine]
+		if !ok {
+			return 0
+		}
+		return partLasts(req.Costs.Memory, n.all(req.Now).Inflow)
+	}, req.Now)
+}
+
 // notePrompt records that a prompt was placed on an engine, here and for the
-// next report. The lock is held.
+// next reports. The lock is held.
 func (p *Picture) notePrompt(engine string, prompt route.Prompt, now time.Duration) {
 	for i := 0; i < len(prompt.Parts)-1; i++ {
 		placed := Placed{Engine: hashOf(engine), Part: hashOf(prompt.Parts[i].ID)}
 		p.parts.note(placed, now)
-		p.placed = append(p.placed, placed)
-		p.keepForZone([]Placed{placed})
+		p.placed = newest(append(p.placed, placed))
+		p.zonePlaced = newest(append(p.zonePlaced, placed))
 	}
 }
 
@@ -76,6 +114,5 @@
 func (p *Picture) Knows(placed Placed) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_, ok := p.parts.at[placed]
-	return ok
+	return slices.ContainsFunc(p.parts.holders[placed.Part], func(h holder) bool { return h.engine == placed.Engine })
 }
--- a/internal/picture/picture.go
+++ b/internal/picture/picture.go
@@ -13,6 +13,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,6 +52,9 @@
 	Outliers load.OutlierRules
 	// Seed of the draws that spread requests; 0 for any.
 	Seed uint64
+	// Changed is called when the next report of this instance would differ from the
+	// last one. It must not call the picture, and not block. Nil for nothing.
+	Changed func()
 }
 
 // Picture is the configuration in force and what is known of the upstreams. It is
@@ -61,36 +65,40 @@
 	stages *route.Stages
 	calls  *route.Scheduler
 
-	mu        sync.Mutex // protects all below
-	table     *routes.Table
-	tableAt   time.Duration
-	upstreams map[string]Upstream
-	engines   map[string]*config.Engine
-	byService map[string][]Upstream
-	loads     *load.Table
-	work      map[string]*workload
+	mu      sync.Mutex // protects all below
+	table   *routes.Table
+	tableAt time.Duration
+	// nodes are the upstreams by id, byHash by the hash that reports name them with,
+	// and byService those of each service.
+	nodes     map[string]*node
+	byHash    map[uint32]*node
+	byService map[string][]*node
+	// busy are the upstreams on which this instance has something under way, or had
+	// a short while ago.
+	busy  map[*node]bool
+	loads *load.Table
 	// models are what the engines of each service take.
 	models map[string]*estimate.Model
-	// peers are the loads that the other instances told of, sums what all of them
-	// told of each engine; stale tells that the sums are not those of the peers.
-	peers map[string]peerLoad
-	sums  map[uint32]EngineLoad
-	stale bool
+	told   toldLoads
 	// gone are the upstreams that other instances could not reach, goneHere
-	// those that this one could not, goneBeside those of the whole zone, each
-	// with the end of the word's time.
-	gone, goneHere, goneBeside map[uint32]time.Duration
+	// those that this one could not, goneBeside those of the whole zone and
+	// goneBeyond those of other zones, each with the end of the word's time.
+	gone, goneHere, goneBeside, goneBeyond goneTable
 	// awayHere are the upstreams that this instance sent away, with the end of
 	// that time.
-	awayHere map[uint32]time.Duration
-	// parts are the prompt parts that the engines are believed to have; placed
-	// are those since the last report to the other instances.
-	parts  partTable
-	placed []Placed
-	// zonePlaced are those of this instance and the ones beside it since the
-	// last report of the zone.
-	zonePlaced []Placed
-	rng        *rand.Rand
+	awayHere goneTable
+	// parts are the prompt parts that the engines are believed to have.
+	parts partTable
+	// placed are the parts that were placed here since this instance's last report,
+	// zonePlaced here and beside since the zone's last one, beyondPlaced in other
+	// zones since these were last passed on.
+	placed, zonePlaced, beyondPlaced []Placed
+	// zone and beyond are what the last reports of the zone, and of the other zones
+	// together, told.
+	zone, beyond ledger
+	rng          *rand.Rand
+	// candidateBuf is kept from one choice to the next.
+	candidateBuf []route.Candidate
 }
 
 // New returns a picture that knows no routes and no upstreams.
@@ -100,15 +108,17 @@
 	if s.Seed == 0 {
 		s.Seed = rand.Uint64()
 	}
+	if s.Changed == nil {
+		s.Changed = func() {}
+	}
 	return &Picture{
 		settings: s, stages: route.NewStages(), calls: route.NewToldServiceScheduler(),
-		table:     routes.NewTable(0, nil, nil, routes.Limits{}),
-		upstreams: map[string]Upstream{}, engines: map[string]*config.Engine{}, byService: map[string][]Upstream{},
-		loads: loads, work: map[string]*workload{}, models: map[string]*estimate.Model{},
-		peers: map[string]peerLoad{}, sums: map[uint32]EngineLoad{}, parts: newPartTable(),
-		gone: map[uint32]time.Duration{}, goneHere: map[uint32]time.Duration{}, goneBeside: map[uint32]time.Duration{},
-		awayHere: map[uint32]time.Duration{},
-		rng:      rand.New(rand.NewPCG(s.Seed, s.Seed)),
+		table: routes.NewTable(0, nil, nil, routes.Limits{}),
+		nodes: map[string]*node{}, byHash: map[uint32]*node{}, byService: map[string][]*node{}, busy: map[*node]bool{},
+		loads: loads, models: map[string]*estimate.Model{}, told: newToldLoads(), parts: newPartTable(),
+		gone: goneTable{}, goneHere: goneTable{}, goneBeside: goneTable{}, goneBeyond: goneTable{}, awayHere: goneTable{},
+		zone: newLedger(), beyond: newLedger(),
+		rng: rand.New(rand.NewPCG(s.Seed, s.Seed)),
 	}
 }
 
@@ -135,50 +145,57 @@
 func (p *Picture) Learn(u Upstream) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.upstreams[u.ID] = u
-	p.engines[u.ID] = engineOf(u)
-	p.regroup()
+	n, ok := p.nodes[u.ID]
+	if !ok {
+		n = &node{hash: hashOf(u.ID), load: p.loads.Engine(u.ID)}
+		n.told = p.told.of(n.hash)
+		p.nodes[u.ID], p.byHash[n.hash] = n, n
+	}
+	if n.Service != u.Service {
+		p.leave(n)
+		p.byService[u.Service] = append(p.byService[u.Service], n)
+	}
+	n.Upstream, n.engine = u, engineOf(u)
+}
+
+// leave takes an upstream off its service's list. The lock is held.
+func (p *Picture) leave(n *node) {
+	list := p.byService[n.Service]
+	if i := slices.Index(list, n); i >= 0 {
+		p.byService[n.Service] = slices.Delete(list, i, i+1)
+	}
 }
 
 // Forget drops an upstream that is gone.
 func (p *Picture) Forget(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.upstreams, id)
-	delete(p.engines, id)
-	delete(p.work, id)
-	delete(p.gone, hashOf(id))
-	delete(p.awayHere, hashOf(id))
-	p.regroup()
-}
-
-// regroup sorts the upstreams by service anew. The lock is held.
-func (p *Picture) regroup() {
-	keep := map[string]bool{}
-	p.byService = map[string][]Upstream{}
-	for id, u := range p.upstreams {
-		keep[id] = true
-		p.byService[u.Service] = append(p.byService[u.Service], u)
-	}
-	p.loads.Retain(keep)
-}
-
-// engineOf is how placement sees an upstream's configuration; nil for one of a
-// plain service.
-func engineOf(u Upstream) *config.Engine {
-	if u.Role == "" {
-		return nil
-	}
-	return &config.Engine{
-		ID: u.ID, Zone: u.Zone, Address: u.Address, Routing: config.RoutingServing, Loaded: config.EngineState{Role: u.Role},
+	n, ok := p.nodes[id]
+	if !ok {
+		return
 	}
+	p.leave(n)
+	delete(p.nodes, id)
+	delete(p.busy, n)
+	delete(p.byHash, n.hash)
+	delete(p.gone, n.hash)
+	delete(p.awayHere, n.hash)
+	p.loads.Drop(id)
 }
 
 // Upstream returns an upstream's entry; the zero value when it is gone.
 func (p *Picture) Upstream(id string) Upstream {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.upstreams[id]
+	return p.upstream(id)
+}
+
+// upstream is Upstream. The lock is held.
+func (p *Picture) upstream(id string) Upstream {
+	if n, ok := p.nodes[id]; ok {
+		return n.Upstream
+	}
+	return Upstream{}
 }
 
 // Count returns how many upstreams there are of a service.
@@ -198,12 +215,13 @@
 func (p *Picture) Engines(now time.Duration) map[string][]Engine {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.told.lapse(now)
 	lists := map[string][]Engine{}
-	for id, u := range p.upstreams {
-		if u.Role == "" || u.Draining {
+	for _, n := range p.nodes {
+		if n.Role == "" || n.Draining {
 			continue
 		}
-		lists[u.Service] = append(lists[u.Service], Engine{Upstream: u, Load: p.all(id, now)})
+		lists[n.Service] = append(lists[n.Service], Engine{Upstream: n.Upstream, Load: n.all(now)})
 	}
 	return lists
 }
--- a/internal/picture/picture_test.go
+++ b/internal/picture/picture_test.go
@@ -35,6 +35,20 @@
 	return p
 }
 
+// toldOf is what placement is told of an upstream.
+func toldOf(t *testing.T, p *Picture, id string, a Ask, now time.Duration) route.Told {
+	t.Helper()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.candidates(a.Service, p.request(a, now)) {
+		if c.ID == id {
+			return c.Told
+		}
+	}
+	t.Fatalf("no upstream %s", id)
+	return route.Told{}
+}
+
 func TestAnUpstreamThatOthersCannotReachIsAvoided(t *testing.T) {
 	p := newPicture()
 	call := Ask{ID: "r", Service: "app"}
@@ -58,14 +72,14 @@
 func TestTheLoadOfASourceThatFallsSilentIsForgotten(t *testing.T) {
 	p := newPicture()
 	p.TakeReport("zone b", Report{Loads: []EngineLoad{{Engine: hashOf("dec-1"), Requests: 9}}}, 0)
-	if n := p.told("dec-1", nil, 0).Requests; n != 9 {
+	if n := toldOf(t, p, "dec-1", Ask{Service: "llm"}, 0).Requests; n != 9 {
 		t.Errorf("%d requests counted, nine were told of", n)
 	}
-	if n := p.told("dec-1", nil, time.Minute).Requests; n != 0 {
+	if n := toldOf(t, p, "dec-1", Ask{Service: "llm"}, time.Minute).Requests; n != 0 {
 		t.Errorf("%d requests counted", n)
 	}
 	p.OwnReport(time.Minute)
-	if len(p.peers) != 0 {
+	if len(p.told.sources) != 0 {
 		t.Error("the source is still held")
 	}
 }
@@ -78,7 +92,7 @@
 	p, other := newPicture(), newPicture()
 	chosen, _ := p.PickCall(Ask{ID: "r", Service: "app"}, 0)
 	other.TakeReport(BesidePrefix+"one", p.OwnReport(0), 0)
-	if n := other.told(chosen.ID, nil, 0).Requests; n != 1 {
+	if n := toldOf(t, other, chosen.ID, Ask{Service: "app"}, 0).Requests; n != 1 {
 		t.Errorf("%d calls told of, want one", n)
 	}
 	for range 10 {
@@ -102,7 +116,7 @@
 		p.TakeReport("zone b", Report{Placed: []Placed{{Engine: hashOf("pre-1"), Part: hashOf("shared")}}}, 0)
 		p.TakeReport("zone b", Report{Loads: []EngineLoad{{Engine: hashOf("pre-1"), Inflow: c.inflow}}}, c.after)
 		ask := Ask{Service: "llm", Prompt: long}
-		if got := p.told("pre-1", p.request(ask, c.after), c.after).Cached; got != c.cached {
+		if got := toldOf(t, p, "pre-1", ask, c.after).Cached; got != c.cached {
 			t.Errorf("%g tokens a second, after %s: %d believed cached, want %d", c.inflow, c.after, got, c.cached)
 		}
 	}
@@ -116,13 +130,13 @@
 		t.Fatalf("%+v, %s, %t", start, turn, ok)
 	}
 	other.TakeReport(BesidePrefix+"one", p.OwnReport(0), 0)
-	if got := other.told(start.Engine.ID, nil, 0).Ahead; got != start.Work {
+	if got := toldOf(t, other, start.Engine.ID, Ask{Service: "llm"}, 0).Ahead; got != start.Work {
 		t.Errorf("%s ahead, want %s", got, start.Work)
 	}
 	p.PromptDone(start.Engine.ID, start.Work, turn)
 	p.End(start.Engine.ID, "r", 0)
 	other.TakeReport(BesidePrefix+"one", p.OwnReport(0), 0)
-	if got := other.told(start.Engine.ID, nil, 0).Ahead; got != 0 {
+	if got := toldOf(t, other, start.Engine.ID, Ask{Service: "llm"}, 0).Ahead; got != 0 {
 		t.Errorf("%s ahead of nothing", got)
 	}
 }
--- a/internal/picture/place.go
+++ b/internal/picture/place.go
@@ -28,16 +28,21 @@
 	}
 }
 
-// candidates returns the upstreams of a service as placement sees them. The
-// lock is held.
+// candidates returns the upstreams of a service as placement sees them, until the
+// next choice. The lock is held.
 func (p *Picture) candidates(service string, req *route.Request) []route.Candidate {
-	list := make([]route.Candidate, 0, len(p.byService[service]))
-	for _, u := range p.byService[service] {
+	p.told.lapse(req.Now)
+	list, cached := p.candidateBuf[:0], p.cached(req)
+	for _, n := range p.byService[service] {
 		list = append(list, route.Candidate{
-			ID: u.ID, Zone: u.Zone, Leave: u.Draining, Engine: p.engines[u.ID],
-			Load: p.loads.Engine(u.ID), Silent: p.toldGone(u.ID, req.Now), Told: p.told(u.ID, req, req.Now),
+			ID: n.ID, Zone: n.Zone, Leave: n.Draining, Engine: n.engine,
+			Load: n.load, Silent: p.toldGone(n, req.Now), Told: n.toldTo(req.Now),
 		})
+		if len(cached) > 0 {
+			list[len(list)-1].Told.Cached = cached[n.hash]
+		}
 	}
+	p.candidateBuf = list
 	return list
 }
 
@@ -46,16 +51,13 @@
 // this time.
 const reportFades = 500 * time.Millisecond
 
-// told is what all instances together have on an upstream, or what it said of
-// itself lately; for a request also what it has cached of it. The lock is held.
-func (p *Picture) told(id string, req *route.Request, now time.Duration) route.Told {
-	all := p.all(id, now)
+// toldTo is what all instances together have on an upstream, or what it said of
+// itself lately, as placement sees it.
+func (n *node) toldTo(now time.Duration) route.Told {
+	all := n.all(now)
 	told := route.Told{Ahead: all.Ahead, Yielding: all.Yielding, Use: all.Use, Requests: all.Requests}
-	if w, ok := p.work[id]; ok && w.reported.Known && now-w.reportedAt < reportFades {
-		told.Requests = max(told.Requests, w.reported.Running+w.reported.Waiting)
-	}
-	if req != nil && p.engines[id] != nil {
-		told.Cached = p.parts.cached(id, req.Prompt, partLasts(req.Costs.Memory, all.Inflow), now)
+	if n.work.reported.Known && now-n.work.reportedAt < reportFades {
+		told.Requests = max(told.Requests, n.work.reported.Running+n.work.reported.Waiting)
 	}
 	return told
 }
@@ -70,7 +72,7 @@
 		return Upstream{}, false
 	}
 	p.place(chosen.ID, a.ID, now)
-	return p.upstreams[chosen.ID], true
+	return p.upstream(chosen.ID), true
 }
 
 // PickStart chooses where a generation begins and when its prompt is processed
@@ -89,7 +91,7 @@
 	}
 	p.place(start.Engine.ID, a.ID, now)
 	p.placePrompt(start, turn, now)
-	p.workOn(start.Engine.ID).inflow.add(float64(req.Prompt.Tokens-start.Engine.Told.Cached), now)
+	p.nodes[start.Engine.ID].work.inflow.add(float64(req.Prompt.Tokens-start.Engine.Told.Cached), now)
 	p.notePrompt(start.Engine.ID, req.Prompt, now)
 	return start, turn, true
 }
@@ -106,7 +108,7 @@
 		return chosen, false
 	}
 	p.place(chosen.ID, a.ID, now)
-	p.workOn(chosen.ID).inflow.add(float64(a.Prompt.Tokens-chosen.Told.Cached), now)
+	p.nodes[chosen.ID].work.inflow.add(float64(a.Prompt.Tokens-chosen.Told.Cached), now)
 	p.notePrompt(chosen.ID, req.Prompt, now)
 	return chosen, true
 }
@@ -121,27 +123,28 @@
 	if !ok {
 		return Upstream{}
 	}
-	return p.upstreams[chosen.ID]
+	return p.upstream(chosen.ID)
 }
 
 // PlaceOn charges a request to the engine that has its run.
 func (p *Picture) PlaceOn(id, request string, now time.Duration) Upstream {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if _, ok := p.upstreams[id]; ok {
+	if _, ok := p.nodes[id]; ok {
 		p.place(id, request, now)
 	}
-	return p.upstreams[id]
+	return p.upstream(id)
 }
 
 // place charges a request to an upstream. The lock is held.
 func (p *Picture) place(id, request string, now time.Duration) {
 	p.loads.Place(id, load.Placement{ID: request, At: now})
+	p.changed(p.nodes[id])
 }
 
 // placePrompt charges a prompt to the engine that processes it. The lock is held.
 func (p *Picture) placePrompt(s route.Start, turn route.Turn, now time.Duration) {
-	w := p.workOn(s.Engine.ID)
+	w := &p.nodes[s.Engine.ID].work
 	w.own += s.Work
 	if turn == route.TurnYield {
 		w.yielding += s.Work
--- a/internal/picture/rate.go
+++ b/internal/picture/rate.go
@@ -19,11 +19,19 @@
 
 // add counts an amount that is placed now.
 func (r *rate) add(amount float64, now time.Duration) {
-	r.value = r.now(now) + amount/rateOver.Seconds()
-	r.at = now
+	r.put(r.now(now)+amount/rateOver.Seconds(), now)
 }
 
+// put sets the rate a second.
+func (r *rate) put(value float64, now time.Duration) { r.value, r.at = value, now }
+
 // now returns the rate a second.
-func (r *rate) now(now time.Duration) float64 {
-	return r.value * math.Exp(-(now-r.at).Seconds()/rateOver.Seconds())
+func (r *rate) now(now time.Duration) float64 { return faded(r.value, now-r.at) }
+
+// faded is what is left of a rate after a time in which nothing was placed.
+func faded(value float64, since time.Duration) float64 {
+	if value == 0 || since <= 0 {
+		return value
+	}
+	return value * math.Exp(-since.Seconds()/rateOver.Seconds())
 }
--- a/internal/picture/reports.go
+++ b/internal/picture/reports.go
@@ -1,6 +1,7 @@
 package picture
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -42,167 +43,151 @@
 	Engine, Part uint32
 }
 
-// Report is what one instance tells the others.
+// idle tells that there is nothing worth telling of.
+func (l EngineLoad) idle() bool { return l.Ahead <= 0 && l.Requests <= 0 && l.Use <= leastUse }
+
+// none is no load at all on an upstream.
+func none(hash uint32) EngineLoad { return EngineLoad{Engine: hash} }
+
+// leastUse is the use below which an idle engine is not reported: it would fade
+// for long.
+const leastUse = 0.01
+
+// Report is what one instance, or all of some zones, tell others.
 type Report struct {
+	// Whole: the source has nothing under way on the engines that Loads does not
+	// name. Else their loads are as they were told before.
+	Whole bool
 	Loads []EngineLoad
 	// Placed since the last report.
 	Placed []Placed
 	// Gone are hashes of the upstreams that could not be reached lately.
 	Gone []uint32
-	// Times are what the sender learned of the engines, by a hash of the service.
+	// Times are what the sender learned of the engines, by a hash of the service;
+	// nil while they are not due.
 	Times map[uint32]estimate.Learned
 }
 
-func hashOf(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+// partLoads is how many loads one part of a report has: about half a datagram.
+const partLoads = 128
 
-// peerLoad is what one other instance has on the engines.
-type peerLoad struct {
-	at    time.Duration
-	loads map[uint32]EngineLoad
+// Parts splits a report that names many engines. The parts are told one by one, so
+// none of them is whole: what is named no more counts for a while still.
+func (r Report) Parts() []Report {
+	if len(r.Loads) <= partLoads {
+		return []Report{r}
+	}
+	var parts []Report
+	for loads := range slices.Chunk(r.Loads, partLoads) {
+		parts = append(parts, Report{Loads: loads})
+	}
+	parts[0].Placed, parts[0].Gone, parts[0].Times = r.Placed, r.Gone, r.Times
+	return parts
 }
 
-// peerLoadLasts is how long an instance's word counts: three reports may be
-// lost before it is taken to have nothing under way.
-const peerLoadLasts = 900 * time.Millisecond
+func hashOf(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
-// OwnReport returns what this instance has under way on the engines, and what
+// OwnReport returns what this instance has under way on the upstreams, and what
 // it has placed there since the last report.
 func (p *Picture) OwnReport(now time.Duration) Report {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	report := Report{Placed: p.placed, Gone: p.goneNow(p.goneHere, now), Times: p.learned()}
+	report := Report{Whole: true, Placed: p.placed, Gone: p.goneHere.list(now, p.mostGone())}
 	p.placed = nil
-	report.Loads = p.loadsHere(now, nil)
-	return report
-}
-
-// loadsHere lists what this instance has under way on each upstream, on top of what
-// others have there; nil for nothing. The lock is held.
-func (p *Picture) loadsHere(now time.Duration, others func(id string) EngineLoad) []EngineLoad {
-	var loads []EngineLoad
-	for id := range p.upstreams {
-		load := EngineLoad{Engine: hashOf(id)}
-		if others != nil {
-			load = others(id)
-		}
-		load.add(p.own(id, now))
-		if load.Ahead > 0 || load.Requests > 0 || load.Use > leastUse {
-			loads = append(loads, load)
+	for n := range p.busy {
+		load := n.own(now)
+		if load.idle() {
+			delete(p.busy, n)
+			continue
 		}
+		report.Loads = append(report.Loads, load)
 	}
-	return loads
+	return report
 }
 
-// leastUse is the use below which an idle engine is not reported: it would fade
-// for long.
-const leastUse = 0.01
-
-// own is what this instance has on an engine. The lock is held.
-func (p *Picture) own(id string, now time.Duration) EngineLoad {
-	load := EngineLoad{Requests: p.loads.Engine(id).Streams}
-	if w, ok := p.work[id]; ok {
-		load.Ahead, load.Yielding = w.own, w.yielding
-		load.Use, load.Inflow = w.use.now(now), w.inflow.now(now)
-	}
-	return load
+// Learned returns what this instance has learned of the engines, by a hash of the
+// service, for the others.
+func (p *Picture) Learned() map[uint32]estimate.Learned {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.learned()
 }
 
-// zonePlacedAtMost bounds the parts that are kept for the zone's report.
-const zonePlacedAtMost = 256
+// placedAtMost bounds the parts that are kept until a report tells of them.
+const placedAtMost = 512
 
-// ZoneReport sums what this instance and those beside it have under way, and
-// what was placed since the last one. Sources beside it have names that begin
-// with BesidePrefix.
+// ZoneReport tells other zones what this instance and those beside it have under
+// way, as far as that changed, and what they placed since the last one.
 func (p *Picture) ZoneReport(now time.Duration) Report {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	report := Report{Placed: p.zonePlaced, Gone: p.goneNow(p.goneBeside, now), Times: p.learned()}
+	p.told.lapse(now)
+	report := Report{Placed: p.zonePlaced, Gone: p.goneBeside.list(now, p.mostGone())}
 	p.zonePlaced = nil
-	p.dropSilent(now)
-	report.Loads = p.loadsHere(now, p.beside)
+	report.Loads = p.due(&p.zone, now, func(n *node) EngineLoad { return n.here(now) })
 	return report
 }
 
-// BesidePrefix begins the names of report sources that are instances of the
-// same zone.
-const BesidePrefix = "instance "
+// BeyondReport tells the instances beside this one what those of all other zones
+// have under way, as far as that changed, and what they placed since the last one.
+func (p *Picture) BeyondReport(now time.Duration) Report {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.told.lapse(now)
+	report := Report{Placed: p.beyondPlaced, Gone: p.goneBeyond.list(now, p.mostGone())}
+	p.beyondPlaced = nil
+	report.Loads = p.due(&p.beyond, now, func(n *node) EngineLoad {
+		load := n.told.beyond.at(now)
+		load.Engine = n.hash
+		return load
+	})
+	return report
+}
 
-// TakeReport takes the report of another instance, or of a whole zone.
-func (p *Picture) TakeReport(source string, report Report, now time.Duration) {
-	table := make(map[uint32]EngineLoad, len(report.Loads))
-	for _, load := range report.Loads {
-		table[load.Engine] = load
+// due lists the loads that a ledger's receivers are to be told of. The lock is held.
+func (p *Picture) due(l *ledger, now time.Duration, of func(*node) EngineLoad) []EngineLoad {
+	var loads []EngineLoad
+	for _, n := range p.nodes {
+		load := of(n)
+		if load.idle() {
+			load = none(n.hash)
+		}
+		if l.due(load, now) {
+			loads = append(loads, load)
+		}
+		if len(loads) == toldAtMost {
+			break
+		}
 	}
+	return loads
+}
+
+// TakeReport takes the report of another instance, or of other zones.
+func (p *Picture) TakeReport(source string, report Report, now time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.peers[source] = peerLoad{at: now, loads: table}
-	p.stale = true
+	p.told.lapse(now)
+	p.told.take(source, report, now)
 	for _, placed := range report.Placed {
 		p.parts.note(placed, now)
 	}
 	p.hear(report.Times)
-	for _, id := range report.Gone {
-		p.gone[id] = now + goneFor
-	}
+	p.gone.note(report.Gone, now+goneFor)
 	if strings.HasPrefix(source, BesidePrefix) {
-		p.keepForZone(report.Placed)
-		for _, id := range report.Gone {
-			p.goneBeside[id] = now + goneFor
-		}
-	}
-}
-
-// keepForZone keeps placed parts for the zone's next report. The lock is held.
-func (p *Picture) keepForZone(placed []Placed) {
-	p.zonePlaced = append(p.zonePlaced, placed...)
-	p.zonePlaced = p.zonePlaced[max(0, len(p.zonePlaced)-zonePlacedAtMost):]
-}
-
-// dropSilent forgets the sources that have not reported for long. The lock is
-// held.
-func (p *Picture) dropSilent(now time.Duration) {
-	for source, peer := range p.peers {
-		if now-peer.at > peerLoadLasts {
-			delete(p.peers, source)
-			p.stale = true
-		}
-	}
-}
-
-// sum adds up what all sources told of each engine, if there is news. The lock is
-// held.
-func (p *Picture) sum(now time.Duration) {
-	p.dropSilent(now)
-	if !p.stale {
+		p.zonePlaced = newest(append(p.zonePlaced, report.Placed...))
+		p.goneBeside.note(report.Gone, now+goneFor)
 		return
 	}
-	p.stale = false
-	clear(p.sums)
-	for _, peer := range p.peers {
-		for engine, load := range peer.loads {
-			total := p.sums[engine]
-			total.add(load)
-			p.sums[engine] = total
-		}
-	}
+	p.beyondPlaced = newest(append(p.beyondPlaced, report.Placed...))
+	p.goneBeyond.note(report.Gone, now+goneFor)
 }
 
-// all is what all instances together have on an engine. The lock is held.
-func (p *Picture) all(id string, now time.Duration) EngineLoad {
-	p.sum(now)
-	load := p.sums[hashOf(id)]
-	load.Engine = hashOf(id)
-	load.add(p.own(id, now))
-	return load
-}
+// newest keeps the newest of the parts that wait to be told of.
+func newest(placed []Placed) []Placed { return placed[max(0, len(placed)-placedAtMost):] }
 
-// beside sums what the instances of this zone told of an engine. The lock is held.
-func (p *Picture) beside(id string) EngineLoad {
-	total := EngineLoad{Engine: hashOf(id)}
-	for source, peer := range p.peers {
-		if strings.HasPrefix(source, BesidePrefix) {
-			total.add(peer.loads[total.Engine])
-		}
-	}
-	return total
+// DropSource forgets what a source told.
+func (p *Picture) DropSource(source string, now time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.told.drop(source, now)
 }
--- a/internal/picture/work.go
+++ b/internal/picture/work.go
@@ -15,35 +15,34 @@
 	// use is the work of the prompts that this instance placed there lately, inflow
 	// are the tokens that its requests put into the cache.
 	use, inflow rate
-	// heardAt is when the upstream last answered anything.
+	// heardAt is when the upstream last answered anything; heard tells that it did.
 	heardAt time.Duration
+	heard   bool
 	// reported is what it said with its newest answer.
 	reported   Load
 	reportedAt time.Duration
 }
 
-// workOn returns the work on an upstream, made when there is none. The lock is held.
-func (p *Picture) workOn(id string) *workload {
-	w, ok := p.work[id]
-	if !ok {
-		w = &workload{}
-		p.work[id] = w
-	}
-	return w
+// changed notes that this instance has something else under way on an upstream than
+// it told. The lock is held.
+func (p *Picture) changed(n *node) {
+	p.busy[n] = true
+	p.settings.Changed()
 }
 
 // PromptDone takes the prompt work of a request off an engine.
 func (p *Picture) PromptDone(id string, work time.Duration, turn route.Turn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	w, ok := p.work[id]
+	n, ok := p.nodes[id]
 	if !ok {
 		return
 	}
-	w.own = max(0, w.own-work)
+	n.work.own = max(0, n.work.own-work)
 	if turn == route.TurnYield {
-		w.yielding = max(0, w.yielding-work)
+		n.work.yielding = max(0, n.work.yielding-work)
 	}
+	p.changed(n)
 }
 
 // End takes a request off an upstream.
@@ -51,6 +50,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.loads.End(id, request, now)
+	n, ok := p.nodes[id]
+	if !ok {
+		p.loads.Drop(id)
+		return
+	}
+	p.changed(n)
 }
 
 // Reported takes an upstream's word on its load.
@@ -60,8 +65,9 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	w := p.workOn(id)
-	w.reported, w.reportedAt = l, now
+	if n, ok := p.nodes[id]; ok {
+		n.work.reported, n.work.reportedAt = l, now
+	}
 }
 
 // Judge records what a send told of an upstream, and reports whether it is
@@ -69,11 +75,17 @@
 func (p *Picture) Judge(id string, v load.Verdict, now time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if v == load.VerdictGone {
+		p.noteGone(id, now)
+	}
+	n, ok := p.nodes[id]
+	if !ok {
+		return false // its entry is gone
+	}
 	if v != load.VerdictGone {
-		p.workOn(id).heardAt = now
+		n.work.heardAt, n.work.heard = now, true
 		return p.loads.Judge(id, v, now)
 	}
-	p.noteGone(id, now)
 	first := p.loads.Judge(id, v, now)
 	return p.loads.Judge(id, v, now) || first
 }
@@ -82,6 +94,6 @@
 func (p *Picture) HeardSince(id string, since time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	w, ok := p.work[id]
-	return ok && w.heardAt > since
+	n, ok := p.nodes[id]
+	return ok && n.work.heard && n.work.heardAt > since
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -74,17 +74,33 @@
 	closed atomic.Bool
 	// lastRequest is when the newest request came, on the relay's clock.
 	lastRequest atomic.Int64
+	// changed tells that there is news for the other instances.
+	changed chan struct{}
 }
 
 // New returns a relay that knows no routes and no upstreams.
 func New(s Settings, sender Sender, log *slog.Logger) *Relay {
-	return &Relay{
+	r := &Relay{
 		settings: s, sender: sender, log: log, start: time.Now(),
-		picture: picture.New(picture.Settings{Zone: s.Zone, Placement: s.Placement, Prior: s.Prior, Outliers: s.Outliers}),
-		budgets: newBudgets(s.Budget, newRetryMeters()), meters: newMeters(),
+		budgets: newBudgets(s.Budget, newRetryMeters()), meters: newMeters(), changed: make(chan struct{}, 1),
 	}
+	r.picture = picture.New(picture.Settings{
+		Zone: s.Zone, Placement: s.Placement, Prior: s.Prior, Outliers: s.Outliers, Changed: r.noteChanged,
+	})
+	return r
 }
 
+// noteChanged implements picture.Settings.Changed.
+func (r *Relay) noteChanged() {
+	select {
+	case r.changed <- struct{}{}:
+	default: // it is told already
+	}
+}
+
+// Changed has a value when the other instances should be told of news.
+func (r *Relay) Changed() <-chan struct{} { return r.changed }
+
 func (r *Relay) now() time.Duration { return time.Since(r.start) }
 
 // SetRoutes puts a version of the configuration in force unless it is older,
@@ -117,6 +133,12 @@
 // ZoneReport returns what this instance tells other zones of its own.
 func (r *Relay) ZoneReport() picture.Report { return r.picture.ZoneReport(r.now()) }
 
+// BeyondReport returns what this instance tells its zone of the other zones.
+func (r *Relay) BeyondReport() picture.Report { return r.picture.BeyondReport(r.now()) }
+
+// Learned returns what this instance has learned of the engines.
+func (r *Relay) Learned() map[uint32]estimate.Learned { return r.picture.Learned() }
+
 // TakeReport takes the report of another instance, or of a whole zone.
 func (r *Relay) TakeReport(source string, report picture.Report) {
 	r.picture.TakeReport(source, report, r.now())
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -5,6 +5,7 @@
 package replica
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -28,8 +29,9 @@
 // Replica is the copy. It is not safe for concurrent use.
 type Replica struct {
 	rows map[Key]Row
-	// read is the revision up to which a table was read from the store.
-	read map[string]int64
+	// read is the revision up to which a table was read from the store, newest the
+	// highest one of any of its rows, those held among them.
+	read, newest map[string]int64
 	// held are deletions that are not believed yet, by row.
 	held map[Key]heldDeletion
 	// holdUntil is when deletions are believed again.
@@ -44,7 +46,7 @@
 
 // New returns an empty copy.
 func New() *Replica {
-	return &Replica{rows: map[Key]Row{}, read: map[string]int64{}, held: map[Key]heldDeletion{}}
+	return &Replica{rows: map[Key]Row{}, read: map[string]int64{}, newest: map[string]int64{}, held: map[Key]heldDeletion{}}
 }
 
 // Hold delays deletions that come before a time: after an outage the store
@@ -60,6 +62,7 @@
 		if row.Revision <= r.rows[row.Key].Revision {
 			continue
 		}
+		r.newest[row.Table] = max(r.newest[row.Table], row.Revision)
 		if row.Deleted && now < r.holdUntil && !r.rows[row.Key].Deleted {
 			if row.Revision > r.held[row.Key].row.Revision {
 				r.held[row.Key] = heldDeletion{row: row, until: r.holdUntil}
@@ -161,16 +164,7 @@
 
 // Newest is the highest revision of any row of each table. All rows up to it are
 // known, as long as each source gave all of its rows.
-func (r *Replica) Newest() map[string]int64 {
-	newest := map[string]int64{}
-	for key, row := range r.rows {
-		newest[key.Table] = max(newest[key.Table], row.Revision)
-	}
-	for key, held := range r.held {
-		newest[key.Table] = max(newest[key.Table], held.row.Revision)
-	}
-	return newest
-}
+func (r *Replica) Newest() map[string]int64 { return maps.Clone(r.newest) }
 
 // Held is for how much longer deletions are held back.
 func (r *Replica) Held(now time.Duration) time.Duration { return max(0, r.holdUntil-now) }
--- a/internal/rolekeeper/lease.go
+++ b/internal/rolekeeper/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"sassafrasfield/internal/bootclock"
@@ -20,9 +21,13 @@
 }
 
 func (k *Keeper) place() {
-	rank := lease.Rank(pool, k.settings.Instance, k.view.Instances())
-	k.machine.SetPlace(k.ranks().Place(rank))
-	k.watches = rank < k.ranks().Watchers
+	candidates, ranks := k.view.Candidates(), k.ranks()
+	rank := ranks.Watchers // leaves the lease alone
+	if slices.Contains(candidates, k.settings.Instance) {
+		rank = lease.Rank(pool, k.settings.Instance, candidates)
+	}
+	k.machine.SetPlace(ranks.Place(rank))
+	k.watches = rank < ranks.Watchers
 }
 
 // drive asks the lease machine what to do, and does it.
--- a/internal/rolekeeper/rolekeeper.go
+++ b/internal/rolekeeper/rolekeeper.go
@@ -78,8 +78,9 @@
 	Away(engine string, d time.Duration)
 	// Serving tells whether requests came lately.
 	Serving() bool
-	// Instances are the names of the live instances.
-	Instances() []string
+	// Candidates are the names of the live instances that may hold the lease, as far
+	// as it is known here.
+	Candidates() []string
 }
 
 // Keeper does the duty.
--- a/internal/rolekeeper/rolekeeper_test.go
+++ b/internal/rolekeeper/rolekeeper_test.go
@@ -131,8 +131,8 @@
 	f.away = append(f.away, engine)
 }
 
-func (f *fakeFleet) Serving() bool       { return f.serving }
-func (f *fakeFleet) Instances() []string { return []string{"one", "two"} }
+func (f *fakeFleet) Serving() bool        { return f.serving }
+func (f *fakeFleet) Candidates() []string { return []string{"one", "two"} }
 
 func (f *fakeFleet) prefill() int {
 	f.mu.Lock()
