--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -15,10 +15,16 @@
 	Repeatable bool
 	// MaxRuns is how many upstreams the request may run on; 0 is no bound.
 	MaxRuns int
-	// MaxSends bounds all sends, those included that an upstream refused.
+	// MaxSends bounds the sends that reached an upstream, those included that it
+	// refused.
 	MaxSends int
 }
 
+// maxUnsent bounds the sends of one request of which no byte left. A connection that
+// is refused costs a millisecond; when a fifth of the engines is gone at once, a
+// request meets three of them in a row once in a hundred times.
+const maxUnsent = 12
+
 // Attempts are those made at one request so far. They are not safe for
 // concurrent use.
 type Attempts struct {
@@ -26,9 +32,11 @@
 	progress outcome.Request
 	excluded map[string]bool
 	sends    int
-	runs     int
-	last     error
-	prepaid  bool
+	// unsent are the sends of which no byte left.
+	unsent  int
+	runs    int
+	last    error
+	prepaid bool
 	// copied is the upstream that has a copy of the run that was lost.
 	copied string
 }
@@ -56,7 +64,7 @@
 
 // More tells whether the rules allow one more send.
 func (a *Attempts) More() bool {
-	if a.sends >= a.rules.MaxSends {
+	if a.spent() {
 		return false
 	}
 	return a.runs == 0 || a.mayRunAgain(a.runs) || a.copied != ""
@@ -73,7 +81,12 @@
 // AnotherRun tells whether one more upstream may run the request if the present
 // attempt brings no whole answer.
 func (a *Attempts) AnotherRun() bool {
-	return a.sends < a.rules.MaxSends && a.mayRunAgain(a.runs+1)
+	return !a.spent() && a.mayRunAgain(a.runs+1)
+}
+
+// spent tells whether the bound of the sends is reached.
+func (a *Attempts) spent() bool {
+	return a.sends-a.unsent >= a.rules.MaxSends || a.unsent >= maxUnsent
 }
 
 func (a *Attempts) mayRunAgain(runs int) bool {
--- a/internal/attempt/run.go
+++ b/internal/attempt/run.go
@@ -66,6 +66,9 @@
 		case Over:
 			return last, Go
 		}
-		a.prepaid = a.prepaid || last.Unsent
+		if last.Unsent {
+			a.prepaid = true
+			a.unsent++
+		}
 	}
 }
--- a/internal/attempt/run_test.go
+++ b/internal/attempt/run_test.go
@@ -110,3 +110,24 @@
 		}
 	}
 }
+
+// TestUpstreamsThatCannotBeReachedDoNotEndARequest. Pattern: a fifth of the engines
+// crash at once. Grounds: 33 requests on a day of 195 instances were given up after
+// four connections in a row that were refused within some milliseconds, though other
+// engines took requests.
+func TestUpstreamsThatCannotBeReachedDoNotEndARequest(t *testing.T) {
+	unreachable := []Ending{Refused, Refused, Refused, Refused, Refused, Over}
+	s := &scripted{tries: New(Rules{MaxSends: 4}), endings: unreachable, unsent: true}
+	result, _ := s.tries.Run(context.Background(), saved(100), clock, s)
+	if result.Ending != Over || s.made != len(unreachable) {
+		t.Errorf("%+v after %d attempts", result, s.made)
+	}
+	var all []Ending
+	for range 2 * maxUnsent {
+		all = append(all, NotReady)
+	}
+	s = &scripted{tries: New(Rules{MaxSends: 4}), endings: all, unsent: true}
+	if _, verdict := s.tries.Run(context.Background(), saved(100), clock, s); verdict != Spent || s.made != maxUnsent {
+		t.Errorf("verdict %v after %d attempts, want an end after %d", verdict, s.made, maxUnsent)
+	}
+}
