Tell all instances of a role change before the engine is ordered to make it

Change: while requests come, the word goes out 0.4 s before the order, and lasts for the change, twice the mean answer and a second, or until the engine's entry shows the role.

--- a/internal/rolekeeper/lease.go
+++ b/internal/rolekeeper/lease.go
@@ -60,6 +60,7 @@
 	}
 	k.held = held
 	k.heldSince = bootclock.Now()
+	k.announced = map[string]announced{}
 	if held {
 		k.pending, k.services = map[string]pending{}, map[string]*duty{}
 		k.log.Info("roles: lease taken", "epoch", grant.Epoch)
--- a/internal/rolekeeper/orders.go
+++ b/internal/rolekeeper/orders.go
@@ -29,6 +29,13 @@
 	at time.Duration
 }
 
+// announced is an order that waits until all instances leave its engine out.
+type announced struct {
+	engine picture.Upstream
+	to     config.Role
+	at     time.Duration
+}
+
 // look compares the split with the wanted one and gives the orders it takes.
 func (k *Keeper) look(ctx context.Context) {
 	grant, held := k.machine.Held(bootclock.Now())
@@ -86,9 +93,52 @@
 		"wanted_prefill", d.target.Count(len(list)), "changes", len(changes), "at_once", most)
 	for _, change := range changes {
 		at := slices.IndexFunc(engines, func(e picture.Engine) bool { return e.ID == change.Engine })
-		if err := k.order(ctx, engines[at].Upstream, change.To, grant); err != nil {
-			k.log.Info("roles: order failed", "engine", change.Engine, "to", change.To, "epoch", grant.Epoch, "error", err)
+		if k.view.Serving() && k.settings.Announce > 0 {
+			k.announce(engines[at].Upstream, change.To)
+			continue
 		}
+		k.tryOrder(ctx, engines[at].Upstream, change.To, grant)
+	}
+}
+
+// announce has all instances leave an engine out, and its order wait until they do.
+func (k *Keeper) announce(engine picture.Upstream, to config.Role) {
+	now := bootclock.Now()
+	k.pending[engine.ID] = pending{to: to, at: now}
+	k.announced[engine.ID] = announced{engine: engine, to: to, at: now}
+	k.view.SendAway(engine.ID, k.settings.Announce+k.awayFor(engine.Service))
+	k.log.Info("roles: order announced", "engine", engine.ID, "to", to)
+}
+
+// awayMargin is for the engine's entry to tell of its new role.
+const awayMargin = time.Second
+
+// awayFor is how long an engine that changes its role takes no requests, unless its
+// entry shows the new role before: its answers end first, most of them within twice
+// their mean.
+func (k *Keeper) awayFor(service string) time.Duration {
+	times := k.view.Times(service)
+	return times.RoleChange + 2*times.Stream + awayMargin
+}
+
+// giveAnnounced gives the orders that all instances know of.
+func (k *Keeper) giveAnnounced(ctx context.Context) {
+	now := bootclock.Now()
+	grant, held := k.machine.Held(now)
+	for id, a := range k.announced {
+		if now-a.at < k.settings.Announce {
+			continue
+		}
+		delete(k.announced, id)
+		if held {
+			k.tryOrder(ctx, a.engine, a.to, grant)
+		}
+	}
+}
+
+func (k *Keeper) tryOrder(ctx context.Context, engine picture.Upstream, to config.Role, grant lease.Grant) {
+	if err := k.order(ctx, engine, to, grant); err != nil {
+		k.log.Info("roles: order failed", "engine", engine.ID, "to", to, "epoch", grant.Epoch, "error", err)
 	}
 }
 
@@ -150,7 +200,7 @@
 	k.log.Info("roles: order", "engine", engine.ID, "zone", engine.Zone, "to", to, "epoch", grant.Epoch,
 		"orders", state.Orders, "error", err)
 	if err == nil {
-		k.view.SendAway(engine.ID, k.view.Times(engine.Service).RoleChange)
+		k.view.SendAway(engine.ID, k.awayFor(engine.Service))
 	}
 	return err
 }
--- a/internal/rolekeeper/rolekeeper.go
+++ b/internal/rolekeeper/rolekeeper.go
@@ -59,6 +59,10 @@
 	Every time.Duration
 	// AtOnce bounds the engines that change while requests are served.
 	AtOnce int
+	// Announce is the time from the word to all instances that an engine takes no
+	// requests to its order: what they send meanwhile would be refused. Words reach
+	// all within 0.4 s where no datagram is lost.
+	Announce time.Duration
 	// Confirm is how many looks on end must find the split wrong before an
 	// order is given: engines that restart are missing for a few seconds.
 	Confirm int
@@ -96,6 +100,8 @@
 	// heldSince is when this process took the lease.
 	heldSince time.Duration
 	pending   map[string]pending
+	// announced are the orders that the instances have been told of.
+	announced map[string]announced
 	services  map[string]*duty
 	// watches tells that this instance may be the next holder.
 	watches bool
@@ -127,7 +133,7 @@
 	return &Keeper{
 		settings: s, table: table, orderer: orderer, view: view, log: log,
 		machine: lease.New(self, leaseSettings(s.Lease), uuid.NewString),
-		pending: map[string]pending{}, services: map[string]*duty{}, use: map[string]roles.Use{},
+		pending: map[string]pending{}, announced: map[string]announced{}, services: map[string]*duty{}, use: map[string]roles.Use{},
 	}
 }
 
@@ -151,5 +157,6 @@
 			next = now + k.settings.Every
 			k.look(ctx)
 		}
+		k.giveAnnounced(ctx)
 	}
 }
--- a/internal/rolekeeper/rolekeeper_test.go
+++ b/internal/rolekeeper/rolekeeper_test.go
@@ -69,13 +69,17 @@
 	engines []picture.Engine
 	orders  []given
 	away    []string
+	// awayAt is when all were first told to leave an engine out.
+	awayAt  map[string]time.Time
 	serving bool
+	// announce is for how long they are told before an order.
+	announce time.Duration
 	// silent engines take an order and do not carry it out.
 	silent bool
 }
 
 func newFakeFleet(decode int) *fakeFleet {
-	f := &fakeFleet{}
+	f := &fakeFleet{awayAt: map[string]time.Time{}}
 	for i := range decode {
 		f.engines = append(f.engines, picture.Engine{Upstream: picture.Upstream{ID: string(rune('a' + i)), Zone: "z", Role: config.RoleDecode}})
 	}
@@ -129,6 +133,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.away = append(f.away, engine)
+	if _, ok := f.awayAt[engine]; !ok {
+		f.awayAt[engine] = time.Now()
+	}
 }
 
 func (f *fakeFleet) Serving() bool        { return f.serving }
@@ -159,7 +166,7 @@
 	balance := roles.DefaultBalance()
 	balance.Over, balance.Evidence = term, 0.05
 	keeper := New(Settings{
-		Instance: name, Lease: term, Every: 20 * time.Millisecond, AtOnce: 2, Confirm: 2, Target: roles.Target{Share: 11.0 / 18, MinDecode: 2}, Balance: balance,
+		Instance: name, Lease: term, Every: 20 * time.Millisecond, AtOnce: 2, Confirm: 2, Announce: f.announce, Target: roles.Target{Share: 11.0 / 18, MinDecode: 2}, Balance: balance,
 	}, table, f, f, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -264,6 +271,25 @@
 	}
 }
 
+// TestAnEngineIsLeftOutBeforeItsOrder. Pattern: engines change their roles while 300
+// requests a second come. Grounds: on a day of 195 instances 66 requests whose prompts
+// were processed were refused by twelve such engines within two seconds: the others
+// heard of the orders 0.1 to 0.3 s after the engines did.
+func TestAnEngineIsLeftOutBeforeItsOrder(t *testing.T) {
+	f := newFakeFleet(9)
+	f.serving, f.announce = true, term/4
+	run(t, "one", newTable(), f)
+	waitFor(func() bool { return f.prefill() == 6 })
+	for _, o := range f.given() {
+		f.mu.Lock()
+		told := o.at.Sub(f.awayAt[o.engine])
+		f.mu.Unlock()
+		if told < f.announce {
+			t.Errorf("the order to %s came %s after the word to leave it out, want %s at least", o.engine, told, f.announce)
+		}
+	}
+}
+
 func TestAnOrderWithoutEffectIsNotGivenAgain(t *testing.T) {
 	f := newFakeFleet(9)
 	f.silent = true
