Share the further sends of a zone's instances in a pool that its hub keeps

Change: an instance's requests pay for its own part, of which it may save up one send; what they pay beyond that, and what the slack leaves, is in a pool a zone, kept by its hub. Whoever has spent its own asks the hub, for 50 ms at most. The hub's part follows the instances that it hears of, so one that is cut off gives next to nothing; a new hub begins with an empty pool.

SetBudget has lost its number of instances, which the pool's rules have now.

--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -88,13 +88,13 @@
 
 // saved is a budget with so many sends saved up, and no more to come.
 func saved(sends float64) *Budget {
-	b := NewBudget(retry.Rules{Share: sends, Max: sends}, retry.Backoff{}, meters, 0)
+	b := NewBudget(retry.Rules{Share: sends, Max: sends}, retry.Backoff{}, meters, nil, 0)
 	b.Succeeded(0)
 	return b
 }
 
 func TestTheBudgetDeniesFurtherSendsAlone(t *testing.T) {
-	empty := NewBudget(retry.Rules{Max: 1}, retry.Backoff{}, meters, 0)
+	empty := NewBudget(retry.Rules{Max: 1}, retry.Backoff{}, meters, nil, 0)
 	a := New(Rules{Repeatable: true, MaxSends: 5})
 	if v := a.Next(context.Background(), empty, false, 0); v != Go {
 		t.Fatalf("the first send: %v", v)
@@ -108,7 +108,7 @@
 		t.Errorf("an answer that has begun: %v", v)
 	}
 	full := saved(1)
-	if !a.Prepay(full, 0) || a.Prepay(full, 0) {
+	if !a.Prepay(context.Background(), full, 0) || a.Prepay(context.Background(), full, 0) {
 		t.Error("one send was saved up")
 	}
 }
--- a/internal/attempt/budget.go
+++ b/internal/attempt/budget.go
@@ -12,15 +12,24 @@
 	"sassafrasfield/internal/retry"
 )
 
+// Pool gives further sends to those whose own part of them is spent.
+type Pool interface {
+	// Ask takes one; false means that there is none, or no word in time.
+	Ask(ctx context.Context) bool
+}
+
 // Budget bounds the further sends of many requests. It is safe for use by
 // several goroutines.
 type Budget struct {
 	backoff retry.Backoff
 	meters  Meters
+	pool    Pool // nil for none
 
 	mu     sync.Mutex // protects all below
 	budget *retry.Budget
-	rng    *rand.Rand
+	// spilled is what was paid in beyond what can be saved up here.
+	spilled float64
+	rng     *rand.Rand
 }
 
 // Meters count what became of further sends.
@@ -29,9 +38,10 @@
 	Retries, Denied metrics.Counter
 }
 
-// NewBudget returns a budget that starts with one second of its floor.
-func NewBudget(rules retry.Rules, backoff retry.Backoff, meters Meters, now time.Duration) *Budget {
-	return &Budget{backoff: backoff, meters: meters, budget: retry.NewBudget(rules, now), rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+// NewBudget returns a budget that starts with one second of its floor, and asks a pool
+// once it is spent, unless that is nil.
+func NewBudget(rules retry.Rules, backoff retry.Backoff, meters Meters, pool Pool, now time.Duration) *Budget {
+	return &Budget{backoff: backoff, meters: meters, pool: pool, budget: retry.NewBudget(rules, now), rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 }
 
 // SetRules changes the rules.
@@ -45,7 +55,22 @@
 func (b *Budget) Succeeded(now time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.budget.Succeeded(now)
+	b.spilled += b.budget.Succeeded(now)
+}
+
+// Spilled is what was paid in beyond what can be saved up here, since the start.
+func (b *Budget) Spilled() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.spilled
+}
+
+// Spend takes one further send from this budget or from the pool.
+func (b *Budget) Spend(ctx context.Context, begun bool, now time.Duration) bool {
+	if b.Take(begun, now) {
+		return true
+	}
+	return b.pool != nil && b.pool.Ask(ctx)
 }
 
 // Take spends one further send. An answer that has begun is gone on with
@@ -94,7 +119,7 @@
 	if a.sends == 0 {
 		return Go
 	}
-	if !a.prepaid && !b.Take(begun, now) {
+	if !a.prepaid && !b.Spend(ctx, begun, now) {
 		b.meters.Denied.Inc(1)
 		return Denied
 	}
@@ -108,7 +133,7 @@
 
 // Prepay takes the next send from the budget now; false means that there will
 // be none.
-func (a *Attempts) Prepay(b *Budget, now time.Duration) bool {
-	a.prepaid = b.Take(false, now)
+func (a *Attempts) Prepay(ctx context.Context, b *Budget, now time.Duration) bool {
+	a.prepaid = b.Spend(ctx, false, now)
 	return a.prepaid
 }
--- a/internal/attempt/run_test.go
+++ b/internal/attempt/run_test.go
@@ -102,7 +102,7 @@
 	for _, unsent := range []bool{true, false} {
 		for _, ending := range []Ending{Refused, NotReady} {
 			s := &scripted{tries: New(Rules{MaxSends: 5}), endings: []Ending{ending, ending, Over}, unsent: unsent}
-			empty := NewBudget(retry.Rules{Max: 1}, retry.Backoff{}, meters, 0)
+			empty := NewBudget(retry.Rules{Max: 1}, retry.Backoff{}, meters, nil, 0)
 			result, verdict := s.tries.Run(context.Background(), empty, clock, s)
 			if unsent != (result.Ending == Over) || unsent == (verdict == Denied) {
 				t.Errorf("unsent %t, ending %v: %+v, verdict %v", unsent, ending, result, verdict)
--- a/internal/entry/retry.go
+++ b/internal/entry/retry.go
@@ -51,7 +51,7 @@
 
 func newRetries(s RetrySettings, meters attempt.Meters) *attempt.Budget {
 	rules := retry.Rules{Share: s.BudgetShare, Floor: s.BudgetFloor, Max: s.BudgetMax}
-	return attempt.NewBudget(rules, retry.Backoff{Base: s.BackoffBase, Max: s.BackoffMax}, meters, 0)
+	return attempt.NewBudget(rules, retry.Backoff{Base: s.BackoffBase, Max: s.BackoffMax}, meters, nil, 0)
 }
 
 // noBudget tells that a request was not tried again for want of budget.
--- a/internal/fanout/inbox.go
+++ b/internal/fanout/inbox.go
@@ -60,6 +60,7 @@
 	if o.Report.Times == nil {
 		o.Report.Times = b.waiting[o.Source].own.Report.Times
 	}
+	o.Report.Spilled = nil // that is for the hub alone
 	b.waiting[o.Source] = waiting{own: o, at: now}
 }
 
--- a/internal/fanout/roster.go
+++ b/internal/fanout/roster.go
@@ -149,6 +149,28 @@
 	return first
 }
 
+// Hub is the instance that ranks first of those whose batches come; 0 for none.
+func (r *Roster) Hub(now time.Duration) ID {
+	var hub ID
+	for id, m := range r.members {
+		if m.batched && now-m.batchAt <= listens {
+			hub = max(hub, id)
+		}
+	}
+	return hub
+}
+
+// AliveCount counts the live instances of the zone, this one included.
+func (r *Roster) AliveCount(now time.Duration) int {
+	count := 1
+	for id := range r.members {
+		if r.Alive(id, now) {
+			count++
+		}
+	}
+	return count
+}
+
 // HearsBatches tells whether batches reach this instance.
 func (r *Roster) HearsBatches(now time.Duration) bool {
 	for _, m := range r.members {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -71,6 +71,7 @@
 	relay    *relay.Relay
 	follower *follow.Follower
 	peers    *peers.Exchange
+	reports  *peers.Reports
 	limits   atomic.Pointer[routes.Limits]
 	budget   atomic.Pointer[relay.BudgetSettings]
 }
@@ -82,6 +83,8 @@
 	in.follower = follow.New(s.Follow, a.Feed, in.changed, logging.Part(log, "follow"))
 	in.peers = peers.New(s.Self, s.Seeds, in.follower, logging.Part(log, "peers"))
 	in.follower.Join(in.peers)
+	in.reports = peers.NewReports(in.peers, in.relay)
+	in.relay.AskWith(in.reports.Ask)
 	in.budget.Store(&s.Relay.Budget)
 	in.limits.Store(&routes.Limits{})
 	in.settings.Front.Limits = in.limitsInForce
@@ -138,21 +141,30 @@
 	countEvery = time.Second
 	// countFrom is the time from the start to the first count: until then the
 	// instances of a whole deployment that starts anew may not have heard of one
-	// another, and each would take all of the budget for its own. Instances report
-	// every 0.1 to 0.5 s.
+	// another, and each would take all of the pools for its own. Instances report
+	// every 0.1 to 0.4 s.
 	countFrom = 3 * time.Second
+	// poolFrom is how long an instance has been its zone's hub when it opens the
+	// zone's pool: two that take themselves for it find out before.
+	poolFrom = time.Second
 )
 
 // shareBudget keeps this instance to its part of the sends beyond the first.
 func (in *Instance) shareBudget(ctx context.Context) {
 	pause.For(ctx, countFrom)
 	for pause.For(ctx, countEvery) {
-		in.relay.SetBudget(*in.budget.Load(), in.peers.Count())
+		settings := *in.budget.Load()
+		in.relay.SetBudget(settings)
+		members := 0
+		if in.peers.PassesFor() >= poolFrom {
+			members = in.peers.Members()
+		}
+		in.relay.SetPool(settings, members, in.peers.Count())
 	}
 }
 
 func (in *Instance) report(ctx context.Context) {
-	if err := peers.NewReports(in.peers, in.relay).Run(ctx); err != nil {
+	if err := in.reports.Run(ctx); err != nil {
 		in.log.Error("instance: no reports to the other instances", "error", err)
 	}
 }
--- /dev/null
+++ b/internal/peers/ask.go
@@ -0,0 +1,97 @@
+package peers
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	sfv1 "sassafrasfield/internal/gen/sf/v1"
+)
+
+// askTimeout bounds a question to the zone's hub: a round trip in a zone takes 0.3 ms,
+// and a busy instance with a fifth of a core answers within some 20 ms.
+const askTimeout = 50 * time.Millisecond
+
+// asks are the questions of this instance that wait for an answer.
+type asks struct {
+	mu      sync.Mutex // protects all below
+	next    uint64
+	waiting map[uint64]chan bool
+}
+
+func newAsks() *asks { return &asks{waiting: map[uint64]chan bool{}} }
+
+func (a *asks) begin() (uint64, <-chan bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.next++
+	answer := make(chan bool, 1)
+	a.waiting[a.next] = answer
+	return a.next, answer
+}
+
+func (a *asks) end(id uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.waiting, id)
+}
+
+// answered takes an answer. One that comes late, or twice, counts for nothing.
+func (a *asks) answered(id uint64, granted bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if answer, ok := a.waiting[id]; ok {
+		delete(a.waiting, id)
+		answer <- granted
+	}
+}
+
+// Ask asks the zone's hub for a further send to a service, which is named by its hash.
+func (r *Reports) Ask(ctx context.Context, service uint32) bool {
+	hub, self := r.exchange.hub()
+	if self {
+		return r.loads.Grant(service)
+	}
+	if hub == "" {
+		return false
+	}
+	id, answer := r.asks.begin()
+	defer r.asks.end(id)
+	message := r.message(sfv1.Datagram_KIND_ASK)
+	message.Ask = &sfv1.PoolAsk{Id: id, Service: service}
+	r.send(message, []string{hub})
+	timer := time.NewTimer(askTimeout)
+	defer timer.Stop()
+	select {
+	case granted := <-answer:
+		return granted
+	case <-timer.C:
+		r.exchange.log.Debug("peers: no word from the pool", "hub", hub)
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// takeAsk answers a question for a further send.
+func (r *Reports) takeAsk(message *sfv1.Datagram, k *known) {
+	reply := r.message(sfv1.Datagram_KIND_GRANT)
+	ask := message.GetAsk()
+	reply.Ask = &sfv1.PoolAsk{Id: ask.GetId(), Service: ask.GetService(), Granted: r.exchange.Passes() && r.loads.Grant(ask.GetService())}
+	r.send(reply, []string{k.Address})
+}
+
+// hub is the address of the instance that passes this zone's reports on; self tells
+// that it is this one.
+func (e *Exchange) hub() (address string, self bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.now()
+	if e.passes(now) {
+		return "", true
+	}
+	if k, ok := e.byID[e.roster.Hub(now)]; ok {
+		return k.Address, false
+	}
+	return "", false
+}
--- a/internal/peers/fleet_test.go
+++ b/internal/peers/fleet_test.go
@@ -49,6 +49,7 @@
 	*picture.Picture
 	now     func() time.Duration
 	changed chan struct{}
+	granted int
 }
 
 func newVirtualLoads(now func() time.Duration) *virtualLoads {
@@ -71,6 +72,9 @@
 	l.Picture.TakeReport(source, report, l.now())
 }
 
+// Grant gives whatever is asked for.
+func (l *virtualLoads) Grant(uint32) bool { l.granted++; return true }
+
 // requests is what this instance believes all have on the engine.
 func (l *virtualLoads) requests() int { return l.Engines(l.now())["s"][0].Load.Requests }
 
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -110,6 +110,13 @@
 	return now - e.passingAt
 }
 
+// Members counts the live instances of this zone, this one included.
+func (e *Exchange) Members() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.roster.AliveCount(e.now())
+}
+
 // Hubs lists the instances that pass reports on, by name, as far as it is known here.
 // An instance that has just started takes itself for one until it hears of others, and
 // does not name itself.
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -45,6 +45,9 @@
 	for _, a := range report.Away {
 		m.Away = append(m.Away, &sfv1.AwayUpstream{Upstream: a.Upstream, ForMs: uint32(a.For.Milliseconds())})
 	}
+	for service, sends := range report.Spilled {
+		m.Spilled = append(m.Spilled, &sfv1.Spilled{Service: service, Sends: float32(sends)})
+	}
 	for service, l := range report.Times {
 		m.Times = append(m.Times, &sfv1.EngineTimes{
 			Service: service, Speed: float32(l.Speed), Overhead: float32(l.Overhead), Prompts: uint32(l.Prompts),
@@ -67,6 +70,12 @@
 	for i := 0; i+1 < len(placed); i += 2 {
 		report.Placed = append(report.Placed, picture.Placed{Engine: placed[i], Part: placed[i+1]})
 	}
+	for _, spilled := range m.GetSpilled() {
+		if report.Spilled == nil {
+			report.Spilled = map[uint32]float64{}
+		}
+		report.Spilled[spilled.GetService()] = float64(spilled.GetSends())
+	}
 	for _, a := range m.GetAway() {
 		report.Away = append(report.Away, picture.Away{Upstream: a.GetUpstream(), For: time.Duration(a.GetForMs()) * time.Millisecond})
 	}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -21,9 +21,10 @@
 // node is an instance of the exchange under test, served over HTTP.
 type node struct {
 	*Exchange
-	relay  *relay.Relay
-	sender *heldSender
-	stop   func()
+	relay   *relay.Relay
+	reports *Reports
+	sender  *heldSender
+	stop    func()
 
 	mu      sync.Mutex // protects all below
 	rows    *replica.Replica
@@ -76,11 +77,12 @@
 	n.Exchange = New(self, seeds, n, quiet())
 	_, server.Config.Handler = n.Handler()
 	server.Start()
+	n.reports = NewReports(n.Exchange, n.relay)
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		if err := NewReports(n.Exchange, n.relay).Run(ctx); err != nil {
+		if err := n.reports.Run(ctx); err != nil {
 			t.Error(err)
 		}
 	}()
@@ -292,6 +294,25 @@
 	allSee([]*node{newcomer}, 1)
 }
 
+// TestTheHubGrantsSendsFromThePool: an instance asks its zone's hub, which has some to
+// give, and one of a zone whose hub keeps no pool gets none.
+func TestTheHubGrantsSendsFromThePool(t *testing.T) {
+	all := fleet(t)
+	hub, other := hubOf(all, "a"), hubOf(all, "b")
+	hub.relay.SetPool(relay.BudgetSettings{Slack: 1000, Window: time.Second}, len(all), len(all))
+	const service = 7
+	for _, n := range all {
+		switch n.self.Zone {
+		case "a":
+			waitFor(func() bool { return n.reports.Ask(context.Background(), service) })
+		case other.self.Zone:
+			if n.reports.Ask(context.Background(), service) {
+				t.Errorf("%s got a send that nobody has", n.self.Name)
+			}
+		}
+	}
+}
+
 func TestAPeerThatDoesNotAnswerIsLeftAloneForAWhile(t *testing.T) {
 	n := newNode(t, "n", "a", "127.0.0.1:1")
 	if err := n.Pull(context.Background()); err == nil || errors.Is(err, ErrNobody) {
--- a/internal/peers/reports.go
+++ b/internal/peers/reports.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -36,14 +37,19 @@
 	Learned() map[uint32]estimate.Learned
 	// TakeReport takes the report of a source.
 	TakeReport(source string, report picture.Report)
+	// Grant gives a further send to a service away, from the pool that this instance
+	// keeps for its zone; false when there is none.
+	Grant(service uint32) bool
 }
 
 // Reports sends and takes the reports.
 type Reports struct {
 	exchange *Exchange
 	loads    Loads
+	conn     atomic.Pointer[net.UDPConn]
 	// write sends a datagram.
 	write func(data []byte, to netip.AddrPort) error
+	asks  *asks
 	pace  *fanout.Pace
 	// told are the revisions that the last batch had.
 	told map[string]int64
@@ -53,9 +59,21 @@
 
 // NewReports returns the reports of an exchange.
 func NewReports(e *Exchange, l Loads) *Reports {
-	return &Reports{
-		exchange: e, loads: l, pace: fanout.NewPace(e.now()), boot: rand.Uint32(),
+	r := &Reports{exchange: e, loads: l, asks: newAsks(), pace: fanout.NewPace(e.now()), boot: rand.Uint32()}
+	r.write = r.writeTo
+	return r
+}
+
+// errNotListening: the reports have not begun.
+var errNotListening = errors.New("peers: not listening yet")
+
+func (r *Reports) writeTo(data []byte, to netip.AddrPort) error {
+	conn := r.conn.Load()
+	if conn == nil {
+		return errNotListening
 	}
+	_, err := conn.WriteToUDPAddrPort(data, to)
+	return err
 }
 
 // Run tells and listens until the context ends.
@@ -69,10 +87,7 @@
 		return errors.Wrap(err, "peers: reports")
 	}
 	defer conn.Close()
-	r.write = func(data []byte, to netip.AddrPort) error {
-		_, err := conn.WriteToUDPAddrPort(data, to)
-		return err
-	}
+	r.conn.Store(conn)
 	go r.listen(ctx, conn)
 	sweep := time.NewTicker(sweepEvery)
 	defer sweep.Stop()
--- a/internal/peers/take.go
+++ b/internal/peers/take.go
@@ -52,6 +52,10 @@
 	switch message.GetKind() {
 	case sfv1.Datagram_KIND_OWN:
 		r.takeOwn(message, k, inZone)
+	case sfv1.Datagram_KIND_ASK:
+		r.takeAsk(message, k)
+	case sfv1.Datagram_KIND_GRANT:
+		r.asks.answered(message.GetAsk().GetId(), message.GetAsk().GetGranted())
 	case sfv1.Datagram_KIND_BATCH:
 		if !inZone {
 			return
--- a/internal/picture/reports.go
+++ b/internal/picture/reports.go
@@ -68,6 +68,9 @@
 	// Times are what the sender learned of the engines, by a hash of the service;
 	// nil while they are not due.
 	Times map[uint32]estimate.Learned
+	// Spilled is what an instance's requests paid for of its zone's pool of further
+	// sends, in sends since its start, by a hash of the service.
+	Spilled map[uint32]float64
 }
 
 // partLoads is how many loads one part of a report has: about half a datagram.
@@ -84,6 +87,7 @@
 		parts = append(parts, Report{Loads: loads})
 	}
 	parts[0].Placed, parts[0].Gone, parts[0].Away, parts[0].Times = r.Placed, r.Gone, r.Away, r.Times
+	parts[0].Spilled = r.Spilled
 	return parts
 }
 
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -1,10 +1,13 @@
 package relay
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"sassafrasfield/internal/attempt"
 	"sassafrasfield/internal/retry"
 )
@@ -20,31 +23,37 @@
 }
 
 // Parts of the bounds that are used. The window is counted over all instances
-// together, and it slides; what an instance saved up and what it earns in one
-// window must both fit.
+// together, and it slides: what was saved up and what is earned in one window must
+// both fit.
 const (
 	shareUsed = 0.9
-	savedUsed = 0.55
-	floorUsed = 0.35
+	slackUsed = 0.9
+	// ownSaved is what each instance may save up for itself, without which it could
+	// make no further send by itself. The rest of the slack is pooled by zone, where
+	// it goes to whoever needs it: failures come to few instances at a time.
+	ownSaved = 1
 )
 
 // unknown is the number of instances while it is not known, as after a start.
 const unknown = 0
 
-// rules are one instance's part of the bounds, when so many share them. While
-// the number is not known, a send is paid for by requests alone: that part of the
-// bounds needs no division. Each instance may save up one send at least; what that
-// takes beyond savedUsed is taken off the floor.
-func (s BudgetSettings) rules(instances int) retry.Rules {
+// rules are one instance's own part of the bounds: its requests pay for its sends.
+func (s BudgetSettings) rules() retry.Rules {
+	return retry.Rules{Share: shareUsed * s.Share, Max: ownSaved}
+}
+
+// poolRules are the part of the bounds that is pooled by so many of all instances.
+// Half of what the instances' own parts leave of the slack may be saved up, half is
+// earned in each window without requests.
+func (s BudgetSettings) poolRules(members, instances int) retry.Rules {
 	if instances == unknown {
-		return retry.Rules{Share: shareUsed * s.Share, Max: 1}
+		return retry.Rules{}
 	}
-	saved := max(float64(instances), savedUsed*s.Slack)
-	floor := max(0, min(floorUsed*s.Slack, (savedUsed+floorUsed)*s.Slack-saved))
+	left := max(0, slackUsed*s.Slack-ownSaved*float64(instances))
+	part := float64(members) / float64(max(members, instances))
 	return retry.Rules{
-		Share: shareUsed * s.Share,
-		Floor: floor / float64(instances) / max(1, s.Window.Seconds()),
-		Max:   saved / float64(instances),
+		Floor: part * left / 2 / max(1, s.Window.Seconds()),
+		Max:   part * left / 2,
 	}
 }
 
@@ -55,30 +64,56 @@
 // budgets has one retry budget a service.
 type budgets struct {
 	meters attempt.Meters
+	ask    func(ctx context.Context, service uint32) bool
 
-	mu        sync.Mutex // protects all below
-	settings  BudgetSettings
-	instances int
-	all       map[string]*attempt.Budget
+	mu       sync.Mutex // protects all below
+	settings BudgetSettings
+	all      map[string]*attempt.Budget
 }
 
-func newBudgets(s BudgetSettings, meters attempt.Meters) *budgets {
-	return &budgets{settings: s, meters: meters, instances: unknown, all: map[string]*attempt.Budget{}}
+func newBudgets(s BudgetSettings, meters attempt.Meters, ask func(context.Context, uint32) bool) *budgets {
+	return &budgets{settings: s, meters: meters, ask: ask, all: map[string]*attempt.Budget{}}
 }
 
-// set takes other settings, or another number of instances that share them.
-func (b *budgets) set(s BudgetSettings, instances int) {
+// set takes other settings.
+func (b *budgets) set(s BudgetSettings) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if s == b.settings && instances == b.instances {
+	if s == b.settings {
 		return
 	}
-	b.settings, b.instances = s, instances
+	b.settings = s
 	for _, budget := range b.all {
-		budget.SetRules(s.rules(instances))
+		budget.SetRules(s.rules())
+	}
+}
+
+// spilled is what the requests to each service paid for beyond what this instance can
+// save up, by a hash of the service.
+func (b *budgets) spilled() map[uint32]float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	all := make(map[uint32]float64, len(b.all))
+	for service, budget := range b.all {
+		if spilled := budget.Spilled(); spilled > 0 {
+			all[hashOf(service)] = spilled
+		}
 	}
+	return all
+}
+
+// hashOf names a service in what instances tell one another.
+func hashOf(service string) uint32 { return uint32(xxhash.Sum64String(service)) }
+
+// pooled asks the zone's pool for a send to a service.
+type pooled struct {
+	service uint32
+	ask     func(ctx context.Context, service uint32) bool
 }
 
+// Ask implements attempt.Pool.
+func (p pooled) Ask(ctx context.Context) bool { return p.ask(ctx, p.service) }
+
 // of returns a service's budget. A new one has nothing saved up: the process whose
 // place this one took may have spent the window's.
 func (b *budgets) of(service string, now time.Duration) *attempt.Budget {
@@ -86,7 +121,7 @@
 	defer b.mu.Unlock()
 	budget, ok := b.all[service]
 	if !ok {
-		budget = attempt.NewBudget(b.settings.rules(b.instances), backoff, b.meters, now)
+		budget = attempt.NewBudget(b.settings.rules(), backoff, b.meters, pooled{service: hashOf(service), ask: b.ask}, now)
 		b.all[service] = budget
 	}
 	return budget
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -78,7 +78,7 @@
 	if !x.tries.AnotherRun() || ctx.Err() != nil || r.picture.Count(x.service) < 2 {
 		return false
 	}
-	return x.tries.Prepay(x.budget, r.now())
+	return x.tries.Prepay(ctx, x.budget, r.now())
 }
 
 // tryTime is how long an idempotent call may take on one upstream: the route's
--- a/internal/relay/call_test.go
+++ b/internal/relay/call_test.go
@@ -83,7 +83,7 @@
 func TestWithoutBudgetNothingIsSentAgain(t *testing.T) {
 	f := &fakeSender{run: func(int, Send) (*Reply, error) { return nil, ErrRefused }}
 	r := newFake(t, f)
-	r.SetBudget(BudgetSettings{}, 1)
+	r.SetBudget(BudgetSettings{})
 	r.budgets.of("app", 0).Take(false, 0)
 	_, err := serve(r, call("/safe/1"))
 	if word := wordOf(t, err); word != NotRun || f.runs != 1 {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -69,7 +69,10 @@
 	start    time.Time
 	picture  *picture.Picture
 	budgets  *budgets
+	pool     *pool
 	meters   *meters
+	// ask asks the instance that keeps the zone's pool; nil for none.
+	ask atomic.Pointer[func(context.Context, uint32) bool]
 	// closed: new requests are refused.
 	closed atomic.Bool
 	// lastRequest is when the newest request came, on the relay's clock.
@@ -82,8 +85,9 @@
 func New(s Settings, sender Sender, log *slog.Logger) *Relay {
 	r := &Relay{
 		settings: s, sender: sender, log: log, start: time.Now(),
-		budgets: newBudgets(s.Budget, newRetryMeters()), meters: newMeters(), changed: make(chan struct{}, 1),
+		pool: newPool(), meters: newMeters(), changed: make(chan struct{}, 1),
 	}
+	r.budgets = newBudgets(s.Budget, newRetryMeters(), r.askPool)
 	r.picture = picture.New(picture.Settings{
 		Zone: s.Zone, Placement: s.Placement, Prior: s.Prior, Outliers: s.Outliers, Changed: r.noteChanged,
 	})
@@ -107,9 +111,8 @@
 // and tells whether it did.
 func (r *Relay) SetRoutes(t *routes.Table) bool { return r.picture.SetRoutes(t, r.now()) }
 
-// SetBudget takes other bounds of the sends beyond the first, or another number
-// of instances that share them. Until the first call that number is not known.
-func (r *Relay) SetBudget(s BudgetSettings, instances int) { r.budgets.set(s, instances) }
+// SetBudget takes other bounds of the sends beyond the first.
+func (r *Relay) SetBudget(s BudgetSettings) { r.budgets.set(s) }
 
 // Learn takes an upstream's newest entry.
 func (r *Relay) Learn(u picture.Upstream) { r.picture.Learn(u) }
@@ -128,10 +131,17 @@
 func (r *Relay) SendAway(id string, d time.Duration) { r.picture.SendAway(id, r.now()+d) }
 
 // OwnReport returns what this instance tells the others.
-func (r *Relay) OwnReport() picture.Report { return r.picture.OwnReport(r.now()) }
+func (r *Relay) OwnReport() picture.Report {
+	report := r.picture.OwnReport(r.now())
+	report.Spilled = r.budgets.spilled()
+	return report
+}
 
 // ZoneReport returns what this instance tells other zones of its own.
-func (r *Relay) ZoneReport() picture.Report { return r.picture.ZoneReport(r.now()) }
+func (r *Relay) ZoneReport() picture.Report {
+	r.depositOwn()
+	return r.picture.ZoneReport(r.now())
+}
 
 // BeyondReport returns what this instance tells its zone of the other zones.
 func (r *Relay) BeyondReport() picture.Report { return r.picture.BeyondReport(r.now()) }
@@ -141,9 +151,17 @@
 
 // TakeReport takes the report of another instance, or of a whole zone.
 func (r *Relay) TakeReport(source string, report picture.Report) {
-	r.picture.TakeReport(source, report, r.now())
+	now := r.now()
+	r.picture.TakeReport(source, report, now)
+	r.pool.deposit(source, report.Spilled, now)
 }
 
+// ownSource names this instance in its own pool.
+const ownSource = "own"
+
+// depositOwn pays what this instance has too much into its own pool.
+func (r *Relay) depositOwn() { r.pool.deposit(ownSource, r.budgets.spilled(), r.now()) }
+
 // Knows tells whether a part was placed on an engine, as far as is known here.
 func (r *Relay) Knows(placed picture.Placed) bool { return r.picture.Knows(placed) }
 
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -36,10 +36,18 @@
 	b.balance = min(b.balance, rules.Max)
 }
 
-// Succeeded pays a share of a retry in.
-func (b *Budget) Succeeded(now time.Duration) {
+// Succeeded pays a share of a retry in, and returns what of it is more than can be
+// saved up.
+func (b *Budget) Succeeded(now time.Duration) (spilled float64) {
+	return b.Add(b.rules.Share, now)
+}
+
+// Add pays an amount in, and returns what of it is more than can be saved up.
+func (b *Budget) Add(amount float64, now time.Duration) (spilled float64) {
 	b.refill(now)
-	b.balance = min(b.rules.Max, b.balance+b.rules.Share)
+	paid := min(amount, max(0, b.rules.Max-b.balance))
+	b.balance += paid
+	return amount - paid
 }
 
 // Take spends one retry; false means that none is left, and nothing is spent.
