Name the content of a request whose send failed

Cause: the logs name requests by ids alone, so that two hypotheses on the engines that end (the same content again, or chance) can be told apart by token counts only. Ruled out: a header that names the caller (none is sent; the path has it). Before: no name. After: a field of the line on a lost send, made of a hash that is taken only then.

--- /dev/null
+++ b/internal/quarantine/doc.go
@@ -0,0 +1,2 @@
+// Package quarantine recognizes requests by what they ask for.
+package quarantine
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -325,7 +325,7 @@
 	v := verdictOf(ctx, err)
 	ejected := r.picture.Judge(id, v, r.now())
 	r.log.Info("relay: send failed", "request", x.req.ID, "upstream", id, "try", x.tries.Sends(),
-		"ejected", ejected, "error", err, "after", r.now()-x.arrived)
+		"ejected", ejected, "error", err, "after", r.now()-x.arrived, "content", x.req.Content())
 }
 
 // giveUp is the truthful end of a request without an answer.
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 
 	"sassafrasfield/internal/picture"
+	"sassafrasfield/internal/quarantine"
 	"sassafrasfield/internal/route"
 )
 
@@ -42,6 +43,12 @@
 	LastEvent string
 }
 
+// Content names what the request asks for; a request that is sent again has the same
+// one under another id.
+func (r *Request) Content() quarantine.Content {
+	return quarantine.ContentOf(r.Method, r.Host, r.Target, r.Body)
+}
+
 // KV names a prompt's KV cache that an engine keeps for another one.
 type KV struct {
 	Engine picture.Upstream
