Take an upstream that starts again under its id for a new one

The same class as the content that was known by a request's id: an identity that outlives what it stood for. Ruled out: that the lapse of the old entry clears it, as there may be none.

Reports name an upstream by a hash of its incarnation (id and start), so that what others told of the one before concerns nobody. Before: TestAnUpstreamThatStartedAgainIsANewOne and TestOrdersToEnginesThatStartedAgainDoNotCount fail (the second never gives another order); after: both hold.

--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -66,6 +66,9 @@
 	}
 }
 
+// Renew has an upstream begin anew: what it had ended with its process.
+func (t *Table) Renew(id string) { delete(t.engines, id) }
+
 // Expire ends the charges that have grown older than the bound.
 func (t *Table) Expire(now time.Duration) {
 	for _, e := range t.engines {
--- a/internal/picture/gone.go
+++ b/internal/picture/gone.go
@@ -72,7 +72,7 @@
 // Away is an upstream that takes no requests for a time, whatever was heard from it:
 // it carries an order out, or another one has its address.
 type Away struct {
-	// Upstream is a hash of its id.
+	// Upstream is a hash of its incarnation.
 	Upstream uint32
 	For      time.Duration
 }
@@ -99,13 +99,13 @@
 // noteGone records that an upstream could not be reached from here. The lock is
 // held.
 func (p *Picture) noteGone(id string, now time.Duration) {
-	p.gone.tell(hashOf(id), now+goneFor)
+	p.gone.tell(p.hash(id), now+goneFor)
 	p.settings.Changed()
 }
 
 // sendAway records that an upstream takes no requests for a time. The lock is held.
 func (p *Picture) sendAway(id string, until time.Duration) {
-	p.away.tell(hashOf(id), until)
+	p.away.tell(p.hash(id), until)
 	p.settings.Changed()
 }
 
--- a/internal/picture/parts.go
+++ b/internal/picture/parts.go
@@ -103,7 +103,7 @@
 // next reports. The lock is held.
 func (p *Picture) notePrompt(engine string, prompt route.Prompt, now time.Duration) {
 	for i := 0; i < len(prompt.Parts)-1; i++ {
-		placed := Placed{Engine: hashOf(engine), Part: hashOf(prompt.Parts[i].ID)}
+		placed := Placed{Engine: p.hash(engine), Part: hashOf(prompt.Parts[i].ID)}
 		p.parts.note(placed, now)
 		p.placed = newest(append(p.placed, placed))
 		p.zonePlaced = newest(append(p.zonePlaced, placed))
--- a/internal/picture/picture.go
+++ b/internal/picture/picture.go
@@ -14,6 +14,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -26,8 +27,10 @@
 
 // Upstream is an engine or a plain service's process.
 type Upstream struct {
-	// ID is new with each start of the process.
 	ID, Service, Address, Zone string
+	// Born is the Unix millisecond of the process's start, by its own clock; 0 where the
+	// platform does not tell it. A process may start again under the id that it had.
+	Born int64
 	// Draining upstreams take no new requests.
 	Draining bool
 	Slots    int
@@ -36,7 +39,12 @@
 }
 
 // Incarnation is a hash of this start of the upstream.
-func (u Upstream) Incarnation() uint32 { return hashOf(u.ID) }
+func (u Upstream) Incarnation() uint32 {
+	if u.Born == 0 {
+		return hashOf(u.ID)
+	}
+	return hashOf(u.ID + "@" + strconv.FormatInt(u.Born, 10))
+}
 
 // Load is what an upstream says of itself with an answer.
 type Load struct {
@@ -139,13 +147,19 @@
 	return p.table, now - p.tableAt
 }
 
-// Learn takes an upstream's newest entry.
+// Learn takes an upstream's newest entry. One that has started again under its id has
+// nothing and knows nothing of before, so that all that is known of it is dropped.
 func (p *Picture) Learn(u Upstream) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n, ok := p.nodes[u.ID]
+	if ok && n.Born != u.Born {
+		p.forget(n)
+		p.loads.Renew(u.ID)
+		ok = false
+	}
 	if !ok {
-		n = &node{hash: hashOf(u.ID), load: p.loads.Engine(u.ID)}
+		n = &node{hash: u.Incarnation(), load: p.loads.Engine(u.ID)}
 		n.told = p.told.of(n.hash)
 		p.nodes[u.ID], p.byHash[n.hash] = n, n
 	}
@@ -175,13 +189,26 @@
 	if !ok {
 		return
 	}
+	p.forget(n)
+	p.loads.Drop(id)
+}
+
+// forget drops what is known of one start of an upstream. The lock is held.
+func (p *Picture) forget(n *node) {
 	p.leave(n)
-	delete(p.nodes, id)
+	delete(p.nodes, n.ID)
 	delete(p.busy, n)
 	delete(p.byHash, n.hash)
 	p.gone.forget(n.hash)
 	p.away.forget(n.hash)
-	p.loads.Drop(id)
+}
+
+// hash names an upstream in reports. The lock is held.
+func (p *Picture) hash(id string) uint32 {
+	if n, ok := p.nodes[id]; ok {
+		return n.hash
+	}
+	return hashOf(id)
 }
 
 // Upstream returns an upstream's entry; the zero value when it is gone.
--- a/internal/picture/picture_test.go
+++ b/internal/picture/picture_test.go
@@ -49,6 +49,40 @@
 	return route.Told{}
 }
 
+// TestAnUpstreamThatStartedAgainIsANewOne, under the id that it had: it has nothing under
+// way, no parts, and no word on it from before counts.
+func TestAnUpstreamThatStartedAgainIsANewOne(t *testing.T) {
+	p := New(Settings{Zone: "a"})
+	engine := Upstream{ID: "e", Service: "llm", Zone: "a", Role: config.RoleDecode, Born: 1000}
+	p.Learn(engine)
+	before := engine.Incarnation()
+	p.TakeReport("zone b", Report{
+		Loads: []EngineLoad{{Engine: before, Requests: 9}}, Placed: []Placed{{Engine: before, Part: 7}}, Gone: []uint32{before},
+	}, time.Second)
+	p.PlaceOn("e", "r1", time.Second)
+	p.SendAway("e", time.Minute)
+	p.Learn(engine) // told again: nothing is forgotten
+	if n := p.nodes["e"]; n.toldTo(time.Second).Requests != 10 || !p.takesNone(n, time.Second) {
+		t.Fatalf("forgotten without a new start: %+v", n.toldTo(time.Second))
+	}
+	engine.Born = 5000
+	p.Learn(engine)
+	n := p.nodes["e"]
+	if engine.Incarnation() == before || n.own(time.Second).Requests != 0 || n.toldTo(time.Second).Requests != 0 || p.takesNone(n, time.Second) {
+		t.Errorf("has %+v of before, left out: %t", n.toldTo(time.Second), p.takesNone(n, time.Second))
+	}
+	if p.Knows(Placed{Engine: n.hash, Part: 7}) {
+		t.Error("is believed to have a part of before")
+	}
+	p.End("e", "r1", time.Second) // of before
+	if p.nodes["e"].own(time.Second).Requests != 0 {
+		t.Error("a request of before is taken off the new start")
+	}
+	if len(p.byService["llm"]) != 1 || len(p.byHash) != 1 {
+		t.Errorf("%d upstreams of the service, %d by hash", len(p.byService["llm"]), len(p.byHash))
+	}
+}
+
 func TestAnUpstreamThatOthersCannotReachIsAvoided(t *testing.T) {
 	p := newPicture()
 	call := Ask{ID: "r", Service: "app"}
--- a/internal/picture/reports.go
+++ b/internal/picture/reports.go
@@ -14,7 +14,7 @@
 // EngineLoad is one instance's part of an engine's load, or of the calls that an
 // upstream of a plain service has.
 type EngineLoad struct {
-	// Engine is a hash of the upstream's id.
+	// Engine is a hash of the upstream's incarnation.
 	Engine uint32
 	// Ahead is the predicted time of the prompts that wait there.
 	Ahead time.Duration
@@ -39,7 +39,7 @@
 }
 
 // Placed tells that a shared prompt part went to an engine, which has it cached
-// from then on. Both are hashes of ids.
+// from then on. Both are hashes.
 type Placed struct {
 	Engine, Part uint32
 }
--- a/internal/rolekeeper/orders.go
+++ b/internal/rolekeeper/orders.go
@@ -27,6 +27,8 @@
 type pending struct {
 	to config.Role
 	at time.Duration
+	// incarnation of the engine: one that starts again knows of no order.
+	incarnation uint32
 }
 
 // announced is an order that waits until all instances leave its engine out.
@@ -54,17 +56,18 @@
 // forgetOrders drops the orders that count no more as under way: those that had
 // their effect, those that lapsed, and those to engines that are gone.
 func (k *Keeper) forgetOrders(services map[string][]picture.Engine) {
-	listed := map[string]config.Role{}
+	listed := map[string]picture.Upstream{}
 	for _, engines := range services {
 		for _, e := range engines {
-			listed[e.ID] = e.Role
+			listed[e.ID] = e.Upstream
 		}
 	}
 	now := bootclock.Now()
 	for id, p := range k.pending {
-		role, ok := listed[id]
-		if !ok || role == p.to || now-p.at > pendingFor {
+		engine, ok := listed[id]
+		if !ok || engine.Role == p.to || engine.Incarnation() != p.incarnation || now-p.at > pendingFor {
 			delete(k.pending, id)
+			delete(k.announced, id)
 		}
 	}
 }
@@ -104,7 +107,7 @@
 // announce has all instances leave an engine out, and its order wait until they do.
 func (k *Keeper) announce(engine picture.Upstream, to config.Role) {
 	now := bootclock.Now()
-	k.pending[engine.ID] = pending{to: to, at: now}
+	k.pending[engine.ID] = pending{to: to, at: now, incarnation: engine.Incarnation()}
 	k.announced[engine.ID] = announced{engine: engine, to: to, at: now}
 	k.view.SendAway(engine.ID, k.settings.Announce+k.awayFor(engine.Service))
 	k.log.Info("roles: order announced", "engine", engine.ID, "to", to)
@@ -188,14 +191,14 @@
 		return err
 	}
 	if state.Busy {
-		k.pending[engine.ID] = pending{to: to, at: bootclock.Now()}
+		k.pending[engine.ID] = pending{to: to, at: bootclock.Now(), incarnation: engine.Incarnation()}
 		return errors.New("roles: the engine carries another order out")
 	}
 	now, held := k.machine.Held(bootclock.Now())
 	if !held || now.Epoch != grant.Epoch {
 		return errNotHeld
 	}
-	k.pending[engine.ID] = pending{to: to, at: bootclock.Now()}
+	k.pending[engine.ID] = pending{to: to, at: bootclock.Now(), incarnation: engine.Incarnation()}
 	err = k.orderer.Order(ctx, engine, Order{To: to, Holder: k.settings.Instance, Epoch: grant.Epoch, Orders: state.Orders})
 	k.log.Info("roles: order", "engine", engine.ID, "zone", engine.Zone, "to", to, "epoch", grant.Epoch,
 		"orders", state.Orders, "error", err)
--- a/internal/rolekeeper/rolekeeper_test.go
+++ b/internal/rolekeeper/rolekeeper_test.go
@@ -115,6 +115,17 @@
 	f.engines = slices.DeleteFunc(f.engines, func(e picture.Engine) bool { return e.ID == id })
 }
 
+// startAgain has an engine's process start again under its id.
+func (f *fakeFleet) startAgain(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range f.engines {
+		if f.engines[i].ID == id {
+			f.engines[i].Born++
+		}
+	}
+}
+
 // load puts the same load on each engine.
 func (f *fakeFleet) load(l picture.EngineLoad) {
 	f.mu.Lock()
@@ -325,6 +336,18 @@
 	waitFor(func() bool { return len(f.given()) == 4 })
 }
 
+// TestOrdersToEnginesThatStartedAgainDoNotCount: they came back under their ids, in the
+// role of before, and know of no order.
+func TestOrdersToEnginesThatStartedAgainDoNotCount(t *testing.T) {
+	f := newFakeFleet(9)
+	f.silent, f.serving = true, true
+	run(t, "one", newTable(), f)
+	waitFor(func() bool { return len(f.given()) == 2 })
+	f.startAgain(f.given()[0].engine)
+	f.startAgain(f.given()[1].engine)
+	waitFor(func() bool { return len(f.given()) == 4 })
+}
+
 func TestWithoutTheStoreNobodyGivesOrders(t *testing.T) {
 	f, table := newFakeFleet(9), newTable()
 	table.down = true
