--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -217,12 +217,13 @@
 	}
 	u, err := in.adapter.Documents.Upstream(row)
 	if err != nil {
-		in.log.Error("instance: upstream not read", "upstream", row.Key.Key, "error", err)
+		in.relay.Forget(row.Key.Key) // whatever it named before
+		in.log.Error("instance: upstream not read", "upstream", row.Key.Key, "revision", row.Revision, "error", err)
 		return
 	}
 	in.relay.Learn(u)
 	in.log.Info("instance: upstream", "upstream", u.ID, "service", u.Service, "zone", u.Zone, "role", u.Role,
-		"draining", u.Draining, "revision", row.Revision)
+		"draining", u.Draining, "born", u.Born, "revision", row.Revision)
 }
 
 // Engines implements rolekeeper.View.
--- /dev/null
+++ b/internal/instance/instance_test.go
@@ -0,0 +1,56 @@
+package instance
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+
+	"github.com/pkg/errors"
+
+	"sassafrasfield/internal/config"
+	"sassafrasfield/internal/picture"
+	"sassafrasfield/internal/relay"
+	"sassafrasfield/internal/replica"
+	"sassafrasfield/internal/routes"
+)
+
+// fakeDocuments reads upstreams' rows that have a role's name, and no others.
+type fakeDocuments struct{}
+
+func (fakeDocuments) Routes([]replica.Row) (*routes.Table, error) { return nil, nil }
+
+func (fakeDocuments) Upstream(row replica.Row) (picture.Upstream, error) {
+	role := config.Role(row.Value)
+	if role != config.RoleDecode && role != config.RolePrefill {
+		return picture.Upstream{}, errors.New("no entry")
+	}
+	return picture.Upstream{ID: row.Key.Key, Service: "llm", Role: role}, nil
+}
+
+func newInstance() *Instance {
+	s := Settings{Relay: relay.DefaultSettings()}
+	a := Adapter{Documents: fakeDocuments{}, UpstreamTable: "upstreams", ApartTable: "apart"}
+	return New(s, a, slog.New(slog.NewTextHandler(io.Discard, nil)))
+}
+
+func upstreamRow(id, value string, revision int64) replica.Row {
+	return replica.Row{Key: replica.Key{Table: "upstreams", Key: id}, Value: []byte(value), Revision: revision}
+}
+
+// TestAnEntryThatBecomesUnreadableNamesNoUpstream: another writer's bytes took the place
+// of an entry. The others hold.
+func TestAnEntryThatBecomesUnreadableNamesNoUpstream(t *testing.T) {
+	in := newInstance()
+	in.changed([]replica.Row{upstreamRow("e-1", "decode", 1), upstreamRow("e-2", "decode", 2), upstreamRow("e-3", "what", 3)})
+	if engines := in.Engines()["llm"]; len(engines) != 2 {
+		t.Fatalf("%+v", engines)
+	}
+	in.changed([]replica.Row{upstreamRow("e-1", "what", 4)})
+	if engines := in.Engines()["llm"]; len(engines) != 1 || engines[0].ID != "e-2" {
+		t.Errorf("%+v", engines)
+	}
+	in.changed([]replica.Row{upstreamRow("e-1", "decode", 5)})
+	if engines := in.Engines()["llm"]; len(engines) != 2 {
+		t.Errorf("not back with its own entry: %+v", engines)
+	}
+}
