Keep a prompt that ends its engines from ending all, in the OpenAI-style interface too

A request was known by its id alone, and as each generation may be repeated here, one request alone ends as many engines as it has attempts.

An entry counts what it saw itself: entries do not share it yet, and it is forgotten with the process. Plain calls of this interface are not counted.

--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -51,6 +51,9 @@
 		if comp.resume != nil && comp.resume.Done {
 			return out.finish()
 		}
+		if s.contents.apart(comp.content) {
+			return setApart()
+		}
 		if err := s.admit(c, comp); err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/entry/contents.go
@@ -0,0 +1,87 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"sassafrasfield/internal/bootclock"
+	"sassafrasfield/internal/engine"
+	"sassafrasfield/internal/quarantine"
+)
+
+// errSetApart: no engine may get the request.
+var errSetApart = errors.New("entry: engines ended under its content")
+
+// endedTimeout bounds the question whether an engine's process has ended: its machine
+// refuses the connection at once.
+const endedTimeout = 200 * time.Millisecond
+
+// sameEnd is the time in which ends of an engine whose boot is not known count as one:
+// all that it has ends with it.
+const sameEnd = time.Second
+
+// contents are those of the requests under which engines ended, as this entry saw it. It
+// keeps a prompt that ends its engines from ending all: one request alone is sent to as
+// many as it has attempts, and callers ask again. Of five engines, two end and not all.
+type contents struct {
+	mu    sync.Mutex // protects table
+	table *quarantine.Table
+}
+
+func newContents() *contents {
+	return &contents{table: quarantine.NewTable(quarantine.DefaultSettings())}
+}
+
+// apart tells whether no engine may get a content.
+func (c *contents) apart(content quarantine.Content) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, lapsed := range c.table.Lapsed(bootclock.Now()) {
+		c.table.Release(lapsed)
+	}
+	return c.table.Apart(content)
+}
+
+// ended counts the end of an engine's boot against a content.
+func (c *contents) ended(content quarantine.Content, boot string) (apart bool, ends int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := bootclock.Now()
+	c.table.Lapse(now)
+	apart = c.table.Note(quarantine.End{Content: content, Upstream: uint32(xxhash.Sum64String(boot))}, now)
+	return apart, c.table.Ends(content)
+}
+
+// served notes that a content was answered whole.
+func (c *contents) served(content quarantine.Content) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.Served(content)
+}
+
+// setApart is the refusal of a request that no engine may get. Its caller is not told to
+// come back.
+func setApart() error {
+	return notRun("content_set_apart", "engines ended while they had this request's content; it is not sent on for a day", 0)
+}
+
+// noteEnd counts a broken stream against its content if its engine has ended.
+func (s *Server) noteEnd(ctx context.Context, id, boot string, client engine.Engine, comp *completion, err error) {
+	if !errors.Is(err, engine.ErrBroken) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, endedTimeout)
+	defer cancel()
+	if _, err := client.Status(ctx); !errors.Is(err, engine.ErrUnreachable) {
+		return // it lives, or nothing is known of it
+	}
+	if boot == "" { // it ended before it told
+		boot = "at " + s.now().Truncate(sameEnd).String()
+	}
+	apart, ends := s.contents.ended(comp.content, id+"@"+boot)
+	s.log.Info("request: engine ended", "request", comp.id, "engine", id, "boot", boot, "content", comp.content, "ends", ends, "apart", apart)
+}
--- a/internal/entry/gaveup.go
+++ b/internal/entry/gaveup.go
@@ -10,6 +10,8 @@
 // gaveUp returns the truthful refusal of an answer that no engine finished.
 func (s *Server) gaveUp(comp *completion, word outcome.Word, last error) error {
 	switch {
+	case errors.Is(last, errSetApart) && word == outcome.NotRun:
+		return setApart()
 	case comp.resume == nil && word == outcome.NotRun:
 		return notRun("no_engine", "no engine can take the request now", defaultRetryIn)
 	case errors.Is(last, stream.ErrDiverged):
--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -79,6 +79,9 @@
 // Try implements attempt.Path.
 func (g *generation) Try(ctx context.Context) attempt.Result {
 	comp, s := g.comp, g.server
+	if s.contents.apart(comp.content) {
+		return attempt.Result{Ending: attempt.NoUpstream, Err: errSetApart}
+	}
 	placed, ok := s.state.assign(&route.Request{
 		Model: comp.name, Adapter: comp.adapter, Version: comp.version,
 		Prompt: route.Prompt{Tokens: comp.promptTokens}, Excluded: g.tries.Excluded(),
@@ -125,14 +128,16 @@
 	}
 	client := s.engineAt(chosen.Address)
 	before := g.assembler.Next()
+	boot := ""
 	source, err := s.generate(ctx, client, comp.engineRequest(g.assembler.Restart(), attach))
 	if err == nil {
-		s.engineAccepted(chosen.ID, comp.id, source.Stream)
+		boot = s.engineAccepted(chosen.ID, comp.id, source.Stream)
 		err = s.forward(ctx, forwarding{chosen.ID, client, source, g})
 		source.Close()
 	}
 	if err == nil {
 		s.judge(chosen.ID, load.VerdictGood)
+		s.contents.served(comp.content)
 		return nil
 	}
 	if errors.Is(context.Cause(ctx), errStopping) {
@@ -144,6 +149,7 @@
 	// A resumption that brought nothing says nothing about the engine: the token
 	// may be wrong, or the entry that the caller left cancelled the stream.
 	blame := !errors.Is(err, errCallerGone) && (comp.resume == nil || g.assembler.Next() > before)
+	s.noteEnd(ctx, chosen.ID, boot, client, comp, err)
 	s.afterFailure(ctx, chosen.ID, client, comp, err, blame)
 	return err
 }
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -98,12 +98,16 @@
 	}
 }
 
-// engineAccepted takes the engine's number for a request from its answer.
-func (s *Server) engineAccepted(id, request string, source engine.Stream) {
-	if numbered, ok := source.(engine.Numbered); ok {
-		boot, number := numbered.Accepted()
-		s.state.accepted(id, request, load.Acceptance{Boot: boot, Number: number})
+// engineAccepted takes the engine's number for a request from its answer, and returns the
+// engine's boot; empty when it gave none.
+func (s *Server) engineAccepted(id, request string, source engine.Stream) string {
+	numbered, ok := source.(engine.Numbered)
+	if !ok {
+		return ""
 	}
+	boot, number := numbered.Accepted()
+	s.state.accepted(id, request, load.Acceptance{Boot: boot, Number: number})
+	return boot
 }
 
 // judge records what a call told of an upstream.
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -18,6 +18,7 @@
 	"sassafrasfield/internal/callerapi"
 	"sassafrasfield/internal/config"
 	"sassafrasfield/internal/engine"
+	"sassafrasfield/internal/quarantine"
 	"sassafrasfield/internal/stream"
 )
 
@@ -56,6 +57,8 @@
 	includeUsage bool
 	// resume is the token of a broken answer, or nil.
 	resume *stream.Token
+	// content names what is asked for; a request that is sent again has the same one.
+	content quarantine.Content
 }
 
 // readCompletion reads and checks a request.
@@ -72,7 +75,10 @@
 	if err := json.Unmarshal(body, &req); err != nil {
 		return nil, badRequest("", "the body is no valid request: "+err.Error())
 	}
-	comp := &completion{organisation: organisation, streamed: req.Stream}
+	comp := &completion{
+		organisation: organisation, streamed: req.Stream,
+		content: quarantine.ContentOf(c.Request().Method, "", c.Request().URL.Path, body),
+	}
 	if err := s.fill(comp, &req); err != nil {
 		return nil, err
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -42,6 +42,7 @@
 	admission *admission
 	rates     *rates
 	retries   *attempt.Budget
+	contents  *contents
 
 	mu       sync.Mutex // protects engines and services
 	engines  map[string]engine.Engine
@@ -62,6 +63,7 @@
 		services: map[string]service.Service{},
 		retries:  newRetries(s.Retry, newRetryMeters(metrics.DefaultRegistry)),
 		rates:    newRates(s.Rate),
+		contents: newContents(),
 	}
 	server.admission = newAdmission(s.Admission, server)
 	return server
--- a/internal/standin/stream.go
+++ b/internal/standin/stream.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 
 	"sassafrasfield/internal/engine"
@@ -30,6 +32,9 @@
 	e.send(w, r, g, req.From)
 }
 
+// endedCode is the exit code of an engine that a prompt ended.
+const endedCode = 70
+
 func (e *Engine) begin(req engine.Request) (g *generation, boot string, status int) {
 	hashes := engine.BlockHashes(req.Prompt, e.options.BlockTokens, 0)
 	e.mu.Lock()
@@ -40,6 +45,9 @@
 	if req.Attach {
 		return nil, "", http.StatusNotFound
 	}
+	if e.faults.EndOn != "" && strings.Contains(req.Prompt, e.faults.EndOn) {
+		os.Exit(endedCode)
+	}
 	changingModel := e.changing && e.state.Disruptive(e.last.Want)
 	if e.faults.Refuse || changingModel || e.state.Model != req.Model {
 		return nil, "", http.StatusServiceUnavailable
