--- a/internal/quarantine/recent.go
+++ b/internal/quarantine/recent.go
@@ -31,11 +31,6 @@
 	return r.newer[c] || r.older[c]
 }
 
-func (r *recent) drop(c Content) {
-	delete(r.newer, c)
-	delete(r.older, c)
-}
-
 // age drops what is too old.
 func (r *recent) age(now time.Duration) {
 	if now-r.newerSince <= r.lasts {
