Count no end of an upstream that has left

Cause, found on reading: an upstream whose entry is gone when it cuts a request off was taken for one that ended, and under another name than those who still had its entry knew it by, so that one end could count twice. Its requests leave with it, which says nothing of them.

--- a/internal/relay/apart.go
+++ b/internal/relay/apart.go
@@ -151,26 +151,24 @@
 		return
 	}
 	to := r.picture.Upstream(id)
-	if to.ID == "" {
-		to.ID = id // its entry is gone: it has ended
-		r.noteEnds(to)
+	if to.ID == "" { // it has left, and its requests with it
+		r.contents.take(id)
 		return
 	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), endedTimeout)
-		defer cancel()
-		if r.sender.Ended(ctx, to) {
-			r.noteEnds(to)
-			return
-		}
-		requests := r.contents.take(id)
-		r.log.Info("relay: upstream lives on", "upstream", id, "cut_off", len(requests))
-	}()
+	go r.askEnded(to)
 }
 
-// noteEnds counts the end of an upstream against the contents that it had.
-func (r *Relay) noteEnds(to picture.Upstream) {
-	for _, one := range r.contents.take(to.ID) {
+// askEnded finds out whether an upstream has ended that cut requests off.
+func (r *Relay) askEnded(to picture.Upstream) {
+	ctx, cancel := context.WithTimeout(context.Background(), endedTimeout)
+	defer cancel()
+	ended := r.sender.Ended(ctx, to)
+	requests := r.contents.take(to.ID)
+	if !ended {
+		r.log.Info("relay: upstream lives on", "upstream", to.ID, "cut_off", len(requests))
+		return
+	}
+	for _, one := range requests {
 		apart, ends := r.NoteEnd(quarantine.End{Content: one.content, Upstream: to.Incarnation()})
 		r.contents.ends.Inc(1)
 		r.log.Info("relay: upstream ended", "upstream", to.ID, "request", one.request, "content", one.content, "ends", ends, "apart", apart)
