--- a/internal/relay/apart_test.go
+++ b/internal/relay/apart_test.go
@@ -25,6 +25,14 @@
 	return f
 }
 
+// answered tells whether it is known of all upstreams that cut requests off what became of
+// them.
+func (c *contents) answered() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.cut) == 0
+}
+
 // endsSoon waits until so many ends count against a content.
 func endsSoon(r *Relay, content quarantine.Content, ends int) {
 	for {
@@ -70,11 +78,17 @@
 	f.run = func(int, Send) (*Reply, error) { return nil, Lost(io.EOF) } // none has ended
 	r := newFake(t, f)
 	plentiful(r)
-	for range 5 {
-		_, _ = serve(r, call("/once/1")) // it is cut off
+	for range 3 {
+		_, _ = serve(r, call("/resumable/1")) // it is cut off by two upstreams
+	}
+	if f.runs < 6 {
+		t.Fatalf("%d runs", f.runs)
+	}
+	for !r.contents.answered() {
+		time.Sleep(time.Millisecond)
 	}
 	f.run = nil
-	if _, err := serve(r, call("/once/1")); err != nil {
+	if _, err := serve(r, call("/resumable/1")); err != nil {
 		t.Errorf("refused, though no upstream ended: %v", err)
 	}
 }
