Keep the ends of upstreams with the reports that wait, and have all of them told

Cause, found on reading: a report over 128 engines comes in parts, of which the last waits for the zone's batch, and the ends were in the first; and of more ends than a report holds the same ones were told each time. With ends and loads a report could also outgrow its datagram. Before: the new test does not hold (no end in the batch); 48 ends of one upstream were told by chance of their times alone. After: ends wait like parts; 32 in a report, drawn anew for each, all 48 told within two seconds. Ruled out: the sites at hand (78 engines at most) have no parts.

--- a/internal/fanout/inbox.go
+++ b/internal/fanout/inbox.go
@@ -20,6 +20,9 @@
 // placedAtMost bounds the parts that wait with one instance's report.
 const placedAtMost = 64
 
+// endsAtMost bounds the ends of upstreams that wait with one instance's report.
+const endsAtMost = 32
+
 // Inbox has the reports of a zone's instances: which one of each is the newest, and
 // those that came since the last batch. It is not safe for concurrent use.
 type Inbox struct {
@@ -53,13 +56,15 @@
 }
 
 // Keep has the next batch pass a report on. One that waits already gives way to it,
-// but for the parts that it told of.
+// but for the parts and the ends that it told of.
 func (b *Inbox) Keep(o Own, now time.Duration) {
 	placed := append(b.waiting[o.Source].own.Report.Placed, o.Report.Placed...)
 	o.Report.Placed = placed[max(0, len(placed)-placedAtMost):]
 	if o.Report.Times == nil {
 		o.Report.Times = b.waiting[o.Source].own.Report.Times
 	}
+	ends := append(b.waiting[o.Source].own.Report.Ends, o.Report.Ends...)
+	o.Report.Ends = ends[max(0, len(ends)-endsAtMost):]
 	o.Report.Spilled = nil // that is for the hub alone
 	b.waiting[o.Source] = waiting{own: o, at: now}
 }
--- a/internal/fanout/inbox_test.go
+++ b/internal/fanout/inbox_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sassafrasfield/internal/picture"
+	"sassafrasfield/internal/quarantine"
 )
 
 func own(source ID, boot, sequence uint32, part uint32) Own {
@@ -46,6 +47,27 @@
 	}
 }
 
+// TestEndsAreNotLostWithTheReportThatHadThem: a long report comes in parts, and the last
+// part of it waits for the batch.
+func TestEndsAreNotLostWithTheReportThatHadThem(t *testing.T) {
+	b := NewInbox()
+	first := own(7, 1, 1, 10)
+	first.Report.Ends = []quarantine.End{{Content: 1, Upstream: 2}}
+	b.Keep(first, 0)
+	b.Keep(own(7, 1, 2, 11), 0)
+	reports := b.Batch(0)
+	if len(reports) != 1 || len(reports[0].Report.Ends) != 1 {
+		t.Errorf("%+v", reports)
+	}
+	for n := range 100 {
+		first.Report.Ends[0].Content = quarantine.Content(n)
+		b.Keep(first, 0)
+	}
+	if n := len(b.Batch(0)[0].Report.Ends); n > endsAtMost {
+		t.Errorf("%d ends wait", n)
+	}
+}
+
 // TestOldReportsAreNotPassedOn: whoever takes over keeps reports for long, and their
 // sources may be gone.
 func TestOldReportsAreNotPassedOn(t *testing.T) {
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -219,4 +219,17 @@
 	if n := len(q.OwnEnds(now)); n > toldAtMost {
 		t.Errorf("%d ends in one report", n)
 	}
+	q, told := newTable(), map[End]bool{}
+	const ends = 48 // the requests of one upstream
+	for content := range Content(ends) {
+		q.Note(End{Content: content, Upstream: 1}, now)
+	}
+	for range 20 { // the reports of two seconds
+		for _, e := range q.OwnEnds(now) {
+			told[e] = true
+		}
+	}
+	if len(told) != ends {
+		t.Errorf("%d of %d ends were told of", len(told), ends)
+	}
 }
--- a/internal/quarantine/tell.go
+++ b/internal/quarantine/tell.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 )
 
@@ -11,8 +10,8 @@
 	// tellFor is for how long an end is told of on each way. Reports go every 0.1 to
 	// 0.4 s, so five may be lost.
 	tellFor = 2 * time.Second
-	// toldAtMost bounds the ends in one report: a third of a datagram.
-	toldAtMost = 64
+	// toldAtMost bounds the ends in one report: an eighth of a datagram.
+	toldAtMost = 32
 )
 
 // telling has the ends that are to be told of, each with the time until which.
@@ -44,16 +43,19 @@
 	}
 }
 
-// due lists the ends that are still to be told of, the newest first.
+// due lists ends that are still to be told of. Where they are too many for a report, it is
+// left to chance which it has, so that a few reports have all.
 func due(ends map[End]time.Duration, now time.Duration) []End {
 	var list []End
-	for e, until := range ends {
+	for e, until := range ends { // a map's order is drawn anew each time
 		if now < until {
 			list = append(list, e)
 		}
+		if len(list) == toldAtMost {
+			break
+		}
 	}
-	slices.SortFunc(list, func(a, b End) int { return int(ends[b] - ends[a]) })
-	return list[:min(toldAtMost, len(list))]
+	return list
 }
 
 // OwnEnds are what this instance tells of the ends that it saw.
