--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -199,28 +199,6 @@
 	return f.synced[table] || f.told[table] || f.copy.Newest()[table] > 0
 }
 
-// Informed lists the tables of which all rows are known, as of some time.
-func (f *Follower) Informed() []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var tables []string
-	for _, table := range f.settings.Tables {
-		if f.informed(table) {
-			tables = append(tables, table)
-		}
-	}
-	return tables
-}
-
-// Inform takes the tables that a peer knows which gave all its rows: one may have none.
-func (f *Follower) Inform(tables []string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, table := range tables {
-		f.told[table] = true
-	}
-}
-
 // allInformed tells whether all tables were read. The lock is held.
 func (f *Follower) allInformed() bool {
 	for _, table := range f.settings.Tables {
@@ -335,79 +313,6 @@
 	f.log.Info("follow: the store is back", "table", table, "after", f.now()-lost.since, "for_this_instance_alone", lost.alone)
 }
 
-// Take gets rows from a peer, which does not believe deletions for a while.
-func (f *Follower) Take(rows []replica.Row, hold time.Duration) {
-	f.mu.Lock()
-	if hold > 0 {
-		f.copy.Hold(f.now() + hold)
-	}
-	news := f.copy.Apply(rows, f.now())
-	f.publish(news)
-	f.mu.Unlock()
-	f.tellNews(news)
-	if len(news) > 0 {
-		f.log.Info("follow: heard from a peer", "rows", len(news))
-	}
-}
-
-// Since returns the rows above revisions, for a peer, and for how much longer
-// deletions are not believed.
-func (f *Follower) Since(revisions map[string]int64) ([]replica.Row, time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.copy.Since(revisions), f.copy.Held(f.now())
-}
-
-// Revisions are the highest ones that are held, by table.
-func (f *Follower) Revisions() map[string]int64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.copy.Newest()
-}
-
-// Reading tells whether this instance follows the store, and it answers.
-func (f *Follower) Reading() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return !f.resting && len(f.lost) == 0 && len(f.synced) == len(f.settings.Tables)
-}
-
-// Rows returns the rows of a table.
-func (f *Follower) Rows(table string) []replica.Row {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.copy.Table(table)
-}
-
-// askPeers pulls from a peer while the store gives nothing.
-func (f *Follower) askPeers(ctx context.Context) {
-	for ctx.Err() == nil {
-		f.mu.Lock()
-		without := len(f.lost) > 0 || !f.allInformed()
-		f.mu.Unlock()
-		if without && f.peers != nil {
-			if err := f.peers.Pull(ctx); err != nil {
-				f.log.Debug("follow: a peer gave nothing", "error", err)
-			}
-		}
-		pause.For(ctx, jittered(f.settings.PullEvery))
-	}
-}
-
-// releaseEvery is how late a deletion that was held back may be believed.
-const releaseEvery = 100 * time.Millisecond
-
-// release believes the deletions whose time has come.
-func (f *Follower) release(ctx context.Context) {
-	for ctx.Err() == nil {
-		f.mu.Lock()
-		news := f.copy.Release(f.now())
-		f.publish(news)
-		f.mu.Unlock()
-		pause.For(ctx, releaseEvery)
-	}
-}
-
 func jittered(d time.Duration) time.Duration {
 	return d/2 + time.Duration(rand.Int64N(int64(d)))
 }
