--- a/internal/relay/apart_test.go
+++ b/internal/relay/apart_test.go
@@ -122,7 +122,7 @@
 	content := call("/once/1").Content()
 	for n, r := range []*Relay{first, second} {
 		end := quarantine.End{Content: content, Upstream: picture.Upstream{ID: string(rune('a' + n))}.Incarnation()}
-		r.contents.decide(content, func(q *quarantine.Table) bool { return q.Note(end, time.Hour) })
+		r.NoteEnd(end)
 	}
 	for _, from := range []*Relay{first, second} {
 		ends := from.OwnReport().Ends
