Show operators the instances that were heard of and are in no list yet

Cause of TestSilentInstanceIsShown (fell once: the list had inst-1 alone): the operators' list was the platform's list as inst-1 last took it. The rig waits until the platform's answers to each instance named all three, not until the instance took them; an answer that comes after the client's 300 ms is dropped, and the list that inst-1 read before the others started stands. Meanwhile the others ask inst-1 ten times a second, so it knows of them. They are shown now, as 'not listed'. Reproduced without processes by a list that is not read again (TestInstancesThatTheListLacksAreShown: before, inst-1 alone).

--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -117,6 +117,11 @@
 	return out
 }
 
+// known returns the instances that run this system, listed or heard of, by id.
+func (m *members) known() []platform.Instance {
+	return sortedByID(append(m.own(), m.unlisted()...))
+}
+
 // idAt returns the id of the listed instance with a control address, or "".
 func (m *members) idAt(control string) string {
 	for _, instance := range m.all() {
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -181,11 +181,18 @@
 	return content.Holder
 }
 
-// Instances implements the OperatorService.
+// notListed is shown of an instance that was heard of and is in no list of the platform's.
+const notListed = "not listed"
+
+// Instances implements the OperatorService. The platform's list may be older than the
+// newest instances, so those that were heard of are shown too.
 func (o *operatorService) Instances(ctx context.Context, _ *connect.Request[sfv1.InstancesRequest]) (*connect.Response[sfv1.InstancesResponse], error) {
 	response := &sfv1.InstancesResponse{HeadVersion: o.daemon.holder.Current().Version}
-	for _, instance := range o.daemon.members.own() {
+	for _, instance := range o.daemon.members.known() {
 		row := &sfv1.InstanceRow{Id: instance.ID, Zone: instance.Zone, PlatformState: string(instance.State)}
+		if instance.State == "" {
+			row.PlatformState = notListed
+		}
 		seen, err := o.daemon.peer(instance.Control).InForce(ctx, connect.NewRequest(&sfv1.InForceRequest{}))
 		if err == nil {
 			row.Reachable = true
