Have the killed holder's test meet each point by construction

TestHolderKilledAtEveryStep met 12 of 13 points once beside load: a change might begin under a holder without a point, and the rounds ran out. Each change now begins only when an sf-control with a point holds the lease, so that a point is met once the change that has its step comes round. No point is dropped, what is checked of streams and plans is the same; the bound on rounds, which only guards against a loop, is the number of points times that of changes, and three minutes hold as before.

--- a/internal/operatorcli/holderkill_test.go
+++ b/internal/operatorcli/holderkill_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"slices"
 	"testing"
@@ -66,15 +67,41 @@
 	}
 }
 
-// moveLease kills each sf-control without a point, so that one with a point
-// becomes the holder.
+// moveLease kills each holder without a point until one with a point is the holder. So
+// each change begins under one, and meets its point if the change has that step.
 func (k *killer) moveLease() {
-	for i, instance := range k.f.Instances {
-		if k.assigned[i] == "" {
-			instance.Control.Kill()
+	k.f.must(testfleet.Until(k.f.ctx, "an sf-control with a point holds the lease", func() bool {
+		k.supervise()
+		i := k.f.holder()
+		if i >= 0 && k.assigned[i] == "" {
+			k.f.Instances[i].Control.Kill()
 			k.restart(i)
+			return false
+		}
+		return i >= 0
+	}))
+}
+
+// holder returns the instance that holds the lease, by its own word; -1 while none does.
+func (f *planFleet) holder() int {
+	for i, instance := range f.Instances {
+		var list struct {
+			Instances []struct {
+				ID     string   `json:"id"`
+				Leases []string `json:"leases"`
+			} `json:"instances"`
+		}
+		_, output := f.sfctl(i, "ana", "-o", "json", "instances")
+		if json.Unmarshal([]byte(output), &list) != nil {
+			continue
+		}
+		for _, row := range list.Instances {
+			if row.ID == instance.ID && len(row.Leases) > 0 {
+				return i
+			}
 		}
 	}
+	return -1
 }
 
 // done tells whether each point was met.
@@ -97,7 +124,9 @@
 	}
 	streams := f.startCallers()
 	for round := 0; !k.done(); round++ {
-		if round > 3*len(plannedChanges) {
+		// Each change is carried out under a point's holder once it comes round, and
+		// each point is a step of one of the changes.
+		if round > len(holderPoints)*len(plannedChanges) {
 			t.Fatalf("met only %v; %v wait", k.killed, k.assigned)
 		}
 		k.moveLease()
