Serve organisations by their API keys, and tell upstreams whose request it is

Package apikey reads a key and finds its owner, by hash, without an allocation; it serves the OpenAI-style interface too, which had its own index. The table of keys is part of a version of the configuration. A request's key is judged when it comes and before each send, as a prompt may take seconds; a route that asks for a key refuses without one by 401. Upstreams get the organisation's name and never the key, whatever the caller sent; an organisation's priority goes before the route's. Configurations without organisations are served as before.

--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -1,20 +1,18 @@
 package entry
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/labstack/echo/v5"
 	"github.com/pkg/errors"
 
+	"sassafrasfield/internal/apikey"
 	"sassafrasfield/internal/callerapi"
 	"sassafrasfield/internal/config"
 	"sassafrasfield/internal/engine"
@@ -89,15 +87,10 @@
 }
 
 func (s *Server) authenticate(r *http.Request) (*config.Organisation, error) {
-	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	organisation, ok := s.state.organisation(apikey.Read(r.Header))
 	if !ok {
 		return nil, unauthorized()
 	}
-	sum := sha256.Sum256([]byte(key))
-	organisation := s.state.organisation(hex.EncodeToString(sum[:]))
-	if organisation == nil {
-		return nil, unauthorized()
-	}
 	return organisation, nil
 }
 
--- a/internal/entry/routing_test.go
+++ b/internal/entry/routing_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"log/slog"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -20,7 +22,7 @@
 	if change != nil {
 		change(settings)
 	}
-	s := newState(settings)
+	s := newState(settings, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	loaded := config.EngineState{Model: "m", Version: "1", Role: config.RoleMixed}
 	s.apply(&config.Config{
 		Version: 1,
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -55,7 +55,7 @@
 		settings: s,
 		start:    time.Now(),
 		log:      log,
-		state:    newState(s),
+		state:    newState(s, log),
 		once:     once.New(platform.NewClient(s.Platform, s.PlatformTimeout), s.Claims, s.Instance, logging.Part(log, "once")),
 		metrics:  newMeters(metrics.DefaultRegistry),
 		demand:   newDemandMeter(s.DemandWindow),
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -1,11 +1,13 @@
 package entry
 
 import (
+	"log/slog"
 	"math/rand/v2"
 	"sync"
 
 	"github.com/rcrowley/go-metrics"
 
+	"sassafrasfield/internal/apikey"
 	"sassafrasfield/internal/config"
 	"sassafrasfield/internal/load"
 	"sassafrasfield/internal/route"
@@ -20,18 +22,19 @@
 	scheduler      *route.Scheduler // for engines
 	services       *route.Scheduler // for plain services
 	meters         *routeMeters
+	log            *slog.Logger
 
 	mu        sync.Mutex // protects all below
 	doc       *config.Config
 	engines   []*config.Engine // those of doc that this entry looks at
-	byKey     map[string]*config.Organisation
+	keys      *apikey.Table[*config.Organisation]
 	leaving   map[string]bool
 	heartbeat heartbeat
 	table     *load.Table
 	rng       *rand.Rand
 }
 
-func newState(settings *Settings) *state {
+func newState(settings *Settings, log *slog.Logger) *state {
 	routing := settings.Routing
 	table := load.NewTable()
 	table.ChargeFor, table.Outliers = routing.ChargeFor, routing.outliers()
@@ -42,8 +45,9 @@
 		scheduler: route.NewScheduler(routing.Policy, routing.Pick),
 		services:  route.NewServiceScheduler(),
 		meters:    newRouteMeters(metrics.DefaultRegistry),
+		log:       log,
 		doc:       &config.Config{},
-		byKey:     map[string]*config.Organisation{},
+		keys:      apikey.NewTable[*config.Organisation](),
 		leaving:   map[string]bool{},
 		table:     table,
 		rng:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -68,7 +72,7 @@
 	}
 	if doc != nil && doc.Version > s.doc.Version {
 		s.doc = doc
-		s.byKey = indexKeys(doc)
+		s.keys = s.tableOfKeys(doc)
 		s.engines = s.subset(doc)
 		s.retain(doc)
 	}
@@ -76,22 +80,28 @@
 	return s.doc.Version
 }
 
-func indexKeys(doc *config.Config) map[string]*config.Organisation {
-	index := map[string]*config.Organisation{}
+// tableOfKeys returns the organisations by their keys. What is no hash is nobody's key.
+func (s *state) tableOfKeys(doc *config.Config) *apikey.Table[*config.Organisation] {
+	keys := apikey.NewTable[*config.Organisation]()
 	for i := range doc.Organisations {
 		o := &doc.Organisations[i]
-		for _, hash := range o.KeyHashes {
-			index[hash] = o
+		for _, text := range o.KeyHashes {
+			hash, err := apikey.ParseHash(text)
+			if err != nil {
+				s.log.Error("config: a key of an organisation is not taken", "organisation", o.Name, "error", err)
+				continue
+			}
+			keys.Add(hash, o)
 		}
 	}
-	return index
+	return keys
 }
 
-// organisation returns the owner of an API key's hash, or nil.
-func (s *state) organisation(hash string) *config.Organisation {
+// organisation returns the owner of a request's key; false when nobody owns it.
+func (s *state) organisation(c apikey.Credential) (*config.Organisation, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.byKey[hash]
+	return s.keys.Owner(c)
 }
 
 // streams counts this entry's streams on each configured engine.
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -52,8 +52,8 @@
 // Try implements attempt.Path.
 func (c *serviceCall) Try(ctx context.Context) attempt.Result {
 	r := c.relay
-	if r.isApart(c.exchange) {
-		return attempt.Result{Ending: attempt.NoUpstream, Err: errApart}
+	if err := r.bar(c.exchange); err != nil {
+		return attempt.Result{Ending: attempt.NoUpstream, Err: err}
 	}
 	upstream, ok := r.picture.PickCall(c.ask(r.now()), r.now())
 	if !ok {
@@ -99,7 +99,7 @@
 		return answer{}, err
 	}
 	sending, cancel := context.WithTimeout(ctx, r.tryTime(x))
-	reply, err := r.sender.Send(sending, x.req, Send{To: to, Within: x.left(r.now()), Priority: x.route.Priority})
+	reply, err := r.sender.Send(sending, x.req, x.send(to, r.now()))
 	if err != nil {
 		cancel()
 		return answer{}, err
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -68,8 +68,8 @@
 // Try implements attempt.Path. One attempt has the prompt processed, unless a KV
 // cache is left of the one before, and the answer generated.
 func (g *generation) Try(ctx context.Context) attempt.Result {
-	if g.relay.isApart(g.exchange) {
-		return attempt.Result{Ending: attempt.NoUpstream, Err: errApart}
+	if err := g.relay.bar(g.exchange); err != nil {
+		return attempt.Result{Ending: attempt.NoUpstream, Err: err}
 	}
 	if g.begun {
 		g.relay.meters.resumed.Inc(1)
@@ -139,10 +139,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go r.whenSilent(ctx, engine.ID, ahead+work+r.settings.PrefillSilence, cancel)
-	kv, said, err := r.sender.Prefill(ctx, g.req, Send{
-		To: engine, Within: g.left(started), Priority: g.route.Priority, Yields: g.turn == route.TurnYield,
-		FetchFrom: r.picture.Upstream(start.Source.ID).Address,
-	})
+	send := g.send(engine, started)
+	send.Yields, send.FetchFrom = g.turn == route.TurnYield, r.picture.Upstream(start.Source.ID).Address
+	kv, said, err := r.sender.Prefill(ctx, g.req, send)
 	if err != nil {
 		return KV{}, err
 	}
@@ -194,8 +193,8 @@
 	defer func() { r.picture.End(start.Engine.ID, g.req.ID, r.now()) }()
 	prompted := sync.OnceFunc(func() { r.picture.PromptDone(start.Engine.ID, start.Work, route.TurnNext) })
 	defer prompted()
-	if r.isApart(g.exchange) { // its prompt may have taken a while
-		return attempt.Result{Ending: attempt.NoUpstream, Err: errApart}
+	if err := r.bar(g.exchange); err != nil { // its prompt may have taken a while
+		return attempt.Result{Ending: attempt.NoUpstream, Err: err}
 	}
 	if err := g.sent(engine.ID); err != nil {
 		return attempt.Result{Ending: attempt.NoUpstream, Err: err}
@@ -206,10 +205,10 @@
 	if !g.begun && !g.route.Resumable {
 		g.backup = r.picture.PickBackup(g.ask(started), start.Engine, started)
 	}
-	reply, err := r.sender.Send(running, g.req, Send{
-		To: engine, Within: g.left(started), KV: g.kv, LastEvent: g.lastEvent, Priority: g.route.Priority,
-		FetchFrom: r.picture.Upstream(start.Source.ID).Address, Backup: g.backup,
-	})
+	send := g.send(engine, started)
+	send.KV, send.LastEvent, send.Backup = g.kv, g.lastEvent, g.backup
+	send.FetchFrom = r.picture.Upstream(start.Source.ID).Address
+	reply, err := r.sender.Send(running, g.req, send)
 	if err != nil {
 		return r.unanswered(ctx, g, engine, err)
 	}
--- /dev/null
+++ b/internal/relay/key_test.go
@@ -0,0 +1,120 @@
+package relay
+
+import (
+	"net/http"
+	"testing"
+
+	"sassafrasfield/internal/apikey"
+	"sassafrasfield/internal/picture"
+	"sassafrasfield/internal/routes"
+)
+
+// Keys of the tests' configuration.
+const (
+	millKey = "key-of-the-mill"
+	gateKey = "key-of-the-gate"
+)
+
+// credential is that of a request with a key.
+func credential(key string) apikey.Credential {
+	return apikey.Read(http.Header{apikey.Header: {"Bearer " + key}})
+}
+
+// withKeys puts a version in force in which only these keys are known; the mill's
+// requests are the most urgent.
+func withKeys(r *Relay, version int64, known ...string) {
+	urgent := 0
+	owners := map[string]*routes.Organisation{millKey: {Name: "mill", Priority: &urgent}, gateKey: {Name: "gate"}}
+	before, _ := r.picture.Routes(r.now())
+	list := append([]routes.Route{}, before.Routes...)
+	for i := range list {
+		list[i].Priority = 3
+		list[i].Public = list[i].Name == "safe"
+	}
+	t := routes.NewTable(version, list, nil, routes.Limits{})
+	t.Keys = apikey.NewTable[*routes.Organisation]()
+	for _, key := range known {
+		t.Keys.Add(apikey.HashOf(key), owners[key])
+	}
+	r.SetRoutes(t)
+}
+
+func withKey(req *Request, key string) *Request {
+	req.Credential = credential(key)
+	return req
+}
+
+// TestOnlyKnownKeysAreServed: a route asks for a key unless it is public, and each send
+// says whose the request is.
+func TestOnlyKnownKeysAreServed(t *testing.T) {
+	for name, c := range map[string]struct {
+		req      *Request
+		served   bool
+		owner    string
+		priority int
+	}{
+		"known":                      {withKey(call("/unsafe/1"), gateKey), true, "gate", 3},
+		"its priority goes first":    {withKey(call("/unsafe/1"), millKey), true, "mill", 0},
+		"a generation":               {withKey(longPrompt("/once/1"), millKey), true, "mill", 0},
+		"unknown":                    {withKey(call("/unsafe/1"), "x"), false, "", 0},
+		"none":                       {call("/unsafe/1"), false, "", 0},
+		"a generation without a key": {longPrompt("/once/1"), false, "", 0},
+		"public, none":               {call("/safe/1"), true, "", 3},
+		"public, unknown":            {withKey(call("/safe/1"), "x"), true, "", 3},
+		"public, known":              {withKey(call("/safe/1"), gateKey), true, "gate", 3},
+	} {
+		f := &fakeSender{}
+		r := newFake(t, f)
+		withKeys(r, 2, millKey, gateKey)
+		_, err := serve(r, c.req)
+		if !c.served {
+			if word := wordOf(t, err); word != NoKey || f.count() != 0 {
+				t.Errorf("%s: word %d after %d sends", name, word, f.count())
+			}
+			continue
+		}
+		if err != nil || f.count() == 0 {
+			t.Errorf("%s: %v after %d sends", name, err, f.count())
+		}
+		for _, s := range f.calls {
+			if id := s.send.Identity; !id.Checked || id.Name() != c.owner || s.send.Priority != c.priority {
+				t.Errorf("%s: sent as of %q, checked %t, priority %d", name, id.Name(), id.Checked, s.send.Priority)
+			}
+		}
+	}
+}
+
+// TestWithoutAConfigurationNoKeyIsRefused: nothing is known of keys yet, and the request
+// may be sent again.
+func TestWithoutAConfigurationNoKeyIsRefused(t *testing.T) {
+	r := New(DefaultSettings(), &fakeSender{}, newFake(t, &fakeSender{}).log)
+	if _, err := serve(r, withKey(call("/unsafe/1"), millKey)); wordOf(t, err) != NotRun {
+		t.Error(err)
+	}
+}
+
+// TestAKeyRevokedMeanwhileEndsARequest: it is revoked while an engine processes the
+// prompt, or between two tries. Nothing more is sent of it.
+func TestAKeyRevokedMeanwhileEndsARequest(t *testing.T) {
+	f := &fakeSender{}
+	r := newFake(t, f)
+	withKeys(r, 2, millKey)
+	f.prefill = func(int, Send) (KV, error) {
+		withKeys(r, 3, gateKey)
+		return KV{Engine: picture.Upstream{ID: "pre-1"}, Handle: "h"}, nil
+	}
+	if _, err := serve(r, withKey(longPrompt("/once/1"), millKey)); wordOf(t, err) != NoKey || f.runs != 0 {
+		t.Errorf("%v after %d runs", err, f.runs)
+	}
+	f = &fakeSender{}
+	r = newFake(t, f)
+	plentiful(r)
+	withKeys(r, 2, millKey)
+	f.run = func(int, Send) (*Reply, error) {
+		withKeys(r, 3, gateKey)
+		return nil, ErrRefused
+	}
+	if _, err := serve(r, withKey(call("/unsafe/1"), millKey)); wordOf(t, err) != NoKey || f.runs != 1 {
+		t.Errorf("%v after %d runs", err, f.runs)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -199,12 +199,14 @@
 	req     *Request
 	route   *routes.Route
 	service string
-	version int64
-	age     time.Duration // of the configuration, when the request came
-	arrived time.Duration
-	ends    time.Duration
-	tries   *attempt.Attempts
-	budget  *attempt.Budget
+	// identity is who it comes from, by the newest configuration that was asked.
+	identity routes.Identity
+	version  int64
+	age      time.Duration // of the configuration, when the request came
+	arrived  time.Duration
+	ends     time.Duration
+	tries    *attempt.Attempts
+	budget   *attempt.Budget
 	// status is what the caller got; upstream and prefill are the newest ones
 	// asked.
 	status            int
@@ -233,6 +235,11 @@
 	return ask
 }
 
+// send is a way to send it to an upstream, with what each way has.
+func (x *exchange) send(to picture.Upstream, now time.Duration) Send {
+	return Send{To: to, Within: x.left(now), Priority: x.identity.Priority(x.route), Identity: x.identity}
+}
+
 func (x *exchange) left(now time.Duration) time.Duration { return x.ends - now }
 
 // Serve answers a request. The error is a *Refusal when nothing of an answer
@@ -240,7 +247,7 @@
 func (r *Relay) Serve(ctx context.Context, req *Request, w http.ResponseWriter) error {
 	x, err := r.begin(req)
 	if err == nil {
-		err = r.refuseApart(x)
+		err = r.refuse(x)
 	}
 	if err != nil {
 		r.report(x, req, err)
@@ -278,6 +285,10 @@
 	if matched == nil {
 		return nil, &Refusal{Word: NoRoute, Reason: "no route"}
 	}
+	identity, known := table.Identify(matched, req.Credential)
+	if !known {
+		return nil, refuseKey()
+	}
 	limit := unbounded
 	for _, bound := range []time.Duration{req.Patience, matched.Timeout} {
 		if bound > 0 {
@@ -286,7 +297,7 @@
 	}
 	service := matched.Pick(draw(req.ID))
 	return &exchange{
-		req: req, route: matched, service: service,
+		req: req, route: matched, service: service, identity: identity,
 		version: table.Version, age: age, arrived: now, ends: now + limit,
 		tries: attempt.New(r.rulesOf(matched)), budget: r.budgets.of(service, now),
 		content: sync.OnceValue(req.Content),
@@ -357,7 +368,7 @@
 		return ErrCallerGone
 	}
 	if x.tries.Word() == outcome.NotRun {
-		if err := r.refuseApart(x); err != nil {
+		if err := r.refuse(x); err != nil {
 			return err
 		}
 		return &Refusal{Word: NotRun, Reason: reason(x, "no upstream took it"), RetryIn: r.retryIn(x)}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -18,9 +18,11 @@
 
 	"github.com/pkg/errors"
 
+	"sassafrasfield/internal/apikey"
 	"sassafrasfield/internal/picture"
 	"sassafrasfield/internal/quarantine"
 	"sassafrasfield/internal/route"
+	"sassafrasfield/internal/routes"
 )
 
 // Request is a caller's request, read whole.
@@ -34,6 +36,8 @@
 	// Header is what is passed on to upstreams.
 	Header http.Header
 	Body   []byte
+	// Credential is the API key that the caller gave.
+	Credential apikey.Credential
 	// Patience is how long the caller waits for the answer; 0 when it did not
 	// say.
 	Patience time.Duration
@@ -73,8 +77,10 @@
 	// Backup is the engine that the run is copied to as it goes; the zero value
 	// when it is not.
 	Backup picture.Upstream
-	// Priority of the route; 0 is the most urgent.
+	// Priority of the organisation or the route; 0 is the most urgent.
 	Priority int
+	// Identity is who the request comes from.
+	Identity routes.Identity
 	// Yields: the engine is to process the prompt after all that do not yield.
 	Yields bool
 }
@@ -144,6 +150,8 @@
 	Unknown
 	// NoRoute: the configuration has no route for it.
 	NoRoute
+	// NoKey: the route asks for an API key, and it has none that is known. Nothing ran.
+	NoKey
 	// TimedOut: it may have run; the time that it had is over.
 	TimedOut
 )
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -6,6 +6,8 @@
 import (
 	"strings"
 	"time"
+
+	"sassafrasfield/internal/apikey"
 )
 
 // Kind tells what of a route's requests may be repeated.
@@ -64,6 +66,16 @@
 	Priority int
 	// Shares has one entry for a route that is not split.
 	Shares []Share
+	// Public routes ask for no API key.
+	Public bool
+}
+
+// Organisation is a caller's.
+type Organisation struct {
+	// Name is told to upstreams.
+	Name string
+	// Priority takes the place of the route's; nil for an organisation without one.
+	Priority *int
 }
 
 // Service is a group of upstreams that are alike.
@@ -107,6 +119,9 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Keys finds the organisation of a request. It is nil for a configuration without
+	// organisations, whose routes ask for no key.
+	Keys *apikey.Table[*Organisation]
 
 	byHost map[string][]*Route
 }
@@ -127,6 +142,40 @@
 	return t
 }
 
+// Identity is who a request comes from, as a configuration tells.
+type Identity struct {
+	// Organisation is nil for a request of nobody's, on a route that allows this.
+	Organisation *Organisation
+	// Checked tells that keys are this system's to read: an upstream gets none.
+	Checked bool
+}
+
+// Identify returns who a request on a route comes from; false when the route asks for a
+// key and the request bears none that an organisation has.
+func (t *Table) Identify(r *Route, c apikey.Credential) (Identity, bool) {
+	if t.Keys == nil {
+		return Identity{}, true
+	}
+	owner, known := t.Keys.Owner(c)
+	return Identity{Organisation: owner, Checked: true}, known || r.Public
+}
+
+// Name is the organisation's name; empty for nobody's.
+func (i Identity) Name() string {
+	if i.Organisation == nil {
+		return ""
+	}
+	return i.Organisation.Name
+}
+
+// Priority is that of its requests on a route; 0 is the most urgent.
+func (i Identity) Priority(r *Route) int {
+	if i.Organisation == nil || i.Organisation.Priority == nil {
+		return r.Priority
+	}
+	return *i.Organisation.Priority
+}
+
 // Match returns the route of the host with the longest prefix of the path, or
 // nil.
 func (t *Table) Match(host, path string) *Route {
