Report the use of organisations, and order spot engines, as duties of the lease's holder

Package usage counts requests as they begin to run, by window and organisation; totals, never differences, go with the reports between instances, so that lost and repeated reports change nothing. The time of day is that of the process's start and the steady clock. Package scaling orders spot engines and orders away those that they replace; one lasting engine a zone stays.

--- a/internal/fanout/inbox.go
+++ b/internal/fanout/inbox.go
@@ -65,7 +65,7 @@
 	}
 	ends := append(b.waiting[o.Source].own.Report.Ends, o.Report.Ends...)
 	o.Report.Ends = ends[max(0, len(ends)-endsAtMost):]
-	o.Report.Spilled = nil // that is for the hub alone
+	o.Report.Spilled, o.Report.Usage = nil, nil // these are for those that pass reports on
 	b.waiting[o.Source] = waiting{own: o, at: now}
 }
 
--- /dev/null
+++ b/internal/instance/duties.go
@@ -0,0 +1,62 @@
+package instance
+
+import (
+	"slices"
+	"strings"
+
+	"sassafrasfield/internal/logging"
+	"sassafrasfield/internal/rolekeeper"
+	"sassafrasfield/internal/routes"
+	"sassafrasfield/internal/scaling"
+	"sassafrasfield/internal/usage"
+)
+
+// duties are those of the lease's holder besides the roles, as far as the platform wants
+// them.
+func (in *Instance) duties() []rolekeeper.Duty {
+	var list []rolekeeper.Duty
+	if in.adapter.Usage != nil && in.settings.Usage.Length > 0 {
+		list = append(list, usage.NewReporter(in.settings.Usage, in.adapter.Table, in.adapter.Usage,
+			in.relay.Usage, in.relay.TimeOfDay, logging.Part(in.log, "usage")))
+	}
+	if in.adapter.Scaler != nil {
+		list = append(list, scaling.NewScaler(in.settings.Self.Name, rolekeeper.Lease, in.settings.Scaling, in.adapter.Table,
+			in.adapter.Scaler, in, logging.Part(in.log, "scaling")))
+	}
+	return list
+}
+
+// Scalable implements scaling.View.
+func (in *Instance) Scalable() []scaling.Service {
+	var list []scaling.Service
+	for name, s := range in.relay.Services() {
+		if s.Scale != nil {
+			list = append(list, in.scalable(name, s))
+		}
+	}
+	slices.SortFunc(list, func(a, b scaling.Service) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
+
+// scalable is what runs of a service in each zone in which it may run.
+func (in *Instance) scalable(name string, s routes.Service) scaling.Service {
+	zones := map[string]scaling.Zone{}
+	for zone := range s.Scale.ZonePrices {
+		zones[zone] = scaling.Zone{Name: zone}
+	}
+	for _, u := range in.relay.Members(name) {
+		zone := zones[u.Zone]
+		zone.Name = u.Zone
+		kind := scaling.Lasting
+		if u.Spot {
+			kind = scaling.Spot
+		}
+		if u.Draining {
+			zone.Leaving[kind]++
+		} else {
+			zone.Engines[kind]++
+		}
+		zones[u.Zone] = zone
+	}
+	return scaling.Service{Name: name, Limits: *s.Scale, Zones: scaling.ZonesOf(zones)}
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -28,6 +28,8 @@
 	"sassafrasfield/internal/replica"
 	"sassafrasfield/internal/rolekeeper"
 	"sassafrasfield/internal/routes"
+	"sassafrasfield/internal/scaling"
+	"sassafrasfield/internal/usage"
 )
 
 // Documents decodes the rows that operators and upstreams write.
@@ -45,6 +47,9 @@
 	Sender    relay.Sender
 	Orderer   rolekeeper.Orderer
 	Documents Documents
+	// Usage and Scaler are where the platform wants these duties done; nil for none.
+	Usage  usage.Sender
+	Scaler scaling.Sender
 	// Handler returns the handler of the callers' protocol, given the limits of
 	// the configuration in force.
 	Handler func(r *relay.Relay, limits func() routes.Limits) http.Handler
@@ -62,6 +67,10 @@
 	Relay   relay.Settings
 	Follow  follow.Settings
 	Roles   rolekeeper.Settings
+	// Usage has a Length of 0 where no counts of requests are wanted.
+	Usage usage.Settings
+	// Scaling is of no effect without an adapter's Scaler.
+	Scaling scaling.Settings
 }
 
 // Instance is the program.
@@ -118,7 +127,7 @@
 	loops.Go(func() { in.shareBudget(background) })
 	loops.Go(func() { in.tellTimes(background) })
 	loops.Go(func() { in.keepApart(background) })
-	keeper := rolekeeper.New(in.settings.Roles, in.adapter.Table, in.adapter.Orderer, in, logging.Part(in.log, "roles"))
+	keeper := rolekeeper.New(in.settings.Roles, in.adapter.Table, in.adapter.Orderer, in, in.duties(), logging.Part(in.log, "roles"))
 	loops.Go(func() { keeper.Run(ctx) })
 	handler := in.adapter.Handler(in.relay, in.limitsInForce)
 	err = front.New(in.settings.Front, handler, in.ready, in.relay.Close, logging.Part(in.log, "front")).Run(ctx)
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -10,6 +10,7 @@
 	"sassafrasfield/internal/picture"
 	"sassafrasfield/internal/quarantine"
 	"sassafrasfield/internal/replica"
+	"sassafrasfield/internal/usage"
 )
 
 // thousandths is the unit of parts of an engine's time in a report.
@@ -25,9 +26,10 @@
 }
 
 func ownFromMessage(m *sfv1.InstanceReport) fanout.Own {
+	report := reportFromMessage(m.GetReport())
+	report.Boot = m.GetBoot()
 	return fanout.Own{
-		Source: fanout.ID(m.GetSource()), Boot: m.GetBoot(), Sequence: m.GetSequence(), Reading: m.GetReading(),
-		Report: reportFromMessage(m.GetReport()),
+		Source: fanout.ID(m.GetSource()), Boot: m.GetBoot(), Sequence: m.GetSequence(), Reading: m.GetReading(), Report: report,
 	}
 }
 
@@ -52,6 +54,9 @@
 	for _, e := range report.Ends {
 		m.Ends = append(m.Ends, &sfv1.UpstreamEnd{Content: uint64(e.Content), Upstream: e.Upstream})
 	}
+	for _, c := range report.Usage {
+		m.Usage = append(m.Usage, &sfv1.UsageCount{Window: int64(c.Window), Organisation: c.Organisation, Requests: c.Requests})
+	}
 	for service, l := range report.Times {
 		m.Times = append(m.Times, &sfv1.EngineTimes{
 			Service: service, Speed: float32(l.Speed), Overhead: float32(l.Overhead), Prompts: uint32(l.Prompts),
@@ -86,6 +91,11 @@
 	for _, e := range m.GetEnds() {
 		report.Ends = append(report.Ends, quarantine.End{Content: quarantine.Content(e.GetContent()), Upstream: e.GetUpstream()})
 	}
+	for _, c := range m.GetUsage() {
+		report.Usage = append(report.Usage, usage.Count{
+			Window: usage.Window(c.GetWindow()), Organisation: c.GetOrganisation(), Requests: c.GetRequests(),
+		})
+	}
 	for _, t := range m.GetTimes() {
 		if report.Times == nil {
 			report.Times = map[uint32]estimate.Learned{}
--- a/internal/peers/reports.go
+++ b/internal/peers/reports.go
@@ -236,7 +236,7 @@
 		head, tail := cloneHead(message), cloneHead(message)
 		head.Reports, head.Peers = message.Reports, message.Peers
 		head.Rows, head.Since, head.HoldMs = message.Rows, message.Since, message.HoldMs
-		head.Beyond = &sfv1.EngineReport{Loads: loads[:len(loads)/2], Gone: message.Beyond.Gone, Away: message.Beyond.Away, Times: message.Beyond.Times, Ends: message.Beyond.Ends}
+		head.Beyond = &sfv1.EngineReport{Loads: loads[:len(loads)/2], Gone: message.Beyond.Gone, Away: message.Beyond.Away, Times: message.Beyond.Times, Ends: message.Beyond.Ends, Usage: message.Beyond.Usage}
 		tail.Beyond = &sfv1.EngineReport{Loads: loads[len(loads)/2:], Placed: message.Beyond.Placed}
 		return append(split(head), split(tail)...)
 	}
--- a/internal/picture/picture.go
+++ b/internal/picture/picture.go
@@ -33,7 +33,9 @@
 	Born int64
 	// Draining upstreams take no new requests.
 	Draining bool
-	Slots    int
+	// Spot upstreams may be taken back by the platform, all of a zone at once.
+	Spot  bool
+	Slots int
 	// Role is empty for a plain service.
 	Role config.Role
 }
@@ -226,6 +228,17 @@
 	return Upstream{}
 }
 
+// Members returns the upstreams of a service, those that are leaving too.
+func (p *Picture) Members(service string) []Upstream {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := make([]Upstream, 0, len(p.byService[service]))
+	for _, n := range p.byService[service] {
+		list = append(list, n.Upstream)
+	}
+	return list
+}
+
 // Count returns how many upstreams there are of a service.
 func (p *Picture) Count(service string) int {
 	p.mu.Lock()
--- a/internal/picture/reports.go
+++ b/internal/picture/reports.go
@@ -9,6 +9,7 @@
 
 	"sassafrasfield/internal/estimate"
 	"sassafrasfield/internal/quarantine"
+	"sassafrasfield/internal/usage"
 )
 
 // EngineLoad is one instance's part of an engine's load, or of the calls that an
@@ -72,6 +73,10 @@
 	// Spilled is what an instance's requests paid for of its zone's pool of further
 	// sends, in sends since its start, by a hash of the service.
 	Spilled map[uint32]float64
+	// Boot is another number with each start of the source's process; 0 for a zone.
+	Boot uint32
+	// Usage are totals of requests that began to run.
+	Usage []usage.Count
 	// Ends are those of upstreams under a request's content that are to be known to all.
 	Ends []quarantine.End
 }
@@ -90,7 +95,7 @@
 		parts = append(parts, Report{Loads: loads})
 	}
 	parts[0].Placed, parts[0].Gone, parts[0].Away, parts[0].Times = r.Placed, r.Gone, r.Away, r.Times
-	parts[0].Spilled, parts[0].Ends = r.Spilled, r.Ends
+	parts[0].Spilled, parts[0].Ends, parts[0].Usage = r.Spilled, r.Ends, r.Usage
 	return parts
 }
 
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -98,8 +98,12 @@
 	if err := x.sent(to.ID); err != nil {
 		return answer{}, err
 	}
+	sentAt := r.now()
 	sending, cancel := context.WithTimeout(ctx, r.tryTime(x))
 	reply, err := r.sender.Send(sending, x.req, x.send(to, r.now()))
+	if err == nil || errors.Is(err, ErrCut) { // it ran, though its answer may be lost
+		r.noteBegan(x, sentAt)
+	}
 	if err != nil {
 		cancel()
 		return answer{}, err
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -213,6 +213,7 @@
 		return r.unanswered(ctx, g, engine, err)
 	}
 	prompted()
+	r.noteBegan(g.exchange, r.now())
 	g.kv = KV{} // the engine has fetched it
 	defer reply.Body.Close()
 	r.picture.Reported(engine.ID, reply.Load, r.now())
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -20,6 +20,7 @@
 	"sassafrasfield/internal/quarantine"
 	"sassafrasfield/internal/route"
 	"sassafrasfield/internal/routes"
+	"sassafrasfield/internal/usage"
 )
 
 // Settings of the relay.
@@ -45,6 +46,9 @@
 	// configuration or any upstream yet.
 	StartIn  time.Duration
 	Outliers load.OutlierRules
+	// UsageWindow is the length of the windows in which requests are counted that begin
+	// to run; 0 for a deployment that wants no such counts.
+	UsageWindow time.Duration
 }
 
 // DefaultSettings returns the defaults; each was set by the reason beside it.
@@ -74,6 +78,7 @@
 	budgets  *budgets
 	pool     *pool
 	contents *contents
+	usage    *usageCounter
 	meters   *meters
 	// ask asks the instance that keeps the zone's pool; nil for none.
 	ask atomic.Pointer[func(context.Context, uint32) bool]
@@ -89,7 +94,7 @@
 func New(s Settings, sender Sender, log *slog.Logger) *Relay {
 	r := &Relay{
 		settings: s, sender: sender, log: log, start: time.Now(),
-		pool: newPool(), contents: newContents(), meters: newMeters(), changed: make(chan struct{}, 1),
+		pool: newPool(), contents: newContents(), usage: newUsageCounter(s.UsageWindow), meters: newMeters(), changed: make(chan struct{}, 1),
 	}
 	r.budgets = newBudgets(s.Budget, newRetryMeters(), r.askPool)
 	r.picture = picture.New(picture.Settings{
@@ -127,6 +132,15 @@
 // Engines returns the model engines that take requests, by service.
 func (r *Relay) Engines() map[string][]picture.Engine { return r.picture.Engines(r.now()) }
 
+// Services returns the services of the configuration in force.
+func (r *Relay) Services() map[string]routes.Service {
+	table, _ := r.picture.Routes(r.now())
+	return table.Services
+}
+
+// Members returns the upstreams of a service, those that are leaving too.
+func (r *Relay) Members(service string) []picture.Upstream { return r.picture.Members(service) }
+
 // Times returns what the engines of a service take.
 func (r *Relay) Times(service string) picture.Times { return r.picture.Times(service) }
 
@@ -138,6 +152,7 @@
 func (r *Relay) OwnReport() picture.Report {
 	report := r.picture.OwnReport(r.now())
 	report.Spilled, report.Ends = r.budgets.spilled(), r.contents.told((*quarantine.Table).OwnEnds)
+	report.Usage = r.usage.tell((*usage.Tally).TellOwn)
 	return report
 }
 
@@ -146,6 +161,7 @@
 	r.depositOwn()
 	report := r.picture.ZoneReport(r.now())
 	report.Ends = r.contents.told((*quarantine.Table).ZoneEnds)
+	report.Usage = r.usage.tell((*usage.Tally).TellZone)
 	return report
 }
 
@@ -164,6 +180,7 @@
 	now := r.now()
 	r.picture.TakeReport(source, report, now)
 	r.pool.deposit(source, report.Spilled, now)
+	r.usage.hear(source, report)
 	r.hearEnds(report.Ends, strings.HasPrefix(source, picture.BesidePrefix))
 }
 
@@ -214,6 +231,8 @@
 	// ahead and own are the times that were predicted when the newest prompt was
 	// placed: of the prompts before it on its engine, and its own.
 	ahead, own time.Duration
+	// counted: it was counted as one that began to run.
+	counted bool
 	// turn is when that prompt was to be processed there.
 	turn route.Turn
 	// content returns the name of what is asked for, which is computed once.
--- /dev/null
+++ b/internal/relay/usage.go
@@ -0,0 +1,87 @@
+package relay
+
+import (
+	"strings"
+	"sync"
+	"time"
+
+	"sassafrasfield/internal/picture"
+	"sassafrasfield/internal/usage"
+	"sassafrasfield/internal/wallclock"
+)
+
+// tellAgainEvery is the time between two tellings of all totals, for those who lost a
+// report or have just started. Counts are complete some seconds after a window's end.
+const tellAgainEvery = time.Second
+
+// usageCounter counts the requests that began to run. Without a window's length it counts
+// none.
+type usageCounter struct {
+	length time.Duration
+	clock  wallclock.Clock
+
+	mu      sync.Mutex // protects all below
+	tally   *usage.Tally
+	againAt time.Time
+}
+
+func newUsageCounter(length time.Duration) *usageCounter {
+	return &usageCounter{length: length, clock: wallclock.New(), tally: usage.NewTally()}
+}
+
+// began counts a request that began to run a time ago.
+func (u *usageCounter) began(organisation string, ago time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.tally.Began(usage.WindowAt(u.clock.Now().Add(-ago), u.length), organisation)
+}
+
+// tell returns the totals that are due in a report, by one of the tally's ways.
+func (u *usageCounter) tell(due func(*usage.Tally) []usage.Count) []usage.Count {
+	if u.length <= 0 {
+		return nil
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if now := u.clock.Now(); now.Sub(u.againAt) >= tellAgainEvery {
+		u.againAt = now
+		u.tally.Forget(usage.WindowAt(now, u.length) - usage.KeepWindows)
+		u.tally.TellAgain()
+	}
+	return due(u.tally)
+}
+
+// hear takes the totals of a report.
+func (u *usageCounter) hear(source string, report picture.Report) {
+	if u.length <= 0 || len(report.Usage) == 0 {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if strings.HasPrefix(source, picture.BesidePrefix) {
+		u.tally.Hear(usage.Source{Name: source, Boot: report.Boot}, report.Usage)
+		return
+	}
+	u.tally.HearZone(source, report.Usage)
+}
+
+// noteBegan counts a request, once, that an upstream began to run at a time on the relay's
+// clock.
+func (r *Relay) noteBegan(x *exchange, at time.Duration) {
+	organisation := x.identity.Name()
+	if x.counted || organisation == "" || r.usage.length <= 0 {
+		return
+	}
+	x.counted = true
+	r.usage.began(organisation, r.now()-at)
+}
+
+// Usage returns what is known here of a window's requests at all instances.
+func (r *Relay) Usage(window usage.Window) usage.Counts {
+	r.usage.mu.Lock()
+	defer r.usage.mu.Unlock()
+	return r.usage.tally.Total(window)
+}
+
+// TimeOfDay is the time by which requests are counted.
+func (r *Relay) TimeOfDay() time.Time { return r.usage.clock.Now() }
--- a/internal/rolekeeper/lease.go
+++ b/internal/rolekeeper/lease.go
@@ -24,7 +24,7 @@
 	candidates, ranks := k.view.Candidates(), k.ranks()
 	rank := ranks.Watchers // leaves the lease alone
 	if slices.Contains(candidates, k.settings.Instance) {
-		rank = lease.Rank(pool, k.settings.Instance, candidates)
+		rank = lease.Rank(Lease, k.settings.Instance, candidates)
 	}
 	k.machine.SetPlace(ranks.Place(rank))
 	k.watches = rank < ranks.Watchers
@@ -35,7 +35,7 @@
 	action := k.machine.Tick(bootclock.Now())
 	switch action.Kind {
 	case lease.Read:
-		row, revision, err := leaserows.Read(ctx, k.table, pool)
+		row, revision, err := leaserows.Read(ctx, k.table, Lease)
 		if err != nil {
 			k.log.Debug("roles: the lease could not be read", "error", err)
 			k.machine.OnReadFailed(bootclock.Now())
@@ -43,7 +43,7 @@
 			k.machine.OnRead(bootclock.Now(), row, revision)
 		}
 	case lease.Write:
-		outcome, revision, err := leaserows.Write(ctx, k.table, pool, action)
+		outcome, revision, err := leaserows.Write(ctx, k.table, Lease, action)
 		if err != nil {
 			k.log.Info("roles: the lease was not written", "epoch", action.Row.Epoch, "error", err)
 		}
@@ -63,6 +63,9 @@
 	k.announced = map[string]announced{}
 	if held {
 		k.pending, k.services = map[string]pending{}, map[string]*duty{}
+		for _, d := range k.duties {
+			d.Taken()
+		}
 		k.log.Info("roles: lease taken", "epoch", grant.Epoch)
 		return
 	}
--- a/internal/rolekeeper/rolekeeper.go
+++ b/internal/rolekeeper/rolekeeper.go
@@ -87,12 +87,22 @@
 	Candidates() []string
 }
 
+// Duty is done by whoever holds the lease, besides the roles. It is used by one goroutine.
+type Duty interface {
+	// Taken forgets what was known under an earlier lease.
+	Taken()
+	// Do does what is due, under a grant that lasts for as long as the context. It is
+	// called at each look, once the calls of an earlier holder have arrived.
+	Do(ctx context.Context, grant lease.Grant)
+}
+
 // Keeper does the duty.
 type Keeper struct {
 	settings Settings
 	table    platform.Table
 	orderer  Orderer
 	view     View
+	duties   []Duty
 	log      *slog.Logger
 
 	machine *lease.Lease
@@ -124,14 +134,14 @@
 	wrong, engines int
 }
 
-// pool names the lease; one is enough for the services of one deployment.
-const pool = "roles"
+// Lease names the lease; one is enough for the duties of one deployment.
+const Lease = "roles"
 
 // New returns a keeper.
-func New(s Settings, table platform.Table, orderer Orderer, view View, log *slog.Logger) *Keeper {
+func New(s Settings, table platform.Table, orderer Orderer, view View, duties []Duty, log *slog.Logger) *Keeper {
 	self := s.Instance + "/" + uuid.NewString()
 	return &Keeper{
-		settings: s, table: table, orderer: orderer, view: view, log: log,
+		settings: s, table: table, orderer: orderer, view: view, duties: duties, log: log,
 		machine: lease.New(self, leaseSettings(s.Lease), uuid.NewString),
 		pending: map[string]pending{}, announced: map[string]announced{}, services: map[string]*duty{}, use: map[string]roles.Use{},
 	}
@@ -156,6 +166,7 @@
 		if now := bootclock.Now(); k.held && now >= next {
 			next = now + k.settings.Every
 			k.look(ctx)
+			k.doDuties(ctx)
 		}
 		k.giveAnnounced(ctx)
 	}
--- a/internal/rolekeeper/rolekeeper_test.go
+++ b/internal/rolekeeper/rolekeeper_test.go
@@ -178,7 +178,7 @@
 	balance.Over, balance.Evidence = term, 0.05
 	keeper := New(Settings{
 		Instance: name, Lease: term, Every: 20 * time.Millisecond, AtOnce: 2, Confirm: 2, Announce: f.announce, Target: roles.Target{Share: 11.0 / 18, MinDecode: 2}, Balance: balance,
-	}, table, f, f, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	}, table, f, f, nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -86,6 +86,21 @@
 	MaxConns int
 	// Engine is set for a service of model engines.
 	Engine *EngineLimits
+	// Scale is set for a service whose upstreams may be ordered.
+	Scale *ScaleLimits
+}
+
+// ScaleLimits are what the operators' configuration allows for a service.
+type ScaleLimits struct {
+	// Min and Max bound the upstreams of both kinds together in each zone.
+	Min, Max int
+	// Boot is the time from an order to the first request that a new upstream takes.
+	Boot time.Duration
+	// SpotPrice is a spot upstream's price as a part of a lasting one's; 0 where there
+	// are no spot upstreams.
+	SpotPrice float64
+	// ZonePrices are the prices of a second by zone, to one another.
+	ZonePrices map[string]float64
 }
 
 // EngineLimits are what a service's engines bear.
--- /dev/null
+++ b/internal/scaling/scaling.go
@@ -0,0 +1,66 @@
+// Package scaling decides how many engines of which kind run in each availability zone, and
+// orders them. Two kinds are to be had: engines that stay until they are ordered away, and
+// spot engines, which cost a part of that and may be taken back, all of a zone at once.
+//
+// The decision (plan.go) is pure. The holder of the lease carries it out (scaler.go): it
+// orders what is missing first, and orders away what that replaces once it is there.
+//
+// Callers: instance (the duty).
+package scaling
+
+import "github.com/pkg/errors"
+
+// Kind of engines.
+type Kind int
+
+const (
+	// Lasting engines stay until they are ordered away.
+	Lasting Kind = iota
+	// Spot engines cost less, and may be taken back.
+	Spot
+)
+
+// String returns the kind's name in logs.
+func (k Kind) String() string {
+	if k == Spot {
+		return "spot"
+	}
+	return "lasting"
+}
+
+// Subject is what one order is about.
+type Subject struct {
+	Service, Zone string
+	Kind          Kind
+}
+
+// Order has a number of engines run.
+type Order struct {
+	Subject
+	Engines int
+	// Holder is the name of the instance that orders, Epoch the fencing number.
+	Holder string
+	Epoch  int64
+}
+
+// ErrNone: there are no such engines to be had now. Compare with errors.Is.
+var ErrNone = errors.New("scaling: no engines of this kind to be had in the zone")
+
+// Zone is what runs of a service in an availability zone: the engines that stay, and those
+// that are leaving already.
+type Zone struct {
+	Name             string
+	Engines, Leaving [2]int // by kind
+}
+
+// Settings of the plan.
+type Settings struct {
+	// Reserve is how many lasting engines each zone keeps: what is left at once when
+	// all spot engines are taken back, of which the first ones must come back.
+	Reserve int
+	// Share is how many engines run for each one that the deployment began with.
+	Share float64
+}
+
+// DefaultSettings returns the defaults.
+func DefaultSettings() Settings { return Settings{Reserve: 1, Share: 1} }
