--- /dev/null
+++ b/internal/ownlink/ownlink_test.go
@@ -0,0 +1,81 @@
+package ownlink
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+func silentAt(l *Link, at time.Duration, upstreams int) {
+	for i := range upstreams {
+		l.Silent(fmt.Sprint("silent ", i), at)
+	}
+}
+
+// TestAChokedLinkIsSeen: the load is a machine with a link of 10 Mbit/s that got more than
+// its part of long prompts: within 0.1 s its connections to five upstreams of three zones
+// were not answered in 0.4 s, and none was.
+func TestAChokedLinkIsSeen(t *testing.T) {
+	l := New(DefaultSettings())
+	l.Heard(9900 * ms)
+	silentAt(l, 10*time.Second, 5)
+	if !l.Choked(10*time.Second + 100*ms) {
+		t.Error("not seen")
+	}
+	if l.Choked(11*time.Second + 100*ms) {
+		t.Error("nothing is tried any more, and it is choked for good")
+	}
+}
+
+// TestACrashOfSomeUpstreamsIsNotTheLink: a sixth of the upstreams goes dark, and the others
+// answer all the while.
+func TestACrashOfSomeUpstreamsIsNotTheLink(t *testing.T) {
+	l := New(DefaultSettings())
+	silentAt(l, 10*time.Second, 8)
+	for i := range 8 {
+		l.Answered(fmt.Sprint("good ", i), 10*time.Second)
+	}
+	if l.Choked(10 * time.Second) {
+		t.Error("the link is blamed")
+	}
+	l = New(DefaultSettings())
+	silentAt(l, 10*time.Second, 3)
+	if l.Choked(10 * time.Second) {
+		t.Error("three silent upstreams are taken for all")
+	}
+}
+
+// TestADeafInstanceSendsNothing: it has heard of nobody since its link was choked, and may
+// have missed that upstreams leave. Heard of others again, it goes on.
+func TestADeafInstanceSendsNothing(t *testing.T) {
+	l := New(DefaultSettings())
+	l.Heard(10 * time.Second)
+	silentAt(l, 10*time.Second+200*ms, 5)
+	if !l.Choked(13*time.Second) || !l.Choked(14*time.Second) {
+		t.Error("it goes on though it hears nothing")
+	}
+	l.Heard(14 * time.Second)
+	if l.Choked(14*time.Second + 100*ms) {
+		t.Error("it does not go on")
+	}
+}
+
+// TestAnInstanceThatIsCutOffFromTheOthersServes: it hears nobody, and its upstreams answer.
+func TestAnInstanceThatIsCutOffFromTheOthersServes(t *testing.T) {
+	l := New(DefaultSettings())
+	l.Heard(10 * time.Second)
+	silentAt(l, 10*time.Second+200*ms, 5)
+	for i := range 6 {
+		l.Answered(fmt.Sprint("good ", i), 15*time.Second)
+	}
+	if l.Choked(15 * time.Second) {
+		t.Error("it refuses what it can serve")
+	}
+	alone := New(DefaultSettings())
+	silentAt(alone, 10*time.Second, 5)
+	if alone.Choked(20 * time.Second) {
+		t.Error("an instance without others counts as deaf")
+	}
+}
--- a/internal/relay/bar.go
+++ b/internal/relay/bar.go
@@ -5,16 +5,22 @@
 // errKeyRevoked: the organisation's key was taken away while the request was on its way.
 var errKeyRevoked = errors.New("relay: the API key is not known any more")
 
+// errChoked: the instance's own link is to blame that nothing reaches upstreams.
+var errChoked = errors.New("relay: the own link is choked")
+
 // refuseKey is the refusal of a request whose route asks for a key that it does not bear.
 func refuseKey() error { return &Refusal{Word: NoKey, Reason: "no API key that is known"} }
 
-// bar returns why a request must not be sent on now: upstreams ended under its content, or
-// its key was revoked. It is asked before each send, as prompts and second tries may be
-// seconds after the request came.
+// bar returns why a request must not be sent on now: upstreams ended under its content, its
+// key was revoked, or this instance's link is choked, unless its answer has begun. It is
+// asked before each send, as prompts and second tries may be seconds after the request came.
 func (r *Relay) bar(x *exchange) error {
 	if r.isApart(x) {
 		return errApart
 	}
+	if x.status == 0 && r.Choked() {
+		return errChoked
+	}
 	table, _ := r.picture.Routes(r.now())
 	identity, known := table.Identify(x.route, x.req.Credential)
 	if !known {
@@ -32,6 +38,8 @@
 		return nil
 	case errors.Is(err, errKeyRevoked):
 		return refuseKey()
+	case errors.Is(err, errChoked):
+		return &Refusal{Word: NotRun, Reason: "own link is choked", RetryIn: r.retryIn(x)}
 	default:
 		return r.refuseApart(x)
 	}
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -109,7 +109,7 @@
 		return answer{}, err
 	}
 	reply.Body = endingBody{reply.Body, cancel}
-	r.picture.Reported(to.ID, reply.Load, r.now())
+	r.noteAnswer(to.ID, reply.Load)
 	first, err := io.ReadAll(io.LimitReader(reply.Body, wholeBytes))
 	if err != nil {
 		reply.Body.Close()
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -145,7 +145,7 @@
 	if err != nil {
 		return KV{}, err
 	}
-	r.picture.Reported(engine.ID, said, r.now())
+	r.noteAnswer(engine.ID, said)
 	r.picture.Judge(engine.ID, load.VerdictGood, r.now())
 	r.meters.prefills.Inc(1)
 	took := r.now() - started
@@ -216,7 +216,7 @@
 	r.noteBegan(g.exchange, r.now())
 	g.kv = KV{} // the engine has fetched it
 	defer reply.Body.Close()
-	r.picture.Reported(engine.ID, reply.Load, r.now())
+	r.noteAnswer(engine.ID, reply.Load)
 	if reply.Status != http.StatusOK {
 		return r.passFailure(ctx, g, engine, reply)
 	}
--- /dev/null
+++ b/internal/relay/link.go
@@ -0,0 +1,67 @@
+package relay
+
+import (
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sassafrasfield/internal/ownlink"
+	"sassafrasfield/internal/picture"
+)
+
+// link is what this instance knows of its own link. While that is choked, requests are
+// refused at once, and others serve them: on a link of 10 Mbit/s they waited for 1.5 s at
+// the median, and were not served.
+type link struct {
+	mu    sync.Mutex // protects state
+	state *ownlink.Link
+}
+
+func newLink() *link { return &link{state: ownlink.New(ownlink.DefaultSettings())} }
+
+func (l *link) note(do func(*ownlink.Link)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	do(l.state)
+}
+
+func (l *link) heard(now time.Duration) {
+	l.note(func(s *ownlink.Link) { s.Heard(now) })
+}
+
+// noteLink takes what a failed send tells of this instance's link.
+func (r *Relay) noteLink(upstream string, err error) {
+	now := r.now()
+	r.link.note(func(s *ownlink.Link) {
+		if errors.Is(err, ErrSilent) {
+			s.Silent(upstream, now)
+		} else if errors.Is(err, ErrRefused) || errors.Is(err, ErrMoved) {
+			s.Answered(upstream, now)
+		}
+	})
+}
+
+// noteAnswer takes the beginning of an upstream's answer, and what it says of its load.
+func (r *Relay) noteAnswer(upstream string, said picture.Load) {
+	now := r.now()
+	r.picture.Reported(upstream, said, now)
+	r.link.note(func(s *ownlink.Link) { s.Answered(upstream, now) })
+}
+
+// Choked tells whether this instance's own link is to blame that its requests reach no
+// upstream.
+func (r *Relay) Choked() bool {
+	r.link.mu.Lock()
+	defer r.link.mu.Unlock()
+	return r.link.state.Choked(r.now())
+}
+
+// comeBackIn is when a caller should come back, to another instance.
+func (r *Relay) comeBackIn(patience time.Duration) time.Duration {
+	in := jittered(r.settings.RetryIn)
+	if patience > 0 {
+		in = min(in, patience/retryPart)
+	}
+	return in
+}
--- a/internal/relay/meters.go
+++ b/internal/relay/meters.go
@@ -14,7 +14,7 @@
 type meters struct {
 	requests, answered, refused, broken, gone metrics.Counter
 	resumed, copied                           metrics.Counter
-	prefills, direct                          metrics.Counter
+	prefills, direct, choked                  metrics.Counter
 }
 
 func counter(name string) metrics.Counter {
@@ -29,7 +29,7 @@
 	return &meters{
 		requests: counter("requests"), answered: counter("answered"), refused: counter("refused"),
 		broken: counter("broken"), gone: counter("caller_gone"),
-		resumed: counter("resumed"), copied: counter("gone_on_at_copy"), prefills: counter("prefills"), direct: counter("direct"),
+		resumed: counter("resumed"), copied: counter("gone_on_at_copy"), prefills: counter("prefills"), direct: counter("direct"), choked: counter("refused_choked"),
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -79,6 +79,7 @@
 	pool     *pool
 	contents *contents
 	usage    *usageCounter
+	link     *link
 	meters   *meters
 	// ask asks the instance that keeps the zone's pool; nil for none.
 	ask atomic.Pointer[func(context.Context, uint32) bool]
@@ -94,7 +95,7 @@
 func New(s Settings, sender Sender, log *slog.Logger) *Relay {
 	r := &Relay{
 		settings: s, sender: sender, log: log, start: time.Now(),
-		pool: newPool(), contents: newContents(), usage: newUsageCounter(s.UsageWindow), meters: newMeters(), changed: make(chan struct{}, 1),
+		pool: newPool(), contents: newContents(), usage: newUsageCounter(s.UsageWindow), link: newLink(), meters: newMeters(), changed: make(chan struct{}, 1),
 	}
 	r.budgets = newBudgets(s.Budget, newRetryMeters(), r.askPool)
 	r.picture = picture.New(picture.Settings{
@@ -180,6 +181,7 @@
 	now := r.now()
 	r.picture.TakeReport(source, report, now)
 	r.pool.deposit(source, report.Spilled, now)
+	r.link.heard(now)
 	r.usage.hear(source, report)
 	r.hearEnds(report.Ends, strings.HasPrefix(source, picture.BesidePrefix))
 }
@@ -300,6 +302,10 @@
 	if table.Version == 0 {
 		return nil, &Refusal{Word: NotRun, Reason: "no configuration yet", RetryIn: r.startIn(req.Patience)}
 	}
+	if r.Choked() {
+		r.meters.choked.Inc(1)
+		return nil, &Refusal{Word: NotRun, Reason: "own link is choked", RetryIn: r.comeBackIn(req.Patience)}
+	}
 	matched := table.Match(req.Host, req.Path)
 	if matched == nil {
 		return nil, &Refusal{Word: NoRoute, Reason: "no route"}
@@ -372,6 +378,7 @@
 	if errors.Is(err, ErrCut) {
 		r.noteCut(x, id)
 	}
+	r.noteLink(id, err)
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -99,6 +99,8 @@
 var (
 	// ErrNotSent: no byte of the request left.
 	ErrNotSent = errors.New("relay: not sent")
+	// ErrSilent is the ErrNotSent of a request whose connection was not answered in time.
+	ErrSilent = errors.WithMessage(ErrNotSent, "no connection in time")
 	// ErrRefused: the upstream says that it did not run the request.
 	ErrRefused = errors.New("relay: the upstream did not run it")
 	// ErrMoved: another upstream has the address now; it did not run the
