Have a holder that resumes its lease go on at once

Checked in the histories: the takeover before a resumed one is the same process's; with the mark always set, they fall.

--- a/internal/lease/histories_test.go
+++ b/internal/lease/histories_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"sassafrasfield/internal/config"
+	"sassafrasfield/internal/lease"
 	"sassafrasfield/internal/order"
 )
 
@@ -185,8 +186,9 @@
 func (w *world) oneHolder(t *rapid.T) {
 	holders := 0
 	for _, p := range w.processes {
-		if _, held := p.machine.Held(w.clock(p)); held {
+		if grant, held := p.machine.Held(w.clock(p)); held {
 			holders++
+			w.resumedTruly(t, p, grant)
 		}
 	}
 	if holders > 1 {
@@ -194,6 +196,19 @@
 	}
 }
 
+// resumedTruly checks that the takeover before a resumed one was the same process's.
+func (w *world) resumedTruly(t *rapid.T, p *process, grant lease.Grant) {
+	takeovers := w.table.rows[epochKey]
+	for i, c := range takeovers {
+		if !grant.Resumed || c.lease.Epoch != grant.Epoch {
+			continue
+		}
+		if i == 0 || takeovers[i-1].lease.Holder != p.name {
+			t.Fatalf("%s takes epoch %d for resumed, after %+v", p.name, grant.Epoch, takeovers[:i])
+		}
+	}
+}
+
 func epochsRise(t *rapid.T, key string, states []cell) {
 	last := len(states) - 1
 	if last < 1 {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -58,6 +58,8 @@
 	EpochRevision int64
 	// Until is the end of the term, on the clock of Tick.
 	Until time.Duration
+	// Resumed tells that no other process had the lease since this one's last term.
+	Resumed bool
 }
 
 // ActionKind tells what to do.
@@ -88,6 +90,8 @@
 	row      Row
 	newEpoch bool
 	at       time.Duration
+	// resumed: the row that it checked is this process's own.
+	resumed bool
 }
 
 // Lease is the state for one pool. It is not safe for concurrent use.
@@ -120,7 +124,9 @@
 	grant *Grant
 	// epochRevision is the revision of the own newest takeover.
 	epochRevision int64
-	doubts        []attempt // with an unknown outcome; all checked revision
+	// resumed tells of that takeover that nobody else had the lease before it.
+	resumed bool
+	doubts  []attempt // with an unknown outcome; all checked revision
 	// lastRenewal is when the newest write of the grant was sent.
 	lastRenewal time.Duration
 	releasing   bool
@@ -262,6 +268,6 @@
 
 func (l *Lease) write(now time.Duration, row Row, newEpoch bool) Action {
 	row.WriteID = l.newID()
-	l.sent = attempt{row: row, newEpoch: newEpoch, at: now}
+	l.sent = attempt{row: row, newEpoch: newEpoch, at: now, resumed: l.row.Holder == l.self}
 	return Action{Kind: Write, Row: row, Revision: l.revision, NewEpoch: newEpoch}
 }
--- a/internal/lease/outcome.go
+++ b/internal/lease/outcome.go
@@ -72,10 +72,10 @@
 		return
 	}
 	if a.newEpoch {
-		l.epochRevision = revision
+		l.epochRevision, l.resumed = revision, a.resumed
 	}
 	l.lastRenewal = a.at
-	l.grant = &Grant{Epoch: a.row.Epoch, EpochRevision: l.epochRevision, Until: a.at + l.settings.Term}
+	l.grant = &Grant{Epoch: a.row.Epoch, EpochRevision: l.epochRevision, Until: a.at + l.settings.Term, Resumed: l.resumed}
 }
 
 // OnReadFailed takes a read that gave nothing.
--- a/internal/rolekeeper/lease.go
+++ b/internal/rolekeeper/lease.go
@@ -83,7 +83,9 @@
 	}
 }
 
-// settled tells whether the orders of an earlier holder have all arrived.
+// settled tells whether the orders of an earlier holder have all arrived. There is none
+// before the first, or when this process had the lease last: that it need not wait after
+// an outage of the store has a report come in time that is due meanwhile.
 func (k *Keeper) settled(grant lease.Grant) bool {
-	return grant.Epoch == 1 || bootclock.Now()-k.heldSince >= k.settings.Lease
+	return grant.Epoch == 1 || grant.Resumed || bootclock.Now()-k.heldSince >= k.settings.Lease
 }
