Have a deaf instance refuse though some upstreams answer it

What upstreams answer does not tell which of them leave: while it hears of nobody, four that were silent since are enough.

--- a/internal/ownlink/ownlink.go
+++ b/internal/ownlink/ownlink.go
@@ -55,13 +55,13 @@
 	if len(l.silent) < l.settings.Upstreams {
 		return false
 	}
-	deaf := l.heardAt > 0 && now-l.heardAt >= l.settings.DeafAfter
-	since := now - l.settings.Recent
-	if deaf {
-		since = min(since, l.heardAt)
+	if l.heardAt > 0 && now-l.heardAt >= l.settings.DeafAfter {
+		// what is answered meanwhile does not tell which upstreams leave
+		return countSince(l.silent, l.heardAt-l.settings.Recent) >= l.settings.Upstreams
 	}
+	since := now - l.settings.Recent
 	silent, answered := countSince(l.silent, since), countSince(l.answered, since)
-	l.forget(min(since, now-l.settings.Recent))
+	l.forget(since)
 	return silent >= l.settings.Upstreams && silent > answered
 }
 
