Split the counts of use from the duty that reports them

Package picture, which is pure, took the duty's clients with the counts. usage has the counts alone, usagereport the duty. No behaviour changes; the tests moved with their code.

--- a/internal/instance/duties.go
+++ b/internal/instance/duties.go
@@ -8,7 +8,7 @@
 	"sassafrasfield/internal/rolekeeper"
 	"sassafrasfield/internal/routes"
 	"sassafrasfield/internal/scaling"
-	"sassafrasfield/internal/usage"
+	"sassafrasfield/internal/usagereport"
 )
 
 // duties are those of the lease's holder besides the roles, as far as the platform wants
@@ -16,7 +16,7 @@
 func (in *Instance) duties() []rolekeeper.Duty {
 	var list []rolekeeper.Duty
 	if in.adapter.Usage != nil && in.settings.Usage.Length > 0 {
-		list = append(list, usage.NewReporter(in.settings.Usage, in.adapter.Table, in.adapter.Usage,
+		list = append(list, usagereport.NewReporter(in.settings.Usage, in.adapter.Table, in.adapter.Usage,
 			in.relay.Usage, in.relay.TimeOfDay, logging.Part(in.log, "usage")))
 	}
 	if in.adapter.Scaler != nil {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -29,7 +29,7 @@
 	"sassafrasfield/internal/rolekeeper"
 	"sassafrasfield/internal/routes"
 	"sassafrasfield/internal/scaling"
-	"sassafrasfield/internal/usage"
+	"sassafrasfield/internal/usagereport"
 )
 
 // Documents decodes the rows that operators and upstreams write.
@@ -48,7 +48,7 @@
 	Orderer   rolekeeper.Orderer
 	Documents Documents
 	// Usage and Scaler are where the platform wants these duties done; nil for none.
-	Usage  usage.Sender
+	Usage  usagereport.Sender
 	Scaler scaling.Sender
 	// Handler returns the handler of the callers' protocol, given the limits of
 	// the configuration in force.
@@ -68,7 +68,7 @@
 	Follow  follow.Settings
 	Roles   rolekeeper.Settings
 	// Usage has a Length of 0 where no counts of requests are wanted.
-	Usage usage.Settings
+	Usage usagereport.Settings
 	// Scaling is of no effect without an adapter's Scaler.
 	Scaling scaling.Settings
 }
--- a/internal/relay/usage.go
+++ b/internal/relay/usage.go
@@ -7,9 +7,14 @@
 
 	"sassafrasfield/internal/picture"
 	"sassafrasfield/internal/usage"
+	"sassafrasfield/internal/usagereport"
 	"sassafrasfield/internal/wallclock"
 )
 
+// keptWindows is how many windows are counted: those that a report may wait with, and the
+// two that go on or settle.
+const keptWindows = usagereport.Kept + 2
+
 // What is told again, for those who lost a report or have just started.
 const (
 	// tellAgainEvery is the time between two such tellings. Counts are taken for
@@ -52,7 +57,7 @@
 	defer u.mu.Unlock()
 	if now := u.clock.Now(); now.Sub(u.againAt) >= tellAgainEvery {
 		u.againAt = now
-		u.tally.Forget(usage.WindowAt(now, u.length) - usage.KeepWindows)
+		u.tally.Forget(usage.WindowAt(now, u.length) - keptWindows)
 		u.tally.TellAgain(usage.WindowAt(now, u.length) - toldAgain + 1)
 	}
 	return due(u.tally)
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -1,14 +1,13 @@
-// Package usage counts the requests that began to run, by organisation and window of time,
-// and reports the counts of each window once.
+// Package usage counts the requests that began to run, by organisation and window of time.
 //
 // An instance counts its own requests and tells the others of its zone that pass reports
 // on; these tell the other zones what their zone has together. What is told are totals
 // since the window began, never differences, so that a report that is lost or comes twice
 // changes nothing. Each total that is known is at most the true one, and the highest one
-// counts. The holder of the lease fixes a window's counts in a row of the platform's table
-// before it sends them, and whoever takes over sends that row.
+// counts.
 //
-// Callers: relay (counts, reports), instance (the duty).
+// It is pure: windows are passed in. Callers: relay (counts, tells, hears), picture and peers
+// (the reports between instances), usagereport (totals).
 package usage
 
 import "time"
@@ -38,6 +37,15 @@
 	return true
 }
 
+// Sum is the requests of all organisations.
+func (c Counts) Sum() uint64 {
+	total := uint64(0)
+	for _, n := range c {
+		total += uint64(n)
+	}
+	return total
+}
+
 // add adds other counts.
 func (c Counts) add(other Counts) {
 	for organisation, n := range other {
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -111,7 +111,7 @@
 		}
 		hub.Hear(Source{Name: "i"}, counts)
 	}
-	if got := hub.Total(1).sum(); got != organisations {
+	if got := hub.Total(1).Sum(); got != organisations {
 		t.Errorf("%d are known, want %d", got, organisations)
 	}
 }
@@ -124,7 +124,7 @@
 	tally.Forget(2)
 	tally.Began(1, "x")
 	tally.Hear(Source{Name: "i"}, []Count{{Window: 1, Organisation: "x", Requests: 3}})
-	if n := tally.Total(1).sum(); n != 0 || len(tally.TellOwn())+len(tally.TellZone()) != 0 {
+	if n := tally.Total(1).Sum(); n != 0 || len(tally.TellOwn())+len(tally.TellZone()) != 0 {
 		t.Errorf("%d are known", n)
 	}
 }
--- a/internal/usage/reporter.go
+++ b/internal/usagereport/reporter.go
@@ -1,4 +1,10 @@
-package usage
+// Package usagereport reports the use of each organisation to the platform, a window of
+// time after the other, as a duty of the lease's holder. The holder fixes a window's counts
+// in a row of the platform's table before it sends them, and whoever takes over sends that
+// row: so no two counts of a window are ever sent, whatever becomes of calls and holders.
+//
+// Caller: instance.
+package usagereport
 
 import (
 	"context"
@@ -12,12 +18,13 @@
 	"sassafrasfield/internal/lease"
 	"sassafrasfield/internal/leaserows"
 	"sassafrasfield/internal/platform"
+	"sassafrasfield/internal/usage"
 )
 
 // Report is what the platform gets of a window.
 type Report struct {
-	Window Window
-	Counts Counts
+	Window usage.Window
+	Counts usage.Counts
 	// Holder is the name of the instance that sends it, Epoch the fencing number.
 	Holder string
 	Epoch  int64
@@ -45,20 +52,17 @@
 // rowKey is the key of the row with the counts that were fixed.
 const rowKey = "usage"
 
-// keptWindows bounds the windows that are fixed and not sent. What is older is late by so
+// Kept bounds the windows that are fixed and not sent. What is older is late by so
 // much that it counts as missing.
-const keptWindows = 8
-
-// KeepWindows is how many windows a tally keeps: those of a report that waits.
-const KeepWindows = keptWindows + 2
+const Kept = 8
 
 // fixed is the row's value: what was reported, or will be.
 type fixed struct {
 	// Last is the newest window that is fixed, Sent the newest that the platform took.
-	Last Window `json:"last"`
-	Sent Window `json:"sent"`
+	Last usage.Window `json:"last"`
+	Sent usage.Window `json:"sent"`
 	// Windows are those that may still have to be sent.
-	Windows map[Window]Counts `json:"windows"`
+	Windows map[usage.Window]usage.Counts `json:"windows"`
 }
 
 // Reporter does the duty of reporting. It is used by one goroutine.
@@ -67,12 +71,12 @@
 	table    platform.Table
 	sender   Sender
 	// total returns what is known of a window.
-	total func(Window) Counts
+	total func(usage.Window) usage.Counts
 	// now is the time of day.
 	now func() time.Time
 	log *slog.Logger
 	// first is the window in which this process began.
-	first Window
+	first usage.Window
 
 	// loaded tells that row is the one that the table has, at revision.
 	loaded   bool
@@ -81,8 +85,8 @@
 }
 
 // NewReporter returns a reporter.
-func NewReporter(s Settings, table platform.Table, sender Sender, total func(Window) Counts, now func() time.Time, log *slog.Logger) *Reporter {
-	return &Reporter{settings: s, table: table, sender: sender, total: total, now: now, log: log, first: WindowAt(now(), s.Length)}
+func NewReporter(s Settings, table platform.Table, sender Sender, total func(usage.Window) usage.Counts, now func() time.Time, log *slog.Logger) *Reporter {
+	return &Reporter{settings: s, table: table, sender: sender, total: total, now: now, log: log, first: usage.WindowAt(now(), s.Length)}
 }
 
 // Taken implements rolekeeper.Duty.
@@ -130,8 +134,8 @@
 }
 
 // complete is the newest window whose counts are complete.
-func (r *Reporter) complete() Window {
-	return WindowAt(r.now().Add(-r.settings.Settle), r.settings.Length) - 1
+func (r *Reporter) complete() usage.Window {
+	return usage.WindowAt(r.now().Add(-r.settings.Settle), r.settings.Length) - 1
 }
 
 // fix writes the counts of the windows that are complete. The row's revision is checked,
@@ -166,8 +170,8 @@
 
 // next is the row with the windows up to one. Windows in which nobody asked for anything
 // before the first that has counts are left out.
-func (r *Reporter) next(upTo Window) fixed {
-	next := fixed{Last: r.row.Last, Sent: max(r.row.Sent, upTo-keptWindows), Windows: map[Window]Counts{}}
+func (r *Reporter) next(upTo usage.Window) fixed {
+	next := fixed{Last: r.row.Last, Sent: max(r.row.Sent, upTo-Kept), Windows: map[usage.Window]usage.Counts{}}
 	for window := next.Sent + 1; window <= r.row.Last; window++ {
 		next.Windows[window] = r.row.Windows[window]
 	}
@@ -191,7 +195,7 @@
 	counts := r.row.Windows[window]
 	err := r.sender.Report(ctx, Report{Window: window, Counts: counts, Holder: r.settings.Instance, Epoch: grant.Epoch})
 	age := r.now().Sub(window.End(r.settings.Length))
-	r.log.Info("usage: reported", "window", window, "organisations", len(counts), "requests", counts.sum(),
+	r.log.Info("usage: reported", "window", window, "organisations", len(counts), "requests", counts.Sum(),
 		"holder", r.settings.Instance, "epoch", grant.Epoch, "after_end", age, "error", err)
 	if err != nil {
 		meter("failed").Inc(1)
@@ -202,14 +206,6 @@
 	return true
 }
 
-func (c Counts) sum() uint64 {
-	total := uint64(0)
-	for _, n := range c {
-		total += uint64(n)
-	}
-	return total
-}
-
 func meter(name string) metrics.Counter {
 	return metrics.GetOrRegisterCounter("usage."+name, metrics.DefaultRegistry)
 }
--- a/internal/usage/reporter_test.go
+++ b/internal/usagereport/reporter_test.go
@@ -1,10 +1,11 @@
-package usage
+package usagereport
 
 import (
 	"context"
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 	"sassafrasfield/internal/lease"
 	"sassafrasfield/internal/leaserows"
 	"sassafrasfield/internal/platform"
+	"sassafrasfield/internal/usage"
 )
 
 const (
@@ -98,7 +100,7 @@
 type fakePlatform struct {
 	fate func() fate
 	// counts are the first ones that came for each window.
-	counts map[Window]Counts
+	counts map[usage.Window]usage.Counts
 	broken string
 }
 
@@ -122,14 +124,14 @@
 	table    *fakeTable
 	platform *fakePlatform
 	now      time.Time
-	totals   map[Window]Counts
+	totals   map[usage.Window]usage.Counts
 	grants   [2]lease.Grant
 	list     [2]*Reporter
 	epoch    int64
 }
 
 func newRig(f func() fate) *rig {
-	r := &rig{table: newTable(), platform: &fakePlatform{counts: map[Window]Counts{}, fate: f}, now: time.Unix(1000, 0), totals: map[Window]Counts{}}
+	r := &rig{table: newTable(), platform: &fakePlatform{counts: map[usage.Window]usage.Counts{}, fate: f}, now: time.Unix(1000, 0), totals: map[usage.Window]usage.Counts{}}
 	r.table.fate = f
 	for i := range r.list {
 		r.start(i)
@@ -141,10 +143,8 @@
 // start starts an instance's process anew.
 func (r *rig) start(i int) {
 	s := Settings{Instance: fmt.Sprint("inst-", i), Lease: leaseName, Length: length, Settle: time.Second}
-	total := func(w Window) Counts { // what is known grows, and differs by instance
-		counts := Counts{}
-		counts.add(r.totals[w])
-		return counts
+	total := func(w usage.Window) usage.Counts { // what is known grows, and differs by instance
+		return maps.Clone(r.totals[w])
 	}
 	r.list[i] = NewReporter(s, r.table, r.platform, total, func() time.Time { return r.now }, slog.New(slog.NewTextHandler(io.Discard, nil)))
 }
@@ -155,9 +155,9 @@
 	r.list[i].Taken()
 }
 
-func (r *rig) began(w Window) {
+func (r *rig) began(w usage.Window) {
 	if r.totals[w] == nil {
-		r.totals[w] = Counts{}
+		r.totals[w] = usage.Counts{}
 	}
 	r.totals[w]["x"]++
 }
@@ -188,7 +188,7 @@
 			case 4:
 				r.now = r.now.Add(time.Duration(rapid.IntRange(0, 7000).Draw(t, "ms")) * time.Millisecond)
 			case 5:
-				r.began(WindowAt(r.now, length) - Window(rapid.IntRange(0, 2).Draw(t, "late")))
+				r.began(usage.WindowAt(r.now, length) - usage.Window(rapid.IntRange(0, 2).Draw(t, "late")))
 			case 6:
 				if n := len(r.table.late); n > 0 {
 					_, _ = r.table.apply(r.table.late[0]) // if its checks hold still
@@ -201,8 +201,8 @@
 		}
 		well = true
 		r.takeOver(0)
-		r.began(WindowAt(r.now, length))
-		last := WindowAt(r.now, length)
+		r.began(usage.WindowAt(r.now, length))
+		last := usage.WindowAt(r.now, length)
 		for range 4 {
 			r.now = r.now.Add(length)
 			r.list[0].Do(context.Background(), r.grants[0])
@@ -218,7 +218,7 @@
 // nobody had asked for anything yet.
 func TestAWindowIsReportedOnceItIsComplete(t *testing.T) {
 	r := newRig(good)
-	first := WindowAt(r.now, length)
+	first := usage.WindowAt(r.now, length)
 	do := func() { r.list[0].Do(context.Background(), r.grants[0]) }
 	r.now = first.End(length).Add(2 * time.Second)
 	do()
@@ -254,14 +254,14 @@
 		return answered
 	}
 	for range 20 {
-		r.began(WindowAt(r.now, length))
+		r.began(usage.WindowAt(r.now, length))
 		r.now = r.now.Add(length)
 		r.list[0].Do(context.Background(), r.grants[0])
 	}
 	away = false
 	r.list[0].Do(context.Background(), r.grants[0])
-	if n := len(r.platform.counts); n != keptWindows {
-		t.Errorf("%d windows were reported, want %d", n, keptWindows)
+	if n := len(r.platform.counts); n != Kept {
+		t.Errorf("%d windows were reported, want %d", n, Kept)
 	}
 }
 
@@ -281,10 +281,10 @@
 // were fixed anew and sent. The next holder must not find the older ones.
 func TestALateWriteUndoesNothing(t *testing.T) {
 	r := newRig(scripted(answered, doneLater)) // of the read and the write
-	r.began(WindowAt(r.now, length))
+	r.began(usage.WindowAt(r.now, length))
 	r.now = r.now.Add(length + 2*time.Second)
 	r.list[0].Do(context.Background(), r.grants[0])
-	r.began(WindowAt(r.now, length) - 1) // a total that came late
+	r.began(usage.WindowAt(r.now, length) - 1) // a total that came late
 	r.list[0].Do(context.Background(), r.grants[0])
 	_, _ = r.table.apply(r.table.late[0])
 	r.takeOver(1)
@@ -298,7 +298,7 @@
 func TestAnEarlierHolderReportsNothingNew(t *testing.T) {
 	r := newRig(good)
 	r.list[0].Do(context.Background(), r.grants[0])
-	r.began(WindowAt(r.now, length))
+	r.began(usage.WindowAt(r.now, length))
 	r.now = r.now.Add(length + 2*time.Second)
 	r.takeOver(1)
 	r.list[0].Do(context.Background(), r.grants[0])
@@ -313,13 +313,13 @@
 	for _, how := range []fate{notDone, lostAnswer} {
 		r := newRig(good)
 		r.platform.fate = scripted(how)
-		r.began(WindowAt(r.now, length))
+		r.began(usage.WindowAt(r.now, length))
 		r.now = r.now.Add(length + 2*time.Second)
 		r.list[0].Do(context.Background(), r.grants[0])
-		r.began(WindowAt(r.now, length) - 1)
+		r.began(usage.WindowAt(r.now, length) - 1)
 		r.takeOver(1)
 		r.list[1].Do(context.Background(), r.grants[1])
-		if n := r.platform.counts[WindowAt(r.now, length)-1]["x"]; n != 1 || r.platform.broken != "" {
+		if n := r.platform.counts[usage.WindowAt(r.now, length)-1]["x"]; n != 1 || r.platform.broken != "" {
 			t.Errorf("%d, want the 1 that was fixed, %s", n, r.platform.broken)
 		}
 	}
