Order spot engines for what is seen, replace what a zone cannot have, and keep no lasting ones

Hypothesis: of the price of engines, half is that all stay at the full price until the spot ones have started, and a zone whose spot engines are taken back and not to be had for 8.5 s leaves 14 of 60 missing for up to 19 s.

--- a/internal/scaling/plan.go
+++ b/internal/scaling/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"sassafrasfield/internal/routes"
 )
@@ -9,18 +10,22 @@
 // Want is how many engines of each kind a zone is to have.
 type Want [2]int
 
-// plan returns what each zone is to have for a number of engines in all.
-func (s Settings) plan(limits routes.ScaleLimits, zones []Zone, engines int) []Want {
-	wants := make([]Want, len(zones))
+func (w Want) sum() int { return w[Lasting] + w[Spot] }
+
+// plan returns what each zone is to have for a number of engines in all, and how many that
+// are together, those not counted that replace others which cannot be had.
+func (s Settings) plan(limits routes.ScaleLimits, zones []Zone, engines int) (wants []Want, total int) {
+	wants = make([]Want, len(zones))
 	if len(zones) == 0 {
-		return wants
+		return wants, 0
 	}
 	each := int(math.Ceil(float64(engines) * s.Share / float64(len(zones))))
 	each = min(max(each, limits.Min), limits.Max)
 	for i := range zones {
 		wants[i] = s.split(limits, each)
 	}
-	return wants
+	s.replace(limits, zones, wants)
+	return wants, each * len(zones)
 }
 
 // split returns the kinds of a zone's engines. Where spot engines cost less, they do the
@@ -29,36 +34,97 @@
 	if limits.SpotPrice <= 0 || limits.SpotPrice >= 1 {
 		return Want{Lasting: engines}
 	}
-	lasting := min(max(s.Reserve, limits.Min), engines)
+	lasting := min(s.Reserve, engines)
 	return Want{Lasting: lasting, Spot: engines - lasting}
 }
 
-// step is the next number to order of each kind in a zone, on the way to what is wanted:
-// what is missing comes first, and nothing is ordered away before what replaces it is
-// there. Both kinds together stay within the limits at each step.
-func step(limits routes.ScaleLimits, zone Zone, want Want) Want {
-	next := Want{}
-	total := want[Lasting] + want[Spot]
-	for kind := range next {
-		here := zone.Engines[kind]
-		next[kind] = max(here, want[kind])
+// replace has other zones run the spot engines that a zone has not and cannot have, as far
+// as their limits go. What no zone can have, lasting engines do, once it lasts for long or
+// when less than half of all is left.
+func (s Settings) replace(limits routes.ScaleLimits, zones []Zone, wants []Want) {
+	missing, long := 0, true
+	here, wanted := 0, 0
+	var others []int
+	for i, z := range zones {
+		here += Want(z.Engines).sum()
+		wanted += wants[i].sum()
+		if z.RefusedFor <= 0 {
+			others = append(others, i)
+			continue
+		}
+		missing += max(0, wants[i][Spot]-z.Engines[Spot])
+		long = long && z.RefusedFor >= s.LastingAfter
 	}
-	there := zone.Engines[Lasting] + zone.Engines[Spot]
-	if there >= total {
-		for kind := range next {
-			surplus := min(next[kind]-want[kind], there-total)
-			if surplus > 0 {
-				next[kind] -= surplus
-				there -= surplus
+	kind := Spot
+	if len(others) == 0 && (long || here < wanted/2) {
+		kind, others = Lasting, all(zones)
+	}
+	spread(limits, wants, others, kind, missing)
+}
+
+func all(zones []Zone) []int {
+	list := make([]int, len(zones))
+	for i := range zones {
+		list[i] = i
+	}
+	return list
+}
+
+// spread gives engines of a kind to zones by turns, as long as one has room.
+func spread(limits routes.ScaleLimits, wants []Want, to []int, kind Kind, engines int) {
+	for engines > 0 {
+		given := false
+		for _, i := range to {
+			if engines > 0 && wants[i].sum() < limits.Max {
+				wants[i][kind]++
+				engines--
+				given = true
 			}
 		}
+		if !given {
+			return
+		}
+	}
+}
+
+// steps are the next numbers to order, on the way to what is wanted: what is missing comes
+// first, and nothing is ordered away before what replaces it is there, in whichever zone,
+// but where a zone is full.
+// Both kinds together stay within the limits of a zone at each step.
+func steps(limits routes.ScaleLimits, zones []Zone, wants []Want, total int) []Want {
+	nexts := make([]Want, len(zones))
+	surplus := -total
+	for _, z := range zones {
+		surplus += Want(z.Engines).sum()
+	}
+	for i, z := range zones {
+		for kind := range wants[i] {
+			nexts[i][kind] = max(z.Engines[kind], wants[i][kind])
+			away := min(max(surplus, 0), nexts[i][kind]-wants[i][kind])
+			nexts[i][kind] -= away
+			surplus -= away
+		}
+		makeRoom(limits, z, wants[i], &nexts[i])
+		nexts[i] = within(limits, z, nexts[i])
+	}
+	return nexts
+}
+
+// makeRoom orders engines of the wrong kind away where a zone is full of them: the right
+// ones could not come else.
+func makeRoom(limits routes.ScaleLimits, zone Zone, want Want, next *Want) {
+	if Want(zone.Engines).sum() < limits.Max || next.sum() <= limits.Max {
+		return
+	}
+	for kind := range next {
+		wrong := next[kind] - want[kind]
+		next[kind] -= min(max(wrong, 0), next.sum()-limits.Max)
 	}
-	return within(limits, zone, next)
 }
 
 // within cuts what both kinds together have too much, of the kind that grows.
 func within(limits routes.ScaleLimits, zone Zone, next Want) Want {
-	over := next[Lasting] + next[Spot] - limits.Max
+	over := next.sum() - limits.Max
 	for _, kind := range []Kind{Spot, Lasting} {
 		grows := next[kind] - zone.Engines[kind]
 		cut := min(max(over, 0), max(grows, 0))
@@ -67,3 +133,7 @@
 	}
 	return next
 }
+
+// lastingAfter is how long spot engines are to be had in no zone until lasting ones take
+// their place, which cost several times as much and take as long to start as the wait.
+const lastingAfter = 10 * time.Second
--- a/internal/scaling/scaler.go
+++ b/internal/scaling/scaler.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"log/slog"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -62,7 +63,9 @@
 type ordered struct {
 	engines int
 	at      time.Duration
-	refused bool
+	// refusedAt is when the first of the orders was refused that were refused on end; 0
+	// when the newest was not.
+	refusedAt time.Duration
 }
 
 // Scaler does the duty. It is used by one goroutine.
@@ -80,11 +83,10 @@
 
 // service is what the holder knows of a service.
 type service struct {
-	// engines is how many it began with; 0 while that is not known.
-	engines int
-	// seen and looks are the number of engines at the last looks, and for how many
-	// looks on end it was that.
-	seen, looks int
+	// engines is how many it began with, or as many as were seen while that is not
+	// known; looks is for how many looks on end no more were.
+	engines, looks int
+	known          bool
 }
 
 // NewScaler returns a scaler that orders under an instance's name, and a lease's.
@@ -102,63 +104,61 @@
 // Do implements rolekeeper.Duty.
 func (k *Scaler) Do(ctx context.Context, grant lease.Grant) {
 	for _, s := range k.view.Scalable() {
-		if k.known(ctx, s, grant) {
-			k.bring(ctx, s, grant)
+		state, err := k.stateOf(ctx, s.Name)
+		if err == nil && !state.known {
+			err = k.count(ctx, state, s, grant)
+		}
+		if err != nil {
+			k.log.Info("scaling: how many engines there were at first is not known yet", "service", s.Name, "error", err)
+			continue
+		}
+		if state.engines > 0 {
+			k.bring(ctx, state, s, grant)
 		}
 	}
 }
 
-// known finds out how many engines a service began with, and tells whether it is known.
-func (k *Scaler) known(ctx context.Context, s Service, grant lease.Grant) bool {
-	state, ok := k.services[s.Name]
-	if !ok {
-		state = &service{}
-		k.services[s.Name] = state
+// stateOf returns what is known of a service, by the row that an earlier holder wrote.
+func (k *Scaler) stateOf(ctx context.Context, name string) (*service, error) {
+	if state, ok := k.services[name]; ok {
+		return state, nil
 	}
-	if state.engines > 0 {
-		return true
-	}
-	if !state.settled(s) {
-		return false
-	}
-	engines, err := k.read(ctx, s, grant)
-	if err != nil {
-		k.log.Info("scaling: how many engines there were at first is not known yet", "service", s.Name, "error", err)
-		return false
+	state := &service{}
+	row, err := k.table.Get(ctx, begunKey(name))
+	if err == nil {
+		var kept begun
+		if err := json.Unmarshal(row.Value, &kept); err != nil {
+			return nil, errors.Wrap(err, "scaling: decode")
+		}
+		state.engines, state.known = kept.Engines, true
+	} else if !errors.Is(err, platform.ErrNotFound) {
+		return nil, err
 	}
-	state.engines = engines
-	return true
+	k.services[name] = state
+	return state, nil
 }
 
-// settled tells whether the number of engines stands for some looks.
-func (s *service) settled(of Service) bool {
+// count takes what the first holder of all sees for what the service began with, once it
+// stands for some looks. Until then more are ordered as more are seen, and none away.
+func (k *Scaler) count(ctx context.Context, state *service, s Service, grant lease.Grant) error {
 	total := 0
-	for _, z := range of.Zones {
-		total += z.Engines[Lasting] + z.Engines[Spot]
+	for _, z := range s.Zones {
+		total += z.Engines[Lasting]
+	}
+	if total > state.engines {
+		state.engines, state.looks = total, 0
 	}
-	if total != s.seen || total == 0 {
-		s.seen, s.looks = total, 0
+	if state.looks++; state.looks < settledLooks || total == 0 {
+		return nil
 	}
-	s.looks++
-	return s.looks >= settledLooks && total > 0
+	return k.keep(ctx, state, s, grant)
 }
 
-// read reads how many engines a service began with. The first holder of all writes what it
-// found; only the newest holder may.
-func (k *Scaler) read(ctx context.Context, s Service, grant lease.Grant) (int, error) {
-	row, err := k.table.Get(ctx, begunKey(s.Name))
-	if err == nil {
-		var kept begun
-		err = json.Unmarshal(row.Value, &kept)
-		return kept.Engines, errors.Wrap(err, "scaling: decode")
-	}
-	if !errors.Is(err, platform.ErrNotFound) {
-		return 0, err
-	}
-	found := k.services[s.Name].seen
-	value, err := json.Marshal(begun{Engines: found})
+// keep writes how many engines a service began with; only the newest holder may.
+func (k *Scaler) keep(ctx context.Context, state *service, s Service, grant lease.Grant) error {
+	value, err := json.Marshal(begun{Engines: state.engines})
 	if err != nil {
-		return 0, errors.Wrap(err, "scaling: encode")
+		return errors.Wrap(err, "scaling: encode")
 	}
 	_, err = k.table.Commit(ctx, platform.Txn{
 		Checks: []platform.Check{
@@ -168,18 +168,26 @@
 		Writes: []platform.Write{{Key: begunKey(s.Name), Value: value}},
 	})
 	if err != nil {
-		return 0, err
+		return err
 	}
-	k.log.Info("scaling: engines counted", "service", s.Name, "engines", found, "zones", len(s.Zones), "epoch", grant.Epoch)
-	return found, nil
+	state.known = true
+	k.log.Info("scaling: engines counted", "service", s.Name, "engines", state.engines, "zones", len(s.Zones), "epoch", grant.Epoch)
+	return nil
 }
 
 // bring orders what it takes to have the wanted engines of a service.
-func (k *Scaler) bring(ctx context.Context, s Service, grant lease.Grant) {
-	wants := k.settings.plan(s.Limits, s.Zones, k.services[s.Name].engines)
+func (k *Scaler) bring(ctx context.Context, state *service, s Service, grant lease.Grant) {
+	for i, zone := range s.Zones {
+		s.Zones[i].RefusedFor = k.refusedFor(Subject{Service: s.Name, Zone: zone.Name, Kind: Spot})
+	}
+	wants, total := k.settings.plan(s.Limits, s.Zones, state.engines)
+	if !state.known {
+		total = math.MaxInt // none is one too many
+	}
+	nexts := steps(s.Limits, s.Zones, wants, total)
 	for i, zone := range s.Zones {
-		next := step(s.Limits, zone, wants[i])
-		for _, kind := range []Kind{Spot, Lasting} { // what is cheaper comes first
+		next := nexts[i]
+		for _, kind := range state.kinds() {
 			subject := Subject{Service: s.Name, Zone: zone.Name, Kind: kind}
 			if k.due(subject, next[kind], zone.Engines[kind], s.Limits.Boot) && ctx.Err() == nil {
 				k.order(ctx, Order{Subject: subject, Engines: next[kind], Holder: k.instance, Epoch: grant.Epoch}, zone, wants[i])
@@ -188,6 +196,25 @@
 	}
 }
 
+// kinds are those that are ordered, the cheaper ones first. While it is not known how many
+// lasting engines a service began with, an order of those that are seen would send the
+// others away.
+func (s *service) kinds() []Kind {
+	if s.known {
+		return []Kind{Spot, Lasting}
+	}
+	return []Kind{Spot}
+}
+
+// refusedFor is for how long all orders of a subject were refused; 0 when none was.
+func (k *Scaler) refusedFor(subject Subject) time.Duration {
+	last := k.orders[subject]
+	if last.refusedAt == 0 {
+		return 0
+	}
+	return max(bootclock.Now()-last.refusedAt, 1)
+}
+
 // due tells whether to order a number of engines where there are so many: when it is not
 // what was ordered last, or has not had its effect in time.
 func (k *Scaler) due(subject Subject, engines, here int, boot time.Duration) bool {
@@ -196,7 +223,7 @@
 	switch {
 	case !known:
 		return engines != here
-	case last.refused:
+	case last.refusedAt > 0:
 		return age >= againAfter && engines != here
 	case last.engines != engines:
 		return true
@@ -207,7 +234,14 @@
 
 func (k *Scaler) order(ctx context.Context, o Order, zone Zone, want Want) {
 	err := k.sender.Scale(ctx, o)
-	k.orders[o.Subject] = ordered{engines: o.Engines, at: bootclock.Now(), refused: err != nil}
+	newest := ordered{engines: o.Engines, at: bootclock.Now()}
+	if err != nil {
+		newest.refusedAt = newest.at
+		if before := k.orders[o.Subject].refusedAt; before > 0 {
+			newest.refusedAt = before
+		}
+	}
+	k.orders[o.Subject] = newest
 	k.log.Info("scaling: order", "service", o.Service, "zone", o.Zone, "kind", o.Kind.String(), "engines", o.Engines,
 		"here", zone.Engines[o.Kind], "leaving", zone.Leaving[o.Kind], "wanted", want[o.Kind], "epoch", o.Epoch, "error", err)
 	name := "ordered"
--- a/internal/scaling/scaling.go
+++ b/internal/scaling/scaling.go
@@ -8,7 +8,11 @@
 // Callers: instance (the duty).
 package scaling
 
-import "github.com/pkg/errors"
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
 
 // Kind of engines.
 type Kind int
@@ -51,6 +55,9 @@
 type Zone struct {
 	Name             string
 	Engines, Leaving [2]int // by kind
+	// RefusedFor is for how long spot engines were not to be had there; 0 when they are,
+	// as far as it is known.
+	RefusedFor time.Duration
 }
 
 // Settings of the plan.
@@ -60,7 +67,10 @@
 	Reserve int
 	// Share is how many engines run for each one that the deployment began with.
 	Share float64
+	// LastingAfter is how long spot engines are to be had in no zone until lasting ones
+	// take their place.
+	LastingAfter time.Duration
 }
 
 // DefaultSettings returns the defaults.
-func DefaultSettings() Settings { return Settings{Reserve: 1, Share: 1} }
+func DefaultSettings() Settings { return Settings{Reserve: 0, Share: 1, LastingAfter: lastingAfter} }
--- /dev/null
+++ b/internal/scaling/scaling_test.go
@@ -0,0 +1,150 @@
+package scaling
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sassafrasfield/internal/routes"
+)
+
+// asMany has as many engines run as the deployment began with.
+var asMany = Settings{Share: 1, LastingAfter: lastingAfter}
+
+var limits = routes.ScaleLimits{Min: 1, Max: 30, Boot: 4 * time.Second, SpotPrice: 0.18}
+
+func zones(engines ...Want) []Zone {
+	list := make([]Zone, len(engines))
+	for i, e := range engines {
+		list[i] = Zone{Name: fmt.Sprint(i), Engines: e}
+	}
+	return list
+}
+
+// nextSteps are the next steps on the way to a number of engines.
+func nextSteps(l routes.ScaleLimits, list []Zone, engines int) []Want {
+	wants, total := asMany.plan(l, list, engines)
+	return steps(l, list, wants, total)
+}
+
+// TestSpotEnginesTakeThePlaceOfLastingOnes: they are ordered first, and what they replace
+// is ordered away once they are there. The load is a deployment that begins with 15 lasting
+// engines in each of four zones; a spot engine costs 0.18 of a lasting one.
+func TestSpotEnginesTakeThePlaceOfLastingOnes(t *testing.T) {
+	begin := zones(Want{15, 0}, Want{15, 0}, Want{15, 0}, Want{15, 0})
+	for i, next := range nextSteps(limits, begin, 60) {
+		if next != (Want{15, 15}) {
+			t.Errorf("zone %d: first step %v", i, next)
+		}
+	}
+	for i, next := range nextSteps(limits, zones(Want{15, 15}, Want{15, 15}, Want{15, 15}, Want{15, 15}), 60) {
+		if next != (Want{0, 15}) {
+			t.Errorf("zone %d: second step %v", i, next)
+		}
+	}
+}
+
+// TestWithoutSpotEnginesAllStay: where there is no such kind, or it costs no less.
+func TestWithoutSpotEnginesAllStay(t *testing.T) {
+	for _, price := range []float64{0, 1, 2} {
+		l := limits
+		l.SpotPrice = price
+		wants, _ := asMany.plan(l, zones(Want{15, 0}, Want{15, 0}), 30)
+		for i, want := range wants {
+			if want != (Want{15, 0}) {
+				t.Errorf("price %g, zone %d: %v", price, i, want)
+			}
+		}
+	}
+}
+
+// TestOtherZonesReplaceWhatAZoneCannotHave: all spot engines of a zone were taken back and
+// no more are to be had there. Once they are, the others' go again, and not before they
+// are there.
+func TestOtherZonesReplaceWhatAZoneCannotHave(t *testing.T) {
+	list := zones(Want{0, 15}, Want{0, 15}, Want{0, 15}, Want{})
+	list[3].RefusedFor = time.Second
+	nexts := nextSteps(limits, list, 60)
+	if fmt.Sprint(nexts) != fmt.Sprint([]Want{{0, 20}, {0, 20}, {0, 20}, {0, 15}}) {
+		t.Errorf("%v", nexts)
+	}
+	back := zones(Want{0, 20}, Want{0, 20}, Want{0, 20}, Want{})
+	if nexts = nextSteps(limits, back, 60); nexts[0] != (Want{0, 20}) || nexts[3] != (Want{0, 15}) {
+		t.Errorf("before they are there: %v", nexts)
+	}
+	there := zones(Want{0, 20}, Want{0, 20}, Want{0, 20}, Want{0, 15})
+	if nexts = nextSteps(limits, there, 60); nexts[0] != (Want{0, 15}) || nexts[2] != (Want{0, 15}) {
+		t.Errorf("once they are there: %v", nexts)
+	}
+}
+
+// TestLastingEnginesHelpWhenNoSpotEngineIsToBeHad: not for a short while, in which they
+// would hardly have started, unless most are lost.
+func TestLastingEnginesHelpWhenNoSpotEngineIsToBeHad(t *testing.T) {
+	for _, c := range []struct {
+		after         time.Duration
+		left, lasting int
+	}{{time.Second, 10, 0}, {lastingAfter, 10, 5}, {time.Second, 0, 15}} {
+		list := zones(Want{0, c.left}, Want{0, c.left})
+		for i := range list {
+			list[i].RefusedFor = c.after
+		}
+		wants, _ := asMany.plan(limits, list, 30)
+		for i, want := range wants {
+			if want[Lasting] != c.lasting {
+				t.Errorf("%d left after %s, zone %d: %v", c.left, c.after, i, want)
+			}
+		}
+	}
+}
+
+// TestStepsStayWithinTheLimits: whatever runs, no step orders more than the limits allow or
+// than there is, nothing is ordered away while engines are missing, and steps that are
+// carried out lead to what is wanted.
+func TestStepsStayWithinTheLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := routes.ScaleLimits{Min: rapid.IntRange(0, 3).Draw(t, "min"), SpotPrice: rapid.SampledFrom([]float64{0, 0.18}).Draw(t, "price")}
+		l.Max = l.Min + rapid.IntRange(1, 20).Draw(t, "room")
+		var list []Zone
+		total := 0
+		for i := range rapid.IntRange(1, 5).Draw(t, "zones") {
+			lasting := rapid.IntRange(0, l.Max).Draw(t, "lasting")
+			spot := 0
+			if l.SpotPrice > 0 {
+				spot = rapid.IntRange(0, l.Max-lasting).Draw(t, "spot")
+			}
+			list = append(list, Zone{Name: fmt.Sprint(i), Engines: Want{lasting, spot}})
+			total += lasting + spot
+		}
+		engines := rapid.IntRange(1, 60).Draw(t, "engines")
+		wants, wanted := asMany.plan(l, list, engines)
+		for _, w := range wants {
+			if w.sum() < l.Min || w.sum() > l.Max {
+				t.Fatalf("%v is wanted", w)
+			}
+		}
+		for round := range 10 {
+			nexts := steps(l, list, wants, wanted)
+			after, full := 0, false
+			for i, next := range nexts {
+				if next.sum() > max(l.Max, Want(list[i].Engines).sum()) {
+					t.Fatalf("round %d, zone %d: %v", round, i, next)
+				}
+				after += next.sum()
+				full = full || Want(list[i].Engines).sum() >= l.Max
+				list[i].Engines = next
+			}
+			if !full && after < min(total, wanted) {
+				t.Fatalf("round %d: %d engines after %d, wanted %d", round, after, total, wanted)
+			}
+			total = after
+		}
+		for i, z := range list {
+			if Want(z.Engines) != wants[i] {
+				t.Fatalf("zone %d has %v in the end, wanted %v", i, z.Engines, wants[i])
+			}
+		}
+	})
+}
