--- a/internal/scaling/scaler.go
+++ b/internal/scaling/scaler.go
@@ -44,7 +44,7 @@
 	// settledLooks is how many looks on end must find the same number of engines before
 	// that is taken for what the deployment began with: the list may still be filling.
 	settledLooks = 3
-	// againAfter is the pause before an order that was refused for want of engines.
+	// againAfter is the pause before an order that was refused, or may not have come.
 	againAfter = 2 * time.Second
 	// effectMargin is how long beyond the time that an engine takes to start an order is
 	// believed to be carried out still: an engine's entry comes with its heartbeat.
@@ -63,6 +63,8 @@
 type ordered struct {
 	engines int
 	at      time.Duration
+	// failed: it was refused, or may not have come.
+	failed bool
 	// refusedAt is when the first of the orders was refused that were refused on end; 0
 	// when the newest was not.
 	refusedAt time.Duration
@@ -223,7 +225,7 @@
 	switch {
 	case !known:
 		return engines != here
-	case last.refusedAt > 0:
+	case last.failed:
 		return age >= againAfter && engines != here
 	case last.engines != engines:
 		return true
@@ -234,14 +236,7 @@
 
 func (k *Scaler) order(ctx context.Context, o Order, zone Zone, want Want) {
 	err := k.sender.Scale(ctx, o)
-	newest := ordered{engines: o.Engines, at: bootclock.Now()}
-	if err != nil {
-		newest.refusedAt = newest.at
-		if before := k.orders[o.Subject].refusedAt; before > 0 {
-			newest.refusedAt = before
-		}
-	}
-	k.orders[o.Subject] = newest
+	k.note(o, err)
 	k.log.Info("scaling: order", "service", o.Service, "zone", o.Zone, "kind", o.Kind.String(), "engines", o.Engines,
 		"here", zone.Engines[o.Kind], "leaving", zone.Leaving[o.Kind], "wanted", want[o.Kind], "epoch", o.Epoch, "error", err)
 	name := "ordered"
@@ -254,6 +249,20 @@
 	metrics.GetOrRegisterCounter("scaling."+name, metrics.DefaultRegistry).Inc(1)
 }
 
+// note keeps what came of an order. One that may not have come says nothing of what is to
+// be had.
+func (k *Scaler) note(o Order, err error) {
+	before := k.orders[o.Subject]
+	newest := ordered{engines: o.Engines, at: bootclock.Now(), failed: err != nil}
+	switch {
+	case errors.Is(err, ErrNone) && before.refusedAt == 0:
+		newest.refusedAt = newest.at
+	case err != nil:
+		newest.refusedAt = before.refusedAt
+	}
+	k.orders[o.Subject] = newest
+}
+
 // ZonesOf lists zones by name.
 func ZonesOf(zones map[string]Zone) []Zone {
 	return slices.SortedFunc(maps.Values(zones), func(a, b Zone) int {
--- a/internal/scaling/scaler_test.go
+++ b/internal/scaling/scaler_test.go
@@ -22,12 +22,13 @@
 	rows    map[string]platform.Row
 	zones   []Zone
 	refuse  map[string]bool // zones without spot engines
+	lost    map[string]bool // zones whose orders are lost
 	orders  []Order
 	tableOK bool
 }
 
 func newFake(zones ...Zone) *fakePlatform {
-	f := &fakePlatform{rows: map[string]platform.Row{}, zones: zones, refuse: map[string]bool{}, tableOK: true}
+	f := &fakePlatform{rows: map[string]platform.Row{}, zones: zones, refuse: map[string]bool{}, lost: map[string]bool{}, tableOK: true}
 	f.takeOver(1)
 	return f
 }
@@ -63,6 +64,9 @@
 
 func (f *fakePlatform) Scale(_ context.Context, o Order) error {
 	f.orders = append(f.orders, o)
+	if f.lost[o.Zone] {
+		return errors.New("no answer")
+	}
 	if o.Kind == Spot && f.refuse[o.Zone] {
 		return ErrNone
 	}
@@ -177,6 +181,18 @@
 	}
 }
 
+// TestAnOrderThatMayNotHaveComeSaysNothingOfEngines: the address for orders is down, and no
+// other zone is to run more for that.
+func TestAnOrderThatMayNotHaveComeSaysNothingOfEngines(t *testing.T) {
+	f := newFake(Zone{Name: "a", Engines: Want{3, 0}}, Zone{Name: "b", Engines: Want{3, 0}})
+	f.lost["b"] = true
+	k, grant := scaler(f, "inst-1"), f.takeOver(1)
+	looks(k, grant, settledLooks+4)
+	if got := f.engines(); got != "[0 3][3 0]" {
+		t.Errorf("%s", got)
+	}
+}
+
 // TestZonesAreListedByName: orders of two holders go to the same zones in the same order.
 func TestZonesAreListedByName(t *testing.T) {
 	list := ZonesOf(map[string]Zone{"b": {Name: "b"}, "a": {Name: "a"}, "c": {Name: "c"}})
