--- a/internal/usagereport/reporter.go
+++ b/internal/usagereport/reporter.go
@@ -104,10 +104,15 @@
 		r.log.Info("usage: counts were not fixed", "epoch", grant.Epoch, "error", err)
 		return
 	}
-	for r.row.Sent < r.row.Last {
-		if !r.send(ctx, grant) {
-			return
-		}
+	before := r.row.Sent
+	for r.row.Sent < r.row.Last && r.send(ctx, grant) {
+	}
+	if r.row.Sent == before {
+		return
+	}
+	if err := r.write(ctx, grant, r.row); err != nil {
+		r.loaded = false
+		r.log.Info("usage: what was sent was not kept, the next holder may send it again", "epoch", grant.Epoch, "error", err)
 	}
 }
 
@@ -138,9 +143,7 @@
 	return usage.WindowAt(r.now().Add(-r.settings.Settle), r.settings.Length) - 1
 }
 
-// fix writes the counts of the windows that are complete. The row's revision is checked,
-// so that no write that was sent before, and arrives late, undoes it; and the epoch, so
-// that only the newest holder writes.
+// fix writes the counts of the windows that are complete.
 func (r *Reporter) fix(ctx context.Context, grant lease.Grant) error {
 	next := r.next(r.complete())
 	if next.Last == r.row.Last {
@@ -150,6 +153,12 @@
 		r.log.Warn("usage: windows given up, they waited for too long", "windows", int64(given), "up_to", next.Sent, "epoch", grant.Epoch)
 		meter("given_up").Inc(int64(given))
 	}
+	return r.write(ctx, grant, next)
+}
+
+// write writes the row. Its revision is checked, so that no write that was sent before, and
+// arrives late, undoes it; and the epoch, so that only the newest holder writes.
+func (r *Reporter) write(ctx context.Context, grant lease.Grant, next fixed) error {
 	value, err := json.Marshal(next)
 	if err != nil {
 		return errors.Wrap(err, "usage: encode what is to be reported")
--- a/internal/usagereport/reporter_test.go
+++ b/internal/usagereport/reporter_test.go
@@ -102,9 +102,12 @@
 	// counts are the first ones that came for each window.
 	counts map[usage.Window]usage.Counts
 	broken string
+	// sent counts the calls.
+	sent int
 }
 
 func (f *fakePlatform) Report(_ context.Context, r Report) error {
+	f.sent++
 	how := f.fate()
 	if how == notDone || how == doneLater {
 		return errNoAnswer
@@ -265,6 +268,25 @@
 	}
 }
 
+// TestTheNextHolderSendsAgainWhatIsNotKnownToHaveCome, and nothing else: what was sent is
+// kept at once, so that old reports do not stand before those that are due when the
+// platform is slow.
+func TestTheNextHolderSendsAgainWhatIsNotKnownToHaveCome(t *testing.T) {
+	r := newRig(good)
+	for range 3 {
+		r.began(usage.WindowAt(r.now, length))
+		r.now = r.now.Add(length)
+		r.list[0].Do(context.Background(), r.grants[0])
+	}
+	r.platform.sent = 0
+	r.now = r.now.Add(length)
+	r.takeOver(1)
+	r.list[1].Do(context.Background(), r.grants[1])
+	if r.platform.sent != 1 {
+		t.Errorf("%d reports, want that of one window", r.platform.sent)
+	}
+}
+
 // scripted returns the fates one after another, then good ones.
 func scripted(fates ...fate) func() fate {
 	return func() fate {
