--- a/internal/scaling/plan.go
+++ b/internal/scaling/plan.go
@@ -114,16 +114,46 @@
 	for i, z := range zones {
 		for kind := range wants[i] {
 			nexts[i][kind] = max(z.Engines[kind], wants[i][kind])
-			away := min(max(surplus, 0), nexts[i][kind]-wants[i][kind])
-			nexts[i][kind] -= away
-			surplus -= away
 		}
+	}
+	move(nexts, wants, surplus, -1)
+	for i, z := range zones {
 		makeRoom(limits, z, wants[i], &nexts[i])
 		nexts[i] = within(limits, z, nexts[i])
 	}
 	return nexts
 }
 
+// paced cuts steps to so many engines that start, and so many that leave, at a time, by
+// turns in all zones. The next ones follow as these come and go. With 3,000 replaced at
+// once before 302 instances, the busiest instance took 379 MB, and a configuration was in
+// force after 1.5 s.
+func paced(zones []Zone, nexts []Want, atOnce int) []Want {
+	steps := make([]Want, len(zones))
+	for i, z := range zones {
+		steps[i] = z.Engines
+	}
+	move(steps, nexts, atOnce, 1)
+	move(steps, nexts, atOnce, -1)
+	return steps
+}
+
+// move brings steps nearer to what is next by one engine after another, in one direction.
+func move(steps, nexts []Want, engines, by int) {
+	for moved := true; moved; {
+		moved = false
+		for i := range steps {
+			for kind := range steps[i] {
+				if engines > 0 && (nexts[i][kind]-steps[i][kind])*by > 0 {
+					steps[i][kind] += by
+					engines--
+					moved = true
+				}
+			}
+		}
+	}
+}
+
 // makeRoom orders engines of the wrong kind away where a zone is full of them: the right
 // ones could not come else.
 func makeRoom(limits routes.ScaleLimits, zone Zone, want Want, next *Want) {
@@ -151,3 +181,7 @@
 // lastingAfter is how long spot engines are to be had in no zone until lasting ones take
 // their place, which cost several times as much and take as long to start as the wait.
 const lastingAfter = 10 * time.Second
+
+// atOnce is how many engines start at a time, and how many leave: their entries change
+// within seconds, and each change goes to all instances.
+const atOnce = 100
--- a/internal/scaling/scaling.go
+++ b/internal/scaling/scaling.go
@@ -73,7 +73,11 @@
 	// LastingAfter is how long spot engines are to be had in no zone until lasting ones
 	// take their place.
 	LastingAfter time.Duration
+	// AtOnce is how many engines start at a time, and how many leave.
+	AtOnce int
 }
 
 // DefaultSettings returns the defaults.
-func DefaultSettings() Settings { return Settings{Reserve: 0, Share: 1.2, LastingAfter: lastingAfter} }
+func DefaultSettings() Settings {
+	return Settings{Reserve: 0, Share: 1.2, LastingAfter: lastingAfter, AtOnce: atOnce}
+}
--- a/internal/scaling/scaling_test.go
+++ b/internal/scaling/scaling_test.go
@@ -11,7 +11,7 @@
 )
 
 // asMany has as many engines run as the deployment began with.
-var asMany = Settings{Share: 1, LastingAfter: lastingAfter}
+var asMany = Settings{Share: 1, LastingAfter: lastingAfter, AtOnce: atOnce}
 
 var limits = routes.ScaleLimits{Min: 1, Max: 30, Boot: 4 * time.Second, SpotPrice: 0.18}
 
@@ -113,6 +113,40 @@
 	}
 }
 
+// TestALargeFleetIsReplacedByAndBy: the load is 3,000 engines in four zones, of which all
+// are to be replaced. No look starts or sends away more than a hundred, all zones go
+// alike, and in the end all are.
+func TestALargeFleetIsReplacedByAndBy(t *testing.T) {
+	large := limits
+	large.Max = 2000
+	list := zones(Want{750, 0}, Want{750, 0}, Want{750, 0}, Want{750, 0})
+	wants, total := asMany.plan(large, list, 3000)
+	for range 100 {
+		nexts := paced(list, steps(large, list, wants, total), atOnce)
+		for kind := range nexts[0] {
+			changes := 0
+			for i, next := range nexts {
+				d := next[kind] - list[i].Engines[kind]
+				changes += max(d, -d)
+			}
+			if changes > atOnce {
+				t.Fatalf("%d at once", changes)
+			}
+			if d := nexts[0][kind] - nexts[3][kind]; d < -1 || d > 1 {
+				t.Fatalf("%v", nexts)
+			}
+		}
+		for i, next := range nexts {
+			list[i].Engines = next
+		}
+	}
+	for i, z := range list {
+		if Want(z.Engines) != wants[i] {
+			t.Errorf("zone %d has %v in the end, wanted %v", i, z.Engines, wants[i])
+		}
+	}
+}
+
 // TestStepsStayWithinTheLimits: whatever runs, no step orders more than the limits allow or
 // than there is, nothing is ordered away while engines are missing, and steps that are
 // carried out lead to what is wanted.
