--- /dev/null
+++ b/internal/relay/usage_test.go
@@ -0,0 +1,134 @@
+package relay
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sassafrasfield/internal/picture"
+	"sassafrasfield/internal/usage"
+)
+
+// counting is a relay that counts use by windows of an hour, with two organisations.
+func counting(t *testing.T, f *fakeSender) *Relay {
+	t.Helper()
+	r := newFake(t, f)
+	r.usage = newUsageCounter(time.Hour)
+	plentiful(r)
+	withKeys(r, 2, millKey, gateKey)
+	return r
+}
+
+// counted is what a relay counted of an organisation now, or an hour ago where the hour
+// has just ended.
+func counted(r *Relay, organisation string) uint32 {
+	window := usage.WindowAt(r.TimeOfDay(), time.Hour)
+	return r.Usage(window)[organisation] + r.Usage(window - 1)[organisation]
+}
+
+// TestARequestIsCountedOnceItBeganToRun: once, however many upstreams ran it, and not when
+// none did.
+func TestARequestIsCountedOnceItBeganToRun(t *testing.T) {
+	good := func() *Reply { return events("id: 1\ndata: a\n\n") }
+	for name, c := range map[string]struct {
+		req  *Request
+		run  func(n int, s Send) (*Reply, error)
+		want uint32
+	}{
+		"a call":            {call("/unsafe/1"), func(int, Send) (*Reply, error) { return good(), nil }, 1},
+		"a generation":      {longPrompt("/once/1"), func(int, Send) (*Reply, error) { return good(), nil }, 1},
+		"refused by all":    {call("/safe/1"), func(int, Send) (*Reply, error) { return nil, ErrRefused }, 0},
+		"reached nobody":    {call("/safe/1"), func(int, Send) (*Reply, error) { return nil, ErrNotSent }, 0},
+		"refused, then run": {call("/safe/1"), refusedOnce(good), 1},
+		"the upstream's failure": {call("/unsafe/1"), func(int, Send) (*Reply, error) {
+			return reply(http.StatusInternalServerError, strings.NewReader("")), nil
+		}, 1},
+		"two upstreams' failures": {call("/safe/1"), func(int, Send) (*Reply, error) {
+			return reply(http.StatusInternalServerError, strings.NewReader("")), nil
+		}, 1},
+		"its answer was lost":        {call("/unsafe/1"), func(int, Send) (*Reply, error) { return nil, Lost(io.EOF) }, 1},
+		"cut before its first event": {longPrompt("/once/1"), func(int, Send) (*Reply, error) { return nil, Lost(io.EOF) }, 0},
+		"resumed elsewhere": {longPrompt("/resumable/1"), func(n int, _ Send) (*Reply, error) {
+			if n == 1 {
+				return cutAfter("id: 1\ndata: a\n\n"), nil
+			}
+			return events("id: 2\ndata: b\n\n"), nil
+		}, 1},
+		"goes on at its copy": {call("/once/1"), func(n int, _ Send) (*Reply, error) {
+			if n == 1 {
+				return cutAfter("id: 1\ndata: a\n\n"), nil
+			}
+			return events("id: 2\ndata: b\n\n"), nil
+		}, 1},
+		"nobody's": {call("/safe/1"), func(int, Send) (*Reply, error) { return good(), nil }, 0},
+	} {
+		r := counting(t, &fakeSender{run: c.run})
+		req := c.req
+		if name != "nobody's" {
+			withKey(req, millKey)
+		}
+		_, _ = serve(r, req)
+		if got := counted(r, "mill"); got != c.want || counted(r, "gate") != 0 {
+			t.Errorf("%s: counted %d times, want %d", name, got, c.want)
+		}
+	}
+}
+
+// refusedOnce refuses the first send.
+func refusedOnce(then func() *Reply) func(int, Send) (*Reply, error) {
+	return func(n int, _ Send) (*Reply, error) {
+		if n == 1 {
+			return nil, ErrRefused
+		}
+		return then(), nil
+	}
+}
+
+// TestARequestRefusedForItsKeyIsNotCounted: nothing ran.
+func TestARequestRefusedForItsKeyIsNotCounted(t *testing.T) {
+	r := counting(t, &fakeSender{})
+	if _, err := serve(r, withKey(call("/unsafe/1"), "x")); wordOf(t, err) != NoKey {
+		t.Error(err)
+	}
+	if n := counted(r, "mill") + counted(r, ""); n != 0 {
+		t.Errorf("counted %d times", n)
+	}
+}
+
+// TestTheUseOfAZoneIsKnownBeyondIt: an instance tells its zone's hub, and that tells the
+// hub of another zone; a report that comes twice changes nothing.
+func TestTheUseOfAZoneIsKnownBeyondIt(t *testing.T) {
+	one, hub, far := counting(t, &fakeSender{}), counting(t, &fakeSender{}), counting(t, &fakeSender{})
+	for _, r := range []*Relay{one, hub, far} {
+		if _, err := serve(r, withKey(call("/unsafe/1"), millKey)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	own := one.OwnReport()
+	for range 2 {
+		hub.TakeReport(picture.BesidePrefix+"one", own)
+	}
+	zone := hub.ZoneReport()
+	for range 2 {
+		far.TakeReport("zone b", zone)
+	}
+	if a, b := counted(hub, "mill"), counted(far, "mill"); a != 2 || b != 3 {
+		t.Errorf("%d are known at the hub, want 2; %d at the other zone's, want 3", a, b)
+	}
+}
+
+// TestWithoutWindowsNothingIsCounted: the deployment wants no reports.
+func TestWithoutWindowsNothingIsCounted(t *testing.T) {
+	r := newFake(t, &fakeSender{})
+	withKeys(r, 2, millKey)
+	if _, err := serve(r, withKey(call("/unsafe/1"), millKey)); err != nil && !errors.Is(err, ErrBroken) {
+		t.Fatal(err)
+	}
+	if report := r.OwnReport(); len(report.Usage) != 0 {
+		t.Errorf("%+v", report.Usage)
+	}
+}
