Count the bytes of reports by kind

Which bytes of an instance that passes reports on are reports could not be told from callers' bytes; peers.sent_bytes says so. Behaviour as before.

--- a/internal/peers/reports.go
+++ b/internal/peers/reports.go
@@ -5,10 +5,12 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 	"google.golang.org/protobuf/proto"
 
 	"sassafrasfield/internal/estimate"
@@ -215,10 +217,17 @@
 			r.exchange.log.Error("peers: report not sent", "error", err)
 			continue
 		}
+		sentBytes(message.GetKind()).Inc(int64(len(data) * len(to)))
 		r.sendRaw(data, to)
 	}
 }
 
+// sentBytes counts the bytes of datagrams by their kind, those to each receiver.
+func sentBytes(kind sfv1.Datagram_Kind) metrics.Counter {
+	word := strings.ToLower(strings.TrimPrefix(kind.String(), "KIND_"))
+	return metrics.GetOrRegisterCounter("peers.sent_bytes."+word, metrics.DefaultRegistry)
+}
+
 // split returns messages that each fit into a datagram. The first one has what is
 // told besides reports and loads.
 func split(message *sfv1.Datagram) []*sfv1.Datagram {
