Believe the deletion of a few upstreams after an outage at once

Callers saw: requests that reached an upstream 3.1 to 3.5 s after it had said that it leaves; the bound is 3 s. What it hears cannot tell the two apart, as it may hear nothing, or of others that are choked; how much was deleted can: entries that lapse are many, upstreams that leave are few or replaced. So in a hold a table's deletions wait only where more than half of its rows are gone. Ruled out: a shorter hold (the sum of link and hold stays unbounded); asking whether others say that they lost the store too (the ones that choke are neighbours, and say so). Before: TestAChokedLinkHoldsNoDeletionOfAFewBack fails; after: it holds, and TestFewDeletionsAfterAnOutageAreBelieved has both sides. Open: entries that lapse one by one count as few until half are gone.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -56,9 +56,9 @@
 	// sent while the store was away is not answered when it returns, so a long
 	// first timeout would cost that long.
 	ReadTimeout time.Duration
-	// HoldDeletions is for how long after an outage deletions are not believed:
-	// owners of rows that lapsed meanwhile write them again. When the store
-	// answered other instances meanwhile, nothing lapsed.
+	// HoldDeletions is for how long after an outage the deletion of many rows is not
+	// believed: owners of rows that lapsed meanwhile write them again. When the store
+	// is known to have answered other instances meanwhile, nothing lapsed.
 	HoldDeletions time.Duration
 	// NoticedIn is how long the other instances take to tell that they have no
 	// answers from the store either.
@@ -307,7 +307,7 @@
 		return
 	}
 	delete(f.lost, table)
-	if !lost.alone { // else no entry lapsed meanwhile
+	if !lost.alone { // nobody was heard who had answers: the store may have been away for all
 		f.copy.Hold(f.now() + f.settings.HoldDeletions)
 	}
 	f.log.Info("follow: the store is back", "table", table, "after", f.now()-lost.since, "for_this_instance_alone", lost.alone)
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -316,7 +316,12 @@
 //
 // Pattern: six of 60 upstreams leave and six new ones come while one instance alone does not
 // reach the store and hears of nobody who does. Grounds: in the record an upstream's leaving
-// was believed at once by 58 of 62 instances, and 2.2 s after the store's return by this one.
+// was believed at once by 58 of 62 instances, and 2.3 s after the store's return by this one.
+//
+// Cause: not to have heard of anybody who reads the store says nothing about the store. What
+// proved it: the lines of that instance, on two plays with all logs, have the store's return,
+// the rows, and the belief when the hold ends, in this order; with the deletions of a few
+// believed the test holds.
 func TestAChokedLinkHoldsNoDeletionOfAFewBack(t *testing.T) {
 	feed, others := newFakeFeed(), &fakePeers{read: true}
 	upstreams, leaving, fresh := "", "012345", "stuvwx"
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -35,8 +35,9 @@
 	read, newest map[string]int64
 	// held are deletions that are not believed yet, by row.
 	held map[Key]heldDeletion
-	// holdUntil is when deletions are believed again.
+	// holdUntil is when all deletions are believed again.
 	holdUntil time.Duration
+	lapses    lapses
 }
 
 // heldDeletion is a deletion that a row's owner may still take back.
@@ -47,11 +48,11 @@
 
 // New returns an empty copy.
 func New() *Replica {
-	return &Replica{rows: map[Key]Row{}, read: map[string]int64{}, newest: map[string]int64{}, held: map[Key]heldDeletion{}}
+	return &Replica{rows: map[Key]Row{}, read: map[string]int64{}, newest: map[string]int64{}, held: map[Key]heldDeletion{}, lapses: lapses{}}
 }
 
-// Hold delays deletions that come before a time: after an outage the store
-// drops entries whose owners live on and write them again.
+// Hold has deletions of many rows doubted that come before a time: after an outage the
+// store drops entries whose owners live on and write them again.
 func (r *Replica) Hold(until time.Duration) {
 	r.holdUntil = max(r.holdUntil, until)
 }
@@ -59,12 +60,13 @@
 // Apply takes rows and returns those that were news.
 func (r *Replica) Apply(rows []Row, now time.Duration) []Row {
 	var news []Row
+	doubted := r.doubted(rows, now)
 	for _, row := range rows {
 		if row.Revision <= r.rows[row.Key].Revision {
 			continue
 		}
 		r.newest[row.Table] = max(r.newest[row.Table], row.Revision)
-		if row.Deleted && now < r.holdUntil && !r.rows[row.Key].Deleted {
+		if row.Deleted && doubted[row.Table] && !r.rows[row.Key].Deleted {
 			if row.Revision > r.held[row.Key].row.Revision {
 				r.held[row.Key] = heldDeletion{row: row, until: r.holdUntil}
 			}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -57,6 +58,54 @@
 	}
 }
 
+// many returns rows of so many keys, from a first one on, at revisions that rise from one.
+func many(first, n int, revision int64, deleted bool) []Row {
+	var rows []Row
+	for i := range n {
+		rows = append(rows, Row{Key: Key{"t", fmt.Sprintf("%03d", first+i)}, Revision: revision + int64(i), Deleted: deleted})
+	}
+	return rows
+}
+
+// TestFewDeletionsAfterAnOutageAreBelieved: upstreams that leave do so a few at a time, or
+// are replaced; those whose entries lapsed are many, at once or one after the other.
+func TestFewDeletionsAfterAnOutageAreBelieved(t *testing.T) {
+	const there = 60
+	for _, c := range []struct {
+		what           string
+		deleted, added int
+		each           bool // one after the other
+		left           int
+	}{
+		{"six leave", 6, 0, false, 54},
+		{"24 are replaced", 24, 24, false, 60},
+		{"all are replaced", 60, 60, false, 60},
+		{"half lapse", 30, 0, false, 30},
+		{"more than half lapse", 31, 0, false, 60},
+		{"all lapse", 60, 0, false, 60},
+		{"all lapse, one after the other", 60, 0, true, 30},
+	} {
+		r := New()
+		r.Apply(many(0, there, 1, false), 0)
+		r.Hold(2 * time.Second)
+		page := append(many(0, c.deleted, 100, true), many(there, c.added, 200, false)...)
+		if c.each {
+			for _, row := range page {
+				r.Apply([]Row{row}, time.Second)
+			}
+		} else {
+			r.Apply(page, time.Second)
+		}
+		if left := len(r.Table("t")); left != c.left {
+			t.Errorf("%s: %d are there, want %d", c.what, left, c.left)
+		}
+		r.Release(2 * time.Second)
+		if left := len(r.Table("t")); left != there-c.deleted+c.added {
+			t.Errorf("%s: %d are there after the hold", c.what, left)
+		}
+	}
+}
+
 // TestAnyOrderGivesTheSameTable applies the same rows in two orders.
 func TestAnyOrderGivesTheSameTable(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
