Doubt mass deletions too where an instance begins to read the store

Cause: when all readers fail, others have their turn; one of them had failed no call yet, so it knew of no outage, read the lapsed entries, believed it and told the readers, which then had no hold either. Now an instance that had others read for it doubts as one does whose calls failed. Before: TestWhoBeginsToReadDoubtsThatAllUpstreamsLeft fails in both checks; after: it holds.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -97,6 +97,9 @@
 	failures map[string]int
 	// resting: the other instances follow the store for this one.
 	resting bool
+	// rested are the tables that they followed for this one until now: it cannot know
+	// whether the store was away.
+	rested map[string]bool
 }
 
 // outage is a time without answers from the store.
@@ -111,7 +114,7 @@
 func New(s Settings, feed Feed, changed func([]replica.Row), log *slog.Logger) *Follower {
 	return &Follower{
 		settings: s, feed: feed, log: log, start: time.Now(), changed: changed,
-		copy: replica.New(), lost: map[string]outage{}, synced: map[string]bool{}, told: map[string]bool{}, failures: map[string]int{},
+		copy: replica.New(), lost: map[string]outage{}, synced: map[string]bool{}, told: map[string]bool{}, failures: map[string]int{}, rested: map[string]bool{},
 	}
 }
 
@@ -189,6 +192,7 @@
 	}
 	if rests {
 		delete(f.lost, table)
+		f.rested[table] = true
 	}
 	return rests
 }
@@ -297,20 +301,22 @@
 	f.lost[table] = lost
 }
 
-// recovered notes that the store answers.
+// recovered notes that the store answers, at first or again. Unless others are known to
+// have had answers all the while, entries may have lapsed: also where this instance had
+// others read for it, as it begins to read when too few of them do.
 func (f *Follower) recovered(table string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.failures[table] = 0
-	lost, ok := f.lost[table]
-	if !ok {
-		return
+	lost, failed := f.lost[table]
+	if (failed || f.rested[table]) && !lost.alone {
+		f.copy.Hold(f.now() + f.settings.HoldDeletions)
 	}
 	delete(f.lost, table)
-	if !lost.alone { // nobody was heard who had answers: the store may have been away for all
-		f.copy.Hold(f.now() + f.settings.HoldDeletions)
+	delete(f.rested, table)
+	if failed {
+		f.log.Info("follow: the store is back", "table", table, "after", f.now()-lost.since, "for_this_instance_alone", lost.alone)
 	}
-	f.log.Info("follow: the store is back", "table", table, "after", f.now()-lost.since, "for_this_instance_alone", lost.alone)
 }
 
 func jittered(d time.Duration) time.Duration {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -215,6 +215,47 @@
 	waitFor(func() bool { return f.knows("a") })
 }
 
+// TestWhoBeginsToReadDoubtsThatAllUpstreamsLeft.
+//
+// Seen: the store was away for six seconds and all entries of upstreams lapsed; within 20 ms
+// of its return all instances believed that all upstreams were gone, for a half second.
+//
+// Cause: an instance that had left the store to others had its turn to try it just then. It
+// had not failed before, so it knew of no outage, believed what it read, and told the others.
+//
+// Pattern: an instance that had others read for it begins to read, and all of them are
+// gone. Grounds: 180 lines "upstream gone" of nine instances, first after the rows of that one.
+func TestWhoBeginsToReadDoubtsThatAllUpstreamsLeft(t *testing.T) {
+	feed, others := newFakeFeed(), &fakePeers{others: true}
+	for _, key := range []string{"a", "b", "c", "d"} {
+		feed.put(key, false)
+	}
+	f := startWith(t, feed, time.Hour, others)
+	waitFor(func() bool { return f.knows("abcd") }) // it knew nothing, so it read
+	waitFor(func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.resting
+	})
+	for _, key := range []string{"a", "b", "c", "d"} {
+		feed.put(key, true)
+	}
+	others.mu.Lock()
+	others.read, others.others = true, false
+	others.mu.Unlock()
+	waitFor(func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.copy.ReadFrom("t") == 8
+	})
+	if !f.knows("abcd") {
+		t.Error("all upstreams are believed to be gone")
+	}
+	if _, hold := f.Since(map[string]int64{}); hold == 0 {
+		t.Error("others are not told to doubt it")
+	}
+}
+
 // TestAnOutageOfThisInstanceAloneHoldsNothingBack was found by a drawn day
 // (fresh-74d6 on agedim-sassafras): the store had turned one instance away for
 // seven seconds. When it was back it held back the deletion of an upstream that
