Bound what an instance tells its zone by what its link carries

Callers saw: instances that choke in turn, refuse, and send to upstreams that have left. Batches now have the platform's rows and who there is each time, and loads as far as a sixth of the link bears, those of whoever waited longest first.

--- /dev/null
+++ b/internal/fanout/allowance_test.go
@@ -0,0 +1,39 @@
+package fanout
+
+import (
+	"testing"
+	"time"
+)
+
+// TestReportsTakePartOfALink: reports that would fill a link of 10 Mbit/s, 1.25 MB a second,
+// leave most of it.
+func TestReportsTakePartOfALink(t *testing.T) {
+	const link, datagram = 1_250_000, 1000
+	a := NewAllowance(10, 0)
+	sent := 0
+	for now := time.Duration(0); now < 10*time.Second; now += time.Millisecond {
+		for range 3 {
+			if a.Fits(datagram, now) {
+				a.Spend(datagram)
+				sent += datagram
+			}
+		}
+	}
+	if share := float64(sent) / 10 / link; share < 0.16 || share > 0.175 {
+		t.Errorf("%g of the link", share)
+	}
+}
+
+func TestWhatHasToBeSentIsTakenOffLaterReports(t *testing.T) {
+	a := NewAllowance(10, 0)
+	a.Spend(250_000) // of a second
+	if a.Fits(1, 1000*time.Millisecond) || !a.Fits(1, 1200*time.Millisecond) {
+		t.Errorf("%g bytes are left", a.left)
+	}
+}
+
+func TestALinkThatIsNotKnownBoundsNothing(t *testing.T) {
+	if a := NewAllowance(0, 0); !a.Fits(1<<30, 0) {
+		t.Error("it is bounded")
+	}
+}
--- a/internal/fanout/inbox.go
+++ b/internal/fanout/inbox.go
@@ -1,6 +1,8 @@
 package fanout
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"sassafrasfield/internal/picture"
@@ -24,7 +26,7 @@
 const endsAtMost = 32
 
 // Inbox has the reports of a zone's instances: which one of each is the newest, and
-// those that came since the last batch. It is not safe for concurrent use.
+// those that wait to be passed on. It is not safe for concurrent use.
 type Inbox struct {
 	newest  map[ID]stamp
 	waiting map[ID]waiting
@@ -35,10 +37,11 @@
 	boot, sequence uint32
 }
 
-// waiting is a report that the next batch passes on.
+// waiting is a report that is to be passed on.
 type waiting struct {
 	own Own
-	at  time.Duration
+	// at is when it came, since when a report of its source has waited.
+	at, since time.Duration
 }
 
 // NewInbox returns an empty inbox.
@@ -66,20 +69,35 @@
 	ends := append(b.waiting[o.Source].own.Report.Ends, o.Report.Ends...)
 	o.Report.Ends = ends[max(0, len(ends)-endsAtMost):]
 	o.Report.Spilled, o.Report.Usage = nil, nil // these are for those that pass reports on
-	b.waiting[o.Source] = waiting{own: o, at: now}
+	since := now
+	if w, waits := b.waiting[o.Source]; waits {
+		since = w.since
+	}
+	b.waiting[o.Source] = waiting{own: o, at: now, since: since}
 }
 
-// Batch returns the reports that came since the last batch, but for those that are so
-// old that their source may be gone.
-func (b *Inbox) Batch(now time.Duration) []Own {
-	var list []Own
-	for _, w := range b.waiting {
-		if now-w.at <= aliveFor {
-			list = append(list, w.own)
+// Batch returns the reports that wait, those of the sources that have waited longest
+// first, as long as they fit. The others wait on, but for those that are so old that their
+// source may be gone.
+func (b *Inbox) Batch(now time.Duration, fits func(Own) bool) []Own {
+	var list []waiting
+	for id, w := range b.waiting {
+		if now-w.at > aliveFor {
+			delete(b.waiting, id)
+			continue
+		}
+		list = append(list, w)
+	}
+	slices.SortFunc(list, func(x, y waiting) int { return cmp.Compare(x.since, y.since) })
+	var batch []Own
+	for _, w := range list {
+		if !fits(w.own) {
+			break
 		}
+		batch = append(batch, w.own)
+		delete(b.waiting, w.own.Source)
 	}
-	clear(b.waiting)
-	return list
+	return batch
 }
 
 // Forget drops an instance.
--- a/internal/fanout/inbox_test.go
+++ b/internal/fanout/inbox_test.go
@@ -14,6 +14,31 @@
 	}}
 }
 
+// all fit.
+func all(Own) bool { return true }
+
+// TestWhoWaitedLongestIsPassedOnFirst: three instances report again and again, and a batch
+// has room for one of them.
+func TestWhoWaitedLongestIsPassedOnFirst(t *testing.T) {
+	b := NewInbox()
+	passed := map[ID]int{}
+	for n := range 30 {
+		now := time.Duration(n) * batchEvery
+		for id := range ID(3) {
+			b.Keep(own(id, 1, uint32(n), 1), now)
+		}
+		room := 1
+		for _, o := range b.Batch(now, func(Own) bool { room--; return room >= 0 }) {
+			passed[o.Source]++
+		}
+	}
+	for id := range ID(3) {
+		if passed[id] != 10 {
+			t.Errorf("instance %d is passed on %d times of 30", id, passed[id])
+		}
+	}
+}
+
 func TestAReportCountsOnce(t *testing.T) {
 	b := NewInbox()
 	for _, c := range []struct {
@@ -33,7 +58,7 @@
 	b.Keep(own(7, 1, 1, 10), 0)
 	b.Keep(own(7, 1, 2, 11), 0)
 	b.Keep(own(8, 1, 1, 12), 0)
-	reports := b.Batch(0)
+	reports := b.Batch(0, all)
 	if len(reports) != 2 {
 		t.Fatalf("%d reports, want one of each instance", len(reports))
 	}
@@ -42,7 +67,7 @@
 			t.Errorf("%+v", r)
 		}
 	}
-	if len(b.Batch(0)) != 0 {
+	if len(b.Batch(0, all)) != 0 {
 		t.Error("they are passed on twice")
 	}
 }
@@ -55,7 +80,7 @@
 	first.Report.Ends = []quarantine.End{{Content: 1, Upstream: 2}}
 	b.Keep(first, 0)
 	b.Keep(own(7, 1, 2, 11), 0)
-	reports := b.Batch(0)
+	reports := b.Batch(0, all)
 	if len(reports) != 1 || len(reports[0].Report.Ends) != 1 {
 		t.Errorf("%+v", reports)
 	}
@@ -63,7 +88,7 @@
 		first.Report.Ends[0].Content = quarantine.Content(n)
 		b.Keep(first, 0)
 	}
-	if n := len(b.Batch(0)[0].Report.Ends); n > endsAtMost {
+	if n := len(b.Batch(0, all)[0].Report.Ends); n > endsAtMost {
 		t.Errorf("%d ends wait", n)
 	}
 }
@@ -73,7 +98,7 @@
 func TestOldReportsAreNotPassedOn(t *testing.T) {
 	b := NewInbox()
 	b.Keep(own(7, 1, 1, 10), 0)
-	if len(b.Batch(aliveFor+time.Millisecond)) != 0 {
+	if len(b.Batch(aliveFor+time.Millisecond, all)) != 0 {
 		t.Error("an old report is passed on")
 	}
 }
--- a/internal/peers/fleet_test.go
+++ b/internal/peers/fleet_test.go
@@ -24,7 +24,8 @@
 	byAddr  map[netip.AddrPort]*virtualNode
 	loss    float64
 	flying  []flight
-	reading bool // all follow the store
+	reading bool                // all follow the store
+	links   func(i int) float64 // Mbit/s; nil where they are not known
 	sent    int
 	bytes   int
 	crossed int // bytes between zones
@@ -99,7 +100,12 @@
 func (r noRows) Reading() bool                                       { return *r.reading }
 
 func newVirtualFleet(instances, zones int, loss float64, seed uint64) *virtualFleet {
-	f := &virtualFleet{rng: rand.New(rand.NewPCG(seed, 1)), byAddr: map[netip.AddrPort]*virtualNode{}, loss: loss, reading: true}
+	return newLinkedFleet(instances, zones, loss, seed, nil)
+}
+
+// newLinkedFleet is a fleet whose instances know what their links carry.
+func newLinkedFleet(instances, zones int, loss float64, seed uint64, links func(int) float64) *virtualFleet {
+	f := &virtualFleet{rng: rand.New(rand.NewPCG(seed, 1)), byAddr: map[netip.AddrPort]*virtualNode{}, loss: loss, reading: true, links: links}
 	for i := range instances {
 		f.nodes = append(f.nodes, &virtualNode{})
 		f.start(i, zones)
@@ -115,6 +121,9 @@
 // the seeds.
 func (f *virtualFleet) start(i, zones int) {
 	self := virtualPeer(i, zones)
+	if f.links != nil {
+		self.LinkMbps = f.links(i)
+	}
 	var seeds []string
 	for seed := range min(3, len(f.nodes)) {
 		seeds = append(seeds, virtualPeer(seed, zones).Address)
--- a/internal/peers/link_test.go
+++ b/internal/peers/link_test.go
@@ -37,8 +37,8 @@
 	answerFor = 200 * time.Millisecond
 )
 
-func newBusyFleet(instances, zones int, seed uint64) *busyFleet {
-	b := &busyFleet{virtualFleet: newVirtualFleet(instances, zones, 0, seed), ends: map[time.Duration][]func(){}}
+func newBusyFleet(instances, zones int, seed uint64, links func(int) float64) *busyFleet {
+	b := &busyFleet{virtualFleet: newLinkedFleet(instances, zones, 0, seed, links), ends: map[time.Duration][]func(){}}
 	for _, n := range b.nodes {
 		n.loads.SetRoutes(routes.NewTable(1, nil, []routes.Service{{Name: "llm", Engine: &routes.EngineLimits{
 			Slots: 64, KVTokens: 370000, TransferTime: 100, EventTokens: 1,
@@ -110,8 +110,11 @@
 // half times the mean; all instances of a zone tell its hub ten times a second what they
 // have on some of 60 engines. Grounds: the hubs of such a day wrote up to 2.8 MB a second of
 // batches, on a link that carries 1.25, and whoever took over choked next.
+//
+// Cause: batches were as large as what had changed. What proved it: the bytes of reports by
+// kind and part, a second, of the instances that choked; bounded by the link the test holds.
 func TestWhoPassesReportsOnKeepsItsLinkForCallers(t *testing.T) {
-	b := newBusyFleet(62, 3, 1)
+	b := newBusyFleet(62, 3, 1, func(int) float64 { return 10 })
 	b.serve(28, settleIn, func() {})
 	const second = int(time.Second / virtualTick)
 	sent := make([][]int, len(b.nodes))
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -31,6 +31,8 @@
 	// Address is host:port of its ReplicaService, and of its datagrams.
 	Address string `json:"address"`
 	Zone    string `json:"zone"`
+	// LinkMbps is what its link carries, in Mbit/s; 0 where that is not known.
+	LinkMbps float64 `json:"link_mbps"`
 }
 
 // Rows is the copy of the platform's rows that is kept in step.
--- a/internal/peers/reports.go
+++ b/internal/peers/reports.go
@@ -53,6 +53,9 @@
 	write func(data []byte, to netip.AddrPort) error
 	asks  *asks
 	pace  *fanout.Pace
+	// allowance bounds the bytes of what an instance that passes reports on tells; Run
+	// alone uses it.
+	allowance *fanout.Allowance
 	// told are the revisions that the last batch had.
 	told map[string]int64
 	// boot and sequence tell this process's reports from one another.
@@ -61,7 +64,10 @@
 
 // NewReports returns the reports of an exchange.
 func NewReports(e *Exchange, l Loads) *Reports {
-	r := &Reports{exchange: e, loads: l, asks: newAsks(), pace: fanout.NewPace(e.now()), boot: rand.Uint32()}
+	r := &Reports{
+		exchange: e, loads: l, asks: newAsks(), pace: fanout.NewPace(e.now()),
+		allowance: fanout.NewAllowance(e.self.LinkMbps, e.now()), boot: rand.Uint32(),
+	}
 	r.write = r.writeTo
 	return r
 }
@@ -154,18 +160,38 @@
 	r.send(message, r.exchange.receivers())
 }
 
-// tellZone sends a batch to the instances of the zone.
+// tellZone sends a batch to the instances of the zone: the platform's rows and who there is
+// each time, and as much of the loads as the link bears. What the other zones have together
+// comes first, as it tells most.
 func (r *Reports) tellZone(times bool) {
-	reports, word := r.exchange.nextBatch()
+	to := r.exchange.beside()
+	word := r.exchange.zonesWord()
 	message := r.message(sfv1.Datagram_KIND_BATCH)
 	message.Peers, message.Instances, message.Readers = peersToMessages(word.peers), uint32(word.instances), uint32(word.readers)
-	message.Beyond = reportToMessage(r.loads.BeyondReport())
 	r.addRows(message)
-	message.Reports = r.own(times)
-	for _, o := range reports {
-		message.Reports = append(message.Reports, ownToMessage(o))
+	bytes := proto.Size(message)
+	fits := func(part proto.Message) bool {
+		with := bytes + proto.Size(part)
+		if !r.allowance.Fits(with*len(to), r.exchange.now()) {
+			return false
+		}
+		bytes = with
+		return true
 	}
-	r.send(message, r.exchange.beside())
+	if r.allowance.Fits(bytes*len(to), r.exchange.now()) {
+		message.Beyond = reportToMessage(r.loads.BeyondReport())
+		message.Reports = r.own(times)
+		bytes = proto.Size(message)
+	}
+	r.exchange.nextReports(func(o fanout.Own) bool {
+		report := ownToMessage(o)
+		if !fits(report) {
+			return false
+		}
+		message.Reports = append(message.Reports, report)
+		return true
+	})
+	r.allowance.Spend(r.send(message, to))
 }
 
 // rowsBytes bounds the rows that a batch brings: an upstream's entry has some 300
@@ -199,18 +225,19 @@
 	message := r.message(sfv1.Datagram_KIND_ZONE)
 	message.Beyond = reportToMessage(report)
 	message.Instances, message.Readers = r.exchange.zoneWord()
-	r.send(message, to)
+	r.allowance.Spend(r.send(message, to))
 }
 
 func (r *Reports) message(kind sfv1.Datagram_Kind) *sfv1.Datagram {
 	return &sfv1.Datagram{Kind: kind, From: toMessage(r.exchange.self), Revisions: r.exchange.rows.Revisions()}
 }
 
-// send sends a message in as many datagrams as it takes.
-func (r *Reports) send(message *sfv1.Datagram, to []string) {
+// send sends a message in as many datagrams as it takes, and returns their bytes.
+func (r *Reports) send(message *sfv1.Datagram, to []string) int {
 	if len(to) == 0 {
-		return
+		return 0
 	}
+	bytes := 0
 	for _, part := range split(message) {
 		data, err := proto.Marshal(part)
 		if err != nil {
@@ -218,8 +245,10 @@
 			continue
 		}
 		sentBytes(message.GetKind()).Inc(int64(len(data) * len(to)))
+		bytes += len(data) * len(to)
 		r.sendRaw(data, to)
 	}
+	return bytes
 }
 
 // sentBytes counts the bytes of datagrams by their kind, those to each receiver.
--- a/internal/peers/take.go
+++ b/internal/peers/take.go
@@ -294,8 +294,8 @@
 	instances, readers int
 }
 
-// nextBatch returns the reports that wait to be passed on.
-func (e *Exchange) nextBatch() ([]fanout.Own, zonesWord) {
+// zonesWord returns what the next batch tells besides reports.
+func (e *Exchange) zonesWord() zonesWord {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.now()
@@ -305,5 +305,12 @@
 			word.readers++
 		}
 	}
-	return e.inbox.Batch(now), word
+	return word
+}
+
+// nextReports returns the reports that are passed on now.
+func (e *Exchange) nextReports(fits func(fanout.Own) bool) []fanout.Own {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.inbox.Batch(e.now(), fits)
 }
