Have instances with wide links pass their zone's reports on

Instances rank by what their links carry, then by a hash of their names, so that passing reports on falls to those that have a link for it and not to any. Cause it answers: the first in rank of each zone had links of 10 Mbit/s beside others with 200, and choked. Test: TestWideLinksRankFirst, TestReportsArePassedOnByWideLinks.

--- a/internal/fanout/roster.go
+++ b/internal/fanout/roster.go
@@ -2,8 +2,8 @@
 // cost that does not grow with their square. In each zone the instance that ranks
 // first, its hub, takes the reports of all others and passes them on in batches; it
 // tells the hubs of the other zones what its zone has together. All instances rank
-// one another alike, by a hash of their names, so no hub is agreed on: the second
-// gets the reports too, and passes them on once the first is silent.
+// one another alike, by what their links carry and a hash of their names, so no hub is
+// agreed on: the second gets the reports too, and passes them on once the first is silent.
 //
 // The package is pure: times are passed in, on the instance's monotonic clock.
 // Callers: peers, which sends and receives, and model, which plays the same
@@ -12,6 +12,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"slices"
 	"time"
 
@@ -21,8 +22,16 @@
 // ID names an instance in reports; the highest one of a zone ranks first.
 type ID uint64
 
-// IDOf is the id of the instance with a name.
-func IDOf(name string) ID { return ID(xxhash.Sum64String(name)) }
+// hashBits are the bits of an ID below those for the link: a hash of the name.
+const hashBits = 58
+
+// IDOf is the id of the instance with a name, whose link carries so many Mbit/s. One of
+// twice the bandwidth ranks higher whatever the names: passing reports on takes more of a
+// link than all else that an instance does.
+func IDOf(name string, linkMbps float64) ID {
+	class := bits.Len64(uint64(max(0, linkMbps))) // 0 to 63
+	return ID(uint64(min(class, 63))<<hashBits | xxhash.Sum64String(name)>>(64-hashBits))
+}
 
 // Times of the roster.
 const (
--- a/internal/fanout/roster_test.go
+++ b/internal/fanout/roster_test.go
@@ -12,7 +12,7 @@
 func ranked(n int) []ID {
 	ids := make([]ID, n)
 	for i := range ids {
-		ids[i] = IDOf(fmt.Sprintf("instance-%d", i))
+		ids[i] = IDOf(fmt.Sprintf("instance-%d", i), 10)
 	}
 	slices.SortFunc(ids, func(a, b ID) int { return cmp.Compare(b, a) })
 	return ids
@@ -27,6 +27,25 @@
 	return r
 }
 
+// TestWideLinksRankFirst: of a zone's 23 instances two have links of 200 Mbit/s and the
+// others of 10, and the first in rank passes all reports on.
+func TestWideLinksRankFirst(t *testing.T) {
+	for wide := range 100 {
+		for narrow := range 21 {
+			w, n := IDOf(fmt.Sprint("wide-", wide), 200), IDOf(fmt.Sprint("narrow-", narrow), 10)
+			if w < n {
+				t.Fatalf("wide %d ranks behind narrow %d", wide, narrow)
+			}
+		}
+	}
+	if IDOf("a", 0) >= IDOf("b", 1) || IDOf("a", 1e30) < IDOf("a", 1e6) || IDOf("a", -1) != IDOf("a", 0) {
+		t.Error("links without a sound bandwidth")
+	}
+	if IDOf("a", 10) == IDOf("b", 10) {
+		t.Error("names count for nothing")
+	}
+}
+
 func TestTheFirstInRankPassesReportsOn(t *testing.T) {
 	ids := ranked(5)
 	for i, id := range ids {
--- a/internal/peers/fleet_test.go
+++ b/internal/peers/fleet_test.go
@@ -273,6 +273,38 @@
 	}
 }
 
+// TestReportsArePassedOnByWideLinks: of 21 instances a zone two have links of 200 Mbit/s.
+// They pass reports on, one after the other, and once both are gone another one does.
+func TestReportsArePassedOnByWideLinks(t *testing.T) {
+	const instances, zones, wide = 63, 3, 6
+	f := newLinkedFleet(instances, zones, 0.025, 5, func(i int) float64 {
+		if i < instances-wide {
+			return 10
+		}
+		return 200
+	})
+	f.run(2 * settleIn)
+	for _, narrow := range []bool{false, false, true} {
+		if hubs := f.hubs(); len(hubs) != zones {
+			t.Errorf("%v pass reports on", hubs)
+		}
+		for _, n := range f.nodes {
+			if !n.up || !n.exchange.Passes() {
+				continue
+			}
+			if self := n.exchange.self; (self.LinkMbps == 10) != narrow {
+				t.Errorf("%s passes reports on, with %g Mbit/s", self.Name, self.LinkMbps)
+			}
+		}
+		for _, n := range f.nodes {
+			if n.up && n.exchange.Passes() {
+				n.up = false
+			}
+		}
+		f.run(2 * settleIn)
+	}
+}
+
 // TestHubsThatDieAreReplaced: the instances that pass reports on die in all zones at
 // once, then those that took over.
 func TestHubsThatDieAreReplaced(t *testing.T) {
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"sassafrasfield/internal/fanout"
 	"sassafrasfield/internal/gen/sf/v1/sfv1connect"
 )
 
@@ -29,11 +28,12 @@
 		e.log.Info("peers: new peer", "peer", p.Name, "address", p.Address, "known", len(e.peers))
 	}
 	if p.Name != "" && k.Peer != p {
+		e.forgetID(k)
 		k.Peer = p
-		k.source = sourceOf(fanout.IDOf(p.Name))
-		e.byID[fanout.IDOf(p.Name)] = k
+		k.source = sourceOf(p.ID())
+		e.byID[p.ID()] = k
 		if p.Zone == e.self.Zone {
-			e.roster.Introduce(fanout.IDOf(p.Name), e.now())
+			e.roster.Introduce(p.ID(), e.now())
 		}
 	}
 	return k
@@ -162,7 +162,13 @@
 // forget drops a peer. The lock is held.
 func (e *Exchange) forget(k *known) {
 	delete(e.peers, k.Address)
-	id := fanout.IDOf(k.Name)
+	e.forgetID(k)
+}
+
+// forgetID drops what is known of a peer by its id, which its name and link make. The lock
+// is held.
+func (e *Exchange) forgetID(k *known) {
+	id := k.ID()
 	if e.byID[id] == k {
 		delete(e.byID, id)
 		e.roster.Forget(id)
@@ -196,7 +202,7 @@
 // lives tells whether a peer gave a sign lately, or is new. The lock is held.
 func (e *Exchange) lives(k *known, now time.Duration) bool {
 	if k.Zone == e.self.Zone {
-		return e.roster.Alive(fanout.IDOf(k.Name), now)
+		return e.roster.Alive(k.ID(), now)
 	}
 	return k.failures == 0 && now-max(k.heardAt, k.metAt) <= livesFor
 }
@@ -257,7 +263,7 @@
 func (e *Exchange) introduce(now time.Duration) []Peer {
 	var list []Peer
 	for _, k := range e.peers {
-		if k.Zone == e.self.Zone && e.roster.Alive(fanout.IDOf(k.Name), now) {
+		if k.Zone == e.self.Zone && e.roster.Alive(k.ID(), now) {
 			list = append(list, k.Peer)
 		}
 	}
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -109,11 +109,11 @@
 }
 
 func toMessage(p Peer) *sfv1.ReplicaPeer {
-	return &sfv1.ReplicaPeer{Name: p.Name, Address: p.Address, Zone: p.Zone}
+	return &sfv1.ReplicaPeer{Name: p.Name, Address: p.Address, Zone: p.Zone, LinkMbps: p.LinkMbps}
 }
 
 func fromMessage(p *sfv1.ReplicaPeer) Peer {
-	return Peer{Name: p.GetName(), Address: p.GetAddress(), Zone: p.GetZone()}
+	return Peer{Name: p.GetName(), Address: p.GetAddress(), Zone: p.GetZone(), LinkMbps: p.GetLinkMbps()}
 }
 
 func peersToMessages(list []Peer) []*sfv1.ReplicaPeer {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -35,6 +35,9 @@
 	LinkMbps float64 `json:"link_mbps"`
 }
 
+// ID is what names it in reports, and ranks it.
+func (p Peer) ID() fanout.ID { return fanout.IDOf(p.Name, p.LinkMbps) }
+
 // Rows is the copy of the platform's rows that is kept in step.
 type Rows interface {
 	// Revisions are the highest ones that are held, by table.
@@ -137,7 +140,7 @@
 }
 
 func newExchange(self Peer, seeds []string, rows Rows, log *slog.Logger, clock func() time.Duration) *Exchange {
-	id := fanout.IDOf(self.Name)
+	id := self.ID()
 	e := &Exchange{
 		self: self, id: id, seeds: seeds, rows: rows, log: log, clock: clock,
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second}},
--- a/internal/peers/reading.go
+++ b/internal/peers/reading.go
@@ -71,7 +71,7 @@
 	}
 	rank := 0
 	for _, z := range e.zones {
-		if now-z.at <= hubFor && fanout.IDOf(z.hub.Name) > e.id {
+		if now-z.at <= hubFor && z.hub.ID() > e.id {
 			rank++
 		}
 	}
--- a/internal/peers/take.go
+++ b/internal/peers/take.go
@@ -165,7 +165,7 @@
 func (e *Exchange) batched(k *known, instances, readers int) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now, id := e.now(), fanout.IDOf(k.Name)
+	now, id := e.now(), k.ID()
 	k.heardAt = now
 	e.roster.Batched(id, now)
 	if e.passes(now) {
