Refuse at an instance that knows for long that it lacks rows

Callers saw: requests sent to an upstream that had left by an instance that heard from others, for 1.9 to 4 s, that they had newer rows, and could not get them: its link took nothing out. Only to hear of nobody was a reason to refuse, and reports came in all the while. Now lacking rows for 1.5 s, half the bound for upstreams that leave on the fleet that was hit, is one too; others serve what comes.

--- a/internal/ownlink/ownlink.go
+++ b/internal/ownlink/ownlink.go
@@ -1,7 +1,8 @@
 // Package ownlink tells whether an instance's own link is to blame that its requests reach
 // no upstream: connections to many upstreams at once fall silent, as happens on a small
 // link whose queue is longer than a connection's timeout. Others can serve what comes here
-// then, and an instance that hears nothing cannot know which upstreams leave.
+// then, and an instance that hears nothing, or knows that it lacks what others have, cannot
+// know which upstreams leave.
 //
 // It is pure: times are passed in, on the instance's monotonic clock. Caller: relay.
 package ownlink
@@ -16,8 +17,8 @@
 	// crash takes with it that one instance happens to ask at the same time.
 	Upstreams int
 	// DeafAfter is how long an instance may hear nothing of the others until it does
-	// not send, if it is its link: the bound on requests to upstreams that leave, less
-	// the time for a request to arrive.
+	// not send, if it is its link, and how long it may lack rows that others have: the
+	// bound on requests to upstreams that leave, less the time for a request to arrive.
 	DeafAfter time.Duration
 }
 
@@ -34,6 +35,9 @@
 	silent, answered map[string]time.Duration
 	// heardAt is when another instance was last heard of; 0 before the first time.
 	heardAt time.Duration
+	// behind: others have rows that this instance lacks, as is known since behindAt.
+	behind   bool
+	behindAt time.Duration
 }
 
 // New returns a link of which nothing is known.
@@ -50,8 +54,19 @@
 // Heard notes a word from another instance.
 func (l *Link) Heard(now time.Duration) { l.heardAt = now }
 
+// Behind notes whether other instances are known to have rows that this one lacks.
+func (l *Link) Behind(behind bool, now time.Duration) {
+	if behind && !l.behind {
+		l.behindAt = now
+	}
+	l.behind = behind
+}
+
 // Choked tells whether nothing should be sent on now.
 func (l *Link) Choked(now time.Duration) bool {
+	if l.behind && now-l.behindAt >= l.settings.DeafAfter {
+		return true // whatever is answered: it hears of rows, and cannot get them
+	}
 	if len(l.silent) < l.settings.Upstreams {
 		return false
 	}
--- a/internal/ownlink/ownlink_test.go
+++ b/internal/ownlink/ownlink_test.go
@@ -67,6 +67,25 @@
 	}
 }
 
+// TestAnInstanceThatLacksRowsForLongSendsNothing: it hears that others have newer rows, and its
+// upstreams answer. Some rows that come late, again and again, do not count.
+func TestAnInstanceThatLacksRowsForLongSendsNothing(t *testing.T) {
+	l := New(DefaultSettings())
+	l.Behind(true, 0)
+	l.Behind(true, time.Second)
+	if l.Choked(1400 * ms) {
+		t.Error("it refuses what it can serve")
+	}
+	if !l.Choked(1500 * ms) {
+		t.Error("it goes on sending")
+	}
+	l.Behind(false, 1600*ms)
+	l.Behind(true, 1700*ms)
+	if l.Choked(3100 * ms) {
+		t.Error("the time before it caught up counts")
+	}
+}
+
 // TestAnInstanceThatIsCutOffFromTheOthersServes: it hears nobody, and its upstreams answer,
 // but for a few.
 func TestAnInstanceThatIsCutOffFromTheOthersServes(t *testing.T) {
--- a/internal/peers/fleet_test.go
+++ b/internal/peers/fleet_test.go
@@ -74,6 +74,9 @@
 	l.Picture.TakeReport(source, report, l.now())
 }
 
+// Behind is not played.
+func (l *virtualLoads) Behind(bool) {}
+
 // Grant gives whatever is asked for.
 func (l *virtualLoads) Grant(uint32) bool { l.granted++; return true }
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -122,6 +122,11 @@
 	few time.Duration
 	// introduced is the peer that the next batch begins to name.
 	introduced int
+	// revisions are what others told of the platform's tables; lacking: some of it was
+	// not here when it was last looked at, since lackingAt.
+	revisions map[string]revisionWord
+	lacking   bool
+	lackingAt time.Duration
 	// passing: this instance passed reports on when it was last looked at.
 	passing   bool
 	passingAt time.Duration
@@ -145,7 +150,7 @@
 		self: self, id: id, seeds: seeds, rows: rows, log: log, clock: clock,
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second}},
 		news:   make(chan struct{}, 1), peers: map[string]*known{}, byID: map[fanout.ID]*known{},
-		roster: fanout.NewRoster(id, 0), inbox: fanout.NewInbox(), zones: map[string]zoneWord{}, pulling: map[string]bool{},
+		roster: fanout.NewRoster(id, 0), inbox: fanout.NewInbox(), zones: map[string]zoneWord{}, pulling: map[string]bool{}, revisions: map[string]revisionWord{},
 	}
 	for _, address := range seeds {
 		e.meet(Peer{Address: address})
--- a/internal/peers/reports.go
+++ b/internal/peers/reports.go
@@ -39,6 +39,8 @@
 	Learned() map[uint32]estimate.Learned
 	// TakeReport takes the report of a source.
 	TakeReport(source string, report picture.Report)
+	// Behind takes whether others are known to have rows that this instance lacks.
+	Behind(behind bool)
 	// Grant gives a further send to a service away, from the pool that this instance
 	// keeps for its zone; false when there is none.
 	Grant(service uint32) bool
@@ -120,6 +122,7 @@
 
 // tell sends what is due, and returns the time until something may be due again.
 func (r *Reports) tell(urgent bool) time.Duration {
+	r.loads.Behind(r.exchange.behind())
 	passes, hears := r.exchange.state()
 	due, wait := r.pace.Next(r.exchange.now(), passes, hears, urgent)
 	if due.Own {
--- a/internal/peers/take.go
+++ b/internal/peers/take.go
@@ -73,6 +73,7 @@
 // of.
 func (r *Reports) takeRows(ctx context.Context, message *sfv1.Datagram, k *known) {
 	rows := r.exchange.rows
+	r.exchange.heardRevisions(message.GetRevisions())
 	if !behind(rows.Revisions(), message.GetRevisions()) {
 		return
 	}
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -30,6 +30,13 @@
 	l.note(func(s *ownlink.Link) { s.Heard(now) })
 }
 
+// Behind takes whether other instances are known to have rows of the platform that this one
+// lacks.
+func (r *Relay) Behind(behind bool) {
+	now := r.now()
+	r.link.note(func(s *ownlink.Link) { s.Behind(behind, now) })
+}
+
 // noteLink takes what a failed send tells of this instance's link.
 func (r *Relay) noteLink(upstream string, err error) {
 	now := r.now()
@@ -50,7 +57,7 @@
 }
 
 // Choked tells whether this instance's own link is to blame that its requests reach no
-// upstream.
+// upstream, or that it cannot know which ones leave.
 func (r *Relay) Choked() bool {
 	r.link.mu.Lock()
 	defer r.link.mu.Unlock()
