Ask who is at the address of an upstream that cut requests off

Callers saw, in one run of the tests beside load: a content that ends engines reached two more of them. Cause: an engine that had ended was back within 0.3 s under another id, before a busy instance asked whether anybody listens there, and counted as living. Costs a question of one request for each upstream that cut one off and takes connections. Left: one that is back under its old id.

--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -226,7 +226,9 @@
 	return relay.KV{}, picture.Load{}, relay.ErrLost
 }
 
-func (*heldSender) Ended(context.Context, picture.Upstream) (bool, error) { return false, nil }
+func (*heldSender) Ended(context.Context, picture.Upstream, string) (bool, error) {
+	return false, nil
+}
 
 func (s *heldSender) Free(context.Context, relay.KV) error { return nil }
 
--- a/internal/relay/apart.go
+++ b/internal/relay/apart.go
@@ -189,9 +189,10 @@
 func (r *Relay) hasEnded(to picture.Upstream) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), endedWithin)
 	defer cancel()
+	healthPath := r.Services()[to.Service].HealthPath
 	for {
 		asked, stop := context.WithTimeout(ctx, endedTimeout)
-		ended, err := r.sender.Ended(asked, to)
+		ended, err := r.sender.Ended(asked, to, healthPath)
 		stop()
 		if err == nil {
 			return ended
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -74,7 +74,7 @@
 }
 
 // Ended implements Sender: the upstreams that the script names have.
-func (f *fakeSender) Ended(_ context.Context, to picture.Upstream) (bool, error) {
+func (f *fakeSender) Ended(_ context.Context, to picture.Upstream, _ string) (bool, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.silent > 0 {
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -138,8 +138,9 @@
 	// Free drops a KV cache that nobody will fetch.
 	Free(ctx context.Context, kv KV) error
 	// Ended tells whether an upstream's process has ended: its machine answers, and
-	// nobody listens at its address. An error means that there is no word on it.
-	Ended(ctx context.Context, to picture.Upstream) (bool, error)
+	// nobody listens at its address, or another upstream does, which is asked at the
+	// health path where the service has one. An error means that there is no word on it.
+	Ended(ctx context.Context, to picture.Upstream, healthPath string) (bool, error)
 }
 
 // Word is what a refusal tells of the request.
