Have an instance that stood still read what it missed before it sends

Callers of an instance that stood still for two seconds: requests that waited there were sent to an upstream that had left meanwhile, 1 and 4 of 10 within milliseconds of its waking (TestALeavingUpstreamGetsNothingFromAnInstanceInTrouble/it_stands_still, which failed in both its cases; a store that is silent, late, or not reached held before). Now one that did not look for others' word for 1.5 s refuses until it has heard of others after it woke and lacks no rows, for 0.3 s at least and 1.5 s at most; others serve what comes meanwhile.

--- a/internal/ownlink/ownlink.go
+++ b/internal/ownlink/ownlink.go
@@ -1,8 +1,8 @@
 // Package ownlink tells whether an instance's own link is to blame that its requests reach
 // no upstream: connections to many upstreams at once fall silent, as happens on a small
 // link whose queue is longer than a connection's timeout. Others can serve what comes here
-// then, and an instance that hears nothing, or knows that it lacks what others have, cannot
-// know which upstreams leave.
+// then, and an instance that hears nothing, stood still, or knows that it lacks what others
+// have, cannot know which upstreams leave.
 //
 // It is pure: times are passed in, on the instance's monotonic clock. Caller: relay.
 package ownlink
@@ -20,11 +20,14 @@
 	// not send, if it is its link, and how long it may lack rows that others have: the
 	// bound on requests to upstreams that leave, less the time for a request to arrive.
 	DeafAfter time.Duration
+	// Settle is how long an instance that stood still takes to read what the others told
+	// meanwhile: they tell it anew within a part of this.
+	Settle time.Duration
 }
 
 // DefaultSettings returns the defaults.
 func DefaultSettings() Settings {
-	return Settings{Recent: time.Second, Upstreams: 4, DeafAfter: 1500 * time.Millisecond}
+	return Settings{Recent: time.Second, Upstreams: 4, DeafAfter: 1500 * time.Millisecond, Settle: 300 * time.Millisecond}
 }
 
 // Link is what is known of the instance's own link. It is not safe for concurrent use.
@@ -38,6 +41,10 @@
 	// behind: others have rows that this instance lacks, as is known since behindAt.
 	behind   bool
 	behindAt time.Duration
+	// looked: it was looked for that, last at lookedAt. The process stood still if it was
+	// not for long, and woke at wokeAt.
+	looked, woke     bool
+	lookedAt, wokeAt time.Duration
 }
 
 // New returns a link of which nothing is known.
@@ -54,17 +61,38 @@
 // Heard notes a word from another instance.
 func (l *Link) Heard(now time.Duration) { l.heardAt = now }
 
-// Behind notes whether other instances are known to have rows that this one lacks.
+// Behind notes whether other instances are known to have rows that this one lacks. It is
+// to be called a few times a second: the process stood still where it was not.
 func (l *Link) Behind(behind bool, now time.Duration) {
+	if l.stoodStill(now) {
+		l.woke, l.wokeAt = true, now
+	}
+	l.looked, l.lookedAt = true, now
 	if behind && !l.behind {
 		l.behindAt = now
 	}
 	l.behind = behind
+	l.woke = l.woke && !l.settled(now)
+}
+
+// stoodStill tells that nothing was looked for so long that upstreams may have left.
+func (l *Link) stoodStill(now time.Duration) bool {
+	return l.looked && now-l.lookedAt >= l.settings.DeafAfter
+}
+
+// settled tells whether an instance that woke knows what it missed, or that nobody tells.
+func (l *Link) settled(now time.Duration) bool {
+	awake := now - l.wokeAt
+	heard := l.heardAt > l.wokeAt && !l.behind
+	return awake >= l.settings.DeafAfter || heard && awake >= l.settings.Settle
 }
 
 // Choked tells whether nothing should be sent on now.
 func (l *Link) Choked(now time.Duration) bool {
-	if l.behind && now-l.behindAt >= l.settings.DeafAfter {
+	switch {
+	case l.stoodStill(now), l.woke:
+		return true // it has not read yet which upstreams left meanwhile
+	case l.behind && now-l.behindAt >= l.settings.DeafAfter:
 		return true // whatever is answered: it hears of rows, and cannot get them
 	}
 	if len(l.silent) < l.settings.Upstreams {
--- a/internal/ownlink/ownlink_test.go
+++ b/internal/ownlink/ownlink_test.go
@@ -86,6 +86,43 @@
 	}
 }
 
+// TestAnInstanceThatStoodStillReadsFirst: it woke after two seconds, with requests that wait.
+// What was told meanwhile is read before they are sent on, or nobody tells anything.
+func TestAnInstanceThatStoodStillReadsFirst(t *testing.T) {
+	woken := func() *Link {
+		l := New(DefaultSettings())
+		l.Heard(900 * ms)
+		l.Behind(false, time.Second)
+		if l.Choked(2400*ms) || !l.Choked(3*time.Second) {
+			t.Error("it is not seen that it stood still, or too soon")
+		}
+		l.Behind(false, 3*time.Second)
+		return l
+	}
+	l := woken()
+	l.Heard(3010 * ms)
+	l.Behind(true, 3050*ms)
+	l.Behind(true, 3400*ms)
+	if !l.Choked(3400 * ms) {
+		t.Error("it sends though it lacks rows")
+	}
+	l.Behind(false, 3450*ms)
+	if l.Choked(3450 * ms) {
+		t.Error("it refuses though it has all rows")
+	}
+	l = woken() // and hears nobody
+	l.Behind(false, 4*time.Second)
+	if !l.Choked(4 * time.Second) {
+		t.Error("it sends though it has heard nobody")
+	}
+	for now := 4100 * ms; now <= 4500*ms; now += 100 * ms {
+		l.Behind(false, now)
+	}
+	if l.Choked(4500 * ms) {
+		t.Error("an instance that is left alone serves nobody")
+	}
+}
+
 // TestAnInstanceThatIsCutOffFromTheOthersServes: it hears nobody, and its upstreams answer,
 // but for a few.
 func TestAnInstanceThatIsCutOffFromTheOthersServes(t *testing.T) {
