Say in each refusal of an instance in trouble which trouble it is

Four troubles had one reason in the log, 'own link is choked', so that lines could not tell a silent link from rows that are lacking or a process that stood still.

--- a/internal/ownlink/ownlink.go
+++ b/internal/ownlink/ownlink.go
@@ -61,9 +61,9 @@
 // Heard notes a word from another instance.
 func (l *Link) Heard(now time.Duration) { l.heardAt = now }
 
-// Behind notes whether other instances are known to have rows that this one lacks. It is
+// Lacks notes whether other instances are known to have rows that this one lacks. It is
 // to be called a few times a second: the process stood still where it was not.
-func (l *Link) Behind(behind bool, now time.Duration) {
+func (l *Link) Lacks(behind bool, now time.Duration) {
 	if l.stoodStill(now) {
 		l.woke, l.wokeAt = true, now
 	}
@@ -87,25 +87,56 @@
 	return awake >= l.settings.DeafAfter || heard && awake >= l.settings.Settle
 }
 
-// Choked tells whether nothing should be sent on now.
-func (l *Link) Choked(now time.Duration) bool {
+// Trouble is why nothing should be sent on; empty for none.
+type Trouble string
+
+// Troubles.
+const (
+	// Silent: connections to many upstreams are not answered.
+	Silent Trouble = "own link is choked"
+	// Deaf: besides, no other instance has been heard of for long.
+	Deaf Trouble = "own link is choked, and nobody is heard of"
+	// Behind: others have had rows for long that this instance lacks.
+	Behind Trouble = "others have rows that are not here"
+	// StoodStill: it was not looked for long at what others tell, or that has just begun
+	// again.
+	StoodStill Trouble = "stood still, and has not caught up"
+)
+
+// Trouble tells whether nothing should be sent on now, and why.
+func (l *Link) Trouble(now time.Duration) Trouble {
 	switch {
 	case l.stoodStill(now), l.woke:
-		return true // it has not read yet which upstreams left meanwhile
+		return StoodStill // it has not read yet which upstreams left meanwhile
 	case l.behind && now-l.behindAt >= l.settings.DeafAfter:
-		return true // whatever is answered: it hears of rows, and cannot get them
+		return Behind // whatever is answered: it hears of rows, and cannot get them
+	case len(l.silent) < l.settings.Upstreams:
+		return ""
+	case l.heardAt > 0 && now-l.heardAt >= l.settings.DeafAfter:
+		return l.deaf()
+	default:
+		return l.choked(now)
 	}
-	if len(l.silent) < l.settings.Upstreams {
-		return false
-	}
-	if l.heardAt > 0 && now-l.heardAt >= l.settings.DeafAfter {
-		// what is answered meanwhile does not tell which upstreams leave
-		return countSince(l.silent, l.heardAt-l.settings.Recent) >= l.settings.Upstreams
+}
+
+// deaf is the trouble of an instance that hears of nobody, if its link fell silent about
+// then. What is answered meanwhile does not tell which upstreams leave.
+func (l *Link) deaf() Trouble {
+	if countSince(l.silent, l.heardAt-l.settings.Recent) >= l.settings.Upstreams {
+		return Deaf
 	}
+	return ""
+}
+
+// choked is the trouble of an instance that reaches many upstreams no more, and fewer still.
+func (l *Link) choked(now time.Duration) Trouble {
 	since := now - l.settings.Recent
 	silent, answered := countSince(l.silent, since), countSince(l.answered, since)
 	l.forget(since)
-	return silent >= l.settings.Upstreams && silent > answered
+	if silent >= l.settings.Upstreams && silent > answered {
+		return Silent
+	}
+	return ""
 }
 
 // forget drops what counts no more.
--- a/internal/ownlink/ownlink_test.go
+++ b/internal/ownlink/ownlink_test.go
@@ -8,6 +8,8 @@
 
 const ms = time.Millisecond
 
+func (l *Link) inTrouble(now time.Duration) bool { return l.Trouble(now) != "" }
+
 func silentAt(l *Link, at time.Duration, upstreams int) {
 	for i := range upstreams {
 		l.Silent(fmt.Sprint("silent ", i), at)
@@ -21,10 +23,10 @@
 	l := New(DefaultSettings())
 	l.Heard(9900 * ms)
 	silentAt(l, 10*time.Second, 5)
-	if !l.Choked(10*time.Second + 100*ms) {
+	if !l.inTrouble(10*time.Second + 100*ms) {
 		t.Error("not seen")
 	}
-	if l.Choked(11*time.Second + 100*ms) {
+	if l.inTrouble(11*time.Second + 100*ms) {
 		t.Error("nothing is tried any more, and it is choked for good")
 	}
 }
@@ -37,12 +39,12 @@
 	for i := range 8 {
 		l.Answered(fmt.Sprint("good ", i), 10*time.Second)
 	}
-	if l.Choked(10 * time.Second) {
+	if l.inTrouble(10 * time.Second) {
 		t.Error("the link is blamed")
 	}
 	l = New(DefaultSettings())
 	silentAt(l, 10*time.Second, 3)
-	if l.Choked(10 * time.Second) {
+	if l.inTrouble(10 * time.Second) {
 		t.Error("three silent upstreams are taken for all")
 	}
 }
@@ -58,11 +60,11 @@
 	for i := range 20 {
 		l.Answered(fmt.Sprint("good ", i), 12*time.Second)
 	}
-	if !l.Choked(13*time.Second) || !l.Choked(14*time.Second) {
+	if !l.inTrouble(13*time.Second) || !l.inTrouble(14*time.Second) {
 		t.Error("it goes on though it hears nothing")
 	}
 	l.Heard(14 * time.Second)
-	if l.Choked(14*time.Second + 100*ms) {
+	if l.inTrouble(14*time.Second + 100*ms) {
 		t.Error("it does not go on")
 	}
 }
@@ -71,17 +73,17 @@
 // upstreams answer. Some rows that come late, again and again, do not count.
 func TestAnInstanceThatLacksRowsForLongSendsNothing(t *testing.T) {
 	l := New(DefaultSettings())
-	l.Behind(true, 0)
-	l.Behind(true, time.Second)
-	if l.Choked(1400 * ms) {
+	l.Lacks(true, 0)
+	l.Lacks(true, time.Second)
+	if l.inTrouble(1400 * ms) {
 		t.Error("it refuses what it can serve")
 	}
-	if !l.Choked(1500 * ms) {
+	if !l.inTrouble(1500 * ms) {
 		t.Error("it goes on sending")
 	}
-	l.Behind(false, 1600*ms)
-	l.Behind(true, 1700*ms)
-	if l.Choked(3100 * ms) {
+	l.Lacks(false, 1600*ms)
+	l.Lacks(true, 1700*ms)
+	if l.inTrouble(3100 * ms) {
 		t.Error("the time before it caught up counts")
 	}
 }
@@ -92,33 +94,33 @@
 	woken := func() *Link {
 		l := New(DefaultSettings())
 		l.Heard(900 * ms)
-		l.Behind(false, time.Second)
-		if l.Choked(2400*ms) || !l.Choked(3*time.Second) {
+		l.Lacks(false, time.Second)
+		if l.inTrouble(2400*ms) || !l.inTrouble(3*time.Second) {
 			t.Error("it is not seen that it stood still, or too soon")
 		}
-		l.Behind(false, 3*time.Second)
+		l.Lacks(false, 3*time.Second)
 		return l
 	}
 	l := woken()
 	l.Heard(3010 * ms)
-	l.Behind(true, 3050*ms)
-	l.Behind(true, 3400*ms)
-	if !l.Choked(3400 * ms) {
+	l.Lacks(true, 3050*ms)
+	l.Lacks(true, 3400*ms)
+	if !l.inTrouble(3400 * ms) {
 		t.Error("it sends though it lacks rows")
 	}
-	l.Behind(false, 3450*ms)
-	if l.Choked(3450 * ms) {
+	l.Lacks(false, 3450*ms)
+	if l.inTrouble(3450 * ms) {
 		t.Error("it refuses though it has all rows")
 	}
 	l = woken() // and hears nobody
-	l.Behind(false, 4*time.Second)
-	if !l.Choked(4 * time.Second) {
+	l.Lacks(false, 4*time.Second)
+	if !l.inTrouble(4 * time.Second) {
 		t.Error("it sends though it has heard nobody")
 	}
 	for now := 4100 * ms; now <= 4500*ms; now += 100 * ms {
-		l.Behind(false, now)
+		l.Lacks(false, now)
 	}
-	if l.Choked(4500 * ms) {
+	if l.inTrouble(4500 * ms) {
 		t.Error("an instance that is left alone serves nobody")
 	}
 }
@@ -132,12 +134,12 @@
 	for i := range 6 {
 		l.Answered(fmt.Sprint("good ", i), 15*time.Second)
 	}
-	if l.Choked(15 * time.Second) {
+	if l.inTrouble(15 * time.Second) {
 		t.Error("it refuses what it can serve")
 	}
 	alone := New(DefaultSettings())
 	silentAt(alone, 10*time.Second, 5)
-	if alone.Choked(20 * time.Second) {
+	if alone.inTrouble(20 * time.Second) {
 		t.Error("an instance without others counts as deaf")
 	}
 }
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -34,7 +34,7 @@
 // lacks.
 func (r *Relay) Behind(behind bool) {
 	now := r.now()
-	r.link.note(func(s *ownlink.Link) { s.Behind(behind, now) })
+	r.link.note(func(s *ownlink.Link) { s.Lacks(behind, now) })
 }
 
 // noteLink takes what a failed send tells of this instance's link.
@@ -56,14 +56,22 @@
 	r.link.note(func(s *ownlink.Link) { s.Answered(upstream, now) })
 }
 
-// Choked tells whether this instance's own link is to blame that its requests reach no
-// upstream, or that it cannot know which ones leave.
-func (r *Relay) Choked() bool {
+// Trouble is why this instance sends nothing on; empty for none.
+func (r *Relay) Trouble() ownlink.Trouble {
 	r.link.mu.Lock()
 	defer r.link.mu.Unlock()
-	return r.link.state.Choked(r.now())
+	return r.link.state.Trouble(r.now())
+}
+
+// refuseTroubled is the refusal of a request at an instance in trouble.
+func refuseTroubled(why ownlink.Trouble, retryIn time.Duration) *Refusal {
+	return &Refusal{Word: NotRun, Reason: string(why), RetryIn: retryIn}
 }
 
+// Choked tells whether this instance's own link is to blame that its requests reach no
+// upstream, or that it cannot know which ones leave.
+func (r *Relay) Choked() bool { return r.Trouble() != "" }
+
 // comeBackIn is when a caller should come back, to another instance.
 func (r *Relay) comeBackIn(patience time.Duration) time.Duration {
 	in := jittered(r.settings.RetryIn)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -252,9 +252,9 @@
 	if table.Version == 0 {
 		return nil, &Refusal{Word: NotRun, Reason: "no configuration yet", RetryIn: r.startIn(req.Patience)}
 	}
-	if r.Choked() {
+	if why := r.Trouble(); why != "" {
 		r.meters.choked.Inc(1)
-		return nil, &Refusal{Word: NotRun, Reason: "own link is choked", RetryIn: r.comeBackIn(req.Patience)}
+		return nil, refuseTroubled(why, r.comeBackIn(req.Patience))
 	}
 	matched := table.Match(req.Host, req.Path)
 	if matched == nil {
