Have no long report wait for good on a small link

A report was passed on only if it fitted whole into what a tenth of a second leaves: on a link of 10 Mbit/s before 21 instances 1 kB, so that a longer one, and all behind it, would never have gone; and what the other zones have, and the hub's own report, could take all of each batch. Found by reading. Now a report may go beyond what is left, which is taken off what comes after it, and zones and instances come first by turns. TestAReportMayBeLongerThanWhatIsSaved.

--- a/internal/fanout/allowance.go
+++ b/internal/fanout/allowance.go
@@ -35,9 +35,10 @@
 // Spend takes bytes off. What has to be sent is sent, and taken off what comes after it.
 func (a *Allowance) Spend(bytes int) { a.left -= float64(bytes) }
 
-// Fits tells whether so many bytes may be sent now.
-func (a *Allowance) Fits(bytes int, now time.Duration) bool {
+// Bears tells whether anything is left beside bytes that are to be sent now. One report may
+// go beyond it, so that none is too long for a small link.
+func (a *Allowance) Bears(bytes int, now time.Duration) bool {
 	a.left = min(a.most(), a.left+a.rate*(now-a.at).Seconds())
 	a.at = now
-	return a.rate == 0 || float64(bytes) <= a.left
+	return a.rate == 0 || float64(bytes) < a.left
 }
--- a/internal/fanout/allowance_test.go
+++ b/internal/fanout/allowance_test.go
@@ -13,7 +13,7 @@
 	sent := 0
 	for now := time.Duration(0); now < 10*time.Second; now += time.Millisecond {
 		for range 3 {
-			if a.Fits(datagram, now) {
+			if a.Bears(0, now) {
 				a.Spend(datagram)
 				sent += datagram
 			}
@@ -27,13 +27,30 @@
 func TestWhatHasToBeSentIsTakenOffLaterReports(t *testing.T) {
 	a := NewAllowance(10, 0)
 	a.Spend(250_000) // of a second
-	if a.Fits(1, 1000*time.Millisecond) || !a.Fits(1, 1200*time.Millisecond) {
+	if a.Bears(0, 1000*time.Millisecond) || !a.Bears(0, 1200*time.Millisecond) {
 		t.Errorf("%g bytes are left", a.left)
 	}
 }
 
+// TestAReportMayBeLongerThanWhatIsSaved: 50 kB to a zone, on a link that has 21 kB to spare
+// each tenth of a second.
+func TestAReportMayBeLongerThanWhatIsSaved(t *testing.T) {
+	const report = 50_000
+	a := NewAllowance(10, 0)
+	sent := 0
+	for now := time.Duration(0); now < 10*time.Second; now += batchEvery {
+		if a.Bears(0, now) {
+			a.Spend(report)
+			sent++
+		}
+	}
+	if sent < 39 || sent > 43 {
+		t.Errorf("%d reports of %d bytes in 10 s", sent, report)
+	}
+}
+
 func TestALinkThatIsNotKnownBoundsNothing(t *testing.T) {
-	if a := NewAllowance(0, 0); !a.Fits(1<<30, 0) {
+	if a := NewAllowance(0, 0); !a.Bears(1<<30, 0) {
 		t.Error("it is bounded")
 	}
 }
--- a/internal/peers/reports.go
+++ b/internal/peers/reports.go
@@ -58,8 +58,10 @@
 	// allowance bounds the bytes of what an instance that passes reports on tells; Run
 	// alone uses it.
 	allowance *fanout.Allowance
-	// told are the revisions that the last batch had.
-	told map[string]int64
+	// told are the revisions that the last batch had; zonesLast: it began with the reports
+	// of this zone's instances, and ended with what the other zones have.
+	told      map[string]int64
+	zonesLast bool
 	// boot and sequence tell this process's reports from one another.
 	boot, sequence uint32
 }
@@ -163,58 +165,6 @@
 	r.send(message, r.exchange.receivers())
 }
 
-// tellZone sends a batch to the instances of the zone: the platform's rows and who there is
-// each time, and as much of the loads as the link bears. What the other zones have together
-// comes first, as it tells most.
-func (r *Reports) tellZone(times bool) {
-	to := r.exchange.beside()
-	word := r.exchange.zonesWord()
-	message := r.message(sfv1.Datagram_KIND_BATCH)
-	message.Peers, message.Instances, message.Readers = peersToMessages(word.peers), uint32(word.instances), uint32(word.readers)
-	r.addRows(message)
-	bytes := proto.Size(message)
-	fits := func(part proto.Message) bool {
-		with := bytes + proto.Size(part)
-		if !r.allowance.Fits(with*len(to), r.exchange.now()) {
-			return false
-		}
-		bytes = with
-		return true
-	}
-	if r.allowance.Fits(bytes*len(to), r.exchange.now()) {
-		message.Beyond = reportToMessage(r.loads.BeyondReport())
-		message.Reports = r.own(times)
-		bytes = proto.Size(message)
-	}
-	r.exchange.nextReports(func(o fanout.Own) bool {
-		report := ownToMessage(o)
-		if !fits(report) {
-			return false
-		}
-		message.Reports = append(message.Reports, report)
-		return true
-	})
-	r.allowance.Spend(r.send(message, to))
-}
-
-// rowsBytes bounds the rows that a batch brings: an upstream's entry has some 300
-// bytes. More are pulled.
-const rowsBytes = 2048
-
-// addRows has a batch bring the rows that changed since the last one.
-func (r *Reports) addRows(message *sfv1.Datagram) {
-	since := r.told
-	r.told = message.GetRevisions()
-	if since == nil || !behind(since, message.GetRevisions()) {
-		return
-	}
-	rows, hold := r.exchange.rows.Since(since)
-	added := &sfv1.Datagram{Rows: rowsToMessages(rows), Since: since, HoldMs: uint32(hold.Milliseconds())}
-	if proto.Size(added) <= rowsBytes {
-		proto.Merge(message, added)
-	}
-}
-
 // tellZones sends what the zone has to the other zones.
 func (r *Reports) tellZones(times bool) {
 	to := r.exchange.beyond()
