Take reports that are longer than most

Cause: what cannot be split, as hundreds of upstreams that are away, goes in one datagram of over 4 kB, and was read into 4 kB. TestALongReportArrives fails before (it did not arrive in 10 s), and holds.

--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	sfv1 "sassafrasfield/internal/gen/sf/v1"
 	"sassafrasfield/internal/picture"
 	"sassafrasfield/internal/relay"
 	"sassafrasfield/internal/replica"
@@ -304,6 +305,26 @@
 
 // TestTheHubGrantsSendsFromThePool: an instance asks its zone's hub, which has some to
 // give, and one of a zone whose hub keeps no pool gets none.
+// TestALongReportArrives: an instance that orders 1,000 engines into other roles tells that
+// all of them are away. Seen: reports that could not be read, before 1,950 engines that were
+// ordered at the start, as they were cut off at 4 kB.
+func TestALongReportArrives(t *testing.T) {
+	from, to := newNode(t, "from", "a"), newNode(t, "to", "a")
+	message := from.reports.message(sfv1.Datagram_KIND_OWN)
+	var away []picture.Away
+	for i := range 1000 {
+		away = append(away, picture.Away{Upstream: uint32(i), For: 15 * time.Second})
+	}
+	message.Beyond = reportToMessage(picture.Report{Away: away})
+	waitFor(func() bool { return from.reports.conn.Load() != nil && to.reports.conn.Load() != nil })
+	if !holdsWithin(10*time.Second, func() bool {
+		from.reports.send(message, []string{to.self.Address})
+		return to.Count() == 2
+	}) {
+		t.Error("it did not arrive")
+	}
+}
+
 func TestTheHubGrantsSendsFromThePool(t *testing.T) {
 	all := fleet(t)
 	hub, other := hubOf(all, "a"), hubOf(all, "b")
--- a/internal/peers/reports.go
+++ b/internal/peers/reports.go
@@ -20,8 +20,10 @@
 )
 
 const (
-	// datagramBytes bounds a datagram; what is more goes into further ones.
-	datagramBytes = 4096
+	// datagramBytes bounds a datagram; what is more goes into further ones, as far as it
+	// can be split. longestDatagram is what UDP takes.
+	datagramBytes   = 4096
+	longestDatagram = 64 << 10
 	// sweepEvery is the time between looks for peers that are gone.
 	sweepEvery = time.Second
 )
--- a/internal/peers/take.go
+++ b/internal/peers/take.go
@@ -19,7 +19,7 @@
 const readAgainAfter = 100 * time.Millisecond
 
 func (r *Reports) listen(ctx context.Context, conn *net.UDPConn) {
-	buffer := make([]byte, datagramBytes)
+	buffer := make([]byte, longestDatagram)
 	for {
 		n, _, err := conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
