--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -25,8 +25,9 @@
 
 // Feed is the platform's store as far as it is followed.
 type Feed interface {
-	// Read returns all rows of a table as of a revision.
-	Read(ctx context.Context, table string) (rows []replica.Row, revision int64, err error)
+	// Read returns all rows of a table as of a revision. Within bounds each of the calls
+	// that it takes: many rows come in pages.
+	Read(ctx context.Context, table string, within time.Duration) (rows []replica.Row, revision int64, err error)
 	// Wait returns the changes of a table after a revision, and the revision
 	// up to which they go. It returns none when nothing changed in time.
 	Wait(ctx context.Context, table string, after int64, wait time.Duration) (rows []replica.Row, revision int64, err error)
@@ -51,10 +52,10 @@
 	// Wait is how long one call to the feed may take without a change. A
 	// store that falls silent is noticed within this and a half second.
 	Wait time.Duration
-	// ReadTimeout bounds a full read at first; it doubles with each failure, up
-	// to eight times, for a store that is slow rather than gone. A call that was
-	// sent while the store was away is not answered when it returns, so a long
-	// first timeout would cost that long.
+	// ReadTimeout bounds each call of a full read at first; it doubles with each
+	// failure, up to eight times, for a store that is slow rather than gone. A call
+	// that was sent while the store was away is not answered when it returns, so a
+	// long first timeout would cost that long.
 	ReadTimeout time.Duration
 	// HoldDeletions is for how long after an outage the deletion of many rows is not
 	// believed: owners of rows that lapsed meanwhile write them again. When the store
@@ -247,9 +248,7 @@
 }
 
 func (f *Follower) readAll(ctx context.Context, table string) error {
-	ctx, cancel := context.WithTimeout(ctx, f.readTimeout(table))
-	defer cancel()
-	rows, revision, err := f.feed.Read(ctx, table)
+	rows, revision, err := f.feed.Read(ctx, table, f.readTimeout(table))
 	if err != nil {
 		return err
 	}
