--- a/internal/peers/behind.go
+++ b/internal/peers/behind.go
@@ -20,9 +20,9 @@
 	}
 }
 
-// behind tells whether others have told lately that they have rows which this instance
+// lacksRows tells whether others have told lately that they have rows which this instance
 // lacks: it hears of them, and could not get them yet.
-func (e *Exchange) behind() bool {
+func (e *Exchange) lacksRows() bool {
 	own := e.rows.Revisions()
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/peers/reports.go
+++ b/internal/peers/reports.go
@@ -126,7 +126,7 @@
 
 // tell sends what is due, and returns the time until something may be due again.
 func (r *Reports) tell(urgent bool) time.Duration {
-	r.loads.Behind(r.exchange.behind())
+	r.loads.Behind(r.exchange.lacksRows())
 	passes, hears := r.exchange.state()
 	due, wait := r.pace.Next(r.exchange.now(), passes, hears, urgent)
 	if due.Own {
