--- a/internal/peers/link_test.go
+++ b/internal/peers/link_test.go
@@ -143,6 +143,10 @@
 // Pattern: datagrams come in that name a newer revision, nothing else comes through. Grounds:
 // it was without the rows for 1.9 to 4 s, of the 3 s after which an upstream that leaves must
 // get no requests. Once it has caught up, it serves.
+//
+// Cause: only to hear of nobody was a reason to refuse, and reports came in all the while. What
+// proved it: of 62 instances the one that broke the rule had the others' revisions in each
+// datagram, and its own questions to 15 of them were not answered.
 func TestAnInstanceThatKnowsItIsBehindSendsNothing(t *testing.T) {
 	n := newNode(t, "behind", "a")
 	newer := &sfv1.Datagram{
