--- a/internal/relay/bar.go
+++ b/internal/relay/bar.go
@@ -27,8 +27,10 @@
 	if r.isApart(x) {
 		return errApart
 	}
-	if why := r.Trouble(); x.status == 0 && why != "" {
-		return troubleError{why}
+	if x.status == 0 {
+		if why := r.Trouble(); why != "" {
+			return troubleError{why}
+		}
 	}
 	table, _ := r.picture.Routes(r.now())
 	identity, known := table.Identify(x.route, x.req.Credential)
--- a/internal/replica/lapse.go
+++ b/internal/replica/lapse.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// lapsedPart: where at least one in so many of a table's rows are deleted after an outage,
+// lapsedPart: where more than one in so many of a table's rows are deleted after an outage,
 // the outage may have made them lapse. Owners that leave are fewer, and those that replace
 // them are among the rows.
 const lapsedPart = 2
