Show which limits upstreams announce

Cause of the change: of the incident's three hypotheses the logs can tell none apart, as no line and no counter says that an upstream announced a limit, which one, who was told, and when it ended. Nothing acts on it yet.

Each answer's word, that of a refusal too, reaches the relay at the one place that all sends pass. A line says that a limit was learned, changed or ended, with the upstream, the rate, where the word comes from and its age; counters relay.limits_learned, _changed, _ended and _unread. What is no rate is neither taken for a limit nor for its end. Callers are not handed the field any more.

A limit of 0 is kept to as one of 0.1 a second: only answers show that it ended.

--- /dev/null
+++ b/internal/quota/quota.go
@@ -0,0 +1,52 @@
+// Package quota keeps the requests to an upstream that limits them within its limit, over
+// all instances together. An upstream announces a limit with its answers; the instance that
+// gets such an answer tells the others, and each send to the upstream needs a grant of the
+// one instance that coordinates the grants.
+//
+// Book has what is known of the limits, Grants is the coordinator's part. The package is
+// pure: times are passed in, on the instance's monotonic clock.
+//
+// Callers: picture (Book), relay (Grants), peers (what is told and asked).
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+// Unlimited is the rate of an upstream that announces no limit.
+var Unlimited = math.Inf(1)
+
+// Bounds of the rates that are kept to, in requests a second.
+const (
+	// leastRate is the lowest. Only the answer to a request shows that a limit has ended, so
+	// an upstream that takes none is still asked so often.
+	leastRate = 0.1
+	// mostRate is one that no upstream gets, so that it counts as no limit.
+	mostRate = 10_000
+)
+
+// Announcement is what an answer says of the upstream's limit.
+type Announcement struct {
+	// Limited tells that it names one; Rate is in requests a second, 0 for none at all.
+	Limited bool
+	Rate    float64
+}
+
+// rate is the announced rate as it is kept to.
+func (a Announcement) rate() float64 {
+	if !a.Limited || a.Rate >= mostRate {
+		return Unlimited
+	}
+	return max(a.Rate, leastRate)
+}
+
+// Word is what one instance tells others of an upstream's limit.
+type Word struct {
+	// Upstream is a hash of its incarnation.
+	Upstream uint32
+	// Rate in requests a second, Unlimited where a limit ended.
+	Rate float64
+	// Age of the newest answer that said so.
+	Age time.Duration
+}
--- a/internal/relay/meters.go
+++ b/internal/relay/meters.go
@@ -15,6 +15,7 @@
 	requests, answered, refused, broken, gone metrics.Counter
 	resumed, copied                           metrics.Counter
 	prefills, direct, choked                  metrics.Counter
+	limits                                    limitMeters
 }
 
 func counter(name string) metrics.Counter {
@@ -30,6 +31,7 @@
 		requests: counter("requests"), answered: counter("answered"), refused: counter("refused"),
 		broken: counter("broken"), gone: counter("caller_gone"),
 		resumed: counter("resumed"), copied: counter("gone_on_at_copy"), prefills: counter("prefills"), direct: counter("direct"), choked: counter("refused_choked"),
+		limits: newLimitMeters(),
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -94,9 +94,10 @@
 // New returns a relay that knows no routes and no upstreams.
 func New(s Settings, sender Sender, log *slog.Logger) *Relay {
 	r := &Relay{
-		settings: s, sender: sender, log: log, start: time.Now(),
+		settings: s, log: log, start: time.Now(),
 		pool: newPool(), contents: newContents(), usage: newUsageCounter(s.UsageWindow), link: newLink(), meters: newMeters(), changed: make(chan struct{}, 1),
 	}
+	r.sender = limitedSender{Sender: sender, relay: r}
 	r.budgets = newBudgets(s.Budget, newRetryMeters(), r.askPool)
 	r.picture = picture.New(picture.Settings{
 		Zone: s.Zone, Placement: s.Placement, Prior: s.Prior, Outliers: s.Outliers, Changed: r.noteChanged,
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -21,6 +21,7 @@
 	"sassafrasfield/internal/apikey"
 	"sassafrasfield/internal/picture"
 	"sassafrasfield/internal/quarantine"
+	"sassafrasfield/internal/quota"
 	"sassafrasfield/internal/route"
 	"sassafrasfield/internal/routes"
 )
@@ -83,6 +84,9 @@
 	Identity routes.Identity
 	// Yields: the engine is to process the prompt after all that do not yield.
 	Yields bool
+	// Announced is called with what each answer of the upstream says of its limit, also one
+	// that refuses; the error is of an answer whose word cannot be read. Nil for nobody.
+	Announced func(quota.Announcement, error)
 }
 
 // Reply is an upstream's answer to a request that it ran. Its body must be
