--- a/internal/peers/grants.go
+++ b/internal/peers/grants.go
@@ -12,7 +12,7 @@
 const (
 	// mayCoordinateFrom is how long a process has run when it may coordinate the grants:
 	// until then it may not have heard of those who do.
-	mayCoordinateFrom = 3 * time.Second
+	mayCoordinateFrom = 1500 * time.Millisecond
 	// limitAskTimeout bounds a question to the coordinator, which may be in another zone, a
 	// round trip of some 2 ms away, and takes up to 20 ms when it is busy.
 	limitAskTimeout = 80 * time.Millisecond
--- a/internal/picture/limits.go
+++ b/internal/picture/limits.go
@@ -1,6 +1,7 @@
 package picture
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -9,15 +10,47 @@
 
 // limits are what upstreams announced that they take, and which of them have nothing left.
 type limits struct {
-	book *quota.Book
-	// spent is until when an upstream has nothing left, by what its last request for a
-	// grant was told.
-	spent untilTable
+	book  *quota.Book
+	spent spentTable
 	// changes wait to be logged.
 	changes []quota.Change
 }
 
-func newLimits() limits { return limits{book: quota.NewBook(), spent: untilTable{}} }
+func newLimits() limits { return limits{book: quota.NewBook(), spent: spentTable{}} }
+
+// spentTable is until when upstreams have nothing left for requests of a priority and for less
+// urgent ones, by what requests for a grant were told.
+type spentTable map[uint32]map[int]time.Duration
+
+// note takes what a request of a priority was told.
+func (t spentTable) note(hash uint32, priority int, until time.Duration) {
+	if t[hash] == nil {
+		t[hash] = map[int]time.Duration{}
+	}
+	t[hash][priority] = until
+}
+
+// until is when an upstream has room for a request of a priority again; not after now where
+// it has room.
+func (t spentTable) until(hash uint32, priority int) time.Duration {
+	latest := time.Duration(0)
+	for told, until := range t[hash] {
+		if told <= priority {
+			latest = max(latest, until)
+		}
+	}
+	return latest
+}
+
+// lapse drops what counts no longer.
+func (t spentTable) lapse(now time.Duration) {
+	for hash, byPriority := range t {
+		maps.DeleteFunc(byPriority, func(_ int, until time.Duration) bool { return now >= until })
+		if len(byPriority) == 0 {
+			delete(t, hash)
+		}
+	}
+}
 
 // Announced takes what an upstream's answer says of its limit. An answer of a start of it that
 // is over says nothing of the one that is there now.
@@ -94,29 +127,30 @@
 	return p.limits.book.Word(hash, now)
 }
 
-// Spent takes it that an upstream with a limit has nothing left for a time.
-func (p *Picture) Spent(hash uint32, until time.Duration) {
+// Spent takes it that an upstream with a limit has nothing left for a time, for requests of a
+// priority and for less urgent ones.
+func (p *Picture) Spent(hash uint32, priority int, until time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.limits.spent[hash] = until
+	p.limits.spent.note(hash, priority, until)
 }
 
-// SpentFor returns for how long an upstream has nothing left; 0 where it has.
-func (p *Picture) SpentFor(hash uint32, now time.Duration) time.Duration {
+// IsSpent tells whether an upstream has nothing left for a request of a priority.
+func (p *Picture) IsSpent(hash uint32, priority int, now time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return max(0, p.limits.spent[hash]-now)
+	return now < p.limits.spent.until(hash, priority)
 }
 
-// AllowanceIn returns when the first of a service's upstreams that have nothing left takes a
-// request again; false when none limits its requests.
-func (p *Picture) AllowanceIn(service string, now time.Duration) (time.Duration, bool) {
+// AllowanceIn returns when the first of the upstreams that have nothing left for a request
+// takes one again; false when none limits its requests.
+func (p *Picture) AllowanceIn(a Ask, now time.Duration) (time.Duration, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	first, found := time.Duration(math.MaxInt64), false
-	for _, n := range p.byService[service] {
-		if p.limits.spent.names(n.hash, now) && !n.Draining {
-			first, found = min(first, p.limits.spent[n.hash]-now), true
+	for _, n := range p.byService[a.Service] {
+		if until := p.limits.spent.until(n.hash, a.Priority); now < until && !n.Draining {
+			first, found = min(first, until-now), true
 		}
 	}
 	return first, found
@@ -124,7 +158,7 @@
 
 // lapseLimits forgets what counts no longer. The lock is held.
 func (p *Picture) lapseLimits(now time.Duration) {
-	p.limits.spent.list(now)
+	p.limits.spent.lapse(now)
 	p.limits.book.Lapse(func(hash uint32) bool { return p.byHash[hash] != nil }, now)
 }
 
--- a/internal/picture/picture_test.go
+++ b/internal/picture/picture_test.go
@@ -40,7 +40,7 @@
 	t.Helper()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, c := range p.candidates(a.Service, p.request(a, now)) {
+	for _, c := range p.candidates(a, p.request(a, now)) {
 		if c.ID == id {
 			return c.Told
 		}
--- a/internal/picture/place.go
+++ b/internal/picture/place.go
@@ -18,6 +18,8 @@
 	// Objective is what is left of the time in which the answer is on time, Left
 	// of the time that the caller waits.
 	Objective, Left time.Duration
+	// Priority; 0 is the most urgent.
+	Priority int
 }
 
 // request is how placement sees what is asked. The lock is held.
@@ -25,20 +27,24 @@
 	return &route.Request{
 		Zone: p.settings.Zone, Prompt: a.Prompt, Excluded: a.Excluded, Now: now,
 		Objective: a.Objective, Left: a.Left, Costs: p.costs(a.Service),
+		Limits: p.limits.book.Any(),
 	}
 }
 
-// candidates returns the upstreams of a service as placement sees them, until the
-// next choice. The lock is held.
-func (p *Picture) candidates(service string, req *route.Request) []route.Candidate {
+// candidates returns the upstreams that a request may go to as placement sees them, until
+// the next choice. The lock is held.
+func (p *Picture) candidates(a Ask, req *route.Request) []route.Candidate {
 	p.told.lapse(req.Now)
 	list, cached := p.candidateBuf[:0], p.cached(req)
-	for _, n := range p.byService[service] {
+	for _, n := range p.byService[a.Service] {
 		list = append(list, route.Candidate{
 			ID: n.ID, Zone: n.Zone, Leave: n.Draining, Engine: n.engine,
 			Load: n.load, Silent: p.takesNone(n, req.Now), Told: n.toldTo(req.Now),
-			Limited: p.limits.book.Limits(n.hash), Spent: p.limits.spent.names(n.hash, req.Now),
 		})
+		if req.Limits {
+			one := &list[len(list)-1]
+			one.Limited, one.Spent = p.limits.book.Limits(n.hash), req.Now < p.limits.spent.until(n.hash, a.Priority)
+		}
 		if len(cached) > 0 {
 			list[len(list)-1].Told.Cached = cached[n.hash]
 		}
@@ -68,7 +74,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	req := p.request(a, now)
-	chosen, ok := p.calls.Schedule(req, p.candidates(a.Service, req), p.rng)
+	chosen, ok := p.calls.Schedule(req, p.candidates(a, req), p.rng)
 	if !ok {
 		return Upstream{}, false
 	}
@@ -82,7 +88,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	req := p.request(a, now)
-	start, ok := p.stages.Begin(req, p.candidates(a.Service, req), p.rng)
+	start, ok := p.stages.Begin(req, p.candidates(a, req), p.rng)
 	if !ok {
 		return start, route.TurnNext, false
 	}
@@ -104,7 +110,7 @@
 	defer p.mu.Unlock()
 	req := p.request(a, now)
 	req.KVZone = kvZone
-	chosen, ok := p.stages.Generate(req, p.candidates(a.Service, req), p.rng)
+	chosen, ok := p.stages.Generate(req, p.candidates(a, req), p.rng)
 	if !ok {
 		return chosen, false
 	}
@@ -123,7 +129,7 @@
 		return false
 	}
 	req := p.request(a, now)
-	return p.stages.AllLimited(req, p.candidates(a.Service, req))
+	return p.stages.AllLimited(req, p.candidates(a, req))
 }
 
 // PickBackup chooses the engine that a run on another one is copied to; the zero
@@ -132,7 +138,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	req := p.request(a, now)
-	chosen, ok := p.stages.Backup(req, running, p.candidates(a.Service, req), p.rng)
+	chosen, ok := p.stages.Backup(req, running, p.candidates(a, req), p.rng)
 	if !ok {
 		return Upstream{}
 	}
--- a/internal/quota/grants.go
+++ b/internal/quota/grants.go
@@ -68,13 +68,19 @@
 	bucket *limit.Bucket
 	// nextAsk is when the next instance is told to ask again, turns when each one is.
 	nextAsk time.Duration
-	turns   map[uint64]time.Duration
+	turns   map[asker]time.Duration
 	// urgent is the most urgent priority that asked lately, at urgentAt.
 	urgent   int
 	urgentAt time.Duration
 	usedAt   time.Duration
 }
 
+// asker is an instance with requests of a priority.
+type asker struct {
+	instance uint64
+	priority int
+}
+
 // NewGrants returns grants of an instance that does not coordinate.
 func NewGrants() *Grants { return &Grants{allowances: map[uint32]*allowance{}} }
 
@@ -139,7 +145,7 @@
 	if a.bucket.TakeLeaving(left, now) {
 		return Verdict{Granted: true}
 	}
-	return Verdict{RetryIn: a.askAgainIn(ask.From, left, rate*g.share, now)}
+	return Verdict{RetryIn: a.askAgainIn(asker{ask.From, ask.Priority}, left, rate*g.share, now)}
 }
 
 func burstOf(rate float64) float64 { return max(leastBurst, rate*burstTime.Seconds()) }
@@ -147,7 +153,7 @@
 func (g *Grants) allowance(upstream uint32, now time.Duration) *allowance {
 	a, ok := g.allowances[upstream]
 	if !ok {
-		a = &allowance{bucket: limit.NewBucket(now), urgent: -1, turns: map[uint64]time.Duration{}}
+		a = &allowance{bucket: limit.NewBucket(now), urgent: -1, turns: map[asker]time.Duration{}}
 		g.allowances[upstream] = a
 	}
 	return a
@@ -168,7 +174,7 @@
 
 // askAgainIn spreads the instances that found nothing over the next tokens. One that asks
 // several times at once has one turn.
-func (a *allowance) askAgainIn(from uint64, left, rate float64, now time.Duration) time.Duration {
+func (a *allowance) askAgainIn(from asker, left, rate float64, now time.Duration) time.Duration {
 	soonest := now + a.bucket.Until(1+left)
 	if turn := a.turns[from]; turn > now {
 		return max(soonest, turn) - now
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -47,6 +47,7 @@
 	ask := picture.Ask{
 		ID: x.req.ID, Service: x.service, Excluded: x.tries.Excluded(),
 		Objective: x.route.Objective - (now - x.arrived), Left: x.left(now),
+		Priority: x.identity.Priority(x.route),
 	}
 	if patience := x.route.Patience; patience > 0 {
 		ask.Left = min(ask.Left, patience-(now-x.arrived))
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -82,7 +82,7 @@
 	if !limit.Limits() {
 		return true
 	}
-	if wait := r.picture.SpentFor(upstream, now); wait > 0 && !send.Continues {
+	if r.picture.IsSpent(upstream, send.Priority, now) && !send.Continues {
 		r.meters.limits.declined.Inc(1)
 		return false
 	}
@@ -97,7 +97,7 @@
 		return true
 	}
 	r.meters.limits.declined.Inc(1)
-	r.picture.Spent(upstream, r.now()+max(verdict.RetryIn, leastWait))
+	r.picture.Spent(upstream, send.Priority, r.now()+max(verdict.RetryIn, leastWait))
 	return false
 }
 
@@ -125,7 +125,7 @@
 // refuseLimited is the refusal of a request for which the limits of its service's upstreams
 // leave no room; nil where they are not to blame.
 func (r *Relay) refuseLimited(x *exchange) error {
-	in, limited := r.picture.AllowanceIn(x.service, r.now())
+	in, limited := r.picture.AllowanceIn(x.ask(r.now()), r.now())
 	if !limited {
 		return nil
 	}
--- a/internal/relay/limits_test.go
+++ b/internal/relay/limits_test.go
@@ -211,7 +211,7 @@
 	asked.decide = func(a quota.Ask) quota.Verdict {
 		if len(asked.asks) == 2 { // the answer began; all others find nothing from now on
 			for _, id := range allEngines {
-				r.picture.Spent(hashOfUpstream(id), time.Minute)
+				r.picture.Spent(hashOfUpstream(id), 0, time.Minute)
 			}
 		}
 		return quota.Verdict{Granted: len(asked.asks) <= 2 || a.Continues}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -50,6 +50,9 @@
 	Objective, Left time.Duration
 	// KVZone is where the processed prompt's KV cache lies, for WorkDecode.
 	KVZone string
+	// Limits: upstreams may limit the requests that they take. Without it no candidate
+	// counts as Spent, which saves a look at all of them.
+	Limits bool
 	// Blocks of KV memory that the request takes.
 	Blocks int
 	// Prefix has the hashes of the prompt's blocks; nil when hints are off.
@@ -162,7 +165,7 @@
 	// KeepShare is the least share of the candidates that has to be left;
 	// 0 means at least one candidate.
 	KeepShare float64
-	// Must: it never yields. What it drops is not chosen, but unlike with a strict filter it
+	// Must, of the filter on limits: it never yields. What it drops is not chosen, but unlike with a strict filter it
 	// still counts as having cached parts that others can fetch.
 	Must bool
 }
@@ -207,6 +210,9 @@
 		s.leftBufs = make([][]Candidate, len(s.Preferences))
 	}
 	for i, p := range s.Preferences {
+		if p.Must && !req.Limits {
+			continue
+		}
 		s.leftBufs[i] = p.kept(req, candidates, s.leftBufs[i][:0])
 		if p.Must || p.enough(len(s.leftBufs[i]), len(candidates)) {
 			candidates = s.leftBufs[i]
--- a/internal/route/stages.go
+++ b/internal/route/stages.go
@@ -34,9 +34,10 @@
 }
 
 // Begin picks the engine that processes a prompt. False means that there is no
-// engine at all, or none that may generate. A short prompt goes to an engine that generates too, unless prompts
-// take so much of these engines' time that a prefill engine is sooner: else a surge
-// of short prompts stops the answers, while prefill engines idle.
+// engine at all, or none with room for the answer. A short prompt goes to an engine
+// that generates too, unless prompts take so much of these engines' time that a prefill
+// engine is sooner: else a surge of short prompts stops the answers, while prefill
+// engines idle.
 func (s *Stages) Begin(req *Request, candidates []Candidate, rng *rand.Rand) (Start, bool) {
 	if s.allSpent(req, candidates) {
 		return Start{}, false
@@ -55,6 +56,9 @@
 // allSpent tells whether no engine may take the answer: a prompt that is processed now
 // would find none afterwards.
 func (s *Stages) allSpent(req *Request, candidates []Candidate) bool {
+	if !req.Limits {
+		return false
+	}
 	able := s.generators(req, candidates)
 	return len(able) > 0 && !slices.ContainsFunc(able, func(c Candidate) bool { return !c.Spent })
 }
