Show which upstreams say that they leave, and which ask for rest

Nothing in logs or metrics told whether an upstream's word on itself came. It reaches the picture as one typed value: an announcement for all instances, which goes the way of the limits between them and to newcomers, and the rest that is asked of this instance alone. A line and a counter for each word that is learned, and for one that cannot be read.

Placement does not act on it yet.

--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -128,11 +128,11 @@
 }
 
 func limitToMessage(w quota.Word) *sfv1.UpstreamLimit {
-	return &sfv1.UpstreamLimit{Upstream: w.Upstream, Rate: w.Rate, AgeMs: uint32(w.Age.Milliseconds())}
+	return &sfv1.UpstreamLimit{Upstream: w.Upstream, Rate: w.Rate, Leaving: w.Leaving, AgeMs: uint32(w.Age.Milliseconds())}
 }
 
 func limitFromMessage(m *sfv1.UpstreamLimit) quota.Word {
-	return quota.Word{Upstream: m.GetUpstream(), Rate: m.GetRate(), Age: time.Duration(m.GetAgeMs()) * time.Millisecond}
+	return quota.Word{Upstream: m.GetUpstream(), Rate: m.GetRate(), Leaving: m.GetLeaving(), Age: time.Duration(m.GetAgeMs()) * time.Millisecond}
 }
 
 func toMessage(p Peer) *sfv1.ReplicaPeer {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -228,6 +228,8 @@
 	return relay.KV{}, picture.Load{}, relay.ErrLost
 }
 
+func (*heldSender) Listen(func(picture.Upstream, picture.Statement)) {}
+
 func (*heldSender) Ended(context.Context, picture.Upstream, string) (bool, error) {
 	return false, nil
 }
--- a/internal/picture/limits.go
+++ b/internal/picture/limits.go
@@ -8,15 +8,18 @@
 	"sassafrasfield/internal/quota"
 )
 
-// limits are what upstreams announced that they take, and which of them have nothing left.
+// limits are what upstreams announced, which of them have nothing left, and which want rest.
 type limits struct {
 	book  *quota.Book
 	spent spentTable
+	rests restTable
 	// changes wait to be logged.
 	changes []quota.Change
 }
 
-func newLimits() limits { return limits{book: quota.NewBook(), spent: spentTable{}} }
+func newLimits() limits {
+	return limits{book: quota.NewBook(), spent: spentTable{}, rests: restTable{}}
+}
 
 // spentTable is until when upstreams have nothing left for requests of a priority and for less
 // urgent ones, by what requests for a grant were told.
@@ -52,8 +55,8 @@
 	}
 }
 
-// Announced takes what an upstream's answer says of its limit. An answer of a start of it that
-// is over says nothing of the one that is there now.
+// Announced takes what an upstream's answer says to all instances. An answer of a start of it
+// that is over says nothing of the one that is there now.
 func (p *Picture) Announced(from Upstream, a quota.Announcement, now time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -68,7 +71,7 @@
 	}
 }
 
-// hearLimits takes what others told of upstreams' limits. The lock is held.
+// hearLimits takes what others told of upstreams' announcements. The lock is held.
 func (p *Picture) hearLimits(words []quota.Word, beside bool, now time.Duration) {
 	scope := quota.Beyond
 	if beside {
@@ -80,7 +83,7 @@
 	}
 }
 
-// Limits returns what is known of the limits of all upstreams.
+// Limits returns what is known of the announcements of all upstreams.
 func (p *Picture) Limits(now time.Duration) []quota.Word {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -104,13 +107,16 @@
 // noteLimit keeps a change to be logged. What was told to wait for by the limit before
 // counts no longer. The lock is held.
 func (p *Picture) noteLimit(c quota.Change, changed bool) {
-	if changed {
+	if !changed {
+		return
+	}
+	if c.Rate != c.Before {
 		delete(p.limits.spent, c.Upstream)
-		p.limits.changes = append(p.limits.changes, c)
 	}
+	p.limits.changes = append(p.limits.changes, c)
 }
 
-// LimitChanges returns the changes of limits since the last call.
+// LimitChanges returns the changes of announcements since the last call.
 func (p *Picture) LimitChanges() []quota.Change {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -159,6 +165,7 @@
 // lapseLimits forgets what counts no longer. The lock is held.
 func (p *Picture) lapseLimits(now time.Duration) {
 	p.limits.spent.lapse(now)
+	p.limits.rests.lapse(now)
 	p.limits.book.Lapse(func(hash uint32) bool { return p.byHash[hash] != nil }, now)
 }
 
--- a/internal/picture/picture.go
+++ b/internal/picture/picture.go
@@ -48,7 +48,7 @@
 	return hashOf(u.ID + "@" + strconv.FormatInt(u.Born, 10))
 }
 
-// Load is what an upstream says of itself with an answer.
+// Load is what an upstream says of its load with an answer.
 type Load struct {
 	Known                   bool
 	Running, Waiting, Slots int
@@ -159,6 +159,7 @@
 	if ok && n.Born != u.Born {
 		p.limits.book.Forget(n.hash)
 		delete(p.limits.spent, n.hash)
+		delete(p.limits.rests, n.hash)
 		p.forget(n)
 		p.loads.Renew(u.ID)
 		ok = false
--- /dev/null
+++ b/internal/picture/statement.go
@@ -0,0 +1,60 @@
+package picture
+
+import (
+	"maps"
+	"time"
+
+	"sassafrasfield/internal/quota"
+)
+
+// Statement is what an upstream says of itself with an answer.
+type Statement struct {
+	// Load is what it has under way.
+	Load Load
+	// Announcement is for all instances; nil where it cannot be read.
+	Announcement *quota.Announcement
+	// Rest is for how long the upstream wants nothing from this instance; 0 for no such
+	// wish.
+	Rest time.Duration
+	// Unread are the errors of what cannot be read. It says nothing.
+	Unread []error
+}
+
+// restTable is until when upstreams want nothing from this instance.
+type restTable map[uint32]time.Duration
+
+// note takes an upstream's wish, and tells whether the rest is longer by it. What it asked for
+// before stands.
+func (t restTable) note(hash uint32, until time.Duration) bool {
+	if until <= t[hash] {
+		return false
+	}
+	t[hash] = until
+	return true
+}
+
+// lapse drops the rests that are over.
+func (t restTable) lapse(now time.Duration) {
+	maps.DeleteFunc(t, func(_ uint32, until time.Duration) bool { return now >= until })
+}
+
+// RestFor takes it that an upstream wants nothing from this instance for a time, and tells
+// whether it is left alone for longer by that. An answer of a start of it that is over says
+// nothing of the one that is there now.
+func (p *Picture) RestFor(from Upstream, d, now time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	hash := from.Incarnation()
+	if n, ok := p.nodes[from.ID]; ok && n.hash != hash {
+		return false
+	}
+	return p.limits.rests.note(hash, now+d)
+}
+
+// Resting is for how much longer an upstream wants nothing from this instance; 0 for one that
+// takes requests.
+func (p *Picture) Resting(hash uint32, now time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(0, p.limits.rests[hash]-now)
+}
--- a/internal/quota/book.go
+++ b/internal/quota/book.go
@@ -45,10 +45,11 @@
 // tellAtMost bounds the words of a report; those that waited longest come first.
 const tellAtMost = 64
 
-// entry is what is known of one upstream's limit.
+// entry is what one upstream announced.
 type entry struct {
-	rate  float64
-	scope Scope
+	rate    float64
+	leaving bool
+	scope   Scope
 	// at is when the newest answer came that said so.
 	at time.Duration
 	// told is when it was last told, by whom it is told to.
@@ -65,21 +66,23 @@
 // never is a time before all others.
 const never = time.Duration(math.MinInt64 / 2)
 
-// Change of what is known of an upstream's limit.
+// Change of what is known of an upstream's announcements.
 type Change struct {
 	Upstream     uint32
 	Before, Rate float64
-	Scope        Scope
+	// Leaves: it was not known before that the upstream leaves.
+	Leaves bool
+	Scope  Scope
 	// Age of the answer that said so.
 	Age time.Duration
 }
 
-// Book has the limits that are known. It is not safe for concurrent use.
+// Book has the announcements that are known. It is not safe for concurrent use.
 type Book struct {
 	entries map[uint32]*entry
 }
 
-// NewBook returns a book without limits.
+// NewBook returns an empty book.
 func NewBook() *Book { return &Book{entries: map[uint32]*entry{}} }
 
 // Rate returns the rate that an upstream is kept to; Unlimited for most.
@@ -93,24 +96,35 @@
 // Limits tells whether an upstream limits its requests.
 func (b *Book) Limits(upstream uint32) bool { return !math.IsInf(b.Rate(upstream), 1) }
 
-// Any tells whether any upstream does or did so lately.
+// Leaving tells whether an upstream has said that it leaves.
+func (b *Book) Leaving(upstream uint32) bool {
+	e, known := b.entries[upstream]
+	return known && e.leaving
+}
+
+// Any tells whether any upstream announces anything, or did so lately.
 func (b *Book) Any() bool { return len(b.entries) > 0 }
 
-// Word returns what is known of an upstream's limit, and whether the upstream told this
-// instance itself; known is false for one that never had a limit.
+// Word returns what is known of an upstream's announcements, and whether the upstream told this
+// instance itself; known is false for one that never announced anything.
 func (b *Book) Word(upstream uint32, now time.Duration) (w Word, firstHand, known bool) {
 	e, known := b.entries[upstream]
 	if !known {
 		return Word{Upstream: upstream, Rate: Unlimited}, false, false
 	}
-	return Word{Upstream: upstream, Rate: e.rate, Age: now - e.at}, e.scope == Own, true
+	return e.word(upstream, now), e.scope == Own, true
 }
 
-// Words returns what is known of all upstreams that have or had a limit.
+// word is what is told of an entry.
+func (e *entry) word(upstream uint32, now time.Duration) Word {
+	return Word{Upstream: upstream, Rate: e.rate, Leaving: e.leaving, Age: now - e.at}
+}
+
+// Words returns what is known of all upstreams that announce anything, or did so lately.
 func (b *Book) Words(now time.Duration) []Word {
 	var words []Word
 	for upstream, e := range b.entries {
-		words = append(words, Word{Upstream: upstream, Rate: e.rate, Age: now - e.at})
+		words = append(words, e.word(upstream, now))
 	}
 	return words
 }
@@ -120,7 +134,7 @@
 
 // Announced takes what an answer to this instance says, and returns what it changes.
 func (b *Book) Announced(upstream uint32, a Announcement, now time.Duration) (Change, bool) {
-	return b.take(Word{Upstream: upstream, Rate: a.rate()}, Own, now)
+	return b.take(Word{Upstream: upstream, Rate: a.rate(), Leaving: a.Leaving}, Own, now)
 }
 
 // Heard takes another instance's word, and returns what it changes.
@@ -131,28 +145,24 @@
 	return b.take(w, scope, now)
 }
 
-// take has a word take the place of the one before if it is newer. Of words that may have
-// crossed the lower one stands.
+// take takes a word, and returns what it changes.
 func (b *Book) take(w Word, scope Scope, now time.Duration) (Change, bool) {
-	at := now - w.Age
 	e, known := b.entries[w.Upstream]
-	switch {
-	case !known && math.IsInf(w.Rate, 1):
-		return Change{}, false
-	case !known:
+	if !known {
+		if !w.Limits() && !w.Leaving {
+			return Change{}, false
+		}
 		e = &entry{rate: Unlimited, at: never}
 		b.entries[w.Upstream] = e
-	case at <= e.at-crossing, w.Rate > e.rate && at <= e.at+patience(w.Rate):
-		return Change{}, false
 	}
-	if math.IsInf(w.Rate, 1) && e.rate == w.Rate {
-		return Change{}, false // its time counts from the end of the limit
+	change := Change{Upstream: w.Upstream, Before: e.rate, Rate: e.rate, Scope: scope, Age: w.Age}
+	if w.Leaving && !e.leaving {
+		e.leaving, e.scope, change.Leaves = true, scope, true
+		e.at = max(e.at, now-w.Age)
 	}
-	change := Change{Upstream: w.Upstream, Before: e.rate, Rate: w.Rate, Scope: scope, Age: w.Age}
-	if e.rate != w.Rate || at > e.at+crossing {
-		e.scope = scope
+	if e.takeRate(w, scope, now) {
+		change.Rate = w.Rate
 	}
-	e.rate, e.at = w.Rate, max(e.at, at)
 	if !change.shown() {
 		return Change{}, false
 	}
@@ -160,8 +170,28 @@
 	return change, true
 }
 
-// shown tells whether the rate changed by more than its last digits.
+// takeRate has a word's rate take the place of the one before if it is newer, and tells whether
+// it did. Of rates that may have crossed the lower one stands.
+func (e *entry) takeRate(w Word, scope Scope, now time.Duration) bool {
+	at := now - w.Age
+	if at <= e.at-crossing || w.Rate > e.rate && at <= e.at+patience(w.Rate) {
+		return false
+	}
+	if math.IsInf(w.Rate, 1) && e.rate == w.Rate {
+		return false // its time counts from the end of the limit
+	}
+	if e.rate != w.Rate || at > e.at+crossing {
+		e.scope = scope
+	}
+	e.rate, e.at = w.Rate, max(e.at, at)
+	return true
+}
+
+// shown tells whether anything changed but the last digits of the rate.
 func (c Change) shown() bool {
+	if c.Leaves {
+		return true
+	}
 	if math.IsInf(c.Before, 1) || math.IsInf(c.Rate, 1) {
 		return c.Before != c.Rate
 	}
@@ -197,7 +227,7 @@
 	var words []Word
 	for upstream, e := range b.entries {
 		if tells(e.scope) && now-e.told[to] >= retellEvery {
-			words = append(words, Word{Upstream: upstream, Rate: e.rate, Age: now - e.at})
+			words = append(words, e.word(upstream, now))
 		}
 	}
 	slices.SortFunc(words, func(a, c Word) int {
@@ -210,12 +240,13 @@
 	return words
 }
 
-// Lapse drops the ends that were told for long enough, and the limits of upstreams that
-// have not been listed for long.
+// Lapse drops the ends of limits that were told for long enough, and the announcements of
+// upstreams that have not been listed for long.
 func (b *Book) Lapse(listed func(upstream uint32) bool, now time.Duration) {
 	for upstream, e := range b.entries {
 		age := now - e.at
-		if math.IsInf(e.rate, 1) && age > endToldFor || age > unlistedFor && !listed(upstream) {
+		ended := math.IsInf(e.rate, 1) && !e.leaving
+		if ended && age > endToldFor || age > unlistedFor && !listed(upstream) {
 			delete(b.entries, upstream)
 		}
 	}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -1,9 +1,10 @@
-// Package quota keeps the requests to an upstream that limits them within its limit, over
-// all instances together. An upstream announces a limit with its answers; the instance that
-// gets such an answer tells the others, and each send to the upstream needs a grant of the
-// one instance that coordinates the grants.
+// Package quota has what upstreams announce of themselves to all instances: the requests that
+// they take, and that they leave. It keeps the requests to an upstream that limits them within
+// its limit, over all instances together. The instance that gets an answer with an announcement
+// tells the others, and each send to an upstream with a limit needs a grant of the one instance
+// that coordinates the grants.
 //
-// Book has what is known of the limits, Grants is the coordinator's part. The package is
+// Book has what is known of the announcements, Grants is the coordinator's part. The package is
 // pure: times are passed in, on the instance's monotonic clock.
 //
 // Callers: picture (Book), relay (Grants), peers (what is told and asked).
@@ -27,11 +28,13 @@
 	mostRate = 10_000
 )
 
-// Announcement is what an answer says of the upstream's limit.
+// Announcement is what an answer says of its upstream to all instances.
 type Announcement struct {
-	// Limited tells that it names one; Rate is in requests a second, 0 for none at all.
+	// Limited tells that it names a limit; Rate is in requests a second, 0 for none at all.
 	Limited bool
 	Rate    float64
+	// Leaving: it ends soon, and takes no new requests.
+	Leaving bool
 }
 
 // rate is the announced rate as it is kept to.
@@ -65,12 +68,14 @@
 // Limits tells whether the upstream limits its requests.
 func (w Word) Limits() bool { return !math.IsInf(w.Rate, 1) }
 
-// Word is what one instance tells others of an upstream's limit.
+// Word is what one instance tells others of an upstream's announcements.
 type Word struct {
 	// Upstream is a hash of its incarnation.
 	Upstream uint32
-	// Rate in requests a second, Unlimited where a limit ended.
+	// Rate in requests a second, Unlimited where there is no limit, or it ended.
 	Rate float64
+	// Leaving upstreams end soon. No incarnation takes this back.
+	Leaving bool
 	// Age of the newest answer that said so.
 	Age time.Duration
 }
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -32,6 +32,8 @@
 	run     func(n int, s Send) (*Reply, error)
 	prefill func(n int, s Send) (KV, error)
 
+	hear func(picture.Upstream, picture.Statement)
+
 	mu       sync.Mutex // protects all below
 	calls    []sent
 	runs     int
@@ -43,6 +45,8 @@
 	silent int
 }
 
+func (f *fakeSender) Listen(hear func(picture.Upstream, picture.Statement)) { f.hear = hear }
+
 func (f *fakeSender) Send(_ context.Context, _ *Request, s Send) (*Reply, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -16,6 +16,9 @@
 type limitMeters struct {
 	// learned, changed and ended count the limits, unread the words that could not be read.
 	learned, changed, ended, unread metrics.Counter
+	// leaving counts the upstreams that said that they leave, rests the times that they asked
+	// for rest.
+	leaving, rests metrics.Counter
 	// granted and declined count the sends for which a grant was asked, refused the requests
 	// that no upstream had room for.
 	granted, declined, refused metrics.Counter
@@ -26,7 +29,7 @@
 func newLimitMeters() limitMeters {
 	return limitMeters{
 		learned: counter("limits_learned"), changed: counter("limits_changed"), ended: counter("limits_ended"),
-		unread: counter("limits_unread"), granted: counter("limit_granted"), declined: counter("limit_declined"),
+		unread: counter("words_unread"), leaving: counter("upstreams_leaving"), rests: counter("upstream_rests"), granted: counter("limit_granted"), declined: counter("limit_declined"),
 		refused: counter("refused_limited"), given: counter("grants_given"), denied: counter("grants_denied"),
 	}
 }
@@ -43,7 +46,6 @@
 	if !s.relay.allowed(ctx, req, send) {
 		return nil, ErrLimited
 	}
-	s.watch(&send)
 	return s.Sender.Send(ctx, req, send)
 }
 
@@ -52,16 +54,9 @@
 	if !s.relay.allowed(ctx, req, send) {
 		return KV{}, picture.Load{}, ErrLimited
 	}
-	s.watch(&send)
 	return s.Sender.Prefill(ctx, req, send)
 }
 
-// watch has the relay hear what the answer says of the upstream's limit.
-func (s limitedSender) watch(send *Send) {
-	to := send.To
-	send.Announced = func(a quota.Announcement, err error) { s.relay.noteAnnounced(to, a, err) }
-}
-
 // AskLimitWith sets how a send to an upstream with a limit is asked for at the instance that
 // coordinates the grants.
 func (r *Relay) AskLimitWith(ask func(context.Context, quota.Ask) quota.Verdict) {
@@ -176,25 +171,36 @@
 	r.showLimits()
 }
 
-// noteAnnounced takes what an upstream's answer says of its limit.
-func (r *Relay) noteAnnounced(from picture.Upstream, a quota.Announcement, err error) {
-	if err != nil {
+// hear takes what an upstream says of itself with an answer.
+func (r *Relay) hear(from picture.Upstream, s picture.Statement) {
+	for _, err := range s.Unread {
 		r.meters.limits.unread.Inc(1)
-		r.log.Info("relay: upstream's limit cannot be read", "upstream", from.ID, "error", err)
-		return
+		r.log.Info("relay: upstream's word cannot be read", "upstream", from.ID, "error", err)
+	}
+	if s.Announcement != nil {
+		r.picture.Announced(from, *s.Announcement, r.now())
+		r.showLimits()
+	}
+	if s.Rest > 0 && r.picture.RestFor(from, s.Rest, r.now()) {
+		r.meters.limits.rests.Inc(1)
+		r.log.Info("relay: upstream asks for rest", "upstream", from.ID, "for", s.Rest)
 	}
-	r.picture.Announced(from, a, r.now())
-	r.showLimits()
 }
 
-// showLimits writes a line on each limit that was learned, changed or ended.
+// showLimits writes a line on each limit that was learned, changed or ended, and on each
+// upstream that leaves.
 func (r *Relay) showLimits() {
 	for _, c := range r.picture.LimitChanges() {
 		inputs := []any{
 			"upstream", r.picture.NameOf(c.Upstream), "per_second", c.Rate, "before", c.Before,
 			"source", c.Scope.String(), "age", c.Age,
 		}
+		if c.Leaves {
+			r.meters.limits.leaving.Inc(1)
+			r.log.Info("relay: upstream says that it leaves", inputs...)
+		}
 		switch {
+		case c.Rate == c.Before:
 		case math.IsInf(c.Before, 1):
 			r.meters.limits.learned.Inc(1)
 			r.log.Info("relay: upstream limits its requests", inputs...)
--- a/internal/relay/limits_test.go
+++ b/internal/relay/limits_test.go
@@ -47,11 +47,16 @@
 	plentiful(r)
 	r.AskLimitWith(c.ask)
 	for _, id := range limited {
-		r.noteAnnounced(r.picture.Upstream(id), quota.Announcement{Limited: true, Rate: 2}, nil)
+		r.hear(r.picture.Upstream(id), limitOf(2))
 	}
 	return r
 }
 
+// limitOf is an upstream's word on the requests a second that it takes.
+func limitOf(rate float64) picture.Statement {
+	return picture.Statement{Announcement: &quota.Announcement{Limited: true, Rate: rate}}
+}
+
 var (
 	allApps    = []string{"app-1", "app-2", "app-3"}
 	allEngines = []string{"pre-1", "pre-2", "dec-1", "dec-2", "dec-3"}
@@ -227,10 +232,11 @@
 
 // TestRefusalsTellLimitsToo: an upstream in need refuses, and says what it takes.
 func TestRefusalsTellLimitsToo(t *testing.T) {
-	sender := &fakeSender{run: func(_ int, s Send) (*Reply, error) {
-		s.Announced(quota.Announcement{Limited: true, Rate: 1}, nil)
+	sender := &fakeSender{}
+	sender.run = func(_ int, s Send) (*Reply, error) {
+		sender.hear(s.To, limitOf(1))
 		return nil, ErrRefused
-	}}
+	}
 	asked := &coordinator{}
 	r := limitedRelay(t, sender, asked)
 	for range 2 {
@@ -248,7 +254,7 @@
 	sender := &fakeSender{}
 	r := newFake(t, sender)
 	for _, id := range allApps {
-		r.noteAnnounced(r.picture.Upstream(id), quota.Announcement{Limited: true, Rate: 2}, nil)
+		r.hear(r.picture.Upstream(id), limitOf(2))
 	}
 	if _, err := serve(r, call("/safe/1")); wordOf(t, err) != NotRun || sender.count() > 0 {
 		t.Errorf("%v, %d sends", err, sender.count())
@@ -266,7 +272,7 @@
 	again := before
 	again.Born = 7
 	r.Learn(again)
-	r.noteAnnounced(before, quota.Announcement{Limited: true, Rate: 1}, nil)
+	r.hear(before, limitOf(1))
 	w, _, known := r.picture.Limit(again.Incarnation(), r.now())
 	if w.Limits() || known {
 		t.Errorf("it is kept to %+v", w)
@@ -277,7 +283,7 @@
 func TestAWordThatCannotBeReadChangesNothing(t *testing.T) {
 	r := limitedRelay(t, &fakeSender{}, &coordinator{}, "app-1")
 	for _, id := range []string{"app-1", "app-2"} {
-		r.noteAnnounced(r.picture.Upstream(id), quota.Announcement{}, errors.New("no rate"))
+		r.hear(r.picture.Upstream(id), picture.Statement{Unread: []error{errors.New("no rate")}})
 	}
 	for id, limits := range map[string]bool{"app-1": true, "app-2": false} {
 		if w, _, _ := r.picture.Limit(hashOfUpstream(id), r.now()); w.Limits() != limits {
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -21,7 +21,6 @@
 	"sassafrasfield/internal/apikey"
 	"sassafrasfield/internal/picture"
 	"sassafrasfield/internal/quarantine"
-	"sassafrasfield/internal/quota"
 	"sassafrasfield/internal/route"
 	"sassafrasfield/internal/routes"
 )
@@ -88,9 +87,6 @@
 	Continues bool
 	// Granted: the upstream's limit has room for it that was asked for before.
 	Granted bool
-	// Announced is called with what each answer of the upstream says of its limit, also one
-	// that refuses; the error is of an answer whose word cannot be read. Nil for nobody.
-	Announced func(quota.Announcement, error)
 }
 
 // Reply is an upstream's answer to a request that it ran. Its body must be
@@ -141,6 +137,9 @@
 // Sender is the adapter to the upstreams. The end of the context ends the
 // upstream's work on a request.
 type Sender interface {
+	// Listen has hear called with what upstreams say of themselves in any answer, whatever was
+	// asked. It is called once, before all else.
+	Listen(hear func(from picture.Upstream, s picture.Statement))
 	// Send has an upstream run a request, and returns once its answer begins.
 	Send(ctx context.Context, req *Request, s Send) (*Reply, error)
 	// Prefill has an engine process a request's prompt and keep the KV cache.
