Send nothing new to upstreams that say with their answers that they leave

Callers' requests reached an upstream up to 6.8 s after its answers had said that it leaves, while the store could not take its entry (DRAIN). Cause: the word was read nowhere, an upstream counted as leaving by its entry alone.

The word goes with the announcements in the instances' reports and to newcomers, and counts for that start of the upstream until its entry has been gone for a minute: an entry that says nothing, is written again or comes back does not take it back, and a new start is not leaving. Whoever leaves by either word drops out of placement, of the engines that get orders and of those counted for scaling. relay.limitedSender, which every send passes, asks once more after a grant was waited for. A run whose copy lies at an upstream that leaves goes on there, as nobody else can finish it. Where all leave, requests are refused at once and the refusal says why.

--- a/internal/peers/fleet_test.go
+++ b/internal/peers/fleet_test.go
@@ -415,3 +415,31 @@
 		t.Errorf("%d of %d had their turn within 20 s", len(had), instances)
 	}
 }
+
+// TestAllKnowSoonWhoLeaves guards against instances that go on sending to an upstream which told
+// one of them that it leaves, over zones and with datagrams lost.
+func TestAllKnowSoonWhoLeaves(t *testing.T) {
+	const within = 2 * time.Second // from then on it must get no requests
+	for _, c := range []struct {
+		instances, zones int
+		loss             float64
+	}{
+		{9, 4, 0}, {62, 3, 0.05}, {195, 6, 0.05}, {400, 12, 0.05},
+	} {
+		f := newVirtualFleet(c.instances, c.zones, c.loss, 1)
+		f.run(settleIn)
+		told := f.nodes[c.instances/2].loads
+		u := told.Upstream("e")
+		told.Announced(u, quota.Announcement{Leaving: true}, told.now())
+		f.run(within)
+		unaware := 0
+		for _, n := range f.nodes {
+			if !n.loads.Leaves(u) {
+				unaware++
+			}
+		}
+		if unaware > 0 {
+			t.Errorf("%d of %d instances do not know after %s", unaware, c.instances, within)
+		}
+	}
+}
--- a/internal/picture/limits.go
+++ b/internal/picture/limits.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"sassafrasfield/internal/quota"
@@ -113,6 +114,9 @@
 	if c.Rate != c.Before {
 		delete(p.limits.spent, c.Upstream)
 	}
+	if n, ok := p.byHash[c.Upstream]; ok && c.Leaves {
+		n.Draining = true
+	}
 	p.limits.changes = append(p.limits.changes, c)
 }
 
@@ -148,6 +152,22 @@
 	return now < p.limits.spent.until(hash, priority)
 }
 
+// Leaves tells whether a start of an upstream leaves, as far as is known now.
+func (p *Picture) Leaves(u Upstream) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n, ok := p.byHash[u.Incarnation()]
+	return ok && n.Draining
+}
+
+// AllLeave tells whether a service has upstreams, and all of them leave.
+func (p *Picture) AllLeave(service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.byService[service]
+	return len(list) > 0 && !slices.ContainsFunc(list, func(n *node) bool { return !n.Draining })
+}
+
 // AllowanceIn returns when the first of the upstreams that have nothing left for a request
 // takes one again; false when none limits its requests.
 func (p *Picture) AllowanceIn(a Ask, now time.Duration) (time.Duration, bool) {
--- a/internal/picture/picture.go
+++ b/internal/picture/picture.go
@@ -31,7 +31,7 @@
 	// Born is the Unix millisecond of the process's start, by its own clock; 0 where the
 	// platform does not tell it. A process may start again under the id that it had.
 	Born int64
-	// Draining upstreams take no new requests.
+	// Draining upstreams take no new requests, by their entry or by their answers.
 	Draining bool
 	// Spot upstreams may be taken back by the platform, all of a zone at once.
 	Spot  bool
@@ -177,6 +177,7 @@
 		p.away.forget(n.hash) // the order is carried out
 	}
 	n.Upstream, n.engine = u, engineOf(u)
+	n.Draining = u.Draining || p.limits.book.Leaving(n.hash)
 }
 
 // leave takes an upstream off its service's list. The lock is held.
--- a/internal/quota/book_test.go
+++ b/internal/quota/book_test.go
@@ -125,3 +125,28 @@
 		t.Errorf("%d entries are left, want the one that is listed", len(b.entries))
 	}
 }
+
+// TestThatAnUpstreamLeavesIsNotTakenBack guards against words that cross, a limit that ends, and
+// an entry that lapses, each of which could hide that an upstream leaves.
+func TestThatAnUpstreamLeavesIsNotTakenBack(t *testing.T) {
+	b := NewBook()
+	change, shown := b.Announced(upstream, Announcement{Limited: true, Rate: 2, Leaving: true}, 0)
+	if !shown || !change.Leaves || change.Rate != 2 {
+		t.Errorf("%+v", change)
+	}
+	if _, shown := b.Announced(upstream, Announcement{Limited: true, Rate: 2, Leaving: true}, 1); shown {
+		t.Error("shown twice")
+	}
+	b.Announced(upstream, Announcement{}, time.Minute)
+	b.Heard(Word{Upstream: upstream, Rate: 3, Age: time.Second}, Beside, time.Minute)
+	listed := true
+	b.Lapse(func(uint32) bool { return listed }, time.Hour)
+	if !b.Leaving(upstream) || len(b.OwnWords(time.Hour)) != 1 {
+		t.Error("forgotten while it is listed")
+	}
+	listed = false
+	b.Lapse(func(uint32) bool { return listed }, 2*time.Hour)
+	if b.Leaving(upstream) || b.Any() {
+		t.Error("kept though it has gone for long")
+	}
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -74,7 +74,7 @@
 // failure is the result of an attempt that brought no whole answer.
 func failure(upstream string, err error) attempt.Result {
 	if ranNothing(err) {
-		return attempt.Result{Ending: attempt.Refused, Upstream: upstream, Unsent: errors.Is(err, ErrNotSent), Declined: errors.Is(err, ErrLimited), Err: err}
+		return attempt.Result{Ending: attempt.Refused, Upstream: upstream, Unsent: errors.Is(err, ErrNotSent), Declined: errors.Is(err, ErrDeclined), Err: err}
 	}
 	return attempt.Result{Ending: attempt.Lost, Upstream: upstream, Err: err}
 }
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -142,7 +142,7 @@
 	kv, err := r.prefillOn(ctx, g, start)
 	if err != nil {
 		r.blame(ctx, g.exchange, start.Engine.ID, err)
-		return attempt.Result{Ending: attempt.NotReady, Upstream: start.Engine.ID, Unsent: errors.Is(err, ErrNotSent), Declined: errors.Is(err, ErrLimited), Err: err}
+		return attempt.Result{Ending: attempt.NotReady, Upstream: start.Engine.ID, Unsent: errors.Is(err, ErrNotSent), Declined: errors.Is(err, ErrDeclined), Err: err}
 	}
 	g.kv = kv
 	return attempt.Result{Ending: attempt.Over}
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -19,9 +19,12 @@
 	// leaving counts the upstreams that said that they leave, rests the times that they asked
 	// for rest.
 	leaving, rests metrics.Counter
-	// granted and declined count the sends for which a grant was asked, refused the requests
-	// that no upstream had room for.
-	granted, declined, refused metrics.Counter
+	// granted and declined count the sends for which a grant was asked, withheld those to
+	// upstreams that leave.
+	granted, declined, withheld metrics.Counter
+	// refused count the requests that no upstream had room for, refusedLeaving those of
+	// services whose upstreams all leave.
+	refused, refusedLeaving metrics.Counter
 	// given and denied count the answers to instances that asked this one.
 	given, denied metrics.Counter
 }
@@ -30,12 +33,12 @@
 	return limitMeters{
 		learned: counter("limits_learned"), changed: counter("limits_changed"), ended: counter("limits_ended"),
 		unread: counter("words_unread"), leaving: counter("upstreams_leaving"), rests: counter("upstream_rests"), granted: counter("limit_granted"), declined: counter("limit_declined"),
-		refused: counter("refused_limited"), given: counter("grants_given"), denied: counter("grants_denied"),
+		withheld: counter("sends_withheld"), refused: counter("refused_limited"), refusedLeaving: counter("refused_leaving"), given: counter("grants_given"), denied: counter("grants_denied"),
 	}
 }
 
-// limitedSender has all that is sent to upstreams pass the limits that they announce: first
-// sends and repeated ones, prompts alone, answers that go on, and whatever comes to be sent.
+// limitedSender has all that is sent to upstreams pass what they announce: first sends and
+// repeated ones, prompts alone, answers that go on, and whatever comes to be sent.
 type limitedSender struct {
 	Sender
 	relay *Relay
@@ -43,20 +46,39 @@
 
 // Send implements Sender.
 func (s limitedSender) Send(ctx context.Context, req *Request, send Send) (*Reply, error) {
-	if !s.relay.allowed(ctx, req, send) {
-		return nil, ErrLimited
+	if err := s.relay.admit(ctx, req, send); err != nil {
+		return nil, err
 	}
 	return s.Sender.Send(ctx, req, send)
 }
 
 // Prefill implements Sender.
 func (s limitedSender) Prefill(ctx context.Context, req *Request, send Send) (KV, picture.Load, error) {
-	if !s.relay.allowed(ctx, req, send) {
-		return KV{}, picture.Load{}, ErrLimited
+	if err := s.relay.admit(ctx, req, send); err != nil {
+		return KV{}, picture.Load{}, err
 	}
 	return s.Sender.Prefill(ctx, req, send)
 }
 
+// admit returns why a request must not be sent to an upstream now, by what that has announced.
+// Words may have come since the upstream was chosen, and while a grant was waited for.
+func (r *Relay) admit(ctx context.Context, req *Request, send Send) error {
+	if !r.allowed(ctx, req, send) {
+		return ErrLimited
+	}
+	if r.picture.Leaves(send.To) && !send.goesOnAtCopy() {
+		r.withhold(req, send, ErrLeaving)
+		return ErrLeaving
+	}
+	return nil
+}
+
+// withhold notes that a request is not sent to the upstream that was chosen for it.
+func (r *Relay) withhold(req *Request, send Send, why error) {
+	r.meters.limits.withheld.Inc(1)
+	r.log.Info("relay: send withheld", "request", req.ID, "upstream", send.To.ID, "error", why)
+}
+
 // AskLimitWith sets how a send to an upstream with a limit is asked for at the instance that
 // coordinates the grants.
 func (r *Relay) AskLimitWith(ask func(context.Context, quota.Ask) quota.Verdict) {
@@ -117,9 +139,13 @@
 	return false
 }
 
-// refuseLimited is the refusal of a request for which the limits of its service's upstreams
-// leave no room; nil where they are not to blame.
-func (r *Relay) refuseLimited(x *exchange) error {
+// refuseAnnounced is the refusal of a request that no upstream of its service takes, by what
+// they have announced; nil where that is not to blame.
+func (r *Relay) refuseAnnounced(x *exchange) error {
+	if r.picture.AllLeave(x.service) {
+		r.meters.limits.refusedLeaving.Inc(1)
+		return &Refusal{Word: NotRun, Reason: "all upstreams leave", RetryIn: r.retryIn(x)}
+	}
 	in, limited := r.picture.AllowanceIn(x.ask(r.now()), r.now())
 	if !limited {
 		return nil
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -303,7 +303,7 @@
 
 // blame records a failed send against the upstream, unless the caller left.
 func (r *Relay) blame(ctx context.Context, x *exchange, id string, err error) {
-	if errors.Is(err, ErrLimited) {
+	if errors.Is(err, ErrDeclined) {
 		return // it was not asked
 	}
 	if errors.Is(err, ErrCut) {
@@ -328,7 +328,7 @@
 		if err := r.refuse(x); err != nil {
 			return err
 		}
-		if err := r.refuseLimited(x); err != nil {
+		if err := r.refuseAnnounced(x); err != nil {
 			return err
 		}
 		return &Refusal{Word: NotRun, Reason: reason(x, "no upstream took it"), RetryIn: r.retryIn(x)}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -89,6 +89,10 @@
 	Granted bool
 }
 
+// goesOnAtCopy tells whether the upstream has the copy of the run that goes on. Nobody else can
+// finish it, so that it is no new work.
+func (s Send) goesOnAtCopy() bool { return s.Continues && s.KV.Engine.ID == s.To.ID }
+
 // Reply is an upstream's answer to a request that it ran. Its body must be
 // closed.
 type Reply struct {
@@ -105,8 +109,12 @@
 	ErrNotSent = errors.New("relay: not sent")
 	// ErrSilent is the ErrNotSent of a request whose connection was not answered in time.
 	ErrSilent = errors.WithMessage(ErrNotSent, "no connection in time")
-	// ErrLimited is the ErrNotSent of a request whose upstream takes no more of them now.
-	ErrLimited = errors.WithMessage(ErrNotSent, "the upstream's limit leaves no room")
+	// ErrDeclined is the ErrNotSent of a request whose upstream takes none now, by its own
+	// word. It was not asked.
+	ErrDeclined = errors.WithMessage(ErrNotSent, "the upstream takes none now")
+	// ErrLimited and ErrLeaving tell by which word.
+	ErrLimited = errors.WithMessage(ErrDeclined, "its limit leaves no room")
+	ErrLeaving = errors.WithMessage(ErrDeclined, "it leaves")
 	// ErrRefused: the upstream says that it did not run the request.
 	ErrRefused = errors.New("relay: the upstream did not run it")
 	// ErrMoved: another upstream has the address now; it did not run the
