Leave upstreams alone for as long as they ask for rest

Cause: the time was read nowhere, and what kept requests off was the ejection after a refusal alone, 2 s and then probes.

The instance that was asked keeps to it for all that it sends there, questions for health, reports, orders and KV caches included, until the last of all rests that were asked for has ended. relay.limitedSender looks once more before each send. Where all rest, requests are refused at once with the time until the first is back, spread; afterwards an upstream gets one request at first, from the moment that it named.

TestTheRowsOfContentsAreFollowed and others of package instance had no sender to hear, and fell since; they have one now.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -128,7 +128,7 @@
 	loops.Go(func() { in.shareBudget(background) })
 	loops.Go(func() { in.tellTimes(background) })
 	loops.Go(func() { in.keepApart(background) })
-	keeper := rolekeeper.New(in.settings.Roles, in.adapter.Table, in.adapter.Orderer, in, in.duties(), logging.Part(in.log, "roles"))
+	keeper := rolekeeper.New(in.settings.Roles, in.adapter.Table, restingOrderer{in.adapter.Orderer, in.relay}, in, in.duties(), logging.Part(in.log, "roles"))
 	loops.Go(func() { keeper.Run(ctx) })
 	handler := in.adapter.Handler(in.relay, in.limitsInForce)
 	err = front.New(in.settings.Front, handler, in.ready, in.relay.Close, logging.Part(in.log, "front")).Run(ctx)
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -27,9 +27,16 @@
 	return picture.Upstream{ID: row.Key.Key, Service: "llm", Role: role}, nil
 }
 
-func newInstance() *Instance {
+// silentSender has upstreams that say nothing of themselves. Nothing is sent to them.
+type silentSender struct{ relay.Sender }
+
+func (silentSender) Listen(func(picture.Upstream, picture.Statement)) {}
+
+func newInstance() *Instance { return newInstanceWith(silentSender{}) }
+
+func newInstanceWith(sender relay.Sender) *Instance {
 	s := Settings{Relay: relay.DefaultSettings()}
-	a := Adapter{Documents: fakeDocuments{}, UpstreamTable: "upstreams", ApartTable: "apart"}
+	a := Adapter{Sender: sender, Documents: fakeDocuments{}, UpstreamTable: "upstreams", ApartTable: "apart"}
 	return New(s, a, slog.New(slog.NewTextHandler(io.Discard, nil)))
 }
 
--- /dev/null
+++ b/internal/instance/orders.go
@@ -0,0 +1,31 @@
+package instance
+
+import (
+	"context"
+
+	"sassafrasfield/internal/picture"
+	"sassafrasfield/internal/relay"
+	"sassafrasfield/internal/rolekeeper"
+)
+
+// restingOrderer asks and orders nothing of engines that want nothing from this instance.
+type restingOrderer struct {
+	rolekeeper.Orderer
+	relay *relay.Relay
+}
+
+// State implements rolekeeper.Orderer.
+func (o restingOrderer) State(ctx context.Context, engine picture.Upstream) (rolekeeper.EngineState, error) {
+	if o.relay.Resting(engine) {
+		return rolekeeper.EngineState{}, relay.ErrResting
+	}
+	return o.Orderer.State(ctx, engine)
+}
+
+// Order implements rolekeeper.Orderer.
+func (o restingOrderer) Order(ctx context.Context, engine picture.Upstream, order rolekeeper.Order) error {
+	if o.relay.Resting(engine) {
+		return relay.ErrResting
+	}
+	return o.Orderer.Order(ctx, engine, order)
+}
--- /dev/null
+++ b/internal/instance/orders_test.go
@@ -0,0 +1,59 @@
+package instance
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sassafrasfield/internal/picture"
+	"sassafrasfield/internal/relay"
+	"sassafrasfield/internal/replica"
+	"sassafrasfield/internal/rolekeeper"
+)
+
+// hearing keeps how upstreams' words reach the relay.
+type hearing struct {
+	relay.Sender
+	hear func(picture.Upstream, picture.Statement)
+}
+
+func (h *hearing) Listen(hear func(picture.Upstream, picture.Statement)) { h.hear = hear }
+
+// countingOrderer counts what reaches engines.
+type countingOrderer struct{ calls int }
+
+func (c *countingOrderer) State(context.Context, picture.Upstream) (rolekeeper.EngineState, error) {
+	c.calls++
+	return rolekeeper.EngineState{}, nil
+}
+
+func (c *countingOrderer) Order(context.Context, picture.Upstream, rolekeeper.Order) error {
+	c.calls++
+	return nil
+}
+
+// TestNoOrderReachesAnEngineThatRests guards against questions and orders to an engine that wants
+// nothing from this instance.
+func TestNoOrderReachesAnEngineThatRests(t *testing.T) {
+	sender, engines := &hearing{}, &countingOrderer{}
+	in := newInstanceWith(sender)
+	in.changed([]replica.Row{upstreamRow("e-1", "decode", 1), upstreamRow("e-2", "decode", 2)})
+	all := in.relay.Engines()["llm"]
+	one, other := all[0].Upstream, all[1].Upstream
+	sender.hear(one, picture.Statement{Rest: time.Minute})
+	orderer := restingOrderer{engines, in.relay}
+	if _, err := orderer.State(context.Background(), one); !errors.Is(err, relay.ErrResting) {
+		t.Errorf("asked: %v", err)
+	}
+	if err := orderer.Order(context.Background(), one, rolekeeper.Order{}); !errors.Is(err, relay.ErrResting) {
+		t.Errorf("ordered: %v", err)
+	}
+	if engines.calls > 0 {
+		t.Errorf("%d calls", engines.calls)
+	}
+	if _, err := orderer.State(context.Background(), other); err != nil || engines.calls != 1 {
+		t.Errorf("another engine: %v, %d calls", err, engines.calls)
+	}
+}
--- a/internal/load/health.go
+++ b/internal/load/health.go
@@ -87,6 +87,13 @@
 	return true
 }
 
+// rest leaves an upstream alone until a time that it asked for, in place of any that was guessed.
+// It comes back gradually.
+func (h *Health) rest(until time.Duration) {
+	h.failures, h.room, h.probes = 0, 1, nil
+	h.until = until
+}
+
 // returned makes an upstream that was silent come back gradually.
 func (h *Health) returned(now time.Duration) {
 	if h.room > 0 {
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -165,6 +165,9 @@
 	return t.Engine(id).Health.failed(now, rules)
 }
 
+// Rest records that the upstream wants nothing until a time.
+func (t *Table) Rest(id string, until time.Duration) { t.Engine(id).Health.rest(until) }
+
 // Succeeded records that a call to the upstream went well.
 func (t *Table) Succeeded(id string) {
 	t.Engine(id).Health.succeeded(t.Outliers)
--- a/internal/picture/limits.go
+++ b/internal/picture/limits.go
@@ -18,6 +18,15 @@
 	changes []quota.Change
 }
 
+// takesAgain is when an upstream takes a request of a priority again; not after now where it
+// takes one now.
+func (l limits) takesAgain(hash uint32, priority int) time.Duration {
+	return max(l.spent.until(hash, priority), l.rests[hash])
+}
+
+// any tells whether any upstream may not take requests.
+func (l limits) any() bool { return l.book.Any() || len(l.rests) > 0 }
+
 func newLimits() limits {
 	return limits{book: quota.NewBook(), spent: spentTable{}, rests: restTable{}}
 }
@@ -168,24 +177,25 @@
 	return len(list) > 0 && !slices.ContainsFunc(list, func(n *node) bool { return !n.Draining })
 }
 
-// AllowanceIn returns when the first of the upstreams that have nothing left for a request
-// takes one again; false when none limits its requests.
-func (p *Picture) AllowanceIn(a Ask, now time.Duration) (time.Duration, bool) {
+// AllowanceIn returns when the first of the upstreams that take no request now, by their limit
+// or as they rest, takes one again; false when there are none. Resting tells that it rests.
+func (p *Picture) AllowanceIn(a Ask, now time.Duration) (in time.Duration, resting, found bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	first, found := time.Duration(math.MaxInt64), false
+	in = time.Duration(math.MaxInt64)
 	for _, n := range p.byService[a.Service] {
-		if until := p.limits.spent.until(n.hash, a.Priority); now < until && !n.Draining {
-			first, found = min(first, until-now), true
+		until := p.limits.takesAgain(n.hash, a.Priority)
+		if n.Draining || until <= now || until-now >= in {
+			continue
 		}
+		in, resting, found = until-now, until == p.limits.rests[n.hash], true
 	}
-	return first, found
+	return in, resting, found
 }
 
 // lapseLimits forgets what counts no longer. The lock is held.
 func (p *Picture) lapseLimits(now time.Duration) {
 	p.limits.spent.lapse(now)
-	p.limits.rests.lapse(now)
 	p.limits.book.Lapse(func(hash uint32) bool { return p.byHash[hash] != nil }, now)
 }
 
--- a/internal/picture/place.go
+++ b/internal/picture/place.go
@@ -27,7 +27,7 @@
 	return &route.Request{
 		Zone: p.settings.Zone, Prompt: a.Prompt, Excluded: a.Excluded, Now: now,
 		Objective: a.Objective, Left: a.Left, Costs: p.costs(a.Service),
-		Limits: p.limits.book.Any(),
+		Limits: p.limits.any(),
 	}
 }
 
@@ -43,7 +43,7 @@
 		})
 		if req.Limits {
 			one := &list[len(list)-1]
-			one.Limited, one.Spent = p.limits.book.Limits(n.hash), req.Now < p.limits.spent.until(n.hash, a.Priority)
+			one.Limited, one.Spent = p.limits.book.Limits(n.hash), req.Now < p.limits.takesAgain(n.hash, a.Priority)
 		}
 		if len(cached) > 0 {
 			list[len(list)-1].Told.Cached = cached[n.hash]
--- a/internal/picture/statement.go
+++ b/internal/picture/statement.go
@@ -1,7 +1,6 @@
 package picture
 
 import (
-	"maps"
 	"time"
 
 	"sassafrasfield/internal/quota"
@@ -33,22 +32,39 @@
 	return true
 }
 
-// lapse drops the rests that are over.
-func (t restTable) lapse(now time.Duration) {
-	maps.DeleteFunc(t, func(_ uint32, until time.Duration) bool { return now >= until })
-}
-
 // RestFor takes it that an upstream wants nothing from this instance for a time, and tells
-// whether it is left alone for longer by that. An answer of a start of it that is over says
-// nothing of the one that is there now.
+// whether it is left alone for longer by that. Afterwards it gets one request at first, and ever
+// more as they go well. An answer of a start of it that is over says nothing of the one that is
+// there now.
 func (p *Picture) RestFor(from Upstream, d, now time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	hash := from.Incarnation()
-	if n, ok := p.nodes[from.ID]; ok && n.hash != hash {
+	n, listed := p.nodes[from.ID]
+	if listed && n.hash != hash || !p.limits.rests.note(hash, now+d) {
 		return false
 	}
-	return p.limits.rests.note(hash, now+d)
+	if listed {
+		p.loads.Rest(n.ID, now+d)
+	}
+	return true
+}
+
+// RestsOver returns the ids of the listed upstreams whose rest has ended since the last call.
+func (p *Picture) RestsOver(now time.Duration) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var over []string
+	for hash, until := range p.limits.rests {
+		if now < until {
+			continue
+		}
+		delete(p.limits.rests, hash)
+		if n, ok := p.byHash[hash]; ok {
+			over = append(over, n.ID)
+		}
+	}
+	return over
 }
 
 // Resting is for how much longer an upstream wants nothing from this instance; 0 for one that
--- a/internal/relay/apart.go
+++ b/internal/relay/apart.go
@@ -190,6 +190,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), endedWithin)
 	defer cancel()
 	healthPath := r.Services()[to.Service].HealthPath
+	if r.Resting(to) {
+		healthPath = "" // the machine alone is asked
+	}
 	for {
 		asked, stop := context.WithTimeout(ctx, endedTimeout)
 		ended, err := r.sender.Ended(asked, to, healthPath)
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -43,6 +43,8 @@
 	// that get no word first.
 	ended  map[string]bool
 	silent int
+	// healthPath is where the newest question went.
+	healthPath string
 }
 
 func (f *fakeSender) Listen(hear func(picture.Upstream, picture.Statement)) { f.hear = hear }
@@ -78,9 +80,10 @@
 }
 
 // Ended implements Sender: the upstreams that the script names have.
-func (f *fakeSender) Ended(_ context.Context, to picture.Upstream, _ string) (bool, error) {
+func (f *fakeSender) Ended(_ context.Context, to picture.Upstream, healthPath string) (bool, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.healthPath = healthPath
 	if f.silent > 0 {
 		f.silent--
 		return false, errors.New("no word")
@@ -133,7 +136,7 @@
 		{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: routes.NonIdempotent, MaxAttempts: 2, Timeout: time.Second, Shares: []routes.Share{{Service: "app", Weight: 1}}},
 		{Name: "once", Host: "h", Prefix: "/once/", Kind: routes.Generation, MaxAttempts: 1, Timeout: 2 * time.Second, Shares: []routes.Share{{Service: "llm", Weight: 1}}},
 		{Name: "resumable", Host: "h", Prefix: "/resumable/", Kind: routes.Generation, Resumable: true, MaxAttempts: 2, Timeout: 2 * time.Second, Shares: []routes.Share{{Service: "llm", Weight: 1}}},
-	}, nil, routes.Limits{}))
+	}, []routes.Service{{Name: "app", HealthPath: "/health"}}, routes.Limits{}))
 	for _, id := range []string{"app-1", "app-2", "app-3"} {
 		r.Learn(picture.Upstream{ID: id, Service: "app", Address: id, Zone: "a"})
 	}
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -322,6 +322,10 @@
 		return
 	}
 	kv := g.kv
+	if r.Resting(kv.Engine) {
+		r.log.Info("relay: a KV cache is left to lapse, its engine rests", "request", g.req.ID, "engine", kv.Engine.ID)
+		return
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 		defer cancel()
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -20,11 +20,11 @@
 	// for rest.
 	leaving, rests metrics.Counter
 	// granted and declined count the sends for which a grant was asked, withheld those to
-	// upstreams that leave.
+	// upstreams that leave or rest.
 	granted, declined, withheld metrics.Counter
-	// refused count the requests that no upstream had room for, refusedLeaving those of
-	// services whose upstreams all leave.
-	refused, refusedLeaving metrics.Counter
+	// refused count the requests that no upstream had room for, refusedResting those that none
+	// takes as they rest, refusedLeaving those of services whose upstreams all leave.
+	refused, refusedResting, refusedLeaving metrics.Counter
 	// given and denied count the answers to instances that asked this one.
 	given, denied metrics.Counter
 }
@@ -33,7 +33,7 @@
 	return limitMeters{
 		learned: counter("limits_learned"), changed: counter("limits_changed"), ended: counter("limits_ended"),
 		unread: counter("words_unread"), leaving: counter("upstreams_leaving"), rests: counter("upstream_rests"), granted: counter("limit_granted"), declined: counter("limit_declined"),
-		withheld: counter("sends_withheld"), refused: counter("refused_limited"), refusedLeaving: counter("refused_leaving"), given: counter("grants_given"), denied: counter("grants_denied"),
+		withheld: counter("sends_withheld"), refused: counter("refused_limited"), refusedResting: counter("refused_resting"), refusedLeaving: counter("refused_leaving"), given: counter("grants_given"), denied: counter("grants_denied"),
 	}
 }
 
@@ -70,9 +70,18 @@
 		r.withhold(req, send, ErrLeaving)
 		return ErrLeaving
 	}
+	if r.Resting(send.To) {
+		r.withhold(req, send, ErrResting)
+		return ErrResting
+	}
 	return nil
 }
 
+// Resting tells whether an upstream wants nothing from this instance now.
+func (r *Relay) Resting(u picture.Upstream) bool {
+	return r.picture.Resting(u.Incarnation(), r.now()) > 0
+}
+
 // withhold notes that a request is not sent to the upstream that was chosen for it.
 func (r *Relay) withhold(req *Request, send Send, why error) {
 	r.meters.limits.withheld.Inc(1)
@@ -146,9 +155,13 @@
 		r.meters.limits.refusedLeaving.Inc(1)
 		return &Refusal{Word: NotRun, Reason: "all upstreams leave", RetryIn: r.retryIn(x)}
 	}
-	in, limited := r.picture.AllowanceIn(x.ask(r.now()), r.now())
-	if !limited {
+	in, resting, found := r.picture.AllowanceIn(x.ask(r.now()), r.now())
+	switch {
+	case !found:
 		return nil
+	case resting:
+		r.meters.limits.refusedResting.Inc(1)
+		return &Refusal{Word: NotRun, Reason: "upstreams asked for rest", RetryIn: jittered(in)}
 	}
 	r.meters.limits.refused.Inc(1)
 	return &Refusal{Word: NotRun, Reason: "the upstreams' limits leave no room", RetryIn: jittered(in)}
@@ -213,6 +226,13 @@
 	}
 }
 
+// showRests writes a line on each rest that is over.
+func (r *Relay) showRests() {
+	for _, id := range r.picture.RestsOver(r.now()) {
+		r.log.Info("relay: upstream's rest is over", "upstream", id)
+	}
+}
+
 // showLimits writes a line on each limit that was learned, changed or ended, and on each
 // upstream that leaves.
 func (r *Relay) showLimits() {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -158,6 +158,7 @@
 
 // OwnReport returns what this instance tells the others.
 func (r *Relay) OwnReport() picture.Report {
+	r.showRests()
 	report := r.picture.OwnReport(r.now())
 	report.Spilled, report.Ends = r.budgets.spilled(), r.contents.told((*quarantine.Table).OwnEnds)
 	report.Usage = r.usage.tell((*usage.Tally).TellOwn)
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -112,9 +112,10 @@
 	// ErrDeclined is the ErrNotSent of a request whose upstream takes none now, by its own
 	// word. It was not asked.
 	ErrDeclined = errors.WithMessage(ErrNotSent, "the upstream takes none now")
-	// ErrLimited and ErrLeaving tell by which word.
+	// ErrLimited, ErrLeaving and ErrResting tell by which word.
 	ErrLimited = errors.WithMessage(ErrDeclined, "its limit leaves no room")
 	ErrLeaving = errors.WithMessage(ErrDeclined, "it leaves")
+	ErrResting = errors.WithMessage(ErrDeclined, "it asked for rest")
 	// ErrRefused: the upstream says that it did not run the request.
 	ErrRefused = errors.New("relay: the upstream did not run it")
 	// ErrMoved: another upstream has the address now; it did not run the
