Keep a later document though the store came back from an older copy

Cause: the era orders rows, and an operator's configuration has an order of its own, its version; where they disagree the version counts. The replica keeps the later document under the newer revision now, so that whoever gets its rows has it too; the adapter says which document is later. Within an era the store's order counts alone. Left: an instance that reads the copy itself, with no peer that lived before, knows of nothing later until the operator has written again.

--- a/internal/replica/era_test.go
+++ b/internal/replica/era_test.go
@@ -176,3 +176,30 @@
 		t.Errorf("%v", news)
 	}
 }
+
+// TestALaterDocumentStays guards against an earlier document from the store's copy, such as a
+// configuration with a key that was taken away since, that takes the place of the one that is held,
+// here or at whoever gets its rows from here.
+func TestALaterDocumentStays(t *testing.T) {
+	older := func(held, read Row) bool { return string(read.Value) < string(held.Value) }
+	doc := func(value string, era, counter int64) []Row {
+		return []Row{{Key: keyOf(1), Value: []byte(value), Revision: platform.RevisionOf(era, counter)}}
+	}
+	r, newcomer := NewOrdered(older), NewOrdered(older)
+	r.Apply(doc("5", 1, 90), 0)
+	if news := r.Replace(table, doc("4", 2, 80), platform.RevisionOf(2, 85), 0); len(news) > 0 {
+		t.Errorf("the earlier one is news: %v", news)
+	}
+	newcomer.Apply(r.Since(nil), 0)
+	for name, one := range map[string]*Replica{"the holder": r, "a newcomer": newcomer} {
+		if row, _ := one.Get(keyOf(1)); string(row.Value) != "5" || platform.EraOf(row.Revision) != 2 {
+			t.Errorf("%s has %q as of era %d", name, row.Value, platform.EraOf(row.Revision))
+		}
+		if news := one.Apply(doc("6", 2, 87), 0); len(news) != 1 || string(news[0].Value) != "6" {
+			t.Errorf("%s: what is written then is no news: %v", name, news)
+		}
+	}
+	if news := r.Apply(doc("3", 2, 88), 0); len(news) != 1 {
+		t.Error("within an era the store's order does not count")
+	}
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -39,7 +39,10 @@
 
 // Replica is the copy. It is not safe for concurrent use.
 type Replica struct {
-	rows map[Key]Row
+	// older tells whether a row that was read is an earlier document than the one held, by
+	// their owner's own order; nil where owners have none.
+	older func(held, read Row) bool
+	rows  map[Key]Row
 	// read is the revision up to which a table was read from the store, newest the
 	// highest one of any of its rows, those held among them.
 	read, newest map[string]int64
@@ -57,8 +60,13 @@
 }
 
 // New returns an empty copy.
-func New() *Replica {
-	return &Replica{rows: map[Key]Row{}, read: map[string]int64{}, newest: map[string]int64{}, held: map[Key]heldDeletion{}, lapses: lapses{}}
+func New() *Replica { return NewOrdered(nil) }
+
+// NewOrdered returns an empty copy of rows whose owners order their documents themselves. What a
+// store gives back of an earlier era does not take the place of a later document: its revision
+// counts, and the document that is held stays, for those too who get the rows from this copy.
+func NewOrdered(older func(held, read Row) bool) *Replica {
+	return &Replica{older: older, rows: map[Key]Row{}, read: map[string]int64{}, newest: map[string]int64{}, held: map[Key]heldDeletion{}, lapses: lapses{}}
 }
 
 // Hold has deletions of many rows doubted that come before a time: after an outage the
@@ -87,6 +95,9 @@
 		if held, ok := r.held[row.Key]; ok && held.row.Revision <= row.Revision {
 			delete(r.held, row.Key)
 		}
+		if r.fallsBehind(before, row) {
+			row.Value = before.Value
+		}
 		r.rows[row.Key] = row
 		if !unchanged(before, row) {
 			news = append(news, row)
@@ -95,6 +106,12 @@
 	return r.current(news)
 }
 
+// fallsBehind tells whether a row of a newer era is an earlier document than the one held.
+func (r *Replica) fallsBehind(held, read Row) bool {
+	return r.older != nil && held.Revision > 0 && !held.Deleted && !read.Deleted &&
+		platform.EraOf(read.Revision) > platform.EraOf(held.Revision) && r.older(held, read)
+}
+
 // unchanged tells whether a row of a newer era is what it was before.
 func unchanged(before, row Row) bool {
 	return before.Revision > 0 && platform.EraOf(row.Revision) > platform.EraOf(before.Revision) &&
