Write contents that are set apart again where the store lost their rows

Cause: the row that the copy lacks was taken for one that was removed, which has all instances let the content through, and nobody wrote it again.

A lost row is told from a removed one now: the content stays apart, and those who pass reports on write its row again, each the same one. Left: where all instances end between the return and that write, some two seconds after it, nobody knows of the content.

--- a/internal/instance/apart.go
+++ b/internal/instance/apart.go
@@ -66,6 +66,10 @@
 	if err != nil {
 		return err
 	}
+	if row.Lost {
+		in.keepLost(content, row.Revision)
+		return nil
+	}
 	if row.Deleted {
 		in.relay.Release(content)
 		in.log.Info("instance: content released", "content", content, "revision", row.Revision)
@@ -80,6 +84,16 @@
 	return nil
 }
 
+// keepLost has the row of a content written again that the store came back without. The content
+// stays apart. All instances know it, so that those who pass reports on write it.
+func (in *Instance) keepLost(content quarantine.Content, revision int64) {
+	writes := in.peers.Passes()
+	if writes {
+		in.relay.KeepAgain(content)
+	}
+	in.log.Warn("instance: the store lost a content that is set apart", "content", content, "revision", revision, "writes_it_again", writes)
+}
+
 // keepApart writes how often contents were set apart, and removes the rows of those that
 // are released.
 func (in *Instance) keepApart(ctx context.Context) {
--- a/internal/instance/apart_test.go
+++ b/internal/instance/apart_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -95,3 +96,31 @@
 		t.Error("kept again")
 	}
 }
+
+// TestAContentWhoseRowIsLostStaysApart guards against upstreams that get a content again as the store
+// came back without its row, and against a row that nobody writes again.
+func TestAContentWhoseRowIsLostStaysApart(t *testing.T) {
+	in, table := newInstance(), &fakeTable{}
+	in.adapter.Table = table
+	in.relay.SetRoutes(routes.NewTable(1, []routes.Route{{Host: "h", Prefix: "/", Shares: []routes.Share{{Service: "s", Weight: 1}}}}, nil, routes.Limits{}))
+	req := &relay.Request{ID: "r", Method: "POST", Host: "h", Path: "/a", Target: "/a", Patience: time.Second}
+	in.changed([]replica.Row{apartRowOf(req.Content(), `{"times":2}`, 3)})
+	lost := apartRowOf(req.Content(), "", platform.RevisionOf(1, 0))
+	lost.Lost = true
+	in.changed([]replica.Row{lost})
+	if !refused(in, req) {
+		t.Error("it is let through")
+	}
+	if !in.writeApart(context.Background()) {
+		t.Fatal("not written")
+	}
+	if writes := table.written(); len(writes) != 1 || writes[0].Delete || !strings.Contains(string(writes[0].Value), `"times":2`) {
+		t.Errorf("written again: %+v", writes)
+	}
+	other := apartRowOf(5, "", platform.RevisionOf(1, 0))
+	other.Lost = true
+	in.changed([]replica.Row{other})
+	if len(in.relay.Unkept()) > 0 {
+		t.Error("a content that is not apart here is written")
+	}
+}
--- a/internal/relay/apart.go
+++ b/internal/relay/apart.go
@@ -246,6 +246,16 @@
 	c.apart.Update(int64(c.table.Count(bootclock.Now())))
 }
 
+// KeepAgain has this instance keep for all, once more, how often a content was set apart.
+func (r *Relay) KeepAgain(content quarantine.Content) {
+	c := r.contents
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if times := c.table.Times(content); times > 0 {
+		c.keep(content, times)
+	}
+}
+
 // Decided has a value when there is something in Unkept.
 func (r *Relay) Decided() <-chan struct{} { return r.contents.decided }
 
