Give out no fencing number twice though the store came back from an older copy

Cause: the row that a read returns proves what the lease once was, and here the table goes back behind it. Now epochs of an era are above all of those before (and above the highest one seen); only the process whose own term runs takes a row of an older copy at once, all others wait a whole term, as does whoever begins in a later era and finds the row free; the lease is taken anew after a return, as the epoch's row that duties depend on may be lost. A holder that nobody followed goes on with its orders under way and its wanted split, and has the split written again.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -13,9 +13,22 @@
 // row once was, never what it is not. A write whose outcome is unknown stays
 // in doubt until a read returns a newer revision than the one it checked, or
 // another write with the same check is committed.
+//
+// A table may come back from an older copy (platform.RevisionOf). Its row is
+// then one of before, and whoever had the lease since may have it still: only
+// the process whose own term runs may take it at once, all others wait a whole
+// term. Epochs of an era are above all of those before it, as the table no
+// longer knows which ones were given out.
 package lease
 
-import "time"
+import (
+	"time"
+
+	"sassafrasfield/internal/platform"
+)
+
+// eraEpochs is how many takeovers an era may have.
+const eraEpochs = 1 << 20
 
 // Row is the lease as it stands in the table.
 type Row struct {
@@ -60,6 +73,11 @@
 	Until time.Duration
 	// Resumed tells that no other process had the lease since this one's last term.
 	Resumed bool
+	// First tells that no process had it before.
+	First bool
+	// Returned tells that the table came back from an older copy since this process
+	// had the lease last: rows that were written since may be lost.
+	Returned bool
 }
 
 // ActionKind tells what to do.
@@ -90,8 +108,9 @@
 	row      Row
 	newEpoch bool
 	at       time.Duration
-	// resumed: the row that it checked is this process's own.
-	resumed bool
+	// resumed: the row that it checked is this process's own. first: there was none.
+	// returned: it was that of an older copy.
+	resumed, first, returned bool
 }
 
 // Lease is the state for one pool. It is not safe for concurrent use.
@@ -121,12 +140,22 @@
 	readSoon bool
 	nextTry  time.Duration
 
+	// returned: the row is that of an older copy, and nobody has written it since.
+	returned bool
+	// firstRead is when the row was first read.
+	firstRead time.Duration
+	// topEpoch is the highest one that was seen.
+	topEpoch int64
+
 	grant *Grant
-	// epochRevision is the revision of the own newest takeover.
+	// heldUntil is the end of the newest grant that was not given up.
+	heldUntil time.Duration
+	// takeover is the own newest one, epochRevision its revision, and takenAt when this
+	// process took the lease from another one.
+	takeover      attempt
 	epochRevision int64
-	// resumed tells of that takeover that nobody else had the lease before it.
-	resumed bool
-	doubts  []attempt // with an unknown outcome; all checked revision
+	takenAt       time.Duration
+	doubts        []attempt // with an unknown outcome; all checked revision
 	// lastRenewal is when the newest write of the grant was sent.
 	lastRenewal time.Duration
 	releasing   bool
@@ -201,13 +230,18 @@
 	case l.grant != nil:
 		return l.renew(now)
 	case l.ready(now):
-		return l.write(now, Row{Holder: l.self, Epoch: l.row.Epoch + 1}, true)
+		return l.write(now, Row{Holder: l.self, Epoch: l.nextEpoch()}, true)
 	case l.readDue(now):
 		return Action{Kind: Read}
 	}
 	return Action{}
 }
 
+// nextEpoch is above all that were given out.
+func (l *Lease) nextEpoch() int64 {
+	return max(l.topEpoch, platform.EraOf(l.revision)*eraEpochs) + 1
+}
+
 // concerned tells whether the row matters to this process at all.
 func (l *Lease) concerned() bool {
 	return l.place.Watch || l.grant != nil || len(l.doubts) > 0 || l.row.Holder == l.self
@@ -218,7 +252,7 @@
 	if l.row.Holder != l.self && len(l.doubts) == 0 {
 		return Action{}
 	}
-	l.grant = nil
+	l.grant, l.heldUntil = nil, 0
 	return l.write(now, Row{Epoch: l.row.Epoch}, false)
 }
 
@@ -238,21 +272,44 @@
 	}
 	// The own row whose term lapsed, and the own takeover in doubt, need no
 	// wait: nobody else has had the lease if the check holds.
-	if l.row.Holder == l.self || len(l.doubts) > 0 {
+	if l.resumes(now) || len(l.doubts) > 0 {
 		return true
 	}
 	ripe := l.ripeAt()
 	return now >= ripe && l.lastRead >= ripe
 }
 
+// resumes tells that nobody else can have had the lease since this process had it.
+func (l *Lease) resumes(now time.Duration) bool {
+	if l.returned {
+		return now < l.heldUntil
+	}
+	return l.row.Holder == l.self
+}
+
+// resumed tells that nobody else had it since, and that the orders of an earlier
+// holder are over: the table may come back right after this process took it.
+func (l *Lease) resumed(now time.Duration) bool {
+	return l.resumes(now) && (!l.returned || now-l.takenAt >= l.settings.Term)
+}
+
 // ripeAt is when the row may be taken over if it still stands.
 func (l *Lease) ripeAt() time.Duration {
-	if l.row.Holder == "" {
+	if l.free() {
 		return l.since + l.place.TakeDelay
 	}
 	return l.since + l.settings.Term + l.settings.Margin + l.place.TakeDelay
 }
 
+// free tells that the row was given up, or never there. After a return of the table
+// it may only look so to a process that did not know it before.
+func (l *Lease) free() bool {
+	if l.row.Holder != "" || l.returned {
+		return false
+	}
+	return platform.EraOf(l.revision) == 0 || l.since-l.firstRead >= l.settings.Term
+}
+
 // readDue tells whether a read is due: now and then, and once more right when
 // a row that looked unchanged may be taken over.
 func (l *Lease) readDue(now time.Duration) bool {
@@ -262,12 +319,15 @@
 	if now-l.lastRead >= l.place.ReadEvery {
 		return true
 	}
-	last := l.repeated || l.row.Holder == ""
+	last := l.repeated || l.free()
 	return last && now >= l.ripeAt() && l.lastRead < l.ripeAt()
 }
 
 func (l *Lease) write(now time.Duration, row Row, newEpoch bool) Action {
 	row.WriteID = l.newID()
-	l.sent = attempt{row: row, newEpoch: newEpoch, at: now, resumed: l.row.Holder == l.self}
+	l.sent = attempt{
+		row: row, newEpoch: newEpoch, at: now, resumed: l.resumed(now), returned: l.returned,
+		first: l.revision == 0, // of no era, as a copy may lack a row that was there
+	}
 	return Action{Kind: Write, Row: row, Revision: l.revision, NewEpoch: newEpoch}
 }
--- a/internal/lease/outcome.go
+++ b/internal/lease/outcome.go
@@ -1,6 +1,10 @@
 package lease
 
-import "time"
+import (
+	"time"
+
+	"sassafrasfield/internal/platform"
+)
 
 // Outcome of a write.
 type Outcome int
@@ -31,6 +35,9 @@
 	}
 	l.readSoon = false
 	l.lastRead = now
+	if l.known && platform.EraOf(revision) > platform.EraOf(l.revision) {
+		defer l.goneBack()
+	}
 	if l.known && revision == l.revision {
 		// That a write in doubt is not seen proves nothing: the read may be
 		// stale and the write may yet arrive. Tick tries it again.
@@ -43,11 +50,19 @@
 
 // adopt takes a row as the newest state.
 func (l *Lease) adopt(now time.Duration, row Row, revision int64) {
+	if !l.known {
+		l.firstRead = now
+	}
 	l.row, l.revision, l.known = row, revision, true
 	l.floor = revision
-	l.since, l.repeated = now, false
+	l.since, l.repeated, l.returned = now, false, false
+	l.topEpoch = max(l.topEpoch, row.Epoch)
 }
 
+// goneBack notes that the row is that of an older copy. The lease is taken anew, as
+// the epoch's row may be lost.
+func (l *Lease) goneBack() { l.returned, l.grant = true, nil }
+
 // settle decides the writes in doubt by a row with a newer revision than they
 // checked: one of them wrote it, or none takes effect any more.
 func (l *Lease) settle(revision int64) {
@@ -72,10 +87,16 @@
 		return
 	}
 	if a.newEpoch {
-		l.epochRevision, l.resumed = revision, a.resumed
+		l.epochRevision, l.takeover = revision, a
+		if !a.resumed {
+			l.takenAt = a.at
+		}
+	}
+	l.lastRenewal, l.heldUntil = a.at, a.at+l.settings.Term
+	l.grant = &Grant{
+		Epoch: a.row.Epoch, EpochRevision: l.epochRevision, Until: l.heldUntil,
+		Resumed: l.takeover.resumed, First: l.takeover.first, Returned: l.takeover.returned,
 	}
-	l.lastRenewal = a.at
-	l.grant = &Grant{Epoch: a.row.Epoch, EpochRevision: l.epochRevision, Until: a.at + l.settings.Term, Resumed: l.resumed}
 }
 
 // OnReadFailed takes a read that gave nothing.
--- a/internal/rolekeeper/lease.go
+++ b/internal/rolekeeper/lease.go
@@ -8,6 +8,7 @@
 	"sassafrasfield/internal/bootclock"
 	"sassafrasfield/internal/lease"
 	"sassafrasfield/internal/leaserows"
+	"sassafrasfield/internal/roles"
 )
 
 func leaseSettings(term time.Duration) lease.Settings {
@@ -62,16 +63,29 @@
 	k.heldSince = bootclock.Now()
 	k.announced = map[string]announced{}
 	if held {
-		k.pending, k.services = map[string]pending{}, map[string]*duty{}
+		k.begin(grant)
 		for _, d := range k.duties {
 			d.Taken()
 		}
-		k.log.Info("roles: lease taken", "epoch", grant.Epoch)
+		k.log.Info("roles: lease taken", "epoch", grant.Epoch, "first", grant.First, "resumed", grant.Resumed, "returned", grant.Returned)
 		return
 	}
 	k.log.Info("roles: lease lost or given up")
 }
 
+// begin forgets what was known under an earlier lease. Where the store came back from an older
+// copy and nobody else had the lease, this process knows more than the store does: it goes on with
+// that, and has the wanted splits written again.
+func (k *Keeper) begin(grant lease.Grant) {
+	if !grant.Returned || !grant.Resumed {
+		k.pending, k.services = map[string]pending{}, map[string]*duty{}
+		return
+	}
+	for _, d := range k.services {
+		d.kept = roles.Target{}
+	}
+}
+
 // release gives the lease up, if the store takes that soon.
 func (k *Keeper) release() {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
@@ -87,5 +101,5 @@
 // before the first, or when this process had the lease last: that it need not wait after
 // an outage of the store has a report come in time that is due meanwhile.
 func (k *Keeper) settled(grant lease.Grant) bool {
-	return grant.Epoch == 1 || grant.Resumed || bootclock.Now()-k.heldSince >= k.settings.Lease
+	return grant.First || grant.Resumed || bootclock.Now()-k.heldSince >= k.settings.Lease
 }
--- a/internal/rolekeeper/rolekeeper_test.go
+++ b/internal/rolekeeper/rolekeeper_test.go
@@ -5,12 +5,15 @@
 	"encoding/json"
 	"io"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"sassafrasfield/internal/config"
+	"sassafrasfield/internal/lease"
+	"sassafrasfield/internal/leaserows"
 	"sassafrasfield/internal/picture"
 	"sassafrasfield/internal/platform"
 	"sassafrasfield/internal/roles"
@@ -357,3 +360,77 @@
 		t.Errorf("%d orders without a lease", n)
 	}
 }
+
+// copied is what the table has now.
+func (f *fakeTable) copied() (map[string]platform.Row, int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.rows), f.revision
+}
+
+// comeBack has the table come back from a copy, in a new era.
+func (f *fakeTable) comeBack(rows map[string]platform.Row, revision int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	const era = 1
+	f.revision, f.rows = platform.RevisionOf(era, revision), map[string]platform.Row{}
+	for key, row := range rows {
+		row.Revision = platform.RevisionOf(era, row.Revision)
+		f.rows[key] = row
+	}
+}
+
+// TestTheFencingNumberRisesThoughTheStoreLostIt guards against numbers that are given out again, since
+// the store came back from a copy that is older than a takeover.
+func TestTheFencingNumberRisesThoughTheStoreLostIt(t *testing.T) {
+	f, table := newFakeFleet(9), newTable()
+	stop := run(t, "one", table, f)
+	waitFor(func() bool { return f.prefill() == 6 })
+	rows, revision := table.copied()
+	stop()
+	run(t, "two", table, f)
+	waitFor(func() bool { return epochOf(t, table) == 2 })
+	table.comeBack(rows, revision)
+	waitFor(func() bool { return epochOf(t, table) > 1 })
+	if again := epochOf(t, table); again <= 2 {
+		t.Errorf("epoch %d after 2", again)
+	}
+}
+
+// TestWhatTheStoreLostIsGoneOnWith guards against a wanted split that falls back to the one of the
+// store's copy: the holder keeps it, and writes it again.
+func TestWhatTheStoreLostIsGoneOnWith(t *testing.T) {
+	target := roles.Target{Share: 0.5, MinDecode: 2}
+	for _, c := range []struct {
+		grant lease.Grant
+		keeps bool
+	}{
+		{lease.Grant{Resumed: true, Returned: true}, true},
+		{lease.Grant{Returned: true}, false}, // another one may have moved it since
+		{lease.Grant{Resumed: true}, false},
+	} {
+		k := &Keeper{services: map[string]*duty{"llm": {target: target, kept: target}}, pending: map[string]pending{"e": {}}}
+		k.begin(c.grant)
+		d, known := k.services["llm"]
+		if known != c.keeps || len(k.pending) > 0 != c.keeps {
+			t.Errorf("%+v: known %t, %d orders under way", c.grant, known, len(k.pending))
+		}
+		if known && (d.target != target || d.kept == d.target) {
+			t.Errorf("%+v: it is not written again: %+v", c.grant, d)
+		}
+	}
+}
+
+// epochOf is the newest takeover's, by the table.
+func epochOf(t *testing.T, table *fakeTable) int64 {
+	t.Helper()
+	row, err := table.Get(context.Background(), leaserows.EpochKey(Lease))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var held lease.Row
+	if err := json.Unmarshal(row.Value, &held); err != nil {
+		t.Fatal(err)
+	}
+	return held.Epoch
+}
