Keep the counts of use that were fixed though the store lost them

A window's counts were fixed in a row before they were reported, so that no two are. After a return from a copy that lacks the row, or has an older one, the same holder counted the lost windows anew and reported them once more, with what it knew by then (TestAWindowThatTheStoreLostIsNotCountedAnew fell: x:2, and x:1 before). It goes on with what it has fixed itself now where the row is behind it.

--- a/internal/usagereport/reporter.go
+++ b/internal/usagereport/reporter.go
@@ -116,26 +116,37 @@
 	}
 }
 
-// load reads the row that the holder before left.
+// load reads the row that the holder before left. Where this process has fixed later windows
+// itself, the table came back from an older copy: they stay as they were fixed.
 func (r *Reporter) load(ctx context.Context) error {
 	if r.loaded {
 		return nil
 	}
+	kept, revision, err := r.read(ctx)
+	if err != nil {
+		return err
+	}
+	if r.row.Last > kept.Last {
+		r.log.Warn("usage: the store lost what was fixed, it is kept as it was", "up_to", r.row.Last, "store_has", kept.Last)
+		kept = r.row
+	}
+	r.row, r.revision, r.loaded = kept, revision, true
+	return nil
+}
+
+// read returns the row and its revision, 0 for none.
+func (r *Reporter) read(ctx context.Context) (fixed, int64, error) {
 	row, err := r.table.Get(ctx, rowKey)
 	if errors.Is(err, platform.ErrNotFound) {
 		begin := r.first - 1
-		r.row, r.revision, r.loaded = fixed{Last: begin, Sent: begin}, 0, true
-		return nil
+		return fixed{Last: begin, Sent: begin}, 0, nil
 	}
 	if err != nil {
-		return err
+		return fixed{}, 0, err
 	}
 	var kept fixed
-	if err := json.Unmarshal(row.Value, &kept); err != nil {
-		return errors.Wrap(err, "usage: decode what was reported")
-	}
-	r.row, r.revision, r.loaded = kept, row.Revision, true
-	return nil
+	err = json.Unmarshal(row.Value, &kept)
+	return kept, row.Revision, errors.Wrap(err, "usage: decode what was reported")
 }
 
 // complete is the newest window whose counts are complete.
--- a/internal/usagereport/reporter_test.go
+++ b/internal/usagereport/reporter_test.go
@@ -346,3 +346,35 @@
 		}
 	}
 }
+
+// TestAWindowThatTheStoreLostIsNotCountedAnew guards against two counts of a window: the store came
+// back from a copy without the row that fixed it, or with an older one, and more is known since.
+func TestAWindowThatTheStoreLostIsNotCountedAnew(t *testing.T) {
+	for _, without := range []bool{true, false} {
+		r := newRig(good)
+		do := func() { r.list[0].Do(context.Background(), r.grants[0]) }
+		report := func() {
+			r.began(usage.WindowAt(r.now, length))
+			r.now = r.now.Add(length + time.Second)
+			do()
+		}
+		copied := maps.Clone(r.table.rows)
+		if !without {
+			report()
+			copied = maps.Clone(r.table.rows)
+		}
+		report()
+		report()
+		reported := len(r.platform.counts)
+		r.table.rows = copied
+		for window := range r.totals {
+			r.began(window) // what was not known when they were fixed
+		}
+		r.takeOver(0)
+		report()
+		report()
+		if r.platform.broken != "" || len(r.platform.counts) != reported+2 {
+			t.Errorf("without the row %t: %q, %d windows, want %d", without, r.platform.broken, len(r.platform.counts), reported+2)
+		}
+	}
+}
