Doubt entries of upstreams that had left and are back in the store's older copy

An upstream whose entry was removed in the lost seconds is in the copy again, until the store drops it after three heartbeats without a word.

--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -77,7 +77,7 @@
 func newNode(t *testing.T, name, zone string, seeds ...string) *node {
 	t.Helper()
 	server := httptest.NewUnstartedServer(nil)
-	n := &node{rows: replica.New(), sender: &heldSender{release: make(chan struct{})}}
+	n := &node{rows: replica.New(replica.Settings{}), sender: &heldSender{release: make(chan struct{})}}
 	n.relay = relay.New(relay.DefaultSettings(), n.sender, quiet())
 	self := Peer{Name: name, Address: server.Listener.Addr().String(), Zone: zone}
 	n.Exchange = New(self, seeds, n, quiet())
--- a/internal/replica/era_test.go
+++ b/internal/replica/era_test.go
@@ -83,7 +83,9 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s := &returningStore{copied: copied{rows: map[Key]Row{}}}
 		s.keepCopy()
-		replicas := []*Replica{New(), New(), New()}
+		const hold = 30 * time.Millisecond
+		settings := Settings{HoldReturned: time.Duration(rapid.IntRange(0, 1).Draw(t, "held")) * hold}
+		replicas := []*Replica{New(settings), New(settings), New(settings)}
 		now := time.Duration(0)
 		for i := range rapid.IntRange(10, 80).Draw(t, "steps") {
 			now += 10 * time.Millisecond
@@ -104,7 +106,7 @@
 				from := replicas[rapid.IntRange(0, len(replicas)-1).Draw(t, "from")]
 				replicas[n].Apply(from.Since(replicas[n].Newest()), now)
 			case 9:
-				replicas[n] = New()
+				replicas[n] = New(settings)
 			}
 		}
 		s.keepCopy()
@@ -113,9 +115,9 @@
 		now += time.Second
 		s.read(replicas[0], now)
 		for _, r := range replicas {
-			r.Release(now)
+			r.Release(now + hold)
 			r.Apply(replicas[0].Since(r.Newest()), now)
-			r.Release(now)
+			r.Release(now + hold)
 			for n := range 6 {
 				want, there := s.rows[keyOf(n)]
 				got, known := r.Get(keyOf(n))
@@ -133,7 +135,7 @@
 	row := func(n int, revision int64) Row { return Row{Key: keyOf(n), Value: []byte("v"), Revision: revision} }
 	old, fresh := func(c int64) int64 { return platform.RevisionOf(1, c) }, func(c int64) int64 { return platform.RevisionOf(2, c) }
 	for _, fromPeer := range []bool{false, true} {
-		r := New()
+		r := New(Settings{})
 		r.Apply([]Row{row(1, old(1)), row(2, old(2)), row(3, old(3)), row(4, old(9))}, 0)
 		r.Hold(time.Second)
 		copied := []Row{row(1, fresh(1)), row(2, fresh(2)), row(3, fresh(3))}
@@ -149,7 +151,7 @@
 		if told := r.Since(map[string]int64{table: old(9)}); len(told) != 4 || !told[len(told)-1].Lost && !told[0].Lost {
 			t.Errorf("from a peer %t: others are told %v", fromPeer, told)
 		}
-		again := New()
+		again := New(Settings{})
 		again.Apply(r.Since(nil), 0)
 		if news := r.Apply([]Row{row(4, fresh(6))}, 0); len(news) > 0 {
 			t.Errorf("from a peer %t: written again as it was, and news %v", fromPeer, news)
@@ -158,7 +160,7 @@
 			t.Errorf("from a peer %t: written again, and deleted all the same", fromPeer)
 		}
 	}
-	r := New()
+	r := New(Settings{})
 	r.Apply([]Row{row(4, old(9))}, 0)
 	r.Hold(time.Second)
 	r.Replace(table, nil, fresh(5), 0)
@@ -170,7 +172,7 @@
 // TestRowsOfAnEraThatIsOverAreNotTaken guards against what an instance that missed the return passes
 // on.
 func TestRowsOfAnEraThatIsOverAreNotTaken(t *testing.T) {
-	r := New()
+	r := New(Settings{})
 	r.Apply([]Row{{Key: keyOf(1), Revision: platform.RevisionOf(2, 3)}}, 0)
 	if news := r.Apply([]Row{{Key: keyOf(2), Revision: platform.RevisionOf(1, 90)}}, 0); len(news) > 0 {
 		t.Errorf("%v", news)
@@ -185,7 +187,7 @@
 	doc := func(value string, era, counter int64) []Row {
 		return []Row{{Key: keyOf(1), Value: []byte(value), Revision: platform.RevisionOf(era, counter)}}
 	}
-	r, newcomer := NewOrdered(older), NewOrdered(older)
+	r, newcomer := New(Settings{Older: older}), New(Settings{Older: older})
 	r.Apply(doc("5", 1, 90), 0)
 	if news := r.Replace(table, doc("4", 2, 80), platform.RevisionOf(2, 85), 0); len(news) > 0 {
 		t.Errorf("the earlier one is news: %v", news)
@@ -203,3 +205,38 @@
 		t.Error("within an era the store's order does not count")
 	}
 }
+
+// TestARemovedRowThatAReturnBringsBackIsDoubted guards against upstreams that get requests though
+// they have left, as their entries are in the older copy; and against one that lives and gets none.
+func TestARemovedRowThatAReturnBringsBackIsDoubted(t *testing.T) {
+	const hold = time.Second
+	row := func(revision int64) []Row { return []Row{{Key: keyOf(1), Value: []byte("v"), Revision: revision}} }
+	gone := func() *Replica {
+		r := New(Settings{HoldReturned: hold})
+		r.Apply(row(platform.RevisionOf(1, 80)), 0)
+		r.Apply([]Row{{Key: keyOf(1), Revision: platform.RevisionOf(1, 100), Deleted: true}}, 0)
+		r.Replace(table, row(platform.RevisionOf(2, 80)), platform.RevisionOf(2, 85), 0)
+		return r
+	}
+	r, newcomer := gone(), New(Settings{HoldReturned: hold})
+	newcomer.Apply(r.Since(nil), 0)
+	for name, one := range map[string]*Replica{"who knew that it left": r, "who heard of both": newcomer} {
+		one.Release(hold - 1)
+		if _, there := one.Get(keyOf(1)); there {
+			t.Errorf("%s believes the copy", name)
+		}
+		one.Release(hold)
+		if _, there := one.Get(keyOf(1)); !there {
+			t.Errorf("%s does not believe a row that stays", name)
+		}
+	}
+	written := gone()
+	if news := written.Apply(row(platform.RevisionOf(2, 87)), 0); len(news) != 1 {
+		t.Error("what is written since is doubted")
+	}
+	dropped := gone()
+	dropped.Apply([]Row{{Key: keyOf(1), Revision: platform.RevisionOf(2, 90), Deleted: true}}, 0)
+	if news := dropped.Release(hold); len(news) > 0 {
+		t.Errorf("dropped, and believed all the same: %v", news)
+	}
+}
--- a/internal/replica/lapse.go
+++ b/internal/replica/lapse.go
@@ -54,8 +54,8 @@
 // heldOf counts the deletions of a table that are held back.
 func (r *Replica) heldOf(table string) int {
 	n := 0
-	for key := range r.held {
-		if key.Table == table {
+	for key, held := range r.held {
+		if key.Table == table && held.row.Deleted {
 			n++
 		}
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -37,36 +37,43 @@
 	Lost bool
 }
 
+// Settings of a Replica. The zero value is for a store that loses nothing.
+type Settings struct {
+	// Older tells whether a row that was read is an earlier document than the one held, by
+	// their owner's own order; nil where owners have none. What a store gives back of an earlier
+	// era does not take the place of a later document: its revision counts, and the document
+	// that is held stays, for those too who get the rows from this copy.
+	Older func(held, read Row) bool
+	// HoldReturned is for how long a row is not believed that was removed, and is back in a
+	// store that came back from a copy: its owner may be gone, and write no more. What is written
+	// since counts.
+	HoldReturned time.Duration
+}
+
 // Replica is the copy. It is not safe for concurrent use.
 type Replica struct {
-	// older tells whether a row that was read is an earlier document than the one held, by
-	// their owner's own order; nil where owners have none.
-	older func(held, read Row) bool
-	rows  map[Key]Row
+	settings Settings
+	rows     map[Key]Row
 	// read is the revision up to which a table was read from the store, newest the
 	// highest one of any of its rows, those held among them.
 	read, newest map[string]int64
-	// held are deletions that are not believed yet, by row.
-	held map[Key]heldDeletion
+	// held are rows that are not believed yet: deletions, and those that a return brought
+	// back.
+	held map[Key]heldRow
 	// holdUntil is when all deletions are believed again.
 	holdUntil time.Duration
 	lapses    lapses
 }
 
-// heldDeletion is a deletion that a row's owner may still take back.
-type heldDeletion struct {
+// heldRow is a row that its owner may still take back, or that the store may still drop.
+type heldRow struct {
 	row   Row
 	until time.Duration
 }
 
 // New returns an empty copy.
-func New() *Replica { return NewOrdered(nil) }
-
-// NewOrdered returns an empty copy of rows whose owners order their documents themselves. What a
-// store gives back of an earlier era does not take the place of a later document: its revision
-// counts, and the document that is held stays, for those too who get the rows from this copy.
-func NewOrdered(older func(held, read Row) bool) *Replica {
-	return &Replica{older: older, rows: map[Key]Row{}, read: map[string]int64{}, newest: map[string]int64{}, held: map[Key]heldDeletion{}, lapses: lapses{}}
+func New(s Settings) *Replica {
+	return &Replica{settings: s, rows: map[Key]Row{}, read: map[string]int64{}, newest: map[string]int64{}, held: map[Key]heldRow{}, lapses: lapses{}}
 }
 
 // Hold has deletions of many rows doubted that come before a time: after an outage the
@@ -88,10 +95,14 @@
 		r.newest[row.Table] = max(r.newest[row.Table], row.Revision)
 		if row.Deleted && !before.Deleted && (doubted[row.Table] || row.Lost && r.doubts(now)) {
 			if row.Revision > r.held[row.Key].row.Revision {
-				r.held[row.Key] = heldDeletion{row: row, until: r.holdUntil}
+				r.held[row.Key] = heldRow{row: row, until: r.holdUntil}
 			}
 			continue
 		}
+		if r.broughtBack(before, row) {
+			r.held[row.Key] = heldRow{row: row, until: now + r.settings.HoldReturned}
+			continue
+		}
 		if held, ok := r.held[row.Key]; ok && held.row.Revision <= row.Revision {
 			delete(r.held, row.Key)
 		}
@@ -106,10 +117,21 @@
 	return r.current(news)
 }
 
+// broughtBack tells whether a row that was removed is there again by a return alone. One that was
+// brought back before, and is written since, has an owner.
+func (r *Replica) broughtBack(held, read Row) bool {
+	if r.settings.HoldReturned == 0 || !held.Deleted || held.Lost || read.Deleted {
+		return false
+	}
+	before, known := r.held[read.Key]
+	written := known && platform.EraOf(before.row.Revision) == platform.EraOf(read.Revision)
+	return !written && platform.EraOf(read.Revision) > platform.EraOf(held.Revision)
+}
+
 // fallsBehind tells whether a row of a newer era is an earlier document than the one held.
 func (r *Replica) fallsBehind(held, read Row) bool {
-	return r.older != nil && held.Revision > 0 && !held.Deleted && !read.Deleted &&
-		platform.EraOf(read.Revision) > platform.EraOf(held.Revision) && r.older(held, read)
+	return r.settings.Older != nil && held.Revision > 0 && !held.Deleted && !read.Deleted &&
+		platform.EraOf(read.Revision) > platform.EraOf(held.Revision) && r.settings.Older(held, read)
 }
 
 // unchanged tells whether a row of a newer era is what it was before.
@@ -144,7 +166,7 @@
 	return slices.DeleteFunc(rows, func(row Row) bool { return r.rows[row.Key].Revision > row.Revision })
 }
 
-// Release believes the deletions that were held long enough, and returns them.
+// Release believes the rows that were held long enough, and returns them.
 func (r *Replica) Release(now time.Duration) []Row {
 	r.doubts(now)
 	var news []Row
@@ -153,7 +175,8 @@
 			continue
 		}
 		delete(r.held, key)
-		if held.row.Revision > r.rows[key].Revision {
+		over := platform.EraOf(held.row.Revision) < platform.EraOf(r.newest[key.Table])
+		if held.row.Revision > r.rows[key].Revision && !over {
 			r.rows[key] = held.row
 			news = append(news, held.row)
 		}
@@ -176,6 +199,11 @@
 			all = append(all, Row{Key: key, Revision: revision, Deleted: true, Lost: lost})
 		}
 	}
+	for key, held := range r.held {
+		if key.Table == table && !held.row.Deleted && !present[key] && held.row.Revision < revision {
+			delete(r.held, key)
+		}
+	}
 	r.ReadTo(table, revision)
 	return r.Apply(all, now)
 }
@@ -209,7 +237,7 @@
 }
 
 // Since returns all rows, deleted ones too, that are above the revision given
-// for their table. Deletions that are held back are among them.
+// for their table. Those that are held back are among them.
 func (r *Replica) Since(revisions map[string]int64) []Row {
 	var rows []Row
 	for _, row := range r.rows {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -25,7 +25,7 @@
 }
 
 func TestOlderRowsAreNoNews(t *testing.T) {
-	r := New()
+	r := New(Settings{})
 	if got := keys(r.Apply([]Row{row("a", 3), row("a", 2), gone("b", 4), row("b", 1)}, 0)); got != "ab" {
 		t.Errorf("news %q", got)
 	}
@@ -35,7 +35,7 @@
 }
 
 func TestAStaleReadDeletesNothingNewer(t *testing.T) {
-	r := New()
+	r := New(Settings{})
 	r.Apply([]Row{row("a", 3), row("b", 9)}, 0)
 	r.Replace("t", nil, 5, 0)
 	if got := keys(r.Table("t")); got != "b" {
@@ -44,7 +44,7 @@
 }
 
 func TestDeletionsAfterAnOutageWait(t *testing.T) {
-	r := New()
+	r := New(Settings{})
 	r.Apply([]Row{row("a", 1), row("b", 2)}, 0)
 	r.Hold(2 * time.Second)
 	r.Apply([]Row{gone("a", 5), gone("b", 6)}, time.Second)
@@ -85,7 +85,7 @@
 		{"all lapse", 60, 0, false, 60},
 		{"all lapse, one after the other", 60, 0, true, 30},
 	} {
-		r := New()
+		r := New(Settings{})
 		r.Apply(many(0, there, 1, false), 0)
 		r.Hold(2 * time.Second)
 		page := append(many(0, c.deleted, 100, true), many(there, c.added, 200, false)...)
@@ -109,7 +109,7 @@
 // TestWhatLapsedWithAnEarlierOutageCountsNoMore: a fifth of the upstreams leaves after each of
 // three outages.
 func TestWhatLapsedWithAnEarlierOutageCountsNoMore(t *testing.T) {
-	r := New()
+	r := New(Settings{})
 	r.Apply(many(0, 60, 1, false), 0)
 	for outage := range 3 {
 		now := time.Duration(outage+1) * time.Minute
@@ -132,7 +132,7 @@
 				Deleted:  rapid.Bool().Draw(t, "deleted"),
 			}
 		}), 1, 20, func(r Row) int64 { return r.Revision }).Draw(t, "rows")
-		one, two := New(), New()
+		one, two := New(Settings{}), New(Settings{})
 		one.Apply(rows, 0)
 		for _, r := range rapid.Permutation(rows).Draw(t, "order") {
 			two.Apply([]Row{r}, 0)
@@ -144,7 +144,7 @@
 }
 
 func TestNewsHasOneRowAKey(t *testing.T) {
-	news := New().Apply([]Row{row("a", 1), row("b", 2), row("a", 3)}, 0)
+	news := New(Settings{}).Apply([]Row{row("a", 1), row("b", 2), row("a", 3)}, 0)
 	if len(news) != 2 || keys(news) != "ba" || news[1].Revision != 3 {
 		t.Errorf("%+v", news)
 	}
