--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -149,3 +149,17 @@
 		t.Errorf("%+v", news)
 	}
 }
+
+// TestADeletionBeforeAFreshReadReachesOthers guards against an upstream that gets requests though it
+// has left: an instance that stood still hears from one alone that has begun since and read the store
+// itself, and so never knew of the entry that was removed.
+func TestADeletionBeforeAFreshReadReachesOthers(t *testing.T) {
+	row := func(key string, revision int64) Row { return Row{Key: Key{Table: "t", Key: key}, Revision: revision} }
+	stale, fresh := New(Settings{}), New(Settings{})
+	stale.Apply([]Row{row("gone", 1), row("there", 2)}, 0)
+	fresh.Replace("t", []Row{row("there", 2), row("new", 4)}, 4, 0) // "gone" was removed as of 3
+	stale.Apply(fresh.Since(stale.Newest()), 0)
+	if got, there := stale.Get(Key{Table: "t", Key: "gone"}); there {
+		t.Errorf("%+v is there still", got)
+	}
+}
