Send a question for a grant once more where no word came, and decide it once

Cause: a datagram that brings a grant and is lost takes one request from the upstream, and there was one try at each question.

--- a/internal/peers/grants.go
+++ b/internal/peers/grants.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"sync"
 	"time"
 
 	"sassafrasfield/internal/fanout"
@@ -16,6 +18,9 @@
 	// limitAskTimeout bounds a question to the coordinator, which may be in another zone, a
 	// round trip of some 2 ms away, and takes up to 20 ms when it is busy.
 	limitAskTimeout = 80 * time.Millisecond
+	// askLimitAgain is when a question without a word is sent once more: it or its answer may
+	// be lost, and a grant that nobody hears of is one request less for the upstream.
+	askLimitAgain = 30 * time.Millisecond
 	// cutOffShare is how much of their part those give out who reach the fewer instances:
 	// what their upstreams may get at once comes on top of the rates.
 	cutOffShare = 0.8
@@ -109,16 +114,22 @@
 	id, answer := r.limitAsks.begin()
 	defer r.limitAsks.end(id)
 	r.sendLimitAsk(id, ask, coordinator)
-	timer := time.NewTimer(limitAskTimeout)
+	timer, again := time.NewTimer(limitAskTimeout), time.NewTimer(askLimitAgain)
 	defer timer.Stop()
-	select {
-	case verdict := <-answer:
-		return verdict
-	case <-timer.C:
-		r.exchange.log.Info("peers: no word from the coordinator of the grants", "coordinator", coordinator)
-	case <-ctx.Done():
+	defer again.Stop()
+	for {
+		select {
+		case verdict := <-answer:
+			return verdict
+		case <-again.C:
+			r.sendLimitAsk(id, ask, coordinator)
+		case <-timer.C:
+			r.exchange.log.Info("peers: no word from the coordinator of the grants", "coordinator", coordinator)
+			return quota.Verdict{RetryIn: quota.NoWordRetry}
+		case <-ctx.Done():
+			return quota.Verdict{RetryIn: quota.NoWordRetry}
+		}
 	}
-	return quota.Verdict{RetryIn: quota.NoWordRetry}
 }
 
 func (r *Reports) sendLimitAsk(id uint64, ask quota.Ask, to string) {
@@ -134,12 +145,50 @@
 	ask := quota.Ask{
 		From: uint64(k.ID()), Word: limitFromMessage(m.GetLimit()), FirstHand: m.GetFirstHand(), Priority: int(m.GetPriority()), Continues: m.GetContinues(),
 	}
-	verdict := r.loads.GrantLimited(ask)
+	verdict := r.verdicts.of(question{k.ID(), m.GetId()}, r.exchange.now(), func() quota.Verdict { return r.loads.GrantLimited(ask) })
 	reply := r.message(sfv1.Datagram_KIND_LIMIT_VERDICT)
 	reply.LimitVerdict = &sfv1.LimitVerdict{Id: m.GetId(), Granted: verdict.Granted, RetryMs: uint32(verdict.RetryIn.Milliseconds())}
 	r.send(reply, []string{k.Address})
 }
 
+// question names one for a send to an upstream with a limit.
+type question struct {
+	from fanout.ID
+	id   uint64
+}
+
+// given is a verdict on a question, as of when it was given.
+type given struct {
+	verdict quota.Verdict
+	at      time.Duration
+}
+
+// verdicts are those that were given lately, so that a question which comes twice is decided once.
+type verdicts struct {
+	mu    sync.Mutex // protects all below
+	given map[question]given
+	// sweepAt is when to look for those that no question can ask for any more.
+	sweepAt time.Duration
+}
+
+func newVerdicts() *verdicts { return &verdicts{given: map[question]given{}} }
+
+// of returns the verdict on a question, which is decided unless that was done lately.
+func (v *verdicts) of(q question, now time.Duration, decide func() quota.Verdict) quota.Verdict {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if now >= v.sweepAt {
+		v.sweepAt = now + limitAskTimeout
+		maps.DeleteFunc(v.given, func(_ question, g given) bool { return now-g.at > limitAskTimeout })
+	}
+	if g, ok := v.given[q]; ok {
+		return g.verdict
+	}
+	verdict := decide()
+	v.given[q] = given{verdict, now}
+	return verdict
+}
+
 func verdictFromMessage(m *sfv1.LimitVerdict) quota.Verdict {
 	return quota.Verdict{Granted: m.GetGranted(), RetryIn: time.Duration(m.GetRetryMs()) * time.Millisecond}
 }
--- a/internal/peers/limit_test.go
+++ b/internal/peers/limit_test.go
@@ -46,6 +46,9 @@
 	ask      uint64
 	answer   <-chan quota.Verdict
 	until    time.Duration
+	// again is when the question is sent once more, by resend.
+	again  time.Duration
+	resend func()
 }
 
 // limitedFleet is a fleet before upstreams that limit their requests.
@@ -142,7 +145,9 @@
 		default:
 			c.asks, c.until = u, f.now+limitAskTimeout
 			c.ask, c.answer = n.limitAsks.begin()
-			n.sendLimitAsk(c.ask, ask, coordinator)
+			c.resend = func() { n.sendLimitAsk(c.ask, ask, coordinator) }
+			c.again = f.now + askLimitAgain
+			c.resend()
 			f.open = append(f.open, c)
 			return
 		}
@@ -182,6 +187,10 @@
 			case verdict = <-c.answer:
 				came = true
 			default:
+				if f.now >= c.again {
+					c.again = c.until
+					c.resend()
+				}
 				f.open = append(f.open, c)
 				continue
 			}
@@ -481,3 +490,28 @@
 		t.Errorf("%d instances: %d calls in a second reached an upstream that has started again", len(f.nodes), n)
 	}
 }
+
+// TestAQuestionThatComesTwiceIsDecidedOnce guards against a grant that is lost with the datagram that
+// brings it, and against two grants for one send.
+func TestAQuestionThatComesTwiceIsDecidedOnce(t *testing.T) {
+	v, decided := newVerdicts(), 0
+	decide := func() quota.Verdict {
+		decided++
+		return quota.Verdict{Granted: decided == 1}
+	}
+	one := question{from: 1, id: 7}
+	for range 3 {
+		if !v.of(one, askLimitAgain, decide).Granted {
+			t.Error("another verdict on the same question")
+		}
+	}
+	for _, other := range []question{{from: 2, id: 7}, {from: 1, id: 8}} {
+		if v.of(other, askLimitAgain, decide).Granted {
+			t.Errorf("%+v has the verdict of another question", other)
+		}
+	}
+	v.of(question{from: 3}, 5*limitAskTimeout, decide)
+	if len(v.given) != 1 {
+		t.Errorf("%d verdicts are kept", len(v.given))
+	}
+}
--- a/internal/peers/reports.go
+++ b/internal/peers/reports.go
@@ -72,7 +72,9 @@
 	// asks wait for the zone's pool, limitAsks for the coordinator of the grants.
 	asks      *asks[bool]
 	limitAsks *asks[quota.Verdict]
-	pace      *fanout.Pace
+	// verdicts are those that this instance gave as the coordinator.
+	verdicts *verdicts
+	pace     *fanout.Pace
 	// allowance bounds the bytes of what an instance that passes reports on tells; Run
 	// alone uses it.
 	allowance *fanout.Allowance
@@ -87,7 +89,7 @@
 // NewReports returns the reports of an exchange.
 func NewReports(e *Exchange, l Loads) *Reports {
 	r := &Reports{
-		exchange: e, loads: l, asks: newAsks[bool](), limitAsks: newAsks[quota.Verdict](), pace: fanout.NewPace(e.now()),
+		exchange: e, loads: l, asks: newAsks[bool](), limitAsks: newAsks[quota.Verdict](), verdicts: newVerdicts(), pace: fanout.NewPace(e.now()),
 		allowance: fanout.NewAllowance(e.self.LinkMbps, e.now()), boot: rand.Uint32(),
 	}
 	r.write = r.writeTo
