Do not take a row that a return brought back for written because it comes twice

Found by reading the change over: the same row from a second peer counted as one that its owner had written since, and an upstream that had left was believed to be back at once (TestARemovedRowThatAReturnBringsBackIsDoubted, with the row once more, fell without the comparison). Taking a row in is split into what is held, for how long, and what takes its place.

--- a/internal/replica/era_test.go
+++ b/internal/replica/era_test.go
@@ -220,6 +220,7 @@
 	}
 	r, newcomer := gone(), New(Settings{HoldReturned: hold})
 	newcomer.Apply(r.Since(nil), 0)
+	newcomer.Apply(row(platform.RevisionOf(2, 80)), 0) // once more, from another one
 	for name, one := range map[string]*Replica{"who knew that it left": r, "who heard of both": newcomer} {
 		one.Release(hold - 1)
 		if _, there := one.Get(keyOf(1)); there {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -93,30 +93,48 @@
 			continue
 		}
 		r.newest[row.Table] = max(r.newest[row.Table], row.Revision)
-		if row.Deleted && !before.Deleted && (doubted[row.Table] || row.Lost && r.doubts(now)) {
-			if row.Revision > r.held[row.Key].row.Revision {
-				r.held[row.Key] = heldRow{row: row, until: r.holdUntil}
-			}
+		if until := r.holdsUntil(before, row, doubted[row.Table], now); until > 0 {
+			r.hold(row, until)
 			continue
 		}
-		if r.broughtBack(before, row) {
-			r.held[row.Key] = heldRow{row: row, until: now + r.settings.HoldReturned}
-			continue
-		}
-		if held, ok := r.held[row.Key]; ok && held.row.Revision <= row.Revision {
-			delete(r.held, row.Key)
-		}
-		if r.fallsBehind(before, row) {
-			row.Value = before.Value
-		}
-		r.rows[row.Key] = row
-		if !unchanged(before, row) {
+		if r.put(before, row) {
 			news = append(news, row)
 		}
 	}
 	return r.current(news)
 }
 
+// put has a row take the place of the one before, and tells whether it is another one.
+func (r *Replica) put(before, row Row) bool {
+	if held, ok := r.held[row.Key]; ok && held.row.Revision <= row.Revision {
+		delete(r.held, row.Key)
+	}
+	if r.fallsBehind(before, row) {
+		row.Value = before.Value
+	}
+	r.rows[row.Key] = row
+	return !unchanged(before, row)
+}
+
+// hold keeps a row that is not believed yet, unless one that is newer is held.
+func (r *Replica) hold(row Row, until time.Duration) {
+	if row.Revision > r.held[row.Key].row.Revision {
+		r.held[row.Key] = heldRow{row: row, until: until}
+	}
+}
+
+// holdsUntil is until when a row is not believed; 0 for one that is.
+func (r *Replica) holdsUntil(before, row Row, doubted bool, now time.Duration) time.Duration {
+	switch {
+	case row.Deleted && !before.Deleted && (doubted || row.Lost && r.doubts(now)):
+		return r.holdUntil
+	case r.broughtBack(before, row):
+		return now + r.settings.HoldReturned
+	default:
+		return 0
+	}
+}
+
 // broughtBack tells whether a row that was removed is there again by a return alone. One that was
 // brought back before, and is written since, has an owner.
 func (r *Replica) broughtBack(held, read Row) bool {
@@ -124,7 +142,7 @@
 		return false
 	}
 	before, known := r.held[read.Key]
-	written := known && platform.EraOf(before.row.Revision) == platform.EraOf(read.Revision)
+	written := known && platform.EraOf(before.row.Revision) == platform.EraOf(read.Revision) && read.Revision > before.row.Revision
 	return !written && platform.EraOf(read.Revision) > platform.EraOf(held.Revision)
 }
 
