--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -272,25 +272,25 @@
 	}
 	// The own row whose term lapsed, and the own takeover in doubt, need no
 	// wait: nobody else has had the lease if the check holds.
-	if l.resumes(now) || len(l.doubts) > 0 {
+	if l.undisputed(now) || len(l.doubts) > 0 {
 		return true
 	}
 	ripe := l.ripeAt()
 	return now >= ripe && l.lastRead >= ripe
 }
 
-// resumes tells that nobody else can have had the lease since this process had it.
-func (l *Lease) resumes(now time.Duration) bool {
+// undisputed tells that nobody else can have had the lease since this process had it.
+func (l *Lease) undisputed(now time.Duration) bool {
 	if l.returned {
 		return now < l.heldUntil
 	}
 	return l.row.Holder == l.self
 }
 
-// resumed tells that nobody else had it since, and that the orders of an earlier
+// resumes tells that nobody else had it since, and that the orders of an earlier
 // holder are over: the table may come back right after this process took it.
-func (l *Lease) resumed(now time.Duration) bool {
-	return l.resumes(now) && (!l.returned || now-l.takenAt >= l.settings.Term)
+func (l *Lease) resumes(now time.Duration) bool {
+	return l.undisputed(now) && (!l.returned || now-l.takenAt >= l.settings.Term)
 }
 
 // ripeAt is when the row may be taken over if it still stands.
@@ -326,7 +326,7 @@
 func (l *Lease) write(now time.Duration, row Row, newEpoch bool) Action {
 	row.WriteID = l.newID()
 	l.sent = attempt{
-		row: row, newEpoch: newEpoch, at: now, resumed: l.resumed(now), returned: l.returned,
+		row: row, newEpoch: newEpoch, at: now, resumed: l.resumes(now), returned: l.returned,
 		first: l.revision == 0, // of no era, as a copy may lack a row that was there
 	}
 	return Action{Kind: Write, Row: row, Revision: l.revision, NewEpoch: newEpoch}
