Have the fleets of tests wait until their stand-ins take connections

TestTakeoverWithReplyLost fell once in a run of all tests (connection refused at an engine's stand-in, 0.05 s after the test began) and held in 6 of 6 runs alone. Cause, by reading: AddEngine and AddService start a process and go on, and this test asks the engine for its book before anything else has waited for it. Not played again: it did not come a second time. The waits of all tests stay.

--- a/internal/testfleet/fleet.go
+++ b/internal/testfleet/fleet.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -146,6 +147,9 @@
 	}
 	e.Process = p
 	f.Engines = append(f.Engines, e)
+	if err := untilListens(ctx, e.Address); err != nil {
+		return e, err
+	}
 	return e, f.List(ctx, platform.Instance{ID: id, Kind: platform.KindUpstream, Zone: zone, State: platform.InstanceLive})
 }
 
@@ -158,9 +162,24 @@
 	}
 	s.Process = p
 	f.Services = append(f.Services, s)
+	if err := untilListens(ctx, s.Address); err != nil {
+		return s, err
+	}
 	return s, f.List(ctx, platform.Instance{ID: id, Kind: platform.KindUpstream, Zone: zone, State: platform.InstanceLive})
 }
 
+// untilListens waits until a stand-in takes connections.
+func untilListens(ctx context.Context, address string) error {
+	return Until(ctx, address+" takes connections", func() bool {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			return false
+		}
+		_ = conn.Close() // nothing was sent on it
+		return true
+	})
+}
+
 // AddInstance reserves addresses, writes settings, starts both daemons and
 // lists the instance.
 func (f *Fleet) AddInstance(ctx context.Context, id, zone string) (*Instance, error) {
