Report no window anew that a later holder finds lost

Traced: inst-3 reported it, the store came back from a copy whose row did not have it, inst-3 began anew, took the lease in the new era and counted the window from what it knew by then.

The row says in which era it was written now. A row of an earlier era is that of a copy: what was fixed is gone on with by a holder that nobody followed, and by all others the windows that are complete are given up, with a line and a count, as no two counts of a window are to be sent; a few seconds of use are not reported then.

--- a/internal/usagereport/reporter.go
+++ b/internal/usagereport/reporter.go
@@ -63,6 +63,8 @@
 	Sent usage.Window `json:"sent"`
 	// Windows are those that may still have to be sent.
 	Windows map[usage.Window]usage.Counts `json:"windows"`
+	// Era of the table in which the row was written.
+	Era int64 `json:"era,omitempty"`
 }
 
 // Reporter does the duty of reporting. It is used by one goroutine.
@@ -95,7 +97,7 @@
 // Do implements rolekeeper.Duty: it fixes the counts of the windows that are complete, and
 // sends those that were not sent.
 func (r *Reporter) Do(ctx context.Context, grant lease.Grant) {
-	if err := r.load(ctx); err != nil {
+	if err := r.load(ctx, grant); err != nil {
 		r.log.Info("usage: what was reported could not be read", "error", err)
 		return
 	}
@@ -116,9 +118,10 @@
 	}
 }
 
-// load reads the row that the holder before left. Where this process has fixed later windows
-// itself, the table came back from an older copy: they stay as they were fixed.
-func (r *Reporter) load(ctx context.Context) error {
+// load reads the row that the holder before left. A row of an earlier era is that of an older
+// copy: windows may have been reported that it lacks. This process knows them if nobody else had
+// the lease; else those that are complete are given up, as no two counts of a window are sent.
+func (r *Reporter) load(ctx context.Context, grant lease.Grant) error {
 	if r.loaded {
 		return nil
 	}
@@ -126,9 +129,16 @@
 	if err != nil {
 		return err
 	}
-	if r.row.Last > kept.Last {
-		r.log.Warn("usage: the store lost what was fixed, it is kept as it was", "up_to", r.row.Last, "store_has", kept.Last)
+	switch era := platform.EraOf(grant.EpochRevision); {
+	case kept.Era >= era:
+	case grant.Returned && grant.Resumed && r.row.Last > 0:
+		r.log.Warn("usage: the store came back from a copy, what was fixed is kept", "up_to", r.row.Last, "store_has", kept.Last)
 		kept = r.row
+	default:
+		upTo := max(kept.Last, r.complete())
+		r.log.Warn("usage: windows given up, the store may have lost that they were reported", "after", kept.Sent, "up_to", upTo)
+		meter("given_up").Inc(int64(upTo - kept.Sent))
+		kept = fixed{Last: upTo, Sent: upTo}
 	}
 	r.row, r.revision, r.loaded = kept, revision, true
 	return nil
@@ -170,6 +180,7 @@
 // write writes the row. Its revision is checked, so that no write that was sent before, and
 // arrives late, undoes it; and the epoch, so that only the newest holder writes.
 func (r *Reporter) write(ctx context.Context, grant lease.Grant, next fixed) error {
+	next.Era = platform.EraOf(grant.EpochRevision)
 	value, err := json.Marshal(next)
 	if err != nil {
 		return errors.Wrap(err, "usage: encode what is to be reported")
@@ -191,7 +202,7 @@
 // next is the row with the windows up to one. Windows in which nobody asked for anything
 // before the first that has counts are left out.
 func (r *Reporter) next(upTo usage.Window) fixed {
-	next := fixed{Last: r.row.Last, Sent: max(r.row.Sent, upTo-Kept), Windows: map[usage.Window]usage.Counts{}}
+	next := fixed{Era: r.row.Era, Last: r.row.Last, Sent: max(r.row.Sent, upTo-Kept), Windows: map[usage.Window]usage.Counts{}}
 	for window := next.Sent + 1; window <= r.row.Last; window++ {
 		next.Windows[window] = r.row.Windows[window]
 	}
--- a/internal/usagereport/reporter_test.go
+++ b/internal/usagereport/reporter_test.go
@@ -131,6 +131,8 @@
 	grants   [2]lease.Grant
 	list     [2]*Reporter
 	epoch    int64
+	// era counts the returns of the table from a copy.
+	era int64
 }
 
 func newRig(f func() fate) *rig {
@@ -347,34 +349,60 @@
 	}
 }
 
+// comeBack has the table come back from a copy, in a new era, and an instance hold the lease in it.
+func (r *rig) comeBack(rows map[string]platform.Row, holder int, resumed bool) {
+	r.era++
+	r.table.rows, r.table.revision = map[string]platform.Row{}, platform.RevisionOf(r.era, r.table.revision)
+	for key, row := range rows {
+		row.Revision = platform.RevisionOf(r.era, platform.CounterOf(row.Revision))
+		r.table.rows[key] = row
+	}
+	r.takeOver(holder)
+	r.grants[holder].Returned, r.grants[holder].Resumed = true, resumed
+}
+
 // TestAWindowThatTheStoreLostIsNotCountedAnew guards against two counts of a window: the store came
-// back from a copy without the row that fixed it, or with an older one, and more is known since.
+// back from a copy without the row that fixed it, or with an older one, and more is known since, or
+// less at a holder that has just begun.
 func TestAWindowThatTheStoreLostIsNotCountedAnew(t *testing.T) {
 	for _, without := range []bool{true, false} {
-		r := newRig(good)
-		do := func() { r.list[0].Do(context.Background(), r.grants[0]) }
-		report := func() {
-			r.began(usage.WindowAt(r.now, length))
-			r.now = r.now.Add(length + time.Second)
-			do()
-		}
-		copied := maps.Clone(r.table.rows)
-		if !without {
-			report()
-			copied = maps.Clone(r.table.rows)
-		}
-		report()
-		report()
-		reported := len(r.platform.counts)
-		r.table.rows = copied
-		for window := range r.totals {
-			r.began(window) // what was not known when they were fixed
-		}
-		r.takeOver(0)
-		report()
-		report()
-		if r.platform.broken != "" || len(r.platform.counts) != reported+2 {
-			t.Errorf("without the row %t: %q, %d windows, want %d", without, r.platform.broken, len(r.platform.counts), reported+2)
+		for name, next := range map[string]struct {
+			holder  int
+			resumed bool
+			started bool
+		}{
+			"the same holder":          {0, true, false},
+			"another one":              {1, false, false},
+			"one that has just begun":  {1, false, true},
+			"one that had it long ago": {0, false, false},
+		} {
+			r := newRig(good)
+			report := func(i int) {
+				r.began(usage.WindowAt(r.now, length))
+				r.now = r.now.Add(length + time.Second)
+				r.list[i].Do(context.Background(), r.grants[i])
+			}
+			copied := maps.Clone(r.table.rows)
+			if !without {
+				report(0)
+				copied = maps.Clone(r.table.rows)
+			}
+			report(0)
+			report(0)
+			reported := len(r.platform.counts)
+			for window := range r.totals {
+				r.began(window) // what was not known when they were fixed
+			}
+			if next.started {
+				r.start(next.holder)
+			}
+			r.comeBack(copied, next.holder, next.resumed)
+			r.list[next.holder].Do(context.Background(), r.grants[next.holder])
+			report(next.holder)
+			report(next.holder)
+			if r.platform.broken != "" || len(r.platform.counts) != reported+2 {
+				t.Errorf("%s, without the row %t: %q, %d windows, want %d", name, without, r.platform.broken, len(r.platform.counts), reported+2)
+			}
 		}
 	}
 }
