Count and log each retry that reaches an upstream, and what paid for it

Balances, pools and overdrawn balances are counted apart, and an instance says when it opens its zone's pool, with its share. No decision changes.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -33,6 +33,7 @@
 type Attempts struct {
 	rules    Rules
 	progress outcome.Request
+	ledger   Ledger
 	excluded map[string]bool
 	sends    int
 	// unsent counts the attempts that failed before any byte was sent.
@@ -59,6 +60,9 @@
 // Sends returns the number of sends, including those that reached no upstream.
 func (a *Attempts) Sends() int { return a.sends }
 
+// Ledger returns the count of the sends that reached an upstream.
+func (a *Attempts) Ledger() *Ledger { return &a.ledger }
+
 // Runs returns the number of attempts that may have run, but returned no complete
 // response.
 func (a *Attempts) Runs() int { return a.runs }
--- a/internal/attempt/budget.go
+++ b/internal/attempt/budget.go
@@ -38,6 +38,17 @@
 	// Retries counts the retries made after a backoff; Denied counts those that the
 	// budget did not allow.
 	Retries, Denied metrics.Counter
+	// PaidOwn, PaidPool and Overdrawn count the retries that were paid for from the own
+	// balance, by the pool, and not at all because the response had started and the
+	// balance was exhausted. They are nil if not counted.
+	PaidOwn, PaidPool, Overdrawn metrics.Counter
+}
+
+// count increments a counter unless it is nil.
+func count(c metrics.Counter) {
+	if c != nil {
+		c.Inc(1)
+	}
 }
 
 // NewBudget returns a budget whose balance starts at one second of the floor rate.
@@ -70,22 +81,50 @@
 
 // Spend takes one retry from this budget or, when it is exhausted, from the pool.
 func (b *Budget) Spend(ctx context.Context, responseStarted bool, now time.Duration) bool {
-	if b.SpendLocal(responseStarted, now) {
-		return true
+	return b.spend(ctx, responseStarted, now) != denied
+}
+
+// payment is how the budget allowed a retry.
+type payment int
+
+const (
+	denied payment = iota
+	paid
+	// overdrawn: the balance was exhausted, but the response had started.
+	overdrawn
+)
+
+func (b *Budget) spend(ctx context.Context, responseStarted bool, now time.Duration) payment {
+	if p := b.spendLocal(responseStarted, now); p != denied {
+		return p
+	}
+	if b.pool != nil && b.pool.Acquire(ctx) {
+		count(b.meters.PaidPool)
+		return paid
 	}
-	return b.pool != nil && b.pool.Acquire(ctx)
+	return denied
 }
 
 // SpendLocal takes one retry from this budget. If the response has started, the
 // retry is always allowed and may leave a negative balance.
 func (b *Budget) SpendLocal(responseStarted bool, now time.Duration) bool {
+	return b.spendLocal(responseStarted, now) != denied
+}
+
+func (b *Budget) spendLocal(responseStarted bool, now time.Duration) payment {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if responseStarted {
+	switch {
+	case b.budget.Take(now):
+		count(b.meters.PaidOwn)
+		return paid
+	case responseStarted:
+		count(b.meters.Overdrawn)
 		b.budget.ForceTake(now)
-		return true
+		return overdrawn
+	default:
+		return denied
 	}
-	return b.budget.Take(now)
 }
 
 // Jittered adds random jitter to a retry delay that is sent to callers.
@@ -123,9 +162,14 @@
 	if a.sends == 0 {
 		return Proceed
 	}
-	if !a.prepaid && !b.Spend(ctx, responseStarted, now) {
-		b.meters.Denied.Inc(1)
-		return Denied
+	if !a.prepaid {
+		switch b.spend(ctx, responseStarted, now) {
+		case denied:
+			b.meters.Denied.Inc(1)
+			return Denied
+		case paid:
+			a.ledger.Pay()
+		}
 	}
 	a.prepaid = false
 	if a.skipBackoff {
@@ -143,5 +187,8 @@
 // allows none.
 func (a *Attempts) Prepay(ctx context.Context, b *Budget, now time.Duration) bool {
 	a.prepaid = b.Spend(ctx, false, now)
+	if a.prepaid {
+		a.ledger.Pay()
+	}
 	return a.prepaid
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -61,7 +61,10 @@
 
 // newSend returns a send to an upstream, with the fields that all kinds of sends have.
 func (x *exchange) newSend(to upstreamstate.Upstream, now time.Duration) Send {
-	return Send{To: to, Timeout: x.remaining(now), Priority: x.identity.Priority(x.route), Identity: x.identity}
+	return Send{
+		To: to, Timeout: x.remaining(now), Priority: x.identity.Priority(x.route), Identity: x.identity,
+		Prompt: x.req.Prompt != nil, Ledger: x.attempts.Ledger(),
+	}
 }
 
 func (x *exchange) remaining(now time.Duration) time.Duration { return x.deadline - now }
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -51,7 +51,9 @@
 	if err := s.relay.admit(ctx, req, send); err != nil {
 		return nil, err
 	}
-	return s.Sender.Send(ctx, req, send)
+	reply, err := s.Sender.Send(ctx, req, send)
+	s.relay.recordArrival(req, send, kindOfRun(send), err)
+	return reply, err
 }
 
 // Prefill implements Sender.
@@ -59,7 +61,9 @@
 	if err := s.relay.admit(ctx, req, send); err != nil {
 		return KV{}, upstreamstate.Load{}, err
 	}
-	return s.Sender.Prefill(ctx, req, send)
+	kv, reported, err := s.Sender.Prefill(ctx, req, send)
+	s.relay.recordArrival(req, send, sendPrefill, err)
+	return kv, reported, err
 }
 
 // admit returns why a request must not be sent to an upstream now, according to the upstream's
--- a/internal/relay/meters.go
+++ b/internal/relay/meters.go
@@ -16,6 +16,7 @@
 	resumed, copied                                         metrics.Counter
 	prefills, direct, saturated                             metrics.Counter
 	limits                                                  limitMeters
+	arrivals                                                arrivalMeters
 }
 
 func counter(name string) metrics.Counter {
@@ -23,7 +24,10 @@
 }
 
 func newRetryMeters() attempt.Meters {
-	return attempt.Meters{Retries: counter("retries"), Denied: counter("retries_denied")}
+	return attempt.Meters{
+		Retries: counter("retries"), Denied: counter("retries_denied"),
+		PaidOwn: counter("retries_paid_own"), PaidPool: counter("retries_paid_pool"), Overdrawn: counter("retries_overdrawn"),
+	}
 }
 
 func newMeters() *meters {
@@ -31,7 +35,7 @@
 		requests: counter("requests"), answered: counter("answered"), refused: counter("refused"),
 		broken: counter("broken"), callerDisconnected: counter("caller_gone"),
 		resumed: counter("resumed"), copied: counter("gone_on_at_copy"), prefills: counter("prefills"), direct: counter("direct"), saturated: counter("refused_choked"),
-		limits: newLimitMeters(),
+		limits: newLimitMeters(), arrivals: newArrivalMeters(),
 	}
 }
 
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -22,6 +22,7 @@
 	"github.com/pkg/errors"
 
 	"sassafrasfield/internal/apikey"
+	"sassafrasfield/internal/attempt"
 	"sassafrasfield/internal/placement"
 	"sassafrasfield/internal/quarantine"
 	"sassafrasfield/internal/routes"
@@ -87,6 +88,10 @@
 	Deferred bool
 	// Continues is set if the caller has received part of the answer.
 	Continues bool
+	// Prompt is set if the request has a prompt.
+	Prompt bool
+	// Ledger counts the sends of the request.
+	Ledger *attempt.Ledger
 	// Granted is set if capacity for this send was already reserved within the upstream's rate limit.
 	Granted bool
 }
--- a/internal/relay/retrypool.go
+++ b/internal/relay/retrypool.go
@@ -39,21 +39,23 @@
 	return &retryPool{granted: counter("pool_granted"), denied: counter("pool_denied")}
 }
 
-// set opens the pool with the given rules, or closes it.
-func (p *retryPool) set(open bool, rules retry.Rules) {
+// set opens the pool with the given rules, or closes it. It reports whether that changed anything.
+func (p *retryPool) set(open bool, rules retry.Rules) (changed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	changed = open != p.open || open && rules != p.rules
 	if !open || !p.open {
 		p.buckets, p.paid = map[uint32]*retry.Budget{}, map[payment]float64{}
 	}
 	p.open = open
 	if rules == p.rules {
-		return
+		return changed
 	}
 	p.rules = rules
 	for _, b := range p.buckets {
 		b.SetRules(rules)
 	}
+	return changed
 }
 
 // bucket returns the bucket of a service. The caller holds the lock.
@@ -100,7 +102,11 @@
 // included. It keeps no pool if members is 0. The ratio of members to all instances determines the
 // pool's share of the bounds.
 func (r *Relay) SetPool(s BudgetSettings, members, instances int) {
-	r.pool.set(members > 0, s.poolRules(members, instances))
+	rules := s.poolRules(members, instances)
+	if r.pool.set(members > 0, rules) {
+		r.log.Info("relay: retry pool", "open", members > 0, "members", members, "instances", instances,
+			"per_second", rules.Floor, "max", rules.Max)
+	}
 }
 
 // GrantRetry grants one retry for the service with the given hash.
