Charge each send of a generation to the retry budget where it is made

Cause: the budget was charged once for each attempt, and an attempt after a refused KV cache makes two sends, a second prefill and a run.

Now attempt.Ledger counts the sends of a request that arrived, and relay.admittingSender, which every send passes, pays for what the request has not paid yet right before it sends. What is paid for and not sent stays with the request, which replaces the prepaid flag. A KV cache that was refused is offered to one more engine (one retry); after that, while most fetches are refused, or where the budget grants no second retry, one engine processes the prompt and generates (one retry). A second prefill is paid for together with its run before it begins.

TestEachRetryIsPaidFor still fails for begun answers. TestEachSendToLimitedUpstreamRequestsGrant names other counts of sends for a refused KV cache, as exact as before; Prepay became Pay, and its test checks one charge for each retry.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -43,8 +43,6 @@
 	declined int
 	runs     int
 	lastErr  error
-	// prepaid: the next send takes nothing from the budget.
-	prepaid bool
 	// skipBackoff: the next attempt is made without a delay.
 	skipBackoff bool
 	// backup is the upstream that has a copy of the state of the lost run.
--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -108,9 +108,20 @@
 	if v := a.Next(context.Background(), empty, true, 0); v != Proceed {
 		t.Errorf("retry after the response has started: verdict %v", v)
 	}
-	full := budgetWith(1)
-	if !a.Prepay(context.Background(), full, 0) || a.Prepay(context.Background(), full, 0) {
-		t.Error("a budget with one retry did not allow exactly one")
+}
+
+// TestBudgetIsChargedOncePerRetry checks that a retry that is paid for in advance is not charged a
+// second time, and that the one after it is charged.
+func TestBudgetIsChargedOncePerRetry(t *testing.T) {
+	full, a := budgetWith(1), New(Rules{Repeatable: true, MaxSends: 5})
+	for retry, want := range []bool{true, false} {
+		_ = a.Sent() // cannot fail: repeatable
+		a.Failed("u", true, errFailed)
+		for range 2 {
+			if got := a.Pay(context.Background(), full, false, 0); got != want {
+				t.Errorf("retry %d: paid %t, want %t", retry+1, got, want)
+			}
+		}
 	}
 }
 
--- a/internal/attempt/budget.go
+++ b/internal/attempt/budget.go
@@ -152,8 +152,8 @@
 	Denied
 )
 
-// Next decides whether one more send may be made. Before a retry it takes one from
-// the budget, unless it is prepaid, and waits for the backoff. The first send needs
+// Next decides whether one more attempt may be made. Before a retry it pays for one
+// send, unless that is paid for already, and waits for the backoff. The first send needs
 // no budget.
 func (a *Attempts) Next(ctx context.Context, b *Budget, responseStarted bool, now time.Duration) Verdict {
 	if ctx.Err() != nil || !a.MaySend() {
@@ -162,16 +162,10 @@
 	if a.sends == 0 {
 		return Proceed
 	}
-	if !a.prepaid {
-		switch b.spend(ctx, responseStarted, now) {
-		case denied:
-			b.meters.Denied.Inc(1)
-			return Denied
-		case paid:
-			a.ledger.Pay()
-		}
+	if !a.Pay(ctx, b, responseStarted, now) {
+		b.meters.Denied.Inc(1)
+		return Denied
 	}
-	a.prepaid = false
 	if a.skipBackoff {
 		a.skipBackoff = false
 		return Proceed
@@ -183,12 +177,38 @@
 	return Proceed
 }
 
-// Prepay takes the next send from the budget in advance. False means that the budget
-// allows none.
-func (a *Attempts) Prepay(ctx context.Context, b *Budget, now time.Duration) bool {
-	a.prepaid = b.Spend(ctx, false, now)
-	if a.prepaid {
-		a.ledger.Pay()
+// Pay takes from the budget what the next send needs, unless that is paid for already.
+// What is paid for and not sent stays with the request. False means that the budget
+// allows no further send.
+func (a *Attempts) Pay(ctx context.Context, b *Budget, responseStarted bool, now time.Duration) bool {
+	return a.pay(ctx, b, a.ledger.due(a.arrivals()+1), responseStarted, now)
+}
+
+// PayForPrefill takes from the budget what a prefill and the run after it need. The budget
+// is not overdrawn, because the request can be sent to one upstream for both instead.
+func (a *Attempts) PayForPrefill(ctx context.Context, b *Budget, now time.Duration) bool {
+	return a.pay(ctx, b, a.ledger.dueForPrefill(a.arrivals()+1), false, now)
+}
+
+// PayForSend is Pay for a send that Sent or Prepared has recorded.
+func (a *Attempts) PayForSend(ctx context.Context, b *Budget, responseStarted bool, now time.Duration) bool {
+	return a.pay(ctx, b, a.ledger.due(max(a.ledger.arrivals+1, a.announced())), responseStarted, now)
+}
+
+func (a *Attempts) pay(ctx context.Context, b *Budget, due int, responseStarted bool, now time.Duration) bool {
+	for range due {
+		if b.spend(ctx, responseStarted, now) == denied {
+			return false
+		}
+		a.ledger.paid++
 	}
-	return a.prepaid
+	return true
 }
+
+// arrivals returns the number of sends that reached an upstream. Not every Call records
+// them in the ledger.
+func (a *Attempts) arrivals() int { return max(a.ledger.arrivals, a.announced()) }
+
+// announced returns the number of sends that Sent and Prepared recorded, without those
+// that failed before any byte was sent.
+func (a *Attempts) announced() int { return a.sends - a.unsent }
--- a/internal/attempt/run.go
+++ b/internal/attempt/run.go
@@ -27,13 +27,16 @@
 	Status Status
 	// Upstream is the upstream that failed; empty when none was tried.
 	Upstream string
-	// Unsent: no byte of the request was sent to the upstream. The next attempt then
-	// does not count as a retry and uses no budget.
+	// Unsent: no byte of the request was sent to the upstream. What was paid for the
+	// attempt pays for the next one.
 	Unsent bool
 	// Declined: the request was Unsent because the upstream accepts no requests at
 	// present, for example because its limit is reached or it is draining. The next
 	// attempt is made without a backoff.
 	Declined bool
+	// BudgetDenied: the request was Unsent because the budget allows no retry. No further
+	// attempt is made.
+	BudgetDenied bool
 	// Err is the reason why there is no complete response.
 	Err error
 }
@@ -71,8 +74,11 @@
 		case Done:
 			return last, Proceed
 		}
+		if last.BudgetDenied {
+			return last, Denied
+		}
 		if last.Unsent {
-			a.prepaid, a.skipBackoff = true, last.Declined
+			a.skipBackoff = last.Declined
 			a.unsent++
 		}
 		if last.Declined {
--- a/internal/placement/disaggregated.go
+++ b/internal/placement/disaggregated.go
@@ -36,11 +36,16 @@
 // PickPrefill picks the engine that processes a prompt. It returns false when there is no engine at all, or
 // no engine that may take the answer. A short prompt goes to an engine that also generates, unless prompts
 // use so much of these engines' time that a prefill engine is sooner. Otherwise a surge of short prompts
-// would stall the answers while prefill engines are idle.
+// would stall the answers while prefill engines are idle. A request for direct generation goes to no prefill
+// engine.
 func (s *DisaggregatedScheduler) PickPrefill(req *Request, candidates []Candidate, rng *rand.Rand) (Prefill, bool) {
 	if s.allExhausted(req, candidates) {
 		return Prefill{}, false
 	}
+	if req.Direct {
+		direct, ok := s.pickFirst(PhaseDirect, req, candidates, rng)
+		return direct, ok && direct.Direct()
+	}
 	separate, ok := s.pickFirst(PhasePrefill, req, candidates, rng)
 	if req.Prompt.Tokens >= req.Costs.DirectBelow {
 		return separate, ok
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -53,6 +53,8 @@
 	// CheckLimits is set when upstreams may limit the requests that they accept. Without it no candidate
 	// counts as Exhausted, and the candidates need not be scanned for it.
 	CheckLimits bool
+	// Direct is set when one engine is to process the prompt and generate.
+	Direct bool
 	// Blocks is the number of KV memory blocks that the request needs.
 	Blocks int
 	// Prefix has the hashes of the prompt's blocks; nil when prefix hints are off.
--- a/internal/relay/arrivals_test.go
+++ b/internal/relay/arrivals_test.go
@@ -80,16 +80,13 @@
 	return true
 }
 
-// refuseFetches refuses the first n runs that fetch a KV cache, as engines whose transfers would wait
-// too long do.
-func refuseFetches(n int) func(int, Send) (*Reply, error) {
-	return func(_ int, s Send) (*Reply, error) {
-		if s.KV.Handle != "" && n > 0 {
-			n--
-			return nil, ErrRefused
-		}
-		return completeEvents(), nil
+// refuseFetches refuses all runs that fetch a KV cache, as engines whose transfers would wait too
+// long do.
+func refuseFetches(_ int, s Send) (*Reply, error) {
+	if s.KV.Handle != "" {
+		return nil, ErrRefused
 	}
+	return completeEvents(), nil
 }
 
 func answerCall() *Reply { return reply(200, strings.NewReader("a")) }
@@ -100,20 +97,18 @@
 	for name, c := range map[string]struct {
 		sender func() *fakeSender
 		req    func() *Request
-		// mayFail is set if more sends are needed than a request may make.
-		mayFail bool
 	}{
-		"a call that is retried":          {func() *fakeSender { return &fakeSender{run: failFirst(ErrNoValidAnswer, answerCall)} }, requestTo(call, "/safe/1"), false},
-		"a call that is refused":          {func() *fakeSender { return &fakeSender{run: failFirst(ErrRefused, answerCall)} }, requestTo(call, "/unsafe/1"), false},
-		"a call answered with a failure":  {func() *fakeSender { return &fakeSender{run: failFirstStatus} }, requestTo(call, "/safe/1"), false},
-		"a run that is refused":           {func() *fakeSender { return &fakeSender{run: failFirst(ErrRefused, completeEvents)} }, shortOnce, false},
-		"a lost KV cache":                 {func() *fakeSender { return &fakeSender{run: refuseFetches(1)} }, requestTo(longPrompt, "/once/1"), false},
-		"two lost KV caches":              {func() *fakeSender { return &fakeSender{run: refuseFetches(2)} }, requestTo(longPrompt, "/once/1"), true},
-		"a prompt that fails":             {func() *fakeSender { return &fakeSender{prefill: failFirstPrompt} }, requestTo(longPrompt, "/once/1"), false},
-		"a resumed answer":                {func() *fakeSender { return &fakeSender{run: cutFirst} }, requestTo(longPrompt, "/resumable/1"), false},
-		"a resumed answer, directly":      {func() *fakeSender { return &fakeSender{run: cutFirst} }, shortResumable, false},
-		"an answer continued at its copy": {func() *fakeSender { return &fakeSender{run: cutFirst} }, shortOnce, false},
-		"an engine that is unreachable":   {func() *fakeSender { return &fakeSender{run: failFirst(ErrNotSent, completeEvents)} }, requestTo(longPrompt, "/once/1"), false},
+		"a call that is retried":          {func() *fakeSender { return &fakeSender{run: failFirst(ErrNoValidAnswer, answerCall)} }, requestTo(call, "/safe/1")},
+		"a call that is refused":          {func() *fakeSender { return &fakeSender{run: failFirst(ErrRefused, answerCall)} }, requestTo(call, "/unsafe/1")},
+		"a call answered with a failure":  {func() *fakeSender { return &fakeSender{run: failFirstStatus} }, requestTo(call, "/safe/1")},
+		"a run that is refused":           {func() *fakeSender { return &fakeSender{run: failFirst(ErrRefused, completeEvents)} }, shortOnce},
+		"a KV cache refused once":         {func() *fakeSender { return &fakeSender{run: failFirst(ErrRefused, completeEvents)} }, requestTo(longPrompt, "/once/1")},
+		"a KV cache always refused":       {func() *fakeSender { return &fakeSender{run: refuseFetches} }, requestTo(longPrompt, "/once/1")},
+		"a prompt that fails":             {func() *fakeSender { return &fakeSender{prefill: failFirstPrompt} }, requestTo(longPrompt, "/once/1")},
+		"a resumed answer":                {func() *fakeSender { return &fakeSender{run: cutFirst} }, requestTo(longPrompt, "/resumable/1")},
+		"a resumed answer, directly":      {func() *fakeSender { return &fakeSender{run: cutFirst} }, shortResumable},
+		"an answer continued at its copy": {func() *fakeSender { return &fakeSender{run: cutFirst} }, shortOnce},
+		"an engine that is unreachable":   {func() *fakeSender { return &fakeSender{run: failFirst(ErrNotSent, completeEvents)} }, requestTo(longPrompt, "/once/1")},
 	} {
 		for _, left := range []int{0, 1, 100} {
 			sender, pool := newArrivalSender(c.sender()), &countingPool{left: left}
@@ -124,7 +119,7 @@
 			if retries := sender.retries(); retries > pool.granted {
 				t.Errorf("%s, %d left: %d retries reached upstreams, the budget granted %d (%v)", name, left, retries, pool.granted, err)
 			}
-			if left == 100 && err != nil && !c.mayFail {
+			if left == 100 && err != nil {
 				t.Errorf("%s: %v", name, err)
 			}
 		}
@@ -203,12 +198,7 @@
 // while transfers of KV caches were slow, engines refused the runs, and each retry that was paid for
 // made two sends, the second prefill and the run.
 func TestRetriesAfterLostKVCachesKeepWithinBudget(t *testing.T) {
-	fleet := newRetryFleet(t, 4, &fakeSender{run: func(_ int, s Send) (*Reply, error) {
-		if s.KV.Handle != "" {
-			return nil, ErrRefused
-		}
-		return completeEvents(), nil
-	}})
+	fleet := newRetryFleet(t, 4, &fakeSender{run: refuseFetches})
 	fleet.serve(100, requestTo(longPrompt, "/once/1"))
 	fleet.check(t)
 }
@@ -225,3 +215,22 @@
 	fleet.serve(100, shortResumable)
 	fleet.check(t)
 }
+
+// TestRetryAvoidsFetchesThatAreMostlyRefused guards against requests that are refused while no engine
+// can fetch a KV cache: a second fetch would use up the retry that lets one engine do both.
+func TestRetryAvoidsFetchesThatAreMostlyRefused(t *testing.T) {
+	f := &fakeSender{run: refuseFetches}
+	r := newFake(t, f)
+	withLargeBudget(r)
+	for n, want := range []int{4, 3} { // sends of the first request and of a later one
+		before := f.count()
+		req := longPrompt("/once/1")
+		req.ID = fmt.Sprint("r", n)
+		if _, err := serve(r, req); err != nil || f.count()-before != want {
+			t.Errorf("request %d: %d sends, want %d; %v", n, f.count()-before, want, err)
+		}
+		for range 20 {
+			r.fetches.record("llm", true)
+		}
+	}
+}
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -81,7 +81,7 @@
 	if !x.attempts.MayRunElsewhere() || ctx.Err() != nil || r.upstreams.Count(x.service) < 2 {
 		return false
 	}
-	return x.attempts.Prepay(ctx, x.budget, r.now())
+	return x.attempts.Pay(ctx, x.budget, false, r.now())
 }
 
 // attemptTimeout returns how long an idempotent call may take on one upstream: the route's
--- a/internal/relay/draining_test.go
+++ b/internal/relay/draining_test.go
@@ -42,7 +42,7 @@
 	"a call that is retried":          {senderRunning(failFirst(ErrNoValidAnswer, plainReply)), requestTo(call, "/safe/1")},
 	"a call that is refused":          {senderRunning(failFirst(ErrRefused, plainReply)), requestTo(call, "/unsafe/1")},
 	"a prompt and its answer":         {workingSender, requestTo(longPrompt, "/once/1")},
-	"a prompt processed again":        {senderRunning(failFirst(ErrRefused, completeEvents)), requestTo(longPrompt, "/once/1")},
+	"a KV cache refused once":         {senderRunning(failFirst(ErrRefused, completeEvents)), requestTo(longPrompt, "/once/1")},
 	"a prompt that fails":             {func() *fakeSender { return &fakeSender{prefill: failFirstPrompt} }, requestTo(longPrompt, "/resumable/1")},
 	"a resumed answer":                {senderRunning(cutFirst), requestTo(longPrompt, "/resumable/1")},
 	"an answer continued at its copy": {senderRunning(cutFirst), shortOnce},
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -63,7 +63,7 @@
 func (x *exchange) newSend(to upstreamstate.Upstream, now time.Duration) Send {
 	return Send{
 		To: to, Timeout: x.remaining(now), Priority: x.identity.Priority(x.route), Identity: x.identity,
-		Prompt: x.req.Prompt != nil, Ledger: x.attempts.Ledger(),
+		Prompt: x.req.Prompt != nil, Attempts: x.attempts, Budget: x.budget,
 	}
 }
 
@@ -78,7 +78,10 @@
 // failedAttempt returns the result of an attempt that produced no complete answer.
 func failedAttempt(upstream string, err error) attempt.Result {
 	if ranNothing(err) {
-		return attempt.Result{Status: attempt.Refused, Upstream: upstream, Unsent: errors.Is(err, ErrNotSent), Declined: errors.Is(err, ErrDeclined), Err: err}
+		return attempt.Result{
+			Status: attempt.Refused, Upstream: upstream, Unsent: errors.Is(err, ErrNotSent), Declined: errors.Is(err, ErrDeclined),
+			BudgetDenied: errors.Is(err, ErrBudgetExhausted), Err: err,
+		}
 	}
 	return attempt.Result{Status: attempt.Lost, Upstream: upstream, Err: err}
 }
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -27,8 +27,10 @@
 	// on that engine; each attempt chooses a new one.
 	direct bool
 	start  placement.Prefill
-	// kv is the processed prompt that no engine has fetched yet.
-	kv KV
+	// kv is the processed prompt that no engine has fetched yet. fetchesRefused counts the runs that
+	// were refused with it.
+	kv             KV
+	fetchesRefused int
 	// headerSent is set once the caller has received the answer's header.
 	headerSent bool
 	// lastEvent is the id of the last event that the caller received.
@@ -123,7 +125,9 @@
 // prompt processed. The status Done means that this succeeded.
 func (g *generation) prepare(ctx context.Context) attempt.Result {
 	r := g.relay
-	start, queueOrder, ok := r.upstreams.PickPrefill(g.placementRequest(r.now()), r.now())
+	request := g.placementRequest(r.now())
+	request.Direct = g.attempts.Ledger().Prefilled() && !r.mayPrefillAgain(ctx, g)
+	start, queueOrder, ok := r.upstreams.PickPrefill(request, r.now())
 	if !ok {
 		return attempt.Result{Status: attempt.NoUpstream, Err: errors.WithMessage(ErrNotSent, "no engine for the prompt")}
 	}
@@ -141,12 +145,22 @@
 	kv, err := r.prefill(ctx, g, start)
 	if err != nil {
 		r.recordFailure(ctx, g.exchange, start.Engine.ID, err)
-		return attempt.Result{Status: attempt.NotReady, Upstream: start.Engine.ID, Unsent: errors.Is(err, ErrNotSent), Declined: errors.Is(err, ErrDeclined), Err: err}
+		return attempt.Result{
+			Status: attempt.NotReady, Upstream: start.Engine.ID, Unsent: errors.Is(err, ErrNotSent), Declined: errors.Is(err, ErrDeclined),
+			BudgetDenied: errors.Is(err, ErrBudgetExhausted), Err: err,
+		}
 	}
 	g.kv = kv
 	return attempt.Result{Status: attempt.Done}
 }
 
+// mayPrefillAgain reports whether the prompt may be processed a second time, which makes two retries:
+// the prefill and the run. Otherwise one engine does both, which is slower.
+func (r *Relay) mayPrefillAgain(ctx context.Context, g *generation) bool {
+	fetchable := g.fetchesRefused < maxFetchesRefused && !r.fetches.mostlyRefused(g.service)
+	return fetchable && g.attempts.PayForPrefill(ctx, g.budget, r.now())
+}
+
 // prefill has the prompt processed on the chosen engine.
 func (r *Relay) prefill(ctx context.Context, g *generation, start placement.Prefill) (KV, error) {
 	engine, prefillTime := r.upstreams.Upstream(start.Engine.ID), start.BusyTime
@@ -235,6 +249,9 @@
 	}
 	promptDone()
 	r.countUsage(g.exchange, r.now())
+	if g.kv.Handle != "" {
+		r.fetches.record(g.service, false)
+	}
 	g.kv = KV{} // the engine has fetched it
 	defer reply.Body.Close()
 	r.recordAnswer(engine.ID, reply.Load)
@@ -266,11 +283,19 @@
 	return attempt.Result{Status: attempt.Done, Err: deliver(g.w, g.exchange, bufferedAnswer{reply: reply, head: head, complete: true})}
 }
 
-// handleNoAnswer records that an engine did not begin an answer. If the engine could not fetch the
-// KV cache, the prompt is processed again.
+// maxFetchesRefused is the number of refused runs after which a KV cache is given up.
+const maxFetchesRefused = 2
+
+// handleNoAnswer records that an engine did not begin an answer. If the engine refused to fetch the
+// KV cache, another one may still fetch it, unless most fetches are refused: the engine may be at
+// capacity, or its link may be slow.
 func (r *Relay) handleNoAnswer(ctx context.Context, g *generation, engine upstreamstate.Upstream, err error) attempt.Result {
 	if g.kv.Handle != "" && errors.Is(err, ErrRefused) {
-		g.kv = KV{}
+		g.fetchesRefused++
+		r.fetches.record(g.service, true)
+		if g.fetchesRefused >= maxFetchesRefused || r.fetches.mostlyRefused(g.service) {
+			g.kv = KV{}
+		}
 	}
 	r.recordFailure(ctx, g.exchange, engine.ID, err)
 	return failedAttempt(engine.ID, err)
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -39,8 +39,8 @@
 	}
 }
 
-// admittingSender checks all sends against what the upstreams announced: first sends and retries,
-// prefills, resumed answers, and any kind that may be added.
+// admittingSender checks all sends against what the upstreams announced and charges them to the retry
+// budget: first sends and retries, prefills, resumed answers, and any kind that may be added.
 type admittingSender struct {
 	Sender
 	relay *Relay
@@ -67,8 +67,8 @@
 }
 
 // admit returns why a request must not be sent to an upstream now, according to the upstream's
-// announcements. These may have arrived after the upstream was chosen, or while a grant was
-// awaited.
+// announcements and the retry budget. Announcements may have arrived after the upstream was chosen,
+// or while a grant was awaited.
 func (r *Relay) admit(ctx context.Context, req *Request, send Send) error {
 	if !r.acquireGrant(ctx, req, send) {
 		return ErrLimited
@@ -81,7 +81,7 @@
 		r.recordWithheld(req, send, ErrBackingOff)
 		return ErrBackingOff
 	}
-	return nil
+	return r.payFor(ctx, req, send)
 }
 
 // BackingOff reports whether an upstream accepts nothing from this instance now.
--- a/internal/relay/limits_test.go
+++ b/internal/relay/limits_test.go
@@ -66,8 +66,8 @@
 func incarnationOf(id string) uint32 { return upstreamstate.Upstream{ID: id}.Incarnation() }
 
 // TestEachSendToLimitedUpstreamRequestsGrant covers first sends and retries, prefills alone and
-// repeated ones, and answers that are resumed on another engine or on the one with the copy of the
-// run.
+// repeated ones, runs without the KV cache that was refused, and answers that are resumed on another
+// engine or on the one with the copy of the run.
 func TestEachSendToLimitedUpstreamRequestsGrant(t *testing.T) {
 	for name, c := range map[string]struct {
 		sender *fakeSender
@@ -78,7 +78,8 @@
 		"a call that is retried":          {&fakeSender{run: failFirst(ErrNoValidAnswer, func() *Reply { return reply(200, strings.NewReader("a")) })}, call("/safe/1"), 2},
 		"a call that is refused":          {&fakeSender{run: failFirst(ErrRefused, func() *Reply { return reply(200, strings.NewReader("a")) })}, call("/unsafe/1"), 2},
 		"a prompt and its answer":         {&fakeSender{}, longPrompt("/once/1"), 2},
-		"a prompt processed again":        {&fakeSender{run: failFirst(ErrRefused, completeEvents)}, longPrompt("/once/1"), 4},
+		"a KV cache refused once":         {&fakeSender{run: failFirst(ErrRefused, completeEvents)}, longPrompt("/once/1"), 3},
+		"a KV cache always refused":       {&fakeSender{run: refuseFetches}, longPrompt("/once/1"), 4},
 		"a prompt that fails":             {&fakeSender{prefill: failFirstPrompt}, longPrompt("/once/1"), 3},
 		"a resumed answer":                {&fakeSender{run: cutFirst}, longPrompt("/resumable/1"), 4},
 		"an answer continued at its copy": {&fakeSender{run: cutFirst}, shortOnce(), 2},
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -84,6 +84,7 @@
 	link       *link
 	meters     *meters
 	grants     *grants
+	fetches    *fetchRates
 	// requestGrant requests a grant for a send to a rate-limited upstream from the instance that
 	// coordinates the grants; nil if unset.
 	requestGrant atomic.Pointer[func(context.Context, quota.GrantRequest) quota.Verdict]
@@ -102,7 +103,7 @@
 func New(s Settings, sender Sender, log *slog.Logger) *Relay {
 	r := &Relay{
 		settings: s, log: log, start: time.Now(),
-		pool: newRetryPool(), quarantine: newQuarantineState(), usage: newUsageCounter(s.UsageWindow), link: newLink(), meters: newMeters(), grants: newGrants(), changed: make(chan struct{}, 1),
+		pool: newRetryPool(), quarantine: newQuarantineState(), usage: newUsageCounter(s.UsageWindow), link: newLink(), meters: newMeters(), grants: newGrants(), fetches: newFetchRates(), changed: make(chan struct{}, 1),
 	}
 	r.sender = admittingSender{Sender: sender, relay: r}
 	sender.SetStatusHandler(r.applyStatus)
@@ -315,7 +316,7 @@
 
 // recordFailure records a failed send against the upstream, unless the caller disconnected.
 func (r *Relay) recordFailure(ctx context.Context, x *exchange, id string, err error) {
-	if errors.Is(err, ErrDeclined) {
+	if errors.Is(err, ErrDeclined) || errors.Is(err, ErrBudgetExhausted) {
 		return // the upstream was not contacted
 	}
 	if errors.Is(err, ErrCutOff) {
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -90,8 +90,9 @@
 	Continues bool
 	// Prompt is set if the request has a prompt.
 	Prompt bool
-	// Ledger counts the sends of the request.
-	Ledger *attempt.Ledger
+	// Attempts records the sends of the request, which Budget pays for.
+	Attempts *attempt.Attempts
+	Budget   *attempt.Budget
 	// Granted is set if capacity for this send was already reserved within the upstream's rate limit.
 	Granted bool
 }
@@ -124,6 +125,8 @@
 	ErrLimited    = errors.WithMessage(ErrDeclined, "its rate limit leaves no room")
 	ErrDraining   = errors.WithMessage(ErrDeclined, "it is draining")
 	ErrBackingOff = errors.WithMessage(ErrDeclined, "it requested a backoff")
+	// ErrBudgetExhausted: nothing was sent, because the send is a retry and the budget allows none.
+	ErrBudgetExhausted = errors.WithMessage(ErrNotSent, "retry budget exhausted")
 	// ErrRefused: the upstream answered that it did not run the request.
 	ErrRefused = errors.New("relay: the upstream did not run it")
 	// ErrAddressReassigned: another upstream has the address now. It did not run the request.
--- a/internal/upstreamstate/place.go
+++ b/internal/upstreamstate/place.go
@@ -20,6 +20,8 @@
 	Objective, RemainingWait time.Duration
 	// Priority; 0 is the most urgent.
 	Priority int
+	// Direct is set if one engine is to process the prompt and generate.
+	Direct bool
 }
 
 // request converts a placement request to the form that package placement uses. The lock is held.
@@ -27,7 +29,7 @@
 	return &placement.Request{
 		Zone: s.settings.Zone, Prompt: r.Prompt, Excluded: r.Excluded, Now: now,
 		Objective: r.Objective, RemainingWait: r.RemainingWait, Costs: s.costs(r.Service),
-		CheckLimits: s.limits.any(),
+		CheckLimits: s.limits.any(), Direct: r.Direct,
 	}
 }
 
