Resume begun answers within the retry budget, not beyond it

Upstreams got retries that nothing had paid for whenever many answers broke off at once; callers saw nothing of it.

Cause: a begun answer was always resumed. What the instance's balance lacked was a debt, and the debt was forgotten beyond one retry (retry.Budget.ForceTake stops at -Max, 1 for an instance).

Now a budget with a pool, which is a share of the fleet's, is never overdrawn. A begun answer waits for a retry for up to 1.5 s, of the two seconds that callers wait for an event, and breaks off after that. The budget of the own interface has no pool, bounds one process and is overdrawn as before.

--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -133,3 +133,29 @@
 		t.Errorf("verdict %v after the context ended", v)
 	}
 }
+
+// grantingPool grants retries once it was asked a number of times.
+type grantingPool struct{ refusals int }
+
+func (p *grantingPool) Acquire(context.Context) bool {
+	p.refusals--
+	return p.refusals < 0
+}
+
+// TestStartedResponseWaitsForRetry guards against responses that break off although the budget has a
+// retry a moment later, and against those that are resumed with no retry left.
+func TestStartedResponseWaitsForRetry(t *testing.T) {
+	for _, c := range []struct {
+		refusals int
+		started  bool
+		want     Verdict
+	}{{0, false, Proceed}, {1, false, Denied}, {2, true, Proceed}, {1000, true, Denied}} {
+		b := NewBudget(retry.Rules{Max: 1}, retry.Backoff{}, meters, &grantingPool{refusals: c.refusals}, 0)
+		a := New(Rules{Repeatable: true, MaxSends: 5})
+		_ = a.Sent() // cannot fail: repeatable
+		a.Failed("u", false, errFailed)
+		if got := a.Next(context.Background(), b, c.started, 0); got != c.want {
+			t.Errorf("%d refusals, started %t: verdict %v, want %v", c.refusals, c.started, got, c.want)
+		}
+	}
+}
--- a/internal/attempt/budget.go
+++ b/internal/attempt/budget.go
@@ -38,10 +38,10 @@
 	// Retries counts the retries made after a backoff; Denied counts those that the
 	// budget did not allow.
 	Retries, Denied metrics.Counter
-	// PaidOwn, PaidPool and Overdrawn count the retries that were paid for from the own
-	// balance, by the pool, and not at all because the response had started and the
-	// balance was exhausted. They are nil if not counted.
-	PaidOwn, PaidPool, Overdrawn metrics.Counter
+	// PaidOwn and PaidPool count the retries that were paid for from the own balance and by
+	// the pool, Waited the responses that had started and waited for a retry. They are nil
+	// if not counted.
+	PaidOwn, PaidPool, Waited metrics.Counter
 }
 
 // count increments a counter unless it is nil.
@@ -80,51 +80,67 @@
 }
 
 // Spend takes one retry from this budget or, when it is exhausted, from the pool.
+//
+// A budget without a pool bounds the retries of one process. It always allows those of a
+// response that has started, and charges them to later ones. A budget with a pool is part
+// of a bound on many processes, and never exceeds its share of it.
 func (b *Budget) Spend(ctx context.Context, responseStarted bool, now time.Duration) bool {
-	return b.spend(ctx, responseStarted, now) != denied
+	if b.SpendLocal(responseStarted && b.pool == nil, now) {
+		return true
+	}
+	if b.pool == nil || !b.pool.Acquire(ctx) {
+		return false
+	}
+	count(b.meters.PaidPool)
+	return true
 }
 
-// payment is how the budget allowed a retry.
-type payment int
+// SpendLocal takes one retry from this budget. With overdraw the retry is always allowed
+// and may leave a negative balance.
+func (b *Budget) SpendLocal(overdraw bool, now time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.budget.Take(now) {
+		count(b.meters.PaidOwn)
+		return true
+	}
+	if overdraw {
+		b.budget.ForceTake(now)
+	}
+	return overdraw
+}
 
+// Bounds of the wait of a response that has started for a retry.
 const (
-	denied payment = iota
-	paid
-	// overdrawn: the balance was exhausted, but the response had started.
-	overdrawn
+	// maxWait is less than the two seconds without an event after which callers disconnect.
+	maxWait      = 1500 * time.Millisecond
+	waitInterval = 75 * time.Millisecond
 )
 
-func (b *Budget) spend(ctx context.Context, responseStarted bool, now time.Duration) payment {
-	if p := b.spendLocal(responseStarted, now); p != denied {
-		return p
+// acquire is Spend, but waits for a retry if the response has started: the caller would
+// lose the part that it has. Many responses break off at once when an upstream fails.
+func (b *Budget) acquire(ctx context.Context, responseStarted bool, now time.Duration) bool {
+	if b.Spend(ctx, responseStarted, now) {
+		return true
 	}
-	if b.pool != nil && b.pool.Acquire(ctx) {
-		count(b.meters.PaidPool)
-		return paid
+	if !responseStarted {
+		return false
 	}
-	return denied
-}
-
-// SpendLocal takes one retry from this budget. If the response has started, the
-// retry is always allowed and may leave a negative balance.
-func (b *Budget) SpendLocal(responseStarted bool, now time.Duration) bool {
-	return b.spendLocal(responseStarted, now) != denied
+	count(b.meters.Waited)
+	start := time.Now()
+	for time.Since(start) < maxWait && pause.For(ctx, waitInterval/2+b.jitter(waitInterval)) {
+		if b.Spend(ctx, responseStarted, now+time.Since(start)) {
+			return true
+		}
+	}
+	return false
 }
 
-func (b *Budget) spendLocal(responseStarted bool, now time.Duration) payment {
+// jitter returns a random time below a bound.
+func (b *Budget) jitter(bound time.Duration) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	switch {
-	case b.budget.Take(now):
-		count(b.meters.PaidOwn)
-		return paid
-	case responseStarted:
-		count(b.meters.Overdrawn)
-		b.budget.ForceTake(now)
-		return overdrawn
-	default:
-		return denied
-	}
+	return time.Duration(b.rng.Int64N(int64(bound)))
 }
 
 // Jittered adds random jitter to a retry delay that is sent to callers.
@@ -197,7 +213,7 @@
 
 func (a *Attempts) pay(ctx context.Context, b *Budget, due int, responseStarted bool, now time.Duration) bool {
 	for range due {
-		if b.spend(ctx, responseStarted, now) == denied {
+		if !b.acquire(ctx, responseStarted, now) {
 			return false
 		}
 		a.ledger.paid++
--- a/internal/relay/draining_test.go
+++ b/internal/relay/draining_test.go
@@ -142,6 +142,7 @@
 func TestRunContinuesAtDrainingBackup(t *testing.T) {
 	sender := &fakeSender{}
 	r := newFake(t, sender)
+	withLargeBudget(r)
 	sender.run = func(n int, s Send) (*Reply, error) {
 		if n == 1 {
 			announce(r, drainingStatus(), s.Backup.ID)
--- a/internal/relay/meters.go
+++ b/internal/relay/meters.go
@@ -26,7 +26,7 @@
 func newRetryMeters() attempt.Meters {
 	return attempt.Meters{
 		Retries: counter("retries"), Denied: counter("retries_denied"),
-		PaidOwn: counter("retries_paid_own"), PaidPool: counter("retries_paid_pool"), Overdrawn: counter("retries_overdrawn"),
+		PaidOwn: counter("retries_paid_own"), PaidPool: counter("retries_paid_pool"), Waited: counter("retries_waited"),
 	}
 }
 
