--- a/internal/peers/batch.go
+++ b/internal/peers/batch.go
@@ -85,11 +85,7 @@
 		return
 	}
 	rows, hold := r.exchange.rows.Since(since)
-	messages, gaps := rowsToMessages(rows)
-	if len(gaps) > 0 {
-		return // what a receiver needs depends on its own revisions; it has to pull
-	}
-	added := &sfv1.Datagram{Rows: messages, Since: since, HoldMs: uint32(hold.Milliseconds())}
+	added := &sfv1.Datagram{Rows: rowsToMessages(rows), Since: since, HoldMs: uint32(hold.Milliseconds())}
 	if proto.Size(added) <= maxRowsBytes {
 		proto.Merge(message, added)
 	}
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -153,31 +153,23 @@
 	return messages
 }
 
-func rowsToMessages(rows []replica.Row) (messages []*sfv1.ReplicaRow, gaps []*sfv1.ReplicaGap) {
-	for _, row := range rows {
-		if row.Gap {
-			gaps = append(gaps, &sfv1.ReplicaGap{Table: row.Table, After: row.GapAfter, Until: row.Revision, Complete: row.Complete})
-			continue
-		}
-		messages = append(messages, &sfv1.ReplicaRow{
+func rowsToMessages(rows []replica.Row) []*sfv1.ReplicaRow {
+	messages := make([]*sfv1.ReplicaRow, len(rows))
+	for i, row := range rows {
+		messages[i] = &sfv1.ReplicaRow{
 			Table: row.Table, Key: row.Key.Key, Value: row.Value, Revision: row.Revision, Deleted: row.Deleted, Lost: row.MissingAfterRestore,
-		})
+		}
 	}
-	return messages, gaps
+	return messages
 }
 
-func rowsFromMessages(messages []*sfv1.ReplicaRow, gaps []*sfv1.ReplicaGap) []replica.Row {
-	rows := make([]replica.Row, 0, len(messages)+len(gaps))
-	for _, m := range messages {
-		rows = append(rows, replica.Row{
+func rowsFromMessages(messages []*sfv1.ReplicaRow) []replica.Row {
+	rows := make([]replica.Row, len(messages))
+	for i, m := range messages {
+		rows[i] = replica.Row{
 			Key:   replica.Key{Table: m.GetTable(), Key: m.GetKey()},
 			Value: m.GetValue(), Revision: m.GetRevision(), Deleted: m.GetDeleted(), MissingAfterRestore: m.GetLost(),
-		})
-	}
-	for _, m := range gaps {
-		rows = append(rows, replica.Row{
-			Key: replica.Key{Table: m.GetTable()}, Revision: m.GetUntil(), Gap: true, GapAfter: m.GetAfter(), Complete: m.GetComplete(),
-		})
+		}
 	}
 	return rows
 }
--- a/internal/peers/pull.go
+++ b/internal/peers/pull.go
@@ -56,7 +56,7 @@
 		limits.ApplyLimits(limitsFromMessages(reply.Msg.GetLimits()), peer.Zone == e.self.Zone)
 	}
 	hold := time.Duration(reply.Msg.GetHoldMs()) * time.Millisecond
-	e.rows.ApplyRows(rowsFromMessages(reply.Msg.GetRows(), reply.Msg.GetGaps()), hold)
+	e.rows.ApplyRows(rowsFromMessages(reply.Msg.GetRows()), hold)
 	e.rows.MarkTablesLoaded(reply.Msg.GetInformed())
 	return nil
 }
--- a/internal/peers/receive.go
+++ b/internal/peers/receive.go
@@ -82,7 +82,7 @@
 		return
 	}
 	if len(message.GetRows()) > 0 && !isBehind(rows.Revisions(), message.GetSince()) {
-		rows.ApplyRows(rowsFromMessages(message.GetRows(), nil), time.Duration(message.GetHoldMs())*time.Millisecond)
+		rows.ApplyRows(rowsFromMessages(message.GetRows()), time.Duration(message.GetHoldMs())*time.Millisecond)
 		return
 	}
 	r.exchange.startPull(ctx, peer)
--- a/internal/peers/service.go
+++ b/internal/peers/service.go
@@ -18,8 +18,7 @@
 	from := fromMessage(req.Msg.GetFrom())
 	s.exchange.addPeer(from)
 	rows, hold := s.exchange.rows.Since(req.Msg.GetSince())
-	messages, gaps := rowsToMessages(rows)
-	reply := &sfv1.PullResponse{Rows: messages, Gaps: gaps, HoldMs: uint32(hold.Milliseconds()), Informed: s.exchange.rows.LoadedTables()}
+	reply := &sfv1.PullResponse{Rows: rowsToMessages(rows), HoldMs: uint32(hold.Milliseconds()), Informed: s.exchange.rows.LoadedTables()}
 	if limits := s.exchange.currentLimits(); limits != nil {
 		reply.Limits = limitsToMessages(limits.Limits())
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -36,11 +36,6 @@
 	// MissingAfterRestore marks a deleted row that nobody removed: the store was
 	// restored from a copy without it. The row's owner may write it again.
 	MissingAfterRestore bool
-	// Gap marks no row but a gap in the removals that the sender of a batch knows: of rows
-	// that were added after GapAfter, it knows the removals from Revision on. Key.Key is
-	// empty. Complete is set if the batch has all rows of the table.
-	Gap, Complete bool
-	GapAfter      int64
 }
 
 // Settings of a Replica. The zero value suits a store that never loses data.
@@ -64,11 +59,6 @@
 	// readUpTo is the revision up to which each table was read from the store. newest is the
 	// highest revision of any row of a table, including held rows.
 	readUpTo, newest map[string]int64
-	// completeTo is the revision up to which all existing rows of each table are known, from the
-	// store or from a batch with all rows.
-	completeTo map[string]int64
-	// gaps are the gaps in the known removals of each table, in order of their revisions.
-	gaps map[string][]gap
 	// held are rows that are not applied yet: deletions, and rows that came back
 	// with a restore of the store.
 	held map[Key]heldRow
@@ -85,7 +75,7 @@
 
 // New returns an empty copy.
 func New(s Settings) *Replica {
-	return &Replica{settings: s, rows: map[Key]Row{}, readUpTo: map[string]int64{}, newest: map[string]int64{}, completeTo: map[string]int64{}, gaps: map[string][]gap{}, held: map[Key]heldRow{}, acceptedDeletions: deletionCounts{}}
+	return &Replica{settings: s, rows: map[Key]Row{}, readUpTo: map[string]int64{}, newest: map[string]int64{}, held: map[Key]heldRow{}, acceptedDeletions: deletionCounts{}}
 }
 
 // HoldDeletions withholds mass deletions that arrive before a time. After an outage the
@@ -97,17 +87,13 @@
 // Apply merges rows into the copy and returns those that changed it.
 func (r *Replica) Apply(rows []Row, now time.Duration) []Row {
 	var changes []Row
-	resolved, completeTo := r.resolveGaps(rows)
-	rows = append(resolved, r.missingAfterRestore(rows)...)
+	rows = append(rows, r.missingAfterRestore(rows)...)
 	withMassDeletion := r.tablesWithMassDeletion(rows, now)
 	for _, row := range rows {
 		before := r.rows[row.Key]
 		if row.Revision <= before.Revision || platform.RestoreGenerationOf(row.Revision) < platform.RestoreGenerationOf(r.newest[row.Table]) {
 			continue
 		}
-		if !row.Deleted && row.Revision <= r.completeTo[row.Table] {
-			continue // it was removed since, and the sender does not know that
-		}
 		r.newest[row.Table] = max(r.newest[row.Table], row.Revision)
 		if until := r.holdDeadline(before, row, withMassDeletion[row.Table], now); until > 0 {
 			r.hold(row, until)
@@ -117,9 +103,6 @@
 			changes = append(changes, row)
 		}
 	}
-	for table, revision := range completeTo {
-		r.completeTo[table] = max(r.completeTo[table], revision)
-	}
 	return r.dropSuperseded(changes)
 }
 
@@ -180,10 +163,9 @@
 
 // missingAfterRestore returns deletions of the rows that a table of a newer restore generation lacks.
 func (r *Replica) missingAfterRestore(rows []Row) []Row {
-	generations, given, newest := map[string]int64{}, map[Key]bool{}, map[string]int64{}
+	generations, given := map[string]int64{}, map[Key]bool{}
 	for _, row := range rows {
 		given[row.Key] = true
-		newest[row.Table] = max(newest[row.Table], row.Revision)
 		if generation := platform.RestoreGenerationOf(row.Revision); r.newest[row.Table] > 0 && generation > platform.RestoreGenerationOf(r.newest[row.Table]) {
 			generations[row.Table] = max(generations[row.Table], generation)
 		}
@@ -191,9 +173,6 @@
 	if len(generations) == 0 {
 		return nil
 	}
-	for table := range generations {
-		r.addGap(table, gap{after: r.newest[table], until: newest[table]})
-	}
 	var missing []Row
 	for key, row := range r.rows {
 		if generation := generations[key.Table]; generation > 0 && !row.Deleted && !given[key] {
@@ -234,18 +213,26 @@
 	for _, row := range rows {
 		present[row.Key] = true
 	}
-	all := append(slices.Clone(rows), r.missing(table, present, revision)...)
-	r.readAsOf(table, gap{after: r.newest[table], until: revision})
-	changes := r.Apply(all, now)
+	all := slices.Clone(rows)
+	for key, row := range r.rows {
+		if key.Table == table && !row.Deleted && !present[key] && row.Revision < revision {
+			restored := platform.RestoreGenerationOf(row.Revision) < platform.RestoreGenerationOf(revision)
+			all = append(all, Row{Key: key, Revision: revision, Deleted: true, MissingAfterRestore: restored})
+		}
+	}
+	for key, held := range r.held {
+		if key.Table == table && !held.row.Deleted && !present[key] && held.row.Revision < revision {
+			delete(r.held, key)
+		}
+	}
 	r.SetReadRevision(table, revision)
-	return changes
+	return r.Apply(all, now)
 }
 
 // SetReadRevision records that a table was read from the store up to a revision. It never
 // lowers the recorded revision.
 func (r *Replica) SetReadRevision(table string, revision int64) {
 	r.readUpTo[table] = max(r.readUpTo[table], revision)
-	r.completeTo[table] = max(r.completeTo[table], revision)
 }
 
 // ReadRevision returns the revision after which the feed of a table continues.
@@ -272,18 +259,16 @@
 }
 
 // Since returns all rows whose revision is above the one given for their table,
-// ordered by revision. Deleted rows and held rows are included. It marks the gaps in the
-// removals that are known here, and returns all rows of a table where one matters.
+// ordered by revision. Deleted rows and held rows are included.
 func (r *Replica) Since(revisions map[string]int64) []Row {
-	rows, incomplete := r.gapsSince(revisions)
-	wanted := func(row Row) bool { return incomplete[row.Table] || row.Revision > revisions[row.Table] }
+	var rows []Row
 	for _, row := range r.rows {
-		if wanted(row) {
+		if row.Revision > revisions[row.Table] {
 			rows = append(rows, row)
 		}
 	}
 	for _, held := range r.held {
-		if wanted(held.row) {
+		if held.row.Revision > revisions[held.row.Table] {
 			rows = append(rows, held.row)
 		}
 	}
--- a/internal/rowsync/peers.go
+++ b/internal/rowsync/peers.go
@@ -43,21 +43,10 @@
 	f.mu.Unlock()
 	f.notifyPeers(changes)
 	if len(changes) > 0 {
-		f.log.Info("follow: applied rows from a peer", "rows", len(changes), "removed", removedCount(changes))
+		f.log.Info("follow: applied rows from a peer", "rows", len(changes))
 	}
 }
 
-// removedCount returns how many of the rows were removed.
-func removedCount(rows []replica.Row) int {
-	n := 0
-	for _, row := range rows {
-		if row.Deleted {
-			n++
-		}
-	}
-	return n
-}
-
 // Since returns the rows above the given revisions, for a peer, and for how much
 // longer mass deletions are withheld.
 func (f *Follower) Since(revisions map[string]int64) ([]replica.Row, time.Duration) {
