--- a/internal/attempt/budget.go
+++ b/internal/attempt/budget.go
@@ -200,8 +200,8 @@
 	return a.pay(ctx, b, a.ledger.due(a.arrivals()+1), responseStarted, now)
 }
 
-// PayForPrefill takes from the budget what a prefill and the run after it need. The budget
-// is not overdrawn, because the request can be sent to one upstream for both instead.
+// PayForPrefill takes from the budget what a prefill and the run after it need. It neither
+// waits nor overdraws the budget, because one upstream can do both instead.
 func (a *Attempts) PayForPrefill(ctx context.Context, b *Budget, now time.Duration) bool {
 	return a.pay(ctx, b, a.ledger.dueForPrefill(a.arrivals()+1), false, now)
 }
