Publish a changed announcement five times at 150 ms before every 500 ms

Callers got requests sent to an upstream that was leaving for more than two seconds.

Cause: an announcement crosses three hops (instance, hub, hub of another zone, instances), one datagram in twenty is lost on each, and it was published every 500 ms: three tries within the two seconds, of which the first starts up to a batch late. Five early repeats add at most five entries of some 20 bytes per change and hop; the steady rate is unchanged, so the size of the fleet does not matter.

--- a/internal/quota/table.go
+++ b/internal/quota/table.go
@@ -34,6 +34,10 @@
 	// republishInterval is the time after which an announcement is published again: reports may be lost,
 	// and an instance that has just started knows no announcements.
 	republishInterval = 500 * time.Millisecond
+	// A changed announcement is published earlyRepeats times at earlyInterval first: it crosses three
+	// hops, any of which may lose it, and others must act on it within two seconds.
+	earlyInterval = 150 * time.Millisecond
+	earlyRepeats  = 5
 	// publishRemovalFor is how long the removal of a limit is published.
 	publishRemovalFor = 10 * time.Second
 	// keepUnlisted is how long the announcements of an upstream that is not listed are kept.
@@ -55,6 +59,17 @@
 	receivedAt time.Duration
 	// publishedAt is when the entry was last published, by audience.
 	publishedAt [audiences]time.Duration
+	// published counts the publications since the last change, by audience.
+	published [audiences]int
+}
+
+// publishDue reports whether the entry is due to be published to an audience.
+func (e *entry) publishDue(audience int, now time.Duration) bool {
+	interval := republishInterval
+	if e.published[audience] < earlyRepeats {
+		interval = earlyInterval
+	}
+	return now-e.publishedAt[audience] >= interval
 }
 
 // Audiences of published announcements; audiences is their number.
@@ -170,7 +185,7 @@
 	if !change.significant() {
 		return Change{}, false
 	}
-	e.publishedAt = [audiences]time.Duration{never, never}
+	e.publishedAt, e.published = [audiences]time.Duration{never, never}, [audiences]int{}
 	return change, true
 }
 
@@ -228,7 +243,7 @@
 func (t *Table) due(now time.Duration, audience int, includes func(Source) bool) []UpstreamLimit {
 	var limits []UpstreamLimit
 	for upstream, e := range t.entries {
-		if includes(e.source) && now-e.publishedAt[audience] >= republishInterval {
+		if includes(e.source) && e.publishDue(audience, now) {
 			limits = append(limits, e.limit(upstream, now))
 		}
 	}
@@ -237,7 +252,9 @@
 	})
 	limits = limits[:min(len(limits), maxReported)]
 	for _, l := range limits {
-		t.entries[l.Upstream].publishedAt[audience] = now
+		e := t.entries[l.Upstream]
+		e.publishedAt[audience] = now
+		e.published[audience]++
 	}
 	return limits
 }
