--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -22,7 +22,6 @@
 
 	"sassafrasfield/internal/httpserver"
 	"sassafrasfield/internal/logging"
-	"sassafrasfield/internal/pause"
 	"sassafrasfield/internal/peers"
 	"sassafrasfield/internal/platform"
 	"sassafrasfield/internal/relay"
@@ -153,32 +152,6 @@
 // headerTimeout bounds the reading of a request header by the control and metrics servers.
 const headerTimeout = 2 * time.Second
 
-// Timings of the counts of the instances that share the retry budget.
-const (
-	budgetInterval = time.Second
-	// budgetStartDelay is the time from the start to the first count. If all instances of a deployment start
-	// at the same time, they may not have received reports of one another before. Each instance would
-	// then use the whole retry pools alone. Instances report every 0.1 to 0.4 s.
-	budgetStartDelay = 3 * time.Second
-	// minPoolHubDuration is how long an instance must have been its zone's hub before it provides the
-	// zone's retry pool. If two instances assume that they are the hub, they detect this within that time.
-	minPoolHubDuration = time.Second
-)
-
-// shareBudget limits this instance to its share of the retry budget.
-func (in *Instance) shareBudget(ctx context.Context) {
-	pause.For(ctx, budgetStartDelay)
-	for pause.For(ctx, budgetInterval) {
-		settings := *in.budget.Load()
-		in.relay.SetBudget(settings)
-		members := 0
-		if in.peers.HubDuration() >= minPoolHubDuration {
-			members = in.peers.ZoneInstanceCount()
-		}
-		in.relay.SetPool(settings, members, in.peers.InstanceCount())
-	}
-}
-
 func (in *Instance) sendReports(ctx context.Context) {
 	if err := in.reports.Run(ctx); err != nil {
 		in.log.Error("instance: reports to other instances failed", "error", err)
