Keep organisations within their quotas over all instances

One instance, the coordinator of grants, keeps a bucket for each organisation; an instance asks it before the first send of a request. A request counts once, by its tokens; what no upstream ran is returned. The coordinator must reach most instances and starts with empty buckets.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -100,6 +100,7 @@
 	in.reports = peers.NewReporter(in.peers, in.relay)
 	in.relay.SetPoolRequester(in.reports.RequestRetry)
 	in.relay.SetGrantRequester(in.reports.RequestGrant)
+	in.relay.SetQuotaGranter(in.reports.RequestQuotaGrant, in.reports.RefundQuotaGrant)
 	in.budget.Store(&s.Relay.Budget)
 	in.limits.Store(&routes.Limits{})
 	in.settings.Front.Limits = in.limitsInForce
--- a/internal/limit/bucket.go
+++ b/internal/limit/bucket.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Bucket is a token bucket; each request spends one token. It is not safe for concurrent use.
+// Bucket is a token bucket. It is not safe for concurrent use.
 type Bucket struct {
 	tokens     float64
 	rate       float64 // tokens a second
@@ -29,6 +29,20 @@
 	b.refilledAt = now
 }
 
+// spend takes n tokens if the balance is not negative, and reports whether it did. It may leave a debt of up to
+// n tokens, so that requests with a high cost are not refused more often than others.
+func (b *Bucket) spend(n float64, now time.Duration) bool {
+	b.refill(now)
+	if b.tokens < 0 {
+		return false
+	}
+	b.tokens -= n
+	return true
+}
+
+// add returns n tokens that were taken and not used.
+func (b *Bucket) add(n float64) { b.tokens = min(b.burst, b.tokens+n) }
+
 // take spends one token, and reports whether there was one.
 func (b *Bucket) take(now time.Duration) bool { return b.TakeReserving(0, now) }
 
--- a/internal/peers/fleet_test.go
+++ b/internal/peers/fleet_test.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	sfv1 "sassafrasfield/internal/gen/sf/v1"
+	"sassafrasfield/internal/limit"
 	"sassafrasfield/internal/quota"
 	"sassafrasfield/internal/replica"
 	"sassafrasfield/internal/upstreamstate"
@@ -59,10 +60,11 @@
 	changed chan struct{}
 	granted int
 	grants  *quota.Coordinator
+	quotas  *limit.Granter
 }
 
 func newVirtualLoads(now func() time.Duration) *virtualLoads {
-	l := &virtualLoads{now: now, changed: make(chan struct{}, 1), grants: quota.NewCoordinator()}
+	l := &virtualLoads{now: now, changed: make(chan struct{}, 1), grants: quota.NewCoordinator(), quotas: limit.NewGranter()}
 	l.State = upstreamstate.New(upstreamstate.Settings{Seed: 1, OnChange: func() {
 		select {
 		case l.changed <- struct{}{}:
@@ -101,6 +103,15 @@
 	return l.grants.Decide(l.State, request, l.now())
 }
 
+// SetGrantsQuotas, DecideQuotaGrant and RefundQuotaGrant use the granter, as relay.Relay does.
+func (l *virtualLoads) SetGrantsQuotas(grants bool) { l.quotas.SetActive(grants, l.now()) }
+func (l *virtualLoads) DecideQuotaGrant(request limit.GrantRequest) limit.Grant {
+	return l.quotas.Decide(request, l.now())
+}
+func (l *virtualLoads) RefundQuotaGrant(request limit.GrantRequest) {
+	l.quotas.Refund(request, l.now())
+}
+
 // requests is the number of requests of all instances on the engine, as known to this instance.
 func (l *virtualLoads) requests() int { return l.Engines(l.now())["s"][0].Load.Requests }
 
--- a/internal/peers/grants.go
+++ b/internal/peers/grants.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"sync"
 	"time"
 
 	"sassafrasfield/internal/fanout"
@@ -91,17 +89,23 @@
 	if !e.coordinates(now) {
 		return 0
 	}
-	reached := e.roster.AliveCount(now)
+	reached, all := e.reachedCount(now)
+	if 2*reached > all {
+		return 1
+	}
+	return minorityShare * float64(reached) / float64(all)
+}
+
+// reachedCount returns the number of instances that this instance reaches as a hub, and the number of all. The
+// lock is held.
+func (e *Exchange) reachedCount(now time.Duration) (reached, all int) {
+	reached = e.roster.AliveCount(now)
 	for _, z := range e.zones {
 		if now-z.at <= hubTimeout {
 			reached += z.instances
 		}
 	}
-	all := max(e.recentCount.value, len(e.peers)+1, reached)
-	if 2*reached > all {
-		return 1
-	}
-	return minorityShare * float64(reached) / float64(all)
+	return reached, max(e.recentCount.value, len(e.peers)+1, reached)
 }
 
 // RequestGrant requests one send to an upstream with a limit from the coordinator. It returns a
@@ -155,47 +159,6 @@
 	r.send(reply, []string{peer.Address})
 }
 
-// grantRequestKey identifies a request for a send to an upstream with a limit.
-type grantRequestKey struct {
-	from fanout.ID
-	id   uint64
-}
-
-// cachedVerdict is a verdict and when it was given.
-type cachedVerdict struct {
-	verdict quota.Verdict
-	at      time.Duration
-}
-
-// verdictCache holds the recent verdicts, so that a request that arrives twice is decided once.
-type verdictCache struct {
-	mu      sync.Mutex // protects all below
-	entries map[grantRequestKey]cachedVerdict
-	// sweepAt is when to remove the verdicts that are too old to be requested again.
-	sweepAt time.Duration
-}
-
-func newVerdictCache() *verdictCache {
-	return &verdictCache{entries: map[grantRequestKey]cachedVerdict{}}
-}
-
-// verdict returns the verdict on a request, and calls decide unless the request was decided
-// recently.
-func (v *verdictCache) verdict(key grantRequestKey, now time.Duration, decide func() quota.Verdict) quota.Verdict {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if now >= v.sweepAt {
-		v.sweepAt = now + grantRequestTimeout
-		maps.DeleteFunc(v.entries, func(_ grantRequestKey, g cachedVerdict) bool { return now-g.at > grantRequestTimeout })
-	}
-	if g, ok := v.entries[key]; ok {
-		return g.verdict
-	}
-	verdict := decide()
-	v.entries[key] = cachedVerdict{verdict, now}
-	return verdict
-}
-
 func verdictFromMessage(m *sfv1.LimitVerdict) quota.Verdict {
 	return quota.Verdict{Granted: m.GetGranted(), RetryIn: time.Duration(m.GetRetryMs()) * time.Millisecond}
 }
--- a/internal/peers/limit_test.go
+++ b/internal/peers/limit_test.go
@@ -504,7 +504,7 @@
 // TestRepeatedGrantRequestIsDecidedOnce guards against a grant that is lost with its datagram,
 // and against two grants for one send.
 func TestRepeatedGrantRequestIsDecidedOnce(t *testing.T) {
-	v, decided := newVerdictCache(), 0
+	v, decided := newVerdictCache[quota.Verdict](), 0
 	decide := func() quota.Verdict {
 		decided++
 		return quota.Verdict{Granted: decided == 1}
--- a/internal/peers/receive.go
+++ b/internal/peers/receive.go
@@ -60,6 +60,10 @@
 		r.handleGrantRequest(message.GetLimitAsk(), peer)
 	case sfv1.Datagram_KIND_LIMIT_VERDICT:
 		r.grantRequests.resolve(message.GetLimitVerdict().GetId(), verdictFromMessage(message.GetLimitVerdict()))
+	case sfv1.Datagram_KIND_QUOTA_ASK:
+		r.handleQuotaAsk(message.GetQuotaAsk(), peer)
+	case sfv1.Datagram_KIND_QUOTA_VERDICT:
+		r.quotaRequests.resolve(message.GetQuotaVerdict().GetId(), quotaGrantFromMessage(message.GetQuotaVerdict()))
 	case sfv1.Datagram_KIND_BATCH:
 		if !inZone {
 			return
--- a/internal/peers/reports.go
+++ b/internal/peers/reports.go
@@ -16,6 +16,7 @@
 	"sassafrasfield/internal/estimate"
 	"sassafrasfield/internal/fanout"
 	sfv1 "sassafrasfield/internal/gen/sf/v1"
+	"sassafrasfield/internal/limit"
 	"sassafrasfield/internal/quota"
 	"sassafrasfield/internal/upstreamstate"
 )
@@ -50,6 +51,11 @@
 	// with a limit.
 	SetGrantShare(share float64)
 	DecideGrant(request quota.GrantRequest) quota.Verdict
+	// SetGrantsQuotas sets whether this instance decides on the requests of organisations with
+	// quotas. DecideQuotaGrant decides on one, RefundQuotaGrant returns its cost if it did not run.
+	SetGrantsQuotas(grants bool)
+	DecideQuotaGrant(request limit.GrantRequest) limit.Grant
+	RefundQuotaGrant(request limit.GrantRequest)
 	// GrantRetry takes one retry for a service from the retry pool that this instance keeps
 	// for its zone, and returns false if none is left.
 	GrantRetry(service uint32) bool
@@ -74,9 +80,12 @@
 	// coordinator of the grants.
 	retryRequests *pendingRequests[bool]
 	grantRequests *pendingRequests[quota.Verdict]
-	// verdicts holds the recent verdicts of this instance as the coordinator.
-	verdicts *verdictCache
-	pace     *fanout.Pacer
+	// quotaRequests are the open requests to run a request of an organisation with a quota.
+	quotaRequests *pendingRequests[limit.Grant]
+	// verdicts and quotaVerdicts hold the recent verdicts of this instance as the coordinator.
+	verdicts      *verdictCache[quota.Verdict]
+	quotaVerdicts *verdictCache[limit.Grant]
+	pace          *fanout.Pacer
 	// allowance bounds the bytes that a hub sends, so that reports do not saturate its link. Only
 	// Run uses it.
 	allowance *fanout.Allowance
@@ -93,7 +102,8 @@
 // NewReporter returns the reporter of an exchange.
 func NewReporter(e *Exchange, l LoadState) *Reporter {
 	r := &Reporter{
-		exchange: e, loads: l, retryRequests: newPendingRequests[bool](), grantRequests: newPendingRequests[quota.Verdict](), verdicts: newVerdictCache(), pace: fanout.NewPacer(e.now()),
+		exchange: e, loads: l, retryRequests: newPendingRequests[bool](), grantRequests: newPendingRequests[quota.Verdict](),
+		quotaRequests: newPendingRequests[limit.Grant](), verdicts: newVerdictCache[quota.Verdict](), quotaVerdicts: newVerdictCache[limit.Grant](), pace: fanout.NewPacer(e.now()),
 		allowance: fanout.NewAllowance(e.self.LinkMbps, e.now()), boot: rand.Uint32(),
 	}
 	r.write = r.writeTo
@@ -151,6 +161,7 @@
 func (r *Reporter) sendDue(urgent bool) time.Duration {
 	r.loads.SetBehind(r.exchange.isBehind())
 	r.loads.SetGrantShare(r.exchange.grantShare())
+	r.loads.SetGrantsQuotas(r.exchange.grantsQuotas())
 	isHub, receivesBatches := r.exchange.hubState()
 	due, wait := r.pace.Next(r.exchange.now(), isHub, receivesBatches, urgent)
 	if due.OwnReport {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -84,6 +84,7 @@
 	link       *link
 	meters     *meters
 	grants     *grants
+	quotas     *organisationQuotas
 	fetches    *fetchRates
 	// requestGrant requests a grant for a send to a rate-limited upstream from the instance that
 	// coordinates the grants; nil if unset.
@@ -103,7 +104,7 @@
 func New(s Settings, sender Sender, log *slog.Logger) *Relay {
 	r := &Relay{
 		settings: s, log: log, start: time.Now(),
-		pool: newRetryPool(), quarantine: newQuarantineState(), usage: newUsageCounter(s.UsageWindow), link: newLink(), meters: newMeters(), grants: newGrants(), fetches: newFetchRates(), changed: make(chan struct{}, 1),
+		pool: newRetryPool(), quarantine: newQuarantineState(), usage: newUsageCounter(s.UsageWindow), link: newLink(), meters: newMeters(), grants: newGrants(), quotas: newOrganisationQuotas(), fetches: newFetchRates(), changed: make(chan struct{}, 1),
 	}
 	r.sender = admittingSender{Sender: sender, relay: r}
 	sender.SetStatusHandler(r.applyStatus)
@@ -245,12 +246,19 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, x.remaining(r.now()))
 	defer cancel()
+	if err := r.admitByQuota(ctx, x); err != nil {
+		r.finish(x, req, err)
+		return err
+	}
 	x.budget.Succeeded(r.now()) // each request earns its share of a retry
 	if x.route.Kind == routes.Generation {
 		err = r.generate(ctx, x, w)
 	} else {
 		err = r.serveCall(ctx, x, w)
 	}
+	if x.attempts.Outcome() == outcome.NotRun && !x.attempts.Ledger().Prefilled() {
+		r.refundQuota(x)
+	}
 	if err == nil && x.status < http.StatusInternalServerError {
 		r.recordServed(x)
 	}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -186,6 +186,8 @@
 	// Unauthenticated: the route requires an API key, and the request has none that is known.
 	// Nothing ran.
 	Unauthenticated
+	// OverQuota: the organisation's quota is exhausted. Nothing ran, and nothing will.
+	OverQuota
 	// TimedOut: the timeout of the request expired. It may have run.
 	TimedOut
 )
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"sassafrasfield/internal/apikey"
+	"sassafrasfield/internal/placement"
 )
 
 // Kind is the class of a route's requests. It determines which of them may be repeated.
@@ -78,6 +79,33 @@
 	Name string
 	// Priority replaces the route's priority; nil if the organisation has none.
 	Priority *int
+	// Quota bounds the organisation's requests over all instances.
+	Quota Quota
+}
+
+// Quota bounds the requests of an organisation.
+type Quota struct {
+	// Rate is in units a second and Burst in units; a Rate of 0 or less means no limit.
+	Rate, Burst float64
+	// CountsTokens is true if a unit is a token, and false if it is a request.
+	CountsTokens bool
+	// PlainTokens is the number of tokens that a request without a prompt counts as.
+	PlainTokens float64
+}
+
+// Limited reports whether the quota limits anything.
+func (q Quota) Limited() bool { return q.Rate > 0 }
+
+// Cost returns what a request counts as, in the quota's units. Prompt is nil for a request without one.
+func (q Quota) Cost(prompt *placement.Prompt) float64 {
+	switch {
+	case !q.CountsTokens:
+		return 1
+	case prompt == nil:
+		return q.PlainTokens
+	default:
+		return float64(prompt.Tokens + prompt.MaxOutput)
+	}
 }
 
 // Service is a group of interchangeable upstreams.
