Change no roles that gain nothing, and few before the workload is known

Cause: the target split of a service without a measured workload is a share of its engines. The list of changes also grows with the product of missing changes and engines, which is most of what the busiest instance did.

Now a split with capacity to spare for the measured workload is kept and becomes the target, and a holder changes 48 engines at most before it has measured any work.

--- a/internal/rolekeeper/orders.go
+++ b/internal/rolekeeper/orders.go
@@ -80,11 +80,9 @@
 		return
 	}
 	k.updateTarget(service, s, engineLoads(engines))
+	k.keepAmpleSplit(service, s, list)
 	k.storeTarget(ctx, service, s, grant)
-	limit := len(list)
-	if k.view.Serving() {
-		limit = k.maxConcurrentChanges(len(list)) - len(k.pendingOrders)
-	}
+	limit := k.maxChanges(service, s, len(list))
 	changes := s.target.Changes(list, limit)
 	if len(changes) == 0 {
 		s.mismatches = 0
@@ -96,6 +94,9 @@
 	k.log.Info("roles: the split differs", "service", service, "engines", len(list),
 		"wanted_prefill", s.target.PrefillCount(len(list)), "changes", len(changes), "at_once", limit)
 	for _, change := range changes {
+		if !k.workloads[service].Measured() {
+			s.unmeasuredChanges++
+		}
 		i := slices.IndexFunc(engines, func(e upstreamstate.Engine) bool { return e.ID == change.Engine })
 		if k.view.Serving() && k.settings.AnnounceDelay > 0 {
 			k.announce(engines[i].Upstream, change.To)
@@ -105,6 +106,33 @@
 	}
 }
 
+// maxUnmeasuredChanges is the most engines of a service whose roles a holder changes before it has measured the
+// service's workload. It does not grow with the engines: the requests of the first seconds reach few of many.
+const maxUnmeasuredChanges = 48
+
+// maxChanges returns how many of a number of engines may start to change their roles now.
+func (k *Keeper) maxChanges(service string, s *serviceState, engines int) int {
+	limit := engines
+	if k.view.Serving() {
+		limit = k.maxConcurrentChanges(engines) - len(k.pendingOrders)
+	}
+	if !k.workloads[service].Measured() {
+		limit = min(limit, maxUnmeasuredChanges-s.unmeasuredChanges)
+	}
+	return max(0, limit)
+}
+
+// keepAmpleSplit makes the current split the target if it has capacity to spare for the workload.
+func (k *Keeper) keepAmpleSplit(service string, s *serviceState, engines []roles.Engine) {
+	prefill := roles.CountPrefill(engines)
+	wanted := s.target.PrefillCount(len(engines))
+	if prefill == wanted || !k.splitPolicy(service).Ample(k.workloads[service], prefill, len(engines)) {
+		return
+	}
+	s.target.PrefillShare = float64(prefill) / float64(len(engines))
+	k.log.Info("roles: the split has capacity to spare, keeping it", "service", service, "engines", len(engines), "prefill", prefill, "wanted_before", wanted)
+}
+
 // announce makes all instances exclude an engine. Its order is sent after AnnounceDelay.
 func (k *Keeper) announce(engine upstreamstate.Upstream, to config.Role) {
 	now := bootclock.Now()
--- a/internal/rolekeeper/rolekeeper_test.go
+++ b/internal/rolekeeper/rolekeeper_test.go
@@ -327,6 +327,24 @@
 	}
 }
 
+// TestUnmeasuredChangesDoNotGrowWithEngines guards against a holder that changes the roles of thousands of engines
+// before it knows of any work for them: the changes cost more than the traffic of the first seconds can gain.
+func TestUnmeasuredChangesDoNotGrowWithEngines(t *testing.T) {
+	for _, serving := range []bool{false, true} {
+		for _, engines := range []int{964, 1928} {
+			f := newFakeFleet(engines)
+			f.serving = serving
+			stop := run(t, "one", newTable(), f)
+			waitFor(func() bool { return len(f.sent()) >= maxUnmeasuredChanges })
+			time.Sleep(term)
+			stop()
+			if n := len(f.sent()); n != maxUnmeasuredChanges {
+				t.Errorf("%d engines, serving %t: %d orders, want %d", engines, serving, n, maxUnmeasuredChanges)
+			}
+		}
+	}
+}
+
 // TestOrdersToRemovedEnginesAreDropped guards against pending orders that are never dropped. Two engines
 // were removed with pending orders. These counted towards the maximum number of concurrent changes, so the
 // holder sent no more orders until another process acquired the lease.
--- a/internal/roles/balance.go
+++ b/internal/roles/balance.go
@@ -108,6 +108,24 @@
 	return best, 1 - fewest/max(current, 1) // with less than one request there is nothing to gain
 }
 
+// ampleEvidence is the time that must be measured before a split may count as ample.
+const ampleEvidence = 2 * time.Second
+
+// Measured reports whether the workload covers enough time for Ample.
+func (w Workload) Measured() bool { return w.measured >= ampleEvidence }
+
+// Ample reports whether a split with the given number of prefill engines has capacity to spare for the workload:
+// the predicted number of requests is within MinGain of that on idle engines, so that no other split is
+// noticeably better. As long as it is, role changes cost something and gain nothing.
+func (p SplitPolicy) Ample(w Workload, prefill, total int) bool {
+	if !w.Measured() || prefill <= 0 || prefill > total-p.minDecode(Target{}, w) {
+		return false
+	}
+	tokenRate := p.tokenRate(w, total-prefill)
+	idle := w.PrefillLoad + p.StepMillis*tokenRate
+	return p.concurrentRequests(w, tokenRate, prefill, total) <= (1+p.MinGain)*idle
+}
+
 // minDecode returns the minimum number of decode engines: they must have slots for
 // the requests that are generating now.
 func (p SplitPolicy) minDecode(target Target, w Workload) int {
