--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -49,6 +49,12 @@
 	return u
 }
 
+// Has reports whether the table has the state of an upstream.
+func (t *Table) Has(id string) bool {
+	_, ok := t.upstreams[id]
+	return ok
+}
+
 // Retain removes the upstreams that are not in keep and have no stream of this instance.
 func (t *Table) Retain(keep map[string]bool) {
 	for id, u := range t.upstreams {
--- a/internal/upstreamstate/node.go
+++ b/internal/upstreamstate/node.go
@@ -16,21 +16,40 @@
 	// engine is the engine's configuration in the form that placement uses; nil for an upstream of
 	// a plain service.
 	engine *config.Engine
-	// load is the load from this instance, an entry of the load table.
+	// load is the load from this instance. It is an entry of the load table, or idleLoad until this
+	// instance first uses the upstream: most instances use few of many upstreams.
 	load *load.Upstream
-	work workload
-	// peers is the load from the other instances.
+	// work is nil until this instance first uses the upstream.
+	work *workload
+	// peers is the load from the other instances; noPeerLoad until one reports any.
 	peers *peerLoad
 }
 
+// State of upstreams that nobody uses. Treat it as read-only.
+var (
+	idleLoad   = &load.Upstream{}
+	noWork     = &workload{}
+	noPeerLoad = &peerLoad{}
+)
+
 // engineOf returns an upstream's configuration in the form that placement uses; nil for an upstream
-// of a plain service.
-func engineOf(u Upstream) *config.Engine {
-	if u.Role == "" {
-		return nil
-	}
-	return &config.Engine{
-		ID: u.ID, Zone: u.Zone, Address: u.Address, Routing: config.RoutingServing, Loaded: config.EngineState{Role: u.Role},
+// of a plain service. All engines with a role share one, as placement depends on nothing else.
+func engineOf(u Upstream) *config.Engine { return servingEngines[u.Role] }
+
+var servingEngines = map[config.Role]*config.Engine{
+	config.RolePrefill: servingEngine(config.RolePrefill),
+	config.RoleDecode:  servingEngine(config.RoleDecode),
+	config.RoleMixed:   servingEngine(config.RoleMixed),
+}
+
+func servingEngine(role config.Role) *config.Engine {
+	return &config.Engine{Routing: config.RoutingServing, Loaded: config.EngineState{Role: role}}
+}
+
+// use prepares an upstream for data about this instance's use of it. The lock is held.
+func (s *State) use(n *node) {
+	if n.load == idleLoad {
+		n.load, n.work = s.loads.Upstream(n.ID), &workload{}
 	}
 }
 
--- a/internal/upstreamstate/reports.go
+++ b/internal/upstreamstate/reports.go
@@ -192,6 +192,11 @@
 	defer s.mu.Unlock()
 	s.peers.expire(now)
 	s.peers.apply(source, report, now)
+	for _, l := range report.Loads {
+		if n, ok := s.byHash[l.Engine]; ok && n.peers == noPeerLoad {
+			n.peers = s.peers.of(l.Engine)
+		}
+	}
 	for _, placed := range report.Placed {
 		s.parts.record(placed, now)
 	}
--- a/internal/upstreamstate/status.go
+++ b/internal/upstreamstate/status.go
@@ -45,6 +45,7 @@
 		return false
 	}
 	if listed {
+		s.use(n)
 		s.loads.BackOff(n.ID, now+d)
 	}
 	return true
--- a/internal/upstreamstate/upstreamstate.go
+++ b/internal/upstreamstate/upstreamstate.go
@@ -164,9 +164,15 @@
 		ok = false
 	}
 	if !ok {
-		n = &node{hash: u.Incarnation(), load: s.loads.Upstream(u.ID)}
-		n.peers = s.peers.of(n.hash)
+		n = &node{hash: u.Incarnation(), load: idleLoad, work: noWork, peers: noPeerLoad}
+		if l, reported := s.peers.byHash[n.hash]; reported {
+			n.peers = l
+		}
 		s.nodes[u.ID], s.byHash[n.hash] = n, n
+		n.ID = u.ID
+		if s.loads.Has(u.ID) { // requests are still in progress there
+			s.use(n)
+		}
 	}
 	if n.Service != u.Service {
 		s.removeFromService(n)
--- a/internal/upstreamstate/work.go
+++ b/internal/upstreamstate/work.go
@@ -38,6 +38,7 @@
 	if !ok {
 		return
 	}
+	s.use(n)
 	n.work.backlog = max(0, n.work.backlog-busyTime)
 	if order == placement.QueueDeferred {
 		n.work.deferredBacklog = max(0, n.work.deferredBacklog-busyTime)
@@ -49,8 +50,11 @@
 func (s *State) RequestDone(id, request string, now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.loads.End(id, request, now)
 	n, ok := s.nodes[id]
+	if ok {
+		s.use(n)
+	}
+	s.loads.End(id, request, now)
 	if !ok {
 		s.loads.Remove(id)
 		return
@@ -66,6 +70,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if n, ok := s.nodes[id]; ok {
+		s.use(n)
 		n.work.reported, n.work.reportedAt = l, now
 	}
 }
@@ -85,6 +90,7 @@
 	if !ok {
 		return false // its entry was removed
 	}
+	s.use(n)
 	if result != load.CallUnreachable && result != load.CallAddressReassigned {
 		n.work.answeredAt, n.work.answered = now, true
 		return s.loads.RecordCall(id, result, now)
