Choose among a sample of the upstreams of a large service

Above 512 upstreams a choice considers 64 of each role in the near zones, as many of the others, and all that have parts of the prompt cached. The sample is the same for all instances of a zone, so work concentrates as before. If the one chosen is crowded, all are considered. Smaller services choose as before.

--- a/internal/upstreamstate/place.go
+++ b/internal/upstreamstate/place.go
@@ -1,6 +1,7 @@
 package upstreamstate
 
 import (
+	"slices"
 	"time"
 
 	"sassafrasfield/internal/load"
@@ -33,12 +34,32 @@
 	}
 }
 
+// choose calls pick with the candidates for a request: with a sample of the upstreams of a large service first,
+// and with all of them if pick finds none among these, or only a crowded one. The lock is held.
+func choose[T any](s *State, r PlacementRequest, req *placement.Request, pick func([]placement.Candidate) (T, placement.Candidate, bool)) (T, bool) {
+	all := s.byService[r.Service]
+	if len(all) > maxAllCandidates {
+		cached := s.cached(req)
+		if chosen, candidate, ok := pick(s.candidatesAmong(sample(all, req, cached), cached, r, req)); ok && !crowded(candidate, req) {
+			return chosen, true
+		}
+	}
+	chosen, _, ok := pick(s.candidates(r, req))
+	return chosen, ok
+}
+
 // candidates returns the upstreams of the request's service in the form that package placement uses.
 // The result is valid until the next choice. The lock is held.
 func (s *State) candidates(r PlacementRequest, req *placement.Request) []placement.Candidate {
+	return s.candidatesAmong(s.byService[r.Service], s.cached(req), r, req)
+}
+
+// candidatesAmong is candidates for some of the upstreams. cached has the tokens of the prompt that each has
+// cached.
+func (s *State) candidatesAmong(nodes []*node, cached map[uint32]int, r PlacementRequest, req *placement.Request) []placement.Candidate {
 	s.peers.expire(req.Now)
-	list, cached := s.candidateBuf[:0], s.cached(req)
-	for _, n := range s.byService[r.Service] {
+	list := slices.Grow(s.candidateBuf[:0], len(nodes))
+	for _, n := range nodes {
 		list = append(list, placement.Candidate{
 			ID: n.ID, Zone: n.Zone, Draining: n.Draining, Engine: n.engine,
 			Load: n.load, Suspect: s.suspect(n, req.Now), Aggregate: n.aggregateLoad(req.Now),
@@ -89,7 +110,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	req := s.request(r, now)
-	prefill, ok := s.engineScheduler.PickPrefill(req, s.candidates(r, req), s.rng)
+	prefill, ok := choose(s, r, req, func(candidates []placement.Candidate) (placement.Prefill, placement.Candidate, bool) {
+		prefill, ok := s.engineScheduler.PickPrefill(req, candidates, s.rng)
+		return prefill, prefill.Engine, ok
+	})
 	if !ok {
 		return prefill, placement.QueueNormal, false
 	}
@@ -111,7 +135,10 @@
 	defer s.mu.Unlock()
 	req := s.request(r, now)
 	req.KVZone = kvZone
-	chosen, ok := s.engineScheduler.PickDecode(req, s.candidates(r, req), s.rng)
+	chosen, ok := choose(s, r, req, func(candidates []placement.Candidate) (placement.Candidate, placement.Candidate, bool) {
+		chosen, ok := s.engineScheduler.PickDecode(req, candidates, s.rng)
+		return chosen, chosen, ok
+	})
 	if !ok {
 		return chosen, false
 	}
@@ -139,7 +166,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	req := s.request(r, now)
-	chosen, ok := s.engineScheduler.PickBackup(req, running, s.candidates(r, req), s.rng)
+	chosen, ok := choose(s, r, req, func(candidates []placement.Candidate) (placement.Candidate, placement.Candidate, bool) {
+		chosen, ok := s.engineScheduler.PickBackup(req, running, candidates, s.rng)
+		return chosen, chosen, ok
+	})
 	if !ok {
 		return Upstream{}
 	}
@@ -158,13 +188,15 @@
 
 // place charges a request to an upstream. The lock is held.
 func (s *State) place(id, request string, now time.Duration) {
+	n := s.nodes[id]
+	s.use(n)
 	s.loads.Place(id, load.Placement{ID: request, At: now})
-	s.changed(s.nodes[id])
+	s.changed(n)
 }
 
 // placePrompt charges a prompt to the engine that processes it. The lock is held.
 func (s *State) placePrompt(prefill placement.Prefill, order placement.QueueOrder, now time.Duration) {
-	w := &s.nodes[prefill.Engine.ID].work
+	w := s.nodes[prefill.Engine.ID].work
 	w.backlog += prefill.BusyTime
 	if order == placement.QueueDeferred {
 		w.deferredBacklog += prefill.BusyTime
