--- a/internal/limit/granter.go
+++ b/internal/limit/granter.go
@@ -6,7 +6,7 @@
 type Quota struct {
 	Organisation string
 	// Rate is in units a second and Burst in units, where a unit is a request or a token; a Rate of 0 or less
-	// means no limit.
+	// means no limit. Burst is the depth of the bucket, with what the operators tolerate beyond the limit.
 	Rate, Burst float64
 	// Version of the configuration. Of two quotas of an organisation, the one with the higher version counts.
 	Version int64
@@ -35,7 +35,7 @@
 const (
 	// granterSettleTime is how long an instance decides on nothing after it became the one to decide, so that
 	// the one before learns of it first.
-	granterSettleTime = 500 * time.Millisecond
+	granterSettleTime = 250 * time.Millisecond
 	// granterStallTimeout is the time without SetActive after which a granter starts over: its process was
 	// stalled, and another one may have taken over.
 	granterStallTimeout = time.Second
--- a/internal/peers/grants.go
+++ b/internal/peers/grants.go
@@ -12,7 +12,7 @@
 const (
 	// coordinateAfter is how long a process must have run before it may coordinate the grants:
 	// until then it may not know the instances that do.
-	coordinateAfter = 1500 * time.Millisecond
+	coordinateAfter = 900 * time.Millisecond
 	// grantRequestTimeout bounds a request to the coordinator, which may be in another zone. A
 	// round trip there takes some 2 ms, and a busy coordinator answers within 20 ms.
 	grantRequestTimeout = 80 * time.Millisecond
--- a/internal/relay/organisationquota.go
+++ b/internal/relay/organisationquota.go
@@ -18,6 +18,23 @@
 	quotaAskInterval  = 100 * time.Millisecond
 )
 
+// QuotaTolerance is how far the requests of an organisation may exceed its quota in a window: by a part of it, and
+// by further units.
+type QuotaTolerance struct {
+	Window time.Duration
+	Over   float64
+	Slack  float64
+}
+
+// usedTolerance is the part of the tolerance that is used as burst. The rest is for requests that wait between their
+// grant and their run, and for the change of the instance that grants.
+const usedTolerance = 0.5
+
+// burst returns the depth of an organisation's bucket.
+func (t QuotaTolerance) burst(rate, burst float64) float64 {
+	return burst + usedTolerance*(t.Over*(rate*t.Window.Seconds()+burst)+t.Slack)
+}
+
 // organisationQuotas keeps the requests of organisations within their quotas over all instances. One instance
 // grants them; see limit.Granter.
 type organisationQuotas struct {
@@ -80,19 +97,20 @@
 }
 
 // quotaRequest returns the grant that a request needs; false if its organisation has no quota.
-func (x *exchange) quotaRequest() (limit.GrantRequest, bool) {
+func (r *Relay) quotaRequest(x *exchange) (limit.GrantRequest, bool) {
 	organisation := x.identity.Organisation
 	if organisation == nil || !organisation.Quota.Limited() {
 		return limit.GrantRequest{}, false
 	}
-	quota := limit.Quota{Organisation: organisation.Name, Rate: organisation.Quota.Rate, Burst: organisation.Quota.Burst, Version: x.version}
+	quota := limit.Quota{Organisation: organisation.Name, Rate: organisation.Quota.Rate, Version: x.version}
+	quota.Burst = r.settings.QuotaTolerance.burst(quota.Rate, organisation.Quota.Burst)
 	return limit.GrantRequest{Quota: quota, Cost: organisation.Quota.Cost(x.req.Prompt)}, true
 }
 
 // admitByQuota has a request granted by its organisation's quota. It returns the refusal of one that is not,
 // of which nothing was sent.
 func (r *Relay) admitByQuota(ctx context.Context, x *exchange) error {
-	request, limited := x.quotaRequest()
+	request, limited := r.quotaRequest(x)
 	if !limited {
 		return nil
 	}
@@ -126,7 +144,7 @@
 
 // refundQuota returns the cost of a granted request of which nothing ran.
 func (r *Relay) refundQuota(x *exchange) {
-	if request, limited := x.quotaRequest(); limited {
+	if request, limited := r.quotaRequest(x); limited {
 		r.quotas.meters.refunded.Inc(1)
 		r.quotas.refund(request)
 	}
--- a/internal/relay/organisationquota_test.go
+++ b/internal/relay/organisationquota_test.go
@@ -117,3 +117,15 @@
 		t.Errorf("%v after %d sends", err, f.count())
 	}
 }
+
+// TestToleranceIsPartlyUsedAsBurst guards against refusals of a burst that the operators tolerate, and against a burst
+// that uses up what they tolerate.
+func TestToleranceIsPartlyUsedAsBurst(t *testing.T) {
+	tolerance := QuotaTolerance{Window: 8 * time.Second, Over: 0.1, Slack: 1900}
+	if got := tolerance.burst(1000, 1000); got != 1000+(900+1900)/2 {
+		t.Errorf("%g", got)
+	}
+	if got := (QuotaTolerance{}).burst(1000, 700); got != 700 {
+		t.Errorf("%g without tolerance", got)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -47,6 +47,7 @@
 	// yet.
 	StartupRetryIn time.Duration
 	Outliers       load.OutlierRules
+	QuotaTolerance QuotaTolerance
 	// UsageWindow is the length of the time windows in which the requests that began to run are
 	// counted; 0 disables the counts.
 	UsageWindow time.Duration
