--- a/internal/relay/organisationquota.go
+++ b/internal/relay/organisationquota.go
@@ -12,9 +12,11 @@
 )
 
 const (
-	// quotaDecisionWait bounds how long a request waits for an instance that decides on grants, as after the
-	// failure of the one that did. quotaAskInterval is the time between two attempts.
-	quotaDecisionWait = time.Second
+	// quotaDecisionWait bounds how long a request waits for an instance that decides on grants: one does 1.2 s
+	// after a start of all. quotaWaitDivisor is the part of the caller's time that it may wait at most, and
+	// quotaAskInterval the time between two attempts.
+	quotaDecisionWait = 1500 * time.Millisecond
+	quotaWaitDivisor  = 2
 	quotaAskInterval  = 100 * time.Millisecond
 )
 
@@ -133,7 +135,7 @@
 
 // awaitQuotaGrant requests a grant until an instance decides on it, for quotaDecisionWait at most.
 func (r *Relay) awaitQuotaGrant(ctx context.Context, x *exchange, request limit.GrantRequest) limit.Grant {
-	wait := min(quotaDecisionWait, x.remaining(r.now())/retryDivisor)
+	wait := min(quotaDecisionWait, x.remaining(r.now())/quotaWaitDivisor)
 	for {
 		grant := r.quotas.request(ctx, request)
 		if !grant.Undecided || r.now()-x.arrived >= wait || !pause.For(ctx, quotaAskInterval) {
