--- a/internal/peers/fleet_test.go
+++ b/internal/peers/fleet_test.go
@@ -432,6 +432,7 @@
 // announced to one of them that it is draining. It runs over several zones and with lost
 // datagrams.
 func TestAllKnowSoonWhoLeaves(t *testing.T) {
+	t.Parallel()
 	const within = 2 * time.Second // after this it must get no requests
 	for _, c := range []struct {
 		instances, zones int
--- a/internal/peers/quotagrants_test.go
+++ b/internal/peers/quotagrants_test.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -213,24 +214,27 @@
 // those that run more than it: with twice the quota asked for, with nine tenths of it, and with nine tenths of
 // the requests at one instance.
 func TestQuotaIsUsedAndNotExceeded(t *testing.T) {
+	t.Parallel()
 	const rate, length = 700_000, 12 * time.Second
 	for _, size := range quotaSizes {
 		for _, skewed := range []bool{false, true} {
-			over := newQuotaFleet(size.instances, size.zones, 1, rate)
-			under := newQuotaFleet(size.instances, size.zones, 2, rate)
-			from := over.now
-			over.serve(2*rate, length, over.placement(skewed))
-			under.serve(0.9*rate, length, under.placement(skewed))
-			used := over.ranSince(from) / (rate * length.Seconds())
-			refused := float64(under.refused+under.undecided) / float64(under.offered)
-			t.Logf("%d instances, skewed %t: %.3f of the quota used at twice, worst window %.2f; %.4f refused at 0.9",
-				size.instances, skewed, used, over.worstWindow(), refused)
-			if used < 0.95 || over.worstWindow() > 1 {
-				t.Errorf("%d instances: %.3f of the quota used, worst window %.2f", size.instances, used, over.worstWindow())
-			}
-			if refused > 0.001 {
-				t.Errorf("%d instances: %d refused, %d undecided of %d below the quota", size.instances, under.refused, under.undecided, under.offered)
-			}
+			t.Run(fmt.Sprintf("%d instances, skewed %t", size.instances, skewed), func(t *testing.T) {
+				t.Parallel()
+				over := newQuotaFleet(size.instances, size.zones, 1, rate)
+				under := newQuotaFleet(size.instances, size.zones, 2, rate)
+				from := over.now
+				over.serve(2*rate, length, over.placement(skewed))
+				under.serve(0.9*rate, length, under.placement(skewed))
+				used := over.ranSince(from) / (rate * length.Seconds())
+				refused := float64(under.refused+under.undecided) / float64(under.offered)
+				t.Logf("%.3f of the quota used at twice, worst window %.2f; %.4f refused at 0.9", used, over.worstWindow(), refused)
+				if used < 0.95 || over.worstWindow() > 1 {
+					t.Errorf("%.3f of the quota used, worst window %.2f", used, over.worstWindow())
+				}
+				if refused > 0.001 {
+					t.Errorf("%d refused, %d undecided of %d below the quota", under.refused, under.undecided, under.offered)
+				}
+			})
 		}
 	}
 }
@@ -248,6 +252,7 @@
 // TestQuotaHoldsUnderFailures guards against an organisation that runs more than its quota while instances
 // fail: an organisation sends ten times its quota throughout.
 func TestQuotaHoldsUnderFailures(t *testing.T) {
+	t.Parallel()
 	const rate = 700_000
 	failures := map[string]func(f *quotaFleet){
 		"the coordinator is killed": func(f *quotaFleet) {
@@ -311,6 +316,7 @@
 	}
 	for name, fail := range failures {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for _, size := range quotaSizes[1:3] {
 				f := newQuotaFleet(size.instances, size.zones, 3, rate)
 				f.serve(10*rate, 9*time.Second, nil)
