Use the target's own method where a holder keeps an ample split

keepAmpleSplit computed the share that Target.withPrefill computes; it is exported and called now. A comment said nil where the shared noWork is meant.

--- a/internal/rolekeeper/orders.go
+++ b/internal/rolekeeper/orders.go
@@ -129,7 +129,7 @@
 	if prefill == wanted || !k.splitPolicy(service).Ample(k.workloads[service], prefill, len(engines)) {
 		return
 	}
-	s.target.PrefillShare = float64(prefill) / float64(len(engines))
+	s.target = s.target.WithPrefill(prefill, len(engines))
 	k.log.Info("roles: the split has capacity to spare, keeping it", "service", service, "engines", len(engines), "prefill", prefill, "wanted_before", wanted)
 }
 
--- a/internal/roles/balance.go
+++ b/internal/roles/balance.go
@@ -87,7 +87,7 @@
 	if t.evidence < p.EvidenceThreshold {
 		return t, target
 	}
-	return TargetTracker{}, target.withPrefill(best, total)
+	return TargetTracker{}, target.WithPrefill(best, total)
 }
 
 // bestSplit returns the number of prefill engines with the fewest predicted
--- a/internal/roles/target.go
+++ b/internal/roles/target.go
@@ -21,8 +21,8 @@
 	return Target{PrefillShare: 0.72, MinDecode: 2}
 }
 
-// withPrefill returns the target with the given number of prefill engines.
-func (t Target) withPrefill(prefill, total int) Target {
+// WithPrefill returns the target with the given number of prefill engines.
+func (t Target) WithPrefill(prefill, total int) Target {
 	t.PrefillShare = float64(prefill) / float64(total)
 	return t
 }
--- a/internal/upstreamstate/node.go
+++ b/internal/upstreamstate/node.go
@@ -19,7 +19,7 @@
 	// load is the load from this instance. It is an entry of the load table, or idleLoad until this
 	// instance first uses the upstream: most instances use few of many upstreams.
 	load *load.Upstream
-	// work is nil until this instance first uses the upstream.
+	// work is noWork until this instance first uses the upstream.
 	work *workload
 	// peers is the load from the other instances; noPeerLoad until one reports any.
 	peers *peerLoad
