State what a replica knows of a table, and send all of it where removals may be unknown

An instance that was cut off from the store or stood still while an upstream's entry was removed, and then heard from instances alone which started after the removal, kept the entry.

Now a bookmark states with the rows of a table up to which revision they make the receiver's copy complete, and the receiver takes that revision over, also for an empty table and in a newer restore generation. A replica records the gaps that full reads leave, and sends all rows of a table to one that lies within a gap; a row that is not newer than what is known completely is not taken from others. The revision of a full read is announced, so that whoever is behind asks although nothing was written since. Builds without bookmarks get the revisions of rows in the field that they read.

Calls of Since in tests of rowsync and peers pass the state of a replica instead of its revisions; their checks are as they were.

--- a/internal/gen/sf/v1/sfv1connect/replica.connect.go
+++ b/internal/gen/sf/v1/sfv1connect/replica.connect.go
@@ -39,7 +39,8 @@
 
 // ReplicaServiceClient is a client for the sf.v1.ReplicaService service.
 type ReplicaServiceClient interface {
-	// Pull returns all rows that are newer than those that the caller has.
+	// Pull returns all rows that are newer than those that the caller has, or all rows of a
+	// table where the callee may not know which of the caller's rows were removed.
 	Pull(context.Context, *connect.Request[v1.PullRequest]) (*connect.Response[v1.PullResponse], error)
 }
 
@@ -75,7 +76,8 @@
 
 // ReplicaServiceHandler is an implementation of the sf.v1.ReplicaService service.
 type ReplicaServiceHandler interface {
-	// Pull returns all rows that are newer than those that the caller has.
+	// Pull returns all rows that are newer than those that the caller has, or all rows of a
+	// table where the callee may not know which of the caller's rows were removed.
 	Pull(context.Context, *connect.Request[v1.PullRequest]) (*connect.Response[v1.PullResponse], error)
 }
 
--- a/internal/peers/batch.go
+++ b/internal/peers/batch.go
@@ -5,6 +5,7 @@
 
 	"sassafrasfield/internal/fanout"
 	sfv1 "sassafrasfield/internal/gen/sf/v1"
+	"sassafrasfield/internal/replica"
 )
 
 // batch is the next message of a hub to the instances of its zone. Reports are added to it as
@@ -77,15 +78,20 @@
 // pull the rows if there are more.
 const maxRowsBytes = 2048
 
-// addRows adds the rows that changed since the last batch.
+// addRows adds the rows that changed since the last batch. Rows with bookmarks are left out: what a
+// receiver needs then depends on its own copy, and it has to pull.
 func (r *Reporter) addRows(message *sfv1.Datagram) {
 	since := r.lastRevisions
-	r.lastRevisions = message.GetRevisions()
-	if since == nil || !isBehind(since, message.GetRevisions()) {
+	r.lastRevisions = knownRevisions(message)
+	if since == nil || !isBehind(since, r.lastRevisions) {
 		return
 	}
-	rows, hold := r.exchange.rows.Since(since)
-	added := &sfv1.Datagram{Rows: rowsToMessages(rows), Since: since, HoldMs: uint32(hold.Milliseconds())}
+	rows, hold := r.exchange.rows.Since(replica.State{Revisions: since})
+	messages, bookmarks := rowsToMessages(rows)
+	if len(bookmarks) > 0 {
+		return
+	}
+	added := &sfv1.Datagram{Rows: messages, Since: since, HoldMs: uint32(hold.Milliseconds())}
 	if proto.Size(added) <= maxRowsBytes {
 		proto.Merge(message, added)
 	}
--- a/internal/peers/fleet_test.go
+++ b/internal/peers/fleet_test.go
@@ -126,13 +126,17 @@
 }
 
 func (noRows) Revisions() map[string]int64 { return nil }
-func (noRows) LoadedTables() []string      { return nil }
+
+func (noRows) RowRevisions() map[string]int64 { return nil }
+func (noRows) LoadedTables() []string         { return nil }
 
 func (noRows) MarkTablesLoaded([]string) {}
 
-func (noRows) Since(map[string]int64) ([]replica.Row, time.Duration) { return nil, 0 }
-func (noRows) ApplyRows([]replica.Row, time.Duration)                {}
-func (r noRows) Reading() bool                                       { return *r.reading }
+func (noRows) State() replica.State { return replica.State{} }
+
+func (noRows) Since(replica.State) ([]replica.Row, time.Duration) { return nil, 0 }
+func (noRows) ApplyRows([]replica.Row, time.Duration)             {}
+func (r noRows) Reading() bool                                    { return *r.reading }
 
 func newVirtualFleet(instances, zones int, loss float64, seed uint64) *virtualFleet {
 	return newFleetWithLinks(instances, zones, loss, seed, nil)
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -153,23 +153,37 @@
 	return messages
 }
 
-func rowsToMessages(rows []replica.Row) []*sfv1.ReplicaRow {
-	messages := make([]*sfv1.ReplicaRow, len(rows))
-	for i, row := range rows {
-		messages[i] = &sfv1.ReplicaRow{
-			Table: row.Table, Key: row.Key.Key, Value: row.Value, Revision: row.Revision, Deleted: row.Deleted, Lost: row.MissingAfterRestore,
+// rowsToMessages encodes rows, and the bookmarks among them.
+func rowsToMessages(rows []replica.Row) (messages []*sfv1.ReplicaRow, bookmarks []*sfv1.ReplicaBookmark) {
+	for _, row := range rows {
+		if b := row.Bookmark; b != nil {
+			bookmarks = append(bookmarks, &sfv1.ReplicaBookmark{
+				Table: row.Table, Revision: row.Revision, Complete: b.Complete, GapAfter: b.Gap.After, GapUntil: b.Gap.Until, Digest: b.Digest,
+			})
+			continue
 		}
+		messages = append(messages, &sfv1.ReplicaRow{
+			Table: row.Table, Key: row.Key.Key, Value: row.Value, Revision: row.Revision, Deleted: row.Deleted, Lost: row.MissingAfterRestore,
+		})
 	}
-	return messages
+	return messages, bookmarks
 }
 
-func rowsFromMessages(messages []*sfv1.ReplicaRow) []replica.Row {
-	rows := make([]replica.Row, len(messages))
-	for i, m := range messages {
-		rows[i] = replica.Row{
+func rowsFromMessages(messages []*sfv1.ReplicaRow, bookmarks []*sfv1.ReplicaBookmark) []replica.Row {
+	rows := make([]replica.Row, 0, len(messages)+len(bookmarks))
+	for _, m := range messages {
+		rows = append(rows, replica.Row{
 			Key:   replica.Key{Table: m.GetTable(), Key: m.GetKey()},
 			Value: m.GetValue(), Revision: m.GetRevision(), Deleted: m.GetDeleted(), MissingAfterRestore: m.GetLost(),
-		}
+		})
+	}
+	for _, m := range bookmarks {
+		rows = append(rows, replica.Row{
+			Key: replica.Key{Table: m.GetTable()}, Revision: m.GetRevision(),
+			Bookmark: &replica.Bookmark{
+				Complete: m.GetComplete(), Gap: replica.Gap{After: m.GetGapAfter(), Until: m.GetGapUntil()}, Digest: m.GetDigest(),
+			},
+		})
 	}
 	return rows
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -44,11 +44,15 @@
 
 // Rows is this instance's copy of the platform's rows, which the exchange keeps up to date.
 type Rows interface {
-	// Revisions returns the highest known revision of each table.
+	// Revisions returns the revision up to which each table is known, RowRevisions the highest
+	// revision of a row of each table.
 	Revisions() map[string]int64
-	// Since returns the rows above revisions, and for how much longer mass deletions are
-	// withheld.
-	Since(revisions map[string]int64) ([]replica.Row, time.Duration)
+	RowRevisions() map[string]int64
+	// State returns the state by which others determine the rows that this instance lacks.
+	State() replica.State
+	// Since returns the rows and bookmarks that an instance with this state lacks, and for how
+	// much longer mass deletions are withheld.
+	Since(state replica.State) ([]replica.Row, time.Duration)
 	// ApplyRows applies rows from a peer. Hold is for how much longer the peer withholds mass
 	// deletions.
 	ApplyRows(rows []replica.Row, hold time.Duration)
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -41,10 +41,22 @@
 	return n.rows.Newest()
 }
 
-func (n *node) Since(revisions map[string]int64) ([]replica.Row, time.Duration) {
+func (n *node) RowRevisions() map[string]int64 {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.rows.Since(revisions), 0
+	return n.rows.NewestRows()
+}
+
+func (n *node) State() replica.State {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.rows.State()
+}
+
+func (n *node) Since(state replica.State) ([]replica.Row, time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.rows.SinceState(state), 0
 }
 
 func (n *node) LoadedTables() []string { return nil }
@@ -371,3 +383,36 @@
 		t.Errorf("limits: %v", limits)
 	}
 }
+
+// TestRemovalReachesInstanceThatPulls guards against requests to an upstream that has departed: an
+// instance that was paused during the removal gets its rows only from one that started since.
+func TestRemovalReachesInstanceThatPulls(t *testing.T) {
+	for name, present := range map[string][]replica.Row{
+		"rows were written since":  {{Key: replica.Key{Table: "t", Key: "new"}, Revision: 4}},
+		"no row was written since": nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			started := newNode(t, "started", "a")
+			paused := newNode(t, "paused", "a", started.self.Address)
+			paused.ApplyRows(rowAt(1), 0)
+			waitFor(func() bool { return started.has(1) })
+			started.mu.Lock()
+			started.rows = replica.New(replica.Settings{})
+			started.rows.Replace("t", present, 5, 0)
+			started.mu.Unlock()
+			started.NotifyRows()
+			waitFor(func() bool { return !paused.has(1) && !paused.isBehind() })
+		})
+	}
+}
+
+// TestBuildsWithoutBookmarksDoNotWait guards against instances of an earlier build that are not ready during
+// a rollout: they read neither bookmarks nor the field known, and wait for each revision that is named.
+func TestBuildsWithoutBookmarksDoNotWait(t *testing.T) {
+	n := newNode(t, "n", "a")
+	n.rows.Replace("t", rowAt(3), 9, 0)
+	message := n.reporter.newDatagram(sfv1.Datagram_KIND_OWN)
+	if message.GetRevisions()["t"] != 3 || knownRevisions(message)["t"] != 9 {
+		t.Errorf("revisions %v, known %v", message.GetRevisions(), message.GetKnown())
+	}
+}
--- a/internal/peers/pull.go
+++ b/internal/peers/pull.go
@@ -43,7 +43,8 @@
 func (e *Exchange) pullFrom(ctx context.Context, peer *peerState) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	request := &sfv1.PullRequest{From: toMessage(e.self), Since: e.rows.Revisions(), WantsPeers: e.needsPeers()}
+	state := e.rows.State()
+	request := &sfv1.PullRequest{From: toMessage(e.self), Since: state.Revisions, Digests: state.Digests, WantsPeers: e.needsPeers()}
 	reply, err := peer.client.Pull(ctx, connect.NewRequest(request))
 	e.recordCall(peer, err)
 	if err != nil {
@@ -56,7 +57,7 @@
 		limits.ApplyLimits(limitsFromMessages(reply.Msg.GetLimits()), peer.Zone == e.self.Zone)
 	}
 	hold := time.Duration(reply.Msg.GetHoldMs()) * time.Millisecond
-	e.rows.ApplyRows(rowsFromMessages(reply.Msg.GetRows()), hold)
+	e.rows.ApplyRows(rowsFromMessages(reply.Msg.GetRows(), reply.Msg.GetBookmarks()), hold)
 	e.rows.MarkTablesLoaded(reply.Msg.GetInformed())
 	return nil
 }
--- a/internal/peers/receive.go
+++ b/internal/peers/receive.go
@@ -80,13 +80,13 @@
 // handleRows applies the rows in a datagram. If the datagram only names newer revisions, it
 // starts a pull from the sender.
 func (r *Reporter) handleRows(ctx context.Context, message *sfv1.Datagram, peer *peerState) {
-	rows := r.exchange.rows
-	r.exchange.applyRevisions(message.GetRevisions())
-	if !isBehind(rows.Revisions(), message.GetRevisions()) {
+	rows, known := r.exchange.rows, knownRevisions(message)
+	r.exchange.applyRevisions(known)
+	if !isBehind(rows.Revisions(), known) {
 		return
 	}
 	if len(message.GetRows()) > 0 && !isBehind(rows.Revisions(), message.GetSince()) {
-		rows.ApplyRows(rowsFromMessages(message.GetRows()), time.Duration(message.GetHoldMs())*time.Millisecond)
+		rows.ApplyRows(rowsFromMessages(message.GetRows(), nil), time.Duration(message.GetHoldMs())*time.Millisecond)
 		return
 	}
 	r.exchange.startPull(ctx, peer)
--- a/internal/peers/reports.go
+++ b/internal/peers/reports.go
@@ -220,7 +220,9 @@
 }
 
 func (r *Reporter) newDatagram(kind sfv1.Datagram_Kind) *sfv1.Datagram {
-	return &sfv1.Datagram{Kind: kind, From: toMessage(r.exchange.self), Revisions: r.exchange.rows.Revisions()}
+	message := &sfv1.Datagram{Kind: kind, From: toMessage(r.exchange.self)}
+	nameRevisions(message, r.exchange.rows)
+	return message
 }
 
 // send sends a message in as many datagrams as needed and returns their total size in bytes,
@@ -283,7 +285,7 @@
 // cloneHeader copies the fields that each datagram of a message has.
 func cloneHeader(m *sfv1.Datagram) *sfv1.Datagram {
 	return &sfv1.Datagram{
-		Kind: m.Kind, From: m.From, Revisions: m.Revisions, Instances: m.Instances, Readers: m.Readers, Forwarded: m.Forwarded,
+		Kind: m.Kind, From: m.From, Revisions: m.Revisions, Known: m.Known, Instances: m.Instances, Readers: m.Readers, Forwarded: m.Forwarded,
 		MayCoordinate: m.MayCoordinate, Coordinator: m.Coordinator,
 	}
 }
--- a/internal/peers/revisions.go
+++ b/internal/peers/revisions.go
@@ -1,6 +1,38 @@
 package peers
 
-import "time"
+import (
+	"maps"
+	"time"
+
+	sfv1 "sassafrasfield/internal/gen/sf/v1"
+)
+
+// nameRevisions names in a datagram what this instance knows of each table. Builds that do not read the
+// field known would wait for rows that do not exist, so the revisions of rows are named apart.
+func nameRevisions(message *sfv1.Datagram, rows Rows) {
+	message.Revisions = rows.RowRevisions()
+	for table, revision := range rows.Revisions() {
+		if revision > message.Revisions[table] {
+			if message.Known == nil {
+				message.Known = map[string]int64{}
+			}
+			message.Known[table] = revision
+		}
+	}
+}
+
+// knownRevisions returns the revisions up to which the sender of a datagram knows its tables.
+func knownRevisions(message *sfv1.Datagram) map[string]int64 {
+	if len(message.GetKnown()) == 0 {
+		return message.GetRevisions()
+	}
+	known := maps.Clone(message.GetRevisions())
+	if known == nil {
+		return message.GetKnown()
+	}
+	maps.Copy(known, message.GetKnown())
+	return known
+}
 
 // peerRevision is the highest revision of a table that others reported recently.
 type peerRevision struct {
--- a/internal/peers/service.go
+++ b/internal/peers/service.go
@@ -6,6 +6,7 @@
 	"connectrpc.com/connect"
 
 	sfv1 "sassafrasfield/internal/gen/sf/v1"
+	"sassafrasfield/internal/replica"
 )
 
 // service handles the peers' calls.
@@ -17,8 +18,9 @@
 func (s *service) Pull(_ context.Context, req *connect.Request[sfv1.PullRequest]) (*connect.Response[sfv1.PullResponse], error) {
 	from := fromMessage(req.Msg.GetFrom())
 	s.exchange.addPeer(from)
-	rows, hold := s.exchange.rows.Since(req.Msg.GetSince())
-	reply := &sfv1.PullResponse{Rows: rowsToMessages(rows), HoldMs: uint32(hold.Milliseconds()), Informed: s.exchange.rows.LoadedTables()}
+	rows, hold := s.exchange.rows.Since(replica.State{Revisions: req.Msg.GetSince(), Digests: req.Msg.GetDigests()})
+	messages, bookmarks := rowsToMessages(rows)
+	reply := &sfv1.PullResponse{Rows: messages, Bookmarks: bookmarks, HoldMs: uint32(hold.Milliseconds()), Informed: s.exchange.rows.LoadedTables()}
 	if limits := s.exchange.currentLimits(); limits != nil {
 		reply.Limits = limitsToMessages(limits.Limits())
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -4,6 +4,10 @@
 // revision of each row wins. Its output is the rows that changed. The package
 // does no I/O and reads no clock.
 //
+// A full read names the rows that exist, and not those that were removed before
+// it. So each replica records the gaps in the removals that it knows, and a batch
+// for another one states up to which revision it is complete (Bookmark).
+//
 // A store may be restored from an older copy. Its revisions then have a higher
 // restore generation (platform.RevisionOf). A sender of rows whose generation
 // is newer than the receiver's must send all rows of their table.
@@ -36,6 +40,8 @@
 	// MissingAfterRestore marks a deleted row that nobody removed: the store was
 	// restored from a copy without it. The row's owner may write it again.
 	MissingAfterRestore bool
+	// Bookmark is set if this is no row but the bookmark of a table in a batch.
+	Bookmark *Bookmark
 }
 
 // Settings of a Replica. The zero value suits a store that never loses data.
@@ -57,8 +63,15 @@
 	settings Settings
 	rows     map[Key]Row
 	// readUpTo is the revision up to which each table was read from the store. newest is the
-	// highest revision of any row of a table, including held rows.
+	// revision up to which each table is known, including held rows.
 	readUpTo, newest map[string]int64
+	// completeTo is the revision up to which the existing rows of each table are known for certain: the
+	// store was read up to it, or another replica stated it. An unknown row that is not newer was removed.
+	completeTo map[string]int64
+	// newestRow is the highest revision of any row of each table.
+	newestRow map[string]int64
+	// gaps are the gaps in the known removals of each table, in order of their revisions.
+	gaps map[string][]Gap
 	// held are rows that are not applied yet: deletions, and rows that came back
 	// with a restore of the store.
 	held map[Key]heldRow
@@ -75,7 +88,10 @@
 
 // New returns an empty copy.
 func New(s Settings) *Replica {
-	return &Replica{settings: s, rows: map[Key]Row{}, readUpTo: map[string]int64{}, newest: map[string]int64{}, held: map[Key]heldRow{}, acceptedDeletions: deletionCounts{}}
+	return &Replica{
+		settings: s, rows: map[Key]Row{}, readUpTo: map[string]int64{}, newest: map[string]int64{}, completeTo: map[string]int64{},
+		newestRow: map[string]int64{}, gaps: map[string][]Gap{}, held: map[Key]heldRow{}, acceptedDeletions: deletionCounts{},
+	}
 }
 
 // HoldDeletions withholds mass deletions that arrive before a time. After an outage the
@@ -86,15 +102,20 @@
 
 // Apply merges rows into the copy and returns those that changed it.
 func (r *Replica) Apply(rows []Row, now time.Duration) []Row {
+	return r.merge(r.newBatch(rows), now)
+}
+
+// merge merges a batch into the copy and returns the rows that changed it.
+func (r *Replica) merge(b batch, now time.Duration) []Row {
 	var changes []Row
-	rows = append(rows, r.missingAfterRestore(rows)...)
-	withMassDeletion := r.tablesWithMassDeletion(rows, now)
-	for _, row := range rows {
+	withMassDeletion := r.tablesWithMassDeletion(b.rows, now)
+	for _, row := range b.rows {
 		before := r.rows[row.Key]
-		if row.Revision <= before.Revision || platform.RestoreGenerationOf(row.Revision) < platform.RestoreGenerationOf(r.newest[row.Table]) {
+		outdated := r.isOutdated(row, b)
+		r.advance(row)
+		if row.Revision <= before.Revision || outdated {
 			continue
 		}
-		r.newest[row.Table] = max(r.newest[row.Table], row.Revision)
 		if until := r.holdDeadline(before, row, withMassDeletion[row.Table], now); until > 0 {
 			r.hold(row, until)
 			continue
@@ -103,9 +124,28 @@
 			changes = append(changes, row)
 		}
 	}
+	for table, revision := range b.upTo {
+		r.newest[table] = max(r.newest[table], revision)
+		r.completeTo[table] = max(r.completeTo[table], revision)
+	}
 	return r.dropSuperseded(changes)
 }
 
+// isOutdated reports whether a row is of an older restore generation, or was removed since although its
+// sender does not know that.
+func (r *Replica) isOutdated(row Row, b batch) bool {
+	if platform.RestoreGenerationOf(row.Revision) < platform.RestoreGenerationOf(r.newest[row.Table]) {
+		return true
+	}
+	return !row.Deleted && row.Revision <= r.completeTo[row.Table] && !b.complete[row.Table]
+}
+
+// advance records the revision of a row that is merged.
+func (r *Replica) advance(row Row) {
+	r.newest[row.Table] = max(r.newest[row.Table], row.Revision)
+	r.newestRow[row.Table] = max(r.newestRow[row.Table], row.Revision)
+}
+
 // store replaces the row before with a new one, and reports whether that is a change.
 func (r *Replica) store(before, row Row) bool {
 	if held, ok := r.held[row.Key]; ok && held.row.Revision <= row.Revision {
@@ -161,27 +201,44 @@
 		before.Deleted == row.Deleted && bytes.Equal(before.Value, row.Value)
 }
 
-// missingAfterRestore returns deletions of the rows that a table of a newer restore generation lacks.
-func (r *Replica) missingAfterRestore(rows []Row) []Row {
-	generations, given := map[string]int64{}, map[Key]bool{}
-	for _, row := range rows {
-		given[row.Key] = true
-		if generation := platform.RestoreGenerationOf(row.Revision); r.newest[row.Table] > 0 && generation > platform.RestoreGenerationOf(r.newest[row.Table]) {
-			generations[row.Table] = max(generations[row.Table], generation)
-		}
+// missingAfterRestore returns deletions of the rows that a table of a newer restore generation lacks, for
+// the tables of a batch without a bookmark.
+func (r *Replica) missingAfterRestore(b batch) []Row {
+	whole, given := r.wholeTables(b), map[Key]bool{}
+	for table, revision := range whole {
+		r.addGap(table, Gap{After: r.completeRevision(table), Until: revision})
 	}
-	if len(generations) == 0 {
+	if len(whole) == 0 {
 		return nil
 	}
+	for _, row := range b.rows {
+		given[row.Key] = true
+	}
 	var missing []Row
 	for key, row := range r.rows {
-		if generation := generations[key.Table]; generation > 0 && !row.Deleted && !given[key] {
+		if generation := platform.RestoreGenerationOf(whole[key.Table]); generation > 0 && !row.Deleted && !given[key] {
 			missing = append(missing, Row{Key: key, Revision: platform.RevisionOf(generation, 0), Deleted: true, MissingAfterRestore: true})
 		}
 	}
 	return missing
 }
 
+// wholeTables returns the tables without a bookmark of which a batch has all existing rows, and their newest
+// revisions: nothing is known of them yet, or only rows of an older restore generation are.
+func (r *Replica) wholeTables(b batch) map[string]int64 {
+	whole := map[string]int64{}
+	for _, row := range b.rows {
+		newest := r.newest[row.Table]
+		if _, stated := b.upTo[row.Table]; stated {
+			continue
+		}
+		if newest == 0 || platform.RestoreGenerationOf(row.Revision) > platform.RestoreGenerationOf(newest) {
+			whole[row.Table] = max(whole[row.Table], row.Revision)
+		}
+	}
+	return whole
+}
+
 // dropSuperseded drops the rows of which the copy has a newer revision by now.
 func (r *Replica) dropSuperseded(rows []Row) []Row {
 	return slices.DeleteFunc(rows, func(row Row) bool { return r.rows[row.Key].Revision > row.Revision })
@@ -209,30 +266,26 @@
 // lacks were deleted, unless they are newer than the read. If the read has a newer
 // restore generation, they are marked as missing after the restore.
 func (r *Replica) Replace(table string, rows []Row, revision int64, now time.Duration) []Row {
-	present := map[Key]bool{}
-	for _, row := range rows {
-		present[row.Key] = true
-	}
-	all := slices.Clone(rows)
-	for key, row := range r.rows {
-		if key.Table == table && !row.Deleted && !present[key] && row.Revision < revision {
-			restored := platform.RestoreGenerationOf(row.Revision) < platform.RestoreGenerationOf(revision)
-			all = append(all, Row{Key: key, Revision: revision, Deleted: true, MissingAfterRestore: restored})
-		}
-	}
-	for key, held := range r.held {
-		if key.Table == table && !held.row.Deleted && !present[key] && held.row.Revision < revision {
-			delete(r.held, key)
-		}
-	}
+	b := batch{rows: slices.Clone(rows), upTo: map[string]int64{table: revision}, complete: map[string]bool{}}
+	b.rows = append(b.rows, r.missing(table, rows, revision)...)
+	before := r.completeRevision(table)
+	b.complete[table] = revision >= before
+	r.addGap(table, Gap{After: before, Until: revision})
+	changes := r.merge(b, now)
 	r.SetReadRevision(table, revision)
-	return r.Apply(all, now)
+	return changes
 }
 
 // SetReadRevision records that a table was read from the store up to a revision. It never
 // lowers the recorded revision.
 func (r *Replica) SetReadRevision(table string, revision int64) {
 	r.readUpTo[table] = max(r.readUpTo[table], revision)
+	r.completeTo[table] = max(r.completeTo[table], revision)
+}
+
+// completeRevision returns the revision as of which the rows of a table are known.
+func (r *Replica) completeRevision(table string) int64 {
+	return max(r.newest[table], r.completeTo[table])
 }
 
 // ReadRevision returns the revision after which the feed of a table continues.
@@ -258,27 +311,56 @@
 	return rows
 }
 
-// Since returns all rows whose revision is above the one given for their table,
-// ordered by revision. Deleted rows and held rows are included.
+// Since returns all rows whose revision is above the one given for their table, ordered by revision.
+// Deleted rows and held rows are included. Of a table in which another replica with that revision may have
+// rows whose removal is unknown here, it returns all existing rows. Bookmarks come last, where the rows do
+// not imply them.
 func (r *Replica) Since(revisions map[string]int64) []Row {
-	var rows []Row
+	return r.SinceState(State{Revisions: revisions})
+}
+
+// SinceState is Since for a replica whose digests are known, if any. It returns only the newer rows of a
+// table whose digest shows that no removal is unknown.
+func (r *Replica) SinceState(s State) []Row {
+	revisions := s.Revisions
+	var bookmarks, rows []Row
+	complete := map[string]bool{}
+	for table := range r.newest {
+		if bookmark, ok := r.bookmark(table, revisions[table], s.Digests[table]); ok {
+			bookmarks = append(bookmarks, bookmark)
+			complete[table] = bookmark.Bookmark.Complete
+		}
+	}
+	wanted := func(row Row) bool {
+		return row.Revision > revisions[row.Table] || complete[row.Table] && !row.Deleted && r.isCurrentGeneration(row)
+	}
 	for _, row := range r.rows {
-		if row.Revision > revisions[row.Table] {
+		if wanted(row) {
 			rows = append(rows, row)
 		}
 	}
 	for _, held := range r.held {
-		if held.row.Revision > revisions[held.row.Table] {
+		if wanted(held.row) {
 			rows = append(rows, held.row)
 		}
 	}
 	slices.SortFunc(rows, func(a, b Row) int { return cmp.Compare(a.Revision, b.Revision) })
-	return rows
+	bookmarks = slices.DeleteFunc(bookmarks, func(b Row) bool { return isImplied(b, revisions[b.Table], rows) })
+	return append(rows, bookmarks...)
 }
 
-// Newest returns the highest revision of any row of each table. All rows up to it are
-// known, provided that each source sent all of its rows.
+// isCurrentGeneration reports whether a row is of the newest restore generation of its table. Others wait
+// to be removed.
+func (r *Replica) isCurrentGeneration(row Row) bool {
+	return platform.RestoreGenerationOf(row.Revision) == platform.RestoreGenerationOf(r.newest[row.Table])
+}
+
+// Newest returns the revision up to which each table is known, provided that each source sent all of its
+// rows.
 func (r *Replica) Newest() map[string]int64 { return maps.Clone(r.newest) }
 
+// NewestRows returns the highest revision of any row of each table.
+func (r *Replica) NewestRows() map[string]int64 { return maps.Clone(r.newestRow) }
+
 // HoldRemaining returns for how much longer mass deletions are withheld.
 func (r *Replica) HoldRemaining(now time.Duration) time.Duration { return max(0, r.holdUntil-now) }
--- a/internal/replica/restore_test.go
+++ b/internal/replica/restore_test.go
@@ -66,6 +66,11 @@
 		r.SetReadRevision(table, s.revision())
 		return
 	}
+	s.readAllInto(r, now)
+}
+
+// readAllInto updates a replica with a full read.
+func (s *restorableStore) readAllInto(r *Replica, now time.Duration) {
 	var rows []Row
 	for _, row := range s.rows {
 		rows = append(rows, row)
--- a/internal/rowsync/peers.go
+++ b/internal/rowsync/peers.go
@@ -43,25 +43,50 @@
 	f.mu.Unlock()
 	f.notifyPeers(changes)
 	if len(changes) > 0 {
-		f.log.Info("follow: applied rows from a peer", "rows", len(changes))
+		f.log.Info("follow: applied rows from a peer", "rows", len(changes), "removed", removedCount(changes))
 	}
 }
 
-// Since returns the rows above the given revisions, for a peer, and for how much
+// removedCount returns how many of the rows were removed.
+func removedCount(rows []replica.Row) int {
+	n := 0
+	for _, row := range rows {
+		if row.Deleted {
+			n++
+		}
+	}
+	return n
+}
+
+// Since returns the rows and bookmarks that a peer with the given state lacks, and for how much
 // longer mass deletions are withheld.
-func (f *Follower) Since(revisions map[string]int64) ([]replica.Row, time.Duration) {
+func (f *Follower) Since(state replica.State) ([]replica.Row, time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.copy.SinceState(state), f.copy.HoldRemaining(f.now())
+}
+
+// State returns the state by which peers determine the rows that this instance lacks.
+func (f *Follower) State() replica.State {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.copy.Since(revisions), f.copy.HoldRemaining(f.now())
+	return f.copy.State()
 }
 
-// Revisions returns the highest known revision of each table.
+// Revisions returns the revision up to which each table is known.
 func (f *Follower) Revisions() map[string]int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.copy.Newest()
 }
 
+// RowRevisions returns the highest revision of a row of each table.
+func (f *Follower) RowRevisions() map[string]int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.copy.NewestRows()
+}
+
 // Reading reports whether this instance follows the store and gets answers.
 func (f *Follower) Reading() bool {
 	f.mu.Lock()
--- a/internal/rowsync/rowsync_test.go
+++ b/internal/rowsync/rowsync_test.go
@@ -250,7 +250,7 @@
 	if !f.hasKeys("abcd") {
 		t.Error("the mass deletion was applied")
 	}
-	if _, hold := f.Since(map[string]int64{}); hold == 0 {
+	if _, hold := f.Since(replica.State{}); hold == 0 {
 		t.Error("the hold is not passed on to peers")
 	}
 }
@@ -274,7 +274,7 @@
 	feed.put("a", true)
 	feed.set(func() { feed.down = false })
 	waitFor(func() bool { return f.hasKeys("") })
-	if _, hold := f.Since(map[string]int64{}); hold > 0 {
+	if _, hold := f.Since(replica.State{}); hold > 0 {
 		t.Errorf("the hold passed on to peers is %s", hold)
 	}
 }
@@ -394,7 +394,7 @@
 	if !f.hasKeys("a") {
 		t.Error("applied at once")
 	}
-	if rows, hold := f.Since(map[string]int64{"t": 1}); len(rows) != 1 || !rows[0].Deleted || hold == 0 {
+	if rows, hold := f.Since(replica.State{Revisions: map[string]int64{"t": 1}}); len(rows) != 1 || !rows[0].Deleted || hold == 0 {
 		t.Errorf("a third instance gets %v, hold %s", rows, hold)
 	}
 	waitFor(func() bool { return f.hasKeys("") })
