Start a second quarantine also where the first one is still on

While the store was away, one instance sent a content on that crashes engines, and that all others refused: a prompt and a generation more, and a fourth engine crashed with all its streams.

Cause: an instance that heard of a further crash while its first quarantine of the content was on began no second one. Quarantines do not begin at the same time at all instances, so the crash may have come after the end of the first quarantine where it was seen.

Evidence: quarantine.TestCrashExtendsQuarantineThatBeganLater failed before ("quarantined false, 1 times"). That a crash is not counted, the users' hypothesis, is not shown: two of three counted suffice for a quarantine.

--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -55,7 +55,7 @@
 		m.Spilled = append(m.Spilled, &sfv1.Spilled{Service: service, Sends: float32(sends)})
 	}
 	for _, e := range report.Crashes {
-		m.Ends = append(m.Ends, &sfv1.UpstreamEnd{Content: uint64(e.Content), Upstream: e.Upstream})
+		m.Ends = append(m.Ends, &sfv1.UpstreamEnd{Content: uint64(e.Content), Upstream: e.Upstream, Times: uint32(e.Times)})
 	}
 	for _, c := range report.Usage {
 		m.Usage = append(m.Usage, &sfv1.UsageCount{Window: int64(c.Window), Organisation: c.Organisation, Requests: c.Requests})
@@ -93,7 +93,7 @@
 		report.Unavailable = append(report.Unavailable, upstreamstate.UnavailableUpstream{Upstream: a.GetUpstream(), For: time.Duration(a.GetForMs()) * time.Millisecond})
 	}
 	for _, e := range m.GetEnds() {
-		report.Crashes = append(report.Crashes, quarantine.Crash{Content: quarantine.Content(e.GetContent()), Upstream: e.GetUpstream()})
+		report.Crashes = append(report.Crashes, quarantine.Crash{Content: quarantine.Content(e.GetContent()), Upstream: e.GetUpstream(), Times: int(e.GetTimes())})
 	}
 	for _, c := range m.GetUsage() {
 		report.Usage = append(report.Usage, usage.Count{
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -12,6 +12,9 @@
 	Content Content
 	// Upstream is a hash of the upstream's incarnation: it differs after a restart.
 	Upstream uint32
+	// Times is the number of the quarantine that the crash started at the instance that observed it; 0 if it
+	// started none.
+	Times int
 }
 
 // Settings of a Table.
@@ -135,21 +138,38 @@
 // content.
 func (t *Table) RecordCrash(c Crash, now time.Duration) bool {
 	added := t.add(c, now)
-	if added {
-		t.outbox.addOwn(c, now)
-	}
 	t.records[c.Content].observed = true
-	return added && t.decide(c.Content, now)
+	if !added {
+		return false
+	}
+	started := t.decide(c.Content, now)
+	if started {
+		c.Times = t.TimesQuarantined(c.Content)
+	}
+	t.outbox.addOwn(c, now)
+	return started
 }
 
 // ReceiveCrash records a crash that another instance reported, of the same zone or of another one, and
 // reports whether it starts a quarantine of the content.
 func (t *Table) ReceiveCrash(c Crash, sameZone bool, now time.Duration) bool {
 	added := t.add(c, now)
-	if added {
+	started := added && t.decide(c.Content, now) || t.follow(c, now)
+	if added || started {
 		t.outbox.addReceived(c, sameZone, now)
 	}
-	return added && t.decide(c.Content, now)
+	return started
+}
+
+// follow starts the quarantine that a crash started at another instance, where an earlier quarantine of the
+// content is known. That one may have begun later here, and still be on although it has ended there.
+func (t *Table) follow(c Crash, now time.Duration) bool {
+	known := t.TimesQuarantined(c.Content)
+	if known == 0 || c.Times <= known || t.served.has(c.Content, now) {
+		return false
+	}
+	t.quarantines[c.Content] = quarantine{times: c.Times, since: now}
+	return true
 }
 
 // add records a crash, and reports whether it was not known before.
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -29,6 +29,47 @@
 	}
 }
 
+// TestCrashExtendsQuarantineThatBeganLater guards against a content that one instance lets through while all
+// others block it: it heard of the first crashes late, so its first quarantine was still on when the content
+// crashed one more upstream elsewhere, and ended without a second one.
+func TestCrashExtendsQuarantineThatBeganLater(t *testing.T) {
+	first, late := newTable(), newTable()
+	firstDuration, delay := DefaultSettings().Durations[0], time.Second
+	report := func(at time.Duration) {
+		for _, c := range first.DueOwn(at) {
+			late.ReceiveCrash(c, true, at)
+		}
+	}
+	first.RecordCrash(Crash{Content: 7, Upstream: 1}, now)
+	first.RecordCrash(Crash{Content: 7, Upstream: 2}, now)
+	report(now + delay)
+	again := now + firstDuration
+	first.RecordCrash(Crash{Content: 7, Upstream: 3}, again)
+	report(again + delay/2)
+	for name, table := range map[string]*Table{"the first": first, "the late one": late} {
+		if !table.Quarantined(7, again+2*delay) || table.TimesQuarantined(7) != 2 {
+			t.Errorf("%s: quarantined %t, %d times", name, table.Quarantined(7, again+2*delay), table.TimesQuarantined(7))
+		}
+	}
+}
+
+// TestReportOfReleasedContentDoesNotQuarantine guards against a harmless content that is refused once more: it
+// was released, and a report of the crash that had quarantined it comes again.
+func TestReportOfReleasedContentDoesNotQuarantine(t *testing.T) {
+	first, other := newTable(), newTable()
+	first.RecordCrash(Crash{Content: 7, Upstream: 1}, now)
+	first.RecordCrash(Crash{Content: 7, Upstream: 2}, now)
+	other.Release(7)
+	for _, c := range first.DueOwn(now) {
+		if c.Upstream == 2 {
+			other.ReceiveCrash(c, true, now)
+		}
+	}
+	if other.Quarantined(7, now) {
+		t.Error("quarantined by one crash")
+	}
+}
+
 // TestACrashCountsOnce guards against a crash that is counted several times: an upstream may crash with
 // several copies of a request, and each crash is reported repeatedly.
 func TestACrashCountsOnce(t *testing.T) {
