Give the test fleet connections of its own

No caller is concerned: it is a call of the test fleet itself.

Cause: the proxies in front of the platform and the fleet's own calls shared http.DefaultTransport. The proxies cancel a request when a daemon gives it up (its timeout is 300 ms, so under load it often does). Where the answer has no body, net/http returns the connection to the idle pool before it hands out the answer; a cancel that comes in between closes the connection, with its own error, under the request that has it by then. The suspicion on closed idle connections is refuted as the cause of this message: it gives another one.

Proxies and calls now have transports of their own.

--- a/internal/testfleet/fleet.go
+++ b/internal/testfleet/fleet.go
@@ -253,6 +253,9 @@
 	return nil
 }
 
+// client is not the default one, whose idle connections each httptest.Server closes when it ends.
+var client = &http.Client{Transport: &http.Transport{}}
+
 // Post sends a JSON body and decodes the JSON response into answer, unless answer is nil.
 func Post(ctx context.Context, address, path string, body, answer any) error {
 	data, err := json.Marshal(body)
@@ -263,7 +266,7 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	res, err := http.DefaultClient.Do(req)
+	res, err := client.Do(req)
 	if err != nil {
 		return errors.WithStack(err)
 	}
--- a/internal/testfleet/links.go
+++ b/internal/testfleet/links.go
@@ -60,9 +60,7 @@
 // platform's address for the next instance of the fleet.
 func (l *Links) openPlatformLink(id string) error {
 	target := &url.URL{Scheme: "http", Host: l.fleet.platformDirect}
-	server := httptest.NewUnstartedServer(rewritingProxy{
-		target: target, rewrite: func(res *http.Response) error { return l.rewrite(id, res) },
-	})
+	server := httptest.NewUnstartedServer(newRewritingProxy(target, func(res *http.Response) error { return l.rewrite(id, res) }))
 	listener, err := net.Listen("tcp", l.fleet.Address())
 	if err != nil {
 		return errors.WithStack(err)
@@ -86,6 +84,13 @@
 type rewritingProxy struct {
 	target  *url.URL
 	rewrite func(*http.Response) error
+	// transport is not shared: net/http may break a request on a connection on which another one was
+	// cancelled, and the daemons' requests often are.
+	transport *http.Transport
+}
+
+func newRewritingProxy(target *url.URL, rewrite func(*http.Response) error) rewritingProxy {
+	return rewritingProxy{target: target, rewrite: rewrite, transport: &http.Transport{}}
 }
 
 // ServeHTTP implements http.Handler. If the exchange with the target fails, it aborts the
@@ -93,7 +98,7 @@
 func (f rewritingProxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	out := r.Clone(r.Context())
 	out.URL.Scheme, out.URL.Host, out.RequestURI = f.target.Scheme, f.target.Host, ""
-	res, err := http.DefaultTransport.RoundTrip(out)
+	res, err := f.transport.RoundTrip(out)
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
