Cancel requests without an effect on others that use the connection

A caller's request could be cut off because another caller disconnected: its connection was closed under it, and a request that is not idempotent was lost, with an unknown outcome.

Package httptransport cancels a request either before its response begins, and its connection is never used again, or after the response was handed out, and sends a request on a connection only once the response before it was handed out. All clients that keep connections use it.

--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -23,6 +23,7 @@
 	"sassafrasfield/internal/engine"
 	"sassafrasfield/internal/gen/sf/v1/sfv1connect"
 	"sassafrasfield/internal/gossip"
+	"sassafrasfield/internal/httptransport"
 	"sassafrasfield/internal/logging"
 	"sassafrasfield/internal/platform"
 	"sassafrasfield/internal/versions"
@@ -77,7 +78,7 @@
 		platform: client,
 		versions: versions.Log{Table: client},
 		holder:   gossip.NewHolder(),
-		http:     &http.Client{Timeout: s.PlatformTimeout, Transport: peerTransport()},
+		http:     &http.Client{Timeout: s.PlatformTimeout, Transport: httptransport.Isolate(peerTransport())},
 		options:  []connect.ClientOption{connect.WithInterceptors(interceptor)},
 		traced:   connect.WithInterceptors(interceptor),
 		engines:  map[string]engine.Engine{},
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -14,6 +14,8 @@
 	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
+
+	"sassafrasfield/internal/httptransport"
 )
 
 // Paths of an engine's HTTP interface; see docs/INTERFACES.md.
@@ -63,11 +65,11 @@
 func NewClient(address string, timeout time.Duration) *Client {
 	return &Client{
 		base: "http://" + address,
-		http: &http.Client{Transport: &http.Transport{
+		http: &http.Client{Transport: httptransport.Isolate(&http.Transport{
 			MaxIdleConnsPerHost:   64,
 			IdleConnTimeout:       time.Minute,
 			ResponseHeaderTimeout: timeout,
-		}},
+		})},
 		timeout: timeout,
 	}
 }
--- /dev/null
+++ b/internal/httptransport/httptransport.go
@@ -0,0 +1,142 @@
+// Package httptransport keeps requests apart that use the same connection one after the other.
+//
+// net/http returns a connection to the idle pool before it hands out a response without a body. So for a moment
+// two requests use it: the one whose response is about to be handed out, and the next one. If either is
+// cancelled in that moment, net/http closes the connection, and the other one fails with the error of the first.
+// Here a request is cancelled either before its response begins, and its connection is then never used again, or
+// after the response was handed out. And it is sent on a connection only after the response of the request
+// before it was handed out.
+package httptransport
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"time"
+)
+
+// headerTimeout bounds the waits of a request: when it is cancelled, for the rest of the response's header, and
+// before it is sent, for the response of the request before it. A header mostly arrives in one packet.
+const headerTimeout = 100 * time.Millisecond
+
+// transport is a http.RoundTripper whose cancelled requests do not affect others.
+type transport struct {
+	base http.RoundTripper
+	// users holds the exchange that uses a connection, by net.Conn, until it is finished.
+	users sync.Map
+}
+
+// Isolate returns a RoundTripper that sends requests with base, and cancels each one without an effect on the
+// others.
+func Isolate(base *http.Transport) http.RoundTripper { return &transport{base: base} }
+
+// RoundTrip implements http.RoundTripper.
+func (t *transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	if err := request.Context().Err(); err != nil {
+		if request.Body != nil {
+			_ = request.Body.Close() // nothing was sent
+		}
+		return nil, context.Cause(request.Context())
+	}
+	x := newExchange(request.Context(), &t.users)
+	response, err := t.base.RoundTrip(request.WithContext(x.ctx))
+	x.finish(err)
+	return response, err
+}
+
+// exchange is a request that is sent, and its response until that is handed out.
+type exchange struct {
+	ctx    context.Context // the caller's context, but for its cancellation
+	cancel context.CancelCauseFunc
+	// unfollow ends the observation of the caller's context.
+	unfollow func() bool
+	users    *sync.Map
+	// finished is closed when the response was handed out or the request failed.
+	finished chan struct{}
+
+	mu sync.Mutex // protects all below
+	// conn is the connection that the request uses; nil before it has one.
+	conn net.Conn
+	// arriving is set from the first byte of the response until the response is handed out.
+	arriving, cancelled bool
+}
+
+// newExchange returns an exchange that is cancelled with the caller's context.
+func newExchange(caller context.Context, users *sync.Map) *exchange {
+	x := &exchange{users: users, finished: make(chan struct{})}
+	detached, cancel := context.WithCancelCause(context.WithoutCancel(caller))
+	x.cancel = cancel
+	x.ctx = httptrace.WithClientTrace(detached, &httptrace.ClientTrace{
+		GotConn: x.useConn, GotFirstResponseByte: x.beginResponse,
+	})
+	x.unfollow = context.AfterFunc(caller, func() { x.cancelSafely(context.Cause(caller)) })
+	return x
+}
+
+// useConn records the connection on which the request is sent next, and waits until the response of the request
+// before it was handed out.
+func (x *exchange) useConn(info httptrace.GotConnInfo) {
+	x.mu.Lock()
+	x.leaveConn()
+	x.conn, x.arriving = info.Conn, false
+	x.mu.Unlock()
+	if before, ok := x.users.Swap(info.Conn, x); ok {
+		before.(*exchange).awaitFinish()
+	}
+}
+
+// beginResponse records that the response begins. If the request was cancelled, the response is not read until
+// net/http has closed the connection, so that the connection is not used again.
+func (x *exchange) beginResponse() {
+	x.mu.Lock()
+	cancelled := x.cancelled
+	x.arriving = !cancelled
+	x.mu.Unlock()
+	if cancelled {
+		x.awaitFinish()
+	}
+}
+
+func (x *exchange) awaitFinish() {
+	timer := time.NewTimer(headerTimeout)
+	defer timer.Stop()
+	select {
+	case <-x.finished:
+	case <-timer.C:
+	}
+}
+
+// cancelSafely cancels the request, or waits until its response is handed out if that has begun.
+func (x *exchange) cancelSafely(cause error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.arriving {
+		time.AfterFunc(headerTimeout, func() { x.cancel(cause) })
+		return
+	}
+	x.cancelled = true
+	x.cancel(cause)
+}
+
+// finish records that the response was handed out, or that the request failed. From here on the caller's
+// context cancels the reading of the body, which affects no other request.
+func (x *exchange) finish(err error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.arriving = false
+	close(x.finished)
+	x.leaveConn()
+	if err != nil {
+		x.unfollow()
+		x.cancel(err)
+	}
+}
+
+// leaveConn removes the exchange from the users of its connection. The lock is held.
+func (x *exchange) leaveConn() {
+	if x.conn != nil {
+		x.users.CompareAndDelete(x.conn, x)
+	}
+}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -15,6 +15,8 @@
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
+
+	"sassafrasfield/internal/httptransport"
 )
 
 // Paths of the platform's HTTP interface; see docs/INTERFACES.md.
@@ -76,7 +78,7 @@
 	transport := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}
 	return &Client{
 		base:    "http://" + address,
-		http:    &http.Client{Transport: transport},
+		http:    &http.Client{Transport: httptransport.Isolate(transport)},
 		timeout: timeout,
 	}
 }
