Say in a refusal for lack of freshness how old the last word is

Two causes give this message and could not be told apart: heartbeats that did not come, or evidence that was about to end. The refusal now names until when sf-control vouched, and the age of its last heartbeat.

Where sf-control stands still instead, its own log shows it.

--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -43,7 +43,8 @@
 	if h.reason != "" {
 		return errors.New("the configuration may be out of date: " + h.reason)
 	}
-	return errors.New("the configuration may be out of date: sf-control has not said yet that it is the newest")
+	return errors.Errorf("the configuration may be out of date: sf-control has not said yet that it is the newest; it said so until %s ago, in a heartbeat of %s ago",
+		(now - h.freshUntil).Round(time.Millisecond), (now - h.at).Round(time.Millisecond))
 }
 
 // checkReady returns an error that says why the entry accepts no new work, or nil.
