Name in the warning on freshness whether the process or its calls were late

Its log: fresh by the majority at 53.037, at 55.161 "the table was last read, here or by a peer, 2.171s ago; 1 of 3 listed instances answer", fresh again at 55.165. So for two seconds no exchange had an answer, of some twenty that were due, and the next one took 4 ms. Either the process did not run, or all its calls failed: its log has no line in between, and cannot tell. The warning now says how late its loop ran and how many calls to peers failed since the last answer.

--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -85,6 +85,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := bootclock.Now()
+	s.failedCalls = 0
 	s.mergeDraining(now, msg.Leaving)
 	members := msg.Members
 	if len(members) == 0 {
--- a/internal/control/spread.go
+++ b/internal/control/spread.go
@@ -36,6 +36,10 @@
 	// succeeded.
 	tableError string
 	wasFresh   bool
+	// tickAt is when the next tick was due, lateness how late it came.
+	tickAt, lateness time.Duration
+	// failedCalls counts the calls to peers that failed since the last exchange that succeeded.
+	failedCalls int
 }
 
 // spreadMetrics count the exchanges and table reads, and show the current
@@ -69,7 +73,7 @@
 	}, bootclock.Now())
 	return &spreader{
 		daemon: d, log: log, metrics: newSpreadMetrics(metrics.DefaultRegistry),
-		wake: make(chan struct{}, 1), machine: machine, fresh: fresh,
+		wake: make(chan struct{}, 1), machine: machine, fresh: fresh, tickAt: bootclock.Now(),
 		draining: gossip.NewDrainingSet(s.ListLag),
 	}
 }
@@ -105,7 +109,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := bootclock.Now()
+	s.lateness = max(0, now-s.tickAt)
 	ticked, next := s.machine.Tick(now, s.needsContacts(now))
+	s.tickAt = next
 	actions := append(s.queue, ticked...)
 	s.queue = nil
 	s.noteFreshness(s.fresh.Status(now))
@@ -135,7 +141,7 @@
 		return
 	}
 	s.metrics.fresh.Update(0)
-	s.log.Warn("spread: the configuration may be out of date", "reason", status.Reason)
+	s.log.Warn("spread: the configuration may be out of date", "reason", status.Reason, "tick_late", s.lateness, "failed_calls", s.failedCalls)
 }
 
 // enqueue adds actions to the queue and wakes the loop. The mutex must be held.
@@ -290,5 +296,8 @@
 
 func (s *spreader) peerFailed(peer string, err error) {
 	s.metrics.failed.Inc(1)
+	s.mu.Lock()
+	s.failedCalls++
+	s.mu.Unlock()
 	s.log.Debug("spread: call to a peer failed", "peer", peer, "error", err)
 }
