--- a/internal/replica/gaps_test.go
+++ b/internal/replica/gaps_test.go
@@ -123,16 +123,42 @@
 // TestBatchForOlderStateIsNotUsed guards against a row that stays because a late batch leaves it out: the
 // batch was made for an older state of the receiver, which has got the row since.
 func TestBatchForOlderStateIsNotUsed(t *testing.T) {
-	receiver, sender := New(Settings{}), New(Settings{})
-	receiver.Apply([]Row{row("a", 1)}, 0)
-	sender.Apply([]Row{row("a", 1)}, 0)
-	sender.Replace("t", []Row{row("a", 1), row("b", 8)}, 9, 0) // "gone" was removed as of 7
-	late := sender.Since(receiver.Newest())
-	receiver.Apply([]Row{row("gone", 5)}, 0)
-	receiver.Apply(late, 0)
-	receiver.Apply(sender.Since(receiver.Newest()), 0)
-	if got := keys(receiver.Table("t")); got != "ab" {
-		t.Errorf("rows %q, want ab", got)
+	for name, known := range map[string][]Row{
+		"the sender lacks removals after the receiver's revision":       {row("a", 1)},
+		"the receiver's digest shows that it needs none of them so far": {row("a", 1), row("c", 2)},
+	} {
+		receiver, sender := New(Settings{}), New(Settings{})
+		receiver.Apply(known, 0)
+		sender.Apply([]Row{row("a", 1)}, 0)
+		sender.Replace("t", append([]Row{row("b", 8)}, known...), 9, 0) // "gone" was removed as of 7
+		late := sender.SinceState(receiver.State())
+		receiver.Apply([]Row{row("gone", 5)}, 0)
+		receiver.Apply(late, 0)
+		receiver.Apply(sender.Since(receiver.Newest()), 0)
+		if _, exists := receiver.Get(Key{"t", "gone"}); exists || receiver.Newest()["t"] != 9 {
+			t.Errorf("%s: removed row present: %t, known up to %v", name, exists, receiver.Newest())
+		}
+	}
+}
+
+// TestGapIsPassedOn guards against a row that stays because its replica catches up from one that never had it,
+// and that did not read the store itself either: it got its rows from one that did.
+func TestGapIsPassedOn(t *testing.T) {
+	reader, follower, starting, earlierBuild := New(Settings{}), New(Settings{}), New(Settings{}), New(Settings{})
+	for _, r := range []*Replica{reader, follower} {
+		r.Apply([]Row{row("a", 1)}, 0)
+	}
+	reader.Replace("t", []Row{row("a", 1), row("b", 8)}, 9, 0) // "gone" was added as of 5 and removed as of 7
+	follower.Apply(reader.Since(follower.Newest()), 0)
+	starting.Apply(reader.Since(nil), 0)
+	earlierBuild.Apply([]Row{row("a", 1), row("b", 8)}, 0) // without a bookmark
+	for name, from := range map[string]*Replica{"a follower": follower, "one that started": starting, "one of an earlier build": earlierBuild} {
+		stale := New(Settings{})
+		stale.Apply([]Row{row("a", 1), row("gone", 5)}, 0)
+		stale.Apply(from.Since(stale.Newest()), 0)
+		if got := keys(stale.Table("t")); got != "ab" {
+			t.Errorf("rows %q from %s, want ab", got, name)
+		}
 	}
 }
 
