--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -202,7 +202,7 @@
 }
 
 // missingAfterRestore returns deletions of the rows that a table of a newer restore generation lacks, for
-// the tables of a batch without a bookmark.
+// the tables of a batch without a bookmark. It records the gaps that whole tables leave.
 func (r *Replica) missingAfterRestore(b batch) []Row {
 	whole, given := r.wholeTables(b), map[Key]bool{}
 	for table, revision := range whole {
