Use one function for the rows that a complete batch lacks

missingAfterRestore did for batches without a bookmark what missing does for full reads and complete batches: it makes deletions of the rows that were not given. It is replaced by a call of missing as of the begin of the newer restore generation. Nothing that is decided changes: rows of an older generation are below that revision, and a held one of them was never released.

--- a/internal/replica/bookmark.go
+++ b/internal/replica/bookmark.go
@@ -59,10 +59,30 @@
 	for table := range b.complete {
 		b.rows = append(b.rows, r.missing(table, b.rows, b.upTo[table])...)
 	}
-	b.rows = append(b.rows, r.missingAfterRestore(b)...)
+	for table, revision := range r.wholeTables(b) {
+		r.addGap(table, Gap{After: r.completeRevision(table), Until: revision})
+		restored := platform.RevisionOf(platform.RestoreGenerationOf(revision), 0)
+		b.rows = append(b.rows, r.missing(table, b.rows, restored)...)
+	}
 	return b
 }
 
+// wholeTables returns the tables without a bookmark of which a batch has all existing rows, and their newest
+// revisions: nothing is known of them yet, or only rows of an older restore generation are.
+func (r *Replica) wholeTables(b batch) map[string]int64 {
+	whole := map[string]int64{}
+	for _, row := range b.rows {
+		newest := r.newest[row.Table]
+		if _, stated := b.upTo[row.Table]; stated {
+			continue
+		}
+		if newest == 0 || platform.RestoreGenerationOf(row.Revision) > platform.RestoreGenerationOf(newest) {
+			whole[row.Table] = max(whole[row.Table], row.Revision)
+		}
+	}
+	return whole
+}
+
 // recordCompleteBatch records the gap that a batch with all rows of a table leaves.
 func (r *Replica) recordCompleteBatch(bookmark Row) {
 	known, gap := r.completeRevision(bookmark.Table), bookmark.Bookmark.Gap
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -201,44 +201,6 @@
 		before.Deleted == row.Deleted && bytes.Equal(before.Value, row.Value)
 }
 
-// missingAfterRestore returns deletions of the rows that a table of a newer restore generation lacks, for
-// the tables of a batch without a bookmark. It records the gaps that whole tables leave.
-func (r *Replica) missingAfterRestore(b batch) []Row {
-	whole, given := r.wholeTables(b), map[Key]bool{}
-	for table, revision := range whole {
-		r.addGap(table, Gap{After: r.completeRevision(table), Until: revision})
-	}
-	if len(whole) == 0 {
-		return nil
-	}
-	for _, row := range b.rows {
-		given[row.Key] = true
-	}
-	var missing []Row
-	for key, row := range r.rows {
-		if generation := platform.RestoreGenerationOf(whole[key.Table]); generation > 0 && !row.Deleted && !given[key] {
-			missing = append(missing, Row{Key: key, Revision: platform.RevisionOf(generation, 0), Deleted: true, MissingAfterRestore: true})
-		}
-	}
-	return missing
-}
-
-// wholeTables returns the tables without a bookmark of which a batch has all existing rows, and their newest
-// revisions: nothing is known of them yet, or only rows of an older restore generation are.
-func (r *Replica) wholeTables(b batch) map[string]int64 {
-	whole := map[string]int64{}
-	for _, row := range b.rows {
-		newest := r.newest[row.Table]
-		if _, stated := b.upTo[row.Table]; stated {
-			continue
-		}
-		if newest == 0 || platform.RestoreGenerationOf(row.Revision) > platform.RestoreGenerationOf(newest) {
-			whole[row.Table] = max(whole[row.Table], row.Revision)
-		}
-	}
-	return whole
-}
-
 // dropSuperseded drops the rows of which the copy has a newer revision by now.
 func (r *Replica) dropSuperseded(rows []Row) []Row {
 	return slices.DeleteFunc(rows, func(row Row) bool { return r.rows[row.Key].Revision > row.Revision })
