--- a/internal/replica/bookmark.go
+++ b/internal/replica/bookmark.go
@@ -36,19 +36,8 @@
 	b := batch{upTo: map[string]int64{}, complete: map[string]bool{}}
 	unusable := map[string]bool{}
 	for _, row := range received {
-		if row.Bookmark == nil {
-			continue
-		}
-		switch {
-		case row.Revision <= r.newest[row.Table]: // nothing new
-		case r.isComplete(row):
-			b.upTo[row.Table], b.complete[row.Table] = row.Revision, true
-			r.recordCompleteBatch(row)
-		case row.Bookmark.Gap.covers(r.newest[row.Table]) && !r.hasDigest(row.Table, row.Bookmark.Digest):
-			unusable[row.Table] = true
-		default:
-			b.upTo[row.Table] = row.Revision
-			r.adoptGap(row.Table, row.Bookmark.Gap)
+		if row.Bookmark != nil {
+			unusable[row.Table] = !r.resolve(row, &b)
 		}
 	}
 	for _, row := range received {
@@ -67,6 +56,24 @@
 	return b
 }
 
+// resolve records in a batch how far a bookmark brings the copy of its table, and returns false if the rows
+// cannot bring it there: they were made for an older state of the copy.
+func (r *Replica) resolve(bookmark Row, b *batch) bool {
+	table, newest, gap := bookmark.Table, r.newest[bookmark.Table], bookmark.Bookmark.Gap
+	switch {
+	case bookmark.Revision <= newest: // nothing new
+	case r.isComplete(bookmark):
+		b.upTo[table], b.complete[table] = bookmark.Revision, true
+		r.recordCompleteBatch(bookmark)
+	case gap.covers(newest) && !r.hasDigest(table, bookmark.Bookmark.Digest):
+		return false
+	default:
+		b.upTo[table] = bookmark.Revision
+		r.adoptGap(table, gap)
+	}
+	return true
+}
+
 // wholeTables returns the tables without a bookmark of which a batch has all existing rows, and their newest
 // revisions: nothing is known of them yet, or only rows of an older restore generation are.
 func (r *Replica) wholeTables(b batch) map[string]int64 {
