Wait for the coordinator's answers in one place

RequestQuotaGrant repeated the loop of RequestGrant: send, send once more, wait. Both call ask now. The second datagram of a quota request names the revisions of its own time, as that of a grant request did already; nothing else changes. Tests of grants, limits and quotas of package peers pass.

--- a/internal/peers/grants.go
+++ b/internal/peers/grants.go
@@ -119,24 +119,37 @@
 	if coordinator == "" {
 		return quota.Verdict{RetryIn: quota.NoCoordinatorRetry}
 	}
-	id, answer := r.grantRequests.register()
-	defer r.grantRequests.cancel(id)
-	r.sendGrantRequest(id, request, coordinator)
+	verdict, ok := ask(ctx, r.grantRequests, func(id uint64) { r.sendGrantRequest(id, request, coordinator) })
+	if ok {
+		return verdict
+	}
+	if ctx.Err() == nil {
+		r.exchange.log.Info("peers: no word from the coordinator of the grants", "coordinator", coordinator)
+	}
+	return quota.Verdict{RetryIn: quota.NoCoordinatorRetry}
+}
+
+// ask sends a request to the coordinator, once more if the answer does not come soon, and returns the answer. It
+// returns false if none arrives within grantRequestTimeout or before the context ends.
+func ask[Answer any](ctx context.Context, pending *pendingRequests[Answer], send func(id uint64)) (Answer, bool) {
+	id, answer := pending.register()
+	defer pending.cancel(id)
+	send(id)
 	timer, resend := time.NewTimer(grantRequestTimeout), time.NewTimer(grantResendDelay)
 	defer timer.Stop()
 	defer resend.Stop()
 	for {
 		select {
-		case verdict := <-answer:
-			return verdict
+		case value := <-answer:
+			return value, true
 		case <-resend.C:
-			r.sendGrantRequest(id, request, coordinator)
+			send(id)
+			continue
 		case <-timer.C:
-			r.exchange.log.Info("peers: no word from the coordinator of the grants", "coordinator", coordinator)
-			return quota.Verdict{RetryIn: quota.NoCoordinatorRetry}
 		case <-ctx.Done():
-			return quota.Verdict{RetryIn: quota.NoCoordinatorRetry}
 		}
+		var none Answer
+		return none, false
 	}
 }
 
--- a/internal/peers/quotagrants.go
+++ b/internal/peers/quotagrants.go
@@ -32,25 +32,11 @@
 	if coordinator == "" {
 		return limit.Grant{Undecided: true}
 	}
-	id, answer := r.quotaRequests.register()
-	defer r.quotaRequests.cancel(id)
-	message := r.quotaAsk(id, request)
-	r.send(message, []string{coordinator})
-	timer, resend := time.NewTimer(grantRequestTimeout), time.NewTimer(grantResendDelay)
-	defer timer.Stop()
-	defer resend.Stop()
-	for {
-		select {
-		case grant := <-answer:
-			return grant
-		case <-resend.C:
-			r.send(message, []string{coordinator})
-		case <-timer.C:
-			return limit.Grant{Undecided: true}
-		case <-ctx.Done():
-			return limit.Grant{Undecided: true}
-		}
+	grant, ok := ask(ctx, r.quotaRequests, func(id uint64) { r.send(r.quotaAsk(id, request), []string{coordinator}) })
+	if !ok {
+		return limit.Grant{Undecided: true}
 	}
+	return grant
 }
 
 // RefundQuotaGrant returns the cost of a granted request that did not run. A refund that is lost costs the
