--- a/internal/limit/granter.go
+++ b/internal/limit/granter.go
@@ -36,9 +36,6 @@
 	// granterSettleTime is how long an instance decides on nothing after it became the one to decide, so that
 	// the one before learns of it first.
 	granterSettleTime = 250 * time.Millisecond
-	// granterStallTimeout is the time without SetActive after which a granter starts over: its process was
-	// stalled, and another one may have taken over.
-	granterStallTimeout = time.Second
 	// granterIdleTimeout is how long an organisation's bucket is kept without requests.
 	granterIdleTimeout = time.Minute
 	// maxGrantRetryIn bounds the retry delay of refused requests.
@@ -49,10 +46,8 @@
 // the sum of what all instances run stays within each quota. A granter starts with empty buckets, as the one
 // before may have granted the whole quotas. It is not safe for concurrent use.
 type Granter struct {
-	active bool
-	// activeAt is when this instance began to decide, refreshedAt the time of the last SetActive.
-	activeAt, refreshedAt time.Duration
-	accounts              map[string]*account
+	tenure   Tenure
+	accounts map[string]*account
 }
 
 // account is what an organisation may still run.
@@ -64,15 +59,15 @@
 }
 
 // NewGranter returns the granter of an instance that does not decide yet.
-func NewGranter() *Granter { return &Granter{accounts: map[string]*account{}} }
+func NewGranter() *Granter {
+	return &Granter{tenure: NewTenure(granterSettleTime), accounts: map[string]*account{}}
+}
 
 // SetActive sets whether this instance is the one that decides. It must be called several times a second.
 func (g *Granter) SetActive(active bool, now time.Duration) {
-	if !active || !g.active || now-g.refreshedAt > granterStallTimeout {
-		g.activeAt = now
+	if g.tenure.Refresh(active, now) {
 		clear(g.accounts)
 	}
-	g.active, g.refreshedAt = active, now
 	for name, a := range g.accounts {
 		if now-a.usedAt > granterIdleTimeout {
 			delete(g.accounts, name)
@@ -81,11 +76,7 @@
 }
 
 // Active reports whether this instance decides.
-func (g *Granter) Active(now time.Duration) bool {
-	return g.active && now-g.refreshedAt <= granterStallTimeout && now >= g.grantsFrom()
-}
-
-func (g *Granter) grantsFrom() time.Duration { return g.activeAt + granterSettleTime }
+func (g *Granter) Active(now time.Duration) bool { return g.tenure.Decides(now) }
 
 // Decide decides on a request. A request is granted unless the organisation is in debt, which one request may
 // cause.
@@ -113,8 +104,8 @@
 func (g *Granter) account(q Quota, now time.Duration) *account {
 	a, ok := g.accounts[q.Organisation]
 	if !ok {
-		a = &account{quota: q, bucket: NewBucket(g.grantsFrom())}
-		a.bucket.Set(q.Rate, q.Burst, g.grantsFrom())
+		a = &account{quota: q, bucket: NewBucket(g.tenure.DecidesFrom())}
+		a.bucket.Set(q.Rate, q.Burst, g.tenure.DecidesFrom())
 		g.accounts[q.Organisation] = a
 	}
 	if q.Version > a.quota.Version {
--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -38,9 +38,6 @@
 	// settleTime is how long an instance coordinates before its first grant, so that another instance that
 	// also assumes that it is the coordinator learns of this one first.
 	settleTime = 500 * time.Millisecond
-	// stallTimeout is the time without SetShare after which a coordinator starts over: its process was
-	// stalled, and another instance took over.
-	stallTimeout = time.Second
 	// urgentTimeout is how long a token is reserved for a more urgent request after its last grant request.
 	urgentTimeout = time.Second
 	// retriesPerToken is how many instances are told to retry for each token, as some of them have no request
@@ -59,10 +56,9 @@
 // use.
 type Coordinator struct {
 	// share is the share of each limit that this instance grants; 0 if it is not the coordinator.
-	share float64
-	// activeSince is when this instance began to coordinate, refreshedAt the time of the last SetShare.
-	activeSince, refreshedAt time.Duration
-	allowances               map[uint32]*allowance
+	share      float64
+	tenure     limit.Tenure
+	allowances map[uint32]*allowance
 }
 
 // allowance is what may still be granted for an upstream.
@@ -85,16 +81,17 @@
 }
 
 // NewCoordinator returns the Coordinator of an instance that does not coordinate yet.
-func NewCoordinator() *Coordinator { return &Coordinator{allowances: map[uint32]*allowance{}} }
+func NewCoordinator() *Coordinator {
+	return &Coordinator{tenure: limit.NewTenure(settleTime), allowances: map[uint32]*allowance{}}
+}
 
 // SetShare sets the share of each limit that this instance grants; 0 is none. It must be called several times
 // a second. A coordinator starts with empty buckets, as the one before may have granted the whole limit.
 func (c *Coordinator) SetShare(share float64, now time.Duration) {
-	if c.share == 0 || share == 0 || now-c.refreshedAt > stallTimeout {
-		c.activeSince = now
+	c.share = share
+	if c.tenure.Refresh(share > 0, now) {
 		clear(c.allowances)
 	}
-	c.share, c.refreshedAt = share, now
 	for upstream, a := range c.allowances {
 		if now-a.usedAt > idleTimeout {
 			delete(c.allowances, upstream)
@@ -106,9 +103,7 @@
 func (c *Coordinator) Share() float64 { return c.share }
 
 // Active reports whether this instance grants requests.
-func (c *Coordinator) Active(now time.Duration) bool {
-	return c.share > 0 && now-c.refreshedAt <= stallTimeout && now-c.activeSince >= settleTime
-}
+func (c *Coordinator) Active(now time.Duration) bool { return c.tenure.Decides(now) }
 
 // Limits holds the known limits of upstreams.
 type Limits interface {
--- a/internal/quota/coordinator_test.go
+++ b/internal/quota/coordinator_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"sassafrasfield/internal/limit"
 )
 
 func grantRequest(rate float64) GrantRequest {
@@ -57,7 +59,7 @@
 	if n := countGrants(coordinator, grantRequest(10), 10, now); n != minBurst {
 		t.Errorf("%d grants after a time without any, want %d", n, minBurst)
 	}
-	now += stallTimeout + 1
+	now += limit.StallTimeout + 1
 	for _, resumed := range []time.Duration{now, now + settleTime - 1} {
 		if n := countGrants(coordinator, grantRequest(10), 10, resumed); n > 0 {
 			t.Errorf("%d grants %s after a stall", n, resumed-now)
