Log when an instance's impairment begins and ends, and let tests cut its links to upstreams

The logs could not tell a congested link from a lost path. The line names the evidence: upstreams that timed out and that answered, and the age of the last report of another instance.

No decision changes.

--- /dev/null
+++ b/internal/failpoint/link.go
@@ -0,0 +1,147 @@
+package failpoint
+
+import (
+	"context"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// LinkVariable is the environment variable with the path of a file that sets the fault of the links of a
+// process. The file may change while the process runs. Without the variable, links have no faults.
+const LinkVariable = "SF_LINK_FAULT_FILE"
+
+// LinkFault is the content of that file.
+type LinkFault string
+
+// The faults of links.
+const (
+	// LinkOK: no fault; the same as no file.
+	LinkOK LinkFault = ""
+	// LinkSilent drops all packets: connections are not established, and established ones hang.
+	LinkSilent LinkFault = "silent"
+	// LinkReset refuses new connections and resets established ones.
+	LinkReset LinkFault = "reset"
+	// LinkRefuseNew refuses new connections only.
+	LinkRefuseNew LinkFault = "refuse new"
+)
+
+// LinkTimeouts are the timeouts of connections that a silent link must not outlast.
+type LinkTimeouts struct {
+	// Connect bounds the establishment of a connection, Unacknowledged the time that sent data may stay
+	// unacknowledged.
+	Connect, Unacknowledged time.Duration
+}
+
+// DialFunc opens a connection.
+type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
+// WrapDial returns a dial function whose connections have the faults that the file sets. Unless LinkVariable
+// is set, it returns dial itself.
+func WrapDial(dial DialFunc, timeouts LinkTimeouts) DialFunc {
+	path := os.Getenv(LinkVariable)
+	if path == "" {
+		return dial
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		switch readLinkFault(path) {
+		case LinkSilent:
+			return nil, awaitTimeout(ctx, timeouts.Connect)
+		case LinkReset, LinkRefuseNew:
+			return nil, &net.OpError{Op: "dial", Net: network, Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+		}
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &faultyConn{Conn: conn, path: path, timeouts: timeouts}, nil
+	}
+}
+
+// readLinkFault reads the file. A file that cannot be read sets no fault.
+func readLinkFault(path string) LinkFault {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return LinkOK
+	}
+	return LinkFault(strings.TrimSpace(string(text)))
+}
+
+func awaitTimeout(ctx context.Context, d time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	<-ctx.Done()
+	return &net.OpError{Op: "dial", Net: "tcp", Err: os.ErrDeadlineExceeded}
+}
+
+// faultyConn is a connection over a link with faults.
+type faultyConn struct {
+	net.Conn
+	path     string
+	timeouts LinkTimeouts
+
+	mu   sync.Mutex // protects lost
+	lost error      // the error of a connection that has failed
+}
+
+// Read implements net.Conn. On a silent link it drops what arrives.
+func (c *faultyConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if lost := c.failure(); lost != nil {
+			return 0, lost
+		}
+		if err != nil {
+			return n, err
+		}
+		switch readLinkFault(c.path) {
+		case LinkSilent:
+			c.failLater()
+		case LinkReset:
+			return 0, c.fail(syscall.ECONNRESET)
+		default:
+			return n, nil
+		}
+	}
+}
+
+// Write implements net.Conn. On a silent link it drops the data.
+func (c *faultyConn) Write(p []byte) (int, error) {
+	if lost := c.failure(); lost != nil {
+		return 0, lost
+	}
+	switch readLinkFault(c.path) {
+	case LinkSilent:
+		c.failLater()
+		return len(p), nil
+	case LinkReset:
+		return 0, c.fail(syscall.ECONNRESET)
+	default:
+		return c.Conn.Write(p)
+	}
+}
+
+func (c *faultyConn) failure() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lost
+}
+
+// failLater has the connection time out, because data was dropped.
+func (c *faultyConn) failLater() {
+	time.AfterFunc(c.timeouts.Unacknowledged, func() { _ = c.fail(syscall.ETIMEDOUT) }) // later calls return it
+}
+
+// fail ends the connection with an error, which it returns.
+func (c *faultyConn) fail(code syscall.Errno) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lost == nil {
+		c.lost = &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", code)}
+		_ = c.Conn.Close() // the error of the connection is the one above
+	}
+	return c.lost
+}
--- a/internal/ownlink/ownlink.go
+++ b/internal/ownlink/ownlink.go
@@ -80,6 +80,25 @@
 	l.catchingUp = l.catchingUp && !l.caughtUp(now)
 }
 
+// Evidence is what an Impairment is based on.
+type Evidence struct {
+	// Timeouts and Answers are the numbers of upstreams whose connections timed out within the window, and that
+	// answered within it.
+	Timeouts, Answers int
+	// ReportAge is the time since the last report of another instance; negative before the first one.
+	ReportAge time.Duration
+}
+
+// Evidence returns what an impairment is based on now.
+func (l *Link) Evidence(now time.Duration) Evidence {
+	since := now - l.settings.Window
+	e := Evidence{Timeouts: countSince(l.timeouts, since), Answers: countSince(l.answers, since), ReportAge: -1}
+	if l.peerReportAt > 0 {
+		e.ReportAge = now - l.peerReportAt
+	}
+	return e
+}
+
 // stalled reports whether SetBehind was not called for so long that upstreams may have begun to drain
 // unnoticed.
 func (l *Link) stalled(now time.Duration) bool {
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -1,10 +1,12 @@
 package relay
 
 import (
+	"log/slog"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"sassafrasfield/internal/ownlink"
 	"sassafrasfield/internal/upstreamstate"
@@ -14,11 +16,34 @@
 // are refused at once so that other instances serve them: on a link of 10 Mbit/s, 23 requests with
 // a timeout of 3 s waited for 1.1 s at the median and 1.9 s at most, and were not served.
 type link struct {
-	mu    sync.Mutex // protects state
+	log *slog.Logger
+	// impaired counts the times at which an impairment began.
+	impaired metrics.Counter
+
+	mu    sync.Mutex // protects all below
 	state *ownlink.Link
+	// reported is the impairment that was last logged, since reportedAt.
+	reported   ownlink.Impairment
+	reportedAt time.Duration
 }
 
-func newLink() *link { return &link{state: ownlink.New(ownlink.DefaultSettings())} }
+func newLink(log *slog.Logger) *link {
+	return &link{log: log, impaired: counter("impairments"), state: ownlink.New(ownlink.DefaultSettings())}
+}
+
+// logChange logs the begin and the end of an impairment with its evidence. The lock is held.
+func (l *link) logChange(reason ownlink.Impairment, now time.Duration) {
+	if reason == l.reported {
+		return
+	}
+	evidence := l.state.Evidence(now)
+	l.log.Info("relay: impairment changed", "reason", string(reason), "before", string(l.reported), "lasted", now-l.reportedAt,
+		"upstreams_timed_out", evidence.Timeouts, "upstreams_answered", evidence.Answers, "peer_report_age", evidence.ReportAge)
+	if reason != "" {
+		l.impaired.Inc(1)
+	}
+	l.reported, l.reportedAt = reason, now
+}
 
 func (l *link) update(apply func(*ownlink.Link)) {
 	l.mu.Lock()
@@ -60,7 +85,10 @@
 func (r *Relay) Impairment() ownlink.Impairment {
 	r.link.mu.Lock()
 	defer r.link.mu.Unlock()
-	return r.link.state.Impairment(r.now())
+	now := r.now()
+	reason := r.link.state.Impairment(now)
+	r.link.logChange(reason, now)
+	return reason
 }
 
 // refuseImpaired returns the refusal of a request at an impaired instance.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -105,7 +105,7 @@
 func New(s Settings, sender Sender, log *slog.Logger) *Relay {
 	r := &Relay{
 		settings: s, log: log, start: time.Now(),
-		pool: newRetryPool(), quarantine: newQuarantineState(), usage: newUsageCounter(s.UsageWindow), link: newLink(), meters: newMeters(), grants: newGrants(), quotas: newOrganisationQuotas(), fetches: newFetchRates(), changed: make(chan struct{}, 1),
+		pool: newRetryPool(), quarantine: newQuarantineState(), usage: newUsageCounter(s.UsageWindow), link: newLink(log), meters: newMeters(), grants: newGrants(), quotas: newOrganisationQuotas(), fetches: newFetchRates(), changed: make(chan struct{}, 1),
 	}
 	r.sender = admittingSender{Sender: sender, relay: r}
 	sender.SetStatusHandler(r.applyStatus)
