--- a/internal/testfleet/fleet.go
+++ b/internal/testfleet/fleet.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -97,7 +98,13 @@
 
 // Start starts a program. Its output is appended to the file NAME.log in Dir.
 func (f *Fleet) Start(name, program string, args ...string) (*Process, error) {
-	p, err := start(name, filepath.Join(f.Bin, program), filepath.Join(f.Dir, name+".log"), f.Environment, args)
+	return f.StartWith(nil, name, program, args...)
+}
+
+// StartWith is Start with further variables in the environment of this process.
+func (f *Fleet) StartWith(environment []string, name, program string, args ...string) (*Process, error) {
+	environment = append(slices.Clone(f.Environment), environment...)
+	p, err := start(name, filepath.Join(f.Bin, program), filepath.Join(f.Dir, name+".log"), environment, args)
 	if err != nil {
 		return nil, err
 	}
