Assume a crash only where another upstream is reached

Callers saw: requests refused for seconds as "upstreams ended under its content", at all instances, after one instance had lost its path to the upstreams in a way that resets connections and refuses new ones. Cause: a cut-off request counts against its content if the upstream's machine refuses a connection, which is also what the instance sees when its own path is gone. A check now needs a comparison: an answer since the check began, or a connection to another upstream. Without one no crash is assumed.

A fleet whose upstreams have all crashed at that moment counts no crash: one of two upstreams that still restarts leaves nothing to compare with.

--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -77,6 +77,7 @@
 // recordAnswer records the beginning of an upstream's answer, and the load that it reports.
 func (r *Relay) recordAnswer(upstream string, load upstreamstate.Load) {
 	now := r.now()
+	r.lastAnswer.Store(int64(now))
 	r.upstreams.SetReportedLoad(upstream, load, now)
 	r.link.update(func(s *ownlink.Link) { s.RecordAnswer(upstream, now) })
 }
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -198,10 +198,15 @@
 	if r.BackingOff(to) {
 		healthPath = "" // the check must not send it a request
 	}
+	began := r.now()
 	for {
 		checkCtx, cancelCheck := context.WithTimeout(ctx, crashCheckTimeout)
 		crashed, err := r.sender.Crashed(checkCtx, to, healthPath)
 		cancelCheck()
+		if err == nil && crashed && !r.reachesAnother(ctx, to, began) {
+			r.log.Info("relay: no upstream is reached, crash not assumed", "upstream", to.ID)
+			return false
+		}
 		if err == nil {
 			return crashed
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -95,6 +95,8 @@
 	requestRetry atomic.Pointer[func(context.Context, uint32) bool]
 	// closed is set once new requests are refused.
 	closed atomic.Bool
+	// lastAnswer is the time of the newest answer of an upstream, on the relay's clock.
+	lastAnswer atomic.Int64
 	// lastRequest is the arrival time of the newest request, on the relay's clock.
 	lastRequest atomic.Int64
 	// changed receives a value when there are updates to publish to the other instances.
--- a/internal/upstreamstate/upstreamstate.go
+++ b/internal/upstreamstate/upstreamstate.go
@@ -249,6 +249,17 @@
 	return list
 }
 
+// AllUpstreams returns the upstreams of all services.
+func (s *State) AllUpstreams() []Upstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]Upstream, 0, len(s.nodes))
+	for _, n := range s.nodes {
+		list = append(list, n.Upstream)
+	}
+	return list
+}
+
 // Count returns the number of upstreams of a service.
 func (s *State) Count(service string) int {
 	s.mu.Lock()
