Forward requests to another instance while the path to the upstreams is lost

Callers saw: first attempts at an instance that had lost its path to all upstreams failed for as long as the cut lasted (1 of 33 where others had 448 of 450), as 503 or after sends that timed out, although other instances reached the upstreams. Cause: an instance had no one to serve its callers in its place. Better detection alone only refuses sooner, and readiness leaves open connections where they are.

Meanwhile package forward passes requests on, one hop, own zone first. The receiver refuses what it cannot serve (cut off too, older configuration, stopping, 64 in progress), and the request goes to the next instance. Quota and retry credit are judged by the first instance; what it sent, paid and ran goes with the request, so bounds on runs and retries hold for both.

--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -49,8 +49,8 @@
 	return &Server{settings: s, handler: handler, ready: ready, closing: closing, log: log}
 }
 
-// exitMargin is the part of the grace period that is reserved for the exit of the process.
-const exitMargin = 500 * time.Millisecond
+// ExitMargin is the part of the grace period that is reserved for the exit of the process.
+const ExitMargin = 500 * time.Millisecond
 
 // Run serves until the context is cancelled, then completes the requests in flight within the grace
 // period.
@@ -81,7 +81,7 @@
 
 // stop shuts the server down as the package comment describes.
 func (s *Server) stop(public, probe *http.Server) error {
-	deadline := time.Now().Add(s.settings.GracePeriod - exitMargin)
+	deadline := time.Now().Add(s.settings.GracePeriod - ExitMargin)
 	s.stopping.Store(true)
 	s.log.Info("front: shutting down, reporting not ready", "in_flight", s.inFlight.Load(), "grace", s.settings.GracePeriod)
 	time.Sleep(min(s.settings.DrainDelay, s.settings.GracePeriod/2))
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -20,8 +20,10 @@
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"sassafrasfield/internal/forward"
 	"sassafrasfield/internal/httpserver"
 	"sassafrasfield/internal/logging"
+	"sassafrasfield/internal/pause"
 	"sassafrasfield/internal/peers"
 	"sassafrasfield/internal/platform"
 	"sassafrasfield/internal/relay"
@@ -86,6 +88,7 @@
 	peers    *peers.Exchange
 	reports  *peers.Reporter
 	limits   atomic.Pointer[routes.Limits]
+	forwards *forward.Server
 	budget   atomic.Pointer[relay.BudgetSettings]
 	started  time.Time
 }
@@ -101,6 +104,9 @@
 	in.relay.SetPoolRequester(in.reports.RequestRetry)
 	in.relay.SetGrantRequester(in.reports.RequestGrant)
 	in.relay.SetQuotaGranter(in.reports.RequestQuotaGrant, in.reports.RefundQuotaGrant)
+	secret := forward.NewSecret(a.Table, logging.Part(log, "forward"))
+	in.relay.SetForwarder(forward.NewClient(in.peers, secret))
+	in.forwards = forward.NewServer(in.peers, secret, in.relay, logging.Part(log, "forward"))
 	in.budget.Store(&s.Relay.Budget)
 	in.limits.Store(&routes.Limits{})
 	in.settings.Front.Limits = in.limitsInForce
@@ -132,14 +138,29 @@
 	loops.Go(func() { in.shareBudget(background) })
 	loops.Go(func() { in.logEngineTimes(background) })
 	loops.Go(func() { in.persistQuarantines(background) })
+	loops.Go(func() { in.relay.ProbePaths(background) })
 	keeper := rolekeeper.New(in.settings.Roles, in.adapter.Table, backoffOrderer{in.adapter.Orderer, in.relay}, in, in.duties(), logging.Part(in.log, "roles"))
 	loops.Go(func() { keeper.Run(ctx) })
 	handler := in.adapter.Handler(in.relay, in.limitsInForce)
+	stopping := make(chan time.Time, 1)
+	context.AfterFunc(ctx, func() { stopping <- time.Now() })
 	err = httpserver.New(in.settings.Front, handler, in.ready, in.relay.Close, logging.Part(in.log, "front")).Run(ctx)
+	if err == nil {
+		in.awaitForwarded(background, <-stopping)
+	}
 	in.log.Info("instance: stopped", "error", err)
 	return err
 }
 
+// awaitForwarded waits until the requests of other instances that are in progress are done, for as long as the
+// grace period allows.
+func (in *Instance) awaitForwarded(ctx context.Context, stopping time.Time) {
+	const interval = 20 * time.Millisecond
+	end := stopping.Add(in.settings.Front.GracePeriod - httpserver.ExitMargin)
+	for in.relay.ForwardedInFlight() > 0 && time.Now().Before(end) && pause.For(ctx, interval) {
+	}
+}
+
 // Reload applies the settings that may change while the instance runs.
 func (in *Instance) Reload(seeds []string, budget relay.BudgetSettings) {
 	var list []peers.Peer
@@ -162,6 +183,7 @@
 func (in *Instance) serveControl() (*http.Server, error) {
 	mux := http.NewServeMux()
 	mux.Handle(in.peers.Handler())
+	mux.Handle(in.forwards.Handler())
 	return serve(in.settings.Self.Address, mux)
 }
 
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -37,7 +37,7 @@
 }
 
 func reportToMessage(report upstreamstate.Report) *sfv1.EngineReport {
-	m := &sfv1.EngineReport{Whole: report.Complete, Gone: report.Unreachable}
+	m := &sfv1.EngineReport{Whole: report.Complete, Gone: report.Unreachable, Unreached: report.Unreached}
 	for _, load := range report.Loads {
 		m.Loads = append(m.Loads, &sfv1.EngineLoad{
 			Engine: load.Engine, PrefillMs: uint32(load.Backlog.Milliseconds()), Requests: uint32(load.Requests),
@@ -71,7 +71,7 @@
 }
 
 func reportFromMessage(m *sfv1.EngineReport) upstreamstate.Report {
-	report := upstreamstate.Report{Complete: m.GetWhole(), Unreachable: m.GetGone()}
+	report := upstreamstate.Report{Complete: m.GetWhole(), Unreachable: m.GetGone(), Unreached: m.GetUnreached()}
 	for _, l := range m.GetLoads() {
 		report.Loads = append(report.Loads, upstreamstate.EngineLoad{
 			Engine: l.GetEngine(), Backlog: time.Duration(l.GetPrefillMs()) * time.Millisecond, Requests: int(l.GetRequests()),
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -92,6 +92,8 @@
 	reading   bool
 	readingAt time.Duration
 	source    string // source name of its reports
+	// unreached are hashes of the services to whose upstreams it reported to have no network path.
+	unreached []uint32
 }
 
 // zoneStatus is the last status that the hub of another zone sent.
--- a/internal/peers/readers.go
+++ b/internal/peers/readers.go
@@ -127,5 +127,6 @@
 	e.roster.MarkAlive(o.Source, now)
 	if peer, ok := e.byID[o.Source]; ok {
 		peer.lastSeen, peer.reading, peer.readingAt = now, o.Reading, now
+		peer.unreached = o.Report.Unreached
 	}
 }
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -55,6 +55,9 @@
 	if err := r.checkSend(c.exchange); err != nil {
 		return attempt.Result{Status: attempt.NoUpstream, Err: err}
 	}
+	if r.shouldForward(c.exchange) {
+		return c.forwardCall(ctx)
+	}
 	upstream, ok := r.upstreams.PickServiceUpstream(c.placementRequest(r.now()), r.now())
 	if !ok {
 		return attempt.Result{Status: attempt.NoUpstream}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -39,6 +39,13 @@
 	counted bool
 	// queueOrder is the position at which the newest prompt joined its engine's queue.
 	queueOrder placement.QueueOrder
+	// forwarded is set if the instance from forwarded the request here. forwards counts the instances that it was
+	// forwarded to, via is the last of them, and peerRefusal is the refusal of via that the caller
+	// receives.
+	forwarded   bool
+	forwards    int
+	from, via   string
+	peerRefusal *Refusal
 	// content returns the identifier of what is requested. It is computed once.
 	content func() quarantine.Content
 }
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -78,6 +78,9 @@
 	if g.headerSent {
 		g.relay.meters.resumed.Inc(1)
 	}
+	if g.relay.shouldForward(g.exchange) {
+		return g.forwardGeneration(ctx)
+	}
 	if id := g.attempts.Backup(); id != "" {
 		return g.resumeAtCopy(ctx, id)
 	}
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -51,7 +51,9 @@
 	if err := s.relay.admit(ctx, req, send); err != nil {
 		return nil, err
 	}
+	began := s.relay.now()
 	reply, err := s.Sender.Send(ctx, req, send)
+	s.relay.recordSend(send.To, began, err)
 	s.relay.recordArrival(req, send, kindOfRun(send), err)
 	return reply, err
 }
@@ -61,7 +63,9 @@
 	if err := s.relay.admit(ctx, req, send); err != nil {
 		return KV{}, upstreamstate.Load{}, err
 	}
+	began := s.relay.now()
 	kv, reported, err := s.Sender.Prefill(ctx, req, send)
+	s.relay.recordSend(send.To, began, err)
 	s.relay.recordArrival(req, send, sendPrefill, err)
 	return kv, reported, err
 }
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -97,9 +97,25 @@
 	return &Refusal{Outcome: NotRun, Reason: string(reason), RetryIn: retryIn}
 }
 
-// Impaired reports whether this instance's requests reach no upstream because of its own link, or
-// whether it cannot know which upstreams are draining.
-func (r *Relay) Impaired() bool { return r.Impairment() != "" }
+// Impaired reports whether this instance cannot serve requests: they reach no upstream because of its own link and
+// cannot be forwarded, or it cannot know which upstreams are draining.
+func (r *Relay) Impaired() bool {
+	reason := r.Impairment()
+	if blamesLink(reason) && r.forwarder != nil && r.forwarder.Available(anyService) {
+		return false
+	}
+	return reason != ""
+}
+
+// anyService stands for all services where the hash of one is expected.
+const anyService = 0
+
+// peerReportAge returns the time since the last report of another instance; negative before the first one.
+func (r *Relay) peerReportAge(now time.Duration) time.Duration {
+	r.link.mu.Lock()
+	defer r.link.mu.Unlock()
+	return r.link.state.Evidence(now).ReportAge
+}
 
 // retryElsewhereIn returns when a caller should retry, at another instance.
 func (r *Relay) retryElsewhereIn(waitBudget time.Duration) time.Duration {
--- a/internal/relay/meters.go
+++ b/internal/relay/meters.go
@@ -17,6 +17,7 @@
 	prefills, direct, saturated                             metrics.Counter
 	limits                                                  limitMeters
 	arrivals                                                arrivalMeters
+	forwards                                                forwardMeters
 }
 
 func counter(name string) metrics.Counter {
@@ -35,7 +36,7 @@
 		requests: counter("requests"), answered: counter("answered"), refused: counter("refused"),
 		broken: counter("broken"), callerDisconnected: counter("caller_gone"),
 		resumed: counter("resumed"), copied: counter("gone_on_at_copy"), prefills: counter("prefills"), direct: counter("direct"), saturated: counter("refused_choked"),
-		limits: newLimitMeters(), arrivals: newArrivalMeters(),
+		limits: newLimitMeters(), arrivals: newArrivalMeters(), forwards: newForwardMeters(),
 	}
 }
 
@@ -75,7 +76,7 @@
 	observe(x.route.Kind.String(), elapsed)
 	r.log.Info("relay: done", "request", req.ID, "outcome", outcome, "route", x.route.Name, "kind", x.route.Kind.String(),
 		"config", x.version, "config_age", x.age.Round(time.Millisecond), "upstream", x.upstream, "prefill", x.prefill,
-		"ahead", x.ahead, "predicted", x.predicted, "sends", x.attempts.Sends(), "runs", x.attempts.Runs(), "status", x.status, "took", elapsed, "cause", lastFailure(x))
+		"ahead", x.ahead, "predicted", x.predicted, "sends", x.attempts.Sends(), "runs", x.attempts.Runs(), "status", x.status, "took", elapsed, "via", x.via, "from", x.from, "cause", lastFailure(x))
 }
 
 func lastFailure(x *exchange) string {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,6 +16,7 @@
 	"sassafrasfield/internal/estimate"
 	"sassafrasfield/internal/load"
 	"sassafrasfield/internal/outcome"
+	"sassafrasfield/internal/ownlink"
 	"sassafrasfield/internal/placement"
 	"sassafrasfield/internal/quarantine"
 	"sassafrasfield/internal/quota"
@@ -51,6 +52,8 @@
 	// UsageWindow is the length of the time windows in which the requests that began to run are
 	// counted; 0 disables the counts.
 	UsageWindow time.Duration
+	// MaxForwarded bounds the requests that are served at a time for other instances.
+	MaxForwarded int
 }
 
 // DefaultSettings returns the default settings.
@@ -68,6 +71,7 @@
 		// Of 79 instances that start at once, half have the configuration after 0.55 s, the last after 0.9 s.
 		StartupRetryIn: 400 * time.Millisecond,
 		Outliers:       outliers,
+		MaxForwarded:   64, // several times the requests of an instance of 0.4 cores, in a few megabytes
 	}
 }
 
@@ -83,6 +87,7 @@
 	quarantine *quarantineState
 	usage      *usageCounter
 	link       *link
+	paths      *paths
 	meters     *meters
 	grants     *grants
 	quotas     *organisationQuotas
@@ -93,6 +98,9 @@
 	// requestRetry requests a retry from the instance that keeps the zone's retry pool; nil if
 	// unset.
 	requestRetry atomic.Pointer[func(context.Context, uint32) bool]
+	forwarder    Forwarder // nil if requests cannot be forwarded
+	// forwardedInFlight is the number of requests that are being served for other instances.
+	forwardedInFlight atomic.Int64
 	// closed is set once new requests are refused.
 	closed atomic.Bool
 	// lastAnswer is the time of the newest answer of an upstream, on the relay's clock.
@@ -107,7 +115,7 @@
 func New(s Settings, sender Sender, log *slog.Logger) *Relay {
 	r := &Relay{
 		settings: s, log: log, start: time.Now(),
-		pool: newRetryPool(), quarantine: newQuarantineState(), usage: newUsageCounter(s.UsageWindow), link: newLink(log), meters: newMeters(), grants: newGrants(), quotas: newOrganisationQuotas(), fetches: newFetchRates(), changed: make(chan struct{}, 1),
+		pool: newRetryPool(), quarantine: newQuarantineState(), usage: newUsageCounter(s.UsageWindow), link: newLink(log), paths: newPaths(log), meters: newMeters(), grants: newGrants(), quotas: newOrganisationQuotas(), fetches: newFetchRates(), changed: make(chan struct{}, 1),
 	}
 	r.sender = admittingSender{Sender: sender, relay: r}
 	sender.SetStatusHandler(r.applyStatus)
@@ -172,6 +180,10 @@
 func (r *Relay) OwnReport() upstreamstate.Report {
 	r.logEndedBackoffs()
 	report := r.upstreams.OwnReport(r.now())
+	for _, service := range r.paths.lostServices() {
+		report.Unreached = append(report.Unreached, serviceHash(service))
+		report.Unreachable = nil // it is this instance's path that failed
+	}
 	report.RetryOverflow, report.Crashes = r.budgets.overflow(), r.quarantine.dueCrashes((*quarantine.Table).DueOwn)
 	report.Usage = r.usage.dueTotals((*usage.Tally).DueOwn)
 	return report
@@ -254,17 +266,10 @@
 		return err
 	}
 	x.budget.Succeeded(r.now()) // each request earns its share of a retry
-	if x.route.Kind == routes.Generation {
-		err = r.generate(ctx, x, w)
-	} else {
-		err = r.serveCall(ctx, x, w)
-	}
+	err = r.serveAdmitted(ctx, x, w)
 	if x.attempts.Outcome() == outcome.NotRun && !x.attempts.Ledger().Prefilled() {
 		r.refundQuota(x)
 	}
-	if err == nil && x.status < http.StatusInternalServerError {
-		r.recordServed(x)
-	}
 	r.finish(x, req, err)
 	return err
 }
@@ -284,9 +289,9 @@
 	if table.Version == 0 {
 		return nil, &Refusal{Outcome: NotRun, Reason: "no configuration yet", RetryIn: r.startupRetryIn(req.WaitBudget)}
 	}
-	if reason := r.Impairment(); reason != "" {
-		r.meters.saturated.Inc(1)
-		return nil, refuseImpaired(reason, r.retryElsewhereIn(req.WaitBudget))
+	impairment := r.Impairment()
+	if impairment != "" && !blamesLink(impairment) {
+		return nil, r.refuseElsewhere(impairment, req)
 	}
 	route := table.Match(req.Host, req.Path)
 	if route == nil {
@@ -303,6 +308,9 @@
 		}
 	}
 	service := route.Pick(hashFraction(req.ID))
+	if impairment != "" && !r.mayForward(service) {
+		return nil, r.refuseElsewhere(impairment, req)
+	}
 	return &exchange{
 		req: req, route: route, service: service, identity: identity,
 		version: table.Version, age: age, arrived: now, deadline: now + timeout,
@@ -311,6 +319,13 @@
 	}, nil
 }
 
+// refuseElsewhere returns the refusal of a request that this instance cannot serve, for a reason that does not
+// concern other instances.
+func (r *Relay) refuseElsewhere(reason ownlink.Impairment, req *Request) error {
+	r.meters.saturated.Inc(1)
+	return refuseImpaired(reason, r.retryElsewhereIn(req.WaitBudget))
+}
+
 // hashFraction maps an id to a number in [0, 1).
 func hashFraction(id string) float64 {
 	const mantissa = 53 // bits of a float64's fraction
@@ -349,6 +364,9 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return ErrCallerDisconnected
 	}
+	if x.peerRefusal != nil {
+		return x.peerRefusal
+	}
 	if x.attempts.Outcome() == outcome.NotRun {
 		if err := r.refuse(x); err != nil {
 			return err
@@ -356,7 +374,10 @@
 		if err := r.refuseUnavailable(x); err != nil {
 			return err
 		}
-		return &Refusal{Outcome: NotRun, Reason: refusalReason(x, "no upstream took it"), RetryIn: r.retryIn(x)}
+		return &Refusal{
+			Outcome: NotRun, Reason: refusalReason(x, "no upstream took it"), RetryIn: r.retryIn(x),
+			Elsewhere: x.forwarded && r.paths.isLost(x.service),
+		}
 	}
 	if ctx.Err() != nil {
 		return &Refusal{Outcome: TimedOut, Reason: "timed out"}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -117,6 +117,8 @@
 	// ErrConnectTimeout is the ErrNotSent of a request whose connection was not established in
 	// time.
 	ErrConnectTimeout = errors.WithMessage(ErrNotSent, "connect timeout")
+	// ErrConnectRefused is the ErrNotSent of a request whose connection was refused.
+	ErrConnectRefused = errors.WithMessage(ErrNotSent, "connection refused")
 	// ErrDeclined is the ErrNotSent of a request whose upstream announced that it accepts none at
 	// the moment. The upstream was not contacted.
 	ErrDeclined = errors.WithMessage(ErrNotSent, "the upstream accepts no requests now")
@@ -136,16 +138,22 @@
 	// ErrCutOff is the ErrNoValidAnswer of a request whose connection was closed by the upstream's
 	// side before the end of the answer.
 	ErrCutOff = errors.WithMessage(ErrNoValidAnswer, "cut off")
+	// ErrUnacknowledged is the ErrNoValidAnswer of a request whose connection timed out because the
+	// upstream's machine acknowledged nothing.
+	ErrUnacknowledged = errors.WithMessage(ErrNoValidAnswer, "unacknowledged")
 )
 
 // WrapReadError returns the error of a request that was sent but whose answer could not be read
-// completely: ErrCutOff or ErrNoValidAnswer.
+// completely: ErrCutOff, ErrUnacknowledged or ErrNoValidAnswer.
 func WrapReadError(err error) error {
 	for _, cut := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errPartialEvent} {
 		if errors.Is(err, cut) {
 			return errors.WithMessage(ErrCutOff, err.Error())
 		}
 	}
+	if errors.Is(err, syscall.ETIMEDOUT) {
+		return errors.WithMessage(ErrUnacknowledged, err.Error())
+	}
 	return errors.WithMessage(ErrNoValidAnswer, err.Error())
 }
 
@@ -199,6 +207,8 @@
 	Reason string
 	// RetryIn is when the caller should retry; 0 if it should not.
 	RetryIn time.Duration
+	// Elsewhere is set if the request was forwarded here and another instance may serve it.
+	Elsewhere bool
 }
 
 // Error implements error.
--- a/internal/relay/sendcheck.go
+++ b/internal/relay/sendcheck.go
@@ -31,7 +31,7 @@
 		return errQuarantined
 	}
 	if x.status == 0 {
-		if reason := r.Impairment(); reason != "" {
+		if reason := r.Impairment(); reason != "" && !(blamesLink(reason) && !x.forwarded && r.mayForward(x.service)) {
 			return impairedError{reason}
 		}
 	}
@@ -54,7 +54,9 @@
 	case errors.Is(err, errKeyRevoked):
 		return refuseUnauthenticated()
 	case errors.As(err, &impaired):
-		return refuseImpaired(impaired.reason, r.retryIn(x))
+		refusal := refuseImpaired(impaired.reason, r.retryIn(x))
+		refusal.Elsewhere = x.forwarded
+		return refusal
 	default:
 		return r.refuseQuarantined(x)
 	}
--- a/internal/upstreamstate/notices.go
+++ b/internal/upstreamstate/notices.go
@@ -97,6 +97,25 @@
 	return list
 }
 
+// ReportedUnreachable reports whether another instance could not reach an upstream recently. It does not while
+// more upstreams of the service are reported than are likely to fail at once: then the senders' own paths may be
+// at fault.
+func (s *State) ReportedUnreachable(id string, now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n, ok := s.nodes[id]
+	if !ok || !s.unreachable.received.active(n.hash, now) {
+		return false
+	}
+	reported := 0
+	for _, other := range s.byService[n.Service] {
+		if s.unreachable.received.active(other.hash, now) {
+			reported++
+		}
+	}
+	return reported <= max(1, len(s.byService[n.Service])/unreachableLimitDivisor)
+}
+
 // noteUnreachable records that this instance could not reach an upstream. The lock is held.
 func (s *State) noteUnreachable(id string, now time.Duration) {
 	s.unreachable.addOwn(s.hash(id), now+unreachableFor)
--- a/internal/upstreamstate/reports.go
+++ b/internal/upstreamstate/reports.go
@@ -85,6 +85,8 @@
 	Crashes []quarantine.Crash
 	// Limits are the announcements of upstreams that are due.
 	Limits []quota.UpstreamLimit
+	// Unreached are the hashes of the services to whose upstreams the sender has no network path.
+	Unreached []uint32
 }
 
 // maxSplitLoads is the number of loads in each report that Split returns: about half a datagram.
@@ -102,6 +104,9 @@
 		reports = append(reports, Report{Loads: loads})
 	}
 	reports[0].Placed, reports[0].Unreachable, reports[0].Unavailable, reports[0].Times = r.Placed, r.Unreachable, r.Unavailable, r.Times
+	for i := range reports {
+		reports[i].Unreached = r.Unreached // each report replaces the previous one's
+	}
 	reports[0].RetryOverflow, reports[0].Crashes, reports[0].Usage, reports[0].Limits = r.RetryOverflow, r.Crashes, r.Usage, r.Limits
 	return reports
 }
