Release the lease where the engines are not reached

It now releases the lease, and does not compete for it for the first five seconds of the loss, if another instance may reach the engines.

TestHolderWithoutPathToEnginesYields waits for the other holder; the view of a keeper had no word for this before.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -249,6 +249,9 @@
 // Serving implements rolekeeper.View.
 func (in *Instance) Serving() bool { return in.relay.HasRecentRequests() }
 
+// ShouldYield implements rolekeeper.View.
+func (in *Instance) ShouldYield() bool { return in.relay.EnginesUnreached() }
+
 // Candidates implements rolekeeper.View. It lists the hubs, because each hub knows all other hubs.
 func (in *Instance) Candidates() []string { return in.peers.Hubs() }
 
--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -119,6 +119,25 @@
 	r.notifyChanged()
 }
 
+// unreachedFor bounds how long EnginesUnreached is true after a loss: where no instance reaches the engines, one still
+// has to do what does not need them.
+const unreachedFor = 5 * time.Second
+
+// EnginesUnreached reports whether this instance has recently lost its path to model engines, which other instances
+// may reach.
+func (r *Relay) EnginesUnreached() bool {
+	now := r.now()
+	for _, service := range r.paths.lostServices() {
+		r.paths.mu.Lock()
+		since := r.paths.of(service).Since()
+		r.paths.mu.Unlock()
+		if now-since < unreachedFor && len(r.upstreams.Engines(now)[service]) > 0 && r.mayForward(service) {
+			return true
+		}
+	}
+	return false
+}
+
 // ProbePaths probes the lost paths until the context ends.
 func (r *Relay) ProbePaths(ctx context.Context) {
 	for {
--- a/internal/rolekeeper/lease.go
+++ b/internal/rolekeeper/lease.go
@@ -25,13 +25,28 @@
 func (k *Keeper) updateWatchPolicy() {
 	candidates, ranks := k.view.Candidates(), k.rankSettings()
 	rank := ranks.Watchers // does not watch the lease
-	if slices.Contains(candidates, k.settings.Instance) {
+	if slices.Contains(candidates, k.settings.Instance) && (k.held || !k.view.ShouldYield()) {
 		rank = lease.Rank(LeaseName, k.settings.Instance, candidates)
 	}
 	k.lease.SetWatchPolicy(ranks.WatchPolicy(rank))
 	k.watchesLease = rank < ranks.Watchers
 }
 
+// updateYielding releases the lease for another instance if this one does not reach the engines, and ends that once
+// it may hold the lease again.
+func (k *Keeper) updateYielding() {
+	should := k.view.ShouldYield()
+	switch {
+	case k.held && should:
+		k.log.Info("roles: engines are not reached, releasing the lease for another instance")
+		k.yielding = true
+		k.lease.Release()
+	case k.yielding && !should && k.lease.Released():
+		k.yielding = false
+		k.lease.ResumeWatching()
+	}
+}
+
 // driveLease carries out the next action of the lease's state machine.
 func (k *Keeper) driveLease(ctx context.Context) {
 	action := k.lease.Tick(bootclock.Now())
--- a/internal/rolekeeper/rolekeeper.go
+++ b/internal/rolekeeper/rolekeeper.go
@@ -87,6 +87,9 @@
 	// Candidates returns the names of the live instances that may hold the lease, as far as this instance
 	// knows them.
 	Candidates() []string
+	// ShouldYield reports whether another instance should hold the lease, because the engines are not reached from
+	// this one.
+	ShouldYield() bool
 }
 
 // Duty is a further task of the lease holder. It is used by one goroutine.
@@ -115,6 +118,8 @@
 	// announcedOrders are the orders that were announced to the instances and not sent yet.
 	announcedOrders map[string]announcedOrder
 	services        map[string]*serviceState
+	// yielding is true from the release of the lease for another instance until this one may hold it again.
+	yielding bool
 	// watchesLease is true if this instance may be the next holder.
 	watchesLease bool
 	// workloads are the measured workloads by service. The instances that watch the lease measure them too,
@@ -163,6 +168,7 @@
 			return
 		case <-ticker.C:
 		}
+		k.updateYielding()
 		k.updateWatchPolicy()
 		k.driveLease(ctx)
 		k.measureWorkloads()
--- a/internal/rolekeeper/rolekeeper_test.go
+++ b/internal/rolekeeper/rolekeeper_test.go
@@ -7,7 +7,9 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -154,6 +156,7 @@
 }
 
 func (f *fakeFleet) Serving() bool        { return f.serving }
+func (f *fakeFleet) ShouldYield() bool    { return false }
 func (f *fakeFleet) Candidates() []string { return []string{"one", "two"} }
 
 func (f *fakeFleet) prefill() int {
@@ -177,12 +180,17 @@
 const term = 400 * time.Millisecond
 
 func run(t *testing.T, name string, table platform.Table, f *fakeFleet) (stop func()) {
+	t.Helper()
+	return runWith(t, name, table, f, f)
+}
+
+func runWith(t *testing.T, name string, table platform.Table, f *fakeFleet, view View) (stop func()) {
 	t.Helper()
 	policy := roles.DefaultSplitPolicy()
 	policy.SmoothingTime, policy.EvidenceThreshold = term, 0.05
 	keeper := New(Settings{
 		Instance: name, LeaseTerm: term, CheckEvery: 20 * time.Millisecond, MaxConcurrentChanges: 2, ConfirmChecks: 2, AnnounceDelay: f.announceDelay, InitialTarget: roles.Target{PrefillShare: 11.0 / 18, MinDecode: 2}, SplitPolicy: policy,
-	}, table, f, f, nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	}, table, f, view, nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -453,3 +461,36 @@
 	}
 	return held.Epoch
 }
+
+// cutView is the view of an instance that may lose its path to the engines.
+type cutView struct {
+	*fakeFleet
+	cut atomic.Bool
+}
+
+func (v *cutView) ShouldYield() bool { return v.cut.Load() }
+
+// TestHolderWithoutPathToEnginesYields guards against orders that no engine receives: the holder of the lease has lost
+// its path to the engines, and another instance has not. An instance whose path is back may hold the lease again.
+func TestHolderWithoutPathToEnginesYields(t *testing.T) {
+	f, table := newFakeFleet(9), newTable()
+	one, two := &cutView{fakeFleet: f}, &cutView{fakeFleet: f}
+	runWith(t, "one", table, f, one)
+	waitFor(func() bool { return storedHolder(t, table, "one") })
+	one.cut.Store(true)
+	stop := runWith(t, "two", table, f, two)
+	waitFor(func() bool { return storedHolder(t, table, "two") })
+	one.cut.Store(false)
+	stop()
+	waitFor(func() bool { return storedHolder(t, table, "one") })
+}
+
+// storedHolder reports whether an instance holds the stored lease.
+func storedHolder(t *testing.T, table *fakeTable, instance string) bool {
+	t.Helper()
+	row, _, err := leaserows.Read(context.Background(), table, LeaseName)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return strings.HasPrefix(row.Holder, instance+"/")
+}
