Refuse at once where the link is at fault and forwarding has failed

A request that no instance took was sent to the upstreams directly although the link was impaired, because another instance still counted as available. One condition now serves both decisions: a request that cannot be forwarded any more is refused as before.

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -81,12 +81,15 @@
 // maxForwards bounds the instances that one request is forwarded to, one after the other.
 const maxForwards = 4
 
-// shouldForward reports whether a request is to be served by another instance, which does not forward it again.
+// shouldForward reports whether a request is to be served by another instance.
 func (r *Relay) shouldForward(x *exchange) bool {
-	if x.forwarded || x.forwards >= maxForwards || x.attempts.Backup() != "" || !r.paths.isLost(x.service) && !blamesLink(r.Impairment()) {
-		return false
-	}
-	return r.mayForward(x.service)
+	return (r.paths.isLost(x.service) || blamesLink(r.Impairment())) && r.canForward(x)
+}
+
+// canForward reports whether a request can be served by another instance. An instance that got it by forwarding
+// does not forward it again, and a run that continues at its copy is known here only.
+func (r *Relay) canForward(x *exchange) bool {
+	return !x.forwarded && x.forwards < maxForwards && x.attempts.Backup() == "" && r.mayForward(x.service)
 }
 
 // blamesLink reports whether an impairment says that this instance's requests reach no upstream. Other instances
--- a/internal/relay/sendcheck.go
+++ b/internal/relay/sendcheck.go
@@ -24,14 +24,14 @@
 }
 
 // checkSend returns why a request must not be sent now: its content is quarantined, its key was
-// revoked, or this instance is impaired and the answer has not begun. It is called before each
+// revoked, or this instance is impaired, cannot forward it, and the answer has not begun. It is called before each
 // send, because a prefill or a retry may take place seconds after the request arrived.
 func (r *Relay) checkSend(x *exchange) error {
 	if r.isQuarantined(x) {
 		return errQuarantined
 	}
 	if x.status == 0 {
-		if reason := r.Impairment(); reason != "" && !(blamesLink(reason) && !x.forwarded && r.mayForward(x.service)) {
+		if reason := r.Impairment(); reason != "" && !(blamesLink(reason) && r.canForward(x)) {
 			return impairedError{reason}
 		}
 	}
