Tell the truth where an instance before may have run a forwarded request

A refusal of another instance that says "not run" was passed on although an earlier attempt of the same request may have run. TestRefusalAfterRunIsNotCalledNotRun (fails without the condition in finalError).

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -188,7 +188,7 @@
 
 // listInstances asks an instance for others of its zone.
 func (c *Client) listInstances(ctx context.Context, of peers.Peer, service uint32) ([]peers.Peer, error) {
-	request := connect.NewRequest(&sfv1.ListInstancesRequest{From: peers.ToMessage(c.instances.Self()), Service: service})
+	request := connect.NewRequest(&sfv1.ListInstancesRequest{From: peers.PeerToMessage(c.instances.Self()), Service: service})
 	c.secret.sign(ctx, request.Header())
 	response, err := c.service(of).ListInstances(ctx, request)
 	if err != nil {
@@ -196,7 +196,7 @@
 	}
 	var list []peers.Peer
 	for _, m := range response.Msg.GetInstances() {
-		list = append(list, peers.FromMessage(m))
+		list = append(list, peers.PeerFromMessage(m))
 	}
 	return list, nil
 }
--- a/internal/forward/message.go
+++ b/internal/forward/message.go
@@ -22,7 +22,7 @@
 func requestToMessage(self peers.Peer, f *relay.Forwarded) *sfv1.ForwardRequest {
 	req := f.Request
 	return &sfv1.ForwardRequest{
-		From: peers.ToMessage(self), Id: req.ID, Method: req.Method, Host: req.Host, Path: req.Path, Target: req.Target,
+		From: peers.PeerToMessage(self), Id: req.ID, Method: req.Method, Host: req.Host, Path: req.Path, Target: req.Target,
 		Header: headerToMessage(req.Header), Body: req.Body, LastEvent: req.LastEvent, Prompt: promptToMessage(req.Prompt),
 		TimeoutMs: toMilliseconds(f.Timeout), ElapsedMs: uint32(max(0, f.Elapsed.Milliseconds())), ConfigVersion: f.ConfigVersion,
 		Service: f.Service, History: historyToMessage(f.History), UsageCounted: f.UsageCounted,
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -116,7 +116,7 @@
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	response := &sfv1.ListInstancesResponse{}
 	for _, p := range list[:min(maxListed, len(list))] {
-		response.Instances = append(response.Instances, peers.ToMessage(p))
+		response.Instances = append(response.Instances, peers.PeerToMessage(p))
 	}
 	return connect.NewResponse(response), nil
 }
--- a/internal/peers/targets.go
+++ b/internal/peers/targets.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"net"
 	"slices"
+
+	sfv1 "sassafrasfield/internal/gen/sf/v1"
 )
 
 // ZoneTargets returns the other live instances of this zone that have not reported that they lack a network path to
@@ -53,8 +55,8 @@
 	return false
 }
 
-// ToMessage and FromMessage translate instances in messages of other services between instances.
-var (
-	ToMessage   = toMessage
-	FromMessage = fromMessage
-)
+// PeerToMessage encodes an instance for the messages of other services between instances.
+func PeerToMessage(p Peer) *sfv1.ReplicaPeer { return toMessage(p) }
+
+// PeerFromMessage decodes an instance.
+func PeerFromMessage(m *sfv1.ReplicaPeer) Peer { return fromMessage(m) }
--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -170,6 +170,20 @@
 	}
 }
 
+// TestRefusalAfterRunIsNotCalledNotRun guards against "not run" for a request that an instance before may have run.
+func TestRefusalAfterRunIsNotCalledNotRun(t *testing.T) {
+	forwarder := &fakeForwarder{answer: func(n int, _ *Forwarded) (*Reply, error) {
+		if n == 1 {
+			return nil, ErrNoValidAnswer
+		}
+		return nil, &PeerRefusal{Refusal: &Refusal{Outcome: NotRun, Reason: "quarantined"}}
+	}}
+	r := withoutPath(t, &fakeSender{}, forwarder)
+	if _, err := serve(r, call("/safe/1")); outcomeOf(t, err) != Unknown || len(forwarder.requests) != 2 {
+		t.Errorf("%v after %d forwards", err, len(forwarder.requests))
+	}
+}
+
 // TestForwardedStreamIsResumed guards against streams that break off with the instance that passes them on.
 func TestForwardedStreamIsResumed(t *testing.T) {
 	forwarder := &fakeForwarder{answer: func(n int, _ *Forwarded) (*Reply, error) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -364,10 +364,11 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return ErrCallerDisconnected
 	}
-	if x.peerRefusal != nil {
+	notRun := x.attempts.Outcome() == outcome.NotRun
+	if x.peerRefusal != nil && x.peerRefusal.ranNothing() == notRun {
 		return x.peerRefusal
 	}
-	if x.attempts.Outcome() == outcome.NotRun {
+	if notRun {
 		if err := r.refuse(x); err != nil {
 			return err
 		}
--- a/internal/upstreamstate/upstreamstate_test.go
+++ b/internal/upstreamstate/upstreamstate_test.go
@@ -226,3 +226,22 @@
 		t.Error("still unavailable after its role has changed")
 	}
 }
+
+// TestImplausibleNoticesDoNotHideLostPath guards against an instance that does not find its path lost, because other
+// instances that have lost theirs reported all upstreams of a service as unreachable.
+func TestImplausibleNoticesDoNotHideLostPath(t *testing.T) {
+	s := New(Settings{Zone: "a", OnChange: func() {}})
+	var hashes []uint32
+	for _, id := range []string{"u1", "u2", "u3", "u4"} {
+		s.UpdateUpstream(Upstream{ID: id, Service: "app"})
+		hashes = append(hashes, Upstream{ID: id}.Incarnation())
+	}
+	s.ApplyReport(InstanceSourcePrefix+"1", Report{Unreachable: hashes[:1]}, 0)
+	if !s.ReportedUnreachable("u1", 0) || s.ReportedUnreachable("u2", 0) {
+		t.Error("the notice about one upstream is not believed")
+	}
+	s.ApplyReport(InstanceSourcePrefix+"2", Report{Unreachable: hashes}, 0)
+	if s.ReportedUnreachable("u1", 0) {
+		t.Error("notices about all upstreams are believed")
+	}
+}
