Test what a forwarded request keeps: one hop, its history, sound reports

Three mutants had survived: forwarding again where the path is lost after the request was accepted, serving without what the first instance sent and paid, and reporting upstreams as unreachable while the path is lost.

--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"sassafrasfield/internal/attempt"
+	"sassafrasfield/internal/load"
 )
 
 // fakeForwarder answers forwarded requests from a script and records them.
@@ -83,6 +84,19 @@
 	if err != nil || sender.count() != 1 || history.Arrivals != 1 {
 		t.Errorf("%v, sent %d times, %+v", err, sender.count(), history)
 	}
+	var losing *Relay // loses its path with the first send
+	sender = &fakeSender{run: func(int, Send) (*Reply, error) {
+		for _, u := range losing.upstreams.AllUpstreams() {
+			losing.recordPathFailure(u, 0, losing.now())
+		}
+		return nil, ErrConnectTimeout
+	}}
+	losing = newFake(t, sender)
+	losing.SetForwarder(forwarder)
+	withLargeBudget(losing)
+	if _, err = losing.ServeForwarded(context.Background(), f, httptest.NewRecorder()); err == nil || len(forwarder.requests) != 0 {
+		t.Errorf("%v, forwarded %d times", err, len(forwarder.requests))
+	}
 	lost := withoutPath(t, &fakeSender{}, forwarder)
 	_, err = lost.ServeForwarded(context.Background(), f, httptest.NewRecorder())
 	var refusal *Refusal
@@ -111,6 +125,22 @@
 	}
 }
 
+// TestForwardedRequestKeepsItsHistory guards against runs and retries beyond the bounds, because the instance that
+// serves a forwarded request does not know what the first one sent and paid.
+func TestForwardedRequestKeepsItsHistory(t *testing.T) {
+	sender := &fakeSender{run: func(int, Send) (*Reply, error) { return nil, ErrNoValidAnswer }}
+	r := newFake(t, sender) // its budget allows no retry
+	f := &Forwarded{Request: call("/safe/1"), Timeout: time.Second, ConfigVersion: 1, History: attempt.History{Arrivals: 1, Runs: 1, Paid: 1}}
+	history, err := r.ServeForwarded(context.Background(), f, httptest.NewRecorder())
+	if outcomeOf(t, err) != Unknown || sender.count() != 1 || history.Runs != 2 || history.Arrivals != 2 {
+		t.Errorf("a paid second run: %v, sent %d times, %+v", err, sender.count(), history)
+	}
+	f.History.Paid = 0
+	if _, err = r.ServeForwarded(context.Background(), f, httptest.NewRecorder()); outcomeOf(t, err) != Unknown || sender.count() != 1 {
+		t.Errorf("an unpaid second run: %v, sent %d times", err, sender.count())
+	}
+}
+
 // TestLostReplyOfForwardedRequest guards against an unsafe call that runs twice, and against refusals that say "not
 // run" though the other instance may have run the request.
 func TestLostReplyOfForwardedRequest(t *testing.T) {
@@ -223,6 +253,7 @@
 // against upstreams that others avoid because of such an instance.
 func TestReportNamesServicesWithoutPath(t *testing.T) {
 	r := withoutPath(t, &fakeSender{}, &fakeForwarder{})
+	r.upstreams.RecordCall("app-1", load.CallUnreachable, r.now())
 	report := r.OwnReport()
 	if len(report.Unreached) != 2 || len(report.Unreachable) != 0 {
 		t.Errorf("%+v", report)
