Log and count the software version at which a stream begins and goes on

Neither logs nor metrics told which version an upstream has, which one began a stream and whether a stream that goes on does so within one answer or for a caller that returned, so the hypotheses of docs/incidents/two-versions.md could not be told apart. The entry's version and the header Resumes are decoded; `relay: stream continues` and three counters name them.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -231,7 +231,7 @@
 		return
 	}
 	in.relay.UpdateUpstream(u)
-	in.log.Info("instance: upstream", "upstream", u.ID, "service", u.Service, "zone", u.Zone, "role", u.Role,
+	in.log.Info("instance: upstream", "upstream", u.ID, "service", u.Service, "zone", u.Zone, "role", u.Role, "version", u.Version,
 		"draining", u.Draining, "born", u.StartedAt, "revision", row.Revision)
 }
 
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -35,6 +35,8 @@
 	headerSent bool
 	// lastEvent is the id of the last event that the caller received.
 	lastEvent string
+	// began is the version that made the events that the caller has.
+	began streamVersion
 	// reserved is the rate-limited engine that has capacity reserved for the answer; empty for none.
 	reserved string
 	// backup is the engine to which the run is copied while it proceeds.
@@ -264,7 +266,10 @@
 	if !g.direct && !g.headerSent {
 		r.upstreams.RecordHandOver(g.service, g.prompt.Tokens-start.Engine.Aggregate.CachedTokens, r.now()-started)
 	}
-	r.log.Info("relay: generates", "request", g.req.ID, "engine", engine.ID, "direct", g.direct, "tokens", g.prompt.Tokens,
+	if g.lastEvent != "" {
+		r.recordContinuation(g, engine)
+	}
+	r.log.Info("relay: generates", "request", g.req.ID, "engine", engine.ID, "version", engine.Version, "direct", g.direct, "tokens", g.prompt.Tokens,
 		"running", reply.Load.Running, "waiting", reply.Load.Waiting, "after", r.now()-started,
 		"cached", start.Engine.Aggregate.CachedTokens, "ahead", start.Engine.Aggregate.Backlog, "requests", start.Engine.Aggregate.Requests, "last_event", g.lastEvent)
 	return r.forwardStream(ctx, cancel, g, engine, reply, started)
@@ -319,6 +324,9 @@
 	streamStarted, fromStart := r.now(), g.lastEvent == ""
 	err := forwarder.forward(reply.Body)
 	g.lastEvent = forwarder.lastEvent
+	if !g.began.known && forwarder.events.Count() > 0 {
+		g.began = streamVersion{known: true, version: engine.Version}
+	}
 	switch {
 	case err == nil:
 		r.upstreams.RecordCall(engine.ID, load.CallSucceeded, r.now())
--- a/internal/relay/meters.go
+++ b/internal/relay/meters.go
@@ -18,6 +18,7 @@
 	limits                                                  limitMeters
 	arrivals                                                arrivalMeters
 	forwards                                                forwardMeters
+	continuations                                           continuationMeters
 }
 
 func counter(name string) metrics.Counter {
@@ -36,7 +37,7 @@
 		requests: counter("requests"), answered: counter("answered"), refused: counter("refused"),
 		broken: counter("broken"), callerDisconnected: counter("caller_gone"),
 		resumed: counter("resumed"), copied: counter("gone_on_at_copy"), prefills: counter("prefills"), direct: counter("direct"), saturated: counter("refused_choked"),
-		limits: newLimitMeters(), arrivals: newArrivalMeters(), forwards: newForwardMeters(),
+		limits: newLimitMeters(), arrivals: newArrivalMeters(), forwards: newForwardMeters(), continuations: newContinuationMeters(),
 	}
 }
 
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -49,6 +49,9 @@
 	// LastEvent is the id of the last event that the caller received of an earlier answer; empty
 	// for a new request.
 	LastEvent string
+	// Resumes is the id of the caller's attempt that brought the first event of the answer that it
+	// takes up; empty if the caller does not say.
+	Resumes string
 }
 
 // Content returns the identifier of what the request asks for. A request that is sent again under
--- a/internal/upstreamstate/upstreamstate.go
+++ b/internal/upstreamstate/upstreamstate.go
@@ -37,6 +37,8 @@
 	Slots int
 	// Role is empty for a plain service.
 	Role config.Role
+	// Version is that of the upstream's software. Upstreams of several versions may serve side by side.
+	Version string
 }
 
 // Incarnation returns a hash that identifies this run of the upstream's process.
