Continue a stream within an answer only at the software version that began it

The version is now a requirement of the request, as the excluded engines are: it is set when the answer's header is sent, placement drops other engines (SoftwareVersionFilter), and relay.admit, which every send passes, checks it against the newest entry. Forwarded requests name it, and so do their answers. A stream for which no engine of its version is left ends at once.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -101,9 +101,9 @@
 	return &relay.Forwarded{
 		Request: &relay.Request{
 			ID: "r1", Method: "POST", Host: "h", Path: "/p", Target: "/p?q=1", Header: http.Header{"X-Id": {"r1"}, "Authorization": {"Bearer k"}},
-			Body: []byte("body"), LastEvent: "7", Prompt: &placement.Prompt{Tokens: 9, MaxOutput: 3, Parts: []placement.Part{{ID: "x", Tokens: 4}}},
+			Body: []byte("body"), LastEvent: "7", Resumes: "r0", Prompt: &placement.Prompt{Tokens: 9, MaxOutput: 3, Parts: []placement.Part{{ID: "x", Tokens: 4}}},
 		},
-		Service: 5, Timeout: 2 * time.Second, Elapsed: 300 * time.Millisecond, ConfigVersion: 12, UsageCounted: true,
+		Service: 5, Timeout: 2 * time.Second, Elapsed: 300 * time.Millisecond, ConfigVersion: 12, UsageCounted: true, Version: "v1.1",
 		History: attempt.History{Arrivals: 2, Paid: 1, Runs: 1, Prefilled: true},
 	}
 }
@@ -112,6 +112,7 @@
 func TestRequestArrivesAsItWasSent(t *testing.T) {
 	r := &fakeRelay{serve: func(_ context.Context, w http.ResponseWriter) error {
 		w.Header().Set("X-Stamp", "s")
+		w.(interface{ SetVersion(string) }).SetVersion("v1.1")
 		w.WriteHeader(http.StatusTeapot)
 		_, err := io.WriteString(w, "answer")
 		return err
@@ -123,20 +124,20 @@
 	}
 	defer reply.Body.Close()
 	body, err := io.ReadAll(reply.Body)
-	if err != nil || string(body) != "answer" || reply.Status != http.StatusTeapot || reply.Header.Get("X-Stamp") != "s" {
+	if err != nil || string(body) != "answer" || reply.Status != http.StatusTeapot || reply.Version != "v1.1" || reply.Header.Get("X-Stamp") != "s" {
 		t.Errorf("%d %v %q, %v", reply.Status, reply.Header, body, err)
 	}
 	got, want := r.got[0], request()
 	sent, received := want.Request, got.Request
 	if received.ID != sent.ID || received.Method != sent.Method || received.Host != sent.Host || received.Path != sent.Path ||
-		received.Target != sent.Target || string(received.Body) != "body" || received.LastEvent != "7" || received.Header.Get("X-Id") != "r1" {
+		received.Target != sent.Target || string(received.Body) != "body" || received.LastEvent != "7" || received.Resumes != "r0" || received.Header.Get("X-Id") != "r1" {
 		t.Errorf("%+v", received)
 	}
 	if p := received.Prompt; p == nil || p.Tokens != 9 || p.MaxOutput != 3 || len(p.Parts) != 1 || p.Parts[0] != sent.Prompt.Parts[0] {
 		t.Errorf("%+v", p)
 	}
 	if got.History != want.History || got.Service != 5 || got.Timeout != want.Timeout || got.Elapsed != want.Elapsed ||
-		got.ConfigVersion != 12 || !got.UsageCounted || got.From != "self" {
+		got.ConfigVersion != 12 || !got.UsageCounted || got.Version != "v1.1" || got.From != "self" {
 		t.Errorf("%+v", got)
 	}
 }
--- a/internal/forward/message.go
+++ b/internal/forward/message.go
@@ -26,6 +26,7 @@
 		Header: headerToMessage(req.Header), Body: req.Body, LastEvent: req.LastEvent, Prompt: promptToMessage(req.Prompt),
 		TimeoutMs: toMilliseconds(f.Timeout), ElapsedMs: uint32(max(0, f.Elapsed.Milliseconds())), ConfigVersion: f.ConfigVersion,
 		Service: f.Service, History: historyToMessage(f.History), UsageCounted: f.UsageCounted,
+		Version: f.Version, Resumes: req.Resumes,
 	}
 }
 
@@ -35,11 +36,11 @@
 		Request: &relay.Request{
 			ID: m.GetId(), Method: m.GetMethod(), Host: m.GetHost(), Path: m.GetPath(), Target: m.GetTarget(), Header: header,
 			Body: m.GetBody(), Credential: apikey.Read(header), WaitBudget: milliseconds(m.GetTimeoutMs()),
-			Prompt: promptFromMessage(m.GetPrompt()), LastEvent: m.GetLastEvent(),
+			Prompt: promptFromMessage(m.GetPrompt()), LastEvent: m.GetLastEvent(), Resumes: m.GetResumes(),
 		},
 		From: m.GetFrom().GetName(), Timeout: milliseconds(m.GetTimeoutMs()), Elapsed: milliseconds(m.GetElapsedMs()),
 		ConfigVersion: m.GetConfigVersion(), Service: m.GetService(),
-		History: historyFromMessage(m.GetHistory()), UsageCounted: m.GetUsageCounted(),
+		History: historyFromMessage(m.GetHistory()), UsageCounted: m.GetUsageCounted(), Version: m.GetVersion(),
 	}
 }
 
--- a/internal/forward/reply.go
+++ b/internal/forward/reply.go
@@ -37,7 +37,7 @@
 	if header == nil {
 		return nil, errors.WithMessage(relay.ErrNoValidAnswer, "forward: the answer has no header")
 	}
-	return &relay.Reply{Status: int(header.GetStatus()), Header: headerFromMessage(header.GetHeader()), Body: b}, nil
+	return &relay.Reply{Status: int(header.GetStatus()), Header: headerFromMessage(header.GetHeader()), Version: header.GetVersion(), Body: b}, nil
 }
 
 // endError returns the error of a request that ended without an answer.
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -126,8 +126,13 @@
 	stream *connect.ServerStream[sfv1.ForwardResponse]
 	header http.Header
 	begun  bool
+	// version is the software version of the engine that generates.
+	version string
 }
 
+// SetVersion sets the software version that the header of the answer names.
+func (w *responseWriter) SetVersion(version string) { w.version = version }
+
 // Header implements http.ResponseWriter.
 func (w *responseWriter) Header() http.Header { return w.header }
 
@@ -137,7 +142,7 @@
 		return
 	}
 	w.begun = true
-	_ = w.stream.Send(&sfv1.ForwardResponse{Header: &sfv1.ForwardHeader{Status: uint32(status), Header: headerToMessage(w.header)}})
+	_ = w.stream.Send(&sfv1.ForwardResponse{Header: &sfv1.ForwardHeader{Status: uint32(status), Header: headerToMessage(w.header), Version: w.version}})
 }
 
 // Write implements http.ResponseWriter.
--- a/internal/placement/disaggregated.go
+++ b/internal/placement/disaggregated.go
@@ -15,7 +15,7 @@
 
 // NewDisaggregatedScheduler returns a scheduler for both phases.
 func NewDisaggregatedScheduler() *DisaggregatedScheduler {
-	strict := []Filter{DrainingFilter{}, ExcludedFilter{}}
+	strict := []Filter{DrainingFilter{}, ExcludedFilter{}, SoftwareVersionFilter{}}
 	limit := Preference{Filter: LimitFilter{}, Mandatory: true}
 	return &DisaggregatedScheduler{
 		prefill: &Scheduler{
@@ -67,6 +67,11 @@
 	return len(engines) > 0 && !slices.ContainsFunc(engines, func(c Candidate) bool { return !c.Exhausted })
 }
 
+// CanGenerate reports whether any engine may generate the answer, whatever its load is.
+func (s *DisaggregatedScheduler) CanGenerate(req *Request, candidates []Candidate) bool {
+	return len(s.decodeEngines(req, candidates)) > 0
+}
+
 // AllLimited reports whether all engines that could generate the answer limit their requests.
 func (s *DisaggregatedScheduler) AllLimited(req *Request, candidates []Candidate) bool {
 	engines := s.decodeEngines(req, candidates)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -59,6 +59,9 @@
 	Blocks int
 	// Prefix has the hashes of the prompt's blocks; nil when prefix hints are off.
 	Prefix []uint64
+	// SoftwareVersion is the version of the upstream's software that the request requires; empty for any. Version is
+	// that of the model's weights.
+	SoftwareVersion string
 	// Excluded has the upstreams on which this request has already failed.
 	Excluded map[string]bool
 	// Draining has the upstreams that the platform is shutting down. They get no new requests.
@@ -71,6 +74,8 @@
 	ID, Zone string
 	// Draining is set when the operators take the upstream out of service.
 	Draining bool
+	// SoftwareVersion is the version of the upstream's software.
+	SoftwareVersion string
 	// Engine is nil for an upstream of a plain service.
 	Engine *config.Engine
 	Load   *load.Upstream
--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -1,11 +1,32 @@
 package relay
 
 import (
+	"maps"
+	"time"
+
 	"github.com/rcrowley/go-metrics"
 
 	"sassafrasfield/internal/upstreamstate"
 )
 
+// versionSource says where an instance knows from which software version began a stream.
+type versionSource string
+
+// Sources of the version that began a stream.
+const (
+	versionFromAnswer    versionSource = "answer"    // the answer in progress began at it
+	versionFromForwarder versionSource = "forwarder" // the instance that forwarded the request says so
+)
+
+// requiredVersion is the software version at which a stream that has begun must continue. Engines of different
+// versions do not continue each other's streams, and do not check it. The zero value requires none.
+type requiredVersion struct {
+	version string
+	source  versionSource
+	// age is the time since the version was recorded.
+	age time.Duration
+}
+
 // continuationMeters counts the runs that continue a stream of which the caller has events: at the software version
 // that began it, at another one, and without knowledge of the version that began it.
 type continuationMeters struct {
@@ -19,23 +40,62 @@
 	}
 }
 
-// streamVersion is the software version of the engine that began a stream.
-type streamVersion struct {
-	known   bool
-	version string
+// versionWriter is a response writer that passes on the version of the engine that generates.
+type versionWriter interface {
+	SetVersion(version string)
+}
+
+// begin sends the answer's header to the caller, unless an earlier engine's was sent. From then on the stream continues
+// only at the version of the engine.
+func (g *generation) begin(reply *Reply, version string) {
+	if g.headerSent {
+		return
+	}
+	if g.requires.version == "" {
+		g.requires = requiredVersion{version: version, source: versionFromAnswer}
+	}
+	if w, ok := g.w.(versionWriter); ok {
+		w.SetVersion(version)
+	}
+	g.attempts.Answered()
+	writeHeader(g.w, g.exchange, reply)
+	g.headerSent = true
+	observe("first", g.relay.now()-g.arrived)
+}
+
+// hasOtherVersion reports whether an upstream has another software version than a send requires, by its newest entry.
+func (r *Relay) hasOtherVersion(send Send) bool {
+	if send.Version == "" {
+		return false
+	}
+	current := r.upstreams.Upstream(send.To.ID)
+	return send.To.Version != send.Version || current.ID != "" && current.Version != send.Version
+}
+
+// canContinue reports whether an engine other than the one that failed may continue a stream, at the version that began
+// it. Without one, waiting for a retry would only keep the caller from coming back.
+func (r *Relay) canContinue(x *exchange, failed string) bool {
+	if x.requires.version == "" || r.shouldForward(x) {
+		return true
+	}
+	now := r.now()
+	request := x.placementRequest(now)
+	request.Excluded = maps.Clone(request.Excluded)
+	request.Excluded[failed] = true
+	return r.upstreams.CanGenerate(request, now)
 }
 
 // recordContinuation logs and counts a run that continues a stream after its last event.
 func (r *Relay) recordContinuation(g *generation, engine upstreamstate.Upstream) {
 	m := r.meters.continuations
 	switch {
-	case !g.began.known:
+	case g.requires.version == "":
 		m.unknownVersion.Inc(1)
-	case g.began.version == engine.Version:
+	case g.requires.version == engine.Version:
 		m.sameVersion.Inc(1)
 	default:
 		m.otherVersion.Inc(1)
 	}
 	r.log.Info("relay: stream continues", "request", g.req.ID, "resumes", g.req.Resumes, "last_event", g.lastEvent, "within_answer", g.headerSent,
-		"began_known", g.began.known, "began", g.began.version, "engine", engine.ID, "version", engine.Version)
+		"began", g.requires.version, "source", g.requires.source, "age", g.requires.age, "engine", engine.ID, "version", engine.Version)
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -28,6 +28,8 @@
 	deadline time.Duration
 	attempts *attempt.Attempts
 	budget   *attempt.Budget
+	// requires is the software version at which the request has to be served.
+	requires requiredVersion
 	// status is the HTTP status that the caller received. upstream and prefill are the upstreams
 	// that were contacted last.
 	status            int
@@ -53,7 +55,7 @@
 // placementRequest returns the input for choosing an upstream.
 func (x *exchange) placementRequest(now time.Duration) upstreamstate.PlacementRequest {
 	request := upstreamstate.PlacementRequest{
-		ID: x.req.ID, Service: x.service, Excluded: x.attempts.Excluded(),
+		ID: x.req.ID, Service: x.service, Version: x.requires.version, Excluded: x.attempts.Excluded(),
 		Objective: x.route.Objective - (now - x.arrived), RemainingWait: x.remaining(now),
 		Priority: x.identity.Priority(x.route),
 	}
@@ -69,7 +71,7 @@
 // newSend returns a send to an upstream, with the fields that all kinds of sends have.
 func (x *exchange) newSend(to upstreamstate.Upstream, now time.Duration) Send {
 	return Send{
-		To: to, Timeout: x.remaining(now), Priority: x.identity.Priority(x.route), Identity: x.identity,
+		To: to, Version: x.requires.version, Timeout: x.remaining(now), Priority: x.identity.Priority(x.route), Identity: x.identity,
 		Prompt: x.req.Prompt != nil, Attempts: x.attempts, Budget: x.budget,
 	}
 }
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -29,6 +29,8 @@
 	History attempt.History
 	// UsageCounted is whether the request's run was counted.
 	UsageCounted bool
+	// Version is the software version at which the request has to be served; empty for any.
+	Version string
 	// Repeatable is whether the forwarding instance may send the request again after its outcome was lost.
 	Repeatable bool
 }
@@ -105,7 +107,7 @@
 	f := &Forwarded{
 		Request: x.req, Service: serviceHash(x.service), Timeout: x.remaining(now), Elapsed: now - x.arrived,
 		ConfigVersion: x.version, History: x.attempts.History(), UsageCounted: x.counted,
-		Repeatable: x.attempts.MayRunElsewhere(),
+		Version: x.requires.version, Repeatable: x.attempts.MayRunElsewhere(),
 	}
 	if lastEvent != x.req.LastEvent {
 		resumed := *x.req
@@ -195,12 +197,7 @@
 	if reply.Status != http.StatusOK {
 		return failedAttempt(g.via, errors.WithMessagef(ErrNoValidAnswer, "the engine answered %d", reply.Status))
 	}
-	if !g.headerSent {
-		g.attempts.Answered()
-		writeHeader(g.w, g.exchange, reply)
-		g.headerSent = true
-		observe("first", g.relay.now()-g.arrived)
-	}
+	g.begin(reply, reply.Version)
 	forwarder := eventForwarder{w: g.w, flush: http.NewResponseController(g.w).Flush, lastEvent: g.lastEvent}
 	if g.attempts.MayRunElsewhere() {
 		forwarder.idleTimeout, forwarder.cancel = g.relay.settings.StreamIdleTimeout, cancel
@@ -233,6 +230,7 @@
 		x.arrived -= f.Elapsed
 		x.deadline = min(x.deadline, r.now()+f.Timeout)
 		x.attempts = attempt.Resume(r.attemptRules(x.route), f.History)
+		x.requires = requiredVersion{version: f.Version, source: versionFromForwarder}
 		err = r.refuse(x)
 	}
 	if err != nil {
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -35,8 +35,6 @@
 	headerSent bool
 	// lastEvent is the id of the last event that the caller received.
 	lastEvent string
-	// began is the version that made the events that the caller has.
-	began streamVersion
 	// reserved is the rate-limited engine that has capacity reserved for the answer; empty for none.
 	reserved string
 	// backup is the engine to which the run is copied while it proceeds.
@@ -241,7 +239,9 @@
 	defer cancel()
 	started := r.now()
 	if !g.headerSent && !g.route.Resumable {
-		g.backup = r.upstreams.PickBackup(g.placementRequest(started), start.Engine, started)
+		request := g.placementRequest(started)
+		request.Version = engine.Version
+		g.backup = r.upstreams.PickBackup(request, start.Engine, started)
 	}
 	send := g.newSend(engine, started)
 	send.KV, send.LastEvent, send.Backup, send.Continues = g.kv, g.lastEvent, g.backup, g.headerSent
@@ -311,12 +311,7 @@
 
 // forwardStream forwards an engine's events to the caller.
 func (r *Relay) forwardStream(ctx context.Context, cancel context.CancelFunc, g *generation, engine upstreamstate.Upstream, reply *Reply, started time.Duration) attempt.Result {
-	if !g.headerSent {
-		g.attempts.Answered()
-		writeHeader(g.w, g.exchange, reply)
-		g.headerSent = true
-		observe("first", r.now()-g.arrived)
-	}
+	g.begin(reply, engine.Version)
 	forwarder := eventForwarder{w: g.w, flush: http.NewResponseController(g.w).Flush, lastEvent: g.lastEvent}
 	if g.attempts.MayRunElsewhere() {
 		forwarder.idleTimeout, forwarder.cancel = r.settings.StreamIdleTimeout, cancel
@@ -324,9 +319,6 @@
 	streamStarted, fromStart := r.now(), g.lastEvent == ""
 	err := forwarder.forward(reply.Body)
 	g.lastEvent = forwarder.lastEvent
-	if !g.began.known && forwarder.events.Count() > 0 {
-		g.began = streamVersion{known: true, version: engine.Version}
-	}
 	switch {
 	case err == nil:
 		r.upstreams.RecordCall(engine.ID, load.CallSucceeded, r.now())
@@ -345,6 +337,9 @@
 	}
 	err = WrapReadError(err)
 	r.recordFailure(ctx, g.exchange, engine.ID, err)
+	if g.attempts.Backup() == "" && !r.canContinue(g.exchange, engine.ID) {
+		return attempt.Result{Status: attempt.Done, Err: errors.WithMessagef(ErrAnswerAborted, "no engine of version %s is left: %s", g.requires.version, err)}
+	}
 	return failedAttempt(engine.ID, err)
 }
 
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -77,6 +77,10 @@
 	if !r.acquireGrant(ctx, req, send) {
 		return ErrLimited
 	}
+	if r.hasOtherVersion(send) {
+		r.recordWithheld(req, send, ErrOtherVersion)
+		return ErrOtherVersion
+	}
 	if r.upstreams.IsDraining(send.To) && !send.continuesAtCopy() {
 		r.recordWithheld(req, send, ErrDraining)
 		return ErrDraining
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -70,6 +70,8 @@
 // Send describes one send of a request to an upstream.
 type Send struct {
 	To upstreamstate.Upstream
+	// Version is the software version that the upstream must have; empty for any.
+	Version string
 	// Timeout bounds the upstream's work on the request.
 	Timeout time.Duration
 	// KV is the processed prompt to fetch; the zero value if there is none.
@@ -109,8 +111,10 @@
 	Status int
 	// Header holds the upstream's fields that are passed to the caller.
 	Header http.Header
-	Body   io.ReadCloser
-	Load   upstreamstate.Load
+	// Version is the software version of the engine that generates, for an answer that another instance passes on.
+	Version string
+	Body    io.ReadCloser
+	Load    upstreamstate.Load
 }
 
 // Errors returned by a Sender. Compare with errors.Is.
@@ -130,6 +134,9 @@
 	ErrLimited    = errors.WithMessage(ErrDeclined, "its rate limit leaves no room")
 	ErrDraining   = errors.WithMessage(ErrDeclined, "it is draining")
 	ErrBackingOff = errors.WithMessage(ErrDeclined, "it requested a backoff")
+	// ErrOtherVersion is the ErrDeclined of a request that must be served at another software version than the
+	// upstream's.
+	ErrOtherVersion = errors.WithMessage(ErrDeclined, "it runs another software version")
 	// ErrBudgetExhausted: nothing was sent, because the send is a retry and the budget allows none.
 	ErrBudgetExhausted = errors.WithMessage(ErrNotSent, "retry budget exhausted")
 	// ErrRefused: the upstream answered that it did not run the request.
--- a/internal/relay/version_test.go
+++ b/internal/relay/version_test.go
@@ -1,8 +1,13 @@
 package relay
 
 import (
+	"context"
 	"fmt"
+	"net/http/httptest"
 	"testing"
+	"time"
+
+	"github.com/pkg/errors"
 
 	"sassafrasfield/internal/config"
 	"sassafrasfield/internal/upstreamstate"
@@ -74,3 +79,94 @@
 		})
 	}
 }
+
+// TestStreamEndsAtOnceWithoutEngineOfItsVersion guards against answers that are kept open until their deadline, waiting
+// for a retry that no engine can take.
+func TestStreamEndsAtOnceWithoutEngineOfItsVersion(t *testing.T) {
+	f := &fakeSender{run: func(int, Send) (*Reply, error) { return truncated("id: 1\ndata: a\n\n"), nil }}
+	r := withVersions(newFake(t, f))
+	r.RemoveUpstream("dec-v1-1")
+	r.RemoveUpstream("dec-v2-0")
+	r.RemoveUpstream("dec-v2-1")
+	r.UpdateUpstream(upstreamstate.Upstream{ID: "dec-v2-0", Service: "llm", Address: "dec-v2-0", Zone: "a", Role: config.RoleDecode, Version: "v2", Draining: true})
+	r.SetBudget(BudgetSettings{Share: 0.001, Slack: 0, Window: time.Second}) // a retry would have to wait
+	began := time.Now()
+	_, err := serve(r, shortPrompt("/resumable/1"))
+	if !errors.Is(err, ErrAnswerAborted) || f.count() != 1 || time.Since(began) > 500*time.Millisecond {
+		t.Errorf("%v after %d sends and %s", err, f.count(), time.Since(began))
+	}
+}
+
+// TestSendToEngineOfAnotherVersionIsWithheld guards against streams of two versions where an engine's entry changes after
+// the engine was chosen.
+func TestSendToEngineOfAnotherVersionIsWithheld(t *testing.T) {
+	r := withVersions(newFake(t, &fakeSender{}))
+	x, err := r.newExchange(shortPrompt("/resumable/1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	x.requires = requiredVersion{version: "v1", source: versionFromAnswer}
+	chosen := r.upstreams.Upstream("dec-v1-0")
+	send := x.newSend(chosen, r.now())
+	if err := r.admit(context.Background(), x.req, send); err != nil {
+		t.Fatalf("engine of the version: %v", err)
+	}
+	changed := chosen
+	changed.Version = "v2"
+	r.UpdateUpstream(changed)
+	if err := r.admit(context.Background(), x.req, send); !errors.Is(err, ErrOtherVersion) {
+		t.Errorf("engine whose entry names another version since: %v", err)
+	}
+	if err := r.admit(context.Background(), x.req, x.newSend(r.upstreams.Upstream("dec-v2-1"), r.now())); !errors.Is(err, ErrOtherVersion) {
+		t.Errorf("engine of another version: %v", err)
+	}
+}
+
+// TestForwardedStreamGoesOnAtItsVersion guards against streams of two versions where the instance that serves the
+// callers has others serve its requests.
+func TestForwardedStreamGoesOnAtItsVersion(t *testing.T) {
+	forwarder := &fakeForwarder{answer: func(n int, _ *Forwarded) (*Reply, error) {
+		if n == 1 {
+			broken := truncated("id: 1\ndata: a\n\n")
+			broken.Version = "v1"
+			return broken, nil
+		}
+		return events("id: 2\ndata: b\n\n"), nil
+	}}
+	r := withoutPath(t, &fakeSender{}, forwarder)
+	withVersions(r)
+	if _, err := serve(r, shortPrompt("/resumable/1")); err != nil {
+		t.Fatal(err)
+	}
+	if len(forwarder.requests) != 2 || forwarder.requests[0].Version != "" || forwarder.requests[1].Version != "v1" {
+		t.Errorf("forwarded %+v", forwarder.requests)
+	}
+}
+
+// versionRecorder records the version that the relay names before the answer's header.
+type versionRecorder struct {
+	*httptest.ResponseRecorder
+	version string
+}
+
+func (w *versionRecorder) SetVersion(version string) { w.version = version }
+
+// TestForwardedRequestKeepsItsVersion guards against an instance that serves another one's request at any version, or
+// does not say at which.
+func TestForwardedRequestKeepsItsVersion(t *testing.T) {
+	for n := range 20 {
+		f := &fakeSender{}
+		r := withVersions(newFake(t, f))
+		w := &versionRecorder{ResponseRecorder: httptest.NewRecorder()}
+		forwarded := &Forwarded{
+			Request: numbered(shortPrompt("/resumable/1"), n), Service: serviceHash("llm"), Timeout: time.Second, ConfigVersion: 1, Version: "v2",
+		}
+		forwarded.Request.LastEvent = "1"
+		if _, err := r.ServeForwarded(context.Background(), forwarded, w); err != nil {
+			t.Fatal(err)
+		}
+		if runs := f.runsOf(); len(runs) != 1 || runs[0].To.Version != "v2" || w.version != "v2" {
+			t.Fatalf("request %d ran at %+v, the answer names %q", n, runs, w.version)
+		}
+	}
+}
--- a/internal/upstreamstate/place.go
+++ b/internal/upstreamstate/place.go
@@ -14,6 +14,8 @@
 	ID, Service string
 	// Prompt is the zero value for a request to a plain service.
 	Prompt placement.Prompt
+	// Version is the software version that the request requires; empty for any.
+	Version string
 	// Excluded are the upstreams that already failed the request.
 	Excluded map[string]bool
 	// Objective is the time left until the answer would miss its latency objective, RemainingWait
@@ -28,7 +30,7 @@
 // request converts a placement request to the form that package placement uses. The lock is held.
 func (s *State) request(r PlacementRequest, now time.Duration) *placement.Request {
 	return &placement.Request{
-		Zone: s.settings.Zone, Prompt: r.Prompt, Excluded: r.Excluded, Now: now,
+		Zone: s.settings.Zone, Prompt: r.Prompt, SoftwareVersion: r.Version, Excluded: r.Excluded, Now: now,
 		Objective: r.Objective, RemainingWait: r.RemainingWait, Costs: s.costs(r.Service),
 		CheckLimits: s.limits.any(), Direct: r.Direct,
 	}
@@ -61,7 +63,7 @@
 	list := slices.Grow(s.candidateBuf[:0], len(nodes))
 	for _, n := range nodes {
 		list = append(list, placement.Candidate{
-			ID: n.ID, Zone: n.Zone, Draining: n.Draining, Engine: n.engine,
+			ID: n.ID, Zone: n.Zone, Draining: n.Draining, SoftwareVersion: n.Version, Engine: n.engine,
 			Load: n.load, Suspect: s.suspect(n, req.Now), Aggregate: n.aggregateLoad(req.Now),
 		})
 		if req.CheckLimits {
@@ -148,6 +150,14 @@
 	return chosen, true
 }
 
+// CanGenerate reports whether an engine is left that may generate for a request, whatever its load is.
+func (s *State) CanGenerate(r PlacementRequest, now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	req := s.request(r, now)
+	return s.engineScheduler.CanGenerate(req, s.candidates(r, req))
+}
+
 // DecodeEnginesLimited reports whether all engines that may generate for a request limit their
 // requests. In that case one of them must have capacity before the prompt is processed.
 func (s *State) DecodeEnginesLimited(r PlacementRequest, now time.Duration) bool {
