Have callers take streams up only at the software version that began them

While there are several, the instance that serves a stream sends a record to two instances of its zone and, over one that is reached there, to two of another zone, before the caller receives the first byte; they rank first for the stream's id, so that an instance which a caller returns to knows whom to ask. What nobody knows is refused at once as not run; so is a stream whose version has no engine left, without Retry-After. A split route picks the service of a stream that is taken up by the id that began it.

Left red: the role keeper takes all generating engines of a version away.

--- a/internal/peers/fleet_test.go
+++ b/internal/peers/fleet_test.go
@@ -14,6 +14,7 @@
 	"sassafrasfield/internal/limit"
 	"sassafrasfield/internal/quota"
 	"sassafrasfield/internal/replica"
+	"sassafrasfield/internal/streamversions"
 	"sassafrasfield/internal/upstreamstate"
 )
 
@@ -61,10 +62,13 @@
 	granted int
 	grants  *quota.Coordinator
 	quotas  *limit.Granter
+	records *streamversions.Records
+	// versions are the software versions of the upstreams as known to this instance.
+	versions []string
 }
 
 func newVirtualLoads(now func() time.Duration) *virtualLoads {
-	l := &virtualLoads{now: now, changed: make(chan struct{}, 1), grants: quota.NewCoordinator(), quotas: limit.NewGranter()}
+	l := &virtualLoads{now: now, changed: make(chan struct{}, 1), grants: quota.NewCoordinator(), quotas: limit.NewGranter(), records: streamversions.NewRecords()}
 	l.State = upstreamstate.New(upstreamstate.Settings{Seed: 1, OnChange: func() {
 		select {
 		case l.changed <- struct{}{}:
@@ -112,6 +116,22 @@
 	l.quotas.Refund(request, l.now())
 }
 
+// ApplyStreamRecords and StreamAnswer use the records, as relay.Relay does.
+func (l *virtualLoads) ApplyStreamRecords(records []streamversions.Record) {
+	for _, record := range records {
+		l.records.PutReplica(record, l.now())
+	}
+}
+func (l *virtualLoads) StreamAnswer(stream streamversions.ID, _ uint32) streamversions.Answer {
+	v := l.view()
+	return streamversions.Answer{Knowledge: l.records.Get(stream, l.now()), SeveralVersions: v.SeveralVersions()}
+}
+
+// view is what this instance knows about the versions of the upstreams.
+func (l *virtualLoads) view() streamversions.View {
+	return streamversions.View{Versions: l.versions}
+}
+
 // requests is the number of requests of all instances on the engine, as known to this instance.
 func (l *virtualLoads) requests() int { return l.Engines(l.now())["s"][0].Load.Requests }
 
--- a/internal/peers/receive.go
+++ b/internal/peers/receive.go
@@ -64,6 +64,16 @@
 		r.handleQuotaAsk(message.GetQuotaAsk(), peer)
 	case sfv1.Datagram_KIND_QUOTA_VERDICT:
 		r.quotaRequests.resolve(message.GetQuotaVerdict().GetId(), quotaGrantFromMessage(message.GetQuotaVerdict()))
+	case sfv1.Datagram_KIND_STREAM_RECORDS:
+		r.handleStreamRecords(message.GetStreamRecords(), inZone)
+		return
+	case sfv1.Datagram_KIND_STREAM_ASK:
+		r.handleStreamAsk(ctx, message.GetStreamAsk(), peer)
+		return
+	case sfv1.Datagram_KIND_STREAM_ANSWER:
+		answer := message.GetStreamAnswer()
+		r.streamRequests.resolve(answer.GetId(), streamAnswerFromMessage(answer))
+		return
 	case sfv1.Datagram_KIND_BATCH:
 		if !inZone {
 			return
--- a/internal/peers/reports.go
+++ b/internal/peers/reports.go
@@ -18,6 +18,7 @@
 	sfv1 "sassafrasfield/internal/gen/sf/v1"
 	"sassafrasfield/internal/limit"
 	"sassafrasfield/internal/quota"
+	"sassafrasfield/internal/streamversions"
 	"sassafrasfield/internal/upstreamstate"
 )
 
@@ -56,11 +57,20 @@
 	SetGrantsQuotas(grants bool)
 	DecideQuotaGrant(request limit.GrantRequest) limit.Grant
 	RefundQuotaGrant(request limit.GrantRequest)
+	StreamVersions
 	// GrantRetry takes one retry for a service from the retry pool that this instance keeps
 	// for its zone, and returns false if none is left.
 	GrantRetry(service uint32) bool
 }
 
+// StreamVersions holds which software versions began streams, as known to this instance.
+type StreamVersions interface {
+	// ApplyStreamRecords keeps records of other instances.
+	ApplyStreamRecords(records []streamversions.Record)
+	// StreamAnswer returns what this instance knows about a stream and its service, by a hash of the service's name.
+	StreamAnswer(stream streamversions.ID, service uint32) streamversions.Answer
+}
+
 // Limits holds the limits of upstreams as known to this instance. An instance that has just
 // started gets them with the platform's rows from a peer, before it serves.
 type Limits interface {
@@ -82,6 +92,10 @@
 	grantRequests *pendingRequests[quota.Verdict]
 	// quotaRequests are the open requests to run a request of an organisation with a quota.
 	quotaRequests *pendingRequests[limit.Grant]
+	// streamRequests are the open questions for the versions that began streams. relayedAsks bounds those that are asked
+	// for instances of other zones.
+	streamRequests *pendingRequests[streamversions.Answer]
+	relayedAsks    chan struct{}
 	// verdicts and quotaVerdicts hold the recent verdicts of this instance as the coordinator.
 	verdicts      *verdictCache[quota.Verdict]
 	quotaVerdicts *verdictCache[limit.Grant]
@@ -103,7 +117,8 @@
 func NewReporter(e *Exchange, l LoadState) *Reporter {
 	r := &Reporter{
 		exchange: e, loads: l, retryRequests: newPendingRequests[bool](), grantRequests: newPendingRequests[quota.Verdict](),
-		quotaRequests: newPendingRequests[limit.Grant](), verdicts: newVerdictCache[quota.Verdict](), quotaVerdicts: newVerdictCache[limit.Grant](), pace: fanout.NewPacer(e.now()),
+		quotaRequests: newPendingRequests[limit.Grant](), streamRequests: newPendingRequests[streamversions.Answer](),
+		relayedAsks: make(chan struct{}, maxRelayedAsks), verdicts: newVerdictCache[quota.Verdict](), quotaVerdicts: newVerdictCache[limit.Grant](), pace: fanout.NewPacer(e.now()),
 		allowance: fanout.NewAllowance(e.self.LinkMbps, e.now()), boot: rand.Uint32(),
 	}
 	r.write = r.writeTo
--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -4,8 +4,10 @@
 	"maps"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"sassafrasfield/internal/attempt"
 	"sassafrasfield/internal/upstreamstate"
 )
 
@@ -14,8 +16,12 @@
 
 // Sources of the version that began a stream.
 const (
-	versionFromAnswer    versionSource = "answer"    // the answer in progress began at it
-	versionFromForwarder versionSource = "forwarder" // the instance that forwarded the request says so
+	versionFromAnswer    versionSource = "answer"       // the answer in progress began at it
+	versionFromForwarder versionSource = "forwarder"    // the instance that forwarded the request says so
+	versionFromRecord    versionSource = "own record"   // this instance served the stream
+	versionFromReplica   versionSource = "replica"      // another instance replicated its record
+	versionFromInstance  versionSource = "instance"     // another instance answered
+	versionIsOnly        versionSource = "only version" // the service has had no other one
 )
 
 // requiredVersion is the software version at which a stream that has begun must continue. Engines of different
@@ -31,12 +37,16 @@
 // that began it, at another one, and without knowledge of the version that began it.
 type continuationMeters struct {
 	sameVersion, otherVersion, unknownVersion metrics.Counter
+	// refusedUnknown and refusedGone count the streams that callers wanted to take up and that were refused: as the
+	// version that began them is not known, and as no engine of it is left. replicated counts the records sent.
+	refusedUnknown, refusedGone, replicated metrics.Counter
 }
 
 func newContinuationMeters() continuationMeters {
 	return continuationMeters{
 		sameVersion: counter("continued_same_version"), otherVersion: counter("continued_other_version"),
 		unknownVersion: counter("continued_unknown_version"),
+		refusedUnknown: counter("continuations_refused_unknown"), refusedGone: counter("continuations_refused_gone"), replicated: counter("stream_records_sent"),
 	}
 }
 
@@ -51,18 +61,27 @@
 	if g.headerSent {
 		return
 	}
-	if g.requires.version == "" {
+	if g.requires.version == "" && version != "" {
 		g.requires = requiredVersion{version: version, source: versionFromAnswer}
 	}
 	if w, ok := g.w.(versionWriter); ok {
 		w.SetVersion(version)
 	}
+	g.relay.recordStream(g.exchange, g.requires.version)
 	g.attempts.Answered()
 	writeHeader(g.w, g.exchange, reply)
 	g.headerSent = true
 	observe("first", g.relay.now()-g.arrived)
 }
 
+// interrupted returns the result of an attempt whose stream broke off.
+func (g *generation) interrupted(upstream string, err error) attempt.Result {
+	if g.attempts.Backup() == "" && !g.relay.canContinue(g.exchange, upstream) {
+		return attempt.Result{Status: attempt.Done, Err: errors.WithMessagef(ErrAnswerAborted, "no engine of version %q is left: %s", g.requires.version, err)}
+	}
+	return failedAttempt(upstream, err)
+}
+
 // hasOtherVersion reports whether an upstream has another software version than a send requires, by its newest entry.
 func (r *Relay) hasOtherVersion(send Send) bool {
 	if send.Version == "" {
@@ -73,9 +92,13 @@
 }
 
 // canContinue reports whether an engine other than the one that failed may continue a stream, at the version that began
-// it. Without one, waiting for a retry would only keep the caller from coming back.
+// it. Without one, waiting for a retry would only keep the caller from coming back. An instance of an earlier build
+// that a request was forwarded to does not name the version.
 func (r *Relay) canContinue(x *exchange, failed string) bool {
-	if x.requires.version == "" || r.shouldForward(x) {
+	switch {
+	case x.requires.version == "":
+		return !r.hasSeveralVersions(x.service)
+	case r.shouldForward(x):
 		return true
 	}
 	now := r.now()
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -210,7 +210,7 @@
 	case errors.Is(err, ErrCallerDisconnected) || errors.Is(ctx.Err(), context.Canceled):
 		return attempt.Result{Status: attempt.Done, Err: ErrCallerDisconnected}
 	default:
-		return failedAttempt(g.via, WrapReadError(err))
+		return g.interrupted(g.via, WrapReadError(err))
 	}
 }
 
@@ -239,7 +239,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, x.remaining(r.now()))
 	defer cancel()
-	err = r.serveAdmitted(ctx, x, w)
+	if err = r.requireBegunVersion(ctx, x); err == nil {
+		err = r.serveAdmitted(ctx, x, w)
+	}
 	r.finish(x, f.Request, err)
 	return x.attempts.History(), err
 }
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -337,10 +337,7 @@
 	}
 	err = WrapReadError(err)
 	r.recordFailure(ctx, g.exchange, engine.ID, err)
-	if g.attempts.Backup() == "" && !r.canContinue(g.exchange, engine.ID) {
-		return attempt.Result{Status: attempt.Done, Err: errors.WithMessagef(ErrAnswerAborted, "no engine of version %s is left: %s", g.requires.version, err)}
-	}
-	return failedAttempt(engine.ID, err)
+	return g.interrupted(engine.ID, err)
 }
 
 // freeTimeout bounds the call that drops a KV cache.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -92,6 +92,7 @@
 	grants     *grants
 	quotas     *organisationQuotas
 	fetches    *fetchRates
+	versions   *versionRecords
 	// requestGrant requests a grant for a send to a rate-limited upstream from the instance that
 	// coordinates the grants; nil if unset.
 	requestGrant atomic.Pointer[func(context.Context, quota.GrantRequest) quota.Verdict]
@@ -115,7 +116,7 @@
 func New(s Settings, sender Sender, log *slog.Logger) *Relay {
 	r := &Relay{
 		settings: s, log: log, start: time.Now(),
-		pool: newRetryPool(), quarantine: newQuarantineState(), usage: newUsageCounter(s.UsageWindow), link: newLink(log), paths: newPaths(log), meters: newMeters(), grants: newGrants(), quotas: newOrganisationQuotas(), fetches: newFetchRates(), changed: make(chan struct{}, 1),
+		pool: newRetryPool(), quarantine: newQuarantineState(), usage: newUsageCounter(s.UsageWindow), link: newLink(log), paths: newPaths(log), meters: newMeters(), grants: newGrants(), quotas: newOrganisationQuotas(), fetches: newFetchRates(), versions: newVersionRecords(), changed: make(chan struct{}, 1),
 	}
 	r.sender = admittingSender{Sender: sender, relay: r}
 	sender.SetStatusHandler(r.applyStatus)
@@ -148,10 +149,16 @@
 func (r *Relay) SetBudget(s BudgetSettings) { r.budgets.set(s) }
 
 // UpdateUpstream stores an upstream's newest entry.
-func (r *Relay) UpdateUpstream(u upstreamstate.Upstream) { r.upstreams.UpdateUpstream(u) }
+func (r *Relay) UpdateUpstream(u upstreamstate.Upstream) {
+	r.noteVersion(u)
+	r.upstreams.UpdateUpstream(u)
+}
 
 // RemoveUpstream removes an upstream.
-func (r *Relay) RemoveUpstream(id string) { r.upstreams.RemoveUpstream(id) }
+func (r *Relay) RemoveUpstream(id string) {
+	r.noteVersionGone(id)
+	r.upstreams.RemoveUpstream(id)
+}
 
 // Engines returns the model engines that accept requests, by service.
 func (r *Relay) Engines() map[string][]upstreamstate.Engine { return r.upstreams.Engines(r.now()) }
@@ -261,6 +268,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, x.remaining(r.now()))
 	defer cancel()
+	if err := r.requireBegunVersion(ctx, x); err != nil {
+		r.finish(x, req, err)
+		return err
+	}
 	if err := r.admitByQuota(ctx, x); err != nil {
 		r.finish(x, req, err)
 		return err
@@ -307,7 +318,7 @@
 			timeout = min(timeout, bound)
 		}
 	}
-	service := route.Pick(hashFraction(req.ID))
+	service := route.Pick(hashFraction(req.streamID()))
 	if impairment != "" && !r.mayForward(service) {
 		return nil, r.refuseElsewhere(impairment, req)
 	}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -60,6 +60,14 @@
 	return quarantine.ContentOf(r.Method, r.Host, r.Target, r.Body)
 }
 
+// streamID returns the id of the attempt that began the answer: of an earlier one if the caller takes its answer up.
+func (r *Request) streamID() string {
+	if r.LastEvent != "" && r.Resumes != "" {
+		return r.Resumes
+	}
+	return r.ID
+}
+
 // KV identifies the KV cache of a prompt that an engine keeps for another engine to fetch.
 type KV struct {
 	Engine upstreamstate.Upstream
--- /dev/null
+++ b/internal/streamversions/census.go
@@ -0,0 +1,76 @@
+package streamversions
+
+import (
+	"slices"
+	"time"
+)
+
+// Census keeps the software versions of the upstreams of each service: those of the present ones, and those that
+// were present until recently, whose streams callers may still take up.
+type Census struct {
+	upstreams map[string]member
+	services  map[string]map[string]*presence
+}
+
+// member is an upstream.
+type member struct{ service, version string }
+
+// presence is the presence of one version.
+type presence struct {
+	upstreams int
+	// goneAt is when the last upstream was removed, if there is none.
+	goneAt time.Duration
+}
+
+// NewCensus returns an empty census.
+func NewCensus() *Census {
+	return &Census{upstreams: map[string]member{}, services: map[string]map[string]*presence{}}
+}
+
+// Update records the newest entry of an upstream. An entry may change its version in place.
+func (c *Census) Update(id, service, version string, now time.Duration) {
+	updated := member{service, version}
+	if old, ok := c.upstreams[id]; ok {
+		if old == updated {
+			return
+		}
+		c.Remove(id, now)
+	}
+	c.upstreams[id] = updated
+	versions, ok := c.services[service]
+	if !ok {
+		versions = map[string]*presence{}
+		c.services[service] = versions
+	}
+	if versions[version] == nil {
+		versions[version] = &presence{}
+	}
+	versions[version].upstreams++
+}
+
+// Remove records that an upstream's entry was removed.
+func (c *Census) Remove(id string, now time.Duration) {
+	old, ok := c.upstreams[id]
+	if !ok {
+		return
+	}
+	delete(c.upstreams, id)
+	p := c.services[old.service][old.version]
+	if p.upstreams--; p.upstreams == 0 {
+		p.goneAt = now
+	}
+}
+
+// Versions returns the versions of a service whose streams callers may take up, sorted.
+func (c *Census) Versions(service string, now time.Duration) []string {
+	var list []string
+	for version, p := range c.services[service] {
+		if p.upstreams == 0 && now-p.goneAt > MaxLifetime {
+			delete(c.services[service], version)
+			continue
+		}
+		list = append(list, version)
+	}
+	slices.Sort(list)
+	return list
+}
