Give the engines of each software version a split of their own

The role keeper reached a service's split with the engines of one version alone: in two cases of TestStreamsGoOnAtTheVersionThatBeganThem it moved all generating engines of v1 to prefill, so that no stream of v1 could continue. Target.Changes now plans each version's engines by themselves and keeps two of them for decode; while there are several versions, a split that is off by one engine stays. TestEachVersionKeepsEnginesThatGenerate fails on the code before.

--- a/internal/rolekeeper/orders.go
+++ b/internal/rolekeeper/orders.go
@@ -205,7 +205,7 @@
 		if p, ok := k.pendingOrders[e.ID]; ok {
 			role = p.to
 		}
-		list = append(list, roles.Engine{ID: e.ID, Zone: e.Zone, Role: role})
+		list = append(list, roles.Engine{ID: e.ID, Zone: e.Zone, Version: e.Version, Role: role})
 	}
 	return list
 }
--- a/internal/roles/roles.go
+++ b/internal/roles/roles.go
@@ -47,8 +47,8 @@
 // Engine is the known state of one engine of the pool.
 type Engine struct {
 	ID string
-	// Zone is used only by Target.
-	Zone string
+	// Zone and Version, that of the engine's software, are used only by Target.
+	Zone, Version string
 	// PrefillUtilization is the fraction of the engine's time that its prompts
 	// need. It is above 1 when they exceed what the engine can process. It is
 	// used only by Workload.
--- a/internal/roles/target.go
+++ b/internal/roles/target.go
@@ -1,6 +1,7 @@
 package roles
 
 import (
+	"maps"
 	"slices"
 
 	"sassafrasfield/internal/config"
@@ -36,9 +37,45 @@
 // Changes returns the role changes that bring the engines to the wanted split, at
 // most limit of them. It takes engines first from the zone with the largest share
 // of the role that shrinks, so that each zone keeps both roles.
+//
+// Engines of different software versions do not continue each other's streams, so
+// each version gets a split of its own. While there are several versions, a split
+// that is off by one engine stays: engines are being replaced one after the other.
 func (t Target) Changes(engines []Engine, limit int) []Change {
+	versions := byVersion(engines)
+	if len(versions) == 1 {
+		return t.changesOf(engines, limit, 0)
+	}
+	var changes []Change
+	for _, list := range versions {
+		changes = append(changes, t.changesOf(list, limit-len(changes), maxSplitOffset)...)
+	}
+	return changes
+}
+
+// byVersion returns the engines of each software version, in the order of the
+// versions.
+func byVersion(engines []Engine) [][]Engine {
+	lists := map[string][]Engine{}
+	for _, e := range engines {
+		lists[e.Version] = append(lists[e.Version], e)
+	}
+	var sorted [][]Engine
+	for _, version := range slices.Sorted(maps.Keys(lists)) {
+		sorted = append(sorted, lists[version])
+	}
+	return sorted
+}
+
+// changesOf returns the role changes of the engines of one version. A split that is
+// off by tolerated engines stays if enough engines remain for decode.
+func (t Target) changesOf(engines []Engine, limit, tolerated int) []Change {
 	from, to := config.RoleDecode, config.RolePrefill
 	missing := t.PrefillCount(len(engines)) - CountPrefill(engines)
+	enoughDecode := len(engines)-CountPrefill(engines) >= min(t.MinDecode, len(engines))
+	if enoughDecode && missing <= tolerated && missing >= -tolerated {
+		return nil
+	}
 	if missing < 0 {
 		from, to, missing = to, from, -missing
 	}
--- a/internal/roles/target_test.go
+++ b/internal/roles/target_test.go
@@ -69,3 +69,64 @@
 		t.Errorf("decode engines by zone: %v", decodeByZone)
 	}
 }
+
+// TestEachVersionKeepsEnginesThatGenerate guards against streams that no engine can continue although two of their
+// version serve: the split of a service was reached with the engines of one version alone.
+func TestEachVersionKeepsEnginesThatGenerate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		target := DefaultTarget()
+		counts := map[string]int{}
+		var list []Engine
+		for _, version := range []string{"v1", "v2", "v3"} {
+			counts[version] = rapid.IntRange(0, 12).Draw(t, version)
+			for i := range counts[version] {
+				role := rapid.SampledFrom([]config.Role{config.RolePrefill, config.RoleDecode}).Draw(t, "role")
+				list = append(list, Engine{ID: fmt.Sprintf("%s-%d", version, i), Zone: zoneOf(i), Version: version, Role: role})
+			}
+		}
+		orders := 0
+		for range 2 * len(list) {
+			changes := target.Changes(list, 1)
+			if len(changes) == 0 {
+				break
+			}
+			apply(list, changes[0])
+			orders++
+		}
+		if orders > len(list) {
+			t.Fatalf("%d orders for %d engines", orders, len(list))
+		}
+		prefill := map[string]int{}
+		for _, e := range list {
+			if e.Role == config.RolePrefill {
+				prefill[e.Version]++
+			}
+		}
+		for version, n := range counts {
+			if decode := n - prefill[version]; decode < min(target.MinDecode, n) {
+				t.Fatalf("%s: %d of %d engines in decode", version, decode, n)
+			}
+			if wanted := target.PrefillCount(n); prefill[version] < wanted-maxSplitOffset || prefill[version] > wanted+maxSplitOffset {
+				t.Fatalf("%s: %d of %d engines in prefill, want %d", version, prefill[version], n, wanted)
+			}
+		}
+	})
+}
+
+// TestReplacedEnginesCauseFewOrders guards against role changes at each step of an update that replaces the engines one
+// after the other, each by one in the same role.
+func TestReplacedEnginesCauseFewOrders(t *testing.T) {
+	target, list := DefaultTarget(), engineList(13, 5)
+	orders := 0
+	for i := range list {
+		list[i].Version = "v2"
+		for changes := target.Changes(list, 1); len(changes) > 0; changes = target.Changes(list, 1) {
+			apply(list, changes[0])
+			orders++
+		}
+	}
+	t.Logf("%d orders", orders)
+	if orders > len(list) {
+		t.Errorf("%d orders for %d engines", orders, len(list))
+	}
+}
