Use the KV cache of a prompt only at the software version that made it

Until it is: the engine that processes a prompt is one whose version can generate, weighed by the best such engine's load; the KV cache, a fetched part and the copy of a run stay within the version, checked at the one place that all sends pass; a processed prompt is given up if the engines of its version have gone. `engines.kv_across_versions` lifts that.

--- a/internal/model/engine.go
+++ b/internal/model/engine.go
@@ -28,9 +28,11 @@
 // engine is one simulated engine.
 type engine struct {
 	id, zone string
-	role     config.Role
-	spec     EngineSpec
-	cache    *promptCache
+	// version is that of its software.
+	version string
+	role    config.Role
+	spec    EngineSpec
+	cache   *promptCache
 	// prompts are queued or being processed. On a decode engine they are the prompts that it
 	// processes itself.
 	prompts []*work
--- a/internal/model/pattern.go
+++ b/internal/model/pattern.go
@@ -19,6 +19,16 @@
 	Class  []Class       `toml:"class"`
 	// Outages are crashes of engines during the load.
 	Outages []Outage `toml:"lost"`
+	// Update replaces all engines by ones of another software version, one after the other.
+	Update Update `toml:"update"`
+}
+
+// Update is an update of the engines' software. The zero value updates none.
+type Update struct {
+	// At is the time of the first replacement, Every the time between two. A replaced engine crashes; its successor
+	// has the same role and an empty cache.
+	At    time.Duration `toml:"at"`
+	Every time.Duration `toml:"every"`
 }
 
 // Fleet describes the instances and the engines.
@@ -26,6 +36,8 @@
 	Zones     int `toml:"zones"`
 	Instances int `toml:"instances"`
 	Engines   int `toml:"engines"`
+	// Versions is the number of software versions that the engines have in turn; 0 and 1 for one.
+	Versions int `toml:"versions"`
 	// ReportLag is the delay of reports between instances, ReportLoss the fraction of them that is lost,
 	// 0 to 1.
 	ReportLag  time.Duration `toml:"report_lag"`
--- a/internal/model/policy.go
+++ b/internal/model/policy.go
@@ -21,10 +21,13 @@
 	KnownTimes bool `toml:"exact"`
 	// MemoryPrice is the price of an engine's entire KV cache, as in placement.Settings; 0 for the default.
 	MemoryPrice time.Duration `toml:"memory_price"`
+	// KVAcrossVersions lets engines use the KV cache of another software version, as in placement.Settings.
+	KVAcrossVersions bool `toml:"kv_across_versions"`
 }
 
 func (p Policy) settings() placement.Settings {
 	s := placement.DefaultSettings()
+	s.KVAcrossVersions = p.KVAcrossVersions
 	if p.MemoryPrice > 0 {
 		s.MemoryPrice = p.MemoryPrice
 	}
--- a/internal/model/role_controller.go
+++ b/internal/model/role_controller.go
@@ -78,7 +78,7 @@
 		if at := r.byID[e.ID]; at.targetRole != at.role {
 			role = at.targetRole
 		}
-		list = append(list, roles.Engine{ID: e.ID, Zone: e.Zone, Role: role, Running: e.Load.Requests, PrefillUtilization: e.Load.Utilization})
+		list = append(list, roles.Engine{ID: e.ID, Zone: e.Zone, Version: e.Version, Role: role, Running: e.Load.Requests, PrefillUtilization: e.Load.Utilization})
 	}
 	slices.SortFunc(list, func(a, b roles.Engine) int { return strings.Compare(a.ID, b.ID) })
 	return list
--- a/internal/model/run.go
+++ b/internal/model/run.go
@@ -32,6 +32,7 @@
 	sentAt        time.Duration
 	engine        *engine
 	assumedCached int // tokens that the decode engine was assumed to have cached
+	refusals      int
 	gapExceeded   bool
 	firstEvent    time.Duration
 	done          bool
@@ -65,6 +66,7 @@
 	r := newRun(p, policy, seed)
 	for ; r.now < p.Length+drainTime; r.now += tick {
 		r.applyOutages()
+		r.updateEngines()
 		r.exchangeReports()
 		r.controlRoles()
 		if r.now < p.Length {
@@ -96,6 +98,7 @@
 			role = config.RolePrefill
 		}
 		e := newEngine(fmt.Sprintf("e%03d", i), zone(i, p.Fleet.Zones), role, p.Fleet.Engine)
+		e.version = fmt.Sprintf("v%d", i%max(1, p.Fleet.Versions))
 		r.engines, r.byID[e.id] = append(r.engines, e), e
 	}
 	for i := range p.Fleet.Instances {
@@ -125,7 +128,7 @@
 }
 
 func (e *engine) upstream() upstreamstate.Upstream {
-	return upstreamstate.Upstream{ID: e.id, Service: service, Zone: e.zone, Role: e.role, Slots: e.spec.Slots}
+	return upstreamstate.Upstream{ID: e.id, Service: service, Zone: e.zone, Role: e.role, Version: e.version, Slots: e.spec.Slots}
 }
 
 // addArrivals creates the requests that arrive in this tick.
@@ -168,13 +171,18 @@
 	req.engine.prompts = append(req.engine.prompts, w)
 }
 
+// maxRefusals bounds the sends of a request that engines refuse, as package attempt does.
+const maxRefusals = 12
+
 // retryRefused places a request again after its engine refused it.
 func (r *run) retryRefused(req *request) {
 	r.release(req)
 	req.instance.state.RecordCall(req.engine.id, load.CallUnreachable, r.now)
 	req.engine = nil
 	r.result.Refused++
-	r.place(req)
+	if req.refusals++; req.refusals < maxRefusals {
+		r.place(req)
+	}
 }
 
 // release removes a request from its engine's load in its instance's state.
@@ -223,7 +231,11 @@
 		})
 	}
 	r.release(req)
-	chosen, ok := req.instance.state.PickDecode(req.placementRequest(r.now), e.zone, r.now)
+	request := req.placementRequest(r.now)
+	if !r.policy.KVAcrossVersions {
+		request.Version = e.version
+	}
+	chosen, ok := req.instance.state.PickDecode(request, e.zone, r.now)
 	if !ok {
 		return
 	}
@@ -283,13 +295,31 @@
 	}
 }
 
+// updateEngines replaces the next engine if the pattern updates them.
+func (r *run) updateEngines() {
+	u := r.pattern.Update
+	if u.Every == 0 || r.now < u.At || (r.now-u.At)%u.Every != 0 {
+		return
+	}
+	if i := int((r.now - u.At) / u.Every); i < len(r.engines) {
+		e := r.engines[i]
+		role := e.role
+		r.crash(e)
+		e.role, e.targetRole, e.version = role, role, updatedVersion
+		r.restore(e)
+	}
+}
+
+// updatedVersion is the software version of updated engines.
+const updatedVersion = "updated"
+
 // crash removes an engine with all its requests. Their callers give up once their wait budget is exhausted.
 func (r *run) crash(e *engine) {
 	for _, in := range r.instances {
 		in.state.RemoveUpstream(e.id)
 	}
 	replacement := newEngine(e.id, e.zone, config.RoleDecode, e.spec)
-	replacement.down = true
+	replacement.down, replacement.version = true, e.version
 	*e = *replacement
 }
 
--- a/internal/placement/costs.go
+++ b/internal/placement/costs.go
@@ -62,6 +62,9 @@
 	// prompts miss their deadline: of the prompts in a surge, 0 in 100 at 0.5, 2 at 0.7 and 5 at 1 where
 	// waits are known exactly (TestDeferringKeepsMostPromptsOnTimeInASurge).
 	DeferredShare float64
+	// KVAcrossVersions is set if an engine may use the KV cache that one of another software version made. The engines'
+	// interface does not say that it fits.
+	KVAcrossVersions bool
 }
 
 // DefaultSettings returns the defaults. docs/measurements/platform.md names the runs behind the values for
--- a/internal/placement/disaggregated.go
+++ b/internal/placement/disaggregated.go
@@ -42,6 +42,11 @@
 	if s.allExhausted(req, candidates) {
 		return Prefill{}, false
 	}
+	if generation := s.generationCosts(req, candidates); generation != nil {
+		within := *req
+		within.generation = generation
+		req, candidates = &within, generation.withGeneration(candidates)
+	}
 	if req.Direct {
 		direct, ok := s.pickFirst(PhaseDirect, req, candidates, rng)
 		return direct, ok && direct.Direct()
@@ -51,7 +56,7 @@
 		return separate, ok
 	}
 	direct, ok := s.pickFirst(PhaseDirect, req, candidates, rng)
-	if !ok || separate.Direct() || req.Costs.timeToStart(direct) <= req.Costs.timeToStart(separate) {
+	if !ok || separate.Direct() || req.Costs.timeToStart(direct) <= req.Costs.timeToStart(separate)+req.generation.of(separate.Engine) {
 		return direct, ok
 	}
 	return separate, ok
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -62,6 +62,9 @@
 	// SoftwareVersion is the version of the upstream's software that the request requires; empty for any. Version is
 	// that of the model's weights.
 	SoftwareVersion string
+	// generation are the costs of the generation by software version; nil if the version of the engine that processes the
+	// prompt does not matter.
+	generation generationCosts
 	// Excluded has the upstreams on which this request has already failed.
 	Excluded map[string]bool
 	// Draining has the upstreams that the platform is shutting down. They get no new requests.
--- a/internal/placement/score_prefill.go
+++ b/internal/placement/score_prefill.go
@@ -52,7 +52,9 @@
 	if s.leaderOf(c.role()).Node != c.ID {
 		cost += req.Costs.copyCost(req.Prompt, c.Aggregate.CachedTokens)
 	}
-	if c.role() != config.RolePrefill {
+	if c.role() == config.RolePrefill {
+		cost += req.generation.of(c)
+	} else {
 		cost += req.Costs.sendCost(req.Zone, c) // this engine also sends the answer
 	}
 	return scoreOf(cost)
@@ -109,34 +111,65 @@
 	return result
 }
 
-// cacheSources are the candidates that have the most leading tokens of a prompt cached.
+// cacheSources are the candidates that have the most leading tokens of a prompt cached: of each software version, or of
+// all if the KV cache of one version may be used by another one.
 type cacheSources struct {
-	tokens int
-	list   []Candidate
+	across    bool
+	byVersion []versionSources
+}
+
+// versionSources are the sources of one software version, or of all.
+type versionSources struct {
+	version string
+	tokens  int
+	list    []Candidate
+}
+
+// of returns the sources for a candidate; nil for none.
+func (s *cacheSources) of(c Candidate) *versionSources {
+	for i := range s.byVersion {
+		if s.across || s.byVersion[i].version == c.SoftwareVersion {
+			return &s.byVersion[i]
+		}
+	}
+	return nil
 }
 
 // findCacheSources returns the sources among the candidates that pass the health filter. The list is empty
 // when no candidate has any of the prompt cached. It is computed once per choice: searching all other
 // candidates for each candidate would take quadratic time.
 func findCacheSources(req *Request, all []Candidate) cacheSources {
-	var s cacheSources
+	s := cacheSources{across: req.Costs.KVAcrossVersions}
 	for i := range all {
 		cached := all[i].Aggregate.CachedTokens
-		if cached == 0 || cached < s.tokens || !(HealthFilter{}).Keep(req, all[i]) {
+		if cached == 0 || !(HealthFilter{}).Keep(req, all[i]) {
 			continue
 		}
-		if cached > s.tokens {
-			s.tokens, s.list = cached, s.list[:0]
-		}
-		s.list = append(s.list, all[i])
+		s.add(all[i], cached)
 	}
 	return s
 }
 
+func (s *cacheSources) add(c Candidate, cached int) {
+	sources := s.of(c)
+	if sources == nil {
+		s.byVersion = append(s.byVersion, versionSources{version: c.SoftwareVersion})
+		sources = &s.byVersion[len(s.byVersion)-1]
+	}
+	if cached < sources.tokens {
+		return
+	}
+	if cached > sources.tokens {
+		sources.tokens, sources.list = cached, sources.list[:0]
+	}
+	sources.list = append(sources.list, c)
+}
+
 // pickSource returns the engine to fetch a prompt's shared part from. It returns false when the sources have
 // too few additional tokens to be worth a fetch. Sources in the engine's own zone are preferred.
-func (c Costs) pickSource(to Candidate, sources cacheSources) (Candidate, bool) {
-	if len(sources.list) == 0 || sources.tokens-to.Aggregate.CachedTokens < max(1, c.MinFetchTokens) {
+func (c Costs) pickSource(to Candidate, all cacheSources) (Candidate, bool) {
+	sources := all.of(to)
+	if sources == nil || sources.tokens-to.Aggregate.CachedTokens < max(1, c.MinFetchTokens) {
 		return Candidate{}, false
 	}
 	for i := range sources.list {
--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -82,13 +82,56 @@
 	return failedAttempt(upstream, err)
 }
 
-// hasOtherVersion reports whether an upstream has another software version than a send requires, by its newest entry.
+// fitsVersion reports whether an upstream has the required software version; empty for any.
+func fitsVersion(required string, u upstreamstate.Upstream) bool {
+	return required == "" || u.Version == required
+}
+
+// hasOtherVersion reports whether an upstream has another software version than a send requires, or than the engines
+// whose KV cache it would use, by its newest entry.
 func (r *Relay) hasOtherVersion(send Send) bool {
-	if send.Version == "" {
+	to := send.To
+	if current := r.upstreams.Upstream(to.ID); current.ID != "" {
+		to.Version = current.Version
+	}
+	if !fitsVersion(send.Version, send.To) || !fitsVersion(send.Version, to) {
+		return true
+	}
+	if r.settings.Placement.KVAcrossVersions {
 		return false
 	}
-	current := r.upstreams.Upstream(send.To.ID)
-	return send.To.Version != send.Version || current.ID != "" && current.Version != send.Version
+	for _, other := range []upstreamstate.Upstream{send.KV.Engine, send.FetchFrom, send.Backup} {
+		if other.ID != "" && other.Version != to.Version {
+			return true
+		}
+	}
+	return false
+}
+
+// generationRequest returns the input for choosing the engine that generates from the KV cache of another engine.
+func (g *generation) generationRequest(kvEngine upstreamstate.Upstream) upstreamstate.PlacementRequest {
+	request := g.placementRequest(g.relay.now())
+	if request.Version == "" && !g.relay.settings.Placement.KVAcrossVersions {
+		request.Version = kvEngine.Version
+	}
+	return request
+}
+
+// kvIsBound reports whether the processed prompt can only be used by engines of its own version, although the stream may
+// still begin at any.
+func (g *generation) kvIsBound() bool {
+	return g.requires.version == "" && !g.relay.settings.Placement.KVAcrossVersions && g.relay.hasSeveralVersions(g.service)
+}
+
+// giveUpKV drops a processed prompt that no engine of its version can generate from.
+func (g *generation) giveUpKV() attempt.Result {
+	g.relay.freeKV(g)
+	engine := g.kv.Engine
+	g.kv = KV{}
+	return attempt.Result{
+		Status: attempt.NotReady, Upstream: engine.ID, Unsent: true,
+		Err: errors.WithMessagef(ErrNotSent, "no engine of version %q to generate", engine.Version),
+	}
 }
 
 // canContinue reports whether an engine other than the one that failed may continue a stream, at the version that began
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -93,6 +93,9 @@
 		return g.relay.run(ctx, g, g.start)
 	}
 	engine, ok := g.relay.pickDecode(g)
+	if !ok && g.kvIsBound() {
+		return g.giveUpKV()
+	}
 	if !ok {
 		return attempt.Result{Status: attempt.NoUpstream, Err: errors.WithMessage(ErrNotSent, "no engine to generate")}
 	}
@@ -103,12 +106,13 @@
 // to it. An engine that has capacity reserved for the request is preferred.
 func (r *Relay) pickDecode(g *generation) (placement.Candidate, bool) {
 	engine := r.upstreams.Upstream(g.reserved)
-	if engine.Role == config.RoleDecode && !engine.Draining && !g.attempts.Excluded()[engine.ID] {
+	request := g.generationRequest(g.kv.Engine)
+	if engine.Role == config.RoleDecode && !engine.Draining && !g.attempts.Excluded()[engine.ID] && fitsVersion(request.Version, engine) {
 		r.upstreams.PlaceOn(engine.ID, g.req.ID, r.now())
 		return placement.Candidate{ID: engine.ID, Zone: engine.Zone}, true
 	}
 	g.reserved = ""
-	return r.upstreams.PickDecode(g.placementRequest(r.now()), g.kv.Engine.Zone, r.now())
+	return r.upstreams.PickDecode(request, g.kv.Engine.Zone, r.now())
 }
 
 // resumeAtCopy has the lost run continued by the engine that has its copy.
@@ -140,7 +144,7 @@
 		g.start = start
 		return attempt.Result{Status: attempt.Done}
 	}
-	if !r.reserve(ctx, g) {
+	if !r.reserve(ctx, g, r.upstreams.Upstream(start.Engine.ID)) {
 		r.upstreams.PromptDone(start.Engine.ID, start.BusyTime, queueOrder)
 		r.upstreams.RequestDone(start.Engine.ID, g.req.ID, r.now())
 		return attempt.Result{Status: attempt.NoUpstream, Err: errors.WithMessage(ErrLimited, "no room for the answer")}
@@ -177,7 +181,7 @@
 	defer cancel()
 	go r.cancelWhenSilent(ctx, engine.ID, queueTime+prefillTime+r.settings.PrefillIdleTimeout, cancel)
 	send := g.newSend(engine, started)
-	send.Deferred, send.FetchFrom = g.queueOrder == placement.QueueDeferred, r.upstreams.Upstream(start.Source.ID).Address
+	send.Deferred, send.FetchFrom = g.queueOrder == placement.QueueDeferred, r.upstreams.Upstream(start.Source.ID)
 	kv, reported, err := r.sender.Prefill(ctx, g.req, send)
 	if err != nil {
 		return KV{}, err
@@ -247,7 +251,7 @@
 	send.KV, send.LastEvent, send.Backup, send.Continues = g.kv, g.lastEvent, g.backup, g.headerSent
 	send.Granted = g.reserved == engine.ID
 	g.reserved = ""
-	send.FetchFrom = r.upstreams.Upstream(start.Source.ID).Address
+	send.FetchFrom = r.upstreams.Upstream(start.Source.ID)
 	reply, err := r.sender.Send(runCtx, g.req, send)
 	if err != nil {
 		return r.handleNoAnswer(ctx, g, engine, err)
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -143,13 +143,18 @@
 }
 
 // reserve requests capacity at an engine that generates if all of these are rate-limited. Otherwise
-// prompts would be processed although no engine has capacity for their answers afterwards.
-func (r *Relay) reserve(ctx context.Context, g *generation) bool {
-	if g.reserved != "" || !r.upstreams.DecodeEnginesLimited(g.placementRequest(r.now()), r.now()) {
+// prompts would be processed although no engine has capacity for their answers afterwards. The prompt is processed by the
+// engine prefills.
+func (r *Relay) reserve(ctx context.Context, g *generation, prefills upstreamstate.Upstream) bool {
+	request := g.generationRequest(prefills)
+	if reserved := r.upstreams.Upstream(g.reserved); reserved.ID != "" && !fitsVersion(request.Version, reserved) {
+		g.reserved = ""
+	}
+	if g.reserved != "" || !r.upstreams.DecodeEnginesLimited(request, r.now()) {
 		return true
 	}
 	for range r.upstreams.Count(g.service) {
-		engine, ok := r.upstreams.PickDecode(g.placementRequest(r.now()), r.settings.Zone, r.now())
+		engine, ok := r.upstreams.PickDecode(g.generationRequest(prefills), r.settings.Zone, r.now())
 		if !ok {
 			return false
 		}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -86,9 +86,9 @@
 	KV KV
 	// LastEvent is the event after which a generation continues; empty to begin at the start.
 	LastEvent string
-	// FetchFrom is the address of an engine that has more of the prompt cached; empty if nothing is
-	// to be fetched.
-	FetchFrom string
+	// FetchFrom is an engine that has more of the prompt cached; the zero value if nothing is to be
+	// fetched.
+	FetchFrom upstreamstate.Upstream
 	// Backup is the engine to which the run is copied while it proceeds; the zero value if it is
 	// not copied.
 	Backup upstreamstate.Upstream
--- a/internal/relay/version_test.go
+++ b/internal/relay/version_test.go
@@ -170,3 +170,55 @@
 		}
 	}
 }
+
+// TestKVStaysWithinItsVersion guards against engines that generate from the KV cache of another software version, or
+// fetch from it.
+func TestKVStaysWithinItsVersion(t *testing.T) {
+	for n := range 20 {
+		f := &fakeSender{}
+		r := withVersions(newFake(t, f))
+		if _, err := serve(r, numbered(longPrompt("/once/1"), n)); err != nil {
+			t.Fatal(err)
+		}
+		prefill, run := f.calls[0].send, f.calls[1].send
+		if prefill.To.Version != run.To.Version || run.KV.Engine.Version != run.To.Version {
+			t.Fatalf("request %d: prompt at %s, answer at %s", n, prefill.To.ID, run.To.ID)
+		}
+	}
+	r := withVersions(newFake(t, &fakeSender{}))
+	v1, v2 := r.upstreams.Upstream("dec-v1-0"), r.upstreams.Upstream("dec-v2-0")
+	for name, send := range map[string]Send{
+		"memory to go on from": {To: v1, KV: KV{Engine: v2, Handle: "h"}}, "memory to fetch": {To: v1, FetchFrom: v2}, "a copy": {To: v1, Backup: v2},
+	} {
+		if !r.hasOtherVersion(send) {
+			t.Errorf("%s of another version is sent", name)
+		}
+	}
+	r.settings.Placement.KVAcrossVersions = true
+	if r.hasOtherVersion(Send{To: v1, KV: KV{Engine: v2, Handle: "h"}}) {
+		t.Error("memory of another version is not sent although it fits")
+	}
+}
+
+// TestProcessedPromptIsGivenUpWithoutEngineOfItsVersion guards against requests that fail, although engines of another
+// version are idle, because the engines that could use their KV cache have gone.
+func TestProcessedPromptIsGivenUpWithoutEngineOfItsVersion(t *testing.T) {
+	f := &fakeSender{}
+	r := withVersions(newFake(t, f))
+	withLargeBudget(r)
+	f.prefill = func(n int, s Send) (KV, error) {
+		if n == 1 {
+			r.RemoveUpstream("dec-" + s.To.Version + "-0")
+			r.RemoveUpstream("dec-" + s.To.Version + "-1")
+		}
+		return KV{Engine: s.To, Handle: "h"}, nil
+	}
+	if _, err := serve(r, longPrompt("/once/1")); err != nil {
+		t.Fatal(err)
+	}
+	runs := f.runsOf()
+	if len(runs) != 1 || runs[0].To.Version == f.calls[0].send.To.Version {
+		t.Errorf("first prompt at %s, ran %+v", f.calls[0].to, runs)
+	}
+	waitFor(t, func() bool { return f.freedCount() == 1 })
+}
