--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -42,7 +42,7 @@
 done < <(grep -vE '^(#|$)' docs/proofs.list)
 
 if [[ E5 =~ ^($ROWS)$ ]]; then
-  for file in $(grep -rlE '^func Fuzz' internal --include='*_test.go'); do
+  for file in $(grep -rlE '^func Fuzz' internal platform --include='*_test.go'); do
     for target in $(grep -ohE '^func Fuzz[A-Za-z]*' "$file" | sed 's/func //'); do
       log="$out/E5-$target.log"
       go test -run '^$' -fuzz "^$target\$" -fuzztime "$FUZZTIME" "./$(dirname "$file")" >"$log" 2>&1
