Look at a service's versions only when an entry changes one

Each heartbeat of an upstream listed and sorted the versions of its service; now only an entry whose version changed does. The end of a mix is logged where it is first seen. relay's and streamversions' tests hold; no decision changes.

--- a/internal/relay/streamversions.go
+++ b/internal/relay/streamversions.go
@@ -43,35 +43,45 @@
 	r.versions.replicate, r.versions.ask = replicate, ask
 }
 
-// updateMixed returns the records to replicate because a service has several versions now, and had one before. The lock
-// is held.
-func (v *versionRecords) updateMixed(service string, now time.Duration) (records []streamversions.Record) {
-	mixed := len(v.census.Versions(service, now)) > 1
-	if mixed && !v.mixed[service] {
-		records = v.records.OwnOf(service, now)
+// updateMixed updates whether a service has several versions. It returns the records to replicate if it has them since
+// now. The lock is held.
+func (r *Relay) updateMixed(service string, now time.Duration) []streamversions.Record {
+	v := r.versions
+	list := v.census.Versions(service, now)
+	mixed := len(list) > 1
+	if mixed == v.mixed[service] {
+		return nil
 	}
-	if v.mixed[service] = mixed; !mixed {
+	var records []streamversions.Record
+	if mixed {
+		v.mixed[service] = true
+		records = v.records.OwnOf(service, now)
+	} else {
 		delete(v.mixed, service)
 	}
+	r.log.Info("relay: software versions of a service changed", "service", service, "versions", list, "replicated", len(records))
 	return records
 }
 
+// replicateRecords sends records to other instances.
+func (r *Relay) replicateRecords(records []streamversions.Record) {
+	if len(records) == 0 {
+		return
+	}
+	r.meters.continuations.replicated.Inc(int64(len(records)))
+	r.versions.replicate(records)
+}
+
 // noteVersion updates the versions of the upstreams from an upstream's newest entry.
 func (r *Relay) noteVersion(u upstreamstate.Upstream) {
 	v, now := r.versions, r.now()
 	v.mu.Lock()
-	wasMixed := v.mixed[u.Service]
-	v.census.Update(u.ID, u.Service, u.Version, now)
-	records := v.updateMixed(u.Service, now)
-	mixed, list := v.mixed[u.Service], v.census.Versions(u.Service, now)
-	v.mu.Unlock()
-	if mixed != wasMixed {
-		r.log.Info("relay: software versions of a service changed", "service", u.Service, "versions", list, "replicated", len(records))
-	}
-	if len(records) > 0 {
-		r.meters.continuations.replicated.Inc(int64(len(records)))
-		v.replicate(records)
+	var records []streamversions.Record
+	if v.census.Update(u.ID, u.Service, u.Version, now) {
+		records = r.updateMixed(u.Service, now)
 	}
+	v.mu.Unlock()
+	r.replicateRecords(records)
 }
 
 // noteVersionGone updates the versions of the upstreams after an upstream's entry was removed.
@@ -100,12 +110,11 @@
 	for _, record := range records {
 		v.records.Put(record, x.service, now)
 	}
-	v.updateMixed(x.service, now)
+	r.updateMixed(x.service, now)
 	replicates := v.mixed[x.service] && !x.forwarded // the instance that forwarded the request replicates its records
 	v.mu.Unlock()
 	if replicates {
-		r.meters.continuations.replicated.Inc(int64(len(records)))
-		v.replicate(records)
+		r.replicateRecords(records)
 	}
 }
 
--- a/internal/streamversions/census.go
+++ b/internal/streamversions/census.go
@@ -27,12 +27,13 @@
 	return &Census{upstreams: map[string]member{}, services: map[string]map[string]*presence{}}
 }
 
-// Update records the newest entry of an upstream. An entry may change its version in place.
-func (c *Census) Update(id, service, version string, now time.Duration) {
+// Update records the newest entry of an upstream, and reports whether its service or version changed. An entry may
+// change its version in place.
+func (c *Census) Update(id, service, version string, now time.Duration) bool {
 	updated := member{service, version}
 	if old, ok := c.upstreams[id]; ok {
 		if old == updated {
-			return
+			return false
 		}
 		c.Remove(id, now)
 	}
@@ -46,6 +47,7 @@
 		versions[version] = &presence{}
 	}
 	versions[version].upstreams++
+	return true
 }
 
 // Remove records that an upstream's entry was removed.
