--- a/internal/peers/fleet_test.go
+++ b/internal/peers/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -62,6 +63,7 @@
 	granted int
 	grants  *quota.Coordinator
 	quotas  *limit.Granter
+	mu      sync.Mutex // protects records
 	records *streamversions.Records
 	// versions are the software versions of the upstreams as known to this instance.
 	versions []string
@@ -118,12 +120,16 @@
 
 // ApplyStreamRecords and StreamAnswer use the records, as relay.Relay does.
 func (l *virtualLoads) ApplyStreamRecords(records []streamversions.Record) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	for _, record := range records {
 		l.records.PutReplica(record, l.now())
 	}
 }
 func (l *virtualLoads) StreamAnswer(stream streamversions.ID, _ uint32) streamversions.Answer {
 	v := l.view()
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	return streamversions.Answer{Knowledge: l.records.Get(stream, l.now()), SeveralVersions: v.SeveralVersions()}
 }
 
