--- a/internal/relay/version_test.go
+++ b/internal/relay/version_test.go
@@ -143,6 +143,17 @@
 	}
 }
 
+// TestForwardedStreamOfUnknownVersionEnds guards against streams of two versions where an instance of an earlier build
+// serves another one's request: its answer does not name the version.
+func TestForwardedStreamOfUnknownVersionEnds(t *testing.T) {
+	forwarder := &fakeForwarder{answer: func(int, *Forwarded) (*Reply, error) { return truncated("id: 1\ndata: a\n\n"), nil }}
+	r := withoutPath(t, &fakeSender{}, forwarder)
+	withVersions(r)
+	if _, err := serve(r, shortPrompt("/resumable/1")); !errors.Is(err, ErrAnswerAborted) || len(forwarder.requests) != 1 {
+		t.Errorf("%v after %d forwards", err, len(forwarder.requests))
+	}
+}
+
 // versionRecorder records the version that the relay names before the answer's header.
 type versionRecorder struct {
 	*httptest.ResponseRecorder
