Test that a question is passed on within a zone, and where shared parts are fetched from

Two of 22 mutants of the new code survived: a question from another zone that is not passed on, and a part fetched from another version. Both fall now.

--- a/internal/peers/streams_test.go
+++ b/internal/peers/streams_test.go
@@ -332,3 +332,24 @@
 		}
 	}
 }
+
+// TestQuestionIsPassedOnWithinAZone guards against streams that cannot go on because the instance that is reached in
+// another zone has no record, although another one there has.
+func TestQuestionIsPassedOnWithinAZone(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	nodes := startReporters(t, ctx, "a", "b", "b")
+	stream := streamversions.IDOf("x")
+	nodes[2].loads.ApplyStreamRecords([]streamversions.Record{{Stream: stream, Version: "v2", Lifetime: time.Minute}})
+	reached := nodes[1].exchange.self.Address
+	found := eventually(5*time.Second, func() bool { // until the instances of the zone know one another
+		answers, _ := nodes[0].askStream(ctx, stream, 0, nil, []string{reached})
+		return len(answers) == 1 && answers[0].Found && answers[0].Version == "v2"
+	})
+	if !found {
+		t.Error("the instance that was asked did not ask the others of its zone")
+	}
+	if answers, asked := nodes[0].askStream(ctx, stream, 0, []string{reached}, nil); asked != 1 || len(answers) != 1 || answers[0].Found {
+		t.Errorf("a question within a zone was passed on: %+v", answers)
+	}
+}
--- a/internal/placement/softwareversions_test.go
+++ b/internal/placement/softwareversions_test.go
@@ -66,14 +66,20 @@
 
 // TestSharedPartIsFetchedWithinAVersion guards against KV caches of another version.
 func TestSharedPartIsFetchedWithinAVersion(t *testing.T) {
-	first := pickPrefill(t, longPrompt, newSplitEngines(3, 1)).Engine.ID
-	list := modify(newSplitEngines(3, 1), first, func(c *Candidate) { c.Aggregate.Backlog, c.Aggregate.CachedTokens = time.Minute, 13000 })
+	list := newSplitEngines(3, 2)
 	for i := range list {
 		list[i].SoftwareVersion = "v2"
 	}
-	list = modify(list, first, func(c *Candidate) { c.SoftwareVersion = "v1" })
-	if start := pickPrefill(t, longPrompt, list); start.Source.ID != "" {
-		t.Errorf("%s (%s) fetches from %s (v1)", start.Engine.ID, start.Engine.SoftwareVersion, start.Source.ID)
+	first := pickPrefill(t, longPrompt, list).Engine.ID
+	busy := func(c *Candidate) { c.Aggregate.Backlog, c.Aggregate.CachedTokens = time.Minute, 13000 }
+	if start := pickPrefill(t, longPrompt, modify(list, first, busy)); start.Source.ID != first {
+		t.Fatalf("fetches from %q, want %s of the same version", start.Source.ID, first)
+	}
+	for _, id := range []string{first, "d0"} { // the other version can generate, too
+		list = modify(list, id, func(c *Candidate) { c.SoftwareVersion = "v1" })
+	}
+	if start := pickPrefill(t, longPrompt, list); start.Engine.SoftwareVersion != "v2" || start.Source.ID != "" {
+		t.Errorf("%s (%s) fetches from %q", start.Engine.ID, start.Engine.SoftwareVersion, start.Source.ID)
 	}
 }
 
