Log the parts of a prompt and how long its engine had been answering when it crashed

What was missing to tell the hypotheses on crashing parts apart: 'relay: send failed' and 'relay: upstream ended' named the content alone, so that requests with a part in common could only be guessed from their token counts. Both lines name the parts (16 at most) and the time since the engine began to answer. No decision is changed.

--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -178,3 +178,15 @@
 		t.Errorf("two choices picked loaded engines: %v", two)
 	}
 }
+
+// TestPartIDsAreBounded guards against log lines as long as a prompt has parts.
+func TestPartIDsAreBounded(t *testing.T) {
+	p := Prompt{Parts: []Part{{ID: "a", Tokens: 1}, {ID: "b"}}}
+	if ids := p.PartIDs(); ids != "a,b" {
+		t.Errorf("%q", ids)
+	}
+	p.Parts = make([]Part, 1000)
+	if ids := p.PartIDs(); len(ids) > 20 {
+		t.Errorf("%d bytes", len(ids))
+	}
+}
--- a/internal/placement/prompt.go
+++ b/internal/placement/prompt.go
@@ -1,5 +1,7 @@
 package placement
 
+import "strings"
+
 // Part is one part of a prompt. Parts are listed in the order in which they appear in the prompt.
 type Part struct {
 	ID     string
@@ -34,3 +36,13 @@
 	}
 	return min(total, p.Tokens)
 }
+
+// PartIDs returns the ids of the first parts, separated by commas, as in logs.
+func (p Prompt) PartIDs() string {
+	const maxParts = 16
+	ids := make([]string, 0, maxParts)
+	for _, part := range p.Parts[:min(len(p.Parts), maxParts)] {
+		ids = append(ids, part.ID)
+	}
+	return strings.Join(ids, ",")
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -37,6 +37,8 @@
 	// ahead and predicted are the times that were predicted when the newest prompt was placed: for
 	// the prompts queued before it on its engine, and for the prompt itself.
 	ahead, predicted time.Duration
+	// generatingSince is when the upstream that was contacted last began to answer; 0 if it has not.
+	generatingSince time.Duration
 	// counted is set once the request was counted as one that began to run.
 	counted bool
 	// queueOrder is the position at which the newest prompt joined its engine's queue.
@@ -76,11 +78,27 @@
 	}
 }
 
+// generatingFor returns how long the upstream that was contacted last has been answering; 0 if it has not begun.
+func (x *exchange) generatingFor(now time.Duration) time.Duration {
+	if x.generatingSince == 0 {
+		return 0
+	}
+	return now - x.generatingSince
+}
+
+// promptParts returns the prompt's parts for logs.
+func (x *exchange) promptParts() string {
+	if x.req.Prompt == nil {
+		return ""
+	}
+	return x.req.Prompt.PartIDs()
+}
+
 func (x *exchange) remaining(now time.Duration) time.Duration { return x.deadline - now }
 
 // noteSent records a send. An error means that a second run is not allowed.
 func (x *exchange) noteSent(id string) error {
-	x.upstream = id
+	x.upstream, x.generatingSince = id, 0
 	return x.attempts.Sent()
 }
 
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -316,6 +316,7 @@
 // forwardStream forwards an engine's events to the caller.
 func (r *Relay) forwardStream(ctx context.Context, cancel context.CancelFunc, g *generation, engine upstreamstate.Upstream, reply *Reply, started time.Duration) attempt.Result {
 	g.begin(reply, engine.Version)
+	g.generatingSince = r.now()
 	forwarder := eventForwarder{w: g.w, flush: http.NewResponseController(g.w).Flush, lastEvent: g.lastEvent}
 	if g.attempts.MayRunElsewhere() {
 		forwarder.idleTimeout, forwarder.cancel = r.settings.StreamIdleTimeout, cancel
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -59,6 +59,10 @@
 type interruptedRequest struct {
 	content   quarantine.Content
 	requestID string
+	// parts are the ids of the prompt's parts, for logs. generatingFor is how long the upstream had been answering;
+	// 0 if it had not begun.
+	parts         string
+	generatingFor time.Duration
 }
 
 func newQuarantineState() *quarantineState {
@@ -161,7 +165,10 @@
 // checkInterrupted handles a request that an upstream cut off. If the upstream crashed, this counts
 // against the request's content.
 func (r *Relay) checkInterrupted(x *exchange, id string) {
-	if !r.quarantine.addInterrupted(id, interruptedRequest{content: x.content(), requestID: x.req.ID}) {
+	request := interruptedRequest{
+		content: x.content(), requestID: x.req.ID, parts: x.promptParts(), generatingFor: x.generatingFor(r.now()),
+	}
+	if !r.quarantine.addInterrupted(id, request) {
 		return
 	}
 	to := r.upstreams.Upstream(id)
@@ -184,7 +191,8 @@
 	for _, request := range requests {
 		quarantined, crashes := r.RecordCrash(quarantine.Crash{Content: request.content, Upstream: to.Incarnation()})
 		r.quarantine.crashes.Inc(1)
-		r.log.Info("relay: upstream ended", "upstream", to.ID, "request", request.requestID, "content", request.content, "ends", crashes, "apart", quarantined)
+		r.log.Info("relay: upstream ended", "upstream", to.ID, "request", request.requestID, "content", request.content,
+			"parts", request.parts, "generating_for", request.generatingFor, "ends", crashes, "apart", quarantined)
 	}
 	r.notifyChanged()
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -265,7 +265,8 @@
 	result := callResultFor(ctx, err)
 	ejected := r.upstreams.RecordCall(id, result, r.now())
 	r.log.Info("relay: send failed", "request", x.req.ID, "upstream", id, "try", x.attempts.Sends(),
-		"ejected", ejected, "error", err, "after", r.now()-x.arrived, "content", x.content())
+		"ejected", ejected, "error", err, "after", r.now()-x.arrived, "content", x.content(),
+		"parts", x.promptParts(), "generating_for", x.generatingFor(r.now()))
 }
 
 // finalError returns the error of a request that ends without an answer. It tells the caller
