--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -49,7 +49,7 @@
 }
 
 // quarantined reports whether a content is quarantined.
-func (c *quarantines) quarantined(content quarantine.Content) bool {
+func (c *quarantines) quarantined(content quarantine.Subject) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.table.Quarantined(content, bootclock.Now())
@@ -57,20 +57,20 @@
 
 // recordCrash records the crash of an engine that was serving a content. It returns whether the crash
 // starts a quarantine of the content, and how many crashes count against the content.
-func (c *quarantines) recordCrash(content quarantine.Content, boot string) (quarantined bool, crashes int) {
+func (c *quarantines) recordCrash(content quarantine.Subject, boot string) (quarantined bool, crashes int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := bootclock.Now()
 	c.table.Expire(now)
 	for _, expired := range c.table.Expired(now) {
-		c.table.Release(expired)
+		c.table.Release(expired, now)
 	}
-	quarantined = c.table.RecordCrash(quarantine.Crash{Content: content, Upstream: uint32(xxhash.Sum64String(boot))}, now)
+	quarantined = c.table.RecordCrash(quarantine.Crash{Subject: content, Upstream: uint32(xxhash.Sum64String(boot))}, now)
 	return quarantined, c.table.Crashes(content)
 }
 
 // recordServed records that a request with this content was answered completely.
-func (c *quarantines) recordServed(content quarantine.Content) {
+func (c *quarantines) recordServed(content quarantine.Subject) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.table.RecordServed(content, bootclock.Now())
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -55,7 +55,7 @@
 	// resume is the token of an interrupted answer that is to be resumed, or nil.
 	resume *stream.ResumeToken
 	// content is the hash of the requested content, which is the same when the request is sent again.
-	content quarantine.Content
+	content quarantine.Subject
 }
 
 // readCompletion reads and validates a request.
--- a/internal/fanout/inbox.go
+++ b/internal/fanout/inbox.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"sassafrasfield/internal/quarantine"
 	"sassafrasfield/internal/quota"
 	"sassafrasfield/internal/upstreamstate"
 )
@@ -23,9 +24,6 @@
 // maxPlaced bounds the placed prompt parts that are queued with one instance's report.
 const maxPlaced = 64
 
-// maxCrashes bounds the crashes of upstreams that are queued with one instance's report.
-const maxCrashes = 32
-
 // Inbox holds, for each instance of a zone, the number of its newest report and the report that is
 // queued to be passed on. It is not safe for concurrent use.
 type Inbox struct {
@@ -61,15 +59,14 @@
 }
 
 // Enqueue queues a report for the next batch. It replaces a queued report of the same source, but keeps
-// that report's placed parts, crashes and limits.
+// that report's placed parts, evidence on crashes and limits.
 func (b *Inbox) Enqueue(o InstanceReport, now time.Duration) {
 	placed := append(b.queued[o.Source].report.Report.Placed, o.Report.Placed...)
 	o.Report.Placed = placed[max(0, len(placed)-maxPlaced):]
 	if o.Report.Times == nil {
 		o.Report.Times = b.queued[o.Source].report.Report.Times
 	}
-	crashes := append(b.queued[o.Source].report.Report.Crashes, o.Report.Crashes...)
-	o.Report.Crashes = crashes[max(0, len(crashes)-maxCrashes):]
+	o.Report.Evidence = b.queued[o.Source].report.Report.Evidence.Merge(o.Report.Evidence, quarantine.MaxReported)
 	if w, ok := b.queued[o.Source]; ok {
 		o.Report.Limits = quota.Merge(quota.AddAge(w.report.Report.Limits, now-w.at), o.Report.Limits)
 	}
--- a/internal/fanout/inbox_test.go
+++ b/internal/fanout/inbox_test.go
@@ -79,18 +79,18 @@
 func TestCrashesOfReplacedReportAreKept(t *testing.T) {
 	b := NewInbox()
 	first := reportOf(7, 1, 1, 10)
-	first.Report.Crashes = []quarantine.Crash{{Content: 1, Upstream: 2}}
+	first.Report.Evidence.Crashes = []quarantine.Crash{{Subject: 1, Upstream: 2}}
 	b.Enqueue(first, 0)
 	b.Enqueue(reportOf(7, 1, 2, 11), 0)
 	reports := b.Batch(0, allFit)
-	if len(reports) != 1 || len(reports[0].Report.Crashes) != 1 {
+	if len(reports) != 1 || len(reports[0].Report.Evidence.Crashes) != 1 {
 		t.Errorf("%+v", reports)
 	}
 	for n := range 100 {
-		first.Report.Crashes[0].Content = quarantine.Content(n)
+		first.Report.Evidence.Crashes[0].Subject = quarantine.Subject(n)
 		b.Enqueue(first, 0)
 	}
-	if n := len(b.Batch(0, allFit)[0].Report.Crashes); n > maxCrashes {
+	if n := len(b.Batch(0, allFit)[0].Report.Evidence.Crashes); n > quarantine.MaxReported {
 		t.Errorf("%d crashes are queued", n)
 	}
 }
--- a/internal/instance/quarantine.go
+++ b/internal/instance/quarantine.go
@@ -14,8 +14,8 @@
 	"sassafrasfield/internal/replica"
 )
 
-// QuarantinePrefix is the prefix of the keys of the rows that list quarantined contents. All instances follow
-// these rows. So an instance that has just started refuses the contents too, even if all instances were
+// QuarantinePrefix is the prefix of the keys of the rows that list what is quarantined, contents and parts of prompts. All
+// instances follow these rows. So an instance that has just started refuses them too, even if all instances were
 // restarted.
 const QuarantinePrefix = "apart/"
 
@@ -33,9 +33,9 @@
 // maxRowsPerCommit is the limit of the platform's store on the rows of one transaction.
 const maxRowsPerCommit = 100
 
-// quarantineRow is the stored value of a quarantined content.
+// quarantineRow is the stored value of a quarantined subject.
 type quarantineRow struct {
-	// Times is how often the content was quarantined.
+	// Times is how often the subject was quarantined.
 	Times int `json:"times"`
 	// Instance is the name of the instance that quarantined it, for operators.
 	Instance string `json:"instance"`
@@ -62,36 +62,36 @@
 }
 
 func (in *Instance) applyQuarantineRow(row replica.Row) error {
-	content, err := quarantine.ParseContent(strings.TrimPrefix(row.Key.Key, QuarantinePrefix))
+	subject, err := quarantine.ParseSubject(strings.TrimPrefix(row.Key.Key, QuarantinePrefix))
 	if err != nil {
 		return err
 	}
 	if row.MissingAfterRestore {
-		in.keepMissing(content, row.Revision)
+		in.keepMissing(subject, row.Revision)
 		return nil
 	}
 	if row.Deleted {
-		in.relay.Release(content)
-		in.log.Info("instance: content released", "content", content, "revision", row.Revision)
+		in.relay.Release(subject)
+		in.log.Info("instance: quarantine row removed", "kind", subject.Kind(), "subject", subject, "revision", row.Revision)
 		return nil
 	}
 	var stored quarantineRow
 	if err := json.Unmarshal(row.Value, &stored); err != nil {
 		return errors.Wrap(err, "instance: content")
 	}
-	in.relay.Quarantine(content, stored.Times)
-	in.log.Info("instance: content set apart", "content", content, "times", stored.Times, "by", stored.Instance, "revision", row.Revision)
+	in.relay.Quarantine(subject, stored.Times)
+	in.log.Info("instance: quarantine row applied", "kind", subject.Kind(), "subject", subject, "times", stored.Times, "by", stored.Instance, "revision", row.Revision)
 	return nil
 }
 
-// keepMissing keeps a content quarantined whose row is missing after a restore of the store. All instances
-// know the content, so it is enough that the hubs write its row again.
-func (in *Instance) keepMissing(content quarantine.Content, revision int64) {
+// keepMissing keeps a subject quarantined whose row is missing after a restore of the store. All instances
+// know the subject, so it is enough that the hubs write its row again.
+func (in *Instance) keepMissing(subject quarantine.Subject, revision int64) {
 	writes := in.peers.IsHub()
 	if writes {
-		in.relay.PersistAgain(content)
+		in.relay.PersistAgain(subject)
 	}
-	in.log.Warn("instance: quarantine row missing after a restore", "content", content, "revision", revision, "writes_it_again", writes)
+	in.log.Warn("instance: quarantine row missing after a restore", "kind", subject.Kind(), "subject", subject, "revision", revision, "writes_it_again", writes)
 }
 
 // persistQuarantines writes the rows of quarantined contents, and removes those of released contents.
@@ -116,8 +116,8 @@
 }
 
 // quarantineWrite returns the write of a content's row. The row is removed if times is 0.
-func (in *Instance) quarantineWrite(content quarantine.Content, times int) platform.Write {
-	write := platform.Write{Key: QuarantinePrefix + content.String()}
+func (in *Instance) quarantineWrite(subject quarantine.Subject, times int) platform.Write {
+	write := platform.Write{Key: QuarantinePrefix + subject.String()}
 	if times == 0 {
 		write.Delete = true
 		return write
@@ -131,25 +131,25 @@
 }
 
 // writeQuarantineRows writes the rows that are not persisted yet, and reports whether all are persisted.
-// Rows are written unconditionally. If two instances quarantine a content, the one that lags behind may write
+// Rows are written unconditionally. If two instances quarantine a subject, the one that lags behind may write
 // last, with a lower count. An instance that starts after that ends the quarantine earlier.
 func (in *Instance) writeQuarantineRows(ctx context.Context) bool {
 	unpersisted, txn := in.relay.Unpersisted(), platform.Txn{}
-	for content, times := range unpersisted {
+	for subject, times := range unpersisted {
 		if len(txn.Writes) == maxRowsPerCommit {
-			delete(unpersisted, content)
+			delete(unpersisted, subject)
 			continue
 		}
-		txn.Writes = append(txn.Writes, in.quarantineWrite(content, times))
+		txn.Writes = append(txn.Writes, in.quarantineWrite(subject, times))
 	}
 	if len(txn.Writes) == 0 {
 		return true
 	}
 	if _, err := in.adapter.Table.Commit(ctx, txn); err != nil {
-		in.log.Info("instance: quarantine rows not written, retrying", "contents", len(unpersisted), "error", err)
+		in.log.Info("instance: quarantine rows not written, retrying", "subjects", len(unpersisted), "error", err)
 		return false
 	}
 	in.relay.MarkPersisted(unpersisted)
-	in.log.Info("instance: quarantine rows written", "contents", len(unpersisted))
+	in.log.Info("instance: quarantine rows written", "subjects", len(unpersisted))
 	return len(in.relay.Unpersisted()) == 0
 }
--- a/internal/instance/quarantine_test.go
+++ b/internal/instance/quarantine_test.go
@@ -50,7 +50,7 @@
 	return errors.As(err, &refusal) && refusal.RetryIn == 0
 }
 
-func rowOf(content quarantine.Content, value string, revision int64) replica.Row {
+func rowOf(content quarantine.Subject, value string, revision int64) replica.Row {
 	return replica.Row{
 		Key:   replica.Key{Table: "apart", Key: QuarantinePrefix + content.String()},
 		Value: []byte(value), Revision: revision, Deleted: value == "",
@@ -81,7 +81,7 @@
 	in.adapter.Table = table
 	ctx := context.Background()
 	for upstream := range uint32(2) {
-		in.relay.RecordCrash(quarantine.Crash{Content: 7, Upstream: upstream})
+		in.relay.RecordCrash(quarantine.Crash{Subject: 7, Upstream: upstream})
 	}
 	if in.writeQuarantineRows(ctx) || len(in.relay.Unpersisted()) != 1 {
 		t.Fatal("persisted, though the write failed")
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -54,8 +54,11 @@
 	for service, sends := range report.RetryOverflow {
 		m.Spilled = append(m.Spilled, &sfv1.Spilled{Service: service, Sends: float32(sends)})
 	}
-	for _, e := range report.Crashes {
-		m.Ends = append(m.Ends, &sfv1.UpstreamEnd{Content: uint64(e.Content), Upstream: e.Upstream, Times: uint32(e.Times)})
+	for _, e := range report.Evidence.Crashes {
+		m.Ends = append(m.Ends, &sfv1.UpstreamEnd{Content: uint64(e.Subject), Upstream: e.Upstream, Times: uint32(e.Times)})
+	}
+	for _, e := range report.Evidence.Served {
+		m.Served = append(m.Served, &sfv1.ServedSubject{Subject: uint64(e.Subject), SinceCrash: e.SinceCrash, Notice: e.Notice})
 	}
 	for _, c := range report.Usage {
 		m.Usage = append(m.Usage, &sfv1.UsageCount{Window: int64(c.Window), Organisation: c.Organisation, Requests: c.Requests})
@@ -93,7 +96,10 @@
 		report.Unavailable = append(report.Unavailable, upstreamstate.UnavailableUpstream{Upstream: a.GetUpstream(), For: time.Duration(a.GetForMs()) * time.Millisecond})
 	}
 	for _, e := range m.GetEnds() {
-		report.Crashes = append(report.Crashes, quarantine.Crash{Content: quarantine.Content(e.GetContent()), Upstream: e.GetUpstream(), Times: int(e.GetTimes())})
+		report.Evidence.Crashes = append(report.Evidence.Crashes, quarantine.Crash{Subject: quarantine.Subject(e.GetContent()), Upstream: e.GetUpstream(), Times: int(e.GetTimes())})
+	}
+	for _, e := range m.GetServed() {
+		report.Evidence.Served = append(report.Evidence.Served, quarantine.Served{Subject: quarantine.Subject(e.GetSubject()), SinceCrash: e.GetSinceCrash(), Notice: e.GetNotice()})
 	}
 	for _, c := range m.GetUsage() {
 		report.Usage = append(report.Usage, usage.Count{
--- a/internal/peers/reports.go
+++ b/internal/peers/reports.go
@@ -285,7 +285,7 @@
 		head, tail := cloneHeader(message), cloneHeader(message)
 		head.Reports, head.Peers = message.Reports, message.Peers
 		head.Rows, head.Since, head.HoldMs = message.Rows, message.Since, message.HoldMs
-		head.Beyond = &sfv1.EngineReport{Loads: loads[:len(loads)/2], Gone: message.Beyond.Gone, Away: message.Beyond.Away, Times: message.Beyond.Times, Ends: message.Beyond.Ends, Usage: message.Beyond.Usage, Limits: message.Beyond.Limits}
+		head.Beyond = &sfv1.EngineReport{Loads: loads[:len(loads)/2], Gone: message.Beyond.Gone, Away: message.Beyond.Away, Times: message.Beyond.Times, Ends: message.Beyond.Ends, Served: message.Beyond.Served, Usage: message.Beyond.Usage, Limits: message.Beyond.Limits}
 		tail.Beyond = &sfv1.EngineReport{Loads: loads[len(loads)/2:], Placed: message.Beyond.Placed}
 		return append(splitDatagram(head), splitDatagram(tail)...)
 	}
--- a/internal/quarantine/recent.go
+++ b/internal/quarantine/recent.go
@@ -2,32 +2,47 @@
 
 import "time"
 
-// recent is a set of the contents that were served recently. It has two generations: when the newer one is
-// full or old enough, it replaces the older one.
+// recent remembers when subjects were last served. It has two generations: when the newer one is full or old enough, it
+// replaces the older one.
 type recent struct {
-	// ttl is how long a content is kept at least, unless a generation exceeds its capacity.
+	// ttl is how long a subject is kept at least, unless a generation exceeds its capacity.
 	ttl        time.Duration
 	capacity   int
-	newer      map[Content]bool
-	older      map[Content]bool
+	newer      map[Subject]time.Duration
+	older      map[Subject]time.Duration
 	newerSince time.Duration
 }
 
 func newRecent(ttl time.Duration, capacity int) recent {
-	return recent{ttl: ttl, capacity: capacity, newer: map[Content]bool{}, older: map[Content]bool{}}
+	return recent{ttl: ttl, capacity: capacity, newer: map[Subject]time.Duration{}, older: map[Subject]time.Duration{}}
 }
 
-func (r *recent) add(c Content, now time.Duration) {
+// add records that a subject was served at a time.
+func (r *recent) add(s Subject, at, now time.Duration) {
 	r.expire(now)
+	if last, ok := r.last(s, now); ok && last > at {
+		at = last
+	}
 	if len(r.newer) >= r.capacity {
 		r.rotate(now)
 	}
-	r.newer[c] = true
+	r.newer[s] = at
+}
+
+// has reports whether a subject was served recently.
+func (r *recent) has(s Subject, now time.Duration) bool {
+	_, ok := r.last(s, now)
+	return ok
 }
 
-func (r *recent) has(c Content, now time.Duration) bool {
+// last returns when a subject was last served.
+func (r *recent) last(s Subject, now time.Duration) (time.Duration, bool) {
 	r.expire(now)
-	return r.newer[c] || r.older[c]
+	if at, ok := r.newer[s]; ok {
+		return at, true
+	}
+	at, ok := r.older[s]
+	return at, ok
 }
 
 // expire drops the generations that are too old.
@@ -44,5 +59,5 @@
 
 // rotate drops the older generation and starts a new one.
 func (r *recent) rotate(now time.Duration) {
-	r.older, r.newer, r.newerSince = r.newer, map[Content]bool{}, now
+	r.older, r.newer, r.newerSince = r.newer, map[Subject]time.Duration{}, now
 }
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -3,276 +3,364 @@
 import (
 	"cmp"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
 
-// Crash is the crash of an upstream while it was serving a content.
+// Crash is the crash of an upstream under a subject that it was serving.
 type Crash struct {
-	Content Content
-	// Upstream is a hash of the upstream's incarnation: it differs after a restart.
+	Subject Subject
+	// Upstream is a hash of the upstream's incarnation: it differs after a restart. It is 0 if the quarantine alone
+	// is reported.
 	Upstream uint32
 	// Times is the number of the quarantine that the crash started at the instance that observed it; 0 if it
 	// started none.
 	Times int
 }
 
-// Settings of a Table.
-type Settings struct {
-	// Crashes is how many upstreams must crash while serving a content before it is quarantined. One is not
-	// enough: an engine that crashed was serving up to 48 requests, most of which did not cause the crash.
-	// Two can be a coincidence where many upstreams crash at once: in two simulated days on which 0.3 to 0.4
-	// of the engines crashed four times, 4 and 36 of some 12,220 requests were interrupted by two crashes.
-	Crashes int
-	// Durations are the durations of a content's quarantines: of the first one, and of each later one, which
-	// begins when one more upstream crashes while serving the content after the previous quarantine. The last
-	// duration is used for all further ones. The first is short because the content may not be the cause:
-	// where all callers request the same, each upstream that another content crashes is also serving it. The
-	// second blocks a content that is requested repeatedly. The last is about as long as upstreams run the
-	// same software.
-	Durations []time.Duration
-	// CrashTTL is how long a crash counts. HistoryTTL is how long after the end of a quarantine the table
-	// keeps the number of the content's quarantines.
-	CrashTTL, HistoryTTL time.Duration
-	// ServedTTL is how long after a content was served no crash counts against it. Where many callers request
-	// the same, any upstream that crashes is also serving it.
-	ServedTTL time.Duration
-	// MaxServed is the maximum number of served contents that are kept in each ServedTTL.
-	MaxServed int
-	// MaxContents is the maximum number of contents with crashes that are kept, MaxQuarantined that of
-	// contents that are or were quarantined. The oldest are dropped.
-	MaxContents, MaxQuarantined int
-}
-
-// DefaultSettings returns the default settings.
-func DefaultSettings() Settings {
-	return Settings{
-		Crashes:    2,
-		Durations:  []time.Duration{10 * time.Second, time.Hour, 24 * time.Hour},
-		CrashTTL:   10 * time.Minute, // callers that retry do so within seconds
-		HistoryTTL: 24 * time.Hour,
-		ServedTTL:  time.Minute, // content that is requested less often is hardly served by two upstreams that crash
-		// 130 requests a second, ten times the load of an instance; 16 bytes each
-		MaxServed:      8192,
-		MaxContents:    4096, // 80 engines that crash at once with 48 requests each
-		MaxQuarantined: 1000, // rows of some 100 bytes; an instance reads two pages of them at its start
-	}
-}
-
-// Table holds the crashes and quarantines of contents that an instance knows. It is not safe for concurrent
+// Table holds the crashes, quarantines and served subjects that an instance knows. It is not safe for concurrent
 // use.
 type Table struct {
 	settings    Settings
-	records     map[Content]*record
-	quarantines map[Content]quarantine
+	rng         *rand.Rand
+	records     map[Subject]*record
+	quarantines map[Subject]quarantine
 	served      recent
 	outbox      outbox
 }
 
-// record holds the crashes that occurred while a content was served.
-type record struct {
-	// crashes are the upstreams whose crashes count; ignored are those that crashed before the content was
-	// served.
-	crashes, ignored map[uint32]bool
-	newest           time.Duration
-	// observed is true if this instance observed one of the crashes itself.
-	observed bool
-}
-
-// quarantine is the latest quarantine of a content: its number, from 1, and its start.
-type quarantine struct {
-	times int
-	since time.Duration
-}
-
 // NewTable returns an empty table.
 func NewTable(s Settings) *Table {
-	return &Table{settings: s, records: map[Content]*record{}, quarantines: map[Content]quarantine{}, served: newRecent(s.ServedTTL, s.MaxServed), outbox: newOutbox()}
+	return &Table{
+		settings: s, rng: rand.New(rand.NewPCG(s.Seed, s.Seed)), records: map[Subject]*record{}, quarantines: map[Subject]quarantine{},
+		served: newRecent(s.ServedTTL, s.MaxServed), outbox: newOutbox(),
+	}
 }
 
-// Empty reports whether there are no records of crashes and no quarantines, so that contents need not be
-// looked up.
+// Empty reports whether there are no records of crashes and no quarantines.
 func (t *Table) Empty() bool { return len(t.records) == 0 && len(t.quarantines) == 0 }
 
-// duration returns the duration of a content's nth quarantine.
-func (t *Table) duration(times int) time.Duration {
-	return t.settings.Durations[min(times, len(t.settings.Durations))-1]
+// HasQuarantines reports whether subjects are or were quarantined, so that requests have to be checked.
+func (t *Table) HasQuarantines() bool { return len(t.quarantines) > 0 }
+
+// rules returns the rules for a subject.
+func (t *Table) rules(s Subject) *Rules {
+	if s.IsPart() {
+		return &t.settings.Parts
+	}
+	return &t.settings.Contents
 }
 
-// Quarantined reports whether a content is quarantined, so that no upstream may receive it.
-func (t *Table) Quarantined(c Content, now time.Duration) bool {
-	q, ok := t.quarantines[c]
-	return ok && now-q.since < t.duration(q.times)
+// nth returns the nth duration, from 1, or the last one.
+func nth(durations []time.Duration, n int) time.Duration { return durations[min(n, len(durations))-1] }
+
+// Quarantined reports whether a subject is quarantined, so that no upstream may receive it.
+func (t *Table) Quarantined(s Subject, now time.Duration) bool {
+	q, ok := t.quarantines[s]
+	return ok && !q.ended(now)
+}
+
+// Blocks reports whether a request must not be sent because of one of its subjects: it is quarantined, or its
+// quarantine is over and another request is trying it.
+func (t *Table) Blocks(s Subject, request string, now time.Duration) bool {
+	q, ok := t.quarantines[s]
+	switch {
+	case !ok || q.ended(now) && q.trial == request:
+		return false
+	case !q.ended(now) || now < q.trialUntil:
+		return true
+	}
+	q.trial, q.trialUntil = request, now+t.settings.TrialTTL
+	t.quarantines[s] = q
+	return false
 }
 
-// TimesQuarantined returns how often a content was quarantined.
-func (t *Table) TimesQuarantined(c Content) int { return t.quarantines[c].times }
+// TimesQuarantined returns how often a subject was quarantined.
+func (t *Table) TimesQuarantined(s Subject) int { return t.quarantines[s].times }
 
-// CountQuarantined returns how many contents are quarantined.
-func (t *Table) CountQuarantined(now time.Duration) int {
-	n := 0
-	for c := range t.quarantines {
-		if t.Quarantined(c, now) {
-			n++
+// CountQuarantined returns how many contents and parts are quarantined.
+func (t *Table) CountQuarantined(now time.Duration) (contents, parts int) {
+	for s, q := range t.quarantines {
+		switch {
+		case q.ended(now):
+		case s.IsPart():
+			parts++
+		default:
+			contents++
 		}
 	}
-	return n
+	return contents, parts
 }
 
-// Crashes returns how many crashes count against a content.
-func (t *Table) Crashes(c Content) int {
-	r, ok := t.records[c]
+// Status is what is known about a quarantined subject.
+type Status struct {
+	// Crashes is how many crashes count against it, Times how often it was quarantined.
+	Crashes, Times int
+	// Age is the time since the quarantine began here.
+	Age time.Duration
+}
+
+// Status returns what is known about a quarantined subject.
+func (t *Table) Status(s Subject, now time.Duration) Status {
+	q := t.quarantines[s]
+	return Status{Crashes: t.Crashes(s), Times: q.times, Age: now - q.since}
+}
+
+// Crashes returns how many crashes count against a subject.
+func (t *Table) Crashes(s Subject) int {
+	r, ok := t.records[s]
 	if !ok {
 		return 0
 	}
-	return len(r.crashes)
+	return r.counted
 }
 
-// SawCrash reports whether this instance itself observed a crash during which a content was served.
-func (t *Table) SawCrash(c Content) bool {
-	r, ok := t.records[c]
+// SinceServed returns how long ago a subject was last served, and whether that is known.
+func (t *Table) SinceServed(s Subject, now time.Duration) (time.Duration, bool) {
+	at, ok := t.served.last(s, now)
+	return now - at, ok
+}
+
+// SawCrash reports whether this instance itself observed a crash under a subject.
+func (t *Table) SawCrash(s Subject) bool {
+	r, ok := t.records[s]
 	return ok && r.observed
 }
 
 // RecordCrash records a crash that this instance observed, and reports whether it starts a quarantine of the
-// content.
+// subject.
 func (t *Table) RecordCrash(c Crash, now time.Duration) bool {
+	if t.immune(c.Subject, now) && t.records[c.Subject] == nil {
+		return false // neither kept nor reported
+	}
 	added := t.add(c, now)
-	t.records[c.Content].observed = true
+	t.records[c.Subject].observed = true
 	if !added {
 		return false
 	}
-	started := t.decide(c.Content, now)
+	started := t.decide(c, now)
 	if started {
-		c.Times = t.TimesQuarantined(c.Content)
+		t.startOwn(c, now)
+		c.Times = t.TimesQuarantined(c.Subject)
 	}
 	t.outbox.addOwn(c, now)
 	return started
 }
 
 // ReceiveCrash records a crash that another instance reported, of the same zone or of another one, and
-// reports whether it starts a quarantine of the content.
+// reports whether it starts a quarantine of the subject.
 func (t *Table) ReceiveCrash(c Crash, sameZone bool, now time.Duration) bool {
-	added := t.add(c, now)
-	started := added && t.decide(c.Content, now) || t.follow(c, now)
+	added := c.Upstream != 0 && t.add(c, now)
+	started := false
+	switch {
+	case added && t.decide(c, now):
+		t.startReported(c.Subject, t.TimesQuarantined(c.Subject)+1, now)
+		started = true
+	case t.mayFollow(c, now):
+		t.startReported(c.Subject, c.Times, now)
+		started = true
+	default:
+		t.yield(c)
+	}
 	if added || started {
 		t.outbox.addReceived(c, sameZone, now)
 	}
+	isNews := added || c.Times > t.TimesQuarantined(c.Subject)
+	if isNews && !started && c.Subject.IsPart() && t.served.has(c.Subject, now) {
+		t.publishServed(c.Subject, false, now)
+	}
 	return started
 }
 
-// follow starts the quarantine that a crash started at another instance, where an earlier quarantine of the
-// content is known. That one may have begun later here, and still be on although it has ended there.
-func (t *Table) follow(c Crash, now time.Duration) bool {
-	known := t.TimesQuarantined(c.Content)
-	if known == 0 || c.Times <= known || t.served.has(c.Content, now) {
+// publishServed tells other instances that a subject was served here.
+func (t *Table) publishServed(s Subject, sinceCrash bool, now time.Duration) {
+	t.outbox.addServed(Served{Subject: s, SinceCrash: sinceCrash, Notice: t.rng.Uint32()}, now)
+}
+
+// mayFollow reports whether to start the quarantine that another instance reports. For a content, an earlier
+// quarantine has to be known: that one may have begun later here, and still be on although it has ended there. A part
+// that was served recently is not quarantined by fewer crashes than that takes.
+func (t *Table) mayFollow(c Crash, now time.Duration) bool {
+	known := t.TimesQuarantined(c.Subject)
+	if c.Times <= known || t.immune(c.Subject, now) {
 		return false
 	}
-	t.quarantines[c.Content] = quarantine{times: c.Times, since: now}
-	return true
+	if !c.Subject.IsPart() {
+		return known > 0
+	}
+	return !t.served.has(c.Subject, now) || t.Crashes(c.Subject) >= t.rules(c.Subject).ServedCrashes
+}
+
+// yield leaves it to another instance to try a subject again first, if both began its quarantine.
+func (t *Table) yield(c Crash) {
+	q, ok := t.quarantines[c.Subject]
+	if ok && q.trigger != 0 && c.Upstream != 0 && c.Times == q.times && c.Upstream < q.trigger {
+		q.trigger, q.duration = 0, t.reportedDuration(c.Subject, q.times)
+		t.quarantines[c.Subject] = q
+	}
 }
 
 // add records a crash, and reports whether it was not known before.
 func (t *Table) add(c Crash, now time.Duration) bool {
-	r, ok := t.records[c.Content]
+	r, ok := t.records[c.Subject]
 	if !ok {
 		t.makeRoom(now)
-		r = &record{crashes: map[uint32]bool{}, ignored: map[uint32]bool{}}
-		t.records[c.Content] = r
-	}
-	if r.crashes[c.Upstream] || r.ignored[c.Upstream] {
-		return false
+		r = &record{}
+		t.records[c.Subject] = r
 	}
-	r.crashes[c.Upstream] = true
-	r.newest = now
-	return true
+	return r.add(c.Upstream, t.rules(c.Subject).Spacing, now)
+}
+
+// immune reports whether a subject was served so recently that no crash counts against it.
+func (t *Table) immune(s Subject, now time.Duration) bool {
+	since, known := t.SinceServed(s, now)
+	return known && since < t.rules(s).Immunity
 }
 
-// decide quarantines a content after a new crash if enough crashes count against it, or if it was quarantined
-// before and that quarantine is over. It reports whether it did. A content that was served recently is not
-// quarantined.
-func (t *Table) decide(c Content, now time.Duration) bool {
-	if t.served.has(c, now) {
-		t.ignoreCrashes(c)
+// decide reports whether a subject has to be quarantined after a new crash: enough crashes count against it, or it was
+// quarantined before and that quarantine is over.
+func (t *Table) decide(c Crash, now time.Duration) bool {
+	if t.immune(c.Subject, now) {
+		t.ignoreCrashes(c.Subject)
 		return false
 	}
-	if t.Quarantined(c, now) || t.TimesQuarantined(c) == 0 && t.Crashes(c) < t.settings.Crashes {
+	if t.Quarantined(c.Subject, now) {
 		return false
 	}
-	t.quarantines[c] = quarantine{times: t.TimesQuarantined(c) + 1, since: now}
-	return true
+	return t.TimesQuarantined(c.Subject) > 0 || t.Crashes(c.Subject) >= t.crashesNeeded(c.Subject, now)
+}
+
+// crashesNeeded returns how many crashes quarantine a subject.
+func (t *Table) crashesNeeded(s Subject, now time.Duration) int {
+	if t.served.has(s, now) {
+		return t.rules(s).ServedCrashes
+	}
+	return t.rules(s).Crashes
+}
+
+// startOwn starts a quarantine that a crash observed here began.
+func (t *Table) startOwn(c Crash, now time.Duration) {
+	times := t.TimesQuarantined(c.Subject) + 1
+	t.quarantines[c.Subject] = quarantine{times: times, since: now, duration: nth(t.rules(c.Subject).Durations, times), trigger: c.Upstream}
+}
+
+// startReported starts the nth quarantine of a subject that another instance observed.
+func (t *Table) startReported(s Subject, times int, now time.Duration) {
+	t.quarantines[s] = quarantine{times: times, since: now, duration: t.reportedDuration(s, times)}
 }
 
-// RecordServed records that a content was answered completely, which shows that the crashes before had other
-// causes. It deletes the content's quarantine, and reports whether there was one.
-func (t *Table) RecordServed(c Content, now time.Duration) bool {
-	t.served.add(c, now)
-	t.ignoreCrashes(c)
-	_, existed := t.quarantines[c]
-	delete(t.quarantines, c)
+// reportedDuration returns the duration of the nth quarantine of a subject that another instance observed.
+func (t *Table) reportedDuration(s Subject, times int) time.Duration {
+	rules := t.rules(s)
+	if rules.ReportedDurations == nil {
+		return nth(rules.Durations, times)
+	}
+	d := nth(rules.ReportedDurations, times)
+	return d + time.Duration(t.rng.Int64N(int64(d)))
+}
+
+// RecordServed records that a subject was served here, which shows that the crashes before had other causes. It
+// deletes the subject's quarantine, and reports whether there was one.
+func (t *Table) RecordServed(s Subject, now time.Duration) bool {
+	t.served.add(s, now, now)
+	_, existed := t.quarantines[s]
+	if existed || t.Crashes(s) > 0 {
+		t.publishServed(s, true, now)
+	}
+	t.ignoreCrashes(s)
+	delete(t.quarantines, s)
 	return existed
 }
 
-// ignoreCrashes makes the crashes that are recorded for a content no longer count.
-func (t *Table) ignoreCrashes(c Content) {
-	if r, ok := t.records[c]; ok {
-		maps.Copy(r.ignored, r.crashes)
-		clear(r.crashes)
+// ReceiveServed records that another instance, of the same zone or of another one, served a subject, and reports
+// whether that ends a quarantine of the subject.
+func (t *Table) ReceiveServed(s Served, sameZone bool, now time.Duration) bool {
+	if t.outbox.knowsServed(s, now) {
+		return false
+	}
+	t.outbox.addServedElsewhere(s, sameZone, now)
+	q, quarantined := t.quarantines[s.Subject]
+	if s.SinceCrash {
+		t.served.add(s.Subject, now, now)
+		t.ignoreCrashes(s.Subject)
+		delete(t.quarantines, s.Subject)
+		return quarantined
+	}
+	rules := t.rules(s.Subject)
+	t.served.add(s.Subject, now-rules.Immunity, now)
+	if !quarantined || !s.Subject.IsPart() || q.times > 1 || t.Crashes(s.Subject) >= rules.ServedCrashes {
+		return false
+	}
+	delete(t.quarantines, s.Subject)
+	return true
+}
+
+// ignoreCrashes makes the crashes that are recorded for a subject no longer count.
+func (t *Table) ignoreCrashes(s Subject) {
+	if r, ok := t.records[s]; ok {
+		r.counted = 0
 	}
 }
 
-// Quarantine applies the decision of another instance to quarantine a content for the nth time. It returns
-// false if the decision is wrong because the content was served here recently.
-func (t *Table) Quarantine(c Content, times int, now time.Duration) bool {
-	if t.served.has(c, now) {
+// Quarantine applies the persisted decision of another instance to quarantine a subject for the nth time. It returns
+// false if the decision is wrong because the subject was served here recently.
+func (t *Table) Quarantine(s Subject, times int, now time.Duration) bool {
+	if t.immune(s, now) {
 		return false
 	}
-	if times > t.TimesQuarantined(c) {
-		t.quarantines[c] = quarantine{times: times, since: now}
+	if times > t.TimesQuarantined(s) {
+		t.startReported(s, times, now)
 	}
 	return true
 }
 
-// Release deletes the quarantine of a content and its record of crashes.
-func (t *Table) Release(c Content) {
-	delete(t.quarantines, c)
-	delete(t.records, c)
+// Release deletes the quarantine of a subject and its record of crashes. Reports of the quarantine that are still under
+// way do not begin it again.
+func (t *Table) Release(s Subject, now time.Duration) {
+	delete(t.quarantines, s)
+	delete(t.records, s)
+	if s.IsPart() {
+		t.served.add(s, now-t.rules(s).Immunity, now)
+	}
 }
 
-// Expired returns the contents whose quarantines need not be kept any more: those that ended long
+// Expired returns the subjects whose quarantines need not be kept any more: those that ended long
 // enough ago, and the oldest of those in excess of MaxQuarantined.
-func (t *Table) Expired(now time.Duration) []Content {
-	list := slices.SortedFunc(maps.Keys(t.quarantines), func(a, b Content) int {
+func (t *Table) Expired(now time.Duration) []Subject {
+	list := slices.SortedFunc(maps.Keys(t.quarantines), func(a, b Subject) int {
 		return cmp.Or(cmp.Compare(t.quarantines[a].since, t.quarantines[b].since), cmp.Compare(a, b))
 	})
 	excess := max(0, len(list)-t.settings.MaxQuarantined)
 	expired := list[:excess:excess]
-	for _, c := range list[excess:] {
-		if q := t.quarantines[c]; now-q.since > t.duration(q.times)+t.settings.HistoryTTL {
-			expired = append(expired, c)
+	for _, s := range list[excess:] {
+		if q := t.quarantines[s]; now-q.since > q.duration+t.settings.HistoryTTL {
+			expired = append(expired, s)
 		}
 	}
 	return expired
 }
 
-// makeRoom deletes the expired records, and the oldest one if there are still too many.
+// makeRoom deletes the expired records if there are too many, and the oldest ones if there still are.
 func (t *Table) makeRoom(now time.Duration) {
-	if len(t.records) < t.settings.MaxContents {
+	if len(t.records) < t.settings.MaxRecords {
 		return
 	}
 	t.expireRecords(now)
-	if len(t.records) < t.settings.MaxContents {
+	if len(t.records) < t.settings.MaxRecords {
 		return
 	}
-	oldest := slices.MinFunc(slices.Collect(maps.Keys(t.records)), func(a, b Content) int {
+	oldest := slices.SortedFunc(maps.Keys(t.records), func(a, b Subject) int {
 		return cmp.Or(cmp.Compare(t.records[a].newest, t.records[b].newest), cmp.Compare(a, b))
 	})
-	delete(t.records, oldest)
+	for _, s := range oldest[:1+len(oldest)/8] { // several at a time, because sorting takes long
+		delete(t.records, s)
+	}
 }
 
 // expireRecords deletes the records whose newest crash is older than CrashTTL.
 func (t *Table) expireRecords(now time.Duration) {
-	maps.DeleteFunc(t.records, func(_ Content, r *record) bool { return now-r.newest > t.settings.CrashTTL })
+	maps.DeleteFunc(t.records, func(_ Subject, r *record) bool { return now-r.newest > t.settings.CrashTTL })
 }
 
 // Expire deletes the crashes that no longer count, and those that were published long enough.
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -15,12 +15,12 @@
 // observed it.
 func TestSecondCrashQuarantines(t *testing.T) {
 	for name, second := range map[string]func(*Table) bool{
-		"own":    func(table *Table) bool { return table.RecordCrash(Crash{Content: 7, Upstream: 2}, now) },
-		"beside": func(table *Table) bool { return table.ReceiveCrash(Crash{Content: 7, Upstream: 2}, true, now) },
-		"beyond": func(table *Table) bool { return table.ReceiveCrash(Crash{Content: 7, Upstream: 2}, false, now) },
+		"own":    func(table *Table) bool { return table.RecordCrash(Crash{Subject: 7, Upstream: 2}, now) },
+		"beside": func(table *Table) bool { return table.ReceiveCrash(Crash{Subject: 7, Upstream: 2}, true, now) },
+		"beyond": func(table *Table) bool { return table.ReceiveCrash(Crash{Subject: 7, Upstream: 2}, false, now) },
 	} {
 		table := newTable()
-		if !table.Empty() || table.RecordCrash(Crash{Content: 7, Upstream: 1}, now) || table.Quarantined(7, now) {
+		if !table.Empty() || table.RecordCrash(Crash{Subject: 7, Upstream: 1}, now) || table.Quarantined(7, now) {
 			t.Errorf("%s: quarantined after one crash", name)
 		}
 		if !second(table) || !table.Quarantined(7, now) || table.Quarantined(8, now) {
@@ -34,17 +34,17 @@
 // crashed one more upstream elsewhere, and ended without a second one.
 func TestCrashExtendsQuarantineThatBeganLater(t *testing.T) {
 	first, late := newTable(), newTable()
-	firstDuration, delay := DefaultSettings().Durations[0], time.Second
+	firstDuration, delay := DefaultSettings().Contents.Durations[0], time.Second
 	report := func(at time.Duration) {
-		for _, c := range first.DueOwn(at) {
+		for _, c := range first.DueOwn(at).Crashes {
 			late.ReceiveCrash(c, true, at)
 		}
 	}
-	first.RecordCrash(Crash{Content: 7, Upstream: 1}, now)
-	first.RecordCrash(Crash{Content: 7, Upstream: 2}, now)
+	first.RecordCrash(Crash{Subject: 7, Upstream: 1}, now)
+	first.RecordCrash(Crash{Subject: 7, Upstream: 2}, now)
 	report(now + delay)
 	again := now + firstDuration
-	first.RecordCrash(Crash{Content: 7, Upstream: 3}, again)
+	first.RecordCrash(Crash{Subject: 7, Upstream: 3}, again)
 	report(again + delay/2)
 	for name, table := range map[string]*Table{"the first": first, "the late one": late} {
 		if !table.Quarantined(7, again+2*delay) || table.TimesQuarantined(7) != 2 {
@@ -57,10 +57,10 @@
 // was released, and a report of the crash that had quarantined it comes again.
 func TestReportOfReleasedContentDoesNotQuarantine(t *testing.T) {
 	first, other := newTable(), newTable()
-	first.RecordCrash(Crash{Content: 7, Upstream: 1}, now)
-	first.RecordCrash(Crash{Content: 7, Upstream: 2}, now)
-	other.Release(7)
-	for _, c := range first.DueOwn(now) {
+	first.RecordCrash(Crash{Subject: 7, Upstream: 1}, now)
+	first.RecordCrash(Crash{Subject: 7, Upstream: 2}, now)
+	other.Release(7, now)
+	for _, c := range first.DueOwn(now).Crashes {
 		if c.Upstream == 2 {
 			other.ReceiveCrash(c, true, now)
 		}
@@ -75,8 +75,8 @@
 func TestACrashCountsOnce(t *testing.T) {
 	table := newTable()
 	for range 3 {
-		table.RecordCrash(Crash{Content: 7, Upstream: 1}, now)
-		table.ReceiveCrash(Crash{Content: 7, Upstream: 1}, true, now)
+		table.RecordCrash(Crash{Subject: 7, Upstream: 1}, now)
+		table.ReceiveCrash(Crash{Subject: 7, Upstream: 1}, true, now)
 	}
 	if table.Quarantined(7, now) || table.Crashes(7) != 1 {
 		t.Errorf("quarantined %t after %d crashes", table.Quarantined(7, now), table.Crashes(7))
@@ -88,9 +88,9 @@
 func TestCrashesBeforeServingDoNotCount(t *testing.T) {
 	table := newTable()
 	for upstream := range uint32(50) {
-		table.RecordCrash(Crash{Content: 7, Upstream: upstream}, now)
+		table.RecordCrash(Crash{Subject: 7, Upstream: upstream}, now)
 		table.RecordServed(7, now)
-		table.ReceiveCrash(Crash{Content: 7, Upstream: upstream}, true, now) // reported again
+		table.ReceiveCrash(Crash{Subject: 7, Upstream: upstream}, true, now) // reported again
 	}
 	if table.Quarantined(7, now) {
 		t.Error("quarantined although it was served after each crash")
@@ -99,10 +99,10 @@
 
 func TestCrashesExpire(t *testing.T) {
 	table := newTable()
-	table.RecordCrash(Crash{Content: 7, Upstream: 1}, now)
+	table.RecordCrash(Crash{Subject: 7, Upstream: 1}, now)
 	later := now + DefaultSettings().CrashTTL + time.Second
 	table.Expire(later)
-	if !table.Empty() || table.RecordCrash(Crash{Content: 7, Upstream: 2}, later) {
+	if !table.Empty() || table.RecordCrash(Crash{Subject: 7, Upstream: 2}, later) {
 		t.Error("a crash never expires")
 	}
 }
@@ -112,13 +112,13 @@
 // quarantines no longer count.
 func TestRepeatedQuarantinesLastLonger(t *testing.T) {
 	table, at := newTable(), time.Duration(now)
-	table.RecordCrash(Crash{Content: 7, Upstream: 0}, at)
+	table.RecordCrash(Crash{Subject: 7, Upstream: 0}, at)
 	for n, duration := range []time.Duration{10 * time.Second, time.Hour, 24 * time.Hour, 24 * time.Hour} {
 		upstream := uint32(n + 1)
-		if !table.RecordCrash(Crash{Content: 7, Upstream: upstream}, at) || table.TimesQuarantined(7) != n+1 {
+		if !table.RecordCrash(Crash{Subject: 7, Upstream: upstream}, at) || table.TimesQuarantined(7) != n+1 {
 			t.Fatalf("not quarantined for the %d. time", n+1)
 		}
-		if table.RecordCrash(Crash{Content: 7, Upstream: upstream + 100}, at+time.Second) {
+		if table.RecordCrash(Crash{Subject: 7, Upstream: upstream + 100}, at+time.Second) {
 			t.Errorf("a crash that is observed during the quarantine starts the %d. one", n+2)
 		}
 		table.Expire(at + duration - time.Second)
@@ -127,7 +127,7 @@
 		}
 		at += duration + time.Second
 	}
-	if !table.RecordServed(7, at) || table.TimesQuarantined(7) != 0 || table.RecordCrash(Crash{Content: 7, Upstream: 50}, at+time.Hour) {
+	if !table.RecordServed(7, at) || table.TimesQuarantined(7) != 0 || table.RecordCrash(Crash{Subject: 7, Upstream: 50}, at+time.Hour) {
 		t.Error("it was served, but its earlier quarantines still count")
 	}
 }
@@ -140,7 +140,7 @@
 	table.RecordServed(7, now)
 	for upstream := range uint32(5) {
 		at := now + time.Duration(upstream)*time.Second
-		if table.RecordCrash(Crash{Content: 7, Upstream: upstream}, at) || table.Quarantined(7, at) {
+		if table.RecordCrash(Crash{Subject: 7, Upstream: upstream}, at) || table.Quarantined(7, at) {
 			t.Fatalf("quarantined after %d crashes although it was served a moment ago", upstream+1)
 		}
 	}
@@ -148,8 +148,8 @@
 		t.Error("another instance's decision was applied although the content was served here a moment ago")
 	}
 	later := now + 3*DefaultSettings().ServedTTL
-	table.RecordCrash(Crash{Content: 7, Upstream: 10}, later)
-	if !table.RecordCrash(Crash{Content: 7, Upstream: 11}, later) {
+	table.RecordCrash(Crash{Subject: 7, Upstream: 10}, later)
+	if !table.RecordCrash(Crash{Subject: 7, Upstream: 11}, later) {
 		t.Error("a content that was served long ago is never quarantined")
 	}
 }
@@ -158,12 +158,12 @@
 // three, and no more of them than the capacity allows.
 func TestRecentExpiresAndIsBounded(t *testing.T) {
 	r := newRecent(time.Minute, 10)
-	r.add(1, now)
+	r.add(1, now, now)
 	if !r.has(1, now+time.Minute) || r.has(2, now) || r.has(1, now+3*time.Minute) {
 		t.Error("kept for less than a minute, or for too long")
 	}
-	for c := range Content(1000) {
-		r.add(c, now+3*time.Minute)
+	for c := range Subject(1000) {
+		r.add(c, now+3*time.Minute, now+3*time.Minute)
 	}
 	if len(r.newer)+len(r.older) > 20 || !r.has(999, now+3*time.Minute) {
 		t.Errorf("the generations hold %d and %d contents", len(r.newer), len(r.older))
@@ -180,10 +180,10 @@
 	if !table.Quarantined(7, now+59*time.Minute) || table.Quarantined(7, now+time.Hour) {
 		t.Error("not quarantined for an hour from when it was first received")
 	}
-	if !table.RecordCrash(Crash{Content: 7, Upstream: 1}, now+2*time.Hour) || !table.Quarantined(7, now+25*time.Hour) {
+	if !table.RecordCrash(Crash{Subject: 7, Upstream: 1}, now+2*time.Hour) || !table.Quarantined(7, now+25*time.Hour) {
 		t.Error("one more crash does not quarantine it for longer")
 	}
-	table.Release(7)
+	table.Release(7, now)
 	if table.Quarantined(7, now+25*time.Hour) || !table.Empty() {
 		t.Error("not released")
 	}
@@ -192,11 +192,11 @@
 // TestRecordsAreBounded adds more contents than the table may hold.
 func TestRecordsAreBounded(t *testing.T) {
 	s := DefaultSettings()
-	s.MaxContents, s.MaxQuarantined = 10, 5
+	s.MaxRecords, s.MaxQuarantined = 10, 5
 	table := NewTable(s)
-	for c := range Content(100) {
+	for c := range Subject(100) {
 		at := now + time.Duration(c)*time.Second
-		table.RecordCrash(Crash{Content: c, Upstream: 1}, at)
+		table.RecordCrash(Crash{Subject: c, Upstream: 1}, at)
 		table.Quarantine(c, 1, at)
 	}
 	if len(table.records) > 10 {
@@ -215,22 +215,22 @@
 func TestInstancesDecideAlike(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		crashes := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Crash {
-			return Crash{Content: Content(rapid.IntRange(1, 4).Draw(t, "content")), Upstream: uint32(rapid.IntRange(1, 4).Draw(t, "upstream"))}
+			return Crash{Subject: Subject(rapid.IntRange(1, 4).Draw(t, "content")), Upstream: uint32(rapid.IntRange(1, 4).Draw(t, "upstream"))}
 		}), 1, 20).Draw(t, "ends")
 		first, second := newTable(), newTable()
-		want := map[Content]map[uint32]bool{}
+		want := map[Subject]map[uint32]bool{}
 		for _, c := range crashes {
-			if want[c.Content] == nil {
-				want[c.Content] = map[uint32]bool{}
+			if want[c.Subject] == nil {
+				want[c.Subject] = map[uint32]bool{}
 			}
-			want[c.Content][c.Upstream] = true
+			want[c.Subject][c.Upstream] = true
 			first.RecordCrash(c, now)
 		}
 		for _, c := range rapid.Permutation(append(crashes, crashes...)).Draw(t, "told") {
 			second.ReceiveCrash(c, rapid.Bool().Draw(t, "beside"), now)
 		}
 		for c, upstreams := range want {
-			quarantined := len(upstreams) >= DefaultSettings().Crashes
+			quarantined := len(upstreams) >= DefaultSettings().Contents.Crashes
 			if first.Quarantined(c, now) != quarantined || second.Quarantined(c, now) != quarantined {
 				t.Fatalf("content %s after %d crashes: quarantined %t and %t", c, len(upstreams), first.Quarantined(c, now), second.Quarantined(c, now))
 			}
@@ -241,35 +241,35 @@
 // TestCrashesArePublishedForAWhile checks to which audiences and for how long an instance publishes crashes
 // that it observed or received, and that a few reports include all of them.
 func TestCrashesArePublishedForAWhile(t *testing.T) {
-	table, crash := newTable(), Crash{Content: 7, Upstream: 1}
+	table, crash := newTable(), Crash{Subject: 7, Upstream: 1}
 	table.RecordCrash(crash, now)
-	if len(table.DueOwn(now)) != 1 || len(table.DueZone(now)) != 1 || len(table.DueOtherZones(now)) != 0 {
+	if len(table.DueOwn(now).Crashes) != 1 || len(table.DueZone(now).Crashes) != 1 || len(table.DueOtherZones(now).Crashes) != 0 {
 		t.Error("an observed crash is not published to the own zone and the other zones")
 	}
 	receiver := newTable()
 	receiver.ReceiveCrash(crash, true, now)
 	receiver.ReceiveCrash(crash, true, now+time.Second) // received again: not published for longer
-	if len(receiver.DueOwn(now)) != 0 || len(receiver.DueZone(now)) != 1 || len(receiver.DueZone(now+publishFor)) != 0 {
+	if len(receiver.DueOwn(now).Crashes) != 0 || len(receiver.DueZone(now).Crashes) != 1 || len(receiver.DueZone(now+publishFor).Crashes) != 0 {
 		t.Error("a crash received from the same zone is not published to other zones, or for too long")
 	}
 	receiver = newTable()
 	receiver.ReceiveCrash(crash, false, now)
-	if len(receiver.DueZone(now)) != 0 || len(receiver.DueOtherZones(now)) != 1 {
+	if len(receiver.DueZone(now).Crashes) != 0 || len(receiver.DueOtherZones(now).Crashes) != 1 {
 		t.Error("a crash of another zone is not published to the own zone")
 	}
 	for upstream := range uint32(1000) {
-		table.RecordCrash(Crash{Content: 7, Upstream: upstream}, now)
+		table.RecordCrash(Crash{Subject: 7, Upstream: upstream}, now)
 	}
-	if n := len(table.DueOwn(now)); n > maxReported {
+	if n := len(table.DueOwn(now).Crashes); n > MaxReported {
 		t.Errorf("%d crashes in one report", n)
 	}
 	table, published := newTable(), map[Crash]bool{}
 	const crashes = 48 // the requests of one upstream
-	for content := range Content(crashes) {
-		table.RecordCrash(Crash{Content: content, Upstream: 1}, now)
+	for content := range Subject(crashes) {
+		table.RecordCrash(Crash{Subject: content, Upstream: 1}, now)
 	}
 	for range 20 { // the reports of two seconds
-		for _, c := range table.DueOwn(now) {
+		for _, c := range table.DueOwn(now).Crashes {
 			published[c] = true
 		}
 	}
--- a/internal/relay/eventforwarder.go
+++ b/internal/relay/eventforwarder.go
@@ -24,6 +24,8 @@
 	events      stream.EventSplitter
 	// lastEvent is the id of the last event that was written to the caller.
 	lastEvent string
+	// onEvents is called after events were written; nil for none.
+	onEvents func()
 }
 
 // readBufferBytes is how much is read from an engine at once. An event has some hundred bytes.
@@ -77,5 +79,8 @@
 	if id := p.events.LastID(); id != "" {
 		p.lastEvent = id
 	}
+	if p.onEvents != nil {
+		p.onEvents()
+	}
 	return nil
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -50,8 +50,12 @@
 	forwards    int
 	from, via   string
 	peerRefusal *Refusal
-	// content returns the identifier of what is requested. It is computed once.
-	content func() quarantine.Content
+	// content returns the identifier of what is requested; subjects returns it and the parts of the prompt. Both are
+	// computed once.
+	content  func() quarantine.Subject
+	subjects func() []quarantine.Subject
+	// crash is the check whether the upstream that cut off the request last has crashed; nil if none did.
+	crash *crashCheck
 }
 
 // placementRequest returns the input for choosing an upstream.
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -318,6 +318,7 @@
 	g.begin(reply, engine.Version)
 	g.generatingSince = r.now()
 	forwarder := eventForwarder{w: g.w, flush: http.NewResponseController(g.w).Flush, lastEvent: g.lastEvent}
+	forwarder.onEvents = r.watchAlive(g.exchange)
 	if g.attempts.MayRunElsewhere() {
 		forwarder.idleTimeout, forwarder.cancel = r.settings.StreamIdleTimeout, cancel
 	}
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -1,47 +1,43 @@
 package relay
 
 import (
-	"context"
 	"maps"
+	"math/rand/v2"
+	"net/http"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
 	"sassafrasfield/internal/bootclock"
-	"sassafrasfield/internal/pause"
 	"sassafrasfield/internal/quarantine"
-	"sassafrasfield/internal/upstreamstate"
 )
 
-// errQuarantined: the request's content is quarantined because upstreams crashed while serving it, so that no
-// upstream may receive it.
-var errQuarantined = errors.New("relay: upstreams ended under its content")
+// quarantinedError: the request's content, or a part of its prompt, is quarantined because upstreams crashed under it, so
+// that no upstream may receive the request.
+type quarantinedError struct {
+	subject quarantine.Subject
+}
 
-// Timing of the check whether an upstream has crashed. The check is repeated until it has a result,
-// because packets may be lost and a machine may be slow to answer.
-const (
-	// crashCheckTimeout bounds one check. The machine of a process that has ended answers within a
-	// round trip of 2 ms.
-	crashCheckTimeout = 400 * time.Millisecond
-	// crashCheckInterval is the pause between two checks.
-	crashCheckInterval = 100 * time.Millisecond
-	// crashCheckDeadline bounds the wait for a result. If the machine is silent for longer, the
-	// request did not cause that.
-	crashCheckDeadline = 3 * time.Second
-)
+func (e quarantinedError) Error() string { return "relay: " + e.reason() }
 
-// quarantineState tracks the contents of requests during which upstreams crashed. Its times are on
+// reason returns the text of the refusal.
+func (e quarantinedError) reason() string {
+	if e.subject.IsPart() {
+		return "upstreams crashed under a part of its prompt"
+	}
+	return "upstreams ended under its content"
+}
+
+// quarantineState tracks what requests had in common during which upstreams crashed. Its times are on
 // the clock that keeps running while the machine is suspended, so that nothing is kept or
 // reported for longer than intended.
 //
-// It protects the upstreams, and all requests that they hold, from a request that crashes them and
-// is sent again and again. Without it, two such requests crashed 15 and 21 engines of a fleet of 18
-// within a minute.
+// It protects the upstreams, and all requests that they hold, from requests that crash them and
+// come again and again. Without it, two contents crashed 15 and 21 engines of a fleet of 18 within a
+// minute, and requests with two parts 31 and 40.
 type quarantineState struct {
-	crashes, refused metrics.Counter
-	quarantined      metrics.Gauge
+	meters quarantineMeters
 	// persistNeeded receives a value when unpersisted has a new entry.
 	persistNeeded chan struct{}
 
@@ -50,236 +46,230 @@
 	// interrupted holds the requests that upstreams cut off, by the upstream's id, until it is
 	// known whether the upstream crashed.
 	interrupted map[string][]interruptedRequest
-	// unpersisted holds what this instance has to persist for all instances: how often a content
+	// unpersisted holds what this instance has to persist for all instances: how often a subject
 	// was quarantined; 0 to remove it.
-	unpersisted map[quarantine.Content]int
+	unpersisted map[quarantine.Subject]int
+}
+
+// quarantineMeters counts the requests whose upstream crashed, and by kind of subject the refused requests, the subjects
+// that crashes were counted against, and those that were served since.
+type quarantineMeters struct {
+	crashes, refusedContents, refusedParts, suspectedParts, clearedParts metrics.Counter
+	contents, parts                                                      metrics.Gauge
 }
 
-// interruptedRequest is a request that an upstream cut off.
-type interruptedRequest struct {
-	content   quarantine.Content
-	requestID string
-	// parts are the ids of the prompt's parts, for logs. generatingFor is how long the upstream had been answering;
-	// 0 if it had not begun.
-	parts         string
-	generatingFor time.Duration
+func newQuarantineMeters() quarantineMeters {
+	gauge := func(name string) metrics.Gauge {
+		return metrics.GetOrRegisterGauge("relay."+name, metrics.DefaultRegistry)
+	}
+	return quarantineMeters{
+		crashes: counter("upstream_ends"), refusedContents: counter("refused_apart"), refusedParts: counter("refused_part"),
+		suspectedParts: counter("parts_suspected"), clearedParts: counter("parts_cleared"),
+		contents: gauge("contents_apart"), parts: gauge("parts_apart"),
+	}
 }
 
 func newQuarantineState() *quarantineState {
+	settings := quarantine.DefaultSettings()
+	settings.Seed = rand.Uint64()
 	return &quarantineState{
-		crashes: counter("upstream_ends"), refused: counter("refused_apart"),
-		quarantined:   metrics.GetOrRegisterGauge("relay.contents_apart", metrics.DefaultRegistry),
-		persistNeeded: make(chan struct{}, 1), table: quarantine.NewTable(quarantine.DefaultSettings()),
-		interrupted: map[string][]interruptedRequest{}, unpersisted: map[quarantine.Content]int{},
+		meters: newQuarantineMeters(), persistNeeded: make(chan struct{}, 1), table: quarantine.NewTable(settings),
+		interrupted: map[string][]interruptedRequest{}, unpersisted: map[quarantine.Subject]int{},
 	}
 }
 
-// dueCrashes returns the crashes that are due in one kind of report.
-func (q *quarantineState) dueCrashes(due func(*quarantine.Table, time.Duration) []quarantine.Crash) []quarantine.Crash {
+// dueEvidence returns the evidence that is due in one kind of report.
+func (q *quarantineState) dueEvidence(due func(*quarantine.Table, time.Duration) quarantine.Evidence) quarantine.Evidence {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.table.Empty() {
-		return nil
+		return quarantine.Evidence{}
 	}
 	return due(q.table, bootclock.Now())
 }
 
-// addInterrupted adds a request to those that wait for the crash check of an upstream, and reports
-// whether it is the first one.
-func (q *quarantineState) addInterrupted(id string, request interruptedRequest) bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.interrupted[id] = append(q.interrupted[id], request)
-	return len(q.interrupted[id]) == 1
-}
-
-// takeInterrupted removes and returns the requests that wait for the crash check of an upstream.
-func (q *quarantineState) takeInterrupted(id string) []interruptedRequest {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	requests := q.interrupted[id]
-	delete(q.interrupted, id)
-	return requests
-}
-
 // record calls apply, which adds a crash to the table. It returns whether the crash quarantines the
-// content and how many crashes count against the content.
-func (q *quarantineState) record(content quarantine.Content, apply func(*quarantine.Table) bool) (quarantined bool, crashes int) {
+// subject and how many crashes count against the subject.
+func (q *quarantineState) record(subject quarantine.Subject, apply func(*quarantine.Table) bool) (quarantined bool, crashes int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	quarantined = apply(q.table)
-	if quarantined && q.table.SawCrash(content) { // otherwise the instances that observed a crash persist it
-		q.requestPersist(content, q.table.TimesQuarantined(content))
+	if quarantined && q.table.SawCrash(subject) { // otherwise the instances that observed a crash persist it
+		q.requestPersist(subject, q.table.TimesQuarantined(subject))
 	}
-	q.quarantined.Update(int64(q.table.CountQuarantined(bootclock.Now())))
-	return quarantined, q.table.Crashes(content)
+	q.updateGauges()
+	return quarantined, q.table.Crashes(subject)
 }
 
-// requestPersist has the number of a content's quarantines persisted for all instances. The caller
+// updateGauges counts what is quarantined. The caller holds the lock.
+func (q *quarantineState) updateGauges() {
+	contents, parts := q.table.CountQuarantined(bootclock.Now())
+	q.meters.contents.Update(int64(contents))
+	q.meters.parts.Update(int64(parts))
+}
+
+// requestPersist has the number of a subject's quarantines persisted for all instances. The caller
 // holds the lock.
-func (q *quarantineState) requestPersist(content quarantine.Content, times int) {
-	q.unpersisted[content] = times
+func (q *quarantineState) requestPersist(subject quarantine.Subject, times int) {
+	q.unpersisted[subject] = times
 	select {
 	case q.persistNeeded <- struct{}{}:
 	default: // a notification is already pending
 	}
 }
 
-// isQuarantined reports whether no upstream may receive a request.
-func (r *Relay) isQuarantined(x *exchange) bool {
-	q := r.quarantine
+// blockedBy returns the subject of a request because of which no upstream may receive the request.
+func (q *quarantineState) blockedBy(x *exchange) (quarantine.Subject, bool) {
 	q.mu.Lock()
-	empty := q.table.Empty()
+	any := q.table.HasQuarantines()
 	q.mu.Unlock()
-	if empty {
-		return false // saves hashing the content
+	if !any {
+		return 0, false // saves hashing the content
 	}
-	content := x.content()
+	subjects := x.subjects()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.table.Quarantined(content, bootclock.Now())
-}
-
-// refuseQuarantined returns the refusal of a request whose content is quarantined, and nil for
-// others. The refusal has no retry delay.
-func (r *Relay) refuseQuarantined(x *exchange) error {
-	if !r.isQuarantined(x) {
-		return nil
+	now := bootclock.Now()
+	for _, s := range subjects {
+		if q.table.Quarantined(s, now) {
+			return s, true
+		}
 	}
-	r.quarantine.refused.Inc(1)
-	r.log.Info("relay: content refused", "request", x.req.ID, "route", x.route.Name, "content", x.content())
-	return &Refusal{Outcome: NotRun, Reason: "upstreams ended under its content"}
+	for _, s := range subjects { // only a request that nothing blocks may try a subject again
+		if q.table.Blocks(s, x.req.ID, now) {
+			return s, true
+		}
+	}
+	return 0, false
 }
 
-// recordServed records that a request was answered completely.
-func (r *Relay) recordServed(x *exchange) {
-	q, content := r.quarantine, x.content()
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.table.RecordServed(content, bootclock.Now()) {
-		q.requestPersist(content, 0)
-		r.log.Info("relay: content served, and not to blame", "request", x.req.ID, "content", content)
+// refuseQuarantined returns the refusal of a request because of one of its subjects. It has no retry delay.
+func (r *Relay) refuseQuarantined(x *exchange, because quarantinedError) error {
+	q := r.quarantine
+	if because.subject.IsPart() {
+		q.meters.refusedParts.Inc(1)
+	} else {
+		q.meters.refusedContents.Inc(1)
 	}
+	q.mu.Lock()
+	status := q.table.Status(because.subject, bootclock.Now())
+	q.mu.Unlock()
+	r.log.Info("relay: quarantined request refused", "request", x.req.ID, "route", x.route.Name, "kind", because.subject.Kind(),
+		"subject", because.subject, "parts", x.promptParts(), "crashes", status.Crashes, "times", status.Times, "age", status.Age)
+	return &Refusal{Outcome: NotRun, Reason: because.reason()}
 }
 
-// checkInterrupted handles a request that an upstream cut off. If the upstream crashed, this counts
-// against the request's content.
-func (r *Relay) checkInterrupted(x *exchange, id string) {
-	request := interruptedRequest{
-		content: x.content(), requestID: x.req.ID, parts: x.promptParts(), generatingFor: x.generatingFor(r.now()),
-	}
-	if !r.quarantine.addInterrupted(id, request) {
-		return
-	}
-	to := r.upstreams.Upstream(id)
-	if to.ID == "" { // the upstream was removed, and its requests with it
-		r.quarantine.takeInterrupted(id)
-		return
+// recordServed records that a request was answered completely. If an engine generated the answer, that also speaks for
+// the parts of the prompt.
+func (r *Relay) recordServed(x *exchange) {
+	if x.generatingSince > 0 && x.status == http.StatusOK {
+		r.recordServedSubjects(x, x.subjects())
+	} else {
+		r.recordServedSubjects(x, []quarantine.Subject{x.content()})
 	}
-	go r.checkCrashed(to)
 }
 
-// checkCrashed determines whether an upstream that cut off requests has crashed. If so, it records the
-// crash for their contents.
-func (r *Relay) checkCrashed(to upstreamstate.Upstream) {
-	crashed := r.hasCrashed(to)
-	requests := r.quarantine.takeInterrupted(to.ID)
-	if !crashed {
-		r.log.Info("relay: upstream lives on", "upstream", to.ID, "cut_off", len(requests))
-		return
+// recordAlive records that an engine is still generating the answer to a request long after it began, which speaks for
+// the parts of the prompt.
+func (r *Relay) recordAlive(x *exchange) {
+	if x.req.Prompt != nil {
+		r.recordServedSubjects(x, x.req.parts(x.service))
 	}
-	for _, request := range requests {
-		quarantined, crashes := r.RecordCrash(quarantine.Crash{Content: request.content, Upstream: to.Incarnation()})
-		r.quarantine.crashes.Inc(1)
-		r.log.Info("relay: upstream ended", "upstream", to.ID, "request", request.requestID, "content", request.content,
-			"parts", request.parts, "generating_for", request.generatingFor, "ends", crashes, "apart", quarantined)
-	}
-	r.notifyChanged()
 }
 
-// hasCrashed checks whether an upstream has crashed until there is a result. Without a result the
-// upstream is treated as running.
-func (r *Relay) hasCrashed(to upstreamstate.Upstream) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), crashCheckDeadline)
-	defer cancel()
-	healthPath := r.Services()[to.Service].HealthPath
-	if r.BackingOff(to) {
-		healthPath = "" // the check must not send it a request
-	}
-	began := r.now()
-	for {
-		checkCtx, cancelCheck := context.WithTimeout(ctx, crashCheckTimeout)
-		crashed, err := r.sender.Crashed(checkCtx, to, healthPath)
-		cancelCheck()
-		if err == nil && crashed && !r.reachesAnother(ctx, to, began) {
-			r.log.Info("relay: no upstream is reached, crash not assumed", "upstream", to.ID)
-			return false
+func (r *Relay) recordServedSubjects(x *exchange, subjects []quarantine.Subject) {
+	q := r.quarantine
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := bootclock.Now()
+	for _, s := range subjects {
+		crashes := q.table.Crashes(s)
+		released := q.table.RecordServed(s, now)
+		if crashes > 0 && s.IsPart() {
+			q.meters.clearedParts.Inc(1)
 		}
-		if err == nil {
-			return crashed
+		if crashes > 0 || released {
+			r.log.Info("relay: served, and not to blame", "request", x.req.ID, "kind", s.Kind(), "subject", s, "parts", x.promptParts(), "crashes", crashes, "released", released)
+			r.notifyChanged()
 		}
-		if !pause.For(ctx, crashCheckInterval) {
-			r.log.Info("relay: cannot determine whether upstream crashed", "upstream", to.ID, "error", err)
-			return false
+		if released {
+			q.requestPersist(s, 0)
 		}
 	}
 }
 
 // RecordCrash records a crash that this instance observed. It returns whether the crash
-// quarantines the content and how many crashes count against the content.
+// quarantines the subject and how many crashes count against the subject.
 func (r *Relay) RecordCrash(crash quarantine.Crash) (quarantined bool, crashes int) {
-	return r.quarantine.record(crash.Content, func(t *quarantine.Table) bool { return t.RecordCrash(crash, bootclock.Now()) })
+	return r.quarantine.record(crash.Subject, func(t *quarantine.Table) bool { return t.RecordCrash(crash, bootclock.Now()) })
 }
 
-// applyCrashes merges the crashes that other instances reported.
-func (r *Relay) applyCrashes(crashes []quarantine.Crash, sameZone bool) {
-	for _, crash := range crashes {
-		quarantined, count := r.quarantine.record(crash.Content, func(t *quarantine.Table) bool { return t.ReceiveCrash(crash, sameZone, bootclock.Now()) })
+// applyEvidence merges what other instances reported.
+func (r *Relay) applyEvidence(e quarantine.Evidence, sameZone bool) {
+	for _, crash := range e.Crashes {
+		quarantined, count := r.quarantine.record(crash.Subject, func(t *quarantine.Table) bool { return t.ReceiveCrash(crash, sameZone, bootclock.Now()) })
 		if quarantined {
-			r.log.Info("relay: content quarantined after reports of other instances", "content", crash.Content, "ends", count)
+			r.log.Info("relay: quarantined after reports of other instances", "kind", crash.Subject.Kind(), "subject", crash.Subject, "crashes", count, "times", crash.Times)
 		}
 	}
+	for _, served := range e.Served {
+		r.applyServed(served, sameZone)
+	}
 }
 
-// Quarantine applies the persisted state of a content that was quarantined the given number of
-// times. A content that was served here recently is released for all instances instead.
-func (r *Relay) Quarantine(content quarantine.Content, times int) {
+// applyServed merges that another instance served a subject.
+func (r *Relay) applyServed(served quarantine.Served, sameZone bool) {
 	q := r.quarantine
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	now := bootclock.Now()
-	if !q.table.Quarantine(content, times, now) {
-		q.requestPersist(content, 0)
-		r.log.Info("relay: content was served recently, quarantine rejected", "content", content)
+	if !q.table.ReceiveServed(served, sameZone, bootclock.Now()) {
+		return
+	}
+	q.updateGauges()
+	if q.table.SawCrash(served.Subject) {
+		q.requestPersist(served.Subject, 0)
+	}
+	r.log.Info("relay: released, as another instance served it", "kind", served.Subject.Kind(), "subject", served.Subject, "since_crash", served.SinceCrash)
+}
+
+// Quarantine applies the persisted state of a subject that was quarantined the given number of
+// times. A subject that was served here recently is released for all instances instead.
+func (r *Relay) Quarantine(subject quarantine.Subject, times int) {
+	q := r.quarantine
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.table.Quarantine(subject, times, bootclock.Now()) {
+		q.requestPersist(subject, 0)
+		r.log.Info("relay: served recently, quarantine rejected", "kind", subject.Kind(), "subject", subject)
 	}
-	q.quarantined.Update(int64(q.table.CountQuarantined(now)))
+	q.updateGauges()
 }
 
-// Release ends the quarantine of a content whose persisted state was removed.
-func (r *Relay) Release(content quarantine.Content) {
+// Release ends the quarantine of a subject whose persisted state was removed.
+func (r *Relay) Release(subject quarantine.Subject) {
 	q := r.quarantine
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.table.Release(content)
-	q.quarantined.Update(int64(q.table.CountQuarantined(bootclock.Now())))
+	q.table.Release(subject, bootclock.Now())
+	q.updateGauges()
 }
 
-// PersistAgain has this instance persist once more how often a content was quarantined.
-func (r *Relay) PersistAgain(content quarantine.Content) {
+// PersistAgain has this instance persist once more how often a subject was quarantined.
+func (r *Relay) PersistAgain(subject quarantine.Subject) {
 	q := r.quarantine
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if times := q.table.TimesQuarantined(content); times > 0 {
-		q.requestPersist(content, times)
+	if times := q.table.TimesQuarantined(subject); times > 0 {
+		q.requestPersist(subject, times)
 	}
 }
 
 // PersistNeeded returns a channel that receives a value when Unpersisted has new entries.
 func (r *Relay) PersistNeeded() <-chan struct{} { return r.quarantine.persistNeeded }
 
-// Unpersisted returns what this instance has to persist for all instances: how often each content
+// Unpersisted returns what this instance has to persist for all instances: how often each subject
 // was quarantined; 0 to remove it.
-func (r *Relay) Unpersisted() map[quarantine.Content]int {
+func (r *Relay) Unpersisted() map[quarantine.Subject]int {
 	q := r.quarantine
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -287,13 +277,13 @@
 }
 
 // MarkPersisted records what is persisted now. Entries that changed meanwhile stay unpersisted.
-func (r *Relay) MarkPersisted(persisted map[quarantine.Content]int) {
+func (r *Relay) MarkPersisted(persisted map[quarantine.Subject]int) {
 	q := r.quarantine
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for content, times := range persisted {
-		if q.unpersisted[content] == times {
-			delete(q.unpersisted, content)
+	for subject, times := range persisted {
+		if q.unpersisted[subject] == times {
+			delete(q.unpersisted, subject)
 		}
 	}
 }
@@ -306,11 +296,11 @@
 	defer q.mu.Unlock()
 	now := bootclock.Now()
 	q.table.Expire(now)
-	q.quarantined.Update(int64(q.table.CountQuarantined(now)))
+	q.updateGauges()
 	if !release {
 		return
 	}
-	for _, content := range q.table.Expired(now) {
-		q.requestPersist(content, 0)
+	for _, subject := range q.table.Expired(now) {
+		q.requestPersist(subject, 0)
 	}
 }
--- a/internal/relay/quarantine_test.go
+++ b/internal/relay/quarantine_test.go
@@ -34,7 +34,7 @@
 }
 
 // waitForCrashes waits until a number of crashes count against a content.
-func waitForCrashes(r *Relay, content quarantine.Content, crashes int) {
+func waitForCrashes(r *Relay, content quarantine.Subject, crashes int) {
 	for {
 		r.quarantine.mu.Lock()
 		n := r.quarantine.table.Crashes(content)
@@ -122,16 +122,16 @@
 	first, second, third := newFake(t, crashingSender()), newFake(t, crashingSender()), newFake(t, crashingSender())
 	content := call("/once/1").Content()
 	for n, r := range []*Relay{first, second} {
-		crash := quarantine.Crash{Content: content, Upstream: upstreamstate.Upstream{ID: string(rune('a' + n))}.Incarnation()}
+		crash := quarantine.Crash{Subject: content, Upstream: upstreamstate.Upstream{ID: string(rune('a' + n))}.Incarnation()}
 		r.RecordCrash(crash)
 	}
 	for _, from := range []*Relay{first, second} {
-		crashes := from.OwnReport().Crashes
+		crashes := from.OwnReport().Evidence.Crashes
 		if len(crashes) != 1 {
 			t.Fatalf("%d crashes are reported", len(crashes))
 		}
 		for _, to := range []*Relay{first, second, third} {
-			to.ApplyReport(upstreamstate.InstanceSourcePrefix+"x", upstreamstate.Report{Crashes: crashes})
+			to.ApplyReport(upstreamstate.InstanceSourcePrefix+"x", upstreamstate.Report{Evidence: quarantine.Evidence{Crashes: crashes}})
 		}
 	}
 	for n, r := range []*Relay{first, second, third} {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -186,7 +186,7 @@
 		report.Unreached = append(report.Unreached, serviceHash(service))
 		report.Unreachable = nil // it is this instance's path that failed
 	}
-	report.RetryOverflow, report.Crashes = r.budgets.overflow(), r.quarantine.dueCrashes((*quarantine.Table).DueOwn)
+	report.RetryOverflow, report.Evidence = r.budgets.overflow(), r.quarantine.dueEvidence((*quarantine.Table).DueOwn)
 	report.Usage = r.usage.dueTotals((*usage.Tally).DueOwn)
 	return report
 }
@@ -195,7 +195,7 @@
 func (r *Relay) ZoneReport() upstreamstate.Report {
 	r.depositOwn()
 	report := r.upstreams.ZoneReport(r.now())
-	report.Crashes = r.quarantine.dueCrashes((*quarantine.Table).DueZone)
+	report.Evidence = r.quarantine.dueEvidence((*quarantine.Table).DueZone)
 	report.Usage = r.usage.dueTotals((*usage.Tally).DueZone)
 	return report
 }
@@ -203,7 +203,7 @@
 // OtherZonesReport returns the report on the other zones to the instances of this zone.
 func (r *Relay) OtherZonesReport() upstreamstate.Report {
 	report := r.upstreams.OtherZonesReport(r.now())
-	report.Crashes = r.quarantine.dueCrashes((*quarantine.Table).DueOtherZones)
+	report.Evidence = r.quarantine.dueEvidence((*quarantine.Table).DueOtherZones)
 	return report
 }
 
@@ -218,7 +218,7 @@
 	r.pool.deposit(source, report.RetryOverflow, now)
 	r.link.reportReceived(now)
 	r.usage.apply(source, report)
-	r.applyCrashes(report.Crashes, strings.HasPrefix(source, upstreamstate.InstanceSourcePrefix))
+	r.applyEvidence(report.Evidence, strings.HasPrefix(source, upstreamstate.InstanceSourcePrefix))
 }
 
 // ownSource identifies this instance as a source of its own pool.
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -56,10 +56,25 @@
 
 // Content returns the identifier of what the request asks for. A request that is sent again under
 // another id has the same one.
-func (r *Request) Content() quarantine.Content {
+func (r *Request) Content() quarantine.Subject {
 	return quarantine.ContentOf(r.Method, r.Host, r.Target, r.Body)
 }
 
+// maxParts is the number of parts of a prompt, from its start, that crashes are counted against.
+const maxParts = 128
+
+// parts returns the identifiers of the prompt's parts for a service.
+func (r *Request) parts(service string) []quarantine.Subject {
+	if r.Prompt == nil {
+		return nil
+	}
+	list := make([]quarantine.Subject, 0, min(len(r.Prompt.Parts), maxParts))
+	for _, part := range r.Prompt.Parts[:min(len(r.Prompt.Parts), maxParts)] {
+		list = append(list, quarantine.PartOf(service, part.ID))
+	}
+	return list
+}
+
 // streamID returns the id of the attempt that began the answer: of an earlier one if the caller takes its answer up.
 func (r *Request) streamID() string {
 	if r.LastEvent != "" && r.Resumes != "" {
--- a/internal/relay/sendcheck.go
+++ b/internal/relay/sendcheck.go
@@ -23,12 +23,12 @@
 	return &Refusal{Outcome: Unauthenticated, Reason: "no API key that is known"}
 }
 
-// checkSend returns why a request must not be sent now: its content is quarantined, its key was
+// checkSend returns why a request must not be sent now: its content or a part of its prompt is quarantined, its key was
 // revoked, or this instance is impaired, cannot forward it, and the answer has not begun. It is called before each
 // send, because a prefill or a retry may take place seconds after the request arrived.
 func (r *Relay) checkSend(x *exchange) error {
-	if r.isQuarantined(x) {
-		return errQuarantined
+	if subject, blocked := r.quarantine.blockedBy(x); blocked {
+		return quarantinedError{subject}
 	}
 	if x.status == 0 {
 		if reason := r.Impairment(); reason != "" && !(blamesLink(reason) && r.canForward(x)) {
@@ -48,6 +48,7 @@
 // others.
 func (r *Relay) refuse(x *exchange) error {
 	var impaired impairedError
+	var quarantined quarantinedError
 	switch err := r.checkSend(x); {
 	case err == nil:
 		return nil
@@ -57,7 +58,9 @@
 		refusal := refuseImpaired(impaired.reason, r.retryIn(x))
 		refusal.Elsewhere = x.forwarded
 		return refusal
+	case errors.As(err, &quarantined):
+		return r.refuseQuarantined(x, quarantined)
 	default:
-		return r.refuseQuarantined(x)
+		return err
 	}
 }
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -11,6 +11,7 @@
 	"sassafrasfield/internal/attempt"
 	"sassafrasfield/internal/outcome"
 	"sassafrasfield/internal/ownlink"
+	"sassafrasfield/internal/quarantine"
 	"sassafrasfield/internal/routes"
 )
 
@@ -81,11 +82,12 @@
 	if impairment != "" && !r.mayForward(service) {
 		return nil, r.refuseElsewhere(impairment, req)
 	}
+	content := sync.OnceValue(req.Content)
 	return &exchange{
 		req: req, route: route, service: service, identity: identity,
 		version: table.Version, age: age, arrived: now, deadline: now + timeout,
 		attempts: attempt.New(r.attemptRules(route)), budget: r.budgets.forService(service, now),
-		content: sync.OnceValue(req.Content),
+		content: content, subjects: sync.OnceValue(func() []quarantine.Subject { return append([]quarantine.Subject{content()}, req.parts(service)...) }),
 	}, nil
 }
 
--- a/internal/upstreamstate/reports.go
+++ b/internal/upstreamstate/reports.go
@@ -80,9 +80,9 @@
 	Boot uint32
 	// Usage are totals of the requests that began to run.
 	Usage []usage.Count
-	// Crashes are the crashes of upstreams while serving a request's content that all instances
-	// should know.
-	Crashes []quarantine.Crash
+	// Evidence is what all instances should know about the contents and the prompts' parts under which upstreams
+	// crashed.
+	Evidence quarantine.Evidence
 	// Limits are the announcements of upstreams that are due.
 	Limits []quota.UpstreamLimit
 	// Unreached are the hashes of the services to whose upstreams the sender has no network path.
@@ -107,7 +107,7 @@
 	for i := range reports {
 		reports[i].Unreached = r.Unreached // each report replaces the previous one's
 	}
-	reports[0].RetryOverflow, reports[0].Crashes, reports[0].Usage, reports[0].Limits = r.RetryOverflow, r.Crashes, r.Usage, r.Limits
+	reports[0].RetryOverflow, reports[0].Evidence, reports[0].Usage, reports[0].Limits = r.RetryOverflow, r.Evidence, r.Usage, r.Limits
 	return reports
 }
 
