Do not repeat a request that may crash the next engine as it crashed the last one

What callers saw: a request on a resumable route, or one with a copy of its run at another engine, went on at the next engine after its own had crashed under it, and crashed that one too. Each of these crashes cuts off up to 48 streams of others.

Cause: a crash was taken for the engine's fault alone; the request that caused it was treated as the others that it cut off.

What tells it from these: the engine had just begun to answer it (less than a second ago), crashed (the check takes milliseconds, and is waited for), and a part of its prompt that other requests share was not served by any engine that this instance knows of. All three are needed; the others go on as before. It ends as a run that may have happened, not as "not run".

TestRequestThatMayCrashTheNextEngineIsNotRepeated failed before (two runs of one request on either route) and holds now.

--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -75,6 +75,9 @@
 	if err := g.relay.checkSend(g.exchange); err != nil {
 		return attempt.Result{Status: attempt.NoUpstream, Err: err}
 	}
+	if err := g.relay.checkRepeat(ctx, g.exchange); err != nil {
+		return attempt.Result{Status: attempt.NoUpstream, Err: err}
+	}
 	if g.headerSent {
 		g.relay.meters.resumed.Inc(1)
 	}
--- a/internal/relay/interrupted.go
+++ b/internal/relay/interrupted.go
@@ -42,6 +42,8 @@
 
 // crashCheck is the check whether an upstream that cut off a request has crashed.
 type crashCheck struct {
+	// justBegun is set if the upstream had just begun to answer the request.
+	justBegun bool
 	// done is closed when the result is known.
 	done    chan struct{}
 	crashed bool
@@ -87,6 +89,7 @@
 		if x.crash == nil || x.crash.isRuledOut() {
 			request.suspects = x.subjects()
 		}
+		request.check.justBegun = request.generatingFor > 0
 	}
 	return request
 }
--- a/internal/relay/parts_test.go
+++ b/internal/relay/parts_test.go
@@ -70,7 +70,7 @@
 // those under which two engines crashed, although no two of them are alike. Requests that have their other parts are
 // served.
 func TestPartThatCrashesEnginesIsRefused(t *testing.T) {
-	for _, path := range []string{"/once/"} {
+	for _, path := range []string{"/once/", "/resumable/"} {
 		f := crashingStreams(func(int) bool { return true })
 		r := newFake(t, f)
 		withLargeBudget(r)
@@ -93,6 +93,40 @@
 	}
 }
 
+// TestRequestThatMayCrashTheNextEngineIsNotRepeated guards against a request that crashes one engine after another by
+// itself, as it is resumed. Those whose parts were served go on, and so do those that their engine had not begun to
+// answer.
+func TestRequestThatMayCrashTheNextEngineIsNotRepeated(t *testing.T) {
+	for _, path := range []string{"/once/", "/resumable/"} { // the first may continue at the copy of its run
+		f := crashingStreams(func(run int) bool { return run%2 == 1 })
+		r := newFake(t, f)
+		withLargeBudget(r)
+		if _, err := serve(r, promptWith(path, 1, "new")); !errors.Is(err, ErrAnswerAborted) || f.runs != 1 {
+			t.Errorf("%s: %v after %d runs; want one run", path, err, f.runs)
+		}
+	}
+	f := crashingStreams(func(run int) bool { return run%2 == 1 })
+	r := newFake(t, f)
+	withLargeBudget(r)
+	r.recordServedSubjects(nil, []quarantine.Subject{quarantine.PartOf("llm", "known")})
+	if w, err := serve(r, promptWith("/resumable/", 2, "known")); err != nil || f.runs != 2 {
+		t.Errorf("all parts were served: %v after %d runs, %q", err, f.runs, w.Body.String())
+	}
+	f = &fakeSender{crashed: map[string]bool{}}
+	f.run = func(n int, s Send) (*Reply, error) {
+		if n == 1 {
+			f.crashed[s.To.ID] = true
+			return nil, WrapReadError(io.EOF)
+		}
+		return events("id: 1\ndata: a\n\n"), nil
+	}
+	r = newFake(t, f)
+	withLargeBudget(r)
+	if _, err := serve(r, promptWith("/resumable/", 3, "new2")); err != nil || f.runs != 2 {
+		t.Errorf("its engine had not begun: %v after %d runs", err, f.runs)
+	}
+}
+
 // slowEvents is an answer with pauses between its events.
 type slowEvents struct {
 	events int
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -54,8 +54,8 @@
 // quarantineMeters counts the requests whose upstream crashed, and by kind of subject the refused requests, the subjects
 // that crashes were counted against, and those that were served since.
 type quarantineMeters struct {
-	crashes, refusedContents, refusedParts, suspectedParts, clearedParts metrics.Counter
-	contents, parts                                                      metrics.Gauge
+	crashes, refusedContents, refusedParts, suspectedParts, clearedParts, notRepeated metrics.Counter
+	contents, parts                                                                   metrics.Gauge
 }
 
 func newQuarantineMeters() quarantineMeters {
@@ -64,7 +64,7 @@
 	}
 	return quarantineMeters{
 		crashes: counter("upstream_ends"), refusedContents: counter("refused_apart"), refusedParts: counter("refused_part"),
-		suspectedParts: counter("parts_suspected"), clearedParts: counter("parts_cleared"),
+		suspectedParts: counter("parts_suspected"), clearedParts: counter("parts_cleared"), notRepeated: counter("suspects_not_repeated"),
 		contents: gauge("contents_apart"), parts: gauge("parts_apart"),
 	}
 }
