Tests of peers: simulated instances wake up as real ones do, and fleets run in parallel

The simulated instances ran the loop of reports every 10 ms of virtual time, whatever it asked for, and each run ranks all instances of the zone several times; now its timer and its changes wake it up, as in Reporter.Run. And most tests ran one after the other on one core; they share nothing, so they run in parallel now, one subtest for each size of the fleet.

No size, seed, duration or bound is changed.

--- a/internal/peers/fleet_test.go
+++ b/internal/peers/fleet_test.go
@@ -50,9 +50,11 @@
 	up    bool
 	// frozen nodes do nothing, and receive the datagrams of that time when they resume.
 	frozen bool
-	next   time.Duration
-	sent   int
-	bytes  int
+	// started is set once the process runs, and next is when its timer fires, as in Reporter.Run.
+	started bool
+	next    time.Duration
+	sent    int
+	bytes   int
 }
 
 // virtualLoads is the load state of an instance in virtual time.
@@ -226,16 +228,9 @@
 	for end := f.now + d; f.now < end; f.now += virtualTick {
 		f.deliver()
 		for _, n := range f.nodes {
-			if !n.up || n.frozen || f.now < n.next {
-				continue
-			}
-			select {
-			case <-n.loads.Changed():
-				n.pace.MarkChanged()
-			default:
+			if n.up && !n.frozen && n.wakesUp(f.now) {
+				n.next = f.now + n.sendDue(false)
 			}
-			n.sendDue(false)
-			n.next = f.now + virtualTick
 		}
 		if f.now%sweepInterval < virtualTick {
 			for _, n := range f.nodes {
@@ -247,6 +242,21 @@
 	}
 }
 
+// wakesUp reports whether the node's loop runs now: its timer fires, or it has a change to report.
+func (n *virtualNode) wakesUp(now time.Duration) bool {
+	n.started = n.started || now >= n.next
+	if !n.started {
+		return false
+	}
+	select {
+	case <-n.loads.Changed():
+		n.pace.MarkChanged()
+		return true
+	default:
+		return now >= n.next
+	}
+}
+
 func (f *virtualFleet) deliver() {
 	flying := f.inFlight
 	f.inFlight = nil
@@ -310,43 +320,51 @@
 // It logs what an instance sends, which should not grow with the fleet.
 func TestLargeFleetSharesLoads(t *testing.T) {
 	for _, c := range []struct{ instances, zones int }{{1, 1}, {9, 4}, {62, 3}, {195, 6}, {400, 12}} {
-		f := newVirtualFleet(c.instances, c.zones, 0.025, 1)
-		f.run(startupTime)
-		for i, n := range f.nodes {
-			n.placeRequest(fmt.Sprintf("r%d", i))
-		}
-		f.run(time.Second)
-		f.loss = 0
-		f.run(convergenceTime)
-		if wrong := f.countWrong(c.instances); wrong > 0 {
-			t.Errorf("%d instances: %d know another number of requests in progress", c.instances, wrong)
-		}
-		if hubs := f.hubs(); len(hubs) != c.zones {
-			t.Errorf("%d instances: hubs are %v", c.instances, hubs)
-		}
-		for _, n := range f.nodes {
-			if n.exchange.InstanceCount() < c.instances {
-				t.Fatalf("%d instances: InstanceCount is %d", c.instances, n.exchange.InstanceCount())
-			}
-		}
-		f.sent, f.bytes, f.otherZoneBytes = 0, 0, 0
-		for _, n := range f.nodes {
-			n.sent = 0
-		}
-		f.run(5 * time.Second)
-		most := 0
-		for _, n := range f.nodes {
-			most = max(most, n.sent)
+		t.Run(fmt.Sprintf("%d instances", c.instances), func(t *testing.T) {
+			t.Parallel()
+			checkLoadsAreShared(t, c.instances, c.zones)
+		})
+	}
+}
+
+func checkLoadsAreShared(t *testing.T, instances, zones int) {
+	f := newVirtualFleet(instances, zones, 0.025, 1)
+	f.run(startupTime)
+	for i, n := range f.nodes {
+		n.placeRequest(fmt.Sprintf("r%d", i))
+	}
+	f.run(time.Second)
+	f.loss = 0
+	f.run(convergenceTime)
+	if wrong := f.countWrong(instances); wrong > 0 {
+		t.Errorf("%d instances: %d know another number of requests in progress", instances, wrong)
+	}
+	if hubs := f.hubs(); len(hubs) != zones {
+		t.Errorf("%d instances: hubs are %v", instances, hubs)
+	}
+	for _, n := range f.nodes {
+		if n.exchange.InstanceCount() < instances {
+			t.Fatalf("%d instances: InstanceCount is %d", instances, n.exchange.InstanceCount())
 		}
-		t.Logf("%d instances in %d zones: %.1f datagrams a second an instance, %d at most; %.1f kB/s, %.2f kB/s across zones",
-			c.instances, c.zones, float64(f.sent)/5/float64(c.instances), most/5,
-			float64(f.bytes)/5e3/float64(c.instances), float64(f.otherZoneBytes)/5e3/float64(c.instances))
 	}
+	f.sent, f.bytes, f.otherZoneBytes = 0, 0, 0
+	for _, n := range f.nodes {
+		n.sent = 0
+	}
+	f.run(5 * time.Second)
+	most := 0
+	for _, n := range f.nodes {
+		most = max(most, n.sent)
+	}
+	t.Logf("%d instances in %d zones: %.1f datagrams a second an instance, %d at most; %.1f kB/s, %.2f kB/s across zones",
+		instances, zones, float64(f.sent)/5/float64(instances), most/5,
+		float64(f.bytes)/5e3/float64(instances), float64(f.otherZoneBytes)/5e3/float64(instances))
 }
 
 // TestHubsHaveWidestLinks has 21 instances in each zone, two of them with links of 200 Mbit/s.
 // These two must be the hub one after the other, and another instance once both are down.
 func TestHubsHaveWidestLinks(t *testing.T) {
+	t.Parallel()
 	const instances, zones, wide = 63, 3, 6
 	f := newFleetWithLinks(instances, zones, 0.025, 5, func(i int) float64 {
 		if i < instances-wide {
@@ -378,6 +396,7 @@
 
 // TestDeadHubsAreReplaced stops the hubs of all zones at once, then those that replaced them.
 func TestDeadHubsAreReplaced(t *testing.T) {
+	t.Parallel()
 	f := newVirtualFleet(60, 6, 0.025, 2)
 	f.run(startupTime)
 	busy := 0
@@ -412,6 +431,7 @@
 
 // TestFleetRestart restarts all instances within 300 ms.
 func TestFleetRestart(t *testing.T) {
+	t.Parallel()
 	f := newVirtualFleet(195, 6, 0, 3)
 	f.run(startupTime)
 	for i := range f.nodes {
@@ -433,6 +453,7 @@
 // to call the store and none gave up. Each instance must still get to try, because the store may
 // answer only that instance.
 func TestStoreOutageLimitsReaders(t *testing.T) {
+	t.Parallel()
 	const instances, zones = 195, 6
 	f := newVirtualFleet(instances, zones, 0, 4)
 	f.run(2 * startupTime)
@@ -470,20 +491,23 @@
 	}{
 		{9, 4, 0}, {62, 3, 0.05}, {195, 6, 0.05}, {400, 12, 0.05},
 	} {
-		f := newVirtualFleet(c.instances, c.zones, c.loss, 1)
-		f.run(startupTime)
-		first := f.nodes[c.instances/2].loads
-		u := first.Upstream("e")
-		first.ApplyAnnouncement(u, quota.Announcement{Draining: true}, first.now())
-		f.run(within)
-		unaware := 0
-		for _, n := range f.nodes {
-			if !n.loads.IsDraining(u) {
-				unaware++
+		t.Run(fmt.Sprintf("%d instances", c.instances), func(t *testing.T) {
+			t.Parallel()
+			f := newVirtualFleet(c.instances, c.zones, c.loss, 1)
+			f.run(startupTime)
+			first := f.nodes[c.instances/2].loads
+			u := first.Upstream("e")
+			first.ApplyAnnouncement(u, quota.Announcement{Draining: true}, first.now())
+			f.run(within)
+			unaware := 0
+			for _, n := range f.nodes {
+				if !n.loads.IsDraining(u) {
+					unaware++
+				}
 			}
-		}
-		if unaware > 0 {
-			t.Errorf("%d of %d instances do not know after %s that it is draining", unaware, c.instances, within)
-		}
+			if unaware > 0 {
+				t.Errorf("%d of %d instances do not know after %s that it is draining", unaware, c.instances, within)
+			}
+		})
 	}
 }
--- a/internal/peers/hublink_test.go
+++ b/internal/peers/hublink_test.go
@@ -113,6 +113,7 @@
 // reports a second, by kind and part, of the instances with saturated links; batches bounded by
 // the link fixed it.
 func TestHubReportsDoNotSaturateLink(t *testing.T) {
+	t.Parallel()
 	b := newBusyFleet(62, 3, 1, func(int) float64 { return 10 })
 	b.serve(28, startupTime, func() {})
 	const second = int(time.Second / virtualTick)
--- a/internal/peers/limit_test.go
+++ b/internal/peers/limit_test.go
@@ -280,6 +280,7 @@
 // engines got every request. Equal shares with a bucket of one request for each instance would
 // exceed the bound from some 12 instances on.
 func TestRateLimitHoldsAcrossInstances(t *testing.T) {
+	t.Parallel()
 	for _, size := range limitSizes {
 		for name, receives := range map[string]func(*limitedFleet, int) bool{
 			calledEverywhere:         allInstances,
@@ -306,6 +307,7 @@
 // TestNoRefusalsWhileAnUpstreamIsUnlimited has three upstreams, of which two limit their
 // requests.
 func TestNoRefusalsWhileAnUpstreamIsUnlimited(t *testing.T) {
+	t.Parallel()
 	for _, size := range limitSizes {
 		if size.instances > largeFleet {
 			continue
@@ -355,6 +357,7 @@
 // must again get what they accept, except while parts of the fleet are cut off, because they cannot
 // determine whether the others are alive.
 func TestRateLimitHoldsUnderFailures(t *testing.T) {
+	t.Parallel()
 	const rate, phase = 3.4, 3 * time.Second
 	const restartAll, allHubs, frozenCoordinator = "all begin anew", "all hubs die", "the coordinator stands still, and goes on"
 	inLarge := map[string]bool{allHubs: true, frozenCoordinator: true, "each zone is cut off": true}
@@ -447,6 +450,7 @@
 // TestChangedRateLimitIsApplied has a limit fall, rise and be removed. Then the upstream restarts
 // under its ID without a limit.
 func TestChangedRateLimitIsApplied(t *testing.T) {
+	t.Parallel()
 	const perSecond = 60
 	for _, size := range []struct{ instances, zones int }{{1, 1}, {9, 4}, {62, 3}} {
 		f := newLimitedFleet(size.instances, size.zones, 4, 10, 10)
--- a/internal/peers/quotagrants_test.go
+++ b/internal/peers/quotagrants_test.go
@@ -331,6 +331,7 @@
 
 // TestQuotaCheckFailsWithoutLimit shows that the check of these tests finds an organisation without a limit.
 func TestQuotaCheckFailsWithoutLimit(t *testing.T) {
+	t.Parallel()
 	const rate = 700_000
 	f := newQuotaFleet(9, 4, 1, rate)
 	f.unlimited = true
--- a/internal/peers/streams_test.go
+++ b/internal/peers/streams_test.go
@@ -133,6 +133,7 @@
 // TestReturningCallersFindTheirVersion guards against streams that go on at another version than the one that began
 // them, or that cannot go on, although instances are killed, frozen or cut off. One datagram in 50 is lost.
 func TestReturningCallersFindTheirVersion(t *testing.T) {
+	t.Parallel()
 	const streams = 60
 	for _, size := range []struct {
 		instances, zones, plays int
@@ -197,6 +198,7 @@
 // TestStreamsNeverGoOnAtAnotherVersion plays any mix of streams, returns, kills, freezes, cuts, restarts, lost
 // datagrams and repeated, unknown and empty ids. No stream may hold events of two versions.
 func TestStreamsNeverGoOnAtAnotherVersion(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		size := rapid.SampledFrom([]struct{ instances, zones int }{{1, 1}, {3, 2}, {9, 4}}).Draw(t, "size")
 		f := newVersionedFleet(size.instances, size.zones, rapid.SampledFrom([]float64{0, 0.1, 0.5}).Draw(t, "loss"), rapid.Uint64().Draw(t, "seed"))
@@ -258,6 +260,7 @@
 
 // TestRecordsCostLittle guards against messages that grow with the fleet while a service has two versions.
 func TestRecordsCostLittle(t *testing.T) {
+	t.Parallel()
 	const costTicks = 50 // half a second
 	for _, size := range []struct{ instances, zones, streams int }{{9, 4, 35}, {400, 12, 650}} {
 		f := newVersionedFleet(size.instances, size.zones, 0, 1)
