Let the instance that observed a crash try a part again, whichever instance counted it

What callers would see: a part that was blamed wrongly, or that crashes engines no more, is refused for an hour or two instead of ten seconds.

Cause: the instance whose own crash began the quarantine was to try the part first. Crashes count by the times at which an instance learns of them, so a quarantine may begin at all instances by reports, and then none of them was the first. Now it is the one that observed the crash that comes first by the hash of its upstream: all instances that know the same crashes agree on it, without a message.

--- a/internal/quarantine/outbox.go
+++ b/internal/quarantine/outbox.go
@@ -147,8 +147,8 @@
 		if len(list) == maxRepeated {
 			break
 		}
-		if s.IsPart() && !q.ended(now) {
-			list = append(list, Crash{Subject: s, Upstream: q.trigger, Times: q.times})
+		if s.IsPart() && !t.ended(s, q, now) {
+			list = append(list, Crash{Subject: s, Times: q.times})
 		}
 	}
 	return list
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -16,8 +16,21 @@
 	// known are the upstreams whose crashes are known, counted or not, the oldest first.
 	known  []uint32
 	newest time.Duration
-	// observed is true if this instance observed one of the crashes itself.
-	observed bool
+	// observed are the upstreams of known whose crashes this instance observed itself.
+	observed []uint32
+}
+
+// observe records that this instance observed the crash of an upstream.
+func (r *record) observe(upstream uint32) {
+	if !slices.Contains(r.observed, upstream) {
+		r.observed = append(r.observed[max(0, len(r.observed)-maxKnownCrashes+1):], upstream)
+	}
+}
+
+// observedFirst reports whether this instance observed the crash that comes first in an order that is the same at all
+// instances that know the same crashes.
+func (r *record) observedFirst() bool {
+	return len(r.observed) > 0 && len(r.known) > 0 && slices.Min(r.observed) <= slices.Min(r.known)
 }
 
 // add records the crash of an upstream, and reports whether it was not known before.
@@ -37,15 +50,12 @@
 // quarantine is the latest quarantine of a subject.
 type quarantine struct {
 	// times is its number, from 1.
-	times           int
-	since, duration time.Duration
-	// trigger is the upstream whose crash began it here; 0 for one that another instance began.
-	trigger uint32
+	times int
+	since time.Duration
+	// jitter, in [0, 1), makes instances try the subject again at different times.
+	jitter float64
 	// trial is the request that tries the subject after the quarantine; empty for none. Others are refused until
 	// trialUntil.
 	trial      string
 	trialUntil time.Duration
 }
-
-// ended reports whether the quarantine is over, so that one request may try the subject again.
-func (q quarantine) ended(now time.Duration) bool { return now-q.since >= q.duration }
--- a/internal/quarantine/settings.go
+++ b/internal/quarantine/settings.go
@@ -16,7 +16,7 @@
 	// when one more upstream crashes under the subject after the previous quarantine. The last duration is used for
 	// all further ones.
 	Durations []time.Duration
-	// ReportedDurations replace Durations where another instance began the quarantine, so that one instance tries the
+	// ReportedDurations replace Durations at all instances but one that observed a crash, so that this one tries the
 	// subject again before the others do. Each instance adds up to as much again, at random. Nil for Durations.
 	ReportedDurations []time.Duration
 }
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -55,10 +55,26 @@
 // nth returns the nth duration, from 1, or the last one.
 func nth(durations []time.Duration, n int) time.Duration { return durations[min(n, len(durations))-1] }
 
+// duration returns how long a quarantine of a subject lasts here. Where an instance observed the crash that comes first, it
+// tries the subject before the others do.
+func (t *Table) duration(s Subject, q quarantine) time.Duration {
+	rules := t.rules(s)
+	if r, ok := t.records[s]; rules.ReportedDurations == nil || ok && r.observedFirst() {
+		return nth(rules.Durations, q.times)
+	}
+	d := nth(rules.ReportedDurations, q.times)
+	return d + time.Duration(q.jitter*float64(d))
+}
+
+// ended reports whether a quarantine of a subject is over, so that one request may try the subject again.
+func (t *Table) ended(s Subject, q quarantine, now time.Duration) bool {
+	return now-q.since >= t.duration(s, q)
+}
+
 // Quarantined reports whether a subject is quarantined, so that no upstream may receive it.
 func (t *Table) Quarantined(s Subject, now time.Duration) bool {
 	q, ok := t.quarantines[s]
-	return ok && !q.ended(now)
+	return ok && !t.ended(s, q, now)
 }
 
 // Blocks reports whether a request must not be sent because of one of its subjects: it is quarantined, or its
@@ -66,9 +82,13 @@
 func (t *Table) Blocks(s Subject, request string, now time.Duration) bool {
 	q, ok := t.quarantines[s]
 	switch {
-	case !ok || q.ended(now) && q.trial == request:
+	case !ok:
+		return false
+	case !t.ended(s, q, now):
+		return true
+	case q.trial == request:
 		return false
-	case !q.ended(now) || now < q.trialUntil:
+	case now < q.trialUntil:
 		return true
 	}
 	q.trial, q.trialUntil = request, now+t.settings.TrialTTL
@@ -83,7 +103,7 @@
 func (t *Table) CountQuarantined(now time.Duration) (contents, parts int) {
 	for s, q := range t.quarantines {
 		switch {
-		case q.ended(now):
+		case t.ended(s, q, now):
 		case s.IsPart():
 			parts++
 		default:
@@ -125,7 +145,7 @@
 // SawCrash reports whether this instance itself observed a crash under a subject.
 func (t *Table) SawCrash(s Subject) bool {
 	r, ok := t.records[s]
-	return ok && r.observed
+	return ok && len(r.observed) > 0
 }
 
 // RecordCrash records a crash that this instance observed, and reports whether it starts a quarantine of the
@@ -135,13 +155,13 @@
 		return false // neither kept nor reported
 	}
 	added := t.add(c, now)
-	t.records[c.Subject].observed = true
+	t.records[c.Subject].observe(c.Upstream)
 	if !added {
 		return false
 	}
 	started := t.decide(c, now)
 	if started {
-		t.startOwn(c, now)
+		t.start(c.Subject, t.TimesQuarantined(c.Subject)+1, now)
 		c.Times = t.TimesQuarantined(c.Subject)
 	}
 	t.outbox.addOwn(c, now)
@@ -155,13 +175,11 @@
 	started := false
 	switch {
 	case added && t.decide(c, now):
-		t.startReported(c.Subject, t.TimesQuarantined(c.Subject)+1, now)
+		t.start(c.Subject, t.TimesQuarantined(c.Subject)+1, now)
 		started = true
 	case t.mayFollow(c, now):
-		t.startReported(c.Subject, c.Times, now)
+		t.start(c.Subject, c.Times, now)
 		started = true
-	default:
-		t.yield(c)
 	}
 	if added || started {
 		t.outbox.addReceived(c, sameZone, now)
@@ -192,15 +210,6 @@
 	return !t.served.has(c.Subject, now) || t.Crashes(c.Subject) >= t.rules(c.Subject).ServedCrashes
 }
 
-// yield leaves it to another instance to try a subject again first, if both began its quarantine.
-func (t *Table) yield(c Crash) {
-	q, ok := t.quarantines[c.Subject]
-	if ok && q.trigger != 0 && c.Upstream != 0 && c.Times == q.times && c.Upstream < q.trigger {
-		q.trigger, q.duration = 0, t.reportedDuration(c.Subject, q.times)
-		t.quarantines[c.Subject] = q
-	}
-}
-
 // add records a crash, and reports whether it was not known before.
 func (t *Table) add(c Crash, now time.Duration) bool {
 	r, ok := t.records[c.Subject]
@@ -239,25 +248,9 @@
 	return t.rules(s).Crashes
 }
 
-// startOwn starts a quarantine that a crash observed here began.
-func (t *Table) startOwn(c Crash, now time.Duration) {
-	times := t.TimesQuarantined(c.Subject) + 1
-	t.quarantines[c.Subject] = quarantine{times: times, since: now, duration: nth(t.rules(c.Subject).Durations, times), trigger: c.Upstream}
-}
-
-// startReported starts the nth quarantine of a subject that another instance observed.
-func (t *Table) startReported(s Subject, times int, now time.Duration) {
-	t.quarantines[s] = quarantine{times: times, since: now, duration: t.reportedDuration(s, times)}
-}
-
-// reportedDuration returns the duration of the nth quarantine of a subject that another instance observed.
-func (t *Table) reportedDuration(s Subject, times int) time.Duration {
-	rules := t.rules(s)
-	if rules.ReportedDurations == nil {
-		return nth(rules.Durations, times)
-	}
-	d := nth(rules.ReportedDurations, times)
-	return d + time.Duration(t.rng.Int64N(int64(d)))
+// start starts the nth quarantine of a subject.
+func (t *Table) start(s Subject, times int, now time.Duration) {
+	t.quarantines[s] = quarantine{times: times, since: now, jitter: t.rng.Float64()}
 }
 
 // RecordServed records that a subject was served here, which shows that the crashes before had other causes. It
@@ -310,7 +303,7 @@
 		return false
 	}
 	if times > t.TimesQuarantined(s) {
-		t.startReported(s, times, now)
+		t.start(s, times, now)
 	}
 	return true
 }
@@ -334,7 +327,7 @@
 	excess := max(0, len(list)-t.settings.MaxQuarantined)
 	expired := list[:excess:excess]
 	for _, s := range list[excess:] {
-		if q := t.quarantines[s]; now-q.since > q.duration+t.settings.HistoryTTL {
+		if q := t.quarantines[s]; now-q.since > t.duration(s, q)+t.settings.HistoryTTL {
 			expired = append(expired, s)
 		}
 	}
