--- a/internal/placement/prompt.go
+++ b/internal/placement/prompt.go
@@ -37,12 +37,12 @@
 	return min(total, p.Tokens)
 }
 
-// PartIDs returns the ids of the first parts, separated by commas, as in logs.
+// PartIDs returns the ids of the first parts, separated by commas, as in logs. Long ids are cut.
 func (p Prompt) PartIDs() string {
-	const maxParts = 16
+	const maxParts, maxBytes = 16, 24
 	ids := make([]string, 0, maxParts)
 	for _, part := range p.Parts[:min(len(p.Parts), maxParts)] {
-		ids = append(ids, part.ID)
+		ids = append(ids, part.ID[:min(len(part.ID), maxBytes)])
 	}
 	return strings.Join(ids, ",")
 }
