--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -159,7 +159,7 @@
 	if !added {
 		return false
 	}
-	started := t.decide(c, now)
+	started := t.decide(c.Subject, now)
 	if started {
 		t.start(c.Subject, t.TimesQuarantined(c.Subject)+1, now)
 		c.Times = t.TimesQuarantined(c.Subject)
@@ -174,7 +174,7 @@
 	added := c.Upstream != 0 && t.add(c, now)
 	started := false
 	switch {
-	case added && t.decide(c, now):
+	case added && t.decide(c.Subject, now):
 		t.start(c.Subject, t.TimesQuarantined(c.Subject)+1, now)
 		started = true
 	case t.mayFollow(c, now):
@@ -229,15 +229,15 @@
 
 // decide reports whether a subject has to be quarantined after a new crash: enough crashes count against it, or it was
 // quarantined before and that quarantine is over.
-func (t *Table) decide(c Crash, now time.Duration) bool {
-	if t.immune(c.Subject, now) {
-		t.ignoreCrashes(c.Subject)
+func (t *Table) decide(s Subject, now time.Duration) bool {
+	if t.immune(s, now) {
+		t.ignoreCrashes(s)
 		return false
 	}
-	if t.Quarantined(c.Subject, now) {
+	if t.Quarantined(s, now) {
 		return false
 	}
-	return t.TimesQuarantined(c.Subject) > 0 || t.Crashes(c.Subject) >= t.crashesNeeded(c.Subject, now)
+	return t.TimesQuarantined(s) > 0 || t.Crashes(s) >= t.crashesNeeded(s, now)
 }
 
 // crashesNeeded returns how many crashes quarantine a subject.
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -34,8 +34,7 @@
 // reported for longer than intended.
 //
 // It protects the upstreams, and all requests that they hold, from requests that crash them and
-// come again and again. Without it, two contents crashed 15 and 21 engines of a fleet of 18 within a
-// minute, and requests with two parts 31 and 40.
+// come again and again.
 type quarantineState struct {
 	meters quarantineMeters
 	// persistNeeded receives a value when unpersisted has a new entry.
@@ -121,9 +120,9 @@
 // blockedBy returns the subject of a request because of which no upstream may receive the request.
 func (q *quarantineState) blockedBy(x *exchange) (quarantine.Subject, bool) {
 	q.mu.Lock()
-	any := q.table.HasQuarantines()
+	needed := q.table.HasQuarantines()
 	q.mu.Unlock()
-	if !any {
+	if !needed {
 		return 0, false // saves hashing the content
 	}
 	subjects := x.subjects()
@@ -177,6 +176,7 @@
 	}
 }
 
+// recordServedSubjects records that a request was served, which speaks for some of its subjects.
 func (r *Relay) recordServedSubjects(x *exchange, subjects []quarantine.Subject) {
 	q := r.quarantine
 	q.mu.Lock()
