Reserve the work of a prompt at the hub of its engine's zone

Cause: instances chose engines by reports that are 0.15 to 0.4 s old, longer than most prompts take, so that several chose the same one. An instance now asks the hub of the best engine's zone by one datagram for one of its engines; the hub knows what all instances have just sent there. Without an answer within 25 ms the reports decide, as before.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -105,6 +105,7 @@
 	in.relay.SetGrantRequester(in.reports.RequestGrant)
 	in.relay.SetQuotaGranter(in.reports.RequestQuotaGrant, in.reports.RefundQuotaGrant)
 	in.relay.SetStreamReplicator(in.reports.ReplicateStreams, in.reports.AskStream)
+	in.relay.SetReservationClient(in.reports)
 	secret := forward.NewSecret(a.Table, logging.Part(log, "forward"))
 	in.relay.SetForwarder(forward.NewClient(in.peers, secret))
 	in.forwards = forward.NewServer(in.peers, secret, in.relay, logging.Part(log, "forward"))
--- a/internal/peers/batch.go
+++ b/internal/peers/batch.go
@@ -26,6 +26,9 @@
 	message := r.newDatagram(sfv1.Datagram_KIND_BATCH)
 	message.Peers, message.Instances, message.Readers = peersToMessages(header.peers), uint32(header.instances), uint32(header.readers)
 	message.Coordinator = r.exchange.coordinator()
+	if times { // the hubs change as rarely as the times of the engines
+		message.Hubs = r.exchange.otherHubs()
+	}
 	r.addRows(message)
 	b := &batch{reporter: r, message: message, to: r.exchange.zoneAddresses(), bytes: proto.Size(message)}
 	if r.otherZonesLast = !r.otherZonesLast; r.otherZonesLast {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -137,6 +137,8 @@
 	// tooFewReadersSince is since when too few instances have reported that they follow the
 	// store; 0 if enough do.
 	tooFewReadersSince time.Duration
+	// hubs has the addresses of the other zones' hubs.
+	hubs hubDirectory
 	// introduceIndex is the index of the peer that the last batch named last.
 	introduceIndex int
 	// peerRevisions holds the highest revision of each table that others reported. wasBehind is
@@ -170,7 +172,7 @@
 		self: self, id: id, seeds: seeds, rows: rows, log: log, clock: clock,
 		client:      &http.Client{Transport: httptransport.Isolate(&http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second})},
 		rowsChanged: make(chan struct{}, 1), peers: map[string]*peerState{}, byID: map[fanout.ID]*peerState{},
-		roster: fanout.NewRoster(id, 0), inbox: fanout.NewInbox(), zones: map[string]zoneStatus{}, pulling: map[string]bool{}, peerRevisions: map[string]peerRevision{},
+		roster: fanout.NewRoster(id, 0), inbox: fanout.NewInbox(), zones: map[string]zoneStatus{}, pulling: map[string]bool{}, hubs: newHubDirectory(), peerRevisions: map[string]peerRevision{},
 	}
 	for _, address := range seeds {
 		e.addPeer(Peer{Address: address})
--- a/internal/peers/receive.go
+++ b/internal/peers/receive.go
@@ -74,6 +74,17 @@
 		answer := message.GetStreamAnswer()
 		r.streamRequests.resolve(answer.GetId(), streamAnswerFromMessage(answer))
 		return
+	case sfv1.Datagram_KIND_RESERVE_ASK:
+		r.handleReserveAsk(message.GetReserveAsk(), peer)
+		return
+	case sfv1.Datagram_KIND_RESERVE_GRANT:
+		grant := message.GetReserveGrant()
+		r.reservationRequests.resolve(grant.GetId(), reserveGrantFromMessage(grant))
+		return
+	case sfv1.Datagram_KIND_RESERVE_END:
+		end := message.GetReserveEnd()
+		r.loads.EndReservation(end.GetPrompt(), end.GetEngine(), end.GetProcessed())
+		return
 	case sfv1.Datagram_KIND_BATCH:
 		if !inZone {
 			return
@@ -133,6 +144,7 @@
 	if !r.exchange.acceptBatchStatus(peer, status) {
 		return
 	}
+	r.exchange.noteHubs(message.GetHubs())
 	if message.GetBeyond() != nil {
 		r.loads.ApplyReport(otherZonesSource, reportFromMessage(message.GetBeyond()))
 	}
--- a/internal/peers/reports.go
+++ b/internal/peers/reports.go
@@ -58,6 +58,7 @@
 	DecideQuotaGrant(request limit.GrantRequest) limit.Grant
 	RefundQuotaGrant(request limit.GrantRequest)
 	StreamVersions
+	Reservations
 	// GrantRetry takes one retry for a service from the retry pool that this instance keeps
 	// for its zone, and returns false if none is left.
 	GrantRetry(service uint32) bool
@@ -96,6 +97,8 @@
 	// for instances of other zones.
 	streamRequests *pendingRequests[streamversions.Answer]
 	relayedAsks    chan struct{}
+	// reservationRequests are the open requests for reservations of prompt work.
+	reservationRequests *pendingRequests[reservationAnswer]
 	// verdicts and quotaVerdicts hold the recent verdicts of this instance as the coordinator.
 	verdicts      *verdictCache[quota.Verdict]
 	quotaVerdicts *verdictCache[limit.Grant]
@@ -117,7 +120,7 @@
 func NewReporter(e *Exchange, l LoadState) *Reporter {
 	r := &Reporter{
 		exchange: e, loads: l, retryRequests: newPendingRequests[bool](), grantRequests: newPendingRequests[quota.Verdict](),
-		quotaRequests: newPendingRequests[limit.Grant](), streamRequests: newPendingRequests[streamversions.Answer](),
+		quotaRequests: newPendingRequests[limit.Grant](), streamRequests: newPendingRequests[streamversions.Answer](), reservationRequests: newPendingRequests[reservationAnswer](),
 		relayedAsks: make(chan struct{}, maxRelayedAsks), verdicts: newVerdictCache[quota.Verdict](), quotaVerdicts: newVerdictCache[limit.Grant](), pace: fanout.NewPacer(e.now()),
 		allowance: fanout.NewAllowance(e.self.LinkMbps, e.now()), boot: rand.Uint32(),
 	}
--- a/internal/peers/streams.go
+++ b/internal/peers/streams.go
@@ -94,14 +94,14 @@
 
 func (r *Reporter) sendStreamRecords(records []streamversions.Record, to string, passOn bool) {
 	for part := range slices.Chunk(records, maxRecordsPerDatagram) {
-		message := r.newStreamDatagram(sfv1.Datagram_KIND_STREAM_RECORDS)
+		message := r.newPlainDatagram(sfv1.Datagram_KIND_STREAM_RECORDS)
 		message.StreamRecords = &sfv1.StreamRecords{Records: streamRecordsToMessage(part), PassOn: passOn}
 		r.send(message, []string{to})
 	}
 }
 
-// newStreamDatagram returns a message without the revisions of this instance's rows.
-func (r *Reporter) newStreamDatagram(kind sfv1.Datagram_Kind) *sfv1.Datagram {
+// newPlainDatagram returns a message without the revisions of this instance's rows.
+func (r *Reporter) newPlainDatagram(kind sfv1.Datagram_Kind) *sfv1.Datagram {
 	return &sfv1.Datagram{Kind: kind, From: toMessage(r.exchange.self)}
 }
 
@@ -161,7 +161,7 @@
 }
 
 func (r *Reporter) sendStreamAsk(id uint64, stream streamversions.ID, service uint32, passOn bool, to string) {
-	message := r.newStreamDatagram(sfv1.Datagram_KIND_STREAM_ASK)
+	message := r.newPlainDatagram(sfv1.Datagram_KIND_STREAM_ASK)
 	message.StreamAsk = &sfv1.StreamAsk{Id: id, Stream: uint64(stream), Service: service, PassOn: passOn}
 	r.send(message, []string{to})
 }
@@ -191,7 +191,7 @@
 }
 
 func (r *Reporter) sendStreamAnswer(id uint64, a streamversions.Answer, peer *peerState) {
-	reply := r.newStreamDatagram(sfv1.Datagram_KIND_STREAM_ANSWER)
+	reply := r.newPlainDatagram(sfv1.Datagram_KIND_STREAM_ANSWER)
 	reply.StreamAnswer = &sfv1.StreamAnswer{
 		Id: id, Found: a.Found, Ambiguous: a.Ambiguous, Version: a.Version, AgeMs: uint32(a.Age.Milliseconds()),
 		SeveralVersions: a.SeveralVersions,
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -37,6 +37,8 @@
 	lastEvent string
 	// reserved is the rate-limited engine that has capacity reserved for the answer; empty for none.
 	reserved string
+	// reservation is the work that is reserved for the prompt while it is processed.
+	reservation reserved
 	// backup is the engine to which the run is copied while it proceeds.
 	backup upstreamstate.Upstream
 }
@@ -137,7 +139,7 @@
 	r := g.relay
 	request := g.placementRequest(r.now())
 	request.Direct = g.attempts.Ledger().Prefilled() && !r.mayPrefillAgain(ctx, g)
-	start, queueOrder, ok := r.upstreams.PickPrefill(request, r.now())
+	start, queueOrder, ok := r.placePrompt(ctx, g, request)
 	if !ok {
 		return attempt.Result{Status: attempt.NoUpstream, Err: errors.WithMessage(ErrNotSent, "no engine for the prompt")}
 	}
@@ -148,11 +150,13 @@
 		return attempt.Result{Status: attempt.Done}
 	}
 	if !r.reserve(ctx, g, r.upstreams.Upstream(start.Engine.ID)) {
+		r.endReservation(g, false)
 		r.upstreams.PromptDone(start.Engine.ID, start.BusyTime, queueOrder)
 		r.upstreams.RequestDone(start.Engine.ID, g.req.ID, r.now())
 		return attempt.Result{Status: attempt.NoUpstream, Err: errors.WithMessage(ErrLimited, "no room for the answer")}
 	}
 	kv, err := r.prefill(ctx, g, start)
+	r.endReservation(g, err == nil)
 	if err != nil {
 		r.recordFailure(ctx, g.exchange, start.Engine.ID, err)
 		return attempt.Result{
@@ -204,7 +208,7 @@
 	r.log.Info("relay: prefilled", "request", g.req.ID, "engine", engine.ID, "tokens", g.prompt.Tokens,
 		"shared", g.prompt.SharedTokens(), "cached", start.Engine.Aggregate.CachedTokens, "source", start.Source.ID, "ahead", queueTime,
 		"turn", g.queueOrder, "yielding", start.Engine.Aggregate.DeferredBacklog, "use", start.Engine.Aggregate.Utilization, "predicted", prefillTime, "took", elapsed,
-		"running", reported.Running, "waiting", reported.Waiting)
+		"running", reported.Running, "waiting", reported.Waiting, "reserved", g.reservation.prompt != 0, "speed", g.reservation.speed)
 	return kv, nil
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -88,6 +88,8 @@
 	quotas     *organisationQuotas
 	fetches    *fetchRates
 	versions   *versionRecords
+	// reservations has the prompt work of this zone's engines while this instance is the hub.
+	reservations *reservations
 	// requestGrant requests a grant for a send to a rate-limited upstream from the instance that
 	// coordinates the grants; nil if unset.
 	requestGrant atomic.Pointer[func(context.Context, quota.GrantRequest) quota.Verdict]
@@ -111,7 +113,7 @@
 func New(s Settings, sender Sender, log *slog.Logger) *Relay {
 	r := &Relay{
 		settings: s, log: log, start: time.Now(),
-		pool: newRetryPool(), quarantine: newQuarantineState(), usage: newUsageCounter(s.UsageWindow), link: newLink(log), paths: newPaths(log), meters: newMeters(), grants: newGrants(), quotas: newOrganisationQuotas(), fetches: newFetchRates(), versions: newVersionRecords(), changed: make(chan struct{}, 1),
+		pool: newRetryPool(), quarantine: newQuarantineState(), usage: newUsageCounter(s.UsageWindow), link: newLink(log), paths: newPaths(log), meters: newMeters(), grants: newGrants(), quotas: newOrganisationQuotas(), fetches: newFetchRates(), versions: newVersionRecords(), reservations: newReservations(), changed: make(chan struct{}, 1),
 	}
 	r.sender = admittingSender{Sender: sender, relay: r}
 	sender.SetStatusHandler(r.applyStatus)
--- a/internal/upstreamstate/place.go
+++ b/internal/upstreamstate/place.go
@@ -112,22 +112,33 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	req := s.request(r, now)
-	prefill, ok := choose(s, r, req, func(candidates []placement.Candidate) (placement.Prefill, placement.Candidate, bool) {
-		prefill, ok := s.engineScheduler.PickPrefill(req, candidates, s.rng)
-		return prefill, prefill.Engine, ok
-	})
+	prefill, ok := s.pickPrefill(r, req)
 	if !ok {
 		return prefill, placement.QueueNormal, false
 	}
+	return prefill, s.chargePrefill(r, req, prefill), true
+}
+
+// pickPrefill chooses the engine that processes a prompt. The lock is held.
+func (s *State) pickPrefill(r PlacementRequest, req *placement.Request) (placement.Prefill, bool) {
+	return choose(s, r, req, func(candidates []placement.Candidate) (placement.Prefill, placement.Candidate, bool) {
+		prefill, ok := s.engineScheduler.PickPrefill(req, candidates, s.rng)
+		return prefill, prefill.Engine, ok
+	})
+}
+
+// chargePrefill charges a prompt to the engine that was chosen for it, and returns its priority in the
+// engine's queue. The lock is held.
+func (s *State) chargePrefill(r PlacementRequest, req *placement.Request, prefill placement.Prefill) placement.QueueOrder {
 	order := placement.QueueNormal
 	if !prefill.Direct() {
 		order = req.Costs.QueueOrder(req, prefill, s.rng.Float64())
 	}
-	s.place(prefill.Engine.ID, r.ID, now)
-	s.placePrompt(prefill, order, now)
-	s.nodes[prefill.Engine.ID].work.inflow.add(float64(req.Prompt.Tokens-prefill.Engine.Aggregate.CachedTokens), now)
-	s.recordPrompt(prefill.Engine.ID, req.Prompt, now)
-	return prefill, order, true
+	s.place(prefill.Engine.ID, r.ID, req.Now)
+	s.placePrompt(prefill, order, req.Now)
+	s.nodes[prefill.Engine.ID].work.inflow.add(float64(req.Prompt.Tokens-prefill.Engine.Aggregate.CachedTokens), req.Now)
+	s.recordPrompt(prefill.Engine.ID, req.Prompt, req.Now)
+	return order
 }
 
 // PickDecode chooses the engine that generates from a KV cache in the given zone, and charges the
