Publish the speeds of engines, and discount copies by how long engines keep parts

Hubs learn each engine's speed from prompts and generations and publish those that differ once a second.

--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -127,6 +127,16 @@
 	m.steps.add(sample{x: max(1, s.BatchSize), y: float64(s.Elapsed) / float64(s.Tokens)})
 }
 
+// PredictStream returns the predicted time from the first event of an answer to the last one; 0 for an answer that is
+// too short to be compared.
+func (m *Model) PredictStream(s Stream) time.Duration {
+	if s.Tokens < minStreamTokens {
+		return 0
+	}
+	base, perRequest := m.StepTimes()
+	return time.Duration(s.Tokens) * (base + time.Duration(max(1, s.BatchSize)*float64(perRequest)))
+}
+
 // PromptTimes returns the times of a prompt's tokens and pairs of tokens, in nanoseconds, and the
 // constant overhead.
 func (m *Model) PromptTimes() (token, pair float64, overhead time.Duration) {
--- a/internal/peers/fleet_test.go
+++ b/internal/peers/fleet_test.go
@@ -15,6 +15,7 @@
 	"sassafrasfield/internal/limit"
 	"sassafrasfield/internal/quota"
 	"sassafrasfield/internal/replica"
+	"sassafrasfield/internal/reservation"
 	"sassafrasfield/internal/streamversions"
 	"sassafrasfield/internal/upstreamstate"
 )
@@ -70,12 +71,14 @@
 	quotas  *limit.Granter
 	mu      sync.Mutex // protects records
 	records *streamversions.Records
+	// ledger has the reservations of a hub.
+	ledger *reservation.Ledger
 	// versions are the software versions of the upstreams as known to this instance.
 	versions []string
 }
 
 func newVirtualLoads(now func() time.Duration) *virtualLoads {
-	l := &virtualLoads{now: now, changed: make(chan struct{}, 1), grants: quota.NewCoordinator(), quotas: limit.NewGranter(), records: streamversions.NewRecords()}
+	l := &virtualLoads{now: now, changed: make(chan struct{}, 1), grants: quota.NewCoordinator(), quotas: limit.NewGranter(), records: streamversions.NewRecords(), ledger: reservation.NewLedger()}
 	l.State = upstreamstate.New(upstreamstate.Settings{Seed: 1, OnChange: func() {
 		select {
 		case l.changed <- struct{}{}:
@@ -138,6 +141,25 @@
 	return streamversions.Answer{Knowledge: l.records.Get(stream, l.now()), SeveralVersions: v.SeveralVersions()}
 }
 
+// The reservations and speeds are kept as relay.Relay does.
+func (l *virtualLoads) Reserve(request reservation.Request) (reservation.Grant, bool) {
+	return l.ledger.Reserve(request, l.now())
+}
+func (l *virtualLoads) RecordSent(prompt uint64, c reservation.Candidate) {
+	l.ledger.Record(prompt, c, l.now())
+}
+func (l *virtualLoads) EndReservation(prompt uint64, engine uint32, processed bool) {
+	l.ledger.Done(prompt, engine, processed, l.now())
+}
+func (l *virtualLoads) ObservePace(engine uint32, took, usual time.Duration) {
+	l.ledger.Observe(engine, took, usual, l.now())
+}
+func (l *virtualLoads) LearnedSpeeds() []reservation.EngineSpeed { return l.ledger.Speeds(l.now()) }
+func (l *virtualLoads) Speeds() []reservation.EngineSpeed        { return l.State.Speeds(l.now()) }
+func (l *virtualLoads) ApplySpeeds(list []reservation.EngineSpeed) {
+	l.State.ApplySpeeds(list, l.now())
+}
+
 // view is what this instance knows about the versions of the upstreams.
 func (l *virtualLoads) view() streamversions.View {
 	return streamversions.View{Versions: l.versions}
--- a/internal/peers/receive.go
+++ b/internal/peers/receive.go
@@ -85,6 +85,12 @@
 		end := message.GetReserveEnd()
 		r.loads.EndReservation(end.GetPrompt(), end.GetEngine(), end.GetProcessed())
 		return
+	case sfv1.Datagram_KIND_PACE:
+		r.handlePace(message.GetPace())
+		return
+	case sfv1.Datagram_KIND_SPEEDS:
+		r.loads.ApplySpeeds(speedsFromMessage(message))
+		return
 	case sfv1.Datagram_KIND_BATCH:
 		if !inZone {
 			return
--- a/internal/peers/reports.go
+++ b/internal/peers/reports.go
@@ -188,6 +188,9 @@
 	if due.Batch {
 		r.sendBatch(due.EngineTimes)
 	}
+	if due.Batch && due.EngineTimes {
+		r.sendSpeeds()
+	}
 	if due.ZoneReport {
 		r.sendZoneReport(due.EngineTimes)
 	}
--- a/internal/peers/reservations.go
+++ b/internal/peers/reservations.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	sfv1 "sassafrasfield/internal/gen/sf/v1"
@@ -32,6 +33,13 @@
 	RecordSent(prompt uint64, c reservation.Candidate)
 	// EndReservation records that the work of a prompt ended; processed is false if it failed.
 	EndReservation(prompt uint64, engine uint32, processed bool)
+	// ObservePace learns from the time that an engine of this zone took to generate.
+	ObservePace(engine uint32, took, usual time.Duration)
+	// LearnedSpeeds returns the speeds that this instance learned as the hub, Speeds those of all zones that it
+	// knows. ApplySpeeds applies speeds that a hub published.
+	LearnedSpeeds() []reservation.EngineSpeed
+	Speeds() []reservation.EngineSpeed
+	ApplySpeeds(list []reservation.EngineSpeed)
 }
 
 // hubDirectory holds the addresses of the other zones' hubs, and the zones whose hubs recently did not answer.
@@ -109,11 +117,8 @@
 	if hub == "" {
 		return reservation.Grant{}, false
 	}
-	id, answer := r.reservationRequests.register()
+	id, answer := r.sendReserveAsk(hub, request)
 	defer r.reservationRequests.cancel(id)
-	message := r.newPlainDatagram(sfv1.Datagram_KIND_RESERVE_ASK)
-	message.ReserveAsk = reserveAskToMessage(id, request)
-	r.send(message, []string{hub})
 	timer := time.NewTimer(reservationTimeout)
 	defer timer.Stop()
 	select {
@@ -127,6 +132,15 @@
 	return reservation.Grant{}, false
 }
 
+// sendReserveAsk sends a request for a reservation to a hub. The answer arrives on the channel.
+func (r *Reporter) sendReserveAsk(hub string, request reservation.Request) (id uint64, answer <-chan reservationAnswer) {
+	id, answer = r.reservationRequests.register()
+	message := r.newPlainDatagram(sfv1.Datagram_KIND_RESERVE_ASK)
+	message.ReserveAsk = reserveAskToMessage(id, request)
+	r.send(message, []string{hub})
+	return id, answer
+}
+
 // reservationAnswer is the answer to a request for a reservation; ok is false if nothing was reserved.
 type reservationAnswer struct {
 	reservation.Grant
@@ -164,6 +178,59 @@
 	r.send(message, []string{hub})
 }
 
+// ReportPace reports the time that an engine took to generate to the hub of the engine's zone.
+func (r *Reporter) ReportPace(zone string, engine uint32, took, usual time.Duration) {
+	hub, self := r.exchange.hubOf(zone)
+	if self {
+		r.loads.ObservePace(engine, took, usual)
+		return
+	}
+	if hub == "" {
+		return
+	}
+	message := r.newPlainDatagram(sfv1.Datagram_KIND_PACE)
+	message.Pace = &sfv1.Pace{Engine: engine, TookMs: uint32(took.Milliseconds()), UsualMs: uint32(usual.Milliseconds())}
+	r.send(message, []string{hub})
+}
+
+// handlePace learns from the time that an engine took to generate.
+func (r *Reporter) handlePace(m *sfv1.Pace) {
+	took, usual := time.Duration(m.GetTookMs())*time.Millisecond, time.Duration(m.GetUsualMs())*time.Millisecond
+	r.loads.ObservePace(m.GetEngine(), took, usual)
+}
+
+// sendSpeeds publishes the speeds of engines: those of this zone to the other hubs, those of all zones to the instances
+// of this zone.
+func (r *Reporter) sendSpeeds() {
+	own := r.loads.LearnedSpeeds()
+	r.loads.ApplySpeeds(own)
+	r.publishSpeeds(own, r.exchange.otherZoneAddresses())
+	r.publishSpeeds(r.loads.Speeds(), r.exchange.zoneAddresses())
+}
+
+// maxSpeedsPerDatagram keeps a message with speeds below maxDatagramBytes.
+const maxSpeedsPerDatagram = 256
+
+func (r *Reporter) publishSpeeds(list []reservation.EngineSpeed, to []string) {
+	for part := range slices.Chunk(list, maxSpeedsPerDatagram) {
+		message := r.newPlainDatagram(sfv1.Datagram_KIND_SPEEDS)
+		for _, s := range part {
+			message.Speeds = append(message.Speeds, &sfv1.EngineSpeed{Engine: s.Engine, Percent: uint32(s.Speed * percent)})
+		}
+		r.allowance.Spend(r.send(message, to))
+	}
+}
+
+const percent = 100
+
+func speedsFromMessage(m *sfv1.Datagram) []reservation.EngineSpeed {
+	var list []reservation.EngineSpeed
+	for _, s := range m.GetSpeeds() {
+		list = append(list, reservation.EngineSpeed{Engine: s.GetEngine(), Speed: float64(s.GetPercent()) / percent})
+	}
+	return list
+}
+
 // handleReserveAsk answers a request for a reservation, or records work that was sent without one. An instance that
 // is not the hub keeps none, so that the requests for an engine meet at one instance.
 func (r *Reporter) handleReserveAsk(m *sfv1.ReserveAsk, peer *peerState) {
--- a/internal/placement/costs.go
+++ b/internal/placement/costs.go
@@ -51,6 +51,9 @@
 	// entries are evicted and have to be processed again. Values from 60 to 180 s perform alike where copies
 	// matter (docs/NEW-CUSTOMER.md).
 	MemoryPrice time.Duration
+	// ReuseWithin is the time within which parts are mostly used again. An engine that keeps unused parts for longer
+	// loses less by another copy. With 0, MemoryPrice always counts in full.
+	ReuseWithin time.Duration
 	// FullBatchCost is the cost for a request of joining an engine whose slots are all occupied, compared
 	// with an idle engine.
 	FullBatchCost time.Duration
@@ -120,15 +123,35 @@
 	return cost
 }
 
+// slownessCost returns the cost of generating on an engine of unusual speed: the additional time of the generation.
+// On a slow engine the pauses between events grow in proportion.
+func (c Costs) slownessCost(candidate Candidate) time.Duration {
+	return time.Duration(float64(c.SlotTime) * (candidate.Aggregate.speed() - 1))
+}
+
 // copyCost returns the cost of another copy of the shared part on an engine.
-func (c Costs) copyCost(p Prompt, cached int) time.Duration {
+func (c Costs) copyCost(p Prompt, load AggregateLoad) time.Duration {
 	if c.CacheTokens == 0 {
 		return 0
 	}
-	missing := max(0, p.SharedTokens()-cached)
-	return time.Duration(float64(c.MemoryPrice) * float64(missing) / float64(c.CacheTokens))
+	missing := max(0, p.SharedTokens()-load.CachedTokens)
+	return time.Duration(float64(c.MemoryPrice) * c.evictionLoss(load) * float64(missing) / float64(c.CacheTokens))
+}
+
+// evictionLoss returns the share of MemoryPrice that the memory of an engine is worth. The copy evicts what was used
+// longest ago. The longer an engine keeps unused parts, the less likely these are used again.
+func (c Costs) evictionLoss(load AggregateLoad) float64 {
+	if c.ReuseWithin <= 0 || load.Inflow <= 0 {
+		return 1
+	}
+	kept := partsMemoryShare * float64(c.CacheTokens) / load.Inflow
+	return min(1, c.ReuseWithin.Seconds()/kept)
 }
 
+// partsMemoryShare is the share of an engine's KV memory that holds prompt parts. Running requests and KV cache
+// waiting to be fetched use the rest.
+const partsMemoryShare = 0.7
+
 // scoreScale is the predicted time that halves a score. It has no effect on the order of the candidates.
 const scoreScale = 500 * time.Millisecond
 
--- a/internal/placement/prefill_options.go
+++ b/internal/placement/prefill_options.go
@@ -15,6 +15,9 @@
 	Extra time.Duration
 }
 
+// reuseWithin is the Settings.ReuseWithin of a choice whose waits are known exactly.
+const reuseWithin = 5 * time.Second
+
 // PrefillOptions returns up to limit prefill engines for a prompt, in the zone of the engine that PickPrefill chose.
 // Those with the lowest cost without the backlog come first, because the backlog is what the reservation
 // decides on.
@@ -26,6 +29,7 @@
 	}
 	first := *req
 	first.Phase = PhasePrefill
+	first.Costs.ReuseWithin = reuseWithin
 	all := s.prefill.allowed(&first, candidates)
 	kept := s.prefill.preferred(&first, all)
 	scorer := PrefillScorer{}.ForCandidates(&first, kept, all).(*relativePrefillScorer)
--- a/internal/placement/score_prefill.go
+++ b/internal/placement/score_prefill.go
@@ -55,7 +55,7 @@
 func (s *relativePrefillScorer) extraCost(req *Request, c Candidate) time.Duration {
 	cost := time.Duration(0)
 	if s.leaderOf(c.role()).Node != c.ID {
-		cost += req.Costs.copyCost(req.Prompt, c.Aggregate.CachedTokens)
+		cost += req.Costs.copyCost(req.Prompt, c.Aggregate)
 	}
 	if c.role() == config.RolePrefill {
 		return cost + req.generation.of(c)
@@ -67,7 +67,7 @@
 func (c Costs) timeToStart(p Prefill) time.Duration {
 	load := p.Engine.Aggregate
 	if p.Direct() {
-		return load.Backlog + c.interleavedTime(p.BusyTime, load.Utilization) + c.occupancyCost(load.Requests)
+		return load.Backlog + c.interleavedTime(p.BusyTime, load.Utilization) + c.occupancyCost(load.Requests) + c.slownessCost(p.Engine)
 	}
 	return load.Backlog + p.BusyTime + c.HandOver
 }
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -337,9 +337,11 @@
 		r.upstreams.RecordCall(engine.ID, load.CallSucceeded, r.now())
 		observe("stream", r.now()-started)
 		if fromStart {
-			r.upstreams.RecordStream(g.service, engine.ID, forwarder.events.Count(), estimate.Stream{
-				Elapsed: r.now() - streamStarted, SlotTime: r.now() - started,
+			elapsed := r.now() - streamStarted
+			usual := r.upstreams.RecordStream(g.service, engine.ID, forwarder.events.Count(), estimate.Stream{
+				Elapsed: elapsed, SlotTime: r.now() - started,
 			}, r.now())
+			r.reportPace(engine, elapsed, usual)
 		}
 		return attempt.Result{Status: attempt.Done}
 	case errors.Is(err, ErrCallerDisconnected) || errors.Is(ctx.Err(), context.Canceled):
--- a/internal/relay/reservations.go
+++ b/internal/relay/reservations.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rcrowley/go-metrics"
@@ -20,6 +21,8 @@
 	ReportSent(zone string, prompt uint64, c reservation.Candidate)
 	// EndReservation reports that the work of a prompt ended; processed is false if it failed.
 	EndReservation(zone string, prompt uint64, engine uint32, processed bool)
+	// ReportPace reports the time that an engine of a zone took to generate, and the predicted time at usual speed.
+	ReportPace(zone string, engine uint32, took, usual time.Duration)
 }
 
 // reservations holds the prompt work that is reserved on the engines of this zone while this instance is its hub,
@@ -62,6 +65,33 @@
 	r.reservations.ledger.Done(prompt, engine, processed, r.now())
 }
 
+// ObservePace implements peers.Reservations.
+func (r *Relay) ObservePace(engine uint32, took, usual time.Duration) {
+	r.reservations.mu.Lock()
+	defer r.reservations.mu.Unlock()
+	r.reservations.ledger.Observe(engine, took, usual, r.now())
+}
+
+// LearnedSpeeds implements peers.Reservations.
+func (r *Relay) LearnedSpeeds() []reservation.EngineSpeed {
+	r.reservations.mu.Lock()
+	defer r.reservations.mu.Unlock()
+	return r.reservations.ledger.Speeds(r.now())
+}
+
+// ApplySpeeds implements peers.Reservations.
+func (r *Relay) ApplySpeeds(list []reservation.EngineSpeed) { r.upstreams.ApplySpeeds(list, r.now()) }
+
+// Speeds implements peers.Reservations.
+func (r *Relay) Speeds() []reservation.EngineSpeed { return r.upstreams.Speeds(r.now()) }
+
+// reportPace reports how long an engine took to generate to the instance that learns the speeds of its zone.
+func (r *Relay) reportPace(engine upstreamstate.Upstream, took, usual time.Duration) {
+	if client := r.reservations.client; client != nil && usual > 0 {
+		client.ReportPace(engine.Zone, engine.Incarnation(), took, usual)
+	}
+}
+
 // reserved is the reservation of the prompt that is being processed; the zero value if there is none.
 type reserved struct {
 	prompt uint64
@@ -105,7 +135,7 @@
 	if !ok || start.Direct() {
 		return start, order, ok
 	}
-	engine := r.upstreams.EngineHash(start.Engine.ID)
+	engine := r.upstreams.Upstream(start.Engine.ID).Incarnation()
 	g.reservation = reserved{prompt: prompt, engine: engine, zone: start.Engine.Zone, speed: 1}
 	r.reservations.client.ReportSent(start.Engine.Zone, prompt, reservation.Candidate{Engine: engine, Busy: start.BusyTime})
 	return start, order, true
--- a/internal/upstreamstate/node.go
+++ b/internal/upstreamstate/node.go
@@ -21,6 +21,8 @@
 	load *load.Upstream
 	// work is noWork until this instance first uses the upstream.
 	work *workload
+	// speed is the published speed of an engine.
+	speed publishedSpeed
 	// peers is the load from the other instances; noPeerLoad until one reports any.
 	peers *peerLoad
 }
--- a/internal/upstreamstate/prefilloptions.go
+++ b/internal/upstreamstate/prefilloptions.go
@@ -56,16 +56,10 @@
 			continue
 		}
 		prefill := option.Prefill
-		prefill.Engine.Aggregate.Backlog, prefill.BusyTime = granted.Wait, granted.Busy
+		prefill.Engine.Aggregate.Backlog = granted.Wait
+		prefill.BusyTime = time.Duration(float64(granted.Busy) * granted.Speed)
 		prefill.Engine.Aggregate.DeferredBacklog = min(prefill.Engine.Aggregate.DeferredBacklog, granted.Wait)
 		return prefill, s.chargePrefill(r, s.request(r, now), prefill), true
 	}
 	return placement.Prefill{}, placement.QueueNormal, false
 }
-
-// EngineHash returns the hash that identifies an engine in reservations.
-func (s *State) EngineHash(id string) uint32 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.hash(id)
-}
--- a/internal/upstreamstate/times.go
+++ b/internal/upstreamstate/times.go
@@ -75,8 +75,8 @@
 }
 
 // RecordStream records an answer that an engine generated completely, in the given number of
-// events.
-func (s *State) RecordStream(service, engine string, events int, observed estimate.Stream, now time.Duration) {
+// events. It returns the predicted time of the generation at usual speed; 0 if it was too short to compare.
+func (s *State) RecordStream(service, engine string, events int, observed estimate.Stream, now time.Duration) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	eventTokens := 1
@@ -87,7 +87,9 @@
 	if n, ok := s.nodes[engine]; ok {
 		observed.BatchSize = float64(n.aggregateLoad(now).Requests)
 	}
+	usual := s.model(service).PredictStream(observed)
 	s.model(service).RecordStream(observed)
+	return usual
 }
 
 // learnedTimes returns the estimates that this instance learned itself, by a hash of the service.
