--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -47,6 +47,9 @@
 	// UsageWindow is the length of the time windows in which the requests that began to run are
 	// counted; 0 disables the counts.
 	UsageWindow time.Duration
+	// ReservationsFrom is the number of engines of a service from which the work of prompts is reserved before it is
+	// sent; 0 means never.
+	ReservationsFrom int
 	// MaxForwarded bounds the requests that are served at a time for other instances.
 	MaxForwarded int
 }
@@ -64,9 +67,10 @@
 		StreamIdleTimeout:  1200 * time.Millisecond, // callers disconnect after two seconds without an event
 		RetryIn:            150 * time.Millisecond,  // about the processing time of one long prompt
 		// Of 79 instances that start at once, half have the configuration after 0.55 s, the last after 0.9 s.
-		StartupRetryIn: 400 * time.Millisecond,
-		Outliers:       outliers,
-		MaxForwarded:   64, // several times the requests of an instance of 0.4 cores, in a few megabytes
+		StartupRetryIn:   400 * time.Millisecond,
+		Outliers:         outliers,
+		ReservationsFrom: 80, // the smallest service that was measured with reservations has 90 engines
+		MaxForwarded:     64, // several times the requests of an instance of 0.4 cores, in a few megabytes
 	}
 }
 
--- a/internal/relay/reservations.go
+++ b/internal/relay/reservations.go
@@ -87,11 +87,17 @@
 
 // reportPace reports how long an engine took to generate to the instance that learns the speeds of its zone.
 func (r *Relay) reportPace(engine upstreamstate.Upstream, took, usual time.Duration) {
-	if client := r.reservations.client; client != nil && usual > 0 {
-		client.ReportPace(engine.Zone, engine.Incarnation(), took, usual)
+	if r.reserves(engine.Service) && usual > 0 {
+		r.reservations.client.ReportPace(engine.Zone, engine.Incarnation(), took, usual)
 	}
 }
 
+// reserves reports whether the work of prompts to a service is reserved.
+func (r *Relay) reserves(service string) bool {
+	from := r.settings.ReservationsFrom
+	return r.reservations.client != nil && from > 0 && r.upstreams.Count(service) >= from
+}
+
 // reserved is the reservation of the prompt that is being processed; the zero value if there is none.
 type reserved struct {
 	prompt uint64
@@ -106,7 +112,7 @@
 func (r *Relay) placePrompt(ctx context.Context, g *generation, request upstreamstate.PlacementRequest) (placement.Prefill, placement.QueueOrder, bool) {
 	g.reservation = reserved{}
 	client := r.reservations.client
-	if client == nil {
+	if !r.reserves(g.service) {
 		return r.upstreams.PickPrefill(request, r.now())
 	}
 	options, ok := r.upstreams.PrefillOptions(request, r.now())
--- a/internal/upstreamstate/prefilloptions.go
+++ b/internal/upstreamstate/prefilloptions.go
@@ -38,13 +38,23 @@
 		return PrefillOptions{}, false
 	}
 	o := PrefillOptions{Zone: prefill.Engine.Zone}
-	o.options = s.engineScheduler.PrefillOptions(req, s.candidates(r, req), prefill, maxPrefillOptions)
+	o.options = s.engineScheduler.PrefillOptions(req, s.optionCandidates(r, req), prefill, maxPrefillOptions)
 	for _, option := range o.options {
 		o.engines = append(o.engines, s.nodes[option.Engine.ID].hash)
 	}
 	return o, len(o.options) > 1
 }
 
+// optionCandidates returns the candidates for a reservation: a sample of the upstreams of a large service, as for other
+// choices. The lock is held.
+func (s *State) optionCandidates(r PlacementRequest, req *placement.Request) []placement.Candidate {
+	all, cached := s.byService[r.Service], s.cached(req)
+	if len(all) > maxAllCandidates {
+		all = sample(all, req, cached)
+	}
+	return s.candidatesAmong(all, cached, r, req)
+}
+
 // PlaceReserved charges a prompt to the engine that was reserved for it, and returns the placement and the priority
 // in the engine's queue. It returns false if the engine was removed meanwhile.
 func (s *State) PlaceReserved(r PlacementRequest, o PrefillOptions, granted reservation.Grant, now time.Duration) (placement.Prefill, placement.QueueOrder, bool) {
