Weigh the requests on an engine by the square of its speed

The additional time of a generation as a cost concentrated generations on the engines that seemed fastest.

--- a/internal/placement/costs.go
+++ b/internal/placement/costs.go
@@ -111,22 +111,19 @@
 }
 
 // occupancyCost returns the cost that an engine's current requests impose on one that joins them. They share
-// the engine's steps and, once all slots are occupied, the new request waits for one of them to end.
-func (c Costs) occupancyCost(requests int) time.Duration {
+// the engine's steps and, once all slots are occupied, the new request waits for one of them to end. On an engine
+// that needs twice as long per token, each request stays for twice as long, and the pauses between its events are
+// twice as long; so the cost of a request counts four times there.
+func (c Costs) occupancyCost(load AggregateLoad) time.Duration {
 	if c.Slots == 0 {
 		return 0
 	}
-	cost := time.Duration(float64(c.FullBatchCost) * float64(requests) / float64(c.Slots))
-	if over := requests - c.Slots + 1; over > 0 {
-		cost += time.Duration(float64(c.SlotTime) * float64(over) / float64(c.Slots))
+	weight := load.speed() * load.speed()
+	cost := float64(c.FullBatchCost) / float64(c.Slots) * (float64(load.Requests)*weight + weight - 1)
+	if over := load.Requests - c.Slots + 1; over > 0 {
+		cost += float64(c.SlotTime) * load.speed() * float64(over) / float64(c.Slots)
 	}
-	return cost
-}
-
-// slownessCost returns the cost of generating on an engine of unusual speed: the additional time of the generation.
-// On a slow engine the pauses between events grow in proportion.
-func (c Costs) slownessCost(candidate Candidate) time.Duration {
-	return time.Duration(float64(c.SlotTime) * (candidate.Aggregate.speed() - 1))
+	return time.Duration(cost)
 }
 
 // copyCost returns the cost of another copy of the shared part on an engine.
--- a/internal/placement/score_decode.go
+++ b/internal/placement/score_decode.go
@@ -13,7 +13,7 @@
 // Score implements Scorer.
 func (DecodeScorer) Score(req *Request, c Candidate) float64 {
 	cost := req.Costs.fetchTime(req.Prompt.Tokens-c.Aggregate.CachedTokens, req.KVZone, c.Zone)
-	cost += req.Costs.occupancyCost(c.Aggregate.Requests) + req.Costs.slownessCost(c)
+	cost += req.Costs.occupancyCost(c.Aggregate)
 	cost += c.Aggregate.Backlog/backlogDivisor + req.Costs.sendCost(req.Zone, c)
 	return scoreOf(cost)
 }
--- a/internal/placement/score_prefill.go
+++ b/internal/placement/score_prefill.go
@@ -67,7 +67,8 @@
 func (c Costs) timeToStart(p Prefill) time.Duration {
 	load := p.Engine.Aggregate
 	if p.Direct() {
-		return load.Backlog + c.interleavedTime(p.BusyTime, load.Utilization) + c.occupancyCost(load.Requests) + c.slownessCost(p.Engine)
+		busy := time.Duration(float64(p.BusyTime) * load.speed())
+		return load.Backlog + c.interleavedTime(busy, load.Utilization) + c.occupancyCost(load)
 	}
 	return load.Backlog + p.BusyTime + c.HandOver
 }
--- a/internal/placement/softwareversions.go
+++ b/internal/placement/softwareversions.go
@@ -29,7 +29,7 @@
 		if c.Exhausted {
 			continue
 		}
-		cost := req.Costs.occupancyCost(c.Aggregate.Requests) + c.Aggregate.Backlog/backlogDivisor
+		cost := req.Costs.occupancyCost(c.Aggregate) + c.Aggregate.Backlog/backlogDivisor
 		if best, ok := costs[c.SoftwareVersion]; !ok || cost < best {
 			costs[c.SoftwareVersion] = cost
 		}
