--- a/internal/model/engine.go
+++ b/internal/model/engine.go
@@ -13,6 +13,8 @@
 	// the engine processes.
 	remaining time.Duration
 	uncached  int
+	// fetched is the number of its tokens that are fetched from another engine.
+	fetched int
 	// deferred requests are processed after all others.
 	deferred bool
 	// readyAt is the time at which its KV cache has arrived.
@@ -43,10 +45,16 @@
 	targetRole       config.Role
 	unavailableUntil time.Duration
 	down             bool
+	// number identifies the engine in ledgers.
+	number uint32
+	// slowdown and noise are the factors of the time that it needs. busy is the time for which it processed
+	// prompts in the prefill role.
+	slowdown, noise float64
+	busy            time.Duration
 }
 
 func newEngine(id, zone string, role config.Role, spec EngineSpec) *engine {
-	return &engine{id: id, zone: zone, role: role, targetRole: role, spec: spec, cache: newPromptCache(spec.MemoryTokens)}
+	return &engine{id: id, zone: zone, role: role, targetRole: role, spec: spec, cache: newPromptCache(spec.MemoryTokens), slowdown: 1, noise: 1}
 }
 
 // accepts reports whether the engine accepts requests.
@@ -78,6 +86,7 @@
 	if w.source != nil {
 		if remote := w.source.cache.cachedTokens(w.req.prompt); remote > cached {
 			w.remaining += time.Duration(float64(remote-cached) * e.spec.TransferTime)
+			w.fetched = remote - cached
 			cached = remote
 		}
 	}
@@ -124,7 +133,11 @@
 }
 
 func (e *engine) prefill() (done []*work) {
-	for budget := tick; budget > 0; {
+	rate := e.slowdown * e.noise
+	full := time.Duration(float64(tick) / rate)
+	budget := full
+	defer func() { e.busy += time.Duration(float64(full-budget) * rate) }()
+	for budget > 0 {
 		w := e.nextPrompt()
 		if w == nil {
 			break
--- a/internal/model/pattern.go
+++ b/internal/model/pattern.go
@@ -42,6 +42,14 @@
 	// 0 to 1.
 	ReportLag  time.Duration `toml:"report_lag"`
 	ReportLoss float64       `toml:"report_loss"`
+	// SeparatePrefill is set if no decode engine processes short prompts.
+	SeparatePrefill bool `toml:"separate_prefill"`
+	// Uneven is how the speeds of prefill engines differ.
+	Uneven Unevenness `toml:"uneven"`
+	// MessageLoss is the fraction of the messages to and from hubs that is lost, 0 to 1. HubOutage is the loss of
+	// all hubs for a time.
+	MessageLoss float64   `toml:"message_loss"`
+	HubOutage   hubOutage `toml:"hub_outage"`
 	// Engine describes each engine.
 	Engine EngineSpec `toml:"engine"`
 }
--- a/internal/model/policy.go
+++ b/internal/model/policy.go
@@ -19,6 +19,14 @@
 	InOrder bool `toml:"in_order"`
 	// KnownTimes starts the instances with the actual times of the engines instead of the default prior.
 	KnownTimes bool `toml:"exact"`
+	// Choice is the way in which the engine of a prompt is chosen.
+	Choice Choice `toml:"choice"`
+	// MaxCopyShare bounds the cost of another copy of a shared part in reservations to a share of the time to
+	// process its missing tokens; 0 for no bound.
+	MaxCopyShare float64 `toml:"max_copy_share"`
+	// ReportEvery is the interval of reports within a zone; 0 for the default. Zones report to each other at
+	// twice the interval.
+	ReportEvery time.Duration `toml:"report_every"`
 	// MemoryPrice is the price of an engine's entire KV cache, as in placement.Settings; 0 for the default.
 	MemoryPrice time.Duration `toml:"memory_price"`
 	// KVAcrossVersions lets engines use the KV cache of another software version, as in placement.Settings.
@@ -37,6 +45,14 @@
 	return s
 }
 
+// reportEvery returns the interval of reports within a zone.
+func (p Policy) reportEvery() time.Duration {
+	if p.ReportEvery > 0 {
+		return p.ReportEvery
+	}
+	return defaultReportEvery
+}
+
 func (p Policy) target() roles.Target {
 	t := roles.DefaultTarget()
 	if p.Prefill > 0 {
--- a/internal/model/reports.go
+++ b/internal/model/reports.go
@@ -7,10 +7,11 @@
 )
 
 // Intervals of the reports between instances, as in package fanout. On average, a change waits for half of
-// reportEvery until it is sent, as it does in a hub for the next batch.
+// the interval until it is sent, as it does in a hub for the next batch. Zones report to each other at
+// zoneReportFactor times the interval.
 const (
-	reportEvery = 100 * time.Millisecond
-	zoneEvery   = 200 * time.Millisecond
+	defaultReportEvery = 100 * time.Millisecond
+	zoneReportFactor   = 2
 )
 
 // delivery is a report in transit.
@@ -25,13 +26,14 @@
 // their zones to each other, and each hub relays the reports of the other zones to its zone.
 func (r *run) exchangeReports() {
 	r.deliver()
-	if r.now%reportEvery != 0 {
+	every := r.policy.reportEvery()
+	if r.now%every != 0 {
 		return
 	}
 	for _, from := range r.instances {
 		r.sendOwnReport(from)
 	}
-	if r.now%zoneEvery == 0 {
+	if r.now%(zoneReportFactor*every) == 0 {
 		r.sendZoneReports()
 	}
 	r.deliver()
@@ -47,7 +49,7 @@
 		report := hub.state.ZoneReport(r.now)
 		for _, to := range r.hubs() {
 			if to != hub {
-				r.send(to, "zone "+hub.zone, report)
+				r.sendReport(to, "zone "+hub.zone, report)
 			}
 		}
 	}
@@ -71,7 +73,7 @@
 	report := from.state.OwnReport(r.now)
 	for _, to := range r.instances {
 		if to != from && to.zone == from.zone {
-			r.send(to, upstreamstate.InstanceSourcePrefix+from.name, report)
+			r.sendReport(to, upstreamstate.InstanceSourcePrefix+from.name, report)
 		}
 	}
 }
@@ -81,13 +83,13 @@
 	report := hub.state.OtherZonesReport(r.now)
 	for _, to := range r.instances {
 		if to != hub && to.zone == hub.zone {
-			r.send(to, "zones", report)
+			r.sendReport(to, "zones", report)
 		}
 	}
 }
 
-// send queues a report for delivery, unless it is drawn as lost.
-func (r *run) send(to *instance, source string, report upstreamstate.Report) {
+// sendReport queues a report for delivery, unless it is drawn as lost.
+func (r *run) sendReport(to *instance, source string, report upstreamstate.Report) {
 	if r.rng.Float64() < r.pattern.Fleet.ReportLoss {
 		return
 	}
--- a/internal/model/result.go
+++ b/internal/model/result.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"sassafrasfield/internal/config"
 )
 
 // Result is the outcome of a pattern under a policy.
@@ -16,6 +18,20 @@
 	PrefilledTokens, TransferredTokens int
 	// Orders counts the role changes ordered, Refused the requests that engines refused.
 	Orders, Refused int
+	// FetchedTokens counts the tokens that prefill engines fetched from others, AgainTokens those of shared
+	// parts that an engine had processed before.
+	FetchedTokens, AgainTokens int
+	// Messages counts the messages to and from hubs, Candidates the engines in their requests.
+	Messages, Candidates int
+	// BusiestShare is the time that the busiest prefill engine processed prompts, relative to the mean.
+	BusiestShare float64
+	// Utilization is the mean share of time in which prefill engines processed prompts.
+	Utilization float64
+	// PromptWait is the time from the arrival until the prompt was processed beyond the time of an idle engine
+	// without any of it cached, in microseconds. Earlier ones count as 0.
+	PromptWait *hdrhistogram.Histogram
+	// Prompts counts processed prompts, Beyond those that took maxBeyond longer than that.
+	Prompts, Beyond int
 }
 
 // ClassResult is the outcome of the requests of a class.
@@ -32,7 +48,7 @@
 )
 
 func newResult(p Pattern, policy Policy) *Result {
-	r := &Result{Pattern: p.Name, Policy: policy.Name, Classes: map[string]*ClassResult{}}
+	r := &Result{Pattern: p.Name, Policy: policy.Name, Classes: map[string]*ClassResult{}, PromptWait: hdrhistogram.New(1, histogramMax, histogramDigits)}
 	for _, c := range p.Class {
 		r.Classes[c.Name] = &ClassResult{FirstEvent: hdrhistogram.New(1, histogramMax, histogramDigits)}
 	}
@@ -52,6 +68,33 @@
 	c.Late++
 }
 
+// maxBeyond is the time beyond a cold read on an idle engine that 99% of prompts may take.
+const maxBeyond = 150 * time.Millisecond
+
+func (r *Result) recordPromptWait(class string, beyond time.Duration) {
+	_ = r.PromptWait.RecordValue(min(histogramMax, max(0, beyond.Microseconds()))) // within bounds
+	r.Prompts++
+	if beyond > maxBeyond {
+		r.Beyond++
+	}
+}
+
+// recordBusy records how the work was spread over the prefill engines.
+func (r *Result) recordBusy(engines []*engine, length time.Duration) {
+	var busiest, sum time.Duration
+	n := 0
+	for _, e := range engines {
+		if e.role == config.RolePrefill {
+			busiest, sum, n = max(busiest, e.busy), sum+e.busy, n+1
+		}
+	}
+	if sum == 0 {
+		return
+	}
+	r.BusiestShare = float64(busiest) * float64(n) / float64(sum)
+	r.Utilization = float64(sum) / float64(n) / float64(length)
+}
+
 // recordMissed counts a request whose caller gave up.
 func (r *Result) recordMissed(req *request) {
 	c := r.Classes[req.class.Name]
--- a/internal/model/run.go
+++ b/internal/model/run.go
@@ -36,12 +36,19 @@
 	gapExceeded   bool
 	firstEvent    time.Duration
 	done          bool
+	// number identifies the request in ledgers. closed is set once its caller has given up, promptEnded once
+	// the hub was told of the end of its prompt.
+	number      uint64
+	closed      bool
+	promptEnded bool
 }
 
 // instance is one instance with its view of the upstreams.
 type instance struct {
 	name, zone string
 	state      *upstreamstate.State
+	// askAgainAt is when to ask the hub of each zone again after it didn't reply.
+	askAgainAt map[string]time.Duration
 }
 
 // run is the state of a simulation.
@@ -59,12 +66,22 @@
 	controller   roleController
 	inFlight     []delivery
 	result       *Result
+	// later are actions at a later time, ledgers the hubs by zone.
+	later   []delayed
+	ledgers map[string]*hub
+	// messageRNG draws the lost messages, speedRNG the speeds of the engines, so that these are the same under
+	// all policies.
+	messageRNG, speedRNG *rand.Rand
+	// processedParts are the shared parts that any engine has processed.
+	processedParts map[string]bool
 }
 
 // Run simulates a pattern under a policy.
 func Run(p Pattern, policy Policy, seed uint64) *Result {
 	r := newRun(p, policy, seed)
 	for ; r.now < p.Length+drainTime; r.now += tick {
+		r.varySpeeds()
+		r.runDelayed()
 		r.applyOutages()
 		r.updateEngines()
 		r.exchangeReports()
@@ -77,10 +94,17 @@
 			r.advance(e)
 		}
 	}
+	r.result.recordBusy(r.engines, p.Length)
 	r.result.recordOpen(r.openRequests)
 	return r.result
 }
 
+// Streams of the random sources of messages and speeds.
+const (
+	messageStream = 101
+	speedStream   = 102
+)
+
 // drainTime is the time after the load in which answers may still complete.
 const drainTime = 4 * time.Second
 
@@ -88,7 +112,8 @@
 	rng := rand.New(rand.NewPCG(seed, seed))
 	r := &run{
 		pattern: p, policy: policy, rng: rng, sampler: newSampler(p.Class, rng), byID: map[string]*engine{},
-		result: newResult(p, policy),
+		result: newResult(p, policy), ledgers: map[string]*hub{}, processedParts: map[string]bool{},
+		messageRNG: newRNG(seed, messageStream), speedRNG: newRNG(seed, speedStream),
 	}
 	target := policy.target()
 	prefill := target.PrefillCount(p.Fleet.Engines)
@@ -98,6 +123,7 @@
 			role = config.RolePrefill
 		}
 		e := newEngine(fmt.Sprintf("e%03d", i), zone(i, p.Fleet.Zones), role, p.Fleet.Engine)
+		e.number = uint32(i)
 		e.version = fmt.Sprintf("v%d", i%max(1, p.Fleet.Versions))
 		r.engines, r.byID[e.id] = append(r.engines, e), e
 	}
@@ -112,9 +138,13 @@
 
 func (r *run) newInstance(i int) *instance {
 	spec := r.pattern.Fleet.Engine
-	in := &instance{name: fmt.Sprintf("i%02d", i), zone: zone(i, r.pattern.Fleet.Zones)}
+	in := &instance{name: fmt.Sprintf("i%02d", i), zone: zone(i, r.pattern.Fleet.Zones), askAgainAt: map[string]time.Duration{}}
+	settings := r.policy.settings()
+	if r.pattern.Fleet.SeparatePrefill {
+		settings.DirectBelow = 0
+	}
 	in.state = upstreamstate.New(upstreamstate.Settings{
-		Zone: in.zone, Placement: r.policy.settings(), Prior: r.policy.prior(spec),
+		Zone: in.zone, Placement: settings, Prior: r.policy.prior(spec),
 		Outliers: load.DefaultOutlierRules(), Seed: uint64(i) + 1,
 	})
 	in.state.SetRoutes(routes.NewTable(1, nil, []routes.Service{{Name: service, Engine: &routes.EngineLimits{
@@ -140,7 +170,7 @@
 			id := fmt.Sprintf("r%d", r.created)
 			req := &request{
 				id: id, class: c, prompt: r.sampler.prompt(i, *c, id, r.now), answer: float64(r.sampler.tokens(c.Answer, c.Spread)),
-				arrivedAt: r.now, instance: r.instances[r.rng.IntN(len(r.instances))],
+				arrivedAt: r.now, number: uint64(r.created), instance: r.instances[r.rng.IntN(len(r.instances))],
 			}
 			r.openRequests = append(r.openRequests, req)
 			r.place(req)
@@ -156,12 +186,26 @@
 	}
 }
 
-// place sends a request to the engine that the instance picks for its prompt.
+// place sends a request to the engine that is chosen for its prompt.
 func (r *run) place(req *request) {
+	switch r.policy.Choice {
+	case ChoiceReserved, ChoiceReservedUsual:
+		r.placeReserved(req)
+		return
+	case ChoiceTwo:
+		r.placeTwo(req)
+		return
+	case ChoiceReports:
+	}
 	prefill, order, ok := req.instance.state.PickPrefill(req.placementRequest(r.now), r.now)
 	if !ok {
 		return // it stays unplaced until its caller gives up
 	}
+	r.send(req, prefill, order)
+}
+
+// send sends a prompt to the engine that it was placed on.
+func (r *run) send(req *request, prefill placement.Prefill, order placement.QueueOrder) {
 	req.prefill, req.queueOrder, req.sentAt, req.engine = prefill, order, r.now, r.byID[prefill.Engine.ID]
 	w := &work{req: req, deferred: order == placement.QueueDeferred, source: r.byID[prefill.Source.ID], tokens: req.answer}
 	if !req.engine.accepts(r.now) {
@@ -177,6 +221,8 @@
 // retryRefused places a request again after its engine refused it.
 func (r *run) retryRefused(req *request) {
 	r.release(req)
+	r.promptEnded(req, false)
+	req.promptEnded = false
 	req.instance.state.RecordCall(req.engine.id, load.CallUnreachable, r.now)
 	req.engine = nil
 	r.result.Refused++
@@ -200,7 +246,8 @@
 func (r *run) advance(e *engine) {
 	prefilled, started, finished := e.advance(r.now)
 	for _, w := range prefilled {
-		r.result.PrefilledTokens += w.uncached
+		r.recordPrompt(w)
+		r.promptEnded(w.req, true)
 		if e.role == config.RolePrefill {
 			r.handOver(e, w)
 			continue
@@ -220,6 +267,22 @@
 	}
 }
 
+// recordPrompt records a processed prompt. A shared part counts as processed again if any engine had it before.
+func (r *run) recordPrompt(w *work) {
+	r.result.PrefilledTokens += w.uncached
+	r.result.FetchedTokens += w.fetched
+	again := w.uncached
+	for i, part := range w.req.prompt.Parts {
+		if i == len(w.req.prompt.Parts)-1 || !r.processedParts[part.ID] {
+			again -= part.Tokens
+		}
+		r.processedParts[part.ID] = true
+	}
+	r.result.AgainTokens += max(0, again)
+	cold := w.req.engine.promptTime(w.req.prompt.Tokens, 0)
+	r.result.recordPromptWait(w.req.class.Name, r.now-w.req.arrivedAt-cold)
+}
+
 // handOver passes a request on to a decode engine after its prompt was processed.
 func (r *run) handOver(e *engine, w *work) {
 	req := w.req
@@ -271,7 +334,9 @@
 		if req.firstEvent > 0 || r.now-req.arrivedAt < req.class.WaitBudget {
 			return false
 		}
+		req.closed = true
 		r.release(req)
+		r.promptEnded(req, false)
 		if req.engine != nil {
 			req.engine.drop(req)
 		}
--- a/internal/reservation/engine.go
+++ b/internal/reservation/engine.go
@@ -70,7 +70,9 @@
 	if overdue := time.Duration(overdueShare * float64(taken)); left < overdue {
 		left = overdue
 	}
-	speed = overdueSpeed(speed, taken, head.grant.Busy)
+	if !on.speed.usual {
+		speed = overdueSpeed(speed, taken, head.grant.Busy)
+	}
 	return left + scale(on.busy-head.grant.Busy, speed), speed
 }
 
--- a/internal/reservation/ledger.go
+++ b/internal/reservation/ledger.go
@@ -58,6 +58,8 @@
 	// byAge holds the entries in the order of their placement, including ended ones.
 	byAge []*entry
 	ended endedIDs
+	// usualSpeed is set if all engines are taken to have the usual speed.
+	usualSpeed bool
 }
 
 // NewLedger returns a ledger without entries, in which all engines have the usual speed.
@@ -65,6 +67,14 @@
 	return &Ledger{engines: map[uint32]*engine{}, entries: map[uint64]*entry{}, ended: newEndedIDs()}
 }
 
+// NewLedgerWithoutSpeeds returns a ledger that learns no speeds: all engines are taken to have the usual one. It
+// is used to compare.
+func NewLedgerWithoutSpeeds() *Ledger {
+	l := NewLedger()
+	l.usualSpeed = true
+	return l
+}
+
 // Reserve chooses the candidate that is expected to have processed the prompt soonest, including its extra
 // cost, and records the prompt there. It returns false without candidates. The same ID again returns the same
 // grant, and doesn't record the prompt again.
@@ -179,6 +189,7 @@
 		l.forgetEngine()
 	}
 	on := newEngine(now)
+	on.speed.usual = l.usualSpeed
 	l.engines[id] = on
 	return on
 }
--- a/internal/reservation/speed.go
+++ b/internal/reservation/speed.go
@@ -37,6 +37,8 @@
 	log, variance float64
 	mean          float64
 	updated       time.Duration
+	// usual is set if nothing is learned.
+	usual bool
 }
 
 func newSpeed(now time.Duration) speed {
@@ -61,7 +63,7 @@
 
 // observe learns from the time that a prompt took.
 func (s *speed) observe(took, busy, now time.Duration) {
-	if busy < leastBusy || took <= 0 {
+	if s.usual || busy < leastBusy || took <= 0 {
 		return
 	}
 	s.log, s.variance, s.mean = s.reverted(now)
