--- a/internal/model/reservations.go
+++ b/internal/model/reservations.go
@@ -125,15 +125,67 @@
 
 // placeReserved asks the hub of the best engine's zone for an engine and sends the prompt there.
 func (r *run) placeReserved(req *request) {
-	choices := req.instance.state.PrefillChoices(req.placementRequest(r.now), maxCandidates, r.now)
+	choices := req.instance.state.PrefillChoices(req.placementRequest(r.now), maxCandidates, "", r.now)
 	if len(choices) == 0 {
 		return
 	}
-	zone := choices[0].Engine.Zone
-	if r.now < req.instance.askAgainAt[zone] {
+	if r.now < req.instance.askAgainAt[choices[0].Engine.Zone] {
 		r.placeAndRecord(req)
 		return
 	}
+	r.ask(req, choices, func(grant reservation.Grant, ok bool) {
+		switch {
+		case req.closed:
+		case !ok:
+			r.placeAndRecord(req)
+		case r.policy.SecondZoneAbove > 0 && grant.Wait > r.policy.SecondZoneAbove:
+			r.askSecondZone(req, choices, grant)
+		default:
+			r.sendReserved(req, choices, grant)
+		}
+	})
+}
+
+// askSecondZone asks the hub of the next best zone as well, and sends the prompt to the better engine.
+func (r *run) askSecondZone(req *request, choices []placement.PrefillChoice, grant reservation.Grant) {
+	first := choices[0].Engine.Zone
+	others := req.instance.state.PrefillChoices(req.placementRequest(r.now), maxCandidates, first, r.now)
+	if len(others) == 0 || r.now < req.instance.askAgainAt[others[0].Engine.Zone] {
+		r.sendReserved(req, choices, grant)
+		return
+	}
+	second := others[0].Engine.Zone
+	r.ask(req, others, func(other reservation.Grant, ok bool) {
+		switch {
+		case req.closed:
+		case ok && r.cost(req, others, other) < r.cost(req, choices, grant):
+			r.cancel(req, first, grant)
+			r.sendReserved(req, others, other)
+		default:
+			r.cancel(req, second, other)
+			r.sendReserved(req, choices, grant)
+		}
+	})
+}
+
+// cost returns the predicted time of a grant, with the extra cost of its engine.
+func (r *run) cost(req *request, choices []placement.PrefillChoice, grant reservation.Grant) time.Duration {
+	for _, choice := range choices {
+		if r.byID[choice.Engine.ID].number == grant.Engine {
+			return grant.Wait + time.Duration(float64(grant.Busy)*grant.Speed) + r.extra(req, choice)
+		}
+	}
+	return 0
+}
+
+// cancel ends a reservation that isn't used.
+func (r *run) cancel(req *request, zone string, grant reservation.Grant) {
+	r.notify(req.instance, zone, func(l *reservation.Ledger) { l.Done(req.number, grant.Engine, false, r.now) })
+}
+
+// ask asks the hub of the choices' zone. It calls then with its reply, or after the timeout without one.
+func (r *run) ask(req *request, choices []placement.PrefillChoice, then func(reservation.Grant, bool)) {
+	zone := choices[0].Engine.Zone
 	r.result.Messages += 2
 	r.result.Candidates += len(choices)
 	way := oneWay(req.instance, zone)
@@ -147,28 +199,33 @@
 			grant, ok := h.ledger.Reserve(r.reservationRequest(req, choices, h), r.now)
 			if ok && !r.isLost() {
 				answered = true
-				r.after(way, func() { r.sendReserved(req, choices, grant) })
+				r.after(way, func() { then(grant, true) })
 			}
 		})
 	}
 	r.after(replyTimeout, func() {
-		if answered || req.closed {
+		if answered {
 			return
 		}
 		req.instance.askAgainAt[zone] = r.now + hubPause
-		r.placeAndRecord(req)
+		then(reservation.Grant{}, false)
 	})
 }
 
+// extra returns the extra cost of a choice.
+func (r *run) extra(req *request, choice placement.PrefillChoice) time.Duration {
+	if r.policy.MaxCopyShare == 0 {
+		return choice.Extra
+	}
+	missing := max(0, req.prompt.SharedTokens()-choice.Engine.Aggregate.CachedTokens)
+	return min(choice.Extra, time.Duration(r.policy.MaxCopyShare*float64(missing)*r.pattern.Fleet.Engine.TokenTime))
+}
+
 // reservationRequest converts choices to candidates. It adds the reported load while the ledger is young.
 func (r *run) reservationRequest(req *request, choices []placement.PrefillChoice, h *hub) reservation.Request {
 	request := reservation.Request{ID: req.number}
 	for _, choice := range choices {
-		c := reservation.Candidate{Engine: r.byID[choice.Engine.ID].number, Busy: choice.BusyTime, Extra: choice.Extra}
-		if r.policy.MaxCopyShare > 0 {
-			missing := req.prompt.SharedTokens() - choice.Engine.Aggregate.CachedTokens
-			c.Extra = min(c.Extra, time.Duration(r.policy.MaxCopyShare*float64(max(0, missing))*r.pattern.Fleet.Engine.TokenTime))
-		}
+		c := reservation.Candidate{Engine: r.byID[choice.Engine.ID].number, Busy: choice.BusyTime, Extra: r.extra(req, choice)}
 		if r.now-h.startAt < ledgerYoung {
 			c.Extra += choice.Engine.Aggregate.Backlog
 		}
@@ -217,7 +274,7 @@
 // placeTwo places a prompt on the better of two engines that are drawn from the best ones by the reports.
 func (r *run) placeTwo(req *request) {
 	request := req.placementRequest(r.now)
-	choices := req.instance.state.PrefillChoices(request, twoAmong, r.now)
+	choices := req.instance.state.PrefillChoices(request, twoAmong, "", r.now)
 	if len(choices) == 0 {
 		return
 	}
--- a/internal/model/reservations_test.go
+++ b/internal/model/reservations_test.go
@@ -76,19 +76,23 @@
 		t.Skip()
 	}
 	var patterns []Pattern
-	for _, f := range []float64{0.1, 1, 10} {
-		for _, uneven := range []Unevenness{{}, {Share: 0.2, Factor: 2.5, Period: 4 * time.Second, Noise: 0.2}} {
+	for _, f := range []float64{1, 10} {
+		for _, uneven := range []Unevenness{{}, {Share: 0.2, Factor: 2.5, Noise: 0.2}, {Share: 0.2, Factor: 2.5, Period: 4 * time.Second, Noise: 0.2}} {
 			p := kitami(75, 65, 25, 4, f)
-			p.Name, p.Fleet.Uneven = fmt.Sprintf("parts x%v %v", f, uneven.Share), uneven
+			p.Name, p.Fleet.Uneven = fmt.Sprintf("x%v %v %v", f, uneven.Share, uneven.Period), uneven
 			patterns = append(patterns, p)
 		}
 	}
-	policies := []Policy{{Name: "reports"}, {Name: "reserved", Choice: ChoiceReserved}}
-	for _, k := range []float64{0.02, 0.1, 0.25, 0.5, 1} {
-		policies = append(policies, Policy{Name: fmt.Sprintf("reserved copy share %v", k), Choice: ChoiceReserved, MaxCopyShare: k})
-	}
-	for _, price := range []time.Duration{1, 2, 4, 8} {
-		policies = append(policies, Policy{Name: fmt.Sprintf("reserved price %vs", int(price)), Choice: ChoiceReserved, MemoryPrice: price * time.Second})
+	p := kitami(75, 65, 25, 4, 0.1)
+	p.Name = "hot part"
+	p.Class[0].Skew = 2
+	patterns = append(patterns, p)
+	policies := []Policy{
+		{Name: "reports"},
+		{Name: "reserved", Choice: ChoiceReserved, MaxCopyShare: 0.25},
+		{Name: "reserved 2nd 20", Choice: ChoiceReserved, MaxCopyShare: 0.25, SecondZoneAbove: 20 * time.Millisecond},
+		{Name: "reserved 2nd 50", Choice: ChoiceReserved, MaxCopyShare: 0.25, SecondZoneAbove: 50 * time.Millisecond},
+		{Name: "reserved 2nd 100", Choice: ChoiceReserved, MaxCopyShare: 0.25, SecondZoneAbove: 100 * time.Millisecond},
 	}
 	compare(t, patterns, policies)
 }
--- a/internal/placement/prefill_choices.go
+++ b/internal/placement/prefill_choices.go
@@ -19,8 +19,9 @@
 	return c.Engine.Aggregate.Backlog + c.BusyTime + c.Extra
 }
 
-// PrefillChoices returns up to limit prefill engines of the zone of the best one, the best first.
-func (s *DisaggregatedScheduler) PrefillChoices(req *Request, candidates []Candidate, limit int) []PrefillChoice {
+// PrefillChoices returns up to limit prefill engines of the zone of the best one, the best first. It
+// considers no engine of the zone without, unless that is empty.
+func (s *DisaggregatedScheduler) PrefillChoices(req *Request, candidates []Candidate, limit int, without string) []PrefillChoice {
 	if generation := s.generationCosts(req, candidates); generation != nil {
 		within := *req
 		within.generation = generation
@@ -30,6 +31,9 @@
 	first.Phase = PhasePrefill
 	all := s.prefill.allowed(&first, candidates)
 	choices := prefillChoices(&first, s.prefill.preferred(&first, all), all)
+	if without != "" {
+		choices = slices.DeleteFunc(choices, func(c PrefillChoice) bool { return c.Engine.Zone == without })
+	}
 	if len(choices) == 0 {
 		return nil
 	}
--- a/internal/upstreamstate/prefill_choices.go
+++ b/internal/upstreamstate/prefill_choices.go
@@ -7,12 +7,12 @@
 )
 
 // PrefillChoices returns up to limit prefill engines of the zone of the best one that may process a prompt, the
-// best first. It charges the request to none.
-func (s *State) PrefillChoices(r PlacementRequest, limit int, now time.Duration) []placement.PrefillChoice {
+// best first. It considers no engine of the zone without, unless that is empty. It charges the request to none.
+func (s *State) PrefillChoices(r PlacementRequest, limit int, without string, now time.Duration) []placement.PrefillChoice {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	req := s.request(r, now)
-	return s.engineScheduler.PrefillChoices(req, s.candidates(r, req), limit)
+	return s.engineScheduler.PrefillChoices(req, s.candidates(r, req), limit, without)
 }
 
 // PlacePrefill charges a prompt to one of the engines that PrefillChoices returned.
