--- a/internal/relay/reservations.go
+++ b/internal/relay/reservations.go
@@ -33,7 +33,7 @@
 	ledger *reservation.Ledger
 	// since is when this instance began to grant reservations, usedAt when it last did.
 	since, usedAt time.Duration
-	meters reservationMeters
+	meters        reservationMeters
 }
 
 // reservationMeters counts the placements of prompts with a reservation, those without one although it was requested, and
