rolekeeper: count only role changes that were ordered against the unmeasured limit

A holder counts the role changes that it starts before it has measured the workload, 48 at most. It counted them before it sent the orders. If the lease ended while the holder was sending (a check that takes longer than the term, as on a busy machine), the other orders were refused as sent without a lease, and the renewal before the next check kept the count. The holder then ordered no change until it had measured a workload.

Orders now count when they are sent; announced orders that were not sent yet are subtracted from the limit as well.

--- a/internal/rolekeeper/orders.go
+++ b/internal/rolekeeper/orders.go
@@ -33,9 +33,10 @@
 
 // announcedOrder is an order that is sent once all instances exclude its engine.
 type announcedOrder struct {
-	engine upstreamstate.Upstream
-	to     config.Role
-	at     time.Duration
+	service string
+	engine  upstreamstate.Upstream
+	to      config.Role
+	at      time.Duration
 }
 
 // checkSplits compares the split of each service with its target, and starts the orders that are needed.
@@ -94,15 +95,12 @@
 	k.log.Info("roles: the split differs", "service", service, "engines", len(list),
 		"wanted_prefill", s.target.PrefillCount(len(list)), "changes", len(changes), "at_once", limit)
 	for _, change := range changes {
-		if !k.workloads[service].Measured() {
-			s.unmeasuredChanges++
-		}
 		i := slices.IndexFunc(engines, func(e upstreamstate.Engine) bool { return e.ID == change.Engine })
 		if k.view.Serving() && k.settings.AnnounceDelay > 0 {
-			k.announce(engines[i].Upstream, change.To)
+			k.announce(service, engines[i].Upstream, change.To)
 			continue
 		}
-		k.sendOrderAndLog(ctx, engines[i].Upstream, change.To, grant)
+		k.sendOrderAndLog(ctx, service, engines[i].Upstream, change.To, grant)
 	}
 }
 
@@ -117,11 +115,22 @@
 		limit = k.maxConcurrentChanges(engines) - len(k.pendingOrders)
 	}
 	if !k.workloads[service].Measured() {
-		limit = min(limit, maxUnmeasuredChanges-s.unmeasuredChanges)
+		limit = min(limit, maxUnmeasuredChanges-s.unmeasuredChanges-k.announcedTo(service))
 	}
 	return max(0, limit)
 }
 
+// announcedTo returns how many engines of a service have an announced order that was not sent yet.
+func (k *Keeper) announcedTo(service string) int {
+	n := 0
+	for _, a := range k.announcedOrders {
+		if a.service == service {
+			n++
+		}
+	}
+	return n
+}
+
 // keepAmpleSplit makes the current split the target if it has capacity to spare for the workload.
 func (k *Keeper) keepAmpleSplit(service string, s *serviceState, engines []roles.Engine) {
 	prefill := roles.CountPrefill(engines)
@@ -134,10 +143,10 @@
 }
 
 // announce makes all instances exclude an engine. Its order is sent after AnnounceDelay.
-func (k *Keeper) announce(engine upstreamstate.Upstream, to config.Role) {
+func (k *Keeper) announce(service string, engine upstreamstate.Upstream, to config.Role) {
 	now := bootclock.Now()
 	k.pendingOrders[engine.ID] = pendingOrder{to: to, at: now, incarnation: engine.Incarnation()}
-	k.announcedOrders[engine.ID] = announcedOrder{engine: engine, to: to, at: now}
+	k.announcedOrders[engine.ID] = announcedOrder{service: service, engine: engine, to: to, at: now}
 	k.view.MarkUnavailable(engine.ID, k.settings.AnnounceDelay+k.unavailableFor(engine.Service))
 	k.log.Info("roles: order announced", "engine", engine.ID, "to", to)
 }
@@ -163,14 +172,14 @@
 		}
 		delete(k.announcedOrders, id)
 		if held {
-			k.sendOrderAndLog(ctx, a.engine, a.to, grant)
+			k.sendOrderAndLog(ctx, a.service, a.engine, a.to, grant)
 		}
 	}
 }
 
 // sendOrderAndLog sends an order and logs a failure.
-func (k *Keeper) sendOrderAndLog(ctx context.Context, engine upstreamstate.Upstream, to config.Role, grant lease.Grant) {
-	if err := k.sendOrder(ctx, engine, to, grant); err != nil {
+func (k *Keeper) sendOrderAndLog(ctx context.Context, service string, engine upstreamstate.Upstream, to config.Role, grant lease.Grant) {
+	if err := k.sendOrder(ctx, service, engine, to, grant); err != nil {
 		k.log.Info("roles: order failed", "engine", engine.ID, "to", to, "epoch", grant.Epoch, "error", err)
 	}
 }
@@ -215,7 +224,7 @@
 
 // sendOrder sends an order to an engine, unless the engine is carrying out another one or the lease has
 // ended.
-func (k *Keeper) sendOrder(ctx context.Context, engine upstreamstate.Upstream, to config.Role, grant lease.Grant) error {
+func (k *Keeper) sendOrder(ctx context.Context, service string, engine upstreamstate.Upstream, to config.Role, grant lease.Grant) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	state, err := k.orderer.State(ctx, engine)
@@ -231,6 +240,7 @@
 		return errLeaseEnded
 	}
 	k.pendingOrders[engine.ID] = pendingOrder{to: to, at: bootclock.Now(), incarnation: engine.Incarnation()}
+	k.countOrder(service)
 	err = k.orderer.Order(ctx, engine, Order{To: to, Holder: k.settings.Instance, Epoch: grant.Epoch, AcceptedOrders: state.AcceptedOrders})
 	k.log.Info("roles: order sent", "engine", engine.ID, "zone", engine.Zone, "to", to, "epoch", grant.Epoch,
 		"orders", state.AcceptedOrders, "error", err)
@@ -239,3 +249,10 @@
 	}
 	return err
 }
+
+// countOrder counts an order that is sent. Orders that were never sent do not count, so that others are sent instead.
+func (k *Keeper) countOrder(service string) {
+	if s, ok := k.services[service]; ok && !k.workloads[service].Measured() {
+		s.unmeasuredChanges++
+	}
+}
--- a/internal/rolekeeper/rolekeeper.go
+++ b/internal/rolekeeper/rolekeeper.go
@@ -138,7 +138,7 @@
 	// mismatches counts the consecutive checks that found a wrong split. engineCount is the number of
 	// engines at the last mismatch while no requests were served.
 	mismatches, engineCount int
-	// unmeasuredChanges counts the role changes that were started before the workload was measured.
+	// unmeasuredChanges counts the orders that were sent before the workload was measured.
 	unmeasuredChanges int
 }
 
--- a/internal/rolekeeper/rolekeeper_test.go
+++ b/internal/rolekeeper/rolekeeper_test.go
@@ -81,6 +81,8 @@
 	announceDelay time.Duration
 	// ignoresOrders makes the engines accept orders without carrying them out.
 	ignoresOrders bool
+	// stall is how long the next engine that is asked for its state takes to answer.
+	stall time.Duration
 }
 
 func newFakeFleet(decode int) *fakeFleet {
@@ -92,6 +94,11 @@
 }
 
 func (f *fakeFleet) State(context.Context, upstreamstate.Upstream) (EngineState, error) {
+	f.mu.Lock()
+	stall := f.stall
+	f.stall = 0
+	f.mu.Unlock()
+	time.Sleep(stall)
 	return EngineState{}, nil
 }
 
@@ -338,21 +345,39 @@
 // TestUnmeasuredChangesDoNotGrowWithEngines guards against a holder that changes the roles of thousands of engines
 // before it knows of any work for them: the changes cost more than the traffic of the first seconds can gain.
 func TestUnmeasuredChangesDoNotGrowWithEngines(t *testing.T) {
-	for _, serving := range []bool{false, true} {
+	for _, c := range []struct {
+		serving       bool
+		announceDelay time.Duration
+	}{{false, 0}, {true, 0}, {true, term / 4}} {
 		for _, engines := range []int{964, 1928} {
 			f := newFakeFleet(engines)
-			f.serving = serving
+			f.serving, f.announceDelay = c.serving, c.announceDelay
 			stop := run(t, "one", newTable(), f)
 			waitFor(func() bool { return len(f.sent()) >= maxUnmeasuredChanges })
 			time.Sleep(term)
 			stop()
 			if n := len(f.sent()); n != maxUnmeasuredChanges {
-				t.Errorf("%d engines, serving %t: %d orders, want %d", engines, serving, n, maxUnmeasuredChanges)
+				t.Errorf("%d engines, %+v: %d orders, want %d", engines, c, n, maxUnmeasuredChanges)
 			}
 		}
 	}
 }
 
+// TestUnsentOrdersAreSentLater guards against orders that count as role changes although they were never sent, because
+// the lease ended while the holder was sending orders: the holder then sent none until it had measured a workload.
+func TestUnsentOrdersAreSentLater(t *testing.T) {
+	f := newFakeFleet(200)
+	f.stall = 2 * term
+	run(t, "one", newTable(), f)
+	deadline := time.Now().Add(20 * term)
+	for len(f.sent()) < maxUnmeasuredChanges {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d orders, want %d", len(f.sent()), maxUnmeasuredChanges)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // TestOrdersToRemovedEnginesAreDropped guards against pending orders that are never dropped. Two engines
 // were removed with pending orders. These counted towards the maximum number of concurrent changes, so the
 // holder sent no more orders until another process acquired the lease.
