forward: do not avoid an instance when the caller leaves

A caller that left while its forwarded request waited for the header of the answer had the instance that had accepted the request avoided for a second, as if it had failed. A request that fails before it is accepted was not counted against the instance then. The instance is now avoided after a refusal that says so, or a failure while the caller is still there.

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -154,8 +154,7 @@
 	reply, err := body.begin()
 	if err != nil {
 		body.discard()
-		var refused *relay.PeerRefusal
-		if !errors.As(err, &refused) || refused.Refusal.Elsewhere {
+		if blamesInstance(caller, err) {
 			c.targets.avoid(to.Name)
 		}
 		return nil, err
@@ -163,6 +162,16 @@
 	return reply, nil
 }
 
+// blamesInstance reports whether an error without an answer is a reason to avoid the instance that accepted the
+// request. A caller that leaves ends the request too.
+func blamesInstance(caller context.Context, err error) bool {
+	var refused *relay.PeerRefusal
+	if errors.As(err, &refused) {
+		return refused.Refusal.Elsewhere
+	}
+	return caller.Err() == nil
+}
+
 // failed returns the error of a request that an instance did not accept. If the connection was not established,
 // nothing was sent.
 func (c *Client) failed(caller context.Context, to peers.Peer, connected bool, err error) error {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -207,6 +207,37 @@
 	}
 }
 
+// TestCallerThatLeavesBlamesNoInstance guards against an instance that gets no requests for a second because the caller of
+// one left before the instance had an answer.
+func TestCallerThatLeavesBlamesNoInstance(t *testing.T) {
+	to := startServer(t, "peer", &fakeRelay{serve: func(ctx context.Context, _ http.ResponseWriter) error {
+		<-ctx.Done()
+		return ctx.Err()
+	}}, fakeInstances{}, &fakeTable{})
+	c := newClient(to)
+	c.targets.recordReached("another", false)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		for !c.targets.hasReachedAll() { // until the instance has accepted the request
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	}()
+	if _, _, err := c.Forward(ctx, request(), nil); !errors.Is(err, relay.ErrNoValidAnswer) {
+		t.Errorf("%v", err)
+	}
+	if !c.Available(5) {
+		t.Error("the instance is avoided")
+	}
+}
+
+// hasReachedAll reports whether no instance counts as unreached.
+func (t *targets) hasReachedAll() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.unreached) == 0
+}
+
 // TestUnreachedInstanceIsTriedNoMore guards against requests that wait for an instance that is gone, and against
 // "may have run" for what was never sent.
 func TestUnreachedInstanceIsTriedNoMore(t *testing.T) {
