streamversions: say where the version of a stream is known from

relay derived the source from the number of instances that were asked and from the versions known here. It logged "only version" for a record of another instance while this one knew one version, and "replica" for the only version where there was no instance to ask. The source is part of streamversions.Knowledge now, in place of Own.

TestSourceOfVersionIsNamed failed before in these two cases; go test -race of streamversions, relay and peers passes.

--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -11,17 +11,14 @@
 	"sassafrasfield/internal/upstreamstate"
 )
 
-// versionSource says where an instance knows from which software version began a stream.
+// versionSource says where an instance knows from which software version began a stream: one of the constants below, or
+// a streamversions.Source.
 type versionSource string
 
-// Sources of the version that began a stream.
+// Sources besides those of package streamversions.
 const (
-	versionFromAnswer    versionSource = "answer"       // the answer in progress began at it
-	versionFromForwarder versionSource = "forwarder"    // the instance that forwarded the request says so
-	versionFromRecord    versionSource = "own record"   // this instance served the stream
-	versionFromReplica   versionSource = "replica"      // another instance replicated its record
-	versionFromInstance  versionSource = "instance"     // another instance answered
-	versionIsOnly        versionSource = "only version" // the service has had no other one
+	versionFromAnswer    versionSource = "answer"    // the answer in progress began at it
+	versionFromForwarder versionSource = "forwarder" // the instance that forwarded the request says so
 )
 
 // requiredVersion is the software version at which a stream that has begun must continue. Engines of different
--- a/internal/relay/streamversions.go
+++ b/internal/relay/streamversions.go
@@ -172,7 +172,7 @@
 		r.logNotContinued(x, "the version that began it is not known", view)
 		return &Refusal{Outcome: NotRun, Reason: "the stream's version is not known", RetryIn: r.retryIn(x)}
 	}
-	x.requires = requiredVersion{version: knowledge.Version, source: sourceOf(knowledge, view), age: knowledge.Age}
+	x.requires = requiredVersion{version: knowledge.Version, source: versionSource(knowledge.Source), age: knowledge.Age}
 	if x.requires.version != "" && !r.shouldForward(x) && !r.upstreams.CanGenerate(x.placementRequest(r.now()), r.now()) {
 		r.meters.continuations.refusedGone.Inc(1)
 		r.logNotContinued(x, "no engine of its version is left", view)
@@ -198,19 +198,6 @@
 	return knowledge, view, ok
 }
 
-func sourceOf(k streamversions.Knowledge, v streamversions.View) versionSource {
-	switch {
-	case k.Own && v.Asked == 0:
-		return versionFromRecord
-	case v.Asked == 0:
-		return versionFromReplica
-	case v.SeveralVersions():
-		return versionFromInstance
-	default:
-		return versionIsOnly
-	}
-}
-
 func (r *Relay) logNotContinued(x *exchange, reason string, view streamversions.View) {
 	r.log.Info("relay: stream cannot continue", "request", x.req.ID, "resumes", x.req.Resumes, "last_event", x.req.LastEvent, "reason", reason,
 		"began", x.requires.version, "source", x.requires.source, "age", x.requires.age, "versions", view.Versions, "asked", view.Asked)
--- a/internal/relay/streamversions_test.go
+++ b/internal/relay/streamversions_test.go
@@ -98,6 +98,39 @@
 	}
 }
 
+// TestSourceOfVersionIsNamed guards against log lines that name the wrong source of a stream's version.
+func TestSourceOfVersionIsNamed(t *testing.T) {
+	stream := streamversions.IDOf("r1")
+	answer := streamversions.Answer{Knowledge: streamversions.Knowledge{Found: true, Version: "v1"}}
+	for name, c := range map[string]struct {
+		versions func(*Relay) *Relay
+		others   *fakeReplicas
+		prepare  func(*Relay)
+		want     versionSource
+	}{
+		"its own record": {withVersions, &fakeReplicas{}, func(r *Relay) {
+			r.versions.records.Put(streamversions.Record{Stream: stream, Version: "v1", Lifetime: time.Second}, "llm", r.now())
+		}, "own record"},
+		"a replica": {withVersions, &fakeReplicas{}, func(r *Relay) {
+			r.ApplyStreamRecords([]streamversions.Record{{Stream: stream, Version: "v1", Lifetime: time.Second}})
+		}, "replica"},
+		"an answer, several versions":        {withVersions, &fakeReplicas{answers: []streamversions.Answer{answer}}, func(*Relay) {}, "instance"},
+		"an answer, one version here":        {withOneVersion, &fakeReplicas{answers: []streamversions.Answer{answer}}, func(*Relay) {}, "instance"},
+		"no record, one version":             {withOneVersion, &fakeReplicas{answers: []streamversions.Answer{{}}}, func(*Relay) {}, "only version"},
+		"no record, one version, no replica": {withOneVersion, &fakeReplicas{}, func(*Relay) {}, "only version"},
+	} {
+		r := withReplicas(c.versions(newFake(t, &fakeSender{})), c.others)
+		c.prepare(r)
+		x, err := r.newExchange(takeUp("try-2", "r1"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := r.requireBegunVersion(context.Background(), x); err != nil || x.requires.version != "v1" || x.requires.source != c.want {
+			t.Errorf("%s: %+v, %v, want %q", name, x.requires, err, c.want)
+		}
+	}
+}
+
 // TestStreamOfUnknownVersionIsRefused guards against streams that go on at any version, and refusals that wait or lie.
 func TestStreamOfUnknownVersionIsRefused(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/streamversions/records.go
+++ b/internal/streamversions/records.go
@@ -45,10 +45,21 @@
 	Version          string
 	// Age is the time since the version was recorded.
 	Age time.Duration
-	// Own is set if this instance served the stream.
-	Own bool
+	// Source is where this instance has it from; empty if nothing is known.
+	Source Source
 }
 
+// Source says where an instance knows from which version began a stream.
+type Source string
+
+// Sources of the version that began a stream.
+const (
+	SourceOwnRecord   Source = "own record"   // this instance served the stream
+	SourceReplica     Source = "replica"      // another instance replicated its record
+	SourceInstance    Source = "instance"     // another instance answered
+	SourceOnlyVersion Source = "only version" // the service has had no other one
+)
+
 // entry is a record with the times of this instance's clock.
 type entry struct {
 	version        unique.Handle[string]
@@ -114,10 +125,14 @@
 	if !ok || now >= e.expires {
 		return Knowledge{}
 	}
+	source := SourceReplica
+	if e.own {
+		source = SourceOwnRecord
+	}
 	if e.ambiguous {
-		return Knowledge{Ambiguous: true, Age: now - e.at, Own: e.own}
+		return Knowledge{Ambiguous: true, Age: now - e.at, Source: source}
 	}
-	return Knowledge{Found: true, Version: e.version.Value(), Age: now - e.at, Own: e.own}
+	return Knowledge{Found: true, Version: e.version.Value(), Age: now - e.at, Source: source}
 }
 
 // OwnOf returns the records of this instance's streams of a service.
--- a/internal/streamversions/resolve.go
+++ b/internal/streamversions/resolve.go
@@ -26,11 +26,12 @@
 	all := Merge(Answer{SeveralVersions: v.SeveralVersions()}, answers)
 	switch {
 	case all.Found:
+		all.Source = SourceInstance
 		return all.Knowledge, true
 	case all.Ambiguous || all.SeveralVersions || cutOff || len(v.Versions) != 1:
 		return Knowledge{}, false
 	default:
-		return Knowledge{Found: true, Version: v.Versions[0]}, true
+		return Knowledge{Found: true, Version: v.Versions[0], Source: SourceOnlyVersion}, true
 	}
 }
 
--- a/internal/streamversions/streamversions_test.go
+++ b/internal/streamversions/streamversions_test.go
@@ -14,7 +14,7 @@
 func TestRecordIsKeptWhileCallersMayComeBack(t *testing.T) {
 	r, stream := NewRecords(), IDOf("a")
 	r.PutReplica(Record{Stream: stream, Version: "v1", Lifetime: 8 * time.Second}, time.Second)
-	if got := r.Get(stream, 8*time.Second); !got.Found || got.Version != "v1" || got.Age != 7*time.Second || got.Own {
+	if got := r.Get(stream, 8*time.Second); !got.Found || got.Version != "v1" || got.Age != 7*time.Second || got.Source != SourceReplica {
 		t.Errorf("within the lifetime: %+v", got)
 	}
 	if got := r.Get(stream, 9*time.Second); got.Found {
@@ -31,7 +31,7 @@
 	r, stream := NewRecords(), IDOf("a")
 	r.Put(Record{Stream: stream, Version: "v1", Lifetime: time.Second}, "s", 0)
 	r.PutReplica(Record{Stream: stream, Version: "v1", Lifetime: time.Second}, 0)
-	if got := r.Get(stream, 0); !got.Found || got.Ambiguous || !got.Own {
+	if got := r.Get(stream, 0); !got.Found || got.Ambiguous || got.Source != SourceOwnRecord {
 		t.Errorf("recorded twice: %+v", got)
 	}
 	r.PutReplica(Record{Stream: stream, Version: "v2", Lifetime: time.Second}, 0)
