streamversions: a stream that is recorded again counts as new

A stream that was recorded again after its record had expired kept its old position in the order. There it delayed the removal of expired records behind it, and was the first to be dropped. Its old position is removed now.

TestStreamRecordedAgainCountsAsNew failed before in both respects; go test -race ./internal/streamversions passes.

--- a/internal/streamversions/records.go
+++ b/internal/streamversions/records.go
@@ -7,6 +7,7 @@
 package streamversions
 
 import (
+	"slices"
 	"time"
 	"unique"
 
@@ -72,7 +73,8 @@
 // Records holds the records of an instance: those of its own streams and those that other instances replicated to it.
 type Records struct {
 	entries map[ID]entry
-	// order has the streams in the order in which they were first recorded, to expire and drop the oldest ones.
+	// order has the streams in the order in which they were first recorded, to expire and drop the oldest ones. A stream
+	// that is recorded again after its record expired moves to the end.
 	order []ID
 }
 
@@ -93,7 +95,11 @@
 	}
 	e.version, e.at, e.expires = unique.Make(record.Version), now, now+min(record.Lifetime, MaxLifetime)
 	old, exists := r.entries[record.Stream]
-	if exists && now < old.expires {
+	if exists && now >= old.expires {
+		r.remove(record.Stream) // counts as a new one
+		exists = false
+	}
+	if exists {
 		e.at, e.expires = old.at, max(e.expires, old.expires)
 		e.ambiguous = old.ambiguous || old.version != e.version
 		if old.own {
@@ -107,6 +113,13 @@
 	}
 }
 
+// remove removes a stream. It takes a time proportional to the number of records, and is called for few.
+func (r *Records) remove(stream ID) {
+	delete(r.entries, stream)
+	i := slices.Index(r.order, stream)
+	r.order = slices.Delete(r.order, i, i+1)
+}
+
 // trim drops the oldest records while they have expired or there are too many.
 func (r *Records) trim(now time.Duration) {
 	for len(r.order) > 0 {
--- a/internal/streamversions/streamversions_test.go
+++ b/internal/streamversions/streamversions_test.go
@@ -66,6 +66,35 @@
 	}
 }
 
+// TestStreamRecordedAgainCountsAsNew guards against a stream that is recorded again after its record expired, and then
+// keeps the expired records behind it, or is dropped before older ones.
+func TestStreamRecordedAgainCountsAsNew(t *testing.T) {
+	record := func(stream ID, lifetime time.Duration) Record {
+		return Record{Stream: stream, Version: "v1", Lifetime: lifetime}
+	}
+	r := NewRecords()
+	r.PutReplica(record(1, time.Second), 0)
+	r.PutReplica(record(2, 3*time.Second), 0)
+	r.PutReplica(record(1, time.Minute), 2*time.Second)
+	r.PutReplica(record(3, time.Minute), 4*time.Second)
+	if r.Len() != 2 {
+		t.Errorf("%d records, want 2: one has expired", r.Len())
+	}
+	r = NewRecords()
+	r.PutReplica(record(1, time.Second), 0)
+	r.PutReplica(record(2, time.Minute), 0)
+	r.PutReplica(record(1, time.Minute), 2*time.Second)
+	for i := range maxRecords - 1 {
+		r.PutReplica(record(ID(3+i), time.Minute), 2*time.Second)
+	}
+	if r.Get(2, 2*time.Second).Found || !r.Get(1, 2*time.Second).Found {
+		t.Error("dropped the stream that was recorded again, not the oldest one")
+	}
+	if len(r.order) != r.Len() {
+		t.Errorf("%d positions for %d records", len(r.order), r.Len())
+	}
+}
+
 // TestOwnRecordsAreListed guards against streams that nobody else knows once a second version appears.
 func TestOwnRecordsAreListed(t *testing.T) {
 	r := NewRecords()
