--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -21,6 +21,7 @@
 	"sassafrasfield/internal/gen/sf/v1/sfv1connect"
 	"sassafrasfield/internal/httptransport"
 	"sassafrasfield/internal/peers"
+	"sassafrasfield/internal/readlimit"
 	"sassafrasfield/internal/relay"
 )
 
@@ -38,6 +39,13 @@
 	keepAliveProbes   = 2
 )
 
+// instancePeer names instances in the metrics and log lines of messages that are cut off.
+const instancePeer = "instance"
+
+// maxReplyBytes bounds one message of an answer. The largest one is the buffered first part of an answer, 256 KB; the
+// rest is margin.
+const maxReplyBytes = 1 << 20
+
 // maxIdlePerInstance bounds the idle connections to an instance.
 const maxIdlePerInstance = 16
 
@@ -82,14 +90,14 @@
 			dialer.LocalAddr = &net.TCPAddr{IP: ip}
 		}
 	}
-	return &http.Client{Transport: httptransport.Isolate(&http.Transport{
+	return &http.Client{Transport: httptransport.Bounded(&http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: maxIdlePerInstance, IdleConnTimeout: idleTimeout,
-	})}
+	}, instancePeer, readlimit.ResponseHead())}
 }
 
 // service returns the ForwardService of an instance.
 func (c *Client) service(p peers.Peer) sfv1connect.ForwardServiceClient {
-	return sfv1connect.NewForwardServiceClient(c.http, "http://"+p.Address, connect.WithAcceptCompression("gzip", nil, nil))
+	return sfv1connect.NewForwardServiceClient(c.http, "http://"+p.Address, connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(maxReplyBytes))
 }
 
 // Available implements relay.Forwarder.
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -56,11 +56,14 @@
 // period.
 func (s *Server) Run(ctx context.Context) error {
 	public := &http.Server{
-		Handler:           http.HandlerFunc(s.serve),
+		Handler:           BoundBodies(http.HandlerFunc(s.serve), "caller", MaxBodyTime),
 		ReadHeaderTimeout: maxHeaderTimeout, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: connState, ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
 	}
-	probe := &http.Server{Handler: http.HandlerFunc(s.serveReady), ReadHeaderTimeout: maxHeaderTimeout}
+	probe := &http.Server{
+		Handler:           BoundBodies(http.HandlerFunc(s.serveReady), "probe", maxHeaderTimeout),
+		ReadHeaderTimeout: maxHeaderTimeout, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
 	failed := make(chan error, 2)
 	for server, address := range map[*http.Server]string{public: s.settings.Address, probe: s.settings.ReadyAddress} {
 		listener, err := net.Listen("tcp", address)
--- /dev/null
+++ b/internal/httptransport/bounded.go
@@ -0,0 +1,167 @@
+package httptransport
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"sassafrasfield/internal/readlimit"
+)
+
+// Bounded returns a RoundTripper like Isolate whose responses' heads are bounded. It closes a connection at once that
+// exceeds the bounds; the request fails with an *readlimit.Exceeded, and RecordCutOff records it. The name of the kind
+// of peer is for metrics and logs.
+//
+// http.Transport.MaxResponseHeaderBytes alone bounds no time, and tells a bound that was reached by the text of an
+// error only.
+func Bounded(base *http.Transport, peer string, limits readlimit.HeadLimits) http.RoundTripper {
+	dial := base.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &boundedConn{Conn: conn, peer: peer, limits: limits, start: time.Now()}, nil
+	}
+	return &transport{base: base, bounded: true}
+}
+
+// RecordCutOff counts and logs a message of a peer that was cut off at a bound, if the error is one of those.
+func RecordCutOff(peer, address string, err error) {
+	var exceeded *readlimit.Exceeded
+	if !errors.As(err, &exceeded) {
+		return
+	}
+	metrics.GetOrRegisterCounter("input.cut_off."+peer+"."+string(exceeded.Part), metrics.DefaultRegistry).Inc(1)
+	slog.Default().Info("input: cut off", "peer", peer, "address", address, "part", exceeded.Part,
+		"bound", exceeded.Bound(), "received", exceeded.Received, "after", exceeded.After)
+}
+
+// boundedConn is a connection whose responses' heads are bounded. While no head is awaited it reads without a bound:
+// net/http itself closes a connection that delivers bytes before a request.
+type boundedConn struct {
+	net.Conn
+	peer   string
+	limits readlimit.HeadLimits
+	start  time.Time
+
+	mu sync.Mutex // protects all below
+	// head is the head that is awaited, for the exchange owner; nil for none.
+	head  *readlimit.Head
+	owner *exchange
+	// timed is set while the connection has a read deadline.
+	timed bool
+	// exceeded is the error of a connection that was closed because it exceeded a bound.
+	exceeded error
+}
+
+func (c *boundedConn) now() time.Duration { return time.Since(c.start) }
+
+// awaitHead begins the head of an exchange's response.
+func (c *boundedConn) awaitHead(owner *exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head, c.owner = readlimit.NewHead(c.limits), owner
+}
+
+// endHead ends the bounds on the head of an exchange's response.
+func (c *boundedConn) endHead(owner *exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.owner != owner {
+		return
+	}
+	c.head, c.owner = nil, nil
+	c.setTimed(false, 0)
+}
+
+// endInterim records the end of an interim response. An error ends the exchange.
+func (c *boundedConn) endInterim() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.head == nil {
+		return nil
+	}
+	c.setTimed(false, 0)
+	return c.cut(c.head.EndInterim(c.now()))
+}
+
+// Read implements net.Conn.
+func (c *boundedConn) Read(p []byte) (int, error) {
+	for {
+		if err := c.beforeRead(); err != nil {
+			return 0, err
+		}
+		n, err := c.Conn.Read(p)
+		if cut := c.afterRead(n, err); cut != nil {
+			return 0, cut
+		}
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+	}
+}
+
+// beforeRead sets the deadline of a read if a part of a head was received. The first read of a head, which mostly is
+// the only one, has none.
+func (c *boundedConn) beforeRead() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.exceeded != nil || c.head == nil {
+		return c.exceeded
+	}
+	if at, begun := c.head.Deadline(); begun {
+		c.setTimed(true, at)
+	}
+	return nil
+}
+
+// afterRead records what was read. The error is that of a head over its bounds.
+func (c *boundedConn) afterRead(n int, err error) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.exceeded != nil || c.head == nil:
+		return c.exceeded
+	case n > 0:
+		return c.cut(c.head.Received(n, c.now()))
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return c.cut(c.head.Expired(c.now()))
+	default:
+		return nil
+	}
+}
+
+// cut closes the connection because of an error, if there is one. The lock is held.
+func (c *boundedConn) cut(exceeded error) error {
+	if exceeded == nil {
+		return nil
+	}
+	c.exceeded = exceeded
+	_ = c.Conn.Close() // the connection is given up in any case
+	RecordCutOff(c.peer, c.Conn.RemoteAddr().String(), exceeded)
+	return exceeded
+}
+
+// setTimed sets or removes the read deadline, a time on the connection's clock. The lock is held.
+func (c *boundedConn) setTimed(timed bool, at time.Duration) {
+	if !timed && !c.timed {
+		return
+	}
+	c.timed = timed
+	var until time.Time
+	if timed {
+		until = c.start.Add(at)
+	}
+	_ = c.Conn.SetReadDeadline(until) // fails only if the connection is closed, which the read reports
+}
--- a/internal/httptransport/httptransport.go
+++ b/internal/httptransport/httptransport.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync"
 	"time"
 )
@@ -24,6 +25,8 @@
 // transport is a http.RoundTripper whose cancelled requests do not affect others.
 type transport struct {
 	base http.RoundTripper
+	// bounded is set if the connections are boundedConn.
+	bounded bool
 	// users holds the exchange that uses a connection, by net.Conn, until it is finished.
 	users sync.Map
 }
@@ -41,6 +44,9 @@
 		return nil, context.Cause(request.Context())
 	}
 	x := newExchange(request.Context(), &t.users)
+	if t.bounded {
+		x.boundInterim()
+	}
 	response, err := t.base.RoundTrip(request.WithContext(x.ctx))
 	x.finish(err)
 	return response, err
@@ -85,6 +91,25 @@
 	if before, ok := x.users.Swap(info.Conn, x); ok {
 		before.(*exchange).awaitFinish()
 	}
+	if bounded, ok := info.Conn.(*boundedConn); ok {
+		bounded.awaitHead(x)
+	}
+}
+
+// boundInterim has the interim responses counted. It is for bounded connections only: net/http bounds the bytes of all
+// heads of an exchange together unless they are observed.
+func (x *exchange) boundInterim() {
+	x.ctx = httptrace.WithClientTrace(x.ctx, &httptrace.ClientTrace{Got1xxResponse: x.endInterim})
+}
+
+// endInterim ends the exchange if it has too many interim responses.
+func (x *exchange) endInterim(int, textproto.MIMEHeader) error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if bounded, ok := x.conn.(*boundedConn); ok {
+		return bounded.endInterim()
+	}
+	return nil
 }
 
 // beginResponse records that the response begins. If the request was cancelled, the response is not read until
@@ -126,8 +151,8 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.arriving = false
+	x.leaveConn() // before the next request may use the connection
 	close(x.finished)
-	x.leaveConn()
 	if err != nil {
 		x.unfollow()
 		x.cancel(err)
@@ -136,6 +161,9 @@
 
 // leaveConn removes the exchange from the users of its connection. The lock is held.
 func (x *exchange) leaveConn() {
+	if bounded, ok := x.conn.(*boundedConn); ok {
+		bounded.endHead(x)
+	}
 	if x.conn != nil {
 		x.users.CompareAndDelete(x.conn, x)
 	}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -175,6 +175,18 @@
 // headerTimeout bounds the reading of a request header by the control and metrics servers.
 const headerTimeout = 2 * time.Second
 
+// Bounds of the requests that the control and metrics servers receive.
+const (
+	// maxHeaderBytes bounds a request's header. Other instances send some hundred bytes: what they forward of a
+	// caller's header is in the body.
+	maxHeaderBytes = 32 << 10
+	// bodyTimeout bounds the time to receive a request's body. The largest one, a forwarded request of 16 MB, takes
+	// 13 s on a link of 10 Mbit/s.
+	bodyTimeout = 20 * time.Second
+	// idleTimeout is how long a connection is kept without a request. Other instances close theirs after 5 s.
+	idleTimeout = 30 * time.Second
+)
+
 func (in *Instance) sendReports(ctx context.Context) {
 	if err := in.reports.Run(ctx); err != nil {
 		in.log.Error("instance: reports to other instances failed", "error", err)
@@ -261,7 +273,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "instance: listen")
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{
+		Handler:           httpserver.BoundBodies(handler, "instance", bodyTimeout),
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
 	go func() { _ = server.Serve(listener) }() // returns after Close
 	return server, nil
 }
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"sassafrasfield/internal/gen/sf/v1/sfv1connect"
 )
 
@@ -22,7 +24,7 @@
 	defer e.mu.Unlock()
 	peer, ok := e.peers[p.Address]
 	if !ok {
-		peer = &peerState{client: sfv1connect.NewReplicaServiceClient(e.client, "http://"+p.Address), addedAt: e.now()}
+		peer = &peerState{client: sfv1connect.NewReplicaServiceClient(e.client, "http://"+p.Address, connect.WithReadMaxBytes(maxPullReplyBytes)), addedAt: e.now()}
 		peer.Address = p.Address
 		e.peers[p.Address] = peer
 		e.log.Info("peers: new peer", "peer", p.Name, "address", p.Address, "known", len(e.peers))
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -27,6 +27,7 @@
 	"sassafrasfield/internal/fanout"
 	"sassafrasfield/internal/gen/sf/v1/sfv1connect"
 	"sassafrasfield/internal/httptransport"
+	"sassafrasfield/internal/readlimit"
 	"sassafrasfield/internal/replica"
 )
 
@@ -168,7 +169,7 @@
 	id := self.ID()
 	e := &Exchange{
 		self: self, id: id, seeds: seeds, rows: rows, log: log, clock: clock,
-		client:      &http.Client{Transport: httptransport.Isolate(&http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second})},
+		client:      &http.Client{Transport: httptransport.Bounded(&http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second}, "instance", readlimit.ResponseHead())},
 		rowsChanged: make(chan struct{}, 1), peers: map[string]*peerState{}, byID: map[fanout.ID]*peerState{},
 		roster: fanout.NewRoster(id, 0), inbox: fanout.NewInbox(), zones: map[string]zoneStatus{}, pulling: map[string]bool{}, peerRevisions: map[string]peerRevision{},
 	}
--- a/internal/peers/pull.go
+++ b/internal/peers/pull.go
@@ -18,9 +18,18 @@
 // fast many others can start.
 const compressMinBytes = 8 << 10
 
+// Bounds of the messages of a pull, decompressed.
+const (
+	// maxPullRequestBytes bounds a request, which has a number for each table and a digest for each range of rows.
+	maxPullRequestBytes = 256 << 10
+	// maxPullReplyBytes bounds a reply, which has at most all rows: some hundred bytes for each of 1,900 upstreams, and
+	// a configuration of at most 1 MB. The rest is margin.
+	maxPullReplyBytes = 8 << 20
+)
+
 // Handler returns the path and the handler of the peers' calls.
 func (e *Exchange) Handler() (string, http.Handler) {
-	return sfv1connect.NewReplicaServiceHandler(&service{exchange: e}, connect.WithCompressMinBytes(compressMinBytes))
+	return sfv1connect.NewReplicaServiceHandler(&service{exchange: e}, connect.WithCompressMinBytes(compressMinBytes), connect.WithReadMaxBytes(maxPullRequestBytes))
 }
 
 // Pull requests the rows that this instance lacks from a random peer that is not excluded.
--- a/internal/relay/eventforwarder.go
+++ b/internal/relay/eventforwarder.go
@@ -18,7 +18,8 @@
 type eventForwarder struct {
 	w     http.ResponseWriter
 	flush func() error
-	// idleTimeout is how long the stream may be silent before it is stopped; 0 means no bound.
+	// idleTimeout is how long the stream may pass without a complete event before it is stopped by cancel; 0 means no
+	// bound, except that an event that has begun must be completed in time.
 	idleTimeout time.Duration
 	cancel      context.CancelFunc
 	events      stream.EventSplitter
@@ -34,14 +35,18 @@
 // forward returns nil at the regular end of the stream.
 func (p *eventForwarder) forward(body io.Reader) error {
 	buffer := make([]byte, readBufferBytes)
-	timer := p.startIdleTimer()
-	defer timer.Stop()
+	timer := newEventTimer(p.idleTimeout, p.cancel)
+	defer timer.stop()
 	for {
 		n, err := body.Read(buffer)
-		if p.idleTimeout > 0 {
-			timer.Reset(p.idleTimeout)
+		complete := p.events.Add(buffer[:n])
+		if len(complete) > 0 {
+			timer.stop()
 		}
-		if err := p.write(p.events.Add(buffer[:n])); err != nil {
+		if err := p.write(complete); err != nil {
+			return err
+		}
+		if err := timer.received(p.events.PartialBytes(), len(complete) > 0); err != nil {
 			return err
 		}
 		switch {
@@ -55,16 +60,6 @@
 	}
 }
 
-// startIdleTimer starts the timer that stops a silent stream, if there is an idle timeout.
-func (p *eventForwarder) startIdleTimer() *time.Timer {
-	if p.idleTimeout > 0 {
-		return time.AfterFunc(p.idleTimeout, p.cancel)
-	}
-	never := time.NewTimer(time.Hour)
-	never.Stop()
-	return never
-}
-
 // write writes complete events to the caller at once.
 func (p *eventForwarder) write(events []byte) error {
 	if len(events) == 0 {
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -198,9 +198,9 @@
 		return failedAttempt(g.via, errors.WithMessagef(ErrNoValidAnswer, "the engine answered %d", reply.Status))
 	}
 	g.begin(reply, reply.Version)
-	forwarder := eventForwarder{w: g.w, flush: http.NewResponseController(g.w).Flush, lastEvent: g.lastEvent}
+	forwarder := eventForwarder{w: g.w, flush: http.NewResponseController(g.w).Flush, lastEvent: g.lastEvent, cancel: cancel}
 	if g.attempts.MayRunElsewhere() {
-		forwarder.idleTimeout, forwarder.cancel = g.relay.settings.StreamIdleTimeout, cancel
+		forwarder.idleTimeout = g.relay.settings.StreamIdleTimeout
 	}
 	err := forwarder.forward(reply.Body)
 	g.lastEvent = forwarder.lastEvent
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -12,8 +11,10 @@
 	"sassafrasfield/internal/attempt"
 	"sassafrasfield/internal/config"
 	"sassafrasfield/internal/estimate"
+	"sassafrasfield/internal/httptransport"
 	"sassafrasfield/internal/load"
 	"sassafrasfield/internal/placement"
+	"sassafrasfield/internal/readlimit"
 	"sassafrasfield/internal/upstreamstate"
 )
 
@@ -282,6 +283,9 @@
 	return r.forwardStream(ctx, cancel, g, engine, reply, started)
 }
 
+// failureBody bounds the body of an engine's failure, a short text.
+var failureBody = readlimit.BodyLimits{MaxBytes: 64 << 10, MaxTime: time.Second}
+
 // handleEngineFailure handles a failure status of an engine: another engine is tried where the
 // route allows it, otherwise the caller receives the engine's answer.
 func (r *Relay) handleEngineFailure(ctx context.Context, g *generation, engine upstreamstate.Upstream, reply *Reply) attempt.Result {
@@ -291,9 +295,11 @@
 		r.recordFailure(ctx, g.exchange, engine.ID, err)
 		return failedAttempt(engine.ID, err)
 	}
-	head, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedBytes))
+	head, err := httptransport.ReadAll(reply.Body, failureBody)
 	if err != nil {
-		return failedAttempt(engine.ID, errors.WithMessage(ErrNoValidAnswer, err.Error()))
+		err = WrapReadError(err)
+		r.recordFailure(ctx, g.exchange, engine.ID, err)
+		return failedAttempt(engine.ID, err)
 	}
 	return attempt.Result{Status: attempt.Done, Err: deliver(g.w, g.exchange, bufferedAnswer{reply: reply, head: head, complete: true})}
 }
@@ -320,10 +326,10 @@
 func (r *Relay) forwardStream(ctx context.Context, cancel context.CancelFunc, g *generation, engine upstreamstate.Upstream, reply *Reply, started time.Duration) attempt.Result {
 	g.begin(reply, engine.Version)
 	g.generatingSince = r.now()
-	forwarder := eventForwarder{w: g.w, flush: http.NewResponseController(g.w).Flush, lastEvent: g.lastEvent}
+	forwarder := eventForwarder{w: g.w, flush: http.NewResponseController(g.w).Flush, lastEvent: g.lastEvent, cancel: cancel}
 	forwarder.onEvents = r.watchAlive(g.exchange)
 	if g.attempts.MayRunElsewhere() {
-		forwarder.idleTimeout, forwarder.cancel = r.settings.StreamIdleTimeout, cancel
+		forwarder.idleTimeout = r.settings.StreamIdleTimeout
 	}
 	streamStarted, fromStart := r.now(), g.lastEvent == ""
 	err := forwarder.forward(reply.Body)
--- a/internal/relay/meters.go
+++ b/internal/relay/meters.go
@@ -8,6 +8,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"sassafrasfield/internal/attempt"
+	"sassafrasfield/internal/readlimit"
 )
 
 // meters counts the relay's requests and sends by their outcome.
@@ -80,6 +81,17 @@
 		"ahead", x.ahead, "predicted", x.predicted, "sends", x.attempts.Sends(), "runs", x.attempts.Runs(), "status", x.status, "took", elapsed, "via", x.via, "from", x.from, "cause", lastFailure(x))
 }
 
+// recordCutOff counts and logs an answer that was cut off because it exceeded a bound, if the error is one of those.
+func (r *Relay) recordCutOff(x *exchange, upstream string, err error) {
+	var exceeded *readlimit.Exceeded
+	if !errors.As(err, &exceeded) {
+		return
+	}
+	counter("cut_at_bound." + string(exceeded.Part)).Inc(1)
+	r.log.Info("relay: answer exceeds a bound", "request", x.req.ID, "upstream", upstream, "part", exceeded.Part,
+		"bound", exceeded.Bound(), "received", exceeded.Received, "after", exceeded.After, "begun", x.status != 0)
+}
+
 func lastFailure(x *exchange) string {
 	if x.attempts.LastError() == nil {
 		return ""
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -262,6 +262,7 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
+	r.recordCutOff(x, id, err)
 	result := callResultFor(ctx, err)
 	ejected := r.upstreams.RecordCall(id, result, r.now())
 	r.log.Info("relay: send failed", "request", x.req.ID, "upstream", id, "try", x.attempts.Sends(),
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -25,6 +25,7 @@
 	"sassafrasfield/internal/attempt"
 	"sassafrasfield/internal/placement"
 	"sassafrasfield/internal/quarantine"
+	"sassafrasfield/internal/readlimit"
 	"sassafrasfield/internal/routes"
 	"sassafrasfield/internal/upstreamstate"
 )
@@ -179,6 +180,10 @@
 // WrapReadError returns the error of a request that was sent but whose answer could not be read
 // completely: ErrCutOff, ErrUnacknowledged or ErrNoValidAnswer.
 func WrapReadError(err error) error {
+	var exceeded *readlimit.Exceeded
+	if errors.As(err, &exceeded) {
+		return &cutAtBound{exceeded}
+	}
 	for _, cut := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errPartialEvent} {
 		if errors.Is(err, cut) {
 			return errors.WithMessage(ErrCutOff, err.Error())
@@ -190,6 +195,15 @@
 	return errors.WithMessage(ErrNoValidAnswer, err.Error())
 }
 
+// cutAtBound is the ErrNoValidAnswer of a request whose answer exceeded a bound.
+type cutAtBound struct{ exceeded *readlimit.Exceeded }
+
+// Error implements error.
+func (e *cutAtBound) Error() string { return e.exceeded.Error() + ": " + ErrNoValidAnswer.Error() }
+
+// Unwrap implements errors.Is and errors.As.
+func (e *cutAtBound) Unwrap() []error { return []error{ErrNoValidAnswer, e.exceeded} }
+
 // ranNothing reports whether an error implies that the upstream ran nothing.
 func ranNothing(err error) bool {
 	return errors.Is(err, ErrNotSent) || errors.Is(err, ErrRefused) || errors.Is(err, ErrAddressReassigned)
--- a/internal/stream/event_splitter.go
+++ b/internal/stream/event_splitter.go
@@ -20,11 +20,15 @@
 // Add adds received bytes. It returns the complete events that were not returned before, or nil if there are
 // none.
 func (e *EventSplitter) Add(received []byte) []byte {
+	// The part that was there before has no terminator, so it is not searched again: an event that arrives in very
+	// small pieces would otherwise cost a scan of all of it for each piece.
+	from := max(0, len(e.partial)-1)
 	e.partial = append(e.partial, received...)
-	end := bytes.LastIndex(e.partial, eventTerminator)
+	end := bytes.LastIndex(e.partial[from:], eventTerminator)
 	if end < 0 {
 		return nil
 	}
+	end += from
 	complete := bytes.Clone(e.partial[:end+len(eventTerminator)])
 	e.partial = append(e.partial[:0], e.partial[len(complete):]...)
 	e.count += bytes.Count(complete, eventTerminator)
@@ -43,6 +47,9 @@
 // HasPartial reports whether an incomplete event remains.
 func (e *EventSplitter) HasPartial() bool { return len(bytes.TrimSpace(e.partial)) > 0 }
 
+// PartialBytes returns the length of the incomplete event, which the caller bounds.
+func (e *EventSplitter) PartialBytes() int { return len(e.partial) }
+
 // lastID returns the id of the last event that has one.
 func lastID(events []byte) string {
 	lines := bytes.Split(events, []byte("\n"))
