Bound what an instance holds for callers, in total

1,200 callers that did not read responses of 8 MB raised an instance from 21 to 162 MB resident (400: to 75 MB), beside 1.3 GB in the kernel's queues of its connections. Each response was bounded, the sum was not.

internal/membudget accounts for buffers, bodies, queues and exchanges, and decides what is read ahead and which response is aborted. The relay reads answers ahead of slow callers within the bound, aborts those without progress for the longest time beyond it, and refuses large bodies unread. Kernel queues have a fixed size. limits.held_share is the part of limits.memory_mb that may be held; without a memory limit nothing changes.

--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
@@ -48,9 +49,15 @@
 
 // Handler returns the path and the handler of the service.
 func (s *Server) Handler() (string, http.Handler) {
-	return sfv1connect.NewForwardServiceHandler(s, connect.WithReadMaxBytes(maxRequestBytes), connect.WithCompressMinBytes(noCompression))
+	path, handler := sfv1connect.NewForwardServiceHandler(s, connect.WithReadMaxBytes(maxRequestBytes), connect.WithCompressMinBytes(noCompression))
+	return path, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		handler.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), connectionKey{}, w)))
+	})
 }
 
+// connectionKey is the context's key of the http.ResponseWriter below the stream of messages.
+type connectionKey struct{}
+
 // authorize returns an error unless the caller is an instance of the system: one that is known by its IP address,
 // or that has the secret.
 func (s *Server) authorize(ctx context.Context, address string, header http.Header) error {
@@ -87,6 +94,7 @@
 		return err // the sender is gone, and nothing ran
 	}
 	w := &responseWriter{stream: stream, header: http.Header{}}
+	w.connection, _ = ctx.Value(connectionKey{}).(http.ResponseWriter)
 	history, err := s.relay.ServeForwarded(ctx, requestFromMessage(req.Msg), w)
 	return stream.Send(&sfv1.ForwardResponse{End: endToMessage(history, err)})
 }
@@ -124,8 +132,10 @@
 // responseWriter passes an answer on in messages. It implements http.ResponseWriter.
 type responseWriter struct {
 	stream *connect.ServerStream[sfv1.ForwardResponse]
-	header http.Header
-	begun  bool
+	// connection is what the messages are written to; nil if unknown.
+	connection http.ResponseWriter
+	header     http.Header
+	begun      bool
 	// version is the software version of the engine that generates.
 	version string
 }
@@ -154,5 +164,14 @@
 	return len(p), nil
 }
 
+// SetWriteDeadline implements what http.ResponseController calls. It interrupts a message that the other instance does
+// not read.
+func (w *responseWriter) SetWriteDeadline(t time.Time) error {
+	if w.connection == nil {
+		return http.ErrNotSupported
+	}
+	return http.NewResponseController(w.connection).SetWriteDeadline(t)
+}
+
 // FlushError implements what http.ResponseController calls. Each message is sent at once.
 func (w *responseWriter) FlushError() error { return nil }
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -28,6 +28,8 @@
 	DrainDelay time.Duration
 	// Limits returns the limits of the configuration in force. A limit of zero is no limit.
 	Limits func() routes.Limits
+	// SendQueueBytes is the size of the kernel's queue of each connection to a caller; 0 leaves it to the kernel.
+	SendQueueBytes int
 }
 
 // Server serves callers.
@@ -67,7 +69,7 @@
 		if err != nil {
 			return errors.Wrap(err, "front: listen")
 		}
-		limited := limitedListener{listener, s.settings.Limits}
+		limited := limitedListener{listener, s.settings.Limits, s.settings.SendQueueBytes}
 		go func() { failed <- errors.Wrap(server.Serve(limited), "front: serve") }()
 	}
 	s.log.Info("front: started", "address", s.settings.Address, "ready", s.settings.ReadyAddress)
--- a/internal/httpserver/limits.go
+++ b/internal/httpserver/limits.go
@@ -23,6 +23,8 @@
 type limitedListener struct {
 	net.Listener
 	limits func() routes.Limits
+	// sendQueue is the size of the kernel's queue of each connection; 0 leaves it to the kernel.
+	sendQueue int
 }
 
 // Accept implements net.Listener.
@@ -31,6 +33,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if tcp, ok := conn.(*net.TCPConn); ok && l.sendQueue > 0 {
+		_ = tcp.SetWriteBuffer(l.sendQueue) // fails only if the caller has disconnected
+	}
 	return &limitedConn{Conn: conn, limits: l.limits}, nil
 }
 
@@ -60,6 +65,15 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// SetWriteDeadline implements net.Conn. A response that is aborted has a deadline that has passed. Its connection is then
+// reset when it is closed: otherwise the kernel keeps what a caller does not read for minutes.
+func (c *limitedConn) SetWriteDeadline(t time.Time) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && !t.IsZero() && t.Before(time.Now()) {
+		_ = tcp.SetLinger(0) // fails only if the connection is closed already
+	}
+	return c.Conn.SetWriteDeadline(t)
+}
+
 // connState marks a connection as idle.
 func connState(conn net.Conn, state http.ConnState) {
 	if c, ok := conn.(*limitedConn); ok && state == http.StateIdle {
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -22,7 +22,8 @@
 // bufferedAnswer is a reply of which the first part has been read.
 type bufferedAnswer struct {
 	reply *Reply
-	head  []byte
+	// head is the first part of the body, in chunks.
+	head [][]byte
 	// complete is set if head is the whole body.
 	complete bool
 }
@@ -69,6 +70,7 @@
 		return failedAttempt(upstream.ID, err)
 	}
 	if r.shouldRetryElsewhere(ctx, c.exchange, answer) {
+		answer.dropHead(c.exchange)
 		answer.reply.Body.Close()
 		return failedAttempt(upstream.ID, errors.Errorf("relay: the upstream answered %d", answer.reply.Status))
 	}
@@ -114,7 +116,7 @@
 	}
 	reply.Body = cancellingBody{reply.Body, cancel}
 	r.recordAnswer(to.ID, reply.Load)
-	head, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedBytes))
+	answer, err := readHead(x, reply)
 	if err != nil {
 		reply.Body.Close()
 		return bufferedAnswer{}, WrapReadError(err)
@@ -122,7 +124,7 @@
 	if reply.Status < http.StatusInternalServerError {
 		r.upstreams.RecordCall(to.ID, load.CallSucceeded, r.now())
 	}
-	return bufferedAnswer{reply: reply, head: head, complete: len(head) < maxBufferedBytes}, nil
+	return answer, nil
 }
 
 // cancellingBody cancels its context when it is closed.
@@ -139,14 +141,20 @@
 
 // deliver writes an answer to the caller.
 func deliver(w http.ResponseWriter, x *exchange, answer bufferedAnswer) error {
-	defer answer.reply.Body.Close()
 	x.attempts.Answered()
 	writeHeader(w, x, answer.reply)
-	if _, err := w.Write(answer.head); err != nil {
+	var rest *readAhead
+	if answer.complete {
+		defer answer.reply.Body.Close()
+	} else {
+		rest = startReadAhead(x.holding, answer.reply.Body)
+		defer rest.close(answer.reply.Body)
+	}
+	if err := answer.writeHead(x, w); err != nil {
 		return ErrCallerDisconnected
 	}
-	if !answer.complete {
-		if _, err := io.Copy(w, answer.reply.Body); err != nil {
+	if rest != nil {
+		if err := rest.writeTo(w); err != nil {
 			return errors.WithMessage(ErrAnswerAborted, err.Error())
 		}
 	}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -56,6 +56,8 @@
 	subjects func() []quarantine.Subject
 	// crash is the check whether the upstream that cut off the request last has crashed; nil if none did.
 	crash *crashCheck
+	// holding is the memory that the request holds, from its admission on.
+	holding *holding
 }
 
 // placementRequest returns the input for choosing an upstream.
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -171,7 +170,7 @@
 
 // deliverForwarded writes an answer from another instance, that is not streamed, to the caller.
 func deliverForwarded(ctx context.Context, w http.ResponseWriter, x *exchange, reply *Reply) attempt.Result {
-	head, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedBytes))
+	answer, err := readHead(x, reply)
 	if err != nil {
 		reply.Body.Close()
 		if errors.Is(ctx.Err(), context.Canceled) {
@@ -179,7 +178,7 @@
 		}
 		return failedAttempt(x.via, WrapReadError(err))
 	}
-	return attempt.Result{Status: attempt.Done, Err: deliver(w, x, bufferedAnswer{reply: reply, head: head, complete: len(head) < maxBufferedBytes})}
+	return attempt.Result{Status: attempt.Done, Err: deliver(w, x, answer)}
 }
 
 // forwardGeneration has another instance deliver the rest of a generated answer.
@@ -240,7 +239,7 @@
 	ctx, cancel := context.WithTimeout(ctx, x.remaining(r.now()))
 	defer cancel()
 	if err = r.requireBegunVersion(ctx, x); err == nil {
-		err = r.serveAdmitted(ctx, x, w)
+		err = r.serveHolding(ctx, cancel, x, w)
 	}
 	r.finish(x, f.Request, err)
 	return x.attempts.History(), err
@@ -280,6 +279,13 @@
 	return false
 }
 
+// serveHolding serves a request that was admitted, and accounts for the memory that it holds.
+func (r *Relay) serveHolding(ctx context.Context, cancel context.CancelFunc, x *exchange, w http.ResponseWriter) error {
+	x.holding = r.memory.hold(x.req.ID, w, cancel)
+	defer x.holding.close()
+	return x.holding.result(r.serveAdmitted(ctx, x, x.holding))
+}
+
 // serveAdmitted serves a request that was admitted.
 func (r *Relay) serveAdmitted(ctx context.Context, x *exchange, w http.ResponseWriter) error {
 	var err error
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -291,11 +290,11 @@
 		r.recordFailure(ctx, g.exchange, engine.ID, err)
 		return failedAttempt(engine.ID, err)
 	}
-	head, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedBytes))
+	answer, err := readHead(g.exchange, reply)
 	if err != nil {
 		return failedAttempt(engine.ID, errors.WithMessage(ErrNoValidAnswer, err.Error()))
 	}
-	return attempt.Result{Status: attempt.Done, Err: deliver(g.w, g.exchange, bufferedAnswer{reply: reply, head: head, complete: true})}
+	return attempt.Result{Status: attempt.Done, Err: deliver(g.w, g.exchange, answer)}
 }
 
 // maxFetchesRefused is the number of refused runs after which a KV cache is given up.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,6 +11,7 @@
 
 	"sassafrasfield/internal/estimate"
 	"sassafrasfield/internal/load"
+	"sassafrasfield/internal/membudget"
 	"sassafrasfield/internal/outcome"
 	"sassafrasfield/internal/placement"
 	"sassafrasfield/internal/quarantine"
@@ -49,6 +50,8 @@
 	UsageWindow time.Duration
 	// MaxForwarded bounds the requests that are served at a time for other instances.
 	MaxForwarded int
+	// Memory bounds the memory that is held for callers.
+	Memory membudget.Settings
 }
 
 // DefaultSettings returns the default settings.
@@ -88,6 +91,7 @@
 	quotas     *organisationQuotas
 	fetches    *fetchRates
 	versions   *versionRecords
+	memory     *memory
 	// requestGrant requests a grant for a send to a rate-limited upstream from the instance that
 	// coordinates the grants; nil if unset.
 	requestGrant atomic.Pointer[func(context.Context, quota.GrantRequest) quota.Verdict]
@@ -113,6 +117,7 @@
 		settings: s, log: log, start: time.Now(),
 		pool: newRetryPool(), quarantine: newQuarantineState(), usage: newUsageCounter(s.UsageWindow), link: newLink(log), paths: newPaths(log), meters: newMeters(), grants: newGrants(), quotas: newOrganisationQuotas(), fetches: newFetchRates(), versions: newVersionRecords(), changed: make(chan struct{}, 1),
 	}
+	r.memory = newMemory(s.Memory, log, r.now)
 	r.sender = admittingSender{Sender: sender, relay: r}
 	sender.SetStatusHandler(r.applyStatus)
 	r.budgets = newBudgets(s.Budget, newRetryMeters(), r.requestFromPool)
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -37,7 +37,7 @@
 		return err
 	}
 	x.budget.Succeeded(r.now()) // each request earns its share of a retry
-	err = r.serveAdmitted(ctx, x, w)
+	err = r.serveHolding(ctx, cancel, x, w)
 	if x.attempts.Outcome() == outcome.NotRun && !x.attempts.Ledger().Prefilled() {
 		r.refundQuota(x)
 	}
