--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -295,13 +297,18 @@
 		r.recordFailure(ctx, g.exchange, engine.ID, err)
 		return failedAttempt(engine.ID, err)
 	}
-	head, err := httptransport.ReadAll(reply.Body, failureBody)
+	whole, err := httptransport.ReadAll(reply.Body, failureBody)
 	if err != nil {
 		err = WrapReadError(err)
 		r.recordFailure(ctx, g.exchange, engine.ID, err)
 		return failedAttempt(engine.ID, err)
 	}
-	return attempt.Result{Status: attempt.Done, Err: deliver(g.w, g.exchange, bufferedAnswer{reply: reply, head: head, complete: true})}
+	reply.Body = io.NopCloser(bytes.NewReader(whole))
+	answer, err := readHead(g.exchange, reply)
+	if err != nil {
+		return failedAttempt(engine.ID, errors.WithMessage(ErrNoValidAnswer, err.Error()))
+	}
+	return attempt.Result{Status: attempt.Done, Err: deliver(g.w, g.exchange, answer)}
 }
 
 // maxFetchesRefused is the number of refused runs after which a KV cache is given up.
