--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -21,6 +21,7 @@
 	"sassafrasfield/internal/gen/sf/v1/sfv1connect"
 	"sassafrasfield/internal/httptransport"
 	"sassafrasfield/internal/peers"
+	"sassafrasfield/internal/readlimit"
 	"sassafrasfield/internal/relay"
 )
 
@@ -38,6 +39,13 @@
 	keepAliveProbes   = 2
 )
 
+// instancePeer names instances in the metrics and log lines of messages that are cut off.
+const instancePeer = "instance"
+
+// maxReplyBytes bounds one message of an answer. The largest one is the buffered first part of an answer, 256 KB; the
+// rest is margin.
+const maxReplyBytes = 1 << 20
+
 // maxIdlePerInstance bounds the idle connections to an instance.
 const maxIdlePerInstance = 16
 
@@ -82,14 +90,14 @@
 			dialer.LocalAddr = &net.TCPAddr{IP: ip}
 		}
 	}
-	return &http.Client{Transport: httptransport.Isolate(&http.Transport{
+	return &http.Client{Transport: httptransport.Bounded(&http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: maxIdlePerInstance, IdleConnTimeout: idleTimeout,
-	})}
+	}, instancePeer, readlimit.ResponseHead())}
 }
 
 // service returns the ForwardService of an instance.
 func (c *Client) service(p peers.Peer) sfv1connect.ForwardServiceClient {
-	return sfv1connect.NewForwardServiceClient(c.http, "http://"+p.Address, connect.WithAcceptCompression("gzip", nil, nil))
+	return sfv1connect.NewForwardServiceClient(c.http, "http://"+p.Address, connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(maxReplyBytes))
 }
 
 // Available implements relay.Forwarder.
@@ -154,8 +162,7 @@
 	reply, err := body.begin()
 	if err != nil {
 		body.discard()
-		var refused *relay.PeerRefusal
-		if !errors.As(err, &refused) || refused.Refusal.Elsewhere {
+		if blamesInstance(caller, err) {
 			c.targets.avoid(to.Name)
 		}
 		return nil, err
@@ -163,6 +170,16 @@
 	return reply, nil
 }
 
+// blamesInstance reports whether an error without an answer is a reason to avoid the instance that accepted the
+// request. A caller that leaves ends the request too.
+func blamesInstance(caller context.Context, err error) bool {
+	var refused *relay.PeerRefusal
+	if errors.As(err, &refused) {
+		return refused.Refusal.Elsewhere
+	}
+	return caller.Err() == nil
+}
+
 // failed returns the error of a request that an instance did not accept. If the connection was not established,
 // nothing was sent.
 func (c *Client) failed(caller context.Context, to peers.Peer, connected bool, err error) error {
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -28,6 +28,8 @@
 	DrainDelay time.Duration
 	// Limits returns the limits of the configuration in force. A limit of zero is no limit.
 	Limits func() routes.Limits
+	// SendQueueBytes is the size of the kernel's queue of each connection to a caller; 0 leaves it to the kernel.
+	SendQueueBytes int
 }
 
 // Server serves callers.
@@ -56,18 +58,21 @@
 // period.
 func (s *Server) Run(ctx context.Context) error {
 	public := &http.Server{
-		Handler:           http.HandlerFunc(s.serve),
+		Handler:           BoundBodies(http.HandlerFunc(s.serve), "caller", MaxBodyTime),
 		ReadHeaderTimeout: maxHeaderTimeout, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: connState, ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
 	}
-	probe := &http.Server{Handler: http.HandlerFunc(s.serveReady), ReadHeaderTimeout: maxHeaderTimeout}
+	probe := &http.Server{
+		Handler:           BoundBodies(http.HandlerFunc(s.serveReady), "probe", maxHeaderTimeout),
+		ReadHeaderTimeout: maxHeaderTimeout, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
 	failed := make(chan error, 2)
 	for server, address := range map[*http.Server]string{public: s.settings.Address, probe: s.settings.ReadyAddress} {
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			return errors.Wrap(err, "front: listen")
 		}
-		limited := limitedListener{listener, s.settings.Limits}
+		limited := limitedListener{listener, s.settings.Limits, s.settings.SendQueueBytes}
 		go func() { failed <- errors.Wrap(server.Serve(limited), "front: serve") }()
 	}
 	s.log.Info("front: started", "address", s.settings.Address, "ready", s.settings.ReadyAddress)
--- a/internal/placement/costs.go
+++ b/internal/placement/costs.go
@@ -134,8 +134,9 @@
 
 // maxCopyShare bounds the cost of another copy where the waits are known exactly, as a share of the time to process
 // the missing tokens. The price of the memory alone can make a copy ten times as expensive as that time, so that
-// prompts queue at one engine while others are idle. In package model 0.1 to 0.5 perform alike.
-const maxCopyShare = 0.25
+// prompts queue at one engine while others are idle. Below 1, an idle engine is better than a wait of the time that it
+// takes to process the part again.
+const maxCopyShare = 0.75
 
 // boundedCopyCost returns the cost of another copy of the shared part where the waits are known exactly.
 func (c Costs) boundedCopyCost(p Prompt, cached int) time.Duration {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,6 +11,7 @@
 
 	"sassafrasfield/internal/estimate"
 	"sassafrasfield/internal/load"
+	"sassafrasfield/internal/membudget"
 	"sassafrasfield/internal/outcome"
 	"sassafrasfield/internal/placement"
 	"sassafrasfield/internal/quarantine"
@@ -52,6 +53,8 @@
 	ReservationsFrom int
 	// MaxForwarded bounds the requests that are served at a time for other instances.
 	MaxForwarded int
+	// Memory bounds the memory that is held for callers.
+	Memory membudget.Settings
 }
 
 // DefaultSettings returns the default settings.
@@ -94,6 +97,7 @@
 	versions   *versionRecords
 	// reservations has the prompt work of this zone's engines while this instance is the hub.
 	reservations *reservations
+	memory       *memory
 	// requestGrant requests a grant for a send to a rate-limited upstream from the instance that
 	// coordinates the grants; nil if unset.
 	requestGrant atomic.Pointer[func(context.Context, quota.GrantRequest) quota.Verdict]
@@ -119,6 +123,7 @@
 		settings: s, log: log, start: time.Now(),
 		pool: newRetryPool(), quarantine: newQuarantineState(), usage: newUsageCounter(s.UsageWindow), link: newLink(log), paths: newPaths(log), meters: newMeters(), grants: newGrants(), quotas: newOrganisationQuotas(), fetches: newFetchRates(), versions: newVersionRecords(), reservations: newReservations(), changed: make(chan struct{}, 1),
 	}
+	r.memory = newMemory(s.Memory, log, r.now)
 	r.sender = admittingSender{Sender: sender, relay: r}
 	sender.SetStatusHandler(r.applyStatus)
 	r.budgets = newBudgets(s.Budget, newRetryMeters(), r.requestFromPool)
@@ -268,6 +273,7 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
+	r.recordCutOff(x, id, err)
 	result := callResultFor(ctx, err)
 	ejected := r.upstreams.RecordCall(id, result, r.now())
 	r.log.Info("relay: send failed", "request", x.req.ID, "upstream", id, "try", x.attempts.Sends(),
