--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -51,6 +51,9 @@
 	// ReservationsFrom is the number of engines of a service from which the work of prompts is reserved before it is
 	// sent; 0 means never.
 	ReservationsFrom int
+	// RelocationsFrom is the number of engines of a service from which prompts that an engine does not process in time
+	// move to another one; 0 means never.
+	RelocationsFrom int
 	// MaxForwarded bounds the requests that are served at a time for other instances.
 	MaxForwarded int
 	// Memory bounds the memory that is held for callers.
@@ -73,6 +76,7 @@
 		StartupRetryIn:   400 * time.Millisecond,
 		Outliers:         outliers,
 		ReservationsFrom: 80, // the smallest service that was measured with reservations has 90 engines
+		RelocationsFrom:  80, // as for reservations, whose waits the decisions rely on
 		MaxForwarded:     64, // several times the requests of an instance of 0.4 cores, in a few megabytes
 	}
 }
@@ -98,6 +102,7 @@
 	// reservations has the prompt work of this zone's engines while this instance is the hub.
 	reservations *reservations
 	memory       *memory
+	relocator    *relocator
 	// requestGrant requests a grant for a send to a rate-limited upstream from the instance that
 	// coordinates the grants; nil if unset.
 	requestGrant atomic.Pointer[func(context.Context, quota.GrantRequest) quota.Verdict]
@@ -121,7 +126,7 @@
 func New(s Settings, sender Sender, log *slog.Logger) *Relay {
 	r := &Relay{
 		settings: s, log: log, start: time.Now(),
-		pool: newRetryPool(), quarantine: newQuarantineState(), usage: newUsageCounter(s.UsageWindow), link: newLink(log), paths: newPaths(log), meters: newMeters(), grants: newGrants(), quotas: newOrganisationQuotas(), fetches: newFetchRates(), versions: newVersionRecords(), reservations: newReservations(), changed: make(chan struct{}, 1),
+		pool: newRetryPool(), quarantine: newQuarantineState(), usage: newUsageCounter(s.UsageWindow), link: newLink(log), paths: newPaths(log), meters: newMeters(), grants: newGrants(), quotas: newOrganisationQuotas(), fetches: newFetchRates(), versions: newVersionRecords(), reservations: newReservations(), relocator: newRelocator(), changed: make(chan struct{}, 1),
 	}
 	r.memory = newMemory(s.Memory, log, r.now)
 	r.sender = admittingSender{Sender: sender, relay: r}
@@ -263,8 +268,8 @@
 
 // recordFailure records a failed send against the upstream, unless the caller disconnected.
 func (r *Relay) recordFailure(ctx context.Context, x *exchange, id string, err error) {
-	if errors.Is(err, ErrDeclined) || errors.Is(err, ErrBudgetExhausted) {
-		return // the upstream was not contacted
+	if errors.Is(err, ErrDeclined) || errors.Is(err, ErrBudgetExhausted) || upstreamDidNotFail(err) {
+		return // the upstream was not contacted, or has not failed
 	}
 	if errors.Is(err, ErrCutOff) {
 		r.checkInterrupted(x, id)
@@ -295,6 +300,9 @@
 		if err := r.refuse(x); err != nil {
 			return err
 		}
+		if x.hopeless != nil {
+			return x.hopeless
+		}
 		if err := r.refuseUnavailable(x); err != nil {
 			return err
 		}
