--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -47,9 +47,17 @@
 	if ctx.Err() != nil {
 		return errCallerDisconnected
 	}
+	g.logNoEngine(verdict)
 	return s.finalRefusal(comp, g.attempts.Outcome(), g.attempts.LastError())
 }
 
+// logNoEngine logs why no further engine is tried.
+func (g *generation) logNoEngine(verdict attempt.Verdict) {
+	serving, ofVersion := g.server.state.countServing(g.comp.version)
+	g.server.log.Info("request: no engine left", "request", g.comp.id, "sends", g.attempts.Sends(), "failed", len(g.attempts.Excluded()), "denied", verdict == attempt.Denied,
+		"version", g.comp.version, "serving", serving, "of_version", ofVersion, "error", g.attempts.LastError())
+}
+
 // resume continues the stream of an earlier answer if its engine still holds it. If over is true, the
 // answer has ended with err, and no other engine is tried.
 func (g *generation) resume(ctx context.Context) (over bool, err error) {
@@ -76,9 +84,18 @@
 // Started implements attempt.Call.
 func (g *generation) Started() bool { return g.assembler.Next() > 0 }
 
+// freeVersion lets the answer be made at any version that the caller accepts, until a part of it was delivered. An
+// earlier attempt has set the version of its engine, which may have been the last one of that version.
+func (g *generation) freeVersion() {
+	if g.comp.resume == nil && !g.Started() {
+		g.comp.version = g.comp.requestedVersion
+	}
+}
+
 // Try implements attempt.Call.
 func (g *generation) Try(ctx context.Context) attempt.Result {
 	comp, s := g.comp, g.server
+	g.freeVersion()
 	if s.quarantines.quarantined(comp.content) {
 		return attempt.Result{Status: attempt.NoUpstream, Err: errQuarantined}
 	}
