--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -90,9 +90,10 @@
 			dialer.LocalAddr = &net.TCPAddr{IP: ip}
 		}
 	}
-	return &http.Client{Transport: httptransport.Bounded(&http.Transport{
+	transport := httptransport.Bounded(&http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: maxIdlePerInstance, IdleConnTimeout: idleTimeout,
-	}, instancePeer, readlimit.ResponseHead())}
+	}, instancePeer, readlimit.ResponseHead())
+	return &http.Client{Transport: httptransport.BoundMessages(transport, instancePeer, maxReplyBytes)}
 }
 
 // service returns the ForwardService of an instance.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -169,7 +169,7 @@
 	id := self.ID()
 	e := &Exchange{
 		self: self, id: id, seeds: seeds, rows: rows, log: log, clock: clock,
-		client:      &http.Client{Transport: httptransport.Bounded(&http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second}, "instance", readlimit.ResponseHead())},
+		client:      newHTTPClient(),
 		rowsChanged: make(chan struct{}, 1), peers: map[string]*peerState{}, byID: map[fanout.ID]*peerState{},
 		roster: fanout.NewRoster(id, 0), inbox: fanout.NewInbox(), zones: map[string]zoneStatus{}, pulling: map[string]bool{}, peerRevisions: map[string]peerRevision{},
 	}
@@ -179,6 +179,11 @@
 	return e
 }
 
+func newHTTPClient() *http.Client {
+	transport := httptransport.Bounded(&http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second}, instancePeer, readlimit.ResponseHead())
+	return &http.Client{Transport: httptransport.BoundMessages(transport, instancePeer, maxPullReplyBytes)}
+}
+
 // now returns the time on the exchange's clock.
 func (e *Exchange) now() time.Duration { return e.clock() }
 
--- a/internal/peers/pull.go
+++ b/internal/peers/pull.go
@@ -57,6 +57,7 @@
 	reply, err := peer.client.Pull(ctx, connect.NewRequest(request))
 	e.recordCall(peer, err)
 	if err != nil {
+		recordOversized(peer.Address, err)
 		return errors.Wrap(err, "peers: pull")
 	}
 	for _, p := range reply.Msg.GetPeers() {
--- a/internal/readlimit/readlimit_test.go
+++ b/internal/readlimit/readlimit_test.go
@@ -179,3 +179,33 @@
 		t.Error("an event has begun at the end of the stream")
 	}
 }
+
+// TestEnvelopesAreFoundInAnyPieces guards against a message that announces too great a length and is not found because of
+// how its bytes arrive, and against a cut-off of messages within the bound.
+func TestEnvelopesAreFoundInAnyPieces(t *testing.T) {
+	const maxBytes = 300
+	rapid.Check(t, func(t *rapid.T) {
+		var stream []byte
+		sizes := rapid.SliceOfN(rapid.IntRange(0, maxBytes+20), 1, 8).Draw(t, "sizes")
+		tooLarge := -1 // where the envelope of the first message that is too large ends
+		for _, size := range sizes {
+			stream = append(stream, 0, 0, 0, byte(size>>8), byte(size))
+			if size > maxBytes && tooLarge < 0 {
+				tooLarge = len(stream)
+			}
+			stream = append(stream, make([]byte, size)...)
+		}
+		e := NewEnvelopes(maxBytes)
+		for at := 0; at < len(stream); {
+			end := at + rapid.IntRange(1, len(stream)-at).Draw(t, "bytes")
+			err := e.Received(stream[at:end], 0)
+			if found, want := err != nil, tooLarge >= 0 && end >= tooLarge; found != want {
+				t.Fatalf("after %d bytes: %v; the envelope ends at %d", end, err, tooLarge)
+			}
+			if err != nil {
+				return
+			}
+			at = end
+		}
+	})
+}
--- a/internal/testfleet/process.go
+++ b/internal/testfleet/process.go
@@ -1,8 +1,10 @@
 package testfleet
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
+	"strings"
 	"sync"
 	"syscall"
 
@@ -76,6 +78,20 @@
 	return p.err
 }
 
+// PeakMemory returns the largest resident memory that the process has had, in bytes (VmHWM of Linux).
+func (p *Process) PeakMemory() (int64, error) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID()))
+	if err != nil {
+		return 0, errors.WithStack(err)
+	}
+	_, rest, _ := strings.Cut(string(status), "VmHWM:")
+	var kilobytes int64
+	if _, err := fmt.Sscan(rest, &kilobytes); err != nil {
+		return 0, errors.Wrap(err, p.Name)
+	}
+	return kilobytes << 10, nil
+}
+
 // Log returns the content of the log file.
 func (p *Process) Log() string {
 	data, _ := os.ReadFile(p.LogPath) // an unreadable log counts as empty
