--- a/internal/membudget/abort.go
+++ b/internal/membudget/abort.go
@@ -100,11 +100,18 @@
 	return false
 }
 
-// abort aborts holders, in the given order, that made no progress for the least age, until the sum is within the bound.
+// sparePart is the divisor of a bound for what is free after aborts. Otherwise the sum stays at the bound, and callers
+// that read get answers whose heads are not buffered.
+const sparePart = 8
+
+// abort aborts holders, in the given order, that made no progress for the least age, if the sum exceeds the bound.
 func (l *Ledger) abort(stalled []*Holder, bound int64, leastAge time.Duration, now time.Duration, reason string) []Abort {
+	if l.held <= bound {
+		return nil
+	}
 	var aborts []Abort
 	for _, h := range stalled {
-		if l.held <= bound || now-h.progressed < leastAge {
+		if l.held <= bound-bound/sparePart || now-h.progressed < leastAge {
 			break
 		}
 		if !h.aborted {
