--- a/internal/model/policy.go
+++ b/internal/model/policy.go
@@ -24,6 +24,9 @@
 	// MaxCopyShare bounds the cost of another copy of a shared part in reservations to a share of the time to
 	// process its missing tokens; 0 for no bound.
 	MaxCopyShare float64 `toml:"max_copy_share"`
+	// RepeatMessages sends each request to a hub again that isn't answered after repeatAfter, and the end of each
+	// prompt twice.
+	RepeatMessages bool `toml:"repeat_messages"`
 	// SecondZoneAbove is the predicted wait above which the hub of the next best zone is asked as well; 0 for never.
 	SecondZoneAbove time.Duration `toml:"second_zone_above"`
 	// ReportEvery is the interval of reports within a zone; 0 for the default. Zones report to each other at
--- a/internal/model/reservations.go
+++ b/internal/model/reservations.go
@@ -23,6 +23,9 @@
 	ChoiceReservedUsual Choice = "reserved, usual speed"
 )
 
+// choices are all of them.
+var choices = []Choice{ChoiceReports, ChoiceTwo, ChoiceReserved, ChoiceReservedUsual}
+
 const (
 	// maxCandidates is the number of engines in a reservation request, twoAmong that of the best ones of which
 	// two are drawn.
@@ -32,6 +35,10 @@
 	// it is not asked afterwards.
 	replyTimeout = 26 * time.Millisecond
 	hubPause     = 300 * time.Millisecond
+	// repeatAfter is the time after which a request is repeated: three times what a reply takes from another zone.
+	// repeatDoneAfter is the time after which the end of a prompt is sent again.
+	repeatAfter     = 10 * time.Millisecond
+	repeatDoneAfter = 30 * time.Millisecond
 	// ledgerYoung is the age up to which the reports are added to a new ledger.
 	ledgerYoung = time.Second
 )
@@ -186,20 +193,12 @@
 // ask asks the hub of the choices' zone. It calls then with its reply, or after the timeout without one.
 func (r *run) ask(req *request, choices []placement.PrefillChoice, then func(reservation.Grant, bool)) {
 	zone := choices[0].Engine.Zone
-	r.result.Messages += 2
-	r.result.Candidates += len(choices)
-	way := oneWay(req.instance, zone)
 	answered := false
-	if !r.isLost() {
-		r.after(way, func() {
-			h := r.hubOf(zone)
-			if h == nil {
-				return
-			}
-			grant, ok := h.ledger.Reserve(r.reservationRequest(req, choices, h), r.now)
-			if ok && !r.isLost() {
-				answered = true
-				r.after(way, func() { then(grant, true) })
+	r.requestGrant(req, choices, &answered, then)
+	if r.policy.RepeatMessages {
+		r.after(repeatAfter, func() {
+			if !answered {
+				r.requestGrant(req, choices, &answered, then)
 			}
 		})
 	}
@@ -212,6 +211,33 @@
 	})
 }
 
+// requestGrant sends a request to the hub of the choices' zone, and calls then with the first reply.
+func (r *run) requestGrant(req *request, choices []placement.PrefillChoice, answered *bool, then func(reservation.Grant, bool)) {
+	zone := choices[0].Engine.Zone
+	way := oneWay(req.instance, zone)
+	r.result.Messages += 2
+	r.result.Candidates += len(choices)
+	if r.isLost() {
+		return
+	}
+	r.after(way, func() {
+		h := r.hubOf(zone)
+		if h == nil {
+			return
+		}
+		grant, ok := h.ledger.Reserve(r.reservationRequest(req, choices, h), r.now)
+		if !ok || r.isLost() {
+			return
+		}
+		r.after(way, func() {
+			if !*answered {
+				*answered = true
+				then(grant, true)
+			}
+		})
+	})
+}
+
 // extra returns the extra cost of a choice.
 func (r *run) extra(req *request, choice placement.PrefillChoice) time.Duration {
 	if r.policy.MaxCopyShare == 0 {
@@ -269,6 +295,9 @@
 	on := req.engine.number
 	ended := func(l *reservation.Ledger) { l.Done(req.number, on, processed, r.now) }
 	r.notify(req.instance, req.engine.zone, ended)
+	if zone := req.engine.zone; r.policy.RepeatMessages {
+		r.after(repeatDoneAfter, func() { r.notify(req.instance, zone, ended) })
+	}
 }
 
 // placeTwo places a prompt on the better of two engines that are drawn from the best ones by the reports.
--- a/internal/model/reservations_test.go
+++ b/internal/model/reservations_test.go
@@ -1,98 +1,106 @@
 package model
 
 import (
-	"flag"
-	"fmt"
 	"strings"
-	"sync"
 	"testing"
 	"time"
+
+	"sassafrasfield/internal/settings"
 )
 
-var study = flag.Bool("study", false, "compare the ways of choosing engines in all fleets")
+// reservationStudy returns the example study, with patterns and policies by name.
+func reservationStudy(t *testing.T) (map[string]Pattern, map[string]Policy) {
+	t.Helper()
+	study := &Study{}
+	if err := settings.Load("../../examples/model/reservations.toml", study); err != nil {
+		t.Fatal(err)
+	}
+	patterns, policies := map[string]Pattern{}, map[string]Policy{}
+	for _, p := range study.Pattern {
+		patterns[p.Name] = p
+	}
+	for _, p := range study.Policy {
+		policies[p.Name] = p
+	}
+	return patterns, policies
+}
 
-// kitamiEngine is an engine of the customer with callers that compete for insufficient capacity.
-func kitamiEngine() EngineSpec {
-	return EngineSpec{
-		TokenTime: 16340, TransferTime: 109, Step: 637 * time.Microsecond, StepPerRequest: 3190, StepPerContext: 2130,
-		Chunk: 4096, Slots: 64, MemoryTokens: 534448, EventTokens: 52, RoleChange: 3 * time.Second,
+// runShort runs a pattern of the study for some seconds.
+func runShort(t *testing.T, length time.Duration, pattern, policy string) *Result {
+	t.Helper()
+	patterns, policies := reservationStudy(t)
+	p, ok := patterns[pattern]
+	way, known := policies[policy]
+	if !ok || !known {
+		t.Fatalf("no pattern %q or no policy %q", pattern, policy)
 	}
+	p.Length = length
+	r := Run(p, way, 1)
+	t.Logf("%s, %s: %d prompts at %.0f%%, wait %.0f, %.0f, %.0f ms, beyond %.3f", pattern, policy, r.Prompts, 100*r.Utilization,
+		r.waitMillis(50), r.waitMillis(90), r.waitMillis(99), r.BeyondShare())
+	return r
 }
 
-// kitami is the customer's prompts on a part of its fleet: 330 prompts a second on 65 prefill engines.
-func kitami(instances, prefill, decode, zones int, partsFactor float64) Pattern {
-	scale := float64(prefill) / 65
-	parts := func(n float64) int { return max(1, int(n*partsFactor*scale)) }
-	return Pattern{
-		Name: fmt.Sprintf("%d instances", instances), Length: 10 * time.Second,
-		Fleet: Fleet{
-			Zones: zones, Instances: instances, Engines: prefill + decode, SeparatePrefill: true, ReportLag: 50 * time.Millisecond,
-			Engine: kitamiEngine(),
-		},
-		Class: []Class{
-			{Name: "log-triage", Rate: 94.1 * scale, Shared: 13300, Own: 3720, Answer: 60, Spread: 0.3, Parts: parts(1000), Skew: 0.3, Objective: 600 * time.Millisecond, MaxGap: time.Second, WaitBudget: 5 * time.Second},
-			{Name: "patch-review", Rate: 71.2 * scale, Shared: 6300, Own: 2890, Answer: 60, Spread: 0.3, Parts: parts(500), Skew: 0.3, Objective: 400 * time.Millisecond, MaxGap: time.Second, WaitBudget: 3 * time.Second},
-			{Name: "pkg-ask", Rate: 165 * scale, Shared: 350, Own: 1110, Answer: 60, Spread: 0.3, Parts: parts(500), Skew: 0.3, Objective: 300 * time.Millisecond, MaxGap: time.Second, WaitBudget: 5 * time.Second},
-		},
+// Guards against prompts that wait while other engines are idle. 99% are to be processed within a cold read on an
+// idle engine plus 150 ms while under two thirds of the engines are busy. By reports, 24% took longer.
+func TestReservationsMeetTheAimOnEvenEngines(t *testing.T) {
+	const length = 3 * time.Second
+	reports, reserved := runShort(t, length, "75 instances", "reports"), runShort(t, length, "75 instances", "reserved")
+	if reserved.BeyondShare() > 0.01 || reports.BeyondShare() < 0.1 {
+		t.Errorf("%.3f with reservations, %.3f by reports", reserved.BeyondShare(), reports.BeyondShare())
+	}
+	if late := 1 - reserved.OnTime("log-triage"); late > 0.05 {
+		t.Errorf("%.3f of log-triage late", late)
+	}
+	if late := 1 - reserved.OnTime("patch-review"); late > 0.04 {
+		t.Errorf("%.3f of reviews late", late)
 	}
 }
 
-func (r *Result) row() string {
-	at := func(q float64) float64 { return float64(r.PromptWait.ValueAtQuantile(q)) / 1e3 }
-	return fmt.Sprintf("%-16s %-28s n %5d util %.2f wait %4.0f %4.0f %5.0f beyond %5.1f%% again %5.2fM fetch %5.2fM moved %5.1fM busiest %.2f late %4.1f%% %4.1f%% %4.1f%% msgs/prompt %.2f cand %.1f",
-		r.Pattern, r.Policy, r.Prompts, r.Utilization, at(50), at(90), at(99), 100*float64(r.Beyond)/float64(max(1, r.Prompts)), float64(r.AgainTokens)/1e6,
-		float64(r.FetchedTokens)/1e6, float64(r.TransferredTokens)/1e6, r.BusiestShare,
-		100*(1-r.OnTime("log-triage")), 100*(1-r.OnTime("patch-review")), 100*(1-r.OnTime("pkg-ask")),
-		float64(r.Messages)/float64(max(1, r.Prompts)), float64(r.Candidates)/float64(max(1, r.Prompts)))
+// Guards against engines that get as many prompts as the others although they are slow for seconds.
+func TestLearnedSpeedsAvoidSlowEngines(t *testing.T) {
+	const pattern = "75 instances, a fifth of the engines 2.5 times slower"
+	learned, usual := runShort(t, 3*time.Second, pattern, "reserved"), runShort(t, 3*time.Second, pattern, "reserved, usual speed")
+	if learned.OnTime("log-triage") < usual.OnTime("log-triage")+0.02 || learned.Utilization >= usual.Utilization {
+		t.Errorf("on time %.3f at utilization %.2f with speeds, %.3f at %.2f without", learned.OnTime("log-triage"), learned.Utilization,
+			usual.OnTime("log-triage"), usual.Utilization)
+	}
 }
 
-// compare runs policies on patterns, some of them at a time.
-func compare(t *testing.T, patterns []Pattern, policies []Policy) {
-	t.Helper()
-	var rows []func() string
-	for _, p := range patterns {
-		for _, policy := range policies {
-			policy.KnownTimes, policy.Prefill = true, 13
-			rows = append(rows, func() string { return Run(p, policy, 1).row() })
-		}
+// Guards against a zone of few engines whose prompts wait although another zone has idle ones.
+func TestSecondZoneHelpsSmallFleets(t *testing.T) {
+	one, two := runShort(t, 6*time.Second, "9 instances", "reserved"), runShort(t, 6*time.Second, "9 instances", "reserved, second zone")
+	if two.BeyondShare() > 0.01 || two.BeyondShare() > one.BeyondShare() {
+		t.Errorf("%.3f with one zone, %.3f with two", one.BeyondShare(), two.BeyondShare())
 	}
-	lines := make([]string, len(rows))
-	slots := make(chan bool, 3)
-	var group sync.WaitGroup
-	for i, row := range rows {
-		group.Go(func() {
-			slots <- true
-			lines[i] = row()
-			<-slots
-		})
+}
+
+// Guards against lost datagrams that leave engines reserved, and against instances that stop asking after one loss.
+func TestLostMessagesCostLittle(t *testing.T) {
+	const pattern = "75 instances, 5% of messages lost"
+	reports, reserved := runShort(t, 3*time.Second, pattern, "reports"), runShort(t, 3*time.Second, pattern, "reserved, messages repeated")
+	if reserved.BeyondShare() > 0.25*reports.BeyondShare() {
+		t.Errorf("%.3f with reservations, %.3f by reports", reserved.BeyondShare(), reports.BeyondShare())
 	}
-	group.Wait()
-	t.Log("\n" + strings.Join(lines, "\n"))
 }
 
-// Explores.
-func TestExplore(t *testing.T) {
-	if !*study {
-		t.Skip()
+// Guards against prompts that are lost or worse off than by reports when all hubs are lost for a second.
+func TestLostHubsLeaveReports(t *testing.T) {
+	const pattern = "75 instances, hubs lost for 1 s"
+	reports, reserved := runShort(t, 6*time.Second, pattern, "reports"), runShort(t, 6*time.Second, pattern, "reserved, messages repeated")
+	if reserved.BeyondShare() > 0.5*reports.BeyondShare() || reserved.Prompts < reports.Prompts {
+		t.Errorf("%.3f of %d with reservations, %.3f of %d by reports", reserved.BeyondShare(), reserved.Prompts, reports.BeyondShare(), reports.Prompts)
 	}
-	var patterns []Pattern
-	for _, f := range []float64{1, 10} {
-		for _, uneven := range []Unevenness{{}, {Share: 0.2, Factor: 2.5, Noise: 0.2}, {Share: 0.2, Factor: 2.5, Period: 4 * time.Second, Noise: 0.2}} {
-			p := kitami(75, 65, 25, 4, f)
-			p.Name, p.Fleet.Uneven = fmt.Sprintf("x%v %v %v", f, uneven.Share, uneven.Period), uneven
-			patterns = append(patterns, p)
-		}
+	if young := 1 - reserved.OnTime("pkg-ask"); young > 0.05 {
+		t.Errorf("%.3f of pkg-ask late", young)
 	}
-	p := kitami(75, 65, 25, 4, 0.1)
-	p.Name = "hot part"
-	p.Class[0].Skew = 2
-	patterns = append(patterns, p)
-	policies := []Policy{
-		{Name: "reports"},
-		{Name: "reserved", Choice: ChoiceReserved, MaxCopyShare: 0.25},
-		{Name: "reserved 2nd 20", Choice: ChoiceReserved, MaxCopyShare: 0.25, SecondZoneAbove: 20 * time.Millisecond},
-		{Name: "reserved 2nd 50", Choice: ChoiceReserved, MaxCopyShare: 0.25, SecondZoneAbove: 50 * time.Millisecond},
-		{Name: "reserved 2nd 100", Choice: ChoiceReserved, MaxCopyShare: 0.25, SecondZoneAbove: 100 * time.Millisecond},
+}
+
+// Guards against a choice in a study that is misspelt and runs as another one.
+func TestStudyRejectsUnknownChoice(t *testing.T) {
+	path := t.TempDir() + "/study.toml"
+	writeFile(t, path, "[[policy]]\nname = \"p\"\nchoice = \"guess\"\n")
+	if err := settings.Load(path, &Study{}); err == nil || !strings.Contains(err.Error(), "policy.choice") {
+		t.Errorf("%v", err)
 	}
-	compare(t, patterns, policies)
 }
--- a/internal/model/result.go
+++ b/internal/model/result.go
@@ -71,7 +71,7 @@
 // maxBeyond is the time beyond a cold read on an idle engine that 99% of prompts may take.
 const maxBeyond = 150 * time.Millisecond
 
-func (r *Result) recordPromptWait(class string, beyond time.Duration) {
+func (r *Result) recordPromptWait(beyond time.Duration) {
 	_ = r.PromptWait.RecordValue(min(histogramMax, max(0, beyond.Microseconds()))) // within bounds
 	r.Prompts++
 	if beyond > maxBeyond {
@@ -79,6 +79,16 @@
 	}
 }
 
+// BeyondShare returns the share of the prompts that took maxBeyond longer than a cold read on an idle engine.
+func (r *Result) BeyondShare() float64 { return r.perPrompt(r.Beyond) }
+
+func (r *Result) perPrompt(n int) float64 { return float64(n) / float64(max(1, r.Prompts)) }
+
+// waitMillis returns a percentile of PromptWait in milliseconds.
+func (r *Result) waitMillis(percentile float64) float64 {
+	return float64(r.PromptWait.ValueAtQuantile(percentile)) / float64(time.Millisecond/time.Microsecond)
+}
+
 // recordBusy records how the work was spread over the prefill engines.
 func (r *Result) recordBusy(engines []*engine, length time.Duration) {
 	var busiest, sum time.Duration
--- a/internal/model/run.go
+++ b/internal/model/run.go
@@ -280,7 +280,7 @@
 	}
 	r.result.AgainTokens += max(0, again)
 	cold := w.req.engine.promptTime(w.req.prompt.Tokens, 0)
-	r.result.recordPromptWait(w.req.class.Name, r.now-w.req.arrivedAt-cold)
+	r.result.recordPromptWait(r.now - w.req.arrivedAt - cold)
 }
 
 // handOver passes a request on to a decode engine after its prompt was processed.
--- a/internal/model/study.go
+++ b/internal/model/study.go
@@ -39,6 +39,11 @@
 	for _, p := range s.Pattern {
 		p.check(file)
 	}
+	for _, p := range s.Policy {
+		if !slices.Contains(choices, p.Choice) {
+			file.Add("policy.choice", "%s: want one of %q, not %q", p.Name, choices, p.Choice)
+		}
+	}
 }
 
 func (p Pattern) check(file *tomlfile.File) {
@@ -70,14 +75,18 @@
 
 // WriteTable writes a row for each result and class, with tab-separated columns.
 func WriteTable(w io.Writer, results []*Result) error {
-	lines := []string{"pattern\tpolicy\tclass\tasked\ton_time\tmissed\tfirst_p50_ms\tfirst_p99_ms\tfresh_mtok\tmoved_mtok\torders\tcredit"}
+	lines := []string{"pattern\tpolicy\tclass\tasked\ton_time\tmissed\tfirst_p50_ms\tfirst_p99_ms\tfresh_mtok\tmoved_mtok\torders\tcredit" +
+		"\tutilization\twait_p50_ms\twait_p90_ms\twait_p99_ms\tbeyond\tagain_mtok\tfetched_mtok\tbusiest\tmessages_per_prompt\tcandidates_per_prompt"}
 	const microsPerMilli, million = 1e3, 1e6
 	for _, r := range results {
 		for _, name := range r.classNames() {
 			c := r.Classes[name]
-			lines = append(lines, fmt.Sprintf("%s\t%s\t%s\t%d\t%.3f\t%.3f\t%.1f\t%.1f\t%.1f\t%.1f\t%d\t%.3f", r.Pattern, r.Policy, name, c.Requests,
+			lines = append(lines, fmt.Sprintf("%s\t%s\t%s\t%d\t%.3f\t%.3f\t%.1f\t%.1f\t%.1f\t%.1f\t%d\t%.3f"+
+				"\t%.2f\t%.0f\t%.0f\t%.0f\t%.3f\t%.2f\t%.2f\t%.2f\t%.2f\t%.1f", r.Pattern, r.Policy, name, c.Requests,
 				r.OnTime(name), r.Missed(name), float64(c.FirstEvent.ValueAtQuantile(50))/microsPerMilli, float64(c.FirstEvent.ValueAtQuantile(99))/microsPerMilli,
-				float64(r.PrefilledTokens)/million, float64(r.TransferredTokens)/million, r.Orders, r.Credit()))
+				float64(r.PrefilledTokens)/million, float64(r.TransferredTokens)/million, r.Orders, r.Credit(),
+				r.Utilization, r.waitMillis(50), r.waitMillis(90), r.waitMillis(99), r.BeyondShare(), float64(r.AgainTokens)/million, float64(r.FetchedTokens)/million,
+				r.BusiestShare, r.perPrompt(r.Messages), r.perPrompt(r.Candidates)))
 		}
 	}
 	_, err := io.WriteString(w, strings.Join(lines, "\n")+"\n")
--- a/internal/reservation/engine.go
+++ b/internal/reservation/engine.go
@@ -8,7 +8,8 @@
 
 const (
 	// overdueShare is the part of the time that an overdue prompt has taken that it is expected to take further.
-	overdueShare = 0.3
+	// 0.3 to 1 perform alike in package model; with 0.15 a fifth more prompts end late.
+	overdueShare = 0.5
 	// overdueBelief is the part of a head's delay that is expected of the prompts behind it: after a slow prompt
 	// the next one is slow in 55 to 65% of cases.
 	overdueBelief = 0.6
--- a/internal/reservation/ledger.go
+++ b/internal/reservation/ledger.go
@@ -14,7 +14,8 @@
 
 // Request asks for an engine for a prompt.
 type Request struct {
-	// ID identifies the prompt among all prompts of the last seconds.
+	// ID identifies one sending of a prompt among all of the last seconds. A prompt that is sent again, or that was
+	// cancelled, needs another one: the same ID gives the same grant and records nothing, even after Done.
 	ID         uint64
 	Candidates []Candidate
 }
