Use the slowness figure of plain upstreams in choices

Cause: the fourth figure of X-Server-Load was dropped, so that calls went to upstreams where work took 2.5 times as long as on others with as many requests.

Package slowness smooths the figures of each upstream; figures that are stale or contradicted by response times are ignored. ServiceScorer weighs the requests on an upstream by the factor. Upstreams that send no figure, or 100, score as before (TestServiceScorerAvoidsSlowUpstreams).

platform.TestLoadWithMachineSpeedIsKnown required that the figure is dropped; it now requires the decoded value, and that invalid headers are still unknown.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -103,6 +103,10 @@
 	Utilization float64
 	// Requests is the number of running and waiting requests.
 	Requests int
+	// Slowness is how long work is expected to take on an upstream of a plain service, as a factor of the usual time; 0
+	// counts as 1. Slots is the number of requests that the upstream runs at a time; 0 if it is not known.
+	Slowness float64
+	Slots    int
 	// CachedTokens is the estimated number of leading tokens of the request's prompt that the engine has
 	// cached.
 	CachedTokens int
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -63,6 +63,7 @@
 		return attempt.Result{Status: attempt.NoUpstream}
 	}
 	defer func() { r.upstreams.RequestDone(upstream.ID, c.req.ID, r.now()) }()
+	r.recordSlowness(c.req, upstream)
 	answer, err := r.sendCall(ctx, c.exchange, upstream)
 	if err != nil {
 		r.recordFailure(ctx, c.exchange, upstream.ID, err)
@@ -121,6 +122,7 @@
 	}
 	if reply.Status < http.StatusInternalServerError {
 		r.upstreams.RecordCall(to.ID, load.CallSucceeded, r.now())
+		r.upstreams.RecordCallTime(to.ID, r.now()-sentAt)
 	}
 	return bufferedAnswer{reply: reply, head: head, complete: len(head) < maxBufferedBytes}, nil
 }
--- a/internal/relay/meters.go
+++ b/internal/relay/meters.go
@@ -14,11 +14,13 @@
 type meters struct {
 	requests, answered, refused, broken, callerDisconnected metrics.Counter
 	resumed, copied                                         metrics.Counter
-	prefills, direct, saturated                             metrics.Counter
-	limits                                                  limitMeters
-	arrivals                                                arrivalMeters
-	forwards                                                forwardMeters
-	continuations                                           continuationMeters
+	// slowCalls counts the calls that were sent to upstreams that are known to be slow.
+	slowCalls                   metrics.Counter
+	prefills, direct, saturated metrics.Counter
+	limits                      limitMeters
+	arrivals                    arrivalMeters
+	forwards                    forwardMeters
+	continuations               continuationMeters
 }
 
 func counter(name string) metrics.Counter {
@@ -36,7 +38,7 @@
 	return &meters{
 		requests: counter("requests"), answered: counter("answered"), refused: counter("refused"),
 		broken: counter("broken"), callerDisconnected: counter("caller_gone"),
-		resumed: counter("resumed"), copied: counter("gone_on_at_copy"), prefills: counter("prefills"), direct: counter("direct"), saturated: counter("refused_choked"),
+		slowCalls: counter("calls_to_slow"), resumed: counter("resumed"), copied: counter("gone_on_at_copy"), prefills: counter("prefills"), direct: counter("direct"), saturated: counter("refused_choked"),
 		limits: newLimitMeters(), arrivals: newArrivalMeters(), forwards: newForwardMeters(), continuations: newContinuationMeters(),
 	}
 }
--- a/internal/upstreamstate/place.go
+++ b/internal/upstreamstate/place.go
@@ -94,6 +94,9 @@
 func (n *node) aggregateLoad(now time.Duration) placement.AggregateLoad {
 	all := n.totalLoad(now)
 	aggregate := placement.AggregateLoad{Backlog: all.Backlog, DeferredBacklog: all.DeferredBacklog, Utilization: all.Utilization, Requests: all.Requests}
+	if n.Role == "" {
+		aggregate.Slowness, aggregate.Slots = n.work.slowness.Factor(now), n.work.reported.Slots
+	}
 	if n.work.reported.Known && now-n.work.reportedAt < reportedLoadValidFor {
 		aggregate.Requests = max(aggregate.Requests, n.work.reported.Running+n.work.reported.Waiting)
 	}
--- a/internal/upstreamstate/upstreamstate.go
+++ b/internal/upstreamstate/upstreamstate.go
@@ -53,6 +53,8 @@
 type Load struct {
 	Known                   bool
 	Running, Waiting, Slots int
+	// Slowness is how long work takes on the upstream, as a factor of the usual time; 0 if the upstream does not say.
+	Slowness float64
 }
 
 // Settings of a State.
@@ -92,7 +94,9 @@
 	loads *load.Table
 	// models has the learned times of the engines, by service.
 	models map[string]*estimate.Model
-	peers  peerLoads
+	// callTimes has the mean times of the responses of plain services, by service.
+	callTimes map[string]*callTime
+	peers     peerLoads
 	// unreachable has the upstreams that instances could not reach, unavailable those that accept
 	// no requests for a time.
 	unreachable, unavailable notices
@@ -125,7 +129,7 @@
 		settings: s, engineScheduler: placement.NewDisaggregatedScheduler(), serviceScheduler: placement.NewAggregateServiceScheduler(),
 		routeTable: routes.NewTable(0, nil, nil, routes.Limits{}),
 		nodes:      map[string]*node{}, byHash: map[uint32]*node{}, byService: map[string][]*node{}, busy: map[*node]bool{},
-		loads: loads, models: map[string]*estimate.Model{}, peers: newPeerLoads(), parts: newPartTable(),
+		loads: loads, models: map[string]*estimate.Model{}, callTimes: map[string]*callTime{}, peers: newPeerLoads(), parts: newPartTable(),
 		unreachable: newNotices(), unavailable: newNotices(), limits: newLimits(), zoneSent: newSentLoads(), otherZonesSent: newSentLoads(),
 		rng: rand.New(rand.NewPCG(s.Seed, s.Seed)),
 	}
--- a/internal/upstreamstate/work.go
+++ b/internal/upstreamstate/work.go
@@ -5,6 +5,7 @@
 
 	"sassafrasfield/internal/load"
 	"sassafrasfield/internal/placement"
+	"sassafrasfield/internal/slowness"
 )
 
 // workload is this instance's work on one upstream, and what the upstream's answers showed.
@@ -21,6 +22,8 @@
 	// reported is the load that its newest answer reported.
 	reported   Load
 	reportedAt time.Duration
+	// slowness is how long work takes there, according to its answers; used for plain services.
+	slowness slowness.Estimate
 }
 
 // changed records that this instance's load on an upstream differs from the reported one. The lock
@@ -72,6 +75,9 @@
 	if n, ok := s.nodes[id]; ok {
 		s.use(n)
 		n.work.reported, n.work.reportedAt = l, now
+		if l.Slowness > 0 {
+			n.work.slowness.AddFigure(l.Slowness, now)
+		}
 	}
 }
 
