--- a/internal/peers/reservations.go
+++ b/internal/peers/reservations.go
@@ -18,6 +18,9 @@
 	// hub answers within some 10 ms. Without an answer the instance chooses by the reports, which costs less
 	// than a longer wait: half of the prompts take less than 60 ms.
 	reservationTimeout = 25 * time.Millisecond
+	// reservationResend is when a request without an answer is sent once more: the request or its answer may be
+	// lost.
+	reservationResend = 10 * time.Millisecond
 	// reservationPause is how long no reservations are requested from a zone after its hub did not answer. The
 	// next hub takes over within 0.35 s.
 	reservationPause = 200 * time.Millisecond
@@ -117,28 +120,39 @@
 	if hub == "" {
 		return reservation.Grant{}, false
 	}
-	id, answer := r.sendReserveAsk(hub, request)
+	id, answer := r.startReservation(hub, request)
 	defer r.reservationRequests.cancel(id)
-	timer := time.NewTimer(reservationTimeout)
+	timer, resend := time.NewTimer(reservationTimeout), time.NewTimer(reservationResend)
 	defer timer.Stop()
-	select {
-	case granted := <-answer:
-		return granted.Grant, granted.ok
-	case <-timer.C:
-		r.exchange.pauseHub(zone)
-		r.exchange.log.Info("peers: no answer to a reservation", "hub", hub, "zone", zone, "prompt", request.ID, "pause", reservationPause)
-	case <-ctx.Done():
+	defer resend.Stop()
+	for {
+		select {
+		case granted := <-answer:
+			return granted.Grant, granted.ok
+		case <-resend.C:
+			r.sendReserveAsk(id, hub, request)
+			continue
+		case <-timer.C:
+			r.exchange.pauseHub(zone)
+			r.exchange.log.Info("peers: no answer to a reservation", "hub", hub, "zone", zone, "prompt", request.ID, "pause", reservationPause)
+		case <-ctx.Done():
+		}
+		return reservation.Grant{}, false
 	}
-	return reservation.Grant{}, false
 }
 
-// sendReserveAsk sends a request for a reservation to a hub. The answer arrives on the channel.
-func (r *Reporter) sendReserveAsk(hub string, request reservation.Request) (id uint64, answer <-chan reservationAnswer) {
+// startReservation sends a request for a reservation to a hub. The answer arrives on the channel.
+func (r *Reporter) startReservation(hub string, request reservation.Request) (id uint64, answer <-chan reservationAnswer) {
 	id, answer = r.reservationRequests.register()
+	r.sendReserveAsk(id, hub, request)
+	return id, answer
+}
+
+// sendReserveAsk sends a registered request. The hub answers a repeated one in the same way.
+func (r *Reporter) sendReserveAsk(id uint64, hub string, request reservation.Request) {
 	message := r.newPlainDatagram(sfv1.Datagram_KIND_RESERVE_ASK)
 	message.ReserveAsk = reserveAskToMessage(id, request)
 	r.send(message, []string{hub})
-	return id, answer
 }
 
 // reservationAnswer is the answer to a request for a reservation; ok is false if nothing was reserved.
--- a/internal/peers/reservations_test.go
+++ b/internal/peers/reservations_test.go
@@ -20,7 +20,7 @@
 	if hub == "" {
 		return nil
 	}
-	_, answer := n.sendReserveAsk(hub, request)
+	_, answer := n.startReservation(hub, request)
 	return answer
 }
 
@@ -104,7 +104,7 @@
 		}
 		from, to = to, n
 	}
-	_, answer := from.sendReserveAsk(to.exchange.self.Address, reservation.Request{ID: 1, Candidates: []reservation.Candidate{{Engine: 1}}})
+	_, answer := from.startReservation(to.exchange.self.Address, reservation.Request{ID: 1, Candidates: []reservation.Candidate{{Engine: 1}}})
 	f.run(4 * virtualTick)
 	select {
 	case a := <-answer:
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -64,6 +64,7 @@
 		return attempt.Result{Status: attempt.NoUpstream}
 	}
 	defer func() { r.upstreams.RequestDone(upstream.ID, c.req.ID, r.now()) }()
+	r.recordSlowness(c.req, upstream)
 	answer, err := r.sendCall(ctx, c.exchange, upstream)
 	if err != nil {
 		r.recordFailure(ctx, c.exchange, upstream.ID, err)
@@ -123,6 +124,7 @@
 	}
 	if reply.Status < http.StatusInternalServerError {
 		r.upstreams.RecordCall(to.ID, load.CallSucceeded, r.now())
+		r.upstreams.RecordCallTime(to.ID, r.now()-sentAt)
 	}
 	return answer, nil
 }
