--- a/internal/placement/costs.go
+++ b/internal/placement/costs.go
@@ -132,17 +132,12 @@
 	return time.Duration(float64(c.MemoryPrice) * float64(missing) / float64(c.CacheTokens))
 }
 
-// maxCopyShare bounds the cost of another copy where the waits are known exactly, as a share of the time to process
-// the missing tokens. The price of the memory alone can make a copy ten times as expensive as that time, so that
-// prompts queue at one engine while others are idle. Below 1, an idle engine is better than a wait of the time that it
-// takes to process the part again.
-const maxCopyShare = 0.75
-
-// boundedCopyCost returns the cost of another copy of the shared part where the waits are known exactly.
+// boundedCopyCost returns the cost of another copy of the shared part where the waits are known exactly: at most the
+// time to process the missing tokens. The price of the memory alone can be ten times as long, so that prompts queue
+// at one engine while others are idle.
 func (c Costs) boundedCopyCost(p Prompt, cached int) time.Duration {
 	shared := Prompt{Tokens: p.SharedTokens()}
-	bound := maxCopyShare * float64(c.prefillTime(shared, min(cached, shared.Tokens)))
-	return min(c.copyCost(p, cached), time.Duration(bound))
+	return min(c.copyCost(p, cached), c.prefillTime(shared, min(cached, shared.Tokens)))
 }
 
 // scoreScale is the predicted time that halves a score. It has no effect on the order of the candidates.
--- a/internal/relay/reservations.go
+++ b/internal/relay/reservations.go
@@ -140,7 +140,7 @@
 
 // cost returns the predicted time of the prompt, with the other costs of the choice.
 func (o offer) cost() time.Duration {
-	return o.granted.Wait + time.Duration(float64(o.granted.Busy)*o.granted.Speed) + o.choice.Extra
+	return o.granted.Wait + time.Duration(float64(o.granted.Busy+o.choice.Extra)*o.granted.Speed)
 }
 
 // prefill returns the placement of the prompt with what the hub knows about the engine.
--- a/internal/reservation/ledger.go
+++ b/internal/reservation/ledger.go
@@ -7,8 +7,8 @@
 	Engine uint32
 	// Busy is the predicted time to process the prompt on the engine, at the usual speed.
 	Busy time.Duration
-	// Extra is the cost of choosing the engine in addition to its queue and the work. It is used only to
-	// compare candidates.
+	// Extra is the cost of choosing the engine in addition to its queue and the work, as a time at the usual
+	// speed. It is used only to compare candidates.
 	Extra time.Duration
 }
 
@@ -137,7 +137,7 @@
 	var lowest, bestFree time.Duration
 	for _, c := range candidates {
 		wait, speed := l.expect(c.Engine, now)
-		cost := wait + scale(c.Busy, speed) + c.Extra
+		cost := wait + scale(c.Busy+c.Extra, speed)
 		free := l.freeSince(c.Engine)
 		if !ok || cost < lowest || cost == lowest && free < bestFree {
 			best, lowest, bestFree, ok = c, cost, free, true
