Eject engines whose prompts move and that answer nobody

Cause: a prompt that moves does not blame its engine, and moves before the engine counts as silent. An engine that never answers then looked idle and got each further prompt. Before: 12 sends for 4 requests in TestEngineThatNeverAnswersIsEjected; after: at most 11, as the engine is ejected.

--- a/internal/relay/relocate.go
+++ b/internal/relay/relocate.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"sassafrasfield/internal/load"
 	"sassafrasfield/internal/placement"
 	"sassafrasfield/internal/relocation"
 )
@@ -42,12 +43,21 @@
 
 	mu     sync.Mutex // protects delays and what they hold
 	delays map[string]*relocation.Delays
+	// silent has the engines that answered nothing since a prompt was sent that then moved.
+	silent map[string]silence
+}
+
+// silence is the time of the first send to an engine that has answered nothing since, and the number of prompts that moved
+// away from there.
+type silence struct {
+	since time.Duration
+	moved int
 }
 
 func newRelocator() *relocator {
 	return &relocator{
 		moved: counter("prompts_moved"), denied: counter("prompt_moves_denied"), replaced: counter("prompts_placed_again"),
-		hopeless: counter("refused_hopeless"), delays: map[string]*relocation.Delays{},
+		hopeless: counter("refused_hopeless"), delays: map[string]*relocation.Delays{}, silent: map[string]silence{},
 	}
 }
 
@@ -186,10 +196,37 @@
 	}
 	if errors.Is(w.err, errRelocated) {
 		w.g.moves++
+		r.recordSilence(w.start.Engine.ID, w.sent, w.predicted())
 	}
 	return errors.WithMessage(w.err, sendErr.Error())
 }
 
+// recordSilence records that a prompt moved away from an engine. The prompts that moved count as failures of the engine only
+// once it has answered nobody for as long as cancelWhenSilent waits, since the first of them was sent.
+func (r *Relay) recordSilence(id string, sent, predicted time.Duration) {
+	now := r.now()
+	r.relocator.mu.Lock()
+	silent, ok := r.relocator.silent[id]
+	if !ok || r.upstreams.AnsweredSince(id, silent.since) {
+		silent = silence{since: sent}
+	}
+	silent.moved++
+	r.relocator.silent[id] = silent
+	failed := !r.upstreams.AnsweredSince(id, silent.since) && now-silent.since >= predicted+r.settings.PrefillIdleTimeout
+	if failed || r.upstreams.Upstream(id).ID == "" {
+		delete(r.relocator.silent, id)
+	}
+	r.relocator.mu.Unlock()
+	if !failed {
+		return
+	}
+	ejected := false
+	for range silent.moved {
+		ejected = r.upstreams.RecordCall(id, load.CallFailed, now) || ejected
+	}
+	r.log.Info("relay: engine silent", "engine", id, "for", now-silent.since, "moved", silent.moved, "ejected", ejected)
+}
+
 // relocationInput returns the input of a decision on a prompt that was sent to an engine, or is about to, and the best
 // engine that is not excluded; empty if there is none.
 func (r *Relay) relocationInput(g *generation, start placement.Prefill, excluded map[string]bool, since time.Duration) (relocation.Input, string) {
--- a/internal/relay/relocate_test.go
+++ b/internal/relay/relocate_test.go
@@ -151,3 +151,21 @@
 		t.Errorf("refused after %v and %d sends", elapsed, s.count())
 	}
 }
+
+// TestEngineThatNeverAnswersIsEjected guards against an engine that answers nobody and is never blamed, because each of
+// its prompts moves before the engine counts as silent. It then looks idle, and each further prompt costs a retry.
+func TestEngineThatNeverAnswersIsEjected(t *testing.T) {
+	first, _ := firstChoice(t, longPrompt("/once/1"))
+	s := newStuckSender(first)
+	r := newSlowRelay(t, s)
+	r.settings.PrefillIdleTimeout = 650 * time.Millisecond
+	withLargeBudget(r)
+	for range 4 {
+		if _, err := serve(r, longPrompt("/once/1")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := len(s.calls); n > 3*3+2 {
+		t.Errorf("%d sends, want 3 for each of at most three requests, and 2 after the engine was ejected", n)
+	}
+}
