--- a/internal/model/reservations_test.go
+++ b/internal/model/reservations_test.go
@@ -81,7 +81,7 @@
 // Guards against copies of shared parts that cost throughput when engines are overloaded and their memory holds one
 // copy of each part: with a price bounded by the work alone, the credit fell from 0.89 to 0.71.
 func TestReservationsKeepThroughputInOverload(t *testing.T) {
-	const pattern, length = "overload, memory for one copy", 16 * time.Second
+	const pattern, length = "overload, memory for one copy", 34 * time.Second
 	reports, reserved := runShort(t, length, pattern, "reports"), runShort(t, length, pattern, "reserved, second zone")
 	if reserved.Credit() < reports.Credit()-0.03 {
 		t.Errorf("credit %.3f with reservations, %.3f by reports", reserved.Credit(), reports.Credit())
