--- a/internal/model/reservations.go
+++ b/internal/model/reservations.go
@@ -180,11 +180,11 @@
 func (r *run) cost(req *request, choices []placement.PrefillChoice, grant reservation.Grant) time.Duration {
 	for _, choice := range choices {
 		if r.byID[choice.Engine.ID].number == grant.Engine {
-			extra := r.extra(req, choice)
+			price := r.copyPrice(req, choice)
 			if r.policy.PriceByWait {
-				extra = reservation.CopyCost(extra, grant.Busy, grant.Wait)
+				price = reservation.CopyCost(price, grant.Busy, grant.Wait)
 			}
-			return grant.Wait + time.Duration(float64(grant.Busy)*grant.Speed) + extra
+			return grant.Wait + time.Duration(float64(grant.Busy)*grant.Speed) + choice.Extra + price
 		}
 	}
 	return 0
@@ -243,22 +243,24 @@
 	})
 }
 
-// extra returns the extra cost of a choice.
-func (r *run) extra(req *request, choice placement.PrefillChoice) time.Duration {
+// copyPrice returns the price of another copy with a choice. It is bounded by a share of the work if the policy says so.
+func (r *run) copyPrice(req *request, choice placement.PrefillChoice) time.Duration {
 	if r.policy.MaxCopyShare == 0 {
-		return choice.Extra
+		return choice.Copy
 	}
 	missing := max(0, req.prompt.SharedTokens()-choice.Engine.Aggregate.CachedTokens)
-	return min(choice.Extra, time.Duration(r.policy.MaxCopyShare*float64(missing)*r.pattern.Fleet.Engine.TokenTime))
+	return min(choice.Copy, time.Duration(r.policy.MaxCopyShare*float64(missing)*r.pattern.Fleet.Engine.TokenTime))
 }
 
 // reservationRequest converts choices to candidates. It adds the reported load while the ledger is young.
 func (r *run) reservationRequest(req *request, choices []placement.PrefillChoice, h *hub) reservation.Request {
 	request := reservation.Request{ID: req.number}
 	for _, choice := range choices {
-		c := reservation.Candidate{Engine: r.byID[choice.Engine.ID].number, Busy: choice.BusyTime, Extra: r.extra(req, choice)}
+		c := reservation.Candidate{Engine: r.byID[choice.Engine.ID].number, Busy: choice.BusyTime, Extra: choice.Extra}
 		if r.policy.PriceByWait {
-			c.Extra, c.Copy = 0, choice.Extra
+			c.Copy = choice.Copy
+		} else {
+			c.Extra += r.copyPrice(req, choice)
 		}
 		if r.now-h.startAt < ledgerYoung {
 			c.Extra += choice.Engine.Aggregate.Backlog
--- a/internal/placement/prefill_choices.go
+++ b/internal/placement/prefill_choices.go
@@ -9,14 +9,15 @@
 // PrefillChoice is a prefill engine that may process a prompt.
 type PrefillChoice struct {
 	Prefill
-	// Extra is the cost of the choice besides the engine's queue and the prompt's work: that of another copy of
-	// the shared part, and of the generation.
+	// Extra is the cost of the choice besides the engine's queue and the prompt's work: that of the generation.
 	Extra time.Duration
+	// Copy is the price of another copy of the shared part on the engine, in full.
+	Copy time.Duration
 }
 
 // cost returns the cost of a choice by the load that the instances reported.
 func (c PrefillChoice) cost() time.Duration {
-	return c.Engine.Aggregate.Backlog + c.BusyTime + c.Extra
+	return c.Engine.Aggregate.Backlog + c.BusyTime + c.Extra + c.Copy
 }
 
 // PrefillChoices returns up to limit prefill engines of the zone of the best one, the best first. It
@@ -59,7 +60,7 @@
 		}
 		choice.Extra = req.generation.of(c)
 		if scorer.prefill.Node != c.ID {
-			choice.Extra += req.Costs.copyCost(req.Prompt, c.Aggregate.CachedTokens)
+			choice.Copy = req.Costs.copyCost(req.Prompt, c.Aggregate.CachedTokens)
 		}
 		choices = append(choices, choice)
 	}
--- a/internal/reservation/ledger.go
+++ b/internal/reservation/ledger.go
@@ -69,6 +69,8 @@
 	// byAge holds the entries in the order of their placement, including ended ones.
 	byAge []*entry
 	ended endedIDs
+	// expected is reused for the candidates of each choice.
+	expected []expectation
 	// usualSpeed is set if all engines are taken to have the usual speed.
 	usualSpeed bool
 }
@@ -144,11 +146,12 @@
 // best returns the candidate with the lowest expected time. Of equal ones it returns the one that has been idle
 // for the longest, which spreads the prompts, the cached parts and the observations of speeds.
 func (l *Ledger) best(candidates []Candidate, now time.Duration) (best Candidate, ok bool) {
-	shortest := l.shortestWait(candidates, now)
+	expected := l.expectAll(candidates, now)
+	shortest := shortestWait(expected)
 	var lowest, bestFree time.Duration
-	for _, c := range candidates {
-		wait, speed := l.expect(c.Engine, now)
-		cost := wait + scale(c.Busy, speed) + c.Extra + CopyCost(c.Copy, c.Busy, shortest)
+	for i, c := range candidates {
+		on := expected[i]
+		cost := on.wait + scale(c.Busy, on.speed) + c.Extra + CopyCost(c.Copy, c.Busy, shortest)
 		free := l.freeSince(c.Engine)
 		if !ok || cost < lowest || cost == lowest && free < bestFree {
 			best, lowest, bestFree, ok = c, cost, free, true
@@ -157,23 +160,39 @@
 	return best, ok
 }
 
-// CopyCost returns the bounded price of another copy on an engine that needs a time for the prompt, where the next
-// engine is ready after the shortest wait.
-func CopyCost(price, busy, shortestWait time.Duration) time.Duration {
-	return min(price, scale(busy, copyShare)+copyPerWait*shortestWait)
+// expectation is the predicted waiting time and the speed of an engine.
+type expectation struct {
+	wait  time.Duration
+	speed float64
 }
 
-// shortestWait returns the shortest predicted waiting time of the candidates.
-func (l *Ledger) shortestWait(candidates []Candidate, now time.Duration) time.Duration {
+// expectAll returns what to expect of each candidate. The result is valid until the next call.
+func (l *Ledger) expectAll(candidates []Candidate, now time.Duration) []expectation {
+	l.expected = l.expected[:0]
+	for _, c := range candidates {
+		wait, speed := l.expect(c.Engine, now)
+		l.expected = append(l.expected, expectation{wait: wait, speed: speed})
+	}
+	return l.expected
+}
+
+// shortestWait returns the shortest of the waiting times; 0 for none.
+func shortestWait(expected []expectation) time.Duration {
 	var shortest time.Duration
-	for i, c := range candidates {
-		if wait, _ := l.expect(c.Engine, now); i == 0 || wait < shortest {
-			shortest = wait
+	for i, e := range expected {
+		if i == 0 || e.wait < shortest {
+			shortest = e.wait
 		}
 	}
 	return shortest
 }
 
+// CopyCost returns the bounded price of another copy on an engine that needs a time for the prompt, where the next
+// engine is ready after the shortest wait.
+func CopyCost(price, busy, shortestWait time.Duration) time.Duration {
+	return min(price, scale(busy, copyShare)+copyPerWait*shortestWait)
+}
+
 // expect returns the predicted waiting time and the speed of an engine.
 func (l *Ledger) expect(id uint32, now time.Duration) (wait time.Duration, speed float64) {
 	on := l.engines[id]
--- a/internal/reservation/properties_test.go
+++ b/internal/reservation/properties_test.go
@@ -137,7 +137,7 @@
 			list[i].Extra = time.Duration(rapid.IntRange(0, 300).Draw(t, "extra")) * ms
 			list[i].Copy = time.Duration(rapid.IntRange(0, 3000).Draw(t, "copy")) * ms
 		}
-		shortest := l.shortestWait(list, now)
+		shortest := shortestWait(l.expectAll(list, now))
 		costs := map[uint32]time.Duration{}
 		for _, c := range list {
 			wait, speed := l.expect(c.Engine, now)
