--- a/internal/peers/reservations.go
+++ b/internal/peers/reservations.go
@@ -271,15 +271,16 @@
 		m.Engines = append(m.Engines, c.Engine)
 		m.Busy = append(m.Busy, micros(c.Busy))
 		m.Extra = append(m.Extra, micros(c.Extra))
+		m.Copy = append(m.Copy, micros(c.Copy))
 	}
 	return m
 }
 
 func reserveAskFromMessage(m *sfv1.ReserveAsk) reservation.Request {
 	request := reservation.Request{ID: m.GetPrompt()}
-	for i, engine := range m.GetEngines()[:min(len(m.GetEngines()), len(m.GetBusy()), len(m.GetExtra()))] {
+	for i, engine := range m.GetEngines()[:min(len(m.GetEngines()), len(m.GetBusy()), len(m.GetExtra()), len(m.GetCopy()))] {
 		request.Candidates = append(request.Candidates, reservation.Candidate{
-			Engine: engine, Busy: fromMicros(m.GetBusy()[i]), Extra: fromMicros(m.GetExtra()[i]),
+			Engine: engine, Busy: fromMicros(m.GetBusy()[i]), Extra: fromMicros(m.GetExtra()[i]), Copy: fromMicros(m.GetCopy()[i]),
 		})
 	}
 	return request
--- a/internal/peers/reservations_test.go
+++ b/internal/peers/reservations_test.go
@@ -166,8 +166,8 @@
 
 // FuzzReserveAsk guards against a datagram with lists of different lengths that stops the instance which decodes it.
 func FuzzReserveAsk(f *testing.F) {
-	f.Add(3, 2, 1, uint32(7))
-	f.Fuzz(func(t *testing.T, engines, busy, extra int, value uint32) {
+	f.Add(3, 2, 1, 2, uint32(7))
+	f.Fuzz(func(t *testing.T, engines, busy, extra, copies int, value uint32) {
 		const most = 64
 		list := func(n int) []uint32 {
 			values := make([]uint32, min(max(0, n), most))
@@ -177,7 +177,7 @@
 			return values
 		}
 		m := reserveAskToMessage(1, reservation.Request{ID: 1})
-		m.Engines, m.Busy, m.Extra = list(engines), list(busy), list(extra)
+		m.Engines, m.Busy, m.Extra, m.Copy = list(engines), list(busy), list(extra), list(copies)
 		request := reserveAskFromMessage(m)
 		reservation.NewLedger().Reserve(request, time.Second)
 	})
--- a/internal/placement/costs.go
+++ b/internal/placement/costs.go
@@ -132,14 +132,6 @@
 	return time.Duration(float64(c.MemoryPrice) * float64(missing) / float64(c.CacheTokens))
 }
 
-// boundedCopyCost returns the cost of another copy of the shared part where the waits are known exactly: at most the
-// time to process the missing tokens. The price of the memory alone can be ten times as long, so that prompts queue
-// at one engine while others are idle.
-func (c Costs) boundedCopyCost(p Prompt, cached int) time.Duration {
-	shared := Prompt{Tokens: p.SharedTokens()}
-	return min(c.copyCost(p, cached), c.prefillTime(shared, min(cached, shared.Tokens)))
-}
-
 // scoreScale is the predicted time that halves a score. It has no effect on the order of the candidates.
 const scoreScale = 500 * time.Millisecond
 
--- a/internal/placement/prefill_choices.go
+++ b/internal/placement/prefill_choices.go
@@ -9,11 +9,15 @@
 // PrefillChoice is a prefill engine that may process a prompt.
 type PrefillChoice struct {
 	Prefill
-	// Extra is the cost of the choice besides the engine's queue and the prompt's work: that of another copy of
-	// the shared part, and of the generation. It is for a choice whose waits are known exactly.
+	// Extra is the cost of the choice besides the engine's queue and the prompt's work: that of the generation.
 	Extra time.Duration
-	// reported is the cost of the choice by the load that the instances reported.
-	reported time.Duration
+	// Copy is the price of another copy of the shared part on the engine, in full.
+	Copy time.Duration
+}
+
+// cost returns the cost of a choice by the load that the instances reported.
+func (c PrefillChoice) cost() time.Duration {
+	return c.Engine.Aggregate.Backlog + c.BusyTime + c.Extra + c.Copy
 }
 
 // PrefillChoices returns up to limit prefill engines of the zone of the best one, the best first. It
@@ -35,7 +39,7 @@
 		return nil
 	}
 	slices.SortFunc(choices, func(a, b PrefillChoice) int {
-		return cmp.Or(cmp.Compare(a.reported, b.reported), cmp.Compare(a.Engine.ID, b.Engine.ID))
+		return cmp.Or(cmp.Compare(a.cost(), b.cost()), cmp.Compare(a.Engine.ID, b.Engine.ID))
 	})
 	zone := choices[0].Engine.Zone
 	choices = slices.DeleteFunc(choices, func(c PrefillChoice) bool { return c.Engine.Zone != zone })
@@ -55,10 +59,8 @@
 			continue
 		}
 		choice.Extra = req.generation.of(c)
-		choice.reported = c.Aggregate.Backlog + choice.BusyTime + choice.Extra
 		if scorer.prefill.Node != c.ID {
-			choice.Extra += req.Costs.boundedCopyCost(req.Prompt, c.Aggregate.CachedTokens)
-			choice.reported += req.Costs.copyCost(req.Prompt, c.Aggregate.CachedTokens)
+			choice.Copy = req.Costs.copyCost(req.Prompt, c.Aggregate.CachedTokens)
 		}
 		choices = append(choices, choice)
 	}
--- a/internal/relay/reservations.go
+++ b/internal/relay/reservations.go
@@ -140,7 +140,8 @@
 
 // cost returns the predicted time of the prompt, with the other costs of the choice.
 func (o offer) cost() time.Duration {
-	return o.granted.Wait + time.Duration(float64(o.granted.Busy+o.choice.Extra)*o.granted.Speed)
+	work := time.Duration(float64(o.granted.Busy) * o.granted.Speed)
+	return o.granted.Wait + work + o.choice.Extra + reservation.CopyCost(o.choice.Copy, o.granted.Busy, o.granted.Wait)
 }
 
 // prefill returns the placement of the prompt with what the hub knows about the engine.
@@ -214,7 +215,7 @@
 	}
 	ask := reservation.Request{ID: prompt}
 	for _, choice := range choices {
-		ask.Candidates = append(ask.Candidates, reservation.Candidate{Engine: r.hashOf(choice), Busy: choice.BusyTime, Extra: choice.Extra})
+		ask.Candidates = append(ask.Candidates, reservation.Candidate{Engine: r.hashOf(choice), Busy: choice.BusyTime, Extra: choice.Extra, Copy: choice.Copy})
 	}
 	zone := choices[0].Engine.Zone
 	granted, ok := r.reservations.client.RequestReservation(ctx, zone, ask)
--- a/internal/reservation/ledger.go
+++ b/internal/reservation/ledger.go
@@ -7,9 +7,12 @@
 	Engine uint32
 	// Busy is the predicted time to process the prompt on the engine, at the usual speed.
 	Busy time.Duration
-	// Extra is the cost of choosing the engine in addition to its queue and the work, as a time at the usual
-	// speed. It is used only to compare candidates.
+	// Extra is the cost of choosing the engine in addition to its queue and the work. It is used only to
+	// compare candidates.
 	Extra time.Duration
+	// Copy is the price of another copy of the prompt's shared part in the engine's cache; 0 for none. Reserve
+	// bounds it as long as an engine is ready soon.
+	Copy time.Duration
 }
 
 // Request asks for an engine for a prompt.
@@ -33,6 +36,13 @@
 }
 
 const (
+	// copyShare and copyPerWait bound the price of a copy: to the share of the prompt's work, plus a multiple of the
+	// shortest wait of the candidates. While an engine is idle, a copy costs at most the work to process evicted
+	// parts again, and there is time for it. Without the bound prompts queue at the engines that have their part
+	// cached while others are idle. When all engines have a queue, each copy costs throughput: with the first term
+	// alone, overloaded engines with scarce memory processed a tenth more tokens (docs/design/reservations.md).
+	copyShare   = 0.25
+	copyPerWait = 10
 	// maxEngines bounds the engines of a ledger. The largest fleet that the project is designed for has 1,900.
 	maxEngines = 4096
 	// maxEntries bounds the prompts of a ledger: 10 s of 1,300 prompts per second, more than twice the time
@@ -59,6 +69,8 @@
 	// byAge holds the entries in the order of their placement, including ended ones.
 	byAge []*entry
 	ended endedIDs
+	// expected is reused for the candidates of each choice.
+	expected []expectation
 	// usualSpeed is set if all engines are taken to have the usual speed.
 	usualSpeed bool
 }
@@ -134,10 +146,12 @@
 // best returns the candidate with the lowest expected time. Of equal ones it returns the one that has been idle
 // for the longest, which spreads the prompts, the cached parts and the observations of speeds.
 func (l *Ledger) best(candidates []Candidate, now time.Duration) (best Candidate, ok bool) {
+	expected := l.expectAll(candidates, now)
+	shortest := shortestWait(expected)
 	var lowest, bestFree time.Duration
-	for _, c := range candidates {
-		wait, speed := l.expect(c.Engine, now)
-		cost := wait + scale(c.Busy+c.Extra, speed)
+	for i, c := range candidates {
+		on := expected[i]
+		cost := on.wait + scale(c.Busy, on.speed) + c.Extra + CopyCost(c.Copy, c.Busy, shortest)
 		free := l.freeSince(c.Engine)
 		if !ok || cost < lowest || cost == lowest && free < bestFree {
 			best, lowest, bestFree, ok = c, cost, free, true
@@ -146,6 +160,39 @@
 	return best, ok
 }
 
+// expectation is the predicted waiting time and the speed of an engine.
+type expectation struct {
+	wait  time.Duration
+	speed float64
+}
+
+// expectAll returns what to expect of each candidate. The result is valid until the next call.
+func (l *Ledger) expectAll(candidates []Candidate, now time.Duration) []expectation {
+	l.expected = l.expected[:0]
+	for _, c := range candidates {
+		wait, speed := l.expect(c.Engine, now)
+		l.expected = append(l.expected, expectation{wait: wait, speed: speed})
+	}
+	return l.expected
+}
+
+// shortestWait returns the shortest of the waiting times; 0 for none.
+func shortestWait(expected []expectation) time.Duration {
+	var shortest time.Duration
+	for i, e := range expected {
+		if i == 0 || e.wait < shortest {
+			shortest = e.wait
+		}
+	}
+	return shortest
+}
+
+// CopyCost returns the bounded price of another copy on an engine that needs a time for the prompt, where the next
+// engine is ready after the shortest wait.
+func CopyCost(price, busy, shortestWait time.Duration) time.Duration {
+	return min(price, scale(busy, copyShare)+copyPerWait*shortestWait)
+}
+
 // expect returns the predicted waiting time and the speed of an engine.
 func (l *Ledger) expect(id uint32, now time.Duration) (wait time.Duration, speed float64) {
 	on := l.engines[id]
