entry: free the model version of a request that no engine ran

The first attempt at a request set the model version of its engine, also when that engine refused the request or was not reached. Every later attempt then needed an engine of the same version. During a change of the version the engine may be the last one of its version, and the request was refused as "no engine can take the request now" while engines of the other version served. The version is now kept only once a part of the answer was delivered, or if the caller asked for it.

TestRefusedRequestMayRunAtAnotherVersion failed before (one send instead of two); go test -race ./internal/entry passes.

--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -76,9 +76,18 @@
 // Started implements attempt.Call.
 func (g *generation) Started() bool { return g.assembler.Next() > 0 }
 
+// freeVersion lets the answer be made at any version that the caller accepts, until a part of it was delivered. An
+// earlier attempt has set the version of its engine, which may have been the last one of that version.
+func (g *generation) freeVersion() {
+	if g.comp.resume == nil && !g.Started() {
+		g.comp.version = g.comp.requestedVersion
+	}
+}
+
 // Try implements attempt.Call.
 func (g *generation) Try(ctx context.Context) attempt.Result {
 	comp, s := g.comp, g.server
+	g.freeVersion()
 	if s.quarantines.quarantined(comp.content) {
 		return attempt.Result{Status: attempt.NoUpstream, Err: errQuarantined}
 	}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -30,13 +30,16 @@
 	requestedModel string // as the caller wrote it, with adapter and version
 	modelName      string
 	adapter        string
-	version        string
-	prompt         string
-	promptTokens   int
-	maxTokens      int
-	seed           int64
-	priority       int
-	sampling       engine.Sampling
+	// version is the model version of the answer: the requested one, or that of the engine that was chosen.
+	version string
+	// requestedVersion is the version that the caller wrote; empty for any.
+	requestedVersion string
+	prompt           string
+	promptTokens     int
+	maxTokens        int
+	seed             int64
+	priority         int
+	sampling         engine.Sampling
 	// pool is the pool in which the request was placed last.
 	pool string
 	// kvHandle is the handle of the prompt's KV cache at the decode engine.
@@ -114,7 +117,8 @@
 
 func (s *Server) applyBody(comp *completion, req *callerapi.Request) error {
 	comp.requestedModel = req.Model
-	comp.modelName, comp.adapter, comp.version = callerapi.SplitModel(req.Model)
+	comp.modelName, comp.adapter, comp.requestedVersion = callerapi.SplitModel(req.Model)
+	comp.version = comp.requestedVersion
 	model := s.state.config().Model(comp.modelName)
 	if model == nil || !mayUse(model, comp.organisation) {
 		return notFound("model_not_found", fmt.Sprintf("the model %q does not exist or is not yours to use", req.Model))
