entry: log why no further engine is tried

The one line about a refused request had only the text of the refusal, so that a failure of TestLeaseHolderKilledAtEachStep could not be traced. The entry now logs the sends, the failed engines, the version, how many engines serve, how many of them have that version, whether the retry budget denied a retry, and the last error. The tests of operatorcli print these lines if a stream fails.

--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -47,9 +47,17 @@
 	if ctx.Err() != nil {
 		return errCallerDisconnected
 	}
+	g.logNoEngine(verdict)
 	return s.finalRefusal(comp, g.attempts.Outcome(), g.attempts.LastError())
 }
 
+// logNoEngine logs why no further engine is tried.
+func (g *generation) logNoEngine(verdict attempt.Verdict) {
+	serving, ofVersion := g.server.state.countServing(g.comp.version)
+	g.server.log.Info("request: no engine left", "request", g.comp.id, "sends", g.attempts.Sends(), "failed", len(g.attempts.Excluded()), "denied", verdict == attempt.Denied,
+		"version", g.comp.version, "serving", serving, "of_version", ofVersion, "error", g.attempts.LastError())
+}
+
 // resume continues the stream of an earlier answer if its engine still holds it. If over is true, the
 // answer has ended with err, and no other engine is tried.
 func (g *generation) resume(ctx context.Context) (over bool, err error) {
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -103,6 +103,23 @@
 	return s.keys.Owner(c)
 }
 
+// countServing returns the number of engines that accept new work, and of those that have loaded a model version; all
+// have it if it is empty.
+func (s *state) countServing(version string) (serving, ofVersion int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.engines {
+		if e.Routing != config.RoutingServing || e.Leave || s.draining[e.ID] {
+			continue
+		}
+		serving++
+		if version == "" || e.Loaded.Version == version {
+			ofVersion++
+		}
+	}
+	return serving, ofVersion
+}
+
 // streams returns the number of this entry's streams on each configured engine.
 func (s *state) streams() map[string]int {
 	s.mu.Lock()
--- a/internal/operatorcli/fleet_test.go
+++ b/internal/operatorcli/fleet_test.go
@@ -257,6 +257,9 @@
 	for _, fault := range c.faults {
 		c.f.t.Error(fault)
 	}
+	if len(c.faults) > 0 {
+		c.f.logRefusals()
+	}
 	for seed, answer := range c.answers {
 		if !isCompleteAnswer(seed, answer.Text) {
 			c.f.t.Errorf("seed %d: %d bytes that are not the complete answer of any version", seed, len(answer.Text))
@@ -267,6 +270,22 @@
 	}
 }
 
+// logRefusals prints why entries found no engine. Their logs are removed when the test ends.
+func (f *planFleet) logRefusals() {
+	f.t.Helper()
+	for _, instance := range f.Instances {
+		text, err := os.ReadFile(filepath.Join(f.Dir, instance.ID+"-entry.log"))
+		if err != nil {
+			f.t.Log(err)
+		}
+		for line := range strings.Lines(string(text)) {
+			if strings.Contains(line, "no engine left") {
+				f.t.Log(strings.TrimSpace(line))
+			}
+		}
+	}
+}
+
 // lastVersion is the highest version that the tests declare.
 const lastVersion = 20
 
