entry: quarantine beginnings of prompts that crash engines

entry quarantined whole contents only, so prompts of which no two are alike, but which begin with the same text, crashed one engine after the other. Its callers name no parts. Whole answers clear the parts, and so does an engine that generates for a second. Such requests are refused as not run with the code part_set_apart, and once a quarantine is over one of them tries the part again.

--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -51,8 +51,8 @@
 		if comp.resume != nil && comp.resume.Done {
 			return out.finish()
 		}
-		if s.quarantines.quarantined(comp.content) {
-			return quarantineRefusal()
+		if subject, blocked := s.quarantines.blockedBy(comp); blocked {
+			return quarantineRefusal(subject)
 		}
 		if err := s.admit(c, comp); err != nil {
 			return err
--- a/internal/entry/final_refusal.go
+++ b/internal/entry/final_refusal.go
@@ -10,9 +10,10 @@
 // finalRefusal returns the refusal of an answer that no engine completed. The result covers all attempts:
 // it says whether any of them may have run the request.
 func (s *Server) finalRefusal(comp *completion, result outcome.Outcome, last error) error {
+	var quarantined quarantinedError
 	switch {
-	case errors.Is(last, errQuarantined) && result == outcome.NotRun:
-		return quarantineRefusal()
+	case errors.As(last, &quarantined) && result == outcome.NotRun:
+		return quarantineRefusal(quarantined.subject)
 	case comp.resume == nil && result == outcome.NotRun:
 		return notRun("no_engine", "no engine can take the request now", defaultRetryAfter)
 	case errors.Is(last, stream.ErrDiverged):
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -112,7 +112,9 @@
 	if !stall.pace.Started() {
 		s.state.started(f.engineID, f.comp.id)
 		s.admission.firstToken(f.comp)
+		f.begunAt = s.now()
 	}
+	s.recordIfAlive(f.generation)
 	stall.pieceArrived(s.now())
 	if err := s.deliver(f, a.piece); err != nil {
 		return err
--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel/attribute"
@@ -23,6 +24,10 @@
 	assembler *stream.Assembler
 	out       sink
 	attempts  *attempt.Attempts
+	// begunAt is when the current engine sent its first piece; 0 before. aliveRecorded is set once it has been
+	// generating for crashWindow.
+	begunAt       time.Duration
+	aliveRecorded bool
 }
 
 // answer sends the complete answer to the sink, using as many engines as necessary within the retry
@@ -96,8 +101,8 @@
 func (g *generation) Try(ctx context.Context) attempt.Result {
 	comp, s := g.comp, g.server
 	g.freeVersion()
-	if s.quarantines.quarantined(comp.content) {
-		return attempt.Result{Status: attempt.NoUpstream, Err: errQuarantined}
+	if subject, blocked := s.quarantines.blockedBy(comp); blocked {
+		return attempt.Result{Status: attempt.NoUpstream, Err: quarantinedError{subject}}
 	}
 	placed, ok := s.state.assign(&placement.Request{
 		Model: comp.modelName, Adapter: comp.adapter, Version: comp.version,
@@ -145,6 +150,7 @@
 	}
 	client := s.engineAt(chosen.Address)
 	before := g.assembler.Next()
+	g.begunAt, g.aliveRecorded = 0, false
 	boot := ""
 	source, err := s.generate(ctx, client, comp.engineRequest(g.assembler.Restart(), attach))
 	if err == nil {
@@ -154,7 +160,7 @@
 	}
 	if err == nil {
 		s.recordCall(chosen.ID, load.CallSucceeded)
-		s.quarantines.recordServed(comp.content)
+		s.quarantines.recordServed(comp.subjects()...)
 		return nil
 	}
 	if errors.Is(context.Cause(ctx), errStopping) {
@@ -166,7 +172,7 @@
 	// A resumption that brings no piece does not show a fault of the engine: the token may be wrong, or
 	// the entry that served the caller before may have cancelled the stream.
 	blame := !errors.Is(err, errCallerDisconnected) && (comp.resume == nil || g.assembler.Next() > before)
-	s.recordIfCrashed(ctx, chosen.ID, boot, client, comp, err)
+	s.recordIfCrashed(ctx, chosen.ID, boot, client, g, err)
 	s.afterFailure(ctx, chosen.ID, client, comp, err, blame)
 	return err
 }
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -14,8 +15,33 @@
 	"sassafrasfield/internal/quarantine"
 )
 
-// errQuarantined: the request's content is quarantined, so it must not be sent to any engine.
-var errQuarantined = errors.New("entry: content is quarantined")
+// quarantinedError: the request's content or a part of its prompt is quarantined, so it must not be sent to any engine.
+type quarantinedError struct {
+	subject quarantine.Subject
+}
+
+func (e quarantinedError) Error() string { return "entry: " + e.subject.Kind() + " is quarantined" }
+
+// crashWindow is how long an engine may have been generating the answer to a request that crashed it because of a part of
+// its prompt. An engine that has been generating for longer has processed the prompt, which clears its parts.
+const crashWindow = time.Second
+
+// promptParts returns the parts of a prompt that crashes are counted against. Callers name no parts here, so a part is the
+// beginning of the prompt, of 1, 2, 4, 8 and so on complete blocks. Beginnings of all numbers of blocks would be up to a
+// thousand subjects for each answer; of a text that prompts share, at least half is covered this way.
+func promptParts(model, prompt string) []quarantine.Subject {
+	hashes := engine.BlockHashes(prompt, engine.BlockTokens, maxPrefixBlocks)
+	var parts []quarantine.Subject
+	for n := 1; n <= len(hashes); n *= 2 {
+		parts = append(parts, quarantine.PartOf(model, strconv.FormatUint(hashes[n-1], 16)))
+	}
+	return parts
+}
+
+// subjects returns what crashes are counted against: the content and the parts of the prompt.
+func (c *completion) subjects() []quarantine.Subject {
+	return append([]quarantine.Subject{c.content}, c.parts...)
+}
 
 // After a stream broke, the engine's status is probed until the result is conclusive: a response shows
 // that the process is alive, a refused connection that it crashed. A machine that is slow or loses packets
@@ -48,16 +74,31 @@
 	return &quarantines{table: quarantine.NewTable(quarantine.DefaultSettings())}
 }
 
-// quarantined reports whether a content is quarantined.
-func (c *quarantines) quarantined(content quarantine.Subject) bool {
+// blockedBy returns the subject of a request because of which no engine may receive the request. Once the quarantine of a
+// part is over, one request at a time tries the part again.
+func (c *quarantines) blockedBy(comp *completion) (quarantine.Subject, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.table.Quarantined(content, bootclock.Now())
+	if !c.table.HasQuarantines() {
+		return 0, false
+	}
+	now := bootclock.Now()
+	for _, s := range comp.subjects() {
+		if c.table.Quarantined(s, now) {
+			return s, true
+		}
+	}
+	for _, s := range comp.parts { // only a request that nothing blocks may try a part again
+		if c.table.Blocks(s, comp.id, now) {
+			return s, true
+		}
+	}
+	return 0, false
 }
 
-// recordCrash records the crash of an engine that was serving a content. It returns whether the crash
-// starts a quarantine of the content, and how many crashes count against the content.
-func (c *quarantines) recordCrash(content quarantine.Subject, boot string) (quarantined bool, crashes int) {
+// recordCrash records the crash of an engine that was serving a request with a subject. It returns whether the crash
+// starts a quarantine of the subject, and how many crashes count against the subject.
+func (c *quarantines) recordCrash(subject quarantine.Subject, boot string) (quarantined bool, crashes int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := bootclock.Now()
@@ -65,37 +106,69 @@
 	for _, expired := range c.table.Expired(now) {
 		c.table.Release(expired, now)
 	}
-	quarantined = c.table.RecordCrash(quarantine.Crash{Subject: content, Upstream: uint32(xxhash.Sum64String(boot))}, now)
-	return quarantined, c.table.Crashes(content)
+	quarantined = c.table.RecordCrash(quarantine.Crash{Subject: subject, Upstream: uint32(xxhash.Sum64String(boot))}, now)
+	return quarantined, c.table.Crashes(subject)
 }
 
-// recordServed records that a request with this content was answered completely.
-func (c *quarantines) recordServed(content quarantine.Subject) {
+// recordServed records that subjects were served: a request with them was answered completely, or the parts of its prompt
+// were processed.
+func (c *quarantines) recordServed(subjects ...quarantine.Subject) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.table.RecordServed(content, bootclock.Now())
+	now := bootclock.Now()
+	for _, s := range subjects {
+		c.table.RecordServed(s, now)
+	}
+}
+
+// recordIfAlive clears the parts of the prompt once the engine has been generating the answer for crashWindow.
+func (s *Server) recordIfAlive(g *generation) {
+	if g.aliveRecorded || s.now()-g.begunAt < crashWindow {
+		return
+	}
+	g.aliveRecorded = true
+	s.quarantines.recordServed(g.comp.parts...)
 }
 
-// quarantineRefusal returns the refusal of a request with a quarantined content. It has no Retry-After, so
+// quarantineRefusal returns the refusal of a request with a quarantined subject. It has no Retry-After, so
 // that the caller is not asked to repeat the request.
-func quarantineRefusal() error {
+func quarantineRefusal(subject quarantine.Subject) error {
+	if subject.IsPart() {
+		return notRun("part_set_apart", "engines crashed under a part of this prompt; it is not sent on now", 0)
+	}
 	return notRun("content_set_apart", "engines ended while they had this request's content; it is not sent on now", 0)
 }
 
-// recordIfCrashed records a crash for the request's content if its stream broke because the engine
-// crashed.
-func (s *Server) recordIfCrashed(ctx context.Context, id, boot string, client engine.Engine, comp *completion, err error) {
+// suspects returns the subjects of a request that may have crashed the engine that was serving it. The parts of its prompt
+// are suspects only if the engine had not generated for long, and only at the first crash: the next ones say more about the
+// request than about what it shares with others.
+func (g *generation) suspects(now time.Duration) []quarantine.Subject {
+	if g.comp.crashed || g.begunAt > 0 && now-g.begunAt >= crashWindow {
+		return []quarantine.Subject{g.comp.content}
+	}
+	return g.comp.subjects()
+}
+
+// recordIfCrashed records a crash for the request's content, and for the parts of its prompt that may be the cause, if
+// its stream broke because the engine crashed.
+func (s *Server) recordIfCrashed(ctx context.Context, id, boot string, client engine.Engine, g *generation, err error) {
 	if !errors.Is(err, engine.ErrBroken) {
 		return
 	}
+	comp, suspects := g.comp, g.suspects(s.now())
 	if !hasCrashed(ctx, client) {
 		return
 	}
 	if boot == "" { // it crashed before it reported its boot id
 		boot = "at " + s.now().Truncate(sameCrashWindow).String()
 	}
-	quarantined, crashes := s.quarantines.recordCrash(comp.content, id+"@"+boot)
-	s.log.Info("request: engine crashed", "request", comp.id, "engine", id, "boot", boot, "content", comp.content, "ends", crashes, "apart", quarantined)
+	comp.crashed = true
+	for _, subject := range suspects {
+		quarantined, crashes := s.quarantines.recordCrash(subject, id+"@"+boot)
+		if quarantined || !subject.IsPart() {
+			s.log.Info("request: engine crashed", "request", comp.id, "engine", id, "boot", boot, "kind", subject.Kind(), "subject", subject, "crashes", crashes, "quarantined", quarantined)
+		}
+	}
 }
 
 // hasCrashed reports whether an engine's process has crashed. If no probe is conclusive within
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -59,6 +59,10 @@
 	resume *stream.ResumeToken
 	// content is the hash of the requested content, which is the same when the request is sent again.
 	content quarantine.Subject
+	// parts are the parts of the prompt that crashes are counted against.
+	parts []quarantine.Subject
+	// crashed is set once an engine has crashed under the request.
+	crashed bool
 }
 
 // readCompletion reads and validates a request.
@@ -130,6 +134,7 @@
 	if comp.prompt == "" {
 		return badRequest("prompt", "the prompt is empty")
 	}
+	comp.parts = promptParts(comp.modelName, comp.prompt)
 	comp.promptTokens = (len(comp.prompt) + charsPerToken - 1) / charsPerToken
 	limit := s.settings.Limits.MaxPromptTokens
 	if model.MaxPromptTokens > 0 {
