--- a/internal/httptransport/bounded.go
+++ b/internal/httptransport/bounded.go
@@ -85,6 +85,16 @@
 	c.setTimed(false, 0)
 }
 
+// exceededBy returns the error of an exchange's response that exceeded its bounds.
+func (c *boundedConn) exceededBy(owner *exchange) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.owner != owner {
+		return nil
+	}
+	return c.exceeded
+}
+
 // endInterim records the end of an interim response. An error ends the exchange.
 func (c *boundedConn) endInterim() error {
 	c.mu.Lock()
--- a/internal/httptransport/httptransport.go
+++ b/internal/httptransport/httptransport.go
@@ -48,6 +48,9 @@
 		x.boundInterim()
 	}
 	response, err := t.base.RoundTrip(request.WithContext(x.ctx))
+	if err != nil {
+		err = x.exceededOr(err)
+	}
 	x.finish(err)
 	return response, err
 }
@@ -102,6 +105,19 @@
 	x.ctx = httptrace.WithClientTrace(x.ctx, &httptrace.ClientTrace{Got1xxResponse: x.endInterim})
 }
 
+// exceededOr returns the error of a response that exceeded its bounds, and err for any other one. net/http reports the
+// part of a header line before the cut as a malformed line.
+func (x *exchange) exceededOr(err error) error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if bounded, ok := x.conn.(*boundedConn); ok {
+		if exceeded := bounded.exceededBy(x); exceeded != nil {
+			return exceeded
+		}
+	}
+	return err
+}
+
 // endInterim ends the exchange if it has too many interim responses.
 func (x *exchange) endInterim(int, textproto.MIMEHeader) error {
 	x.mu.Lock()
