--- a/internal/placement/costs.go
+++ b/internal/placement/costs.go
@@ -132,6 +132,26 @@
 	return time.Duration(float64(c.MemoryPrice) * float64(missing) / float64(c.CacheTokens))
 }
 
+const (
+	// partsMemoryShare is the share of an engine's KV memory that holds prompt parts. Running requests and KV cache
+	// waiting to be fetched use the rest.
+	partsMemoryShare = 0.7
+	// reuseWithin is the time within which most parts that are used again are used again. What an engine has kept
+	// unused for longer is evicted at little loss.
+	reuseWithin = 5 * time.Second
+)
+
+// evictionLoss returns the share of MemoryPrice that a copy on an engine costs. The copy evicts what was used longest
+// ago, and the longer the engine keeps unused parts, the less likely that is used again. When much enters the cache,
+// as in a surge, parts are evicted soon and a copy costs the full price.
+func (c Costs) evictionLoss(load AggregateLoad) float64 {
+	if load.Inflow <= 0 {
+		return 0
+	}
+	kept := partsMemoryShare * float64(c.CacheTokens) / load.Inflow
+	return min(1, reuseWithin.Seconds()/kept)
+}
+
 // scoreScale is the predicted time that halves a score. It has no effect on the order of the candidates.
 const scoreScale = 500 * time.Millisecond
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -103,6 +103,8 @@
 	Utilization float64
 	// Requests is the number of running and waiting requests.
 	Requests int
+	// Inflow is the recent number of tokens a second that entered the engine's cache.
+	Inflow float64
 	// Speed is the time that the engine needs relative to the predicted one; 0 stands for 1.
 	Speed float64
 	// Slowness is how long work is expected to take on an upstream of a plain service, as a factor of the usual time; 0
--- a/internal/placement/prefill_choices.go
+++ b/internal/placement/prefill_choices.go
@@ -11,13 +11,10 @@
 	Prefill
 	// Extra is the cost of the choice besides the engine's queue and the prompt's work: that of the generation.
 	Extra time.Duration
-	// Copy is the price of another copy of the shared part on the engine, in full.
+	// Copy is the price of another copy of the shared part on the engine, by what the copy evicts there.
 	Copy time.Duration
-}
-
-// cost returns the cost of a choice by the load that the instances reported.
-func (c PrefillChoice) cost() time.Duration {
-	return c.Engine.Aggregate.Backlog + c.BusyTime + c.Extra + c.Copy
+	// reported is the cost of the choice by the load that the instances reported, with the full price of a copy.
+	reported time.Duration
 }
 
 // PrefillChoices returns up to limit prefill engines of the zone of the best one, the best first. It
@@ -39,7 +36,7 @@
 		return nil
 	}
 	slices.SortFunc(choices, func(a, b PrefillChoice) int {
-		return cmp.Or(cmp.Compare(a.cost(), b.cost()), cmp.Compare(a.Engine.ID, b.Engine.ID))
+		return cmp.Or(cmp.Compare(a.reported, b.reported), cmp.Compare(a.Engine.ID, b.Engine.ID))
 	})
 	zone := choices[0].Engine.Zone
 	choices = slices.DeleteFunc(choices, func(c PrefillChoice) bool { return c.Engine.Zone != zone })
@@ -59,8 +56,11 @@
 			continue
 		}
 		choice.Extra = req.generation.of(c)
+		choice.reported = c.Aggregate.Backlog + choice.BusyTime + choice.Extra
 		if scorer.prefill.Node != c.ID {
-			choice.Copy = req.Costs.copyCost(req.Prompt, c.Aggregate.CachedTokens)
+			price := req.Costs.copyCost(req.Prompt, c.Aggregate.CachedTokens)
+			choice.reported += price
+			choice.Copy = time.Duration(float64(price) * req.Costs.evictionLoss(c.Aggregate))
 		}
 		choices = append(choices, choice)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -76,7 +76,6 @@
 		StartupRetryIn:   400 * time.Millisecond,
 		Outliers:         outliers,
 		ReservationsFrom: 80, // the smallest service that was measured with reservations has 90 engines
-		RelocationsFrom:  80, // as for reservations, whose waits the decisions rely on
 		MaxForwarded:     64, // several times the requests of an instance of 0.4 cores, in a few megabytes
 	}
 }
--- a/internal/relay/reservations.go
+++ b/internal/relay/reservations.go
@@ -140,8 +140,8 @@
 
 // cost returns the predicted time of the prompt, with the other costs of the choice.
 func (o offer) cost() time.Duration {
-	work := time.Duration(float64(o.granted.Busy) * o.granted.Speed)
-	return o.granted.Wait + work + o.choice.Extra + reservation.CopyCost(o.choice.Copy, o.granted.Busy, o.granted.Wait)
+	work := o.granted.Busy + reservation.CopyCost(o.choice.Copy, o.granted.Busy, o.granted.Wait)
+	return o.granted.Wait + time.Duration(float64(work)*o.granted.Speed) + o.choice.Extra
 }
 
 // prefill returns the placement of the prompt with what the hub knows about the engine.
--- a/internal/reservation/ledger.go
+++ b/internal/reservation/ledger.go
@@ -39,9 +39,9 @@
 	// copyShare and copyPerWait bound the price of a copy: to the share of the prompt's work, plus a multiple of the
 	// shortest wait of the candidates. While an engine is idle, a copy costs at most the work to process evicted
 	// parts again, and there is time for it. Without the bound prompts queue at the engines that have their part
-	// cached while others are idle. When all engines have a queue, each copy costs throughput: with the first term
-	// alone, overloaded engines with scarce memory processed a tenth more tokens (docs/design/reservations.md).
-	copyShare   = 0.25
+	// cached while others are idle. When all engines have a queue, each copy costs throughput. With a share of 0.75
+	// the waits on even engines miss the aim in package model, with 0.25 engines process more parts again.
+	copyShare   = 0.35
 	copyPerWait = 10
 	// maxEngines bounds the engines of a ledger. The largest fleet that the project is designed for has 1,900.
 	maxEngines = 4096
@@ -151,7 +151,7 @@
 	var lowest, bestFree time.Duration
 	for i, c := range candidates {
 		on := expected[i]
-		cost := on.wait + scale(c.Busy, on.speed) + c.Extra + CopyCost(c.Copy, c.Busy, shortest)
+		cost := on.wait + scale(c.Busy+CopyCost(c.Copy, c.Busy, shortest), on.speed) + c.Extra
 		free := l.freeSince(c.Engine)
 		if !ok || cost < lowest || cost == lowest && free < bestFree {
 			best, lowest, bestFree, ok = c, cost, free, true
--- a/internal/upstreamstate/place.go
+++ b/internal/upstreamstate/place.go
@@ -93,7 +93,7 @@
 // that of all instances, or what the upstream recently reported if that is more.
 func (n *node) aggregateLoad(now time.Duration) placement.AggregateLoad {
 	all := n.totalLoad(now)
-	aggregate := placement.AggregateLoad{Backlog: all.Backlog, DeferredBacklog: all.DeferredBacklog, Utilization: all.Utilization, Requests: all.Requests, Speed: n.speedAt(now)}
+	aggregate := placement.AggregateLoad{Backlog: all.Backlog, DeferredBacklog: all.DeferredBacklog, Utilization: all.Utilization, Requests: all.Requests, Inflow: all.Inflow, Speed: n.speedAt(now)}
 	if n.Role == "" {
 		aggregate.Slowness, aggregate.Slots = n.work.slowness.Factor(now), n.work.reported.Slots
 	}
