One way to notify a hub, one share of memory for prompt parts

The three reports to the hub of a zone each chose between applying, sending and dropping the message; notifyHub does it for all. The share of an engine's memory that holds prompt parts stood in placement and in upstreamstate.

--- a/internal/peers/reservations.go
+++ b/internal/peers/reservations.go
@@ -163,48 +163,36 @@
 
 // ReportSent reports the work of a prompt that was sent without a reservation to the hub of the engine's zone.
 func (r *Reporter) ReportSent(zone string, prompt uint64, c reservation.Candidate) {
-	hub, self := r.exchange.hubOf(zone)
-	if self {
-		r.loads.RecordSent(prompt, c)
-		return
-	}
-	if hub == "" {
-		return
-	}
 	message := r.newPlainDatagram(sfv1.Datagram_KIND_RESERVE_ASK)
 	message.ReserveAsk = reserveAskToMessage(0, reservation.Request{ID: prompt, Candidates: []reservation.Candidate{c}})
 	message.ReserveAsk.Sent = true
-	r.send(message, []string{hub})
+	r.notifyHub(zone, message, func() { r.loads.RecordSent(prompt, c) })
 }
 
 // EndReservation reports the end of a prompt's work to the hub of the engine's zone.
 func (r *Reporter) EndReservation(zone string, prompt uint64, engine uint32, processed bool) {
-	hub, self := r.exchange.hubOf(zone)
-	if self {
-		r.loads.EndReservation(prompt, engine, processed)
-		return
-	}
-	if hub == "" {
-		return
-	}
 	message := r.newPlainDatagram(sfv1.Datagram_KIND_RESERVE_END)
 	message.ReserveEnd = &sfv1.ReserveEnd{Prompt: prompt, Engine: engine, Processed: processed}
-	r.send(message, []string{hub})
+	r.notifyHub(zone, message, func() { r.loads.EndReservation(prompt, engine, processed) })
 }
 
 // ReportPace reports the time that an engine took to generate to the hub of the engine's zone.
 func (r *Reporter) ReportPace(zone string, engine uint32, took, usual time.Duration) {
-	hub, self := r.exchange.hubOf(zone)
-	if self {
-		r.loads.ObservePace(engine, took, usual)
-		return
-	}
-	if hub == "" {
-		return
-	}
 	message := r.newPlainDatagram(sfv1.Datagram_KIND_PACE)
 	message.Pace = &sfv1.Pace{Engine: engine, TookMs: uint32(took.Milliseconds()), UsualMs: uint32(usual.Milliseconds())}
-	r.send(message, []string{hub})
+	r.notifyHub(zone, message, func() { r.loads.ObservePace(engine, took, usual) })
+}
+
+// notifyHub sends a message to the hub of a zone, or applies it if this instance is that hub. Nothing is sent while no
+// hub is known.
+func (r *Reporter) notifyHub(zone string, message *sfv1.Datagram, apply func()) {
+	hub, self := r.exchange.hubOf(zone)
+	switch {
+	case self:
+		apply()
+	case hub != "":
+		r.send(message, []string{hub})
+	}
 }
 
 // handlePace learns from the time that an engine took to generate.
--- a/internal/placement/costs.go
+++ b/internal/placement/costs.go
@@ -133,9 +133,9 @@
 }
 
 const (
-	// partsMemoryShare is the share of an engine's KV memory that holds prompt parts. Running requests and KV cache
+	// PartsMemoryShare is the share of an engine's KV memory that holds prompt parts. Running requests and KV cache
 	// waiting to be fetched use the rest.
-	partsMemoryShare = 0.7
+	PartsMemoryShare = 0.7
 	// reuseWithin is the time within which most parts that are used again are used again. What an engine has kept
 	// unused for longer is evicted at little loss.
 	reuseWithin = 5 * time.Second
@@ -148,7 +148,7 @@
 	if load.Inflow <= 0 {
 		return 0
 	}
-	kept := partsMemoryShare * float64(c.CacheTokens) / load.Inflow
+	kept := PartsMemoryShare * float64(c.CacheTokens) / load.Inflow
 	return min(1, reuseWithin.Seconds()/kept)
 }
 
--- a/internal/upstreamstate/parts.go
+++ b/internal/upstreamstate/parts.go
@@ -11,9 +11,6 @@
 const (
 	// maxPartLifetime is the bound for engines with hardly any inflow.
 	maxPartLifetime = time.Minute
-	// partsMemoryShare is the share of an engine's KV memory that holds prompt parts. Running
-	// requests and KV cache waiting to be fetched use the rest.
-	partsMemoryShare = 0.7
 )
 
 // partTable records when each shared part was last placed on each engine, by this instance or by
@@ -81,7 +78,7 @@
 	if cacheTokens == 0 || inflow <= 0 {
 		return maxPartLifetime
 	}
-	return min(maxPartLifetime, time.Duration(partsMemoryShare*float64(cacheTokens)/inflow*float64(time.Second)))
+	return min(maxPartLifetime, time.Duration(placement.PartsMemoryShare*float64(cacheTokens)/inflow*float64(time.Second)))
 }
 
 // cached counts the leading tokens of a request's prompt that each engine is assumed to have
