relay: log and count how streams end and whether their events follow each other

Nothing told the hypotheses of the incident apart: how an answer was framed, whether its engine lived on after the end, and which ids came. Logs and counters only; no decision changes.

--- a/internal/relay/eventforwarder.go
+++ b/internal/relay/eventforwarder.go
@@ -25,6 +25,7 @@
 	events      stream.EventSplitter
 	// lastEvent is the id of the last event that was written to the caller.
 	lastEvent string
+	order     eventOrder
 	// onEvents is called after events were written; nil for none.
 	onEvents func()
 }
@@ -65,6 +66,7 @@
 	if len(events) == 0 {
 		return nil
 	}
+	p.order.add(events)
 	if _, err := p.w.Write(events); err != nil {
 		return ErrCallerDisconnected
 	}
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -346,12 +346,14 @@
 	g.generatingSince = r.now()
 	forwarder := eventForwarder{w: g.w, flush: http.NewResponseController(g.w).Flush, lastEvent: g.lastEvent, cancel: cancel}
 	forwarder.onEvents = r.watchAlive(g.exchange)
+	forwarder.order = newEventOrder(g.lastEvent)
 	if g.attempts.MayRunElsewhere() {
 		forwarder.idleTimeout = r.settings.StreamIdleTimeout
 	}
 	streamStarted, fromStart := r.now(), g.lastEvent == ""
 	err := forwarder.forward(reply.Body)
 	g.lastEvent = forwarder.lastEvent
+	r.recordStreamEnd(g.exchange, engine, reply, forwarder.order, err)
 	switch {
 	case err == nil:
 		r.upstreams.RecordCall(engine.ID, load.CallSucceeded, r.now())
--- a/internal/relay/meters.go
+++ b/internal/relay/meters.go
@@ -22,6 +22,7 @@
 	arrivals                    arrivalMeters
 	forwards                    forwardMeters
 	continuations               continuationMeters
+	streams                     streamMeters
 }
 
 func counter(name string) metrics.Counter {
@@ -40,7 +41,7 @@
 		requests: counter("requests"), answered: counter("answered"), refused: counter("refused"),
 		broken: counter("broken"), callerDisconnected: counter("caller_gone"),
 		slowCalls: counter("calls_to_slow"), resumed: counter("resumed"), copied: counter("gone_on_at_copy"), prefills: counter("prefills"), direct: counter("direct"), saturated: counter("refused_choked"),
-		limits: newLimitMeters(), arrivals: newArrivalMeters(), forwards: newForwardMeters(), continuations: newContinuationMeters(),
+		limits: newLimitMeters(), arrivals: newArrivalMeters(), forwards: newForwardMeters(), continuations: newContinuationMeters(), streams: newStreamMeters(),
 	}
 }
 
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -137,8 +137,10 @@
 	Header http.Header
 	// Version is the software version of the engine that generates, for an answer that another instance passes on.
 	Version string
-	Body    io.ReadCloser
-	Load    upstreamstate.Load
+	// Unframed is set if the body has neither a length nor chunks, so that it ends with its connection.
+	Unframed bool
+	Body     io.ReadCloser
+	Load     upstreamstate.Load
 }
 
 // Errors returned by a Sender. Compare with errors.Is.
