relay: tests of streams that end early and of events out of order, failing

Streams and plain answers without framing whose upstream's process ended are passed on as complete (five cases of five), and events that an engine repeats, leaves out, swaps or does not number reach the caller (14 of 14). TestUnframedAnswerOfLivingUpstreamIsWhole holds: it guards the fix against breaking off what is whole.

--- /dev/null
+++ b/internal/relay/streamend_test.go
@@ -0,0 +1,184 @@
+package relay
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/pkg/errors"
+)
+
+// numberedEvents returns events with the given ids, one for each.
+func numberedEvents(ids ...int) string {
+	var text strings.Builder
+	for _, id := range ids {
+		fmt.Fprintf(&text, "id: %d\ndata: piece %d\n\n", id, id)
+	}
+	return text.String()
+}
+
+// unframed returns an answer with neither a length nor chunks.
+func unframed(status int, text string) *Reply {
+	r := reply(status, strings.NewReader(text))
+	r.Unframed = true
+	return r
+}
+
+// endingSender returns a sender whose first run ends with its connection, because its upstream ends. Later runs go on after
+// the last event of the caller, up to the third.
+func endingSender(firstAnswer string) *fakeSender {
+	f := &fakeSender{crashed: map[string]bool{}}
+	f.run = func(n int, s Send) (*Reply, error) {
+		if n == 1 {
+			f.crashed[s.To.ID] = true
+			return unframed(http.StatusOK, firstAnswer), nil
+		}
+		if s.LastEvent == "" {
+			return events(numberedEvents(1, 2, 3)), nil
+		}
+		return events(numberedEvents(2, 3)), nil
+	}
+	return f
+}
+
+// TestResumableStreamWhoseEngineEndedGoesOn guards against a stream without framing whose engine's process ended between two
+// events and that is passed on as complete.
+func TestResumableStreamWhoseEngineEndedGoesOn(t *testing.T) {
+	f := endingSender(numberedEvents(1))
+	r := newFake(t, f)
+	withLargeBudget(r)
+	w, err := serve(r, longPrompt("/resumable/1"))
+	if err != nil || w.Body.String() != numberedEvents(1, 2, 3) {
+		t.Errorf("%v, %q after %d runs", err, w.Body.String(), f.runs)
+	}
+}
+
+// TestNonResumableStreamWhoseEngineEndedIsAborted guards against the same on a route whose streams may not go on: the caller
+// must see that the stream broke off.
+func TestNonResumableStreamWhoseEngineEndedIsAborted(t *testing.T) {
+	f := endingSender(numberedEvents(1))
+	r := newFake(t, f)
+	for _, id := range []string{"dec-2", "dec-3"} { // leaves no engine for a copy
+		r.RemoveUpstream(id)
+	}
+	withLargeBudget(r)
+	if w, err := serve(r, longPrompt("/once/1")); !errors.Is(err, ErrAnswerAborted) {
+		t.Errorf("%v, %q after %d runs", err, w.Body.String(), f.runs)
+	}
+}
+
+// TestAnswerWhoseUpstreamEndedIsNotWhole guards against the first part of an answer without framing, whose upstream's
+// process ended, that is passed on as the whole answer.
+func TestAnswerWhoseUpstreamEndedIsNotWhole(t *testing.T) {
+	const whole = "whole"
+	answers := func(f *fakeSender, first string) func(int, Send) (*Reply, error) {
+		return func(n int, s Send) (*Reply, error) {
+			if n == 1 {
+				f.crashed[s.To.ID] = true
+				return unframed(http.StatusOK, first), nil
+			}
+			return reply(http.StatusOK, strings.NewReader(whole)), nil
+		}
+	}
+	t.Run("idempotent", func(t *testing.T) {
+		f := &fakeSender{crashed: map[string]bool{}}
+		f.run = answers(f, "ha")
+		r := newFake(t, f)
+		withLargeBudget(r)
+		if w, err := serve(r, call("/safe/1")); err != nil || w.Body.String() != whole {
+			t.Errorf("%v, %q after %d runs", err, w.Body.String(), f.runs)
+		}
+	})
+	t.Run("not idempotent", func(t *testing.T) {
+		f := &fakeSender{crashed: map[string]bool{}}
+		f.run = answers(f, "ha")
+		r := newFake(t, f)
+		withLargeBudget(r)
+		w, err := serve(r, call("/unsafe/1"))
+		if err == nil || outcomeOf(t, err) != Unknown || f.runs != 1 {
+			t.Errorf("%v, %q after %d runs", err, w.Body.String(), f.runs)
+		}
+	})
+	t.Run("larger than what is buffered", func(t *testing.T) {
+		f := &fakeSender{crashed: map[string]bool{}}
+		f.run = answers(f, strings.Repeat("x", 2*maxBufferedBytes))
+		r := newFake(t, f)
+		withLargeBudget(r)
+		if _, err := serve(r, call("/unsafe/1")); !errors.Is(err, ErrAnswerAborted) {
+			t.Errorf("%v after %d runs; the answer's end is not known", err, f.runs)
+		}
+	})
+}
+
+// TestUnframedAnswerOfLivingUpstreamIsWhole guards against answers without framing that are taken for broken off although
+// their upstream lives on.
+func TestUnframedAnswerOfLivingUpstreamIsWhole(t *testing.T) {
+	for path, text := range map[string]string{"/resumable/1": numberedEvents(1, 2), "/once/1": numberedEvents(1, 2), "/safe/1": "whole", "/unsafe/1": "whole"} {
+		f := &fakeSender{run: func(int, Send) (*Reply, error) { return unframed(http.StatusOK, text), nil }}
+		r := newFake(t, f)
+		withLargeBudget(r)
+		request := call(path)
+		if strings.HasPrefix(text, "id:") {
+			request = longPrompt(path)
+		}
+		if w, err := serve(r, request); err != nil || w.Body.String() != text || f.runs != 1 {
+			t.Errorf("%s: %v, %q after %d runs", path, err, w.Body.String(), f.runs)
+		}
+	}
+}
+
+// TestStreamHasEachEventOnceInOrder guards against events that an engine repeats, leaves out, swaps or does not number and
+// that are passed on as they come, in its first run and in one that continues a stream.
+func TestStreamHasEachEventOnceInOrder(t *testing.T) {
+	const withoutID, malformedID = "data: piece 2\n\n", "id: two\ndata: piece 2\n\n"
+	for name, second := range map[string]string{
+		"repeated":         numberedEvents(2, 2, 3),
+		"left out":         numberedEvents(3),
+		"swapped":          numberedEvents(3, 2),
+		"from the start":   numberedEvents(1, 2, 3),
+		"without an id":    withoutID + numberedEvents(3),
+		"malformed id":     malformedID + numberedEvents(3),
+		"far ahead, whole": numberedEvents(2, 3, 7),
+	} {
+		t.Run("first run, "+name, func(t *testing.T) {
+			f := &fakeSender{run: func(n int, s Send) (*Reply, error) {
+				if n == 1 {
+					return events(numberedEvents(1) + second), nil
+				}
+				return events(remainingEvents(s.LastEvent)), nil
+			}}
+			expectThreeEvents(t, f)
+		})
+		t.Run("continuing run, "+name, func(t *testing.T) {
+			f := &fakeSender{run: func(n int, s Send) (*Reply, error) {
+				switch n {
+				case 1:
+					return truncated(numberedEvents(1)), nil
+				case 2:
+					return events(second), nil
+				default:
+					return events(remainingEvents(s.LastEvent)), nil
+				}
+			}}
+			expectThreeEvents(t, f)
+		})
+	}
+}
+
+// remainingEvents returns the events of a stream of three after the last one that the caller has.
+func remainingEvents(last string) string {
+	return map[string]string{"": numberedEvents(1, 2, 3), "1": numberedEvents(2, 3), "2": numberedEvents(3)}[last]
+}
+
+// expectThreeEvents serves a resumable stream. It may break off, but not with events that are out of order.
+func expectThreeEvents(t *testing.T, f *fakeSender) {
+	t.Helper()
+	r := newFake(t, f)
+	withLargeBudget(r)
+	w, err := serve(r, longPrompt("/resumable/1"))
+	whole := numberedEvents(1, 2, 3)
+	if err == nil && w.Body.String() != whole || !strings.HasPrefix(whole, w.Body.String()) {
+		t.Errorf("%v, %q after %d runs", err, w.Body.String(), f.runs)
+	}
+}
