relay: the end of an unframed answer counts only once its upstream's process answered after it

Callers got streams that look complete after some of their events, and parts of plain answers as whole ones, when an upstream's process was killed that answers with neither a length nor chunks. Cause: the kernel of a process that ends closes its connections with FIN, as the process itself does after a whole answer. The end of the connection was taken for the end of the answer. Fix: admittingSender, which every send passes, wraps the body of an unframed answer. At its end the process must answer: an engine its report (no slot needed), another upstream its health check, as the same start; one that wants no requests must hold a new connection. Without that within a second the answer is cut off, as after a reset: it goes on elsewhere where the route allows it, a caller of an idempotent call gets another upstream's answer, all others see the connection break.

--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -245,6 +245,10 @@
 	return false, nil
 }
 
+func (*blockingSender) Alive(context.Context, upstreamstate.Upstream, string) (bool, error) {
+	return true, nil
+}
+
 func (s *blockingSender) Free(context.Context, relay.KV) error { return nil }
 
 // setRoutes gives all instances one engine and the route to it.
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -93,6 +93,13 @@
 	return f.crashed[to.ID], nil
 }
 
+// Alive implements Sender, according to the script.
+func (f *fakeSender) Alive(_ context.Context, to upstreamstate.Upstream, _ string) (bool, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.crashed[to.ID], nil
+}
+
 func (f *fakeSender) freedCount() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -55,7 +55,10 @@
 	reply, err := s.Sender.Send(ctx, req, send)
 	s.relay.recordSend(send.To, began, err)
 	s.relay.recordArrival(req, send, kindOfRun(send), err)
-	return reply, err
+	if err != nil {
+		return nil, err
+	}
+	return s.relay.withConfirmedEnd(ctx, req, send.To, reply), nil
 }
 
 // Prefill implements Sender.
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -228,6 +228,10 @@
 	// request to the health path if the service has one. An error means that the state could not be
 	// determined.
 	Crashed(ctx context.Context, to upstreamstate.Upstream, healthPath string) (bool, error)
+	// Alive reports whether an upstream's process answers a request that is sent now, with a request that needs no slot
+	// where there is one, else to the health path. If the health path is empty, it must not send a request, and
+	// reports whether the process holds a new connection. An error means that the state could not be determined.
+	Alive(ctx context.Context, to upstreamstate.Upstream, healthPath string) (bool, error)
 }
 
 // Outcome is what a refusal says about the request.
--- a/internal/relay/streamend.go
+++ b/internal/relay/streamend.go
@@ -9,15 +9,15 @@
 	"sassafrasfield/internal/upstreamstate"
 )
 
-// streamMeters counts the ends of answers that only the end of the connection marks, and the events whose ids do not
+// streamMeters counts the unframed answers, those of them whose end was not confirmed, and the events whose ids do not
 // follow the one before.
 type streamMeters struct {
-	unframed, unframedEnded, repeated, skipped, unnumbered metrics.Counter
+	unframed, unconfirmed, repeated, skipped, unnumbered metrics.Counter
 }
 
 func newStreamMeters() streamMeters {
 	return streamMeters{
-		unframed: counter("answers_unframed"), unframedEnded: counter("answers_unframed_upstream_ended"),
+		unframed: counter("answers_unframed"), unconfirmed: counter("answers_unframed_unconfirmed"),
 		repeated: counter("events_repeated"), skipped: counter("events_skipped"), unnumbered: counter("events_unnumbered"),
 	}
 }
@@ -67,8 +67,7 @@
 	return ""
 }
 
-// recordStreamEnd logs and counts how a run's stream ended. For one that only the end of its connection marks, it checks
-// whether the engine lives on.
+// recordStreamEnd logs and counts how a run's stream ended.
 func (r *Relay) recordStreamEnd(x *exchange, engine upstreamstate.Upstream, reply *Reply, order eventOrder, err error) {
 	m := r.meters.streams
 	m.repeated.Inc(int64(order.repeated))
@@ -76,14 +75,4 @@
 	m.unnumbered.Inc(int64(order.unnumbered))
 	r.log.Info("relay: stream ended", "request", x.req.ID, "engine", engine.ID, "unframed", reply.Unframed, "first", order.first, "last", order.last,
 		"repeated", order.repeated, "skipped", order.skipped, "unnumbered", order.unnumbered, "error", err)
-	if !reply.Unframed {
-		return
-	}
-	m.unframed.Inc(1)
-	go func() {
-		if r.hasCrashed(engine) {
-			m.unframedEnded.Inc(1)
-			r.log.Info("relay: upstream ended with its answer", "request", x.req.ID, "engine", engine.ID)
-		}
-	}()
 }
--- /dev/null
+++ b/internal/relay/unframed.go
@@ -0,0 +1,97 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sassafrasfield/internal/pause"
+	"sassafrasfield/internal/upstreamstate"
+)
+
+// Timing of the confirmation that the end of an unframed answer is its regular one. The answer's caller waits for it.
+const (
+	// endCheckTimeout bounds one check. It includes the wait for a slot of a busy upstream.
+	endCheckTimeout = 500 * time.Millisecond
+	// endCheckInterval is the pause between two checks.
+	endCheckInterval = 50 * time.Millisecond
+	// endConfirmTimeout bounds all checks of one answer.
+	endConfirmTimeout = time.Second
+)
+
+// errUnconfirmedEnd: the connection of an unframed answer ended, and its upstream's process did not answer after that.
+var errUnconfirmedEnd = errors.WithMessage(io.ErrUnexpectedEOF, "relay: the end of the connection was not confirmed by the upstream")
+
+// confirmedBody is the body of an unframed answer. When a process ends, its kernel closes its connections in the same way
+// as the process itself does after a whole answer. So the end counts only if the process answers after it.
+type confirmedBody struct {
+	io.ReadCloser
+	confirm func() bool
+	// ended is the result of further reads, once the connection has ended.
+	ended error
+}
+
+// Read implements io.Reader. At the end it returns io.EOF or errUnconfirmedEnd.
+func (b *confirmedBody) Read(p []byte) (int, error) {
+	if b.ended != nil {
+		return 0, b.ended
+	}
+	n, err := b.ReadCloser.Read(p)
+	if err != io.EOF || n > 0 {
+		return n, ignoreEOF(err)
+	}
+	b.ended = io.EOF
+	if !b.confirm() {
+		b.ended = errUnconfirmedEnd
+	}
+	return 0, b.ended
+}
+
+// ignoreEOF returns nil for io.EOF, which the next read returns again.
+func ignoreEOF(err error) error {
+	if err == io.EOF {
+		return nil
+	}
+	return err
+}
+
+// withConfirmedEnd returns the reply with a body whose end is confirmed by the upstream, unless its framing proves it.
+func (r *Relay) withConfirmedEnd(ctx context.Context, req *Request, to upstreamstate.Upstream, reply *Reply) *Reply {
+	if !reply.Unframed {
+		return reply
+	}
+	reply.Body = &confirmedBody{ReadCloser: reply.Body, confirm: func() bool { return r.confirmEnd(ctx, req, to) }}
+	return reply
+}
+
+// confirmEnd reports whether the process of an upstream answers after the end of one of its unframed answers.
+func (r *Relay) confirmEnd(ctx context.Context, req *Request, to upstreamstate.Upstream) bool {
+	began := r.now()
+	alive, err := r.isAlive(ctx, to)
+	r.meters.streams.unframed.Inc(1)
+	if !alive {
+		r.meters.streams.unconfirmed.Inc(1)
+		r.log.Info("relay: end of an unframed answer not confirmed", "request", req.ID, "upstream", to.ID, "took", r.now()-began, "error", err)
+	}
+	return alive
+}
+
+// isAlive asks an upstream until there is a result. Without one in time, the error is that of the last attempt.
+func (r *Relay) isAlive(ctx context.Context, to upstreamstate.Upstream) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, endConfirmTimeout)
+	defer cancel()
+	healthPath := r.Services()[to.Service].HealthPath
+	if r.BackingOff(to) {
+		healthPath = "" // the check must not send it a request
+	}
+	for {
+		checkCtx, cancelCheck := context.WithTimeout(ctx, endCheckTimeout)
+		alive, err := r.sender.Alive(checkCtx, to, healthPath)
+		cancelCheck()
+		if err == nil || !pause.For(ctx, endCheckInterval) {
+			return alive && err == nil, err
+		}
+	}
+}
