Complete events with any line end of the standard

The splitter knew only "\n\n" as the end of an event. A stream with "\r\n" or "\r" line ends therefore never completed an event: nothing was passed on until the event limit, and the end of the stream counted as inside an event. It now follows the line ends of the standard, reads each byte once, and returns the "\n" that follows a "\r" which completed an event. A blank line outside an event is returned as soon as it arrives and is not counted as an event.

In FuzzEventSplitter the removed variable became its literal; its check is the same.

--- a/internal/stream/event_splitter.go
+++ b/internal/stream/event_splitter.go
@@ -1,43 +1,66 @@
 package stream
 
-import "bytes"
-
-// eventTerminator ends each server-sent event. idField is the prefix of the line with its id.
-var (
-	eventTerminator = []byte("\n\n")
-	idField         = []byte("id:")
+import (
+	"bytes"
+	"slices"
 )
 
 // EventSplitter splits the bytes of a stream of server-sent events into complete events, without parsing
 // their data. A stream that breaks inside an event can continue after the last complete event at another
-// engine.
+// engine. A line ends with "\n", "\r\n" or "\r", and an event with a blank line.
 type EventSplitter struct {
 	partial []byte
 	lastID  string
 	count   int
+	// inLine and inEvent are set if the current line and the current event have a byte.
+	inLine, inEvent bool
+	// afterCR is set if the last byte was a "\r", which ended a line. A "\n" that follows belongs to this line end.
+	afterCR bool
 }
 
 // Add adds received bytes. It returns the complete events that were not returned before, or nil if there are
-// none.
+// none. Blank lines between events are returned too, and so is the "\n" of a "\r\n" whose "\r" completed an event.
 func (e *EventSplitter) Add(received []byte) []byte {
-	// The part that was there before has no terminator, so it is not searched again: an event that arrives in very
-	// small pieces would otherwise cost a scan of all of it for each piece.
-	from := max(0, len(e.partial)-1)
-	e.partial = append(e.partial, received...)
-	end := bytes.LastIndex(e.partial[from:], eventTerminator)
-	if end < 0 {
+	end := e.scan(received)
+	if end == 0 {
+		e.partial = append(e.partial, received...)
 		return nil
 	}
-	end += from
-	complete := bytes.Clone(e.partial[:end+len(eventTerminator)])
-	e.partial = append(e.partial[:0], e.partial[len(complete):]...)
-	e.count += bytes.Count(complete, eventTerminator)
+	complete := slices.Concat(e.partial, received[:end])
+	e.partial = append(e.partial[:0], received[end:]...)
 	if id := lastID(complete); id != "" {
 		e.lastID = id
 	}
 	return complete
 }
 
+// scan reads each received byte once. It returns the length of the part up to the last end of an event, or 0.
+func (e *EventSplitter) scan(received []byte) (end int) {
+	for i, c := range received {
+		if c != '\n' && c != '\r' {
+			e.inLine, e.inEvent, e.afterCR = true, true, false
+			continue
+		}
+		if sameLineEnd := c == '\n' && e.afterCR; !sameLineEnd {
+			e.endLine()
+		}
+		e.afterCR = c == '\r'
+		if !e.inEvent {
+			end = i + 1
+		}
+	}
+	return end
+}
+
+// endLine ends the current line, and with a blank line the current event.
+func (e *EventSplitter) endLine() {
+	if !e.inLine && e.inEvent {
+		e.inEvent = false
+		e.count++
+	}
+	e.inLine = false
+}
+
 // LastID returns the id of the last complete event that had one.
 func (e *EventSplitter) LastID() string { return e.lastID }
 
@@ -52,11 +75,11 @@
 
 // lastID returns the id of the last event that has one.
 func lastID(events []byte) string {
-	lines := bytes.Split(events, []byte("\n"))
-	for i := len(lines) - 1; i >= 0; i-- {
-		if value, ok := bytes.CutPrefix(lines[i], idField); ok {
-			return string(bytes.TrimSpace(value))
+	var id []byte
+	for line, rest := cutLine(events); len(line)+len(rest) > 0; line, rest = cutLine(rest) {
+		if name, value := cutField(line); string(name) == idField && len(bytes.TrimSpace(value)) > 0 {
+			id = bytes.TrimSpace(value)
 		}
 	}
-	return ""
+	return string(id)
 }
--- a/internal/stream/fuzz_test.go
+++ b/internal/stream/fuzz_test.go
@@ -24,7 +24,7 @@
 				t.Fatalf("%d of %d bytes complete, %d in the incomplete event", len(complete), received, events.PartialBytes())
 			}
 		}
-		if bytes.Contains(data[len(complete):], eventTerminator) {
+		if bytes.Contains(data[len(complete):], []byte("\n\n")) {
 			t.Fatalf("%q is not complete", data[len(complete):])
 		}
 	})
