Add a check that the events of an answer follow each other

An engine whose event ids do not follow each other, in a first run or in one that goes on after Last-Event-Id, has its events passed on as they came. Sequence stands behind the splitter: it drops events whose id is not above the last one, and ends with a typed error at a gap, at an event without an id, and at an id that no event can have, from which on nothing is delivered. An id below the first one is an error and not a repetition, as no event before it had it: an engine that counts from 0 would otherwise lose a piece without notice. It is not used by relay yet.

--- a/internal/stream/fuzz_test.go
+++ b/internal/stream/fuzz_test.go
@@ -29,3 +29,34 @@
 		}
 	})
 }
+
+// FuzzSequence adds arbitrary bytes in pieces of one size. Whatever arrives, what is delivered must not depend on the
+// size, must be in sequence, and must not go on after an error.
+func FuzzSequence(f *testing.F) {
+	for _, seed := range []string{
+		"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "id: 1\r\ndata: a\r\n\r\nid: 1\r\n\r\nid: 2\r\n\r\n", "id: 1\r\rid: 1\r\rid: 3\r\r",
+		"data: a\n\n", ": c\n\nid\ndata\n\n", "x-weight-versions: 3\nid: 1\ndata: a\n\n", "id: 1\r\n\r\n\n\r\r\nid:2\n\n", "id: 9223372036854775807\n\n",
+	} {
+		f.Add([]byte(seed), "", byte(0))
+		f.Add([]byte(seed), "1", byte(2))
+		f.Add([]byte(seed), "x", byte(4))
+	}
+	f.Fuzz(func(t *testing.T, data []byte, lastEvent string, size byte) {
+		var parts []string
+		for rest := string(data); rest != ""; {
+			n := min(len(rest), int(size)+1)
+			parts = append(parts, rest[:n])
+			rest = rest[n:]
+		}
+		whole, split := NewSequence(lastEvent), NewSequence(lastEvent)
+		want, wantErr := addAll(t, whole, splitParts([]string{string(data)})...)
+		got, err := addAll(t, split, splitParts(parts)...)
+		if got != want || reasonOf(err) != reasonOf(wantErr) || split.LastID() != whole.LastID() || split.Repeated() != whole.Repeated() {
+			t.Fatalf("%q: in parts %q, %v, at once %q, %v", data, got, err, want, wantErr)
+		}
+		again := NewSequence(lastEvent)
+		if same, err := addAll(t, again, want); same != want || err != nil || again.Repeated() != 0 || again.LastID() != whole.LastID() {
+			t.Fatalf("%q is delivered, of which %q is in sequence, error %v, %d repeated", want, same, err, again.Repeated())
+		}
+	})
+}
