Deliver nothing of an engine that has diverged

After the overlap of an engine was found to differ, the assembler took the overlap as read: a caller that went on adding pieces of the same engine got its different text delivered as the next pieces of the answer. Add now returns ErrDiverged until Restart. No path was found that does this today: entry ends an engine's stream at the first error, and restarts.

TestNothingIsDeliveredAfterADivergence fails without the change (after one piece, 9 pieces of another text were delivered without an error) and passes with it; go test -race -count=3 ./internal/stream passes.

--- a/internal/stream/assembler.go
+++ b/internal/stream/assembler.go
@@ -48,6 +48,8 @@
 	overlap  []string
 	buffered map[int]engine.Piece
 	done     bool
+	// diverged is set if the current engine generates a different text.
+	diverged bool
 }
 
 // NewAssembler returns an assembler that delivers pieces from number next on. The sum is Assembler.Sum of the
@@ -71,13 +73,16 @@
 // engine.
 func (a *Assembler) Restart() (from int) {
 	a.expected = max(0, a.next-Overlap)
-	a.overlap, a.buffered = nil, nil
+	a.overlap, a.buffered, a.diverged = nil, nil, false
 	return a.expected
 }
 
 // Add adds a received piece and returns the pieces that are now in order. It returns none for a repeated or
-// out-of-order piece. Errors: ErrDiverged, ErrTooFarAhead.
+// out-of-order piece. Errors: ErrDiverged, which each call returns until Restart, and ErrTooFarAhead.
 func (a *Assembler) Add(piece engine.Piece) (ready []OrderedPiece, err error) {
+	if a.diverged {
+		return nil, ErrDiverged
+	}
 	if piece.N < a.expected || a.done {
 		return nil, nil
 	}
@@ -91,6 +96,7 @@
 			ready = append(ready, a.deliver(piece))
 		}
 		if err != nil {
+			a.diverged = true
 			return nil, err
 		}
 	}
--- a/internal/stream/stream_test.go
+++ b/internal/stream/stream_test.go
@@ -142,3 +142,32 @@
 		}
 	}
 }
+
+// TestNothingIsDeliveredAfterADivergence guards against a caller that goes on reading an engine's different text.
+func TestNothingIsDeliveredAfterADivergence(t *testing.T) {
+	right, wrong := answerPieces(9, "right"), answerPieces(9, "wrong")
+	for _, received := range []int{1, 3, Overlap, Overlap + 1, 9} {
+		assembler := NewAssembler(0, 0)
+		for _, piece := range right[:received] {
+			if _, err := assembler.Add(piece); err != nil {
+				t.Fatal(err)
+			}
+		}
+		diverged := false
+		for _, piece := range wrong[assembler.Restart():] {
+			ready, err := assembler.Add(piece)
+			diverged = diverged || errors.Is(err, ErrDiverged)
+			if len(ready) > 0 || diverged && !errors.Is(err, ErrDiverged) {
+				t.Errorf("after %d pieces: piece %d of a different text: %d delivered, error %v", received, piece.N, len(ready), err)
+			}
+		}
+		for _, piece := range right[assembler.Restart():] {
+			if _, err := assembler.Add(piece); err != nil {
+				t.Errorf("after %d pieces: the engine with the same text: %v", received, err)
+			}
+		}
+		if !assembler.Done() {
+			t.Errorf("after %d pieces: the engine with the same text does not complete the answer", received)
+		}
+	}
+}
