Search line ends of event streams with one plain loop

Following the standard's line ends byte by byte made the splitter slower than the search for "\n\n" before it. It now goes from line end to line end.

--- a/internal/stream/event_lines.go
+++ b/internal/stream/event_lines.go
@@ -8,9 +8,20 @@
 	dataField = "data"
 )
 
+// lineEnd returns the position of the first "\n" or "\r", or -1 if there is none. It reads no byte after that one, so
+// that cutting all lines of a text has a linear cost.
+func lineEnd(text []byte) int {
+	for i, c := range text {
+		if c == '\n' || c == '\r' {
+			return i
+		}
+	}
+	return -1
+}
+
 // cutLine returns the first line without its end, which is "\n", "\r\n" or "\r", and what follows it.
 func cutLine(text []byte) (line, rest []byte) {
-	end := bytes.IndexAny(text, "\r\n")
+	end := lineEnd(text)
 	if end < 0 {
 		return text, nil
 	}
--- a/internal/stream/event_splitter.go
+++ b/internal/stream/event_splitter.go
@@ -36,17 +36,21 @@
 
 // scan reads each received byte once. It returns the length of the part up to the last end of an event, or 0.
 func (e *EventSplitter) scan(received []byte) (end int) {
-	for i, c := range received {
-		if c != '\n' && c != '\r' {
+	for pos := 0; pos < len(received); pos++ {
+		length := lineEnd(received[pos:])
+		if length != 0 {
 			e.inLine, e.inEvent, e.afterCR = true, true, false
-			continue
 		}
-		if sameLineEnd := c == '\n' && e.afterCR; !sameLineEnd {
+		if length < 0 {
+			return end
+		}
+		pos += length
+		if sameLineEnd := received[pos] == '\n' && e.afterCR; !sameLineEnd {
 			e.endLine()
 		}
-		e.afterCR = c == '\r'
+		e.afterCR = received[pos] == '\r'
 		if !e.inEvent {
-			end = i + 1
+			end = pos + 1
 		}
 	}
 	return end
