relay: pass on events only as they follow the ones before them

Cause: complete events were written to the caller by their framing alone; of their ids only the last one was kept, for a resumption. An event without an id was passed on too, and a retry after it would have started from the beginning. Fix: the forwarder of both ways to an engine (directly and through another instance) passes what it has received through stream.Sequence: an event that the caller has is dropped; a gap, or an event without a number, breaks the run off, as invalid. The stream goes on at another engine after the last event where the route allows it, else its caller sees that it broke off.

--- a/internal/relay/eventforwarder.go
+++ b/internal/relay/eventforwarder.go
@@ -14,7 +14,7 @@
 // errPartialEvent: the stream ended inside an event.
 var errPartialEvent = errors.New("relay: the stream ended inside an event")
 
-// eventForwarder forwards the events of one engine's stream to a caller, each one complete.
+// eventForwarder forwards the events of one engine's stream to a caller: complete ones, each once and in order.
 type eventForwarder struct {
 	w     http.ResponseWriter
 	flush func() error
@@ -23,31 +23,40 @@
 	idleTimeout time.Duration
 	cancel      context.CancelFunc
 	events      stream.EventSplitter
-	// lastEvent is the id of the last event that was written to the caller.
-	lastEvent string
-	order     eventOrder
+	sequence    *stream.Sequence
 	// onEvents is called after events were written; nil for none.
 	onEvents func()
 }
 
+// newEventForwarder returns a forwarder of a stream that continues after an event; an empty id begins at the start.
+func newEventForwarder(w http.ResponseWriter, lastEvent string, cancel context.CancelFunc) *eventForwarder {
+	return &eventForwarder{w: w, flush: http.NewResponseController(w).Flush, sequence: stream.NewSequence(lastEvent), cancel: cancel}
+}
+
+// lastEvent returns the id of the last event that the caller has.
+func (p *eventForwarder) lastEvent() string { return p.sequence.LastID() }
+
 // readBufferBytes is how much is read from an engine at once. An event has some hundred bytes.
 const readBufferBytes = 4 << 10
 
-// forward returns nil at the regular end of the stream.
+// forward returns nil at the regular end of the stream. It returns a *stream.SequenceError at an event that cannot follow the
+// ones before it.
 func (p *eventForwarder) forward(body io.Reader) error {
 	buffer := make([]byte, readBufferBytes)
 	timer := newEventTimer(p.idleTimeout, p.cancel)
 	defer timer.stop()
 	for {
 		n, err := body.Read(buffer)
+		before := p.events.Count()
 		complete := p.events.Add(buffer[:n])
-		if len(complete) > 0 {
+		hasEvents := p.events.Count() > before
+		if hasEvents {
 			timer.stop()
 		}
 		if err := p.write(complete); err != nil {
 			return err
 		}
-		if err := timer.received(p.events.PartialBytes(), len(complete) > 0); err != nil {
+		if err := timer.received(p.events.PartialBytes(), hasEvents); err != nil {
 			return err
 		}
 		switch {
@@ -61,23 +70,20 @@
 	}
 }
 
-// write writes complete events to the caller at once.
+// write writes those of the complete events that follow the ones before them to the caller at once.
 func (p *eventForwarder) write(events []byte) error {
-	if len(events) == 0 {
-		return nil
+	inSequence, outOfSequence := p.sequence.Add(events)
+	if len(inSequence) == 0 {
+		return outOfSequence
 	}
-	p.order.add(events)
-	if _, err := p.w.Write(events); err != nil {
+	if _, err := p.w.Write(inSequence); err != nil {
 		return ErrCallerDisconnected
 	}
 	if err := p.flush(); err != nil {
 		return ErrCallerDisconnected
 	}
-	if id := p.events.LastID(); id != "" {
-		p.lastEvent = id
-	}
 	if p.onEvents != nil {
 		p.onEvents()
 	}
-	return nil
+	return outOfSequence
 }
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -197,12 +197,12 @@
 		return failedAttempt(g.via, errors.WithMessagef(ErrNoValidAnswer, "the engine answered %d", reply.Status))
 	}
 	g.begin(reply, reply.Version)
-	forwarder := eventForwarder{w: g.w, flush: http.NewResponseController(g.w).Flush, lastEvent: g.lastEvent, cancel: cancel}
+	forwarder := newEventForwarder(g.w, g.lastEvent, cancel)
 	if g.attempts.MayRunElsewhere() {
 		forwarder.idleTimeout = g.relay.settings.StreamIdleTimeout
 	}
 	err := forwarder.forward(reply.Body)
-	g.lastEvent = forwarder.lastEvent
+	g.lastEvent = forwarder.lastEvent()
 	switch {
 	case err == nil:
 		return attempt.Result{Status: attempt.Done}
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -344,16 +344,15 @@
 func (r *Relay) forwardStream(ctx context.Context, cancel context.CancelFunc, g *generation, engine upstreamstate.Upstream, reply *Reply, started time.Duration) attempt.Result {
 	g.begin(reply, engine.Version)
 	g.generatingSince = r.now()
-	forwarder := eventForwarder{w: g.w, flush: http.NewResponseController(g.w).Flush, lastEvent: g.lastEvent, cancel: cancel}
+	forwarder := newEventForwarder(g.w, g.lastEvent, cancel)
 	forwarder.onEvents = r.watchAlive(g.exchange)
-	forwarder.order = newEventOrder(g.lastEvent)
 	if g.attempts.MayRunElsewhere() {
 		forwarder.idleTimeout = r.settings.StreamIdleTimeout
 	}
 	streamStarted, fromStart := r.now(), g.lastEvent == ""
 	err := forwarder.forward(reply.Body)
-	g.lastEvent = forwarder.lastEvent
-	r.recordStreamEnd(g.exchange, engine, reply, forwarder.order, err)
+	g.lastEvent = forwarder.lastEvent()
+	r.recordStreamEnd(g.exchange, engine, reply, forwarder, err)
 	switch {
 	case err == nil:
 		r.upstreams.RecordCall(engine.ID, load.CallSucceeded, r.now())
--- a/internal/relay/parts_test.go
+++ b/internal/relay/parts_test.go
@@ -131,15 +131,16 @@
 type slowEvents struct {
 	events int
 	pause  time.Duration
+	sent   int
 }
 
 func (s *slowEvents) Read(p []byte) (int, error) {
-	if s.events == 0 {
+	if s.sent == s.events {
 		return 0, io.ErrUnexpectedEOF
 	}
 	time.Sleep(s.pause)
-	s.events--
-	return copy(p, fmt.Sprintf("id: %d\ndata: a\n\n", 100-s.events)), nil
+	s.sent++
+	return copy(p, fmt.Sprintf("id: %d\ndata: a\n\n", s.sent)), nil
 }
 
 // TestEngineThatGeneratesForLongSpeaksForParts guards against blaming the parts of requests that their engine had been
