Withhold answers whose status would promise that nothing ran

Relay.deliver, through which all answers pass that are not streams, now ends such a request with outcome Unknown (502) instead, logs it and counts it in relay.answers_withheld. Answers of other instances pass through it too, so an instance of an earlier build cannot bring one. Requests that may run again get their upstream's answer unchanged; they are judged by no promise. A status as the upstream gave it cannot be kept here together with the promise, so the answer becomes a failure of our own, without the upstream's stamp.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -75,7 +75,7 @@
 		answer.reply.Body.Close()
 		return failedAttempt(upstream.ID, errors.Errorf("relay: the upstream answered %d", answer.reply.Status))
 	}
-	return attempt.Result{Status: attempt.Done, Err: deliver(c.w, c.exchange, answer)}
+	return attempt.Result{Status: attempt.Done, Err: r.deliver(c.w, c.exchange, answer)}
 }
 
 // shouldRetryElsewhere reports whether a failure status of the upstream should be retried at
@@ -141,8 +141,13 @@
 	return b.ReadCloser.Close()
 }
 
-// deliver writes an answer to the caller.
-func deliver(w http.ResponseWriter, x *exchange, answer bufferedAnswer) error {
+// deliver writes an answer to the caller, unless it must be withheld.
+func (r *Relay) deliver(w http.ResponseWriter, x *exchange, answer bufferedAnswer) error {
+	if refusal := r.withhold(x, answer.reply); refusal != nil {
+		answer.dropHead(x)
+		answer.reply.Body.Close()
+		return refusal
+	}
 	x.attempts.Answered()
 	writeHeader(w, x, answer.reply)
 	var rest *readAhead
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -165,11 +165,11 @@
 	if result.Status != attempt.Done {
 		return result
 	}
-	return deliverForwarded(ctx, c.w, c.exchange, reply)
+	return c.relay.deliverForwarded(ctx, c.w, c.exchange, reply)
 }
 
 // deliverForwarded writes an answer from another instance, that is not streamed, to the caller.
-func deliverForwarded(ctx context.Context, w http.ResponseWriter, x *exchange, reply *Reply) attempt.Result {
+func (r *Relay) deliverForwarded(ctx context.Context, w http.ResponseWriter, x *exchange, reply *Reply) attempt.Result {
 	answer, err := readHead(x, reply)
 	if err != nil {
 		reply.Body.Close()
@@ -178,7 +178,7 @@
 		}
 		return failedAttempt(x.via, WrapReadError(err))
 	}
-	return attempt.Result{Status: attempt.Done, Err: deliver(w, x, answer)}
+	return attempt.Result{Status: attempt.Done, Err: r.deliver(w, x, answer)}
 }
 
 // forwardGeneration has another instance deliver the rest of a generated answer.
@@ -190,7 +190,7 @@
 		return result
 	}
 	if reply.Status != http.StatusOK && !g.headerSent {
-		return deliverForwarded(ctx, g.w, g.exchange, reply)
+		return g.relay.deliverForwarded(ctx, g.w, g.exchange, reply)
 	}
 	defer reply.Body.Close()
 	if reply.Status != http.StatusOK {
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -319,7 +319,7 @@
 	if err != nil {
 		return failedAttempt(engine.ID, errors.WithMessage(ErrNoValidAnswer, err.Error()))
 	}
-	return attempt.Result{Status: attempt.Done, Err: deliver(g.w, g.exchange, answer)}
+	return attempt.Result{Status: attempt.Done, Err: r.deliver(g.w, g.exchange, answer)}
 }
 
 // maxFetchesRefused is the number of refused runs after which a KV cache is given up.
--- a/internal/relay/meters.go
+++ b/internal/relay/meters.go
@@ -15,6 +15,8 @@
 type meters struct {
 	requests, answered, refused, broken, callerDisconnected metrics.Counter
 	resumed, copied                                         metrics.Counter
+	// withheld counts the answers with a status that would have told the caller that its request did not run.
+	withheld metrics.Counter
 	// slowCalls counts the calls that were sent to upstreams that are known to be slow.
 	slowCalls                   metrics.Counter
 	prefills, direct, saturated metrics.Counter
@@ -39,7 +41,7 @@
 	return &meters{
 		requests: counter("requests"), answered: counter("answered"), refused: counter("refused"),
 		broken: counter("broken"), callerDisconnected: counter("caller_gone"),
-		slowCalls: counter("calls_to_slow"), resumed: counter("resumed"), copied: counter("gone_on_at_copy"), prefills: counter("prefills"), direct: counter("direct"), saturated: counter("refused_choked"),
+		slowCalls: counter("calls_to_slow"), resumed: counter("resumed"), withheld: counter("answers_withheld"), copied: counter("gone_on_at_copy"), prefills: counter("prefills"), direct: counter("direct"), saturated: counter("refused_choked"),
 		limits: newLimitMeters(), arrivals: newArrivalMeters(), forwards: newForwardMeters(), continuations: newContinuationMeters(),
 	}
 }
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -107,7 +107,12 @@
 // attemptRules returns the bounds that a route sets on the attempts at its requests.
 func (r *Relay) attemptRules(route *routes.Route) attempt.Rules {
 	return attempt.Rules{
-		Repeatable: route.Kind == routes.Idempotent || route.Resumable,
+		Repeatable: isRepeatable(route),
 		MaxRuns:    max(1, route.MaxAttempts), MaxSends: r.settings.MaxSends,
 	}
 }
+
+// isRepeatable reports whether requests on a route may run again after the outcome of a run was lost.
+func isRepeatable(route *routes.Route) bool {
+	return route.Kind == routes.Idempotent || route.Resumable
+}
