Log what a refusal knows of the sends before it

relay: done names what the caller was told (told), the sends that reached an upstream (arrivals) and the instances that the request was forwarded to (forwards), besides sends and runs.

TestLogOfARefusalNamesItsSends fails without the fields.

--- a/internal/relay/meters.go
+++ b/internal/relay/meters.go
@@ -59,14 +59,14 @@
 // finish logs the end of a request in one line, and counts it.
 func (r *Relay) finish(x *exchange, req *Request, err error) {
 	r.meters.requests.Inc(1)
-	outcome := "answered"
+	outcome, told := "answered", ""
 	var refusal *Refusal
 	switch {
 	case err == nil:
 		r.meters.answered.Inc(1)
 	case errors.As(err, &refusal):
 		r.meters.refused.Inc(1)
-		outcome = "refused: " + refusal.Reason
+		outcome, told = "refused: "+refusal.Reason, refusal.Outcome.String()
 	case errors.Is(err, ErrCallerDisconnected):
 		r.meters.callerDisconnected.Inc(1)
 		outcome = "the caller left"
@@ -75,14 +75,14 @@
 		outcome = err.Error()
 	}
 	if x == nil {
-		r.log.Info("relay: done", "request", req.ID, "outcome", outcome)
+		r.log.Info("relay: done", "request", req.ID, "outcome", outcome, "told", told)
 		return
 	}
 	elapsed := r.now() - x.arrived
 	observe(x.route.Kind.String(), elapsed)
-	r.log.Info("relay: done", "request", req.ID, "outcome", outcome, "route", x.route.Name, "kind", x.route.Kind.String(),
+	r.log.Info("relay: done", "request", req.ID, "outcome", outcome, "told", told, "route", x.route.Name, "kind", x.route.Kind.String(),
 		"config", x.version, "config_age", x.age.Round(time.Millisecond), "upstream", x.upstream, "prefill", x.prefill,
-		"ahead", x.ahead, "predicted", x.predicted, "sends", x.attempts.Sends(), "runs", x.attempts.Runs(), "status", x.status, "took", elapsed, "via", x.via, "from", x.from, "cause", lastFailure(x))
+		"ahead", x.ahead, "predicted", x.predicted, "sends", x.attempts.Sends(), "arrivals", x.attempts.Ledger().Arrivals(), "runs", x.attempts.Runs(), "forwards", x.forwards, "status", x.status, "took", elapsed, "via", x.via, "from", x.from, "cause", lastFailure(x))
 }
 
 // recordCutOff counts and logs an answer that was cut off because it exceeded a bound, if the error is one of those.
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -247,6 +247,11 @@
 	TimedOut
 )
 
+// String returns the outcome's text for logs.
+func (o Outcome) String() string {
+	return [...]string{"not run", "unknown", "no route", "unauthenticated", "over quota", "timed out"}[o]
+}
+
 // Refusal is the error of a request that ended without an answer.
 type Refusal struct {
 	Outcome Outcome
--- a/internal/relay/withheld_test.go
+++ b/internal/relay/withheld_test.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"bytes"
+	"log/slog"
 	"net/http"
 	"strings"
 	"testing"
@@ -32,3 +34,23 @@
 		t.Errorf("a status that promises nothing: %v, status %d", err, w.Code)
 	}
 }
+
+// TestLogOfARefusalNamesItsSends guards against refusals of which the logs do not show whether an upstream or another
+// instance had the request.
+func TestLogOfARefusalNamesItsSends(t *testing.T) {
+	for want, err := range map[string]error{
+		`told="not run"`: ErrRefused, "told=unknown": ErrNoValidAnswer,
+	} {
+		r := newFake(t, &fakeSender{run: func(int, Send) (*Reply, error) { return nil, err }})
+		var log bytes.Buffer
+		r.log = slog.New(slog.NewTextHandler(&log, nil))
+		if _, err := serve(r, call("/unsafe/1")); err == nil {
+			t.Fatal("not refused")
+		}
+		for _, part := range []string{want, "sends=", "arrivals=", "runs=", "forwards=0"} {
+			if !strings.Contains(log.String(), part) {
+				t.Errorf("no %s in %s", part, log.String())
+			}
+		}
+	}
+}
