--- a/internal/relay/meters.go
+++ b/internal/relay/meters.go
@@ -15,6 +15,8 @@
 type meters struct {
 	requests, answered, refused, broken, callerDisconnected metrics.Counter
 	resumed, copied                                         metrics.Counter
+	// withheld counts the answers with a status that would have told the caller that its request did not run.
+	withheld metrics.Counter
 	// slowCalls counts the calls that were sent to upstreams that are known to be slow.
 	slowCalls                   metrics.Counter
 	prefills, direct, saturated metrics.Counter
@@ -40,7 +42,7 @@
 	return &meters{
 		requests: counter("requests"), answered: counter("answered"), refused: counter("refused"),
 		broken: counter("broken"), callerDisconnected: counter("caller_gone"),
-		slowCalls: counter("calls_to_slow"), resumed: counter("resumed"), copied: counter("gone_on_at_copy"), prefills: counter("prefills"), direct: counter("direct"), saturated: counter("refused_choked"),
+		slowCalls: counter("calls_to_slow"), resumed: counter("resumed"), withheld: counter("answers_withheld"), copied: counter("gone_on_at_copy"), prefills: counter("prefills"), direct: counter("direct"), saturated: counter("refused_choked"),
 		limits: newLimitMeters(), arrivals: newArrivalMeters(), forwards: newForwardMeters(), continuations: newContinuationMeters(), streams: newStreamMeters(),
 	}
 }
@@ -58,14 +60,14 @@
 // finish logs the end of a request in one line, and counts it.
 func (r *Relay) finish(x *exchange, req *Request, err error) {
 	r.meters.requests.Inc(1)
-	outcome := "answered"
+	outcome, told := "answered", ""
 	var refusal *Refusal
 	switch {
 	case err == nil:
 		r.meters.answered.Inc(1)
 	case errors.As(err, &refusal):
 		r.meters.refused.Inc(1)
-		outcome = "refused: " + refusal.Reason
+		outcome, told = "refused: "+refusal.Reason, refusal.Outcome.String()
 	case errors.Is(err, ErrCallerDisconnected):
 		r.meters.callerDisconnected.Inc(1)
 		outcome = "the caller left"
@@ -74,14 +76,14 @@
 		outcome = err.Error()
 	}
 	if x == nil {
-		r.log.Info("relay: done", "request", req.ID, "outcome", outcome)
+		r.log.Info("relay: done", "request", req.ID, "outcome", outcome, "told", told)
 		return
 	}
 	elapsed := r.now() - x.arrived
 	observe(x.route.Kind.String(), elapsed)
-	r.log.Info("relay: done", "request", req.ID, "outcome", outcome, "route", x.route.Name, "kind", x.route.Kind.String(),
+	r.log.Info("relay: done", "request", req.ID, "outcome", outcome, "told", told, "route", x.route.Name, "kind", x.route.Kind.String(),
 		"config", x.version, "config_age", x.age.Round(time.Millisecond), "upstream", x.upstream, "prefill", x.prefill,
-		"ahead", x.ahead, "predicted", x.predicted, "sends", x.attempts.Sends(), "runs", x.attempts.Runs(), "status", x.status, "took", elapsed, "via", x.via, "from", x.from, "cause", lastFailure(x))
+		"ahead", x.ahead, "predicted", x.predicted, "sends", x.attempts.Sends(), "arrivals", x.attempts.Ledger().Arrivals(), "runs", x.attempts.Runs(), "forwards", x.forwards, "status", x.status, "took", elapsed, "via", x.via, "from", x.from, "cause", lastFailure(x))
 }
 
 // recordCutOff counts and logs an answer that was cut off because it exceeded a bound, if the error is one of those.
