Do not take the end of a service's connection for the end of its answer

What callers saw: a plain service's answer with neither length nor chunks, cut because the service's process was killed, was passed on as complete. With an Idempotency-Key the cut answer was also kept, and every repeat got it.

Cause: a killed process's kernel closes its connections by FIN. For such an answer that is the regular end by HTTP's framing, so io.ReadAll returns no error.

Evidence: TestAnswerEndedByTheConnectionIsNotWhole failed before in its three unframed cases: HTTP/1.1: passed on as whole: "certificate of lot 44", <nil> HTTP/1.0: passed on as whole: "certificate of lot 44", <nil> without a body: passed on as whole: "", <nil>

The answer is now ErrUnknown: another upstream is asked where the call may be repeated, otherwise its outcome is unknown, and nothing is kept. Asking whether the process still lives was weighed: this interface names no process, and behind a listener that outlives its workers, or is restarted, a connection is accepted all the same.

The client no longer asks for gzip by itself, as an answer that net/http decodes loses its length; calls go out as they came. X-Not-Run is read before the body: the header alone says it, also where the body has no end.

--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -69,8 +69,8 @@
 		http: &http.Client{
 			Timeout: timeout,
 			// Each call uses a new connection, because the peer can close an idle connection while a call
-			// that must not be sent twice is using it.
-			Transport:     &http.Transport{DisableKeepAlives: true},
+			// that must not be sent twice is using it. An answer that is decoded on the way has no length any more.
+			Transport:     &http.Transport{DisableKeepAlives: true, DisableCompression: true},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
@@ -108,6 +108,12 @@
 }
 
 func readAnswer(res *http.Response) (Answer, error) {
+	if res.Header.Get(NotRunHeader) != "" {
+		return Answer{}, ErrRefused
+	}
+	if !isFramed(res) {
+		return Answer{}, errors.WithMessage(ErrUnknown, "the answer has neither a length nor chunks")
+	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes+1))
 	if err != nil {
 		return Answer{}, errors.WithMessage(ErrUnknown, err.Error())
@@ -115,8 +121,11 @@
 	if len(body) > maxAnswerBytes {
 		return Answer{}, errors.WithMessage(ErrUnknown, "answer too large")
 	}
-	if res.Header.Get(NotRunHeader) != "" {
-		return Answer{}, ErrRefused
-	}
 	return Answer{Status: res.StatusCode, Header: res.Header, Body: body}, nil
 }
+
+// isFramed reports whether an answer says where it ends. The end of the connection does not: the kernel of a process
+// that was killed ends it in the same way.
+func isFramed(res *http.Response) bool {
+	return res.ContentLength >= 0 || len(res.TransferEncoding) > 0 || res.Request.Method == http.MethodHead
+}
--- /dev/null
+++ b/internal/service/service_test.go
@@ -0,0 +1,94 @@
+package service
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// startRaw starts a service that answers each call with the given bytes and closes the connection by FIN, as the kernel
+// does for a process that is killed.
+func startRaw(t *testing.T, answer string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			buffer := make([]byte, 4<<10)
+			_, _ = conn.Read(buffer) // the call fits into one read
+			_, _ = io.WriteString(conn, answer)
+			_ = conn.Close()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func do(t *testing.T, method, answer string) (Answer, error) {
+	t.Helper()
+	client := NewClient(startRaw(t, answer), 5*time.Second)
+	return client.Do(context.Background(), Call{Method: method, Path: "/", Header: http.Header{}})
+}
+
+// TestAnswerEndedByTheConnectionIsNotWhole guards against an answer that was cut off, as its process was killed, and passed
+// on and kept as a whole one.
+func TestAnswerEndedByTheConnectionIsNotWhole(t *testing.T) {
+	for name, answer := range map[string]string{
+		"HTTP/1.1":          "HTTP/1.1 200 OK\r\n\r\ncertificate of lot 44",
+		"HTTP/1.0":          "HTTP/1.0 200 OK\r\n\r\ncertificate of lot 44",
+		"without a body":    "HTTP/1.1 200 OK\r\n\r\n",
+		"within its length": "HTTP/1.1 200 OK\r\nContent-Length: 23\r\n\r\ncertificate of lot 44",
+		"within its chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n15\r\ncertificate of lot 44\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got, err := do(t, http.MethodPost, answer); !errors.Is(err, ErrUnknown) {
+				t.Errorf("passed on as whole: %q, %v", got.Body, err)
+			}
+		})
+	}
+}
+
+func TestAnswerWithAnEndIsWhole(t *testing.T) {
+	const body = "certificate of lot 4471"
+	for name, c := range map[string]struct{ method, answer, body string }{
+		"length":     {http.MethodPost, "HTTP/1.1 200 OK\r\nContent-Length: 23\r\n\r\n" + body, body},
+		"chunks":     {http.MethodPost, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n17\r\n" + body + "\r\n0\r\n\r\n", body},
+		"HTTP/1.0":   {http.MethodPost, "HTTP/1.0 200 OK\r\nContent-Length: 23\r\n\r\n" + body, body},
+		"to HEAD":    {http.MethodHead, "HTTP/1.1 200 OK\r\n\r\n", ""},
+		"no content": {http.MethodPost, "HTTP/1.1 204 No Content\r\n\r\n", ""},
+		"failure":    {http.MethodPost, "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got, err := do(t, c.method, c.answer); err != nil || string(got.Body) != c.body {
+				t.Errorf("%q, %v", got.Body, err)
+			}
+		})
+	}
+}
+
+// TestRefusalNeedsNoEnd guards against a call whose refusal is taken for an unknown outcome, as nothing but its header counts.
+func TestRefusalNeedsNoEnd(t *testing.T) {
+	if _, err := do(t, http.MethodPost, "HTTP/1.1 503 Busy\r\n"+NotRunHeader+": 1\r\n\r\nbusy"); !errors.Is(err, ErrRefused) {
+		t.Error(err)
+	}
+}
+
+// TestEncodedAnswerIsPassedOnUnchanged guards against an answer whose length is lost because it is decoded on the way.
+func TestEncodedAnswerIsPassedOnUnchanged(t *testing.T) {
+	answer, err := do(t, http.MethodPost, "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\nContent-Length: 4\r\n\r\n\x1f\x8bxy")
+	if err != nil || !strings.HasPrefix(string(answer.Body), "\x1f\x8b") || answer.Header.Get("Content-Encoding") != "gzip" {
+		t.Errorf("%q %v %v", answer.Body, answer.Header, err)
+	}
+}
