--- /dev/null
+++ b/internal/relay/joinedruns_test.go
@@ -0,0 +1,63 @@
+package relay
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// TestStreamThatMayNotBeResumedIsNotTakenUp guards against a caller that has events of one run and gets the rest of
+// another one, on a route whose requests run once.
+func TestStreamThatMayNotBeResumedIsNotTakenUp(t *testing.T) {
+	for _, lastEvent := range []string{"1", "0", "-1", "99999999999999999999", "x", "1, 2"} {
+		f := &fakeSender{}
+		req := call("/once/1")
+		req.LastEvent, req.Resumes = lastEvent, "r0"
+		w, err := serve(newFake(t, f), req)
+		if f.count() != 0 || err == nil {
+			t.Errorf("after %q: %d sends, answered %q, %v", lastEvent, f.count(), w.Body, err)
+			continue
+		}
+		if outcome := outcomeOf(t, err); outcome != NotRun {
+			t.Errorf("after %q: outcome %v", lastEvent, outcome)
+		}
+	}
+}
+
+// TestForwardedStreamThatMayNotBeResumedIsNotTakenUp guards against the same at the instance that a request is forwarded to.
+func TestForwardedStreamThatMayNotBeResumedIsNotTakenUp(t *testing.T) {
+	f := &fakeSender{}
+	req := call("/once/1")
+	req.LastEvent = "1"
+	_, err := newFake(t, f).ServeForwarded(context.Background(), &Forwarded{Request: req, Service: serviceHash("llm"), Timeout: time.Second, Version: "v1"}, httptest.NewRecorder())
+	if err == nil || outcomeOf(t, err) != NotRun || f.count() != 0 {
+		t.Errorf("%v after %d sends", err, f.count())
+	}
+}
+
+// TestStreamBrokenOffBeforeItsFirstEventIsWhole guards against a stream whose header was sent before its engine crashed,
+// and that gets pieces of both runs.
+func TestStreamBrokenOffBeforeItsFirstEventIsWhole(t *testing.T) {
+	const whole = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	f := &fakeSender{run: func(n int, s Send) (*Reply, error) {
+		if n == 1 {
+			return truncated("id: 1\nda"), nil
+		}
+		if s.LastEvent != "" {
+			t.Errorf("goes on after %q", s.LastEvent)
+		}
+		return events(whole), nil
+	}}
+	r := newFake(t, f)
+	withLargeBudget(r)
+	if w, err := serve(r, call("/resumable/1")); err != nil || w.Body.String() != whole {
+		t.Errorf("%q, %v", w.Body, err)
+	}
+	f.runs = 0
+	if w, err := serve(r, call("/once/1")); !errors.Is(err, ErrAnswerAborted) || w.Body.Len() != 0 || f.runs != 1 {
+		t.Errorf("%q, %v, %d runs", w.Body, err, f.runs)
+	}
+}
