Forward the rest of a stream under the id that began it

What callers saw: nothing yet; by the test, the instance that the rest of a stream is forwarded to takes it for a stream of another id, and by that id for one of another service where the route splits its traffic. It would then join events of two services.

Cause: a request may name an earlier attempt without having an event of it. Its stream begins under its own id, which chose the service. Once there is a last event to go on after, the forwarded request had both fields, so that the earlier attempt's id counted.

Evidence: TestForwardedStreamKeepsItsID failed before: after "1": stream "r0".

The forwarded request names the id that began the stream.

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -110,7 +110,7 @@
 	}
 	if lastEvent != x.req.LastEvent {
 		resumed := *x.req
-		resumed.LastEvent = lastEvent
+		resumed.LastEvent, resumed.Resumes = lastEvent, x.req.streamID()
 		f.Request = &resumed
 	}
 	if err := x.attempts.Sent(); err != nil {
--- a/internal/relay/joinedruns_test.go
+++ b/internal/relay/joinedruns_test.go
@@ -61,3 +61,25 @@
 		t.Errorf("%q, %v, %d runs", w.Body, err, f.runs)
 	}
 }
+
+// TestForwardedStreamKeepsItsID guards against the rest of a stream that another instance serves as that of an earlier one,
+// and so at another service.
+func TestForwardedStreamKeepsItsID(t *testing.T) {
+	forwarder := &fakeForwarder{answer: func(n int, _ *Forwarded) (*Reply, error) {
+		if n == 1 {
+			return truncated("id: 1\ndata: a\n\n"), nil
+		}
+		return events("id: 2\ndata: b\n\n"), nil
+	}}
+	req := call("/resumable/1")
+	req.Resumes = "r0" // without an event of it
+	r := withoutPath(t, &fakeSender{}, forwarder)
+	if _, err := serve(r, req); err != nil || len(forwarder.requests) != 2 {
+		t.Fatalf("%v, %d forwarded", err, len(forwarder.requests))
+	}
+	for _, f := range forwarder.requests {
+		if f.Request.streamID() != req.ID {
+			t.Errorf("after %q: stream %q", f.Request.LastEvent, f.Request.streamID())
+		}
+	}
+}
