Hold that a forwarded answer ends with its end message alone

A forwarded answer is whole when its ForwardEnd message has arrived. The tests covered an instance that breaks it off or resets it; now also those whose connection ends as any other, as the kernel of a killed process ends it: without framing, with a length or a last chunk that ends at an event, and with the end of the call but none of the answer. No fault was found: TestAnswerEndedByTheConnectionIsNotComplete passed at once.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -1,7 +1,10 @@
 package forward
 
 import (
+	"bufio"
 	"context"
+	"encoding/binary"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -14,6 +17,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"sassafrasfield/internal/attempt"
 	sfv1 "sassafrasfield/internal/gen/sf/v1"
@@ -321,3 +325,62 @@
 		}
 	}
 }
+
+// envelope frames a message of an answer.
+func envelope(t *testing.T, m *sfv1.ForwardResponse) string {
+	t.Helper()
+	data, err := proto.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(binary.BigEndian.AppendUint32([]byte{0}, uint32(len(data)))) + string(data)
+}
+
+// TestAnswerEndedByTheConnectionIsNotComplete guards against a stream that passes for whole because the process that
+// forwards it was killed between two events: the kernel ends its connection as it ends any other.
+func TestAnswerEndedByTheConnectionIsNotComplete(t *testing.T) {
+	answer := envelope(t, &sfv1.ForwardResponse{}) + envelope(t, &sfv1.ForwardResponse{Header: &sfv1.ForwardHeader{Status: http.StatusOK}}) +
+		envelope(t, &sfv1.ForwardResponse{Data: []byte("part")})
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: application/connect+proto\r\n"
+	for name, sent := range map[string]string{
+		"no framing":                                head + "\r\n" + answer,
+		"length that ends at an event":              head + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(answer)) + answer,
+		"last chunk after an event":                 head + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", len(answer)) + answer + "\r\n0\r\n\r\n",
+		"end of the call without one of the answer": head + "\r\n" + answer + "\x02\x00\x00\x00\x02{}",
+	} {
+		to := peers.Peer{Name: "peer", Address: startRaw(t, sent), Zone: "a"}
+		_, reply, err := newClient(to).Forward(context.Background(), request(), nil)
+		if err != nil {
+			t.Fatal(name, err)
+		}
+		if body, err := io.ReadAll(reply.Body); !errors.Is(err, io.ErrUnexpectedEOF) || string(body) != "part" {
+			t.Errorf("%s: %q, %v", name, body, err)
+		}
+		reply.Body.Close()
+	}
+}
+
+// startRaw starts an instance that answers with the given bytes and closes the connection by FIN, and returns its address.
+func startRaw(t *testing.T, answer string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			request, err := http.ReadRequest(bufio.NewReader(conn))
+			if err == nil {
+				_, _ = io.Copy(io.Discard, request.Body) // the answer does not depend on it
+				_, _ = io.WriteString(conn, answer)
+			}
+			_ = conn.Close()
+		}
+	}()
+	return listener.Addr().String()
+}
