Cover a caller that returns while its first answer is written

The two answers are served apart: each has its own exchange, and the second one goes on after the event that the caller names. No fault was found; the test passed at once.

--- a/internal/relay/joinedruns_test.go
+++ b/internal/relay/joinedruns_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
 	"net/http/httptest"
 	"slices"
 	"testing"
@@ -183,3 +185,42 @@
 		t.Errorf("%v, sent %+v", err, f.calls)
 	}
 }
+
+// TestCallerReturnsWhileItsAnswerIsWritten guards against two answers to one caller of which one gets events of the other.
+func TestCallerReturnsWhileItsAnswerIsWritten(t *testing.T) {
+	first, write := io.Pipe()
+	f := &fakeSender{run: func(n int, s Send) (*Reply, error) {
+		if n == 1 {
+			return reply(http.StatusOK, first), nil
+		}
+		if s.LastEvent != "1" {
+			t.Errorf("goes on after %q", s.LastEvent)
+		}
+		return events("id: 2\ndata: again\n\n"), nil
+	}}
+	r := withOneVersion(newFake(t, f))
+	began := make(chan *httptest.ResponseRecorder)
+	go func() {
+		w, err := serve(r, call("/resumable/1"))
+		if err != nil {
+			t.Error(err)
+		}
+		began <- w
+	}()
+	send := func(event string) {
+		t.Helper()
+		if _, err := io.WriteString(write, event); err != nil {
+			t.Fatal(err)
+		}
+	}
+	send("id: 1\ndata: a\n\n")
+	w, err := serve(r, takeUp("r2", "r1"))
+	if err != nil || w.Body.String() != "id: 2\ndata: again\n\n" {
+		t.Errorf("second answer %q, %v", w.Body, err)
+	}
+	send("id: 2\ndata: b\n\n")
+	write.Close()
+	if w := <-began; w.Body.String() != "id: 1\ndata: a\n\nid: 2\ndata: b\n\n" {
+		t.Errorf("first answer %q", w.Body)
+	}
+}
