Show that events without ids are repeated in a second run

What callers would see: events that have no id twice, where a resumable run breaks off and another engine, or another instance, goes on.

Cause: the place to go on is the id of the last event that had one. Without any, the second run begins at the start although the caller has events; after an event without an id, it goes on before it.

Evidence: TestEventsWithoutIDsAreNotRepeated fails, for the own path and the forwarded one: "data: a\n\ndata: a\n\ndata: b\n\n", <nil>

--- a/internal/relay/joinedruns_test.go
+++ b/internal/relay/joinedruns_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -224,3 +225,37 @@
 		t.Errorf("first answer %q", w.Body)
 	}
 }
+
+// TestEventsWithoutIDsAreNotRepeated guards against a second run that begins at the start although the caller has events,
+// as these had no id to go on after.
+func TestEventsWithoutIDsAreNotRepeated(t *testing.T) {
+	t.Run("own", func(t *testing.T) {
+		f := &fakeSender{run: func(n int, _ Send) (*Reply, error) {
+			if n == 1 {
+				return truncated("data: a\n\n"), nil
+			}
+			return events("data: a\n\ndata: b\n\n"), nil
+		}}
+		r := newFake(t, f)
+		withLargeBudget(r)
+		w, err := serve(r, call("/resumable/1"))
+		checkNotRepeated(t, w, err)
+	})
+	t.Run("forwarded", func(t *testing.T) {
+		forwarder := &fakeForwarder{answer: func(n int, _ *Forwarded) (*Reply, error) {
+			if n == 1 {
+				return truncated("data: a\n\n"), nil
+			}
+			return events("data: a\n\ndata: b\n\n"), nil
+		}}
+		w, err := serve(withoutPath(t, &fakeSender{}, forwarder), call("/resumable/1"))
+		checkNotRepeated(t, w, err)
+	})
+}
+
+func checkNotRepeated(t *testing.T, w *httptest.ResponseRecorder, err error) {
+	t.Helper()
+	if strings.Count(w.Body.String(), "data: a") > 1 || !errors.Is(err, ErrAnswerAborted) {
+		t.Errorf("%q, %v", w.Body, err)
+	}
+}
