--- a/internal/streamversions/records.go
+++ b/internal/streamversions/records.go
@@ -40,8 +40,8 @@
 
 // Knowledge is what an instance knows about a stream.
 type Knowledge struct {
-	// Found is set if a version is recorded. Ambiguous is set if several versions or services are, because callers used an
-	// id for several streams.
+	// Found is set if a version is recorded. Ambiguous is set if several versions are, because callers used an id for
+	// several streams.
 	Found, Ambiguous bool
 	Version          string
 	// Service is the stream's service; empty for a record of another instance.
@@ -103,7 +103,7 @@
 	}
 	if exists {
 		e.at, e.expires = old.at, max(e.expires, old.expires)
-		e.ambiguous = old.ambiguous || old.version != e.version || old.own && e.own && old.service != e.service
+		e.ambiguous = old.ambiguous || old.version != e.version
 		if old.own {
 			e.own, e.service = true, old.service
 		}
@@ -145,7 +145,7 @@
 		source = SourceOwnRecord
 	}
 	if e.ambiguous {
-		return Knowledge{Ambiguous: true, Age: now - e.at, Source: source}
+		return Knowledge{Ambiguous: true, Service: e.service, Age: now - e.at, Source: source}
 	}
 	return Knowledge{Found: true, Version: e.version.Value(), Service: e.service, Age: now - e.at, Source: source}
 }
