Revert "Let a stream go on at the service that began it"

A caller that comes back is a new request. The reverted change sent it to the service of its stream also where the configuration in force no longer allows that (CONFIG), had an instance with a newer configuration serve forwarded calls at the service of an older one, and refused each stream on a split route whose caller names no attempt, also in a steady state.

--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -35,9 +35,9 @@
 type continuationMeters struct {
 	sameVersion, otherVersion, unknownVersion metrics.Counter
 	// refusedUnknown and refusedGone count the streams that callers wanted to take up and that were refused: as the
-	// version that began them is not known, as no engine of it is left, as the requests of their route run once,
-	// and as the service that began them is not known. replicated counts the records sent.
-	refusedUnknown, refusedGone, refusedOnce, refusedService, replicated metrics.Counter
+	// version that began them is not known, as no engine of it is left, and as the requests of their route run once.
+	// replicated counts the records sent.
+	refusedUnknown, refusedGone, refusedOnce, replicated metrics.Counter
 }
 
 func newContinuationMeters() continuationMeters {
@@ -45,7 +45,7 @@
 		sameVersion: counter("continued_same_version"), otherVersion: counter("continued_other_version"),
 		unknownVersion: counter("continued_unknown_version"),
 		refusedUnknown: counter("continuations_refused_unknown"), refusedGone: counter("continuations_refused_gone"),
-		refusedOnce: counter("continuations_refused_once"), refusedService: counter("continuations_refused_service"), replicated: counter("stream_records_sent"),
+		refusedOnce: counter("continuations_refused_once"), replicated: counter("stream_records_sent"),
 	}
 }
 
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -18,7 +18,7 @@
 	Request *Request
 	// From names the instance that forwards, once received.
 	From string
-	// Service is the hash of the service that the request goes to; 0 if the forwarding instance does not say.
+	// Service is the hash of the service that the request goes to.
 	Service uint32
 	// Timeout is how much longer the caller is kept waiting, Elapsed how long it has waited.
 	Timeout, Elapsed time.Duration
@@ -223,7 +223,7 @@
 		r.log.Info("relay: forwarded request rejected", "request", f.Request.ID, "from", f.From, "reason", refusal.Reason)
 		return f.History, refusal
 	}
-	x, err := r.newExchangeAt(f.Request, func(route *routes.Route) (string, error) { return r.forwardedService(route, f) })
+	x, err := r.newExchange(f.Request)
 	if err == nil {
 		x.forwarded, x.from, x.counted = true, f.From, f.UsageCounted
 		x.arrived -= f.Elapsed
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -98,7 +98,6 @@
 	quotas     *organisationQuotas
 	fetches    *fetchRates
 	versions   *versionRecords
-	pastTables pastTables
 	// reservations has the prompt work of this zone's engines while this instance is the hub.
 	reservations *reservations
 	memory       *memory
@@ -154,15 +153,7 @@
 
 // SetRoutes puts a version of the configuration in force unless it is older than the one in force,
 // and reports whether it did.
-func (r *Relay) SetRoutes(t *routes.Table) bool {
-	now := r.now()
-	replaced, _ := r.upstreams.Routes(now)
-	if !r.upstreams.SetRoutes(t, now) {
-		return false
-	}
-	r.pastTables.add(replaced, t, now)
-	return true
-}
+func (r *Relay) SetRoutes(t *routes.Table) bool { return r.upstreams.SetRoutes(t, r.now()) }
 
 // SetBudget replaces the bounds on retries.
 func (r *Relay) SetBudget(s BudgetSettings) { r.budgets.set(s) }
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -51,11 +51,6 @@
 
 // newExchange checks a request and returns the state in which it is served, or its refusal.
 func (r *Relay) newExchange(req *Request) (*exchange, error) {
-	return r.newExchangeAt(req, func(route *routes.Route) (string, error) { return r.serviceFor(route, req) })
-}
-
-// newExchangeAt is newExchange with the function that chooses the service.
-func (r *Relay) newExchangeAt(req *Request, choose func(*routes.Route) (string, error)) (*exchange, error) {
 	now := r.now()
 	r.lastRequest.Store(int64(now))
 	table, age := r.upstreams.Routes(now)
@@ -83,10 +78,7 @@
 			timeout = min(timeout, bound)
 		}
 	}
-	service, err := choose(route)
-	if err != nil {
-		return nil, err
-	}
+	service := route.Pick(hashFraction(req.streamID()))
 	if impairment != "" && !r.mayForward(service) {
 		return nil, r.refuseElsewhere(impairment, req)
 	}
--- a/internal/streamversions/records.go
+++ b/internal/streamversions/records.go
@@ -44,8 +44,6 @@
 	// several streams.
 	Found, Ambiguous bool
 	Version          string
-	// Service is the stream's service; empty for a record of another instance.
-	Service string
 	// Age is the time since the version was recorded.
 	Age time.Duration
 	// Source is where this instance has it from; empty if nothing is known.
@@ -145,9 +143,9 @@
 		source = SourceOwnRecord
 	}
 	if e.ambiguous {
-		return Knowledge{Ambiguous: true, Service: e.service, Age: now - e.at, Source: source}
+		return Knowledge{Ambiguous: true, Age: now - e.at, Source: source}
 	}
-	return Knowledge{Found: true, Version: e.version.Value(), Service: e.service, Age: now - e.at, Source: source}
+	return Knowledge{Found: true, Version: e.version.Value(), Age: now - e.at, Source: source}
 }
 
 // OwnOf returns the records of this instance's streams of a service.
