--- a/internal/relay/unframed.go
+++ b/internal/relay/unframed.go
@@ -70,6 +70,7 @@
 func (r *Relay) confirmEnd(ctx context.Context, req *Request, to upstreamstate.Upstream) bool {
 	began := r.now()
 	alive, err := r.isAlive(ctx, to)
+	observe("end_check", r.now()-began)
 	r.meters.streams.unframed.Inc(1)
 	if !alive {
 		r.meters.streams.unconfirmed.Inc(1)
