--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -3,35 +3,13 @@
 import (
 	"context"
 	"io"
-	"net"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
-)
 
-// startRaw starts an engine that answers each call with the given bytes and closes the connection by FIN, as the kernel
-// does for a process that is killed.
-func startRaw(t *testing.T, answer string) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = conn.Read(make([]byte, 4<<10)) // the call fits into one read
-			_, _ = io.WriteString(conn, answer)
-			_ = conn.Close()
-		}
-	}()
-	return listener.Addr().String()
-}
+	"sassafrasfield/internal/rawserver"
+)
 
 // TestStreamEndsWithItsLastPieceAlone guards against an answer that passes for complete because its engine was killed
 // between two pieces.
@@ -45,7 +23,7 @@
 		"inside a piece":     {`{"n":2,"te`, ErrBroken},
 		"after the last one": {`{"n":2,"finish":"stop"}` + "\n", io.EOF},
 	} {
-		stream, err := NewClient(startRaw(t, head+pieces+c.rest), 5*time.Second).Generate(context.Background(), Request{ID: "r1"})
+		stream, err := NewClient(rawserver.Start(t, head+pieces+c.rest), 5*time.Second).Generate(context.Background(), Request{ID: "r1"})
 		if err != nil {
 			t.Fatal(name, err)
 		}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bufio"
 	"context"
 	"encoding/binary"
 	"fmt"
@@ -25,6 +24,7 @@
 	"sassafrasfield/internal/peers"
 	"sassafrasfield/internal/placement"
 	"sassafrasfield/internal/platform"
+	"sassafrasfield/internal/rawserver"
 	"sassafrasfield/internal/relay"
 )
 
@@ -348,7 +348,7 @@
 		"last chunk after an event":                 head + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", len(answer)) + answer + "\r\n0\r\n\r\n",
 		"end of the call without one of the answer": head + "\r\n" + answer + "\x02\x00\x00\x00\x02{}",
 	} {
-		to := peers.Peer{Name: "peer", Address: startRaw(t, sent), Zone: "a"}
+		to := peers.Peer{Name: "peer", Address: rawserver.Start(t, sent), Zone: "a"}
 		_, reply, err := newClient(to).Forward(context.Background(), request(), nil)
 		if err != nil {
 			t.Fatal(name, err)
@@ -359,28 +359,3 @@
 		reply.Body.Close()
 	}
 }
-
-// startRaw starts an instance that answers with the given bytes and closes the connection by FIN, and returns its address.
-func startRaw(t *testing.T, answer string) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			request, err := http.ReadRequest(bufio.NewReader(conn))
-			if err == nil {
-				_, _ = io.Copy(io.Discard, request.Body) // the answer does not depend on it
-				_, _ = io.WriteString(conn, answer)
-			}
-			_ = conn.Close()
-		}
-	}()
-	return listener.Addr().String()
-}
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -2,43 +2,19 @@
 
 import (
 	"context"
-	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
-)
 
-// startRaw starts a service that answers each call with the given bytes and closes the connection by FIN, as the kernel
-// does for a process that is killed.
-func startRaw(t *testing.T, answer string) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			buffer := make([]byte, 4<<10)
-			_, _ = conn.Read(buffer) // the call fits into one read
-			_, _ = io.WriteString(conn, answer)
-			_ = conn.Close()
-		}
-	}()
-	return listener.Addr().String()
-}
+	"sassafrasfield/internal/rawserver"
+)
 
 func do(t *testing.T, method, answer string) (Answer, error) {
 	t.Helper()
-	client := NewClient(startRaw(t, answer), 5*time.Second)
+	client := NewClient(rawserver.Start(t, answer), 5*time.Second)
 	return client.Do(context.Background(), Call{Method: method, Path: "/", Header: http.Header{}})
 }
 
