--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -31,6 +31,8 @@
 	// run and prefill answer the calls; nil gives a good answer.
 	run     func(n int, s Send) (*Reply, error)
 	prefill func(n int, s Send) (KV, error)
+	// alive replaces the checks whether an upstream lives; nil for the script.
+	alive func(context.Context) (bool, error)
 
 	handleStatus func(upstreamstate.Upstream, upstreamstate.UpstreamStatus)
 
@@ -43,6 +45,7 @@
 	// checks that fail first.
 	crashed      map[string]bool
 	inconclusive int
+	crashChecks  int
 	// healthPath is the path of the newest crash check.
 	healthPath string
 }
@@ -86,6 +89,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.healthPath = healthPath
+	f.crashChecks++
 	if f.inconclusive > 0 {
 		f.inconclusive--
 		return false, errors.New("no result yet")
@@ -94,7 +98,10 @@
 }
 
 // Alive implements Sender, according to the script.
-func (f *fakeSender) Alive(_ context.Context, to upstreamstate.Upstream, _ string) (bool, error) {
+func (f *fakeSender) Alive(ctx context.Context, to upstreamstate.Upstream, _ string) (bool, error) {
+	if f.alive != nil {
+		return f.alive(ctx)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return !f.crashed[to.ID], nil
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -40,7 +40,8 @@
 }
 
 // admittingSender checks all sends against what the upstreams announced and charges them to the retry
-// budget: first sends and retries, prefills, resumed answers, and any kind that may be added.
+// budget: first sends and retries, prefills, resumed answers, and any kind that may be added. It has the ends of unframed
+// answers confirmed.
 type admittingSender struct {
 	Sender
 	relay *Relay
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -228,9 +228,8 @@
 	// request to the health path if the service has one. An error means that the state could not be
 	// determined.
 	Crashed(ctx context.Context, to upstreamstate.Upstream, healthPath string) (bool, error)
-	// Alive reports whether an upstream's process answers a request that is sent now, with a request that needs no slot
-	// where there is one, else to the health path. If the health path is empty, it must not send a request, and
-	// reports whether the process holds a new connection. An error means that the state could not be determined.
+	// Alive reports whether an upstream's process is running now: it answers a request, or keeps a new connection open. If
+	// the health path is empty, no request is sent. An error means that the state could not be determined.
 	Alive(ctx context.Context, to upstreamstate.Upstream, healthPath string) (bool, error)
 }
 
@@ -255,7 +254,22 @@
 
 // String returns the outcome's text for logs.
 func (o Outcome) String() string {
-	return [...]string{"not run", "unknown", "no route", "unauthenticated", "over quota", "timed out"}[o]
+	switch o {
+	case NotRun:
+		return "not run"
+	case Unknown:
+		return "unknown"
+	case NoRoute:
+		return "no route"
+	case Unauthenticated:
+		return "unauthenticated"
+	case OverQuota:
+		return "over quota"
+	case TimedOut:
+		return "timed out"
+	default:
+		return "invalid outcome"
+	}
 }
 
 // Refusal is the error of a request that ended without an answer.
--- a/internal/relay/unframed.go
+++ b/internal/relay/unframed.go
@@ -28,7 +28,7 @@
 // as the process itself does after a whole answer. So the end counts only if the process answers after it.
 type confirmedBody struct {
 	io.ReadCloser
-	confirm func() bool
+	confirm func() error
 	// ended is the result of further reads, once the connection has ended.
 	ended error
 }
@@ -42,9 +42,8 @@
 	if err != io.EOF || n > 0 {
 		return n, ignoreEOF(err)
 	}
-	b.ended = io.EOF
-	if !b.confirm() {
-		b.ended = errUnconfirmedEnd
+	if b.ended = b.confirm(); b.ended == nil {
+		b.ended = io.EOF
 	}
 	return 0, b.ended
 }
@@ -62,21 +61,26 @@
 	if !reply.Unframed {
 		return reply
 	}
-	reply.Body = &confirmedBody{ReadCloser: reply.Body, confirm: func() bool { return r.confirmEnd(ctx, req, to) }}
+	reply.Body = &confirmedBody{ReadCloser: reply.Body, confirm: func() error { return r.confirmEnd(ctx, req, to) }}
 	return reply
 }
 
-// confirmEnd reports whether the process of an upstream answers after the end of one of its unframed answers.
-func (r *Relay) confirmEnd(ctx context.Context, req *Request, to upstreamstate.Upstream) bool {
+// confirmEnd returns nil if the process of an upstream answers after the end of one of its unframed answers, and else
+// errUnconfirmedEnd, or the context's error if that ended first, which says nothing about the upstream.
+func (r *Relay) confirmEnd(ctx context.Context, req *Request, to upstreamstate.Upstream) error {
 	began := r.now()
 	alive, err := r.isAlive(ctx, to)
 	observe("end_check", r.now()-began)
 	r.meters.streams.unframed.Inc(1)
-	if !alive {
-		r.meters.streams.unconfirmed.Inc(1)
-		r.log.Info("relay: end of an unframed answer not confirmed", "request", req.ID, "upstream", to.ID, "took", r.now()-began, "error", err)
+	switch {
+	case alive:
+		return nil
+	case ctx.Err() != nil:
+		return ctx.Err()
 	}
-	return alive
+	r.meters.streams.unconfirmed.Inc(1)
+	r.log.Info("relay: end of an unframed answer not confirmed", "request", req.ID, "upstream", to.ID, "took", r.now()-began, "error", err)
+	return errUnconfirmedEnd
 }
 
 // isAlive asks an upstream until there is a result. Without one in time, the error is that of the last attempt.
