relay: repeated events are no progress, and a run that ends behind its caller is not whole

A run that ignored Last-Event-Id and ended before the last event of its caller completed the stream (TestRunThatEndsBehindItsCallerIsNotWhole: complete with four of six events before). An engine that only repeats events held its caller to the route's timeout (TestRepeatedEventsAreNoProgress did not end before). A caller that names a last event which no engine can go on after, such as -5, had healthy engines ejected: 20 recorded failures and three ejections in ten requests; a run that is out of sequence with the caller's own event is not held against its engine (TestCallersLastEventEjectsNoEngine).

--- a/internal/relay/eventforwarder.go
+++ b/internal/relay/eventforwarder.go
@@ -14,6 +14,9 @@
 // errPartialEvent: the stream ended inside an event.
 var errPartialEvent = errors.New("relay: the stream ended inside an event")
 
+// errEndsBehind: the run had events, but ended before the last one that the caller has.
+var errEndsBehind = errors.New("relay: the run ended before the last event that the caller has")
+
 // eventForwarder forwards the events of one engine's stream to a caller: complete ones, each once and in order.
 type eventForwarder struct {
 	w     http.ResponseWriter
@@ -48,20 +51,25 @@
 	for {
 		n, err := body.Read(buffer)
 		before := p.events.Count()
-		complete := p.events.Add(buffer[:n])
-		hasEvents := p.events.Count() > before
-		if hasEvents {
+		inSequence, outOfSequence := p.sequence.Add(p.events.Add(buffer[:n]))
+		progress := p.events.Count() > before && len(inSequence) > 0
+		if progress {
 			timer.stop()
 		}
-		if err := p.write(complete); err != nil {
+		if err := p.write(inSequence); err != nil {
 			return err
 		}
-		if err := timer.received(p.events.PartialBytes(), hasEvents); err != nil {
+		if outOfSequence != nil {
+			return outOfSequence
+		}
+		if err := timer.received(p.events.PartialBytes(), progress); err != nil {
 			return err
 		}
 		switch {
 		case err == io.EOF && p.events.HasPartial():
 			return errPartialEvent
+		case err == io.EOF && p.sequence.IsBehind():
+			return errEndsBehind
 		case err == io.EOF:
 			return nil
 		case err != nil:
@@ -70,13 +78,12 @@
 	}
 }
 
-// write writes those of the complete events that follow the ones before them to the caller at once.
+// write writes complete events to the caller at once.
 func (p *eventForwarder) write(events []byte) error {
-	inSequence, outOfSequence := p.sequence.Add(events)
-	if len(inSequence) == 0 {
-		return outOfSequence
+	if len(events) == 0 {
+		return nil
 	}
-	if _, err := p.w.Write(inSequence); err != nil {
+	if _, err := p.w.Write(events); err != nil {
 		return ErrCallerDisconnected
 	}
 	if err := p.flush(); err != nil {
@@ -85,5 +92,5 @@
 	if p.onEvents != nil {
 		p.onEvents()
 	}
-	return outOfSequence
+	return nil
 }
--- a/internal/relay/streamend_test.go
+++ b/internal/relay/streamend_test.go
@@ -1,10 +1,16 @@
 package relay
 
 import (
+	"bytes"
+	"context"
 	"fmt"
+	"io"
+	"log/slog"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -184,3 +190,83 @@
 		t.Errorf("%v, %q after %d runs", err, w.Body.String(), f.runs)
 	}
 }
+
+// TestRunThatEndsBehindItsCallerIsNotWhole guards against a run that begins anew in place of going on, ends before the last
+// event that the caller has, and is taken for the rest of the stream.
+func TestRunThatEndsBehindItsCallerIsNotWhole(t *testing.T) {
+	f := &fakeSender{run: func(n int, _ Send) (*Reply, error) {
+		switch n {
+		case 1:
+			return truncated(numberedEvents(1, 2, 3, 4)), nil
+		case 2:
+			return events(numberedEvents(1, 2)), nil
+		default:
+			return events(numberedEvents(5, 6)), nil
+		}
+	}}
+	r := newFake(t, f)
+	withLargeBudget(r)
+	if w, err := serve(r, longPrompt("/resumable/1")); err == nil && w.Body.String() != numberedEvents(1, 2, 3, 4, 5, 6) {
+		t.Errorf("%v, %q after %d runs", err, w.Body.String(), f.runs)
+	}
+}
+
+// repeatingBody is a stream that repeats its first event until it is closed.
+type repeatingBody struct{ closed chan struct{} }
+
+func (b repeatingBody) Read(p []byte) (int, error) {
+	select {
+	case <-b.closed:
+		return 0, io.ErrUnexpectedEOF
+	case <-time.After(10 * time.Millisecond):
+		return copy(p, numberedEvents(1)), nil
+	}
+}
+
+// TestRepeatedEventsAreNoProgress guards against an engine that only repeats events and holds its caller until the deadline.
+func TestRepeatedEventsAreNoProgress(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	body := repeatingBody{make(chan struct{})}
+	stop := context.AfterFunc(ctx, func() { close(body.closed) })
+	defer stop()
+	defer cancel()
+	forwarder := newEventForwarder(httptest.NewRecorder(), "", cancel)
+	forwarder.idleTimeout = 100 * time.Millisecond
+	if err := forwarder.forward(body); err == nil || forwarder.lastEvent() != "1" {
+		t.Errorf("%v after event %q", err, forwarder.lastEvent())
+	}
+}
+
+// TestCallersLastEventEjectsNoEngine guards against callers that have healthy engines ejected by naming a last event that
+// no engine can go on after.
+func TestCallersLastEventEjectsNoEngine(t *testing.T) {
+	var log bytes.Buffer
+	f := &fakeSender{run: func(int, Send) (*Reply, error) { return events("id: -4\ndata: a\n\n"), nil }}
+	r := newFake(t, f)
+	withLargeBudget(r)
+	r.log = slog.New(slog.NewTextHandler(&log, nil))
+	for n := range 10 {
+		request := numbered(longPrompt("/resumable/1"), n)
+		request.LastEvent = "-5"
+		_, _ = serve(r, request)
+	}
+	if f.runs == 0 || strings.Contains(log.String(), "send failed") {
+		t.Errorf("after %d runs: %s", f.runs, log.String())
+	}
+}
+
+// TestCallerThatLeavesDuringTheEndCheckBlamesNobody guards against upstreams that are taken for crashed because their caller
+// left while the end of their answer was checked.
+func TestCallerThatLeavesDuringTheEndCheckBlamesNobody(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &fakeSender{run: func(int, Send) (*Reply, error) { return unframed(http.StatusOK, "whole"), nil }}
+	f.alive = func(context.Context) (bool, error) {
+		cancel()
+		return false, errors.New("no result")
+	}
+	r := newFake(t, f)
+	err := r.Serve(ctx, call("/unsafe/1"), httptest.NewRecorder())
+	if !errors.Is(err, ErrCallerDisconnected) || f.crashChecks > 0 {
+		t.Errorf("%v, %d crash checks", err, f.crashChecks)
+	}
+}
--- a/internal/stream/sequence.go
+++ b/internal/stream/sequence.go
@@ -49,6 +49,8 @@
 	initial  string
 	last     int64
 	numbered bool
+	// newest is the highest id of an event that was added; 0 before the first one.
+	newest int64
 	// delivered is set once an event with an id was delivered.
 	delivered bool
 	repeated  int
@@ -111,6 +113,10 @@
 // Repeated returns the number of events that were dropped.
 func (s *Sequence) Repeated() int { return s.repeated }
 
+// IsBehind reports whether events were added, but none as late as the last one of the answer. A run that ends so is
+// not whole.
+func (s *Sequence) IsBehind() bool { return s.newest > 0 && s.numbered && s.newest < s.last }
+
 // lineEndRest returns the length of the "\n" at the start of events that ends the line of an earlier "\r". It shares
 // the fate of that line's block.
 func (s *Sequence) lineEndRest(events []byte) int {
@@ -130,9 +136,11 @@
 		return nil
 	}
 	id, ok := parseEventID(b.id)
-	switch {
-	case !ok || id < firstEventID:
+	if !ok || id < firstEventID {
 		return s.newError(b.id, ReasonBadID)
+	}
+	s.newest = max(s.newest, id)
+	switch {
 	case s.numbered && id <= s.last:
 		s.dropped = true
 		s.repeated++
