--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -35,7 +35,7 @@
 type continuationMeters struct {
 	sameVersion, otherVersion, unknownVersion metrics.Counter
 	// refusedUnknown and refusedGone count the streams that callers wanted to take up and that were refused: as the
-	// version that began them is not known, as no engine of it is left, and as the requests of their route run once.
+	// version that began them is not known, as no engine of it is left, and as the streams of their route cannot be resumed.
 	// replicated counts the records sent.
 	refusedUnknown, refusedGone, refusedOnce, replicated metrics.Counter
 }
--- a/internal/relay/joinedruns_test.go
+++ b/internal/relay/joinedruns_test.go
@@ -13,7 +13,7 @@
 )
 
 // TestStreamThatMayNotBeResumedIsNotTakenUp guards against a caller that has events of one run and gets the rest of
-// another one, on a route whose requests run once.
+// another one, on a route whose streams cannot be resumed.
 func TestStreamThatMayNotBeResumedIsNotTakenUp(t *testing.T) {
 	for _, lastEvent := range []string{"1", "0", "-1", "99999999999999999999", "x", "1, 2"} {
 		f := &fakeSender{}
--- a/internal/relay/streamversions.go
+++ b/internal/relay/streamversions.go
@@ -161,14 +161,14 @@
 }
 
 // requireBegunVersion determines the version at which a stream must go on that the caller takes up. The error is a
-// refusal if the route's streams are not taken up, if the version is not known, or if no engine of it is left.
+// refusal if the route's streams cannot be resumed, if the version is not known, or if no engine of it is left.
 func (r *Relay) requireBegunVersion(ctx context.Context, x *exchange) error {
 	if x.req.LastEvent == "" || x.route.Kind != routes.Generation {
 		return nil
 	}
 	if !x.route.Resumable {
 		r.meters.continuations.refusedOnce.Inc(1)
-		return &Refusal{Outcome: NotRun, Reason: "streams of this route are not taken up"}
+		return &Refusal{Outcome: NotRun, Reason: "streams of this route cannot be resumed"}
 	}
 	if x.requires.version != "" {
 		return nil
--- a/internal/relay/unframed.go
+++ b/internal/relay/unframed.go
@@ -13,7 +13,7 @@
 
 // Timing of the confirmation that the end of an unframed answer is its regular one. The answer's caller waits for it.
 const (
-	// endCheckTimeout bounds one check. It includes the wait for a slot of a busy upstream.
+	// endCheckTimeout bounds one check.
 	endCheckTimeout = 500 * time.Millisecond
 	// endCheckInterval is the pause between two checks.
 	endCheckInterval = 50 * time.Millisecond
--- a/internal/stream/sequence.go
+++ b/internal/stream/sequence.go
@@ -117,8 +117,8 @@
 // not whole.
 func (s *Sequence) IsBehind() bool { return s.newest > 0 && s.numbered && s.newest < s.last }
 
-// lineEndRest returns the length of the "\n" at the start of events that ends the line of an earlier "\r". It shares
-// the fate of that line's block.
+// lineEndRest returns the length of the "\n" at the start of events that ends the line of an earlier "\r". It is passed on
+// only if that line's block was.
 func (s *Sequence) lineEndRest(events []byte) int {
 	if s.afterCR && events[0] == '\n' {
 		return 1
