--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -17,7 +17,6 @@
 	"sassafrasfield/internal/load"
 	"sassafrasfield/internal/placement"
 	"sassafrasfield/internal/readlimit"
-	"sassafrasfield/internal/stream"
 	"sassafrasfield/internal/upstreamstate"
 )
 
@@ -380,14 +379,6 @@
 	return g.interrupted(engine.ID, err)
 }
 
-// isCallersSequence reports whether a run was out of sequence with the event that the caller named. That may be the caller's
-// fault, so it is not held against the engine.
-func (g *generation) isCallersSequence(err error) bool {
-	var outOfSequence *stream.SequenceError
-	isOut := errors.As(err, &outOfSequence) || errors.Is(err, errEndsBehind)
-	return isOut && g.lastEvent != "" && g.lastEvent == g.req.LastEvent
-}
-
 // freeTimeout bounds the call that drops a KV cache.
 const freeTimeout = time.Second
 
--- a/internal/relay/streamend.go
+++ b/internal/relay/streamend.go
@@ -32,3 +32,11 @@
 	r.log.Info("relay: stream ended", "request", x.req.ID, "engine", engine.ID, "unframed", reply.Unframed,
 		"events", forwarder.events.Count(), "last", forwarder.lastEvent(), "repeated", repeated, "error", err)
 }
+
+// isCallersSequence reports whether a run was out of sequence with the event that the caller named. That may be the caller's
+// fault, so it is not held against the engine.
+func (g *generation) isCallersSequence(err error) bool {
+	var outOfSequence *stream.SequenceError
+	isOut := errors.As(err, &outOfSequence) || errors.Is(err, errEndsBehind)
+	return isOut && g.lastEvent != "" && g.lastEvent == g.req.LastEvent
+}
