--- a/review/_harness/cases.go
+++ b/review/_harness/cases.go
@@ -187,7 +187,7 @@
 	if err := f.configure(config()); err != nil {
 		return nil, err
 	}
-	if err := f.addInstances(threeZones, 1); err != nil {
+	if err := f.addInstances(threeZones, 2); err != nil {
 		return nil, err
 	}
 	if err := f.waitReady(15 * time.Second); err != nil {
--- a/review/_harness/runner.go
+++ b/review/_harness/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -317,8 +318,10 @@
 	return r.running
 }
 
-// leaveWithLast has the process end with its last answer.
+// leaveWithLast shuts the process down: it takes no new connections and requests, and exits with its last answer.
 func (r *runner) leaveWithLast() {
+	r.rec.say("runner %s shuts down, with %d answers in progress", r.id, r.runningNow())
+	_ = r.server.Shutdown(context.Background()) // the answers in progress have connections of their own
 	r.mu.Lock()
 	r.exitWhenIdle = true
 	idle := r.running == 0
