--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -19,7 +19,7 @@
 type theCase func(rec *record, dir string, trouble bool) (breaks []string, err error)
 
 var cases = map[string]theCase{
-	"silence": silence, "ids": ids, "storecut": storeCut, "lastanswer": lastAnswer, "midevent": midEvent,
+	"silence": silence, "ids": ids, "storecut": storeCut, "lastanswer": lastAnswer, "midevent": midEvent, "slowrunner": slowRunner,
 	"doubleslash": doubleSlash, "encodedslash": encodedSlash,
 }
 
--- a/review/_harness/runner.go
+++ b/review/_harness/runner.go
@@ -43,6 +43,8 @@
 	// host and target are those of the request, as received.
 	host, target string
 	at           time.Time
+	// ended is when a run ended; zero before.
+	ended time.Time
 }
 
 // streamPlan says how a runner answers with a stream.
@@ -57,6 +59,10 @@
 	stall func(runner string) (after int, wait time.Duration)
 	// inEvent has the pause fall within the event that follows.
 	inEvent bool
+	// slowness returns by how much a runner is slower than usual; nil for never.
+	slowness func(runner string) float64
+	// worksOn returns whether a runner's runs go on when their connection is closed; nil for no.
+	worksOn func(runner string) bool
 }
 
 func (r *runner) start() error {
@@ -189,7 +195,7 @@
 	}
 	from, _, _ := strings.Cut(q.RemoteAddr, ":")
 	r.mu.Lock()
-	r.arrivals = append(r.arrivals, arrival{id, from, q.Host, q.RequestURI, time.Now()})
+	r.arrivals = append(r.arrivals, arrival{id: id, from: from, host: q.Host, target: q.RequestURI, at: time.Now()})
 	phase, busy := r.phase, r.busy
 	r.mu.Unlock()
 	prefill := q.Header.Get(wire.Phase) == wire.PhasePrefill
@@ -213,8 +219,14 @@
 	}
 	r.mu.Lock()
 	r.running++
-	r.runs = append(r.runs, arrival{id, from, q.Host, q.RequestURI, time.Now()})
+	r.runs = append(r.runs, arrival{id: id, from: from, host: q.Host, target: q.RequestURI, at: time.Now()})
+	run := len(r.runs) - 1
 	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.runs[run].ended = time.Now()
+	}()
 	w.Header().Set(wire.ServerStamp, "stamp."+r.id+"."+id)
 	w.Header().Set(wire.Load, "1,0,64")
 	if phase == "" {
@@ -261,6 +273,10 @@
 	flush := func() error { return http.NewResponseController(w).Flush() }
 	closeConn := func() {}
 	done := q.Context().Done()
+	worksOn := p.worksOn != nil && p.worksOn(r.id)
+	if worksOn {
+		done = make(chan struct{})
+	}
 	if p.unframed {
 		conn, buffered, err := http.NewResponseController(w).Hijack()
 		if err != nil {
@@ -294,12 +310,16 @@
 			}
 		}
 		fmt.Fprint(out, text)
-		if err := flush(); err != nil || !sleep(done, p.pause) {
+		pause := p.pause
+		if p.slowness != nil {
+			pause = time.Duration(float64(pause) * p.slowness(r.id))
+		}
+		if err := flush(); err != nil && !worksOn || !sleep(done, pause) {
 			r.ended(closeConn)
 			return
 		}
 	}
-	r.rec.say("runner %s has sent %s whole", r.id, id)
+	r.rec.say("runner %s has made all events of %s", r.id, id)
 	r.ended(closeConn)
 }
 
