relay: log what the version of a stream that is taken up was concluded from

The line for a stream that is taken up, and the one for a refusal, now say for how long the instance has known the service and how many of the instances that were asked have answered; a counter has those without a record. No decision changes.

--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -38,6 +38,8 @@
 	// version that began them is not known, as no engine of it is left, and as the streams of their route cannot be resumed.
 	// replicated counts the records sent.
 	refusedUnknown, refusedGone, refusedOnce, replicated metrics.Counter
+	// onlyVersion counts the streams that were taken up without a record, at the only version that the service has had.
+	onlyVersion metrics.Counter
 }
 
 func newContinuationMeters() continuationMeters {
@@ -45,6 +47,7 @@
 		sameVersion: counter("continued_same_version"), otherVersion: counter("continued_other_version"),
 		unknownVersion: counter("continued_unknown_version"),
 		refusedUnknown: counter("continuations_refused_unknown"), refusedGone: counter("continuations_refused_gone"),
+		onlyVersion: counter("continuations_without_record"),
 		refusedOnce: counter("continuations_refused_once"), replicated: counter("stream_records_sent"),
 	}
 }
--- a/internal/relay/streamversions.go
+++ b/internal/relay/streamversions.go
@@ -157,7 +157,8 @@
 	now := r.now()
 	r.versions.mu.Lock()
 	defer r.versions.mu.Unlock()
-	return r.versions.records.Get(stream, now), streamversions.View{Versions: r.versions.census.Versions(service, now)}
+	census := r.versions.census
+	return r.versions.records.Get(stream, now), streamversions.View{Versions: census.Versions(service, now), KnownFor: census.KnownFor(service, now)}
 }
 
 // requireBegunVersion determines the version at which a stream must go on that the caller takes up. The error is a
@@ -180,6 +181,7 @@
 		return &Refusal{Outcome: NotRun, Reason: "the stream's version is not known", RetryIn: r.retryIn(x)}
 	}
 	x.requires = requiredVersion{version: knowledge.Version, source: versionSource(knowledge.Source), age: knowledge.Age}
+	r.recordTakenUp(x, view)
 	if x.requires.version != "" && !r.shouldForward(x) && !r.upstreams.CanGenerate(x.placementRequest(r.now()), r.now()) {
 		r.meters.continuations.refusedGone.Inc(1)
 		r.logNotContinued(x, "no engine of its version is left", view)
@@ -201,11 +203,22 @@
 	}
 	var answers []streamversions.Answer
 	answers, view.Asked = r.versions.ask(ctx, stream, serviceHash(x.service))
+	view.Answered = len(answers)
 	knowledge, ok := streamversions.Resolve(view, answers)
 	return knowledge, view, ok
 }
 
+// recordTakenUp logs and counts a stream that a caller takes up, with what its version was concluded from.
+func (r *Relay) recordTakenUp(x *exchange, view streamversions.View) {
+	if x.requires.source == versionSource(streamversions.SourceOnlyVersion) {
+		r.meters.continuations.onlyVersion.Inc(1)
+	}
+	r.log.Info("relay: stream taken up", "request", x.req.ID, "resumes", x.req.Resumes, "last_event", x.req.LastEvent,
+		"began", x.requires.version, "source", x.requires.source, "age", x.requires.age,
+		"versions", view.Versions, "known_for", view.KnownFor, "asked", view.Asked, "answered", view.Answered)
+}
+
 func (r *Relay) logNotContinued(x *exchange, reason string, view streamversions.View) {
 	r.log.Info("relay: stream cannot continue", "request", x.req.ID, "resumes", x.req.Resumes, "last_event", x.req.LastEvent, "reason", reason,
-		"began", x.requires.version, "source", x.requires.source, "age", x.requires.age, "versions", view.Versions, "asked", view.Asked)
+		"began", x.requires.version, "source", x.requires.source, "age", x.requires.age, "versions", view.Versions, "known_for", view.KnownFor, "asked", view.Asked, "answered", view.Answered)
 }
--- a/internal/streamversions/census.go
+++ b/internal/streamversions/census.go
@@ -10,6 +10,8 @@
 type Census struct {
 	upstreams map[string]member
 	services  map[string]map[string]*presence
+	// since is when the first upstream of a service became known.
+	since map[string]time.Duration
 }
 
 // member is an upstream.
@@ -24,7 +26,7 @@
 
 // NewCensus returns an empty census.
 func NewCensus() *Census {
-	return &Census{upstreams: map[string]member{}, services: map[string]map[string]*presence{}}
+	return &Census{upstreams: map[string]member{}, services: map[string]map[string]*presence{}, since: map[string]time.Duration{}}
 }
 
 // Update records the newest entry of an upstream, and reports whether its service or version changed. An entry may
@@ -43,6 +45,9 @@
 		versions = map[string]*presence{}
 		c.services[service] = versions
 	}
+	if _, ok := c.since[service]; !ok {
+		c.since[service] = now
+	}
 	if versions[version] == nil {
 		versions[version] = &presence{}
 	}
@@ -50,6 +55,15 @@
 	return true
 }
 
+// KnownFor returns for how long upstreams of a service have been known; 0 if none has been.
+func (c *Census) KnownFor(service string, now time.Duration) time.Duration {
+	since, ok := c.since[service]
+	if !ok {
+		return 0
+	}
+	return now - since
+}
+
 // Remove records that an upstream's entry was removed.
 func (c *Census) Remove(id string, now time.Duration) {
 	old, ok := c.upstreams[id]
--- a/internal/streamversions/resolve.go
+++ b/internal/streamversions/resolve.go
@@ -1,5 +1,7 @@
 package streamversions
 
+import "time"
+
 // Answer is what one instance tells another one about a stream and its service.
 type Answer struct {
 	Knowledge
@@ -11,8 +13,10 @@
 type View struct {
 	// Versions are those of the service within MaxLifetime.
 	Versions []string
-	// Asked is the number of instances that were asked.
-	Asked int
+	// KnownFor is for how long this instance has known upstreams of the service.
+	KnownFor time.Duration
+	// Asked is the number of instances that were asked, Answered of those that answered.
+	Asked, Answered int
 }
 
 // SeveralVersions reports whether the service has had several versions.
