Store the versions of services: a restart of all instances joins no streams of two versions

Callers saw streams that were taken up with 200 after all instances had restarted, and that held events of two software versions: the first part of a version that had just left or been replaced, the rest of the one that was there.

Cause: which versions have served was known by instances alone. Without a record, an instance takes the only version that it knows unless another one knows several; after a restart of all, nobody knows any but the present one, so that nothing being known was read as 'there was no other'.

Instances now write the versions of a service to the table that all of them follow: one row a service, changed when a version appears and once the streams of one that left are over, with a check of its revision. An instance that starts adds the row's versions to those it sees, and resolves a stream without a record only if it, or one that it asked, has that row. Streams that may be resumed begin at stored versions while there are any; the first ones of a service wait for the row, for 300 ms at most, so an outage of the store stops nothing. The record has to be durable before the first event, because after that only the caller holds the stream.

Streams of one version go on as before; with several in the last minute and no record they are refused, as they were.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -58,9 +58,9 @@
 	// Handler returns the handler of the callers' protocol. It is given the limits of the configuration in
 	// force.
 	Handler func(r *relay.Relay, limits func() routes.Limits) http.Handler
-	// UpstreamTable is the store's table of upstreams. QuarantineTable is the one with the rows whose keys
-	// begin with QuarantinePrefix.
-	UpstreamTable, QuarantineTable string
+	// UpstreamTable is the store's table of upstreams. SharedTable is the one with the rows whose keys begin with
+	// QuarantinePrefix or VersionsPrefix.
+	UpstreamTable, SharedTable string
 }
 
 // Settings configures an instance.
@@ -105,6 +105,7 @@
 	in.relay.SetGrantRequester(in.reports.RequestGrant)
 	in.relay.SetQuotaGranter(in.reports.RequestQuotaGrant, in.reports.RefundQuotaGrant)
 	in.relay.SetStreamReplicator(in.reports.ReplicateStreams, in.reports.AskStream)
+	in.relay.SetVersionHistoriesLoaded(in.sharedRowsLoaded)
 	in.relay.SetReservationClient(in.reports)
 	secret := forward.NewSecret(a.Table, logging.Part(log, "forward"))
 	in.relay.SetForwarder(forward.NewClient(in.peers, secret))
@@ -140,6 +141,7 @@
 	loops.Go(func() { in.shareBudget(background) })
 	loops.Go(func() { in.logEngineTimes(background) })
 	loops.Go(func() { in.persistQuarantines(background) })
+	loops.Go(func() { in.storeVersions(background) })
 	loops.Go(func() { in.relay.ProbePaths(background) })
 	keeper := rolekeeper.New(in.settings.Roles, in.adapter.Table, backoffOrderer{in.adapter.Orderer, in.relay}, in, in.duties(), logging.Part(in.log, "roles"))
 	loops.Go(func() { keeper.Run(ctx) })
@@ -220,7 +222,7 @@
 		in.log.Info("instance: configuration in force", "version", table.Version, "routes", len(table.Routes))
 	}
 	in.applyUpstreamRows(rows)
-	in.applyQuarantineRows(rows)
+	in.applySharedRows(rows)
 }
 
 // applyUpstreamRows applies changed rows of upstreams.
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -36,7 +36,7 @@
 
 func newInstanceWith(sender relay.Sender) *Instance {
 	s := Settings{Relay: relay.DefaultSettings()}
-	a := Adapter{Sender: sender, Documents: fakeDocuments{}, UpstreamTable: "upstreams", QuarantineTable: "apart"}
+	a := Adapter{Sender: sender, Documents: fakeDocuments{}, UpstreamTable: "upstreams", SharedTable: "apart"}
 	return New(s, a, slog.New(slog.NewTextHandler(io.Discard, nil)))
 }
 
--- a/internal/instance/quarantine.go
+++ b/internal/instance/quarantine.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"strings"
 	"time"
 
@@ -46,19 +45,7 @@
 	if !in.relay.Ready() || in.relay.Impaired() {
 		return false
 	}
-	return time.Since(in.started) > loadTimeout || slices.Contains(in.follower.LoadedTables(), in.adapter.QuarantineTable)
-}
-
-// applyQuarantineRows applies changed quarantine rows.
-func (in *Instance) applyQuarantineRows(rows []replica.Row) {
-	for _, row := range rows {
-		if row.Table != in.adapter.QuarantineTable {
-			continue
-		}
-		if err := in.applyQuarantineRow(row); err != nil {
-			in.log.Error("instance: invalid quarantine row", "key", row.Key.Key, "error", err)
-		}
-	}
+	return time.Since(in.started) > loadTimeout || in.sharedRowsLoaded()
 }
 
 func (in *Instance) applyQuarantineRow(row replica.Row) error {
--- a/internal/instance/quarantine_test.go
+++ b/internal/instance/quarantine_test.go
@@ -24,6 +24,7 @@
 	mu       sync.Mutex // protects the fields below
 	failures int        // remaining failures
 	writes   []platform.Write
+	checks   []platform.Check
 }
 
 func (f *fakeTable) Commit(_ context.Context, txn platform.Txn) (int64, error) {
@@ -33,7 +34,7 @@
 		f.failures--
 		return 0, platform.ErrUnavailable
 	}
-	f.writes = append(f.writes, txn.Writes...)
+	f.writes, f.checks = append(f.writes, txn.Writes...), append(f.checks, txn.Checks...)
 	return 1, nil
 }
 
--- a/internal/placement/disaggregated.go
+++ b/internal/placement/disaggregated.go
@@ -20,13 +20,13 @@
 	return &DisaggregatedScheduler{
 		prefill: &Scheduler{
 			Filters:     strict,
-			Preferences: []Preference{limit, {Filter: RoleFilter{}}, {Filter: HealthFilter{}}},
+			Preferences: []Preference{limit, {Filter: AvoidedVersionFilter{}}, {Filter: RoleFilter{}}, {Filter: HealthFilter{}}},
 			Scorers:     []WeightedScorer{{Scorer: PrefillScorer{}, Weight: 1}},
 			Picker:      RankedPicker{},
 		},
 		decode: &Scheduler{
 			Filters:     append([]Filter{RoleFilter{}}, strict...),
-			Preferences: []Preference{limit, {Filter: HealthFilter{}}},
+			Preferences: []Preference{limit, {Filter: AvoidedVersionFilter{}}, {Filter: HealthFilter{}}},
 			Scorers:     []WeightedScorer{{Scorer: DecodeScorer{}, Weight: 1}},
 			Picker:      RankedPicker{},
 		},
--- a/internal/placement/softwareversions_test.go
+++ b/internal/placement/softwareversions_test.go
@@ -106,3 +106,19 @@
 		}
 	}
 }
+
+// TestAvoidedVersionIsUsedWithoutAnother guards against prompts at an avoided version, and against none being placed if
+// all engines have it.
+func TestAvoidedVersionIsUsedWithoutAnother(t *testing.T) {
+	list := withVersions(newSplitEngines(6, 2))
+	for avoided, want := range map[string]string{"v1": "v2", "v2": "v1"} {
+		req := &Request{Prompt: longPrompt, Costs: costs, AvoidedVersions: []string{avoided}}
+		if start, ok := scheduler.PickPrefill(req, list, rng()); !ok || start.Engine.SoftwareVersion != want {
+			t.Errorf("with %s avoided: %s (%t)", avoided, start.Engine.SoftwareVersion, ok)
+		}
+		req.AvoidedVersions = []string{"v1", "v2"}
+		if _, ok := scheduler.PickPrefill(req, list, rng()); !ok {
+			t.Error("nothing is placed if all are avoided")
+		}
+	}
+}
--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -40,6 +40,9 @@
 	refusedUnknown, refusedGone, refusedOnce, replicated metrics.Counter
 	// onlyVersion counts the streams that were taken up without a record, at the only version that the service has had.
 	onlyVersion metrics.Counter
+	// begunUnstored counts the placements of streams at versions that other instances would not know of after a restart of
+	// all, as the store did not take them in time.
+	begunUnstored metrics.Counter
 }
 
 func newContinuationMeters() continuationMeters {
@@ -47,7 +50,7 @@
 		sameVersion: counter("continued_same_version"), otherVersion: counter("continued_other_version"),
 		unknownVersion: counter("continued_unknown_version"),
 		refusedUnknown: counter("continuations_refused_unknown"), refusedGone: counter("continuations_refused_gone"),
-		onlyVersion: counter("continuations_without_record"),
+		onlyVersion: counter("continuations_without_record"), begunUnstored: counter("streams_begun_unstored"),
 		refusedOnce: counter("continuations_refused_once"), replicated: counter("stream_records_sent"),
 	}
 }
@@ -113,6 +116,7 @@
 // generationRequest returns the input for choosing the engine that generates from the KV cache of another engine.
 func (g *generation) generationRequest(kvEngine upstreamstate.Upstream) upstreamstate.PlacementRequest {
 	request := g.placementRequest(g.relay.now())
+	request.AvoidedVersions = g.relay.unstoredVersions(g.exchange)
 	if request.Version == "" && !g.relay.settings.Placement.KVAcrossVersions {
 		request.Version = kvEngine.Version
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -43,8 +43,11 @@
 	// StartupRetryIn replaces RetryIn while this instance has no configuration or knows no upstream
 	// yet.
 	StartupRetryIn time.Duration
-	Outliers       load.OutlierRules
-	QuotaTolerance QuotaTolerance
+	// VersionStoreWait is how long streams that may be resumed wait for the software version of their engine to be stored,
+	// from when the engine appeared.
+	VersionStoreWait time.Duration
+	Outliers         load.OutlierRules
+	QuotaTolerance   QuotaTolerance
 	// UsageWindow is the length of the time windows in which the requests that began to run are
 	// counted; 0 disables the counts.
 	UsageWindow time.Duration
@@ -74,6 +77,7 @@
 		RetryIn:            150 * time.Millisecond,  // about the processing time of one long prompt
 		// Of 79 instances that start at once, half have the configuration after 0.55 s, the last after 0.9 s.
 		StartupRetryIn:   400 * time.Millisecond,
+		VersionStoreWait: 300 * time.Millisecond, // several times a write
 		Outliers:         outliers,
 		ReservationsFrom: 80, // the smallest service that was measured with reservations has 90 engines
 		MaxForwarded:     64, // several times the requests of an instance of 0.4 cores, in a few megabytes
--- a/internal/relay/streamversions.go
+++ b/internal/relay/streamversions.go
@@ -20,11 +20,19 @@
 	replicate func([]streamversions.Record)
 	ask       func(ctx context.Context, stream streamversions.ID, service uint32) (answers []streamversions.Answer, asked int)
 
+	// historiesLoaded reports whether all stored histories were applied. It is set before the relay serves, and called
+	// without mu, as it may wait for one that is being applied.
+	historiesLoaded func() bool
+
 	mu      sync.Mutex // protects all below
 	census  *streamversions.Census
 	records *streamversions.Records
 	// mixed are the services whose records are replicated, because callers may take up streams of several versions.
 	mixed map[string]bool
+	// storeNeeded receives a value when a version is to be added to the stored history of its service.
+	storeNeeded chan struct{}
+	// historyApplied is closed and replaced when a stored history was applied.
+	historyApplied chan struct{}
 }
 
 func newVersionRecords() *versionRecords {
@@ -33,7 +41,9 @@
 		ask: func(context.Context, streamversions.ID, uint32) ([]streamversions.Answer, int) {
 			return nil, 0
 		},
-		census: streamversions.NewCensus(), records: streamversions.NewRecords(), mixed: map[string]bool{},
+		historiesLoaded: func() bool { return false },
+		census:          streamversions.NewCensus(), records: streamversions.NewRecords(), mixed: map[string]bool{},
+		storeNeeded: make(chan struct{}, 1), historyApplied: make(chan struct{}),
 	}
 }
 
@@ -79,6 +89,7 @@
 	var records []streamversions.Record
 	if v.census.Update(u.ID, u.Service, u.Version, now) {
 		records = r.updateMixed(u.Service, now)
+		v.notifyUnstored(u.Service)
 	}
 	v.mu.Unlock()
 	r.replicateRecords(records)
@@ -139,7 +150,7 @@
 func (r *Relay) StreamAnswer(stream streamversions.ID, service uint32) streamversions.Answer {
 	name := r.serviceName(service)
 	knowledge, view := r.knowledgeOf(stream, name)
-	return streamversions.Answer{Knowledge: knowledge, SeveralVersions: view.SeveralVersions()}
+	return view.Answer(knowledge)
 }
 
 // serviceName returns the name of the service with a hash; empty if there is none.
@@ -154,11 +165,14 @@
 
 // knowledgeOf returns what this instance itself knows about a stream, and about the versions of a service.
 func (r *Relay) knowledgeOf(stream streamversions.ID, service string) (streamversions.Knowledge, streamversions.View) {
-	now := r.now()
+	now, loaded := r.now(), r.versions.historiesLoaded()
 	r.versions.mu.Lock()
 	defer r.versions.mu.Unlock()
 	census := r.versions.census
-	return r.versions.records.Get(stream, now), streamversions.View{Versions: census.Versions(service, now), KnownFor: census.KnownFor(service, now)}
+	knownFor := census.KnownFor(service, now)
+	return r.versions.records.Get(stream, now), streamversions.View{
+		Versions: census.Versions(service, now), Complete: loaded || knownFor > streamversions.MaxLifetime, KnownFor: knownFor,
+	}
 }
 
 // requireBegunVersion determines the version at which a stream must go on that the caller takes up. The error is a
@@ -215,10 +229,10 @@
 	}
 	r.log.Info("relay: stream taken up", "request", x.req.ID, "resumes", x.req.Resumes, "last_event", x.req.LastEvent,
 		"began", x.requires.version, "source", x.requires.source, "age", x.requires.age,
-		"versions", view.Versions, "known_for", view.KnownFor, "asked", view.Asked, "answered", view.Answered)
+		"versions", view.Versions, "complete", view.Complete, "known_for", view.KnownFor, "asked", view.Asked, "answered", view.Answered)
 }
 
 func (r *Relay) logNotContinued(x *exchange, reason string, view streamversions.View) {
 	r.log.Info("relay: stream cannot continue", "request", x.req.ID, "resumes", x.req.Resumes, "last_event", x.req.LastEvent, "reason", reason,
-		"began", x.requires.version, "source", x.requires.source, "age", x.requires.age, "versions", view.Versions, "known_for", view.KnownFor, "asked", view.Asked, "answered", view.Answered)
+		"began", x.requires.version, "source", x.requires.source, "age", x.requires.age, "versions", view.Versions, "complete", view.Complete, "known_for", view.KnownFor, "asked", view.Asked, "answered", view.Answered)
 }
--- a/internal/relay/streamversions_test.go
+++ b/internal/relay/streamversions_test.go
@@ -49,6 +49,7 @@
 // withOneVersion gives all upstreams one version, as if they had never had another one.
 func withOneVersion(r *Relay) *Relay {
 	r.versions = newVersionRecords()
+	r.SetVersionHistoriesLoaded(func() bool { return true })
 	for _, u := range r.upstreams.AllUpstreams() {
 		u.Version = "v1"
 		r.UpdateUpstream(u)
@@ -152,6 +153,93 @@
 	}
 }
 
+// TestStreamIsNotTakenUpBeforeHistoryIsKnown guards against streams that an instance takes up at the only version that it
+// has seen since it started.
+func TestStreamIsNotTakenUpBeforeHistoryIsKnown(t *testing.T) {
+	f, others, loaded := &fakeSender{}, &fakeReplicas{answers: []streamversions.Answer{{OnlyVersion: "v1"}}}, false
+	r := withReplicas(withOneVersion(newFake(t, f)), others)
+	r.SetVersionHistoriesLoaded(func() bool { return loaded })
+	expect := func(step string, taken bool) {
+		t.Helper()
+		before := f.count()
+		_, err := serve(r, takeUp("try-2", "of an earlier process, "+step))
+		refusal, refused := err.(*Refusal)
+		if taken && err != nil || !taken && (!refused || refusal.Outcome != NotRun || refusal.RetryIn <= 0 || f.count() != before) {
+			t.Errorf("%s: %#v", step, err)
+		}
+	}
+	expect("before the history is loaded", false)
+	others.answers = []streamversions.Answer{{OnlyVersion: "v1", Complete: true}}
+	expect("another instance knows it", true)
+	others.answers, loaded = []streamversions.Answer{{OnlyVersion: "v1"}}, true
+	expect("it names no other version", true)
+	r.ApplyVersionHistory(streamversions.History{Service: "llm", Versions: []string{"v0", "v1"}, Revision: 3})
+	expect("it names another version", false)
+}
+
+// TestStreamsBeginAtStoredVersions guards against streams of a version that no instance would know of after a restart of
+// all, and against streams that wait for the store.
+func TestStreamsBeginAtStoredVersions(t *testing.T) {
+	for name, c := range map[string]struct {
+		stored []string
+		want   int
+	}{
+		"none is stored, as without the store": {nil, 2},
+		"one is stored":                        {[]string{"v1"}, 1},
+		"both are stored":                      {[]string{"v1", "v2"}, 2},
+	} {
+		f := &fakeSender{}
+		r := withReplicas(withVersions(newFake(t, f)), &fakeReplicas{})
+		r.ApplyVersionHistory(streamversions.History{Service: "llm", Versions: c.stored, Revision: 3})
+		for n := range 20 {
+			if _, err := serve(r, numbered(shortPrompt("/resumable/1"), n)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		versions := map[string]bool{}
+		for _, call := range f.calls {
+			versions[call.send.To.Version] = true
+		}
+		if len(versions) != c.want || !versions["v1"] {
+			t.Errorf("%s: streams begin at %v", name, versions)
+		}
+	}
+}
+
+// TestFirstStreamWaitsForStoredVersion guards against streams that begin before anything would tell an instance that
+// starts of their version, and against those that wait for a store that does not answer.
+func TestFirstStreamWaitsForStoredVersion(t *testing.T) {
+	for name, c := range map[string]struct {
+		wait   time.Duration
+		stored bool
+	}{
+		"stored soon":                 {time.Minute, true},
+		"not stored, begins after it": {100 * time.Millisecond, false},
+	} {
+		f := &fakeSender{}
+		r := newFake(t, f)
+		r.settings.VersionStoreWait = c.wait
+		withReplicas(withOneVersion(r), &fakeReplicas{})
+		done := make(chan error, 1)
+		go func() {
+			_, err := serve(r, shortPrompt("/resumable/1"))
+			done <- err
+		}()
+		if c.stored {
+			r.ApplyVersionHistory(streamversions.History{Service: "app", Versions: []string{"v1"}, Revision: 1})
+			select {
+			case <-done:
+				t.Errorf("%s: began at a version that is not stored", name)
+			case <-time.After(20 * time.Millisecond):
+			}
+			r.ApplyVersionHistory(streamversions.History{Service: "llm", Versions: []string{"v1"}, Revision: 2})
+		}
+		if err := <-done; err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
 // TestStreamWithoutEngineOfItsVersionIsRefusedAtOnce guards against callers that wait, or come back, for a version that
 // has no engine any more.
 func TestStreamWithoutEngineOfItsVersionIsRefusedAtOnce(t *testing.T) {
--- a/internal/streamversions/census.go
+++ b/internal/streamversions/census.go
@@ -6,12 +6,15 @@
 )
 
 // Census keeps the software versions of the upstreams of each service: those of the present ones, and those that
-// were present until recently, whose streams callers may still take up.
+// were present until recently, whose streams callers may still take up. Versions of the time before this instance
+// started are known from the stored histories.
 type Census struct {
 	upstreams map[string]member
 	services  map[string]map[string]*presence
 	// since is when the first upstream of a service became known.
 	since map[string]time.Duration
+	// stored are the stored histories, by service.
+	stored map[string]History
 }
 
 // member is an upstream.
@@ -20,13 +23,18 @@
 // presence is the presence of one version.
 type presence struct {
 	upstreams int
+	// since is when the first of the present upstreams was added.
+	since time.Duration
 	// goneAt is when the last upstream was removed, if there is none.
 	goneAt time.Duration
 }
 
 // NewCensus returns an empty census.
 func NewCensus() *Census {
-	return &Census{upstreams: map[string]member{}, services: map[string]map[string]*presence{}, since: map[string]time.Duration{}}
+	return &Census{
+		upstreams: map[string]member{}, services: map[string]map[string]*presence{}, since: map[string]time.Duration{},
+		stored: map[string]History{},
+	}
 }
 
 // Update records the newest entry of an upstream, and reports whether its service or version changed. An entry may
@@ -40,19 +48,28 @@
 		c.Remove(id, now)
 	}
 	c.upstreams[id] = updated
+	if _, ok := c.since[service]; !ok {
+		c.since[service] = now
+	}
+	p := c.presence(service, version)
+	if p.upstreams == 0 {
+		p.since = now
+	}
+	p.upstreams++
+	return true
+}
+
+// presence returns the presence of a version, which it adds if needed.
+func (c *Census) presence(service, version string) *presence {
 	versions, ok := c.services[service]
 	if !ok {
 		versions = map[string]*presence{}
 		c.services[service] = versions
 	}
-	if _, ok := c.since[service]; !ok {
-		c.since[service] = now
-	}
 	if versions[version] == nil {
 		versions[version] = &presence{}
 	}
-	versions[version].upstreams++
-	return true
+	return versions[version]
 }
 
 // KnownFor returns for how long upstreams of a service have been known; 0 if none has been.
--- a/internal/streamversions/streamversions_test.go
+++ b/internal/streamversions/streamversions_test.go
@@ -138,7 +138,8 @@
 	record := func(version string) Answer {
 		return Answer{Knowledge: Knowledge{Found: true, Version: version}, SeveralVersions: true}
 	}
-	one, two := View{Versions: []string{"v1"}, Asked: 2}, View{Versions: []string{"v1", "v2"}, Asked: 2}
+	one, two := View{Versions: []string{"v1"}, Complete: true, Asked: 2}, View{Versions: []string{"v1", "v2"}, Complete: true, Asked: 2}
+	restarted := View{Versions: []string{"v1"}, Asked: 2}
 	for name, c := range map[string]struct {
 		view    View
 		answers []Answer
@@ -154,8 +155,13 @@
 		"one version":                        {one, []Answer{{}}, "v1"},
 		"one version, others know several":   {one, []Answer{{}, {SeveralVersions: true}}, ""},
 		"one version, cut off":               {one, nil, ""},
-		"one version, no other instance":     {View{Versions: []string{"v1"}}, nil, "v1"},
-		"no upstream":                        {View{Asked: 1}, []Answer{{}}, ""},
+		"one version, others know another":   {one, []Answer{{OnlyVersion: "v1"}, {OnlyVersion: "v2", Complete: true}}, ""},
+		"one version, no other instance":     {View{Versions: []string{"v1"}, Complete: true}, nil, "v1"},
+		"no upstream":                        {View{Complete: true, Asked: 1}, []Answer{{}}, ""},
+		"restarted, all others too":          {restarted, []Answer{{OnlyVersion: "v1"}}, ""},
+		"restarted, no other instance":       {View{Versions: []string{"v1"}}, nil, ""},
+		"restarted, another one has not":     {restarted, []Answer{{OnlyVersion: "v1"}, {OnlyVersion: "v1", Complete: true}}, "v1"},
+		"restarted, a record":                {restarted, []Answer{record("v1")}, "v1"},
 	} {
 		got, ok := Resolve(c.view, c.answers)
 		if ok != (c.want != "") || got.Version != c.want {
--- a/internal/upstreamstate/place.go
+++ b/internal/upstreamstate/place.go
@@ -16,6 +16,8 @@
 	Prompt placement.Prompt
 	// Version is the software version that the request requires; empty for any.
 	Version string
+	// AvoidedVersions are the software versions that the request avoids while there are upstreams of others.
+	AvoidedVersions []string
 	// Excluded are the upstreams that already failed the request.
 	Excluded map[string]bool
 	// Objective is the time left until the answer would miss its latency objective, RemainingWait
@@ -37,7 +39,7 @@
 		costs.MemoryPrice = 0
 	}
 	return &placement.Request{
-		Zone: s.settings.Zone, Prompt: r.Prompt, SoftwareVersion: r.Version, Excluded: r.Excluded, Now: now,
+		Zone: s.settings.Zone, Prompt: r.Prompt, SoftwareVersion: r.Version, AvoidedVersions: r.AvoidedVersions, Excluded: r.Excluded, Now: now,
 		Objective: r.Objective, RemainingWait: r.RemainingWait, Costs: costs,
 		CheckLimits: s.limits.any(), Direct: r.Direct,
 	}
