relay: an instance that stops hands the records of streams over

Callers whose streams broke off could not take them up after a planned restart of all instances, one after the other: each refused them (503), although engines of both versions served. Cause: the record of which version began a stream is at the instance that served it and at those that rank first for it, and each took its records with it.

An instance that is told to stop sends all its records, replicas included, to the instances that rank first without it, each new one from then on, and all once more before it ends. So each record is at an instance that lives on, as long as they stop one after the other.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -147,10 +147,14 @@
 	loops.Go(func() { keeper.Run(ctx) })
 	handler := in.adapter.Handler(in.relay, in.limitsInForce)
 	stopping := make(chan time.Time, 1)
-	context.AfterFunc(ctx, func() { stopping <- time.Now() })
+	context.AfterFunc(ctx, func() {
+		stopping <- time.Now()
+		in.relay.HandOverStreams()
+	})
 	err = httpserver.New(in.settings.Front, handler, in.ready, in.relay.Close, logging.Part(in.log, "front")).Run(ctx)
 	if err == nil {
 		in.awaitForwarded(background, <-stopping)
+		in.relay.HandOverStreams() // others may have sent records meanwhile
 	}
 	in.log.Info("instance: stopped", "error", err)
 	return err
--- a/internal/relay/streamversions.go
+++ b/internal/relay/streamversions.go
@@ -29,6 +29,8 @@
 	records *streamversions.Records
 	// mixed are the services whose records are replicated, because callers may take up streams of several versions.
 	mixed map[string]bool
+	// leaving is set once this instance stops. It replicates all records then.
+	leaving bool
 	// storeNeeded receives a value when a version is to be added to the stored history of its service.
 	storeNeeded chan struct{}
 	// historyApplied is closed and replaced when a stored history was applied.
@@ -122,13 +124,25 @@
 		v.records.Put(record, x.service, now)
 	}
 	r.updateMixed(x.service, now)
-	replicates := v.mixed[x.service] && !x.forwarded // the instance that forwarded the request replicates its records
+	replicates := (v.mixed[x.service] || v.leaving) && !x.forwarded // the instance that forwarded the request replicates its records
 	v.mu.Unlock()
 	if replicates {
 		r.replicateRecords(records)
 	}
 }
 
+// HandOverStreams sends all records to other instances, as this one stops, and from then on each new one.
+func (r *Relay) HandOverStreams() {
+	r.versions.mu.Lock()
+	r.versions.leaving = true
+	records := r.versions.records.All(r.now())
+	r.versions.mu.Unlock()
+	if len(records) > 0 {
+		r.log.Info("relay: records of streams handed over", "records", len(records))
+	}
+	r.replicateRecords(records)
+}
+
 // hasSeveralVersions reports whether callers may take up streams of several versions of a service.
 func (r *Relay) hasSeveralVersions(service string) bool {
 	r.versions.mu.Lock()
--- a/internal/relay/streamversions_test.go
+++ b/internal/relay/streamversions_test.go
@@ -274,6 +274,27 @@
 	}
 }
 
+// TestStoppingInstanceHandsItsRecordsOver guards against streams that nobody can take up after a planned restart of all
+// instances, as each took its records with it.
+func TestStoppingInstanceHandsItsRecordsOver(t *testing.T) {
+	others := &fakeReplicas{}
+	r := withReplicas(withOneVersion(newFake(t, &fakeSender{})), others)
+	if _, err := serve(r, numbered(shortPrompt("/resumable/1"), 1)); err != nil {
+		t.Fatal(err)
+	}
+	r.ApplyStreamRecords([]streamversions.Record{{Stream: streamversions.IDOf("of another instance"), Version: "v1", Lifetime: time.Second}})
+	r.HandOverStreams()
+	if len(others.records) != 2 {
+		t.Errorf("handed over %+v, want its own record and that of another instance", others.records)
+	}
+	if _, err := serve(r, numbered(shortPrompt("/resumable/1"), 2)); err != nil {
+		t.Fatal(err)
+	}
+	if len(others.records) != 3 {
+		t.Errorf("a stream that begins while the instance stops: %+v", others.records)
+	}
+}
+
 // TestRecordsAreReplicatedOnceASecondVersionAppears guards against streams that began at the only version and that
 // other instances know nothing about once there are two.
 func TestRecordsAreReplicatedOnceASecondVersionAppears(t *testing.T) {
--- a/internal/streamversions/records.go
+++ b/internal/streamversions/records.go
@@ -150,9 +150,19 @@
 
 // OwnOf returns the records of this instance's streams of a service.
 func (r *Records) OwnOf(service string, now time.Duration) []Record {
+	return r.list(now, func(e entry) bool { return e.own && e.service == service })
+}
+
+// All returns all records, including those of other instances.
+func (r *Records) All(now time.Duration) []Record {
+	return r.list(now, func(entry) bool { return true })
+}
+
+// list returns the records of the streams that are selected and have one version.
+func (r *Records) list(now time.Duration, selected func(entry) bool) []Record {
 	var list []Record
 	for _, stream := range r.order {
-		if e := r.entries[stream]; e.own && e.service == service && !e.ambiguous && now < e.expires {
+		if e := r.entries[stream]; selected(e) && !e.ambiguous && now < e.expires {
 			list = append(list, Record{Stream: stream, Version: e.version.Value(), Lifetime: e.expires - now})
 		}
 	}
