peers: model of callers that return after all instances restarted

The model of returning callers restarted all instances only with both versions there, and an instance's versions were a fixed list. They are a census now that reads the store's entries, also at a start.

--- a/internal/peers/fleet_test.go
+++ b/internal/peers/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -34,6 +35,8 @@
 	decodedData []byte
 	reading     bool                // all instances follow the store
 	links       func(i int) float64 // Mbit/s; nil where they are not known
+	// versions are the software versions of the upstreams that the store lists; instances read them when they start.
+	versions []string
 	// blocked reports whether no datagram gets from one node to another; nil if none is blocked.
 	blocked        func(from, to *virtualNode) bool
 	sent           int
@@ -69,16 +72,16 @@
 	granted int
 	grants  *quota.Coordinator
 	quotas  *limit.Granter
-	mu      sync.Mutex // protects records
+	mu      sync.Mutex // protects records and census
 	records *streamversions.Records
+	// census has the software versions of the upstreams as known to this instance.
+	census *streamversions.Census
 	// ledger has the reservations of a hub.
 	ledger *reservation.Ledger
-	// versions are the software versions of the upstreams as known to this instance.
-	versions []string
 }
 
 func newVirtualLoads(now func() time.Duration) *virtualLoads {
-	l := &virtualLoads{now: now, changed: make(chan struct{}, 1), grants: quota.NewCoordinator(), quotas: limit.NewGranter(), records: streamversions.NewRecords(), ledger: reservation.NewLedger()}
+	l := &virtualLoads{now: now, changed: make(chan struct{}, 1), grants: quota.NewCoordinator(), quotas: limit.NewGranter(), records: streamversions.NewRecords(), census: streamversions.NewCensus(), ledger: reservation.NewLedger()}
 	l.State = upstreamstate.New(upstreamstate.Settings{Seed: 1, OnChange: func() {
 		select {
 		case l.changed <- struct{}{}:
@@ -162,7 +165,24 @@
 
 // view is what this instance knows about the versions of the upstreams.
 func (l *virtualLoads) view() streamversions.View {
-	return streamversions.View{Versions: l.versions}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return streamversions.View{Versions: l.census.Versions("s", l.now())}
+}
+
+// readVersions has this instance read that there is an upstream of each of these software versions and of no other, as
+// in the entries of the store.
+func (l *virtualLoads) readVersions(versions []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, version := range versions {
+		l.census.Update("upstream of "+version, "s", version, l.now())
+	}
+	for _, known := range l.census.Versions("s", l.now()) {
+		if !slices.Contains(versions, known) {
+			l.census.Remove("upstream of "+known, l.now())
+		}
+	}
 }
 
 // requests is the number of requests of all instances on the engine, as known to this instance.
@@ -226,6 +246,7 @@
 	r := NewReporter(e, loads)
 	n := f.nodes[i]
 	*n = virtualNode{Reporter: r, loads: loads, up: true, next: f.now + time.Duration(f.rng.Int64N(int64(300*time.Millisecond)))}
+	n.loads.readVersions(f.versions)
 	addr := netip.MustParseAddrPort(self.Address)
 	f.byAddr[addr] = n
 	r.write = func(data []byte, to netip.AddrPort) error {
--- a/internal/peers/streams_test.go
+++ b/internal/peers/streams_test.go
@@ -59,12 +59,20 @@
 	return knowledge.Version, ok
 }
 
+// setVersions has the store list upstreams of these software versions, and all instances that run read them.
+func (f *virtualFleet) setVersions(versions ...string) {
+	f.versions = versions
+	for _, n := range f.nodes {
+		if n.up && !n.frozen {
+			n.loads.readVersions(versions)
+		}
+	}
+}
+
 // newVersionedFleet returns a running fleet that knows upstreams of two versions.
 func newVersionedFleet(instances, zones int, loss float64, seed uint64) *virtualFleet {
 	f := newVirtualFleet(instances, zones, loss, seed)
-	for _, n := range f.nodes {
-		n.loads.versions = []string{"v1", "v2"}
-	}
+	f.setVersions("v1", "v2")
 	f.run(2 * startupTime)
 	return f
 }
@@ -114,7 +122,6 @@
 		for i := range f.nodes {
 			f.nodes[i].up = false
 			f.start(i, countZones(f))
-			f.nodes[i].loads.versions = []string{"v1", "v2"}
 		}
 	}},
 }
@@ -221,7 +228,6 @@
 					for i := range f.nodes {
 						if f.nodes[i] == n {
 							f.start(i, size.zones)
-							f.nodes[i].loads.versions = []string{"v1", "v2"}
 						}
 					}
 				}
@@ -301,7 +307,7 @@
 		self := Peer{Name: fmt.Sprintf("instance-%d", i), Address: conn.LocalAddr().String(), Zone: zone}
 		_ = conn.Close() // Run listens at the same address
 		loads := newVirtualLoads(clock)
-		loads.versions = []string{"v1", "v2"}
+		loads.readVersions([]string{"v1", "v2"})
 		n := &virtualNode{Reporter: NewReporter(newExchange(self, seeds, noRows{&reading}, discardLogger(), clock), loads), loads: loads}
 		if i == 0 {
 			seeds = []string{self.Address}
