--- a/internal/rawserver/rawserver.go
+++ b/internal/rawserver/rawserver.go
@@ -9,9 +9,25 @@
 	"testing"
 )
 
+// Script is what a server does on each of its connections.
+type Script struct {
+	// First is the answer to the first request; the connection is kept after it. It is empty for none.
+	First string
+	// Answer is the answer to the request after that one. The connection ends with it.
+	Answer string
+	// Reset ends the connection by a reset instead of a FIN. What was sent before still arrives.
+	Reset bool
+}
+
 // Start starts a server that reads one request on each connection, answers with the given bytes and closes the connection
 // by FIN, as the kernel does for a process that is killed. It returns the server's address.
 func Start(t *testing.T, answer string) string {
+	t.Helper()
+	return StartScript(t, func() Script { return Script{Answer: answer} })
+}
+
+// StartScript starts a server that asks for the script of each connection, and returns its address.
+func StartScript(t *testing.T, next func() Script) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -24,19 +40,35 @@
 			if err != nil {
 				return
 			}
-			answerOnce(conn, answer)
+			go next().serve(conn)
 		}
 	}()
 	return listener.Addr().String()
 }
 
-// answerOnce answers a request once it was read as a whole: a connection that is closed before that is reset.
-func answerOnce(conn net.Conn, answer string) {
+// serve answers the requests of a connection.
+func (s Script) serve(conn net.Conn) {
 	defer conn.Close()
-	request, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
+	requests := bufio.NewReader(conn)
+	if s.First != "" && !answer(conn, requests, s.First) {
 		return
 	}
+	if !answer(conn, requests, s.Answer) || !s.Reset {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only if the connection is closed
+	}
+}
+
+// answer answers a request once it was read as a whole: a connection that is closed before that is reset. It reports false
+// if there is no request.
+func answer(conn net.Conn, requests *bufio.Reader, text string) bool {
+	request, err := http.ReadRequest(requests)
+	if err != nil {
+		return false
+	}
 	_, _ = io.Copy(io.Discard, request.Body) // the answer does not depend on it
-	_, _ = io.WriteString(conn, answer)      // an error shows at the client
+	_, _ = io.WriteString(conn, text)        // an error shows at the client
+	return true
 }
