relay: a stream without an event is not whole

The end of a stream was taken for its regular one unless it was cut by its framing, fell within an event or came before the caller's last event; that an answer has an event at all was not asked. With neither a length nor chunks the instance framed the empty body itself, with a length of 0.

Each stream has a first event, so an answer that has none when its run ends is broken off as after a cut: it begins elsewhere where the route allows it. A run that goes on after an event may bring none, since the caller may have the last one, and an answer to HEAD has no events; both stay whole and have a test.

--- a/internal/relay/eventforwarder.go
+++ b/internal/relay/eventforwarder.go
@@ -17,6 +17,9 @@
 // errEndsBehind: the run had events, but ended before the last one that the caller has.
 var errEndsBehind = errors.New("relay: the run ended before the last event that the caller has")
 
+// errNoEvents: the stream ended before the first event of the answer.
+var errNoEvents = errors.New("relay: the stream ended before its first event")
+
 // eventForwarder forwards the events of one engine's stream to a caller: complete ones, each once and in order.
 type eventForwarder struct {
 	w     http.ResponseWriter
@@ -25,8 +28,10 @@
 	// bound, except that an event that has begun must be completed in time.
 	idleTimeout time.Duration
 	cancel      context.CancelFunc
-	events      stream.EventSplitter
-	sequence    *stream.Sequence
+	// headOnly is set if the answer has no body, and so no event.
+	headOnly bool
+	events   stream.EventSplitter
+	sequence *stream.Sequence
 	// onEvents is called after events were written; nil for none.
 	onEvents func()
 }
@@ -36,6 +41,16 @@
 	return &eventForwarder{w: w, flush: http.NewResponseController(w).Flush, sequence: stream.NewSequence(lastEvent), cancel: cancel}
 }
 
+// newForwarder returns a forwarder of the rest of the answer. An event has to come in time if another engine can go on.
+func (g *generation) newForwarder(cancel context.CancelFunc) *eventForwarder {
+	forwarder := newEventForwarder(g.w, g.lastEvent, cancel)
+	forwarder.headOnly = g.req.Method == http.MethodHead
+	if g.attempts.MayRunElsewhere() {
+		forwarder.idleTimeout = g.relay.settings.StreamIdleTimeout
+	}
+	return forwarder
+}
+
 // lastEvent returns the id of the last event that the caller has.
 func (p *eventForwarder) lastEvent() string { return p.sequence.LastID() }
 
@@ -70,6 +85,8 @@
 			return errPartialEvent
 		case err == io.EOF && p.sequence.IsBehind():
 			return errEndsBehind
+		case err == io.EOF && p.sequence.IsEmpty() && !p.headOnly:
+			return errNoEvents
 		case err == io.EOF:
 			return nil
 		case err != nil:
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -197,10 +197,7 @@
 		return failedAttempt(g.via, errors.WithMessagef(ErrNoValidAnswer, "the engine answered %d", reply.Status))
 	}
 	g.begin(reply, reply.Version)
-	forwarder := newEventForwarder(g.w, g.lastEvent, cancel)
-	if g.attempts.MayRunElsewhere() {
-		forwarder.idleTimeout = g.relay.settings.StreamIdleTimeout
-	}
+	forwarder := g.newForwarder(cancel)
 	err := forwarder.forward(reply.Body)
 	g.lastEvent = forwarder.lastEvent()
 	switch {
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -344,11 +344,8 @@
 func (r *Relay) forwardStream(ctx context.Context, cancel context.CancelFunc, g *generation, engine upstreamstate.Upstream, reply *Reply, started time.Duration) attempt.Result {
 	g.begin(reply, engine.Version)
 	g.generatingSince = r.now()
-	forwarder := newEventForwarder(g.w, g.lastEvent, cancel)
+	forwarder := g.newForwarder(cancel)
 	forwarder.onEvents = r.watchAlive(g.exchange)
-	if g.attempts.MayRunElsewhere() {
-		forwarder.idleTimeout = r.settings.StreamIdleTimeout
-	}
 	streamStarted, fromStart := r.now(), g.lastEvent == ""
 	err := forwarder.forward(reply.Body)
 	g.lastEvent = forwarder.lastEvent()
--- a/internal/relay/streamend_test.go
+++ b/internal/relay/streamend_test.go
@@ -270,3 +270,50 @@
 		t.Errorf("%v, %d crash checks", err, f.crashChecks)
 	}
 }
+
+// TestStreamWithoutEventsIsNotWhole guards against a stream that ends before its first event and is passed on as complete: it
+// begins at another engine where the route allows it, and else its caller sees that it broke off.
+func TestStreamWithoutEventsIsNotWhole(t *testing.T) {
+	emptyFirst := func(n int, _ Send) (*Reply, error) {
+		if n == 1 {
+			return events(""), nil
+		}
+		return events(numberedEvents(1, 2)), nil
+	}
+	t.Run("resumable", func(t *testing.T) {
+		f := &fakeSender{run: emptyFirst}
+		r := newFake(t, f)
+		withLargeBudget(r)
+		if w, err := serve(r, longPrompt("/resumable/1")); err != nil || w.Body.String() != numberedEvents(1, 2) {
+			t.Errorf("%v, %q after %d runs", err, w.Body.String(), f.runs)
+		}
+	})
+	t.Run("not resumable", func(t *testing.T) {
+		f := &fakeSender{run: emptyFirst}
+		if w, err := serve(newFake(t, f), longPrompt("/once/1")); !errors.Is(err, ErrAnswerAborted) || f.runs != 1 {
+			t.Errorf("%v, %q after %d runs", err, w.Body.String(), f.runs)
+		}
+	})
+	t.Run("passed on by another instance", func(t *testing.T) {
+		forwarder := &fakeForwarder{answer: func(n int, _ *Forwarded) (*Reply, error) { return emptyFirst(n, Send{}) }}
+		if w, err := serve(withoutPath(t, &fakeSender{}, forwarder), call("/once/1")); !errors.Is(err, ErrAnswerAborted) {
+			t.Errorf("%v, %q", err, w.Body.String())
+		}
+	})
+}
+
+// TestStreamWithoutFurtherEventsIsWhole guards against a stream that is broken off though its caller has all its events, or
+// asked for the head of the answer alone.
+func TestStreamWithoutFurtherEventsIsWhole(t *testing.T) {
+	for name, change := range map[string]func(*Request){
+		"the caller has the last event": func(r *Request) { r.LastEvent = "2" },
+		"HEAD":                          func(r *Request) { r.Method = http.MethodHead },
+	} {
+		f := &fakeSender{run: func(int, Send) (*Reply, error) { return events(""), nil }}
+		request := longPrompt("/resumable/1")
+		change(request)
+		if w, err := serve(newFake(t, f), request); err != nil || w.Code != http.StatusOK || f.runs != 1 {
+			t.Errorf("%s: %v, status %d after %d runs", name, err, w.Code, f.runs)
+		}
+	}
+}
--- a/internal/stream/sequence.go
+++ b/internal/stream/sequence.go
@@ -117,6 +117,10 @@
 // not whole.
 func (s *Sequence) IsBehind() bool { return s.newest > 0 && s.numbered && s.newest < s.last }
 
+// IsEmpty reports whether the answer has no event yet: none was delivered, and the caller has none. Each answer has one, so
+// a run that ends so is not whole.
+func (s *Sequence) IsEmpty() bool { return s.numbered && s.last < firstEventID }
+
 // lineEndRest returns the length of the "\n" at the start of events that ends the line of an earlier "\r". It is passed on
 // only if that line's block was.
 func (s *Sequence) lineEndRest(events []byte) int {
