A status below 200 is not that of an answer

An upstream whose answer has the status 101, 000 or 042 ended the handler of its caller's request with a panic: net/http accepts any three digits and hands an offer to switch protocols out as an answer, but does not write a final status below 100. The caller's connection was closed without an answer, nothing was recorded of the request, and a 101 without an upgrade was passed on, to a caller that waits for the final answer after it.

In package service the three statuses were passed on.

Answers to calls of plain services are also tested with a cut at each byte; these cases held before.

--- a/internal/forward/reply.go
+++ b/internal/forward/reply.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"sync"
 
 	"connectrpc.com/connect"
@@ -34,8 +35,8 @@
 		return nil, endError(end)
 	}
 	header := message.GetHeader()
-	if header == nil {
-		return nil, errors.WithMessage(relay.ErrNoValidAnswer, "forward: the answer has no header")
+	if header.GetStatus() < http.StatusOK {
+		return nil, errors.WithMessage(relay.ErrNoValidAnswer, "forward: the answer has no header, or the status of no answer")
 	}
 	return &relay.Reply{Status: int(header.GetStatus()), Header: headerFromMessage(header.GetHeader()), Version: header.GetVersion(), Body: b}, nil
 }
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -111,6 +111,9 @@
 	if res.Header.Get(NotRunHeader) != "" {
 		return Answer{}, ErrRefused
 	}
+	if res.StatusCode < http.StatusOK {
+		return Answer{}, errors.WithMessagef(ErrUnknown, "the status %d is not that of an answer", res.StatusCode)
+	}
 	if !isFramed(res) {
 		return Answer{}, errors.WithMessage(ErrUnknown, "the answer has neither a length nor chunks")
 	}
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -36,6 +36,35 @@
 	}
 }
 
+// TestStatusOfNoAnswerIsNotPassedOn guards against a status below 200 that is passed on, or ends the handler of its call with a
+// panic.
+func TestStatusOfNoAnswerIsNotPassedOn(t *testing.T) {
+	for _, status := range []string{"101 Switching Protocols", "042 None", "000 None"} {
+		if got, err := do(t, http.MethodPost, "HTTP/1.1 "+status+"\r\nContent-Length: 2\r\n\r\nok"); !errors.Is(err, ErrUnknown) {
+			t.Errorf("%s: passed on as status %d, %v", status, got.Status, err)
+		}
+	}
+}
+
+// TestCutAnswerIsNotWhole guards against an answer that ends at any byte of its head or its body, and is passed on as whole.
+func TestCutAnswerIsNotWhole(t *testing.T) {
+	for _, whole := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 23\r\n\r\ncertificate of lot 4471",
+		"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n17\r\ncertificate of lot 4471\r\n0\r\n\r\n",
+	} {
+		for _, reset := range []bool{false, true} {
+			for cut := range whole {
+				script := rawserver.Script{Answer: whole[:cut], Reset: reset}
+				client := NewClient(rawserver.StartScript(t, func() rawserver.Script { return script }), 5*time.Second)
+				got, err := client.Do(context.Background(), Call{Method: http.MethodPost, Path: "/", Header: http.Header{}})
+				if !errors.Is(err, ErrUnknown) {
+					t.Errorf("after %q: status %d, %q, %v", whole[:cut], got.Status, got.Body, err)
+				}
+			}
+		}
+	}
+}
+
 func TestAnswerWithAnEndIsWhole(t *testing.T) {
 	const body = "certificate of lot 4471"
 	for name, c := range map[string]struct{ method, answer, body string }{
