Test cut answers and lists of other instances

An instance that is cut off within the head of its answer, or within one of its messages, was tested at the ends of messages only. Nothing was found: cut at each byte, by FIN and by a reset, without framing, with a length and with chunks, an answer that is passed on is neither whole nor one of a request that was not sent, and a list of instances is no list.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -359,3 +359,68 @@
 		reply.Body.Close()
 	}
 }
+
+// TestCutAnswerOfAnInstanceIsNotWhole guards against an answer that another instance passes on, is cut within its head or one of
+// its messages, and passes for whole or for a request that was not sent.
+func TestCutAnswerOfAnInstanceIsNotWhole(t *testing.T) {
+	messages := envelope(t, &sfv1.ForwardResponse{}) +
+		envelope(t, &sfv1.ForwardResponse{Header: &sfv1.ForwardHeader{Status: http.StatusOK, Version: "v1"}}) +
+		envelope(t, &sfv1.ForwardResponse{Data: []byte("whole")}) +
+		envelope(t, &sfv1.ForwardResponse{End: &sfv1.ForwardEnd{History: &sfv1.ForwardHistory{Arrivals: 1}}})
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: application/connect+proto\r\n"
+	for name, whole := range map[string]string{
+		"unframed": head + "\r\n" + messages,
+		"length":   fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(messages), messages),
+		"chunks":   fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s", head, len(messages), messages),
+	} {
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, reset %t", name, reset), func(t *testing.T) {
+				for cut := range whole {
+					script := rawserver.Script{Answer: whole[:cut], Reset: reset}
+					to := peers.Peer{Name: "peer", Address: rawserver.StartScript(t, func() rawserver.Script { return script }), Zone: "a"}
+					if body, err := forwardWhole(to); err == nil || !errors.Is(err, relay.ErrNoValidAnswer) || errors.Is(err, relay.ErrNotSent) {
+						t.Errorf("cut after %q: %q, %v", whole[max(0, cut-20):cut], body, err)
+					}
+				}
+				to := peers.Peer{Name: "peer", Address: rawserver.Start(t, whole), Zone: "a"}
+				if body, err := forwardWhole(to); err != nil || body != "whole" {
+					t.Errorf("not cut: %q, %v", body, err)
+				}
+			})
+		}
+	}
+}
+
+// forwardWhole forwards a request to an instance and reads the whole answer.
+func forwardWhole(to peers.Peer) (string, error) {
+	_, reply, err := newClient(to).Forward(context.Background(), request(), nil)
+	if err != nil {
+		return "", err
+	}
+	defer reply.Body.Close()
+	body, err := io.ReadAll(reply.Body)
+	if err != nil {
+		return string(body), relay.WrapReadError(err)
+	}
+	return string(body), nil
+}
+
+// TestCutListOfInstancesIsNoList guards against a list of instances that was cut off and passes for a shorter or an empty one.
+func TestCutListOfInstancesIsNoList(t *testing.T) {
+	list, err := proto.Marshal(&sfv1.ListInstancesResponse{Instances: []*sfv1.ReplicaPeer{
+		peers.PeerToMessage(peers.Peer{Name: "b", Address: "127.0.0.1:2", Zone: "b"}), peers.PeerToMessage(peers.Peer{Name: "c", Address: "127.0.0.1:3", Zone: "b"}),
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/proto\r\nContent-Length: %d\r\n\r\n%s", len(list), list)
+	for cut := range whole {
+		to := peers.Peer{Name: "peer", Address: rawserver.Start(t, whole[:cut]), Zone: "b"}
+		if got, err := newClient().listInstances(context.Background(), to, 5); err == nil {
+			t.Errorf("cut at byte %d: %v", cut, got)
+		}
+	}
+	if got, err := newClient().listInstances(context.Background(), peers.Peer{Name: "peer", Address: rawserver.Start(t, whole)}, 5); err != nil || len(got) != 2 {
+		t.Errorf("not cut: %v, %v", got, err)
+	}
+}
