Test requests whose time is over before they are sent

A request that is never sent, because its time is over before its first attempt or no send is left, counts as answered: the relay returns neither an error nor an answer, and its caller gets a whole 200 with an empty body that no upstream made, on routes of each kind.

--- a/internal/attempt/run_test.go
+++ b/internal/attempt/run_test.go
@@ -53,6 +53,20 @@
 	}
 }
 
+// TestRunWithoutAnAttemptIsNotDone guards against a request that was never sent, because its time was over or no send was left,
+// and counts as answered.
+func TestRunWithoutAnAttemptIsNotDone(t *testing.T) {
+	if s, result, verdict := run(Rules{MaxSends: 0}); s.made != 0 || result.Status == Done || verdict != Exhausted {
+		t.Errorf("no send left: %d attempts, %+v, verdict %v", s.made, result, verdict)
+	}
+	expired, cancel := context.WithCancel(context.Background())
+	cancel()
+	s := &scriptedCall{tries: New(Rules{MaxSends: 9})}
+	if result, verdict := s.tries.Run(expired, budgetWith(100), clock, s); s.made != 0 || result.Status == Done || verdict != Exhausted {
+		t.Errorf("no time left: %d attempts, %+v, verdict %v", s.made, result, verdict)
+	}
+}
+
 // TestRunNeverRepeatsNonRepeatableRequest checks, for random statuses, that no attempt
 // follows one that may have run, and that the outcome matches.
 func TestRunNeverRepeatsNonRepeatableRequest(t *testing.T) {
