attempt: a request that was never sent is not done

Callers got a whole 200 with an empty body that no upstream made: no server stamp, a length of 0 (MIXED; for a stream also ORDER, as it ends as complete before its first piece). It happened to requests whose time was over, or whose context had ended, before their first attempt: those with a few milliseconds left, as a caller's last attempt has, more often while an instance asks others first: which version began a resumed stream, whether an organisation's quota allows the request.

The loop over attempts returns the result of the last one. Without one that was the zero value, and the zero value of its status was Done: the relay returned without an error, and net/http ended the handler with an implicit 200. Package entry has the same loop: a completion without text, a call's answer with the status 0. A forwarded request with no send left ended as lost.

The zero value now says that no attempt was made. Whoever runs the loop takes everything but Done to the refusal that the attempts so far allow, here the promise that nothing ran.

--- a/internal/attempt/run.go
+++ b/internal/attempt/run.go
@@ -9,9 +9,11 @@
 type Status int
 
 const (
+	// Untried: no attempt was made.
+	Untried Status = iota
 	// Done: no further attempt is needed. The caller has a complete or truncated
 	// response, or has disconnected.
-	Done Status = iota
+	Done
 	// NoUpstream: no upstream is left to try.
 	NoUpstream
 	// NotReady: preparing the upstream failed; nothing was sent that runs.
@@ -51,8 +53,9 @@
 }
 
 // Run makes attempts until one completes the request, no upstream is left to try,
-// or no further attempt is allowed. It returns the last result and the verdict of
-// the last Next, which is Proceed when the result ended the loop. Unless the status
+// or no further attempt is allowed. It returns the last result, which is Untried if
+// not even the first attempt is allowed, and the verdict of the last Next, which is
+// Proceed when the result ended the loop. Unless the status
 // is Done, the caller still has to be sent an error; Outcome returns what that may
 // state about the request.
 func (a *Attempts) Run(ctx context.Context, b *Budget, now func() time.Duration, call Call) (Result, Verdict) {
--- a/internal/entry/generation_test.go
+++ b/internal/entry/generation_test.go
@@ -12,6 +12,7 @@
 	"sassafrasfield/internal/callerapi"
 	"sassafrasfield/internal/config"
 	"sassafrasfield/internal/engine"
+	"sassafrasfield/internal/service"
 )
 
 // refusingEngine refuses all requests.
@@ -54,3 +55,21 @@
 		}
 	}
 }
+
+// TestRequestWithoutAnAttemptIsNotAnswered guards against a request that was never sent, as its context had ended, and counts
+// as answered: a completion without text, or an answer of a plain service with the status 0.
+func TestRequestWithoutAnAttemptIsNotAnswered(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	settings := DefaultSettings()
+	settings.Instance, settings.Zone = "inst-1", "hall-a"
+	s := New(settings, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err := s.answer(ctx, &completion{id: "r", modelName: "m"}, nil); !errors.Is(err, errCallerDisconnected) {
+		t.Errorf("completion: %v", err)
+	}
+	for _, repeatable := range []bool{false, true} {
+		if answer, err := s.tryCall(ctx, &config.Service{}, service.Call{}, repeatable); !errors.Is(err, service.ErrNotRun) {
+			t.Errorf("call, repeatable %t: status %d, %v", repeatable, answer.Status, err)
+		}
+	}
+}
