Test cut answers of engines

Generate, report, cache events, status, export, order, cancel and import, each cut at every byte of its answer by FIN and by a reset.

--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"testing"
 	"time"
@@ -37,3 +38,46 @@
 		stream.Close()
 	}
 }
+
+// TestCutAnswersOfEnginesAreNotWhole guards against an answer of an engine that ends at any byte of its head or its document, and
+// is taken for a whole one.
+func TestCutAnswersOfEnginesAreNotWhole(t *testing.T) {
+	for name, c := range map[string]struct {
+		document string
+		call     func(context.Context, *Client) error
+	}{
+		"generate": {`{"n":0,"text":"a"}` + "\n" + `{"n":1,"finish":"stop"}`, func(ctx context.Context, c *Client) error {
+			stream, err := c.Generate(ctx, Request{ID: "r1"})
+			if err != nil {
+				return err
+			}
+			defer stream.Close()
+			for err == nil {
+				_, err = stream.Next()
+			}
+			if err == io.EOF {
+				return nil
+			}
+			return err
+		}},
+		"report":       {`{"engine":"e1","boot":"b","seq":12,"running":3}`, func(ctx context.Context, c *Client) error { _, err := c.Report(ctx); return err }},
+		"cache events": {`{"boot":"b","events":[]}`, func(ctx context.Context, c *Client) error { _, err := c.CacheEvents(ctx, 3); return err }},
+		"status":       {`{"engine":"e1","boot":"b","running":12}`, func(ctx context.Context, c *Client) error { _, err := c.Status(ctx); return err }},
+		"export":       {`{"handle":"h1","source":"127.0.0.1:1","tokens":1460}`, func(ctx context.Context, c *Client) error { _, err := c.Export(ctx, "r1"); return err }},
+		"order":        {`{"engine":"e1","boot":"b","last_order":"o1"}`, func(ctx context.Context, c *Client) error { _, err := c.Order(ctx, Order{ID: "o1"}); return err }},
+		"cancel":       {"", func(ctx context.Context, c *Client) error { return c.Cancel(ctx, "r1") }},
+		"import":       {"", func(ctx context.Context, c *Client) error { return c.Import(ctx, KVExport{Handle: "h1"}) }},
+	} {
+		whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Boot: b\r\nX-Accepted: 12\r\nContent-Length: %d\r\n\r\n%s", len(c.document), c.document)
+		for _, reset := range []bool{false, true} {
+			for cut := range len(whole) + 1 {
+				script := rawserver.Script{Answer: whole[:cut], Reset: reset}
+				client := NewClient(rawserver.StartScript(t, func() rawserver.Script { return script }), 5*time.Second)
+				err := c.call(context.Background(), client)
+				if isWhole := cut == len(whole); isWhole && err != nil || !isWhole && !errors.Is(err, ErrBroken) {
+					t.Errorf("%s, reset %t, after %q: %v", name, reset, whole[:cut], err)
+				}
+			}
+		}
+	}
+}
