Log how much time a request has left when a stream ends

Whether an engine ended a stream because it was done or because the request's time was over could not be told from the logs. `relay: stream ended` names the time that remains.

--- a/internal/relay/streamend.go
+++ b/internal/relay/streamend.go
@@ -30,7 +30,7 @@
 		m.outOfSequence.Inc(1)
 	}
 	r.log.Info("relay: stream ended", "request", x.req.ID, "engine", engine.ID, "unframed", reply.Unframed,
-		"events", forwarder.events.Count(), "last", forwarder.lastEvent(), "repeated", repeated, "error", err)
+		"events", forwarder.events.Count(), "last", forwarder.lastEvent(), "repeated", repeated, "remaining", x.remaining(r.now()), "error", err)
 }
 
 // isCallersSequence reports whether a run was out of sequence with the event that the caller named. That may be the caller's
