Break off streams that end only when the time of their request is over

Cause: an engine stops work at the deadline that it receives. The relay took the regular framing of an answer for the proof that it is whole, but at the deadline an engine stops whether it is done or not. The engine's deadline is up to 1 ms before the relay's, as it is sent in whole milliseconds, rounded down; and a process that was held up reads an end that came first even after its own deadline.

A stream whose end arrives in the last 10 ms of the request's time or later is broken off, visibly and without holding it against the engine. That bound can only be too early for the engine's clock: its time begins when it has the request. Callers that still wait, as by a route's timeout below theirs, take the stream up after its last event. Cost: a stream that really ends in those 10 ms.

`relay.streams_ended_at_deadline` counts such streams.

--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -350,7 +350,7 @@
 		forwarder.idleTimeout = r.settings.StreamIdleTimeout
 	}
 	streamStarted, fromStart := r.now(), g.lastEvent == ""
-	err := forwarder.forward(reply.Body)
+	err := g.confirmInTime(forwarder.forward(reply.Body))
 	g.lastEvent = forwarder.lastEvent()
 	r.recordStreamEnd(g.exchange, engine, reply, forwarder, err)
 	switch {
@@ -367,6 +367,9 @@
 		return attempt.Result{Status: attempt.Done}
 	case errors.Is(err, ErrCallerDisconnected) || errors.Is(ctx.Err(), context.Canceled):
 		return attempt.Result{Status: attempt.Done, Err: ErrCallerDisconnected}
+	case errors.Is(err, errEndedAtDeadline):
+		r.upstreams.RecordCall(engine.ID, load.CallSucceeded, r.now())
+		return attempt.Result{Status: attempt.Done, Err: errors.WithMessage(ErrAnswerAborted, err.Error())}
 	}
 	if g.backup.ID != "" && g.lastEvent != "" {
 		g.attempts.SetBackup(g.backup.ID)
--- a/internal/relay/streamend.go
+++ b/internal/relay/streamend.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"time"
+
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
@@ -8,16 +10,24 @@
 	"sassafrasfield/internal/upstreamstate"
 )
 
-// streamMeters counts the unframed answers, those of them whose end was not confirmed, the events that engines repeated, and
-// the streams that were cut off at an event out of sequence.
+// deadlineTolerance is how long before the end of a request's time, by the clock of this instance, an upstream may stop
+// because of it. Upstreams get the time in whole milliseconds, and a timer may be as coarse as a tick of the kernel.
+const deadlineTolerance = 10 * time.Millisecond
+
+// errEndedAtDeadline: the stream ended when the time of the request was over. Engines stop then, whether they are done or not.
+var errEndedAtDeadline = errors.New("relay: the stream ended at the deadline of the request")
+
+// streamMeters counts the unframed answers, those of them whose end was not confirmed, the events that engines repeated, the
+// streams that were cut off at an event out of sequence, and those that ended at the deadline of their request.
 type streamMeters struct {
-	unframed, unconfirmed, repeated, outOfSequence metrics.Counter
+	unframed, unconfirmed, repeated, outOfSequence, atDeadline metrics.Counter
 }
 
 func newStreamMeters() streamMeters {
 	return streamMeters{
 		unframed: counter("answers_unframed"), unconfirmed: counter("answers_unframed_unconfirmed"),
 		repeated: counter("events_repeated"), outOfSequence: counter("streams_out_of_sequence"),
+		atDeadline: counter("streams_ended_at_deadline"),
 	}
 }
 
@@ -29,10 +39,22 @@
 	if errors.As(err, &outOfSequence) {
 		m.outOfSequence.Inc(1)
 	}
+	if errors.Is(err, errEndedAtDeadline) {
+		m.atDeadline.Inc(1)
+	}
 	r.log.Info("relay: stream ended", "request", x.req.ID, "engine", engine.ID, "unframed", reply.Unframed,
 		"events", forwarder.events.Count(), "last", forwarder.lastEvent(), "repeated", repeated, "remaining", x.remaining(r.now()), "error", err)
 }
 
+// confirmInTime returns the error of a stream that ended without one, if its engine may have stopped because the time of the
+// request was over.
+func (g *generation) confirmInTime(err error) error {
+	if err == nil && g.remaining(g.relay.now()) <= deadlineTolerance {
+		return errEndedAtDeadline
+	}
+	return err
+}
+
 // isCallersSequence reports whether a run was out of sequence with the event that the caller named. That may be the caller's
 // fault, so it is not held against the engine.
 func (g *generation) isCallersSequence(err error) bool {
