Requests that are never attempted are answered 200 and empty: failing tests

What callers saw: status 200 with an empty body that is framed as whole, without the upstream's stamp: a stream that is complete without any event (ORDER), a plain answer that no upstream gave (MIXED).

The retry loop returns the zero value of its result if no attempt may be made, and the zero status says that the request is done. That is so when the time of a request is over before its first attempt: the instance was suspended or got no processor after it read the request, it waited for other instances' records or for quota, or the caller left it a few milliseconds. A forwarded request whose sends are used up is another case; the instance that forwarded it takes it for one that may have run.

--- a/internal/attempt/run_test.go
+++ b/internal/attempt/run_test.go
@@ -167,3 +167,23 @@
 	d.left--
 	return Result{Status: Refused, Unsent: true, Declined: true, Upstream: "u", Err: errFailed}
 }
+
+// TestRunWithoutAnAttemptIsNotDone guards against a request whose time is over before its first attempt, or that may not be
+// sent, and that counts as answered.
+func TestRunWithoutAnAttemptIsNotDone(t *testing.T) {
+	over, cancel := context.WithCancel(context.Background())
+	cancel()
+	for name, c := range map[string]struct {
+		ctx   context.Context
+		rules Rules
+	}{
+		"time is over":         {over, Rules{MaxSends: 9}},
+		"no sends are allowed": {context.Background(), Rules{}},
+	} {
+		s := &scriptedCall{tries: New(c.rules), statuses: []Status{Done}}
+		result, verdict := s.tries.Run(c.ctx, budgetWith(100), clock, s)
+		if s.made != 0 || result.Status == Done || verdict != Exhausted || s.tries.Outcome() != outcome.NotRun {
+			t.Errorf("%s: %d attempts, %+v, verdict %v, outcome %v", name, s.made, result, verdict, s.tries.Outcome())
+		}
+	}
+}
