Refuse requests for which no attempt was made

What callers saw: status 200 with an empty body framed as whole, for streams (ORDER) and plain calls (MIXED), where the time of the request was over before it was sent anywhere.

Cause: `attempt.Run` returned the zero Result if its first decision was to make no attempt, and the zero Status was Done. So `generate`, `serveCall` and the calls of entry's plain services took the request for answered, and the HTTP server wrote its default: 200, no body, Content-Length 0. Class: a zero value that means success. The zero Status is now NotAttempted, and such a request ends as any other that was not sent: refused as not run, with Retry-After.

--- a/internal/attempt/run.go
+++ b/internal/attempt/run.go
@@ -9,9 +9,11 @@
 type Status int
 
 const (
+	// NotAttempted: no attempt was made.
+	NotAttempted Status = iota
 	// Done: no further attempt is needed. The caller has a complete or truncated
 	// response, or has disconnected.
-	Done Status = iota
+	Done
 	// NoUpstream: no upstream is left to try.
 	NoUpstream
 	// NotReady: preparing the upstream failed; nothing was sent that runs.
@@ -51,8 +53,8 @@
 }
 
 // Run makes attempts until one completes the request, no upstream is left to try,
-// or no further attempt is allowed. It returns the last result and the verdict of
-// the last Next, which is Proceed when the result ended the loop. Unless the status
+// or no further attempt is allowed. It returns the last result, with the status
+// NotAttempted if there is none, and the verdict of the last Next, which is Proceed when the result ended the loop. Unless the status
 // is Done, the caller still has to be sent an error; Outcome returns what that may
 // state about the request.
 func (a *Attempts) Run(ctx context.Context, b *Budget, now func() time.Duration, call Call) (Result, Verdict) {
@@ -68,7 +70,7 @@
 			a.Exclude(last.Upstream, last.Err)
 		case Refused, Lost:
 			a.Failed(last.Upstream, last.Status == Refused, last.Err)
-		case NoUpstream:
+		case NoUpstream, NotAttempted:
 			a.setLastError(last.Err)
 			return last, Proceed
 		case Done:
