--- a/internal/attempt/run.go
+++ b/internal/attempt/run.go
@@ -9,8 +9,8 @@
 type Status int
 
 const (
-	// Untried: no attempt was made.
-	Untried Status = iota
+	// NotAttempted: no attempt was made.
+	NotAttempted Status = iota
 	// Done: no further attempt is needed. The caller has a complete or truncated
 	// response, or has disconnected.
 	Done
@@ -53,11 +53,10 @@
 }
 
 // Run makes attempts until one completes the request, no upstream is left to try,
-// or no further attempt is allowed. It returns the last result, which is Untried if
-// not even the first attempt is allowed, and the verdict of the last Next, which is
-// Proceed when the result ended the loop. Unless the status
-// is Done, the caller still has to be sent an error; Outcome returns what that may
-// state about the request.
+// or no further attempt is allowed. It returns the last result, with the status
+// NotAttempted if there is none, and the verdict of the last Next, which is Proceed
+// when the result ended the loop. Unless the status is Done, the caller still has to
+// be sent an error; Outcome returns what that may state about the request.
 func (a *Attempts) Run(ctx context.Context, b *Budget, now func() time.Duration, call Call) (Result, Verdict) {
 	var last Result
 	for {
@@ -71,7 +70,7 @@
 			a.Exclude(last.Upstream, last.Err)
 		case Refused, Lost:
 			a.Failed(last.Upstream, last.Status == Refused, last.Err)
-		case NoUpstream:
+		case NoUpstream, NotAttempted:
 			a.setLastError(last.Err)
 			return last, Proceed
 		case Done:
