Ignore answers to questions of an earlier process

What callers saw: after a restart of an instance, a stream could go on at the version that began another stream, and a grant that was asked for by the process before could count for a request of this one. It needs an asked instance that stood still meanwhile and answers late.

Cause: requests to other instances carry an id that was counted from 1 in each process, and an answer names nothing but that id. After a restart the same ids are pending again.

The ids of a process now start at a random number of 32 bits, so an id of the process before is pending with a probability of some 1 in 10^6 at a thousand questions. It costs up to four bytes more in each of these messages.

--- a/internal/peers/retryrequest.go
+++ b/internal/peers/retryrequest.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -14,22 +15,25 @@
 
 // pendingRequests are the requests of one kind that wait for an answer.
 type pendingRequests[Answer any] struct {
-	mu      sync.Mutex // protects all below
-	next    uint64
+	mu sync.Mutex // protects all below
+	// last is the id of the newest request.
+	last    uint64
 	waiting map[uint64]chan Answer
 }
 
+// newPendingRequests returns no pending requests. Ids start at a random number, so that a late answer to an earlier
+// process of this instance resolves no request of this one.
 func newPendingRequests[Answer any]() *pendingRequests[Answer] {
-	return &pendingRequests[Answer]{waiting: map[uint64]chan Answer{}}
+	return &pendingRequests[Answer]{last: uint64(rand.Uint32()), waiting: map[uint64]chan Answer{}}
 }
 
 func (a *pendingRequests[Answer]) register() (uint64, <-chan Answer) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.next++
+	a.last++
 	answer := make(chan Answer, 1)
-	a.waiting[a.next] = answer
-	return a.next, answer
+	a.waiting[a.last] = answer
+	return a.last, answer
 }
 
 func (a *pendingRequests[Answer]) cancel(id uint64) {
