Tell an entry how many entries there are before it serves

What callers saw: after a start of all instances, an organisation could run its rate and its burst once for each entry, for up to 1.5 s.

Cause: an sf-entry that starts takes itself for the only one, and it heard of the others with the exchange of its demand, which is periodic. Its configuration, with which it serves, came first.

sf-control now sends the number of live entries before each configuration that the entry lacks, and with the next heartbeats if it has no instance list yet. It costs a local call for each new configuration.

An entry that has just started still begins with full buckets: a start of all costs a second burst at most.

--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -86,7 +86,7 @@
 	d.members = newMembers(client, logging.Part(log, "members"))
 	d.members.onList = d.onInstanceList
 	d.spread = newSpreader(d, logging.Part(log, "spread"))
-	d.entry = newEntryLink(d.holder, s.EntryLocal, d.http, d.options, logging.Part(log, "entry"))
+	d.entry = newEntryLink(d.holder, func() int { return len(d.members.liveOwn()) }, s.EntryLocal, d.http, d.options, logging.Part(log, "entry"))
 	d.demand = newDemand(s.Demand)
 	d.leases = newLeases(d, logging.Part(log, "lease"))
 	d.roles = newRolePolicy(d, logging.Part(log, "roles"))
--- a/internal/control/demand.go
+++ b/internal/control/demand.go
@@ -67,11 +67,9 @@
 func (d *Daemon) exchangeDemand(ctx context.Context) {
 	live := map[string]platform.Instance{}
 	var ids []string
-	for _, instance := range d.members.own() {
-		if instance.State == platform.InstanceLive {
-			live[instance.ID] = instance
-			ids = append(ids, instance.ID)
-		}
+	for _, instance := range d.members.liveOwn() {
+		live[instance.ID] = instance
+		ids = append(ids, instance.ID)
 	}
 	if len(ids) == 0 {
 		return // no list yet; the entry keeps its last totals
--- a/internal/control/entrylink.go
+++ b/internal/control/entrylink.go
@@ -21,7 +21,9 @@
 type entryLink struct {
 	holder *gossip.Holder
 	client sfv1connect.EntryServiceClient
-	log    *slog.Logger
+	// entries returns the number of live entries; 0 if it is not known.
+	entries func() int
+	log     *slog.Logger
 
 	// The fields below are used only by the entry loop.
 
@@ -31,16 +33,33 @@
 	// clockAt is this process's clock when that answer arrived.
 	clock   int64
 	clockAt time.Duration
+	// countSent is set once the entry has got the number of entries, for as long as it has the version in force.
+	countSent bool
 }
 
-func newEntryLink(holder *gossip.Holder, address string, client *http.Client, options []connect.ClientOption, log *slog.Logger) *entryLink {
+func newEntryLink(holder *gossip.Holder, entries func() int, address string, client *http.Client, options []connect.ClientOption, log *slog.Logger) *entryLink {
 	return &entryLink{
-		holder: holder,
-		client: sfv1connect.NewEntryServiceClient(client, "http://"+address, options...),
-		log:    log,
+		holder:  holder,
+		client:  sfv1connect.NewEntryServiceClient(client, "http://"+address, options...),
+		entries: entries,
+		log:     log,
 	}
 }
 
+// sendCount tells the entry how many entries there are, and reports whether that is done. An entry that has just started
+// takes itself for the only one.
+func (l *entryLink) sendCount(ctx context.Context) bool {
+	entries := l.entries()
+	if entries == 0 {
+		return false
+	}
+	_, err := l.client.Share(ctx, connect.NewRequest(&sfv1.ShareRequest{Entries: int32(entries)}))
+	if err != nil {
+		l.log.Debug("entry: sf-entry did not answer", "error", err)
+	}
+	return err == nil
+}
+
 // apply sends the newest version, and its document if the entry does not have
 // it. It returns false if the entry's clock was not known: the call could then
 // not say until when the version is fresh, and the caller repeats it.
@@ -52,6 +71,10 @@
 	request := &sfv1.ApplyRequest{Version: doc.Version, Leaving: draining, Clock: l.clock, StaleReason: status.Reason}
 	if l.entryVersion != doc.Version {
 		request.Document = l.holder.Encoded()
+		l.countSent = false
+	}
+	if !l.countSent {
+		l.countSent = l.sendCount(ctx) // before the entry serves
 	}
 	if l.clock != 0 && status.Fresh {
 		request.FreshForNs = int64(status.Until - l.clockAt)
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -99,6 +100,11 @@
 	return own
 }
 
+// liveOwn returns the listed instances that run this system and are live.
+func (m *members) liveOwn() []platform.Instance {
+	return slices.DeleteFunc(m.own(), func(i platform.Instance) bool { return i.State != platform.InstanceLive })
+}
+
 // unlisted returns the instances that sent requests and are not listed. It
 // removes the instances that are listed now, and those whose last request is
 // older than unlistedTTL.
