Tell instances that have just started of quarantined contents

What callers saw: engines crashed again under a content that was quarantined, after the instances that had seen its crashes were restarted in turn while the store was away.

Cause: hubs repeat standing quarantines in their reports for those who missed their start, but only those of parts. Newcomers learn of contents from the store's rows alone, which only those who saw a crash write. What nobody has written counts as not quarantined.

An instance follows a repeated one of a content as that of a part: not if it served or released the content within a minute. Crashes of contents are still judged by each instance for itself.

Where an instance that knows is no hub, and the hub of its only zone has just started, nobody repeats it until the row is written.

--- a/internal/quarantine/outbox.go
+++ b/internal/quarantine/outbox.go
@@ -140,14 +140,14 @@
 	return Evidence{Crashes: crashes[:min(len(crashes), MaxReported)], Served: served[:min(len(served), MaxReported)]}
 }
 
-// repeated returns some quarantined parts at random, for instances that missed the reports of the crashes.
+// repeated returns some quarantined subjects at random, for instances that missed the reports of the crashes.
 func (t *Table) repeated(now time.Duration) []Crash {
 	var list []Crash
 	for s, q := range t.quarantines {
 		if len(list) == maxRepeated {
 			break
 		}
-		if s.IsPart() && !t.ended(s, q, now) {
+		if !t.ended(s, q, now) {
 			list = append(list, Crash{Subject: s, Times: q.times})
 		}
 	}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -196,15 +196,15 @@
 	t.outbox.addServed(Served{Subject: s, SinceCrash: sinceCrash, Notice: t.rng.Uint32()}, now)
 }
 
-// mayFollow reports whether to start the quarantine that another instance reports. For a content, an earlier
-// quarantine has to be known: that one may have begun later here, and still be on although it has ended there. A part
+// mayFollow reports whether to start the quarantine that another instance reports. With the crash of a content, an earlier
+// quarantine has to be known: that one may have begun later here, and still be on although it has ended there. A subject
 // that was served recently is not quarantined by fewer crashes than that takes.
 func (t *Table) mayFollow(c Crash, now time.Duration) bool {
 	known := t.TimesQuarantined(c.Subject)
 	if c.Times <= known || t.immune(c.Subject, now) {
 		return false
 	}
-	if !c.Subject.IsPart() {
+	if !c.Subject.IsPart() && c.Upstream != 0 {
 		return known > 0
 	}
 	return !t.served.has(c.Subject, now) || t.Crashes(c.Subject) >= t.rules(c.Subject).ServedCrashes
@@ -313,9 +313,7 @@
 func (t *Table) Release(s Subject, now time.Duration) {
 	delete(t.quarantines, s)
 	delete(t.records, s)
-	if s.IsPart() {
-		t.served.add(s, now-t.rules(s).Immunity, now)
-	}
+	t.served.add(s, now-t.rules(s).Immunity, now)
 }
 
 // Expired returns the subjects whose quarantines need not be kept any more: those that ended long
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -277,3 +277,34 @@
 		t.Errorf("%d of %d crashes were published", len(published), crashes)
 	}
 }
+
+// TestNewcomerLearnsOfQuarantinedContents guards against a content that crashes upstreams again at instances that have just
+// started, while others know that it is quarantined. One that released the content does not begin its quarantine again.
+func TestNewcomerLearnsOfQuarantinedContents(t *testing.T) {
+	const content = Subject(7)
+	for name, due := range map[string]func(*Table, time.Duration) Evidence{"beside": (*Table).DueOtherZones, "beyond": (*Table).DueZone} {
+		hub := newTable()
+		for _, upstream := range []uint32{1, 2} {
+			hub.ReceiveCrash(Crash{Subject: content, Upstream: upstream}, true, now)
+		}
+		later := now + 2*publishFor // none of the crashes is published any more
+		hub.Expire(later)
+		newcomer, releasing := newTable(), newTable()
+		releasing.Quarantine(content, 1, now)
+		releasing.Release(content, later)
+		for _, c := range due(hub, later).Crashes {
+			newcomer.ReceiveCrash(c, name == "beside", later)
+			releasing.ReceiveCrash(c, name == "beside", later)
+		}
+		if !newcomer.Quarantined(content, later) {
+			t.Errorf("%s: not quarantined at an instance that has just started", name)
+		}
+		if releasing.Quarantined(content, later) {
+			t.Errorf("%s: quarantined again at an instance that released it", name)
+		}
+		ended := later + DefaultSettings().Contents.Durations[0]
+		if reported := due(hub, ended).Crashes; len(reported) > 0 {
+			t.Errorf("%s: still reported after its end: %+v", name, reported)
+		}
+	}
+}
