--- a/internal/relay/quarantine_test.go
+++ b/internal/relay/quarantine_test.go
@@ -216,3 +216,31 @@
 	_, _ = serve(r, call("/once/1"))
 	waitForCrashes(r, call("/once/1").Content(), 1)
 }
+
+// TestHubPersistsQuarantinesOfOthers guards against a quarantine that is lost with a restart of all instances, because those
+// that saw its crashes had ended before they could persist it.
+func TestHubPersistsQuarantinesOfOthers(t *testing.T) {
+	const content, stored, observed = 7, 8, 9
+	r := newFake(t, &fakeSender{})
+	r.Quarantine(stored, 1)
+	for _, upstream := range []uint32{1, 2} {
+		r.applyEvidence(quarantine.Evidence{Crashes: []quarantine.Crash{{Subject: content, Upstream: upstream}}}, true)
+		r.RecordCrash(quarantine.Crash{Subject: observed, Upstream: upstream})
+	}
+	r.MarkPersisted(r.Unpersisted())
+	if r.ExpireQuarantines(false); len(r.Unpersisted()) != 0 {
+		t.Errorf("an instance that is no hub persists %v", r.Unpersisted())
+	}
+	if r.ExpireQuarantines(true); len(r.Unpersisted()) != 1 || r.Unpersisted()[content] != 1 {
+		t.Errorf("the hub persists %v, want the content that no row lists", r.Unpersisted())
+	}
+	r.MarkPersisted(r.Unpersisted())
+	if r.ExpireQuarantines(true); len(r.Unpersisted()) != 0 {
+		t.Errorf("the hub persists %v again", r.Unpersisted())
+	}
+	r.Release(stored)
+	r.Quarantine(content, 1)
+	if r.ExpireQuarantines(true); len(r.Unpersisted()) != 0 {
+		t.Errorf("the hub persists %v, though one was released and the other is stored", r.Unpersisted())
+	}
+}
