Have hubs persist the quarantines that no row lists

What callers saw: a content that every instance refused reached engines again after a restart of all, because those that had seen its crashes ended before they could write its row, as while the store was away.

Cause: only an instance that saw a crash under a subject persists its quarantine.

A relay now knows which quarantines the rows list. A row that was written too much is removed by whoever served the subject.

A restart of all within that minute, or one of all while the store is away, still loses it.

--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -99,6 +99,15 @@
 // TimesQuarantined returns how often a subject was quarantined.
 func (t *Table) TimesQuarantined(s Subject) int { return t.quarantines[s].times }
 
+// Quarantines returns how often each subject was quarantined that is or was.
+func (t *Table) Quarantines() map[Subject]int {
+	times := make(map[Subject]int, len(t.quarantines))
+	for s, q := range t.quarantines {
+		times[s] = q.times
+	}
+	return times
+}
+
 // CountQuarantined returns how many contents and parts are quarantined.
 func (t *Table) CountQuarantined(now time.Duration) (contents, parts int) {
 	for s, q := range t.quarantines {
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -4,6 +4,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,6 +49,8 @@
 	// unpersisted holds what this instance has to persist for all instances: how often a subject
 	// was quarantined; 0 to remove it.
 	unpersisted map[quarantine.Subject]int
+	// persisted holds how often each subject was quarantined according to its row, as far as known here.
+	persisted map[quarantine.Subject]int
 }
 
 // quarantineMeters counts the requests whose upstream crashed, and by kind of subject the refused requests, the subjects
@@ -74,6 +77,7 @@
 	return &quarantineState{
 		meters: newQuarantineMeters(), persistNeeded: make(chan struct{}, 1), table: quarantine.NewTable(settings),
 		interrupted: map[string][]interruptedRequest{}, unpersisted: map[quarantine.Subject]int{},
+		persisted: map[quarantine.Subject]int{},
 	}
 }
 
@@ -238,6 +242,7 @@
 	q := r.quarantine
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.persisted[subject] = times
 	if !q.table.Quarantine(subject, times, bootclock.Now()) {
 		q.requestPersist(subject, 0)
 		r.log.Info("relay: served recently, quarantine rejected", "kind", subject.Kind(), "subject", subject)
@@ -251,6 +256,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.table.Release(subject, bootclock.Now())
+	delete(q.persisted, subject)
 	q.updateGauges()
 }
 
@@ -282,25 +288,34 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for subject, times := range persisted {
+		if q.persisted[subject] = times; times == 0 {
+			delete(q.persisted, subject)
+		}
 		if q.unpersisted[subject] == times {
 			delete(q.unpersisted, subject)
 		}
 	}
 }
 
-// ExpireQuarantines drops the crashes that no longer count. If release is set, it also has expired
-// quarantines released for all instances.
-func (r *Relay) ExpireQuarantines(release bool) {
+// ExpireQuarantines drops the crashes that no longer count. If forAll is set, it also has expired quarantines released for
+// all instances, and those persisted that no row lists: the instances that observed their crashes may have ended.
+func (r *Relay) ExpireQuarantines(forAll bool) {
 	q := r.quarantine
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := bootclock.Now()
 	q.table.Expire(now)
 	q.updateGauges()
-	if !release {
+	if !forAll {
 		return
 	}
-	for _, subject := range q.table.Expired(now) {
+	expired := q.table.Expired(now)
+	for subject, times := range q.table.Quarantines() {
+		if times > q.persisted[subject] && !slices.Contains(expired, subject) {
+			q.requestPersist(subject, times)
+		}
+	}
+	for _, subject := range expired {
 		q.requestPersist(subject, 0)
 	}
 }
