Add a failing test: the debt of an organisation is lost with its coordinator

A request may bring an organisation into debt, so that long ones are not starved. The debt is known to the instance that grants alone, and the next one begins with an empty bucket, not with the debt.

--- a/internal/peers/quotagrants_test.go
+++ b/internal/peers/quotagrants_test.go
@@ -340,3 +340,21 @@
 		t.Errorf("the worst window has %.2f of what it may have", worst)
 	}
 }
+
+// TestDebtOutlivesItsCoordinator guards against an organisation that runs one request beyond its quota for each instance that
+// begins to grant: the debt of the last request is known to the instance that granted it alone.
+func TestDebtOutlivesItsCoordinator(t *testing.T) {
+	t.Parallel()
+	const rate = largestCost / 4 // the largest request is the quota of 4 s
+	f := newQuotaFleet(9, 4, 3, rate)
+	f.serve(10*rate, 9*time.Second, nil)
+	for range 8 {
+		if i := f.coordinatorIndex(); i >= 0 {
+			f.restart(i)
+		}
+		f.serve(10*rate, 2*time.Second, nil)
+	}
+	if worst := f.worstWindow(); worst > 1 {
+		t.Errorf("the worst window has %.2f of what it may have", worst)
+	}
+}
