--- a/internal/instance/startup_test.go
+++ b/internal/instance/startup_test.go
@@ -103,7 +103,7 @@
 	s := Settings{Relay: relay.DefaultSettings(), Follow: rowsync.Settings{
 		Tables: []string{configTable, "upstreams", "apart"}, Wait: time.Minute, ReadTimeout: time.Second, PullEvery: 10 * time.Millisecond,
 	}}
-	a := Adapter{Feed: feed, Sender: sender, Documents: loadingDocuments{}, UpstreamTable: "upstreams", QuarantineTable: "apart"}
+	a := Adapter{Feed: feed, Sender: sender, Documents: loadingDocuments{}, UpstreamTable: "upstreams", SharedTable: "apart"}
 	in := startingInstance{New(s, a, slog.New(slog.NewTextHandler(io.Discard, nil))), feed, sender}
 	ctx, stop := context.WithCancel(context.Background())
 	var follower sync.WaitGroup
