--- a/internal/rawserver/rawserver.go
+++ b/internal/rawserver/rawserver.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 )
 
@@ -17,6 +18,8 @@
 	Answer string
 	// Reset ends the connection by a reset instead of a FIN. What was sent before still arrives.
 	Reset bool
+	// FirstSent and AnswerSent count the answers of each kind, before they are sent; nil for no counts.
+	FirstSent, AnswerSent *atomic.Int64
 }
 
 // Start starts a server that reads one request on each connection, answers with the given bytes and closes the connection
@@ -50,10 +53,10 @@
 func (s Script) serve(conn net.Conn) {
 	defer conn.Close()
 	requests := bufio.NewReader(conn)
-	if s.First != "" && !answer(conn, requests, s.First) {
+	if s.First != "" && !answer(conn, requests, s.First, s.FirstSent) {
 		return
 	}
-	if !answer(conn, requests, s.Answer) || !s.Reset {
+	if !answer(conn, requests, s.Answer, s.AnswerSent) || !s.Reset {
 		return
 	}
 	if tcp, ok := conn.(*net.TCPConn); ok {
@@ -63,12 +66,15 @@
 
 // answer answers a request once it was read as a whole: a connection that is closed before that is reset. It reports false
 // if there is no request.
-func answer(conn net.Conn, requests *bufio.Reader, text string) bool {
+func answer(conn net.Conn, requests *bufio.Reader, text string, sent *atomic.Int64) bool {
 	request, err := http.ReadRequest(requests)
 	if err != nil {
 		return false
 	}
 	_, _ = io.Copy(io.Discard, request.Body) // the answer does not depend on it
-	_, _ = io.WriteString(conn, text)        // an error shows at the client
+	if sent != nil {
+		sent.Add(1)
+	}
+	_, _ = io.WriteString(conn, text) // an error shows at the client
 	return true
 }
