httptransport: a part of a head joined with the next one is no head

An upstream may send bytes after a whole answer. If these are a part of a head, cut within the reason of its status or within a header's value, and arrive where the answer to the next request is due, the first line of that answer becomes a part of the reason or the value: status, length and headers are those of the part, while the request's id and the server stamp come from the answer, so that the check of the id does not notice.

The clients of runners, engines, instances, the store and the cloud API share the transport, and with it the check. The client of plain services makes one call on a connection.

A head whose status, names or values contain the first line of a response is taken for no answer, and its connection is closed: the request may have run. A value that names a protocol without a status is none.

--- a/internal/httptransport/httptransport.go
+++ b/internal/httptransport/httptransport.go
@@ -48,8 +48,13 @@
 		x.boundInterim()
 	}
 	response, err := t.base.RoundTrip(request.WithContext(x.ctx))
-	if err != nil {
+	switch {
+	case err != nil:
 		err = x.exceededOr(err)
+	case hasJoinedHeads(response):
+		x.closeConn()
+		_ = response.Body.Close() // the connection is closed already
+		response, err = nil, errJoinedHeads
 	}
 	x.finish(err)
 	return response, err
@@ -175,6 +180,13 @@
 	}
 }
 
+// closeConn closes the connection. That of a response without a body may be idle again already.
+func (x *exchange) closeConn() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	_ = x.conn.Close() // it is given up in any case
+}
+
 // leaveConn removes the exchange from the users of its connection. The lock is held.
 func (x *exchange) leaveConn() {
 	if bounded, ok := x.conn.(*boundedConn); ok {
