instance: writes of versions back off while they fail

While the store takes no writes, each of 400 instances would have tried one four times a second for as long as a version is not stored (by calculation, not measured). The pause after a failure now doubles from 200 ms to 5 s.

--- a/internal/instance/versions.go
+++ b/internal/instance/versions.go
@@ -24,8 +24,9 @@
 	// after otherStoreDelay if no hub has.
 	hubStoreDelay   = 50 * time.Millisecond
 	otherStoreDelay = 500 * time.Millisecond
-	// storeRetryInterval is the pause after a failed write.
-	storeRetryInterval = 200 * time.Millisecond
+	// minStoreRetry is the pause after a failed write. It doubles with each failure, up to maxStoreRetry.
+	minStoreRetry = 200 * time.Millisecond
+	maxStoreRetry = 5 * time.Second
 	// tidyInterval is the time between two checks for histories that name versions that are no longer needed.
 	tidyInterval = 15 * time.Second
 )
@@ -57,7 +58,7 @@
 // storeVersions writes the software versions of services to the store, so that instances that start know which
 // versions callers may hold streams of.
 func (in *Instance) storeVersions(ctx context.Context) {
-	wait := tidyInterval
+	wait, retry := tidyInterval, minStoreRetry
 	for {
 		tidy := false
 		timer := time.NewTimer(wait)
@@ -71,9 +72,10 @@
 		if !pause.For(ctx, in.storeDelay()) {
 			return
 		}
-		wait = tidyInterval
-		if !in.writeVersions(ctx, tidy && in.peers.IsHub()) {
-			wait = storeRetryInterval
+		if in.writeVersions(ctx, tidy && in.peers.IsHub()) {
+			wait, retry = tidyInterval, minStoreRetry
+		} else {
+			wait, retry = retry, min(2*retry, maxStoreRetry)
 		}
 	}
 }
