--- a/cmd/sf-soak/main.go
+++ b/cmd/sf-soak/main.go
@@ -36,7 +36,7 @@
 			fmt.Fprintln(os.Stderr, "sf-soak:", err)
 			return 1
 		}
-		s := &soak.Soak{Seed: seed, Duration: duration, Instances: instances, CrashingContents: true, Duties: true, Limits: true, Announcements: true, Transfers: true, Quotas: true, Paths: true, Versions: true, Parts: true, Endless: true, Memory: true, StreamEnds: true}
+		s := &soak.Soak{Seed: seed, Duration: duration, Instances: instances, CrashingContents: true, Duties: true, Limits: true, Announcements: true, Transfers: true, Quotas: true, Paths: true, Versions: true, Parts: true, Endless: true, Memory: true, StreamEnds: true, Restarts: true}
 		result, err := s.Run(context.Background(), filepath.Clean(bin), dir)
 		if err != nil {
 			fmt.Fprintf(os.Stderr, "sf-soak: seed %d: %v; logs are in %s\n", seed, err, dir)
