--- a/internal/peers/fleet_test.go
+++ b/internal/peers/fleet_test.go
@@ -37,6 +37,8 @@
 	links       func(i int) float64 // Mbit/s; nil where they are not known
 	// versions are the software versions of the upstreams that the store lists; instances read them when they start.
 	versions []string
+	// stored is what the store says of the versions that upstreams have had.
+	stored streamversions.History
 	// blocked reports whether no datagram gets from one node to another; nil if none is blocked.
 	blocked        func(from, to *virtualNode) bool
 	sent           int
@@ -167,7 +169,7 @@
 func (l *virtualLoads) view() streamversions.View {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return streamversions.View{Versions: l.census.Versions("s", l.now())}
+	return streamversions.View{Versions: l.census.Versions("s", l.now()), Complete: true}
 }
 
 // readVersions has this instance read that there is an upstream of each of these software versions and of no other, as
@@ -185,6 +187,23 @@
 	}
 }
 
+// readHistory has this instance read which versions upstreams have had.
+func (l *virtualLoads) readHistory(stored streamversions.History) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.census.ApplyHistory(stored, l.now())
+}
+
+// writeHistory has this instance write the versions that upstreams have had, if the store lacks one.
+func (l *virtualLoads) writeHistory(stored streamversions.History) streamversions.History {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, due := range l.census.DueHistories(false, l.now()) {
+		stored = streamversions.History{Service: due.Service, Versions: due.Versions, Revision: due.Revision + 1}
+	}
+	return stored
+}
+
 // requests is the number of requests of all instances on the engine, as known to this instance.
 func (l *virtualLoads) requests() int { return l.Engines(l.now())["s"][0].Load.Requests }
 
@@ -247,6 +266,7 @@
 	n := f.nodes[i]
 	*n = virtualNode{Reporter: r, loads: loads, up: true, next: f.now + time.Duration(f.rng.Int64N(int64(300*time.Millisecond)))}
 	n.loads.readVersions(f.versions)
+	n.loads.readHistory(f.stored)
 	addr := netip.MustParseAddrPort(self.Address)
 	f.byAddr[addr] = n
 	r.write = func(data []byte, to netip.AddrPort) error {
--- a/internal/peers/restarts_test.go
+++ b/internal/peers/restarts_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"sassafrasfield/internal/streamversions"
 )
 
 // heldStreams is the number of streams that callers hold in these tests.
@@ -69,7 +71,18 @@
 }
 
 // stop stops an instance as a deployment does.
-func (f *virtualFleet) stop(n *virtualNode) { n.up = false }
+func (f *virtualFleet) stop(n *virtualNode) {
+	n.ReplicateStreams(n.loads.allRecords())
+	f.run(2 * virtualTick)
+	n.up = false
+}
+
+// allRecords returns the records that an instance hands over when it stops.
+func (l *virtualLoads) allRecords() []streamversions.Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.records.All(l.now())
+}
 
 var (
 	v1, v2, bothVersions = []string{"v1"}, []string{"v2"}, []string{"v1", "v2"}
--- a/internal/peers/streams_test.go
+++ b/internal/peers/streams_test.go
@@ -65,6 +65,12 @@
 	for _, n := range f.nodes {
 		if n.up && !n.frozen {
 			n.loads.readVersions(versions)
+			f.stored = n.loads.writeHistory(f.stored)
+		}
+	}
+	for _, n := range f.nodes {
+		if n.up && !n.frozen {
+			n.loads.readHistory(f.stored)
 		}
 	}
 }
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -140,7 +140,9 @@
 // prompt processed. The status Done means that this succeeded.
 func (g *generation) prepare(ctx context.Context) attempt.Result {
 	r := g.relay
+	r.awaitStoredVersion(ctx, g.exchange)
 	request := g.placementRequest(r.now())
+	request.AvoidedVersions = r.unstoredVersions(g.exchange)
 	request.Direct = g.attempts.Ledger().Prefilled() && !r.mayPrefillAgain(ctx, g)
 	start, queueOrder, ok := r.placePrompt(ctx, g, request)
 	if !ok {
@@ -344,13 +346,10 @@
 func (r *Relay) forwardStream(ctx context.Context, cancel context.CancelFunc, g *generation, engine upstreamstate.Upstream, reply *Reply, started time.Duration) attempt.Result {
 	g.begin(reply, engine.Version)
 	g.generatingSince = r.now()
-	forwarder := newEventForwarder(g.w, g.lastEvent, cancel)
+	forwarder := g.newForwarder(cancel)
 	forwarder.onEvents = r.watchAlive(g.exchange)
-	if g.attempts.MayRunElsewhere() {
-		forwarder.idleTimeout = r.settings.StreamIdleTimeout
-	}
 	streamStarted, fromStart := r.now(), g.lastEvent == ""
-	err := forwarder.forward(reply.Body)
+	err := g.confirmInTime(forwarder.forward(reply.Body))
 	g.lastEvent = forwarder.lastEvent()
 	r.recordStreamEnd(g.exchange, engine, reply, forwarder, err)
 	switch {
@@ -367,6 +366,9 @@
 		return attempt.Result{Status: attempt.Done}
 	case errors.Is(err, ErrCallerDisconnected) || errors.Is(ctx.Err(), context.Canceled):
 		return attempt.Result{Status: attempt.Done, Err: ErrCallerDisconnected}
+	case errors.Is(err, errEndedAtDeadline):
+		r.upstreams.RecordCall(engine.ID, load.CallSucceeded, r.now())
+		return attempt.Result{Status: attempt.Done, Err: errors.WithMessage(ErrAnswerAborted, err.Error())}
 	}
 	if g.backup.ID != "" && g.lastEvent != "" {
 		g.attempts.SetBackup(g.backup.ID)
--- a/internal/relay/streamversions.go
+++ b/internal/relay/streamversions.go
@@ -20,11 +20,21 @@
 	replicate func([]streamversions.Record)
 	ask       func(ctx context.Context, stream streamversions.ID, service uint32) (answers []streamversions.Answer, asked int)
 
+	// historiesLoaded reports whether all stored histories were applied. It is set before the relay serves, and called
+	// without mu, as it may wait for one that is being applied.
+	historiesLoaded func() bool
+
 	mu      sync.Mutex // protects all below
 	census  *streamversions.Census
 	records *streamversions.Records
 	// mixed are the services whose records are replicated, because callers may take up streams of several versions.
 	mixed map[string]bool
+	// leaving is set once this instance stops. It replicates all records then.
+	leaving bool
+	// storeNeeded receives a value when a version is to be added to the stored history of its service.
+	storeNeeded chan struct{}
+	// historyApplied is closed and replaced when a stored history was applied.
+	historyApplied chan struct{}
 }
 
 func newVersionRecords() *versionRecords {
@@ -33,7 +43,9 @@
 		ask: func(context.Context, streamversions.ID, uint32) ([]streamversions.Answer, int) {
 			return nil, 0
 		},
-		census: streamversions.NewCensus(), records: streamversions.NewRecords(), mixed: map[string]bool{},
+		historiesLoaded: func() bool { return false },
+		census:          streamversions.NewCensus(), records: streamversions.NewRecords(), mixed: map[string]bool{},
+		storeNeeded: make(chan struct{}, 1), historyApplied: make(chan struct{}),
 	}
 }
 
@@ -79,6 +91,7 @@
 	var records []streamversions.Record
 	if v.census.Update(u.ID, u.Service, u.Version, now) {
 		records = r.updateMixed(u.Service, now)
+		v.notifyUnstored(u.Service)
 	}
 	v.mu.Unlock()
 	r.replicateRecords(records)
@@ -111,13 +124,25 @@
 		v.records.Put(record, x.service, now)
 	}
 	r.updateMixed(x.service, now)
-	replicates := v.mixed[x.service] && !x.forwarded // the instance that forwarded the request replicates its records
+	replicates := (v.mixed[x.service] || v.leaving) && !x.forwarded // the instance that forwarded the request replicates its records
 	v.mu.Unlock()
 	if replicates {
 		r.replicateRecords(records)
 	}
 }
 
+// HandOverStreams sends all records to other instances, as this one stops, and from then on each new one.
+func (r *Relay) HandOverStreams() {
+	r.versions.mu.Lock()
+	r.versions.leaving = true
+	records := r.versions.records.All(r.now())
+	r.versions.mu.Unlock()
+	if len(records) > 0 {
+		r.log.Info("relay: records of streams handed over", "records", len(records))
+	}
+	r.replicateRecords(records)
+}
+
 // hasSeveralVersions reports whether callers may take up streams of several versions of a service.
 func (r *Relay) hasSeveralVersions(service string) bool {
 	r.versions.mu.Lock()
@@ -139,7 +164,7 @@
 func (r *Relay) StreamAnswer(stream streamversions.ID, service uint32) streamversions.Answer {
 	name := r.serviceName(service)
 	knowledge, view := r.knowledgeOf(stream, name)
-	return streamversions.Answer{Knowledge: knowledge, SeveralVersions: view.SeveralVersions()}
+	return view.Answer(knowledge)
 }
 
 // serviceName returns the name of the service with a hash; empty if there is none.
@@ -154,10 +179,14 @@
 
 // knowledgeOf returns what this instance itself knows about a stream, and about the versions of a service.
 func (r *Relay) knowledgeOf(stream streamversions.ID, service string) (streamversions.Knowledge, streamversions.View) {
-	now := r.now()
+	now, loaded := r.now(), r.versions.historiesLoaded()
 	r.versions.mu.Lock()
 	defer r.versions.mu.Unlock()
-	return r.versions.records.Get(stream, now), streamversions.View{Versions: r.versions.census.Versions(service, now)}
+	census := r.versions.census
+	knownFor := census.KnownFor(service, now)
+	return r.versions.records.Get(stream, now), streamversions.View{
+		Versions: census.Versions(service, now), Complete: loaded || knownFor > streamversions.MaxLifetime, KnownFor: knownFor,
+	}
 }
 
 // requireBegunVersion determines the version at which a stream must go on that the caller takes up. The error is a
@@ -180,6 +209,7 @@
 		return &Refusal{Outcome: NotRun, Reason: "the stream's version is not known", RetryIn: r.retryIn(x)}
 	}
 	x.requires = requiredVersion{version: knowledge.Version, source: versionSource(knowledge.Source), age: knowledge.Age}
+	r.recordTakenUp(x, view)
 	if x.requires.version != "" && !r.shouldForward(x) && !r.upstreams.CanGenerate(x.placementRequest(r.now()), r.now()) {
 		r.meters.continuations.refusedGone.Inc(1)
 		r.logNotContinued(x, "no engine of its version is left", view)
@@ -201,11 +231,22 @@
 	}
 	var answers []streamversions.Answer
 	answers, view.Asked = r.versions.ask(ctx, stream, serviceHash(x.service))
+	view.Answered = len(answers)
 	knowledge, ok := streamversions.Resolve(view, answers)
 	return knowledge, view, ok
 }
 
+// recordTakenUp logs and counts a stream that a caller takes up, with what its version was concluded from.
+func (r *Relay) recordTakenUp(x *exchange, view streamversions.View) {
+	if x.requires.source == versionSource(streamversions.SourceOnlyVersion) {
+		r.meters.continuations.onlyVersion.Inc(1)
+	}
+	r.log.Info("relay: stream taken up", "request", x.req.ID, "resumes", x.req.Resumes, "last_event", x.req.LastEvent,
+		"began", x.requires.version, "source", x.requires.source, "age", x.requires.age,
+		"versions", view.Versions, "complete", view.Complete, "known_for", view.KnownFor, "asked", view.Asked, "answered", view.Answered)
+}
+
 func (r *Relay) logNotContinued(x *exchange, reason string, view streamversions.View) {
 	r.log.Info("relay: stream cannot continue", "request", x.req.ID, "resumes", x.req.Resumes, "last_event", x.req.LastEvent, "reason", reason,
-		"began", x.requires.version, "source", x.requires.source, "age", x.requires.age, "versions", view.Versions, "asked", view.Asked)
+		"began", x.requires.version, "source", x.requires.source, "age", x.requires.age, "versions", view.Versions, "complete", view.Complete, "known_for", view.KnownFor, "asked", view.Asked, "answered", view.Answered)
 }
