peers: any mix of releases, roll-backs and restarts in the model of returning callers

In the model instances overwrote a history that they had not read; as in the store, that write is refused now, and instances that start or resume write what the store lacks.

--- a/internal/peers/fleet_test.go
+++ b/internal/peers/fleet_test.go
@@ -194,11 +194,15 @@
 	l.census.ApplyHistory(stored, l.now())
 }
 
-// writeHistory has this instance write the versions that upstreams have had, if the store lacks one.
+// writeHistory has this instance write the versions that upstreams have had, if the store lacks one. The store refuses
+// the write if this instance has not read the newest history.
 func (l *virtualLoads) writeHistory(stored streamversions.History) streamversions.History {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, due := range l.census.DueHistories(false, l.now()) {
+		if due.Revision != stored.Revision {
+			continue
+		}
 		stored = streamversions.History{Service: due.Service, Versions: due.Versions, Revision: due.Revision + 1}
 	}
 	return stored
@@ -265,8 +269,7 @@
 	r := NewReporter(e, loads)
 	n := f.nodes[i]
 	*n = virtualNode{Reporter: r, loads: loads, up: true, next: f.now + time.Duration(f.rng.Int64N(int64(300*time.Millisecond)))}
-	n.loads.readVersions(f.versions)
-	n.loads.readHistory(f.stored)
+	f.readStore(n)
 	addr := netip.MustParseAddrPort(self.Address)
 	f.byAddr[addr] = n
 	r.write = func(data []byte, to netip.AddrPort) error {
--- a/internal/peers/restarts_test.go
+++ b/internal/peers/restarts_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"sassafrasfield/internal/streamversions"
 )
 
@@ -207,3 +209,69 @@
 func TestStreamsGoOnAcrossPlannedRestarts(t *testing.T) {
 	checkRestarts(t, plannedRestarts, releases, 0.5)
 }
+
+// heldByCaller is a stream that a caller may take up until a time.
+type heldByCaller struct {
+	version string
+	until   time.Duration
+}
+
+// TestStreamsNeverGoOnAtAnotherVersionAcrossReleases plays any mix of streams, returns, releases, roll-backs, kills, stops,
+// freezes, cuts and restarts of one or all instances. No stream may hold events of two versions.
+func TestStreamsNeverGoOnAtAnotherVersionAcrossReleases(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.SampledFrom([]struct{ instances, zones int }{{1, 1}, {3, 2}, {9, 4}}).Draw(t, "size")
+		f := newVirtualFleet(size.instances, size.zones, rapid.SampledFrom([]float64{0, 0.1, 0.5}).Draw(t, "loss"), rapid.Uint64().Draw(t, "seed"))
+		f.setVersions("v1")
+		f.run(2 * startupTime)
+		held := map[string]heldByCaller{}
+		for step := range rapid.IntRange(5, 40).Draw(t, "steps") {
+			i := rapid.IntRange(0, size.instances-1).Draw(t, "instance")
+			n := f.nodes[i]
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0, 1, 2:
+				if n.up && !n.frozen {
+					id, version := fmt.Sprintf("stream-%d", step), rapid.SampledFrom(f.versions).Draw(t, "version")
+					n.begin(id, version)
+					held[id] = heldByCaller{version, f.now + streamLifetime}
+				}
+			case 3:
+				f.setVersions(rapid.SampledFrom([][]string{{"v1"}, {"v2"}, {"v3"}, {"v1", "v2"}, {"v2", "v3"}}).Draw(t, "versions")...)
+			case 4:
+				n.up = false
+			case 5:
+				if n.up && !n.frozen {
+					f.stop(n)
+				}
+			case 6:
+				if n.frozen = !n.frozen; !n.frozen {
+					f.readStore(n)
+				}
+			case 7:
+				f.start(i, size.zones)
+			case 8:
+				for i := range f.nodes {
+					f.start(i, size.zones)
+				}
+			case 9:
+				f.blocked = nil
+				if rapid.Bool().Draw(t, "cut") {
+					f.blocked = func(from, to *virtualNode) bool { return from == n || to == n }
+				}
+			}
+			f.run(time.Duration(rapid.IntRange(0, 200).Draw(t, "pause")) * time.Millisecond)
+			at := f.nodes[rapid.IntRange(0, size.instances-1).Draw(t, "returns to")]
+			if !at.up || at.frozen {
+				continue
+			}
+			for id, stream := range held {
+				if f.now > stream.until {
+					delete(held, id)
+				} else if version, ok := f.continuedAt(at, id); ok && version != stream.version {
+					t.Fatalf("%s began at %s and goes on at %s", id, stream.version, version)
+				}
+			}
+		}
+	})
+}
--- a/internal/peers/streams_test.go
+++ b/internal/peers/streams_test.go
@@ -64,10 +64,20 @@
 	f.versions = versions
 	for _, n := range f.nodes {
 		if n.up && !n.frozen {
-			n.loads.readVersions(versions)
-			f.stored = n.loads.writeHistory(f.stored)
+			f.readStore(n)
 		}
 	}
+}
+
+// readStore has an instance read the versions of the upstreams and their history, and write the history if it lacks one.
+// The instances that run read what it wrote.
+func (f *virtualFleet) readStore(n *virtualNode) {
+	n.loads.readVersions(f.versions)
+	n.loads.readHistory(f.stored)
+	before := f.stored.Revision
+	if f.stored = n.loads.writeHistory(f.stored); f.stored.Revision == before {
+		return
+	}
 	for _, n := range f.nodes {
 		if n.up && !n.frozen {
 			n.loads.readHistory(f.stored)
