Wait for the instance list before an entry gets its configuration

What callers saw: after a start of all, or of an sf-control alone, requests went to an upstream that the platform had announced as draining, until the instance list was read.

Cause: each call of sf-control replaces the draining upstreams that its entry knows. An sf-control that has not read the list knows none, and its entry, also one that ran on, took all upstreams for serving. The configuration comes from the table or from peers and does not wait for the list.

The first call waits until a list was read, or that of a peer was adopted, which comes with the draining upstreams that the peer knows. It waits 3 s at most: the platform may have lost only the list, and an entry without calls stops to serve after 5 s.

--- a/internal/control/entrylink.go
+++ b/internal/control/entrylink.go
@@ -93,9 +93,28 @@
 	return request.Clock != 0
 }
 
+const (
+	// drainingTimeout is how long after its start an sf-control waits for the
+	// draining upstreams before it first calls its entry. After that it does so
+	// without them, because the platform may have lost only the instance list.
+	drainingTimeout = 3 * time.Second
+	// drainingCheckInterval is the time between two checks whether they are known.
+	drainingCheckInterval = 10 * time.Millisecond
+)
+
+// awaitDraining waits until the draining upstreams are known. Each call replaces
+// those that the entry knows.
+func (d *Daemon) awaitDraining(ctx context.Context) {
+	end := bootclock.Now() + drainingTimeout
+	for ctx.Err() == nil && !d.spread.knowsDraining() && bootclock.Now() < end {
+		wait(ctx, drainingCheckInterval, nil)
+	}
+}
+
 // entryLoop calls apply when the version changes, and otherwise every
 // spread.apply_every.
 func (d *Daemon) entryLoop(ctx context.Context) {
+	d.awaitDraining(ctx)
 	for ctx.Err() == nil {
 		changed := d.holder.Changed()
 		if !d.entry.apply(ctx, d.spread.drainingUpstreams(), d.spread.status()) {
--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -34,8 +34,8 @@
 		s.peerFailed(peer, err)
 		return
 	}
-	s.daemon.adoptList(response.Msg.Instances)
-	s.onExchangeResponse(sent, peer, response.Msg)
+	adopted := s.daemon.adoptList(response.Msg.Instances)
+	s.onExchangeResponse(sent, peer, response.Msg, adopted)
 }
 
 // newExchangeRequest returns a request with the current state.
@@ -79,14 +79,15 @@
 }
 
 // onExchangeResponse merges a peer's answer to a request that was sent at the
-// given time.
-func (s *spreader) onExchangeResponse(sent time.Duration, peer string, msg *sfv1.ExchangeResponse) {
+// given time. listAdopted is set if the answer's instance list was adopted.
+func (s *spreader) onExchangeResponse(sent time.Duration, peer string, msg *sfv1.ExchangeResponse, listAdopted bool) {
 	id := s.daemon.members.idAt(peer)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := bootclock.Now()
 	s.failedCalls = 0
 	s.mergeDraining(now, msg.Leaving)
+	s.drainingKnown = s.drainingKnown || listAdopted
 	members := msg.Members
 	if len(members) == 0 {
 		members = s.fresh.Members()
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -176,8 +176,8 @@
 }
 
 // adoptList sets the list to a peer's list of own instances if there is none
-// yet.
-func (d *Daemon) adoptList(messages []*sfv1.OwnInstance) {
+// yet, and reports whether it did.
+func (d *Daemon) adoptList(messages []*sfv1.OwnInstance) bool {
 	var instances []platform.Instance
 	for _, msg := range messages {
 		instances = append(instances, platform.Instance{
@@ -185,9 +185,11 @@
 			Control: msg.Control, Entry: msg.Entry,
 		})
 	}
-	if d.members.adopt(instances) {
+	adopted := d.members.adopt(instances)
+	if adopted {
 		d.updatePeers()
 	}
+	return adopted
 }
 
 // notePeer records that a peer sent an exchange request.
@@ -223,4 +225,5 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.draining.MergeList(requestedAt, draining)
+	s.drainingKnown = true
 }
--- a/internal/control/spread.go
+++ b/internal/control/spread.go
@@ -31,7 +31,9 @@
 	machine  *gossip.Machine
 	fresh    *freshness.State
 	draining *gossip.DrainingSet
-	queue    []gossip.Action
+	// drainingKnown is set once an instance list was read, here or by a peer that passed its own on.
+	drainingKnown bool
+	queue         []gossip.Action
 	// tableError is the error of the last read of the table, or "" if it
 	// succeeded.
 	tableError string
@@ -272,6 +274,13 @@
 	return status
 }
 
+// knowsDraining reports whether it is known which upstreams are draining.
+func (s *spreader) knowsDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.drainingKnown
+}
+
 // drainingUpstreams returns the IDs of the upstreams that the platform
 // announced as draining.
 func (s *spreader) drainingUpstreams() []string {
