--- a/cmd/sf-soak/main.go
+++ b/cmd/sf-soak/main.go
@@ -5,8 +5,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -21,10 +23,17 @@
 	first := app.Flag("first", "The first seed; 0 draws it from the clock.").Default("0").Uint64()
 	duration := app.Flag("for", "Time of faults in each run.").Default("10s").Duration()
 	instances := app.Flag("instances", "Instances in each run.").Default("3").Int()
+	streams := app.Flag("streams", "Run hunts of long streams, which callers take up, instead of all lanes.").Bool()
+	zones := app.Flag("zones", "Availability zones in each hunt of long streams, with the given number of instances in each.").Default("1").Int()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	if *first == 0 {
 		*first = uint64(time.Now().UnixNano() % 1_000_000) // short, so that the seed is easy to type for a rerun
 	}
+	if *streams {
+		os.Exit(runStreams(filepath.Clean(*bin), *first, *seeds, func(h *soak.StreamHunt) {
+			h.Duration, h.Instances, h.Zones = *duration, *instances, *zones
+		}))
+	}
 	os.Exit(run(*bin, *first, *seeds, *duration, *instances))
 }
 
@@ -55,3 +64,37 @@
 	}
 	return code
 }
+
+// runStreams runs all hunts of long streams for each seed.
+func runStreams(bin string, first, seeds uint64, configure func(*soak.StreamHunt)) int {
+	code := 0
+	for seed := first; seed < first+seeds; seed++ {
+		hunts := soak.StreamHunts()
+		for _, name := range slices.Sorted(maps.Keys(hunts)) {
+			dir, err := os.MkdirTemp("", fmt.Sprintf("sf-soak-%d-", seed))
+			if err != nil {
+				fmt.Fprintln(os.Stderr, "sf-soak:", err)
+				return 1
+			}
+			h := hunts[name]
+			h.Seed = seed
+			configure(h)
+			result, err := h.Run(context.Background(), bin, dir)
+			if err != nil {
+				fmt.Fprintf(os.Stderr, "sf-soak: seed %d: %v; logs are in %s\n", seed, err, dir)
+				return 1
+			}
+			fmt.Printf("seed %d, %s: %s\n", seed, name, result)
+			if len(result.Violations) == 0 {
+				_ = os.RemoveAll(dir) // only logs
+				continue
+			}
+			for _, violation := range result.Violations {
+				fmt.Printf("  %s\n", violation)
+			}
+			fmt.Printf("  logs: %s\n", dir)
+			code = 1
+		}
+	}
+	return code
+}
