--- a/internal/relay/splitservice_test.go
+++ b/internal/relay/splitservice_test.go
@@ -32,28 +32,37 @@
 	return ""
 }
 
+// splitTakeUp is a stream of the service llm that its caller takes up for the second time.
+type splitTakeUp struct {
+	// names is which attempt the caller names.
+	names func(first, second string) string
+	// next is the configuration when it returns; nil for the same.
+	next *routes.Table
+}
+
 // TestTakenUpStreamStaysAtItsService guards against a stream that its caller takes up and that goes on at another service of a
-// split route, or of a route that moved. It may be refused.
+// split route, because of the attempt that the caller names. It may be refused.
 func TestTakenUpStreamStaysAtItsService(t *testing.T) {
-	half := []routes.Share{{Service: "llm", Weight: 1}, {Service: "llm-2", Weight: 1}}
-	for name, c := range map[string]struct {
-		// names is which attempt the caller names.
-		names func(first, second string) string
-		// next is the configuration when it returns; nil for the same.
-		next *routes.Table
-	}{
+	testSplitTakeUps(t, map[string]splitTakeUp{
 		"names its first attempt":  {names: func(first, _ string) string { return first }},
 		"names its second attempt": {names: func(_, second string) string { return second }},
 		"names no attempt":         {names: func(_, _ string) string { return "" }},
-		"after the shares changed": {
-			names: func(first, _ string) string { return first },
-			next:  splitRoutes(3, routes.Share{Service: "llm", Weight: 1}, routes.Share{Service: "llm-2", Weight: 1e9}),
-		},
-		"after the route moved": {
-			names: func(first, _ string) string { return first },
-			next:  splitRoutes(3, routes.Share{Service: "llm-2", Weight: 1}),
-		},
-	} {
+	})
+}
+
+// TestTakenUpStreamStaysAtItsServiceAfterAChange guards against the same after the shares changed or the route moved.
+func TestTakenUpStreamStaysAtItsServiceAfterAChange(t *testing.T) {
+	first := func(first, _ string) string { return first }
+	testSplitTakeUps(t, map[string]splitTakeUp{
+		"the shares changed": {first, splitRoutes(3, routes.Share{Service: "llm", Weight: 1}, routes.Share{Service: "llm-2", Weight: 1e9})},
+		"the route moved":    {first, splitRoutes(3, routes.Share{Service: "llm-2", Weight: 1})},
+	})
+}
+
+func testSplitTakeUps(t *testing.T, cases map[string]splitTakeUp) {
+	t.Helper()
+	half := []routes.Share{{Service: "llm", Weight: 1}, {Service: "llm-2", Weight: 1}}
+	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			f := &fakeSender{run: func(n int, _ Send) (*Reply, error) { return events(numberedEvents(n)), nil }}
 			r := newFake(t, f)
