--- a/cmd/sf-soak/main.go
+++ b/cmd/sf-soak/main.go
@@ -25,6 +25,7 @@
 	instances := app.Flag("instances", "Instances in each run.").Default("3").Int()
 	streams := app.Flag("streams", "Run hunts of long streams, which callers take up, instead of all lanes.").Bool()
 	zones := app.Flag("zones", "Availability zones in each hunt of long streams, with the given number of instances in each.").Default("1").Int()
+	faults := app.Flag("fault", "A fault of the hunts of long streams, in place of theirs; may be repeated.").Enums(slices.Sorted(maps.Keys(soak.StreamFaults))...)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	if *first == 0 {
 		*first = uint64(time.Now().UnixNano() % 1_000_000) // short, so that the seed is easy to type for a rerun
@@ -32,6 +33,9 @@
 	if *streams {
 		os.Exit(runStreams(filepath.Clean(*bin), *first, *seeds, func(h *soak.StreamHunt) {
 			h.Duration, h.Instances, h.Zones = *duration, *instances, *zones
+			if len(*faults) > 0 {
+				h.Faults = *faults
+			}
 		}))
 	}
 	os.Exit(run(*bin, *first, *seeds, *duration, *instances))
