An instance without the configuration does not vouch for the versions of a service

What callers could see: a stream that goes on at another version, taken up while instances start.

Cause: an instance is asked by a hash of the service's name. If it does not know the service, as before it has read the configuration, it answered from no versions at all, and still that it knows them all once the table of the rows was read. An instance that has read the upstreams but not these rows then took the only version it knew. Class: absence read as "no other".

It now says that it does not know all.

--- a/internal/relay/streamversions.go
+++ b/internal/relay/streamversions.go
@@ -177,7 +177,8 @@
 	return ""
 }
 
-// knowledgeOf returns what this instance itself knows about a stream, and about the versions of a service.
+// knowledgeOf returns what this instance itself knows about a stream, and about the versions of a service; an empty name
+// stands for one that is not known here.
 func (r *Relay) knowledgeOf(stream streamversions.ID, service string) (streamversions.Knowledge, streamversions.View) {
 	now, loaded := r.now(), r.versions.historiesLoaded()
 	r.versions.mu.Lock()
@@ -185,7 +186,7 @@
 	census := r.versions.census
 	knownFor := census.KnownFor(service, now)
 	return r.versions.records.Get(stream, now), streamversions.View{
-		Versions: census.Versions(service, now), Complete: loaded || knownFor > streamversions.MaxLifetime, KnownFor: knownFor,
+		Versions: census.Versions(service, now), Complete: service != "" && (loaded || knownFor > streamversions.MaxLifetime), KnownFor: knownFor,
 	}
 }
 
