peers: an instance of which no other is alive does not conclude a stream's version alone

Nobody to ask was read as 'no other instance'. If others are known that were not removed, one answer is expected now, and without it the stream is refused. A fleet of one instance, and one that has just started, know nobody and are not affected.

--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -84,6 +84,13 @@
 	}
 }
 
+// knowsOthers reports whether another instance has been heard of that was not removed since, alive or not.
+func (e *Exchange) knowsOthers() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.byID) > 0
+}
+
 // IsHub reports whether this instance is its zone's hub, which relays the reports of the zone.
 func (e *Exchange) IsHub() bool {
 	e.mu.Lock()
--- a/internal/peers/streams.go
+++ b/internal/peers/streams.go
@@ -123,15 +123,26 @@
 	}
 }
 
-// AskStream asks the instances that may have the record of a stream, and returns their answers and how many were asked.
-// Service is a hash of the name of the stream's service. It returns early once one has a record.
-func (r *Reporter) AskStream(ctx context.Context, stream streamversions.ID, service uint32) (answers []streamversions.Answer, asked int) {
-	inZone, beyond := r.exchange.zoneReplicasOf(stream, zoneReplicas), r.exchange.zoneContactsOf(stream, askedZones)
-	return r.askStream(ctx, stream, service, inZone, beyond)
+// instancesToAsk returns the addresses of the instances that may have the record of a stream, and how many should answer:
+// also one if there are others of which none can be asked now.
+func (e *Exchange) instancesToAsk(stream streamversions.ID) (inZone, beyond []string, expected int) {
+	inZone, beyond = e.zoneReplicasOf(stream, zoneReplicas), e.zoneContactsOf(stream, askedZones)
+	expected = len(inZone) + len(beyond)
+	if expected == 0 && e.knowsOthers() {
+		expected = 1
+	}
+	return inZone, beyond, expected
 }
 
-func (r *Reporter) askStream(ctx context.Context, stream streamversions.ID, service uint32, inZone, beyond []string) (answers []streamversions.Answer, asked int) {
-	asked = len(inZone) + len(beyond)
+// AskStream asks the instances that may have the record of a stream, and returns their answers and how many should have
+// answered. Service is a hash of the name of the stream's service. It returns early once one has a record.
+func (r *Reporter) AskStream(ctx context.Context, stream streamversions.ID, service uint32) (answers []streamversions.Answer, expected int) {
+	inZone, beyond, expected := r.exchange.instancesToAsk(stream)
+	return r.askStream(ctx, stream, service, inZone, beyond), expected
+}
+
+func (r *Reporter) askStream(ctx context.Context, stream streamversions.ID, service uint32, inZone, beyond []string) []streamversions.Answer {
+	asked := len(inZone) + len(beyond)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	received := make(chan *streamversions.Answer, asked)
@@ -149,6 +160,7 @@
 	for _, to := range beyond {
 		go question(to, true)
 	}
+	var answers []streamversions.Answer
 	for range asked {
 		if answer := <-received; answer != nil {
 			answers = append(answers, *answer)
@@ -157,7 +169,7 @@
 			}
 		}
 	}
-	return answers, asked
+	return answers
 }
 
 func (r *Reporter) sendStreamAsk(id uint64, stream streamversions.ID, service uint32, passOn bool, to string) {
@@ -185,7 +197,7 @@
 		defer func() { <-r.relayedAsks }()
 		ctx, cancel := context.WithTimeout(ctx, relayedAskTimeout)
 		defer cancel()
-		answers, _ := r.askStream(ctx, stream, m.GetService(), r.exchange.zoneReplicasOf(stream, zoneReplicas), nil)
+		answers := r.askStream(ctx, stream, m.GetService(), r.exchange.zoneReplicasOf(stream, zoneReplicas), nil)
 		r.sendStreamAnswer(m.GetId(), streamversions.Merge(own, answers), peer)
 	}()
 }
--- a/internal/peers/streams_test.go
+++ b/internal/peers/streams_test.go
@@ -52,9 +52,9 @@
 	if own := n.loads.records.Get(stream, n.loads.now()); own.Found || own.Ambiguous {
 		return own.Version, own.Found
 	}
-	inZone, beyond := n.exchange.zoneReplicasOf(stream, zoneReplicas), n.exchange.zoneContactsOf(stream, askedZones)
+	inZone, beyond, expected := n.exchange.instancesToAsk(stream)
 	view := n.loads.view()
-	view.Asked = len(inZone) + len(beyond)
+	view.Asked = expected
 	knowledge, ok := streamversions.Resolve(view, f.answersOf(n, stream, inZone, beyond))
 	return knowledge.Version, ok
 }
@@ -368,13 +368,13 @@
 	nodes[2].loads.ApplyStreamRecords([]streamversions.Record{{Stream: stream, Version: "v2", Lifetime: time.Minute}})
 	reached := nodes[1].exchange.self.Address
 	found := eventually(5*time.Second, func() bool { // until the instances of the zone know one another
-		answers, _ := nodes[0].askStream(ctx, stream, 0, nil, []string{reached})
+		answers := nodes[0].askStream(ctx, stream, 0, nil, []string{reached})
 		return len(answers) == 1 && answers[0].Found && answers[0].Version == "v2"
 	})
 	if !found {
 		t.Error("the instance that was asked did not ask the others of its zone")
 	}
-	if answers, asked := nodes[0].askStream(ctx, stream, 0, []string{reached}, nil); asked != 1 || len(answers) != 1 || answers[0].Found {
+	if answers := nodes[0].askStream(ctx, stream, 0, []string{reached}, nil); len(answers) != 1 || answers[0].Found {
 		t.Errorf("a question within a zone was passed on: %+v", answers)
 	}
 }
