Version histories: survive restores, unreadable rows, hubs that missed a return, and retries

Three tests hand rows over by the follower, as instances get them, as the revisions come from there; they check the same.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -105,7 +105,7 @@
 	in.relay.SetGrantRequester(in.reports.RequestGrant)
 	in.relay.SetQuotaGranter(in.reports.RequestQuotaGrant, in.reports.RefundQuotaGrant)
 	in.relay.SetStreamReplicator(in.reports.ReplicateStreams, in.reports.AskStream)
-	in.relay.SetVersionHistoriesLoaded(in.sharedRowsLoaded)
+	in.relay.SetVersionTable(in.versionTable)
 	in.relay.SetReservationClient(in.reports)
 	secret := forward.NewSecret(a.Table, logging.Part(log, "forward"))
 	in.relay.SetForwarder(forward.NewClient(in.peers, secret))
--- a/internal/instance/invalidversions_test.go
+++ b/internal/instance/invalidversions_test.go
@@ -33,7 +33,7 @@
 func TestInvalidVersionsRowKeepsNoOtherFromBeingWritten(t *testing.T) {
 	in, table := newInstance(), &checkingTable{revisions: map[string]int64{VersionsPrefix + "other": 3}}
 	in.adapter.Table = table
-	in.applyRows([]replica.Row{{Key: replica.Key{Table: "apart", Key: VersionsPrefix + "other"}, Value: []byte("what"), Revision: 3}})
+	in.follower.ApplyRows([]replica.Row{{Key: replica.Key{Table: "apart", Key: VersionsPrefix + "other"}, Value: []byte("what"), Revision: 3}}, 0)
 	in.relay.UpdateUpstream(upstreamstate.Upstream{ID: "e-1", Service: "llm", Version: "v1"})
 	in.relay.UpdateUpstream(upstreamstate.Upstream{ID: "e-2", Service: "other", Version: "v1"})
 	for range 3 {
--- a/internal/instance/restoredversions_test.go
+++ b/internal/instance/restoredversions_test.go
@@ -15,10 +15,8 @@
 	in, restored := newInstance(), platform.RevisionOf(1, 3)
 	in.adapter.Table = &checkingTable{revisions: map[string]int64{VersionsPrefix + "llm": restored}}
 	in.relay.UpdateUpstream(upstreamstate.Upstream{ID: "e-1", Service: "llm", Version: "v1"})
-	rows := replica.New(replica.Settings{})
 	for _, revision := range []int64{3, restored} {
-		row := versionsRowOf(`{"versions":["v1"]}`, revision)
-		in.applyRows(rows.Replace("apart", []replica.Row{row}, revision, 0))
+		in.follower.ApplyRows([]replica.Row{versionsRowOf(`{"versions":["v1"]}`, revision)}, 0)
 	}
 	in.relay.UpdateUpstream(upstreamstate.Upstream{ID: "e-2", Service: "llm", Version: "v2"})
 	if !in.writeVersions(context.Background(), false) {
--- a/internal/instance/versions_test.go
+++ b/internal/instance/versions_test.go
@@ -27,7 +27,7 @@
 	default:
 		t.Error("no write is requested")
 	}
-	in.applyRows([]replica.Row{versionsRowOf(`{"versions":["v1"]}`, 3)})
+	in.follower.ApplyRows([]replica.Row{versionsRowOf(`{"versions":["v1"]}`, 3)}, 0)
 	if in.writeVersions(ctx, false) {
 		t.Error("counts as written, though the store failed")
 	}
@@ -42,11 +42,11 @@
 	if err := json.Unmarshal(writes[0].Value, &row); err != nil || !slices.Equal(row.Versions, []string{"v1", "v2"}) {
 		t.Errorf("%+v, %v", row, err)
 	}
-	in.applyRows([]replica.Row{versionsRowOf(string(writes[0].Value), 4)})
+	in.follower.ApplyRows([]replica.Row{versionsRowOf(string(writes[0].Value), 4)}, 0)
 	if !in.writeVersions(ctx, true) || len(table.written()) != 1 {
 		t.Error("written twice")
 	}
-	in.applyRows([]replica.Row{versionsRowOf("", 5)})
+	in.follower.ApplyRows([]replica.Row{versionsRowOf("", 5)}, 0)
 	if !in.writeVersions(ctx, false) || len(table.written()) != 2 {
 		t.Error("not written again after the row was lost")
 	}
--- a/internal/peers/fleet_test.go
+++ b/internal/peers/fleet_test.go
@@ -203,7 +203,8 @@
 		if due.Revision != stored.Revision {
 			continue
 		}
-		stored = streamversions.History{Service: due.Service, Versions: due.Versions, Revision: due.Revision + 1}
+		stored = due
+		stored.Revision++
 	}
 	return stored
 }
--- a/internal/placement/disaggregated.go
+++ b/internal/placement/disaggregated.go
@@ -15,18 +15,18 @@
 
 // NewDisaggregatedScheduler returns a scheduler for both phases.
 func NewDisaggregatedScheduler() *DisaggregatedScheduler {
-	strict := []Filter{DrainingFilter{}, ExcludedFilter{}, SoftwareVersionFilter{}}
+	strict := []Filter{DrainingFilter{}, ExcludedFilter{}, SoftwareVersionFilter{}, AvoidedVersionFilter{}}
 	limit := Preference{Filter: LimitFilter{}, Mandatory: true}
 	return &DisaggregatedScheduler{
 		prefill: &Scheduler{
 			Filters:     strict,
-			Preferences: []Preference{limit, {Filter: AvoidedVersionFilter{}}, {Filter: RoleFilter{}}, {Filter: HealthFilter{}}},
+			Preferences: []Preference{limit, {Filter: RoleFilter{}}, {Filter: HealthFilter{}}},
 			Scorers:     []WeightedScorer{{Scorer: PrefillScorer{}, Weight: 1}},
 			Picker:      RankedPicker{},
 		},
 		decode: &Scheduler{
 			Filters:     append([]Filter{RoleFilter{}}, strict...),
-			Preferences: []Preference{limit, {Filter: AvoidedVersionFilter{}}, {Filter: HealthFilter{}}},
+			Preferences: []Preference{limit, {Filter: HealthFilter{}}},
 			Scorers:     []WeightedScorer{{Scorer: DecodeScorer{}, Weight: 1}},
 			Picker:      RankedPicker{},
 		},
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -62,7 +62,7 @@
 	// SoftwareVersion is the version of the upstream's software that the request requires; empty for any. Version is
 	// that of the model's weights.
 	SoftwareVersion string
-	// AvoidedVersions are the software versions that the request avoids while there are upstreams of others.
+	// AvoidedVersions are the software versions of which the request takes no upstream.
 	AvoidedVersions []string
 	// generation are the costs of the generation by software version; nil if the version of the engine that processes the
 	// prompt does not matter.
--- a/internal/placement/softwareversions_test.go
+++ b/internal/placement/softwareversions_test.go
@@ -107,9 +107,8 @@
 	}
 }
 
-// TestAvoidedVersionIsUsedWithoutAnother guards against prompts at an avoided version, and against none being placed if
-// all engines have it.
-func TestAvoidedVersionIsUsedWithoutAnother(t *testing.T) {
+// TestAvoidedVersionGetsNoPrompt guards against prompts at an avoided version, also if all engines have one.
+func TestAvoidedVersionGetsNoPrompt(t *testing.T) {
 	list := withVersions(newSplitEngines(6, 2))
 	for avoided, want := range map[string]string{"v1": "v2", "v2": "v1"} {
 		req := &Request{Prompt: longPrompt, Costs: costs, AvoidedVersions: []string{avoided}}
@@ -117,8 +116,8 @@
 			t.Errorf("with %s avoided: %s (%t)", avoided, start.Engine.SoftwareVersion, ok)
 		}
 		req.AvoidedVersions = []string{"v1", "v2"}
-		if _, ok := scheduler.PickPrefill(req, list, rng()); !ok {
-			t.Error("nothing is placed if all are avoided")
+		if start, ok := scheduler.PickPrefill(req, list, rng()); ok {
+			t.Errorf("with both avoided: %s", start.Engine.SoftwareVersion)
 		}
 	}
 }
--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -116,7 +116,7 @@
 // generationRequest returns the input for choosing the engine that generates from the KV cache of another engine.
 func (g *generation) generationRequest(kvEngine upstreamstate.Upstream) upstreamstate.PlacementRequest {
 	request := g.placementRequest(g.relay.now())
-	request.AvoidedVersions = g.relay.unstoredVersions(g.exchange)
+	request.AvoidedVersions, _, _ = g.relay.unstoredVersions(g.exchange)
 	if request.Version == "" && !g.relay.settings.Placement.KVAcrossVersions {
 		request.Version = kvEngine.Version
 	}
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -16,6 +16,7 @@
 	"sassafrasfield/internal/config"
 	"sassafrasfield/internal/placement"
 	"sassafrasfield/internal/routes"
+	"sassafrasfield/internal/streamversions"
 	"sassafrasfield/internal/upstreamstate"
 )
 
@@ -151,7 +152,7 @@
 	s.RelocationsFrom = 1
 	s.VersionStoreWait = 0
 	r := New(s, sender, slog.New(slog.NewTextHandler(io.Discard, nil)))
-	r.SetVersionHistoriesLoaded(func() bool { return true })
+	r.SetVersionTable(func() streamversions.Table { return streamversions.Table{Loaded: true} })
 	r.SetRoutes(routes.NewTable(1, []routes.Route{
 		{Name: "safe", Host: "h", Prefix: "/safe/", Kind: routes.Idempotent, MaxAttempts: 2, Timeout: time.Second, Shares: []routes.Share{{Service: "app", Weight: 1}}},
 		{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: routes.NonIdempotent, MaxAttempts: 2, Timeout: time.Second, Shares: []routes.Share{{Service: "app", Weight: 1}}},
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -140,9 +140,9 @@
 // prompt processed. The status Done means that this succeeded.
 func (g *generation) prepare(ctx context.Context) attempt.Result {
 	r := g.relay
-	r.awaitStoredVersion(ctx, g.exchange)
+	avoided := r.awaitStoredVersion(ctx, g.exchange)
 	request := g.placementRequest(r.now())
-	request.AvoidedVersions = r.unstoredVersions(g.exchange)
+	request.AvoidedVersions = avoided
 	request.Direct = g.attempts.Ledger().Prefilled() && !r.mayPrefillAgain(ctx, g)
 	start, queueOrder, ok := r.placePrompt(ctx, g, request)
 	if !ok {
--- a/internal/relay/relocate.go
+++ b/internal/relay/relocate.go
@@ -245,7 +245,8 @@
 func (r *Relay) relocationInput(g *generation, start placement.Prefill, excluded map[string]bool, since time.Duration) (relocation.Input, string) {
 	now := r.now()
 	request := g.placementRequest(now)
-	request.Excluded, request.Soonest, request.AvoidedVersions = excluded, true, r.unstoredVersions(g.exchange)
+	request.Excluded, request.Soonest = excluded, true
+	request.AvoidedVersions, _, _ = r.unstoredVersions(g.exchange)
 	other, found := r.upstreams.PredictPrefill(request, now)
 	handOver := r.upstreams.Times(g.service).HandOver
 	in := relocation.Input{
--- a/internal/relay/streamversions.go
+++ b/internal/relay/streamversions.go
@@ -20,9 +20,9 @@
 	replicate func([]streamversions.Record)
 	ask       func(ctx context.Context, stream streamversions.ID, service uint32) (answers []streamversions.Answer, asked int)
 
-	// historiesLoaded reports whether all stored histories were applied. It is set before the relay serves, and called
-	// without mu, as it may wait for one that is being applied.
-	historiesLoaded func() bool
+	// table returns what is known of the table of the histories. It is set before the relay serves, and called without mu, as
+	// it may wait for a row that is being applied.
+	table func() streamversions.Table
 
 	mu      sync.Mutex // protects all below
 	census  *streamversions.Census
@@ -43,8 +43,8 @@
 		ask: func(context.Context, streamversions.ID, uint32) ([]streamversions.Answer, int) {
 			return nil, 0
 		},
-		historiesLoaded: func() bool { return false },
-		census:          streamversions.NewCensus(), records: streamversions.NewRecords(), mixed: map[string]bool{},
+		table:  func() streamversions.Table { return streamversions.Table{} },
+		census: streamversions.NewCensus(), records: streamversions.NewRecords(), mixed: map[string]bool{},
 		storeNeeded: make(chan struct{}, 1), historyApplied: make(chan struct{}),
 	}
 }
@@ -91,7 +91,7 @@
 	var records []streamversions.Record
 	if v.census.Update(u.ID, u.Service, u.Version, now) {
 		records = r.updateMixed(u.Service, now)
-		v.notifyUnstored(u.Service)
+		v.notifyDue(now)
 	}
 	v.mu.Unlock()
 	r.replicateRecords(records)
@@ -180,13 +180,12 @@
 // knowledgeOf returns what this instance itself knows about a stream, and about the versions of a service; an empty name
 // stands for one that is not known here.
 func (r *Relay) knowledgeOf(stream streamversions.ID, service string) (streamversions.Knowledge, streamversions.View) {
-	now, loaded := r.now(), r.versions.historiesLoaded()
+	now, table := r.now(), r.versions.table()
 	r.versions.mu.Lock()
 	defer r.versions.mu.Unlock()
 	census := r.versions.census
-	knownFor := census.KnownFor(service, now)
 	return r.versions.records.Get(stream, now), streamversions.View{
-		Versions: census.Versions(service, now), Complete: service != "" && (loaded || knownFor > streamversions.MaxLifetime), KnownFor: knownFor,
+		Versions: census.Versions(service, now), Complete: service != "" && census.Complete(service, table, now), KnownFor: census.KnownFor(service, now),
 	}
 }
 
--- a/internal/relay/streamversions_test.go
+++ b/internal/relay/streamversions_test.go
@@ -49,7 +49,7 @@
 // withOneVersion gives all upstreams one version, as if they had never had another one.
 func withOneVersion(r *Relay) *Relay {
 	r.versions = newVersionRecords()
-	r.SetVersionHistoriesLoaded(func() bool { return true })
+	r.SetVersionTable(func() streamversions.Table { return streamversions.Table{Loaded: true} })
 	for _, u := range r.upstreams.AllUpstreams() {
 		u.Version = "v1"
 		r.UpdateUpstream(u)
@@ -158,7 +158,7 @@
 func TestStreamIsNotTakenUpBeforeHistoryIsKnown(t *testing.T) {
 	f, others, loaded := &fakeSender{}, &fakeReplicas{answers: []streamversions.Answer{{OnlyVersion: "v1"}}}, false
 	r := withReplicas(withOneVersion(newFake(t, f)), others)
-	r.SetVersionHistoriesLoaded(func() bool { return loaded })
+	r.SetVersionTable(func() streamversions.Table { return streamversions.Table{Loaded: loaded} })
 	expect := func(step string, taken bool) {
 		t.Helper()
 		before := f.count()
--- a/internal/streamversions/census.go
+++ b/internal/streamversions/census.go
@@ -14,7 +14,9 @@
 	// since is when the first upstream of a service became known.
 	since map[string]time.Duration
 	// stored are the stored histories, by service.
-	stored map[string]History
+	stored map[string]storedHistory
+	// complete are the services of which a history was applied that lacked no version.
+	complete map[string]bool
 }
 
 // member is an upstream.
@@ -23,6 +25,8 @@
 // presence is the presence of one version.
 type presence struct {
 	upstreams int
+	// seen is set if upstreams were known here, and not from a stored history alone.
+	seen bool
 	// since is when the first of the present upstreams was added.
 	since time.Duration
 	// goneAt is when the last upstream was removed, if there is none.
@@ -33,7 +37,7 @@
 func NewCensus() *Census {
 	return &Census{
 		upstreams: map[string]member{}, services: map[string]map[string]*presence{}, since: map[string]time.Duration{},
-		stored: map[string]History{},
+		stored: map[string]storedHistory{}, complete: map[string]bool{},
 	}
 }
 
@@ -53,7 +57,7 @@
 	}
 	p := c.presence(service, version)
 	if p.upstreams == 0 {
-		p.since = now
+		p.since, p.seen = now, true
 	}
 	p.upstreams++
 	return true
--- a/internal/streamversions/forgotten_test.go
+++ b/internal/streamversions/forgotten_test.go
@@ -19,7 +19,7 @@
 	}
 	served := time.Second + MaxLifetime
 	other.Update("c", "s", "v1", served) // the hub learns of this engine neither when it comes nor when it goes
-	if unstored := other.Unstored("s"); len(unstored) > 0 {
+	if _, unstored := other.Present("s"); len(unstored) > 0 {
 		t.Fatalf("the stream would wait for %v", unstored)
 	}
 	other.Remove("c", served+2*time.Second)
--- a/internal/streamversions/history_test.go
+++ b/internal/streamversions/history_test.go
@@ -22,15 +22,20 @@
 		t.Errorf("to write: %+v", due)
 	}
 	later := start + MaxLifetime + time.Second
-	c.ApplyHistory(History{Service: "s", Versions: []string{"v1", "v2", "v3"}, Revision: 8}, later)
+	c.ApplyHistory(History{Service: "s", Versions: []string{"v1", "v2", "v3"}, Gone: []string{"v1"}, Revision: 8}, later)
 	if got := c.Versions("s", later); !slices.Equal(got, []string{"v2", "v3"}) {
 		t.Errorf("a version that another instance adds: %v", got)
 	}
 	if due := c.DueHistories(false, later); len(due) > 0 {
 		t.Errorf("written without need: %+v", due)
 	}
-	if due := c.DueHistories(true, later); len(due) != 1 || !slices.Equal(due[0].Versions, []string{"v2", "v3"}) || due[0].Revision != 8 {
-		t.Errorf("the version whose streams are over stays: %+v", due)
+	c.ApplyHistory(History{Service: "s", Versions: []string{"v1", "v2", "v3"}, Gone: []string{"v1", "v3"}, Revision: 9}, later)
+	if due := c.DueHistories(true, later+MaxLifetime); len(due) > 0 {
+		t.Errorf("taken out while others may know it: %+v", due)
+	}
+	later += MaxLifetime + removalMargin + time.Second
+	if due := c.DueHistories(true, later); len(due) != 1 || !slices.Equal(due[0].Versions, []string{"v2"}) || due[0].Revision != 9 {
+		t.Errorf("a version whose streams are over stays: %+v", due)
 	}
 	c.RemoveHistory("s")
 	if due := c.DueHistories(false, later); len(due) != 1 || due[0].Revision != 0 {
@@ -38,23 +43,31 @@
 	}
 }
 
-// storedRow is the row of a service in the table.
-type storedRow struct {
-	versions []string
-	revision int64
+// TestReturningVersionIsWritten guards against a version that returns while its removal is due, and that an instance which
+// has not heard of it takes out of the row.
+func TestReturningVersionIsWritten(t *testing.T) {
+	c := NewCensus()
+	c.Update("a", "s", "v1", 0)
+	c.ApplyHistory(History{Service: "s", Versions: []string{"v1"}, Gone: []string{"v1"}, Revision: 3}, 0)
+	if due := c.DueHistories(false, 0); len(due) != 1 || len(due[0].Gone) > 0 || due[0].Revision != 3 {
+		t.Errorf("%+v", due)
+	}
+	if stored, unstored := c.Present("s"); len(stored) > 0 || !slices.Equal(unstored, []string{"v1"}) {
+		t.Errorf("counts as stored: %v", stored)
+	}
 }
 
 // TestNoVersionIsForgotten guards against a history that lacks a version whose streams callers may hold, with instances
 // that write at the same time, learn of rows and upstreams late, and restart at any time.
 func TestNoVersionIsForgotten(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var row storedRow
+		var row History
 		now, present := time.Duration(0), map[string]bool{}
 		served := map[string]time.Duration{} // when a version was last used by an instance that had it stored
 		list := []*Census{NewCensus(), NewCensus(), NewCensus()}
 		apply := func(c *Census) {
-			if row.revision > 0 {
-				c.ApplyHistory(History{Service: "s", Versions: row.versions, Revision: row.revision}, now)
+			if row.Revision > 0 {
+				c.ApplyHistory(row, now)
 			}
 		}
 		update := func(c *Census) {
@@ -79,10 +92,10 @@
 			case 2:
 				apply(c)
 			case 3:
-				update(c)
 				for _, due := range c.DueHistories(rapid.Bool().Draw(t, "tidy"), now) {
-					if due.Revision == row.revision {
-						row = storedRow{due.Versions, row.revision + 1}
+					if due.Revision == row.Revision {
+						row = due
+						row.Revision++
 					}
 				}
 			case 4:
@@ -90,14 +103,11 @@
 				apply(list[i])
 				update(list[i])
 			case 5:
-				for _, c := range list {
-					update(c) // an instance that serves knows the present upstreams
-					apply(c)
-				}
-				for version := range present {
-					if present[version] && !slices.Contains(c.Unstored("s"), version) {
-						served[version] = now
-					}
+				update(c) // an instance that serves knows the present upstreams
+				apply(c)
+				stored, _ := c.Present("s")
+				for _, version := range stored {
+					served[version] = now
 				}
 			}
 			restarted := NewCensus()
--- a/internal/upstreamstate/place.go
+++ b/internal/upstreamstate/place.go
@@ -16,7 +16,7 @@
 	Prompt placement.Prompt
 	// Version is the software version that the request requires; empty for any.
 	Version string
-	// AvoidedVersions are the software versions that the request avoids while there are upstreams of others.
+	// AvoidedVersions are the software versions of which the request takes no upstream.
 	AvoidedVersions []string
 	// Excluded are the upstreams that already failed the request.
 	Excluded map[string]bool
