--- a/internal/streamversions/history_test.go
+++ b/internal/streamversions/history_test.go
@@ -111,3 +111,20 @@
 		}
 	})
 }
+
+// TestVersionThatLeftUnstoredIsDue guards against a version that is never stored because its last upstream left before
+// the store accepted the write, while callers hold its streams.
+func TestVersionThatLeftUnstoredIsDue(t *testing.T) {
+	c := NewCensus()
+	c.Update("a", "s", "v1", 0)
+	c.ApplyHistory(History{Service: "s", Versions: []string{"v1"}, Revision: 3}, 0)
+	c.Update("a", "s", "v2", time.Second)
+	c.Update("a", "s", "v1", 2*time.Second) // rolled back
+	due := c.DueHistories(false, 3*time.Second)
+	if len(due) != 1 || !slices.Equal(due[0].Versions, []string{"v1", "v2"}) || due[0].Revision != 3 {
+		t.Errorf("due: %+v", due)
+	}
+	if due := c.DueHistories(false, 2*time.Second+2*MaxLifetime); len(due) != 0 {
+		t.Errorf("due, though nobody holds its streams any more: %+v", due)
+	}
+}
