--- a/internal/instance/versions.go
+++ b/internal/instance/versions.go
@@ -27,7 +27,7 @@
 	otherStoreDelay = 500 * time.Millisecond
 	// minStoreRetry is the pause after a failed write. It doubles with each failure, up to maxStoreRetry.
 	minStoreRetry = 200 * time.Millisecond
-	maxStoreRetry = 5 * time.Second
+	maxStoreRetry = 2 * time.Second
 	// tidyInterval is the time between two checks for histories that name versions that are no longer needed.
 	tidyInterval = 15 * time.Second
 )
