Count an instance as ready only once it has read the upstreams

What callers saw: after a restart of all instances, one that had read the configuration and the quarantines, but not yet the upstreams, took their requests and refused each.

Cause: readiness looked at the configuration and the quarantines only. A table that was not read counted as one without rows. It shows where the upstreams' table takes longer than the others: it has many pages, or the store serves it later.

ready() now wants the upstreams' table to be loaded, from the store or from another instance. A loaded table may be empty, so a deployment without upstreams is not kept out.

--- a/internal/instance/quarantine.go
+++ b/internal/instance/quarantine.go
@@ -41,12 +41,17 @@
 	Instance string `json:"instance"`
 }
 
-// ready reports whether this instance can serve requests.
+// ready reports whether this instance can serve requests. A table that is not loaded is not an empty one: without the
+// upstreams' rows every request would be refused.
 func (in *Instance) ready() bool {
 	if !in.relay.Ready() || in.relay.Impaired() {
 		return false
 	}
-	return time.Since(in.started) > loadTimeout || slices.Contains(in.follower.LoadedTables(), in.adapter.QuarantineTable)
+	loaded := in.follower.LoadedTables()
+	if !slices.Contains(loaded, in.adapter.UpstreamTable) {
+		return false
+	}
+	return time.Since(in.started) > loadTimeout || slices.Contains(loaded, in.adapter.QuarantineTable)
 }
 
 // applyQuarantineRows applies changed quarantine rows.
