Refuse requests until the quarantines are read

What callers saw: after all instances were restarted, a content that had crashed upstreams reached upstreams again, if its request came before the rows of the quarantines were read.

Cause: readiness waits for these rows, for 3 s at most, but requests that arrive all the same were served as soon as the configuration was known, and a table that was not read counted as one without quarantines. The balancer sends to instances that are not ready if none is.

Such requests are refused as not run now, with the time to come back of an instance without a configuration, and no longer than readiness waits: after 3 s an instance serves without the rows, as before, because the store may have lost only this table.

The instances of the package's other tests have read their tables now.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -91,6 +91,8 @@
 	forwards *forward.Server
 	budget   atomic.Pointer[relay.BudgetSettings]
 	started  time.Time
+	// quarantinesRead is set once the quarantine rows are not waited for any more.
+	quarantinesRead atomic.Bool
 }
 
 // New returns an instance that is ready to run.
@@ -98,6 +100,7 @@
 	in := &Instance{settings: s, adapter: a, log: log, started: time.Now()}
 	in.relay = relay.New(s.Relay, a.Sender, logging.Part(log, "relay"))
 	in.follower = rowsync.New(s.Follow, a.Feed, in.applyRows, logging.Part(log, "follow"))
+	in.relay.SetQuarantineCheck(in.quarantinesKnown)
 	in.peers = peers.New(s.Self, s.Seeds, in.follower, logging.Part(log, "peers"))
 	in.follower.SetPeers(in.peers)
 	in.reports = peers.NewReporter(in.peers, in.relay)
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -11,6 +11,7 @@
 	"sassafrasfield/internal/relay"
 	"sassafrasfield/internal/replica"
 	"sassafrasfield/internal/routes"
+	"sassafrasfield/internal/rowsync"
 	"sassafrasfield/internal/upstreamstate"
 )
 
@@ -32,12 +33,15 @@
 
 func (silentSender) SetStatusHandler(func(upstreamstate.Upstream, upstreamstate.UpstreamStatus)) {}
 
+// newInstance returns an instance that has read its tables, which are empty.
 func newInstance() *Instance { return newInstanceWith(silentSender{}) }
 
 func newInstanceWith(sender relay.Sender) *Instance {
-	s := Settings{Relay: relay.DefaultSettings()}
 	a := Adapter{Sender: sender, Documents: fakeDocuments{}, UpstreamTable: "upstreams", QuarantineTable: "apart"}
-	return New(s, a, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	tables := []string{a.UpstreamTable, a.QuarantineTable}
+	in := New(Settings{Relay: relay.DefaultSettings(), Follow: rowsync.Settings{Tables: tables}}, a, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	in.follower.MarkTablesLoaded(tables)
+	return in
 }
 
 func upstreamRow(id, value string, revision int64) replica.Row {
--- a/internal/instance/quarantine.go
+++ b/internal/instance/quarantine.go
@@ -25,7 +25,7 @@
 	persistRetryInterval = time.Second
 	// expireInterval is the time between two removals of expired quarantines.
 	expireInterval = time.Minute
-	// loadTimeout is how long after its start an instance waits for these rows. After that it is ready
+	// loadTimeout is how long after its start an instance waits for these rows. After that it serves
 	// without them, because the store may have lost only this table.
 	loadTimeout = 3 * time.Second
 )
@@ -47,11 +47,19 @@
 	if !in.relay.Ready() || in.relay.Impaired() {
 		return false
 	}
-	loaded := in.follower.LoadedTables()
-	if !slices.Contains(loaded, in.adapter.UpstreamTable) {
-		return false
+	return slices.Contains(in.follower.LoadedTables(), in.adapter.UpstreamTable) && in.quarantinesKnown()
+}
+
+// quarantinesKnown reports whether the quarantine rows are loaded, or were waited for long enough.
+func (in *Instance) quarantinesKnown() bool {
+	if in.quarantinesRead.Load() {
+		return true
+	}
+	known := time.Since(in.started) > loadTimeout || slices.Contains(in.follower.LoadedTables(), in.adapter.QuarantineTable)
+	if known {
+		in.quarantinesRead.Store(true)
 	}
-	return time.Since(in.started) > loadTimeout || slices.Contains(loaded, in.adapter.QuarantineTable)
+	return known
 }
 
 // applyQuarantineRows applies changed quarantine rows.
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -81,6 +81,10 @@
 	}
 }
 
+// SetQuarantineCheck sets the function that reports whether the persisted quarantines are known here. Until they are, all
+// requests are refused as not run. It is called before the relay serves, and for each request.
+func (r *Relay) SetQuarantineCheck(known func() bool) { r.quarantinesKnown = known }
+
 // dueEvidence returns the evidence that is due in one kind of report.
 func (q *quarantineState) dueEvidence(due func(*quarantine.Table, time.Duration) quarantine.Evidence) quarantine.Evidence {
 	q.mu.Lock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -113,6 +113,9 @@
 	forwardedInFlight atomic.Int64
 	// closed is set once new requests are refused.
 	closed atomic.Bool
+	// quarantinesKnown reports whether the quarantines that were persisted are known here; nil if there are none to
+	// wait for.
+	quarantinesKnown func() bool
 	// lastAnswer is the time of the newest answer of an upstream, on the relay's clock.
 	lastAnswer atomic.Int64
 	// lastRequest is the arrival time of the newest request, on the relay's clock.
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -60,6 +60,9 @@
 	if table.Version == 0 {
 		return nil, &Refusal{Outcome: NotRun, Reason: "no configuration yet", RetryIn: r.startupRetryIn(req.WaitBudget)}
 	}
+	if r.quarantinesKnown != nil && !r.quarantinesKnown() {
+		return nil, &Refusal{Outcome: NotRun, Reason: "quarantines not known yet", RetryIn: r.startupRetryIn(req.WaitBudget)}
+	}
 	impairment := r.Impairment()
 	if impairment != "" && !blamesLink(impairment) {
 		return nil, r.refuseElsewhere(impairment, req)
