--- a/internal/instance/quarantine.go
+++ b/internal/instance/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strings"
 	"time"
 
@@ -24,7 +25,7 @@
 	persistRetryInterval = time.Second
 	// expireInterval is the time between two removals of expired quarantines.
 	expireInterval = time.Minute
-	// loadTimeout is how long after its start an instance waits for these rows. After that it is ready
+	// loadTimeout is how long after its start an instance waits for these rows. After that it serves
 	// without them, because the store may have lost only this table.
 	loadTimeout = 3 * time.Second
 )
@@ -40,12 +41,25 @@
 	Instance string `json:"instance"`
 }
 
-// ready reports whether this instance can serve requests.
+// ready reports whether this instance can serve requests. A table that is not loaded is not an empty one: without the
+// upstreams' rows every request would be refused.
 func (in *Instance) ready() bool {
 	if !in.relay.Ready() || in.relay.Impaired() {
 		return false
 	}
-	return time.Since(in.started) > loadTimeout || in.sharedRowsLoaded()
+	return slices.Contains(in.follower.LoadedTables(), in.adapter.UpstreamTable) && in.quarantinesKnown()
+}
+
+// quarantinesKnown reports whether the quarantine rows are loaded, or were waited for long enough.
+func (in *Instance) quarantinesKnown() bool {
+	if in.quarantinesRead.Load() {
+		return true
+	}
+	known := time.Since(in.started) > loadTimeout || in.sharedRowsLoaded()
+	if known {
+		in.quarantinesRead.Store(true)
+	}
+	return known
 }
 
 func (in *Instance) applyQuarantineRow(row replica.Row) error {
