Take the last answers of upstreams that leave for whole

Callers got all 36 events and then a connection that broke off, in 5 of 20 streams.

Cause: the end of such an answer counted only if its upstream's process took another request after it. A process that is shutting down refuses connections while it finishes its answers, and exits with the last one.

Evidence: the log line of an end that is not confirmed now says what was known of the upstream.

Why this works: other evidence is asked where the check is refused. An answer of the same process that goes on 50 ms later shows that the process lives; three connections that end within 5 ms and none that goes on show that it was killed; the entry of an upstream that was known to leave goes when it exits, and stays for two heartbeats at least when it crashes. All sends pass this place, forwarded requests included. An upstream that was not known to leave still counts as crashed, 50 ms later than before.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -109,6 +109,7 @@
 	in.relay.SetQuotaGranter(in.reports.RequestQuotaGrant, in.reports.RefundQuotaGrant)
 	in.relay.SetStreamReplicator(in.reports.ReplicateStreams, in.reports.AskStream)
 	in.relay.SetVersionTable(in.versionTable)
+	in.relay.SetEntriesCurrent(func() bool { return in.follower.Reading() || in.peers.HasOtherReaders() })
 	in.relay.SetReservationClient(in.reports)
 	secret := forward.NewSecret(a.Table, logging.Part(log, "forward"))
 	in.relay.SetForwarder(forward.NewClient(in.peers, secret))
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -57,8 +57,10 @@
 	s.relay.recordSend(send.To, began, err)
 	s.relay.recordArrival(req, send, kindOfRun(send), err)
 	if err != nil {
+		s.relay.recordConnectionEnd(ctx, send.To, err)
 		return nil, err
 	}
+	reply = s.relay.answers.track(ctx, send.To.Incarnation(), reply, s.relay.now)
 	return s.relay.withConfirmedEnd(ctx, req, send.To, reply), nil
 }
 
@@ -71,6 +73,7 @@
 	kv, reported, err := s.Sender.Prefill(ctx, req, send)
 	s.relay.recordSend(send.To, began, err)
 	s.relay.recordArrival(req, send, sendPrefill, err)
+	s.relay.recordConnectionEnd(ctx, send.To, err)
 	return kv, reported, err
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -106,6 +106,7 @@
 	reservations *reservations
 	memory       *memory
 	relocator    *relocator
+	answers      *openAnswers
 	// requestGrant requests a grant for a send to a rate-limited upstream from the instance that
 	// coordinates the grants; nil if unset.
 	requestGrant atomic.Pointer[func(context.Context, quota.GrantRequest) quota.Verdict]
@@ -120,6 +121,8 @@
 	// quarantinesKnown reports whether the quarantines that were persisted are known here; nil if there are none to
 	// wait for.
 	quarantinesKnown func() bool
+	// entriesCurrent reports whether changes of the upstreams' entries arrive here; nil if they always do.
+	entriesCurrent func() bool
 	// lastAnswer is the time of the newest answer of an upstream, on the relay's clock.
 	lastAnswer atomic.Int64
 	// lastRequest is the arrival time of the newest request, on the relay's clock.
@@ -132,7 +135,7 @@
 func New(s Settings, sender Sender, log *slog.Logger) *Relay {
 	r := &Relay{
 		settings: s, log: log, start: time.Now(),
-		pool: newRetryPool(), quarantine: newQuarantineState(), usage: newUsageCounter(s.UsageWindow), link: newLink(log), paths: newPaths(log), meters: newMeters(), grants: newGrants(), quotas: newOrganisationQuotas(), fetches: newFetchRates(), versions: newVersionRecords(), reservations: newReservations(), relocator: newRelocator(), changed: make(chan struct{}, 1),
+		pool: newRetryPool(), quarantine: newQuarantineState(), usage: newUsageCounter(s.UsageWindow), link: newLink(log), paths: newPaths(log), meters: newMeters(), grants: newGrants(), quotas: newOrganisationQuotas(), fetches: newFetchRates(), versions: newVersionRecords(), reservations: newReservations(), relocator: newRelocator(), answers: newOpenAnswers(), changed: make(chan struct{}, 1),
 	}
 	r.memory = newMemory(s.Memory, log, r.now)
 	r.sender = admittingSender{Sender: sender, relay: r}
--- a/internal/relay/streamend.go
+++ b/internal/relay/streamend.go
@@ -17,15 +17,16 @@
 // errEndedAtDeadline: the stream ended when the time of the request was over. Engines stop then, whether they are done or not.
 var errEndedAtDeadline = errors.New("relay: the stream ended at the deadline of the request")
 
-// streamMeters counts the unframed answers, those of them whose end was not confirmed, the events that engines repeated, the
+// streamMeters counts the unframed answers, those of them whose end was not confirmed or was that of an upstream that left, the events that engines repeated, the
 // streams that were cut off at an event out of sequence, and those that ended at the deadline of their request.
 type streamMeters struct {
-	unframed, unconfirmed, repeated, outOfSequence, atDeadline metrics.Counter
+	unframed, unconfirmed, left, repeated, outOfSequence, atDeadline metrics.Counter
 }
 
 func newStreamMeters() streamMeters {
 	return streamMeters{
 		unframed: counter("answers_unframed"), unconfirmed: counter("answers_unframed_unconfirmed"),
+		left:     counter("answers_unframed_left"),
 		repeated: counter("events_repeated"), outOfSequence: counter("streams_out_of_sequence"),
 		atDeadline: counter("streams_ended_at_deadline"),
 	}
--- a/internal/relay/unframed.go
+++ b/internal/relay/unframed.go
@@ -21,11 +21,11 @@
 	endConfirmTimeout = time.Second
 )
 
-// errUnconfirmedEnd: the connection of an unframed answer ended, and its upstream's process did not answer after that.
+// errUnconfirmedEnd: the connection of an unframed answer ended, and the end of its upstream's process may have ended it.
 var errUnconfirmedEnd = errors.WithMessage(io.ErrUnexpectedEOF, "relay: the end of the connection was not confirmed by the upstream")
 
 // confirmedBody is the body of an unframed answer. When a process ends, its kernel closes its connections in the same way
-// as the process itself does after a whole answer. So the end counts only if the process answers after it.
+// as the process itself does after a whole answer. So the end counts only if the process lived on or had left.
 type confirmedBody struct {
 	io.ReadCloser
 	confirm func() error
@@ -56,7 +56,7 @@
 	return err
 }
 
-// withConfirmedEnd returns the reply with a body whose end is confirmed by the upstream, unless its framing proves it.
+// withConfirmedEnd returns the reply with a body whose end is confirmed, unless its framing proves it.
 func (r *Relay) withConfirmedEnd(ctx context.Context, req *Request, to upstreamstate.Upstream, reply *Reply) *Reply {
 	if !reply.Unframed {
 		return reply
@@ -65,28 +65,41 @@
 	return reply
 }
 
-// confirmEnd returns nil if the process of an upstream answers after the end of one of its unframed answers, and else
-// errUnconfirmedEnd, or the context's error if that ended first, which says nothing about the upstream.
+// confirmEnd returns nil if the connection of an unframed answer was closed by the upstream's process rather than by the
+// end of the process, and else errUnconfirmedEnd, or the context's error if that ended first, which says nothing about the
+// upstream.
 func (r *Relay) confirmEnd(ctx context.Context, req *Request, to upstreamstate.Upstream) error {
 	began := r.now()
-	alive, err := r.isAlive(ctx, to)
+	confirmCtx, cancel := context.WithTimeout(ctx, endConfirmTimeout)
+	defer cancel()
+	leaving := r.leaves(to)
+	alive, err := r.isAlive(confirmCtx, to)
+	evidence := endEvidence{answered: alive}
+	if !alive {
+		evidence = r.awaitEvidence(confirmCtx, to, leaving, began)
+	}
+	verdict := evidence.verdict()
 	observe("end_check", r.now()-began)
 	r.meters.streams.unframed.Inc(1)
+	attrs := []any{"request", req.ID, "upstream", to.ID, "took", r.now() - began, "leaving", leaving, "other_open", evidence.otherOpen,
+		"ended_together", evidence.endedTogether, "removed", evidence.removed, "unknowable", evidence.unknowable, "error", err}
 	switch {
-	case alive:
+	case verdict == endRegular && alive:
+		return nil
+	case verdict == endRegular:
+		r.meters.streams.left.Inc(1)
+		r.log.Info("relay: end of an unframed answer confirmed, its upstream takes no requests", attrs...)
 		return nil
 	case ctx.Err() != nil:
 		return ctx.Err()
 	}
 	r.meters.streams.unconfirmed.Inc(1)
-	r.log.Info("relay: end of an unframed answer not confirmed", "request", req.ID, "upstream", to.ID, "took", r.now()-began, "error", err)
+	r.log.Info("relay: end of an unframed answer not confirmed", attrs...)
 	return errUnconfirmedEnd
 }
 
 // isAlive asks an upstream until there is a result. Without one in time, the error is that of the last attempt.
 func (r *Relay) isAlive(ctx context.Context, to upstreamstate.Upstream) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, endConfirmTimeout)
-	defer cancel()
 	healthPath := r.Services()[to.Service].HealthPath
 	if r.BackingOff(to) {
 		healthPath = "" // the check must not send it a request
