Leave silent streams only when they are known to be lost

The bound of 1.2 s on one event did the same within events.

Evidence: the engine saw its connection closed 1.1 s after each pause began (so it did not close it itself), and the streams break off with and without SIGTERM, 19 or 20 of 24 (so the stop is not the cause).

Why this works: after 1.2 s the engine is asked for its runs. The stream is lost if the engine does not answer, has no such run and none waiting, has made events that do not arrive, or sends bytes that complete nothing. A lost stream is left once an engine is there that can go on and the retry is paid; all others are awaited as long as the caller does. The same holds for streams that another instance passes on, and for events that have begun. An engine that is known to leave and takes no requests counts as working on. A timer of an event that fires while the event is completed no longer stops the stream.

Weighed: a longer bound (three quarters of the caller's wait) needs no request, but leaves frozen engines later and still breaks longer pauses.

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -168,6 +168,10 @@
 		}
 		return nil, err
 	}
+	reply.CheckPeer = func(ctx context.Context) error {
+		_, err := c.listInstances(ctx, to, f.Service)
+		return err
+	}
 	return reply, nil
 }
 
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -245,6 +245,10 @@
 	return false, nil
 }
 
+func (*blockingSender) Runs(context.Context, upstreamstate.Upstream) (relay.EngineRuns, error) {
+	return relay.EngineRuns{}, nil
+}
+
 func (*blockingSender) Alive(context.Context, upstreamstate.Upstream, string) (bool, error) {
 	return true, nil
 }
--- a/internal/relay/eventforwarder.go
+++ b/internal/relay/eventforwarder.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"sassafrasfield/internal/readlimit"
 	"sassafrasfield/internal/stream"
 )
 
@@ -24,10 +25,12 @@
 type eventForwarder struct {
 	w     http.ResponseWriter
 	flush func() error
-	// idleTimeout is how long the stream may pass without a complete event before it is stopped by cancel; 0 means no
-	// bound, except that an event that has begun must be completed in time.
-	idleTimeout time.Duration
-	cancel      context.CancelFunc
+	// cancel stops the stream.
+	cancel context.CancelFunc
+	// eventTime is how long an event may take from its first byte to its end.
+	eventTime time.Duration
+	// watch looks for the reason if the stream makes no progress; nil if it has to be awaited in any case.
+	watch *silenceWatch
 	// headOnly is set if the answer has no body, and so no event.
 	headOnly bool
 	events   stream.EventSplitter
@@ -38,16 +41,14 @@
 
 // newEventForwarder returns a forwarder of a stream that continues after an event; an empty id begins at the start.
 func newEventForwarder(w http.ResponseWriter, lastEvent string, cancel context.CancelFunc) *eventForwarder {
-	return &eventForwarder{w: w, flush: http.NewResponseController(w).Flush, sequence: stream.NewSequence(lastEvent), cancel: cancel}
+	return &eventForwarder{w: w, flush: http.NewResponseController(w).Flush, sequence: stream.NewSequence(lastEvent), cancel: cancel, eventTime: readlimit.StreamEvent().MaxTime}
 }
 
-// newForwarder returns a forwarder of the rest of the answer. An event has to come in time if another engine can go on.
-func (g *generation) newForwarder(cancel context.CancelFunc) *eventForwarder {
+// newForwarder returns a forwarder of the rest of the answer. An event may take as long as the caller waits for it.
+func (g *generation) newForwarder(cancel context.CancelFunc, watch *silenceWatch) *eventForwarder {
 	forwarder := newEventForwarder(g.w, g.lastEvent, cancel)
-	forwarder.headOnly = g.req.Method == http.MethodHead
-	if g.attempts.MayRunElsewhere() {
-		forwarder.idleTimeout = g.relay.settings.StreamIdleTimeout
-	}
+	forwarder.headOnly, forwarder.watch = g.req.Method == http.MethodHead, watch
+	forwarder.eventTime = max(forwarder.eventTime, g.route.WaitBudget)
 	return forwarder
 }
 
@@ -61,8 +62,12 @@
 // ones before it.
 func (p *eventForwarder) forward(body io.Reader) error {
 	buffer := make([]byte, readBufferBytes)
-	timer := newEventTimer(p.idleTimeout, p.cancel)
+	timer := newEventTimer(p.eventTime, p.cancel)
 	defer timer.stop()
+	if p.watch != nil {
+		p.watch.start(p.lastNumber())
+		defer p.watch.stop()
+	}
 	for {
 		n, err := body.Read(buffer)
 		before := p.events.Count()
@@ -71,7 +76,7 @@
 		if progress {
 			timer.stop()
 		}
-		if err := p.write(inSequence); err != nil {
+		if err := p.pass(inSequence, progress); err != nil {
 			return err
 		}
 		if outOfSequence != nil {
@@ -95,6 +100,23 @@
 	}
 }
 
+// lastNumber returns the number of the last event that the caller has.
+func (p *eventForwarder) lastNumber() int { return max(eventNumber(p.lastEvent()), p.events.Count()) }
+
+// pass writes events to the caller. The stream does not count as silent meanwhile.
+func (p *eventForwarder) pass(events []byte, progress bool) error {
+	switch {
+	case p.watch == nil:
+		return p.write(events)
+	case !progress:
+		p.watch.noteRead()
+		return p.write(events)
+	}
+	p.watch.pause()
+	defer func() { p.watch.resume(p.lastNumber()) }()
+	return p.write(events)
+}
+
 // write writes complete events to the caller at once.
 func (p *eventForwarder) write(events []byte) error {
 	if len(events) == 0 {
--- a/internal/relay/eventtimer.go
+++ b/internal/relay/eventtimer.go
@@ -8,12 +8,9 @@
 	"sassafrasfield/internal/readlimit"
 )
 
-// eventTimer stops a stream that passes without a complete event for too long, and one of which an event is too large.
-// A stream that trickles bytes but completes no event would otherwise hold its caller.
+// eventTimer stops a stream of which an event takes too long from its first byte to its end, or is too large. A stream that
+// trickles bytes but completes no event would otherwise hold its caller.
 type eventTimer struct {
-	// idle is how long the stream may pass without a complete event; 0 means no bound, except that an event that has
-	// begun must be completed in time.
-	idle   time.Duration
 	cancel context.CancelFunc
 	start  time.Time
 
@@ -24,8 +21,10 @@
 }
 
 // newEventTimer returns a running timer.
-func newEventTimer(idle time.Duration, cancel context.CancelFunc) *eventTimer {
-	t := &eventTimer{idle: idle, cancel: cancel, start: time.Now(), event: readlimit.NewEvent(readlimit.StreamEvent())}
+func newEventTimer(eventTime time.Duration, cancel context.CancelFunc) *eventTimer {
+	limits := readlimit.StreamEvent()
+	limits.MaxTime = eventTime
+	t := &eventTimer{cancel: cancel, start: time.Now(), event: readlimit.NewEvent(limits)}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.timer = time.AfterFunc(time.Hour, t.expire)
@@ -33,16 +32,13 @@
 	return t
 }
 
-// reset restarts the time, as after a complete event and when an event begins. The lock is held.
+// reset restarts the time when an event begins, and stops it when none has. The lock is held.
 func (t *eventTimer) reset() {
-	switch {
-	case t.idle > 0:
-		t.timer.Reset(t.idle)
-	case t.event.Begun():
+	if t.event.Begun() {
 		t.timer.Reset(t.event.Deadline() - time.Since(t.start))
-	default:
-		t.timer.Stop()
+		return
 	}
+	t.timer.Stop()
 }
 
 // stop stops the time until the next complete event, so that it does not include a wait for the caller.
@@ -70,16 +66,20 @@
 	return nil
 }
 
-// expire stops the stream, unless this process noticed late that its time was over.
+// expire stops the stream, unless the event was completed or this process noticed late that its time was over.
 func (t *eventTimer) expire() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.event.Begun() {
-		t.exceeded = t.event.Expired(time.Since(t.start))
-		if t.exceeded == nil {
-			t.timer.Reset(t.event.Deadline() - time.Since(t.start))
-			return
-		}
+	if !t.event.Begun() {
+		return
+	}
+	now := time.Since(t.start)
+	if now >= t.event.Deadline() { // otherwise another event has begun meanwhile
+		t.exceeded = t.event.Expired(now)
+	}
+	if t.exceeded == nil {
+		t.timer.Reset(t.event.Deadline() - now)
+		return
 	}
 	t.cancel()
 }
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -34,6 +34,8 @@
 	prefill func(n int, s Send) (KV, error)
 	// alive replaces the checks whether an upstream lives; nil for the script.
 	alive func(context.Context) (bool, error)
+	// engineRuns replaces what engines say about their runs; nil for engines that say nothing.
+	engineRuns func(context.Context, upstreamstate.Upstream) (EngineRuns, error)
 
 	handleStatus func(upstreamstate.Upstream, upstreamstate.UpstreamStatus)
 
@@ -98,6 +100,14 @@
 	return f.crashed[to.ID], nil
 }
 
+// Runs implements Sender, according to the script.
+func (f *fakeSender) Runs(ctx context.Context, engine upstreamstate.Upstream) (EngineRuns, error) {
+	if f.engineRuns == nil {
+		return EngineRuns{}, nil
+	}
+	return f.engineRuns(ctx, engine)
+}
+
 // Alive implements Sender, according to the script.
 func (f *fakeSender) Alive(ctx context.Context, to upstreamstate.Upstream, _ string) (bool, error) {
 	if f.alive != nil {
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -197,7 +197,7 @@
 		return failedAttempt(g.via, errors.WithMessagef(ErrNoValidAnswer, "the engine answered %d", reply.Status))
 	}
 	g.begin(reply, reply.Version)
-	forwarder := g.newForwarder(cancel)
+	forwarder := g.newForwarder(cancel, g.watchForwarded(reply, cancel))
 	err := forwarder.forward(reply.Body)
 	g.lastEvent = forwarder.lastEvent()
 	switch {
--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -19,15 +19,17 @@
 	// answer answers the nth request; nil means that no instance is known.
 	answer func(n int, f *Forwarded) (*Reply, error)
 
-	mu       sync.Mutex // protects requests
+	mu       sync.Mutex // protects all below
 	requests []Forwarded
+	// ctx is the context of the newest request.
+	ctx context.Context
 }
 
 func (f *fakeForwarder) Available(uint32) bool { return f.answer != nil }
 
-func (f *fakeForwarder) Forward(_ context.Context, r *Forwarded, excluded map[string]bool) (string, *Reply, error) {
+func (f *fakeForwarder) Forward(ctx context.Context, r *Forwarded, excluded map[string]bool) (string, *Reply, error) {
 	f.mu.Lock()
-	f.requests = append(f.requests, *r)
+	f.requests, f.ctx = append(f.requests, *r), ctx
 	n := len(f.requests)
 	f.mu.Unlock()
 	name := []string{"", "peer-1", "peer-2", "peer-3", "peer-4", "peer-5"}[n]
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -346,7 +346,7 @@
 func (r *Relay) forwardStream(ctx context.Context, cancel context.CancelFunc, g *generation, engine upstreamstate.Upstream, reply *Reply, started time.Duration) attempt.Result {
 	g.begin(reply, engine.Version)
 	g.generatingSince = r.now()
-	forwarder := g.newForwarder(cancel)
+	forwarder := g.newForwarder(cancel, g.watchSilence(engine, cancel))
 	forwarder.onEvents = r.watchAlive(g.exchange)
 	streamStarted, fromStart := r.now(), g.lastEvent == ""
 	err := g.confirmInTime(forwarder.forward(reply.Body))
--- a/internal/relay/meters.go
+++ b/internal/relay/meters.go
@@ -25,6 +25,7 @@
 	forwards                    forwardMeters
 	continuations               continuationMeters
 	streams                     streamMeters
+	silence                     silenceMeters
 }
 
 func counter(name string) metrics.Counter {
@@ -43,7 +44,7 @@
 		requests: counter("requests"), answered: counter("answered"), refused: counter("refused"),
 		broken: counter("broken"), callerDisconnected: counter("caller_gone"),
 		slowCalls: counter("calls_to_slow"), resumed: counter("resumed"), withheld: counter("answers_withheld"), copied: counter("gone_on_at_copy"), prefills: counter("prefills"), direct: counter("direct"), saturated: counter("refused_choked"),
-		limits: newLimitMeters(), arrivals: newArrivalMeters(), forwards: newForwardMeters(), continuations: newContinuationMeters(), streams: newStreamMeters(),
+		limits: newLimitMeters(), arrivals: newArrivalMeters(), forwards: newForwardMeters(), continuations: newContinuationMeters(), streams: newStreamMeters(), silence: newSilenceMeters(),
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -35,8 +35,8 @@
 	// PrefillIdleTimeout is how long an engine may exceed the predicted time of a prefill without
 	// answering any request, before the prompt is sent to another engine.
 	PrefillIdleTimeout time.Duration
-	// StreamIdleTimeout is how long a resumable generation may pause before it is resumed on
-	// another engine.
+	// StreamIdleTimeout is how long a resumable generation may pause before it is resumed on another engine, if its own
+	// does not answer or has no such run any more.
 	StreamIdleTimeout time.Duration
 	// RetryIn is the retry delay that is returned to callers whose request did not run.
 	RetryIn time.Duration
@@ -73,7 +73,7 @@
 		Prior:              estimate.DefaultPrior(),
 		MaxSends:           4,
 		PrefillIdleTimeout: 1200 * time.Millisecond, // longer than a busy engine's queue, below most deadlines
-		StreamIdleTimeout:  1200 * time.Millisecond, // callers disconnect after two seconds without an event
+		StreamIdleTimeout:  1200 * time.Millisecond, // callers disconnect after two seconds without an event, or later
 		RetryIn:            150 * time.Millisecond,  // about the processing time of one long prompt
 		// Of 79 instances that start at once, half have the configuration after 0.55 s, the last after 0.9 s.
 		StartupRetryIn:   400 * time.Millisecond,
@@ -107,6 +107,7 @@
 	memory       *memory
 	relocator    *relocator
 	answers      *openAnswers
+	engineChecks *engineChecks
 	// requestGrant requests a grant for a send to a rate-limited upstream from the instance that
 	// coordinates the grants; nil if unset.
 	requestGrant atomic.Pointer[func(context.Context, quota.GrantRequest) quota.Verdict]
@@ -135,7 +136,7 @@
 func New(s Settings, sender Sender, log *slog.Logger) *Relay {
 	r := &Relay{
 		settings: s, log: log, start: time.Now(),
-		pool: newRetryPool(), quarantine: newQuarantineState(), usage: newUsageCounter(s.UsageWindow), link: newLink(log), paths: newPaths(log), meters: newMeters(), grants: newGrants(), quotas: newOrganisationQuotas(), fetches: newFetchRates(), versions: newVersionRecords(), reservations: newReservations(), relocator: newRelocator(), answers: newOpenAnswers(), changed: make(chan struct{}, 1),
+		pool: newRetryPool(), quarantine: newQuarantineState(), usage: newUsageCounter(s.UsageWindow), link: newLink(log), paths: newPaths(log), meters: newMeters(), grants: newGrants(), quotas: newOrganisationQuotas(), fetches: newFetchRates(), versions: newVersionRecords(), reservations: newReservations(), relocator: newRelocator(), answers: newOpenAnswers(), engineChecks: newEngineChecks(), changed: make(chan struct{}, 1),
 	}
 	r.memory = newMemory(s.Memory, log, r.now)
 	r.sender = admittingSender{Sender: sender, relay: r}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -141,6 +141,8 @@
 	Unframed bool
 	Body     io.ReadCloser
 	Load     upstreamstate.Load
+	// CheckPeer asks the instance that passes the answer on whether it still serves; nil for an answer of an upstream.
+	CheckPeer func(ctx context.Context) error
 }
 
 // Errors returned by a Sender. Compare with errors.Is.
@@ -231,6 +233,8 @@
 	// Alive reports whether an upstream's process is running now: it answers a request, or keeps a new connection open. If
 	// the health path is empty, no request is sent. An error means that the state could not be determined.
 	Alive(ctx context.Context, to upstreamstate.Upstream, healthPath string) (bool, error)
+	// Runs asks an engine what it works on. An error means that its process did not answer.
+	Runs(ctx context.Context, engine upstreamstate.Upstream) (EngineRuns, error)
 }
 
 // Outcome is what a refusal says about the request.
--- a/internal/relay/streamend_test.go
+++ b/internal/relay/streamend_test.go
@@ -231,7 +231,11 @@
 	defer stop()
 	defer cancel()
 	forwarder := newEventForwarder(httptest.NewRecorder(), "", cancel)
-	forwarder.idleTimeout = 100 * time.Millisecond
+	forwarder.watch = &silenceWatch{
+		suspectAfter: 100 * time.Millisecond, stopStream: cancel, report: func(streamSilence, bool) {},
+		check:    func(context.Context, int) runState { return runUnknown },
+		mayLeave: func(context.Context) bool { return true },
+	}
 	if err := forwarder.forward(body); err == nil || forwarder.lastEvent() != "1" {
 		t.Errorf("%v after event %q", err, forwarder.lastEvent())
 	}
