A wait for the caller is no silence of the engine

Found by reading: a check whose timer had fired just before events were passed on to a slow caller read the state after that began, with the time of the progress before it. It could have found the stream lost for as long as the caller did not read. A check that begins while events are passed on ends at once; the next one is planned once they were. relay.TestStreamIsNotLostWhileItIsPassedOn failed before (a check was made).

--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -225,3 +225,25 @@
 		})
 	}
 }
+
+// TestStreamIsNotLostWhileItIsPassedOn guards against a check that begins as events are passed on to a slow caller, and that
+// counts the wait for the caller as silence of the engine.
+func TestStreamIsNotLostWhileItIsPassedOn(t *testing.T) {
+	checks := 0
+	w := &silenceWatch{
+		suspectAfter: time.Hour, stopStream: func() { t.Error("the stream was stopped") }, report: func(streamSilence, bool) {},
+		check: func(context.Context, int) runState {
+			checks++
+			return runUnreached
+		},
+		mayLeave: func(context.Context) bool { return true },
+	}
+	w.start(0)
+	w.pause()
+	w.suspectAfter = 0
+	w.run() // as by a timer that had fired before
+	w.stop()
+	if checks > 0 {
+		t.Errorf("%d checks", checks)
+	}
+}
--- a/internal/relay/silencewatch.go
+++ b/internal/relay/silencewatch.go
@@ -21,8 +21,8 @@
 	suspectAfter time.Duration
 	// check returns the state of the run, of which events up to a number arrived. It returns early if the context ends.
 	check func(ctx context.Context, arrived int) runState
-	// mayLeave reports whether another engine may go on with the stream now, and pays for it. It is not called at the same
-	// time as the stream's reader does anything but read.
+	// mayLeave reports whether another engine may go on with the stream now, and pays for it. What it changes is not used
+	// elsewhere before stop has returned.
 	mayLeave func(ctx context.Context) bool
 	// stopStream ends the stream's reader.
 	stopStream context.CancelFunc
@@ -36,9 +36,10 @@
 
 	mu    sync.Mutex // protects all below
 	timer *time.Timer
-	// since is when the last progress was made. progress counts it, and is odd while the reader does not read.
+	// since is when the last progress was made. progress differs after each one. paused is set while it is passed on.
 	since    time.Time
 	progress int
+	paused   bool
 	// arrived is the number of the last event that arrived.
 	arrived int
 	ahead   int
@@ -64,6 +65,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer.Stop()
+	w.paused = true
 	w.progress++
 }
 
@@ -71,7 +73,7 @@
 func (w *silenceWatch) resume(arrived int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.progress++
+	w.paused = false
 	w.since, w.arrived, w.ahead, w.strayReads = time.Now(), arrived, 0, 0
 	w.timer.Reset(w.firstCheck())
 }
@@ -101,8 +103,11 @@
 	w.checking.Lock()
 	defer w.checking.Unlock()
 	w.mu.Lock()
-	progress, arrived := w.progress, w.arrived
+	progress, arrived, paused := w.progress, w.arrived, w.paused
 	w.mu.Unlock()
+	if paused {
+		return // resume plans the next check
+	}
 	began := time.Now()
 	state := w.check(w.ctx, arrived)
 	s, ok := w.silence(progress, state)
