--- a/internal/relay/eventforwarder.go
+++ b/internal/relay/eventforwarder.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -103,6 +104,15 @@
 // lastNumber returns the number of the last event that the caller has.
 func (p *eventForwarder) lastNumber() int { return max(eventNumber(p.lastEvent()), p.events.Count()) }
 
+// eventNumber returns the number of an event by its id; 0 if it has none.
+func eventNumber(id string) int {
+	number, err := strconv.Atoi(id)
+	if err != nil {
+		return 0
+	}
+	return number
+}
+
 // pass writes events to the caller. The stream does not count as silent meanwhile.
 func (p *eventForwarder) pass(events []byte, progress bool) error {
 	switch {
--- a/internal/relay/silencewatch.go
+++ b/internal/relay/silencewatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -146,3 +147,8 @@
 	}
 	return streamSilence{lasted: time.Since(w.since), suspectAfter: w.suspectAfter, run: state, ahead: w.ahead, strayReads: w.strayReads}, true
 }
+
+// jitteredLeaveRetry returns the time until the next attempt to leave a lost run.
+func jitteredLeaveRetry() time.Duration {
+	return leaveRetryInterval/2 + rand.N(leaveRetryInterval)
+}
