Listen for callers before the probe is answered

For callers: the balancer may send them to an instance that does not listen yet.

Cause: the two listeners were opened in the order of a map, which is random; the ready one could answer before the public one was opened, or although that could not be opened.

Evidence: TestReadyAnswersOnlyOnceCallersCanConnect, with the public address taken: before, the probe was answered with 200 within 20 starts; never now.

Why this works: the public address is opened first, and the ready address only once that has succeeded.

--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -67,13 +67,19 @@
 		ReadHeaderTimeout: maxHeaderTimeout, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	failed := make(chan error, 2)
-	for server, address := range map[*http.Server]string{public: s.settings.Address, probe: s.settings.ReadyAddress} {
-		listener, err := net.Listen("tcp", address)
+	for _, l := range []struct {
+		server  *http.Server
+		address string
+	}{
+		{public, s.settings.Address},
+		{probe, s.settings.ReadyAddress}, // last: once it answers, callers are sent to the other one
+	} {
+		listener, err := net.Listen("tcp", l.address)
 		if err != nil {
 			return errors.Wrap(err, "front: listen")
 		}
 		limited := limitedListener{listener, s.settings.Limits, s.settings.SendQueueBytes}
-		go func() { failed <- errors.Wrap(server.Serve(limited), "front: serve") }()
+		go func() { failed <- errors.Wrap(l.server.Serve(limited), "front: serve") }()
 	}
 	s.log.Info("front: started", "address", s.settings.Address, "ready", s.settings.ReadyAddress)
 	select {
--- a/internal/httpserver/httpserver_test.go
+++ b/internal/httpserver/httpserver_test.go
@@ -232,3 +232,23 @@
 }
 
 func noLimits() routes.Limits { return routes.Limits{} }
+
+// TestReadyAnswersOnlyOnceCallersCanConnect guards against an instance that answers the balancer's probe before its public
+// address listens, or although it cannot, so that callers who are sent there are refused.
+func TestReadyAnswersOnlyOnceCallersCanConnect(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	for range 20 {
+		s := Settings{Address: taken.Addr().String(), ReadyAddress: freeAddress(t), ReadyPath: "/ready", GracePeriod: time.Second, Limits: func() routes.Limits { return routes.Limits{} }}
+		server := New(s, http.NotFoundHandler(), func() bool { return true }, func() {}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		if err := server.Run(context.Background()); err == nil {
+			t.Fatal("runs although its public address is taken")
+		}
+		if got := status(s.ReadyAddress, "/ready"); got != 0 {
+			t.Fatalf("the probe is answered with %d", got)
+		}
+	}
+}
