--- a/internal/failpoint/link.go
+++ b/internal/failpoint/link.go
@@ -27,6 +27,9 @@
 	LinkReset LinkFault = "reset"
 	// LinkRefuseNew refuses new connections only.
 	LinkRefuseNew LinkFault = "refuse new"
+	// LinkOpenSilent drops all packets of the connections that were open when the fault was set, those of their close
+	// included. New connections have no fault.
+	LinkOpenSilent LinkFault = "open silent"
 )
 
 // LinkTimeouts are the timeouts of connections that a silent link must not outlast.
@@ -57,10 +60,22 @@
 		if err != nil {
 			return nil, err
 		}
-		return &faultyConn{Conn: conn, path: path, timeouts: timeouts}, nil
+		return &faultyConn{Conn: conn, path: path, timeouts: timeouts, opened: time.Now()}, nil
 	}
 }
 
+// fault returns the fault of the connection.
+func (c *faultyConn) fault() LinkFault {
+	fault := readLinkFault(c.path)
+	if fault != LinkOpenSilent {
+		return fault
+	}
+	if info, err := os.Stat(c.path); err == nil && c.opened.Before(info.ModTime()) {
+		return LinkOpenSilent
+	}
+	return LinkOK
+}
+
 // readLinkFault reads the file. A file that cannot be read sets no fault.
 func readLinkFault(path string) LinkFault {
 	text, err := os.ReadFile(path)
@@ -82,6 +97,7 @@
 	net.Conn
 	path     string
 	timeouts LinkTimeouts
+	opened   time.Time
 
 	mu   sync.Mutex // protects lost
 	lost error      // the error of a connection that has failed
@@ -97,9 +113,10 @@
 		if err != nil {
 			return n, err
 		}
-		switch readLinkFault(c.path) {
+		switch c.fault() {
 		case LinkSilent:
 			c.failLater()
+		case LinkOpenSilent: // nothing was sent that could time out
 		case LinkReset:
 			return 0, c.fail(syscall.ECONNRESET)
 		default:
@@ -113,8 +130,8 @@
 	if lost := c.failure(); lost != nil {
 		return 0, lost
 	}
-	switch readLinkFault(c.path) {
-	case LinkSilent:
+	switch c.fault() {
+	case LinkSilent, LinkOpenSilent:
 		c.failLater()
 		return len(p), nil
 	case LinkReset:
@@ -145,3 +162,18 @@
 	}
 	return c.lost
 }
+
+// silentCloseAfter is when the peer of a connection that went silent notices that it was closed.
+const silentCloseAfter = 15 * time.Second
+
+// Close implements net.Conn. On a connection that went silent, the close does not arrive.
+func (c *faultyConn) Close() error {
+	if c.fault() != LinkOpenSilent {
+		return c.Conn.Close()
+	}
+	c.mu.Lock()
+	c.lost = net.ErrClosed
+	c.mu.Unlock()
+	time.AfterFunc(silentCloseAfter, func() { _ = c.Conn.Close() }) // nobody uses it any more
+	return c.Conn.SetDeadline(time.Now())
+}
