Log the runs of streams that are taken up, and those that were left

Nothing told whether a stream that a caller takes up still runs, or whether a run that an instance left went on. No behaviour changes.

--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -54,6 +54,9 @@
 		g.prompt = *x.req.Prompt
 	}
 	defer r.freeKV(g)
+	if x.route.Resumable {
+		defer r.streams.add(g)()
+	}
 	result, _ := x.attempts.Run(ctx, x.budget, r.now, g)
 	if result.Status == attempt.Done {
 		return result.Err
@@ -377,6 +380,9 @@
 		return g.interrupted(engine.ID, WrapReadError(err))
 	}
 	err = WrapReadError(err)
+	if !errors.Is(err, ErrCutOff) {
+		r.watchLeftRun(g.req.ID, engine, err)
+	}
 	r.recordFailure(ctx, g.exchange, engine.ID, err)
 	return g.interrupted(engine.ID, err)
 }
--- a/internal/relay/meters.go
+++ b/internal/relay/meters.go
@@ -26,6 +26,7 @@
 	continuations               continuationMeters
 	streams                     streamMeters
 	silence                     silenceMeters
+	leftRuns                    leftRunMeters
 }
 
 func counter(name string) metrics.Counter {
@@ -44,7 +45,7 @@
 		requests: counter("requests"), answered: counter("answered"), refused: counter("refused"),
 		broken: counter("broken"), callerDisconnected: counter("caller_gone"),
 		slowCalls: counter("calls_to_slow"), resumed: counter("resumed"), withheld: counter("answers_withheld"), copied: counter("gone_on_at_copy"), prefills: counter("prefills"), direct: counter("direct"), saturated: counter("refused_choked"),
-		limits: newLimitMeters(), arrivals: newArrivalMeters(), forwards: newForwardMeters(), continuations: newContinuationMeters(), streams: newStreamMeters(), silence: newSilenceMeters(),
+		limits: newLimitMeters(), arrivals: newArrivalMeters(), forwards: newForwardMeters(), continuations: newContinuationMeters(), streams: newStreamMeters(), silence: newSilenceMeters(), leftRuns: newLeftRunMeters(),
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -108,6 +108,7 @@
 	relocator    *relocator
 	answers      *openAnswers
 	engineChecks *engineChecks
+	streams      *activeStreams
 	// requestGrant requests a grant for a send to a rate-limited upstream from the instance that
 	// coordinates the grants; nil if unset.
 	requestGrant atomic.Pointer[func(context.Context, quota.GrantRequest) quota.Verdict]
@@ -136,7 +137,7 @@
 func New(s Settings, sender Sender, log *slog.Logger) *Relay {
 	r := &Relay{
 		settings: s, log: log, start: time.Now(),
-		pool: newRetryPool(), quarantine: newQuarantineState(), usage: newUsageCounter(s.UsageWindow), link: newLink(log), paths: newPaths(log), meters: newMeters(), grants: newGrants(), quotas: newOrganisationQuotas(), fetches: newFetchRates(), versions: newVersionRecords(), reservations: newReservations(), relocator: newRelocator(), answers: newOpenAnswers(), engineChecks: newEngineChecks(), changed: make(chan struct{}, 1),
+		pool: newRetryPool(), quarantine: newQuarantineState(), usage: newUsageCounter(s.UsageWindow), link: newLink(log), paths: newPaths(log), meters: newMeters(), grants: newGrants(), quotas: newOrganisationQuotas(), fetches: newFetchRates(), versions: newVersionRecords(), reservations: newReservations(), relocator: newRelocator(), answers: newOpenAnswers(), engineChecks: newEngineChecks(), streams: newActiveStreams(), changed: make(chan struct{}, 1),
 	}
 	r.memory = newMemory(s.Memory, log, r.now)
 	r.sender = admittingSender{Sender: sender, relay: r}
