A run of a stream begins once the one before it has ended

Callers saw two runs of one stream at the same time (TWICE): a caller that takes its stream up while the close of its first connection is late, or never arrives, got a second run at another engine while the first one went on, until that was done.

Cause: nothing knew where a stream ran. An attempt that takes a stream up has an id of its own and may reach any instance, which asked only for the software version. And an instance took a run for ended when it had closed its connection; an engine notices that late, or never if the connection went silent for good.

Now the attempt claims its stream at all instances, which end its other attempts (package takeover); and before another run begins, the engine is asked for what it works on, and ordered to stop a run that it still lists after 100 ms. Both are one rule on every path: streams that are taken up at the same or another instance, forwarded ones, runs that an instance leaves, copies.

TestCallerReturnsWhileItsAnswerIsWritten expected both answers to go on, which the rule forbids: the first one must now end, with its own events alone.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -185,6 +185,26 @@
 	}
 }
 
+// TestSupersededAnswerIsToldFromABrokenOne guards against an instance that goes on with a stream elsewhere although its caller has taken
+// the stream up by another attempt.
+func TestSupersededAnswerIsToldFromABrokenOne(t *testing.T) {
+	for want, end := range map[bool]error{true: relay.ErrSuperseded, false: relay.ErrAnswerAborted} {
+		r := &fakeRelay{serve: func(_ context.Context, w http.ResponseWriter) error {
+			_, _ = io.WriteString(w, "part") // the reader shows the result
+			return end
+		}}
+		_, reply, err := newClient(startServer(t, "peer", r, fakeInstances{}, &fakeTable{})).Forward(context.Background(), request(), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(reply.Body)
+		if string(body) != "part" || err == nil || errors.Is(err, relay.ErrSuperseded) != want {
+			t.Errorf("superseded %t: %q, %v", want, body, err)
+		}
+		reply.Body.Close()
+	}
+}
+
 // TestCallerThatLeavesEndsTheWork guards against work at upstreams for a caller of another instance that has left.
 func TestCallerThatLeavesEndsTheWork(t *testing.T) {
 	ended := make(chan struct{})
--- a/internal/forward/reply.go
+++ b/internal/forward/reply.go
@@ -72,6 +72,8 @@
 	switch end := message.GetEnd(); {
 	case end == nil:
 		b.unread = message.GetData()
+	case end.GetSuperseded():
+		b.ended = errors.Wrap(relay.ErrSuperseded, "forward")
 	case end.GetAborted() || end.GetRefusal() != nil:
 		b.ended = errors.Wrap(io.ErrUnexpectedEOF, "forward: the answer broke off")
 	default:
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -107,7 +107,7 @@
 	case errors.As(err, &refusal):
 		end.Refusal = refusalToMessage(refusal)
 	default:
-		end.Aborted = true
+		end.Aborted, end.Superseded = true, errors.Is(err, relay.ErrSuperseded)
 	}
 	return end
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -108,6 +108,7 @@
 	in.relay.SetGrantRequester(in.reports.RequestGrant)
 	in.relay.SetQuotaGranter(in.reports.RequestQuotaGrant, in.reports.RefundQuotaGrant)
 	in.relay.SetStreamReplicator(in.reports.ReplicateStreams, in.reports.AskStream)
+	in.relay.SetStreamClaimer(in.reports.ClaimStream)
 	in.relay.SetVersionTable(in.versionTable)
 	in.relay.SetEntriesCurrent(func() bool { return in.follower.Reading() || in.peers.HasOtherReaders() })
 	in.relay.SetReservationClient(in.reports)
--- a/internal/peers/fleet_test.go
+++ b/internal/peers/fleet_test.go
@@ -18,6 +18,7 @@
 	"sassafrasfield/internal/replica"
 	"sassafrasfield/internal/reservation"
 	"sassafrasfield/internal/streamversions"
+	"sassafrasfield/internal/takeover"
 	"sassafrasfield/internal/upstreamstate"
 )
 
@@ -74,8 +75,10 @@
 	granted int
 	grants  *quota.Coordinator
 	quotas  *limit.Granter
-	mu      sync.Mutex // protects records and census
+	mu      sync.Mutex // protects records, census and holders
 	records *streamversions.Records
+	// holders has the attempts at streams that this instance serves.
+	holders *takeover.Registry[struct{}]
 	// census has the software versions of the upstreams as known to this instance.
 	census *streamversions.Census
 	// ledger has the reservations of a hub.
@@ -83,7 +86,7 @@
 }
 
 func newVirtualLoads(now func() time.Duration) *virtualLoads {
-	l := &virtualLoads{now: now, changed: make(chan struct{}, 1), grants: quota.NewCoordinator(), quotas: limit.NewGranter(), records: streamversions.NewRecords(), census: streamversions.NewCensus(), ledger: reservation.NewLedger()}
+	l := &virtualLoads{now: now, changed: make(chan struct{}, 1), grants: quota.NewCoordinator(), quotas: limit.NewGranter(), records: streamversions.NewRecords(), holders: takeover.NewRegistry[struct{}](), census: streamversions.NewCensus(), ledger: reservation.NewLedger()}
 	l.State = upstreamstate.New(upstreamstate.Settings{Seed: 1, OnChange: func() {
 		select {
 		case l.changed <- struct{}{}:
@@ -146,6 +149,17 @@
 	return streamversions.Answer{Knowledge: l.records.Get(stream, l.now()), SeveralVersions: v.SeveralVersions()}
 }
 
+// ClaimStream ends what holds the stream, as relay.Relay does.
+func (l *virtualLoads) ClaimStream(_ context.Context, c takeover.Claim) takeover.Result {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	superseded, result := l.holders.Contest(c, nil)
+	for _, h := range superseded {
+		l.holders.Remove(h)
+	}
+	return result
+}
+
 // The reservations and speeds are kept as relay.Relay does.
 func (l *virtualLoads) Reserve(request reservation.Request) (reservation.Grant, bool) {
 	return l.ledger.Reserve(request, l.now())
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -249,6 +249,10 @@
 	return relay.EngineRuns{}, nil
 }
 
+func (*blockingSender) Stop(context.Context, upstreamstate.Upstream, string, upstreamstate.Upstream) (relay.KV, error) {
+	return relay.KV{}, relay.ErrNoSuchRun
+}
+
 func (*blockingSender) Alive(context.Context, upstreamstate.Upstream, string) (bool, error) {
 	return true, nil
 }
--- a/internal/peers/receive.go
+++ b/internal/peers/receive.go
@@ -74,6 +74,13 @@
 		answer := message.GetStreamAnswer()
 		r.streamRequests.resolve(answer.GetId(), streamAnswerFromMessage(answer))
 		return
+	case sfv1.Datagram_KIND_STREAM_CLAIM:
+		go r.handleStreamClaim(ctx, message.GetStreamClaim(), peer)
+		return
+	case sfv1.Datagram_KIND_STREAM_CLAIM_RESULT:
+		result := message.GetStreamClaimResult()
+		r.claimRequests.resolve(result.GetId(), claimResultFromMessage(result))
+		return
 	case sfv1.Datagram_KIND_RESERVE_ASK:
 		r.handleReserveAsk(message.GetReserveAsk(), peer)
 		return
--- a/internal/peers/reports.go
+++ b/internal/peers/reports.go
@@ -19,6 +19,7 @@
 	"sassafrasfield/internal/limit"
 	"sassafrasfield/internal/quota"
 	"sassafrasfield/internal/streamversions"
+	"sassafrasfield/internal/takeover"
 	"sassafrasfield/internal/upstreamstate"
 )
 
@@ -58,6 +59,7 @@
 	DecideQuotaGrant(request limit.GrantRequest) limit.Grant
 	RefundQuotaGrant(request limit.GrantRequest)
 	StreamVersions
+	StreamClaims
 	Reservations
 	// GrantRetry takes one retry for a service from the retry pool that this instance keeps
 	// for its zone, and returns false if none is left.
@@ -72,6 +74,13 @@
 	StreamAnswer(stream streamversions.ID, service uint32) streamversions.Answer
 }
 
+// StreamClaims has the runs of streams at this instance.
+type StreamClaims interface {
+	// ClaimStream ends the runs of a stream for a claim of another instance, and waits shortly for their end. It may be
+	// repeated.
+	ClaimStream(ctx context.Context, c takeover.Claim) takeover.Result
+}
+
 // Limits holds the limits of upstreams as known to this instance. An instance that has just
 // started gets them with the platform's rows from a peer, before it serves.
 type Limits interface {
@@ -97,6 +106,8 @@
 	// for instances of other zones.
 	streamRequests *pendingRequests[streamversions.Answer]
 	relayedAsks    chan struct{}
+	// claimRequests are the open claims to streams.
+	claimRequests *pendingRequests[takeover.Result]
 	// reservationRequests are the open requests for reservations of prompt work.
 	reservationRequests *pendingRequests[reservationAnswer]
 	// verdicts and quotaVerdicts hold the recent verdicts of this instance as the coordinator.
@@ -120,7 +131,7 @@
 func NewReporter(e *Exchange, l LoadState) *Reporter {
 	r := &Reporter{
 		exchange: e, loads: l, retryRequests: newPendingRequests[bool](), grantRequests: newPendingRequests[quota.Verdict](),
-		quotaRequests: newPendingRequests[limit.Grant](), streamRequests: newPendingRequests[streamversions.Answer](), reservationRequests: newPendingRequests[reservationAnswer](),
+		quotaRequests: newPendingRequests[limit.Grant](), streamRequests: newPendingRequests[streamversions.Answer](), claimRequests: newPendingRequests[takeover.Result](), reservationRequests: newPendingRequests[reservationAnswer](),
 		relayedAsks: make(chan struct{}, maxRelayedAsks), verdicts: newVerdictCache[quota.Verdict](), quotaVerdicts: newVerdictCache[limit.Grant](), pace: fanout.NewPacer(e.now()),
 		allowance: fanout.NewAllowance(e.self.LinkMbps, e.now()), boot: rand.Uint32(),
 	}
--- a/internal/relay/enginechecks.go
+++ b/internal/relay/enginechecks.go
@@ -27,11 +27,12 @@
 
 func newEngineChecks() *engineChecks { return &engineChecks{byEngine: map[uint32]*engineCheck{}} }
 
-// checkOf returns the newest check of an engine, and whether it is a new one that the caller has to make.
-func (c *engineChecks) checkOf(engine uint32, now time.Duration) (check *engineCheck, isNew bool) {
+// checkOf returns the newest check of an engine that did not begin before a time, and whether it is a new one that the caller
+// has to make.
+func (c *engineChecks) checkOf(engine uint32, notBefore, now time.Duration) (check *engineCheck, isNew bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if check, ok := c.byEngine[engine]; ok && now-check.began < silenceCheckTimeout {
+	if check, ok := c.byEngine[engine]; ok && check.began >= notBefore {
 		return check, false
 	}
 	for other, check := range c.byEngine {
@@ -44,9 +45,9 @@
 	return check, true
 }
 
-// askRuns asks an engine for its runs, unless it was asked just before. The error means that the engine did not answer.
-func (r *Relay) askRuns(ctx context.Context, engine upstreamstate.Upstream) (EngineRuns, error) {
-	check, isNew := r.engineChecks.checkOf(engine.Incarnation(), r.now())
+// askRuns asks an engine for its runs, unless it was asked since a time. The error means that the engine did not answer.
+func (r *Relay) askRuns(ctx context.Context, engine upstreamstate.Upstream, since time.Duration) (EngineRuns, error) {
+	check, isNew := r.engineChecks.checkOf(engine.Incarnation(), since, r.now())
 	if isNew {
 		go func() { // not bound to this stream, as others wait for it too
 			ctx, cancel := context.WithTimeout(context.Background(), silenceCheckTimeout)
@@ -74,7 +75,7 @@
 
 // runState returns the state of a run, of which events up to a number arrived and whose connection is open.
 func (r *Relay) runState(ctx context.Context, request string, engine upstreamstate.Upstream, arrived int) runState {
-	runs, err := r.askRuns(ctx, engine)
+	runs, err := r.askRuns(ctx, engine, r.now()-silenceCheckTimeout)
 	switch {
 	case err != nil:
 		return runUnreached
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"log/slog"
@@ -37,6 +38,9 @@
 	// engineRuns replaces what engines say about their runs; nil for engines that say nothing.
 	engineRuns func(context.Context, upstreamstate.Upstream) (EngineRuns, error)
 
+	// stop answers the orders to stop a run; nil for engines that have no such run.
+	stop func(engine upstreamstate.Upstream, request string) (KV, error)
+
 	handleStatus func(upstreamstate.Upstream, upstreamstate.UpstreamStatus)
 
 	mu       sync.Mutex // protects the fields below
@@ -108,6 +112,14 @@
 	return f.engineRuns(ctx, engine)
 }
 
+// Stop implements Sender, according to the script.
+func (f *fakeSender) Stop(_ context.Context, engine upstreamstate.Upstream, request string, _ upstreamstate.Upstream) (KV, error) {
+	if f.stop == nil {
+		return KV{}, ErrNoSuchRun
+	}
+	return f.stop(engine, request)
+}
+
 // Alive implements Sender, according to the script.
 func (f *fakeSender) Alive(ctx context.Context, to upstreamstate.Upstream, _ string) (bool, error) {
 	if f.alive != nil {
@@ -211,3 +223,21 @@
 	}
 	return refusal.Outcome
 }
+
+// logBuffer keeps log lines that goroutines may write after the request that they are about.
+type logBuffer struct {
+	mu   sync.Mutex // protects text
+	text bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -205,6 +205,8 @@
 		return attempt.Result{Status: attempt.Done}
 	case errors.Is(err, ErrCallerDisconnected) || errors.Is(ctx.Err(), context.Canceled):
 		return attempt.Result{Status: attempt.Done, Err: ErrCallerDisconnected}
+	case errors.Is(err, ErrSuperseded):
+		return attempt.Result{Status: attempt.Done, Err: ErrSuperseded}
 	default:
 		return g.interrupted(g.via, WrapReadError(err))
 	}
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -44,6 +44,12 @@
 	reservation reserved
 	// backup is the engine to which the run is copied while it proceeds.
 	backup upstreamstate.Upstream
+	// current is the run that an engine may work on; nil for none. former is the run before, whose connection this instance
+	// closed.
+	current *engineRun
+	former  *endingRun
+	// leftAs is what was known of the current run when it was left because its stream was silent.
+	leftAs runState
 }
 
 // generate delivers a generated answer to the caller, from as many engines as needed and as the
@@ -54,14 +60,32 @@
 		g.prompt = *x.req.Prompt
 	}
 	defer r.freeKV(g)
-	if x.route.Resumable {
-		defer r.streams.add(g)()
+	if !x.route.Resumable {
+		return g.serve(ctx)
 	}
-	result, _ := x.attempts.Run(ctx, x.budget, r.now, g)
+	ctx, stream := r.holdStream(ctx, x)
+	defer func() { r.releaseStream(stream, g.current) }()
+	if err := r.takeOver(ctx, x, stream); err != nil {
+		return err
+	}
+	err := g.serve(ctx)
+	switch {
+	case err == nil || !r.isSuperseded(stream):
+		return err
+	case g.headerSent:
+		return ErrSuperseded
+	default:
+		return &Refusal{Outcome: Unknown, Reason: "another attempt took the stream up"}
+	}
+}
+
+// serve makes attempts until the answer is complete or none is left.
+func (g *generation) serve(ctx context.Context) error {
+	result, _ := g.attempts.Run(ctx, g.budget, g.relay.now, g)
 	if result.Status == attempt.Done {
 		return result.Err
 	}
-	return g.endError(r.finalError(ctx, x))
+	return g.endError(g.relay.finalError(ctx, g.exchange))
 }
 
 // endError returns the error of an answer that no engine finished. An answer that has begun cannot
@@ -258,9 +282,13 @@
 	if err := r.checkSend(g.exchange); err != nil { // the prefill may have taken a while
 		return attempt.Result{Status: attempt.NoUpstream, Err: err}
 	}
+	if err := g.awaitFormerRun(ctx); err != nil {
+		return attempt.Result{Status: attempt.NoUpstream, Err: err}
+	}
 	if err := g.noteSent(engine.ID); err != nil {
 		return attempt.Result{Status: attempt.NoUpstream, Err: err}
 	}
+	g.current = &engineRun{engine: engine, request: g.req.ID}
 	runCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	started := r.now()
@@ -287,6 +315,7 @@
 	defer reply.Body.Close()
 	r.recordAnswer(engine.ID, reply.Load)
 	if reply.Status != http.StatusOK {
+		g.current = nil // the engine has ended it
 		return r.handleEngineFailure(ctx, g, engine, reply)
 	}
 	if !g.direct && !g.headerSent {
@@ -341,10 +370,48 @@
 			g.kv = KV{}
 		}
 	}
+	g.closeRun(ctx, err)
 	r.recordFailure(ctx, g.exchange, engine.ID, err)
 	return failedAttempt(engine.ID, err)
 }
 
+// closeRun records that the connection of the current run ended with an error of WrapReadError. If it was not the engine that closed it,
+// the engine may work on, and the next run waits for the end of this one.
+func (g *generation) closeRun(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return // no other run follows at this instance
+	}
+	run := g.current
+	g.current = nil
+	if mayWorkOn(g.leftAs, err) {
+		g.former = g.relay.endRun(*run, err)
+	}
+	g.leftAs = ""
+}
+
+// mayWorkOn reports whether an engine may work on a run whose connection ended with an error of WrapReadError, given what was known
+// of the run before.
+func mayWorkOn(known runState, err error) bool {
+	switch {
+	case known == runEnded || known == runUnreached:
+		return false
+	case ranNothing(err), errors.Is(err, ErrCutOff), errors.Is(err, ErrUnacknowledged):
+		return false
+	default:
+		return true
+	}
+}
+
+// awaitFormerRun waits until the run before has ended. An error means that no other run may begin.
+func (g *generation) awaitFormerRun(ctx context.Context) error {
+	if g.former == nil {
+		return nil
+	}
+	former := g.former
+	g.former = nil
+	return former.await(ctx)
+}
+
 // forwardStream forwards an engine's events to the caller.
 func (r *Relay) forwardStream(ctx context.Context, cancel context.CancelFunc, g *generation, engine upstreamstate.Upstream, reply *Reply, started time.Duration) attempt.Result {
 	g.begin(reply, engine.Version)
@@ -357,6 +424,7 @@
 	r.recordStreamEnd(g.exchange, engine, reply, forwarder, err)
 	switch {
 	case err == nil:
+		g.current = nil
 		r.upstreams.RecordCall(engine.ID, load.CallSucceeded, r.now())
 		observe("stream", r.now()-started)
 		if fromStart {
@@ -370,18 +438,18 @@
 	case errors.Is(err, ErrCallerDisconnected) || errors.Is(ctx.Err(), context.Canceled):
 		return attempt.Result{Status: attempt.Done, Err: ErrCallerDisconnected}
 	case errors.Is(err, errEndedAtDeadline):
+		g.current = nil
 		r.upstreams.RecordCall(engine.ID, load.CallSucceeded, r.now())
 		return attempt.Result{Status: attempt.Done, Err: errors.WithMessage(ErrAnswerAborted, err.Error())}
 	}
 	if g.backup.ID != "" && g.lastEvent != "" {
 		g.attempts.SetBackup(g.backup.ID)
 	}
-	if g.isCallersSequence(err) {
-		return g.interrupted(engine.ID, WrapReadError(err))
-	}
+	isCallers := g.isCallersSequence(err)
 	err = WrapReadError(err)
-	if !errors.Is(err, ErrCutOff) {
-		r.watchLeftRun(g.req.ID, engine, err)
+	g.closeRun(ctx, err)
+	if isCallers {
+		return g.interrupted(engine.ID, err)
 	}
 	r.recordFailure(ctx, g.exchange, engine.ID, err)
 	return g.interrupted(engine.ID, err)
@@ -395,16 +463,20 @@
 	if g.kv.Handle == "" {
 		return
 	}
-	kv := g.kv
+	r.freeLater(g.req.ID, g.kv)
+}
+
+// freeLater drops a KV cache in the background.
+func (r *Relay) freeLater(request string, kv KV) {
 	if r.BackingOff(kv.Engine) {
-		r.log.Info("relay: KV cache left to expire, its engine is backing off", "request", g.req.ID, "engine", kv.Engine.ID)
+		r.log.Info("relay: KV cache left to expire, its engine is backing off", "request", request, "engine", kv.Engine.ID)
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 		defer cancel()
 		if err := r.sender.Free(ctx, kv); err != nil {
-			r.log.Info("relay: KV cache not freed, it will expire", "request", g.req.ID, "engine", kv.Engine.ID, "error", err)
+			r.log.Info("relay: KV cache not freed, it will expire", "request", request, "engine", kv.Engine.ID, "error", err)
 		}
 	}()
 }
--- a/internal/relay/joinedruns_test.go
+++ b/internal/relay/joinedruns_test.go
@@ -87,41 +87,67 @@
 	}
 }
 
-// TestCallerReturnsWhileItsAnswerIsWritten guards against two answers to one caller of which one gets events of the other.
+// TestForwardedStreamThatIsTakenUpIsNotForwardedAgain guards against an instance that has another one go on with a stream which its
+// caller has taken up by another attempt.
+func TestForwardedStreamThatIsTakenUpIsNotForwardedAgain(t *testing.T) {
+	forwarder := &fakeForwarder{answer: func(int, *Forwarded) (*Reply, error) {
+		return reply(http.StatusOK, io.MultiReader(strings.NewReader("id: 1\ndata: a\n\n"), failingReader{ErrSuperseded})), nil
+	}}
+	if _, err := serve(withoutPath(t, &fakeSender{}, forwarder), call("/resumable/1")); !errors.Is(err, ErrSuperseded) || len(forwarder.requests) != 1 {
+		t.Errorf("%v, %d forwarded", err, len(forwarder.requests))
+	}
+}
+
+// failingReader fails with an error.
+type failingReader struct{ err error }
+
+func (r failingReader) Read([]byte) (int, error) { return 0, r.err }
+
+// pipedSender is a fakeSender whose answers are closed when their requests are cancelled.
+type pipedSender struct{ *fakeSender }
+
+func (s pipedSender) Send(ctx context.Context, req *Request, send Send) (*Reply, error) {
+	reply, err := s.fakeSender.Send(ctx, req, send)
+	if err == nil {
+		body := reply.Body
+		context.AfterFunc(ctx, func() { _ = body.Close() }) // a pipe returns no error
+	}
+	return reply, err
+}
+
+// TestCallerReturnsWhileItsAnswerIsWritten guards against two answers to one caller of which one gets events of the other, or that
+// both go on.
 func TestCallerReturnsWhileItsAnswerIsWritten(t *testing.T) {
 	first, write := io.Pipe()
 	f := &fakeSender{run: func(n int, s Send) (*Reply, error) {
 		if n == 1 {
-			return reply(http.StatusOK, first), nil
+			return &Reply{Status: http.StatusOK, Header: http.Header{}, Body: first}, nil
 		}
 		if s.LastEvent != "1" {
 			t.Errorf("goes on after %q", s.LastEvent)
 		}
 		return events("id: 2\ndata: again\n\n"), nil
 	}}
-	r := withOneVersion(newFake(t, f))
+	r := withOneVersion(newFake(t, pipedSender{f}))
 	began := make(chan *httptest.ResponseRecorder)
 	go func() {
 		w, err := serve(r, call("/resumable/1"))
-		if err != nil {
-			t.Error(err)
+		if !errors.Is(err, ErrSuperseded) {
+			t.Errorf("first answer ends with %v", err)
 		}
 		began <- w
 	}()
-	send := func(event string) {
-		t.Helper()
-		if _, err := io.WriteString(write, event); err != nil {
-			t.Fatal(err)
-		}
+	if _, err := io.WriteString(write, "id: 1\ndata: a\n\n"); err != nil {
+		t.Fatal(err)
 	}
-	send("id: 1\ndata: a\n\n")
 	w, err := serve(r, takeUp("r2", "r1"))
 	if err != nil || w.Body.String() != "id: 2\ndata: again\n\n" {
 		t.Errorf("second answer %q, %v", w.Body, err)
 	}
-	send("id: 2\ndata: b\n\n")
-	write.Close()
-	if w := <-began; w.Body.String() != "id: 1\ndata: a\n\nid: 2\ndata: b\n\n" {
+	if _, err := io.WriteString(write, "id: 2\ndata: b\n\n"); err == nil {
+		t.Error("the first run is read on")
+	}
+	if w := <-began; w.Body.String() != "id: 1\ndata: a\n\n" {
 		t.Errorf("first answer %q", w.Body)
 	}
 }
--- a/internal/relay/meters.go
+++ b/internal/relay/meters.go
@@ -26,7 +26,8 @@
 	continuations               continuationMeters
 	streams                     streamMeters
 	silence                     silenceMeters
-	leftRuns                    leftRunMeters
+	runEnds                     runEndMeters
+	claims                      claimMeters
 }
 
 func counter(name string) metrics.Counter {
@@ -45,7 +46,7 @@
 		requests: counter("requests"), answered: counter("answered"), refused: counter("refused"),
 		broken: counter("broken"), callerDisconnected: counter("caller_gone"),
 		slowCalls: counter("calls_to_slow"), resumed: counter("resumed"), withheld: counter("answers_withheld"), copied: counter("gone_on_at_copy"), prefills: counter("prefills"), direct: counter("direct"), saturated: counter("refused_choked"),
-		limits: newLimitMeters(), arrivals: newArrivalMeters(), forwards: newForwardMeters(), continuations: newContinuationMeters(), streams: newStreamMeters(), silence: newSilenceMeters(), leftRuns: newLeftRunMeters(),
+		limits: newLimitMeters(), arrivals: newArrivalMeters(), forwards: newForwardMeters(), continuations: newContinuationMeters(), streams: newStreamMeters(), silence: newSilenceMeters(), runEnds: newRunEndMeters(), claims: newClaimMeters(),
 	}
 }
 
@@ -73,6 +74,9 @@
 	case errors.Is(err, ErrCallerDisconnected):
 		r.meters.callerDisconnected.Inc(1)
 		outcome = "the caller left"
+	case errors.Is(err, ErrSuperseded):
+		r.meters.callerDisconnected.Inc(1)
+		outcome = "the caller took its stream up elsewhere"
 	default:
 		r.meters.broken.Inc(1)
 		outcome = err.Error()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -17,6 +17,7 @@
 	"sassafrasfield/internal/quarantine"
 	"sassafrasfield/internal/quota"
 	"sassafrasfield/internal/routes"
+	"sassafrasfield/internal/takeover"
 	"sassafrasfield/internal/upstreamstate"
 	"sassafrasfield/internal/usage"
 )
@@ -115,7 +116,9 @@
 	// requestRetry requests a retry from the instance that keeps the zone's retry pool; nil if
 	// unset.
 	requestRetry atomic.Pointer[func(context.Context, uint32) bool]
-	forwarder    Forwarder // nil if requests cannot be forwarded
+	// claimElsewhere claims a stream at the other instances.
+	claimElsewhere func(ctx context.Context, c takeover.Claim) takeover.Result
+	forwarder      Forwarder // nil if requests cannot be forwarded
 	// forwardedInFlight is the number of requests that are being served for other instances.
 	forwardedInFlight atomic.Int64
 	// closed is set once new requests are refused.
@@ -140,6 +143,7 @@
 		pool: newRetryPool(), quarantine: newQuarantineState(), usage: newUsageCounter(s.UsageWindow), link: newLink(log), paths: newPaths(log), meters: newMeters(), grants: newGrants(), quotas: newOrganisationQuotas(), fetches: newFetchRates(), versions: newVersionRecords(), reservations: newReservations(), relocator: newRelocator(), answers: newOpenAnswers(), engineChecks: newEngineChecks(), streams: newActiveStreams(), changed: make(chan struct{}, 1),
 	}
 	r.memory = newMemory(s.Memory, log, r.now)
+	r.claimElsewhere = func(context.Context, takeover.Claim) takeover.Result { return takeover.Result{} }
 	r.sender = admittingSender{Sender: sender, relay: r}
 	sender.SetStatusHandler(r.applyStatus)
 	r.budgets = newBudgets(s.Budget, newRetryMeters(), r.requestFromPool)
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -176,6 +176,8 @@
 	// ErrCutOff is the ErrNoValidAnswer of a request whose connection was closed by the upstream's
 	// side before the end of the answer.
 	ErrCutOff = errors.WithMessage(ErrNoValidAnswer, "cut off")
+	// ErrNoSuchRun: the engine does not work on the run.
+	ErrNoSuchRun = errors.New("relay: the engine has no such run")
 	// ErrUnacknowledged is the ErrNoValidAnswer of a request whose connection timed out because the
 	// upstream's machine acknowledged nothing.
 	ErrUnacknowledged = errors.WithMessage(ErrNoValidAnswer, "unacknowledged")
@@ -235,6 +237,9 @@
 	Alive(ctx context.Context, to upstreamstate.Upstream, healthPath string) (bool, error)
 	// Runs asks an engine what it works on. An error means that its process did not answer.
 	Runs(ctx context.Context, engine upstreamstate.Upstream) (EngineRuns, error)
+	// Stop has an engine stop a run of a request, and move its memory to another engine. The KV cache is to be freed; its handle
+	// is empty if the engine names none. The error is ErrNoSuchRun if the engine has no such run.
+	Stop(ctx context.Context, engine upstreamstate.Upstream, request string, to upstreamstate.Upstream) (KV, error)
 }
 
 // Outcome is what a refusal says about the request.
--- a/internal/relay/silentstreams.go
+++ b/internal/relay/silentstreams.go
@@ -63,6 +63,7 @@
 	m := g.relay.meters.silence
 	switch {
 	case left:
+		g.leftAs = s.run // read once the watch has stopped
 		m.left.Inc(1)
 	case s.isLost():
 		m.stuck.Inc(1)
--- a/internal/relay/streamend_test.go
+++ b/internal/relay/streamend_test.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -244,7 +243,7 @@
 // TestCallersLastEventEjectsNoEngine guards against callers that have healthy engines ejected by naming a last event that
 // no engine can go on after.
 func TestCallersLastEventEjectsNoEngine(t *testing.T) {
-	var log bytes.Buffer
+	var log logBuffer
 	f := &fakeSender{run: func(int, Send) (*Reply, error) { return events("id: -4\ndata: a\n\n"), nil }}
 	r := newFake(t, f)
 	withLargeBudget(r)
--- a/internal/relay/streamversions.go
+++ b/internal/relay/streamversions.go
@@ -243,7 +243,6 @@
 	}
 	r.log.Info("relay: stream taken up", "request", x.req.ID, "resumes", x.req.Resumes, "last_event", x.req.LastEvent,
 		"began", x.requires.version, "source", x.requires.source, "age", x.requires.age,
-		"in_progress_here", r.streams.inProgress(x.claim()),
 		"versions", view.Versions, "complete", view.Complete, "known_for", view.KnownFor, "asked", view.Asked, "answered", view.Answered)
 }
 
--- a/internal/takeover/takeover.go
+++ b/internal/takeover/takeover.go
@@ -30,6 +30,9 @@
 	// Stream is the stream, Attempt the attempt that claims it. They are equal for the attempt that begins a stream.
 	Stream, Attempt streamversions.ID
 	Scope           Scope
+	// Epoch is 0 for an attempt that begins a stream, and 1 for a claim at first. A claim to a stream that an attempt runs which it
+	// does not outrank is made again with a higher epoch than that of the attempt.
+	Epoch uint32
 	// LastEvent is the number of the last event that the caller has.
 	LastEvent int
 }
@@ -57,13 +60,17 @@
 	}
 }
 
-// outranks reports whether a claim goes before another one, of two that are made at the same time: the one whose caller has
-// more events. Both instances decide the same.
+// outranks reports whether a claim goes before another one. All instances decide the same, so the highest claim prevails, in whatever
+// order the claims reach them: a late message of an attempt that gave way ends only attempts that would give way as well.
 func (c Claim) outranks(other Claim) bool {
-	if c.LastEvent != other.LastEvent {
+	switch {
+	case c.Epoch != other.Epoch:
+		return c.Epoch > other.Epoch
+	case c.LastEvent != other.LastEvent:
 		return c.LastEvent > other.LastEvent
+	default:
+		return c.Attempt > other.Attempt
 	}
-	return c.Attempt > other.Attempt
 }
 
 // Registry has the attempts that an instance serves. It is not safe for concurrent use.
@@ -102,20 +109,47 @@
 	return []streamversions.ID{c.Stream, c.Attempt}
 }
 
-// Contest returns the attempts that a claim supersedes, other than that of the claim itself, which is nil for a claim of
-// another instance. Outranked is set if an attempt that waits here goes before it; it supersedes none then.
-func (r *Registry[T]) Contest(c Claim, own *Holder[T]) (superseded []*Holder[T], outranked bool) {
+// Contest returns the attempts that give way to a claim, other than that of the claim itself, which is nil for a claim of another
+// instance. The result says which do not.
+func (r *Registry[T]) Contest(c Claim, own *Holder[T]) (superseded []*Holder[T], result Result) {
 	for _, h := range r.byID[c.Stream] {
-		if h == own || !h.concerns(c) {
-			continue
-		}
-		if h.Pending && h.outranks(c) {
-			return nil, true
+		switch {
+		case h == own || !h.concerns(c):
+		case c.outranks(h.Claim):
+			superseded = append(superseded, h)
+		case h.Pending:
+			result.Outranked = true
+		default:
+			result.RunningEpoch = max(result.RunningEpoch, h.Epoch)
 		}
-		superseded = append(superseded, h)
 	}
-	return superseded, false
+	result.Superseded = len(superseded)
+	return superseded, result
 }
 
 // Len returns the number of ids that are known.
 func (r *Registry[T]) Len() int { return len(r.byID) }
+
+// Result is what came of a claim.
+type Result struct {
+	// Outranked is set if another attempt that waits goes before the claim. The claim is given up then.
+	Outranked bool
+	// RunningEpoch is the highest epoch of the attempts that run and do not give way to the claim; 0 if there are none. The
+	// claim is made again with a higher epoch then.
+	RunningEpoch uint32
+	// Superseded is the number of attempts that gave way to the claim, Running that of those whose runs have not ended yet.
+	Superseded, Running int
+	// Unanswered is the number of instances, or zones, that did not answer.
+	Unanswered int
+}
+
+// Merge adds the result at other instances.
+func (r Result) Merge(other Result) Result {
+	return Result{
+		Outranked: r.Outranked || other.Outranked, RunningEpoch: max(r.RunningEpoch, other.RunningEpoch),
+		Superseded: r.Superseded + other.Superseded, Running: r.Running + other.Running, Unanswered: r.Unanswered + other.Unanswered,
+	}
+}
+
+// IsContested reports whether the claim was given up, or is to be made again with a higher epoch.
+func (r Result) IsContested() bool { return r.Outranked || r.RunningEpoch > 0 }
--- a/internal/takeover/takeover_test.go
+++ b/internal/takeover/takeover_test.go
@@ -1,7 +1,6 @@
 package takeover
 
 import (
-	"fmt"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -12,37 +11,40 @@
 // first and second are attempts at a stream, of which the second takes it up.
 var (
 	first  = Claim{Stream: 1, Attempt: 1, Scope: 7}
-	second = Claim{Stream: 1, Attempt: 2, Scope: 7, LastEvent: 3}
+	second = Claim{Stream: 1, Attempt: 2, Scope: 7, Epoch: 1, LastEvent: 3}
 )
 
+// third returns a claim of a third attempt with an epoch and a last event.
+func third(epoch uint32, lastEvent int) Claim {
+	return Claim{Stream: 1, Attempt: 3, Scope: 7, Epoch: epoch, LastEvent: lastEvent}
+}
+
 // TestClaimSupersedesTheAttemptsOfItsStream guards against a run that goes on after its stream was taken up, and against one that ends
 // although the claim is not one to its stream.
 func TestClaimSupersedesTheAttemptsOfItsStream(t *testing.T) {
-	third := Claim{Stream: 2, Attempt: 3, Scope: 7, LastEvent: 5}
 	for name, c := range map[string]struct {
-		holder     Holder[string]
-		claim      Claim
-		superseded bool
-		outranked  bool
+		holder Holder[string]
+		claim  Claim
+		want   Result
 	}{
-		"the attempt that began it":                 {holder: Holder[string]{Claim: first}, claim: second, superseded: true},
-		"an attempt that took it up":                {holder: Holder[string]{Claim: second}, claim: Claim{Stream: 1, Attempt: 3, Scope: 7, LastEvent: 5}, superseded: true},
-		"one that is named as the stream":           {holder: Holder[string]{Claim: second}, claim: third, superseded: true},
-		"one with the claim's id":                   {holder: Holder[string]{Claim: first}, claim: Claim{Stream: 1, Attempt: 1, Scope: 7, LastEvent: 3}, superseded: true},
-		"the claim's own, served for another":       {holder: Holder[string]{Claim: second, Forwarded: true}, claim: second},
-		"another one, served for another":           {holder: Holder[string]{Claim: first, Forwarded: true}, claim: second, superseded: true},
-		"of another organisation or content":        {holder: Holder[string]{Claim: Claim{Stream: 1, Attempt: 1, Scope: 8}}, claim: second},
-		"of another stream":                         {holder: Holder[string]{Claim: Claim{Stream: 9, Attempt: 9, Scope: 7}}, claim: second},
-		"one that waits, with fewer events":         {holder: Holder[string]{Claim: second, Pending: true}, claim: Claim{Stream: 1, Attempt: 3, Scope: 7, LastEvent: 5}, superseded: true},
-		"one that waits, with more events":          {holder: Holder[string]{Claim: Claim{Stream: 1, Attempt: 3, Scope: 7, LastEvent: 5}, Pending: true}, claim: second, outranked: true},
-		"one that runs, with more events":           {holder: Holder[string]{Claim: Claim{Stream: 1, Attempt: 3, Scope: 7, LastEvent: 5}}, claim: second, superseded: true},
-		"one that waits, as many events, higher id": {holder: Holder[string]{Claim: Claim{Stream: 1, Attempt: 3, Scope: 7, LastEvent: 3}, Pending: true}, claim: second, outranked: true},
+		"the attempt that began it":           {holder: Holder[string]{Claim: first}, claim: second, want: Result{Superseded: 1}},
+		"an attempt that took it up":          {holder: Holder[string]{Claim: second}, claim: third(1, 5), want: Result{Superseded: 1}},
+		"one that is named as the stream":     {holder: Holder[string]{Claim: second}, claim: Claim{Stream: 2, Attempt: 3, Scope: 7, Epoch: 1, LastEvent: 5}, want: Result{Superseded: 1}},
+		"one with the claim's id":             {holder: Holder[string]{Claim: first}, claim: Claim{Stream: 1, Attempt: 1, Scope: 7, Epoch: 1, LastEvent: 3}, want: Result{Superseded: 1}},
+		"the claim's own, served for another": {holder: Holder[string]{Claim: second, Forwarded: true}, claim: second},
+		"another one, served for another":     {holder: Holder[string]{Claim: first, Forwarded: true}, claim: second, want: Result{Superseded: 1}},
+		"of another organisation or content":  {holder: Holder[string]{Claim: Claim{Stream: 1, Attempt: 1, Scope: 8}}, claim: second},
+		"of another stream":                   {holder: Holder[string]{Claim: Claim{Stream: 9, Attempt: 9, Scope: 7}}, claim: second},
+		"one that waits, fewer events":        {holder: Holder[string]{Claim: second, Pending: true}, claim: third(1, 5), want: Result{Superseded: 1}},
+		"one that waits, more events":         {holder: Holder[string]{Claim: third(1, 5), Pending: true}, claim: second, want: Result{Outranked: true}},
+		"one that waits, higher id":           {holder: Holder[string]{Claim: third(1, 3), Pending: true}, claim: second, want: Result{Outranked: true}},
+		"one that runs, more events":          {holder: Holder[string]{Claim: third(4, 5)}, claim: second, want: Result{RunningEpoch: 4}},
+		"one that runs, lower epoch":          {holder: Holder[string]{Claim: third(1, 5)}, claim: Claim{Stream: 1, Attempt: 2, Scope: 7, Epoch: 2}, want: Result{Superseded: 1}},
 	} {
 		r := NewRegistry[string]()
 		r.Add(&c.holder)
-		superseded, outranked := r.Contest(c.claim, nil)
-		if got := len(superseded) == 1; got != c.superseded || outranked != c.outranked {
-			t.Errorf("%s: superseded %t, outranked %t", name, got, outranked)
+		if _, got := r.Contest(c.claim, nil); got != c.want {
+			t.Errorf("%s: %+v, want %+v", name, got, c.want)
 		}
 		r.Remove(&c.holder)
 		if r.Len() != 0 {
@@ -56,90 +58,126 @@
 	r := NewRegistry[string]()
 	own := &Holder[string]{Claim: second, Pending: true}
 	r.Add(own)
-	if superseded, outranked := r.Contest(second, own); len(superseded) > 0 || outranked {
-		t.Errorf("%d superseded, outranked %t", len(superseded), outranked)
+	if superseded, result := r.Contest(second, own); len(superseded) > 0 || result != (Result{}) {
+		t.Errorf("%+v", result)
 	}
 }
 
 // modelAttempt is an attempt at one stream that an instance of the model serves.
 type modelAttempt struct {
 	*Holder[int]
-	// answered are the instances that have answered its claim.
+	instance int
+	// answered are the instances that have answered its claim of the current epoch.
 	answered map[int]bool
 	ended    bool
 }
 
+// modelMessage is a claim under way to an instance.
+type modelMessage struct {
+	attempt *modelAttempt
+	claim   Claim
+	to      int
+}
+
+// model has the attempts at one stream, and the claims under way.
+type model struct {
+	t         *rapid.T
+	instances []*Registry[int]
+	attempts  []*modelAttempt
+	messages  []modelMessage
+}
+
+// begin begins an attempt: the first one runs, the others claim the stream.
+func (m *model) begin(instance int) {
+	n := len(m.attempts)
+	c := Claim{Stream: 1, Attempt: streamversions.ID(1 + n), Scope: 7}
+	if n > 0 {
+		c.Epoch, c.LastEvent = 1, rapid.IntRange(0, 3).Draw(m.t, "last event")
+	}
+	a := &modelAttempt{Holder: &Holder[int]{Claim: c, Pending: n > 0, Value: n}, instance: instance}
+	m.attempts = append(m.attempts, a)
+	m.instances[instance].Add(a.Holder)
+	if n > 0 {
+		m.claim(a)
+	}
+}
+
+// claim sends an attempt's claim to all instances.
+func (m *model) claim(a *modelAttempt) {
+	a.answered = map[int]bool{}
+	for to := range m.instances {
+		m.messages = append(m.messages, modelMessage{a, a.Claim, to})
+	}
+}
+
+func (m *model) end(a *modelAttempt) {
+	if !a.ended {
+		a.ended = true
+		m.instances[a.instance].Remove(a.Holder)
+	}
+}
+
+// deliver has a claim reach its instance, also if its attempt has ended meanwhile, and the answer reach the attempt.
+func (m *model) deliver(i int, again bool) {
+	message := m.messages[i]
+	if !again {
+		m.messages = append(m.messages[:i:i], m.messages[i+1:]...)
+	}
+	a := message.attempt
+	var own *Holder[int]
+	if message.to == a.instance {
+		own = a.Holder
+	}
+	superseded, result := m.instances[message.to].Contest(message.claim, own)
+	for _, h := range superseded {
+		m.end(m.attempts[h.Value])
+	}
+	switch {
+	case a.ended || !a.Pending || message.claim != a.Claim:
+	case result.Outranked:
+		m.end(a)
+	case result.RunningEpoch > 0:
+		a.Epoch = result.RunningEpoch + 1
+		m.claim(a)
+	default:
+		a.answered[message.to] = true
+		a.Pending = len(a.answered) < len(m.instances)
+	}
+}
+
+func (m *model) running() (n int) {
+	for _, a := range m.attempts {
+		if !a.ended && !a.Pending {
+			n++
+		}
+	}
+	return n
+}
+
 // TestOneAttemptOfAStreamRuns guards against two attempts of a stream that run at the same time, whatever the order in which their
-// claims reach the instances, and against attempts that all give way to one another.
+// claims reach the instances, late and repeated ones included, and against attempts that all give way to one another.
 func TestOneAttemptOfAStreamRuns(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		instances := make([]*Registry[int], rapid.IntRange(1, 4).Draw(t, "instances"))
-		for i := range instances {
-			instances[i] = NewRegistry[int]()
-		}
-		var attempts []*modelAttempt
-		at := map[*modelAttempt]int{}
-		end := func(a *modelAttempt) {
-			a.ended = true
-			instances[at[a]].Remove(a.Holder)
-		}
-		running := func() (list []*modelAttempt) {
-			for _, a := range attempts {
-				if !a.ended && !a.Pending {
-					list = append(list, a)
-				}
-			}
-			return list
+		m := &model{t: t}
+		for range rapid.IntRange(1, 4).Draw(t, "instances") {
+			m.instances = append(m.instances, NewRegistry[int]())
 		}
-		begin := func(instance int) {
-			n := len(attempts)
-			c := Claim{Stream: 1, Attempt: streamversions.ID(1 + n), Scope: 7}
-			if n > 0 {
-				c.LastEvent = rapid.IntRange(0, 3).Draw(t, "last event")
-			}
-			a := &modelAttempt{Holder: &Holder[int]{Claim: c, Pending: n > 0, Value: n}, answered: map[int]bool{}}
-			attempts, at[a] = append(attempts, a), instance
-			instances[instance].Add(a.Holder)
-		}
-		// claim has an attempt's claim reach an instance, which ends what it supersedes before it answers.
-		claim := func(a *modelAttempt, instance int) {
-			superseded, outranked := instances[instance].Contest(a.Claim, a.Holder)
-			if outranked {
-				end(a)
-				return
-			}
-			for _, h := range superseded {
-				end(attempts[h.Value])
-			}
-			a.answered[instance] = true
-			if len(a.answered) == len(instances) {
-				a.Pending = false
-			}
-		}
-		begin(0)
-		for range rapid.IntRange(1, 30).Draw(t, "steps") {
-			if rapid.IntRange(0, 3).Draw(t, "step") == 0 {
-				begin(rapid.IntRange(0, len(instances)-1).Draw(t, "instance"))
-				continue
-			}
-			a := attempts[rapid.IntRange(0, len(attempts)-1).Draw(t, "attempt")]
-			if a.ended || !a.Pending {
+		m.begin(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			if len(m.messages) == 0 || rapid.IntRange(0, 7).Draw(t, "step") == 0 && len(m.attempts) < 8 {
+				m.begin(rapid.IntRange(0, len(m.instances)-1).Draw(t, "instance"))
 				continue
 			}
-			claim(a, rapid.IntRange(0, len(instances)-1).Draw(t, "claimed at"))
-			if list := running(); len(list) > 1 {
-				t.Fatalf("%d attempts run", len(list))
+			m.deliver(rapid.IntRange(0, len(m.messages)-1).Draw(t, "message"), rapid.IntRange(0, 3).Draw(t, "again") == 0)
+			if n := m.running(); n > 1 {
+				t.Fatalf("%d attempts run", n)
 			}
 		}
-		for _, a := range attempts { // all claims arrive in the end
-			for instance := range instances {
-				if !a.ended && a.Pending {
-					claim(a, instance)
-				}
-			}
+		for len(m.messages) > 0 {
+			m.deliver(0, false)
 		}
-		if list := running(); len(list) != 1 {
-			t.Fatalf("%d attempts run in the end: %s", len(list), fmt.Sprint(attempts))
+		if n := m.running(); n != 1 {
+			t.Fatalf("%d attempts run in the end", n)
 		}
 	})
 }
