testfleet: faults of proxies are states, not toxics that come and go

Stacks of the stall show the cause that was listed: the library removes a toxic with the lock of its collection held and passes on what waits in the link meanwhile; a link whose reader has ended passes on nothing, and waits for that lock. The toxics are added before the first connection now, never removed, and read a state that the tests set.

--- a/internal/testfleet/proxy.go
+++ b/internal/testfleet/proxy.go
@@ -1,9 +1,8 @@
 package testfleet
 
 import (
-	"fmt"
 	"io"
-	"strings"
+	"time"
 
 	"github.com/Shopify/toxiproxy"
 	"github.com/pkg/errors"
@@ -25,6 +24,7 @@
 type Proxy struct {
 	Address string
 	proxy   *toxiproxy.Proxy
+	faults  map[Direction]*linkFault
 }
 
 // Proxy starts a fault-injecting proxy for an address.
@@ -32,35 +32,40 @@
 	logrus.SetOutput(io.Discard) // suppresses the log of the toxiproxy library
 	p := toxiproxy.NewProxy()
 	p.Name, p.Listen, p.Upstream = name, f.Address(), upstream
+	faults := map[Direction]*linkFault{}
+	for _, direction := range []Direction{ToUpstream, FromUpstream} {
+		fault, err := addLinkFault(p, direction)
+		if err != nil {
+			return nil, errors.Wrap(err, name)
+		}
+		faults[direction] = fault
+	}
 	if err := p.Start(); err != nil {
 		return nil, errors.Wrap(err, name)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.proxies = append(f.proxies, p)
-	return &Proxy{Address: p.Listen, proxy: p}, nil
+	return &Proxy{Address: p.Listen, proxy: p, faults: faults}, nil
 }
 
 // Cut discards all bytes in one direction until Heal. Connections stay open.
 func (p *Proxy) Cut(direction Direction) error {
-	return p.addToxic("cut", "timeout", direction, `"timeout": 0`)
+	p.faults[direction].setCut()
+	return nil
 }
 
 // Slow delays all bytes in one direction until Heal.
 func (p *Proxy) Slow(direction Direction, milliseconds int) error {
-	return p.addToxic("slow", "latency", direction, fmt.Sprintf(`"latency": %d`, milliseconds))
-}
-
-func (p *Proxy) addToxic(name, kind string, direction Direction, attributes string) error {
-	toxic := fmt.Sprintf(`{"name": "%s-%s", "type": %q, "stream": %q, "attributes": {%s}}`,
-		name, direction, kind, direction, attributes)
-	_, err := p.proxy.Toxics.AddToxicJson(strings.NewReader(toxic))
-	return errors.Wrap(err, "proxy")
+	p.faults[direction].setDelay(time.Duration(milliseconds) * time.Millisecond)
+	return nil
 }
 
 // Heal removes all faults. It closes connections that were cut.
 func (p *Proxy) Heal() {
-	p.proxy.Toxics.ResetToxics()
+	for _, fault := range p.faults {
+		fault.heal()
+	}
 }
 
 // Close closes all connections and refuses new ones until Open.
