relay: an answer that has begun is not given up

Callers of idempotent routes saw long answers break off: the bound on one attempt, a third of the caller's time, also ended the rest of an answer that is longer than what is buffered (256 KB), though no other upstream could be tried any more. Found while the planned stop was traced.

The bound ends with the head of the answer now. TestLongAnswerIsNotGivenUp broke off after 0.33 s before, and holds now.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -95,10 +95,15 @@
 // can still be tried.
 func (r *Relay) attemptTimeout(x *exchange) time.Duration {
 	remaining := x.remaining(r.now())
+	return min(remaining/2, max(x.route.Objective, remaining/3))
+}
+
+// giveUpLater gives a call on one upstream up after attemptTimeout, if another one may be tried then, unless keep is called before.
+func (r *Relay) giveUpLater(x *exchange, giveUp context.CancelFunc) (keep func() bool) {
 	if x.route.Kind != routes.Idempotent || !x.attempts.MayRunElsewhere() {
-		return remaining
+		return func() bool { return true }
 	}
-	return min(remaining/2, max(x.route.Objective, remaining/3))
+	return time.AfterFunc(r.attemptTimeout(x), giveUp).Stop
 }
 
 func (r *Relay) sendCall(ctx context.Context, x *exchange, to upstreamstate.Upstream) (bufferedAnswer, error) {
@@ -106,7 +111,9 @@
 		return bufferedAnswer{}, err
 	}
 	sentAt := r.now()
-	sendCtx, cancel := context.WithTimeout(ctx, r.attemptTimeout(x))
+	sendCtx, cancel := context.WithCancel(ctx)
+	keep := r.giveUpLater(x, cancel)
+	defer keep() // the caller gets the answer from here on, or the attempt has failed
 	reply, err := r.sender.Send(sendCtx, x.req, x.newSend(to, r.now()))
 	if err == nil || errors.Is(err, ErrCutOff) { // it ran, though its answer may be lost
 		r.countUsage(x, sentAt)
--- a/internal/relay/call_test.go
+++ b/internal/relay/call_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -140,3 +141,22 @@
 		t.Errorf("outcome %v after %d sends", outcome, f.count())
 	}
 }
+
+// TestLongAnswerIsNotGivenUp guards against an answer that breaks off, as another upstream would be tried if it had not begun.
+func TestLongAnswerIsNotGivenUp(t *testing.T) {
+	body, write := io.Pipe()
+	f := &fakeSender{run: func(int, Send) (*Reply, error) {
+		return &Reply{Status: http.StatusOK, Header: http.Header{}, Body: body}, nil
+	}}
+	r := newFake(t, pipedSender{f})
+	go func() {
+		_, _ = write.Write(make([]byte, maxBufferedBytes))
+		time.Sleep(600 * time.Millisecond) // longer than an attempt may take
+		_, _ = write.Write([]byte("rest"))
+		_ = write.Close()
+	}()
+	w, err := serve(r, call("/safe/1"))
+	if err != nil || w.Body.Len() != maxBufferedBytes+len("rest") || f.count() != 1 {
+		t.Errorf("%d bytes, %v after %d sends", w.Body.Len(), err, f.count())
+	}
+}
