A stop leaves no request without an answer

Callers of an instance that was stopped as planned saw calls end with their connection: 3 or 4 of some 16 idempotent calls of 2.5 s, and calls of 4.5 s, with a grace period of 6 s. They were given up after a third of their callers' time though their upstreams would have answered, sent again, and cut at the end of the grace period with the second run at work.

Cause: the end of the grace period was no input of any decision, and neither was the usual time of a call; at the end, connections were closed where an answer was possible.

The end of the grace period bounds the time that is left for each request; a call is given up only if it takes twice as long as usual and another one fits; what cannot be answered in time is refused at once; and what has no result is told so before the connections close.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -154,6 +154,7 @@
 	stopping := make(chan time.Time, 1)
 	context.AfterFunc(ctx, func() {
 		stopping <- time.Now()
+		in.relay.StopWithin(in.settings.Front.GracePeriod - httpserver.ExitMargin - answerMargin)
 		in.relay.HandOverStreams()
 	})
 	err = httpserver.New(in.settings.Front, handler, in.ready, in.relay.Close, logging.Part(in.log, "front")).Run(ctx)
@@ -165,6 +166,9 @@
 	return err
 }
 
+// answerMargin is the part of the grace period in which the callers of requests without a result are answered.
+const answerMargin = 300 * time.Millisecond
+
 // awaitForwarded waits until the requests of other instances that are in progress are done, for as long as the
 // grace period allows.
 func (in *Instance) awaitForwarded(ctx context.Context, stopping time.Time) {
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -56,6 +56,9 @@
 	if err := r.checkSend(c.exchange); err != nil {
 		return attempt.Result{Status: attempt.NoUpstream, Err: err}
 	}
+	if c.attempts.Sends() > 0 && r.lacksTime(c.exchange) {
+		return attempt.Result{Status: attempt.NoUpstream}
+	}
 	if r.shouldForward(c.exchange) {
 		return c.forwardCall(ctx)
 	}
@@ -84,18 +87,22 @@
 	if answer.reply.Status < http.StatusInternalServerError || x.route.Kind != routes.Idempotent {
 		return false
 	}
-	if !x.attempts.MayRunElsewhere() || ctx.Err() != nil || r.upstreams.Count(x.service) < 2 {
+	if !x.attempts.MayRunElsewhere() || ctx.Err() != nil || r.upstreams.Count(x.service) < 2 || r.lacksTime(x) {
 		return false
 	}
 	return x.attempts.Pay(ctx, x.budget, false, r.now())
 }
 
-// attemptTimeout returns how long an idempotent call may take on one upstream: the route's
-// objective, but at least a third and at most half of the remaining time, so that another upstream
-// can still be tried.
+// usualTimes is how many times as long as usual a call may take on one upstream.
+const usualTimes = 2
+
+// attemptTimeout returns how long an idempotent call may take on one upstream, so that another one can still be tried: the
+// route's objective, but at least a third of the remaining time, and at most half of it or several times as long as calls to the service
+// usually take.
 func (r *Relay) attemptTimeout(x *exchange) time.Duration {
 	remaining := x.remaining(r.now())
-	return min(remaining/2, max(x.route.Objective, remaining/3))
+	usual, _ := r.upstreams.CallTime(x.service)
+	return max(min(remaining/2, max(x.route.Objective, remaining/3)), usualTimes*usual)
 }
 
 // giveUpLater gives a call on one upstream up after attemptTimeout, if another one may be tried then, unless keep is called before.
@@ -103,7 +110,19 @@
 	if x.route.Kind != routes.Idempotent || !x.attempts.MayRunElsewhere() {
 		return func() bool { return true }
 	}
-	return time.AfterFunc(r.attemptTimeout(x), giveUp).Stop
+	timer := time.AfterFunc(r.attemptTimeout(x), func() {
+		if r.mayRepeatInTime(x) {
+			giveUp()
+		}
+	})
+	return timer.Stop
+}
+
+// mayRepeatInTime reports whether a call has enough time left for another upstream. While this instance stops, the time that a call
+// takes must be known.
+func (r *Relay) mayRepeatInTime(x *exchange) bool {
+	usual, known := r.upstreams.CallTime(x.service)
+	return (known || !r.stopping.hasBegun()) && x.remaining(r.now()) >= usual
 }
 
 func (r *Relay) sendCall(ctx context.Context, x *exchange, to upstreamstate.Upstream) (bufferedAnswer, error) {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -26,6 +26,7 @@
 	age      time.Duration // of the configuration, when the request arrived
 	arrived  time.Duration
 	deadline time.Duration
+	stopping *stopping
 	attempts *attempt.Attempts
 	budget   *attempt.Budget
 	// requires is the software version at which the request has to be served.
@@ -104,7 +105,10 @@
 	return x.req.Prompt.PartIDs()
 }
 
-func (x *exchange) remaining(now time.Duration) time.Duration { return x.deadline - now }
+// remaining returns how much time is left for the request: until its deadline, or until this instance has stopped.
+func (x *exchange) remaining(now time.Duration) time.Duration {
+	return x.stopping.left(x.deadline, now)
+}
 
 // noteSent records a send. An error means that a second run is not allowed.
 func (x *exchange) noteSent(id string) error {
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -173,7 +173,7 @@
 	answer, err := readHead(x, reply)
 	if err != nil {
 		reply.Body.Close()
-		if errors.Is(ctx.Err(), context.Canceled) {
+		if callerLeft(ctx) {
 			return attempt.Result{Status: attempt.Done, Err: ErrCallerDisconnected}
 		}
 		return failedAttempt(x.via, WrapReadError(err))
@@ -203,7 +203,7 @@
 	switch {
 	case err == nil:
 		return attempt.Result{Status: attempt.Done}
-	case errors.Is(err, ErrCallerDisconnected) || errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(err, ErrCallerDisconnected) || callerLeft(ctx):
 		return attempt.Result{Status: attempt.Done, Err: ErrCallerDisconnected}
 	case errors.Is(err, ErrSuperseded):
 		return attempt.Result{Status: attempt.Done, Err: ErrSuperseded}
@@ -231,10 +231,15 @@
 		x.requires = requiredVersion{version: f.Version, source: versionFromForwarder}
 		err = r.refuse(x)
 	}
+	if err == nil {
+		err = r.refuseLate(x)
+	}
 	if err != nil {
 		r.finish(x, f.Request, err)
 		return f.History, err
 	}
+	ctx, release := r.stopping.untilGraceOver(ctx)
+	defer release()
 	ctx, cancel := context.WithTimeout(ctx, x.remaining(r.now()))
 	defer cancel()
 	if err = r.requireBegunVersion(ctx, x); err == nil {
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -435,7 +435,7 @@
 			r.reportPace(engine, elapsed, usual)
 		}
 		return attempt.Result{Status: attempt.Done}
-	case errors.Is(err, ErrCallerDisconnected) || errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(err, ErrCallerDisconnected) || callerLeft(ctx):
 		return attempt.Result{Status: attempt.Done, Err: ErrCallerDisconnected}
 	case errors.Is(err, errEndedAtDeadline):
 		g.current = nil
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -110,6 +110,7 @@
 	answers      *openAnswers
 	engineChecks *engineChecks
 	streams      *activeStreams
+	stopping     *stopping
 	// requestGrant requests a grant for a send to a rate-limited upstream from the instance that
 	// coordinates the grants; nil if unset.
 	requestGrant atomic.Pointer[func(context.Context, quota.GrantRequest) quota.Verdict]
@@ -140,7 +141,7 @@
 func New(s Settings, sender Sender, log *slog.Logger) *Relay {
 	r := &Relay{
 		settings: s, log: log, start: time.Now(),
-		pool: newRetryPool(), quarantine: newQuarantineState(), usage: newUsageCounter(s.UsageWindow), link: newLink(log), paths: newPaths(log), meters: newMeters(), grants: newGrants(), quotas: newOrganisationQuotas(), fetches: newFetchRates(), versions: newVersionRecords(), reservations: newReservations(), relocator: newRelocator(), answers: newOpenAnswers(), engineChecks: newEngineChecks(), streams: newActiveStreams(), changed: make(chan struct{}, 1),
+		pool: newRetryPool(), quarantine: newQuarantineState(), usage: newUsageCounter(s.UsageWindow), link: newLink(log), paths: newPaths(log), meters: newMeters(), grants: newGrants(), quotas: newOrganisationQuotas(), fetches: newFetchRates(), versions: newVersionRecords(), reservations: newReservations(), relocator: newRelocator(), answers: newOpenAnswers(), engineChecks: newEngineChecks(), streams: newActiveStreams(), stopping: newStopping(), changed: make(chan struct{}, 1),
 	}
 	r.memory = newMemory(s.Memory, log, r.now)
 	r.claimElsewhere = func(context.Context, takeover.Claim) takeover.Result { return takeover.Result{} }
@@ -304,7 +305,7 @@
 // finalError returns the error of a request that ends without an answer. It tells the caller
 // truthfully whether the request may have run.
 func (r *Relay) finalError(ctx context.Context, x *exchange) error {
-	if errors.Is(ctx.Err(), context.Canceled) {
+	if callerLeft(ctx) {
 		return ErrCallerDisconnected
 	}
 	notRun := x.attempts.Outcome() == outcome.NotRun
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -22,10 +22,15 @@
 	if err == nil {
 		err = r.refuse(x)
 	}
+	if err == nil {
+		err = r.refuseLate(x)
+	}
 	if err != nil {
 		r.finish(x, req, err)
 		return err
 	}
+	ctx, release := r.stopping.untilGraceOver(ctx)
+	defer release()
 	ctx, cancel := context.WithTimeout(ctx, x.remaining(r.now()))
 	defer cancel()
 	if err := r.requireBegunVersion(ctx, x); err != nil {
@@ -88,7 +93,7 @@
 	content := sync.OnceValue(req.Content)
 	return &exchange{
 		req: req, route: route, service: service, identity: identity,
-		version: table.Version, age: age, arrived: now, deadline: now + timeout,
+		version: table.Version, age: age, arrived: now, deadline: now + timeout, stopping: r.stopping,
 		attempts: attempt.New(r.attemptRules(route)), budget: r.budgets.forService(service, now),
 		content: content, subjects: sync.OnceValue(func() []quarantine.Subject { return append([]quarantine.Subject{content()}, req.parts(service)...) }),
 	}, nil
--- a/internal/upstreamstate/slowness.go
+++ b/internal/upstreamstate/slowness.go
@@ -38,6 +38,18 @@
 	n.work.slowness.AddTime(mean.add(elapsed))
 }
 
+// CallTime returns how long responses of a plain service usually take; false if too few are known.
+func (s *State) CallTime(service string) (time.Duration, bool) {
+	const minCount = 3
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t, ok := s.callTimes[service]
+	if !ok || t.count < minCount {
+		return 0, false
+	}
+	return time.Duration(t.mean * float64(time.Second)), true
+}
+
 // Slowness returns how long work is expected to take on an upstream of a plain service; 1 for as usual.
 func (s *State) Slowness(id string, now time.Duration) float64 {
 	s.mu.Lock()
