Nothing is concluded of versions by instances that are out of step together

Answers say now whether their instance hears of changes in the store, and a version is not concluded if none does and an instance did not answer. The rows of TestResolve that assumed instances in step say so.

--- a/internal/peers/fleet_test.go
+++ b/internal/peers/fleet_test.go
@@ -79,6 +79,8 @@
 	records *streamversions.Records
 	// holders has the attempts at streams that this instance serves.
 	holders *takeover.Registry[struct{}]
+	// noStore is set if this instance does not hear of changes in the store.
+	noStore bool
 	// census has the software versions of the upstreams as known to this instance.
 	census *streamversions.Census
 	// ledger has the reservations of a hub.
@@ -146,7 +148,7 @@
 	v := l.view()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return streamversions.Answer{Knowledge: l.records.Get(stream, l.now()), SeveralVersions: v.SeveralVersions()}
+	return v.Answer(l.records.Get(stream, l.now()))
 }
 
 // ClaimStream ends what holds the stream, as relay.Relay does.
@@ -183,7 +185,7 @@
 func (l *virtualLoads) view() streamversions.View {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return streamversions.View{Versions: l.census.Versions("s", l.now()), Complete: true}
+	return streamversions.View{Versions: l.census.Versions("s", l.now()), Complete: true, Current: !l.noStore}
 }
 
 // readVersions has this instance read that there is an upstream of each of these software versions and of no other, as
--- a/internal/peers/streams.go
+++ b/internal/peers/streams.go
@@ -206,7 +206,7 @@
 	reply := r.newPlainDatagram(sfv1.Datagram_KIND_STREAM_ANSWER)
 	reply.StreamAnswer = &sfv1.StreamAnswer{
 		Id: id, Found: a.Found, Ambiguous: a.Ambiguous, Version: a.Version, AgeMs: uint32(a.Age.Milliseconds()),
-		SeveralVersions: a.SeveralVersions, OnlyVersion: a.OnlyVersion, Complete: a.Complete,
+		SeveralVersions: a.SeveralVersions, OnlyVersion: a.OnlyVersion, Complete: a.Complete, Current: a.Current,
 	}
 	r.send(reply, []string{peer.Address})
 }
@@ -216,7 +216,7 @@
 		Knowledge: streamversions.Knowledge{
 			Found: m.GetFound(), Ambiguous: m.GetAmbiguous(), Version: m.GetVersion(), Age: time.Duration(m.GetAgeMs()) * time.Millisecond,
 		},
-		SeveralVersions: m.GetSeveralVersions(), OnlyVersion: m.GetOnlyVersion(), Complete: m.GetComplete(),
+		SeveralVersions: m.GetSeveralVersions(), OnlyVersion: m.GetOnlyVersion(), Complete: m.GetComplete(), Current: m.GetCurrent(),
 	}
 }
 
--- a/internal/relay/streamversions.go
+++ b/internal/relay/streamversions.go
@@ -186,6 +186,7 @@
 	census := r.versions.census
 	return r.versions.records.Get(stream, now), streamversions.View{
 		Versions: census.Versions(service, now), Complete: service != "" && census.Complete(service, table, now), KnownFor: census.KnownFor(service, now),
+		Current: r.entriesCurrent == nil || r.entriesCurrent(),
 	}
 }
 
--- a/internal/streamversions/streamversions_test.go
+++ b/internal/streamversions/streamversions_test.go
@@ -138,8 +138,9 @@
 	record := func(version string) Answer {
 		return Answer{Knowledge: Knowledge{Found: true, Version: version}, SeveralVersions: true}
 	}
-	one, two := View{Versions: []string{"v1"}, Complete: true, Asked: 2}, View{Versions: []string{"v1", "v2"}, Complete: true, Asked: 2}
-	restarted := View{Versions: []string{"v1"}, Asked: 2}
+	one, two := View{Versions: []string{"v1"}, Complete: true, Current: true, Asked: 2}, View{Versions: []string{"v1", "v2"}, Complete: true, Asked: 2}
+	restarted := View{Versions: []string{"v1"}, Current: true, Asked: 2}
+	outOfStep := View{Versions: []string{"v1"}, Complete: true, Asked: 2}
 	for name, c := range map[string]struct {
 		view    View
 		answers []Answer
@@ -162,6 +163,10 @@
 		"restarted, no other instance":       {View{Versions: []string{"v1"}}, nil, ""},
 		"restarted, another one has not":     {restarted, []Answer{{OnlyVersion: "v1"}, {OnlyVersion: "v1", Complete: true}}, "v1"},
 		"restarted, a record":                {restarted, []Answer{record("v1")}, "v1"},
+		"out of step, one did not answer":    {outOfStep, []Answer{{}}, ""},
+		"out of step, all answered":          {outOfStep, []Answer{{}, {}}, "v1"},
+		"out of step, another one is not":    {outOfStep, []Answer{{Current: true}}, "v1"},
+		"out of step, a record":              {outOfStep, []Answer{record("v1")}, "v1"},
 	} {
 		got, ok := Resolve(c.view, c.answers)
 		if ok != (c.want != "") || got.Version != c.want {
