--- a/cmd/sf-soak/main.go
+++ b/cmd/sf-soak/main.go
@@ -25,6 +25,7 @@
 	instances := app.Flag("instances", "Instances in each run.").Default("3").Int()
 	streams := app.Flag("streams", "Run hunts of long streams, which callers take up, instead of all lanes.").Bool()
 	zones := app.Flag("zones", "Availability zones in each hunt of long streams, with the given number of instances in each.").Default("1").Int()
+	lanes := app.Flag("lane", "A lane of the runs, in place of all; may be repeated.").Enums(slices.Sorted(maps.Keys(soak.Lanes))...)
 	faults := app.Flag("fault", "A fault of the hunts of long streams, in place of theirs; may be repeated.").Enums(slices.Sorted(maps.Keys(soak.StreamFaults))...)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	if *first == 0 {
@@ -38,10 +39,13 @@
 			}
 		}))
 	}
-	os.Exit(run(*bin, *first, *seeds, *duration, *instances))
+	if len(*lanes) == 0 {
+		*lanes = slices.Collect(maps.Keys(soak.Lanes))
+	}
+	os.Exit(run(*bin, *first, *seeds, *duration, *instances, *lanes))
 }
 
-func run(bin string, first, seeds uint64, duration time.Duration, instances int) int {
+func run(bin string, first, seeds uint64, duration time.Duration, instances int, lanes []string) int {
 	code := 0
 	for seed := first; seed < first+seeds; seed++ {
 		dir, err := os.MkdirTemp("", fmt.Sprintf("sf-soak-%d-", seed))
@@ -49,7 +53,10 @@
 			fmt.Fprintln(os.Stderr, "sf-soak:", err)
 			return 1
 		}
-		s := &soak.Soak{Seed: seed, Duration: duration, Instances: instances, CrashingContents: true, Duties: true, Limits: true, Announcements: true, Transfers: true, Quotas: true, Paths: true, Versions: true, Parts: true, Endless: true, Memory: true, StreamEnds: true, Restarts: true}
+		s := &soak.Soak{Seed: seed, Duration: duration, Instances: instances}
+		for _, lane := range lanes {
+			soak.Lanes[lane](s)
+		}
 		result, err := s.Run(context.Background(), filepath.Clean(bin), dir)
 		if err != nil {
 			fmt.Fprintf(os.Stderr, "sf-soak: seed %d: %v; logs are in %s\n", seed, err, dir)
