relay: a failure that does not end is cut off, not passed on

Another operator's report: a faulty upstream sent bytes that are no answer, without end. Here heads, control responses and engines' failures were bounded, and a plain service's body that does not end is given up with its caller; the body of a failure (a 500) was passed on until the deadline: 630 MB in 4.5 s, or 4 s of a trickle. It is read whole now, within 256 KB and 1 s, as an engine's failure is; without an end, the upstream has not answered: another one is asked where the route allows that, else the caller gets 502.

TestEndlessFailureIsNotPassedOn failed before in both cases of the route that may not be repeated.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -9,7 +10,9 @@
 	"github.com/pkg/errors"
 
 	"sassafrasfield/internal/attempt"
+	"sassafrasfield/internal/httptransport"
 	"sassafrasfield/internal/load"
+	"sassafrasfield/internal/readlimit"
 	"sassafrasfield/internal/routes"
 	"sassafrasfield/internal/upstreamstate"
 )
@@ -143,6 +146,11 @@
 	}
 	reply.Body = cancellingBody{reply.Body, cancel}
 	r.recordAnswer(to.ID, reply.Load)
+	if reply.Status >= http.StatusBadRequest {
+		if err := readFailure(reply, callFailure); err != nil {
+			return bufferedAnswer{}, err
+		}
+	}
 	answer, err := readHead(x, reply)
 	if err != nil {
 		reply.Body.Close()
@@ -155,6 +163,19 @@
 	return answer, nil
 }
 
+// callFailure bounds the body of a plain service's failure, which is mostly a page of some kilobytes.
+var callFailure = readlimit.BodyLimits{MaxBytes: maxBufferedBytes, MaxTime: time.Second}
+
+// readFailure reads the whole body of a failure within limits.
+func readFailure(reply *Reply, limits readlimit.BodyLimits) error {
+	whole, err := httptransport.ReadAll(reply.Body, limits)
+	if err != nil {
+		return WrapReadError(err)
+	}
+	reply.Body = io.NopCloser(bytes.NewReader(whole))
+	return nil
+}
+
 // cancellingBody cancels its context when it is closed.
 type cancellingBody struct {
 	io.ReadCloser
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -1,9 +1,7 @@
 package relay
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -13,7 +11,6 @@
 	"sassafrasfield/internal/attempt"
 	"sassafrasfield/internal/config"
 	"sassafrasfield/internal/estimate"
-	"sassafrasfield/internal/httptransport"
 	"sassafrasfield/internal/load"
 	"sassafrasfield/internal/placement"
 	"sassafrasfield/internal/readlimit"
@@ -330,8 +327,8 @@
 	return r.forwardStream(ctx, cancel, g, engine, reply, started)
 }
 
-// failureBody bounds the body of an engine's failure, a short text.
-var failureBody = readlimit.BodyLimits{MaxBytes: 64 << 10, MaxTime: time.Second}
+// engineFailure bounds the body of an engine's failure, a short text.
+var engineFailure = readlimit.BodyLimits{MaxBytes: 64 << 10, MaxTime: time.Second}
 
 // handleEngineFailure handles a failure status of an engine: another engine is tried where the
 // route allows it, otherwise the caller receives the engine's answer.
@@ -342,13 +339,10 @@
 		r.recordFailure(ctx, g.exchange, engine.ID, err)
 		return failedAttempt(engine.ID, err)
 	}
-	whole, err := httptransport.ReadAll(reply.Body, failureBody)
-	if err != nil {
-		err = WrapReadError(err)
+	if err := readFailure(reply, engineFailure); err != nil {
 		r.recordFailure(ctx, g.exchange, engine.ID, err)
 		return failedAttempt(engine.ID, err)
 	}
-	reply.Body = io.NopCloser(bytes.NewReader(whole))
 	answer, err := readHead(g.exchange, reply)
 	if err != nil {
 		return failedAttempt(engine.ID, errors.WithMessage(ErrNoValidAnswer, err.Error()))
