relay: take-ups and changes of entries do not wait for each other

What callers saw: an instance stood still for good, with all its requests, when a caller took a stream up while the entry of an upstream arrived.

Cause: the answer whether entries are current takes the lock of the reader of the store. It was asked for with the lock of the version records held, and the reader applies an entry, which needs the version records, with its own lock held.

Why it works: the check is made before the lock is taken. The other functions of other components are called without a lock (by reading). TestEntriesAreAppliedWhileStreamsAreTakenUp failed before.

--- a/internal/relay/streamversions.go
+++ b/internal/relay/streamversions.go
@@ -181,12 +181,13 @@
 // stands for one that is not known here.
 func (r *Relay) knowledgeOf(stream streamversions.ID, service string) (streamversions.Knowledge, streamversions.View) {
 	now, table := r.now(), r.versions.table()
+	current := r.entriesCurrent == nil || r.entriesCurrent() // takes locks that are held while entries are applied
 	r.versions.mu.Lock()
 	defer r.versions.mu.Unlock()
 	census := r.versions.census
 	return r.versions.records.Get(stream, now), streamversions.View{
 		Versions: census.Versions(service, now), Complete: service != "" && census.Complete(service, table, now), KnownFor: census.KnownFor(service, now),
-		Current: r.entriesCurrent == nil || r.entriesCurrent(),
+		Current: current,
 	}
 }
 
--- a/internal/relay/streamversions_test.go
+++ b/internal/relay/streamversions_test.go
@@ -132,6 +132,27 @@
 	}
 }
 
+// TestEntriesAreAppliedWhileStreamsAreTakenUp guards against an instance that stands still for good: the check whether entries are
+// current waits until the change of an entry is applied, which waits for the records of versions.
+func TestEntriesAreAppliedWhileStreamsAreTakenUp(t *testing.T) {
+	r := withVersions(newFake(t, &fakeSender{}))
+	known := r.upstreams.Upstream("dec-1")
+	r.SetEntriesCurrent(func() bool {
+		r.UpdateUpstream(known)
+		return true
+	})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.knowledgeOf(streamversions.IDOf("r1"), "llm")
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the records of versions are held while another component is asked")
+	}
+}
+
 // TestStreamOfUnknownVersionIsRefused guards against streams that go on at any version, and refusals that wait or lie.
 func TestStreamOfUnknownVersionIsRefused(t *testing.T) {
 	for name, c := range map[string]struct {
