--- a/internal/httptransport/bounded.go
+++ b/internal/httptransport/bounded.go
@@ -22,6 +22,18 @@
 // http.Transport.MaxResponseHeaderBytes alone bounds no time, and tells a bound that was reached by the text of an
 // error only.
 func Bounded(base *http.Transport, peer string, limits readlimit.HeadLimits) http.RoundTripper {
+	return newBounded(base, peer, limits)
+}
+
+// Identified is Bounded for a peer whose responses have the ID of their request in the given header. A request that is sent
+// again on a connection is counted and logged.
+func Identified(base *http.Transport, peer string, limits readlimit.HeadLimits, header string) http.RoundTripper {
+	t := newBounded(base, peer, limits)
+	t.idHeader = header
+	return t
+}
+
+func newBounded(base *http.Transport, peer string, limits readlimit.HeadLimits) *transport {
 	dial := base.DialContext
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
@@ -63,6 +75,8 @@
 	timed bool
 	// exceeded is the error of a connection that was closed because it exceeded a bound.
 	exceeded error
+	// ids are those of the requests that were sent.
+	ids requestIDs
 }
 
 func (c *boundedConn) now() time.Duration { return time.Since(c.start) }
@@ -74,6 +88,20 @@
 	c.head, c.owner = readlimit.NewHead(c.limits), owner
 }
 
+// recordRequest records that a request is about to be sent, by its ID; empty for none. The response to one that was sent before on the
+// connection cannot be told from a late one to the former send.
+func (c *boundedConn) recordRequest(id string) {
+	if id == "" {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ids.add(id) {
+		metrics.GetOrRegisterCounter("transport.sent_again."+c.peer, metrics.DefaultRegistry).Inc(1)
+		slog.Default().Info("transport: request sent again on its connection", "peer", c.peer, "address", c.Conn.RemoteAddr().String(), "request", id)
+	}
+}
+
 // endHead ends the bounds on the head of an exchange's response.
 func (c *boundedConn) endHead(owner *exchange) {
 	c.mu.Lock()
--- a/internal/httptransport/httptransport.go
+++ b/internal/httptransport/httptransport.go
@@ -27,6 +27,8 @@
 	base http.RoundTripper
 	// bounded is set if the connections are boundedConn.
 	bounded bool
+	// idHeader is the header with the ID of a request; empty if requests have none.
+	idHeader string
 	// users holds the exchange that uses a connection, by net.Conn, until it is finished.
 	users sync.Map
 }
@@ -44,6 +46,9 @@
 		return nil, context.Cause(request.Context())
 	}
 	x := newExchange(request.Context(), &t.users)
+	if t.idHeader != "" {
+		x.id = request.Header.Get(t.idHeader)
+	}
 	if t.bounded {
 		x.boundInterim()
 	}
@@ -64,6 +69,7 @@
 type exchange struct {
 	ctx    context.Context // the caller's context, but for its cancellation
 	cancel context.CancelCauseFunc
+	id     string // that of the request; empty for none
 	// unfollow ends the observation of the caller's context.
 	unfollow func() bool
 	users    *sync.Map
@@ -101,6 +107,7 @@
 	}
 	if bounded, ok := info.Conn.(*boundedConn); ok {
 		bounded.awaitHead(x)
+		bounded.recordRequest(x.id)
 	}
 }
 
