A connection carries the id of a request once

Cause: connections to upstreams are kept by address, and an upstream that refused is left out by the id of its start. When another start takes its address, the same request goes to it on the connection on which it was refused. An upstream may write the copy of a refusal where the next response is due; it has the id of the request, so it passed for the response to the second send: refused, while it ran.

Why it works: a connection keeps the ids that were sent on it and takes none twice, whatever sends it: attempts, starts, prompts and runs, callers that use an id again. So a response with the id of the request belongs to this send. A connection that refuses a request is closed before a byte is written, and the request goes to another one. Not taken: a connection that ends with each refusal (each one costs a new connection, at full queues above all), and one that ends with the start it was opened to (leaves second sends to one start).

--- a/internal/httptransport/bounded.go
+++ b/internal/httptransport/bounded.go
@@ -21,19 +21,21 @@
 //
 // http.Transport.MaxResponseHeaderBytes alone bounds no time, and tells a bound that was reached by the text of an
 // error only.
-func Bounded(base *http.Transport, peer string, limits readlimit.HeadLimits) http.RoundTripper {
-	return newBounded(base, peer, limits)
+func Bounded(base *http.Transport, peer string, limits readlimit.HeadLimits, options ...Option) http.RoundTripper {
+	return newTransport(base, connSettings{peer: peer, limits: &limits}, options)
 }
 
-// Identified is Bounded for a peer whose responses have the ID of their request in the given header. A request that is sent
-// again on a connection is counted and logged.
-func Identified(base *http.Transport, peer string, limits readlimit.HeadLimits, header string) http.RoundTripper {
-	t := newBounded(base, peer, limits)
-	t.idHeader = header
-	return t
+// connSettings are the same for all connections of a transport.
+type connSettings struct {
+	peer string
+	// limits bound the heads of responses; nil for no bounds.
+	limits *readlimit.HeadLimits
+	// idHeader is the header with the ID of a request and its response; empty if they have none.
+	idHeader string
 }
 
-func newBounded(base *http.Transport, peer string, limits readlimit.HeadLimits) *transport {
+// trackConns has the connections of a transport be of type trackedConn.
+func trackConns(base *http.Transport, settings *connSettings) {
 	dial := base.DialContext
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
@@ -43,9 +45,8 @@
 		if err != nil {
 			return nil, err
 		}
-		return &boundedConn{Conn: conn, peer: peer, limits: limits, start: time.Now()}, nil
+		return &trackedConn{Conn: conn, settings: settings, start: time.Now()}, nil
 	}
-	return &transport{base: base, bounded: true}
 }
 
 // RecordCutOff counts and logs a message of a peer that was cut off at a bound, if the error is one of those.
@@ -59,16 +60,15 @@
 		"bound", exceeded.Bound(), "received", exceeded.Received, "after", exceeded.After)
 }
 
-// boundedConn is a connection whose responses' heads are bounded. While no head is awaited it reads without a bound:
-// net/http itself closes a connection that delivers bytes before a request.
-type boundedConn struct {
+// trackedConn is a connection that knows the requests that were sent on it. The heads of their responses are bounded. While no head is
+// awaited it reads without a bound: net/http itself closes a connection that delivers bytes before a request.
+type trackedConn struct {
 	net.Conn
-	peer   string
-	limits readlimit.HeadLimits
-	start  time.Time
+	settings *connSettings
+	start    time.Time
 
 	mu sync.Mutex // protects all below
-	// head is the head that is awaited, for the exchange owner; nil for none.
+	// head is the head that is awaited, for the exchange owner; nil if there is none, or no bounds.
 	head  *readlimit.Head
 	owner *exchange
 	// timed is set while the connection has a read deadline.
@@ -77,33 +77,29 @@
 	exceeded error
 	// ids are those of the requests that were sent.
 	ids requestIDs
+	// retired is set on a connection that takes no further requests, refusing once one was assigned to it.
+	retired, refusing bool
 }
 
-func (c *boundedConn) now() time.Duration { return time.Since(c.start) }
+func (c *trackedConn) now() time.Duration { return time.Since(c.start) }
 
 // awaitHead begins the head of an exchange's response.
-func (c *boundedConn) awaitHead(owner *exchange) {
+func (c *trackedConn) awaitHead(owner *exchange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.head, c.owner = readlimit.NewHead(c.limits), owner
+	c.owner = owner
+	c.beginHead()
 }
 
-// recordRequest records that a request is about to be sent, by its ID; empty for none. The response to one that was sent before on the
-// connection cannot be told from a late one to the former send.
-func (c *boundedConn) recordRequest(id string) {
-	if id == "" {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.ids.add(id) {
-		metrics.GetOrRegisterCounter("transport.sent_again."+c.peer, metrics.DefaultRegistry).Inc(1)
-		slog.Default().Info("transport: request sent again on its connection", "peer", c.peer, "address", c.Conn.RemoteAddr().String(), "request", id)
+// beginHead begins a head. The lock is held.
+func (c *trackedConn) beginHead() {
+	if c.settings.limits != nil {
+		c.head = readlimit.NewHead(*c.settings.limits)
 	}
 }
 
 // endHead ends the bounds on the head of an exchange's response.
-func (c *boundedConn) endHead(owner *exchange) {
+func (c *trackedConn) endHead(owner *exchange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.owner != owner {
@@ -114,7 +110,7 @@
 }
 
 // exceededBy returns the error of an exchange's response that exceeded its bounds.
-func (c *boundedConn) exceededBy(owner *exchange) error {
+func (c *trackedConn) exceededBy(owner *exchange) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.owner != owner {
@@ -124,7 +120,7 @@
 }
 
 // endInterim records the end of an interim response. An error ends the exchange.
-func (c *boundedConn) endInterim() error {
+func (c *trackedConn) endInterim() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.head == nil {
@@ -135,7 +131,7 @@
 }
 
 // Read implements net.Conn.
-func (c *boundedConn) Read(p []byte) (int, error) {
+func (c *trackedConn) Read(p []byte) (int, error) {
 	for {
 		if err := c.beforeRead(); err != nil {
 			return 0, err
@@ -152,7 +148,7 @@
 
 // beforeRead sets the deadline of a read if a part of a head was received. The first read of a head, which mostly is
 // the only one, has none.
-func (c *boundedConn) beforeRead() error {
+func (c *trackedConn) beforeRead() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.exceeded != nil || c.head == nil {
@@ -165,7 +161,7 @@
 }
 
 // afterRead records what was read. The error is that of a head over its bounds.
-func (c *boundedConn) afterRead(n int, err error) error {
+func (c *trackedConn) afterRead(n int, err error) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
@@ -181,18 +177,18 @@
 }
 
 // cut closes the connection because of an error, if there is one. The lock is held.
-func (c *boundedConn) cut(exceeded error) error {
+func (c *trackedConn) cut(exceeded error) error {
 	if exceeded == nil {
 		return nil
 	}
 	c.exceeded = exceeded
 	_ = c.Conn.Close() // the connection is given up in any case
-	RecordCutOff(c.peer, c.Conn.RemoteAddr().String(), exceeded)
+	RecordCutOff(c.settings.peer, c.Conn.RemoteAddr().String(), exceeded)
 	return exceeded
 }
 
 // setTimed sets or removes the read deadline, a time on the connection's clock. The lock is held.
-func (c *boundedConn) setTimed(timed bool, at time.Duration) {
+func (c *trackedConn) setTimed(timed bool, at time.Duration) {
 	if !timed && !c.timed {
 		return
 	}
--- a/internal/httptransport/httptransport.go
+++ b/internal/httptransport/httptransport.go
@@ -24,18 +24,26 @@
 
 // transport is a http.RoundTripper whose cancelled requests do not affect others.
 type transport struct {
-	base http.RoundTripper
-	// bounded is set if the connections are boundedConn.
-	bounded bool
-	// idHeader is the header with the ID of a request; empty if requests have none.
-	idHeader string
+	base     http.RoundTripper
+	settings connSettings
 	// users holds the exchange that uses a connection, by net.Conn, until it is finished.
 	users sync.Map
 }
 
 // Isolate returns a RoundTripper that sends requests with base, and cancels each one without an effect on the
 // others.
-func Isolate(base *http.Transport) http.RoundTripper { return &transport{base: base} }
+func Isolate(base *http.Transport, options ...Option) http.RoundTripper {
+	return newTransport(base, connSettings{}, options)
+}
+
+func newTransport(base *http.Transport, settings connSettings, options []Option) *transport {
+	t := &transport{base: base, settings: settings}
+	for _, option := range options {
+		option(t)
+	}
+	trackConns(base, &t.settings)
+	return t
+}
 
 // RoundTrip implements http.RoundTripper.
 func (t *transport) RoundTrip(request *http.Request) (*http.Response, error) {
@@ -45,14 +53,30 @@
 		}
 		return nil, context.Cause(request.Context())
 	}
+	for range maxRefusingConns {
+		response, sent, err := t.send(request)
+		if sent || err == nil {
+			return response, err
+		}
+		next, ok := again(request)
+		if !ok {
+			return nil, ErrNotSent
+		}
+		request = next
+	}
+	return nil, ErrNotSent
+}
+
+// send sends a request on one connection. sent is false if that did not take it.
+func (t *transport) send(request *http.Request) (response *http.Response, sent bool, err error) {
 	x := newExchange(request.Context(), &t.users)
-	if t.idHeader != "" {
-		x.id = request.Header.Get(t.idHeader)
+	if t.settings.idHeader != "" {
+		x.id = request.Header.Get(t.settings.idHeader)
 	}
-	if t.bounded {
+	if t.settings.limits != nil {
 		x.boundInterim()
 	}
-	response, err := t.base.RoundTrip(request.WithContext(x.ctx))
+	response, err = t.base.RoundTrip(request.WithContext(x.ctx))
 	switch {
 	case err != nil:
 		err = x.exceededOr(err)
@@ -62,7 +86,7 @@
 		response, err = nil, errJoinedHeads
 	}
 	x.finish(err)
-	return response, err
+	return response, !x.wasRefused(), err
 }
 
 // exchange is a request that is sent, and its response until that is handed out.
@@ -81,6 +105,8 @@
 	conn net.Conn
 	// arriving is set from the first byte of the response until the response is handed out.
 	arriving, cancelled bool
+	// refused is set if the connection did not take the request.
+	refused bool
 }
 
 // newExchange returns an exchange that is cancelled with the caller's context.
@@ -105,10 +131,22 @@
 	if before, ok := x.users.Swap(info.Conn, x); ok {
 		before.(*exchange).awaitFinish()
 	}
-	if bounded, ok := info.Conn.(*boundedConn); ok {
-		bounded.awaitHead(x)
-		bounded.recordRequest(x.id)
+	conn, ok := info.Conn.(*trackedConn)
+	if !ok {
+		return
 	}
+	conn.awaitHead(x)
+	admitted := conn.admit(x)
+	x.mu.Lock()
+	x.refused = !admitted
+	x.mu.Unlock()
+}
+
+// wasRefused reports whether the connection did not take the request.
+func (x *exchange) wasRefused() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.refused
 }
 
 // boundInterim has the interim responses counted. It is for bounded connections only: net/http bounds the bytes of all
@@ -122,7 +160,7 @@
 func (x *exchange) exceededOr(err error) error {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if bounded, ok := x.conn.(*boundedConn); ok {
+	if bounded, ok := x.conn.(*trackedConn); ok {
 		if exceeded := bounded.exceededBy(x); exceeded != nil {
 			return exceeded
 		}
@@ -134,7 +172,7 @@
 func (x *exchange) endInterim(int, textproto.MIMEHeader) error {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if bounded, ok := x.conn.(*boundedConn); ok {
+	if bounded, ok := x.conn.(*trackedConn); ok {
 		return bounded.endInterim()
 	}
 	return nil
@@ -196,7 +234,7 @@
 
 // leaveConn removes the exchange from the users of its connection. The lock is held.
 func (x *exchange) leaveConn() {
-	if bounded, ok := x.conn.(*boundedConn); ok {
+	if bounded, ok := x.conn.(*trackedConn); ok {
 		bounded.endHead(x)
 	}
 	if x.conn != nil {
--- a/internal/rawserver/rawserver.go
+++ b/internal/rawserver/rawserver.go
@@ -6,16 +6,22 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 )
 
+// IDPlaceholder stands for the ID of the request in answers.
+const IDPlaceholder = "$id$"
+
 // Script is what a server does on each of its connections.
 type Script struct {
 	// First is the answer to the first request; the connection is kept after it. It is empty for none.
 	First string
 	// Answer is the answer to the request after that one. The connection ends with it.
 	Answer string
+	// IDHeader is the header with the ID of a request that replaces IDPlaceholder; empty for none.
+	IDHeader string
 	// Reset ends the connection by a reset instead of a FIN. What was sent before still arrives.
 	Reset bool
 	// FirstSent and AnswerSent count the answers of each kind, before they are sent; nil for no counts.
@@ -53,10 +59,10 @@
 func (s Script) serve(conn net.Conn) {
 	defer conn.Close()
 	requests := bufio.NewReader(conn)
-	if s.First != "" && !answer(conn, requests, s.First, s.FirstSent) {
+	if s.First != "" && !s.answer(conn, requests, s.First, s.FirstSent) {
 		return
 	}
-	if !answer(conn, requests, s.Answer, s.AnswerSent) || !s.Reset {
+	if !s.answer(conn, requests, s.Answer, s.AnswerSent) || !s.Reset {
 		return
 	}
 	if tcp, ok := conn.(*net.TCPConn); ok {
@@ -66,7 +72,7 @@
 
 // answer answers a request once it was read as a whole: a connection that is closed before that is reset. It reports false
 // if there is no request.
-func answer(conn net.Conn, requests *bufio.Reader, text string, sent *atomic.Int64) bool {
+func (s Script) answer(conn net.Conn, requests *bufio.Reader, text string, sent *atomic.Int64) bool {
 	request, err := http.ReadRequest(requests)
 	if err != nil {
 		return false
@@ -75,6 +81,9 @@
 	if sent != nil {
 		sent.Add(1)
 	}
+	if s.IDHeader != "" {
+		text = strings.ReplaceAll(text, IDPlaceholder, request.Header.Get(s.IDHeader))
+	}
 	_, _ = io.WriteString(conn, text) // an error shows at the client
 	return true
 }
