Whole late responses are passed over, so that the next request is not lost

Cause: a response with the id of another request ended the connection, and the request that waited on it counted as possibly run.

What has no id, an unknown one or no length ends the connection as before.

--- a/internal/httptransport/admit.go
+++ b/internal/httptransport/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"net/http"
 
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
@@ -18,6 +19,8 @@
 func (c *trackedConn) admit(x *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.sentHead = c.sentHead || x.method == http.MethodHead
+	isFirst := len(c.ids.hashes) == 0
 	if x.id != "" && !c.retired && !c.ids.add(x.id) {
 		metrics.GetOrRegisterCounter("transport.sent_again."+c.settings.peer, metrics.DefaultRegistry).Inc(1)
 		slog.Default().Info("transport: request changes its connection, which has carried its ID", "peer", c.settings.peer,
@@ -28,6 +31,10 @@
 		c.refusing = true
 		return false
 	}
+	c.late = nil
+	if x.id != "" && !isFirst && !c.sentHead {
+		c.late = &lateFilter{header: c.settings.idHeader, own: x.id, sent: &c.ids}
+	}
 	return true
 }
 
--- a/internal/httptransport/bounded.go
+++ b/internal/httptransport/bounded.go
@@ -75,8 +75,13 @@
 	timed bool
 	// exceeded is the error of a connection that was closed because it exceeded a bound.
 	exceeded error
-	// ids are those of the requests that were sent.
-	ids requestIDs
+	// ids are those of the requests that were sent. late filters the responses to them; nil for none. ready are received bytes
+	// that it passed on and that were not read yet.
+	ids   requestIDs
+	late  *lateFilter
+	ready []byte
+	// sentHead is set once a HEAD request was sent: the responses to those have lengths, but no bodies.
+	sentHead bool
 	// retired is set on a connection that takes no further requests, refusing once one was assigned to it.
 	retired, refusing bool
 }
@@ -106,6 +111,10 @@
 		return
 	}
 	c.head, c.owner = nil, nil
+	if c.late != nil {
+		c.ready = append(c.ready, c.late.release()...)
+		c.late = nil
+	}
 	c.setTimed(false, 0)
 }
 
@@ -133,6 +142,9 @@
 // Read implements net.Conn.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	for {
+		if n := c.readReady(p); n > 0 {
+			return n, nil
+		}
 		if err := c.beforeRead(); err != nil {
 			return 0, err
 		}
@@ -140,12 +152,51 @@
 		if cut := c.afterRead(n, err); cut != nil {
 			return 0, cut
 		}
-		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		n = c.filter(p, n, err)
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) || n > 0 {
 			return n, err
 		}
 	}
 }
 
+// readReady reads bytes that were passed on already.
+func (c *trackedConn) readReady(p []byte) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := copy(p, c.ready)
+	c.ready = c.ready[n:]
+	return n
+}
+
+// filter drops late responses from the n bytes that were read into p, and returns how many bytes p has then. An error of the read ends
+// the filter.
+func (c *trackedConn) filter(p []byte, n int, readErr error) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.late == nil || n == 0 && readErr == nil {
+		return n
+	}
+	dropped := c.late.dropped
+	passed, ended := c.late.receive(p[:n])
+	if c.late.dropped > dropped {
+		metrics.GetOrRegisterCounter("transport.late_responses."+c.settings.peer, metrics.DefaultRegistry).Inc(int64(c.late.dropped - dropped))
+		slog.Default().Info("transport: late response dropped", "peer", c.settings.peer, "address", c.Conn.RemoteAddr().String(), "request", c.late.own)
+	}
+	if ended && c.head != nil {
+		c.beginHead()
+		c.setTimed(false, 0)
+		if len(c.late.held)+len(passed) > 0 {
+			_ = c.head.Received(len(c.late.held)+len(passed), c.now()) // less than the bound, which a read was within
+		}
+	}
+	if readErr != nil && !errors.Is(readErr, os.ErrDeadlineExceeded) {
+		passed = append(passed, c.late.release()...)
+	}
+	n = copy(p, passed)
+	c.ready = append(c.ready, passed[n:]...)
+	return n
+}
+
 // beforeRead sets the deadline of a read if a part of a head was received. The first read of a head, which mostly is
 // the only one, has none.
 func (c *trackedConn) beforeRead() error {
--- a/internal/httptransport/httptransport.go
+++ b/internal/httptransport/httptransport.go
@@ -70,6 +70,7 @@
 // send sends a request on one connection. sent is false if that did not take it.
 func (t *transport) send(request *http.Request) (response *http.Response, sent bool, err error) {
 	x := newExchange(request.Context(), &t.users)
+	x.method = request.Method
 	if t.settings.idHeader != "" {
 		x.id = request.Header.Get(t.settings.idHeader)
 	}
@@ -93,7 +94,8 @@
 type exchange struct {
 	ctx    context.Context // the caller's context, but for its cancellation
 	cancel context.CancelCauseFunc
-	id     string // that of the request; empty for none
+	// id and method are those of the request. The ID is empty if it has none.
+	id, method string
 	// unfollow ends the observation of the caller's context.
 	unfollow func() bool
 	users    *sync.Map
