A response on a connection that did not take the request is dropped

What callers saw: none is known. A request could be answered by the copy of an earlier response though nothing of it was sent.

Cause: a connection that has carried the id of a request writes nothing of it, but a response that arrives in that moment was handed out: send reported that the connection had not taken the request, and no error, and RoundTrip then looked at the error alone.

Evidence: TestResponseOnARefusingConnectionIsNoAnswer failed before, with the status of the refusing connection instead of that of the next one. No run of processes has shown it: net/http closes a connection with bytes that arrive before it expects a response, so only those that arrive between that and the failed write count.

Why it works: a response counts only if the connection took the request; otherwise its body is closed, and the request goes to another connection.

--- a/internal/httptransport/httptransport.go
+++ b/internal/httptransport/httptransport.go
@@ -55,9 +55,12 @@
 	}
 	for range maxRefusingConns {
 		response, sent, err := t.send(request)
-		if sent || err == nil {
+		if sent {
 			return response, err
 		}
+		if err == nil {
+			_ = response.Body.Close() // it answers an earlier request of the connection
+		}
 		next, ok := again(request)
 		if !ok {
 			return nil, ErrNotSent
