What is not sent, and what may have been, is decided by what was written

- A request that ran was reported as not sent, so that it could run again or be refused, if its response has no body and the next request was refused by the connection while it was handed out: both saw the same error.
- A request whose kept connection had carried its id, and for which no other connection could be opened, was reported as one that may have run.
- The filter of late responses held back a head whose lines end without a carriage return, and passed on a late response whose id contains the own one.

Cause: whether something was sent was concluded from errors and callbacks of net/http.

Why it works: the connection itself records whether something was written for the request that it serves, and writes nothing more once the answer was no; a request of which nothing was written goes to another connection. A connection that is full of ids takes no further request from then on, and is not logged as one that has carried an id.

--- a/internal/httptransport/bounded.go
+++ b/internal/httptransport/bounded.go
@@ -36,6 +36,19 @@
 	isLast func(*http.Response) bool
 }
 
+// endsConn reports whether a connection takes no further request after a response to a request with an ID; empty for none. After a
+// response that is not the request's, or a refusal without an ID, further ones may follow that nothing tells apart.
+func (s *connSettings) endsConn(id string, response *http.Response) bool {
+	if s.isLast != nil && s.isLast(response) {
+		return true
+	}
+	if s.idHeader == "" {
+		return false
+	}
+	got := response.Header.Get(s.idHeader)
+	return got != id || got == "" && response.StatusCode >= http.StatusMultipleChoices
+}
+
 // trackConns has the connections of a transport be of type trackedConn.
 func trackConns(base *http.Transport, settings *connSettings) {
 	dial := base.DialContext
@@ -84,7 +97,9 @@
 	ready []byte
 	// sentHead is set once a HEAD request was sent: the responses to those have lengths, but no bodies.
 	sentHead bool
-	// retired is set on a connection that takes no further requests, refusing once one was assigned to it.
+	// used is set once a request was sent, wrote once something was written for the newest one.
+	used, wrote bool
+	// retired is set on a connection that takes no further requests, refusing once nothing more is written.
 	retired, refusing bool
 }
 
--- a/internal/httptransport/httptransport.go
+++ b/internal/httptransport/httptransport.go
@@ -45,33 +45,51 @@
 	return t
 }
 
-// RoundTrip implements http.RoundTripper.
+// RoundTrip implements http.RoundTripper. A request of which nothing was written on a connection is sent on another one, if its body can
+// be read again.
 func (t *transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	if err := request.Context().Err(); err != nil {
-		if request.Body != nil {
-			_ = request.Body.Close() // nothing was sent
-		}
-		return nil, context.Cause(request.Context())
-	}
+	var lastErr error = errConnRefuses
 	for range maxRefusingConns {
+		if err := request.Context().Err(); err != nil {
+			if request.Body != nil {
+				_ = request.Body.Close() // nothing was sent
+			}
+			return nil, &notSentError{context.Cause(request.Context())}
+		}
 		response, sent, err := t.send(request)
-		if sent {
+		switch {
+		case sent == sentOnConn:
 			return response, err
-		}
-		if err == nil {
+		case sent == noConn:
+			return nil, &notSentError{err}
+		case err == nil:
 			_ = response.Body.Close() // it answers an earlier request of the connection
+		default:
+			lastErr = err
 		}
 		next, ok := again(request)
 		if !ok {
-			return nil, ErrNotSent
+			break
 		}
 		request = next
 	}
-	return nil, ErrNotSent
+	return nil, &notSentError{lastErr}
 }
 
-// send sends a request on one connection. sent is false if that did not take it.
-func (t *transport) send(request *http.Request) (response *http.Response, sent bool, err error) {
+// sendResult is what became of a request on a connection.
+type sendResult int
+
+const (
+	// sentOnConn: something of it was written, for all that is known.
+	sentOnConn sendResult = iota
+	// notWritten: nothing of it was written.
+	notWritten
+	// noConn: there was no connection.
+	noConn
+)
+
+// send sends a request on one connection.
+func (t *transport) send(request *http.Request) (*http.Response, sendResult, error) {
 	x := newExchange(request.Context(), &t.users)
 	x.method = request.Method
 	if t.settings.idHeader != "" {
@@ -80,7 +98,7 @@
 	if t.settings.limits != nil {
 		x.boundInterim()
 	}
-	response, err = t.base.RoundTrip(request.WithContext(x.ctx))
+	response, err := t.base.RoundTrip(request.WithContext(x.ctx))
 	switch {
 	case err != nil:
 		err = x.exceededOr(err)
@@ -88,11 +106,12 @@
 		x.closeConn()
 		_ = response.Body.Close() // the connection is closed already
 		response, err = nil, errJoinedHeads
-	case t.settings.isLast != nil && t.settings.isLast(response):
+	case t.settings.endsConn(x.id, response):
 		x.retireConn(response)
 	}
+	result := x.result(err)
 	x.finish(err)
-	return response, !x.wasRefused(), err
+	return response, result, err
 }
 
 // exchange is a request that is sent, and its response until that is handed out.
@@ -143,7 +162,7 @@
 	if !ok {
 		return
 	}
-	if !isFinished && conn.settings.isLast != nil {
+	if !isFinished {
 		conn.retire() // the response before may be the last one
 	}
 	conn.awaitHead(x)
@@ -153,11 +172,23 @@
 	x.mu.Unlock()
 }
 
-// wasRefused reports whether the connection did not take the request.
-func (x *exchange) wasRefused() bool {
+// result returns what became of the request, given the error of its round trip. If nothing was written, nothing is from here on.
+func (x *exchange) result(err error) sendResult {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.refused
+	conn, isTracked := x.conn.(*trackedConn)
+	switch {
+	case x.refused:
+		return notWritten
+	case err == nil:
+		return sentOnConn
+	case x.conn == nil:
+		return noConn
+	case isTracked && conn.abandon(x):
+		return notWritten
+	default:
+		return sentOnConn
+	}
 }
 
 // boundInterim has the interim responses counted. It is for bounded connections only: net/http bounds the bytes of all
--- a/internal/httptransport/latefilter.go
+++ b/internal/httptransport/latefilter.go
@@ -75,15 +75,23 @@
 	if !bytes.HasPrefix([]byte(protocolPrefix), begin) {
 		return nil, false
 	}
-	if end := bytes.Index(p, []byte("\r\n\r\n")); end >= 0 {
-		return p[:end+4], true
+	for at := 0; ; {
+		line := bytes.IndexByte(p[at:], '\n')
+		if line < 0 {
+			return nil, true
+		}
+		at += line + 1
+		if rest := p[at:]; bytes.HasPrefix(rest, []byte("\n")) {
+			return p[:at+1], true
+		} else if bytes.HasPrefix(rest, []byte("\r\n")) {
+			return p[:at+2], true
+		}
 	}
-	return nil, true
 }
 
 // lateBody returns the length of the body of a late response, given its head; false if the response is not a late one whose end is known.
 func (f *lateFilter) lateBody(head []byte) (length int, isLate bool) {
-	if head == nil || f.dropped >= maxLateResponses || bytes.Contains(head, []byte(f.own)) {
+	if head == nil || f.dropped >= maxLateResponses {
 		return 0, false
 	}
 	response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(head)), nil)
@@ -91,7 +99,7 @@
 		return 0, false
 	}
 	id := response.Header.Get(f.header)
-	if id == "" || !f.sent.has(id) {
+	if id == "" || id == f.own || !f.sent.has(id) {
 		return 0, false
 	}
 	if response.ContentLength < 0 || response.ContentLength > maxLateBody {
--- a/internal/httptransport/requestids.go
+++ b/internal/httptransport/requestids.go
@@ -16,14 +16,11 @@
 	hashes []uint64
 }
 
-// add adds an ID, and reports whether it can be told from those of all requests before: it is another one, and all of them are kept.
-func (r *requestIDs) add(id string) bool {
-	if len(r.hashes) >= maxRequestIDs || r.has(id) {
-		return false
-	}
-	r.hashes = append(r.hashes, maphash.String(idSeed, id))
-	return true
-}
+// add adds an ID.
+func (r *requestIDs) add(id string) { r.hashes = append(r.hashes, maphash.String(idSeed, id)) }
+
+// isFull reports whether no further ID is kept.
+func (r *requestIDs) isFull() bool { return len(r.hashes) >= maxRequestIDs }
 
 // has reports whether a request with this ID was sent.
 func (r *requestIDs) has(id string) bool {
