An engine that refuses to report does not say that a run has ended

What callers saw: not known; a stream may have gone on at another engine while the former one worked on it (TWICE).

Evidence: TestRefusedReportSaysNothingOfRuns and TestRunOfAnEngineThatRefusesToReportIsAwaited failed before.

--- a/internal/relay/runend.go
+++ b/internal/relay/runend.go
@@ -93,7 +93,7 @@
 	for {
 		checks++
 		state = r.closedRunState(ctx, run, closed)
-		if state != runGoesOn {
+		if state != runGoesOn && state != runUnreported {
 			return state, checks, stopped
 		}
 		if r.now()-closed >= stopRunAfter && r.stopRun(ctx, run) {
@@ -116,6 +116,8 @@
 		return runUnreached
 	case runs.Ended:
 		return runEnded
+	case runs.Unreported:
+		return runUnreported
 	case listed:
 		return runGoesOn
 	case !runs.Listed, runs.Waiting > 0:
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -15,6 +15,8 @@
 	runAhead runState = "ahead"
 	// runEnded: the engine has no such run any more.
 	runEnded runState = "ended"
+	// runUnreported: the engine's process answers, but does not report now.
+	runUnreported runState = "unreported"
 	// runUnreached: the engine's process does not answer.
 	runUnreached runState = "unreached"
 )
@@ -58,6 +60,8 @@
 type EngineRuns struct {
 	// Ended is set if the process of the engine that was asked has ended: another one answers, or none listens.
 	Ended bool
+	// Unreported is set if the process answers, but gives no report now, as when it is at capacity.
+	Unreported bool
 	// Listed is set if the engine lists its runs. Events has the number of events that each has made, by request.
 	Listed bool
 	Events map[string]int
