--- a/internal/httptransport/copies_test.go
+++ b/internal/httptransport/copies_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"sassafrasfield/internal/rawserver"
 	"sassafrasfield/internal/readlimit"
 )
 
@@ -28,7 +29,6 @@
 }
 
 func (s *mixServer) serve(conn net.Conn) {
-	defer conn.Close()
 	seen := map[string]bool{}
 	var pending [][]byte
 	reader := bufio.NewReader(conn)
@@ -101,20 +101,7 @@
 // of copies of refusals, cancellations, early answers and IDs that are used again.
 func TestMixOfCopiesAndCancellations(t *testing.T) {
 	s := &mixServer{arrived: map[string]int{}, ran: map[string]int{}}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn)
-		}
-	}()
+	address := rawserver.StartConns(t, s.serve)
 	transport := Bounded(&http.Transport{MaxIdleConnsPerHost: 8, ReadBufferSize: 4 << 10}, "test", readlimit.ResponseHead(), WithRequestIDs(filterHeader))
 	var ok, refused, otherID, failed, cancelled, notSent, falseRefusals, wrongBody atomic.Int64
 	texts := sync.Map{}
@@ -126,7 +113,7 @@
 				ctx, cancel = context.WithTimeout(context.Background(), time.Duration(rand.IntN(4000))*time.Microsecond)
 			}
 			method := []string{"POST", "POST", "POST", "GET", "GET"}[rand.IntN(5)]
-			request, _ := http.NewRequestWithContext(ctx, method, "http://"+listener.Addr().String(), nil)
+			request, _ := http.NewRequestWithContext(ctx, method, "http://"+address, nil)
 			size := 0
 			if method == "POST" {
 				size = []int{0, 10, 3000, 40000, 400000}[rand.IntN(5)]
--- a/internal/httptransport/idlecopies_test.go
+++ b/internal/httptransport/idlecopies_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"sassafrasfield/internal/rawserver"
 	"sassafrasfield/internal/readlimit"
 )
 
@@ -23,41 +24,27 @@
 func TestRequestThatMeetsACopyOnAnIdleConnection(t *testing.T) {
 	var mu sync.Mutex // protects arrived
 	arrived := map[string]int{}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	go func() {
+	address := rawserver.StartConns(t, func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
 		for {
-			conn, err := listener.Accept()
+			q, err := http.ReadRequest(reader)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer conn.Close()
-				reader := bufio.NewReader(conn)
-				for {
-					q, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					io.Copy(io.Discard, q.Body)
-					id := q.Header.Get(filterHeader)
-					mu.Lock()
-					arrived[id]++
-					mu.Unlock()
-					p := fmt.Sprintf("HTTP/1.1 503 x\r\n%s: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", filterHeader, id)
-					io.WriteString(conn, p)
-					if rand.IntN(3) == 0 {
-						for end := time.Now().Add(time.Duration(rand.IntN(120)) * time.Microsecond); time.Now().Before(end); {
-						}
-						io.WriteString(conn, p)
-					}
+			io.Copy(io.Discard, q.Body)
+			id := q.Header.Get(filterHeader)
+			mu.Lock()
+			arrived[id]++
+			mu.Unlock()
+			p := fmt.Sprintf("HTTP/1.1 503 x\r\n%s: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", filterHeader, id)
+			io.WriteString(conn, p)
+			if rand.IntN(3) == 0 {
+				for end := time.Now().Add(time.Duration(rand.IntN(120)) * time.Microsecond); time.Now().Before(end); {
 				}
-			}()
+				io.WriteString(conn, p)
+			}
 		}
-	}()
+	})
 	transport := Bounded(&http.Transport{MaxIdleConnsPerHost: 8}, "test", readlimit.ResponseHead(), WithRequestIDs(filterHeader))
 	var sent, lost, neverArrived atomic.Int64
 	var group sync.WaitGroup
@@ -65,7 +52,7 @@
 		group.Go(func() {
 			for n := range 2000 {
 				id := fmt.Sprintf("r-%d-%05d", w, n)
-				request, _ := http.NewRequestWithContext(context.Background(), "POST", "http://"+listener.Addr().String(), nil)
+				request, _ := http.NewRequestWithContext(context.Background(), "POST", "http://"+address, nil)
 				request.Body, request.ContentLength = NewBody([]byte("body")), 4
 				request.Header.Set(filterHeader, id)
 				sent.Add(1)
--- a/internal/httptransport/lastresponse_test.go
+++ b/internal/httptransport/lastresponse_test.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"sassafrasfield/internal/rawserver"
 )
 
 const (
@@ -60,26 +62,18 @@
 // startRefusingOnce starts a server that refuses all requests on its first connection, and runs those on others. It returns its address.
 func startRefusingOnce(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() }) // only stops the goroutine
-	go func() {
-		for response := refusedResponse; ; response = ranResponse {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go answerAll(conn, response)
+	var isUsed atomic.Bool
+	return rawserver.StartConns(t, func(conn net.Conn) {
+		if isUsed.Swap(true) {
+			answerAll(conn, ranResponse)
+			return
 		}
-	}()
-	return listener.Addr().String()
+		answerAll(conn, refusedResponse)
+	})
 }
 
 // answerAll answers all requests of a connection with the same response.
 func answerAll(conn net.Conn, response string) {
-	defer conn.Close()
 	requests := bufio.NewReader(conn)
 	for {
 		if _, err := http.ReadRequest(requests); err != nil {
--- a/internal/rawserver/rawserver.go
+++ b/internal/rawserver/rawserver.go
@@ -37,6 +37,13 @@
 
 // StartScript starts a server that asks for the script of each connection, and returns its address.
 func StartScript(t *testing.T, next func() Script) string {
+	t.Helper()
+	return StartConns(t, func(conn net.Conn) { next().serve(conn) })
+}
+
+// StartConns starts a server that has each connection served by a function, in a goroutine, and then closes it. It returns the server's
+// address.
+func StartConns(t *testing.T, serve func(net.Conn)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -49,7 +56,10 @@
 			if err != nil {
 				return
 			}
-			go next().serve(conn)
+			go func() {
+				defer conn.Close()
+				serve(conn)
+			}()
 		}
 	}()
 	return listener.Addr().String()
@@ -57,7 +67,6 @@
 
 // serve answers the requests of a connection.
 func (s Script) serve(conn net.Conn) {
-	defer conn.Close()
 	requests := bufio.NewReader(conn)
 	if s.First != "" && !s.answer(conn, requests, s.First, s.FirstSent) {
 		return
--- a/internal/rawserver/repeating.go
+++ b/internal/rawserver/repeating.go
@@ -19,26 +19,11 @@
 // connection: before the response to a later request, after the given number of others in between. It returns the server's address.
 func StartRepeating(t *testing.T, between int, respond Respond) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() }) // only stops the goroutine
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serveRepeating(conn, between, respond)
-		}
-	}()
-	return listener.Addr().String()
+	return StartConns(t, func(conn net.Conn) { serveRepeating(conn, between, respond) })
 }
 
 // serveRepeating answers the requests of a connection.
 func serveRepeating(conn net.Conn, between int, respond Respond) {
-	defer conn.Close()
 	requests := bufio.NewReader(conn)
 	repeated, since := "", 0
 	for {
