Cut answers of upstreams that leave are not passed on as whole

What callers saw: an engine whose answers have neither a length nor chunks announces that it leaves, by its entry or its removal, and is killed with one or two answers open. Callers got the first events and then the end of a complete answer, on routes that may be resumed or not.

Cause: an entry that is gone was taken for proof that the process had finished its answers. It goes as well with the announcement, and that of a killed process may go within the second that an instance waits for it. The time that a leaving upstream serves on was not an input of the decision.

Change: the relay keeps when each start of an upstream announced that it leaves. A process that ends before drain_ms (less 300 ms) has been killed, and its answer is cut off. After that, an entry that is gone makes a regular end likely: where the route may run again, another upstream is asked for the rest, paid from the retry budget, and without one the answer is torn; where it may not, the answer counts as whole. The departure is neither a failure nor a crash, and the next run does not wait for the end of the former one. An entry that comes back revokes the departure; the time of an entry replaces that of a response.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -92,6 +92,9 @@
 // none.
 func (a *Attempts) Backup() string { return a.backup }
 
+// IsRepeatable reports whether the request may run again after the outcome of an attempt was lost.
+func (a *Attempts) IsRepeatable() bool { return a.rules.Repeatable }
+
 // MayRunElsewhere reports whether another upstream may run the request if the
 // current attempt returns no complete response.
 func (a *Attempts) MayRunElsewhere() bool {
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -389,7 +389,7 @@
 	switch {
 	case known == runEnded || known == runUnreached:
 		return false
-	case ranNothing(err), errors.Is(err, ErrCutOff), errors.Is(err, ErrUnacknowledged):
+	case ranNothing(err), errors.Is(err, ErrCutOff), errors.Is(err, ErrUnacknowledged), errors.Is(err, errUnprovenEnd):
 		return false
 	default:
 		return true
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -61,7 +61,7 @@
 		return nil, err
 	}
 	reply = s.relay.answers.track(ctx, send.To.Incarnation(), reply, s.relay.now)
-	return s.relay.withConfirmedEnd(ctx, req, send.To, reply), nil
+	return s.relay.withConfirmedEnd(ctx, req, send, reply), nil
 }
 
 // Prefill implements Sender.
@@ -268,6 +268,8 @@
 			"source", change.Source.String(), "age", change.Age,
 		}
 		if change.StartsDraining {
+			now := r.now()
+			r.departures.note(change.Upstream, departure{at: now - change.Age, byResponse: true}, now)
 			r.meters.limits.draining.Inc(1)
 			r.log.Info("relay: upstream says that it leaves", attrs...)
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -47,8 +47,10 @@
 	// VersionStoreWait is how long streams that may be resumed wait for the software version of their engine to be stored,
 	// from when the engine appeared.
 	VersionStoreWait time.Duration
-	Outliers         load.OutlierRules
-	QuotaTolerance   QuotaTolerance
+	// ServesAfterLeaving is for how long an upstream serves at least after this instance has heard that it leaves.
+	ServesAfterLeaving time.Duration
+	Outliers           load.OutlierRules
+	QuotaTolerance     QuotaTolerance
 	// UsageWindow is the length of the time windows in which the requests that began to run are
 	// counted; 0 disables the counts.
 	UsageWindow time.Duration
@@ -77,11 +79,12 @@
 		StreamIdleTimeout:  1200 * time.Millisecond, // callers disconnect after two seconds without an event, or later
 		RetryIn:            150 * time.Millisecond,  // about the processing time of one long prompt
 		// Of 79 instances that start at once, half have the configuration after 0.55 s, the last after 0.9 s.
-		StartupRetryIn:   400 * time.Millisecond,
-		VersionStoreWait: 300 * time.Millisecond, // several times a write
-		Outliers:         outliers,
-		ReservationsFrom: 80, // the smallest service that was measured with reservations has 90 engines
-		MaxForwarded:     64, // several times the requests of an instance of 0.4 cores, in a few megabytes
+		StartupRetryIn:     400 * time.Millisecond,
+		VersionStoreWait:   300 * time.Millisecond,  // several times a write
+		ServesAfterLeaving: 1700 * time.Millisecond, // of two seconds, as this instance hears of it a little later
+		Outliers:           outliers,
+		ReservationsFrom:   80, // the smallest service that was measured with reservations has 90 engines
+		MaxForwarded:       64, // several times the requests of an instance of 0.4 cores, in a few megabytes
 	}
 }
 
@@ -111,6 +114,7 @@
 	engineChecks *engineChecks
 	streams      *activeStreams
 	stopping     *stopping
+	departures   *departures
 	// requestGrant requests a grant for a send to a rate-limited upstream from the instance that
 	// coordinates the grants; nil if unset.
 	requestGrant atomic.Pointer[func(context.Context, quota.GrantRequest) quota.Verdict]
@@ -141,7 +145,7 @@
 func New(s Settings, sender Sender, log *slog.Logger) *Relay {
 	r := &Relay{
 		settings: s, log: log, start: time.Now(),
-		pool: newRetryPool(), quarantine: newQuarantineState(), usage: newUsageCounter(s.UsageWindow), link: newLink(log), paths: newPaths(log), meters: newMeters(), grants: newGrants(), quotas: newOrganisationQuotas(), fetches: newFetchRates(), versions: newVersionRecords(), reservations: newReservations(), relocator: newRelocator(), answers: newOpenAnswers(), engineChecks: newEngineChecks(), streams: newActiveStreams(), stopping: newStopping(), changed: make(chan struct{}, 1),
+		pool: newRetryPool(), quarantine: newQuarantineState(), usage: newUsageCounter(s.UsageWindow), link: newLink(log), paths: newPaths(log), meters: newMeters(), grants: newGrants(), quotas: newOrganisationQuotas(), fetches: newFetchRates(), versions: newVersionRecords(), reservations: newReservations(), relocator: newRelocator(), answers: newOpenAnswers(), engineChecks: newEngineChecks(), streams: newActiveStreams(), stopping: newStopping(), departures: newDepartures(), changed: make(chan struct{}, 1),
 	}
 	r.memory = newMemory(s.Memory, log, r.now)
 	r.claimElsewhere = func(context.Context, takeover.Claim) takeover.Result { return takeover.Result{} }
@@ -178,12 +182,17 @@
 // UpdateUpstream stores an upstream's newest entry.
 func (r *Relay) UpdateUpstream(u upstreamstate.Upstream) {
 	r.noteVersion(u)
+	r.noteDeparture(u)
 	r.upstreams.UpdateUpstream(u)
 }
 
 // RemoveUpstream removes an upstream.
 func (r *Relay) RemoveUpstream(id string) {
 	r.noteVersionGone(id)
+	if known := r.upstreams.Upstream(id); known.ID != "" {
+		now := r.now()
+		r.departures.note(known.Incarnation(), departure{at: now}, now)
+	}
 	r.upstreams.RemoveUpstream(id)
 }
 
--- a/internal/relay/relocate.go
+++ b/internal/relay/relocate.go
@@ -309,7 +309,7 @@
 		"delays", len(in.Delays), "moves", g.moves)
 }
 
-// upstreamDidNotFail reports whether a send ended by a decision about the request, and not by its upstream.
+// upstreamDidNotFail reports whether a send ended by a decision about the request, or by the departure of its upstream.
 func upstreamDidNotFail(err error) bool {
-	return errors.Is(err, errRelocated) || errors.Is(err, errHopeless)
+	return errors.Is(err, errRelocated) || errors.Is(err, errHopeless) || errors.Is(err, errUnprovenEnd)
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -186,6 +186,9 @@
 // WrapReadError returns the error of a request that was sent but whose answer could not be read
 // completely: ErrCutOff, ErrUnacknowledged or ErrNoValidAnswer.
 func WrapReadError(err error) error {
+	if errors.Is(err, errUnprovenEnd) {
+		return err
+	}
 	var exceeded *readlimit.Exceeded
 	if errors.As(err, &exceeded) {
 		return &cutAtBound{exceeded}
--- a/internal/relay/unframed.go
+++ b/internal/relay/unframed.go
@@ -24,6 +24,10 @@
 // errUnconfirmedEnd: the connection of an unframed answer ended, and the end of its upstream's process may have ended it.
 var errUnconfirmedEnd = errors.WithMessage(io.ErrUnexpectedEOF, "relay: the end of the connection was not confirmed by the upstream")
 
+// errUnprovenEnd is the ErrNoValidAnswer of an unframed answer that can be asked for again, and whose connection ended when its
+// upstream, which leaves, may have finished it. The upstream's process has ended, but has not failed.
+var errUnprovenEnd = errors.WithMessage(ErrNoValidAnswer, "the end of the answer is not proved, its upstream has left")
+
 // confirmedBody is the body of an unframed answer. When a process ends, its kernel closes its connections in the same way
 // as the process itself does after a whole answer. So the end counts only if the process lived on or had left.
 type confirmedBody struct {
@@ -33,7 +37,7 @@
 	ended error
 }
 
-// Read implements io.Reader. At the end it returns io.EOF or errUnconfirmedEnd.
+// Read implements io.Reader. At the end it returns io.EOF or the error of confirmEnd.
 func (b *confirmedBody) Read(p []byte) (int, error) {
 	if b.ended != nil {
 		return 0, b.ended
@@ -57,19 +61,19 @@
 }
 
 // withConfirmedEnd returns the reply with a body whose end is confirmed, unless its framing proves it.
-func (r *Relay) withConfirmedEnd(ctx context.Context, req *Request, to upstreamstate.Upstream, reply *Reply) *Reply {
+func (r *Relay) withConfirmedEnd(ctx context.Context, req *Request, send Send, reply *Reply) *Reply {
 	if !reply.Unframed {
 		return reply
 	}
-	reply.Body = &confirmedBody{ReadCloser: reply.Body, confirm: func() error { return r.confirmEnd(ctx, req, to) }}
+	reply.Body = &confirmedBody{ReadCloser: reply.Body, confirm: func() error { return r.confirmEnd(ctx, req, send) }}
 	return reply
 }
 
 // confirmEnd returns nil if the connection of an unframed answer was closed by the upstream's process rather than by the
-// end of the process, and else errUnconfirmedEnd, or the context's error if that ended first, which says nothing about the
-// upstream.
-func (r *Relay) confirmEnd(ctx context.Context, req *Request, to upstreamstate.Upstream) error {
-	began := r.now()
+// end of the process, and else errUnconfirmedEnd or errUnprovenEnd, or the context's error if that ended first, which says
+// nothing about the upstream.
+func (r *Relay) confirmEnd(ctx context.Context, req *Request, send Send) error {
+	began, to := r.now(), send.To
 	confirmCtx, cancel := context.WithTimeout(ctx, endConfirmTimeout)
 	defer cancel()
 	leaving := r.leaves(to)
@@ -78,15 +82,16 @@
 	if !alive {
 		evidence = r.awaitEvidence(confirmCtx, to, leaving, began)
 	}
-	verdict := evidence.verdict()
+	verdict, repeatable := evidence.verdict(), send.Attempts.IsRepeatable()
 	observe("end_check", r.now()-began)
 	r.meters.streams.unframed.Inc(1)
 	attrs := []any{"request", req.ID, "upstream", to.ID, "took", r.now() - began, "leaving", leaving, "other_open", evidence.otherOpen,
-		"ended_together", evidence.endedTogether, "removed", evidence.removed, "unknowable", evidence.unknowable, "error", err}
+		"ended_together", evidence.endedTogether, "early", evidence.early, "removed", evidence.removed, "unknowable", evidence.unknowable,
+		"repeatable", repeatable, "error", err}
 	switch {
-	case verdict == endRegular && alive:
+	case alive:
 		return nil
-	case verdict == endRegular:
+	case verdict.isWhole(repeatable):
 		r.meters.streams.left.Inc(1)
 		r.log.Info("relay: end of an unframed answer confirmed, its upstream takes no requests", attrs...)
 		return nil
@@ -95,6 +100,9 @@
 	}
 	r.meters.streams.unconfirmed.Inc(1)
 	r.log.Info("relay: end of an unframed answer not confirmed", attrs...)
+	if verdict == endLikelyRegular {
+		return errUnprovenEnd
+	}
 	return errUnconfirmedEnd
 }
 
