failpoint: a silent link drops the end of a connection, too

Cause: in the fault injection, not in the product. On a silent link it dropped received bytes, but passed on the end of the connection behind them, and after the fault what followed dropped bytes. TCP delivers neither without them.

Why it works: a connection of which a packet was dropped stays silent until it times out, and its end is one of the packets.

--- a/internal/failpoint/link.go
+++ b/internal/failpoint/link.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // LinkVariable is the environment variable with the path of a file that sets the fault of the links of a
@@ -21,7 +23,8 @@
 const (
 	// LinkOK: no fault; the same as no file.
 	LinkOK LinkFault = ""
-	// LinkSilent drops all packets: connections are not established, and established ones hang.
+	// LinkSilent drops all packets: connections are not established, and established ones hang. One of which a packet was dropped
+	// hangs until it times out, even if the link has no fault by then.
 	LinkSilent LinkFault = "silent"
 	// LinkReset refuses new connections and resets established ones.
 	LinkReset LinkFault = "reset"
@@ -60,20 +63,25 @@
 		if err != nil {
 			return nil, err
 		}
-		return &faultyConn{Conn: conn, path: path, timeouts: timeouts, opened: time.Now()}, nil
+		return &faultyConn{Conn: conn, path: path, timeouts: timeouts, opened: time.Now(), closed: make(chan struct{})}, nil
 	}
 }
 
-// fault returns the fault of the connection.
+// fault returns the fault of the connection. One that dropped packets stays silent: what follows them must not arrive without them.
 func (c *faultyConn) fault() LinkFault {
 	fault := readLinkFault(c.path)
-	if fault != LinkOpenSilent {
-		return fault
+	if info, err := os.Stat(c.path); fault == LinkOpenSilent && (err != nil || !c.opened.Before(info.ModTime())) {
+		fault = LinkOK
 	}
-	if info, err := os.Stat(c.path); err == nil && c.opened.Before(info.ModTime()) {
-		return LinkOpenSilent
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case fault == LinkSilent || fault == LinkOpenSilent:
+		c.dropped = fault
+	case fault != LinkReset && c.dropped != LinkOK:
+		return c.dropped
 	}
-	return LinkOK
+	return fault
 }
 
 // readLinkFault reads the file. A file that cannot be read sets no fault.
@@ -98,19 +106,24 @@
 	path     string
 	timeouts LinkTimeouts
 	opened   time.Time
+	// closed is closed with the connection.
+	closed    chan struct{}
+	closeOnce sync.Once
 
-	mu   sync.Mutex // protects lost
+	mu   sync.Mutex // protects all below
 	lost error      // the error of a connection that has failed
+	// dropped is the silent fault under which the connection was used; LinkOK for none.
+	dropped LinkFault
 }
 
-// Read implements net.Conn. On a silent link it drops what arrives.
+// Read implements net.Conn. On a silent link it drops what arrives, the end of the connection included.
 func (c *faultyConn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
 		if lost := c.failure(); lost != nil {
 			return 0, lost
 		}
-		if err != nil {
+		if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed) {
 			return n, err
 		}
 		switch c.fault() {
@@ -120,9 +133,21 @@
 		case LinkReset:
 			return 0, c.fail(syscall.ECONNRESET)
 		default:
-			return n, nil
+			return n, err
 		}
+		if err != nil {
+			<-c.closed
+			return 0, c.closeError()
+		}
+	}
+}
+
+// closeError returns the error of a closed connection.
+func (c *faultyConn) closeError() error {
+	if lost := c.failure(); lost != nil {
+		return lost
 	}
+	return net.ErrClosed
 }
 
 // Write implements net.Conn. On a silent link it drops the data.
@@ -159,6 +184,7 @@
 	if c.lost == nil {
 		c.lost = &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", code)}
 		_ = c.Conn.Close() // the error of the connection is the one above
+		c.closeOnce.Do(func() { close(c.closed) })
 	}
 	return c.lost
 }
@@ -168,6 +194,7 @@
 
 // Close implements net.Conn. On a connection that went silent, the close does not arrive.
 func (c *faultyConn) Close() error {
+	defer c.closeOnce.Do(func() { close(c.closed) })
 	if c.fault() != LinkOpenSilent {
 		return c.Conn.Close()
 	}
