--- /dev/null
+++ b/internal/entry/crowd_test.go
@@ -0,0 +1,168 @@
+package entry_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"sassafrasfield/internal/testcrowd"
+	"sassafrasfield/internal/testfleet"
+)
+
+// Crowds of clients at one sf-entry, and what it may take: memory, with the bytes that were received and not read, and
+// descriptors, of which some must stay free for upstreams, the platform and files.
+const (
+	crowdClients     = 600
+	crowdMemoryMB    = 96
+	crowdDescriptors = 400
+	freeDescriptors  = 100
+)
+
+func crowdTarget(method, path string) testcrowd.Target {
+	return testcrowd.Target{Method: method, Path: path, Host: "entry.example"}
+}
+
+// asCaller returns the target with the API key of a known organisation.
+func asCaller(target testcrowd.Target) testcrowd.Target {
+	target.Header = "Authorization: Bearer " + apiKey + "\r\n"
+	return target
+}
+
+// Targets of crowds.
+var (
+	completions = crowdTarget(http.MethodPost, "/v1/chat/completions")
+	portal      = crowdTarget(http.MethodPost, "/portal/status")
+	probe       = crowdTarget(http.MethodGet, "/readyz")
+)
+
+const (
+	crowdHead = 60000   // within the default limit
+	crowdBody = 1 << 20 // a quarter of the default limit
+)
+
+// crowdCase is a crowd at an entry.
+type crowdCase struct {
+	name   string
+	client testcrowd.Client
+}
+
+var memoryCrowds = []crowdCase{
+	{"distinct fields", completions.ManyFields(testcrowd.Fields{Bytes: crowdHead})},
+	{"distinct fields and a short body", completions.ManyFields(testcrowd.Fields{Bytes: crowdHead, Ended: true})},
+	{"one field many times and a short body", completions.ManyFields(testcrowd.Fields{Bytes: crowdHead, Same: true, Ended: true})},
+	{"distinct fields at the ready path", probe.ManyFields(testcrowd.Fields{Bytes: crowdHead, Ended: true})},
+	{"distinct fields over the limit", completions.ManyFields(testcrowd.Fields{Bytes: 3 * crowdHead})},
+	{"bodies but a byte of known callers", asCaller(completions).ShortBody(crowdBody)},
+	{"bodies but a byte of known callers at a service", asCaller(portal).ShortBody(crowdBody)},
+	{"bodies of 64 KB but a byte of known callers", asCaller(completions).ShortBody(64 << 10)},
+	{"bodies but a byte of unknown callers", completions.ShortBody(crowdBody)},
+	{"chunks of 16 bytes to 64 KB of known callers", asCaller(completions).ShortChunks(64<<10, 16)},
+	{"bodies over the limit of known callers", asCaller(completions).LongBody(16 << 20)},
+	{"20 requests of 64 KB ahead", asCaller(portal).Ahead(20, 64<<10)},
+}
+
+var descriptorCrowds = []crowdCase{
+	{"nothing sent", testcrowd.Nothing},
+	{"half a head", completions.HalfHead},
+	{"one request answered, then silent", asCaller(portal).Ahead(1, 10)},
+	{"one probe answered, then silent", probe.Ahead(1, 10)},
+}
+
+// TestCrowdsDoNotExhaustMemoryOfEntry guards against an entry that clients make exceed its memory, by requests that they do
+// not end, by heads that are costly to parse, or by requests sent ahead.
+func TestCrowdsDoNotExhaustMemoryOfEntry(t *testing.T) {
+	for _, c := range memoryCrowds {
+		t.Run(c.name, func(t *testing.T) {
+			entry, process := startCrowdedEntry(t, "")
+			endObservation := process.Observe(entry)
+			crowd := testcrowd.Open(entry, crowdClients, c.client)
+			defer crowd.Close()
+			expectOrdinaryAnswer(t, entry)
+			load := endObservation()
+			peak, err := process.PeakMemory()
+			t.Logf("%d clients connected, %d KB at the peak, %d KB unread, %d descriptors", crowd.Size(), peak>>10, load.Unread>>10, load.Descriptors)
+			if err != nil || peak+load.Unread > crowdMemoryMB<<20 {
+				t.Errorf("the entry took %d MB of %d, %v", (peak+load.Unread)>>20, crowdMemoryMB, err)
+			}
+			expectRunning(t, process)
+		})
+	}
+}
+
+// TestCrowdsDoNotExhaustDescriptorsOfEntry guards against an entry whose clients leave it no descriptors, so that it answers
+// nobody.
+func TestCrowdsDoNotExhaustDescriptorsOfEntry(t *testing.T) {
+	for _, c := range descriptorCrowds {
+		t.Run(c.name, func(t *testing.T) {
+			entry, process := startCrowdedEntry(t, "")
+			if err := process.LimitDescriptors(crowdDescriptors); err != nil {
+				t.Fatal(err)
+			}
+			endObservation := process.Observe(entry)
+			crowd := testcrowd.Open(entry, crowdClients, c.client)
+			defer crowd.Close()
+			expectOrdinaryAnswer(t, entry)
+			load := endObservation()
+			t.Logf("%d clients connected, %d descriptors", crowd.Size(), load.Descriptors)
+			if load.Descriptors > crowdDescriptors-freeDescriptors {
+				t.Errorf("the entry had %d descriptors open, of %d", load.Descriptors, crowdDescriptors-freeDescriptors)
+			}
+			expectRunning(t, process)
+		})
+	}
+}
+
+// startCrowdedEntry starts a fleet whose only entry has the given settings, and returns its address and process.
+func startCrowdedEntry(t *testing.T, settings string) (string, *testfleet.Process) {
+	t.Helper()
+	fleet := startFleet(testContext(t), t, fleetOptions{instances: 1, engines: 1, services: 1, entryTables: settings})
+	in := fleet.Instances[0]
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("log of the entry:\n%.4000s", in.Entry.Log())
+		}
+	})
+	if err := testfleet.Until(testContext(t), "the entry is ready", func() bool {
+		return testfleet.Ready(testContext(t), in.EntryAddress)
+	}); err != nil {
+		t.Fatal(err)
+	}
+	return in.EntryAddress, in.Entry
+}
+
+// expectOrdinaryAnswer requires that an ordinary caller is served beside the crowd. It tries again after a refusal, as
+// callers do.
+func expectOrdinaryAnswer(t *testing.T, entry string) {
+	t.Helper()
+	const attempts = 10
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 10 * time.Second}
+	for range attempts {
+		request, err := http.NewRequest(http.MethodGet, "http://"+entry+"/portal/status", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set("Authorization", "Bearer "+apiKey)
+		response, err := client.Do(request)
+		if err != nil {
+			t.Errorf("an ordinary request was not answered: %v", err)
+			return
+		}
+		response.Body.Close()
+		if response.StatusCode == http.StatusOK {
+			return
+		}
+		t.Logf("an ordinary request got status %d", response.StatusCode)
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.Error("an ordinary request was refused each time")
+}
+
+// expectRunning requires that a process has not ended.
+func expectRunning(t *testing.T, p *testfleet.Process) {
+	t.Helper()
+	select {
+	case <-p.Done():
+		t.Errorf("%s ended: %v", p.Name, p.Err())
+	default:
+	}
+}
--- a/internal/testfleet/process.go
+++ b/internal/testfleet/process.go
@@ -1,14 +1,20 @@
 package testfleet
 
 import (
+	"encoding/binary"
 	"fmt"
+	"net/netip"
 	"os"
 	"os/exec"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 // Process is a program that was started, and may have exited since.
@@ -92,6 +98,77 @@
 	return kilobytes << 10, nil
 }
 
+// Descriptors returns the number of open file descriptors of the process.
+func (p *Process) Descriptors() (int, error) {
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.PID()))
+	return len(entries), errors.WithStack(err)
+}
+
+// Load is the most that a process was seen to hold while it was observed.
+type Load struct {
+	Descriptors int
+	// Unread are bytes that the kernel had received on connections to the process and the process had not read.
+	Unread int64
+}
+
+// Observe begins to observe what the process holds, at the addresses where it listens. The returned function ends that.
+func (p *Process) Observe(addresses ...string) (end func() Load) {
+	const interval = 5 * time.Millisecond
+	stop, result := make(chan struct{}), make(chan Load)
+	go func() {
+		var most Load
+		for {
+			if n, err := p.Descriptors(); err == nil {
+				most.Descriptors = max(most.Descriptors, n)
+			}
+			most.Unread = max(most.Unread, unreadAt(addresses))
+			select {
+			case <-stop:
+				result <- most
+				return
+			case <-time.After(interval):
+			}
+		}
+	}()
+	return func() Load {
+		close(stop)
+		return <-result
+	}
+}
+
+// unreadAt returns the bytes received and not read on the connections to listening addresses.
+func unreadAt(addresses []string) int64 {
+	const local, state, queues, listening = 1, 3, 4, "0A"
+	data, _ := os.ReadFile("/proc/net/tcp") // an error gives 0
+	var sum int64
+	for _, line := range strings.Split(string(data), "\n") {
+		fields := strings.Fields(line)
+		if len(fields) <= queues || fields[state] == listening || !slices.ContainsFunc(addresses, func(a string) bool { return fields[local] == hexAddress(a) }) {
+			continue
+		}
+		_, received, _ := strings.Cut(fields[queues], ":")
+		n, _ := strconv.ParseInt(received, 16, 64)
+		sum += n
+	}
+	return sum
+}
+
+// hexAddress returns an IPv4 address with a port in the format of /proc/net/tcp.
+func hexAddress(address string) string {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return ""
+	}
+	ip := parsed.Addr().As4()
+	return fmt.Sprintf("%08X:%04X", binary.NativeEndian.Uint32(ip[:]), parsed.Port())
+}
+
+// LimitDescriptors sets the number of file descriptors that the process may have open.
+func (p *Process) LimitDescriptors(n int) error {
+	limit := unix.Rlimit{Cur: uint64(n), Max: uint64(n)}
+	return errors.Wrap(unix.Prlimit(p.PID(), unix.RLIMIT_NOFILE, &limit, nil), p.Name)
+}
+
 // Log returns the content of the log file.
 func (p *Process) Log() string {
 	data, _ := os.ReadFile(p.LogPath) // an unreadable log counts as empty
