connlimit: what clients' connections hold is accounted for from the first byte

What callers saw: clients that do not behave made an instance exceed its memory, where the users' machines end it with all its requests, or took all its descriptors, so that ordinary callers waited until idle connections timed out.

Cause: nothing was accounted for before a handler ran. net/http parses a head as it arrives, at 26 to 105 bytes a field beside its text, and the configured limit was checked afterwards; bodies of up to 64 KB were never refused; the number of connections had no bound; the kernel let the queue of each connection that was not read grow to hundreds of KB.

Now package connlimit keeps an account of each connection on the ports for callers and for probes. It holds a head back until it is complete and its cost is reserved, refuses one over the limit before it is parsed, reserves bodies, and closes connections that wait for their clients when there is no room: those that deliver a request for longest and hold most, silent ones, idle ones. A complete request is never closed; whether a connection is closed or its request served is decided under one lock, so that 'not run' is true. Bodies over the limit get their 413 without being read.

--- /dev/null
+++ b/internal/connlimit/limiter.go
@@ -0,0 +1,271 @@
+package connlimit
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Options of a Limiter.
+type Options struct {
+	// Name is the name of the port in logs and metrics.
+	Name string
+	Bounds
+	// MaxHeadBytes returns the size above which a head is refused, before it is parsed.
+	MaxHeadBytes func() int
+	// HeadTimeout bounds the time from the first byte of a head to its end.
+	HeadTimeout time.Duration
+	// MaxBodyBytes returns the size up to which bodies are read.
+	MaxBodyBytes func() int64
+	// Refusal is the response to a request that is not run for lack of room.
+	Refusal Refusal
+	Log     *slog.Logger
+}
+
+// Refusal is what responses to refused requests have beside their status.
+type Refusal struct {
+	Header http.Header
+	Body   string
+}
+
+// retryAfter tells refused clients when to return, in seconds. Requests that are not complete have been closed by then.
+const retryAfter = "1"
+
+// Limiter bounds what the connections of one port hold. It is safe for concurrent use.
+type Limiter struct {
+	options Options
+	start   time.Time
+
+	mu     sync.Mutex // protects the fields below, and all accounts
+	ledger *Ledger
+	conns  map[*Account]*Conn
+	// changed is closed, and replaced, when a connection was closed or became idle.
+	changed chan struct{}
+
+	open, held                     metrics.Gauge
+	evicted, refused, refusedConns metrics.Counter
+}
+
+// New returns a limiter without connections.
+func New(o Options) *Limiter {
+	gauge := func(name string) metrics.Gauge {
+		return metrics.GetOrRegisterGauge("connections."+o.Name+"."+name, metrics.DefaultRegistry)
+	}
+	counter := func(name string) metrics.Counter {
+		return metrics.GetOrRegisterCounter("connections."+o.Name+"."+name, metrics.DefaultRegistry)
+	}
+	gauge("limit").Update(int64(o.Conns))
+	gauge("held_limit").Update(o.Bytes)
+	return &Limiter{
+		options: o, start: time.Now(), ledger: NewLedger(o.Bounds), conns: map[*Account]*Conn{}, changed: make(chan struct{}),
+		open: gauge("open"), held: gauge("held"), evicted: counter("evicted"), refused: counter("requests_refused"), refusedConns: counter("refused"),
+	}
+}
+
+func (l *Limiter) now() time.Duration { return time.Since(l.start) }
+
+// Listener returns a listener that accepts connections within the bounds.
+func (l *Limiter) Listener(inner net.Listener) net.Listener { return listener{inner, l} }
+
+type listener struct {
+	net.Listener
+	limiter *Limiter
+}
+
+// Accept implements net.Listener. A connection without room is closed, and not returned.
+func (l listener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.limiter.admit(conn); c != nil {
+			return c, nil
+		}
+		_ = conn.Close() // nothing was read from it
+	}
+}
+
+// maxPlaceWait bounds the wait for a place among connections that are all being served. Further connections wait in the
+// kernel meanwhile. Clients give up one that is not read for a second.
+const maxPlaceWait = 300 * time.Millisecond
+
+// admit adds a connection; it returns nil if there is no room.
+func (l *Limiter) admit(conn net.Conn) *Conn {
+	c := &Conn{Conn: conn, limiter: l, inHead: true}
+	admitted := l.await(maxPlaceWait, func() bool {
+		account, evicted, ok := l.ledger.Open(l.now())
+		if evicted != nil {
+			l.evict("no room for a new connection", evicted)
+		}
+		if ok {
+			c.account = account
+			l.conns[account] = c
+		}
+		return ok
+	})
+	if !admitted {
+		l.refusedConns.Inc(1)
+		l.options.Log.Info("connections: connection refused, all others are being served", "port", l.options.Name, "address", conn.RemoteAddr().String(), "limit", l.options.Conns)
+		return nil
+	}
+	return c
+}
+
+// await calls try until it returns true, again each time that a connection was closed or became idle. It returns false if
+// the time passes before. The lock is held while try runs.
+func (l *Limiter) await(within time.Duration, try func() bool) bool {
+	var timeout <-chan time.Time
+	for {
+		l.mu.Lock()
+		done := try()
+		l.updateGauges()
+		changed := l.changed
+		l.mu.Unlock()
+		if done {
+			return true
+		}
+		if timeout == nil {
+			timeout = time.After(within)
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return false
+		}
+	}
+}
+
+// notify has those try again that await a change. The lock is held.
+func (l *Limiter) notify() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// evict closes connections for others. The lock is held.
+func (l *Limiter) evict(reason string, accounts ...*Account) {
+	for _, a := range accounts {
+		conn := l.conns[a]
+		delete(l.conns, a)
+		_ = conn.Conn.Close() // what it would have delivered is not served
+		l.evicted.Inc(1)
+		l.options.Log.Info("connections: connection closed", "port", l.options.Name, "address", conn.RemoteAddr().String(), "state", a.state.String(),
+			"age", l.now()-a.since, "bytes", a.bytes, "held", l.ledger.Bytes(), "limit", l.options.Bytes, "outcome", reason)
+	}
+}
+
+// updateGauges updates the gauges. The lock is held.
+func (l *Limiter) updateGauges() {
+	l.open.Update(int64(l.ledger.Conns()))
+	l.held.Update(l.ledger.Bytes())
+}
+
+// maxRoomWait bounds the wait for the memory of connections that are being closed.
+const maxRoomWait = time.Second
+
+// reserve adds bytes to what the request of a connection holds, or reports false if there is no room. It may wait until
+// connections are closed for it.
+func (l *Limiter) reserve(c *Conn, n int64) bool {
+	verdict := Awaited
+	l.await(maxRoomWait, func() bool {
+		var evicted []*Account
+		evicted, verdict = l.ledger.Reserve(c.account, n, l.now())
+		l.evict("no memory for another request", evicted...)
+		return verdict != Awaited
+	})
+	return verdict == Granted
+}
+
+// charge adds bytes that are held in any case.
+func (l *Limiter) charge(c *Conn, n int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ledger.Charge(c.account, n)
+}
+
+// enter sets the state of a connection. It returns false if the connection was closed.
+func (l *Limiter) enter(c *Conn, s State) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ledger.Enter(c.account, s, l.now())
+}
+
+// endRequest releases what a request held, and has the connection wait for the next one.
+func (l *Limiter) endRequest(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ledger.Release(c.account)
+	l.ledger.Enter(c.account, Idle, l.now())
+	l.notify()
+	l.updateGauges()
+}
+
+// forget removes a connection that is closed.
+func (l *Limiter) forget(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ledger.Close(c.account)
+	delete(l.conns, c.account)
+	l.notify()
+	l.updateGauges()
+}
+
+// heldBytes returns what all requests hold.
+func (l *Limiter) heldBytes() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ledger.Bytes()
+}
+
+// noteRefused counts and logs a request that is refused.
+func (l *Limiter) noteRefused(c *Conn, status int, bytes int64) {
+	l.refused.Inc(1)
+	l.options.Log.Info("connections: request refused", "port", l.options.Name, "address", c.RemoteAddr().String(), "status", status,
+		"bytes", bytes, "held", l.heldBytes(), "limit", l.options.Bytes, "outcome", "not run")
+}
+
+// header returns the header of a refusal.
+func (l *Limiter) header(status int) http.Header {
+	header := l.options.Refusal.Header.Clone()
+	if header == nil {
+		header = http.Header{}
+	}
+	header.Set("Connection", "close")
+	if status == http.StatusServiceUnavailable {
+		header.Set("Retry-After", retryAfter)
+	}
+	return header
+}
+
+// message returns a refusal as it is sent to a client whose request is not parsed.
+func (l *Limiter) message(status int) string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n", status, http.StatusText(status), len(l.options.Refusal.Body))
+	_ = l.header(status).Write(&text) // a strings.Builder does not fail
+	text.WriteString("\r\n" + l.options.Refusal.Body)
+	return text.String()
+}
+
+// ConnState is to be called with the changes of the states of a server's connections; see http.Server.ConnState.
+func (l *Limiter) ConnState(conn net.Conn, state http.ConnState) {
+	if c, ok := conn.(*Conn); ok && state == http.StateIdle {
+		c.awaitNext()
+	}
+}
+
+type connKey struct{}
+
+// ConnContext is to be called with a server's connections; see http.Server.ConnContext.
+func (l *Limiter) ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	if c, ok := conn.(*Conn); ok {
+		return context.WithValue(ctx, connKey{}, c)
+	}
+	return ctx
+}
--- /dev/null
+++ b/internal/connlimit/limiter_test.go
@@ -0,0 +1,264 @@
+package connlimit
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const maxTestBody = 1 << 20
+
+// testServer is a server with a limiter. Its handler reads the whole body and returns its length.
+type testServer struct {
+	address string
+	limiter *Limiter
+	// run counts the requests whose bodies were read completely.
+	run atomic.Int64
+	// proceed has the handlers return; it is closed unless a test holds them.
+	proceed chan struct{}
+}
+
+func startServer(t testing.TB, bounds Bounds) *testServer {
+	t.Helper()
+	s := &testServer{proceed: make(chan struct{})}
+	s.limiter = New(Options{
+		Name: "test", Bounds: bounds, MaxHeadBytes: func() int { return 8 << 10 }, HeadTimeout: time.Minute,
+		MaxBodyBytes: func() int64 { return maxTestBody }, Refusal: Refusal{Header: http.Header{"X-Outcome": {"not_run"}}, Body: "refused"},
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+	inner, err := Listen("127.0.0.1:0", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.address = inner.Addr().String()
+	server := &http.Server{
+		Handler: s.limiter.Handler(http.HandlerFunc(s.serve)), ConnState: s.limiter.ConnState, ConnContext: s.limiter.ConnContext,
+	}
+	go func() { _ = server.Serve(s.limiter.Listener(inner)) }() // returns after Close
+	t.Cleanup(func() { server.Close() })
+	return s
+}
+
+func (s *testServer) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		s.limiter.Refuse(w, r)
+		return
+	}
+	s.run.Add(1)
+	if r.URL.Path == "/held" {
+		<-s.proceed
+	}
+	fmt.Fprintf(w, "%d", len(body))
+}
+
+// dial opens a connection and sends text.
+func (s *testServer) dial(t testing.TB, text string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	conn, err := net.Dial("tcp", s.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	if _, err := io.WriteString(conn, text); err != nil {
+		t.Fatal(err)
+	}
+	return conn, bufio.NewReader(conn)
+}
+
+func post(path string, size int) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", path, size, strings.Repeat("x", size))
+}
+
+// expect reads a response and requires its status and body.
+func expect(t testing.TB, r *bufio.Reader, status int, body string) *http.Response {
+	t.Helper()
+	response, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatalf("no response: %v", err)
+	}
+	got, err := io.ReadAll(response.Body)
+	if err != nil || response.StatusCode != status || string(got) != body {
+		t.Fatalf("status %d, body %q, %v; want %d, %q", response.StatusCode, got, err, status, body)
+	}
+	return response
+}
+
+// waitUntil waits until a condition holds.
+func waitUntil(t testing.TB, what string, holds func() bool) {
+	t.Helper()
+	for range 2000 {
+		if holds() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("condition never held: %s", what)
+}
+
+// TestRequestsInAnyPieces guards against requests that are answered wrongly, or not at all, because of how their bytes arrive:
+// in any pieces, and ahead of the answers.
+func TestRequestsInAnyPieces(t *testing.T) {
+	s := startServer(t, Bounds{Conns: 100, Bytes: 64 << 20})
+	rapid.Check(t, func(t *rapid.T) {
+		var text strings.Builder
+		var want []string
+		for range rapid.IntRange(1, 6).Draw(t, "requests") {
+			n := rapid.SampledFrom([]int{0, 1, 100, 5000, 70000}).Draw(t, "bytes")
+			switch rapid.IntRange(0, 2).Draw(t, "kind") {
+			case 0:
+				text.WriteString("GET / HTTP/1.1\r\nHost: h\r\nX-Long: " + strings.Repeat("y", n%6000) + "\r\n\r\n")
+				n = 0
+			case 1:
+				text.WriteString(post("/", n))
+			default:
+				text.WriteString("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n")
+				if n > 0 {
+					fmt.Fprintf(&text, "%x\r\n%s\r\n", n, strings.Repeat("\n", n))
+				}
+				text.WriteString("0\r\n\r\n")
+			}
+			want = append(want, fmt.Sprint(n))
+		}
+		conn, err := net.Dial("tcp", s.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		rest := text.String()
+		piece := rapid.SampledFrom([]int{3, 50, 1000, 5000, 1 << 20}).Draw(t, "piece")
+		go func() {
+			for len(rest) > 0 {
+				n := min(len(rest), piece)
+				if _, err := io.WriteString(conn, rest[:n]); err != nil {
+					return
+				}
+				rest = rest[n:]
+			}
+		}()
+		_ = conn.SetReadDeadline(time.Now().Add(20 * time.Second))
+		r := bufio.NewReader(conn)
+		for i, body := range want {
+			response, err := http.ReadResponse(r, nil)
+			if err != nil {
+				t.Fatalf("response %d of %d: %v", i, len(want), err)
+			}
+			got, err := io.ReadAll(response.Body)
+			if err != nil || response.StatusCode != http.StatusOK || string(got) != body {
+				t.Fatalf("response %d of %d: status %d, %q, %v; want %q", i, len(want), response.StatusCode, got, err, body)
+			}
+		}
+	})
+	waitUntil(t, "nothing is held", func() bool { return s.limiter.heldBytes() == 0 })
+}
+
+// TestHeadOverTheLimitIsRefused guards against a head over the limit that is parsed.
+func TestHeadOverTheLimitIsRefused(t *testing.T) {
+	s := startServer(t, Bounds{Conns: 10, Bytes: 1 << 20})
+	for name, text := range map[string]string{
+		"complete":   "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a: b\r\n", 3000) + "\r\n",
+		"incomplete": "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a: b\r\n", 3000),
+		"no line":    strings.Repeat("x", 20000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, r := s.dial(t, text)
+			if got := expect(t, r, http.StatusRequestHeaderFieldsTooLarge, "refused").Header.Get("X-Outcome"); got != "not_run" {
+				t.Errorf("the outcome is %q", got)
+			}
+		})
+	}
+	if s.run.Load() != 0 {
+		t.Error("a request ran")
+	}
+}
+
+// TestIncompleteRequestsMakeRoom guards against requests that are refused because others, which are not completed, take the
+// room, and against one that is refused or closed after it was received completely.
+func TestIncompleteRequestsMakeRoom(t *testing.T) {
+	s := startServer(t, Bounds{Conns: 50, Bytes: 100 << 10})
+	_, held := s.dial(t, post("/held", 20<<10))
+	waitUntil(t, "a request is served", func() bool { return s.run.Load() == 1 })
+	for range 20 {
+		s.dial(t, strings.TrimSuffix(post("/", 30<<10), "x"))
+	}
+	for range 5 {
+		_, r := s.dial(t, post("/", 40<<10))
+		expect(t, r, http.StatusOK, fmt.Sprint(40<<10))
+	}
+	close(s.proceed)
+	expect(t, held, http.StatusOK, fmt.Sprint(20<<10))
+	if got := s.run.Load(); got != 6 {
+		t.Errorf("%d requests ran, 6 were completed", got)
+	}
+}
+
+// TestRefusalsAreNotRun guards against a request that runs though it was refused, or that is refused without saying so.
+func TestRefusalsAreNotRun(t *testing.T) {
+	s := startServer(t, Bounds{Conns: 50, Bytes: 50 << 10})
+	_, held := s.dial(t, post("/held", 40<<10))
+	waitUntil(t, "a request is served", func() bool { return s.run.Load() == 1 })
+	for name, text := range map[string]string{
+		"a body":   post("/", 20<<10),
+		"a head":   "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\r\n", 1500) + "\r\n",
+		"a chunk":  fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", 20<<10, strings.Repeat("x", 20<<10)),
+		"too much": post("/", 60<<10),
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, r := s.dial(t, text)
+			response := expect(t, r, http.StatusServiceUnavailable, "refused")
+			if response.Header.Get("X-Outcome") != "not_run" || response.Header.Get("Retry-After") == "" {
+				t.Errorf("the header is %v", response.Header)
+			}
+		})
+	}
+	if got := s.run.Load(); got != 1 {
+		t.Errorf("%d requests ran", got)
+	}
+	close(s.proceed)
+	expect(t, held, http.StatusOK, fmt.Sprint(40<<10))
+}
+
+// TestConnectionsMakeRoom guards against a new connection that waits because idle and silent ones take all places, and
+// against the loss of one whose request is served.
+func TestConnectionsMakeRoom(t *testing.T) {
+	s := startServer(t, Bounds{Conns: 4, Bytes: 1 << 20})
+	_, held := s.dial(t, post("/held", 10))
+	waitUntil(t, "a request is served", func() bool { return s.run.Load() == 1 })
+	for range 10 {
+		s.dial(t, "")
+		s.dial(t, "GET / HTTP/1.1\r\n")
+		_, r := s.dial(t, post("/", 1))
+		expect(t, r, http.StatusOK, "1")
+	}
+	close(s.proceed)
+	expect(t, held, http.StatusOK, "10")
+}
+
+// TestConnectionWithoutAPlaceIsClosed guards against a client that waits, for longer than clients do, for a process whose
+// connections are all being served.
+func TestConnectionWithoutAPlaceIsClosed(t *testing.T) {
+	s := startServer(t, Bounds{Conns: 2, Bytes: 1 << 20})
+	for i := range 2 {
+		s.dial(t, post("/held", 10))
+		waitUntil(t, "a request is served", func() bool { return s.run.Load() == int64(i+1) })
+	}
+	_, r := s.dial(t, post("/", 1))
+	if response, err := http.ReadResponse(r, nil); err == nil {
+		t.Errorf("status %d", response.StatusCode)
+	}
+	close(s.proceed)
+	_, r = s.dial(t, post("/", 2))
+	expect(t, r, http.StatusOK, "2")
+	if got := s.run.Load(); got != 3 {
+		t.Errorf("%d requests ran", got)
+	}
+}
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -4,8 +4,10 @@
 package httpserver
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -13,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"sassafrasfield/internal/connlimit"
 	"sassafrasfield/internal/routes"
 )
 
@@ -30,6 +33,10 @@
 	Limits func() routes.Limits
 	// SendQueueBytes is the size of the kernel's queue of each connection to a caller; 0 leaves it to the kernel.
 	SendQueueBytes int
+	// ReceiveQueueBytes is the same for bytes that a caller sends.
+	ReceiveQueueBytes int
+	// Connections bounds the connections of callers and what their requests hold. It is zero for no bounds.
+	Connections connlimit.Bounds
 }
 
 // Server serves callers.
@@ -57,28 +64,21 @@
 // Run serves until the context is cancelled, then completes the requests in flight within the grace
 // period.
 func (s *Server) Run(ctx context.Context) error {
-	public := &http.Server{
-		Handler:           BoundBodies(http.HandlerFunc(s.serve), "caller", MaxBodyTime),
-		ReadHeaderTimeout: maxHeaderTimeout, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: connState, ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
-	}
-	probe := &http.Server{
-		Handler:           BoundBodies(http.HandlerFunc(s.serveReady), "probe", maxHeaderTimeout),
-		ReadHeaderTimeout: maxHeaderTimeout, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
+	public := s.newServer(http.HandlerFunc(s.serve), "caller", MaxBodyTime, s.limiter("front", s.settings.Connections, s.maxBodyBytes))
+	probe := s.newServer(http.HandlerFunc(s.serveReady), "probe", maxHeaderTimeout, s.limiter("ready", connlimit.ProbeBounds(), noBody))
 	failed := make(chan error, 2)
 	for _, l := range []struct {
-		server  *http.Server
+		server  *limitedServer
 		address string
 	}{
 		{public, s.settings.Address},
 		{probe, s.settings.ReadyAddress}, // last: once it answers, callers are sent to the other one
 	} {
-		listener, err := net.Listen("tcp", l.address)
+		listener, err := connlimit.Listen(l.address, s.settings.ReceiveQueueBytes)
 		if err != nil {
 			return errors.Wrap(err, "front: listen")
 		}
-		limited := limitedListener{listener, s.settings.Limits, s.settings.SendQueueBytes}
+		limited := l.server.limiter.Listener(limitedListener{listener, s.settings.Limits, s.settings.SendQueueBytes})
 		go func() { failed <- errors.Wrap(l.server.Serve(limited), "front: serve") }()
 	}
 	s.log.Info("front: started", "address", s.settings.Address, "ready", s.settings.ReadyAddress)
@@ -87,9 +87,48 @@
 		return err
 	case <-ctx.Done():
 	}
-	return s.stop(public, probe)
+	return s.stop(public.Server, probe.Server)
+}
+
+// limitedServer is a server whose connections are bounded.
+type limitedServer struct {
+	*http.Server
+	limiter *connlimit.Limiter
+}
+
+// newServer returns a server for requests whose bodies have to be received within a time. Peer names its clients.
+func (s *Server) newServer(handler http.Handler, peer string, bodyTime time.Duration, limiter *connlimit.Limiter) *limitedServer {
+	return &limitedServer{limiter: limiter, Server: &http.Server{
+		Handler:           limiter.Handler(BoundBodies(handler, peer, bodyTime)),
+		ReadHeaderTimeout: maxHeaderTimeout, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			limiter.ConnState(conn, state)
+			connState(conn, state)
+		},
+		ConnContext: limiter.ConnContext, ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
+	}}
+}
+
+// limiter returns the limiter of the connections to one of the addresses.
+func (s *Server) limiter(name string, bounds connlimit.Bounds, maxBodyBytes func() int64) *connlimit.Limiter {
+	return connlimit.New(connlimit.Options{
+		Name: name, Bounds: bounds, MaxHeadBytes: s.maxHeadBytes, HeadTimeout: maxHeaderTimeout, MaxBodyBytes: maxBodyBytes, Log: s.log,
+	})
+}
+
+// maxHeadBytes returns the size up to which heads are read.
+func (s *Server) maxHeadBytes() int {
+	return cmp.Or(s.settings.Limits().MaxHeaderBytes, maxHeaderBytes)
+}
+
+// maxBodyBytes returns the size up to which bodies of callers are read.
+func (s *Server) maxBodyBytes() int64 {
+	return cmp.Or(s.settings.Limits().MaxBodyBytes, math.MaxInt64)
 }
 
+// noBody is the size up to which the bodies of probes are read.
+func noBody() int64 { return 0 }
+
 // stop shuts the server down as the package comment describes.
 func (s *Server) stop(public, probe *http.Server) error {
 	deadline := time.Now().Add(s.settings.GracePeriod - ExitMargin)
--- a/internal/httpserver/limits.go
+++ b/internal/httpserver/limits.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"sassafrasfield/internal/connlimit"
 	"sassafrasfield/internal/routes"
 )
 
@@ -76,6 +77,9 @@
 
 // connState marks a connection as idle.
 func connState(conn net.Conn, state http.ConnState) {
+	if outer, ok := conn.(*connlimit.Conn); ok {
+		conn = outer.NetConn()
+	}
 	if c, ok := conn.(*limitedConn); ok && state == http.StateIdle {
 		c.idle.Store(true)
 	}
--- a/internal/testfleet/process.go
+++ b/internal/testfleet/process.go
@@ -117,18 +117,18 @@
 	stop, result := make(chan struct{}), make(chan Load)
 	go func() {
 		var most Load
-		for {
-			if n, err := p.Descriptors(); err == nil {
-				most.Descriptors = max(most.Descriptors, n)
-			}
-			most.Unread = max(most.Unread, unreadAt(addresses))
+		for ended := false; !ended; {
 			select {
 			case <-stop:
-				result <- most
-				return
+				ended = true // after a last look
 			case <-time.After(interval):
 			}
+			if n, err := p.Descriptors(); err == nil {
+				most.Descriptors = max(most.Descriptors, n)
+			}
+			most.Unread = max(most.Unread, unreadAt(addresses))
 		}
+		result <- most
 	}()
 	return func() Load {
 		close(stop)
