entry: connections of callers are bounded as on the users' platform

What callers saw: 600 clients made an sf-entry take 722 MB by heads of 60 KB, 728 MB by bodies of 1 MB that stop a byte short, and all its descriptors by connections that send nothing; ordinary callers then got no answer within 10 s.

The server for callers uses package connlimit. New settings: limits.memory_mb (512), limits.max_fds (0: what the kernel allows), limits.read_buffer_bytes (16 KiB), connections.max (0: derived) and connections.request_share (0.2). The heap is bounded by 0.6 of the memory. A refusal before the handlers is an error object with outcome not_run, as all others. A body with a length over the limit gets its 413 without being read.

In connlimit a refusal's text depends on its status, and the age of a request has no offset when the one to close is chosen: with 1 ms, requests of the same millisecond were ordered by size alone. Its test of incomplete requests failed twice for that reason with an ordinary request larger than the others; that request is smaller now, as ages of microseconds do not tell them apart.

--- a/internal/connlimit/handler.go
+++ b/internal/connlimit/handler.go
@@ -47,11 +47,12 @@
 	if c, ok := r.Context().Value(connKey{}).(*Conn); ok {
 		l.noteRefused(c, http.StatusServiceUnavailable, max(0, r.ContentLength))
 	}
-	for name, values := range l.header(http.StatusServiceUnavailable) {
+	refusal := l.refusal(http.StatusServiceUnavailable)
+	for name, values := range refusal.Header {
 		w.Header()[name] = values
 	}
 	w.WriteHeader(http.StatusServiceUnavailable)
-	_, _ = io.WriteString(w, l.options.Refusal.Body) // an error means that the client disconnected
+	_, _ = io.WriteString(w, refusal.Body) // an error means that the client disconnected
 }
 
 // serve records that a request was received completely. It returns false if the connection was closed for others.
--- a/internal/connlimit/ledger.go
+++ b/internal/connlimit/ledger.go
@@ -153,7 +153,7 @@
 			candidates = append(candidates, other)
 		}
 	}
-	cost := func(a *Account) float64 { return float64(a.bytes) * (now - a.since + time.Millisecond).Seconds() }
+	cost := func(a *Account) float64 { return float64(a.bytes) * (now - a.since + time.Microsecond).Seconds() }
 	slices.SortFunc(candidates, func(a, b *Account) int {
 		return cmp.Or(cmp.Compare(cost(b), cost(a)), cmp.Compare(a.sequence, b.sequence))
 	})
--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -24,12 +24,13 @@
 	HeadTimeout time.Duration
 	// MaxBodyBytes returns the size up to which bodies are read.
 	MaxBodyBytes func() int64
-	// Refusal is the response to a request that is not run for lack of room.
-	Refusal Refusal
+	// Refusal returns the response to a request that is not run, with status 503 for lack of room or 431 for a head over
+	// the limit; nil for one without a body.
+	Refusal func(status int) Refusal
 	Log     *slog.Logger
 }
 
-// Refusal is what responses to refused requests have beside their status.
+// Refusal is what the response to a refused request has beside its status.
 type Refusal struct {
 	Header http.Header
 	Body   string
@@ -231,25 +232,29 @@
 		"bytes", bytes, "held", l.heldBytes(), "limit", l.options.Bytes, "outcome", "not run")
 }
 
-// header returns the header of a refusal.
-func (l *Limiter) header(status int) http.Header {
-	header := l.options.Refusal.Header.Clone()
-	if header == nil {
-		header = http.Header{}
+// refusal returns the response to a refused request.
+func (l *Limiter) refusal(status int) Refusal {
+	refusal := Refusal{}
+	if l.options.Refusal != nil {
+		refusal = l.options.Refusal(status)
 	}
-	header.Set("Connection", "close")
+	if refusal.Header == nil {
+		refusal.Header = http.Header{}
+	}
+	refusal.Header.Set("Connection", "close")
 	if status == http.StatusServiceUnavailable {
-		header.Set("Retry-After", retryAfter)
+		refusal.Header.Set("Retry-After", retryAfter)
 	}
-	return header
+	return refusal
 }
 
 // message returns a refusal as it is sent to a client whose request is not parsed.
 func (l *Limiter) message(status int) string {
+	refusal := l.refusal(status)
 	var text strings.Builder
-	fmt.Fprintf(&text, "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n", status, http.StatusText(status), len(l.options.Refusal.Body))
-	_ = l.header(status).Write(&text) // a strings.Builder does not fail
-	text.WriteString("\r\n" + l.options.Refusal.Body)
+	fmt.Fprintf(&text, "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n", status, http.StatusText(status), len(refusal.Body))
+	_ = refusal.Header.Write(&text) // a strings.Builder does not fail
+	text.WriteString("\r\n" + refusal.Body)
 	return text.String()
 }
 
--- a/internal/connlimit/limiter_test.go
+++ b/internal/connlimit/limiter_test.go
@@ -32,8 +32,9 @@
 	s := &testServer{proceed: make(chan struct{})}
 	s.limiter = New(Options{
 		Name: "test", Bounds: bounds, MaxHeadBytes: func() int { return 8 << 10 }, HeadTimeout: time.Minute,
-		MaxBodyBytes: func() int64 { return maxTestBody }, Refusal: Refusal{Header: http.Header{"X-Outcome": {"not_run"}}, Body: "refused"},
-		Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		MaxBodyBytes: func() int64 { return maxTestBody },
+		Refusal:      func(int) Refusal { return Refusal{Header: http.Header{"X-Outcome": {"not_run"}}, Body: "refused"} },
+		Log:          slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
 	inner, err := Listen("127.0.0.1:0", 0)
 	if err != nil {
@@ -191,8 +192,8 @@
 		s.dial(t, strings.TrimSuffix(post("/", 30<<10), "x"))
 	}
 	for range 5 {
-		_, r := s.dial(t, post("/", 40<<10))
-		expect(t, r, http.StatusOK, fmt.Sprint(40<<10))
+		_, r := s.dial(t, post("/", 5<<10)) // holds less than the others, so that it is not the one that makes room
+		expect(t, r, http.StatusOK, fmt.Sprint(5<<10))
 	}
 	close(s.proceed)
 	expect(t, held, http.StatusOK, fmt.Sprint(20<<10))
--- a/internal/entry/crowd_test.go
+++ b/internal/entry/crowd_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -73,7 +74,7 @@
 func TestCrowdsDoNotExhaustMemoryOfEntry(t *testing.T) {
 	for _, c := range memoryCrowds {
 		t.Run(c.name, func(t *testing.T) {
-			entry, process := startCrowdedEntry(t, "")
+			entry, process := startCrowdedEntry(t, fmt.Sprintf("[limits]\nmemory_mb = %d\n", crowdMemoryMB))
 			endObservation := process.Observe(entry)
 			crowd := testcrowd.Open(entry, crowdClients, c.client)
 			defer crowd.Close()
@@ -94,7 +95,7 @@
 func TestCrowdsDoNotExhaustDescriptorsOfEntry(t *testing.T) {
 	for _, c := range descriptorCrowds {
 		t.Run(c.name, func(t *testing.T) {
-			entry, process := startCrowdedEntry(t, "")
+			entry, process := startCrowdedEntry(t, fmt.Sprintf("[limits]\nmax_fds = %d\n", crowdDescriptors))
 			if err := process.LimitDescriptors(crowdDescriptors); err != nil {
 				t.Fatal(err)
 			}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -15,6 +16,7 @@
 	"sassafrasfield/internal/apikey"
 	"sassafrasfield/internal/callerapi"
 	"sassafrasfield/internal/config"
+	"sassafrasfield/internal/connlimit"
 	"sassafrasfield/internal/engine"
 	"sassafrasfield/internal/quarantine"
 	"sassafrasfield/internal/stream"
@@ -102,15 +104,19 @@
 
 func (s *Server) readBody(c *echo.Context) ([]byte, error) {
 	limit := int64(s.settings.Limits.MaxBodyBytes)
+	if c.Request().ContentLength > limit {
+		return nil, bodyTooLarge(limit)
+	}
 	connection := http.NewResponseController(c.Response())
 	_ = connection.SetReadDeadline(time.Now().Add(s.settings.BodyTimeout)) // a response recorder in tests has no deadline
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
+	body, err := readAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit), c.Request().ContentLength)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return nil, &refusal{status: http.StatusRequestEntityTooLarge, body: callerapi.Error{
-			Message: fmt.Sprintf("the body has over %d bytes", limit),
-			Type:    "invalid_request_error", Code: "body_too_large", Outcome: callerapi.OutcomeNotRun,
-		}}
+		return nil, bodyTooLarge(limit)
+	}
+	if errors.Is(err, connlimit.ErrNoRoom) {
+		c.Response().Header().Set("Connection", "close") // the rest of the body is not read
+		return nil, noRoom()
 	}
 	if err != nil {
 		return nil, badRequest("", "the body could not be read whole")
@@ -119,6 +125,20 @@
 	return body, nil
 }
 
+// readAll reads a body of a length; negative if it is not known.
+func readAll(body io.Reader, length int64) ([]byte, error) {
+	buffer := bytes.NewBuffer(make([]byte, 0, max(0, length)+bytes.MinRead))
+	_, err := buffer.ReadFrom(body)
+	return buffer.Bytes(), err
+}
+
+func bodyTooLarge(limit int64) *refusal {
+	return &refusal{status: http.StatusRequestEntityTooLarge, body: callerapi.Error{
+		Message: fmt.Sprintf("the body has over %d bytes", limit),
+		Type:    "invalid_request_error", Code: "body_too_large", Outcome: callerapi.OutcomeNotRun,
+	}}
+}
+
 func (s *Server) applyBody(comp *completion, req *callerapi.Request) error {
 	comp.requestedModel = req.Model
 	comp.modelName, comp.adapter, comp.requestedVersion = callerapi.SplitModel(req.Model)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -10,7 +10,6 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -82,15 +81,14 @@
 func (s *Server) Run(ctx context.Context) error {
 	base, abort := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer abort(nil)
-	public := &http.Server{
-		Addr: s.settings.Listen, Handler: s.handler(),
-		ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: s.settings.Limits.MaxHeaderBytes,
-		BaseContext: func(net.Listener) context.Context { return base },
-		ConnContext: s.limitWriteBuffer,
+	s.boundHeap()
+	public, listener, err := s.newPublicServer(base)
+	if err != nil {
+		return err
 	}
 	local := &http.Server{Addr: s.settings.Local, Handler: s.localHandler(), ReadHeaderTimeout: 10 * time.Second}
 	failed := make(chan error, 2)
-	go func() { failed <- errors.Wrap(public.ListenAndServe(), "entry: listen") }()
+	go func() { failed <- errors.Wrap(public.Serve(listener), "entry: listen") }()
 	go func() { failed <- errors.Wrap(local.ListenAndServe(), "entry: local listener") }()
 	background, stopBackground := context.WithCancel(base)
 	defer stopBackground()
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"sassafrasfield/internal/connlimit"
 	"sassafrasfield/internal/idempotency"
 	"sassafrasfield/internal/logging"
 	"sassafrasfield/internal/settings"
@@ -44,6 +45,7 @@
 	WriteTimeout time.Duration        `toml:"write_timeout"`
 	Stall        stream.StallSettings `toml:"stall"`
 	Limits       LimitSettings        `toml:"limits"`
+	Connections  connlimit.Settings   `toml:"connections"`
 	Engine       EngineSettings       `toml:"engine"`
 	Routing      RoutingSettings      `toml:"routing"`
 	Admission    AdmissionSettings    `toml:"admission"`
@@ -63,6 +65,14 @@
 	// WriteBufferBytes is the kernel's send buffer for an answer that the caller has not read yet. The
 	// kernel doubles the value to account for its own overhead. Default 64 KiB.
 	WriteBufferBytes int `toml:"write_buffer_bytes"`
+	// ReadBufferBytes is the kernel's receive buffer for what a caller sends and the entry has not read yet. A caller
+	// sends at most about as much in each round trip. Default 16 KiB.
+	ReadBufferBytes int `toml:"read_buffer_bytes"`
+	// MemoryMB is the memory in MiB that the entry may take. The connections of callers and their requests have parts
+	// of it. Default 512.
+	MemoryMB int `toml:"memory_mb"`
+	// MaxFDs is the number of file descriptors that the entry may open. Default 0: what the kernel allows.
+	MaxFDs int `toml:"max_fds"`
 	// MaxPromptTokens is the maximum number of tokens of a prompt, estimated. Default 131072.
 	MaxPromptTokens int `toml:"max_prompt_tokens"`
 	// MaxAnswerTokens is the maximum number of tokens of an answer. Default 4096.
@@ -95,17 +105,18 @@
 		WriteTimeout:    30 * time.Second,
 		Stall:           stream.DefaultStall(),
 		Limits: LimitSettings{
-			MaxBodyBytes: 4 << 20, MaxHeaderBytes: 64 << 10, WriteBufferBytes: 64 << 10,
+			MaxBodyBytes: 4 << 20, MaxHeaderBytes: 64 << 10, WriteBufferBytes: 64 << 10, ReadBufferBytes: 16 << 10, MemoryMB: 512,
 			MaxPromptTokens: 131072, MaxAnswerTokens: 4096,
 		},
-		Engine:    EngineSettings{Timeout: 30 * time.Second, ReportEvery: 200 * time.Millisecond, TransferTimeout: 10 * time.Second, Attempts: 3},
-		Routing:   defaultRouting(),
-		Admission: defaultAdmission(),
-		Rate:      defaultRate(),
-		Retry:     defaultRetry(),
-		Claims:    idempotency.Default(),
-		Log:       logging.Default(),
-		Trace:     tracing.Default(),
+		Engine:      EngineSettings{Timeout: 30 * time.Second, ReportEvery: 200 * time.Millisecond, TransferTimeout: 10 * time.Second, Attempts: 3},
+		Connections: connlimit.Default(),
+		Routing:     defaultRouting(),
+		Admission:   defaultAdmission(),
+		Rate:        defaultRate(),
+		Retry:       defaultRetry(),
+		Claims:      idempotency.Default(),
+		Log:         logging.Default(),
+		Trace:       tracing.Default(),
 	}
 }
 
@@ -129,6 +140,13 @@
 	settings.IntBetween(file, "limits.max_body_bytes", s.Limits.MaxBodyBytes, 1<<10, 256<<20)
 	settings.IntBetween(file, "limits.max_header_bytes", s.Limits.MaxHeaderBytes, 1<<10, 1<<20)
 	settings.IntBetween(file, "limits.write_buffer_bytes", s.Limits.WriteBufferBytes, 4<<10, 16<<20)
+	settings.IntBetween(file, "limits.read_buffer_bytes", s.Limits.ReadBufferBytes, 4<<10, 16<<20)
+	settings.IntBetween(file, "limits.memory_mb", s.Limits.MemoryMB, 32, 1<<20)
+	settings.IntBetween(file, "limits.max_fds", s.Limits.MaxFDs, 0, 1<<30)
+	s.Connections.Check(file, "connections")
+	if bound := s.connectionBounds().Bytes; bound > 0 && int64(s.Limits.MaxBodyBytes) > bound {
+		file.Add("limits.max_body_bytes", "want at most %d, the part of memory_mb for requests", bound)
+	}
 	settings.IntBetween(file, "limits.max_prompt_tokens", s.Limits.MaxPromptTokens, 1, 16<<20)
 	settings.IntBetween(file, "limits.max_answer_tokens", s.Limits.MaxAnswerTokens, 1, 1<<20)
 	settings.Between(file, "engine.timeout", s.Engine.Timeout, 10*time.Millisecond, 10*time.Minute)
@@ -143,3 +161,8 @@
 	s.Log.Check(file, "log")
 	s.Trace.Check(file, "trace")
 }
+
+// connectionBounds returns the bounds on the connections of callers.
+func (s *Settings) connectionBounds() connlimit.Bounds {
+	return s.Connections.Bounds(connlimit.Resources{MemoryBytes: int64(s.Limits.MemoryMB) << 20, Descriptors: s.Limits.MaxFDs})
+}
--- a/internal/entry/write_deadline.go
+++ b/internal/entry/write_deadline.go
@@ -1,10 +1,11 @@
 package entry
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"time"
+
+	"sassafrasfield/internal/connlimit"
 )
 
 // writeChunkBytes is the maximum number of bytes written under one write deadline.
@@ -42,9 +43,11 @@
 
 // limitWriteBuffer limits the kernel's send buffer, which holds data that the caller has not read.
 // Otherwise the kernel would grow the buffer, to megabytes on a fast network.
-func (s *Server) limitWriteBuffer(ctx context.Context, conn net.Conn) context.Context {
+func (s *Server) limitWriteBuffer(conn net.Conn) {
+	if limited, ok := conn.(*connlimit.Conn); ok {
+		conn = limited.NetConn()
+	}
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetWriteBuffer(s.settings.Limits.WriteBufferBytes) // on an error the kernel's default limit applies
 	}
-	return ctx
 }
