httptransport: an answer ends only after its request was written

What callers saw: an upstream that answered a long upload at once with a 200 that had no length, sent a part of the body and reset the connection while the upload was still being written, had that part passed on as a complete answer, about once in twenty requests.

Cause: a socket tells an error once. When the write of the upload got the reset, the read of the answer after it saw an ordinary end, which is how an answer without a length ends. net/http closes the connection when a write fails, but the read may come first.

Now each connection of httptransport knows whether its newest request was written, and whether a write is in progress or has failed. The end of the connection counts as the end of an answer only if the request was written completely; a read at the end awaits writes in progress, for at most a second. The rule is in one place for all that reads answers through it: requests, prefills, control calls, the store, the cloud API, other instances, engines and the platform of our own interface.

Two ways: to await the writes, or to take any end before the last byte of the request for a cut. The second alone would cut whole answers, because the last write may return after the answer has ended.

--- a/internal/httptransport/admit.go
+++ b/internal/httptransport/admit.go
@@ -41,6 +41,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.wrote = false
+	c.upload.begun, c.upload.written = true, false
 	if c.retired || !c.addID(x.id) {
 		c.refusing = true
 		return false
@@ -96,6 +97,7 @@
 		return 0, err
 	}
 	n, err := c.Conn.Write(p)
+	c.endWrite(err)
 	if n == 0 && !wroteBefore {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -112,5 +114,6 @@
 		return false, errConnRefuses
 	}
 	before, c.wrote = c.wrote, true
+	c.upload.writes++
 	return before, nil
 }
--- a/internal/httptransport/httptransport.go
+++ b/internal/httptransport/httptransport.go
@@ -95,6 +95,7 @@
 	if t.settings.idHeader != "" {
 		x.id = request.Header.Get(t.settings.idHeader)
 	}
+	x.withUpload()
 	if t.settings.limits != nil {
 		x.boundInterim()
 	}
--- a/internal/httptransport/trackedconn.go
+++ b/internal/httptransport/trackedconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -78,6 +79,7 @@
 	sentHead bool
 	// used is set once a request was sent, wrote once something was written for the newest one.
 	used, wrote bool
+	upload      upload
 	// retired is set on a connection that takes no further requests, refusing once nothing more is written.
 	retired, refusing bool
 }
@@ -149,6 +151,9 @@
 			return 0, cut
 		}
 		n = c.filter(p, n, err)
+		if err == io.EOF && n == 0 {
+			return 0, c.endOfAnswer()
+		}
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) || n > 0 {
 			return n, err
 		}
