httptransport: one place decides what is an answer

What callers saw: an answer in whose head the name of a field held a blank ('X-A b: c', 'Content-Length : 3') was passed on, with that line or with a body that is not the upstream's. A status of 600 or 999 was passed on as it was. A status of 000 was not passed on to callers, but reports, health checks, frees and orders took an upstream's status from such an answer.

Cause: net/http takes any three digits for a status and accepts blanks in the names of fields. What is no answer was checked by some of the readers only: by the sender of requests and of prefills for statuses below 200, by the client of plain services likewise, by nobody for names.

Now httptransport.CheckAnswer decides, and every RoundTripper of the package applies it: statuses of 200 to 599, names of fields by x/net's httpguts, no other head within the head; interim responses and trailers have their names checked, too. What fails ends its connection and counts as lost. The client of plain services uses the package now; orders of our own interface, which are read without a transport, call the check. The former checks are gone.

Responses of other instances to forwarded requests were refused before, too: the protocol between instances does not take them; the test stays.

Two ways: to wash such heads (drop the line, keep the answer), or to refuse them. A head with a length that only one side reads cannot be washed.

--- a/internal/engine/order.go
+++ b/internal/engine/order.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sys/unix"
 
 	"sassafrasfield/internal/failpoint"
+	"sassafrasfield/internal/httptransport"
 )
 
 // Order implements Engine. It uses a separate connection that is reset when Order returns or the process
@@ -100,6 +101,9 @@
 		return Status{}, errors.WithMessage(ErrBroken, err.Error())
 	}
 	defer res.Body.Close()
+	if err := httptransport.CheckAnswer(res); err != nil {
+		return Status{}, errors.WithMessage(ErrBroken, err.Error())
+	}
 	if err := statusError(res); err != nil {
 		return Status{}, err
 	}
--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"sassafrasfield/internal/peers"
+	"sassafrasfield/internal/rawserver"
 	"sassafrasfield/internal/relay"
 )
 
@@ -90,3 +91,26 @@
 		})
 	}
 }
+
+// TestWhatIsNoAnswerOfAnInstanceIsNotTakenForOne guards against a response of an instance to a forwarded request that has a status or
+// a field that HTTP does not have.
+func TestWhatIsNoAnswerOfAnInstanceIsNotTakenForOne(t *testing.T) {
+	const head = "Content-Type: application/connect+proto\r\n"
+	for name, response := range map[string]string{
+		"status":  "HTTP/1.1 000 None\r\n" + head + "\r\n",
+		"name":    "HTTP/1.1 200 OK\r\nX-A b: c\r\n" + head + "\r\n",
+		"length":  "HTTP/1.1 200 OK\r\nContent-Length : 0\r\n" + head + "\r\n",
+		"refusal": "HTTP/1.1 200 OK\r\nContent-Type : application/connect+proto\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			to := peers.Peer{Name: "odd", Address: rawserver.Start(t, response), Zone: "a"}
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			f := request()
+			f.Repeatable = false // so that its acceptance has no timeout
+			if _, _, err := newClient(to).Forward(ctx, f, nil); !errors.Is(err, relay.ErrNoValidAnswer) {
+				t.Errorf("error %v", err)
+			}
+		})
+	}
+}
--- a/internal/httptransport/httptransport.go
+++ b/internal/httptransport/httptransport.go
@@ -100,15 +100,17 @@
 		x.boundInterim()
 	}
 	response, err := t.base.RoundTrip(request.WithContext(x.ctx))
-	switch {
-	case err != nil:
+	if err != nil {
 		err = x.exceededOr(err)
-	case hasJoinedHeads(response):
+	} else if err = CheckAnswer(response); err != nil {
 		x.closeConn()
 		_ = response.Body.Close() // the connection is closed already
-		response, err = nil, errJoinedHeads
-	case t.settings.endsConn(x.id, response):
-		x.retireConn(response)
+		response = nil
+	} else {
+		withCheckedTrailer(response)
+		if t.settings.endsConn(x.id, response) {
+			x.retireConn(response)
+		}
 	}
 	result := x.result(err)
 	x.finish(err)
@@ -211,8 +213,11 @@
 	return err
 }
 
-// endInterim ends the exchange if it has too many interim responses.
-func (x *exchange) endInterim(int, textproto.MIMEHeader) error {
+// endInterim ends the exchange if it has too many interim responses, or one that is none.
+func (x *exchange) endInterim(_ int, header textproto.MIMEHeader) error {
+	if err := checkNames(header); err != nil {
+		return err
+	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if bounded, ok := x.conn.(*trackedConn); ok {
--- a/internal/httptransport/latefilter.go
+++ b/internal/httptransport/latefilter.go
@@ -95,7 +95,7 @@
 		return 0, false
 	}
 	response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(head)), nil)
-	if err != nil || response.StatusCode < http.StatusOK || hasJoinedHeads(response) {
+	if err != nil || CheckAnswer(response) != nil {
 		return 0, false
 	}
 	id := response.Header.Get(f.header)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -13,6 +13,8 @@
 	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
+
+	"sassafrasfield/internal/httptransport"
 )
 
 // Errors of a call. Compare with errors.Is.
@@ -70,7 +72,7 @@
 			Timeout: timeout,
 			// Each call uses a new connection, because the peer can close an idle connection while a call
 			// that must not be sent twice is using it. An answer that is decoded on the way has no length any more.
-			Transport:     &http.Transport{DisableKeepAlives: true, DisableCompression: true},
+			Transport:     httptransport.Isolate(&http.Transport{DisableKeepAlives: true, DisableCompression: true}),
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
@@ -111,9 +113,6 @@
 	if res.Header.Get(NotRunHeader) != "" {
 		return Answer{}, ErrRefused
 	}
-	if res.StatusCode < http.StatusOK {
-		return Answer{}, errors.WithMessagef(ErrUnknown, "the status %d is not that of an answer", res.StatusCode)
-	}
 	if !isFramed(res) {
 		return Answer{}, errors.WithMessage(ErrUnknown, "the answer has neither a length nor chunks")
 	}
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -39,13 +39,23 @@
 // TestStatusOfNoAnswerIsNotPassedOn guards against a status below 200 that is passed on, or ends the handler of its call with a
 // panic.
 func TestStatusOfNoAnswerIsNotPassedOn(t *testing.T) {
-	for _, status := range []string{"101 Switching Protocols", "042 None", "000 None"} {
+	for _, status := range []string{"101 Switching Protocols", "042 None", "000 None", "600 None"} {
 		if got, err := do(t, http.MethodPost, "HTTP/1.1 "+status+"\r\nContent-Length: 2\r\n\r\nok"); !errors.Is(err, ErrUnknown) {
 			t.Errorf("%s: passed on as status %d, %v", status, got.Status, err)
 		}
 	}
 }
 
+// TestFieldsOfNoAnswerAreNotPassedOn guards against an answer with a field that HTTP does not have, which is passed on, or whose body
+// is not the service's.
+func TestFieldsOfNoAnswerAreNotPassedOn(t *testing.T) {
+	for _, line := range []string{"X-A b: c", "X-A : c", "Content-Length : 3", "X-A\x01: c", ": c"} {
+		if got, err := do(t, http.MethodPost, "HTTP/1.1 200 OK\r\n"+line+"\r\nContent-Length: 2\r\n\r\nok"); !errors.Is(err, ErrUnknown) {
+			t.Errorf("%q: passed on with %v, %q, %v", line, got.Header, got.Body, err)
+		}
+	}
+}
+
 // TestCutAnswerIsNotWhole guards against an answer that ends at any byte of its head or its body, and is passed on as whole.
 func TestCutAnswerIsNotWhole(t *testing.T) {
 	for _, whole := range []string{
