--- a/cmd/sf-soak/main.go
+++ b/cmd/sf-soak/main.go
@@ -42,9 +42,9 @@
 	os.Exit(run(*bin, *first, *seeds, *duration, *instances, *lanes))
 }
 
-// memoryLane is the lane of callers that do not read. What an instance holds for them is far above what it needs under the other
-// lanes, so it is in every second run only, and the bound on the memory of the lane of endless responses in the others.
-const memoryLane = "memory"
+// memoryLanes are those of callers that do not read, and of crowds. What an instance holds for them is far above what it needs under
+// the other lanes, so they are in every second run only, and the bound on the memory of the lane of endless responses in the others.
+var memoryLanes = []string{"memory", "crowds"}
 
 // lanesOf returns the lanes of a seed: those that were named, or else all that go together.
 func lanesOf(seed uint64, named []string) []string {
@@ -53,7 +53,7 @@
 	}
 	lanes := slices.Collect(maps.Keys(soak.Lanes))
 	if seed%2 == 1 {
-		lanes = slices.DeleteFunc(lanes, func(lane string) bool { return lane == memoryLane })
+		lanes = slices.DeleteFunc(lanes, func(lane string) bool { return slices.Contains(memoryLanes, lane) })
 	}
 	return lanes
 }
