Refused clients get their response, and a length over the limit no wait

A request that is refused with its body unread had its body replaced in the request that net/http keeps. net/http could not tell then that the body was not read: it read up to 256 KB of it before a response without 'Connection: close', and closed the connection at once after one with it, so that the client's next bytes reset it, and the response could be lost.

The handlers that account for bodies and bound their time pass on a copy of the request. A body whose length is over the limit gets 413 with 'Connection: close', and the rest of a refused body is received for two seconds at most.

--- a/internal/connlimit/handler.go
+++ b/internal/connlimit/handler.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -37,16 +38,26 @@
 			l.Refuse(w, r)
 			return
 		}
-		r.Body = b
-		next.ServeHTTP(w, r)
+		next.ServeHTTP(w, withBody(r, b))
 	})
 }
 
+// withBody returns a request with another body. net/http keeps its own, by which it knows how much of it was not read.
+func withBody(r *http.Request, body io.ReadCloser) *http.Request {
+	copied := *r
+	copied.Body = body
+	return &copied
+}
+
+// refusedBodyTime is how long the rest of the body of a refused request is received, so that its client gets the response.
+const refusedBodyTime = 2 * time.Second
+
 // Refuse answers a request that there is no room for, and of which nothing was run.
 func (l *Limiter) Refuse(w http.ResponseWriter, r *http.Request) {
 	if c, ok := r.Context().Value(connKey{}).(*Conn); ok {
 		l.noteRefused(c, http.StatusServiceUnavailable, max(0, r.ContentLength))
 	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(refusedBodyTime)) // fails only if the connection is closed
 	refusal := l.refusal(http.StatusServiceUnavailable)
 	for name, values := range refusal.Header {
 		w.Header()[name] = values
--- a/internal/connlimit/limiter_test.go
+++ b/internal/connlimit/limiter_test.go
@@ -228,6 +228,22 @@
 	expect(t, held, http.StatusOK, fmt.Sprint(40<<10))
 }
 
+// TestRefusalReachesAClientThatIsStillSending guards against a client that does not learn that its request was not run, because its
+// connection is reset while it sends the body.
+func TestRefusalReachesAClientThatIsStillSending(t *testing.T) {
+	const bodyBytes, pieceBytes = 200 << 10, 1 << 10
+	s := startServer(t, Bounds{Conns: 50, Bytes: 50 << 10})
+	for range 20 {
+		conn, r := s.dial(t, fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", bodyBytes))
+		for range bodyBytes / pieceBytes { // as a client does that reads the response once it has sent its request
+			if _, err := io.WriteString(conn, strings.Repeat("x", pieceBytes)); err != nil {
+				t.Fatalf("reset while the request is sent: %v", err)
+			}
+		}
+		expect(t, r, http.StatusServiceUnavailable, "refused")
+	}
+}
+
 // TestConnectionsMakeRoom guards against a new connection that waits because idle and silent ones take all places, and
 // against the loss of one whose request is served.
 func TestConnectionsMakeRoom(t *testing.T) {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -105,6 +105,7 @@
 func (s *Server) readBody(c *echo.Context) ([]byte, error) {
 	limit := int64(s.settings.Limits.MaxBodyBytes)
 	if c.Request().ContentLength > limit {
+		c.Response().Header().Set("Connection", "close") // the body is not read
 		return nil, bodyTooLarge(limit)
 	}
 	connection := http.NewResponseController(c.Response())
--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -34,8 +34,9 @@
 		b := &timedBody{ReadCloser: r.Body, conn: http.NewResponseController(w), start: time.Now()}
 		b.begin(within)
 		defer func() { httptransport.RecordCutOff(peer, r.RemoteAddr, b.end()) }()
-		r.Body = b
-		next.ServeHTTP(w, r)
+		timed := *r // net/http keeps its own body, by which it knows how much of it was not read
+		timed.Body = b
+		next.ServeHTTP(w, &timed)
 	})
 }
 
--- a/internal/httptransport/uploadcut_test.go
+++ b/internal/httptransport/uploadcut_test.go
@@ -108,7 +108,7 @@
 				_, _ = io.Copy(io.Discard, request.Body)
 				_, _ = io.WriteString(conn, body[3:])
 			})
-			client := &http.Client{Transport: Isolate(&http.Transport{})}
+			client := &http.Client{Transport: Isolate(&http.Transport{DisableKeepAlives: true})} // the server closes each connection
 			for range 20 {
 				response, err := client.Post("http://"+address+"/", "text/plain", bytes.NewReader(make([]byte, uploadBytes/8)))
 				if err != nil {
