logging: a line after Close is dropped, and ends nothing

Close closed the channel that writers send to. It closes another one now, on which the writer goroutine writes the lines that wait and ends.

The test panics before and holds after.

--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -15,8 +15,9 @@
 	lines        chan []byte
 	maxPerSecond int
 	dropped      atomic.Int64
-	done         chan struct{}
-	closeOnce    sync.Once
+	// stop is closed by Close, done once the waiting lines were written.
+	stop, done chan struct{}
+	closeOnce  sync.Once
 
 	mu            sync.Mutex // protects second and linesInSecond
 	second        int64
@@ -29,7 +30,7 @@
 // NewBounded returns a writer to w that accepts at most perSecond lines per
 // second.
 func NewBounded(w io.Writer, perSecond int) *Bounded {
-	b := &Bounded{lines: make(chan []byte, lineBufferSize), maxPerSecond: perSecond, done: make(chan struct{})}
+	b := &Bounded{lines: make(chan []byte, lineBufferSize), maxPerSecond: perSecond, stop: make(chan struct{}), done: make(chan struct{})}
 	go b.run(w)
 	return b
 }
@@ -63,19 +64,40 @@
 
 func (b *Bounded) run(w io.Writer) {
 	defer close(b.done)
-	for line := range b.lines {
-		if n := b.dropped.Swap(0); n > 0 {
-			fmt.Fprintf(w, "level=WARN msg=\"logging: lines dropped\" count=%d\n", n)
+	for {
+		select {
+		case line := <-b.lines:
+			b.write(w, line)
+		case <-b.stop:
+			b.writeWaiting(w)
+			return
 		}
-		if _, err := w.Write(line); err != nil {
-			b.dropped.Add(1) // the output is broken, so the error cannot be logged
+	}
+}
+
+// writeWaiting writes the lines that wait.
+func (b *Bounded) writeWaiting(w io.Writer) {
+	for {
+		select {
+		case line := <-b.lines:
+			b.write(w, line)
+		default:
+			return
 		}
 	}
 }
 
-// Close writes the waiting lines and stops the writer. Write must not be called
-// after it.
+func (b *Bounded) write(w io.Writer, line []byte) {
+	if n := b.dropped.Swap(0); n > 0 {
+		fmt.Fprintf(w, "level=WARN msg=\"logging: lines dropped\" count=%d\n", n)
+	}
+	if _, err := w.Write(line); err != nil {
+		b.dropped.Add(1) // the output is broken, so the error cannot be logged
+	}
+}
+
+// Close writes the waiting lines and stops the writer. Later lines are dropped.
 func (b *Bounded) Close() {
-	b.closeOnce.Do(func() { close(b.lines) })
+	b.closeOnce.Do(func() { close(b.stop) })
 	<-b.done
 }
--- a/internal/logging/bounded_test.go
+++ b/internal/logging/bounded_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"strings"
 	"sync"
 	"testing"
@@ -45,3 +46,22 @@
 		}
 	}
 }
+
+// TestLinesAfterCloseEndNothing guards against a process that panics at its end because a connection or a request that outlives it
+// still logs.
+func TestLinesAfterCloseEndNothing(t *testing.T) {
+	b := NewBounded(io.Discard, 1<<30)
+	var writers sync.WaitGroup
+	for range 8 {
+		writers.Go(func() {
+			for range 1000 {
+				if _, err := b.Write([]byte("line\n")); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	b.Close()
+	writers.Wait()
+	b.Close()
+}
