entry: answers that callers do not read are bounded

What callers saw: 600 callers who do not read answers of 1 MB of a plain service made an sf-entry take 549 MB of 96 (TestCrowdsThatDoNotReadDoNotExhaustMemoryOf- Entry, fixed before the change).

Cause: sf-entry holds answers of plain services completely, for up to 30 s while a caller takes nothing, and nothing bounded them together.

connlimit accounts for them as for requests, with a sum of their own (connections.answer_share, 0.2 of the memory). Room is reserved before an answer is read from its service, as its call waits for it; connections whose callers have taken nothing for 250 ms are closed for others, and of calls that wait the newest goes first.

That the newest goes first is a choice: the order of arrival was not measured.

--- a/internal/connlimit/bounds.go
+++ b/internal/connlimit/bounds.go
@@ -17,15 +17,21 @@
 	// until they are answered. When it is reached, connections whose requests are not complete are closed, or new
 	// requests are refused as not run. 0 is no bound. Default 0.2.
 	RequestShare float64 `toml:"request_share"`
+	// AnswerShare is the same for answers that are held completely before they are written. When it is reached, connections
+	// whose clients read nothing of them for a quarter of a second are closed, and further answers are read later. Default 0.2.
+	AnswerShare float64 `toml:"answer_share"`
 }
 
 // Default returns the default settings.
-func Default() Settings { return Settings{RequestShare: defaultRequestShare} }
+func Default() Settings {
+	return Settings{RequestShare: defaultRequestShare, AnswerShare: defaultAnswerShare}
+}
 
 const (
 	defaultRequestShare = 0.2
-	// maxRequestShare leaves room for the rest of the process.
-	maxRequestShare = 0.5
+	defaultAnswerShare  = 0.2
+	// maxShare leaves room for the rest of the process.
+	maxShare = 0.4
 	// connShare is the part of the memory for the connections beside their requests.
 	connShare = 0.15
 	// connBytes is what a connection takes beside its request: goroutine, buffers, and a part of the kernel's queue of
@@ -48,7 +54,8 @@
 
 // Bounds returns the bounds on connections of a process with these resources.
 func (s Settings) Bounds(r Resources) Bounds {
-	return Bounds{Conns: s.conns(r), Bytes: int64(float64(r.MemoryBytes) * s.RequestShare)}
+	share := func(part float64) int64 { return int64(float64(r.MemoryBytes) * part) }
+	return Bounds{Conns: s.conns(r), Bytes: share(s.RequestShare), AnswerBytes: share(s.AnswerShare)}
 }
 
 func (s Settings) conns(r Resources) int {
@@ -79,8 +86,10 @@
 // Check records a finding in the file for each invalid value below the key.
 func (s Settings) Check(file *tomlfile.File, key string) {
 	settings.IntBetween(file, key+".max", s.Max, 0, 1<<20)
-	if s.RequestShare < 0 || s.RequestShare > maxRequestShare {
-		file.Add(key+".request_share", "want 0 to %g, not %g", maxRequestShare, s.RequestShare)
+	for name, share := range map[string]float64{"request_share": s.RequestShare, "answer_share": s.AnswerShare} {
+		if share < 0 || share > maxShare {
+			file.Add(key+"."+name, "want 0 to %g, not %g", maxShare, share)
+		}
 	}
 }
 
--- a/internal/connlimit/ledger.go
+++ b/internal/connlimit/ledger.go
@@ -1,10 +1,11 @@
 // Package connlimit accounts for what the connections of clients hold in a process, from their first byte on: the
-// connections themselves, heads, parsed headers, bodies, and requests that were sent ahead. It bounds both the number of
+// connections themselves, heads, parsed headers, bodies, requests that were sent ahead, and answers that are held completely. It bounds both the number of
 // connections and the sum of the bytes, whoever the clients are. When there is no room, it closes connections that wait for
 // their client, and refuses what would exceed the bounds before anything of it is run.
 //
 // Ledger decides; a Limiter applies the decisions to the connections of one or several listeners. Inputs are the sizes, the
-// state of each connection and the time. A connection whose request is being served is never closed.
+// state of each connection and the time. A connection whose request is being served is never closed; one whose client does not
+// read an answer that is held completely may be.
 package connlimit
 
 import (
@@ -17,10 +18,21 @@
 type Bounds struct {
 	// Conns bounds the number of connections; 0 is no bound.
 	Conns int
-	// Bytes bounds what the requests of all connections hold; 0 is no bound.
-	Bytes int64
+	// Bytes bounds what the requests of all connections hold, AnswerBytes what their answers do; 0 is no bound. They are apart, so
+	// that requests that are being served never wait for others to get their answers.
+	Bytes, AnswerBytes int64
 }
 
+// Kind is the kind of what a connection holds.
+type Kind int
+
+// The kinds of what a connection holds.
+const (
+	OfRequest Kind = iota
+	OfAnswer
+	kinds int = iota
+)
+
 // State is what a connection waits for.
 type State int
 
@@ -31,11 +43,13 @@
 	Receiving
 	// Serving: a request was received completely, and is being served.
 	Serving
+	// Answering: an answer that is held completely is being written to the client.
+	Answering
 	// Idle: the last request was answered.
 	Idle
 )
 
-var stateNames = map[State]string{Silent: "silent", Receiving: "receiving", Serving: "serving", Idle: "idle"}
+var stateNames = map[State]string{Silent: "silent", Receiving: "receiving", Serving: "serving", Answering: "answering", Idle: "idle"}
 
 // String returns the state's name in logs.
 func (s State) String() string { return stateNames[s] }
@@ -44,13 +58,17 @@
 // connection within a round trip, and ends within a few.
 const settleTime = 100 * time.Millisecond
 
+// stallTime is how long a client takes nothing of its answer until that may be given up for others. A client that reads takes
+// what is written within a round trip.
+const stallTime = 250 * time.Millisecond
+
 // Account is what one connection holds.
 type Account struct {
 	state State
-	// since is when the state began.
+	// since is when the state began, or when the client took a part of its answer.
 	since time.Duration
-	// bytes are those of its request.
-	bytes int64
+	// bytes are those of its request and its answer.
+	bytes [kinds]int64
 	// sequence orders accounts of the same time.
 	sequence int64
 	// evicted is set once the connection is to be closed for others. closed is set once its memory is free.
@@ -61,13 +79,21 @@
 type Ledger struct {
 	bounds   Bounds
 	accounts map[*Account]struct{}
-	// bytes are those of all accounts that are not closed, freeing those of the evicted ones among them.
-	bytes, freeing int64
-	sequence       int64
+	// sums are those of all accounts that are not closed.
+	sums     [kinds]sum
+	sequence int64
+}
+
+// sum is what all accounts hold of a kind.
+type sum struct {
+	// bound is that on bytes; 0 for none. freeing are those of evicted accounts.
+	bound, bytes, freeing int64
 }
 
 // NewLedger returns an empty ledger.
-func NewLedger(b Bounds) *Ledger { return &Ledger{bounds: b, accounts: map[*Account]struct{}{}} }
+func NewLedger(b Bounds) *Ledger {
+	return &Ledger{bounds: b, accounts: map[*Account]struct{}{}, sums: [kinds]sum{OfRequest: {bound: b.Bytes}, OfAnswer: {bound: b.AnswerBytes}}}
+}
 
 // Open adds a connection. Without room for it, it returns the connection to close for it, or false if there is none.
 func (l *Ledger) Open(now time.Duration) (opened, evicted *Account, ok bool) {
@@ -84,21 +110,24 @@
 }
 
 // leastActive returns the connection to close for another one; nil if all are being served. The first to go are those that
-// have not delivered a request for the longest time, then those that are idle for the longest time.
+// have not delivered a request for the longest time, then those that are idle for the longest time, then those that do not read
+// their answers.
 func (l *Ledger) leastActive(now time.Duration) *Account {
 	rank := func(a *Account) int {
 		switch {
-		case a.state != Idle && now-a.since >= settleTime:
+		case a.delivers() && now-a.since >= settleTime:
 			return 0
 		case a.state == Idle:
 			return 1
-		default:
+		case a.state == Answering:
 			return 2
+		default:
+			return 3
 		}
 	}
 	var least *Account
 	for a := range l.accounts {
-		if a.state == Serving {
+		if !a.mayClose(now) {
 			continue
 		}
 		if least == nil || cmp.Or(cmp.Compare(rank(a), rank(least)), cmp.Compare(a.since, least.since), cmp.Compare(a.sequence, least.sequence)) < 0 {
@@ -108,33 +137,49 @@
 	return least
 }
 
+// delivers reports whether a connection's client is to send a request, or the rest of one.
+func (a *Account) delivers() bool { return a.state == Silent || a.state == Receiving }
+
+// mayClose reports whether a connection may be closed for others.
+func (a *Account) mayClose(now time.Duration) bool {
+	switch a.state {
+	case Serving:
+		return false
+	case Answering:
+		return now-a.since >= stallTime
+	default:
+		return true
+	}
+}
+
 // Verdict is the result of a Reserve.
 type Verdict int
 
 const (
 	// Granted: the bytes were added.
 	Granted Verdict = iota
-	// Refused: closing all connections that deliver requests would not make room.
+	// Refused: closing all connections that wait for their clients would not make room.
 	Refused
 	// Awaited: there will be room once evicted connections are closed.
 	Awaited
 )
 
-// Reserve adds n bytes to what the request of a connection holds, unless there is no room. It returns the connections to
-// close for it. What these hold counts until Close.
-func (l *Ledger) Reserve(a *Account, n int64, now time.Duration) (evicted []*Account, v Verdict) {
+// Reserve adds n bytes to what a connection holds, unless there is no room. It returns the connections to close for it. What these
+// hold counts until Close.
+func (l *Ledger) Reserve(a *Account, k Kind, n int64, now time.Duration) (evicted []*Account, v Verdict) {
 	if a.evicted {
 		return nil, Refused
 	}
-	excess := l.bytes + n - l.bounds.Bytes
-	if l.bounds.Bytes == 0 || excess <= 0 {
-		l.Charge(a, n)
+	sum := l.sums[k]
+	excess := sum.bytes + n - sum.bound
+	if sum.bound == 0 || excess <= 0 {
+		l.Charge(a, k, n)
 		return nil, Granted
 	}
-	if excess -= l.freeing; excess <= 0 {
+	if excess -= sum.freeing; excess <= 0 {
 		return nil, Awaited
 	}
-	evicted, ok := l.costliest(a, excess, now)
+	evicted, ok := l.costliest(a, k, excess, now)
 	if !ok {
 		return nil, Refused
 	}
@@ -144,41 +189,45 @@
 	return evicted, Awaited
 }
 
-// costliest returns connections other than a that deliver requests and hold the given bytes together, or false if all of
-// them do not. The first to go are those whose bytes, multiplied with the time for which they have been delivered, are most.
-func (l *Ledger) costliest(a *Account, bytes int64, now time.Duration) ([]*Account, bool) {
+// costliest returns connections other than a that wait for their clients and hold the given bytes together, or false if all of
+// them do not. The first to go are those whose bytes, multiplied with the time of that, are most.
+func (l *Ledger) costliest(a *Account, k Kind, bytes int64, now time.Duration) ([]*Account, bool) {
 	var candidates []*Account
 	for other := range l.accounts {
-		if other != a && other.state == Receiving && other.bytes > 0 {
+		if other != a && other.bytes[k] > 0 && other.mayClose(now) {
 			candidates = append(candidates, other)
 		}
 	}
-	cost := func(a *Account) float64 { return float64(a.bytes) * (now - a.since + time.Microsecond).Seconds() }
+	cost := func(a *Account) float64 { return float64(a.bytes[k]) * (now - a.since + time.Microsecond).Seconds() }
 	slices.SortFunc(candidates, func(a, b *Account) int {
 		return cmp.Or(cmp.Compare(cost(b), cost(a)), cmp.Compare(a.sequence, b.sequence))
 	})
 	for i, other := range candidates {
-		if bytes -= other.bytes; bytes <= 0 {
+		if bytes -= other.bytes[k]; bytes <= 0 {
 			return candidates[:i+1], true
 		}
 	}
 	return nil, false
 }
 
-// Charge adds n bytes to what the request of a connection holds, also beyond the bound.
-func (l *Ledger) Charge(a *Account, n int64) {
+// Charge adds n bytes to what a connection holds, also beyond the bound.
+func (l *Ledger) Charge(a *Account, k Kind, n int64) {
 	if a.closed {
 		return
 	}
-	a.bytes += n
-	l.bytes += n
+	a.bytes[k] += n
+	l.sums[k].bytes += n
 	if a.evicted {
-		l.freeing += n
+		l.sums[k].freeing += n
 	}
 }
 
-// Release removes all that the request of a connection holds.
-func (l *Ledger) Release(a *Account) { l.Charge(a, -a.bytes) }
+// Release removes all that the request of a connection and its answer hold.
+func (l *Ledger) Release(a *Account) {
+	for k := range Kind(kinds) {
+		l.Charge(a, k, -a.bytes[k])
+	}
+}
 
 // Enter sets the state of a connection. It returns false if the connection was evicted.
 func (l *Ledger) Enter(a *Account, s State, now time.Duration) bool {
@@ -191,10 +240,15 @@
 	return true
 }
 
+// Progress records that the client took a part of its answer.
+func (l *Ledger) Progress(a *Account, now time.Duration) { a.since = now }
+
 // evict takes a connection out of the open ones. What it holds counts until Close.
 func (l *Ledger) evict(a *Account) {
 	a.evicted = true
-	l.freeing += a.bytes
+	for k := range l.sums {
+		l.sums[k].freeing += a.bytes[k]
+	}
 	delete(l.accounts, a)
 }
 
@@ -208,5 +262,5 @@
 // Conns returns the number of open connections.
 func (l *Ledger) Conns() int { return len(l.accounts) }
 
-// Bytes returns what all requests hold.
-func (l *Ledger) Bytes() int64 { return l.bytes }
+// Bytes returns what all requests or all answers hold.
+func (l *Ledger) Bytes(k Kind) int64 { return l.sums[k].bytes }
--- a/internal/connlimit/ledger_test.go
+++ b/internal/connlimit/ledger_test.go
@@ -1,7 +1,6 @@
 package connlimit
 
 import (
-	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -27,7 +26,7 @@
 			t.Fatalf("%s: not opened, or %v evicted", c.name, evicted)
 		}
 		l.Enter(a, c.state, c.since)
-		l.Charge(a, c.bytes)
+		l.Charge(a, OfRequest, c.bytes)
 		names[a] = c.name
 	}
 	return names
@@ -54,6 +53,13 @@
 			[]conn{{"served", Serving, ago(9 * time.Second), 100}, {"new", Silent, ago(time.Millisecond), 0}}, "new",
 		},
 		"none that is served": {[]conn{{"served", Serving, ago(9 * time.Second), 100}, {"served, too", Serving, 0, 0}}, ""},
+		"none that reads":     {[]conn{{"reads", Answering, ago(stallTime / 2), 100}, {"served", Serving, 0, 0}}, ""},
+		"one that does not read, if the others are served": {
+			[]conn{{"served", Serving, 0, 0}, {"does not read", Answering, ago(stallTime), 100}}, "does not read",
+		},
+		"idle before one that does not read": {
+			[]conn{{"does not read", Answering, ago(9 * time.Second), 100}, {"idle", Idle, ago(time.Second), 0}}, "idle",
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := NewLedger(Bounds{Conns: len(c.conns)})
@@ -90,6 +96,8 @@
 			600, []string{"a", "b"}, Awaited,
 		},
 		"none that is served":         {[]conn{{"served", Serving, 0, 900}}, 200, nil, Refused},
+		"none that reads":             {[]conn{{"reads", Answering, ago(stallTime / 2), 900}}, 200, nil, Refused},
+		"one that does not read":      {[]conn{{"does not read", Answering, ago(stallTime), 900}}, 200, []string{"does not read"}, Awaited},
 		"none if that is not enough":  {[]conn{{"served", Serving, 0, 900}, {"a", Receiving, 0, 50}}, 200, nil, Refused},
 		"none that holds nothing":     {[]conn{{"served", Serving, 0, 1000}, {"idle", Idle, 0, 0}, {"silent", Silent, 0, 0}}, 1, nil, Refused},
 		"more than there ever is":     {[]conn{{"a", Receiving, 0, 500}}, 1001, nil, Refused},
@@ -100,7 +108,7 @@
 			names := open(t, l, c.conns)
 			self, _, _ := l.Open(now)
 			l.Enter(self, Receiving, now)
-			evicted, v := l.Reserve(self, c.need, now)
+			evicted, v := l.Reserve(self, OfRequest, c.need, now)
 			var got []string
 			for _, a := range evicted {
 				got = append(got, names[a])
@@ -115,7 +123,7 @@
 				l.Close(a)
 			}
 			if v == Awaited {
-				if _, v = l.Reserve(self, c.need, now); v != Granted {
+				if _, v = l.Reserve(self, OfRequest, c.need, now); v != Granted {
 					t.Errorf("verdict %d once the connections are closed", v)
 				}
 			}
@@ -126,7 +134,8 @@
 // TestLedgerKeepsItsBounds guards against sums that drift from what the connections hold, in any order of events.
 func TestLedgerKeepsItsBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		bounds := Bounds{Conns: rapid.IntRange(1, 8).Draw(t, "conns"), Bytes: int64(rapid.IntRange(10, 1000).Draw(t, "bytes"))}
+		drawBytes := func() int64 { return int64(rapid.IntRange(10, 1000).Draw(t, "bytes")) }
+		bounds := Bounds{Conns: rapid.IntRange(1, 8).Draw(t, "conns"), Bytes: drawBytes(), AnswerBytes: drawBytes()}
 		l, now := NewLedger(bounds), time.Duration(0)
 		var conns []*Account
 		for step := range rapid.IntRange(1, 200).Draw(t, "steps") {
@@ -142,30 +151,34 @@
 			switch rapid.IntRange(0, 3).Draw(t, "event") {
 			case 0:
 				wasServing := a.state == Serving
-				evicted, v := l.Reserve(a, int64(rapid.IntRange(0, 300).Draw(t, "need")), now)
+				k := Kind(rapid.IntRange(0, kinds-1).Draw(t, "kind"))
+				evicted, v := l.Reserve(a, k, int64(rapid.IntRange(0, 300).Draw(t, "need")), now)
 				if slices.ContainsFunc(evicted, func(e *Account) bool { return e.state == Serving || e == a }) {
 					t.Fatalf("step %d: a connection that is served, or itself, was evicted", step)
 				}
-				if v == Granted && l.bytes > bounds.Bytes {
-					t.Fatalf("step %d: %d bytes granted beyond %d, served %t", step, l.bytes, bounds.Bytes, wasServing)
+				if v == Granted && l.sums[k].bytes > l.sums[k].bound {
+					t.Fatalf("step %d: %d bytes granted beyond %d, served %t", step, l.sums[k].bytes, l.sums[k].bound, wasServing)
 				}
 			case 1:
-				l.Enter(a, State(rapid.IntRange(0, 3).Draw(t, "state")), now)
+				l.Enter(a, State(rapid.IntRange(0, 4).Draw(t, "state")), now)
 			case 2:
 				l.Release(a)
 			case 3:
 				l.Close(a)
 				conns = slices.Delete(conns, at, at+1)
 			}
-			var sum, freeing int64
-			for _, a := range conns {
-				sum += a.bytes
-				if a.evicted {
-					freeing += a.bytes
+			var want [kinds]sum
+			for k := range want {
+				want[k].bound = l.sums[k].bound
+				for _, a := range conns {
+					want[k].bytes += a.bytes[k]
+					if a.evicted {
+						want[k].freeing += a.bytes[k]
+					}
 				}
 			}
-			if sum != l.Bytes() || freeing != l.freeing || l.Conns() > bounds.Conns {
-				t.Fatal(fmt.Sprintf("step %d: %d bytes and %d freeing, counted %d and %d; %d connections of %d", step, sum, freeing, l.Bytes(), l.freeing, l.Conns(), bounds.Conns))
+			if want != l.sums || l.Conns() > bounds.Conns {
+				t.Fatalf("step %d: %+v, counted %+v; %d connections of %d", step, want, l.sums, l.Conns(), bounds.Conns)
 			}
 		}
 	})
--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -50,7 +50,10 @@
 	// changed is closed, and replaced, when a connection was closed or became idle.
 	changed chan struct{}
 
-	open, held                     metrics.Gauge
+	// awaiting are the connections that await room for an answer, the newest last.
+	awaiting []*Conn
+
+	open, held, answers            metrics.Gauge
 	evicted, refused, refusedConns metrics.Counter
 }
 
@@ -64,9 +67,10 @@
 	}
 	gauge("limit").Update(int64(o.Conns))
 	gauge("held_limit").Update(o.Bytes)
+	gauge("answers_limit").Update(o.AnswerBytes)
 	return &Limiter{
 		options: o, start: time.Now(), ledger: NewLedger(o.Bounds), conns: map[*Account]*Conn{}, changed: make(chan struct{}),
-		open: gauge("open"), held: gauge("held"), evicted: counter("evicted"), refused: counter("requests_refused"), refusedConns: counter("refused"),
+		open: gauge("open"), held: gauge("held"), answers: gauge("answers_held"), evicted: counter("evicted"), refused: counter("requests_refused"), refusedConns: counter("refused"),
 	}
 }
 
@@ -120,10 +124,14 @@
 	return c
 }
 
-// await calls try until it returns true, again each time that a connection was closed or became idle. It returns false if
-// the time passes before. The lock is held while try runs.
+// retryInterval is the time after which those that await room try again, as a client may have stopped to read by then.
+const retryInterval = 50 * time.Millisecond
+
+// await calls try until it returns true, again each time that a connection was closed or became idle, and after the retry
+// interval. It returns false if the time passes before. The lock is held while try runs.
 func (l *Limiter) await(within time.Duration, try func() bool) bool {
 	var timeout <-chan time.Time
+	var retry *time.Ticker
 	for {
 		l.mu.Lock()
 		done := try()
@@ -134,10 +142,12 @@
 			return true
 		}
 		if timeout == nil {
-			timeout = time.After(within)
+			timeout, retry = time.After(within), time.NewTicker(retryInterval)
+			defer retry.Stop()
 		}
 		select {
 		case <-changed:
+		case <-retry.C:
 		case <-timeout:
 			return false
 		}
@@ -158,14 +168,16 @@
 		_ = conn.Conn.Close() // what it would have delivered is not served
 		l.evicted.Inc(1)
 		l.options.Log.Info("connections: connection closed", "port", l.options.Name, "address", conn.RemoteAddr().String(), "state", a.state.String(),
-			"age", l.now()-a.since, "bytes", a.bytes, "held", l.ledger.Bytes(), "limit", l.options.Bytes, "outcome", reason)
+			"age", l.now()-a.since, "bytes", a.bytes[OfRequest], "answer_bytes", a.bytes[OfAnswer], "held", l.ledger.Bytes(OfRequest),
+			"limit", l.options.Bytes, "outcome", reason)
 	}
 }
 
 // updateGauges updates the gauges. The lock is held.
 func (l *Limiter) updateGauges() {
 	l.open.Update(int64(l.ledger.Conns()))
-	l.held.Update(l.ledger.Bytes())
+	l.held.Update(l.ledger.Bytes(OfRequest))
+	l.answers.Update(l.ledger.Bytes(OfAnswer))
 }
 
 // maxRoomWait bounds the wait for the memory of connections that are being closed.
@@ -177,7 +189,7 @@
 	verdict := Awaited
 	l.await(maxRoomWait, func() bool {
 		var evicted []*Account
-		evicted, verdict = l.ledger.Reserve(c.account, n, l.now())
+		evicted, verdict = l.ledger.Reserve(c.account, OfRequest, n, l.now())
 		l.evict("no memory for another request", evicted...)
 		return verdict != Awaited
 	})
@@ -188,7 +200,7 @@
 func (l *Limiter) charge(c *Conn, n int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.ledger.Charge(c.account, n)
+	l.ledger.Charge(c.account, OfRequest, n)
 }
 
 // enter sets the state of a connection. It returns false if the connection was closed.
@@ -222,7 +234,7 @@
 func (l *Limiter) heldBytes() int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.ledger.Bytes()
+	return l.ledger.Bytes(OfRequest)
 }
 
 // noteRefused counts and logs a request that is refused.
--- a/internal/connlimit/limiter_test.go
+++ b/internal/connlimit/limiter_test.go
@@ -279,3 +279,54 @@
 		t.Errorf("%d requests ran", got)
 	}
 }
+
+// TestAnswersThatAreNotReadMakeRoom guards against an answer that waits for others whose clients do not read, and against one
+// that is given up although its client reads.
+func TestAnswersThatAreNotReadMakeRoom(t *testing.T) {
+	const answerBytes, pieceBytes = 4 << 20, 64 << 10
+	limiter := New(Options{
+		Name: "answers", Bounds: Bounds{Conns: 10, Bytes: 1 << 20, AnswerBytes: answerBytes + answerBytes/2},
+		MaxHeadBytes: func() int { return 8 << 10 }, MaxBodyBytes: func() int64 { return 0 }, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+	inner, err := Listen("127.0.0.1:0", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{ConnState: limiter.ConnState, ConnContext: limiter.ConnContext}
+	server.Handler = limiter.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		answer := AnswerOf(r.Context())
+		if err := answer.Reserve(answerBytes); err != nil {
+			t.Error(err)
+		}
+		answer.Begin()
+		for range answerBytes / pieceBytes {
+			if _, err := w.Write(make([]byte, pieceBytes)); err != nil {
+				return
+			}
+			answer.Wrote()
+		}
+	}))
+	go func() { _ = server.Serve(limiter.Listener(inner)) }() // returns after Close
+	t.Cleanup(func() { server.Close() })
+	for range 3 {
+		ignoring, err := net.Dial("tcp", inner.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ignoring.Close()
+		if _, err := io.WriteString(ignoring, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range 3 {
+		response, err := http.Get("http://" + inner.Addr().String() + "/")
+		if err != nil {
+			t.Fatal(err)
+		}
+		n, err := io.Copy(io.Discard, response.Body)
+		response.Body.Close()
+		if err != nil || n != answerBytes {
+			t.Errorf("%d bytes, %v", n, err)
+		}
+	}
+}
--- a/internal/entry/crowd_test.go
+++ b/internal/entry/crowd_test.go
@@ -8,6 +8,7 @@
 
 	"sassafrasfield/internal/testcrowd"
 	"sassafrasfield/internal/testfleet"
+	"sassafrasfield/internal/testservers"
 )
 
 // Crowds of clients at one sf-entry, and what it may take: memory, with the bytes that were received and not read, and
@@ -113,6 +114,31 @@
 	}
 }
 
+// TestCrowdsThatDoNotReadDoNotExhaustMemoryOfEntry guards against an entry that clients make exceed its memory by large answers of
+// a service that they do not read.
+func TestCrowdsThatDoNotReadDoNotExhaustMemoryOfEntry(t *testing.T) {
+	const answerBytes = 1 << 20
+	fleet := startFleet(testContext(t), t, fleetOptions{
+		instances: 1, engines: 1, services: 1, entryTables: fmt.Sprintf("[limits]\nmemory_mb = %d\n", crowdMemoryMB),
+	})
+	entry, process := fleet.Instances[0].EntryAddress, fleet.Instances[0].Entry
+	faults := testservers.ServiceFaults{AnswerBytes: answerBytes}
+	if err := testfleet.Post(testContext(t), fleet.Services[0].Address, testservers.PathFault, faults, nil); err != nil {
+		t.Fatal(err)
+	}
+	endObservation := process.Observe(entry)
+	crowd := testcrowd.Open(entry, crowdClients, asCaller(portal).Ahead(1, 10))
+	defer crowd.Close()
+	expectOrdinaryAnswer(t, entry)
+	load := endObservation()
+	peak, err := process.PeakMemory()
+	t.Logf("%d clients connected, %d KB at the peak, %d KB unread, %d descriptors", crowd.Size(), peak>>10, load.Unread>>10, load.Descriptors)
+	if err != nil || peak+load.Unread > crowdMemoryMB<<20 {
+		t.Errorf("the entry took %d MB of %d, %v", (peak+load.Unread)>>20, crowdMemoryMB, err)
+	}
+	expectRunning(t, process)
+}
+
 // startCrowdedEntry starts a fleet whose only entry has the given settings, and returns its address and process.
 func startCrowdedEntry(t *testing.T, settings string) (string, *testfleet.Process) {
 	t.Helper()
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -15,6 +15,7 @@
 	"sassafrasfield/internal/attempt"
 	"sassafrasfield/internal/callerapi"
 	"sassafrasfield/internal/config"
+	"sassafrasfield/internal/connlimit"
 	"sassafrasfield/internal/idempotency"
 	"sassafrasfield/internal/load"
 	"sassafrasfield/internal/outcome"
@@ -48,7 +49,10 @@
 	if err != nil {
 		return err
 	}
-	call := service.Call{Method: c.Request().Method, Path: c.Request().URL.RequestURI(), Header: endToEndHeaders(c.Request().Header), Body: body}
+	call := service.Call{
+		Method: c.Request().Method, Path: c.Request().URL.RequestURI(), Header: endToEndHeaders(c.Request().Header), Body: body,
+		Reserve: connlimit.AnswerOf(c.Request().Context()).Reserve,
+	}
 	answer, err := s.runCall(c, svc, organisation, call)
 	if err != nil {
 		return err
@@ -208,5 +212,7 @@
 		header[name] = values
 	}
 	c.Response().WriteHeader(answer.Status)
-	return deadlineWriter{c.Response(), s.settings.WriteTimeout}.writeAll(answer.Body)
+	held := connlimit.AnswerOf(c.Request().Context())
+	held.Begin()
+	return deadlineWriter{c.Response(), s.settings.WriteTimeout, held.Wrote}.writeAll(answer.Body)
 }
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -75,7 +75,7 @@
 func newSink(c *echo.Context, shape shape, comp *completion, writeTimeout time.Duration) responder {
 	base := response{
 		c: c, shape: shape, comp: comp, created: time.Now().Unix(),
-		body: deadlineWriter{c.Response(), writeTimeout},
+		body: deadlineWriter{w: c.Response(), timeout: writeTimeout},
 	}
 	if comp.resume != nil {
 		base.tokens = comp.resume.Next
--- a/internal/entry/write_deadline.go
+++ b/internal/entry/write_deadline.go
@@ -15,6 +15,8 @@
 type deadlineWriter struct {
 	w       http.ResponseWriter
 	timeout time.Duration
+	// wrote is called after each chunk; nil for nothing.
+	wrote func()
 }
 
 // writeAll writes the data in chunks. Each chunk has the full timeout.
@@ -26,6 +28,9 @@
 			return err
 		}
 		data = data[len(part):]
+		if d.wrote != nil {
+			d.wrote()
+		}
 	}
 	return nil
 }
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -41,6 +41,9 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// Reserve is called with the number of bytes before so many of the answer are read into memory, and may wait. An error ends
+	// the call. It is nil if they are not accounted for.
+	Reserve func(bytes int64) error `json:"-"`
 }
 
 // Answer is a complete answer.
@@ -97,7 +100,7 @@
 		return Answer{}, classify(err, connected)
 	}
 	defer res.Body.Close()
-	return readAnswer(res)
+	return readAnswer(res, call.Reserve)
 }
 
 // classify distinguishes a call of which no byte was sent from one that may have run. Bytes can be sent only
@@ -109,23 +112,67 @@
 	return errors.WithMessage(ErrUnknown, err.Error())
 }
 
-func readAnswer(res *http.Response) (Answer, error) {
+func readAnswer(res *http.Response, reserve func(int64) error) (Answer, error) {
 	if res.Header.Get(NotRunHeader) != "" {
 		return Answer{}, ErrRefused
 	}
 	if !isFramed(res) {
 		return Answer{}, errors.WithMessage(ErrUnknown, "the answer has neither a length nor chunks")
 	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes+1))
+	body, err := readBody(res, reserve)
 	if err != nil {
 		return Answer{}, errors.WithMessage(ErrUnknown, err.Error())
 	}
-	if len(body) > maxAnswerBytes {
-		return Answer{}, errors.WithMessage(ErrUnknown, "answer too large")
-	}
 	return Answer{Status: res.StatusCode, Header: res.Header, Body: body}, nil
 }
 
+// readBody reads a body, after the memory for it is reserved: for one with a length at once, for another one as it arrives.
+func readBody(res *http.Response, reserve func(int64) error) ([]byte, error) {
+	if reserve == nil {
+		reserve = func(int64) error { return nil }
+	}
+	length := res.ContentLength
+	if res.Request.Method == http.MethodHead {
+		length = 0
+	}
+	if length > maxAnswerBytes {
+		return nil, errTooLarge
+	}
+	body := io.Reader(&reservingReader{res.Body, reserve})
+	if length >= 0 {
+		if err := reserve(length); err != nil {
+			return nil, err
+		}
+		body = res.Body
+	}
+	buffer := bytes.NewBuffer(make([]byte, 0, max(0, length)+bytes.MinRead))
+	if _, err := buffer.ReadFrom(io.LimitReader(body, maxAnswerBytes+1)); err != nil {
+		return nil, err
+	}
+	if buffer.Len() > maxAnswerBytes {
+		return nil, errTooLarge
+	}
+	return buffer.Bytes(), nil
+}
+
+var errTooLarge = errors.New("answer too large")
+
+// reservingReader reserves memory for what it reads.
+type reservingReader struct {
+	io.Reader
+	reserve func(int64) error
+}
+
+// Read implements io.Reader.
+func (r *reservingReader) Read(p []byte) (int, error) {
+	const growth = 2 // of the buffer that is read into
+	n, err := r.Reader.Read(p)
+	if refused := r.reserve(int64(growth * n)); refused != nil {
+		return 0, refused
+	}
+	return n, err
+}
+
 // isFramed reports whether an answer says where it ends. The end of the connection does not: the kernel of a process
 // that was killed ends it in the same way.
 func isFramed(res *http.Response) bool {
--- a/internal/testservers/service.go
+++ b/internal/testservers/service.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,6 +20,8 @@
 	LoseReplies int `json:"lose_replies"`
 	// Refuse answers each call with status 503 and marks it as not run.
 	Refuse bool `json:"refuse"`
+	// AnswerBytes is the least size of each answer.
+	AnswerBytes int `json:"answer_bytes"`
 }
 
 // ServiceRecord counts the runs of the service. The keys of Runs have the form "METHOD path".
@@ -82,7 +85,11 @@
 	if lost {
 		panic(http.ErrAbortHandler) // closes the connection without a reply
 	}
-	writeJSON(w, map[string]any{"service": s.id, "run": number, "call": fmt.Sprintf("%s %s", r.Method, r.URL.Path)})
+	answer := map[string]any{"service": s.id, "run": number, "call": fmt.Sprintf("%s %s", r.Method, r.URL.Path)}
+	if faults.AnswerBytes > 0 {
+		answer["padding"] = strings.Repeat("x", faults.AnswerBytes)
+	}
+	writeJSON(w, answer)
 }
 
 // countRun counts a run and returns its number, and whether the reply is to be lost.
