connlimit: the derived bounds as they are, with a test; a kept connection's head

A test guards the time of a head that begins on a kept connection, which connlimit holds back while net/http still counts the time as idle.

--- a/internal/connlimit/bounds.go
+++ b/internal/connlimit/bounds.go
@@ -11,7 +11,7 @@
 type Settings struct {
 	// Max bounds the connections of clients. When it is reached, a connection that waits for its client
 	// is closed for a new one. Default 0: derived from the memory and the descriptors, with 32 KiB and 2.5
-	// descriptors a connection: 706 at 144 MiB, 1393 at 284 MiB.
+	// descriptors a connection: 691 at 144 MiB, 1363 at 284 MiB.
 	Max int `toml:"max"`
 	// RequestShare is the part of the memory that the heads and bodies of requests may take, from their first byte
 	// until they are answered. When it is reached, connections whose requests are not complete are closed, or new
--- a/internal/httpserver/httpserver_test.go
+++ b/internal/httpserver/httpserver_test.go
@@ -190,6 +190,31 @@
 	}
 }
 
+// TestHeaderTimeoutAppliesToKeptConnections guards against a head that begins on a kept connection and may take as long as the
+// connection may be idle. The test has no other timeout.
+func TestHeaderTimeoutAppliesToKeptConnections(t *testing.T) {
+	s, _, _ := startServer(t, 0, routes.Limits{IdleTimeout: time.Minute, HeaderTimeout: 100 * time.Millisecond})
+	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	conn, r := dial(t, s, request)
+	response, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(conn, request[:10]); err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	if text, err := io.ReadAll(r); err != nil || len(text) > 0 {
+		t.Errorf("an incomplete header: %q, %v", text, err)
+	}
+	if took := time.Since(began); took > 30*time.Second {
+		t.Errorf("the connection ended after %s, as an idle one", took)
+	}
+}
+
 // TestLimitsMayChangeWhileRunning changes the limits of a connection as a new configuration does.
 func TestLimitsMayChangeWhileRunning(t *testing.T) {
 	var limits atomic.Pointer[routes.Limits]
