--- a/internal/entry/crowd_test.go
+++ b/internal/entry/crowd_test.go
@@ -80,13 +80,7 @@
 			crowd := testcrowd.Open(entry, crowdClients, c.client)
 			defer crowd.Close()
 			expectOrdinaryAnswer(t, entry)
-			load := endObservation()
-			peak, err := process.PeakMemory()
-			t.Logf("%d clients connected, %d KB at the peak, %d KB unread, %d descriptors", crowd.Size(), peak>>10, load.Unread>>10, load.Descriptors)
-			if err != nil || peak+load.Unread > crowdMemoryMB<<20 {
-				t.Errorf("the entry took %d MB of %d, %v", (peak+load.Unread)>>20, crowdMemoryMB, err)
-			}
-			expectRunning(t, process)
+			expectMemoryWithin(t, process, endObservation())
 		})
 	}
 }
@@ -130,13 +124,7 @@
 	crowd := testcrowd.Open(entry, crowdClients, asCaller(portal).Ahead(1, 10))
 	defer crowd.Close()
 	expectOrdinaryAnswer(t, entry)
-	load := endObservation()
-	peak, err := process.PeakMemory()
-	t.Logf("%d clients connected, %d KB at the peak, %d KB unread, %d descriptors", crowd.Size(), peak>>10, load.Unread>>10, load.Descriptors)
-	if err != nil || peak+load.Unread > crowdMemoryMB<<20 {
-		t.Errorf("the entry took %d MB of %d, %v", (peak+load.Unread)>>20, crowdMemoryMB, err)
-	}
-	expectRunning(t, process)
+	expectMemoryWithin(t, process, endObservation())
 }
 
 // startCrowdedEntry starts a fleet whose only entry has the given settings, and returns its address and process.
@@ -157,6 +145,17 @@
 	return in.EntryAddress, in.Entry
 }
 
+// expectMemoryWithin requires that a process runs and has stayed within its memory.
+func expectMemoryWithin(t *testing.T, process *testfleet.Process, load testfleet.Load) {
+	t.Helper()
+	peak, err := process.PeakMemory()
+	t.Logf("%d KB at the peak, %d KB unread, %d descriptors", peak>>10, load.Unread>>10, load.Descriptors)
+	if err != nil || peak+load.Unread > crowdMemoryMB<<20 {
+		t.Errorf("the entry took %d MB of %d, %v", (peak+load.Unread)>>20, crowdMemoryMB, err)
+	}
+	expectRunning(t, process)
+}
+
 // expectOrdinaryAnswer requires that an ordinary caller is served beside the crowd. It tries again after a refusal, as
 // callers do.
 func expectOrdinaryAnswer(t *testing.T, entry string) {
