connlimit: nothing is allocated at the end of a request that nobody awaits

Each end of a request and of a connection closed a channel and made a new one, whether or not anything awaited it. It is made by the first that awaits a change now, as upload does it in httptransport. The ledger keeps one copy of its bounds on bytes; the package comment is wrapped.

--- a/internal/connlimit/answer.go
+++ b/internal/connlimit/answer.go
@@ -63,9 +63,7 @@
 	defer l.mu.Unlock()
 	at := slices.Index(l.awaiting, c)
 	l.awaiting = slices.Delete(l.awaiting, at, at+1)
-	if len(l.awaiting) > 0 {
-		l.notify()
-	}
+	l.notify()
 }
 
 // Begin records that the answer is being written from here on.
--- a/internal/connlimit/ledger.go
+++ b/internal/connlimit/ledger.go
@@ -1,7 +1,8 @@
 // Package connlimit accounts for what the connections of clients hold in a process, from their first byte on: the
-// connections themselves, heads, parsed headers, bodies, requests that were sent ahead, and answers that are held completely. It bounds both the number of
-// connections and the sum of the bytes, whoever the clients are. When there is no room, it closes connections that wait for
-// their client, and refuses what would exceed the bounds before anything of it is run.
+// connections themselves, heads, parsed headers, bodies, requests that were sent ahead, and answers that are held
+// completely. It bounds both the number of connections and the sum of the bytes, whoever the clients are. When there is no
+// room, it closes connections that wait for their client, and refuses what would exceed the bounds before anything of it is
+// run.
 //
 // Ledger decides; a Limiter applies the decisions to the connections of one or several listeners. Inputs are the sizes, the
 // state of each connection and the time. A connection whose request is being served is never closed; one whose client does not
@@ -77,7 +78,7 @@
 
 // Ledger keeps the accounts of open connections. It has no clock, does no I/O and is not safe for concurrent use.
 type Ledger struct {
-	bounds   Bounds
+	maxConns int // 0 is no bound
 	accounts map[*Account]struct{}
 	// sums are those of all accounts that are not closed.
 	sums     [kinds]sum
@@ -92,12 +93,12 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger(b Bounds) *Ledger {
-	return &Ledger{bounds: b, accounts: map[*Account]struct{}{}, sums: [kinds]sum{OfRequest: {bound: b.Bytes}, OfAnswer: {bound: b.AnswerBytes}}}
+	return &Ledger{maxConns: b.Conns, accounts: map[*Account]struct{}{}, sums: [kinds]sum{OfRequest: {bound: b.Bytes}, OfAnswer: {bound: b.AnswerBytes}}}
 }
 
 // Open adds a connection. Without room for it, it returns the connection to close for it, or false if there is none.
 func (l *Ledger) Open(now time.Duration) (opened, evicted *Account, ok bool) {
-	if l.bounds.Conns > 0 && len(l.accounts) >= l.bounds.Conns {
+	if l.maxConns > 0 && len(l.accounts) >= l.maxConns {
 		if evicted = l.leastActive(now); evicted == nil {
 			return nil, nil, false
 		}
--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -47,9 +47,8 @@
 	mu     sync.Mutex // protects the fields below, and all accounts
 	ledger *Ledger
 	conns  map[*Account]*Conn
-	// changed is closed, and replaced, when a connection was closed or became idle.
+	// changed is closed when a connection was closed or became idle; nil while nothing awaits that.
 	changed chan struct{}
-
 	// awaiting are the connections that await room for an answer, the newest last.
 	awaiting []*Conn
 
@@ -69,7 +68,7 @@
 	gauge("held_limit").Update(o.Bytes)
 	gauge("answers_limit").Update(o.AnswerBytes)
 	return &Limiter{
-		options: o, start: time.Now(), ledger: NewLedger(o.Bounds), conns: map[*Account]*Conn{}, changed: make(chan struct{}),
+		options: o, start: time.Now(), ledger: NewLedger(o.Bounds), conns: map[*Account]*Conn{},
 		open: gauge("open"), held: gauge("held"), answers: gauge("answers_held"), evicted: counter("evicted"), refused: counter("requests_refused"), refusedConns: counter("refused"),
 	}
 }
@@ -136,6 +135,9 @@
 		l.mu.Lock()
 		done := try()
 		l.updateGauges()
+		if !done && l.changed == nil {
+			l.changed = make(chan struct{})
+		}
 		changed := l.changed
 		l.mu.Unlock()
 		if done {
@@ -156,8 +158,10 @@
 
 // notify has those try again that await a change. The lock is held.
 func (l *Limiter) notify() {
-	close(l.changed)
-	l.changed = make(chan struct{})
+	if l.changed != nil {
+		close(l.changed)
+		l.changed = nil
+	}
 }
 
 // evict closes connections for others. The lock is held.
