Test of awaited runs measures from when the run is closed

Traced: the test read the clock after endRun had begun to wait in a goroutine, which counts from its own start, so that a test goroutine which is scheduled a millisecond late measures less than was waited.

--- a/internal/relay/unreported_test.go
+++ b/internal/relay/unreported_test.go
@@ -14,8 +14,8 @@
 func TestRunOfAnEngineThatRefusesToReportIsAwaited(t *testing.T) {
 	refused := EngineRuns{Unreported: true}
 	r := newFake(t, &fakeSender{engineRuns: func(context.Context, upstreamstate.Upstream) (EngineRuns, error) { return refused, nil }})
-	e := r.endRun(engineRun{engine: r.upstreams.Upstream("dec-1"), request: "r1"}, errors.New("closed"))
 	began := r.now()
+	e := r.endRun(engineRun{engine: r.upstreams.Upstream("dec-1"), request: "r1"}, errors.New("closed"))
 	if err := e.await(context.Background()); err == nil && r.now()-began < stopRunAfter {
 		t.Errorf("a run that was closed counts as ended after %s, without an answer of its engine or an order to stop", r.now()-began)
 	}
