--- a/internal/entry/crowd_test.go
+++ b/internal/entry/crowd_test.go
@@ -57,6 +57,7 @@
 	{"bodies but a byte of known callers", asCaller(completions).ShortBody(crowdBody)},
 	{"bodies but a byte of known callers at a service", asCaller(portal).ShortBody(crowdBody)},
 	{"bodies of 64 KB but a byte of known callers", asCaller(completions).ShortBody(64 << 10)},
+	{"bodies but a byte in slow pieces of known callers", asCaller(completions).SlowBody(crowdBody, 32, time.Millisecond)},
 	{"bodies but a byte of unknown callers", completions.ShortBody(crowdBody)},
 	{"chunks of 16 bytes to 64 KB of known callers", asCaller(completions).ShortChunks(64<<10, 16)},
 	{"bodies over the limit of known callers", asCaller(completions).LongBody(16 << 20)},
--- a/internal/testcrowd/testcrowd.go
+++ b/internal/testcrowd/testcrowd.go
@@ -45,6 +45,25 @@
 	}
 }
 
+// SlowBody sends a body that declares a size in bytes in the given number of pieces, with a pause after each, and stops one byte short
+// of it.
+func (t Target) SlowBody(size, pieces int, pause time.Duration) Client {
+	return func(w io.Writer, number int) error {
+		if err := write(w, t.head(number)+fmt.Sprintf("Content-Length: %d\r\n\r\n", size)); err != nil {
+			return err
+		}
+		for rest := size - 1; rest > 0; {
+			piece := min(rest, size/pieces)
+			if err := write(w, strings.Repeat("x", piece)); err != nil {
+				return err
+			}
+			rest -= piece
+			time.Sleep(pause)
+		}
+		return nil
+	}
+}
+
 // ShortChunks sends a body of a size in bytes in chunks, without the last one.
 func (t Target) ShortChunks(size, chunk int) Client {
 	return func(w io.Writer, number int) error {
