A connection that is closed for others gets its refusal

When there was no room, connlimit closed connections that had delivered a part of a request, and those that got no place, without a response. Their clients saw an end of file, or a reset, and could not know that nothing had run. Ruled out: a closed request that had run, as an evicted connection can no longer begin to be served.

The client now gets the 503 of every other refusal, if anything of a request has come, read or still in the kernel, and nothing of a response was written. The write is one attempt on the socket that never blocks, as the limiter's lock is held. Idle and silent connections are closed as before.

TestConnectionWithoutAPlaceIsClosed required that no response came; it is TestConnectionWithoutAPlaceIsRefused now and requires the 503 that says not run.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -5,7 +5,9 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -51,25 +53,52 @@
 	framing framing
 	// serving is set while a request that was received completely is being served. ahead is set if more was received.
 	serving, ahead atomic.Bool
+
+	writing sync.Mutex // held during each write; protects responded
+	// responded is set once a part of the response to the present request was written.
+	responded bool
 }
 
 // NetConn returns the connection below.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	c.responded = true
+	return c.Conn.Write(p)
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.limiter.forget(c)
 	return c.Conn.Close()
 }
 
-// CloseWrite closes the writing side, if the connection below can.
+// CloseWrite closes the writing side of a TCP connection.
 func (c *Conn) CloseWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
+	if tcp := c.tcp(); tcp != nil {
+		return tcp.CloseWrite()
 	}
 	return nil
 }
 
+// tcp returns the TCP connection below; nil if there is none.
+func (c *Conn) tcp() *net.TCPConn {
+	conn := c.Conn
+	for {
+		switch inner := conn.(type) {
+		case *net.TCPConn:
+			return inner
+		case interface{ NetConn() net.Conn }:
+			conn = inner.NetConn()
+		default:
+			return nil
+		}
+	}
+}
+
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	if c.inHead {
@@ -227,18 +256,52 @@
 	c.limiter.noteRefused(c, status, int64(c.scanner.bytes))
 	c.held, c.ready = nil, 0
 	_ = c.Conn.SetDeadline(time.Now().Add(lingerTime)) // fails only if the connection is closed, as all below
-	if _, err := io.WriteString(c.Conn, c.limiter.message(status)); err == nil {
+	if _, err := io.WriteString(c, c.limiter.message(status)); err == nil {
 		_ = c.CloseWrite()
 		_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
 	}
 	return io.EOF
 }
 
+// tryRefuse tells the client that its request is not run, before the connection is closed. It does nothing if no byte of a request
+// was received, or once a part of a response was written. It never blocks.
+func (c *Conn) tryRefuse() {
+	if !c.writing.TryLock() {
+		return
+	}
+	defer c.writing.Unlock()
+	tcp := c.tcp()
+	if tcp == nil || c.responded {
+		return
+	}
+	c.responded = true
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Write(func(fd uintptr) bool {
+		if c.account.receives() || hasUnread(int(fd)) {
+			_, _ = syscall.Write(int(fd), []byte(c.limiter.message(http.StatusServiceUnavailable))) // best effort, as the client may not read
+		}
+		return true
+	})
+}
+
+// hasUnread reports whether the kernel has received bytes that were not read.
+func hasUnread(fd int) bool {
+	var first [1]byte
+	n, _, err := syscall.Recvfrom(fd, first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return err == nil && n > 0
+}
+
 // awaitNext begins to wait for the next request, after a response.
 func (c *Conn) awaitNext() {
 	c.inHead, c.kept, c.framing = true, true, framing{}
 	c.scanned, c.ready = 0, 0
 	c.scanner.next()
+	c.writing.Lock()
+	c.responded = false
+	c.writing.Unlock()
 	c.serving.Store(false)
 	c.ahead.Store(false)
 	c.limiter.endRequest(c)
--- a/internal/connlimit/ledger.go
+++ b/internal/connlimit/ledger.go
@@ -141,6 +141,10 @@
 // delivers reports whether a connection's client is to send a request, or the rest of one.
 func (a *Account) delivers() bool { return a.state == Silent || a.state == Receiving }
 
+// receives reports whether a part of a request was received, and nothing of it is run. A connection that was not admitted has no
+// account.
+func (a *Account) receives() bool { return a != nil && a.state == Receiving }
+
 // mayClose reports whether a connection may be closed for others.
 func (a *Account) mayClose(now time.Duration) bool {
 	switch a.state {
--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -83,16 +83,18 @@
 	limiter *Limiter
 }
 
-// Accept implements net.Listener. A connection without room is closed, and not returned.
+// Accept implements net.Listener. A connection without room is refused, and not returned.
 func (l listener) Accept() (net.Conn, error) {
 	for {
 		conn, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
 		}
-		if c := l.limiter.admit(conn); c != nil {
+		c, admitted := l.limiter.admit(conn)
+		if admitted {
 			return c, nil
 		}
+		c.tryRefuse()
 		_ = conn.Close() // nothing was read from it
 	}
 }
@@ -101,10 +103,10 @@
 // kernel meanwhile. Clients give up one that is not read for a second.
 const maxPlaceWait = 300 * time.Millisecond
 
-// admit adds a connection; it returns nil if there is no room.
-func (l *Limiter) admit(conn net.Conn) *Conn {
-	c := &Conn{Conn: conn, limiter: l, inHead: true}
-	admitted := l.await(maxPlaceWait, func() bool {
+// admit adds a connection, or reports false if there is no room.
+func (l *Limiter) admit(conn net.Conn) (c *Conn, admitted bool) {
+	c = &Conn{Conn: conn, limiter: l, inHead: true}
+	admitted = l.await(maxPlaceWait, func() bool {
 		account, evicted, ok := l.ledger.Open(l.now())
 		if evicted != nil {
 			l.evict("no room for a new connection", evicted)
@@ -118,9 +120,8 @@
 	if !admitted {
 		l.refusedConns.Inc(1)
 		l.options.Log.Info("connections: connection refused, all others are being served", "port", l.options.Name, "address", conn.RemoteAddr().String(), "limit", l.options.Conns)
-		return nil
 	}
-	return c
+	return c, admitted
 }
 
 // retryInterval is the time after which those that await room try again, as a client may have stopped to read by then.
@@ -169,6 +170,7 @@
 	for _, a := range accounts {
 		conn := l.conns[a]
 		delete(l.conns, a)
+		conn.tryRefuse()
 		_ = conn.Conn.Close() // what it would have delivered is not served
 		l.evicted.Inc(1)
 		l.options.Log.Info("connections: connection closed", "port", l.options.Name, "address", conn.RemoteAddr().String(), "state", a.state.String(),
--- a/internal/connlimit/limiter_test.go
+++ b/internal/connlimit/limiter_test.go
@@ -17,7 +17,8 @@
 
 const maxTestBody = 1 << 20
 
-// testServer is a server with a limiter. Its handler reads the whole body and returns its length.
+// testServer is a server with a limiter. Its handler reads the whole body and returns its length. At /early it begins the response
+// before.
 type testServer struct {
 	address string
 	limiter *Limiter
@@ -50,6 +51,10 @@
 }
 
 func (s *testServer) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/early" {
+		_ = http.NewResponseController(w).EnableFullDuplex() // always possible with HTTP/1.1
+		_ = http.NewResponseController(w).Flush()
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		s.limiter.Refuse(w, r)
@@ -215,10 +220,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, r := s.dial(t, text)
-			response := expect(t, r, http.StatusServiceUnavailable, "refused")
-			if response.Header.Get("X-Outcome") != "not_run" || response.Header.Get("Retry-After") == "" {
-				t.Errorf("the header is %v", response.Header)
-			}
+			expectNotRun(t, r)
 		})
 	}
 	if got := s.run.Load(); got != 1 {
@@ -260,18 +262,16 @@
 	expect(t, held, http.StatusOK, "10")
 }
 
-// TestConnectionWithoutAPlaceIsClosed guards against a client that waits, for longer than clients do, for a process whose
-// connections are all being served.
-func TestConnectionWithoutAPlaceIsClosed(t *testing.T) {
+// TestConnectionWithoutAPlaceIsRefused guards against a client that waits, for longer than clients do, for a process whose
+// connections are all being served, or that does not learn that its request has not run.
+func TestConnectionWithoutAPlaceIsRefused(t *testing.T) {
 	s := startServer(t, Bounds{Conns: 2, Bytes: 1 << 20})
 	for i := range 2 {
 		s.dial(t, post("/held", 10))
 		waitUntil(t, "a request is served", func() bool { return s.run.Load() == int64(i+1) })
 	}
 	_, r := s.dial(t, post("/", 1))
-	if response, err := http.ReadResponse(r, nil); err == nil {
-		t.Errorf("status %d", response.StatusCode)
-	}
+	expectNotRun(t, r)
 	close(s.proceed)
 	_, r = s.dial(t, post("/", 2))
 	expect(t, r, http.StatusOK, "2")
@@ -280,6 +280,57 @@
 	}
 }
 
+// TestRequestThatIsClosedForOthersIsRefused guards against a client that does not learn that its request has not run, because its
+// connection is closed for others while the request is received.
+func TestRequestThatIsClosedForOthersIsRefused(t *testing.T) {
+	for name, test := range map[string]struct {
+		bounds      Bounds
+		first, then string
+	}{
+		"a head, for a connection": {Bounds{Conns: 1, Bytes: 1 << 20}, "GET / HTTP/1.1\r\n", post("/", 1)},
+		"a body, for a connection": {Bounds{Conns: 1, Bytes: 1 << 20}, strings.TrimSuffix(post("/", 100), "x"), post("/", 1)},
+		"a body, for its memory":   {Bounds{Conns: 9, Bytes: 50 << 10}, strings.TrimSuffix(post("/", 40<<10), "x"), post("/", 20<<10)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startServer(t, test.bounds)
+			_, first := s.dial(t, test.first)
+			waitUntil(t, "a part of the request is held", func() bool { return s.limiter.heldBytes() > 0 })
+			_, then := s.dial(t, test.then)
+			if response, err := http.ReadResponse(then, nil); err != nil || response.StatusCode != http.StatusOK {
+				t.Errorf("the request that it was closed for: %v, %v", response, err)
+			}
+			expectNotRun(t, first)
+			if got := s.run.Load(); got != 1 {
+				t.Errorf("%d requests ran", got)
+			}
+		})
+	}
+}
+
+// TestClosedConnectionGetsOneResponse guards against a refusal after a part of a response.
+func TestClosedConnectionGetsOneResponse(t *testing.T) {
+	s := startServer(t, Bounds{Conns: 1, Bytes: 1 << 20})
+	_, first := s.dial(t, strings.TrimSuffix(post("/early", 100), "x"))
+	response, err := http.ReadResponse(first, nil)
+	if err != nil || response.StatusCode != http.StatusOK {
+		t.Fatalf("%v, %v", response, err)
+	}
+	_, then := s.dial(t, post("/", 1))
+	expect(t, then, http.StatusOK, "1")
+	if rest, _ := io.ReadAll(first); strings.Contains(string(rest), "refused") {
+		t.Errorf("after the beginning of a response: %q", rest)
+	}
+}
+
+// expectNotRun reads a response and requires that it says that the request has not run, and when to return.
+func expectNotRun(t testing.TB, r *bufio.Reader) {
+	t.Helper()
+	response := expect(t, r, http.StatusServiceUnavailable, "refused")
+	if response.Header.Get("X-Outcome") != "not_run" || response.Header.Get("Retry-After") == "" {
+		t.Errorf("the header is %v", response.Header)
+	}
+}
+
 // TestAnswersThatAreNotReadMakeRoom guards against an answer that waits for others whose clients do not read, and against one
 // that is given up although its client reads.
 func TestAnswersThatAreNotReadMakeRoom(t *testing.T) {
--- a/internal/httpserver/httpserver_test.go
+++ b/internal/httpserver/httpserver_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"sassafrasfield/internal/connlimit"
 	"sassafrasfield/internal/routes"
 )
 
@@ -256,6 +257,20 @@
 	}
 }
 
+// TestConnectionClosedForOthersGetsAResponse guards against a client that does not learn that its request was not run.
+func TestConnectionClosedForOthersGetsAResponse(t *testing.T) {
+	s, _, stop := startServer(t, 0, routes.Limits{})
+	defer func() { _ = stop() }() // the result does not matter here
+	_, first := dial(t, Settings{Address: s.ReadyAddress}, "GET /ready HTTP/1.1\r\n")
+	for range 2 * connlimit.ProbeBounds().Conns {
+		dial(t, Settings{Address: s.ReadyAddress}, "GET /ready HTTP/1.1\r\n")
+	}
+	response, err := http.ReadResponse(first, nil)
+	if err != nil || response.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("%v, %v", response, err)
+	}
+}
+
 func noLimits() routes.Limits { return routes.Limits{} }
 
 // TestReadyAnswersOnlyOnceCallersCanConnect guards against an instance that answers the balancer's probe before its public
--- a/internal/httpserver/limits.go
+++ b/internal/httpserver/limits.go
@@ -50,6 +50,9 @@
 	idle   atomic.Bool
 }
 
+// NetConn returns the connection below.
+func (c *limitedConn) NetConn() net.Conn { return c.Conn }
+
 // SetReadDeadline implements net.Conn.
 func (c *limitedConn) SetReadDeadline(t time.Time) error {
 	if t.IsZero() {
