connlimit: answers that arrive in pieces cannot block each other

Answers of unknown length reserved their memory piece by piece until the bound was reached. Then each held a part and waited for the others; after 10 s all failed as unknown. Clients that read were met as well: 16 answers of 256 KB within 1 MB were all lost, in 3 of 3 runs of the new test. Ruled out: the order alone (oldest first: 0 of 15 served) and refusing new calls while answers wait, which leaves those that wait waiting.

All answers share a half of the room now. The rest is for one at a time until it is complete, that of the newest request first; it loses its turn if its upstream sends nothing for a second, or if the room is held by others that are not complete. A complete answer counts with its size, as its buffer is cut to it.

--- a/internal/connlimit/answer.go
+++ b/internal/connlimit/answer.go
@@ -26,51 +26,115 @@
 	return Answer{conn}
 }
 
-// Reserve waits for room for bytes of the answer, which are to be read after it. Of several that wait the newest goes first: the
-// older ones are those whose clients may have left.
-func (a Answer) Reserve(bytes int64) error {
+// Reserve waits for room for further bytes of the answer, which are to be read after it; whole if they are all of it.
+func (a Answer) Reserve(bytes int64, whole bool) error {
 	if a.conn == nil {
 		return nil
 	}
 	l := a.conn.limiter
 	l.startAwaiting(a.conn)
 	defer l.endAwaiting(a.conn)
-	reserved := l.await(maxAnswerWait, func() bool {
-		if a.conn.account.evicted {
-			return true
-		}
-		if l.awaiting[len(l.awaiting)-1] != a.conn {
-			return false
-		}
-		evicted, verdict := l.ledger.Reserve(a.conn.account, OfAnswer, bytes, l.now())
-		l.evict("no memory for an answer", evicted...)
-		return verdict == Granted
+	verdict := Awaited
+	l.await(maxAnswerWait, func() bool {
+		verdict = l.reserveAnswer(a.conn, bytes, whole)
+		return verdict != Awaited
 	})
-	if !reserved {
+	if verdict != Granted {
 		return ErrNoRoomForAnswer
 	}
 	return nil
 }
 
+// reserveAnswer adds bytes to what the answer of a connection holds. All answers share a part of the room. The rest is for one at a
+// time, the newest first, until it is complete: those that arrive in pieces could otherwise take all of the room together and wait
+// for each other. The older ones go last, as their clients may have left. The lock is held.
+func (l *Limiter) reserveAnswer(c *Conn, bytes int64, whole bool) Verdict {
+	if c.account.evicted {
+		return Granted // it is not accounted for
+	}
+	if c != l.foremost && l.ledger.ReserveShared(c.account, OfAnswer, bytes) {
+		return Granted
+	}
+	if !l.mayBeForemost(c) {
+		return Awaited
+	}
+	evicted, verdict := l.ledger.Reserve(c.account, OfAnswer, bytes, l.now())
+	l.evict("no memory for an answer", evicted...)
+	if verdict == Granted && whole {
+		l.endForemost(c)
+		return Granted
+	}
+	if verdict == Refused && l.ledger.IsStuck(c.account, OfAnswer, bytes) {
+		l.endForemost(c)
+		l.moveBack(c)
+		return Awaited
+	}
+	l.foremost, l.foremostSince = c, l.now()
+	if verdict == Refused {
+		return Awaited // until clients have read their answers, or may be given up
+	}
+	return verdict
+}
+
+// maxPieceWait is how long the foremost answer may wait for its upstream before another one takes its turn.
+const maxPieceWait = time.Second
+
+// mayBeForemost reports whether it is the turn of a connection's answer. The lock is held.
+func (l *Limiter) mayBeForemost(c *Conn) bool {
+	if l.foremost != nil && (l.foremost == c || l.now()-l.foremostSince < maxPieceWait) {
+		return l.foremost == c
+	}
+	return l.awaiting[len(l.awaiting)-1] == c
+}
+
+// endForemost lets another answer take its turn. The lock is held.
+func (l *Limiter) endForemost(c *Conn) {
+	if l.foremost == c {
+		l.foremost = nil
+		l.notify()
+	}
+}
+
+// moveBack has all other waiting answers go first. The lock is held.
+func (l *Limiter) moveBack(c *Conn) {
+	l.stopAwaiting(c)
+	l.awaiting = slices.Insert(l.awaiting, 0, c)
+}
+
+func (l *Limiter) stopAwaiting(c *Conn) {
+	at := slices.Index(l.awaiting, c)
+	l.awaiting = slices.Delete(l.awaiting, at, at+1)
+}
+
+// startAwaiting adds a connection to those that await room, in the order in which their requests began.
 func (l *Limiter) startAwaiting(c *Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.awaiting = append(l.awaiting, c)
+	at := len(l.awaiting)
+	for at > 0 && l.awaiting[at-1].account.since > c.account.since {
+		at--
+	}
+	l.awaiting = slices.Insert(l.awaiting, at, c)
 }
 
 func (l *Limiter) endAwaiting(c *Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	at := slices.Index(l.awaiting, c)
-	l.awaiting = slices.Delete(l.awaiting, at, at+1)
+	l.stopAwaiting(c)
 	l.notify()
 }
 
-// Begin records that the answer is being written from here on.
-func (a Answer) Begin() {
-	if a.conn != nil {
-		a.conn.limiter.enter(a.conn, Answering)
+// Begin records that the answer is complete, has the given size in bytes, and is being written from here on.
+func (a Answer) Begin(bytes int64) {
+	if a.conn == nil {
+		return
 	}
+	l := a.conn.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ledger.Charge(a.conn.account, OfAnswer, bytes-a.conn.account.bytes[OfAnswer])
+	l.ledger.Enter(a.conn.account, Answering, l.now())
+	l.endForemost(a.conn)
 }
 
 // Wrote records that a part of the answer was written.
--- a/internal/connlimit/ledger.go
+++ b/internal/connlimit/ledger.go
@@ -194,6 +194,30 @@
 	return evicted, Awaited
 }
 
+// sharedPart is the part of a bound that ReserveShared uses.
+const sharedPart = 0.5
+
+// ReserveShared adds n bytes to what a connection holds if a part of the room stays free.
+func (l *Ledger) ReserveShared(a *Account, k Kind, n int64) bool {
+	sum := l.sums[k]
+	if sum.bound > 0 && float64(sum.bytes+n) > sharedPart*float64(sum.bound) {
+		return false
+	}
+	l.Charge(a, k, n)
+	return true
+}
+
+// IsStuck reports whether there would be no room for n bytes more even if all answers that are being written had been read.
+func (l *Ledger) IsStuck(a *Account, k Kind, n int64) bool {
+	held := a.bytes[k] + n
+	for other := range l.accounts {
+		if other != a && other.state != Answering {
+			held += other.bytes[k]
+		}
+	}
+	return held > l.sums[k].bound
+}
+
 // costliest returns connections other than a that wait for their clients and hold the given bytes together, or false if all of
 // them do not. The first to go are those whose bytes, multiplied with the time of that, are most.
 func (l *Ledger) costliest(a *Account, k Kind, bytes int64, now time.Duration) ([]*Account, bool) {
--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -49,8 +49,11 @@
 	conns  map[*Account]*Conn
 	// changed is closed when a connection was closed or became idle; nil while nothing awaits that.
 	changed chan struct{}
-	// awaiting are the connections that await room for an answer, the newest last.
+	// awaiting are the connections that await room for an answer, those of the newest requests last.
 	awaiting []*Conn
+	// foremost is the connection whose answer may take the last of the room, nil for none. foremostSince is when it last asked.
+	foremost      *Conn
+	foremostSince time.Duration
 
 	open, held, answers            metrics.Gauge
 	evicted, refused, refusedConns metrics.Counter
@@ -222,6 +225,7 @@
 	defer l.mu.Unlock()
 	l.ledger.Release(c.account)
 	l.ledger.Enter(c.account, Idle, l.now())
+	l.endForemost(c)
 	l.notify()
 	l.updateGauges()
 }
@@ -232,6 +236,7 @@
 	defer l.mu.Unlock()
 	l.ledger.Close(c.account)
 	delete(l.conns, c.account)
+	l.endForemost(c)
 	l.notify()
 	l.updateGauges()
 }
--- a/internal/connlimit/limiter_test.go
+++ b/internal/connlimit/limiter_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -331,12 +332,12 @@
 	}
 }
 
-// TestAnswersThatAreNotReadMakeRoom guards against an answer that waits for others whose clients do not read, and against one
-// that is given up although its client reads.
-func TestAnswersThatAreNotReadMakeRoom(t *testing.T) {
-	const answerBytes, pieceBytes = 4 << 20, 64 << 10
+// startAnswering starts a server that answers with the given number of bytes, for which it reserves memory in pieces of the given
+// size. It returns its address. Errors of reservations fail the test.
+func startAnswering(t *testing.T, bound, answerBytes, pieceBytes int64) string {
+	t.Helper()
 	limiter := New(Options{
-		Name: "answers", Bounds: Bounds{Conns: 10, Bytes: 1 << 20, AnswerBytes: answerBytes + answerBytes/2},
+		Name: "answers", Bounds: Bounds{Conns: 100, Bytes: 1 << 20, AnswerBytes: bound},
 		MaxHeadBytes: func() int { return 8 << 10 }, MaxBodyBytes: func() int64 { return 0 }, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
 	inner, err := Listen("127.0.0.1:0", 0)
@@ -346,12 +347,18 @@
 	server := &http.Server{ConnState: limiter.ConnState, ConnContext: limiter.ConnContext}
 	server.Handler = limiter.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		answer := AnswerOf(r.Context())
-		if err := answer.Reserve(answerBytes); err != nil {
-			t.Error(err)
+		for reserved := int64(0); reserved < answerBytes; reserved += pieceBytes {
+			if err := answer.Reserve(pieceBytes, pieceBytes == answerBytes); err != nil {
+				t.Errorf("%d of %d bytes: %v", reserved, answerBytes, err)
+			}
+			if pieceBytes < answerBytes {
+				time.Sleep(time.Millisecond) // the answers of others arrive meanwhile
+			}
 		}
-		answer.Begin()
-		for range answerBytes / pieceBytes {
-			if _, err := w.Write(make([]byte, pieceBytes)); err != nil {
+		answer.Begin(answerBytes)
+		const writtenBytes = 64 << 10
+		for range answerBytes / writtenBytes {
+			if _, err := w.Write(make([]byte, writtenBytes)); err != nil {
 				return
 			}
 			answer.Wrote()
@@ -359,8 +366,30 @@
 	}))
 	go func() { _ = server.Serve(limiter.Listener(inner)) }() // returns after Close
 	t.Cleanup(func() { server.Close() })
+	return inner.Addr().String()
+}
+
+// expectAnswer requires an answer of the given size.
+func expectAnswer(t *testing.T, address string, answerBytes int64) {
+	t.Helper()
+	response, err := http.Get("http://" + address + "/")
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer response.Body.Close()
+	if n, err := io.Copy(io.Discard, response.Body); err != nil || n != answerBytes {
+		t.Errorf("%d bytes, %v", n, err)
+	}
+}
+
+// TestAnswersThatAreNotReadMakeRoom guards against an answer that waits for others whose clients do not read, and against one
+// that is given up although its client reads.
+func TestAnswersThatAreNotReadMakeRoom(t *testing.T) {
+	const answerBytes = 4 << 20
+	address := startAnswering(t, answerBytes+answerBytes/2, answerBytes, answerBytes)
 	for range 3 {
-		ignoring, err := net.Dial("tcp", inner.Addr().String())
+		ignoring, err := net.Dial("tcp", address)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -370,14 +399,18 @@
 		}
 	}
 	for range 3 {
-		response, err := http.Get("http://" + inner.Addr().String() + "/")
-		if err != nil {
-			t.Fatal(err)
-		}
-		n, err := io.Copy(io.Discard, response.Body)
-		response.Body.Close()
-		if err != nil || n != answerBytes {
-			t.Errorf("%d bytes, %v", n, err)
-		}
+		expectAnswer(t, address, answerBytes)
+	}
+}
+
+// TestAnswersInPiecesDoNotWaitForEachOther guards against answers of unknown length that take all of the room together, so that none
+// of them can be completed.
+func TestAnswersInPiecesDoNotWaitForEachOther(t *testing.T) {
+	const answerBytes, clients = 256 << 10, 16
+	address := startAnswering(t, 4*answerBytes, answerBytes, 16<<10)
+	var all sync.WaitGroup
+	for range clients {
+		all.Go(func() { expectAnswer(t, address, answerBytes) })
 	}
+	all.Wait()
 }
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -213,6 +213,6 @@
 	}
 	c.Response().WriteHeader(answer.Status)
 	held := connlimit.AnswerOf(c.Request().Context())
-	held.Begin()
+	held.Begin(int64(len(answer.Body)))
 	return deadlineWriter{c.Response(), s.settings.WriteTimeout, held.Wrote}.writeAll(answer.Body)
 }
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -41,9 +41,9 @@
 	Path   string
 	Header http.Header
 	Body   []byte
-	// Reserve is called with the number of bytes before so many of the answer are read into memory, and may wait. An error ends
-	// the call. It is nil if they are not accounted for.
-	Reserve func(bytes int64) error `json:"-"`
+	// Reserve is called before so many bytes of the answer are read into memory, and may wait; whole if they are all of it. An
+	// error ends the call. It is nil if they are not accounted for.
+	Reserve func(bytes int64, whole bool) error `json:"-"`
 }
 
 // Answer is a complete answer.
@@ -112,7 +112,7 @@
 	return errors.WithMessage(ErrUnknown, err.Error())
 }
 
-func readAnswer(res *http.Response, reserve func(int64) error) (Answer, error) {
+func readAnswer(res *http.Response, reserve func(int64, bool) error) (Answer, error) {
 	if res.Header.Get(NotRunHeader) != "" {
 		return Answer{}, ErrRefused
 	}
@@ -127,9 +127,9 @@
 }
 
 // readBody reads a body, after the memory for it is reserved: for one with a length at once, for another one as it arrives.
-func readBody(res *http.Response, reserve func(int64) error) ([]byte, error) {
+func readBody(res *http.Response, reserve func(int64, bool) error) ([]byte, error) {
 	if reserve == nil {
-		reserve = func(int64) error { return nil }
+		reserve = func(int64, bool) error { return nil }
 	}
 	length := res.ContentLength
 	if res.Request.Method == http.MethodHead {
@@ -140,7 +140,7 @@
 	}
 	body := io.Reader(&reservingReader{res.Body, reserve})
 	if length >= 0 {
-		if err := reserve(length); err != nil {
+		if err := reserve(length, true); err != nil {
 			return nil, err
 		}
 		body = res.Body
@@ -152,6 +152,9 @@
 	if buffer.Len() > maxAnswerBytes {
 		return nil, errTooLarge
 	}
+	if length < 0 {
+		return bytes.Clone(buffer.Bytes()), nil // frees the rest of the buffer
+	}
 	return buffer.Bytes(), nil
 }
 
@@ -160,14 +163,14 @@
 // reservingReader reserves memory for what it reads.
 type reservingReader struct {
 	io.Reader
-	reserve func(int64) error
+	reserve func(int64, bool) error
 }
 
 // Read implements io.Reader.
 func (r *reservingReader) Read(p []byte) (int, error) {
 	const growth = 2 // of the buffer that is read into
 	n, err := r.Reader.Read(p)
-	if refused := r.reserve(int64(growth * n)); refused != nil {
+	if refused := r.reserve(int64(growth*n), false); refused != nil {
 		return 0, refused
 	}
 	return n, err
