entry: an answer without memory is no failure of its upstream

When there was no room for the answer of a plain service, sf-entry took that for an answer that was lost: it recorded a failure of the upstream, and ran a repeatable call again at another one, where its answer waited for the same room. An answer that alone was larger than its bound waited for 10 s each time before it failed. Found by reading, while the waits among answers were traced.

Such a call now fails as unknown after one run, its upstream counts as working, and what can never fit fails at once.

--- a/internal/connlimit/answer.go
+++ b/internal/connlimit/answer.go
@@ -52,6 +52,9 @@
 	if c.account.evicted {
 		return Granted // it is not accounted for
 	}
+	if !l.ledger.MayHold(c.account, OfAnswer, bytes) {
+		return Refused
+	}
 	if c != l.foremost && l.ledger.ReserveShared(c.account, OfAnswer, bytes) {
 		return Granted
 	}
--- a/internal/connlimit/bounds.go
+++ b/internal/connlimit/bounds.go
@@ -18,7 +18,8 @@
 	// requests are refused as not run. 0 is no bound. Default 0.2.
 	RequestShare float64 `toml:"request_share"`
 	// AnswerShare is the same for answers that are held completely before they are written. When it is reached, connections
-	// whose clients read nothing of them for a quarter of a second are closed, and further answers are read later. Default 0.2.
+	// whose clients read nothing of them for a quarter of a second are closed, and further answers are read later. An answer
+	// that is larger by itself fails as unknown. Default 0.2.
 	AnswerShare float64 `toml:"answer_share"`
 }
 
--- a/internal/connlimit/ledger.go
+++ b/internal/connlimit/ledger.go
@@ -207,6 +207,11 @@
 	return true
 }
 
+// MayHold reports whether a connection that holds n bytes more would stay within the bound if it were alone.
+func (l *Ledger) MayHold(a *Account, k Kind, n int64) bool {
+	return l.sums[k].bound == 0 || a.bytes[k]+n <= l.sums[k].bound
+}
+
 // IsStuck reports whether there would be no room for n bytes more even if all answers that are being written had been read.
 func (l *Ledger) IsStuck(a *Account, k Kind, n int64) bool {
 	held := a.bytes[k] + n
--- a/internal/entry/crowd_test.go
+++ b/internal/entry/crowd_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"sassafrasfield/internal/callerapi"
 	"sassafrasfield/internal/testcrowd"
 	"sassafrasfield/internal/testfleet"
 	"sassafrasfield/internal/testservers"
@@ -128,6 +129,59 @@
 	expectMemoryWithin(t, process, endObservation())
 }
 
+// TestAnswerWithoutRoomIsNoFailureOfItsUpstream guards against a call that runs again because there is no memory for its answer,
+// and against an upstream that counts as failed for it.
+func TestAnswerWithoutRoomIsNoFailureOfItsUpstream(t *testing.T) {
+	ctx := testContext(t)
+	fleet := startFleet(ctx, t, fleetOptions{
+		instances: 1, engines: 1, services: 2, entryTables: "[limits]\nmemory_mb = 96\n[connections]\nanswer_share = 0.005\n",
+	})
+	entry := fleet.Instances[0].EntryAddress
+	setFaults := func(faults testservers.ServiceFaults) {
+		for _, service := range fleet.Services {
+			if err := testfleet.Post(ctx, service.Address, testservers.PathFault, faults, nil); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	setFaults(testservers.ServiceFaults{AnswerBytes: 1 << 20})
+	const calls = 20 // more than an upstream may fail in a row
+	client := &http.Client{Timeout: 8 * time.Second}
+	get := func() (int, http.Header) {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+entry+"/portal/status", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set("Authorization", "Bearer "+apiKey)
+		response, err := client.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		response.Body.Close()
+		return response.StatusCode, response.Header
+	}
+	for range calls {
+		if status, header := get(); status == http.StatusOK || header.Get(callerapi.HeaderOutcome) != string(callerapi.OutcomeUnknown) {
+			t.Fatalf("status %d, outcome %q", status, header.Get(callerapi.HeaderOutcome))
+		}
+	}
+	ran := 0
+	for _, service := range fleet.Services {
+		var book testservers.ServiceRecord
+		if err := testfleet.Post(ctx, service.Address, testservers.PathRecord, nil, &book); err != nil {
+			t.Fatal(err)
+		}
+		ran += book.Runs["GET /portal/status"]
+	}
+	if ran != calls {
+		t.Errorf("%d calls ran %d times", calls, ran)
+	}
+	setFaults(testservers.ServiceFaults{})
+	if status, _ := get(); status != http.StatusOK {
+		t.Errorf("status %d afterwards", status)
+	}
+}
+
 // startCrowdedEntry starts a fleet whose only entry has the given settings, and returns its address and process.
 func startCrowdedEntry(t *testing.T, settings string) (string, *testfleet.Process) {
 	t.Helper()
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -129,6 +129,8 @@
 	call     service.Call
 	attempts *attempt.Attempts
 	answer   service.Answer
+	// failed is the error of an answer that was not kept.
+	failed error
 }
 
 // tryCall sends a call to one upstream after another as long as a repetition is safe: a call that is not
@@ -139,7 +141,7 @@
 	c := &serviceCall{server: s, service: svc, call: call, attempts: attempts}
 	result, verdict := attempts.Run(ctx, s.retries, s.now, c)
 	if result.Status == attempt.Done {
-		return c.answer, nil
+		return c.answer, c.failed
 	}
 	if verdict == attempt.Denied {
 		s.logBudgetExhausted(attempts)
@@ -174,6 +176,10 @@
 		c.answer = answer
 		s.recordCall(id, load.CallSucceeded)
 		return attempt.Result{Status: attempt.Done}
+	case errors.Is(err, service.ErrNoRoom):
+		c.failed = err // another run would need the same room
+		s.recordCall(id, load.CallSucceeded)
+		return attempt.Result{Status: attempt.Done}
 	case errors.Is(err, service.ErrRefused):
 		s.recordCall(id, load.CallRefused)
 	case ctx.Err() == nil:
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -26,6 +26,8 @@
 	ErrRefused = errors.WithMessage(ErrNotRun, "refused by the service")
 	// ErrUnknown means that bytes of the call may have been sent and that no complete answer was received.
 	ErrUnknown = errors.New("service: outcome unknown")
+	// ErrNoRoom means that the service answered and that there was no memory for its answer. It wraps ErrUnknown.
+	ErrNoRoom = errors.WithMessage(ErrUnknown, "no room for the answer")
 )
 
 // NotRunHeader is the header that a service sets on a refusal, to report that it ran nothing.
@@ -120,6 +122,9 @@
 		return Answer{}, errors.WithMessage(ErrUnknown, "the answer has neither a length nor chunks")
 	}
 	body, err := readBody(res, reserve)
+	if errors.Is(err, ErrNoRoom) {
+		return Answer{}, err
+	}
 	if err != nil {
 		return Answer{}, errors.WithMessage(ErrUnknown, err.Error())
 	}
@@ -141,7 +146,7 @@
 	body := io.Reader(&reservingReader{res.Body, reserve})
 	if length >= 0 {
 		if err := reserve(length, true); err != nil {
-			return nil, err
+			return nil, errors.WithMessage(ErrNoRoom, err.Error())
 		}
 		body = res.Body
 	}
@@ -171,7 +176,7 @@
 	const growth = 2 // of the buffer that is read into
 	n, err := r.Reader.Read(p)
 	if refused := r.reserve(int64(growth*n), false); refused != nil {
-		return 0, refused
+		return 0, errors.WithMessage(ErrNoRoom, refused.Error())
 	}
 	return n, err
 }
