A client that waited for 100 Continue gets its refusal too

net/http writes the interim response through the connection, which counted as a part of the response, so that such a client saw an end of file when its connection was closed for others.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -59,6 +59,9 @@
 	responded bool
 }
 
+// continueResponse is what net/http writes when it begins to read a body that the client announced. The response follows.
+const continueResponse = "HTTP/1.1 100 Continue\r\n\r\n"
+
 // NetConn returns the connection below.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
@@ -66,7 +69,9 @@
 func (c *Conn) Write(p []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	c.responded = true
+	if string(p) != continueResponse {
+		c.responded = true
+	}
 	return c.Conn.Write(p)
 }
 
--- a/internal/connlimit/limiter_test.go
+++ b/internal/connlimit/limiter_test.go
@@ -288,14 +288,20 @@
 		bounds      Bounds
 		first, then string
 	}{
-		"a head, for a connection": {Bounds{Conns: 1, Bytes: 1 << 20}, "GET / HTTP/1.1\r\n", post("/", 1)},
-		"a body, for a connection": {Bounds{Conns: 1, Bytes: 1 << 20}, strings.TrimSuffix(post("/", 100), "x"), post("/", 1)},
-		"a body, for its memory":   {Bounds{Conns: 9, Bytes: 50 << 10}, strings.TrimSuffix(post("/", 40<<10), "x"), post("/", 20<<10)},
+		"a head, for a connection":  {Bounds{Conns: 1, Bytes: 1 << 20}, "GET / HTTP/1.1\r\n", post("/", 1)},
+		"a body, for a connection":  {Bounds{Conns: 1, Bytes: 1 << 20}, strings.TrimSuffix(post("/", 100), "x"), post("/", 1)},
+		"a body that was announced": {Bounds{Conns: 1, Bytes: 1 << 20}, "POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 5\r\n\r\n", post("/", 1)},
+		"a body, for its memory":    {Bounds{Conns: 9, Bytes: 50 << 10}, strings.TrimSuffix(post("/", 40<<10), "x"), post("/", 20<<10)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := startServer(t, test.bounds)
 			_, first := s.dial(t, test.first)
 			waitUntil(t, "a part of the request is held", func() bool { return s.limiter.heldBytes() > 0 })
+			if strings.Contains(test.first, "100-continue") {
+				if response, err := http.ReadResponse(first, nil); err != nil || response.StatusCode != http.StatusContinue {
+					t.Fatalf("%v, %v", response, err)
+				}
+			}
 			_, then := s.dial(t, test.then)
 			if response, err := http.ReadResponse(then, nil); err != nil || response.StatusCode != http.StatusOK {
 				t.Errorf("the request that it was closed for: %v, %v", response, err)
