--- a/internal/connlimit/limiter_test.go
+++ b/internal/connlimit/limiter_test.go
@@ -338,9 +338,9 @@
 	}
 }
 
-// startAnswering starts a server that answers with the given number of bytes, for which it reserves memory in pieces of the given
-// size. It returns its address. Errors of reservations fail the test.
-func startAnswering(t *testing.T, bound, answerBytes, pieceBytes int64) string {
+// startAnswering starts a server that reserves memory for each answer by the given function and then writes as many bytes as that
+// returns. It returns its address. Errors of reservations fail the test.
+func startAnswering(t *testing.T, bound int64, reserve func(answer Answer, path string) (int64, error)) string {
 	t.Helper()
 	limiter := New(Options{
 		Name: "answers", Bounds: Bounds{Conns: 100, Bytes: 1 << 20, AnswerBytes: bound},
@@ -353,16 +353,12 @@
 	server := &http.Server{ConnState: limiter.ConnState, ConnContext: limiter.ConnContext}
 	server.Handler = limiter.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		answer := AnswerOf(r.Context())
-		for reserved := int64(0); reserved < answerBytes; reserved += pieceBytes {
-			if err := answer.Reserve(pieceBytes, pieceBytes == answerBytes); err != nil {
-				t.Errorf("%d of %d bytes: %v", reserved, answerBytes, err)
-			}
-			if pieceBytes < answerBytes {
-				time.Sleep(time.Millisecond) // the answers of others arrive meanwhile
-			}
+		answerBytes, err := reserve(answer, r.URL.Path)
+		if err != nil {
+			t.Errorf("%s: %v", r.URL.Path, err)
 		}
 		answer.Begin(answerBytes)
-		const writtenBytes = 64 << 10
+		const writtenBytes = 4 << 10
 		for range answerBytes / writtenBytes {
 			if _, err := w.Write(make([]byte, writtenBytes)); err != nil {
 				return
@@ -375,10 +371,22 @@
 	return inner.Addr().String()
 }
 
+// reserveInPieces reserves memory as for an answer without a length, while those of others arrive.
+func reserveInPieces(answer Answer, bytes int64) error {
+	const pieceBytes = 16 << 10
+	for reserved := int64(0); reserved < bytes; reserved += pieceBytes {
+		if err := answer.Reserve(pieceBytes, false); err != nil {
+			return err
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return nil
+}
+
 // expectAnswer requires an answer of the given size.
-func expectAnswer(t *testing.T, address string, answerBytes int64) {
+func expectAnswer(t *testing.T, address, path string, answerBytes int64) {
 	t.Helper()
-	response, err := http.Get("http://" + address + "/")
+	response, err := http.Get("http://" + address + path)
 	if err != nil {
 		t.Error(err)
 		return
@@ -393,7 +401,9 @@
 // that is given up although its client reads.
 func TestAnswersThatAreNotReadMakeRoom(t *testing.T) {
 	const answerBytes = 4 << 20
-	address := startAnswering(t, answerBytes+answerBytes/2, answerBytes, answerBytes)
+	address := startAnswering(t, answerBytes+answerBytes/2, func(answer Answer, _ string) (int64, error) {
+		return answerBytes, answer.Reserve(answerBytes, true)
+	})
 	for range 3 {
 		ignoring, err := net.Dial("tcp", address)
 		if err != nil {
@@ -405,7 +415,7 @@
 		}
 	}
 	for range 3 {
-		expectAnswer(t, address, answerBytes)
+		expectAnswer(t, address, "/", answerBytes)
 	}
 }
 
@@ -413,10 +423,63 @@
 // of them can be completed.
 func TestAnswersInPiecesDoNotWaitForEachOther(t *testing.T) {
 	const answerBytes, clients = 256 << 10, 16
-	address := startAnswering(t, 4*answerBytes, answerBytes, 16<<10)
+	address := startAnswering(t, 4*answerBytes, func(answer Answer, _ string) (int64, error) {
+		return answerBytes, reserveInPieces(answer, answerBytes)
+	})
 	var all sync.WaitGroup
 	for range clients {
-		all.Go(func() { expectAnswer(t, address, answerBytes) })
+		all.Go(func() { expectAnswer(t, address, "/", answerBytes) })
 	}
 	all.Wait()
 }
+
+// TestAnswerThatWaitsForOthersLetsThemGoFirst guards against an answer that is too large for what others leave, and that keeps them
+// from being completed.
+func TestAnswerThatWaitsForOthersLetsThemGoFirst(t *testing.T) {
+	const bound, wholeBytes, pieceBytes, clients = 1 << 20, 768 << 10, 384 << 10, 4
+	var begun sync.WaitGroup // until the answers in pieces hold more than the whole one leaves
+	begun.Add(clients)
+	address := startAnswering(t, bound, func(answer Answer, path string) (int64, error) {
+		if path == "/whole" {
+			return wholeBytes, answer.Reserve(wholeBytes, true)
+		}
+		const first = pieceBytes / 4
+		if err := reserveInPieces(answer, first); err != nil {
+			return 0, err
+		}
+		begun.Done()
+		time.Sleep(50 * time.Millisecond) // the whole one waits by then
+		return pieceBytes, reserveInPieces(answer, pieceBytes-first)
+	})
+	var all sync.WaitGroup
+	for range clients {
+		all.Go(func() { expectAnswer(t, address, "/pieces", pieceBytes) })
+	}
+	begun.Wait()
+	expectAnswer(t, address, "/whole", wholeBytes)
+	all.Wait()
+}
+
+// TestAnswerOfASlowUpstreamLetsOthersGoFirst guards against answers that fail because one whose upstream pauses has more than its
+// share of the room.
+func TestAnswerOfASlowUpstreamLetsOthersGoFirst(t *testing.T) {
+	const bound, slowBytes, otherBytes = 1 << 20, 640 << 10, 256 << 10
+	paused, proceed := make(chan struct{}), make(chan struct{})
+	address := startAnswering(t, bound, func(answer Answer, path string) (int64, error) {
+		if path == "/other" {
+			return otherBytes, answer.Reserve(otherBytes, true)
+		}
+		if err := reserveInPieces(answer, slowBytes); err != nil {
+			return 0, err
+		}
+		close(paused)
+		<-proceed
+		return slowBytes, reserveInPieces(answer, 64<<10)
+	})
+	var slow sync.WaitGroup
+	slow.Go(func() { expectAnswer(t, address, "/slow", slowBytes) })
+	<-paused
+	expectAnswer(t, address, "/other", otherBytes)
+	close(proceed)
+	slow.Wait()
+}
