connlimit: room for an answer that need not wait is reserved without the queue

Each reservation for an answer entered the queue of those that await room, and left it with a wake-up of all that do, also when it was granted at once: for an answer without a length with each piece that was read. It is tried first now, and the queue entered only to wait. Found by reading; its cost was not measured.

--- a/internal/connlimit/answer.go
+++ b/internal/connlimit/answer.go
@@ -31,32 +31,57 @@
 	if a.conn == nil {
 		return nil
 	}
-	l := a.conn.limiter
-	l.startAwaiting(a.conn)
-	defer l.endAwaiting(a.conn)
+	verdict := a.conn.limiter.reserveNow(a.conn, bytes)
+	if verdict == Awaited {
+		verdict = a.conn.limiter.awaitRoom(a.conn, bytes, whole)
+	}
+	if verdict != Granted {
+		return ErrNoRoomForAnswer
+	}
+	return nil
+}
+
+// reserveNow adds bytes to what the answer of a connection holds if it need not wait for others.
+func (l *Limiter) reserveNow(c *Conn, bytes int64) Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	defer l.updateGauges()
+	return l.reserveShared(c, bytes)
+}
+
+// awaitRoom waits for room for bytes of the answer of a connection.
+func (l *Limiter) awaitRoom(c *Conn, bytes int64, whole bool) Verdict {
+	l.startAwaiting(c)
+	defer l.endAwaiting(c)
 	verdict := Awaited
 	l.await(maxAnswerWait, func() bool {
-		verdict = l.reserveAnswer(a.conn, bytes, whole)
+		verdict = l.reserveAnswer(c, bytes, whole)
 		return verdict != Awaited
 	})
-	if verdict != Granted {
-		return ErrNoRoomForAnswer
+	return verdict
+}
+
+// reserveShared adds bytes to what the answer of a connection holds if they fit into the part of the room that all answers share.
+// The lock is held.
+func (l *Limiter) reserveShared(c *Conn, bytes int64) Verdict {
+	switch {
+	case c.account.evicted:
+		return Granted // it is not accounted for
+	case !l.ledger.MayHold(c.account, OfAnswer, bytes):
+		return Refused
+	case c != l.foremost && l.ledger.ReserveShared(c.account, OfAnswer, bytes):
+		return Granted
+	default:
+		return Awaited
 	}
-	return nil
 }
 
 // reserveAnswer adds bytes to what the answer of a connection holds. All answers share a part of the room. The rest is for one at a
 // time, the newest first, until it is complete: those that arrive in pieces could otherwise take all of the room together and wait
 // for each other. The older ones go last, as their clients may have left. The lock is held.
 func (l *Limiter) reserveAnswer(c *Conn, bytes int64, whole bool) Verdict {
-	if c.account.evicted {
-		return Granted // it is not accounted for
-	}
-	if !l.ledger.MayHold(c.account, OfAnswer, bytes) {
-		return Refused
-	}
-	if c != l.foremost && l.ledger.ReserveShared(c.account, OfAnswer, bytes) {
-		return Granted
+	if verdict := l.reserveShared(c, bytes); verdict != Awaited {
+		return verdict
 	}
 	if !l.mayBeForemost(c) {
 		return Awaited
