--- a/internal/entry/crowd_test.go
+++ b/internal/entry/crowd_test.go
@@ -105,7 +105,9 @@
 			if load.Descriptors > crowdDescriptors-freeDescriptors {
 				t.Errorf("the entry had %d descriptors open, of %d", load.Descriptors, crowdDescriptors-freeDescriptors)
 			}
-			expectRunning(t, process)
+			if err := process.CheckRunning(); err != nil {
+				t.Error(err)
+			}
 		})
 	}
 }
@@ -208,7 +210,9 @@
 	if err != nil || peak+load.Unread > crowdMemoryMB<<20 {
 		t.Errorf("the entry took %d MB of %d, %v", (peak+load.Unread)>>20, crowdMemoryMB, err)
 	}
-	expectRunning(t, process)
+	if err := process.CheckRunning(); err != nil {
+		t.Error(err)
+	}
 }
 
 // expectOrdinaryAnswer requires that an ordinary caller is served beside the crowd. It tries again after a refusal, as
@@ -237,13 +241,3 @@
 	}
 	t.Error("an ordinary request was refused each time")
 }
-
-// expectRunning requires that a process has not ended.
-func expectRunning(t *testing.T, p *testfleet.Process) {
-	t.Helper()
-	select {
-	case <-p.Done():
-		t.Errorf("%s ended: %v", p.Name, p.Err())
-	default:
-	}
-}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -1,10 +1,8 @@
 package entry
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -18,6 +16,7 @@
 	"sassafrasfield/internal/config"
 	"sassafrasfield/internal/connlimit"
 	"sassafrasfield/internal/engine"
+	"sassafrasfield/internal/httptransport"
 	"sassafrasfield/internal/quarantine"
 	"sassafrasfield/internal/stream"
 )
@@ -110,7 +109,7 @@
 	}
 	connection := http.NewResponseController(c.Response())
 	_ = connection.SetReadDeadline(time.Now().Add(s.settings.BodyTimeout)) // a response recorder in tests has no deadline
-	body, err := readAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit), c.Request().ContentLength)
+	body, err := httptransport.ReadSized(http.MaxBytesReader(c.Response(), c.Request().Body, limit), c.Request().ContentLength)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, bodyTooLarge(limit)
@@ -126,13 +125,6 @@
 	return body, nil
 }
 
-// readAll reads a body of a length; negative if it is not known.
-func readAll(body io.Reader, length int64) ([]byte, error) {
-	buffer := bytes.NewBuffer(make([]byte, 0, max(0, length)+bytes.MinRead))
-	_, err := buffer.ReadFrom(body)
-	return buffer.Bytes(), err
-}
-
 func bodyTooLarge(limit int64) *refusal {
 	return &refusal{status: http.StatusRequestEntityTooLarge, body: callerapi.Error{
 		Message: fmt.Sprintf("the body has over %d bytes", limit),
--- a/internal/httptransport/body.go
+++ b/internal/httptransport/body.go
@@ -34,6 +34,13 @@
 	return b.read()
 }
 
+// ReadSized reads a whole body, without bounds of its own, into one buffer of its length; a negative one is not known.
+func ReadSized(body io.Reader, length int64) ([]byte, error) {
+	buffer := bytes.NewBuffer(make([]byte, 0, max(0, length)+bytes.MinRead))
+	_, err := buffer.ReadFrom(body)
+	return buffer.Bytes(), err
+}
+
 // timedBody is a body that is closed when its time is over.
 type timedBody struct {
 	body  io.ReadCloser
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -150,17 +150,17 @@
 		}
 		body = res.Body
 	}
-	buffer := bytes.NewBuffer(make([]byte, 0, max(0, length)+bytes.MinRead))
-	if _, err := buffer.ReadFrom(io.LimitReader(body, maxAnswerBytes+1)); err != nil {
+	answer, err := httptransport.ReadSized(io.LimitReader(body, maxAnswerBytes+1), length)
+	if err != nil {
 		return nil, err
 	}
-	if buffer.Len() > maxAnswerBytes {
+	if len(answer) > maxAnswerBytes {
 		return nil, errTooLarge
 	}
 	if length < 0 {
-		return bytes.Clone(buffer.Bytes()), nil // frees the rest of the buffer
+		return bytes.Clone(answer), nil // frees the rest of the buffer
 	}
-	return buffer.Bytes(), nil
+	return answer, nil
 }
 
 var errTooLarge = errors.New("answer too large")
--- a/internal/testfleet/process.go
+++ b/internal/testfleet/process.go
@@ -84,6 +84,16 @@
 	return p.err
 }
 
+// CheckRunning returns an error if the process has ended.
+func (p *Process) CheckRunning() error {
+	select {
+	case <-p.done:
+		return errors.Errorf("%s ended: %v", p.Name, p.Err())
+	default:
+		return nil
+	}
+}
+
 // PeakMemory returns the largest resident memory that the process has had, in bytes (VmHWM of Linux).
 func (p *Process) PeakMemory() (int64, error) {
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID()))
