--- a/review/_harness2/base/fleet.go
+++ b/review/_harness2/base/fleet.go
@@ -9,7 +9,6 @@
 	"strings"
 	"time"
 
-	"sassafrasfield/internal/testfleet"
 	"sassafrasfield/platform/standin"
 	"sassafrasfield/platform/wire"
 )
@@ -25,7 +24,9 @@
 
 // Fleet is a store, and instances that run with the settings of a small deployment.
 type Fleet struct {
-	*testfleet.Fleet
+	addresses
+	// Dir is the folder of settings and logs.
+	Dir       string
 	Store     *standin.Store
 	Instances []*Instance
 }
@@ -33,12 +34,12 @@
 // Instance is one process of the system.
 type Instance struct {
 	Name, Front, Ready, Control, Settings string
-	Process                               *testfleet.Process
+	Process                               *Process
 }
 
 // NewFleet starts a store with a configuration. The programs are those that the deploy file builds.
 func NewFleet(dir string) (*Fleet, error) {
-	f := &Fleet{Fleet: testfleet.New("target", dir)}
+	f := &Fleet{Dir: dir}
 	var err error
 	if f.Store, err = standin.NewStore(f.Address()); err != nil {
 		return nil, err
@@ -115,7 +116,7 @@
 // Run starts the process of an instance with the command of the deploy file.
 func (f *Fleet) Run(in *Instance) error {
 	var err error
-	in.Process, err = f.StartWith([]string{"SASSAFRASFIELD_BOOT=" + in.Settings}, in.Name, "sf-instance")
+	in.Process, err = start("target/sf-instance", f.logPath(in.Name), "SASSAFRASFIELD_BOOT="+in.Settings)
 	return err
 }
 
@@ -146,6 +147,10 @@
 
 // Close ends all processes and the store.
 func (f *Fleet) Close() {
-	f.Stop()
+	for _, in := range f.Instances {
+		if in.Process != nil {
+			in.Process.Kill()
+		}
+	}
 	f.Store.Close()
 }
