--- a/review/_harness2/base/engine.go
+++ b/review/_harness2/base/engine.go
@@ -29,6 +29,8 @@
 	Pause  time.Duration
 	// WorksOn is set if the engine does not drop a request when its connection closes.
 	WorksOn bool
+	// Unframed has streams end with their connections, without a length and without chunks.
+	Unframed bool
 	// CallTime is the time that a call to a plain service takes.
 	CallTime time.Duration
 
@@ -41,20 +43,23 @@
 	sequence int
 	running  map[string]*Run
 	runs     []*Run
+	// unframed are the connections of the streams in progress that end with them.
+	unframed map[net.Conn]bool
 }
 
 // Run is one run of a request.
 type Run struct {
 	Request, Engine, LastEvent string
 	Began, Ended               time.Time
-	events                     int
-	stop                       chan struct{}
-	stopped                    bool
+	// events is the number of the last event made.
+	events  int
+	stop    chan struct{}
+	stopped bool
 }
 
 // StartEngine starts an engine that listens on an address, and writes its entry.
 func StartEngine(store *standin.Store, e *Engine, listen, phase string) error {
-	e.store, e.phase, e.state, e.running = store, phase, wire.StateReady, map[string]*Run{}
+	e.store, e.phase, e.state, e.running, e.unframed = store, phase, wire.StateReady, map[string]*Run{}, map[net.Conn]bool{}
 	if e.Address == "" {
 		e.Address = listen
 	}
@@ -69,8 +74,18 @@
 	return e.register()
 }
 
-// Close ends the engine.
-func (e *Engine) Close() { _ = e.server.Close() }
+// Close ends the engine. Its connections end as those of a process that exits: the kernel closes them.
+func (e *Engine) Close() {
+	_ = e.server.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for conn := range e.unframed {
+		_ = conn.Close()
+	}
+}
+
+// RemoveEntry removes the entry from the store.
+func (e *Engine) RemoveEntry() { e.store.Drop(wire.RunnerTable, e.ID) }
 
 // register writes the entry. The lock is held.
 func (e *Engine) register() error {
@@ -185,6 +200,9 @@
 	e.endRun(run)
 }
 
+// Events returns the number of the last event made.
+func (r Run) Events() int { return r.events }
+
 // endRun ends a run. The lock is held.
 func (e *Engine) endRun(run *Run) {
 	if run.Ended.IsZero() {
@@ -214,6 +232,8 @@
 	case stage == wire.PhasePrefill:
 		time.Sleep(20 * time.Millisecond)
 		answer(w, http.StatusOK, map[string]any{"handle": "p-" + id, "tokens": 100, "version": 1})
+	case e.Unframed:
+		e.streamUnframed(w, r)
 	default:
 		e.stream(w, r)
 	}
@@ -254,6 +274,32 @@
 	}
 }
 
+// streamUnframed makes the events of a stream that ends with its connection.
+func (e *Engine) streamUnframed(w http.ResponseWriter, r *http.Request) {
+	run := e.begin(r)
+	defer e.end(run)
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	e.mu.Lock()
+	e.unframed[conn] = true
+	e.mu.Unlock()
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: stamp-%s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n",
+		wire.RequestID, run.Request, wire.ServerStamp, run.Request)
+	last, _ := strconv.Atoi(run.LastEvent)
+	for n := last + 1; n <= e.Events; n++ {
+		time.Sleep(e.Pause)
+		if _, err := fmt.Fprintf(conn, "id: %d\ndata: event %d\n\n", n, n); err != nil {
+			return
+		}
+		e.mu.Lock()
+		run.events = n
+		e.mu.Unlock()
+	}
+}
+
 func answer(w http.ResponseWriter, status int, document any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
