--- a/review/_harness2/base/engine.go
+++ b/review/_harness2/base/engine.go
@@ -2,6 +2,7 @@
 package base
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -29,6 +30,10 @@
 	Pause  time.Duration
 	// WorksOn is set if the engine does not drop a request when its connection closes.
 	WorksOn bool
+	// Version is that of the engine's software, v1 if it is empty.
+	Version string
+	// IDStep is the difference between the ids of two events, and the first id; 1 if it is 0.
+	IDStep int
 	// Unframed has streams end with their connections, without a length and without chunks.
 	Unframed bool
 	// CallTime is the time that a call to a plain service takes.
@@ -90,7 +95,7 @@
 // register writes the entry. The lock is held.
 func (e *Engine) register() error {
 	return e.store.Put(wire.RunnerTable, e.ID, wire.RunnerEntry{
-		Service: e.Service, Address: e.Address, Zone: e.Zone, Version: "v1", Slots: 64, State: e.state, Phase: e.phase, Sequence: 1,
+		Service: e.Service, Address: e.Address, Zone: e.Zone, Version: cmp.Or(e.Version, "v1"), Slots: 64, State: e.state, Phase: e.phase, Sequence: 1,
 	})
 }
 
@@ -253,7 +258,9 @@
 	defer e.end(run)
 	w.Header().Set(wire.ServerStamp, "stamp-"+run.Request)
 	w.Header().Set("Content-Type", "text/event-stream")
+	step := max(1, e.IDStep)
 	last, _ := strconv.Atoi(run.LastEvent)
+	last /= step
 	var closed <-chan struct{}
 	if !e.WorksOn {
 		closed = r.Context().Done()
@@ -269,7 +276,7 @@
 		e.mu.Lock()
 		run.events = n
 		e.mu.Unlock()
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", n, n) // fails once the connection is closed
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", n*step, n) // fails once the connection is closed
 		_ = http.NewResponseController(w).Flush()
 	}
 }
