--- a/review/_harness2/base/engine.go
+++ b/review/_harness2/base/engine.go
@@ -234,6 +234,9 @@
 	case phase != stage:
 		w.Header().Set(wire.NotExecuted, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
+	case strings.HasSuffix(r.Header.Get(wire.KVSource), "/"+id): // a copy of the run, and this engine keeps none
+		w.Header().Set(wire.NotExecuted, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
 	case stage == wire.PhasePrefill:
 		time.Sleep(20 * time.Millisecond)
 		answer(w, http.StatusOK, map[string]any{"handle": "p-" + id, "tokens": 100, "version": 1})
