A run is not taken for ended because its engine is not reached

One machine loses the path to one engine for 1.75 s, and up to 12 of its 12 resumable streams go on at another engine while the first one, which does not drop a request when its connection closes, works on them for two seconds more.

Cause: mayWorkOn and awaitRunEnd knew "ended" and "goes on" alone. No answer within 0.4 s, a time-out of the connection, and a connection closed or reset at the engine's side counted as "ended". Nobody asked for such a run again.

Evidence: the log had run=unreached and "stream continues", and no "run left" for these runs; the engine got no call between the return of the path and the end of the runs.

The fix: only the engine's word, the end of its process or its refusal shows that a run has ended. After a connection that ended by itself the engine is asked before the next run begins, and what it lists is stopped at once. A run whose engine is not reached is followed until its deadline and stopped by the first call that gets through: one order is pending, as it may be held on the way, beside short checks, as packets may be lost. The next run does not wait for it. This holds for streams that callers take up, runs at copies and forwarded requests whose forwarder left as well.

TestRunMayBeInProgressAfterItsConnectionEnded stated the wrong belief in three rows (no wait for engines that do not answer, machines that do not acknowledge, and connections closed by the engine); they want the run followed now, and each row also says whether the next run waits and when the run is ordered to stop.

--- a/internal/relay/activestreams.go
+++ b/internal/relay/activestreams.go
@@ -14,6 +14,9 @@
 // ErrSuperseded ends an attempt at a stream that another attempt has taken up.
 var ErrSuperseded = errors.New("relay: another attempt took the stream up")
 
+// errForwarderLeft: the instance that forwarded a request does not read its answer any more.
+var errForwarderLeft = errors.New("relay: the instance that forwarded the request left")
+
 // leftRunKept is how long a run is remembered that its caller left. The engine is asked for it only if the caller takes the stream up.
 const leftRunKept = 5 * time.Second
 
@@ -84,6 +87,9 @@
 	case superseded:
 		go r.finishSuperseded(s)
 	case left != nil:
+		if s.holder.Forwarded { // the instance that forwarded it may have another run go on
+			r.endRun(*left, runLeft{engineReached: true, because: errForwarderLeft})
+		}
 		time.AfterFunc(leftRunKept, func() { r.forgetStream(s) })
 	}
 }
@@ -100,7 +106,7 @@
 // finishSuperseded waits until the run of a superseded attempt, which is not served any more, has ended.
 func (r *Relay) finishSuperseded(s *activeStream) {
 	if s.left != nil {
-		<-r.endRun(*s.left, ErrSuperseded).ended
+		<-r.endRun(*s.left, runLeft{engineReached: true, because: ErrSuperseded}).ended
 	}
 	r.streams.mu.Lock()
 	defer r.streams.mu.Unlock()
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -41,8 +41,7 @@
 	reservation reserved
 	// backup is the engine to which the run is copied while it proceeds.
 	backup upstreamstate.Upstream
-	// current is the run that an engine may work on; nil for none. former is the run before, whose connection this instance
-	// closed.
+	// current is the run that an engine may work on; nil for none. former is the run before, if its engine may work on it.
 	current *engineRun
 	former  *endingRun
 	// leftAs is what was known of the current run when it was left because its stream was silent.
@@ -285,7 +284,7 @@
 	if err := g.noteSent(engine.ID); err != nil {
 		return attempt.Result{Status: attempt.NoUpstream, Err: err}
 	}
-	g.current = &engineRun{engine: engine, request: g.req.ID}
+	g.current = &engineRun{engine: engine, request: g.req.ID, deadline: r.now() + g.remaining(r.now())}
 	runCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	started := r.now()
@@ -369,31 +368,24 @@
 	return failedAttempt(engine.ID, err)
 }
 
-// closeRun records that the connection of the current run ended with an error of WrapReadError. If it was not the engine that closed it,
-// the engine may work on, and the next run waits for the end of this one.
+// closeRun records that the connection of the current run ended with an error of WrapReadError. Unless the engine does not work on it
+// any more, the next run waits for the end of this one.
 func (g *generation) closeRun(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return // no other run follows at this instance
 	}
-	run := g.current
-	g.current = nil
-	if mayWorkOn(g.leftAs, err) {
-		g.former = g.relay.endRun(*run, err)
+	run, known := g.current, g.leftAs
+	g.current, g.leftAs = nil, ""
+	if mayWorkOn(known, err) {
+		g.former = g.relay.endRun(*run, leftBecause(known, err))
 	}
-	g.leftAs = ""
 }
 
 // mayWorkOn reports whether an engine may work on a run whose connection ended with an error of WrapReadError, given what was known
-// of the run before.
+// of the run before. Only the engine, or the end of its process, tells that it does not: a connection that ends, or an engine that is
+// not reached, is no sign of it.
 func mayWorkOn(known runState, err error) bool {
-	switch {
-	case known == runEnded || known == runUnreached:
-		return false
-	case ranNothing(err), errors.Is(err, ErrCutOff), errors.Is(err, ErrUnacknowledged), errors.Is(err, errUnprovenEnd):
-		return false
-	default:
-		return true
-	}
+	return known != runEnded && !ranNothing(err) && !errors.Is(err, errUnprovenEnd)
 }
 
 // awaitFormerRun waits until the run before has ended. An error means that no other run may begin.
--- a/internal/relay/runend.go
+++ b/internal/relay/runend.go
@@ -14,8 +14,8 @@
 	"sassafrasfield/internal/upstreamstate"
 )
 
-// Timing of the check that a run has ended whose connection was closed. Most engines end it at once; some notice late, and an
-// engine whose connection is silent never does.
+// Timing of the check that a run has ended that was left. Most engines end it when its connection closes; some notice late, some
+// work on, and an engine that is not reached hears nothing of it.
 const (
 	// runEndCheckInterval is the time between two checks.
 	runEndCheckInterval = 50 * time.Millisecond
@@ -24,7 +24,7 @@
 	stopRunAfter = 100 * time.Millisecond
 	// stopRunTimeout bounds an order to stop a run. Its memory is copied before the answer.
 	stopRunTimeout = time.Second
-	// runEndTimeout bounds all checks of one run.
+	// runEndTimeout bounds all checks of one run at an engine that answers.
 	runEndTimeout = 3 * time.Second
 )
 
@@ -35,41 +35,77 @@
 type engineRun struct {
 	engine  upstreamstate.Upstream
 	request string
+	// deadline is when the engine stops the run at the latest, on the relay's clock.
+	deadline time.Duration
 }
 
-// endingRun is a run whose connection was closed.
+// runLeft says why a run was left.
+type runLeft struct {
+	// engineReached is set unless the engine did not answer just before.
+	engineReached bool
+	// closedByEngine is set if the connection was closed at the engine's side, so that the engine has noticed it.
+	closedByEngine bool
+	because        error
+}
+
+// leftBecause returns why a run was left, given what was known of it before its connection ended with an error of WrapReadError.
+func leftBecause(known runState, err error) runLeft {
+	return runLeft{
+		engineReached:  known != runUnreached && !errors.Is(err, ErrUnacknowledged),
+		closedByEngine: errors.Is(err, ErrCutOff), because: err,
+	}
+}
+
+// stopAfter returns how long the engine may list the run before it is ordered to stop it.
+func (l runLeft) stopAfter() time.Duration {
+	if l.closedByEngine {
+		return 0
+	}
+	return stopRunAfter
+}
+
+// endingRun is a run that was left.
 type endingRun struct {
 	engineRun
-	// ended is closed once the engine does not work on the run any more, or nothing can be known of it. goesOn is set
-	// before if the engine was still working on it after runEndTimeout.
+	// ended is closed once the engine does not work on the run any more, or is not reached. goesOn is set before if the engine
+	// was still working on it after runEndTimeout.
 	ended  chan struct{}
 	goesOn bool
 }
 
-// runEndMeters counts the runs whose engines were asked after the connection was closed, those that were ordered to stop, and
-// those that went on nevertheless.
-type runEndMeters struct{ awaited, stopped, wentOn metrics.Counter }
+// runEndMeters counts the runs that were left and of which their engines were asked, those that were ordered to stop, those that
+// went on nevertheless, and those whose engines were not reached: all, and the ones that were known to have ended before their
+// deadlines.
+type runEndMeters struct{ awaited, stopped, wentOn, unreached, reached metrics.Counter }
 
 func newRunEndMeters() runEndMeters {
-	return runEndMeters{awaited: counter("run_ends_awaited"), stopped: counter("runs_stopped"), wentOn: counter("runs_that_went_on")}
+	return runEndMeters{
+		awaited: counter("run_ends_awaited"), stopped: counter("runs_stopped"), wentOn: counter("runs_that_went_on"),
+		unreached: counter("runs_left_unreached"), reached: counter("runs_left_unreached_ended"),
+	}
 }
 
-// endRun begins to wait for the end of a run whose connection was closed.
-func (r *Relay) endRun(run engineRun, because error) *endingRun {
+// endRun begins to wait for the end of a run that was left. If its engine is not reached, the run does not count as ended, but
+// nothing waits for it: it is stopped as soon as the engine is reached.
+func (r *Relay) endRun(run engineRun, left runLeft) *endingRun {
 	e := &endingRun{engineRun: run, ended: make(chan struct{})}
 	r.meters.runEnds.awaited.Inc(1)
 	go func() {
-		defer close(e.ended)
 		began := r.now()
-		ctx, cancel := context.WithTimeout(context.Background(), runEndTimeout)
-		defer cancel()
-		state, checks, stopped := r.awaitRunEnd(ctx, run, began)
+		state, checks, stopped := runUnreached, 0, false
+		if left.engineReached {
+			state, checks, stopped = r.awaitRunEnd(run, began, left.stopAfter())
+		}
 		e.goesOn = state == runGoesOn
 		if e.goesOn {
 			r.meters.runEnds.wentOn.Inc(1)
 		}
+		close(e.ended)
 		r.log.Info("relay: run left", "request", run.request, "engine", run.engine.ID, "run", state, "checks", checks, "stopped", stopped,
-			"took", r.now()-began, "because", because)
+			"took", r.now()-began, "because", left.because)
+		if state == runUnreached {
+			r.stopOnceReached(run)
+		}
 	}()
 	return e
 }
@@ -87,16 +123,18 @@
 	return nil
 }
 
-// awaitRunEnd waits until an engine does not work on a run whose connection was closed at a time. It returns what the engine says of
-// the run in the end, the number of checks, and whether the run was ordered to stop.
-func (r *Relay) awaitRunEnd(ctx context.Context, run engineRun, closed time.Duration) (state runState, checks int, stopped bool) {
+// awaitRunEnd waits until an engine does not work on a run that was left at a time, for runEndTimeout at most. It returns what the
+// engine says of the run in the end, the number of checks, and whether the run was ordered to stop.
+func (r *Relay) awaitRunEnd(run engineRun, closed, stopAfter time.Duration) (state runState, checks int, stopped bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), runEndTimeout)
+	defer cancel()
 	for {
 		checks++
 		state = r.closedRunState(ctx, run, closed)
 		if state != runGoesOn && state != runUnreported {
 			return state, checks, stopped
 		}
-		if r.now()-closed >= stopRunAfter && r.stopRun(ctx, run) {
+		if r.now()-closed >= stopAfter && r.stopRun(ctx, run) {
 			return runEnded, checks, true
 		}
 		if !pause.For(ctx, runEndCheckInterval) {
@@ -105,7 +143,7 @@
 	}
 }
 
-// closedRunState returns the state of a run whose connection was closed at a time.
+// closedRunState returns the state of a run that was left at a time.
 func (r *Relay) closedRunState(ctx context.Context, run engineRun, closed time.Duration) runState {
 	if r.BackingOff(run.engine) {
 		return runUnknown // it must not be sent a request
--- a/internal/relay/takeup_test.go
+++ b/internal/relay/takeup_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -266,27 +267,32 @@
 	}
 }
 
-// TestRunMayBeInProgressAfterItsConnectionEnded guards against a wait for runs that an engine has ended itself, and against none for runs
-// that it may work on.
+// TestRunMayBeInProgressAfterItsConnectionEnded guards against a wait for runs that an engine has ended itself or that it is not reached
+// for, and against runs that count as ended because their connections have, or because their engines are not reached.
 func TestRunMayBeInProgressAfterItsConnectionEnded(t *testing.T) {
 	for name, c := range map[string]struct {
-		known runState
-		err   error
-		want  bool
+		known                runState
+		err                  error
+		want, reached, stops bool
 	}{
-		"out of sequence":                {"", ErrNoValidAnswer, true},
-		"silent, engine says nothing":    {runUnknown, WrapReadError(context.Canceled), true},
-		"silent, made more events":       {runAhead, WrapReadError(context.Canceled), true},
-		"silent, engine does not answer": {runUnreached, WrapReadError(context.Canceled), false},
-		"silent, engine has ended it":    {runEnded, WrapReadError(context.Canceled), false},
-		"closed by the engine":           {"", WrapReadError(io.ErrUnexpectedEOF), false},
-		"refused":                        {"", ErrRefused, false},
-		"not sent":                       {"", ErrNotSent, false},
-		"machine does not acknowledge":   {"", ErrUnacknowledged, false},
+		"out of sequence":                {"", ErrNoValidAnswer, true, true, false},
+		"silent, engine says nothing":    {runUnknown, WrapReadError(context.Canceled), true, true, false},
+		"silent, made more events":       {runAhead, WrapReadError(context.Canceled), true, true, false},
+		"silent, engine does not answer": {runUnreached, WrapReadError(context.Canceled), true, false, false},
+		"silent, engine has ended it":    {runEnded, WrapReadError(context.Canceled), false, true, false},
+		"closed by the engine":           {"", WrapReadError(io.ErrUnexpectedEOF), true, true, true},
+		"reset":                          {"", WrapReadError(syscall.ECONNRESET), true, true, true},
+		"refused":                        {"", ErrRefused, false, true, false},
+		"not sent":                       {"", ErrNotSent, false, true, false},
+		"machine does not acknowledge":   {"", ErrUnacknowledged, true, false, false},
 	} {
 		if got := mayWorkOn(c.known, c.err); got != c.want {
 			t.Errorf("%s: %t", name, got)
 		}
+		left := leftBecause(c.known, c.err)
+		if stops := left.stopAfter() == 0; left.engineReached != c.reached || stops != c.stops {
+			t.Errorf("%s: reached %t, ordered to stop at once %t", name, left.engineReached, stops)
+		}
 	}
 }
 
--- a/internal/relay/unreported_test.go
+++ b/internal/relay/unreported_test.go
@@ -15,7 +15,7 @@
 	refused := EngineRuns{Unreported: true}
 	r := newFake(t, &fakeSender{engineRuns: func(context.Context, upstreamstate.Upstream) (EngineRuns, error) { return refused, nil }})
 	began := r.now()
-	e := r.endRun(engineRun{engine: r.upstreams.Upstream("dec-1"), request: "r1"}, errors.New("closed"))
+	e := r.endRun(engineRun{engine: r.upstreams.Upstream("dec-1"), request: "r1"}, runLeft{engineReached: true, because: errors.New("closed")})
 	if err := e.await(context.Background()); err == nil && r.now()-began < stopRunAfter {
 		t.Errorf("a run that was closed counts as ended after %s, without an answer of its engine or an order to stop", r.now()-began)
 	}
