Ids of events need not count them

Engines of a new software version number their events 10, 20, 30.

Cause: the protocol promises ids that increase. stream.Sequence wanted 1, 2, 3, also within one run on one connection, where nothing can be lost. The same belief: the number of events in an engine's report was compared with an id, so that a stream whose events did not arrive was not noticed where ids rise faster; claims of streams cut ids to 32 bits.

Evidence: "stream: event "10" after event "" is out of sequence" for each first run at a new engine, none of which drained.

The fix: within a run any higher id is in sequence. Where a run goes on after an event of an earlier one, nothing is missing if it repeats that event, or if the step is one that successive events of the answer have had; if no step is known, the event is held back until the next one shows it. So an engine that goes on two events later is still told where steps are equal. An event with a step not seen before waits for the next one, so that swapped events are still not passed on.

Tests that failed on: TestStreamsOfAnyIncreasingIDsAreServed (six of seven numberings), TestStreamsOfAnyIncreasingIDsGoOn, TestEventsThatArrivedAreCounted; the claim in peers.TestClaimMessagesKeepAllFields carries an id of 41 bits.

Tests changed: rows that took an id left out within a run for a missing event were wrong by the protocol ("increasing ids"): two of TestStreamHasEachEventOnceInOrder, rows of TestOnlyEventsInSequenceAreDelivered, the case "skipped" in first runs of TestEventsAreInOrderWhateverEnginesSend. Such runs have to arrive exactly as they were sent now. Swapped events, repeats, missing ids and runs that go on too late keep their checks. TestDeliveredEventsFollowEachOther and TestSeveralRunsYieldEachEventOnce modelled 1, 2, 3 and one sequence over all runs; their successors draw the numbering and one sequence a run. TestRunThatIsLeftEndsBeforeTheNextBegins had its run left by a gap, and has it left by an event without an id now.

--- a/internal/peers/claims.go
+++ b/internal/peers/claims.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -158,7 +159,7 @@
 
 func claimToMessage(message *sfv1.Datagram, id uint64, c takeover.Claim, passOn bool) *sfv1.Datagram {
 	message.StreamClaim = &sfv1.StreamClaim{
-		Id: id, Stream: uint64(c.Stream), Attempt: uint64(c.Attempt), Scope: uint64(c.Scope), Epoch: c.Epoch, LastEvent: uint32(max(0, c.LastEvent)), PassOn: passOn,
+		Id: id, Stream: uint64(c.Stream), Attempt: uint64(c.Attempt), Scope: uint64(c.Scope), Epoch: c.Epoch, LastEvent: uint64(max(0, c.LastEvent)), PassOn: passOn,
 	}
 	return message
 }
@@ -166,7 +167,7 @@
 func claimFromMessage(m *sfv1.StreamClaim) takeover.Claim {
 	return takeover.Claim{
 		Stream: streamversions.ID(m.GetStream()), Attempt: streamversions.ID(m.GetAttempt()), Scope: takeover.Scope(m.GetScope()),
-		Epoch: m.GetEpoch(), LastEvent: int(m.GetLastEvent()),
+		Epoch: m.GetEpoch(), LastEvent: int(min(m.GetLastEvent(), math.MaxInt)),
 	}
 }
 
--- a/internal/relay/enginechecks.go
+++ b/internal/relay/enginechecks.go
@@ -73,7 +73,7 @@
 	return r.sender.Runs(ctx, engine)
 }
 
-// runState returns the state of a run, of which events up to a number arrived and whose connection is open.
+// runState returns the state of a run of which a number of events arrived and whose connection is open.
 func (r *Relay) runState(ctx context.Context, request string, engine upstreamstate.Upstream, arrived int) runState {
 	runs, err := r.askRuns(ctx, engine, r.now()-silenceCheckTimeout)
 	switch {
--- a/internal/relay/eventforwarder.go
+++ b/internal/relay/eventforwarder.go
@@ -19,6 +19,9 @@
 // errEndsBehind: the run had events, but ended before the last one that the caller has.
 var errEndsBehind = errors.New("relay: the run ended before the last event that the caller has")
 
+// errUnprovenJoin: the run had one new event, and nothing shows whether there are others between it and the last one that the caller has.
+var errUnprovenJoin = errors.New("relay: events may be missing before the only one that the run brought")
+
 // errNoEvents: the stream ended before the first event of the answer.
 var errNoEvents = errors.New("relay: the stream ended before its first event")
 
@@ -36,19 +39,21 @@
 	headOnly bool
 	events   stream.EventSplitter
 	sequence *stream.Sequence
+	// arrivedBefore is the number of events that the caller had before this run, or more.
+	arrivedBefore int
 	// onEvents is called after events were written; nil for none.
 	onEvents func()
 }
 
-// newEventForwarder returns a forwarder of a stream that continues after an event; an empty id begins at the start.
-func newEventForwarder(w http.ResponseWriter, lastEvent string, cancel context.CancelFunc) *eventForwarder {
-	return &eventForwarder{w: w, flush: http.NewResponseController(w).Flush, sequence: stream.NewSequence(lastEvent), cancel: cancel, eventTime: readlimit.StreamEvent().MaxTime}
+// newEventForwarder returns a forwarder of a run whose events have the given sequence.
+func newEventForwarder(w http.ResponseWriter, sequence *stream.Sequence, cancel context.CancelFunc) *eventForwarder {
+	return &eventForwarder{w: w, flush: http.NewResponseController(w).Flush, sequence: sequence, cancel: cancel, eventTime: readlimit.StreamEvent().MaxTime}
 }
 
 // newForwarder returns a forwarder of the rest of the answer. An event may take as long as the caller waits for it.
 func (g *generation) newForwarder(cancel context.CancelFunc, watch *silenceWatch) *eventForwarder {
-	forwarder := newEventForwarder(g.w, g.lastEvent, cancel)
-	forwarder.headOnly, forwarder.watch = g.req.Method == http.MethodHead, watch
+	forwarder := newEventForwarder(g.w, stream.NewSequence(g.lastEvent, g.steps), cancel)
+	forwarder.headOnly, forwarder.watch, forwarder.arrivedBefore = g.req.Method == http.MethodHead, watch, g.arrivedEvents()
 	forwarder.eventTime = max(forwarder.eventTime, g.route.WaitBudget)
 	return forwarder
 }
@@ -66,14 +71,14 @@
 	timer := newEventTimer(p.eventTime, p.cancel)
 	defer timer.stop()
 	if p.watch != nil {
-		p.watch.start(p.lastNumber())
+		p.watch.start(p.arrived())
 		defer p.watch.stop()
 	}
 	for {
 		n, err := body.Read(buffer)
-		before := p.events.Count()
+		before, accepted := p.events.Count(), p.sequence.Accepted()
 		inSequence, outOfSequence := p.sequence.Add(p.events.Add(buffer[:n]))
-		progress := p.events.Count() > before && len(inSequence) > 0
+		progress := p.events.Count() > before && (len(inSequence) > 0 || p.sequence.Accepted() > accepted)
 		if progress {
 			timer.stop()
 		}
@@ -87,24 +92,34 @@
 			return err
 		}
 		switch {
-		case err == io.EOF && p.events.HasPartial():
-			return errPartialEvent
-		case err == io.EOF && p.sequence.IsBehind():
-			return errEndsBehind
-		case err == io.EOF && p.sequence.IsEmpty() && !p.headOnly:
-			return errNoEvents
 		case err == io.EOF:
-			return nil
+			return p.end()
 		case err != nil:
 			return errors.Wrap(err, "relay: read from the engine")
 		}
 	}
 }
 
-// lastNumber returns the number of the last event that the caller has.
-func (p *eventForwarder) lastNumber() int { return max(eventNumber(p.lastEvent()), p.events.Count()) }
+// end writes what is left at the regular end of the stream, and returns an error if the answer is not whole.
+func (p *eventForwarder) end() error {
+	switch {
+	case p.events.HasPartial():
+		return errPartialEvent
+	case p.sequence.IsBehind():
+		return errEndsBehind
+	case p.sequence.IsUnproven():
+		return errUnprovenJoin
+	case p.sequence.IsEmpty() && !p.headOnly:
+		return errNoEvents
+	default:
+		return p.write(p.sequence.Rest())
+	}
+}
+
+// arrived returns the number of events that arrived, of this run and of those before, or more.
+func (p *eventForwarder) arrived() int { return p.arrivedBefore + p.sequence.Accepted() }
 
-// eventNumber returns the number of an event by its id; 0 if it has none.
+// eventNumber returns the number of an event by its id; 0 if it has none. Numbers increase, but need not count the events.
 func eventNumber(id string) int {
 	number, err := strconv.Atoi(id)
 	if err != nil {
@@ -123,7 +138,7 @@
 		return p.write(events)
 	}
 	p.watch.pause()
-	defer func() { p.watch.resume(p.lastNumber()) }()
+	defer func() { p.watch.resume(p.arrived()) }()
 	return p.write(events)
 }
 
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -199,7 +199,7 @@
 	g.begin(reply, reply.Version)
 	forwarder := g.newForwarder(cancel, g.watchForwarded(reply, cancel))
 	err := forwarder.forward(reply.Body)
-	g.lastEvent = forwarder.lastEvent()
+	g.recordEvents(forwarder)
 	switch {
 	case err == nil:
 		return attempt.Result{Status: attempt.Done}
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -14,6 +14,7 @@
 	"sassafrasfield/internal/load"
 	"sassafrasfield/internal/placement"
 	"sassafrasfield/internal/readlimit"
+	"sassafrasfield/internal/stream"
 	"sassafrasfield/internal/upstreamstate"
 )
 
@@ -33,8 +34,11 @@
 	fetchesRefused int
 	// headerSent is set once the caller has received the answer's header.
 	headerSent bool
-	// lastEvent is the id of the last event that the caller received.
+	// lastEvent is the id of the last event that the caller received. received is the number of events that it received here, and
+	// steps are those between their ids.
 	lastEvent string
+	received  int
+	steps     stream.Steps
 	// reserved is the rate-limited engine that has capacity reserved for the answer; empty for none.
 	reserved string
 	// reservation is the work that is reserved for the prompt while it is processed.
@@ -406,7 +410,7 @@
 	forwarder.onEvents = r.watchAlive(g.exchange)
 	streamStarted, fromStart := r.now(), g.lastEvent == ""
 	err := g.confirmInTime(forwarder.forward(reply.Body))
-	g.lastEvent = forwarder.lastEvent()
+	g.recordEvents(forwarder)
 	r.recordStreamEnd(g.exchange, engine, reply, forwarder, err)
 	switch {
 	case err == nil:
@@ -441,6 +445,16 @@
 	return g.interrupted(engine.ID, err)
 }
 
+// recordEvents records which events of a run the caller received.
+func (g *generation) recordEvents(p *eventForwarder) {
+	g.lastEvent, g.steps = p.lastEvent(), p.sequence.Steps()
+	g.received += p.sequence.Delivered()
+}
+
+// arrivedEvents returns the number of events that the caller has, or more: ids that increase are at least the number of the events up to
+// them.
+func (g *generation) arrivedEvents() int { return max(0, eventNumber(g.req.LastEvent)) + g.received }
+
 // freeTimeout bounds the call that drops a KV cache.
 const freeTimeout = time.Second
 
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -69,7 +69,7 @@
 	Waiting int
 }
 
-// stateOf returns the state of a run of which events up to a number arrived.
+// stateOf returns the state of a run of which a number of events arrived.
 func (e EngineRuns) stateOf(request string, arrived int) runState {
 	made, listed := e.Events[request]
 	switch {
--- a/internal/relay/silencewatch.go
+++ b/internal/relay/silencewatch.go
@@ -20,7 +20,7 @@
 // engine may go on with it; until then the stream is left open, as nothing is gained by breaking it off.
 type silenceWatch struct {
 	suspectAfter time.Duration
-	// check returns the state of the run, of which events up to a number arrived. It returns early if the context ends.
+	// check returns the state of the run, given the number of events that arrived. It returns early if the context ends.
 	check func(ctx context.Context, arrived int) runState
 	// mayLeave reports whether another engine may go on with the stream now, and pays for it. What it changes is not used
 	// elsewhere before stop has returned.
@@ -41,14 +41,14 @@
 	since    time.Time
 	progress int
 	paused   bool
-	// arrived is the number of the last event that arrived.
+	// arrived is the number of events that arrived.
 	arrived int
 	ahead   int
 	// strayReads counts the reads without progress after suspectAfter.
 	strayReads int
 }
 
-// start begins to watch a stream of which events up to a number have arrived.
+// start begins to watch a stream of which a number of events have arrived.
 func (w *silenceWatch) start(arrived int) {
 	w.ctx, w.cancel = context.WithCancel(context.Background())
 	w.mu.Lock()
@@ -70,7 +70,7 @@
 	w.progress++
 }
 
-// resume restarts the watch after pause, when events up to a number have arrived.
+// resume restarts the watch after pause, when a number of events have arrived.
 func (w *silenceWatch) resume(arrived int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/relay/streamend.go
+++ b/internal/relay/streamend.go
@@ -56,9 +56,12 @@
 	return err
 }
 
-// isCallersSequence reports whether a run was out of sequence with the event that the caller named. That may be the caller's
-// fault, so it is not held against the engine.
+// isCallersSequence reports whether a run was out of sequence with the event that the caller named, or may have been. That may be the
+// caller's fault, so it is not held against the engine.
 func (g *generation) isCallersSequence(err error) bool {
+	if errors.Is(err, errUnprovenJoin) {
+		return true
+	}
 	var outOfSequence *stream.SequenceError
 	isOut := errors.As(err, &outOfSequence) || errors.Is(err, errEndsBehind)
 	return isOut && g.lastEvent != "" && g.lastEvent == g.req.LastEvent
--- a/internal/takeover/takeover.go
+++ b/internal/takeover/takeover.go
@@ -33,7 +33,7 @@
 	// Epoch is 0 for an attempt that begins a stream, and 1 for a claim at first. A claim to a stream that an attempt runs which it
 	// does not outrank is made again with a higher epoch than that of the attempt.
 	Epoch uint32
-	// LastEvent is the number of the last event that the caller has.
+	// LastEvent is the id of the last event that the caller has, as a number; 0 if it is none. Only its order counts.
 	LastEvent int
 }
 
