stream: a step to an event out of order is not known

An event with a new step is held back until the next one. If that has a lower id, the run ends, but its step counted as seen: the next run could go on two events later, and a gap was passed on. Found by reading. The step counts once the event is delivered; what a run has shown is known up to the last event delivered.

A repeat of the last event while another one is held back is dropped now, where it ended the run ("uneven steps again").

--- a/internal/stream/sequence.go
+++ b/internal/stream/sequence.go
@@ -59,11 +59,10 @@
 	before, own Steps
 	// joined is set once an event may follow last whatever its id.
 	joined bool
-	// usual is set if the step to the newest id may follow from those before.
-	usual bool
-	// held has the event that is held back, with heldID, and what followed it; nil for none.
-	held   []byte
-	heldID int64
+	// held has the event that is held back, with heldID, and what followed it; nil for none. heldStep is the step to it from the event
+	// of the run before it, which is not known to be one until the event is delivered; 0 for none.
+	held             []byte
+	heldID, heldStep int64
 	// delivered is the number of events with an id that were delivered.
 	delivered int
 	repeated  int
@@ -174,7 +173,7 @@
 	}
 	rest := s.held
 	s.held = nil
-	s.accept(s.heldID)
+	s.acceptHeld()
 	return rest
 }
 
@@ -218,17 +217,21 @@
 		s.dropRepeated()
 		return nil
 	}
-	s.show(id)
+	step := s.show(id)
+	switch {
+	case s.isHeld():
+		s.own.add(step)
+		return s.release(id)
+	case s.joined && !s.isUsual(step):
+		s.heldID, s.heldStep = id, step
+		return s.hold(b)
+	}
+	s.own.add(step)
 	switch {
 	case s.numbered && id <= s.last:
 		s.joined = s.joined || id == s.last
 		s.dropRepeated()
 		return nil
-	case s.isHeld():
-		return s.release(id)
-	case s.joined && !s.usual:
-		s.heldID = id
-		return s.hold(b)
 	case s.joined:
 		s.accept(id)
 		return nil
@@ -242,22 +245,27 @@
 	s.repeated++
 }
 
-// show records an id that is higher than those of the run before.
-func (s *Sequence) show(id int64) {
+// show records an id that is higher than those of the run before, and returns the step to it; 0 for the first one.
+func (s *Sequence) show(id int64) (step int64) {
 	if s.newest == noEvent {
-		s.first, s.usual = id, true
+		s.first = id
 	} else {
-		step, steps := id-s.newest, s.Steps()
-		s.usual = steps.allow(step) || !steps.known() && s.initial == "" && step == s.first // as with 10, 20
-		s.own.add(step)
+		step = id - s.newest
 	}
 	s.newest = id
+	return step
+}
+
+// isUsual reports whether a step within a run is one that was seen before. A first step that is equal to the first id is, as with 10, 20.
+func (s *Sequence) isUsual(step int64) bool {
+	steps := s.Steps()
+	return step == 0 || steps.allow(step) || !steps.known() && s.initial == "" && step == s.first
 }
 
-// hasShown reports whether the run is known to have shown an id, as all of its ids differ by the same step.
+// hasShown reports whether the run is known to have shown an id up to the last one, as all of its ids differ by the same step.
 func (s *Sequence) hasShown(id int64) bool {
 	step, ok := s.own.only()
-	return ok && id >= s.first && (id-s.first)%step == 0
+	return ok && id >= s.first && id <= s.last && (id-s.first)%step == 0
 }
 
 // accept has an event delivered.
@@ -266,6 +274,11 @@
 	s.delivered++
 }
 
+func (s *Sequence) acceptHeld() {
+	s.own.add(s.heldStep)
+	s.accept(s.heldID)
+}
+
 // hold has a block held back. What is held back for too long is decided on with what is known.
 func (s *Sequence) hold(b block) error {
 	s.fate = hold
@@ -273,7 +286,7 @@
 	case len(s.held)+b.size <= maxHeldBytes:
 		return nil
 	case s.joined:
-		s.accept(s.heldID)
+		s.acceptHeld()
 		return nil
 	default:
 		return s.newError(formatID(s.heldID), ReasonGap)
@@ -292,7 +305,7 @@
 	case steps.known():
 		return s.newError(formatID(id), ReasonGap)
 	default:
-		s.heldID = id
+		s.heldID, s.heldStep = id, 0
 		return s.hold(b)
 	}
 }
@@ -302,7 +315,7 @@
 	if !s.joined && !s.Steps().allow(s.heldID-s.last) {
 		return s.newError(formatID(s.heldID), ReasonGap)
 	}
-	s.accept(s.heldID)
+	s.acceptHeld()
 	s.accept(next)
 	return nil
 }
--- a/internal/stream/steps.go
+++ b/internal/stream/steps.go
@@ -12,7 +12,7 @@
 // only returns the difference if all are the same.
 func (s Steps) only() (step int64, ok bool) { return s.max, s.known() && s.min == s.max }
 
-// add adds a difference.
+// add adds a difference; 0 adds nothing.
 func (s *Steps) add(step int64) { *s = s.merge(Steps{min: step, max: step}) }
 
 // merge returns what either shows.
