--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -288,10 +288,10 @@
 	if err := g.noteSent(engine.ID); err != nil {
 		return attempt.Result{Status: attempt.NoUpstream, Err: err}
 	}
-	g.current = &engineRun{engine: engine, request: g.req.ID, deadline: r.now() + g.remaining(r.now())}
+	started := r.now()
+	g.current = &engineRun{engine: engine, request: g.req.ID, deadline: started + g.remaining(started)}
 	runCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	started := r.now()
 	if !g.headerSent && !g.route.Resumable {
 		request := g.placementRequest(started)
 		request.Version = engine.Version
--- a/internal/relay/runend_test.go
+++ b/internal/relay/runend_test.go
@@ -82,7 +82,7 @@
 func TestRunOfAnUnreachedEngineIsStoppedOnceReached(t *testing.T) {
 	e := &workingEngine{unreachable: true}
 	f := &pausingSender{fakeSender: &fakeSender{engineRuns: e.runs, stop: e.stop}, parts: []string{numberedEvents(1, 2), numberedEvents(3, 4)}, pause: time.Minute}
-	r := newFake(t, firstEngineOf(f, e))
+	r := newFake(t, notingSender{f, e})
 	r.settings.StreamIdleTimeout = suspectAfter
 	withLargeBudget(r)
 	request := longPrompt("/resumable/1")
@@ -104,8 +104,6 @@
 	engine *workingEngine
 }
 
-func firstEngineOf(s *pausingSender, e *workingEngine) notingSender { return notingSender{s, e} }
-
 func (s notingSender) Send(ctx context.Context, req *Request, send Send) (*Reply, error) {
 	s.engine.mu.Lock()
 	if s.engine.id == "" {
@@ -176,7 +174,7 @@
 func TestForwardedRunIsStoppedWhenItsForwarderLeaves(t *testing.T) {
 	e := &workingEngine{}
 	f := &pausingSender{fakeSender: &fakeSender{engineRuns: e.runs, stop: e.stop}, parts: []string{numberedEvents(1, 2), numberedEvents(3, 4)}, pause: time.Minute}
-	r := withOneVersion(newFake(t, firstEngineOf(f, e)))
+	r := withOneVersion(newFake(t, notingSender{f, e}))
 	ctx, leave := context.WithTimeout(context.Background(), suspectAfter)
 	defer leave()
 	_, err := r.ServeForwarded(ctx, &Forwarded{Request: longPrompt("/resumable/1"), Service: serviceHash("llm"), Timeout: time.Minute, Version: "v1"}, httptest.NewRecorder())
